--- /dev/null
+++ b/kernel/src/main/java/org/fuchsialever/kernel/duty/DutyStepper.java
@@ -0,0 +1,84 @@
+package org.fuchsialever.kernel.duty;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.fuchsialever.kernel.time.ManualTimeSource;
+
+/**
+ * Drives several duties with the calling thread under a manual clock, for tests and randomised
+ * runs. Events are handled in order of arrival; time advances from timer to timer.
+ */
+public final class DutyStepper {
+    private final ManualTimeSource time;
+    private final List<Driven<?, ?>> driven = new ArrayList<>();
+    private final Deque<Runnable> pending = new ArrayDeque<>();
+
+    /** Creates a stepper on the given clock. */
+    public DutyStepper(ManualTimeSource time) {
+        this.time = time;
+    }
+
+    /**
+     * Adds a duty.
+     *
+     * @param duty the state machine
+     * @param actions carries out its actions; may send events to any duty of this stepper
+     * @return sends an event to the duty
+     */
+    public <E, A> ActionSink<E> add(Duty<E, A> duty, ActionSink<A> actions) {
+        Driven<E, A> entry = new Driven<>(duty, actions);
+        driven.add(entry);
+        return event -> pending.add(() -> entry.handle(event, time.nanoTime()));
+    }
+
+    /** Handles waiting events, including those that they cause, until none is left. */
+    public void settle() {
+        Runnable next = pending.poll();
+        while (next != null) {
+            next.run();
+            next = pending.poll();
+        }
+    }
+
+    /**
+     * Advances the clock and runs all timers that become due on the way, in order of time.
+     *
+     * @param nanos how far to advance, in nanoseconds
+     */
+    public void advance(long nanos) {
+        long end = time.nanoTime() + nanos;
+        settle();
+        long next = nextTimer();
+        while (next <= end) {
+            time.advanceNanos(Math.max(0, next - time.nanoTime()));
+            for (Driven<?, ?> entry : driven) {
+                entry.runTimers(time.nanoTime());
+                settle();
+            }
+            next = nextTimer();
+        }
+        time.advanceNanos(end - time.nanoTime());
+    }
+
+    private long nextTimer() {
+        long next = Duty.NO_TIMER;
+        for (Driven<?, ?> entry : driven) {
+            next = Math.min(next, entry.duty.nextTimerNanos());
+        }
+        return next;
+    }
+
+    private record Driven<E, A>(Duty<E, A> duty, ActionSink<A> actions) {
+        void handle(E event, long now) {
+            duty.onEvent(event, now, actions);
+        }
+
+        void runTimers(long now) {
+            if (duty.nextTimerNanos() <= now) {
+                duty.onTimer(now, actions);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/fuchsialever/kernel/duty/Inbox.java
@@ -0,0 +1,58 @@
+package org.fuchsialever.kernel.duty;
+
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Bounded ring of events for one duty, with many producers and one consumer. The array-based queue
+ * of the JDK is used because it parks an idle consumer and lets a producer discard the oldest
+ * event, which a ring with published sequences cannot do.
+ */
+public final class Inbox<E> {
+    private final BlockingQueue<E> ring;
+    private final OverflowPolicy overflow;
+    private final LongAdder overflows = new LongAdder();
+
+    /**
+     * Creates an inbox.
+     *
+     * @param capacity the number of events that it holds
+     * @param overflow what happens to an event when it is full
+     */
+    public Inbox(int capacity, OverflowPolicy overflow) {
+        this.ring = new ArrayBlockingQueue<>(capacity);
+        this.overflow = overflow;
+    }
+
+    /**
+     * Adds an event.
+     *
+     * @return whether the event was accepted
+     */
+    public boolean offer(E event) {
+        return overflow.insert(ring, event, overflows::increment);
+    }
+
+    /** Returns the number of waiting events. */
+    public int size() {
+        return ring.size();
+    }
+
+    /** Returns how often the inbox was full when an event arrived. */
+    public long overflows() {
+        return overflows.sum();
+    }
+
+    /** Returns the next event, or null if there is none. */
+    public @Nullable E poll() {
+        return ring.poll();
+    }
+
+    /** Waits for the next event for at most the given time and returns null after it. */
+    @Nullable E poll(long timeoutNanos) throws InterruptedException {
+        return ring.poll(timeoutNanos, TimeUnit.NANOSECONDS);
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/fuchsialever/kernel/findings/Findings.java
@@ -0,0 +1,53 @@
+package org.fuchsialever.kernel.findings;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Collectors;
+
+/** Collects findings so that all of them can be reported together. Used by one thread. */
+public final class Findings {
+    private final List<Finding> entries = new ArrayList<>();
+
+    /** Adds an error; the message is a format string with its arguments. */
+    public void error(Place place, String messageKey, String message, Object... arguments) {
+        add(Severity.ERROR, place, messageKey, message, arguments);
+    }
+
+    /** Adds a warning; the message is a format string with its arguments. */
+    public void warning(Place place, String messageKey, String message, Object... arguments) {
+        add(Severity.WARNING, place, messageKey, message, arguments);
+    }
+
+    /** Adds all findings of another collection. */
+    public void addAll(Findings other) {
+        entries.addAll(other.entries);
+    }
+
+    /** Returns whether there is at least one error. */
+    public boolean hasErrors() {
+        return entries.stream().anyMatch(finding -> finding.severity() == Severity.ERROR);
+    }
+
+    /** Returns whether there is no finding at all. */
+    public boolean isEmpty() {
+        return entries.isEmpty();
+    }
+
+    /** Returns the findings in the order in which they were added. */
+    public List<Finding> list() {
+        return List.copyOf(entries);
+    }
+
+    /** Returns one line for each finding. */
+    public String report() {
+        return entries.stream().map(Finding::toString).collect(Collectors.joining("\n"));
+    }
+
+    private void add(
+            Severity severity, Place place, String messageKey, String message, Object[] arguments) {
+        String text =
+                arguments.length == 0 ? message : String.format(Locale.ROOT, message, arguments);
+        entries.add(new Finding(severity, place, messageKey, text));
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/fuchsialever/kernel/findings/Place.java
@@ -0,0 +1,28 @@
+package org.fuchsialever.kernel.findings;
+
+/**
+ * Where a finding applies.
+ *
+ * @param file the name of the file, or an empty string
+ * @param line the line, counted from 1, or 0 if unknown
+ * @param key the key within the file, such as {@code route chat/pool}, or an empty string
+ */
+public record Place(String file, int line, String key) {
+
+    /** Returns a place that is known only by a key. */
+    public static Place ofKey(String key) {
+        return new Place("", 0, key);
+    }
+
+    @Override
+    public String toString() {
+        StringBuilder text = new StringBuilder(file);
+        if (line > 0) {
+            text.append(':').append(line);
+        }
+        if (!key.isEmpty()) {
+            text.append(text.length() > 0 ? ": " : "").append(key);
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/fuchsialever/kernel/findings/Severity.java
@@ -0,0 +1,14 @@
+package org.fuchsialever.kernel.findings;
+
+/** How serious a finding is. */
+public enum Severity {
+    /** The input cannot be used. */
+    ERROR,
+    /** The input can be used but probably does not say what was meant. */
+    WARNING;
+
+    /** Returns the name in lower case, for output. */
+    public String label() {
+        return name().toLowerCase(java.util.Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/fuchsialever/kernel/findings/package-info.java
@@ -0,0 +1,5 @@
+/** Problems found in user input, collected with their place and reported together. */
+@NullMarked
+package org.fuchsialever.kernel.findings;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/kernel/src/main/java/org/fuchsialever/kernel/invariant/CountingInvariantMonitor.java
@@ -0,0 +1,40 @@
+package org.fuchsialever.kernel.invariant;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.vavr.control.Option;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.atomic.LongAdder;
+import org.fuchsialever.kernel.log.PartLogger;
+
+/** Counts and logs violations; the process goes on. */
+public final class CountingInvariantMonitor implements InvariantMonitor {
+    private static final PartLogger LOG = PartLogger.of("invariant");
+
+    private final Map<Invariant, Counter> counters = new EnumMap<>(Invariant.class);
+    private final LongAdder total = new LongAdder();
+
+    /** Creates a monitor with one counter for each property. */
+    public CountingInvariantMonitor(MeterRegistry meters) {
+        for (Invariant invariant : Invariant.values()) {
+            counters.put(
+                    invariant,
+                    Counter.builder("fuchsialever.invariant.violations")
+                            .tag("invariant", invariant.metricName())
+                            .register(meters));
+        }
+    }
+
+    @Override
+    public void violated(Invariant invariant, String detail) {
+        total.increment();
+        Option.of(counters.get(invariant)).forEach(Counter::increment);
+        LOG.warning("Violated: " + invariant.statement() + " " + detail);
+    }
+
+    /** Returns the number of violations of all properties. */
+    public long total() {
+        return total.sum();
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/fuchsialever/kernel/lifecycle/Closer.java
@@ -0,0 +1,88 @@
+package org.fuchsialever.kernel.lifecycle;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.fuchsialever.kernel.log.PartLogger;
+import org.jspecify.annotations.Nullable;
+
+/** Gathers resources and closes them in reverse order, even if some of them fail. */
+public final class Closer implements AutoCloseable {
+    private static final PartLogger LOG = PartLogger.of("closer");
+
+    private final Deque<Entry> entries = new ArrayDeque<>();
+    private boolean closed;
+
+    /**
+     * Adds a resource; it is closed at once if this closer is closed already.
+     *
+     * @param name the name used in logs and failures
+     * @param resource the resource
+     * @return the resource
+     */
+    public <T extends AutoCloseable> T register(String name, T resource) {
+        synchronized (entries) {
+            if (!closed) {
+                entries.push(new Entry(name, resource));
+                return resource;
+            }
+        }
+        close(new Entry(name, resource), null);
+        return resource;
+    }
+
+    /**
+     * Closes all resources. A second call does nothing.
+     *
+     * @throws CloseException after all resources were tried, with each failure as suppressed
+     */
+    @Override
+    public void close() {
+        CloseException failure = null;
+        Entry entry = next();
+        while (entry != null) {
+            failure = close(entry, failure);
+            entry = next();
+        }
+        if (failure != null) {
+            throw failure;
+        }
+    }
+
+    private @Nullable Entry next() {
+        synchronized (entries) {
+            closed = true;
+            return entries.poll();
+        }
+    }
+
+    private static @Nullable CloseException close(Entry entry, @Nullable CloseException earlier) {
+        try {
+            entry.resource.close();
+            return earlier;
+        } catch (Exception e) {
+            if (e instanceof InterruptedException) {
+                Thread.currentThread().interrupt();
+            }
+            LOG.warning("Could not close " + entry.name + ".", e);
+            CloseException failure =
+                    earlier == null ? new CloseException("resources failed to close") : earlier;
+            failure.addSuppressed(new CloseException(entry.name, e));
+            return failure;
+        }
+    }
+
+    private record Entry(String name, AutoCloseable resource) {}
+
+    /** One or more resources failed to close. */
+    public static final class CloseException extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        private CloseException(String message) {
+            super(message);
+        }
+
+        private CloseException(String resource, Exception cause) {
+            super("could not close " + resource, cause);
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/fuchsialever/kernel/log/PartLogger.java
@@ -0,0 +1,46 @@
+package org.fuchsialever.kernel.log;
+
+import java.lang.System.Logger.Level;
+
+/** Logs short sentences with the fixed prefix of one part of the system. */
+public final class PartLogger {
+    private static final String ROOT = "org.fuchsialever.";
+
+    private final System.Logger logger;
+    private final String prefix;
+
+    private PartLogger(String part) {
+        this.logger = System.getLogger(ROOT + part);
+        this.prefix = part + ": ";
+    }
+
+    /** Returns the logger of a part. */
+    public static PartLogger of(String part) {
+        return new PartLogger(part);
+    }
+
+    /** Logs details that are of use while debugging. */
+    public void debug(String sentence) {
+        logger.log(Level.DEBUG, prefix + sentence);
+    }
+
+    /** Logs a normal event. */
+    public void info(String sentence) {
+        logger.log(Level.INFO, prefix + sentence);
+    }
+
+    /** Logs a problem that the system handles by itself. */
+    public void warning(String sentence) {
+        logger.log(Level.WARNING, prefix + sentence);
+    }
+
+    /** Logs a problem that the system handles by itself, with its cause. */
+    public void warning(String sentence, Throwable cause) {
+        logger.log(Level.WARNING, prefix + sentence, cause);
+    }
+
+    /** Logs a problem that needs an operator, with its cause. */
+    public void error(String sentence, Throwable cause) {
+        logger.log(Level.ERROR, prefix + sentence, cause);
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/fuchsialever/kernel/plugin/Assembly.java
@@ -0,0 +1,107 @@
+package org.fuchsialever.kernel.plugin;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.fuchsialever.kernel.findings.Findings;
+import org.fuchsialever.kernel.findings.Place;
+import org.fuchsialever.kernel.settings.SettingsReader;
+
+/** Orders components so that each is installed after those whose services it requires. */
+public final class Assembly {
+    private static final String MSG_MISSING = "component.missing-requirement";
+    private static final String MSG_CYCLE = "component.cycle";
+    private static final String MSG_DOUBLE = "component.provided-twice";
+
+    private final List<Component> ordered;
+
+    private Assembly(List<Component> ordered) {
+        this.ordered = ordered;
+    }
+
+    /**
+     * Sorts components by requirement; components without a mutual order keep the given one.
+     *
+     * @param components the selected components
+     * @param findings receives errors for missing, doubled and cyclic requirements
+     * @return the assembly; it must not be installed if there are errors
+     */
+    public static Assembly of(Collection<? extends Component> components, Findings findings) {
+        checkProviders(components, findings);
+        List<Component> waiting = new ArrayList<>(components);
+        List<Component> ordered = new ArrayList<>();
+        Set<Class<?>> provided = new HashSet<>();
+        boolean progress = true;
+        while (progress && !waiting.isEmpty()) {
+            progress = false;
+            for (Component component : List.copyOf(waiting)) {
+                if (provided.containsAll(component.requires())) {
+                    waiting.remove(component);
+                    ordered.add(component);
+                    provided.addAll(component.provides());
+                    progress = true;
+                }
+            }
+        }
+        for (Component component : waiting) {
+            findings.error(
+                    Place.ofKey(component.pluginName()),
+                    MSG_CYCLE,
+                    "cannot be installed because its requirements depend on one another or are"
+                            + " missing");
+        }
+        return new Assembly(ordered);
+    }
+
+    /** Lets each component read its settings; problems become findings of the reader. */
+    public void configure(SettingsReader settings) {
+        for (Component component : ordered) {
+            component.configure(settings);
+        }
+    }
+
+    /** Installs the components in order. */
+    public void install(ComponentContext context) {
+        for (Component component : ordered) {
+            component.install(context);
+        }
+    }
+
+    /** Returns the components in the order of installation. */
+    public List<Component> components() {
+        return List.copyOf(ordered);
+    }
+
+    private static void checkProviders(
+            Collection<? extends Component> components, Findings findings) {
+        Map<Class<?>, Component> providers = new HashMap<>();
+        for (Component component : components) {
+            for (Class<?> type : component.provides()) {
+                Component earlier = providers.putIfAbsent(type, component);
+                if (earlier != null) {
+                    findings.error(
+                            Place.ofKey(component.pluginName()),
+                            MSG_DOUBLE,
+                            "%s is also provided by %s",
+                            type.getSimpleName(),
+                            earlier.pluginName());
+                }
+            }
+        }
+        for (Component component : components) {
+            for (Class<?> type : component.requires()) {
+                if (!providers.containsKey(type)) {
+                    findings.error(
+                            Place.ofKey(component.pluginName()),
+                            MSG_MISSING,
+                            "%s is required but no selected component provides it",
+                            type.getSimpleName());
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/fuchsialever/kernel/plugin/ComponentContext.java
@@ -0,0 +1,119 @@
+package org.fuchsialever.kernel.plugin;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
+import org.fuchsialever.kernel.duty.ActionSink;
+import org.fuchsialever.kernel.duty.Duty;
+import org.fuchsialever.kernel.duty.DutyThread;
+import org.fuchsialever.kernel.duty.Inbox;
+import org.fuchsialever.kernel.duty.OverflowPolicy;
+import org.fuchsialever.kernel.lifecycle.Closer;
+import org.fuchsialever.kernel.settings.SettingsReader;
+import org.fuchsialever.kernel.time.TimeSource;
+
+/** Services, settings and resources that components of one process share. */
+public final class ComponentContext {
+    private final Map<Class<?>, Object> services = new HashMap<>();
+    private final SettingsReader settings;
+    private final Closer closer;
+    private final TimeSource time;
+    private final long randomSeed;
+    private final MeterRegistry meters;
+
+    /**
+     * Creates a context.
+     *
+     * @param settings the settings of the process
+     * @param closer receives the resources of all components
+     * @param time the clock of the process
+     * @param randomSeed the seed from which each named random source is derived
+     * @param meters the registry for all metrics
+     */
+    public ComponentContext(
+            SettingsReader settings,
+            Closer closer,
+            TimeSource time,
+            long randomSeed,
+            MeterRegistry meters) {
+        this.settings = settings;
+        this.closer = closer;
+        this.time = time;
+        this.randomSeed = randomSeed;
+        this.meters = meters;
+    }
+
+    /**
+     * Returns a service.
+     *
+     * @param type the type under which it was provided
+     * @throws IllegalStateException if no component provided it
+     */
+    public <T> T require(Class<T> type) {
+        Object service = services.get(type);
+        if (service == null) {
+            throw new IllegalStateException("no component provides " + type.getName());
+        }
+        return type.cast(service);
+    }
+
+    /**
+     * Makes a service available to components that are installed later.
+     *
+     * @throws IllegalStateException if the type has been provided before
+     */
+    public <T> void provide(Class<T> type, T service) {
+        if (services.putIfAbsent(type, service) != null) {
+            throw new IllegalStateException(type.getName() + " is provided twice");
+        }
+    }
+
+    /** Returns the settings of the process. */
+    public SettingsReader settings() {
+        return settings;
+    }
+
+    /** Returns the closer that releases the resources of the process. */
+    public Closer closer() {
+        return closer;
+    }
+
+    /** Returns the clock of the process. */
+    public TimeSource time() {
+        return time;
+    }
+
+    /** Returns a random source of its own for the given purpose. */
+    public RandomGenerator random(String purpose) {
+        return new SplittableRandom(randomSeed * 31 + purpose.hashCode());
+    }
+
+    /** Returns the registry for all metrics. */
+    public MeterRegistry meters() {
+        return meters;
+    }
+
+    /**
+     * Starts a duty on a thread of its own and registers the thread with the closer.
+     *
+     * @param duty the state machine
+     * @param capacity the number of events that its inbox holds
+     * @param overflow what happens to an event when the inbox is full
+     * @param actions carries out the actions, on the thread of the duty; must not block
+     * @return the inbox of the duty
+     */
+    public <E, A> Inbox<E> startDuty(
+            Duty<E, A> duty, int capacity, OverflowPolicy overflow, ActionSink<A> actions) {
+        DutyThread<E, A> thread =
+                new DutyThread<>(duty, new Inbox<>(capacity, overflow), actions, time);
+        String name = duty.dutyName();
+        meters.gauge("fuchsialever.ring.size." + name, thread.inbox(), Inbox::size);
+        meters.gauge("fuchsialever.ring.overflows." + name, thread.inbox(), Inbox::overflows);
+        meters.gauge("fuchsialever.duty.failures." + name, thread, DutyThread::failures);
+        closer.register("duty " + name, thread);
+        thread.start();
+        return thread.inbox();
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/fuchsialever/kernel/settings/IniDocument.java
@@ -0,0 +1,137 @@
+package org.fuchsialever.kernel.settings;
+
+import io.vavr.control.Option;
+import java.io.IOException;
+import java.io.StringReader;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.configuration2.INIConfiguration;
+import org.apache.commons.configuration2.SubnodeConfiguration;
+import org.apache.commons.configuration2.ex.ConfigurationException;
+import org.fuchsialever.kernel.findings.Findings;
+import org.fuchsialever.kernel.findings.Place;
+
+/** An INI text with the line of each section and key. */
+public final class IniDocument {
+    private static final String MSG_SYNTAX = "ini.syntax";
+    private static final String MSG_DUPLICATE_KEY = "ini.duplicate-key";
+    private static final String MSG_DUPLICATE_SECTION = "ini.duplicate-section";
+    private static final String MSG_NO_SECTION = "ini.key-outside-section";
+
+    private final String file;
+    private final Map<String, Map<String, String>> sections = new LinkedHashMap<>();
+    private final Map<String, Integer> lines = new LinkedHashMap<>();
+
+    private IniDocument(String file) {
+        this.file = file;
+    }
+
+    /**
+     * Parses a text.
+     *
+     * @param file the name of the file, for findings
+     * @param text its content
+     * @param findings receives errors for bad syntax and for doubled sections and keys
+     * @return the document; what could not be read is left out
+     */
+    public static IniDocument parse(String file, String text, Findings findings) {
+        IniDocument document = new IniDocument(file);
+        document.indexLines(text, findings);
+        INIConfiguration configuration = new INIConfiguration();
+        try {
+            configuration.read(new StringReader(text));
+        } catch (ConfigurationException | IOException e) {
+            findings.error(new Place(file, 0, ""), MSG_SYNTAX, "cannot be read as INI: %s", e);
+            return document;
+        }
+        for (String section : configuration.getSections()) {
+            if (section != null) {
+                document.readSection(section, configuration.getSection(section));
+            }
+        }
+        return document;
+    }
+
+    /** Returns the names of all sections in the order of the file. */
+    public List<String> sections() {
+        return List.copyOf(sections.keySet());
+    }
+
+    /**
+     * Returns the keys of a section in the order of the file; empty if there is no such section.
+     */
+    public List<String> keys(String section) {
+        return List.copyOf(sections.getOrDefault(section, Map.of()).keySet());
+    }
+
+    /** Returns the value of a key, without surrounding blanks. */
+    public Option<String> value(String section, String key) {
+        return Option.of(sections.getOrDefault(section, Map.of()).get(key));
+    }
+
+    /** Returns the place of a key, or of its section if the key does not occur. */
+    public Place place(String section, String key) {
+        Integer line = lines.get(section + "/" + key);
+        if (line == null) {
+            line = lines.getOrDefault(section, 0);
+        }
+        return new Place(file, line, section + "/" + key);
+    }
+
+    /** Returns the place of a section. */
+    public Place place(String section) {
+        return new Place(file, lines.getOrDefault(section, 0), section);
+    }
+
+    private void readSection(String section, SubnodeConfiguration configuration) {
+        Map<String, String> values = new LinkedHashMap<>();
+        Iterator<String> keys = configuration.getKeys();
+        while (keys.hasNext()) {
+            String key = keys.next();
+            String value = configuration.getString(key, "");
+            // The library doubles dots in keys, because a single dot separates nodes.
+            values.put(key.replace("..", "."), value.strip());
+        }
+        sections.put(section, values);
+    }
+
+    private void indexLines(String text, Findings findings) {
+        String section = "";
+        List<String> content = new ArrayList<>(text.lines().toList());
+        for (int i = 0; i < content.size(); i++) {
+            String line = content.get(i).strip();
+            if (line.startsWith("[") && line.endsWith("]")) {
+                section = line.substring(1, line.length() - 1).strip();
+                indexName(
+                        section, new Place(file, i + 1, section), MSG_DUPLICATE_SECTION, findings);
+            } else if (!line.isEmpty() && !line.startsWith("#") && !line.startsWith(";")) {
+                indexKey(section, line, i + 1, findings);
+            }
+        }
+    }
+
+    private void indexKey(String section, String line, int number, Findings findings) {
+        int separator = line.indexOf('=');
+        if (separator <= 0) {
+            findings.error(
+                    new Place(file, number, section), MSG_SYNTAX, "expected \"key = value\"");
+            return;
+        }
+        String key = line.substring(0, separator).strip();
+        Place place = new Place(file, number, section + "/" + key);
+        if (section.isEmpty()) {
+            findings.error(place, MSG_NO_SECTION, "a key must stand below a [section]");
+        }
+        indexName(section + "/" + key, place, MSG_DUPLICATE_KEY, findings);
+    }
+
+    private void indexName(String name, Place place, String messageKey, Findings findings) {
+        Integer earlier = lines.putIfAbsent(name, place.line());
+        if (earlier != null) {
+            findings.error(place, messageKey, "already defined in line %d", earlier);
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/fuchsialever/kernel/settings/SettingsReader.java
@@ -0,0 +1,207 @@
+package org.fuchsialever.kernel.settings;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.fuchsialever.kernel.findings.Findings;
+import org.fuchsialever.kernel.findings.Place;
+
+/**
+ * Reads typed values from an INI document. Every read marks its key as known; {@link
+ * #reportUnknownKeys} then reports the others. A bad value is a finding and yields the default.
+ */
+public final class SettingsReader {
+    private static final String MSG_MISSING = "settings.missing";
+    private static final String MSG_BAD_NUMBER = "settings.bad-number";
+    private static final String MSG_OUT_OF_RANGE = "settings.out-of-range";
+    private static final String MSG_BAD_DURATION = "settings.bad-duration";
+    private static final String MSG_BAD_SIZE = "settings.bad-size";
+    private static final String MSG_BAD_CHOICE = "settings.bad-choice";
+    private static final String MSG_UNKNOWN_KEY = "settings.unknown-key";
+    private static final String MSG_UNKNOWN_SECTION = "settings.unknown-section";
+
+    private final IniDocument document;
+    private final Findings findings;
+    private final Set<String> knownKeys = new HashSet<>();
+    private final Set<String> knownSections = new HashSet<>();
+
+    /**
+     * Creates a reader.
+     *
+     * @param document the settings
+     * @param findings receives all problems
+     */
+    public SettingsReader(IniDocument document, Findings findings) {
+        this.document = document;
+        this.findings = findings;
+    }
+
+    /** Returns the document that is read. */
+    public IniDocument document() {
+        return document;
+    }
+
+    /** Returns the findings that receive all problems. */
+    public Findings findings() {
+        return findings;
+    }
+
+    /** Returns a text that must be there; its absence is an error and yields an empty string. */
+    public String requiredText(String section, String key) {
+        Option<String> value = raw(section, key);
+        if (value.isEmpty() || value.get().isEmpty()) {
+            findings.error(document.place(section, key), MSG_MISSING, "a value is required");
+        }
+        return value.getOrElse("");
+    }
+
+    /** Returns a text, or the default if the key does not occur. */
+    public String text(String section, String key, String defaultValue) {
+        return raw(section, key).getOrElse(defaultValue);
+    }
+
+    /** Returns the elements of a comma-separated list, or the default if the key does not occur. */
+    public List<String> list(String section, String key, List<String> defaultValue) {
+        return raw(section, key).map(SettingsReader::split).getOrElse(defaultValue);
+    }
+
+    /** Returns a whole number within bounds (both inclusive). */
+    public long integer(String section, String key, long defaultValue, long least, long most) {
+        Option<String> value = raw(section, key);
+        if (value.isEmpty()) {
+            return defaultValue;
+        }
+        long number;
+        try {
+            number = Long.parseLong(value.get());
+        } catch (NumberFormatException e) {
+            findings.error(
+                    document.place(section, key),
+                    MSG_BAD_NUMBER,
+                    "\"%s\" is not a whole number",
+                    value.get());
+            return defaultValue;
+        }
+        if (number < least || number > most) {
+            findings.error(
+                    document.place(section, key),
+                    MSG_OUT_OF_RANGE,
+                    "%d is out of range; allowed are %d to %d",
+                    number,
+                    least,
+                    most);
+            return defaultValue;
+        }
+        return number;
+    }
+
+    /** Returns a duration such as {@code 250 ms}, {@code 5 s}, {@code 2 min} or {@code 1 h}. */
+    public Duration duration(String section, String key, Duration defaultValue) {
+        Option<String> value = raw(section, key);
+        if (value.isEmpty()) {
+            return defaultValue;
+        }
+        Option<Duration> duration = Quantities.parseDuration(value.get());
+        if (duration.isEmpty()) {
+            findings.error(
+                    document.place(section, key),
+                    MSG_BAD_DURATION,
+                    "\"%s\" is not a duration; write for example 250 ms, 5 s, 2 min or 1 h",
+                    value.get());
+        }
+        return duration.getOrElse(defaultValue);
+    }
+
+    /** Returns a size in bytes from a text such as {@code 64 KB} or {@code 1 MB}. */
+    public long size(String section, String key, long defaultBytes) {
+        Option<String> value = raw(section, key);
+        if (value.isEmpty()) {
+            return defaultBytes;
+        }
+        Option<Long> size = Quantities.parseSize(value.get());
+        if (size.isEmpty()) {
+            findings.error(
+                    document.place(section, key),
+                    MSG_BAD_SIZE,
+                    "\"%s\" is not a size; write for example 512 B, 64 KB or 1 MB",
+                    value.get());
+        }
+        return size.getOrElse(defaultBytes);
+    }
+
+    /** Returns an enum constant; the text is its name in lower case with dashes. */
+    public <T extends Enum<T>> T choice(String section, String key, Class<T> type, T defaultValue) {
+        Option<String> value = raw(section, key);
+        if (value.isEmpty()) {
+            return defaultValue;
+        }
+        for (T constant : type.getEnumConstants()) {
+            if (label(constant).equals(value.get())) {
+                return constant;
+            }
+        }
+        String allowed =
+                Arrays.stream(type.getEnumConstants())
+                        .map(SettingsReader::label)
+                        .collect(Collectors.joining(", "));
+        findings.error(
+                document.place(section, key),
+                MSG_BAD_CHOICE,
+                "\"%s\" is not allowed; allowed are %s",
+                value.get(),
+                allowed);
+        return defaultValue;
+    }
+
+    /** Returns the place of a key, for findings of the caller. */
+    public Place place(String section, String key) {
+        return document.place(section, key);
+    }
+
+    /** Adds an error for each section and key that no read has asked for. */
+    public void reportUnknownKeys() {
+        for (String section : document.sections()) {
+            if (!knownSections.contains(section)) {
+                findings.error(
+                        document.place(section),
+                        MSG_UNKNOWN_SECTION,
+                        "section [%s] is not known",
+                        section);
+                continue;
+            }
+            for (String key : document.keys(section)) {
+                if (!knownKeys.contains(section + "/" + key)) {
+                    findings.error(
+                            document.place(section, key),
+                            MSG_UNKNOWN_KEY,
+                            "key \"%s\" is not known in section [%s]",
+                            key,
+                            section);
+                }
+            }
+        }
+    }
+
+    /** Returns the settings text of an enum constant. */
+    public static String label(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    private Option<String> raw(String section, String key) {
+        knownSections.add(section);
+        knownKeys.add(section + "/" + key);
+        return document.value(section, key);
+    }
+
+    private static List<String> split(String text) {
+        return Arrays.stream(text.split(","))
+                .map(String::strip)
+                .filter(element -> !element.isEmpty())
+                .toList();
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/fuchsialever/kernel/time/ManualTimeSource.java
@@ -0,0 +1,43 @@
+package org.fuchsialever.kernel.time;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** A clock that moves only when told to. */
+public final class ManualTimeSource implements TimeSource {
+    private final AtomicLong nanos = new AtomicLong();
+    private final long wallOriginMillis;
+
+    /**
+     * Creates a clock at monotonic time zero.
+     *
+     * @param wallOriginMillis the wall-clock time at that moment, in milliseconds since the epoch
+     */
+    public ManualTimeSource(long wallOriginMillis) {
+        this.wallOriginMillis = wallOriginMillis;
+    }
+
+    @Override
+    public long nanoTime() {
+        return nanos.get();
+    }
+
+    @Override
+    public long wallMillis() {
+        return wallOriginMillis + TimeUnit.NANOSECONDS.toMillis(nanos.get());
+    }
+
+    /** Moves the clock forward by a number of nanoseconds. */
+    public void advanceNanos(long delta) {
+        if (delta < 0) {
+            throw new IllegalArgumentException("a monotonic clock cannot go back by " + delta);
+        }
+        nanos.addAndGet(delta);
+    }
+
+    /** Moves the clock forward. */
+    public void advance(Duration delta) {
+        advanceNanos(delta.toNanos());
+    }
+}
