Add tables, dispatch types and platform interfaces

Cause: decisions must be typed and free of transports before any component is built on them. Change: names, the parser of both tables with findings, dispatch events, actions, outcomes and reasons with a first dispatch duty, and the interfaces to the platform. ArchUnit checks that decisions use no transport, encoding or store.

--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/config/Access.java
@@ -0,0 +1,9 @@
+package org.fuchsialever.decisions.config;
+
+/** Who may call a route. */
+public enum Access {
+    /** Callers with a key of a team that the route lists. */
+    KEYED,
+    /** Everybody. */
+    OPEN
+}
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/config/RouteKind.java
@@ -0,0 +1,22 @@
+package org.fuchsialever.decisions.config;
+
+/** What a route serves. */
+public enum RouteKind {
+    /** Model calls of live callers. */
+    LIVE(UpstreamKind.ENGINE),
+    /** Calls of a plain service. */
+    PLAIN(UpstreamKind.PLAIN),
+    /** Rollouts for trainers. */
+    ROLLOUT(UpstreamKind.ENGINE);
+
+    private final UpstreamKind upstreamKind;
+
+    RouteKind(UpstreamKind upstreamKind) {
+        this.upstreamKind = upstreamKind;
+    }
+
+    /** Returns the kind of upstream that this kind of route needs. */
+    public UpstreamKind upstreamKind() {
+        return upstreamKind;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/config/TableParser.java
@@ -0,0 +1,125 @@
+package org.fuchsialever.decisions.config;
+
+import io.vavr.control.Option;
+import java.util.Map;
+import java.util.TreeMap;
+import org.fuchsialever.decisions.model.PoolName;
+import org.fuchsialever.decisions.model.RouteName;
+import org.fuchsialever.decisions.model.TeamName;
+import org.fuchsialever.kernel.findings.Findings;
+import org.fuchsialever.kernel.findings.Place;
+import org.fuchsialever.kernel.settings.IniDocument;
+import org.fuchsialever.kernel.settings.SettingsReader;
+
+/** Turns the two tables into one snapshot and checks them together. */
+public final class TableParser {
+    private static final String MSG_UNKNOWN_POOL = "route.unknown-pool";
+    private static final String MSG_KIND_MISMATCH = "route.kind-mismatch";
+    private static final String MSG_SAME_PATH = "route.same-path";
+    private static final String MSG_UNUSED_POOL = "pool.unused";
+    private static final String MSG_NO_UPSTREAM = "pool.no-upstream";
+
+    private final Findings findings;
+    private final Map<RouteName, Route> routes = new TreeMap<>();
+    private final Map<PoolName, Pool> pools = new TreeMap<>();
+    private final Map<TeamName, Integer> teams = new TreeMap<>();
+
+    private TableParser(Findings findings) {
+        this.findings = findings;
+    }
+
+    /**
+     * Parses and checks both tables.
+     *
+     * @param version the version that the snapshot gets
+     * @param routesFile the name of the route table, for findings
+     * @param routesText the route table
+     * @param poolsFile the name of the pool table, for findings
+     * @param poolsText the pool table
+     * @param findings receives all problems
+     * @return the snapshot, or none if there are errors
+     */
+    public static Option<ConfigSnapshot> parse(
+            long version,
+            String routesFile,
+            String routesText,
+            String poolsFile,
+            String poolsText,
+            Findings findings) {
+        Findings own = new Findings();
+        IniDocument routeTable = IniDocument.parse(routesFile, routesText, own);
+        IniDocument poolTable = IniDocument.parse(poolsFile, poolsText, own);
+        TableParser parser = new TableParser(own);
+        parser.readPools(poolTable);
+        parser.readRoutes(routeTable);
+        parser.checkTogether(routeTable, poolTable);
+        findings.addAll(own);
+        if (own.hasErrors()) {
+            return Option.none();
+        }
+        return Option.some(new ConfigSnapshot(version, parser.routes, parser.pools, parser.teams));
+    }
+
+    private void readPools(IniDocument table) {
+        SettingsReader reader = new SettingsReader(table, findings);
+        PoolTableReader poolReader = new PoolTableReader(reader);
+        pools.putAll(poolReader.read());
+        reader.reportUnknownKeys();
+    }
+
+    private void readRoutes(IniDocument table) {
+        SettingsReader reader = new SettingsReader(table, findings);
+        RouteTableReader routeReader = new RouteTableReader(reader);
+        teams.putAll(routeReader.readTeams());
+        routes.putAll(routeReader.readRoutes(teams.keySet()));
+        reader.reportUnknownKeys();
+    }
+
+    private void checkTogether(IniDocument routeTable, IniDocument poolTable) {
+        Map<String, RouteName> paths = new TreeMap<>();
+        for (Route route : routes.values()) {
+            Place place = routeTable.place("route " + route.name(), "pool");
+            Pool pool = pools.get(route.pool());
+            if (pool == null) {
+                findings.error(
+                        place,
+                        MSG_UNKNOWN_POOL,
+                        "pool \"%s\" does not exist; known pools are %s",
+                        route.pool(),
+                        pools.keySet());
+            } else if (pool.kind() != route.kind().upstreamKind()) {
+                findings.error(
+                        place,
+                        MSG_KIND_MISMATCH,
+                        "a %s route needs a pool of kind %s, but \"%s\" is of kind %s",
+                        SettingsReader.label(route.kind()),
+                        SettingsReader.label(route.kind().upstreamKind()),
+                        route.pool(),
+                        SettingsReader.label(pool.kind()));
+            }
+            RouteName earlier = paths.putIfAbsent(route.path(), route.name());
+            if (earlier != null) {
+                findings.error(
+                        routeTable.place("route " + route.name(), "path"),
+                        MSG_SAME_PATH,
+                        "route \"%s\" has the same path",
+                        earlier);
+            }
+        }
+        for (Pool pool : pools.values()) {
+            checkPool(pool, poolTable.place("pool " + pool.name()));
+        }
+    }
+
+    private void checkPool(Pool pool, Place place) {
+        if (routes.values().stream().noneMatch(route -> route.pool().equals(pool.name()))) {
+            findings.warning(place, MSG_UNUSED_POOL, "no route uses this pool");
+        }
+        if (pool.upstreams().isEmpty() && pool.maximum() == 0) {
+            findings.error(
+                    place,
+                    MSG_NO_UPSTREAM,
+                    "the pool has no upstream and may not order any (maximum is 0)");
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/Outcome.java
@@ -0,0 +1,24 @@
+package org.fuchsialever.decisions.dispatch;
+
+/** What is known about a request when its caller gets the final answer. */
+public enum Outcome {
+    /** No part of the request reached an upstream's application. */
+    NOT_RUN(true),
+    /** The whole answer was delivered. */
+    COMPLETED(false),
+    /** An upstream ran the request and answered with an error. */
+    FAILED_AFTER_RUNNING(false),
+    /** The request may have run; no final answer arrived. */
+    UNKNOWN(false);
+
+    private final boolean safeToRepeat;
+
+    Outcome(boolean safeToRepeat) {
+        this.safeToRepeat = safeToRepeat;
+    }
+
+    /** Returns whether even a non-repeatable request may be sent again by its caller. */
+    public boolean safeToRepeat() {
+        return safeToRepeat;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/RefusalReason.java
@@ -0,0 +1,79 @@
+package org.fuchsialever.decisions.dispatch;
+
+import java.time.Duration;
+import java.util.Locale;
+
+/** Why a caller gets no answer from an upstream. */
+public enum RefusalReason {
+    UNKNOWN_ROUTE(Kind.NOT_FOUND, Outcome.NOT_RUN, Duration.ZERO),
+    KEY_MISSING(Kind.UNAUTHENTICATED, Outcome.NOT_RUN, Duration.ZERO),
+    KEY_WRONG(Kind.UNAUTHENTICATED, Outcome.NOT_RUN, Duration.ZERO),
+    KEY_EXPIRED(Kind.UNAUTHENTICATED, Outcome.NOT_RUN, Duration.ZERO),
+    KEY_WITHDRAWN(Kind.UNAUTHENTICATED, Outcome.NOT_RUN, Duration.ZERO),
+    KEY_WITHDRAWN_DURING_CALL(Kind.UNAUTHENTICATED, Outcome.UNKNOWN, Duration.ZERO),
+    KEYS_STALE(Kind.UNAVAILABLE, Outcome.NOT_RUN, Duration.ofSeconds(5)),
+    TEAM_NOT_ALLOWED(Kind.FORBIDDEN, Outcome.NOT_RUN, Duration.ZERO),
+    BODY_TOO_LARGE(Kind.TOO_LARGE, Outcome.NOT_RUN, Duration.ZERO),
+    MALFORMED_BODY(Kind.INVALID, Outcome.NOT_RUN, Duration.ZERO),
+    METHOD_NOT_ALLOWED(Kind.INVALID, Outcome.NOT_RUN, Duration.ZERO),
+    NOT_READY(Kind.UNAVAILABLE, Outcome.NOT_RUN, Duration.ofSeconds(1)),
+    DRAINING(Kind.UNAVAILABLE, Outcome.NOT_RUN, Duration.ofSeconds(1)),
+    QUEUE_FULL(Kind.OVERLOADED, Outcome.NOT_RUN, Duration.ofSeconds(1)),
+    WOULD_MISS_DEADLINE(Kind.OVERLOADED, Outcome.NOT_RUN, Duration.ofSeconds(2)),
+    DEADLINE_IN_QUEUE(Kind.OVERLOADED, Outcome.NOT_RUN, Duration.ofSeconds(2)),
+    NO_UPSTREAM(Kind.UNAVAILABLE, Outcome.NOT_RUN, Duration.ofSeconds(5)),
+    UPSTREAMS_NOT_REACHED(Kind.UNAVAILABLE, Outcome.NOT_RUN, Duration.ofSeconds(1)),
+    RETRY_BUDGET_SPENT(Kind.UNAVAILABLE, Outcome.NOT_RUN, Duration.ofSeconds(2)),
+    CLAIM_UNAVAILABLE(Kind.UNAVAILABLE, Outcome.NOT_RUN, Duration.ofSeconds(5)),
+    CLAIM_IN_PROGRESS(Kind.CONFLICT, Outcome.UNKNOWN, Duration.ofSeconds(1)),
+    CLAIM_MISMATCH(Kind.INVALID, Outcome.NOT_RUN, Duration.ZERO),
+    UPSTREAM_FAILED(Kind.BAD_GATEWAY, Outcome.FAILED_AFTER_RUNNING, Duration.ZERO),
+    ANSWER_LOST(Kind.BAD_GATEWAY, Outcome.UNKNOWN, Duration.ZERO),
+    DEADLINE_WHILE_RUNNING(Kind.TIMEOUT, Outcome.UNKNOWN, Duration.ZERO),
+    INTERNAL(Kind.INTERNAL, Outcome.UNKNOWN, Duration.ZERO);
+
+    private final Kind kind;
+    private final Outcome outcome;
+    private final Duration retryAfter;
+
+    RefusalReason(Kind kind, Outcome outcome, Duration retryAfter) {
+        this.kind = kind;
+        this.outcome = outcome;
+        this.retryAfter = retryAfter;
+    }
+
+    /** Returns the class of problem; each front end maps it to its own status codes. */
+    public Kind kind() {
+        return kind;
+    }
+
+    /** Returns what is known about the request. */
+    public Outcome outcome() {
+        return outcome;
+    }
+
+    /** Returns when a retry by the caller may make sense; zero means never. */
+    public Duration retryAfter() {
+        return retryAfter;
+    }
+
+    /** Returns the stable code in answers and metrics, such as {@code queue-full}. */
+    public String code() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    /** Classes of problems, independent of any protocol. */
+    public enum Kind {
+        NOT_FOUND,
+        UNAUTHENTICATED,
+        FORBIDDEN,
+        TOO_LARGE,
+        INVALID,
+        CONFLICT,
+        OVERLOADED,
+        UNAVAILABLE,
+        BAD_GATEWAY,
+        TIMEOUT,
+        INTERNAL
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/model/RequestId.java
@@ -0,0 +1,24 @@
+package org.fuchsialever.decisions.model;
+
+/**
+ * Identity of a request, unique across instances.
+ *
+ * @param value the text, not empty
+ */
+public record RequestId(String value) implements Comparable<RequestId> {
+
+    /** Checks the name. */
+    public RequestId {
+        Names.check(value);
+    }
+
+    @Override
+    public int compareTo(RequestId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/fuchsialever/decisions/ShapeTest.java
@@ -0,0 +1,41 @@
+package org.fuchsialever.decisions;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** Guards against decisions that depend on a message encoding, a transport or a store. */
+class ShapeTest {
+    private final JavaClasses classes =
+            new ClassFileImporter()
+                    .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+                    .importPackages("org.fuchsialever.decisions");
+
+    @Test
+    void decisionsUseNoTransportEncodingOrStore() {
+        noClasses()
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(
+                        "io.netty..",
+                        "reactor..",
+                        "org.reactivestreams..",
+                        "com.google.protobuf..",
+                        "com.fasterxml..",
+                        "java.net.http..",
+                        "java.nio.channels..",
+                        "org.fuchsialever.platform..",
+                        "org.fuchsialever.wire..")
+                .check(classes);
+    }
+
+    @Test
+    void decisionsReadNoClockAndStartNoThread() {
+        noClasses().should().callMethod(System.class, "nanoTime").check(classes);
+        noClasses().should().callMethod(System.class, "currentTimeMillis").check(classes);
+        noClasses().should().dependOnClassesThat().areAssignableTo(Thread.class).check(classes);
+    }
+}
