Serve a live call from end to end

Cause: the shape needs one whole path: caller, front end, dispatch duty on its ring, upstream client, engine and back.

--- /dev/null
+++ b/frontend/src/main/java/org/fuchsialever/frontend/Answers.java
@@ -0,0 +1,71 @@
+package org.fuchsialever.frontend;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.nio.charset.StandardCharsets;
+import org.fuchsialever.decisions.dispatch.Outcome;
+import org.fuchsialever.decisions.dispatch.RefusalReason;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Writes refusals and small JSON answers, and counts refusals by reason. */
+public final class Answers {
+    private static final String JSON = "application/json";
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final MeterRegistry meters;
+
+    /** Creates a writer whose refusals are counted in the given registry. */
+    public Answers(MeterRegistry meters) {
+        this.meters = meters;
+        for (RefusalReason reason : RefusalReason.values()) {
+            counter(reason);
+        }
+    }
+
+    /** Answers with a refusal and counts it. */
+    public Mono<Void> refuse(HttpServerResponse response, Refusal refusal, String requestId) {
+        count(refusal.reason());
+        boolean notRun = refusal.reason().outcome() == Outcome.NOT_RUN;
+        response.status(HttpStatus.of(refusal.reason().kind()))
+                .header("X-Request-Id", requestId)
+                .header("X-Not-Run", Boolean.toString(notRun));
+        if (!refusal.retryAfter().isZero()) {
+            response.header("Retry-After", Long.toString(refusal.retryAfter().toSeconds()));
+        }
+        return json(response, errorBody(refusal, requestId));
+    }
+
+    /** Counts a refusal that is reported in another form than a response of its own. */
+    public void count(RefusalReason reason) {
+        counter(reason).increment();
+    }
+
+    /** Returns the JSON form of a refusal. */
+    public static ObjectNode errorBody(Refusal refusal, String requestId) {
+        ObjectNode body = MAPPER.createObjectNode();
+        ObjectNode error = body.putObject("error");
+        error.put("code", refusal.reason().code());
+        error.put("message", message(refusal));
+        error.put("not_run", refusal.reason().outcome() == Outcome.NOT_RUN);
+        error.put("request_id", requestId);
+        return body;
+    }
+
+    /** Answers with a JSON document; the status must have been set. */
+    public static Mono<Void> json(HttpServerResponse response, ObjectNode body) {
+        return response.header("Content-Type", JSON)
+                .sendByteArray(Mono.just(body.toString().getBytes(StandardCharsets.UTF_8)))
+                .then();
+    }
+
+    private io.micrometer.core.instrument.Counter counter(RefusalReason reason) {
+        return meters.counter("fuchsialever.refusals", "reason", reason.code());
+    }
+
+    private static String message(Refusal refusal) {
+        String text = refusal.reason().code().replace('-', ' ');
+        return refusal.detail().isEmpty() ? text : text + ": " + refusal.detail();
+    }
+}
--- /dev/null
+++ b/frontend/src/main/java/org/fuchsialever/frontend/CallEndpoint.java
@@ -0,0 +1,161 @@
+package org.fuchsialever.frontend;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.fuchsialever.decisions.config.ConfigSnapshot;
+import org.fuchsialever.decisions.config.Route;
+import org.fuchsialever.decisions.config.RouteKind;
+import org.fuchsialever.decisions.dispatch.RefusalReason;
+import org.fuchsialever.decisions.model.RequestId;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Serves live model calls and plain calls by the route table. */
+public final class CallEndpoint implements Endpoint {
+    /** Fields that are forwarded; an allow list, so that no credential passes by oversight. */
+    private static final Set<String> FORWARDED =
+            Set.of("content-type", "accept", "accept-language");
+
+    private final Supplier<Option<ConfigSnapshot>> snapshots;
+    private final Supplier<RequestId> requestIds;
+    private final Authenticator authenticator;
+    private final CallPort calls;
+    private final Answers answers;
+    private final ModelCallReader modelCalls = new ModelCallReader();
+
+    /**
+     * Creates the endpoint.
+     *
+     * @param snapshots returns the configuration in force, if there is one
+     * @param requestIds returns a new identity each time
+     * @param authenticator checks callers
+     * @param calls carries out calls
+     * @param answers writes refusals
+     */
+    public CallEndpoint(
+            Supplier<Option<ConfigSnapshot>> snapshots,
+            Supplier<RequestId> requestIds,
+            Authenticator authenticator,
+            CallPort calls,
+            Answers answers) {
+        this.snapshots = snapshots;
+        this.requestIds = requestIds;
+        this.authenticator = authenticator;
+        this.calls = calls;
+        this.answers = answers;
+    }
+
+    @Override
+    public boolean accepts(String method, String path) {
+        return true;
+    }
+
+    @Override
+    public Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+        RequestId id = requestIds.get();
+        return admit(request, id)
+                .flatMap(call -> calls.call(call).flatMap(result -> respond(response, id, result)))
+                .onErrorResume(
+                        RefusedException.class,
+                        refused -> answers.refuse(response, refused.refusal(), id.value()));
+    }
+
+    private Mono<Call> admit(HttpServerRequest request, RequestId id) {
+        String path = "/" + request.path();
+        Option<ConfigSnapshot> snapshot = snapshots.get();
+        if (snapshot.isEmpty()) {
+            return refused(RefusalReason.NOT_READY);
+        }
+        Option<Route> found =
+                snapshot.get().routeFor(path).filter(route -> route.kind() != RouteKind.ROLLOUT);
+        if (found.isEmpty()) {
+            return refused(RefusalReason.UNKNOWN_ROUTE);
+        }
+        Route route = found.get();
+        HttpHeaders headers = request.requestHeaders();
+        Either<RefusalReason, Caller> caller =
+                authenticator.authenticate(Option.of(headers.get("Authorization")), route);
+        if (caller.isLeft()) {
+            return refused(caller.getLeft());
+        }
+        return RequestBodies.read(request, route.bodyLimitBytes())
+                .flatMap(body -> toCall(request, id, route, caller.get(), body));
+    }
+
+    private Mono<Call> toCall(
+            HttpServerRequest request, RequestId id, Route route, Caller caller, byte[] body) {
+        Either<Refusal, CallShape> shape =
+                route.kind() == RouteKind.LIVE
+                        ? modelCalls.read(body)
+                        : Either.right(CallShape.PLAIN);
+        if (shape.isLeft()) {
+            return Mono.error(new RefusedException(shape.getLeft()));
+        }
+        HttpHeaders headers = request.requestHeaders();
+        return Mono.just(
+                new Call(
+                        id,
+                        route,
+                        caller,
+                        request.method().name(),
+                        request.uri(),
+                        forwarded(headers),
+                        body,
+                        shape.get(),
+                        Option.of(headers.get("Idempotency-Key"))));
+    }
+
+    private Mono<Void> respond(
+            HttpServerResponse response, RequestId id, Either<Refusal, CallAnswer> result) {
+        if (result.isLeft()) {
+            return answers.refuse(response, result.getLeft(), id.value());
+        }
+        CallAnswer answer = result.get();
+        response.status(answer.status()).header("X-Request-Id", id.value());
+        for (HeaderField field : answer.headers()) {
+            response.header(field.name(), field.value());
+        }
+        Flux<byte[]> body =
+                answer.body()
+                        .onErrorResume(
+                                RefusedException.class,
+                                refused -> endStream(refused.refusal(), id.value()));
+        return response.send(body.map(Unpooled::wrappedBuffer), chunk -> true).then();
+    }
+
+    /**
+     * Reports a refusal within a started stream and then breaks the connection, so that the caller
+     * cannot take a cut answer for a whole one.
+     */
+    private Flux<byte[]> endStream(Refusal refusal, String requestId) {
+        answers.count(refusal.reason());
+        String event = "data: " + Answers.errorBody(refusal, requestId) + "\n\n";
+        return Flux.concat(
+                Flux.just(event.getBytes(StandardCharsets.UTF_8)),
+                Flux.error(new RefusedException(refusal)));
+    }
+
+    private static List<HeaderField> forwarded(HttpHeaders headers) {
+        List<HeaderField> fields = new ArrayList<>();
+        for (String name : FORWARDED) {
+            String value = headers.get(name);
+            if (value != null) {
+                fields.add(new HeaderField(name, value));
+            }
+        }
+        return fields;
+    }
+
+    private static <T> Mono<T> refused(RefusalReason reason) {
+        return Mono.error(new RefusedException(Refusal.of(reason)));
+    }
+}
--- /dev/null
+++ b/frontend/src/main/java/org/fuchsialever/frontend/HttpFrontEnd.java
@@ -0,0 +1,54 @@
+package org.fuchsialever.frontend;
+
+import java.time.Duration;
+import java.util.List;
+import org.fuchsialever.kernel.log.PartLogger;
+import org.reactivestreams.Publisher;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** The HTTP server of an instance; passes each request to the first endpoint that accepts it. */
+public final class HttpFrontEnd implements AutoCloseable {
+    private static final PartLogger LOG = PartLogger.of("front-end");
+    private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(5);
+
+    private final List<Endpoint> endpoints;
+    private final DisposableServer server;
+
+    /**
+     * Opens the port.
+     *
+     * @param address the IP address to listen on
+     * @param port the TCP port, or 0 for any free one
+     * @param endpoints the endpoints in order of precedence
+     * @throws RuntimeException if the port cannot be opened
+     */
+    public HttpFrontEnd(String address, int port, List<Endpoint> endpoints) {
+        this.endpoints = List.copyOf(endpoints);
+        this.server = HttpServer.create().host(address).port(port).handle(this::dispatch).bindNow();
+        LOG.info("Listening on " + address + ":" + server.port() + ".");
+    }
+
+    /** Returns the TCP port. */
+    public int port() {
+        return server.port();
+    }
+
+    @Override
+    public void close() {
+        server.disposeNow(CLOSE_TIMEOUT);
+    }
+
+    private Publisher<Void> dispatch(HttpServerRequest request, HttpServerResponse response) {
+        String method = request.method().name();
+        String path = "/" + request.path();
+        for (Endpoint endpoint : endpoints) {
+            if (endpoint.accepts(method, path)) {
+                return endpoint.handle(request, response);
+            }
+        }
+        return response.sendNotFound();
+    }
+}
--- /dev/null
+++ b/frontend/src/main/java/org/fuchsialever/frontend/RefusedException.java
@@ -0,0 +1,19 @@
+package org.fuchsialever.frontend;
+
+/** Ends a call or a started answer with a refusal. */
+public final class RefusedException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    private final transient Refusal refusal;
+
+    /** Creates an exception without a stack trace, because refusals are frequent under overload. */
+    public RefusedException(Refusal refusal) {
+        super(refusal.reason().code(), null, false, false);
+        this.refusal = refusal;
+    }
+
+    /** Returns the refusal. */
+    public Refusal refusal() {
+        return refusal;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/NodeMain.java
@@ -0,0 +1,75 @@
+package org.fuchsialever.node;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import org.fuchsialever.kernel.findings.Findings;
+
+/** Entry point of the command {@code fuchsialever-node}. */
+public final class NodeMain {
+    private static final int EXIT_OK = 0;
+    private static final int EXIT_FAILURE = 1;
+    private static final int EXIT_USAGE = 2;
+
+    @Parameter(names = "--settings", description = "Settings file (INI)", required = true)
+    private String settings = "";
+
+    @Parameter(names = "--help", help = true, description = "Show the options")
+    private boolean help;
+
+    private NodeMain() {}
+
+    /**
+     * Runs an instance until the process is told to stop. Exits with 0 after a graceful shutdown, 1
+     * after a failure and 2 if options or settings cannot be used.
+     *
+     * @param arguments the command line
+     */
+    public static void main(String[] arguments) throws InterruptedException {
+        NodeMain main = new NodeMain();
+        JCommander parser =
+                JCommander.newBuilder().programName("fuchsialever-node").addObject(main).build();
+        try {
+            parser.parse(arguments);
+        } catch (ParameterException e) {
+            System.err.println(e.getMessage());
+            System.exit(EXIT_USAGE);
+        }
+        if (main.help) {
+            parser.usage();
+            System.exit(EXIT_OK);
+        }
+        System.exit(main.run());
+    }
+
+    private int run() throws InterruptedException {
+        String text;
+        try {
+            text = Files.readString(Path.of(settings));
+        } catch (IOException e) {
+            System.err.println(settings + ": cannot be read: " + e);
+            return EXIT_USAGE;
+        }
+        Either<Findings, NodeProcess> started = NodeProcess.start(settings, text);
+        if (started.isLeft()) {
+            System.err.println(started.getLeft().report());
+            return EXIT_USAGE;
+        }
+        CountDownLatch stopped = new CountDownLatch(1);
+        Runtime.getRuntime()
+                .addShutdownHook(
+                        new Thread(
+                                () -> {
+                                    started.get().close();
+                                    stopped.countDown();
+                                },
+                                "shutdown"));
+        stopped.await();
+        return EXIT_FAILURE;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/NodeProcess.java
@@ -0,0 +1,97 @@
+package org.fuchsialever.node;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.List;
+import org.fuchsialever.kernel.findings.Findings;
+import org.fuchsialever.kernel.lifecycle.Closer;
+import org.fuchsialever.kernel.log.PartLogger;
+import org.fuchsialever.kernel.plugin.Assembly;
+import org.fuchsialever.kernel.plugin.Component;
+import org.fuchsialever.kernel.plugin.ComponentContext;
+import org.fuchsialever.kernel.plugin.PluginRegistry;
+import org.fuchsialever.kernel.settings.IniDocument;
+import org.fuchsialever.kernel.settings.SettingsReader;
+import org.fuchsialever.kernel.time.SystemTimeSource;
+
+/** One running instance. */
+public final class NodeProcess implements AutoCloseable {
+    private static final PartLogger LOG = PartLogger.of("node");
+    private static final String SECTION = "node";
+    private static final List<String> DEFAULT_COMPONENTS =
+            List.of(
+                    "identity",
+                    "table-files",
+                    "open-routes",
+                    "dispatch",
+                    "readiness",
+                    "endpoints",
+                    "front-end");
+
+    private final ComponentContext context;
+
+    private NodeProcess(ComponentContext context) {
+        this.context = context;
+    }
+
+    /**
+     * Starts an instance.
+     *
+     * @param file the name of the settings file, for findings
+     * @param text the settings
+     * @return the running instance, or all findings if the settings cannot be used
+     */
+    public static Either<Findings, NodeProcess> start(String file, String text) {
+        Findings findings = new Findings();
+        SettingsReader settings =
+                new SettingsReader(IniDocument.parse(file, text, findings), findings);
+        Assembly assembly = Assembly.of(selectComponents(settings, findings), findings);
+        assembly.configure(settings);
+        settings.reportUnknownKeys();
+        if (findings.hasErrors()) {
+            return Either.left(findings);
+        }
+        Closer closer = new Closer();
+        ComponentContext context =
+                new ComponentContext(
+                        settings,
+                        closer,
+                        SystemTimeSource.INSTANCE,
+                        System.nanoTime(),
+                        new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
+        try {
+            assembly.install(context);
+        } catch (RuntimeException e) {
+            closer.close();
+            throw e;
+        }
+        LOG.info("Instance is running.");
+        return Either.right(new NodeProcess(context));
+    }
+
+    /** Returns a service of the instance. */
+    public <T> T service(Class<T> type) {
+        return context.require(type);
+    }
+
+    @Override
+    public void close() {
+        context.closer().close();
+        LOG.info("Instance has stopped.");
+    }
+
+    private static List<Component> selectComponents(SettingsReader settings, Findings findings) {
+        PluginRegistry registry = PluginRegistry.discover(findings);
+        List<Component> selected = new ArrayList<>();
+        for (String name : settings.list(SECTION, "components", DEFAULT_COMPONENTS)) {
+            Option<Component> component =
+                    registry.select(
+                            Component.class, name, settings.place(SECTION, "components"), findings);
+            component.forEach(selected::add);
+        }
+        return selected;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/config/ConfigHolder.java
@@ -0,0 +1,46 @@
+package org.fuchsialever.node.config;
+
+import io.vavr.control.Option;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import org.fuchsialever.decisions.config.ConfigSnapshot;
+import org.fuchsialever.kernel.invariant.Invariant;
+import org.fuchsialever.kernel.invariant.InvariantMonitor;
+import org.jspecify.annotations.Nullable;
+
+/** The configuration in force on this instance. */
+public final class ConfigHolder {
+    private final List<Consumer<ConfigSnapshot>> listeners = new CopyOnWriteArrayList<>();
+    private final InvariantMonitor invariants;
+    private volatile @Nullable ConfigSnapshot current;
+
+    /** Creates a holder without a configuration. */
+    public ConfigHolder(InvariantMonitor invariants) {
+        this.invariants = invariants;
+    }
+
+    /** Returns the configuration, or none if this instance has not learnt one yet. */
+    public Option<ConfigSnapshot> current() {
+        return Option.of(current);
+    }
+
+    /** Adds a listener; it is called at once if there is a configuration. */
+    public synchronized void onChange(Consumer<ConfigSnapshot> listener) {
+        listeners.add(listener);
+        current().forEach(listener);
+    }
+
+    /** Puts a snapshot in force; an older one than the present is a violation and is ignored. */
+    public synchronized void publish(ConfigSnapshot snapshot) {
+        ConfigSnapshot earlier = current;
+        if (earlier != null && snapshot.version() < earlier.version()) {
+            invariants.violated(
+                    Invariant.CONFIGURATION_MONOTONIC,
+                    "version " + snapshot.version() + " after " + earlier.version());
+            return;
+        }
+        current = snapshot;
+        listeners.forEach(listener -> listener.accept(snapshot));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/config/package-info.java
@@ -0,0 +1,5 @@
+/** Where the configuration in force comes from. */
+@NullMarked
+package org.fuchsialever.node.config;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/generation/GenerationRequest.java
@@ -0,0 +1,18 @@
+package org.fuchsialever.node.generation;
+
+import org.fuchsialever.decisions.config.Route;
+import org.fuchsialever.decisions.model.RequestId;
+import org.fuchsialever.decisions.model.TeamName;
+
+/**
+ * A text to generate.
+ *
+ * @param id identity of the request
+ * @param route the rollout route
+ * @param team the team that pays
+ * @param prompt the prompt
+ * @param maxTokens the most tokens to generate
+ * @param urgency orders the requests of one team, higher first
+ */
+public record GenerationRequest(
+        RequestId id, Route route, TeamName team, String prompt, int maxTokens, int urgency) {}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/http/Endpoints.java
@@ -0,0 +1,20 @@
+package org.fuchsialever.node.http;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.fuchsialever.frontend.Endpoint;
+
+/** HTTP endpoints that components add while they are installed. */
+public final class Endpoints {
+    private final List<Endpoint> endpoints = new ArrayList<>();
+
+    /** Adds an endpoint; it takes precedence over the route table. */
+    public synchronized void add(Endpoint endpoint) {
+        endpoints.add(endpoint);
+    }
+
+    /** Returns all endpoints in the order in which they were added. */
+    public synchronized List<Endpoint> all() {
+        return List.copyOf(endpoints);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/http/FrontEndComponent.java
@@ -0,0 +1,83 @@
+package org.fuchsialever.node.http;
+
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+import org.fuchsialever.decisions.model.RequestId;
+import org.fuchsialever.frontend.Answers;
+import org.fuchsialever.frontend.Authenticator;
+import org.fuchsialever.frontend.CallEndpoint;
+import org.fuchsialever.frontend.CallPort;
+import org.fuchsialever.frontend.Endpoint;
+import org.fuchsialever.frontend.HttpFrontEnd;
+import org.fuchsialever.kernel.plugin.Component;
+import org.fuchsialever.kernel.plugin.ComponentContext;
+import org.fuchsialever.kernel.settings.SettingsReader;
+import org.fuchsialever.node.NodeIdentity;
+import org.fuchsialever.node.config.ConfigHolder;
+
+/** Opens the HTTP port for callers, trainers and operators. */
+public final class FrontEndComponent implements Component {
+    private static final String SECTION = "node";
+    private static final int MAX_PORT = 65_535;
+
+    private String address = "";
+    private int port;
+
+    @Override
+    public String pluginName() {
+        return "front-end";
+    }
+
+    @Override
+    public Set<Class<?>> requires() {
+        return Set.of(
+                ConfigHolder.class,
+                Authenticator.class,
+                CallPort.class,
+                NodeIdentity.class,
+                Readiness.class,
+                Endpoints.class);
+    }
+
+    @Override
+    public Set<Class<?>> provides() {
+        return Set.of(HttpFrontEnd.class);
+    }
+
+    @Override
+    public void configure(SettingsReader settings) {
+        address = settings.requiredText(SECTION, "http-address");
+        port = (int) settings.integer(SECTION, "http-port", 0, 0, MAX_PORT);
+    }
+
+    @Override
+    public void install(ComponentContext context) {
+        List<Endpoint> endpoints = new ArrayList<>();
+        endpoints.add(new HealthEndpoint("/healthz", () -> true));
+        Readiness readiness = context.require(Readiness.class);
+        endpoints.add(new HealthEndpoint("/readyz", readiness::isReady));
+        if (context.meters() instanceof PrometheusMeterRegistry prometheus) {
+            endpoints.add(new MetricsEndpoint(prometheus));
+        }
+        endpoints.addAll(context.require(Endpoints.class).all());
+        endpoints.add(callEndpoint(context));
+        HttpFrontEnd frontEnd = new HttpFrontEnd(address, port, endpoints);
+        context.closer().register("front end", frontEnd);
+        context.provide(HttpFrontEnd.class, frontEnd);
+    }
+
+    private static CallEndpoint callEndpoint(ComponentContext context) {
+        ConfigHolder config = context.require(ConfigHolder.class);
+        String prefix = context.require(NodeIdentity.class).start();
+        AtomicLong sequence = new AtomicLong();
+        return new CallEndpoint(
+                config::current,
+                () -> new RequestId(prefix + "-" + sequence.incrementAndGet()),
+                context.require(Authenticator.class),
+                context.require(CallPort.class),
+                new Answers(context.meters()));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/http/MetricsEndpoint.java
@@ -0,0 +1,28 @@
+package org.fuchsialever.node.http;
+
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.fuchsialever.frontend.Endpoint;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Answers with all metrics in the Prometheus text format. */
+final class MetricsEndpoint implements Endpoint {
+    private final PrometheusMeterRegistry meters;
+
+    MetricsEndpoint(PrometheusMeterRegistry meters) {
+        this.meters = meters;
+    }
+
+    @Override
+    public boolean accepts(String method, String path) {
+        return method.equals("GET") && path.equals("/metrics");
+    }
+
+    @Override
+    public Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+        return response.header("Content-Type", "text/plain; version=0.0.4")
+                .sendString(Mono.fromSupplier(meters::scrape))
+                .then();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/http/Readiness.java
@@ -0,0 +1,29 @@
+package org.fuchsialever.node.http;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.function.BooleanSupplier;
+
+/** Conditions that must all hold before the balancer may send callers. */
+public final class Readiness {
+    private final Map<String, BooleanSupplier> conditions = new ConcurrentSkipListMap<>();
+
+    /** Adds a condition under a name that is shown to operators. */
+    public void require(String name, BooleanSupplier condition) {
+        conditions.put(name, condition);
+    }
+
+    /** Returns whether all conditions hold. */
+    public boolean isReady() {
+        return unmet().isEmpty();
+    }
+
+    /** Returns the names of the conditions that do not hold. */
+    public List<String> unmet() {
+        return conditions.entrySet().stream()
+                .filter(entry -> !entry.getValue().getAsBoolean())
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/keys/package-info.java
@@ -0,0 +1,5 @@
+/** Checks of callers' keys. */
+@NullMarked
+package org.fuchsialever.node.keys;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/lease/Leases.java
@@ -0,0 +1,29 @@
+package org.fuchsialever.node.lease;
+
+import io.vavr.control.Option;
+
+/** Roles that one instance at a time may hold. */
+public interface Leases {
+
+    /**
+     * Asks for a role from now on. The listener is called on the thread of the lease duty when the
+     * role is gained or lost; it must not block.
+     */
+    void want(String role, LeaseListener listener);
+
+    /** Stops asking for a role and gives it up. */
+    void release(String role);
+
+    /** Returns the lease of a role if this instance holds it and may act under it now. */
+    Option<HeldLease> held(String role);
+
+    /** Learns of gained and lost roles. */
+    interface LeaseListener {
+
+        /** This instance may act under the lease from now on. */
+        void gained(HeldLease lease);
+
+        /** This instance must not act under the lease any more. */
+        void lost(String role);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/upstream/package-info.java
@@ -0,0 +1,5 @@
+/** Clients of upstreams. */
+@NullMarked
+package org.fuchsialever.node.upstream;
+
+import org.jspecify.annotations.NullMarked;
