Decide on routing, shares, retries and deadlines

Cause: the first dispatch duty took the least loaded upstream and kept one queue, so one team or one failing upstream could hold up all others. Change: scored choice with prefix affinity, aged load reports, locality and kind of capacity, beside the baselines random, round robin, least reported and two choices; ejection with a floor and slow start; adaptive concurrency up to the slots; weighted fair queueing by tokens with quotas from exchanged demands; refusal of requests that cannot finish in time; retry budgets; work moved away from leaving upstreams; draining.

--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/BalancingPolicy.java
@@ -0,0 +1,164 @@
+package org.fuchsialever.decisions.dispatch;
+
+import java.util.Locale;
+import org.fuchsialever.kernel.plugin.Plugin;
+
+/**
+ * How an upstream is chosen. {@link #SCORED} is the one to use; the others are baselines for
+ * comparison. Returns -1 if no upstream can take the request. Choosing allocates nothing.
+ */
+public enum BalancingPolicy implements Plugin {
+    /** Any upstream that has room. */
+    RANDOM {
+        @Override
+        int choose(Candidates candidates, Choice choice, long nowNanos) {
+            int size = candidates.size();
+            int start = size == 0 ? 0 : candidates.random().nextInt(size);
+            return firstUsable(candidates, choice, start, nowNanos);
+        }
+    },
+    /** Each upstream in turn. */
+    ROUND_ROBIN {
+        @Override
+        int choose(Candidates candidates, Choice choice, long nowNanos) {
+            return firstUsable(candidates, choice, candidates.advanceTurn(), nowNanos);
+        }
+    },
+    /** The upstream with the least reported load, however old the report is. */
+    LEAST_REPORTED {
+        @Override
+        int choose(Candidates candidates, Choice choice, long nowNanos) {
+            int best = NONE;
+            for (int i = 0; i < candidates.size(); i++) {
+                UpstreamLoad load = candidates.at(i);
+                boolean better =
+                        best == NONE || load.reportedBusy() < candidates.at(best).reportedBusy();
+                if (better && usable(load, choice, nowNanos)) {
+                    best = i;
+                }
+            }
+            return best;
+        }
+    },
+    /** The better of two random upstreams by requests in flight from this instance. */
+    TWO_CHOICES {
+        @Override
+        int choose(Candidates candidates, Choice choice, long nowNanos) {
+            int first = RANDOM.choose(candidates, choice, nowNanos);
+            int second = RANDOM.choose(candidates, choice, nowNanos);
+            if (first == NONE || second == NONE) {
+                return first == NONE ? second : first;
+            }
+            boolean firstBetter =
+                    candidates.at(first).inFlight() <= candidates.at(second).inFlight();
+            return firstBetter ? first : second;
+        }
+    },
+    /**
+     * The least score of load, cache miss, locality and kind of capacity. Large pools are sampled,
+     * so that the cost of a choice does not grow with the pool.
+     */
+    SCORED {
+        @Override
+        int choose(Candidates candidates, Choice choice, long nowNanos) {
+            int size = candidates.size();
+            int best = NONE;
+            double bestScore = Double.MAX_VALUE;
+            int start = size == 0 ? 0 : candidates.random().nextInt(size);
+            int step = size <= SAMPLE ? 1 : size / SAMPLE;
+            int index = start;
+            for (int i = 0; i < Math.min(size, SAMPLE); i++) {
+                UpstreamLoad load = candidates.at(index);
+                if (usable(load, choice, nowNanos)) {
+                    double score = score(candidates, choice, index, nowNanos);
+                    if (score < bestScore) {
+                        best = index;
+                        bestScore = score;
+                    }
+                }
+                index += step;
+                index = index >= size ? index - size : index;
+            }
+            best = betterHolder(candidates, choice, best, bestScore, nowNanos);
+            return best != NONE || size <= SAMPLE
+                    ? best
+                    : firstUsable(candidates, choice, start, nowNanos);
+        }
+    };
+
+    private static final int NONE = -1;
+    private static final int SAMPLE = 16;
+    private static final double MAX_MISS_PENALTY = 0.5;
+    private static final double PROMPT_TOKENS_PER_SLOT = 4_000;
+    private static final double OTHER_DOMAIN_PENALTY = 0.02;
+    private static final double SAME_FAILED_DOMAIN_PENALTY = 0.5;
+    private static final double KIND_PENALTY = 0.2;
+
+    abstract int choose(Candidates candidates, Choice choice, long nowNanos);
+
+    @Override
+    public String pluginName() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    private static boolean usable(UpstreamLoad load, Choice choice, long nowNanos) {
+        return !choice.avoids(load) && load.canTake(nowNanos);
+    }
+
+    private static int firstUsable(Candidates candidates, Choice choice, int start, long nowNanos) {
+        int size = candidates.size();
+        for (int i = 0; i < size; i++) {
+            int index = start + i >= size ? start + i - size : start + i;
+            if (usable(candidates.at(index), choice, nowNanos)) {
+                return index;
+            }
+        }
+        return NONE;
+    }
+
+    private static int betterHolder(
+            Candidates candidates, Choice choice, int best, double bestScore, long nowNanos) {
+        if (choice.prefixHash() == 0) {
+            return best;
+        }
+        int result = best;
+        double score = bestScore;
+        for (int i = 0; i < PrefixCacheView.HOLDERS; i++) {
+            int holder = candidates.cache().holder(choice.prefixHash(), i);
+            if (holder >= 0
+                    && holder < candidates.size()
+                    && usable(candidates.at(holder), choice, nowNanos)) {
+                double holderScore = score(candidates, choice, holder, nowNanos);
+                if (holderScore < score) {
+                    result = holder;
+                    score = holderScore;
+                }
+            }
+        }
+        return result;
+    }
+
+    /**
+     * Lower is better. The penalty of a cache miss is bounded by half a slot of load, so that
+     * affinity cannot overload an upstream.
+     */
+    private static double score(Candidates candidates, Choice choice, int index, long nowNanos) {
+        UpstreamLoad load = candidates.at(index);
+        double score = load.loadAfterOneMore(nowNanos);
+        if (choice.prefixHash() != 0 && !candidates.cache().holds(choice.prefixHash(), index)) {
+            score += Math.min(MAX_MISS_PENALTY, choice.promptTokens() / PROMPT_TOKENS_PER_SLOT);
+        }
+        if (!load.spec().domain().equals(candidates.ownDomain())) {
+            score += OTHER_DOMAIN_PENALTY;
+        }
+        if (choice.avoidsDomainOf(load)) {
+            score += SAME_FAILED_DOMAIN_PENALTY;
+        }
+        boolean cheap =
+                load.spec().capacity() == org.fuchsialever.decisions.config.CapacityKind.CHEAP;
+        if (cheap != choice.movable()) {
+            score += KIND_PENALTY;
+        }
+        return score;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/Choice.java
@@ -0,0 +1,49 @@
+package org.fuchsialever.decisions.dispatch;
+
+import org.fuchsialever.decisions.config.Priority;
+import org.fuchsialever.decisions.model.FailureDomain;
+import org.jspecify.annotations.Nullable;
+
+/** The question put to a balancing policy; one object is used again for every choice. */
+final class Choice {
+    private long prefixHash;
+    private int promptTokens;
+    private boolean movable;
+    private Priority priority = Priority.LIVE;
+    private @Nullable FailureDomain avoidedDomain;
+    private @Nullable UpstreamLoad avoidedUpstream;
+
+    void set(DispatchRequest request, @Nullable UpstreamLoad failedUpstream) {
+        prefixHash = request.prefixHash();
+        promptTokens = request.promptTokens();
+        movable = request.resumable() || request.route().repeatable();
+        priority = request.route().priority();
+        avoidedUpstream = failedUpstream;
+        avoidedDomain = failedUpstream == null ? null : failedUpstream.spec().domain();
+    }
+
+    long prefixHash() {
+        return prefixHash;
+    }
+
+    int promptTokens() {
+        return promptTokens;
+    }
+
+    /** Returns whether the work survives the loss of its upstream. */
+    boolean movable() {
+        return movable;
+    }
+
+    Priority priority() {
+        return priority;
+    }
+
+    boolean avoids(UpstreamLoad load) {
+        return load == avoidedUpstream;
+    }
+
+    boolean avoidsDomainOf(UpstreamLoad load) {
+        return avoidedDomain != null && avoidedDomain.equals(load.spec().domain());
+    }
+}
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/DispatchEvent.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/DispatchEvent.java
@@ -44,10 +44,11 @@
     record DrainStarted() implements DispatchEvent {}
 
     /**
-     * Decayed cost served for a team.
+     * What an instance serves for a team.
      *
      * @param team the team
-     * @param cost prompt and generated tokens
+     * @param cost decayed sum of prompt and generated tokens
+     * @param demand requests that wait or run
      */
-    record TeamCost(TeamName team, double cost) {}
+    record TeamCost(TeamName team, double cost, int demand) {}
 }
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/PoolDispatcher.java
@@ -0,0 +1,136 @@
+package org.fuchsialever.decisions.dispatch;
+
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import org.fuchsialever.decisions.config.Pool;
+import org.fuchsialever.decisions.model.TeamName;
+import org.fuchsialever.kernel.invariant.Invariant;
+import org.fuchsialever.kernel.invariant.InvariantMonitor;
+import org.jspecify.annotations.Nullable;
+
+/** Queue, shares and upstreams of one pool. */
+final class PoolDispatcher {
+    private static final double SPARE_PART = 0.05;
+
+    private final PoolQueue queue;
+    private final Candidates candidates;
+    private final ServiceTimes times = new ServiceTimes();
+    private final Choice choice = new Choice();
+    private final InvariantMonitor invariants;
+    private BalancingPolicy policy = BalancingPolicy.SCORED;
+    private boolean removed;
+
+    PoolDispatcher(DispatchSettings settings, RandomGenerator random, InvariantMonitor invariants) {
+        this.queue = new PoolQueue(settings, random);
+        this.candidates = new Candidates(random, settings.domain());
+        this.invariants = invariants;
+    }
+
+    PoolQueue queue() {
+        return queue;
+    }
+
+    Candidates candidates() {
+        return candidates;
+    }
+
+    ServiceTimes times() {
+        return times;
+    }
+
+    void update(Pool pool, Map<TeamName, Integer> weights) {
+        removed = false;
+        candidates.update(pool.upstreams());
+        weights.forEach((team, weight) -> queue.team(team).weight(weight));
+        for (BalancingPolicy candidate : BalancingPolicy.values()) {
+            if (candidate.pluginName().equals(pool.balancing())) {
+                policy = candidate;
+            }
+        }
+    }
+
+    /** The pool is no longer in the table; what runs may finish and nothing new starts. */
+    void remove() {
+        removed = true;
+        candidates.update(List.of());
+    }
+
+    boolean servesNobody() {
+        return removed || !candidates.anyServing();
+    }
+
+    /** Returns whether a new request would probably miss its deadline. */
+    boolean wouldMissDeadline(DispatchRequest request, long nowNanos) {
+        TeamShare share = queue.team(request.team());
+        int ahead = share.ahead(request.route().priority());
+        double wait = ahead * times.meanNanos() / Math.max(1, share.running());
+        double expected = times.expectedNanos(request);
+        return nowNanos + wait + expected > request.deadlineNanos();
+    }
+
+    /** Returns whether a waiting request can no longer be completed in time. */
+    boolean isTooLate(QueuedRequest queued, long nowNanos) {
+        return nowNanos + times.expectedNanos(queued.request()) > queued.request().deadlineNanos();
+    }
+
+    @Nullable QueuedRequest next(long nowNanos) {
+        int slots = candidates.totalSlots(nowNanos);
+        boolean spare = candidates.freeSlots(nowNanos) > slots * SPARE_PART;
+        return queue.next(nowNanos, spare);
+    }
+
+    /** Chooses an upstream and books the request on it; returns null if none has room. */
+    @Nullable UpstreamLoad book(QueuedRequest queued, long nowNanos) {
+        choice.set(queued.request(), queued.failedUpstream());
+        int index = policy.choose(candidates, choice, nowNanos);
+        if (index < 0 && queued.failedUpstream() != null) {
+            // The upstream that failed may be the only one left.
+            choice.set(queued.request(), null);
+            index = policy.choose(candidates, choice, nowNanos);
+        }
+        if (index < 0) {
+            return null;
+        }
+        UpstreamLoad load = candidates.at(index);
+        invariants.check(
+                Invariant.LEAVING_UPSTREAM_IDLE,
+                !load.isLeaving(),
+                () -> load.spec().id() + " is leaving");
+        double cost = expectedCost(queued.request());
+        queued.start(load, cost);
+        load.onSent(nowNanos);
+        queue.team(queued.request().team()).started(cost, nowNanos);
+        if (queued.request().prefixHash() != 0) {
+            candidates.cache().stored(queued.request().prefixHash(), index);
+        }
+        return load;
+    }
+
+    /** Takes the end of an attempt: corrects the charge to what was really consumed. */
+    void release(QueuedRequest queued, AttemptReport report, long nowNanos) {
+        UpstreamLoad load = queued.upstream();
+        if (load == null) {
+            return;
+        }
+        load.onEnded(report);
+        boolean plain = queued.request().maxTokens() == 0;
+        double cost = plain ? 1 : report.promptTokens() + report.generatedTokens();
+        queue.team(queued.request().team()).ended(queued.charged(), cost, nowNanos);
+        switch (report.result()) {
+            case COMPLETED -> {
+                load.health().onSuccess(nowNanos);
+                times.onCompleted(report);
+            }
+            case CANCELLED, NOT_ADMITTED -> {}
+            default -> candidates.onFailure(load, nowNanos);
+        }
+        queued.stop();
+    }
+
+    private double expectedCost(DispatchRequest request) {
+        return request.maxTokens() == 0
+                ? 1
+                : request.promptTokens() + times.expectedTokens(request.maxTokens());
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/PoolQueue.java
@@ -0,0 +1,146 @@
+package org.fuchsialever.decisions.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import org.fuchsialever.decisions.config.Priority;
+import org.fuchsialever.decisions.model.TeamName;
+import org.jspecify.annotations.Nullable;
+
+/** Waiting requests of one pool and the shares of its teams. */
+final class PoolQueue {
+    private static final long REMOTE_TIMEOUT_INTERVALS = 6;
+
+    private final Map<TeamName, TeamShare> teams = new TreeMap<>();
+    private final DispatchSettings settings;
+    private final RandomGenerator random;
+    private int waiting;
+
+    PoolQueue(DispatchSettings settings, RandomGenerator random) {
+        this.settings = settings;
+        this.random = random;
+    }
+
+    TeamShare team(TeamName name) {
+        return teams.computeIfAbsent(
+                name, n -> new TeamShare(n, settings.shareHalfLife().toNanos()));
+    }
+
+    Iterable<TeamShare> teams() {
+        return teams.values();
+    }
+
+    int waiting() {
+        return waiting;
+    }
+
+    boolean isFull() {
+        return waiting >= settings.queueCapacity();
+    }
+
+    void add(QueuedRequest queued, long nowNanos) {
+        TeamShare share = team(queued.request().team());
+        if (share.demand() == 0 && share.remoteDemand() == 0) {
+            share.liftTo(leastActiveVirtualTime(nowNanos), nowNanos);
+        }
+        share.add(queued);
+        waiting++;
+    }
+
+    boolean remove(QueuedRequest queued) {
+        boolean removed = team(queued.request().team()).remove(queued);
+        if (removed) {
+            waiting--;
+        }
+        return removed;
+    }
+
+    /**
+     * Returns the request to serve next, or null.
+     *
+     * @param nowNanos monotonic time
+     * @param ignoreQuotas whether capacity is free, so that teams may exceed their quota
+     */
+    @Nullable QueuedRequest next(long nowNanos, boolean ignoreQuotas) {
+        QueuedRequest best = null;
+        double bestTime = 0;
+        for (TeamShare share : teams.values()) {
+            QueuedRequest head = share.head(nowNanos, settings.rolloutAgeing().toNanos());
+            if (head == null || !ignoreQuotas && share.running() >= share.quota()) {
+                continue;
+            }
+            double time = share.virtualTime(nowNanos);
+            if (best == null || goesBefore(head, time, best, bestTime, nowNanos)) {
+                best = head;
+                bestTime = time;
+            }
+        }
+        return best;
+    }
+
+    /** Computes how many requests of each team this instance may run, from the demands of all. */
+    void updateQuotas(int slots, long nowNanos) {
+        long silence = settings.shareInterval().toNanos() * REMOTE_TIMEOUT_INTERVALS;
+        List<TeamShare> shares = new ArrayList<>(teams.values());
+        double[] demands = new double[shares.size()];
+        double[] weights = new double[shares.size()];
+        for (int i = 0; i < demands.length; i++) {
+            TeamShare share = shares.get(i);
+            share.forgetRemotesBefore(nowNanos - silence);
+            demands[i] = share.demand() + share.remoteDemand();
+            weights[i] = share.weight();
+        }
+        double[] divided = ShareAllocator.divide(slots, demands, weights);
+        for (int i = 0; i < demands.length; i++) {
+            TeamShare share = shares.get(i);
+            boolean contended = divided[i] < demands[i];
+            double own = demands[i] == 0 ? 0 : divided[i] * share.demand() / demands[i];
+            share.quota(contended ? roundRandomly(own) : Double.MAX_VALUE);
+        }
+    }
+
+    List<DispatchEvent.TeamCost> costs(long nowNanos) {
+        List<DispatchEvent.TeamCost> costs = new ArrayList<>();
+        for (TeamShare share : teams.values()) {
+            double cost = share.ownCost(nowNanos);
+            if (cost >= 1 || share.demand() > 0) {
+                costs.add(new DispatchEvent.TeamCost(share.team(), cost, share.demand()));
+            }
+        }
+        return costs;
+    }
+
+    /** Rounds up or down at random, so that quotas below 1 are right on average. */
+    private double roundRandomly(double value) {
+        double floor = Math.floor(value);
+        return floor + (random.nextDouble() < value - floor ? 1 : 0);
+    }
+
+    private boolean goesBefore(
+            QueuedRequest first,
+            double firstTime,
+            QueuedRequest second,
+            double secondTime,
+            long now) {
+        boolean firstLive = countsAsLive(first, now);
+        boolean secondLive = countsAsLive(second, now);
+        return firstLive == secondLive ? firstTime < secondTime : firstLive;
+    }
+
+    private boolean countsAsLive(QueuedRequest queued, long nowNanos) {
+        return queued.request().route().priority() == Priority.LIVE
+                || nowNanos - queued.queuedAt() > settings.rolloutAgeing().toNanos();
+    }
+
+    private double leastActiveVirtualTime(long nowNanos) {
+        double least = Double.MAX_VALUE;
+        for (TeamShare share : teams.values()) {
+            if (share.demand() > 0 || share.remoteDemand() > 0) {
+                least = Math.min(least, share.virtualStartTime(nowNanos));
+            }
+        }
+        return least == Double.MAX_VALUE ? 0 : least;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/RetryPolicy.java
@@ -0,0 +1,79 @@
+package org.fuchsialever.decisions.dispatch;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.random.RandomGenerator;
+
+/** Decides whether a request is sent again after an attempt, and when. */
+final class RetryPolicy {
+    private static final long BASE_DELAY_NANOS = Duration.ofMillis(10).toNanos();
+    private static final long MAX_DELAY_NANOS = Duration.ofSeconds(1).toNanos();
+    private static final int MAX_DOUBLINGS = 7;
+
+    private final int maxAttempts;
+    private final RandomGenerator random;
+
+    RetryPolicy(int maxAttempts, RandomGenerator random) {
+        this.maxAttempts = maxAttempts;
+        this.random = random;
+    }
+
+    /**
+     * Decides on a retry.
+     *
+     * @param queued the request whose attempt has ended
+     * @param result how it ended
+     * @param budget the retry budget of the route
+     * @return the reason for a retry, or why there is none
+     */
+    Either<RefusalReason, RetryReason> decide(
+            QueuedRequest queued, AttemptResult result, RetryBudget budget) {
+        Option<RetryReason> reason = result.retryReason();
+        if (reason.isEmpty() || !allowed(queued, reason.get())) {
+            return Either.left(refusal(queued, result));
+        }
+        if (queued.attempt() >= maxAttempts) {
+            return Either.left(refusal(queued, result));
+        }
+        if (!budget.tryRetry()) {
+            boolean neverRan = !queued.mayHaveRun();
+            return Either.left(
+                    neverRan ? RefusalReason.RETRY_BUDGET_SPENT : refusal(queued, result));
+        }
+        return Either.right(reason.get());
+    }
+
+    /**
+     * Returns an exponential delay with full jitter; a stream that can be resumed goes on at once.
+     */
+    long delayNanos(QueuedRequest queued) {
+        if (queued.tokens() > 0) {
+            return 0;
+        }
+        int doublings = Math.min(queued.attempt() - 1, MAX_DOUBLINGS);
+        long bound = Math.min(MAX_DELAY_NANOS, BASE_DELAY_NANOS << doublings);
+        return random.nextLong(bound) + 1;
+    }
+
+    /**
+     * A request that may have run is sent again only if its route allows it. One that has delivered
+     * part of its answer must also be resumable, or its caller would see the beginning twice.
+     */
+    private static boolean allowed(QueuedRequest queued, RetryReason reason) {
+        if (queued.tokens() > 0 && !queued.request().resumable()) {
+            return false;
+        }
+        return reason.provesNotRun() && !queued.mayHaveRun()
+                || queued.request().route().repeatable();
+    }
+
+    private static RefusalReason refusal(QueuedRequest queued, AttemptResult result) {
+        if (result.outcome() == Outcome.NOT_RUN && !queued.mayHaveRun()) {
+            return RefusalReason.UPSTREAMS_NOT_REACHED;
+        }
+        return result.outcome() == Outcome.FAILED_AFTER_RUNNING
+                ? RefusalReason.UPSTREAM_FAILED
+                : RefusalReason.ANSWER_LOST;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/TeamShare.java
@@ -0,0 +1,166 @@
+package org.fuchsialever.decisions.dispatch;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.PriorityQueue;
+import org.fuchsialever.decisions.config.Priority;
+import org.fuchsialever.decisions.model.TeamName;
+import org.jspecify.annotations.Nullable;
+
+/** Queue and cost of one team in one pool. */
+final class TeamShare {
+    private static final Comparator<QueuedRequest> BY_URGENCY =
+            Comparator.comparingInt((QueuedRequest queued) -> -queued.request().urgency())
+                    .thenComparingLong(QueuedRequest::arrival);
+
+    private final TeamName team;
+    private final PriorityQueue<QueuedRequest> live = new PriorityQueue<>(BY_URGENCY);
+    private final PriorityQueue<QueuedRequest> rollouts = new PriorityQueue<>(BY_URGENCY);
+    private final DecayingSum ownCost;
+    private final DecayingSum lift;
+    private final Map<String, Remote> remotes = new HashMap<>();
+    private final long halfLifeNanos;
+    private int weight = 1;
+    private int running;
+    private double outstanding;
+    private double quota = Double.MAX_VALUE;
+
+    TeamShare(TeamName team, long halfLifeNanos) {
+        this.team = team;
+        this.halfLifeNanos = halfLifeNanos;
+        this.ownCost = new DecayingSum(halfLifeNanos);
+        this.lift = new DecayingSum(halfLifeNanos);
+    }
+
+    TeamName team() {
+        return team;
+    }
+
+    int weight() {
+        return weight;
+    }
+
+    void weight(int newWeight) {
+        weight = newWeight;
+    }
+
+    void add(QueuedRequest queued) {
+        queueOf(queued).add(queued);
+    }
+
+    boolean remove(QueuedRequest queued) {
+        return queueOf(queued).remove(queued);
+    }
+
+    /** Returns the request to serve next: live ones first, and rollouts that waited long. */
+    @Nullable QueuedRequest head(long nowNanos, long ageingNanos) {
+        QueuedRequest rollout = rollouts.peek();
+        if (rollout != null && nowNanos - rollout.queuedAt() > ageingNanos) {
+            return rollout;
+        }
+        return live.isEmpty() ? rollout : live.peek();
+    }
+
+    int waiting() {
+        return live.size() + rollouts.size();
+    }
+
+    /** Returns how many requests would be served before a new one of the given class. */
+    int ahead(Priority priority) {
+        return priority == Priority.LIVE ? live.size() : waiting();
+    }
+
+    Iterable<QueuedRequest> queued() {
+        return io.vavr.collection.List.ofAll(live).appendAll(rollouts);
+    }
+
+    /** Books a started request with its expected cost. */
+    void started(double expectedCost, long nowNanos) {
+        running++;
+        outstanding += expectedCost;
+        ownCost.add(expectedCost, nowNanos);
+    }
+
+    /** Corrects the booking of a request that has ended to what it really cost. */
+    void ended(double expectedCost, double realCost, long nowNanos) {
+        running--;
+        outstanding -= expectedCost;
+        ownCost.add(realCost - expectedCost, nowNanos);
+    }
+
+    int running() {
+        return running;
+    }
+
+    int demand() {
+        return waiting() + running;
+    }
+
+    double quota() {
+        return quota;
+    }
+
+    void quota(double newQuota) {
+        quota = newQuota;
+    }
+
+    double ownCost(long nowNanos) {
+        return ownCost.at(nowNanos);
+    }
+
+    void onRemote(String instance, double cost, int demand, long nowNanos) {
+        Remote remote = remotes.computeIfAbsent(instance, i -> new Remote(halfLifeNanos));
+        remote.cost.set(cost, nowNanos);
+        remote.demand = demand;
+        remote.heardAt = nowNanos;
+    }
+
+    void forgetRemotesBefore(long nanos) {
+        remotes.values().removeIf(remote -> remote.heardAt < nanos);
+    }
+
+    int remoteDemand() {
+        int sum = 0;
+        for (Remote remote : remotes.values()) {
+            sum += remote.demand;
+        }
+        return sum;
+    }
+
+    /** Returns the cost served by all instances per weight: the virtual time of the team. */
+    double virtualTime(long nowNanos) {
+        double cost = ownCost.at(nowNanos) + lift.at(nowNanos);
+        for (Remote remote : remotes.values()) {
+            cost += remote.cost.at(nowNanos);
+        }
+        return cost / weight;
+    }
+
+    /** Returns the virtual time before the requests that run now were booked. */
+    double virtualStartTime(long nowNanos) {
+        return virtualTime(nowNanos) - outstanding / weight;
+    }
+
+    /** Raises the virtual time to that of the active teams, so that idle time earns no credit. */
+    void liftTo(double virtualTime, long nowNanos) {
+        double missing = virtualTime - virtualTime(nowNanos);
+        if (missing > 0) {
+            lift.add(missing * weight, nowNanos);
+        }
+    }
+
+    private PriorityQueue<QueuedRequest> queueOf(QueuedRequest queued) {
+        return queued.request().route().priority() == Priority.LIVE ? live : rollouts;
+    }
+
+    private static final class Remote {
+        private final DecayingSum cost;
+        private int demand;
+        private long heardAt;
+
+        private Remote(long halfLifeNanos) {
+            cost = new DecayingSum(halfLifeNanos);
+        }
+    }
+}
--- a/node/src/main/java/org/fuchsialever/node/dispatch/DispatchComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/DispatchComponent.java
@@ -3,12 +3,15 @@
 import java.util.Set;
 import org.fuchsialever.decisions.dispatch.DispatchDuty;
 import org.fuchsialever.decisions.dispatch.DispatchEvent;
+import org.fuchsialever.decisions.dispatch.DispatchSettings;
 import org.fuchsialever.frontend.CallPort;
 import org.fuchsialever.kernel.duty.Inbox;
 import org.fuchsialever.kernel.duty.OverflowPolicy;
+import org.fuchsialever.kernel.invariant.InvariantMonitor;
 import org.fuchsialever.kernel.plugin.Component;
 import org.fuchsialever.kernel.plugin.ComponentContext;
 import org.fuchsialever.kernel.settings.SettingsReader;
+import org.fuchsialever.node.NodeIdentity;
 import org.fuchsialever.node.config.ConfigHolder;
 import org.fuchsialever.node.upstream.HttpUpstreamClient;
 
@@ -30,7 +33,7 @@
 
     @Override
     public Set<Class<?>> requires() {
-        return Set.of(ConfigHolder.class);
+        return Set.of(ConfigHolder.class, NodeIdentity.class, InvariantMonitor.class);
     }
 
     @Override
@@ -53,9 +56,14 @@
                 context.closer().register("upstream connections", new HttpUpstreamClient());
         CallDispatcher dispatcher =
                 new CallDispatcher(maxCalls, client, context.time(), context.meters());
+        NodeIdentity identity = context.require(NodeIdentity.class);
+        InvariantMonitor invariants = context.require(InvariantMonitor.class);
+        DispatchSettings settings =
+                DispatchSettings.standard(identity.instance(), identity.domain())
+                        .withQueueCapacity(queueCapacity);
         Inbox<DispatchEvent> inbox =
                 context.startDuty(
-                        new DispatchDuty(queueCapacity),
+                        new DispatchDuty(settings, context.random("dispatch"), invariants),
                         maxCalls * EVENTS_PER_CALL,
                         OverflowPolicy.REFUSE,
                         dispatcher);
