--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/BalancingPolicy.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/BalancingPolicy.java
@@ -33,7 +33,7 @@
                 UpstreamLoad load = candidates.at(i);
                 boolean better =
                         best == NONE || load.reportedBusy() < candidates.at(best).reportedBusy();
-                if (better && usable(load, choice, nowNanos)) {
+                if (better && usable(candidates, load, choice, nowNanos)) {
                     best = i;
                 }
             }
@@ -69,7 +69,7 @@
             int index = start;
             for (int i = 0; i < Math.min(size, SAMPLE); i++) {
                 UpstreamLoad load = candidates.at(index);
-                if (usable(load, choice, nowNanos)) {
+                if (usable(candidates, load, choice, nowNanos)) {
                     double score = score(candidates, choice, index, nowNanos);
                     if (score < bestScore) {
                         best = index;
@@ -92,6 +92,8 @@
     private static final double PROMPT_TOKENS_PER_SLOT = 4_000;
     private static final double OTHER_DOMAIN_PENALTY = 0.02;
     private static final double SAME_FAILED_DOMAIN_PENALTY = 0.5;
+    private static final double FLAT_PART = 0.3;
+    private static final double OVERLOAD_SLOPE = 5;
     private static final double KIND_PENALTY = 0.2;
 
     abstract int choose(Candidates candidates, Choice choice, long nowNanos);
@@ -101,15 +103,17 @@
         return name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 
-    private static boolean usable(UpstreamLoad load, Choice choice, long nowNanos) {
-        return !choice.avoids(load) && load.canTake(nowNanos);
+    private static boolean usable(
+            Candidates candidates, UpstreamLoad load, Choice choice, long nowNanos) {
+        return !choice.avoids(load)
+                && load.canTake(choice.withinQuota(), candidates.average(), nowNanos);
     }
 
     private static int firstUsable(Candidates candidates, Choice choice, int start, long nowNanos) {
         int size = candidates.size();
         for (int i = 0; i < size; i++) {
             int index = start + i >= size ? start + i - size : start + i;
-            if (usable(candidates.at(index), choice, nowNanos)) {
+            if (usable(candidates, candidates.at(index), choice, nowNanos)) {
                 return index;
             }
         }
@@ -127,7 +131,7 @@
             int holder = candidates.cache().holder(choice.prefixHash(), i);
             if (holder >= 0
                     && holder < candidates.size()
-                    && usable(candidates.at(holder), choice, nowNanos)) {
+                    && usable(candidates, candidates.at(holder), choice, nowNanos)) {
                 double holderScore = score(candidates, choice, holder, nowNanos);
                 if (holderScore < score) {
                     result = holder;
@@ -138,13 +142,25 @@
         return result;
     }
 
+    /**
+     * Load hardly matters while slots are free and very much when none is, because only then does a
+     * request wait.
+     */
+    private static double congestion(double load) {
+        double square = load * load;
+        double steep = square * square * square;
+        return load < 1
+                ? FLAT_PART * load + (1 - FLAT_PART) * steep
+                : 1 + OVERLOAD_SLOPE * (load - 1);
+    }
+
     /**
      * Lower is better. The penalty of a cache miss is bounded by half a slot of load, so that
      * affinity cannot overload an upstream.
      */
     private static double score(Candidates candidates, Choice choice, int index, long nowNanos) {
         UpstreamLoad load = candidates.at(index);
-        double score = load.loadAfterOneMore(nowNanos);
+        double score = congestion(load.loadAfterOneMore(candidates.average(), nowNanos));
         if (choice.prefixHash() != 0 && !candidates.cache().holds(choice.prefixHash(), index)) {
             score += Math.min(MAX_MISS_PENALTY, choice.promptTokens() / PROMPT_TOKENS_PER_SLOT);
         }
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/Candidates.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/Candidates.java
@@ -15,16 +15,24 @@
     /** At least this part of a pool stays in use, however many upstreams fail. */
     private static final double MAX_EJECTED = 0.5;
 
+    private static final long RECOUNT_NANOS = 20_000_000;
+
     private final Map<UpstreamId, UpstreamLoad> byId = new HashMap<>();
     private final PrefixCacheView cache = new PrefixCacheView();
     private final RandomGenerator random;
     private final FailureDomain ownDomain;
+    private final ServiceTimes times;
+    private final PoolAverage average = new PoolAverage();
     private UpstreamLoad[] loads = new UpstreamLoad[0];
+    private long countedAt = -1;
+    private int countedSlots;
+    private int countedFree;
     private int nextInTurn;
 
-    Candidates(RandomGenerator random, FailureDomain ownDomain) {
+    Candidates(RandomGenerator random, FailureDomain ownDomain, ServiceTimes times) {
         this.random = random;
         this.ownDomain = ownDomain;
+        this.times = times;
     }
 
     /** Takes the rows of the pool table; what is known of upstreams that stay is kept. */
@@ -42,6 +50,7 @@
             cache.clear();
         }
         loads = updated;
+        countedAt = -1;
     }
 
     @Nullable UpstreamLoad find(UpstreamId id) {
@@ -92,8 +101,8 @@
         return false;
     }
 
-    /** Returns the slots of all upstreams that are in use. */
-    int totalSlots(long nowNanos) {
+    /** Counts the slots of all upstreams that are in use. */
+    int countSlots(long nowNanos) {
         int slots = 0;
         for (UpstreamLoad load : loads) {
             if (!load.isLeaving() && !load.health().isEjected(nowNanos)) {
@@ -103,12 +112,58 @@
         return slots;
     }
 
-    /** Returns the slots that are probably free. */
+    /**
+     * Returns the slots that are probably free. Counting them takes a pass over the pool, so they
+     * are counted again only after a while and adjusted by what this instance does in between.
+     */
     int freeSlots(long nowNanos) {
+        if (nowNanos - countedAt >= RECOUNT_NANOS || countedAt < 0) {
+            countedAt = nowNanos;
+            updateAverage();
+            countedSlots = countSlots(nowNanos);
+            countedFree = countFree(nowNanos);
+        }
+        return countedFree;
+    }
+
+    PoolAverage average() {
+        return average;
+    }
+
+    /** Returns the slots of all upstreams that were in use at the last count. */
+    int knownSlots() {
+        return countedSlots;
+    }
+
+    void onBooked() {
+        countedFree--;
+    }
+
+    void onReleased() {
+        countedFree++;
+    }
+
+    private void updateAverage() {
+        double busy = 0;
+        double inFlight = 0;
+        int counted = 0;
+        for (UpstreamLoad load : loads) {
+            if (!load.isLeaving()) {
+                busy += Math.max(load.inFlight(), load.reportedBusy());
+                inFlight += load.inFlight();
+                counted++;
+            }
+        }
+        int divisor = Math.max(1, counted);
+        average.set(busy / divisor, inFlight / divisor, times.meanNanos());
+    }
+
+    private int countFree(long nowNanos) {
         int free = 0;
         for (UpstreamLoad load : loads) {
             if (!load.isLeaving() && !load.health().isEjected(nowNanos)) {
-                free += Math.max(0, load.spec().slots() - load.estimatedBusy());
+                double busy = load.estimatedBusy(average, nowNanos);
+                free += (int) Math.max(0, load.spec().slots() - busy);
             }
         }
         return free;
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/Choice.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/Choice.java
@@ -9,11 +9,13 @@
     private long prefixHash;
     private int promptTokens;
     private boolean movable;
+    private boolean withinQuota;
     private Priority priority = Priority.LIVE;
     private @Nullable FailureDomain avoidedDomain;
     private @Nullable UpstreamLoad avoidedUpstream;
 
-    void set(DispatchRequest request, @Nullable UpstreamLoad failedUpstream) {
+    void set(DispatchRequest request, @Nullable UpstreamLoad failedUpstream, boolean hasQuota) {
+        withinQuota = hasQuota;
         prefixHash = request.prefixHash();
         promptTokens = request.promptTokens();
         movable = request.resumable() || request.route().repeatable();
@@ -35,6 +37,11 @@
         return movable;
     }
 
+    /** Returns whether the team has a right to a slot, so that no slot needs to be free. */
+    boolean withinQuota() {
+        return withinQuota;
+    }
+
     Priority priority() {
         return priority;
     }
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/ConcurrencyLimit.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/ConcurrencyLimit.java
@@ -1,38 +1,44 @@
 package org.fuchsialever.decisions.dispatch;
 
 /**
- * Adaptive limit on the requests in flight at one upstream. It grows by one for each full window of
- * quick answers, up to the slots of the upstream, and shrinks by a tenth when the first byte takes
- * much longer than it used to. More than the slots would only wait in the upstream's own queue,
- * where teams have no shares.
+ * Adaptive limit on the requests in flight at one upstream. After each window of answers it grows
+ * by one, up to the slots of the upstream, or shrinks by a tenth if answers began much later than
+ * they usually do. More than the slots would only wait in the upstream's own queue, where teams
+ * have no shares.
+ *
+ * <p>The usual time is a slow average and not the least time: a prompt that is in the cache is
+ * answered ten times faster, and with the least time as baseline every other prompt looked slow. A
+ * delay that is small against the whole answer does not count either; without that allowance a wait
+ * of 100 ms before answers of 600 ms drove the limit down to a few requests.
  */
 final class ConcurrencyLimit {
     private static final double SLOW_FACTOR = 3.0;
+    private static final double ALLOWED_PART_OF_TOTAL = 0.5;
     private static final double DECREASE = 0.9;
-    private static final double SMOOTHING = 0.1;
-    private static final double BASELINE_DRIFT = 1.01;
+    private static final double SMOOTHING = 0.2;
 
     private final int slots;
     private double limit;
-    private double baselineNanos;
-    private double smoothedNanos;
+    private double usualFirstByte;
+    private double usualTotal;
+    private double windowFirstByte;
+    private double windowTotal;
+    private int windowCount;
+    private boolean windowWasFull;
 
     ConcurrencyLimit(int slots) {
         this.slots = slots;
         this.limit = slots;
     }
 
-    /** Takes the time to the first byte of an answer. */
-    void onFirstByte(long nanos, int inFlight) {
-        smoothedNanos =
-                smoothedNanos == 0 ? nanos : smoothedNanos + SMOOTHING * (nanos - smoothedNanos);
-        // The baseline rises slowly, so that it follows an upstream that has become slower.
-        baselineNanos =
-                baselineNanos == 0 ? nanos : Math.min(nanos, baselineNanos * BASELINE_DRIFT);
-        if (smoothedNanos > SLOW_FACTOR * baselineNanos) {
-            limit = Math.max(1, limit * DECREASE);
-        } else if (inFlight >= limit - 1) {
-            limit = Math.min(slots, limit + 1 / limit);
+    /** Takes the times of an answer and the number of requests that were in flight with it. */
+    void onAnswer(long firstByteNanos, long totalNanos, int inFlight) {
+        windowFirstByte += firstByteNanos;
+        windowTotal += totalNanos;
+        windowWasFull |= inFlight >= (int) limit;
+        windowCount++;
+        if (windowCount >= limit) {
+            closeWindow();
         }
     }
 
@@ -44,4 +50,26 @@
     int limit() {
         return (int) limit;
     }
+
+    private void closeWindow() {
+        double firstByte = windowFirstByte / windowCount;
+        double total = windowTotal / windowCount;
+        double tolerated =
+                Math.max(SLOW_FACTOR * usualFirstByte, ALLOWED_PART_OF_TOTAL * usualTotal);
+        if (usualTotal > 0 && firstByte > tolerated) {
+            limit = Math.max(1, limit * DECREASE);
+        } else if (windowWasFull) {
+            limit = Math.min(slots, limit + 1);
+        }
+        usualFirstByte = smooth(usualFirstByte, firstByte);
+        usualTotal = smooth(usualTotal, total);
+        windowFirstByte = 0;
+        windowTotal = 0;
+        windowCount = 0;
+        windowWasFull = false;
+    }
+
+    private static double smooth(double old, double sample) {
+        return old == 0 ? sample : old + SMOOTHING * (sample - old);
+    }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/DispatchDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/DispatchDuty.java
@@ -352,7 +352,7 @@
     private void exchangeShares(long nowNanos, ActionSink<DispatchAction> actions) {
         pools.forEach(
                 (name, pool) -> {
-                    pool.queue().updateQuotas(pool.candidates().totalSlots(nowNanos), nowNanos);
+                    pool.queue().updateQuotas(pool.candidates().countSlots(nowNanos), nowNanos);
                     List<DispatchEvent.TeamCost> costs = pool.queue().costs(nowNanos);
                     if (!costs.isEmpty()) {
                         actions.emit(new DispatchAction.PublishShares(name, costs));
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/PoolDispatcher.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/PoolDispatcher.java
@@ -23,7 +23,7 @@
 
     PoolDispatcher(DispatchSettings settings, RandomGenerator random, InvariantMonitor invariants) {
         this.queue = new PoolQueue(settings, random);
-        this.candidates = new Candidates(random, settings.domain());
+        this.candidates = new Candidates(random, settings.domain(), times);
         this.invariants = invariants;
     }
 
@@ -65,28 +65,28 @@
         TeamShare share = queue.team(request.team());
         int ahead = share.ahead(request.route().priority());
         double wait = ahead * times.meanNanos() / Math.max(1, share.running());
-        double expected = times.expectedNanos(request);
-        return nowNanos + wait + expected > request.deadlineNanos();
+        return times.wouldMissDeadline(request, nowNanos + wait);
     }
 
     /** Returns whether a waiting request can no longer be completed in time. */
     boolean isTooLate(QueuedRequest queued, long nowNanos) {
-        return nowNanos + times.expectedNanos(queued.request()) > queued.request().deadlineNanos();
+        return times.wouldMissDeadline(queued.request(), nowNanos);
     }
 
     @Nullable QueuedRequest next(long nowNanos) {
-        int slots = candidates.totalSlots(nowNanos);
-        boolean spare = candidates.freeSlots(nowNanos) > slots * SPARE_PART;
+        int free = candidates.freeSlots(nowNanos);
+        boolean spare = free > candidates.knownSlots() * SPARE_PART;
         return queue.next(nowNanos, spare);
     }
 
     /** Chooses an upstream and books the request on it; returns null if none has room. */
     @Nullable UpstreamLoad book(QueuedRequest queued, long nowNanos) {
-        choice.set(queued.request(), queued.failedUpstream());
+        boolean hasQuota = queue.team(queued.request().team()).hasQuota();
+        choice.set(queued.request(), queued.failedUpstream(), hasQuota);
         int index = policy.choose(candidates, choice, nowNanos);
         if (index < 0 && queued.failedUpstream() != null) {
             // The upstream that failed may be the only one left.
-            choice.set(queued.request(), null);
+            choice.set(queued.request(), null, hasQuota);
             index = policy.choose(candidates, choice, nowNanos);
         }
         if (index < 0) {
@@ -100,6 +100,7 @@
         double cost = expectedCost(queued.request());
         queued.start(load, cost);
         load.onSent(nowNanos);
+        candidates.onBooked();
         queue.team(queued.request().team()).started(cost, nowNanos);
         if (queued.request().prefixHash() != 0) {
             candidates.cache().stored(queued.request().prefixHash(), index);
@@ -114,6 +115,7 @@
             return;
         }
         load.onEnded(report);
+        candidates.onReleased();
         boolean plain = queued.request().maxTokens() == 0;
         double cost = plain ? 1 : report.promptTokens() + report.generatedTokens();
         queue.team(queued.request().team()).ended(queued.charged(), cost, nowNanos);
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/PoolQueue.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/PoolQueue.java
@@ -13,6 +13,9 @@
 final class PoolQueue {
     private static final long REMOTE_TIMEOUT_INTERVALS = 6;
 
+    /** Quotas follow demand with a delay; without a surplus, slots stay idle in the meantime. */
+    private static final double OVERBOOKING = 1.2;
+
     private final Map<TeamName, TeamShare> teams = new TreeMap<>();
     private final DispatchSettings settings;
     private final RandomGenerator random;
@@ -92,7 +95,7 @@
             demands[i] = share.demand() + share.remoteDemand();
             weights[i] = share.weight();
         }
-        double[] divided = ShareAllocator.divide(slots, demands, weights);
+        double[] divided = ShareAllocator.divide(slots * OVERBOOKING, demands, weights);
         for (int i = 0; i < demands.length; i++) {
             TeamShare share = shares.get(i);
             boolean contended = divided[i] < demands[i];
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/ServiceTimes.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/ServiceTimes.java
@@ -4,6 +4,9 @@
 final class ServiceTimes {
     private static final double SMOOTHING = 0.05;
 
+    /** Answers vary in length; a start that leaves only the expected time fails half the time. */
+    private static final double DEADLINE_MARGIN = 1.5;
+
     private double firstByteNanos;
     private double nanosPerToken;
     private double tokens;
@@ -27,6 +30,11 @@
         return tokens == 0 ? maxTokens : (int) Math.min(maxTokens, Math.ceil(tokens));
     }
 
+    /** Returns whether a request that starts at a time will probably miss its deadline. */
+    boolean wouldMissDeadline(DispatchRequest request, double startNanos) {
+        return startNanos + DEADLINE_MARGIN * expectedNanos(request) > request.deadlineNanos();
+    }
+
     /** Returns the expected time of one request in nanoseconds; 0 while nothing is known. */
     double expectedNanos(DispatchRequest request) {
         if (request.maxTokens() == 0 || nanosPerToken == 0) {
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/TeamShare.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/TeamShare.java
@@ -101,6 +101,11 @@
         return quota;
     }
 
+    /** Returns whether capacity is contended and the team runs less than it has a right to. */
+    boolean hasQuota() {
+        return quota != Double.MAX_VALUE && running < quota;
+    }
+
     void quota(double newQuota) {
         quota = newQuota;
     }
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/UpstreamLoad.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/UpstreamLoad.java
@@ -7,6 +7,9 @@
 final class UpstreamLoad {
     private static final int RECENT_SENDS = 64;
 
+    /** A short queue keeps an upstream busy until this instance hears of a free slot. */
+    private static final int QUEUE_AT_UPSTREAM = 2;
+
     private final long[] sentAt = new long[RECENT_SENDS];
     private final Health health = new Health();
     private final ConcurrencyLimit limit;
@@ -14,6 +17,7 @@
     private int sends;
     private int inFlight;
     private int reportedBusy = -1;
+    private long reportedAt;
     private int sentSinceReport;
     private int endedSinceReport;
     private boolean leaving;
@@ -55,10 +59,21 @@
         return leaving || removed || spec.state() == UpstreamState.LEAVING;
     }
 
-    boolean canTake(long nowNanos) {
-        return !isLeaving()
-                && !health.isEjected(nowNanos)
-                && inFlight < Math.max(1, limit.limit() * health.capacityFactor(nowNanos));
+    /**
+     * Returns whether another request may be sent.
+     *
+     * @param withinQuota whether the team has a right to the slot; otherwise the slot must probably
+     *     be free, so that the share of other instances is not taken
+     */
+    boolean canTake(boolean withinQuota, PoolAverage average, long nowNanos) {
+        if (isLeaving() || health.isEjected(nowNanos)) {
+            return false;
+        }
+        double factor = health.capacityFactor(nowNanos);
+        return inFlight < Math.max(1, limit.limit() * factor)
+                && (withinQuota
+                        || estimatedBusy(average, nowNanos)
+                                < spec.slots() * factor + QUEUE_AT_UPSTREAM);
     }
 
     void onSent(long nowNanos) {
@@ -68,11 +83,11 @@
     }
 
     void onEnded(AttemptReport report) {
-        inFlight--;
-        endedSinceReport++;
         if (report.firstByteNanos() >= 0) {
-            limit.onFirstByte(report.firstByteNanos(), inFlight);
+            limit.onAnswer(report.firstByteNanos(), report.totalNanos(), inFlight);
         }
+        inFlight--;
+        endedSinceReport++;
         if (report.result() == AttemptResult.NOT_ADMITTED) {
             limit.onNotAdmitted();
         }
@@ -81,6 +96,7 @@
     /** Takes a load report; requests sent while it was on its way are added to it. */
     void onReport(LoadReport report, long nowNanos) {
         reportedBusy = report.running() + report.waiting();
+        reportedAt = nowNanos - report.ageNanos();
         sentSinceReport = sentWithin(report.ageNanos(), nowNanos);
         endedSinceReport = 0;
         if (report.leaving()) {
@@ -88,10 +104,24 @@
         }
     }
 
-    /** Returns the estimated number of requests at the upstream, those of other instances too. */
-    int estimatedBusy() {
-        int reported = reportedBusy + sentSinceReport - endedSinceReport;
-        return reportedBusy < 0 ? inFlight : Math.max(inFlight, reported);
+    /**
+     * Returns the estimated number of requests at the upstream, those of other instances too. A
+     * fresh report is trusted. The older it is, the less it says about the upstream compared with
+     * its neighbours, so the estimate moves to the average of the pool, corrected by what this
+     * instance itself has in flight; otherwise all instances rush to whatever was idle at the time
+     * of the report.
+     *
+     * @param average the averages of the pool
+     * @param nowNanos monotonic time
+     */
+    double estimatedBusy(PoolAverage average, long nowNanos) {
+        if (reportedBusy < 0) {
+            return inFlight;
+        }
+        double trust = average.trust(nowNanos - reportedAt);
+        double reported = Math.max(inFlight, reportedBusy + sentSinceReport - endedSinceReport);
+        double assumed = Math.max(inFlight, average.busy() + inFlight - average.inFlight());
+        return trust * reported + (1 - trust) * assumed;
     }
 
     /** Returns the last reported number of requests, for a policy that looks at nothing else. */
@@ -100,8 +130,9 @@
     }
 
     /** Returns load per capacity after one more request; 1 means that all slots are in use. */
-    double loadAfterOneMore(long nowNanos) {
-        return (estimatedBusy() + 1) / (spec.slots() * health.capacityFactor(nowNanos));
+    double loadAfterOneMore(PoolAverage average, long nowNanos) {
+        double capacity = spec.slots() * health.capacityFactor(nowNanos);
+        return (estimatedBusy(average, nowNanos) + 1) / capacity;
     }
 
     private int sentWithin(long ageNanos, long nowNanos) {
