--- /dev/null
+++ b/standins/src/main/java/org/fuchsialever/standins/EngineOrder.java
@@ -0,0 +1,10 @@
+package org.fuchsialever.standins;
+
+/**
+ * An order to load a weight version.
+ *
+ * @param order the identity of the order
+ * @param fencing the fencing number of the sender
+ * @param version the weight version
+ */
+public record EngineOrder(String order, long fencing, long version) {}
--- a/standins/src/main/java/org/fuchsialever/standins/EngineStandIn.java
+++ b/standins/src/main/java/org/fuchsialever/standins/EngineStandIn.java
@@ -1,127 +1,268 @@
 package org.fuchsialever.standins;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.netty.buffer.Unpooled;
-import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
-import reactor.netty.DisposableServer;
-import reactor.netty.http.server.HttpServer;
-import reactor.netty.http.server.HttpServerRequest;
-import reactor.netty.http.server.HttpServerResponse;
-
-/** A model engine that generates numbered words at a fixed rate. */
-public final class EngineStandIn implements AutoCloseable {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+/**
+ * A model engine with continuous batching. The text of token i is {@link #tokenText}, so that a
+ * test can check an answer for completeness.
+ */
+public final class EngineStandIn extends StandInServer {
     private static final int DEFAULT_MAX_TOKENS = 16;
 
-    private final Duration tokenInterval;
-    private final String start;
-    private final DisposableServer server;
+    private final EngineOptions options;
+    private final EngineSlots slots;
+    private final PrefixCache cache;
+    private final AtomicLong weightVersion;
+    private final AtomicLong highestFencing = new AtomicLong();
+    private final AtomicInteger swapsToFail = new AtomicInteger();
+    private final AtomicLong generatedTokens = new AtomicLong();
+    private final AtomicLong cacheHits = new AtomicLong();
+    private final AtomicLong anonymous = new AtomicLong();
+    private final List<EngineOrder> orders = new CopyOnWriteArrayList<>();
+    private final List<String> started = new CopyOnWriteArrayList<>();
+    private final List<String> cancelled = new CopyOnWriteArrayList<>();
+    private volatile String start;
+    private volatile boolean leaving;
+    private volatile boolean versionsStated = true;
 
     /**
-     * Starts the engine on a free loopback port.
+     * Starts an engine with default options on a free loopback port.
      *
      * @param start identity of this start of the engine
      * @param tokenInterval time between two tokens of a stream
      */
     public EngineStandIn(String start, Duration tokenInterval) {
-        this.start = start;
-        this.tokenInterval = tokenInterval;
-        this.server =
-                HttpServer.create()
-                        .host("127.0.0.1")
-                        .port(0)
-                        .route(
-                                routes ->
-                                        routes.post("/v1/completions", this::complete)
-                                                .post("/v1/chat/completions", this::complete))
-                        .bindNow();
-    }
-
-    /** Returns the TCP port. */
-    public int port() {
-        return server.port();
-    }
-
-    @Override
-    public void close() {
-        server.disposeNow();
-    }
-
-    private Mono<Void> complete(HttpServerRequest request, HttpServerResponse response) {
-        return request.receive()
-                .aggregate()
-                .asByteArray()
-                .flatMap(
-                        body -> {
-                            JsonNode call = parse(body);
-                            int tokens = call.path("max_tokens").asInt(DEFAULT_MAX_TOKENS);
-                            return call.path("stream").asBoolean(false)
-                                    ? stream(response, tokens)
-                                    : whole(response, tokens);
-                        });
+        this(new EngineOptions().start(start).tokenInterval(tokenInterval));
+    }
+
+    /** Starts an engine on a free loopback port. */
+    public EngineStandIn(EngineOptions options) {
+        this.options = options;
+        this.start = options.start;
+        this.weightVersion = new AtomicLong(options.weightVersion);
+        this.slots =
+                new EngineSlots(
+                        options.slots, options.queue, options.loadLag.toNanos(), options.time);
+        this.cache = new PrefixCache(options.cacheEntries, options.cacheEventGap);
+        on("generate", "POST", "/v1/completions", request -> generate(request, false));
+        on("generate", "POST", "/v1/chat/completions", request -> generate(request, true));
+        on("cancel", "DELETE", "/v1/requests/([^/]+)", request -> Mono.just(cancel(request)));
+        on("load", "GET", "/engine/load", request -> Mono.just(load()));
+        on("cache-events", "GET", "/engine/cache-events", request -> Mono.just(events(request)));
+        on("order", "POST", "/engine/orders", this::order);
+        open();
+    }
+
+    /**
+     * Returns the text of a token. A prompt whose first word is {@code @name} gives the tokens
+     * {@code name.w0}, {@code name.w1} and so on, any other prompt {@code w0}, {@code w1} and so
+     * on; each is followed by a space.
+     */
+    public static String tokenText(String prompt, int index) {
+        String tag = prompt.startsWith("@") ? prompt.substring(1).split("\\s", 2)[0] + "." : "";
+        return tag + "w" + index + " ";
     }
 
-    private Mono<Void> stream(HttpServerResponse response, int tokens) {
-        Flux<byte[]> chunks =
-                Flux.range(0, tokens)
-                        .delayElements(tokenInterval)
-                        .map(index -> event(chunk(index, tokens).toString()))
-                        .concatWithValues(event("[DONE]"));
-        return response.header("Content-Type", "text/event-stream")
-                .send(chunks.map(Unpooled::wrappedBuffer), chunk -> true)
-                .then();
+    /** Returns the part of a prompt that cache events name: its first 64 characters. */
+    public static String cachedPrefix(String prompt) {
+        return PrefixCache.prefixOf(prompt);
     }
 
-    private Mono<Void> whole(HttpServerResponse response, int tokens) {
-        StringBuilder text = new StringBuilder();
-        for (int i = 0; i < tokens; i++) {
-            text.append(word(i));
+    /** Changes the weight version at once, also for requests that run. */
+    public void loadVersion(long version) {
+        weightVersion.set(version);
+    }
+
+    /** Returns the weight version in use. */
+    public long weightVersion() {
+        return weightVersion.get();
+    }
+
+    /** Lets the next orders to load a version fail with status 500. */
+    public void failSwaps(int count) {
+        swapsToFail.set(count);
+    }
+
+    /** Announces that the engine leaves; it admits no more requests. */
+    public void leave() {
+        leaving = true;
+    }
+
+    /** Sets whether chunks state the weight version. */
+    public void stateVersions(boolean stated) {
+        versionsStated = stated;
+    }
+
+    /** Restarts the engine: all connections break and the cache is lost. */
+    public void restart(String newStart, long version) {
+        start = newStart;
+        weightVersion.set(version);
+        leaving = false;
+        cache.clear();
+        closeConnections();
+    }
+
+    /** Returns the number of requests that have a slot. */
+    public int running() {
+        return slots.running();
+    }
+
+    /** Returns the number of requests that wait for a slot. */
+    public int waiting() {
+        return slots.waiting();
+    }
+
+    /** Returns the number of tokens sent or put into whole answers. */
+    public long generatedTokens() {
+        return generatedTokens.get();
+    }
+
+    /** Returns the number of requests whose prefix was cached. */
+    public long cacheHits() {
+        return cacheHits.get();
+    }
+
+    /** Returns the ids of requests in the order in which they got a slot. */
+    public List<String> started() {
+        return List.copyOf(started);
+    }
+
+    /** Returns the ids of requests that were cancelled by {@code DELETE} or whose caller left. */
+    public List<String> cancelled() {
+        return List.copyOf(cancelled);
+    }
+
+    /** Returns the orders that were carried out, with repetitions. */
+    public List<EngineOrder> orders() {
+        return List.copyOf(orders);
+    }
+
+    private Mono<StandInReply> generate(StandInRequest request, boolean chat) {
+        JsonNode call = request.json();
+        String id = request.header("X-Request-Id");
+        String name = id.isEmpty() ? "anonymous-" + anonymous.incrementAndGet() : id;
+        EngineSlots.Ticket ticket =
+                leaving ? null : slots.request(name, call.path("priority").asInt());
+        if (ticket == null) {
+            return Mono.just(StandInReply.error(leaving ? 503 : 429, "not_admitted"));
+        }
+        EngineText text = EngineText.of(call, chat, options, DEFAULT_MAX_TOKENS);
+        Mono<Void> slot = ticket.granted().doOnSuccess(done -> started.add(name));
+        if (call.path("stream").asBoolean(false)) {
+            return Mono.just(
+                    StandInReply.events(
+                            slot.thenMany(Flux.defer(() -> chunks(text)))
+                                    .takeUntilOther(ticket.cancelled())
+                                    .doOnTerminate(ticket::release)
+                                    .doOnCancel(() -> callerLeft(name, ticket))));
         }
-        ObjectNode answer = MAPPER.createObjectNode();
-        ObjectNode choice = answer.putArray("choices").addObject();
-        choice.put("index", 0).put("text", text.toString()).put("finish_reason", "length");
-        describe(answer, 0, tokens);
-        byte[] body = answer.toString().getBytes(StandardCharsets.UTF_8);
-        return response.header("Content-Type", "application/json")
-                .sendByteArray(Mono.just(body).delayElement(tokenInterval.multipliedBy(tokens)))
-                .then();
-    }
-
-    private ObjectNode chunk(int index, int tokens) {
-        ObjectNode chunk = MAPPER.createObjectNode();
-        ObjectNode choice = chunk.putArray("choices").addObject();
-        choice.put("index", 0).put("text", word(index));
-        describe(chunk, index, index == tokens - 1 ? tokens : 0);
+        return slot.then(Mono.defer(() -> Mono.delay(text.wholeTime(useCache(text)))))
+                .map(done -> whole(text))
+                .takeUntilOther(ticket.cancelled())
+                .defaultIfEmpty(StandInReply.error(499, "cancelled"))
+                .doOnTerminate(ticket::release)
+                .doOnCancel(() -> callerLeft(name, ticket));
+    }
+
+    private void callerLeft(String name, EngineSlots.Ticket ticket) {
+        cancelled.add(name);
+        ticket.release();
+    }
+
+    private Flux<byte[]> chunks(EngineText text) {
+        return text.ticks(useCache(text))
+                .map(index -> event(chunk(text, index).toString()))
+                .concatWithValues(event("[DONE]"));
+    }
+
+    private StandInReply whole(EngineText text) {
+        generatedTokens.addAndGet(text.count());
+        ObjectNode answer = text.whole();
+        describe(answer, text.first());
+        return StandInReply.json(200, answer);
+    }
+
+    private ObjectNode chunk(EngineText text, int index) {
+        generatedTokens.incrementAndGet();
+        ObjectNode chunk = text.chunk(index);
+        describe(chunk, index);
         return chunk;
     }
 
-    private void describe(ObjectNode answer, int tokenIndex, int generated) {
+    private void describe(ObjectNode answer, int tokenIndex) {
         ObjectNode engine = answer.putObject("engine");
-        engine.put("start", start).put("weight_version", 0).put("token_index", tokenIndex);
-        if (generated > 0) {
-            answer.putObject("usage").put("prompt_tokens", 1).put("completion_tokens", generated);
+        engine.put("start", start);
+        if (versionsStated) {
+            engine.put("weight_version", weightVersion.get());
         }
+        engine.put("token_index", tokenIndex);
     }
 
-    private static String word(int index) {
-        return "w" + index + " ";
+    private boolean useCache(EngineText text) {
+        boolean hit = cache.use(text.prompt());
+        if (hit) {
+            cacheHits.incrementAndGet();
+        }
+        return hit;
     }
 
-    private static byte[] event(String data) {
-        return ("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8);
+    private StandInReply cancel(StandInRequest request) {
+        String id = request.arguments().get(0);
+        if (!slots.cancel(id)) {
+            return StandInReply.error(404, "unknown_request");
+        }
+        cancelled.add(id);
+        return StandInReply.json(200, Json.object());
+    }
+
+    private StandInReply load() {
+        EngineSlots.Load load = slots.load();
+        ObjectNode body = Json.object();
+        body.put("running", load.running()).put("waiting", load.waiting());
+        body.put("slots", options.slots).put("weight_version", weightVersion.get());
+        body.put("engine_start", start).put("leaving", leaving);
+        body.put("reported_at_millis", options.time.wallMillis() - options.loadLag.toMillis());
+        return StandInReply.json(200, body);
+    }
+
+    private StandInReply events(StandInRequest request) {
+        long after = Long.parseLong(request.query("after", "0"));
+        return StandInReply.json(200, cache.eventsAfter(after));
     }
 
-    private static JsonNode parse(byte[] body) {
-        try {
-            return MAPPER.readTree(body);
-        } catch (IOException e) {
-            return MAPPER.createObjectNode();
+    private Mono<StandInReply> order(StandInRequest request) {
+        JsonNode body = request.json();
+        EngineOrder order =
+                new EngineOrder(
+                        body.path("order").asText(),
+                        body.path("fencing").asLong(),
+                        body.path("version").asLong());
+        long highest = highestFencing.accumulateAndGet(order.fencing(), Math::max);
+        if (options.enforceFencing && order.fencing() < highest) {
+            return Mono.just(StandInReply.error(409, "stale_fencing"));
+        }
+        if (swapsToFail.getAndUpdate(left -> Math.max(0, left - 1)) > 0) {
+            return Mono.just(StandInReply.error(500, "load_failed"));
         }
+        orders.add(order);
+        return Mono.delay(options.swapTime)
+                .map(
+                        done -> {
+                            weightVersion.set(order.version());
+                            return StandInReply.json(200, Json.object());
+                        });
+    }
+
+    private static byte[] event(String data) {
+        return ("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8);
     }
 }
--- /dev/null
+++ b/standins/src/main/java/org/fuchsialever/standins/FaultControl.java
@@ -0,0 +1,82 @@
+package org.fuchsialever.standins;
+
+import java.time.Duration;
+import reactor.core.publisher.Mono;
+
+/** Sets and ends the faults of one stand-in. */
+public final class FaultControl {
+    private static final int UNLIMITED = Integer.MAX_VALUE;
+
+    private final StandInServer server;
+    private Fault current = new Fault(FaultMode.NONE, Duration.ZERO, UNLIMITED);
+
+    FaultControl(StandInServer server) {
+        this.server = server;
+    }
+
+    /** Sets a fault until another one is set, and returns when it is in force. */
+    public void set(FaultMode mode) {
+        set(mode, Duration.ZERO, UNLIMITED);
+    }
+
+    /**
+     * Sets a fault and returns when it is in force. Must not be called from an event loop.
+     *
+     * @param mode the fault
+     * @param duration the delay of {@code SLOW}, and the time until {@code DOWN} ends by itself
+     *     (zero: never)
+     * @param count the number of requests (for {@code SILENT}: connections) that meet the fault
+     */
+    public void set(FaultMode mode, Duration duration, int count) {
+        engage(mode, duration, count).block();
+    }
+
+    /** Returns the fault in force. */
+    public synchronized FaultMode mode() {
+        return current.mode;
+    }
+
+    Mono<Void> engage(FaultMode mode, Duration duration, int count) {
+        int limit = count <= 0 ? UNLIMITED : count;
+        Fault fault = new Fault(mode, duration, limit);
+        return Mono.defer(
+                () -> {
+                    replace(fault);
+                    if (mode == FaultMode.DOWN && !duration.isZero()) {
+                        Mono.delay(duration).then(Mono.defer(() -> endOf(fault))).subscribe();
+                    }
+                    return mode.engage(server, limit);
+                });
+    }
+
+    Mono<Void> serve(StandInExchange exchange) {
+        Fault fault = next();
+        return fault.mode.serve(exchange, fault.duration);
+    }
+
+    private synchronized void replace(Fault fault) {
+        current = fault;
+    }
+
+    private synchronized Fault next() {
+        Fault fault = current;
+        current = fault.afterOneRequest();
+        return fault;
+    }
+
+    private synchronized Mono<Void> endOf(Fault fault) {
+        return current == fault ? engage(FaultMode.NONE, Duration.ZERO, UNLIMITED) : Mono.empty();
+    }
+
+    private record Fault(FaultMode mode, Duration duration, int count) {
+
+        Fault afterOneRequest() {
+            if (!mode.countsRequests() || count == UNLIMITED) {
+                return this;
+            }
+            return count > 1
+                    ? new Fault(mode, duration, count - 1)
+                    : new Fault(FaultMode.NONE, Duration.ZERO, UNLIMITED);
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/fuchsialever/standins/InstanceListStandIn.java
@@ -0,0 +1,65 @@
+package org.fuchsialever.standins;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentSkipListMap;
+import reactor.core.publisher.Mono;
+
+/** The platform's list of instances, which may lag behind. */
+public final class InstanceListStandIn extends StandInServer {
+    private final Map<String, ListedInstanceEntry> actual = new ConcurrentSkipListMap<>();
+    private final Duration lag;
+    private volatile Map<String, ListedInstanceEntry> shown = Map.of();
+
+    /**
+     * Starts an empty list.
+     *
+     * @param lag how long a change takes to show
+     */
+    public InstanceListStandIn(Duration lag) {
+        this.lag = lag;
+        on("instances", "GET", "/instances", request -> Mono.just(list()));
+        open();
+    }
+
+    /** Adds or replaces an instance. */
+    public void put(ListedInstanceEntry instance) {
+        actual.put(instance.name(), instance);
+        show();
+    }
+
+    /** Removes an instance. */
+    public void remove(String name) {
+        actual.remove(name);
+        show();
+    }
+
+    private void show() {
+        Map<String, ListedInstanceEntry> copy = new TreeMap<>(actual);
+        if (lag.isZero()) {
+            shown = copy;
+        } else {
+            Mono.delay(lag).subscribe(done -> shown = copy);
+        }
+    }
+
+    private StandInReply list() {
+        ObjectNode body = Json.object();
+        ArrayNode instances = body.putArray("instances");
+        for (ListedInstanceEntry instance : shown.values()) {
+            instances
+                    .addObject()
+                    .put("name", instance.name())
+                    .put("host", instance.host())
+                    .put("http_port", instance.httpPort())
+                    .put("peer_port", instance.peerPort())
+                    .put("region", instance.region())
+                    .put("failure_domain", instance.failureDomain())
+                    .put("state", instance.leaving() ? "leaving" : "live");
+        }
+        return StandInReply.json(200, body);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/fuchsialever/standins/JudgeStandIn.java
@@ -0,0 +1,44 @@
+package org.fuchsialever.standins;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import reactor.core.publisher.Mono;
+
+/** A judge whose score depends only on prompt and text. */
+public final class JudgeStandIn extends StandInServer {
+    private static final int STEPS = 1_000;
+
+    private final Duration time;
+    private final List<String> judged = new CopyOnWriteArrayList<>();
+
+    /**
+     * Starts a judge.
+     *
+     * @param time how long judging a sample takes
+     */
+    public JudgeStandIn(Duration time) {
+        this.time = time;
+        on("judge", "POST", "/judge", this::judge);
+        open();
+    }
+
+    /** Returns the score of a text, from 0 to below 1. */
+    public static double score(String prompt, String text) {
+        return Math.floorMod(31 * prompt.hashCode() + text.hashCode(), STEPS) / (double) STEPS;
+    }
+
+    /** Returns the samples that were judged, with repetitions. */
+    public List<String> judged() {
+        return List.copyOf(judged);
+    }
+
+    private Mono<StandInReply> judge(StandInRequest request) {
+        JsonNode body = request.json();
+        judged.add(body.path("sample").asText());
+        double score = score(body.path("prompt").asText(), body.path("text").asText());
+        StandInReply reply = StandInReply.json(200, Json.object().put("score", score));
+        return time.isZero() ? Mono.just(reply) : Mono.delay(time).thenReturn(reply);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/fuchsialever/standins/ObjectStoreStandIn.java
@@ -0,0 +1,59 @@
+package org.fuchsialever.standins;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Option;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentSkipListMap;
+import reactor.core.publisher.Mono;
+
+/** An object store in memory. */
+public final class ObjectStoreStandIn extends StandInServer {
+    private static final int PRECONDITION_FAILED = 412;
+
+    private final Map<String, byte[]> objects = new ConcurrentSkipListMap<>();
+
+    /** Starts an empty object store. */
+    public ObjectStoreStandIn() {
+        on("put", "PUT", "/objects/(.+)", request -> Mono.just(put(request)));
+        on("get", "GET", "/objects/(.+)", request -> Mono.just(read(request)));
+        on("list", "GET", "/objects", request -> Mono.just(list(request)));
+        open();
+    }
+
+    /** Returns the names of all objects, sorted. */
+    public List<String> names() {
+        return List.copyOf(objects.keySet());
+    }
+
+    /** Returns an object. */
+    public Option<byte[]> object(String name) {
+        return Option.of(objects.get(name)).map(byte[]::clone);
+    }
+
+    private StandInReply put(StandInRequest request) {
+        String name = request.arguments().get(0);
+        if (!request.header("If-None-Match").equals("*")) {
+            objects.put(name, request.body());
+        } else if (objects.putIfAbsent(name, request.body()) != null) {
+            return StandInReply.error(PRECONDITION_FAILED, "object_exists");
+        }
+        return StandInReply.json(201, Json.object());
+    }
+
+    private StandInReply read(StandInRequest request) {
+        byte[] object = objects.get(request.arguments().get(0));
+        return object == null
+                ? StandInReply.error(404, "no_such_object")
+                : StandInReply.bytes(200, "application/octet-stream", object);
+    }
+
+    private StandInReply list(StandInRequest request) {
+        String prefix = request.query("prefix", "");
+        ObjectNode body = Json.object();
+        ArrayNode names = body.putArray("names");
+        objects.keySet().stream().filter(name -> name.startsWith(prefix)).forEach(names::add);
+        return StandInReply.json(200, body);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/fuchsialever/standins/PlainServiceStandIn.java
@@ -0,0 +1,99 @@
+package org.fuchsialever.standins;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import reactor.core.publisher.Mono;
+
+/** A plain service that counts how often each request ran, and echoes the body. */
+public final class PlainServiceStandIn extends StandInServer {
+    private static final int BUSY = 503;
+
+    private final Duration time;
+    private final Map<String, AtomicInteger> runsById = new ConcurrentHashMap<>();
+    private final Map<String, AtomicInteger> runsByPath = new ConcurrentHashMap<>();
+    private final List<Map<String, String>> headers = new CopyOnWriteArrayList<>();
+    private final AtomicInteger toRefuse = new AtomicInteger();
+
+    /**
+     * Starts a service.
+     *
+     * @param time how long a run takes
+     */
+    public PlainServiceStandIn(Duration time) {
+        this.time = time;
+        on("runs", "GET", "/stand-in/runs", request -> Mono.just(StandInReply.json(200, counts())));
+        for (String method : List.of("GET", "POST", "PUT", "PATCH", "DELETE")) {
+            on("run", method, "/.*", this::run);
+        }
+        open();
+    }
+
+    /** Refuses the next requests with status 503 and {@code X-Not-Run: true}. */
+    public void refuseNext(int count) {
+        toRefuse.set(count);
+    }
+
+    /** Returns how often the request with this {@code X-Request-Id} ran. */
+    public int runsOf(String requestId) {
+        return count(runsById, requestId);
+    }
+
+    /** Returns how often requests for a path ran. */
+    public int runsOfPath(String path) {
+        return count(runsByPath, path);
+    }
+
+    /** Returns the runs by {@code X-Request-Id}. */
+    public Map<String, Integer> runs() {
+        Map<String, Integer> runs = new TreeMap<>();
+        runsById.forEach((id, count) -> runs.put(id, count.get()));
+        return runs;
+    }
+
+    /** Returns the header fields of all requests, with names in lower case. */
+    public List<Map<String, String>> receivedHeaders() {
+        return List.copyOf(headers);
+    }
+
+    private Mono<StandInReply> run(StandInRequest request) {
+        Map<String, String> fields = new TreeMap<>();
+        request.headers().forEach(field -> fields.put(lower(field.getKey()), field.getValue()));
+        headers.add(fields);
+        if (toRefuse.getAndUpdate(left -> Math.max(0, left - 1)) > 0) {
+            return Mono.just(StandInReply.error(BUSY, "busy").with("X-Not-Run", "true"));
+        }
+        increment(runsById, request.header("X-Request-Id"));
+        increment(runsByPath, request.path());
+        String type = request.headers().get("Content-Type", "application/octet-stream");
+        StandInReply reply = StandInReply.bytes(200, type, request.body());
+        return time.isZero() ? Mono.just(reply) : Mono.delay(time).thenReturn(reply);
+    }
+
+    private ObjectNode counts() {
+        ObjectNode body = Json.object();
+        ObjectNode runs = body.putObject("runs");
+        runs().forEach(runs::put);
+        ObjectNode paths = body.putObject("paths");
+        runsByPath.forEach((path, count) -> paths.put(path, count.get()));
+        return body;
+    }
+
+    private static String lower(String text) {
+        return text.toLowerCase(java.util.Locale.ROOT);
+    }
+
+    private static void increment(Map<String, AtomicInteger> counts, String key) {
+        counts.computeIfAbsent(key, name -> new AtomicInteger()).incrementAndGet();
+    }
+
+    private static int count(Map<String, AtomicInteger> counts, String key) {
+        AtomicInteger count = counts.get(key);
+        return count == null ? 0 : count.get();
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/fuchsialever/standins/RequestDeadlineHandler.java
@@ -0,0 +1,60 @@
+package org.fuchsialever.standins;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Closes a connection on which no complete request arrives in time after it was opened or after the
+ * previous request.
+ */
+final class RequestDeadlineHandler extends ChannelInboundHandlerAdapter {
+    static final String NAME = "stand-in-request-deadline";
+
+    private final long timeoutNanos;
+    private @Nullable ScheduledFuture<?> deadline;
+    private @Nullable ChannelHandlerContext context;
+
+    RequestDeadlineHandler(long timeoutNanos) {
+        this.timeoutNanos = timeoutNanos;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext added) {
+        context = added;
+        restart();
+    }
+
+    @Override
+    public void handlerRemoved(ChannelHandlerContext removed) {
+        cancel();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext inactive) throws Exception {
+        cancel();
+        super.channelInactive(inactive);
+    }
+
+    /** Starts the deadline of the next request; called on the event loop. */
+    void restart() {
+        cancel();
+        ChannelHandlerContext current = context;
+        if (current != null) {
+            deadline =
+                    current.executor()
+                            .schedule(
+                                    () -> current.channel().close(),
+                                    timeoutNanos,
+                                    TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void cancel() {
+        if (deadline != null) {
+            deadline.cancel(false);
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/fuchsialever/standins/SilenceHandler.java
@@ -0,0 +1,37 @@
+package org.fuchsialever.standins;
+
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.util.ReferenceCountUtil;
+
+/** Discards all bytes of a connection once it is silenced; the connection stays open. */
+final class SilenceHandler extends ChannelDuplexHandler {
+    static final String NAME = "stand-in-silence";
+
+    private volatile boolean silent;
+
+    void silence() {
+        silent = true;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        if (silent) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
+        super.channelRead(context, message);
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise)
+            throws Exception {
+        if (silent) {
+            ReferenceCountUtil.release(message);
+            promise.setSuccess();
+            return;
+        }
+        super.write(context, message, promise);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/fuchsialever/standins/StandInServer.java
@@ -0,0 +1,293 @@
+package org.fuchsialever.standins;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
+import reactor.core.publisher.Mono;
+import reactor.netty.Connection;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/**
+ * Shared server part of the stand-ins: an HTTP server on a loopback port with counted operations
+ * and fault controls. Control requests below {@code /stand-in/} meet no faults and are not counted.
+ */
+public abstract class StandInServer implements AutoCloseable {
+    /** The address of all stand-ins. */
+    public static final String HOST = "127.0.0.1";
+
+    private static final String CONTROL_PREFIX = "/stand-in/";
+
+    private final List<Route> routes = new ArrayList<>();
+    private final Map<String, AtomicLong> calls = new ConcurrentHashMap<>();
+    private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final FaultControl faults = new FaultControl(this);
+    private volatile @Nullable DisposableServer server;
+    private volatile int port;
+
+    /** Creates a server that is not open yet. */
+    protected StandInServer() {
+        on("faults", "POST", "/stand-in/faults", request -> Mono.just(faultsReply(request)));
+        on(
+                "calls",
+                "GET",
+                "/stand-in/calls",
+                request -> Mono.just(StandInReply.json(200, countsDocument())));
+    }
+
+    /** Returns the TCP port, which stays the same while the stand-in is down. */
+    public final int port() {
+        return port;
+    }
+
+    /** Returns the address for clients, such as {@code http://127.0.0.1:4711}. */
+    public final String url() {
+        return "http://" + HOST + ":" + port;
+    }
+
+    /** Returns the fault control. */
+    public final FaultControl faults() {
+        return faults;
+    }
+
+    /** Returns how often an operation was called, including calls that met a fault. */
+    public final long calls(String operation) {
+        AtomicLong count = calls.get(operation);
+        return count == null ? 0 : count.get();
+    }
+
+    /** Returns the calls by operation. */
+    public final Map<String, Long> callCounts() {
+        Map<String, Long> counts = new TreeMap<>();
+        calls.forEach((operation, count) -> counts.put(operation, count.get()));
+        return counts;
+    }
+
+    @Override
+    public void close() {
+        shut().block();
+    }
+
+    /** Adds an operation; the groups of the path pattern become arguments of the request. */
+    final void on(
+            String operation,
+            String method,
+            String pathPattern,
+            Function<StandInRequest, Mono<StandInReply>> handler) {
+        routes.add(new Route(operation, method, Pattern.compile(pathPattern), handler));
+    }
+
+    /** Opens a free port; called at the end of the constructor of a stand-in. */
+    final void open() {
+        listen().block();
+    }
+
+    /** Prepares a new connection. */
+    void onConnection(Channel channel) {}
+
+    /** Is told that a request has arrived completely. */
+    void onRequestComplete(Channel channel) {}
+
+    final Mono<Void> listen() {
+        return Mono.defer(
+                () -> {
+                    if (server != null) {
+                        return Mono.empty();
+                    }
+                    return HttpServer.create()
+                            .host(HOST)
+                            .port(port)
+                            .doOnChannelInit((observer, channel, address) -> prepare(channel))
+                            .handle(this::serve)
+                            .bind()
+                            .doOnNext(
+                                    bound -> {
+                                        server = bound;
+                                        port = bound.port();
+                                    })
+                            .then();
+                });
+    }
+
+    final Mono<Void> shut() {
+        return Mono.defer(
+                () -> {
+                    DisposableServer bound = server;
+                    server = null;
+                    if (bound != null) {
+                        bound.dispose();
+                    }
+                    closeConnections();
+                    return bound == null ? Mono.empty() : bound.onDispose();
+                });
+    }
+
+    final void closeConnections() {
+        channels.close();
+    }
+
+    final void silence(int count) {
+        int left = count;
+        for (Channel channel : channels) {
+            if (left-- <= 0) {
+                return;
+            }
+            ((SilenceHandler) channel.pipeline().get(SilenceHandler.NAME)).silence();
+        }
+    }
+
+    private void prepare(Channel channel) {
+        channels.add(channel);
+        channel.pipeline().addFirst(SilenceHandler.NAME, new SilenceHandler());
+        onConnection(channel);
+    }
+
+    private Mono<Void> serve(HttpServerRequest request, HttpServerResponse response) {
+        return request.receive()
+                .aggregate()
+                .asByteArray()
+                .defaultIfEmpty(new byte[0])
+                .flatMap(body -> serve(request, response, body));
+    }
+
+    private Mono<Void> serve(HttpServerRequest request, HttpServerResponse response, byte[] body) {
+        Channel channel = channelOf(response);
+        onRequestComplete(channel);
+        String path = request.uri().split("\\?", 2)[0];
+        for (Route route : routes) {
+            Matcher matcher = route.path.matcher(path);
+            if (route.method.equals(request.method().name()) && matcher.matches()) {
+                return serve(route, read(request, body, matcher, channel), response);
+            }
+        }
+        return send(response, StandInReply.error(404, "unknown_path"));
+    }
+
+    private Mono<Void> serve(Route route, StandInRequest request, HttpServerResponse response) {
+        if (!request.uri().startsWith(CONTROL_PREFIX)) {
+            calls.computeIfAbsent(route.operation, name -> new AtomicLong()).incrementAndGet();
+            return faults.serve(new Exchange(route, request, response));
+        }
+        if (!route.operation.equals("faults")) {
+            return route.handler.apply(request).flatMap(reply -> send(response, reply));
+        }
+        // The answer is sent first, because the fault may affect this connection as well.
+        return route.handler
+                .apply(request)
+                .flatMap(
+                        reply ->
+                                reply.status() != 200
+                                        ? send(response, reply)
+                                        : send(response, reply).then(engage(request.json())));
+    }
+
+    private StandInReply faultsReply(StandInRequest request) {
+        JsonNode body = request.json();
+        try {
+            FaultMode mode = FaultMode.of(body.path("mode").asText());
+            if (mode == FaultMode.DOWN && body.path("millis").asLong() <= 0) {
+                // Nobody could end the fault over HTTP while the port is closed.
+                return StandInReply.error(400, "down_needs_millis");
+            }
+            return StandInReply.json(200, Json.object().put("mode", body.path("mode").asText()));
+        } catch (IllegalArgumentException e) {
+            return StandInReply.error(400, "unknown_mode");
+        }
+    }
+
+    private Mono<Void> engage(JsonNode body) {
+        return faults.engage(
+                FaultMode.of(body.path("mode").asText()),
+                Duration.ofMillis(body.path("millis").asLong()),
+                body.path("count").asInt());
+    }
+
+    private ObjectNode countsDocument() {
+        ObjectNode body = Json.object();
+        callCounts().forEach(body::put);
+        return body;
+    }
+
+    private static StandInRequest read(
+            HttpServerRequest request, byte[] body, Matcher matcher, Channel channel) {
+        List<String> arguments = new ArrayList<>();
+        for (int group = 1; group <= matcher.groupCount(); group++) {
+            arguments.add(decode(matcher.group(group)));
+        }
+        int remotePort =
+                channel.remoteAddress() instanceof InetSocketAddress remote ? remote.getPort() : 0;
+        return new StandInRequest(
+                request.method().name(),
+                request.uri(),
+                arguments,
+                request.requestHeaders(),
+                body,
+                remotePort);
+    }
+
+    private static String decode(String text) {
+        // In a path a plus sign stands for itself.
+        return URLDecoder.decode(text.replace("+", "%2B"), StandardCharsets.UTF_8);
+    }
+
+    private static Channel channelOf(HttpServerResponse response) {
+        Channel[] channel = new Channel[1];
+        response.withConnection((Connection connection) -> channel[0] = connection.channel());
+        return channel[0];
+    }
+
+    private static Mono<Void> send(HttpServerResponse response, StandInReply reply) {
+        response.status(reply.status());
+        reply.headers().forEach(response::header);
+        return response.send(reply.body().map(Unpooled::wrappedBuffer), part -> true).then();
+    }
+
+    private record Route(
+            String operation,
+            String method,
+            Pattern path,
+            Function<StandInRequest, Mono<StandInReply>> handler) {}
+
+    private record Exchange(Route route, StandInRequest request, HttpServerResponse response)
+            implements StandInExchange {
+
+        @Override
+        public Mono<StandInReply> run() {
+            return Mono.defer(() -> route.handler().apply(request));
+        }
+
+        @Override
+        public Mono<Void> answer(StandInReply reply) {
+            return send(response, reply);
+        }
+
+        @Override
+        public Mono<Void> drop() {
+            return Mono.defer(
+                    () -> {
+                        channelOf(response).close();
+                        return Mono.never();
+                    });
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/fuchsialever/standins/StandInWorld.java
@@ -0,0 +1,224 @@
+package org.fuchsialever.standins;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.fuchsialever.kernel.lifecycle.Closer;
+import org.fuchsialever.kernel.time.SystemTimeSource;
+import org.fuchsialever.kernel.time.TimeSource;
+
+/** A set of stand-ins that were started together and are closed together. */
+public final class StandInWorld implements AutoCloseable {
+    private final Closer closer = new Closer();
+    private final Map<String, StandInServer> servers = new LinkedHashMap<>();
+    private final Map<String, EngineStandIn> ordered = new ConcurrentHashMap<>();
+
+    private StandInWorld() {}
+
+    /** Starts a builder without stand-ins. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Starts the whole platform (no engines and plain services) with default options. */
+    public static Builder platform() {
+        return builder()
+                .tableService()
+                .objectStore()
+                .ordering(Duration.ofSeconds(10), Duration.ofMillis(100))
+                .usage()
+                .instanceList(Duration.ZERO)
+                .weightStore(SystemTimeSource.INSTANCE, Duration.ofSeconds(1), 100)
+                .judge(Duration.ZERO);
+    }
+
+    /**
+     * Returns a stand-in by its name.
+     *
+     * @throws IllegalArgumentException if there is none with this name and type
+     */
+    public <T extends StandInServer> T find(String name, Class<T> type) {
+        StandInServer server = servers.get(name);
+        if (!type.isInstance(server)) {
+            throw new IllegalArgumentException("no " + type.getSimpleName() + " named " + name);
+        }
+        return type.cast(server);
+    }
+
+    /** Returns the engine with this name. */
+    public EngineStandIn engine(String name) {
+        EngineStandIn started = ordered.get(name);
+        return started != null ? started : find(name, EngineStandIn.class);
+    }
+
+    /** Returns the plain service with this name. */
+    public PlainServiceStandIn plainService(String name) {
+        return find(name, PlainServiceStandIn.class);
+    }
+
+    /** Returns the table service. */
+    public TableServiceStandIn tableService() {
+        return find("table-service", TableServiceStandIn.class);
+    }
+
+    /** Returns the object store. */
+    public ObjectStoreStandIn objectStore() {
+        return find("object-store", ObjectStoreStandIn.class);
+    }
+
+    /** Returns the ordering interface. */
+    public OrderingStandIn ordering() {
+        return find("ordering", OrderingStandIn.class);
+    }
+
+    /** Returns the usage interface. */
+    public UsageStandIn usage() {
+        return find("usage", UsageStandIn.class);
+    }
+
+    /** Returns the instance list. */
+    public InstanceListStandIn instanceList() {
+        return find("instance-list", InstanceListStandIn.class);
+    }
+
+    /** Returns the weight store. */
+    public WeightStoreStandIn weightStore() {
+        return find("weight-store", WeightStoreStandIn.class);
+    }
+
+    /** Returns the judge. */
+    public JudgeStandIn judge() {
+        return find("judge", JudgeStandIn.class);
+    }
+
+    /** Returns all stand-ins by name, in the order in which they were added. */
+    public Map<String, StandInServer> servers() {
+        return new LinkedHashMap<>(servers);
+    }
+
+    /** Returns the {@code [platform]} section of node settings for the stand-ins of this world. */
+    public String platformSection() {
+        StringBuilder text = new StringBuilder("[platform]\nadapter = http\n");
+        for (String name :
+                List.of(
+                        "table-service",
+                        "object-store",
+                        "ordering",
+                        "usage",
+                        "instance-list",
+                        "weight-store",
+                        "judge")) {
+            StandInServer server = servers.get(name);
+            if (server != null) {
+                text.append(name).append(" = ").append(server.url()).append('\n');
+            }
+        }
+        return text.toString();
+    }
+
+    @Override
+    public void close() {
+        closer.close();
+    }
+
+    private void add(String name, StandInServer server) {
+        closer.register(name, server);
+        if (servers.putIfAbsent(name, server) != null) {
+            throw new IllegalArgumentException("two stand-ins are named " + name);
+        }
+    }
+
+    private int startOrdered(String name, EngineOptions options) {
+        EngineStandIn engine = closer.register(name, new EngineStandIn(options));
+        ordered.put(name, engine);
+        return engine.port();
+    }
+
+    /** Chooses stand-ins; every method returns this object. */
+    public static final class Builder {
+        private final List<Step> steps = new ArrayList<>();
+
+        private Builder() {}
+
+        /** Adds an engine. */
+        public Builder engine(String name, EngineOptions options) {
+            return add(name, world -> new EngineStandIn(options));
+        }
+
+        /** Adds a plain service. */
+        public Builder plainService(String name, Duration time) {
+            return add(name, world -> new PlainServiceStandIn(time));
+        }
+
+        /** Adds the table service. */
+        public Builder tableService() {
+            return add("table-service", world -> new TableServiceStandIn());
+        }
+
+        /** Adds the object store. */
+        public Builder objectStore() {
+            return add("object-store", world -> new ObjectStoreStandIn());
+        }
+
+        /** Adds the ordering interface; a start order starts an engine with default options. */
+        public Builder ordering(Duration requestTimeout, Duration startTime) {
+            return add(
+                    "ordering",
+                    world ->
+                            new OrderingStandIn(
+                                    requestTimeout,
+                                    startTime,
+                                    (name, pool) ->
+                                            world.startOrdered(
+                                                    name,
+                                                    new EngineOptions().start(name + "-start-1"))));
+        }
+
+        /** Adds the usage interface. */
+        public Builder usage() {
+            return add("usage", world -> new UsageStandIn());
+        }
+
+        /** Adds the instance list. */
+        public Builder instanceList(Duration lag) {
+            return add("instance-list", world -> new InstanceListStandIn(lag));
+        }
+
+        /** Adds the weight store. */
+        public Builder weightStore(TimeSource time, Duration window, int limit) {
+            return add("weight-store", world -> new WeightStoreStandIn(time, window, limit));
+        }
+
+        /** Adds the judge. */
+        public Builder judge(Duration time) {
+            return add("judge", world -> new JudgeStandIn(time));
+        }
+
+        /** Starts all chosen stand-ins; closes those that run if one of them fails to start. */
+        public StandInWorld start() {
+            StandInWorld world = new StandInWorld();
+            try {
+                steps.forEach(step -> world.add(step.name, step.starter.start(world)));
+            } catch (RuntimeException e) {
+                world.close();
+                throw e;
+            }
+            return world;
+        }
+
+        private Builder add(String name, Starter starter) {
+            steps.add(new Step(name, starter));
+            return this;
+        }
+
+        private record Step(String name, Starter starter) {}
+
+        @FunctionalInterface
+        private interface Starter {
+            StandInServer start(StandInWorld world);
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/fuchsialever/standins/TableServiceStandIn.java
@@ -0,0 +1,100 @@
+package org.fuchsialever.standins;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Option;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+import reactor.core.publisher.Mono;
+
+/** A transactional table service in memory, with one revision for all tables. */
+public final class TableServiceStandIn extends StandInServer {
+    private static final int CONFLICT = 409;
+
+    private final TableRows rows = new TableRows();
+    private @Nullable TableRows heldView;
+
+    /** Starts an empty table service. */
+    public TableServiceStandIn() {
+        on("commit", "POST", "/tables/commit", request -> Mono.just(commit(request.json())));
+        on("read", "GET", "/tables/([^/]+)/rows/([^/]+)", request -> Mono.just(read(request)));
+        on("scan", "GET", "/tables/([^/]+)/rows", request -> Mono.just(scan(request)));
+        on("reads", "POST", "/stand-in/reads", request -> Mono.just(holdReads(request)));
+        open();
+    }
+
+    /** Lets reads answer from the rows as they are now, until {@link #releaseReads}. */
+    public synchronized void holdReads() {
+        heldView = rows.copy();
+    }
+
+    /** Lets reads answer from the current rows again. */
+    public synchronized void releaseReads() {
+        heldView = null;
+    }
+
+    /** Returns the revision of the last commit. */
+    public synchronized long revision() {
+        return rows.revision();
+    }
+
+    /** Returns the current value of a row. */
+    public synchronized Option<String> value(String table, String key) {
+        return Option.of(rows.find(table, key)).map(TableRows.Row::value);
+    }
+
+    /** Returns the current values of the rows whose keys begin with a prefix. */
+    public synchronized Map<String, String> values(String table, String prefix) {
+        Map<String, String> values = new TreeMap<>();
+        rows.scan(table, prefix, 0).forEach(row -> values.put(row.key(), row.value()));
+        return values;
+    }
+
+    /** Writes a row without conditions; returns its version. */
+    public synchronized long put(String table, String key, String value) {
+        ObjectNode commit = Json.object().put("writer", "stand-in");
+        commit.putArray("puts").addObject().put("table", table).put("key", key).put("value", value);
+        return rows.apply(commit);
+    }
+
+    private synchronized StandInReply commit(JsonNode commit) {
+        List<TableRows.Row> conflicts = rows.conflicts(commit.path("conditions"));
+        ObjectNode body = Json.object();
+        if (!conflicts.isEmpty()) {
+            TableRows.toJson(conflicts, body.putArray("conflicts"));
+            return StandInReply.json(CONFLICT, body);
+        }
+        return StandInReply.json(200, body.put("version", rows.apply(commit)));
+    }
+
+    private synchronized StandInReply read(StandInRequest request) {
+        TableRows.Row row = view().find(request.arguments().get(0), request.arguments().get(1));
+        return row == null
+                ? StandInReply.error(404, "no_such_row")
+                : StandInReply.json(200, row.toJson());
+    }
+
+    private synchronized StandInReply scan(StandInRequest request) {
+        String prefix = request.query("prefix", "");
+        long after = Long.parseLong(request.query("after", "0"));
+        ObjectNode body = Json.object();
+        List<TableRows.Row> found = view().scan(request.arguments().get(0), prefix, after);
+        TableRows.toJson(found, body.putArray("rows"));
+        return StandInReply.json(200, body);
+    }
+
+    private StandInReply holdReads(StandInRequest request) {
+        if (request.json().path("held").asBoolean()) {
+            holdReads();
+        } else {
+            releaseReads();
+        }
+        return StandInReply.json(200, Json.object());
+    }
+
+    private TableRows view() {
+        return heldView == null ? rows : heldView;
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/fuchsialever/standins/TrainerRecord.java
@@ -0,0 +1,124 @@
+package org.fuchsialever.standins;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** What a trainer received, checked against what the service promises. Thread-safe. */
+public final class TrainerRecord {
+    private final long maxStaleness;
+    private final Set<String> identities = new HashSet<>();
+    private final Map<Long, Integer> samplesByStep = new HashMap<>();
+    private final List<String> duplicates = new ArrayList<>();
+    private final List<String> gaps = new ArrayList<>();
+    private final List<String> stale = new ArrayList<>();
+    private final List<String> incomplete = new ArrayList<>();
+    private long lastPosition;
+    private long repeated;
+    private long newestVersion;
+
+    /**
+     * Creates an empty record.
+     *
+     * @param maxStaleness the staleness bound in weight versions
+     */
+    public TrainerRecord(long maxStaleness) {
+        this.maxStaleness = maxStaleness;
+    }
+
+    /**
+     * Records a delivered sample. A position at or below the last one is a repetition, which a
+     * trainer drops; the same identity at a new position is a duplicate.
+     *
+     * @param sample the sample as delivered
+     * @return whether the sample is new
+     */
+    public synchronized boolean receive(JsonNode sample) {
+        long position = sample.path("position").asLong();
+        if (position <= lastPosition) {
+            repeated++;
+            return false;
+        }
+        if (position != lastPosition + 1) {
+            gaps.add((lastPosition + 1) + " to " + (position - 1));
+        }
+        lastPosition = position;
+        long step = sample.path("step").asLong();
+        String identity =
+                step + "/" + sample.path("group").asText() + "/" + sample.path("index").asText();
+        checkRanges(identity, sample.path("ranges"));
+        if (!identities.add(identity)) {
+            duplicates.add(identity);
+            return false;
+        }
+        samplesByStep.merge(step, 1, Integer::sum);
+        return true;
+    }
+
+    /** Sets the newest weight version that the trainer has made. */
+    public synchronized void newestVersion(long version) {
+        newestVersion = Math.max(newestVersion, version);
+    }
+
+    /** Returns the newest weight version that the trainer has made. */
+    public synchronized long newestVersion() {
+        return newestVersion;
+    }
+
+    /** Returns the number of distinct samples of a step. */
+    public synchronized int samplesOf(long step) {
+        return samplesByStep.getOrDefault(step, 0);
+    }
+
+    /** Returns the number of distinct samples. */
+    public synchronized int samples() {
+        return identities.size();
+    }
+
+    /** Returns the samples that were delivered at more than one position. */
+    public synchronized List<String> duplicates() {
+        return List.copyOf(duplicates);
+    }
+
+    /** Returns the ranges of positions that were skipped. */
+    public synchronized List<String> gaps() {
+        return List.copyOf(gaps);
+    }
+
+    /** Returns the samples that were older than the staleness bound when they arrived. */
+    public synchronized List<String> staleSamples() {
+        return List.copyOf(stale);
+    }
+
+    /** Returns the samples whose token ranges do not follow each other from token 0. */
+    public synchronized List<String> brokenRanges() {
+        return List.copyOf(incomplete);
+    }
+
+    /** Returns how many samples were sent again at a position that had been received. */
+    public synchronized long repeated() {
+        return repeated;
+    }
+
+    private void checkRanges(String identity, JsonNode ranges) {
+        long next = 0;
+        long oldest = Long.MAX_VALUE;
+        for (JsonNode range : ranges) {
+            oldest = Math.min(oldest, range.path("weight_version").asLong());
+            if (range.path("from").asLong() != next) {
+                incomplete.add(identity);
+                return;
+            }
+            next = range.path("to").asLong();
+        }
+        if (ranges.isEmpty()) {
+            incomplete.add(identity);
+        } else if (newestVersion - oldest > maxStaleness) {
+            stale.add(identity);
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/fuchsialever/standins/UsageStandIn.java
@@ -0,0 +1,53 @@
+package org.fuchsialever.standins;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import reactor.core.publisher.Mono;
+
+/** A usage interface that keeps the first report of each window. */
+public final class UsageStandIn extends StandInServer {
+    private static final int CONFLICT = 409;
+
+    private final Map<String, byte[]> reports = new ConcurrentSkipListMap<>();
+    private final List<String> contradictions = new CopyOnWriteArrayList<>();
+
+    /** Starts a usage interface without reports. */
+    public UsageStandIn() {
+        on("report", "PUT", "/usage-reports/([^/]+)", request -> Mono.just(put(request)));
+        open();
+    }
+
+    /** Returns the reports by window. */
+    public Map<String, String> reports() {
+        Map<String, String> texts = new TreeMap<>();
+        reports.forEach((window, body) -> texts.put(window, text(body)));
+        return texts;
+    }
+
+    /** Returns the windows for which a second report with other figures was sent. */
+    public List<String> contradictions() {
+        return List.copyOf(contradictions);
+    }
+
+    private StandInReply put(StandInRequest request) {
+        String window = request.arguments().get(0);
+        byte[] earlier = reports.putIfAbsent(window, request.body());
+        if (earlier == null) {
+            return StandInReply.json(201, Json.object());
+        }
+        if (Arrays.equals(earlier, request.body())) {
+            return StandInReply.json(200, Json.object());
+        }
+        contradictions.add(window);
+        return StandInReply.error(CONFLICT, "different_report");
+    }
+
+    private static String text(byte[] body) {
+        return new String(body, StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/fuchsialever/standins/WeightStoreStandIn.java
@@ -0,0 +1,75 @@
+package org.fuchsialever.standins;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentSkipListSet;
+import org.fuchsialever.kernel.time.TimeSource;
+import reactor.core.publisher.Mono;
+
+/** A weight store with a rate limit over fixed windows. */
+public final class WeightStoreStandIn extends StandInServer {
+    private static final int TOO_MANY_REQUESTS = 429;
+
+    private final Map<String, ConcurrentSkipListSet<Long>> versions = new ConcurrentHashMap<>();
+    private final TimeSource time;
+    private final long windowNanos;
+    private final int limit;
+    private long windowStart;
+    private int used;
+
+    /**
+     * Starts a store without versions.
+     *
+     * @param time the clock of the rate limit
+     * @param window the window of the rate limit
+     * @param limit the number of requests in a window
+     */
+    public WeightStoreStandIn(TimeSource time, Duration window, int limit) {
+        this.time = time;
+        this.windowNanos = window.toNanos();
+        this.limit = limit;
+        this.windowStart = time.nanoTime();
+        on("weights", "GET", "/weights/([^/]+)", request -> Mono.just(list(request)));
+        on("publish", "POST", "/stand-in/weights/([^/]+)/(\\d+)", r -> Mono.just(publish(r)));
+        open();
+    }
+
+    /** Adds a version of a model. */
+    public void publish(String model, long version) {
+        versions.computeIfAbsent(model, name -> new ConcurrentSkipListSet<>()).add(version);
+    }
+
+    private StandInReply publish(StandInRequest request) {
+        publish(request.arguments().get(0), Long.parseLong(request.arguments().get(1)));
+        return StandInReply.json(200, Json.object());
+    }
+
+    private StandInReply list(StandInRequest request) {
+        if (!admit()) {
+            return StandInReply.error(TOO_MANY_REQUESTS, "rate_limit");
+        }
+        TreeSet<Long> known = new TreeSet<>();
+        ConcurrentSkipListSet<Long> published = versions.get(request.arguments().get(0));
+        if (published == null) {
+            return StandInReply.error(404, "no_such_model");
+        }
+        known.addAll(published);
+        ObjectNode body = Json.object();
+        ArrayNode list = body.putArray("versions");
+        known.forEach(list::add);
+        return StandInReply.json(200, body.put("latest", known.last()));
+    }
+
+    private synchronized boolean admit() {
+        long now = time.nanoTime();
+        if (now - windowStart >= windowNanos) {
+            windowStart = now;
+            used = 0;
+        }
+        return ++used <= limit;
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/fuchsialever/standins/FaultControlTest.java
@@ -0,0 +1,99 @@
+package org.fuchsialever.standins;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against faults that do less, or more, than a test relies on. */
+class FaultControlTest {
+    private static final String COMMIT =
+            "{'writer':'w','puts':[{'table':'t','key':'k','value':'v'}]}";
+    private static final String READ = "GET /tables/t/rows/k HTTP/1.1\r\nHost: x\r\n\r\n";
+
+    private final TestClient client = new TestClient();
+    private final TableServiceStandIn tables = new TableServiceStandIn();
+
+    @AfterEach
+    void stop() {
+        tables.close();
+    }
+
+    @Test
+    void losesOneAnswerAfterTheChangeTookEffect() throws Exception {
+        tables.faults().set(FaultMode.LOSE_ANSWER, Duration.ZERO, 1);
+
+        assertThrows(IOException.class, () -> client.post(tables, "/tables/commit", COMMIT));
+        assertThat(tables.value("t", "k").get(), is("v"));
+        assertThat(tables.revision(), is(1L));
+        assertThat(client.post(tables, "/tables/commit", COMMIT).status(), is(200));
+    }
+
+    @Test
+    void failsWithoutRunningTheRequest() throws Exception {
+        client.post(tables, "/stand-in/faults", "{'mode':'fail','count':1}");
+
+        assertThat(client.post(tables, "/tables/commit", COMMIT).status(), is(500));
+        assertThat(tables.revision(), is(0L));
+        assertThat(tables.calls("commit"), is(1L));
+    }
+
+    @Test
+    void silencesOnlyTheConnectionsThatAreOpen() throws Exception {
+        tables.put("t", "k", "v");
+        try (Socket before = connect();
+                Socket after = new Socket()) {
+            write(before, READ);
+            assertThat(readSome(before), startsWith("HTTP/1.1 200"));
+
+            tables.faults().set(FaultMode.SILENT);
+            write(before, READ);
+            after.connect(before.getRemoteSocketAddress());
+            write(after, READ);
+            assertThat(readSome(after), startsWith("HTTP/1.1 200"));
+
+            // Every byte sent before the end of the stream would have to arrive first.
+            tables.close();
+            assertThat(before.getInputStream().read(), is(-1));
+        }
+    }
+
+    @Test
+    void refusesConnectionsWhileDownAndKeepsItsPort() throws Exception {
+        int port = tables.port();
+        tables.faults().set(FaultMode.DOWN);
+        assertThrows(IOException.class, () -> client.get(tables, "/tables/t/rows"));
+
+        tables.faults().set(FaultMode.NONE);
+        assertThat(tables.port(), is(port));
+        assertThat(client.get(tables, "/tables/t/rows").status(), is(200));
+    }
+
+    @Test
+    void refusesToGoDownOverHttpWithoutAnEnd() throws Exception {
+        assertThat(client.post(tables, "/stand-in/faults", "{'mode':'down'}").status(), is(400));
+        assertThat(client.post(tables, "/stand-in/faults", "{'mode':'other'}").status(), is(400));
+        assertThat(tables.faults().mode(), is(FaultMode.NONE));
+    }
+
+    private Socket connect() throws IOException {
+        return new Socket(StandInServer.HOST, tables.port());
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static String readSome(Socket socket) throws IOException {
+        byte[] buffer = new byte[4096];
+        int length = socket.getInputStream().read(buffer);
+        return new String(buffer, 0, Math.max(0, length), StandardCharsets.US_ASCII);
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/fuchsialever/standins/PlatformStandInsTest.java
@@ -0,0 +1,141 @@
+package org.fuchsialever.standins;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.List;
+import org.fuchsialever.kernel.time.ManualTimeSource;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against platform stand-ins that are more forgiving than the platform. */
+class PlatformStandInsTest {
+    private final TestClient client = new TestClient();
+    private final ManualTimeSource time = new ManualTimeSource(0);
+    private final StandInWorld world =
+            StandInWorld.builder()
+                    .tableService()
+                    .objectStore()
+                    .usage()
+                    .weightStore(time, Duration.ofSeconds(1), 1)
+                    .ordering(Duration.ofMillis(20), Duration.ZERO)
+                    .start();
+
+    @AfterEach
+    void stop() {
+        world.close();
+    }
+
+    @Test
+    void conflictsNameTheRowAndChangeNothing() throws Exception {
+        TableServiceStandIn tables = world.tableService();
+        long version = tables.put("t", "a/b", "first");
+        TestClient.Answer answer =
+                client.post(
+                        tables,
+                        "/tables/commit",
+                        "{'writer':'w','conditions':[{'table':'t','key':'a/b','version':0}],"
+                                + "'puts':[{'table':'t','key':'other','value':'x'}]}");
+
+        assertThat(answer.status(), is(409));
+        JsonNode conflict = answer.json().path("conflicts").get(0);
+        assertThat(conflict.path("version").asLong(), is(version));
+        assertThat(conflict.path("writer").asText(), is("stand-in"));
+        assertThat(tables.value("t", "other").isEmpty(), is(true));
+    }
+
+    @Test
+    void readsAreStaleWhileHeldButConditionsAreNot() throws Exception {
+        TableServiceStandIn tables = world.tableService();
+        long old = tables.put("t", "a/b", "old");
+        tables.holdReads();
+        long current = tables.put("t", "a/b", "new");
+
+        JsonNode row = client.get(tables, "/tables/t/rows/a%2Fb").json();
+        assertThat(row.path("value").asText(), is("old"));
+        assertThat(conditional(tables, old), is(409));
+        assertThat(conditional(tables, current), is(200));
+        tables.releaseReads();
+        JsonNode rows = client.get(tables, "/tables/t/rows?prefix=a&after=" + old).json();
+        assertThat(rows.path("rows").findValuesAsText("value"), contains("new"));
+    }
+
+    @Test
+    void anObjectThatExistsIsNotReplaced() throws Exception {
+        ObjectStoreStandIn store = world.objectStore();
+        assertThat(putOnce(store, "first"), is(201));
+        assertThat(putOnce(store, "second"), is(412));
+        assertThat(client.get(store, "/objects/a/1").body(), is("first"));
+        JsonNode names = client.get(store, "/objects?prefix=a/").json().path("names");
+        assertThat(names.get(0).asText(), is("a/1"));
+    }
+
+    @Test
+    void aSecondReportWithOtherFiguresIsAContradiction() throws Exception {
+        UsageStandIn usage = world.usage();
+        assertThat(client.call(usage, "PUT", "/usage-reports/w1", "a").status(), is(201));
+        assertThat(client.call(usage, "PUT", "/usage-reports/w1", "a").status(), is(200));
+        assertThat(usage.contradictions(), is(empty()));
+        assertThat(client.call(usage, "PUT", "/usage-reports/w1", "b").status(), is(409));
+        assertThat(usage.contradictions(), contains("w1"));
+    }
+
+    @Test
+    void theWeightStoreLimitsTheRequestsOfAWindow() throws Exception {
+        WeightStoreStandIn store = world.weightStore();
+        store.publish("small", 3);
+        assertThat(client.get(store, "/weights/small").json().path("latest").asInt(), is(3));
+        assertThat(client.get(store, "/weights/small").status(), is(429));
+        time.advance(Duration.ofSeconds(1));
+        assertThat(client.get(store, "/weights/small").status(), is(200));
+    }
+
+    @Test
+    void aNameIsUsedOnceAndARepeatedOrderIsAccepted() throws Exception {
+        OrderingStandIn ordering = world.ordering();
+        assertThat(order(ordering, "o-1", "start"), is(202));
+        assertThat(order(ordering, "o-1", "start"), is(202));
+        assertThat(order(ordering, "o-2", "stop"), is(202));
+        assertThat(order(ordering, "o-3", "start"), is(409));
+        assertThat(ordering.stateOf("u-1"), is("stopped"));
+        assertThat(ordering.received(), hasSize(4));
+        List<String> senders =
+                ordering.received().stream().map(ReceivedOrder::sender).distinct().toList();
+        assertThat(senders, contains("node-1"));
+    }
+
+    @Test
+    void dropsAConnectionWhoseRequestDoesNotArrive() throws Exception {
+        try (Socket paused = new Socket(StandInServer.HOST, world.ordering().port())) {
+            // Without the timeout this read would wait for ever.
+            assertThat(paused.getInputStream().read(), is(-1));
+        }
+        assertThat(world.ordering().received(), is(empty()));
+    }
+
+    private int order(OrderingStandIn ordering, String order, String action) throws Exception {
+        String body =
+                "{\"order\":\"%s\",\"action\":\"%s\",\"upstream\":\"u-1\",\"pool\":\"p\"}"
+                        .formatted(order, action);
+        return client.call(ordering, "POST", "/orders", body, "User-Agent", "node-1").status();
+    }
+
+    private int putOnce(ObjectStoreStandIn store, String body) throws Exception {
+        return client.call(store, "PUT", "/objects/a/1", body, "If-None-Match", "*").status();
+    }
+
+    private int conditional(TableServiceStandIn tables, long version) throws Exception {
+        return client.post(
+                        tables,
+                        "/tables/commit",
+                        "{'writer':'w','conditions':[{'table':'t','key':'a/b','version':%d}]}"
+                                .formatted(version))
+                .status();
+    }
+}
