Add commands as plug-ins, and the command stand-ins

Commands need one shape before several areas add theirs. Command is a plug-in; its task is the options object of one run and returns an ExitCode that the help lists. The command stand-ins starts all stand-ins in one process and writes tables and node settings that match.

--- /dev/null
+++ b/cli/src/main/java/org/fuchsialever/cli/command/ExitCode.java
@@ -0,0 +1,35 @@
+package org.fuchsialever.cli.command;
+
+/** Exit codes of the program, the same for all commands. */
+public enum ExitCode {
+    /** The command did what was asked. */
+    OK(0, "done"),
+    /** The command failed. */
+    FAILURE(1, "failed"),
+    /** The options or the files cannot be used. */
+    USAGE(2, "options or files cannot be used"),
+    /** The change is made, but not every instance has confirmed it. */
+    UNCONFIRMED(3, "done, but not confirmed by all instances"),
+    /** Somebody else made a change at the same time; nothing was changed. */
+    CONFLICT(4, "not done, because of a concurrent change"),
+    /** A comparison found differences. */
+    DIFFERENT(5, "differences were found");
+
+    private final int code;
+    private final String meaning;
+
+    ExitCode(int code, String meaning) {
+        this.code = code;
+        this.meaning = meaning;
+    }
+
+    /** Returns the exit code of the process. */
+    public int code() {
+        return code;
+    }
+
+    /** Returns what the code means, for the help. */
+    public String meaning() {
+        return meaning;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/fuchsialever/cli/command/package-info.java
@@ -0,0 +1,5 @@
+/** What all commands share: registration, options, exit codes and output. */
+@NullMarked
+package org.fuchsialever.cli.command;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/cli/src/main/java/org/fuchsialever/cli/standins/StandInsTask.java
@@ -0,0 +1,134 @@
+package org.fuchsialever.cli.standins;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.fuchsialever.cli.command.CommandContext;
+import org.fuchsialever.cli.command.ExitCode;
+import org.fuchsialever.cli.command.JsonTask;
+import org.fuchsialever.standins.EngineOptions;
+import org.fuchsialever.standins.StandInWorld;
+import org.jspecify.annotations.Nullable;
+
+/** One run of the command {@code stand-ins}. */
+@Parameters(
+        commandDescription =
+                "Start stand-ins for upstreams and the platform, and run until told to stop")
+final class StandInsTask extends JsonTask {
+    private static final int MAX_DOMAINS = 9;
+
+    @Parameter(names = "--engines", description = "Number of engines")
+    private int engines = 6;
+
+    @Parameter(names = "--plain-services", description = "Number of plain services")
+    private int plainServices = 4;
+
+    @Parameter(names = "--failure-domains", description = "Number of failure domains (1 to 9)")
+    private int domains = 3;
+
+    @Parameter(names = "--nodes", description = "Number of node settings files to write")
+    private int nodes = 3;
+
+    @Parameter(names = "--slots", description = "Requests that an engine runs at the same time")
+    private int slots = 16;
+
+    @Parameter(names = "--token-millis", description = "Time between two tokens (ms)")
+    private int tokenMillis = 5;
+
+    @Parameter(
+            names = "--stragglers",
+            description = "One prompt in so many gets an answer of 20 times the length; 0 for none")
+    private int stragglers;
+
+    @Parameter(
+            names = "--folder",
+            description =
+                    "Folder for routes.ini, pools.ini, node-<n>.ini, platform.ini (a section for"
+                            + " instances that use the platform) and addresses.json")
+    private @Nullable String folder;
+
+    @Parameter(names = "--seconds", description = "Stop after this time (s); 0 runs until told")
+    private int seconds;
+
+    @Override
+    public ExitCode run(CommandContext context) throws Exception {
+        if (domains < 1 || domains > MAX_DOMAINS || engines < 0 || plainServices < 0) {
+            throw new ParameterException("a number of stand-ins is out of range");
+        }
+        try (StandInWorld world = start()) {
+            StandInFiles files = new StandInFiles(world, engines, plainServices, domains, slots);
+            ObjectNode addresses = addresses(world);
+            for (int i = 1; i <= nodes; i++) {
+                world.instanceList().put(files.listed(i));
+            }
+            if (folder != null) {
+                write(files, Path.of(folder), addresses);
+            }
+            print(context, addresses);
+            if (seconds > 0) {
+                context.stop().await(seconds, TimeUnit.SECONDS);
+            } else {
+                context.stop().await();
+            }
+        }
+        return ExitCode.OK;
+    }
+
+    private StandInWorld start() {
+        StandInWorld.Builder builder = StandInWorld.platform();
+        for (int i = 1; i <= engines; i++) {
+            EngineOptions options =
+                    new EngineOptions()
+                            .start("engine-" + i + "-start-1")
+                            .slots(slots)
+                            .tokenInterval(Duration.ofMillis(tokenMillis));
+            if (stragglers > 0) {
+                options.answerLength(EngineOptions.stragglers(16, stragglers, 20));
+            }
+            builder.engine("engine-" + i, options);
+        }
+        for (int i = 1; i <= plainServices; i++) {
+            builder.plainService("desk-" + i, Duration.ofMillis(tokenMillis));
+        }
+        StandInWorld world = builder.start();
+        world.weightStore().publish(StandInFiles.MODEL, 0);
+        return world;
+    }
+
+    private void write(StandInFiles files, Path target, ObjectNode addresses) throws IOException {
+        Files.createDirectories(target);
+        Files.writeString(target.resolve("routes.ini"), files.routes());
+        Files.writeString(target.resolve("pools.ini"), files.pools());
+        for (int i = 1; i <= nodes; i++) {
+            Files.writeString(target.resolve("node-" + i + ".ini"), files.node(i, target));
+        }
+        Files.writeString(target.resolve("platform.ini"), files.platform());
+        Files.writeString(target.resolve("addresses.json"), addresses.toPrettyString() + "\n");
+    }
+
+    private static ObjectNode addresses(StandInWorld world) {
+        ObjectNode body = new ObjectMapper().createObjectNode();
+        world.servers().forEach((name, server) -> body.put(name, server.url()));
+        return body;
+    }
+
+    private void print(CommandContext context, ObjectNode addresses) {
+        if (isJsonWanted()) {
+            context.out().println(addresses);
+        } else {
+            for (Map.Entry<String, JsonNode> entry : addresses.properties()) {
+                context.out().printf("%-16s %s%n", entry.getKey(), entry.getValue().asText());
+            }
+        }
+        context.out().flush();
+    }
+}
--- /dev/null
+++ b/cli/src/test/java/org/fuchsialever/cli/standins/StandInsTaskTest.java
@@ -0,0 +1,58 @@
+package org.fuchsialever.cli.standins;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import org.fuchsialever.cli.Main;
+import org.fuchsialever.cli.command.CommandContext;
+import org.fuchsialever.cli.command.ExitCode;
+import org.fuchsialever.node.NodeProcess;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards against files that an instance cannot start from. */
+class StandInsTaskTest {
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+    private final CountDownLatch stop = new CountDownLatch(1);
+
+    @TempDir Path folder;
+
+    @Test
+    void writesFilesFromWhichAnInstanceStarts() throws Exception {
+        stop.countDown();
+        assertThat(run("stand-ins", "--folder", folder.toString(), "--json"), is(ExitCode.OK));
+
+        String settings = Files.readString(folder.resolve("node-1.ini"));
+        // Any free port, so that the test does not depend on the fixed one.
+        settings = settings.replaceAll("http-port = \\d+", "http-port = 0");
+        NodeProcess.start("node-1.ini", settings)
+                .getOrElseThrow(findings -> new AssertionError(findings.report()))
+                .close();
+        assertThat(out.toString(), containsString("\"table-service\":\"http://127.0.0.1:"));
+    }
+
+    @Test
+    void helpListsOptionsAndExitCodes() {
+        assertThat(run("stand-ins", "--help"), is(ExitCode.OK));
+        assertThat(out.toString(), containsString("--folder"));
+        assertThat(out.toString(), containsString("2  options or files cannot be used"));
+    }
+
+    @Test
+    void anUnknownOptionIsAUsageError() {
+        assertThat(run("stand-ins", "--no-such-option"), is(ExitCode.USAGE));
+        assertThat(err.toString(), containsString("--no-such-option"));
+    }
+
+    private ExitCode run(String... arguments) {
+        return Main.run(
+                arguments, new CommandContext(new PrintStream(out), new PrintStream(err), stop));
+    }
+}
