--- /dev/null
+++ b/cli/src/main/java/org/fuchsialever/cli/load/DirectComparison.java
@@ -0,0 +1,139 @@
+package org.fuchsialever.cli.load;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.management.OperatingSystemMXBean;
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.util.Locale;
+import reactor.core.publisher.Mono;
+
+/**
+ * Compares calls through an instance with the same calls sent directly to the upstreams. Short
+ * phases alternate, and each pair starts with the other side, so that a slow drift of the machine
+ * meets both sides alike.
+ */
+final class DirectComparison {
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double NANOS_PER_MICRO = 1e3;
+    private static final double MEDIAN = 50;
+    private static final double NINETY_NINE = 99;
+
+    private final LoadRunner runner;
+    private final Side instance;
+    private final Side direct;
+
+    DirectComparison(LoadRunner runner, LoadTarget instance, LoadTarget direct) {
+        this.runner = runner;
+        this.instance = new Side(instance);
+        this.direct = new Side(direct);
+    }
+
+    /** Runs one pair of phases with the same plan. */
+    void runPair(int number, LoadPlan plan) {
+        Side first = number % 2 == 0 ? instance : direct;
+        Side second = first == instance ? direct : instance;
+        first.run(runner, plan);
+        second.run(runner, plan);
+    }
+
+    /** Runs the plan on both sides without recording it. */
+    void warmUp(LoadPlan plan) {
+        runner.run(plan, instance.target, new LoadResult()).block();
+        runner.run(plan, direct.target, new LoadResult()).block();
+    }
+
+    LoadResult instanceResult() {
+        return instance.result;
+    }
+
+    LoadResult directResult() {
+        return direct.result;
+    }
+
+    double addedFirstByteMillis(double percentile) {
+        return instance.result.firstByteMillis(percentile)
+                - direct.result.firstByteMillis(percentile);
+    }
+
+    double addedTotalMillis(double percentile) {
+        return instance.result.totalMillis(percentile) - direct.result.totalMillis(percentile);
+    }
+
+    /**
+     * Returns the requests that one core of the instance serves in a second. The processor time of
+     * an instance in this process is the time per request through the instance minus the time per
+     * request sent directly, because load tool and stand-ins use the same process.
+     */
+    double requestsPerCoreSecond() {
+        return NANOS_PER_SECOND / Math.max(1, addedCpuNanos());
+    }
+
+    private double addedCpuNanos() {
+        return instance.cpuNanosPerRequest() - direct.cpuNanosPerRequest();
+    }
+
+    void toJson(ObjectNode body, boolean inProcess) {
+        instance.result.toJson(body.putObject(instance.target.name()));
+        direct.result.toJson(body.putObject(direct.target.name()));
+        ObjectNode added = body.putObject("added_ms");
+        added.put("first_byte_p50", addedFirstByteMillis(MEDIAN));
+        added.put("first_byte_p99", addedFirstByteMillis(NINETY_NINE));
+        added.put("total_p50", addedTotalMillis(MEDIAN));
+        added.put("total_p99", addedTotalMillis(NINETY_NINE));
+        if (inProcess) {
+            body.put("added_cpu_us_per_request", addedCpuNanos() / NANOS_PER_MICRO);
+            body.put("requests_per_core_second", requestsPerCoreSecond());
+        }
+    }
+
+    void print(PrintStream out, boolean inProcess) {
+        instance.result.print(out, instance.target.name());
+        direct.result.print(out, direct.target.name());
+        out.println("added latency, milliseconds");
+        print(out, "p50", MEDIAN);
+        print(out, "p99", NINETY_NINE);
+        if (inProcess) {
+            out.printf(
+                    Locale.ROOT,
+                    "added processor time per request: %.1f us; requests per second and core of"
+                            + " the instance: %.0f%n",
+                    addedCpuNanos() / NANOS_PER_MICRO,
+                    requestsPerCoreSecond());
+        }
+    }
+
+    private void print(PrintStream out, String label, double percentile) {
+        out.printf(
+                Locale.ROOT,
+                "  %-16s %12.3f %12.3f%n",
+                label,
+                addedFirstByteMillis(percentile),
+                addedTotalMillis(percentile));
+    }
+
+    private static final class Side {
+        private final LoadTarget target;
+        private final LoadResult result = new LoadResult();
+        private long cpuNanos;
+
+        private Side(LoadTarget target) {
+            this.target = target;
+        }
+
+        private void run(LoadRunner runner, LoadPlan plan) {
+            long before = processCpuNanos();
+            Mono<Void> phase = runner.run(plan, target, result);
+            phase.block();
+            cpuNanos += processCpuNanos() - before;
+        }
+
+        private double cpuNanosPerRequest() {
+            return (double) cpuNanos / Math.max(1, result.count());
+        }
+
+        private static long processCpuNanos() {
+            return ManagementFactory.getPlatformMXBean(OperatingSystemMXBean.class)
+                    .getProcessCpuTime();
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/fuchsialever/cli/load/InProcessInstance.java
@@ -0,0 +1,75 @@
+package org.fuchsialever.cli.load;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import org.fuchsialever.cli.standins.StandInFiles;
+import org.fuchsialever.frontend.HttpFrontEnd;
+import org.fuchsialever.kernel.lifecycle.Closer;
+import org.fuchsialever.node.NodeProcess;
+import org.fuchsialever.standins.EngineOptions;
+import org.fuchsialever.standins.StandInServer;
+import org.fuchsialever.standins.StandInWorld;
+
+/** An instance with one engine and one plain service as stand-ins, all in this process. */
+final class InProcessInstance implements AutoCloseable {
+    private static final int SLOTS = 1_024;
+
+    private final Closer closer = new Closer();
+    private final StandInWorld world;
+    private final NodeProcess node;
+
+    InProcessInstance(Duration tokenInterval) throws IOException {
+        EngineOptions options =
+                new EngineOptions().slots(SLOTS).queue(SLOTS).tokenInterval(tokenInterval);
+        world =
+                closer.register(
+                        "stand-ins",
+                        StandInWorld.builder()
+                                .engine("engine-1", options)
+                                .plainService("desk-1", Duration.ZERO)
+                                .start());
+        try {
+            node = closer.register("instance", startNode());
+        } catch (IOException | RuntimeException e) {
+            closer.close();
+            throw e;
+        }
+    }
+
+    LoadTarget instance() {
+        String url = "http://" + StandInServer.HOST + ":" + node.service(HttpFrontEnd.class).port();
+        return new LoadTarget("instance", url + "/v1/completions", url + "/desk", "");
+    }
+
+    LoadTarget direct() {
+        return new LoadTarget(
+                "direct",
+                world.engine("engine-1").url() + "/v1/completions",
+                world.plainService("desk-1").url() + "/desk",
+                "");
+    }
+
+    @Override
+    public void close() {
+        closer.close();
+    }
+
+    private NodeProcess startNode() throws IOException {
+        StandInFiles files = new StandInFiles(world, 1, 1, 1, SLOTS);
+        Path folder = Files.createTempDirectory("fuchsialever-load");
+        Path routes = folder.resolve("routes.ini");
+        Path pools = folder.resolve("pools.ini");
+        try {
+            Files.writeString(routes, files.routes());
+            Files.writeString(pools, files.pools());
+            return NodeProcess.start("node.ini", files.node(1, 0, folder))
+                    .getOrElseThrow(findings -> new IllegalStateException(findings.report()));
+        } finally {
+            Files.deleteIfExists(routes);
+            Files.deleteIfExists(pools);
+            Files.deleteIfExists(folder);
+        }
+    }
+}
--- a/cli/src/main/java/org/fuchsialever/cli/standins/StandInFiles.java
+++ b/cli/src/main/java/org/fuchsialever/cli/standins/StandInFiles.java
@@ -6,10 +6,10 @@
 import org.fuchsialever.standins.StandInWorld;
 
 /** Tables and node settings that match a set of running stand-ins. */
-final class StandInFiles {
+public final class StandInFiles {
     static final String MODEL = "small";
 
-    private static final int HTTP_PORT = 18_080;
+    static final int HTTP_PORT = 18_080;
     private static final int PEER_PORT = 19_080;
 
     private final StandInWorld world;
@@ -18,7 +18,17 @@
     private final int domains;
     private final int slots;
 
-    StandInFiles(StandInWorld world, int engines, int plainServices, int domains, int slots) {
+    /**
+     * Prepares the files.
+     *
+     * @param world the running stand-ins
+     * @param engines the number of engines, named {@code engine-1} and so on
+     * @param plainServices the number of plain services, named {@code desk-1} and so on
+     * @param domains the number of failure domains
+     * @param slots the slots of an engine
+     */
+    public StandInFiles(
+            StandInWorld world, int engines, int plainServices, int domains, int slots) {
         this.world = world;
         this.engines = engines;
         this.plainServices = plainServices;
@@ -26,7 +36,8 @@
         this.slots = slots;
     }
 
-    String routes() {
+    /** Returns the routes table; all routes are open. */
+    public String routes() {
         return """
         [route completions]
         path = /v1/completions
@@ -49,7 +60,8 @@
         """;
     }
 
-    String pools() {
+    /** Returns the pools table. */
+    public String pools() {
         StringBuilder text = new StringBuilder();
         text.append("[pool engines]\nkind = engine\nmodel = ").append(MODEL).append("\n\n");
         text.append("[pool desks]\nkind = plain\n");
@@ -62,8 +74,14 @@
         return text.toString();
     }
 
-    /** Returns settings of an instance that takes its tables from the files in the folder. */
-    String node(int number, Path folder) {
+    /**
+     * Returns settings of an instance that takes its tables from files.
+     *
+     * @param number the number of the instance, from 1
+     * @param port the TCP port of its front end, 0 for any free one
+     * @param folder the folder with the tables
+     */
+    public String node(int number, int port, Path folder) {
         return """
         [node]
         name = node-%d
@@ -79,7 +97,7 @@
                 .formatted(
                         number,
                         domain(number),
-                        HTTP_PORT + number,
+                        port,
                         folder.resolve("routes.ini"),
                         folder.resolve("pools.ini"));
     }
--- a/cli/src/main/java/org/fuchsialever/cli/standins/StandInsTask.java
+++ b/cli/src/main/java/org/fuchsialever/cli/standins/StandInsTask.java
@@ -109,7 +109,9 @@
         Files.writeString(target.resolve("routes.ini"), files.routes());
         Files.writeString(target.resolve("pools.ini"), files.pools());
         for (int i = 1; i <= nodes; i++) {
-            Files.writeString(target.resolve("node-" + i + ".ini"), files.node(i, target));
+            Files.writeString(
+                    target.resolve("node-" + i + ".ini"),
+                    files.node(i, StandInFiles.HTTP_PORT + i, target));
         }
         Files.writeString(target.resolve("platform.ini"), files.platform());
         Files.writeString(target.resolve("addresses.json"), addresses.toPrettyString() + "\n");
