Test the trainer stand-in and let engines be controlled over HTTP

The trainer stand-in had no counterpart; its test brings a small rollout service. A stand-in that is closed while a fault runs stays closed.

--- a/cli/src/main/java/org/fuchsialever/cli/standins/StandInFiles.java
+++ b/cli/src/main/java/org/fuchsialever/cli/standins/StandInFiles.java
@@ -87,6 +87,7 @@
         name = node-%d
         region = region-1
         failure-domain = fd-%d
+        components = identity, table-files, open-routes, dispatch, readiness, endpoints, front-end
         http-address = 127.0.0.1
         http-port = %d
 
--- a/standins/src/main/java/org/fuchsialever/standins/EngineStandIn.java
+++ b/standins/src/main/java/org/fuchsialever/standins/EngineStandIn.java
@@ -59,6 +59,7 @@
         on("load", "GET", "/engine/load", request -> Mono.just(load()));
         on("cache-events", "GET", "/engine/cache-events", request -> Mono.just(events(request)));
         on("order", "POST", "/engine/orders", this::order);
+        on("control", "POST", "/stand-in/engine", request -> Mono.just(control(request.json())));
         open();
     }
 
@@ -262,6 +263,19 @@
                         });
     }
 
+    /** Carries out {@code leave}, or {@code restart} with {@code start} and {@code version}. */
+    private StandInReply control(JsonNode body) {
+        String action = body.path("action").asText();
+        if (action.equals("leave")) {
+            leave();
+        } else if (action.equals("restart")) {
+            restart(body.path("start").asText(), body.path("version").asLong());
+        } else {
+            return StandInReply.error(400, "unknown_action");
+        }
+        return StandInReply.json(200, Json.object());
+    }
+
     private static byte[] event(String data) {
         return ("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8);
     }
--- a/standins/src/main/java/org/fuchsialever/standins/StandInServer.java
+++ b/standins/src/main/java/org/fuchsialever/standins/StandInServer.java
@@ -44,6 +44,7 @@
     private final FaultControl faults = new FaultControl(this);
     private volatile @Nullable DisposableServer server;
     private volatile int port;
+    private volatile boolean closed;
 
     /** Creates a server that is not open yet. */
     protected StandInServer() {
@@ -85,6 +86,7 @@
 
     @Override
     public void close() {
+        closed = true;
         shut().block();
     }
 
@@ -111,7 +113,8 @@
     final Mono<Void> listen() {
         return Mono.defer(
                 () -> {
-                    if (server != null) {
+                    // The end of a fault must not open a stand-in that was closed meanwhile.
+                    if (server != null || closed) {
                         return Mono.empty();
                     }
                     return HttpServer.create()
--- /dev/null
+++ b/standins/src/test/java/org/fuchsialever/standins/TrainerStandInTest.java
@@ -0,0 +1,149 @@
+package org.fuchsialever.standins;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasEntry;
+import static org.hamcrest.Matchers.is;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import reactor.core.publisher.Mono;
+
+/** Guards against a trainer that overlooks samples which are lost, doubled or stale. */
+class TrainerStandInTest {
+    private final RolloutService service = new RolloutService();
+    private final List<Long> versions = new ArrayList<>();
+    private final TrainerStandIn trainer =
+            new TrainerStandIn(
+                    new TrainerOptions()
+                            .step(2, 3, 4)
+                            .trainingTime(Duration.ofMillis(1))
+                            .retryDelay(Duration.ofMillis(1)),
+                    service::url,
+                    versions::add);
+
+    @AfterEach
+    void stop() {
+        trainer.close();
+        service.close();
+    }
+
+    @Test
+    void trainsOnEveryStepAndAcknowledgesAllItReceived() {
+        trainer.run(1, 3).block();
+
+        assertThat(service.steps, contains(1L, 2L, 3L));
+        assertThat(trainer.record().samples(), is(18));
+        assertThat(versions, contains(1L, 2L, 3L));
+        assertThat(trainer.record().gaps(), is(empty()));
+        assertThat(trainer.record().duplicates(), is(empty()));
+        assertThat(trainer.record().brokenRanges(), is(empty()));
+        assertThat(service.acknowledged, is(18L));
+    }
+
+    @Test
+    void repeatsASubmissionWhoseAnswerWasLost() {
+        service.faults().set(FaultMode.LOSE_ANSWER, Duration.ZERO, 1);
+        trainer.submit(1).block();
+
+        assertThat(service.steps, contains(1L, 1L));
+        assertThat(trainer.answers(), hasEntry("submit failed", 1L));
+        assertThat(trainer.answers(), hasEntry("submit 202", 1L));
+    }
+
+    @Test
+    void recordsRepetitionsDuplicatesAndGaps() {
+        TrainerRecord record = new TrainerRecord(2);
+        assertThat(record.receive(sample(1, 0, 7)), is(true));
+        assertThat(record.receive(sample(1, 0, 7)), is(false));
+        assertThat(record.receive(sample(2, 0, 7)), is(false));
+        assertThat(record.receive(sample(5, 1, 7)), is(true));
+
+        assertThat(record.repeated(), is(1L));
+        assertThat(record.duplicates(), contains("1/0/0"));
+        assertThat(record.gaps(), contains("3 to 4"));
+    }
+
+    @Test
+    void recordsASampleWhoseOldestRangeIsTooOld() {
+        TrainerRecord record = new TrainerRecord(2);
+        record.newestVersion(9);
+        record.receive(sample(1, 0, 7));
+        record.receive(sample(2, 1, 6));
+
+        assertThat(record.staleSamples(), contains("1/0/1"));
+    }
+
+    @Test
+    void recordsASampleWhoseRangesLeaveOutTokens() {
+        TrainerRecord record = new TrainerRecord(2);
+        ObjectNode sample = sample(1, 0, 1);
+        ((ArrayNode) sample.path("ranges"))
+                .addObject()
+                .put("from", 5)
+                .put("to", 6)
+                .put("weight_version", 1);
+        record.receive(sample);
+
+        assertThat(record.brokenRanges(), contains("1/0/0"));
+    }
+
+    private static ObjectNode sample(long position, int index, long version) {
+        ObjectNode sample = Json.object();
+        sample.put("position", position).put("step", 1).put("group", 0).put("index", index);
+        sample.putArray("ranges")
+                .addObject()
+                .put("from", 0)
+                .put("to", 4)
+                .put("weight_version", version);
+        return sample;
+    }
+
+    /** Delivers the samples of all submitted steps, a few at a time. */
+    private static final class RolloutService extends StandInServer {
+        private static final int PAGE = 4;
+
+        private final List<Long> steps = new ArrayList<>();
+        private final List<ObjectNode> samples = new ArrayList<>();
+        private long acknowledged;
+
+        private RolloutService() {
+            on("submit", "POST", "/v1/rollouts", request -> Mono.just(submit(request.json())));
+            on("collect", "GET", "/v1/rollouts/[^/]+/samples", r -> Mono.just(collect(r)));
+            on("ack", "POST", "/v1/rollouts/[^/]+/ack", r -> Mono.just(acknowledge(r.json())));
+            open();
+        }
+
+        private synchronized StandInReply submit(JsonNode body) {
+            long step = body.path("step").asLong();
+            steps.add(step);
+            for (JsonNode group : body.path("groups")) {
+                for (int i = 0; i < group.path("samples").asInt(); i++) {
+                    ObjectNode sample = sample(samples.size() + 1, i, step - 1);
+                    samples.add(sample.put("step", step).set("group", group.path("group")));
+                }
+            }
+            return StandInReply.json(202, Json.object().put("accepted", true));
+        }
+
+        private synchronized StandInReply collect(StandInRequest request) {
+            int cursor = Integer.parseInt(request.query("cursor", "0"));
+            int end = Math.min(samples.size(), cursor + PAGE);
+            ObjectNode body = Json.object();
+            body.putArray("samples").addAll(samples.subList(cursor, end));
+            return StandInReply.json(200, body.put("cursor", end));
+        }
+
+        private synchronized StandInReply acknowledge(JsonNode body) {
+            acknowledged = Math.max(acknowledged, body.path("cursor").asLong());
+            return StandInReply.json(200, Json.object());
+        }
+    }
+}
