Make the test of silent connections independent of timing

The test closed the server to end the read; a reset at that moment could hide bytes. It now ends its own sending side, which the server answers by closing.

--- a/standins/src/test/java/org/fuchsialever/standins/FaultControlTest.java
+++ b/standins/src/test/java/org/fuchsialever/standins/FaultControlTest.java
@@ -59,8 +59,9 @@
             write(after, READ);
             assertThat(readSome(after), startsWith("HTTP/1.1 200"));
 
-            // Every byte sent before the end of the stream would have to arrive first.
-            tables.close();
+            // The server answers what it has read before it notices the end of the stream, and
+            // then closes the connection, so that the read ends in any case.
+            before.shutdownOutput();
             assertThat(before.getInputStream().read(), is(-1));
         }
     }
@@ -76,6 +77,15 @@
         assertThat(client.get(tables, "/tables/t/rows").status(), is(200));
     }
 
+    @Test
+    void staysClosedWhenAFaultEndsAfterwards() {
+        tables.faults().set(FaultMode.DOWN);
+        tables.close();
+        tables.faults().set(FaultMode.NONE);
+
+        assertThrows(IOException.class, () -> client.get(tables, "/tables/t/rows"));
+    }
+
     @Test
     void refusesToGoDownOverHttpWithoutAnEnd() throws Exception {
         assertThat(client.post(tables, "/stand-in/faults", "{'mode':'down'}").status(), is(400));
