--- /dev/null
+++ b/cli/src/main/java/org/fuchsialever/cli/standins/StandInFiles.java
@@ -0,0 +1,144 @@
+package org.fuchsialever.cli.standins;
+
+import java.nio.file.Path;
+import org.fuchsialever.standins.ListedInstanceEntry;
+import org.fuchsialever.standins.StandInServer;
+import org.fuchsialever.standins.StandInWorld;
+
+/** Tables and node settings that match a set of running stand-ins. */
+public final class StandInFiles {
+    static final String MODEL = "small";
+
+    static final int HTTP_PORT = 18_080;
+    private static final int PEER_PORT = 19_080;
+
+    private final StandInWorld world;
+    private final int engines;
+    private final int plainServices;
+    private final int domains;
+    private final int slots;
+
+    /**
+     * Prepares the files.
+     *
+     * @param world the running stand-ins
+     * @param engines the number of engines, named {@code engine-1} and so on
+     * @param plainServices the number of plain services, named {@code desk-1} and so on
+     * @param domains the number of failure domains
+     * @param slots the slots of an engine
+     */
+    public StandInFiles(
+            StandInWorld world, int engines, int plainServices, int domains, int slots) {
+        this.world = world;
+        this.engines = engines;
+        this.plainServices = plainServices;
+        this.domains = domains;
+        this.slots = slots;
+    }
+
+    /** Returns the routes table; all routes are open. */
+    public String routes() {
+        return """
+        [route completions]
+        path = /v1/completions
+        kind = live
+        pool = engines
+        access = open
+
+        [route chat]
+        path = /v1/chat/completions
+        kind = live
+        pool = engines
+        access = open
+
+        [route desk]
+        path = /desk
+        kind = plain
+        pool = desks
+        access = open
+        repeatable = no
+        """;
+    }
+
+    /** Returns the pools table. */
+    public String pools() {
+        StringBuilder text = new StringBuilder();
+        text.append("[pool engines]\nkind = engine\nmodel = ").append(MODEL).append("\n\n");
+        text.append("[pool desks]\nkind = plain\n");
+        for (int i = 1; i <= engines; i++) {
+            upstream(text, "engine-" + i, "engines", i).append("slots = " + slots + "\n");
+        }
+        for (int i = 1; i <= plainServices; i++) {
+            upstream(text, "desk-" + i, "desks", i);
+        }
+        return text.toString();
+    }
+
+    /**
+     * Returns settings of an instance that takes its tables from files.
+     *
+     * @param number the number of the instance, from 1
+     * @param port the TCP port of its front end, 0 for any free one
+     * @param folder the folder with the tables
+     */
+    public String node(int number, int port, Path folder) {
+        return """
+        [node]
+        name = node-%d
+        region = region-1
+        failure-domain = fd-%d
+        components = identity, table-files, open-routes, dispatch, readiness, endpoints, front-end
+        http-address = 127.0.0.1
+        http-port = %d
+
+        [tables]
+        routes = %s
+        pools = %s
+        """
+                .formatted(
+                        number,
+                        domain(number),
+                        port,
+                        folder.resolve("routes.ini"),
+                        folder.resolve("pools.ini"));
+    }
+
+    /** Returns the settings to add for an instance that selects the component {@code platform}. */
+    String platform() {
+        return world.platformSection();
+    }
+
+    /** Returns the entry of an instance for the instance list. */
+    ListedInstanceEntry listed(int number) {
+        return new ListedInstanceEntry(
+                "node-" + number,
+                StandInServer.HOST,
+                HTTP_PORT + number,
+                PEER_PORT + number,
+                "region-1",
+                "fd-" + domain(number),
+                false);
+    }
+
+    private StringBuilder upstream(StringBuilder text, String name, String pool, int number) {
+        return text.append(
+                """
+
+                [upstream %s]
+                pool = %s
+                address = %s
+                port = %d
+                failure-domain = fd-%d
+                """
+                        .formatted(
+                                name,
+                                pool,
+                                StandInServer.HOST,
+                                world.find(name, StandInServer.class).port(),
+                                domain(number)));
+    }
+
+    private int domain(int number) {
+        return (number - 1) % domains + 1;
+    }
+}
