--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/keys/KeyTable.java
@@ -0,0 +1,75 @@
+package org.fuchsialever.decisions.keys;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.fuchsialever.decisions.dispatch.RefusalReason;
+import org.fuchsialever.decisions.model.KeyId;
+
+/**
+ * All keys at one moment. Immutable. A look-up hashes the shown secret and compares it in constant
+ * time whether the key exists or not, so that its duration does not tell which identities exist.
+ */
+public final class KeyTable {
+    /** A table without keys. */
+    public static final KeyTable EMPTY = new KeyTable(List.of(), Set.of());
+
+    private static final KeyHash UNKNOWN_KEY =
+            KeyHash.of("0123456789abcdef0123456789abcdef", "no secret has this form");
+
+    private final Map<KeyId, KeyRecord> records;
+    private final Set<KeyId> withdrawals;
+
+    /**
+     * Creates a table.
+     *
+     * @param records the keys
+     * @param withdrawals keys that are withdrawn whatever their record says
+     */
+    public KeyTable(Collection<KeyRecord> records, Set<KeyId> withdrawals) {
+        Map<KeyId, KeyRecord> byId = new HashMap<>();
+        records.forEach(keyRecord -> byId.put(keyRecord.id(), keyRecord));
+        this.records = Map.copyOf(byId);
+        this.withdrawals = Set.copyOf(withdrawals);
+    }
+
+    /**
+     * Checks a shown key.
+     *
+     * @param text the text that the caller showed
+     * @param wallMillis wall-clock time in milliseconds since the epoch
+     * @return the key, or why it is refused; states of a key are told only to who knows its secret
+     */
+    public Either<RefusalReason, KeyRecord> check(String text, long wallMillis) {
+        Option<PresentedKey> shown = PresentedKey.parse(text);
+        String secret = shown.map(PresentedKey::secret).getOrElse("");
+        Option<KeyRecord> found = shown.flatMap(key -> Option.of(records.get(key.id())));
+        boolean matches = found.map(KeyRecord::hash).getOrElse(UNKNOWN_KEY).matches(secret);
+        if (!matches || found.isEmpty()) {
+            return Either.left(RefusalReason.KEY_WRONG);
+        }
+        KeyRecord key = found.get();
+        if (isWithdrawn(key.id())) {
+            return Either.left(RefusalReason.KEY_WITHDRAWN);
+        }
+        if (key.expiresMillis() > 0 && wallMillis >= key.expiresMillis()) {
+            return Either.left(RefusalReason.KEY_EXPIRED);
+        }
+        return Either.right(key);
+    }
+
+    /** Returns whether a key is withdrawn. */
+    public boolean isWithdrawn(KeyId id) {
+        KeyRecord known = records.get(id);
+        return withdrawals.contains(id) || (known != null && known.withdrawn());
+    }
+
+    /** Returns the number of keys. */
+    public int size() {
+        return records.size();
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/keys/PresentedKey.java
@@ -0,0 +1,43 @@
+package org.fuchsialever.decisions.keys;
+
+import io.vavr.control.Option;
+import java.util.regex.Pattern;
+import org.fuchsialever.decisions.model.KeyId;
+import org.fuchsialever.decisions.model.Names;
+
+/**
+ * A key as a caller shows it, {@code fl_<key id>_<secret>}.
+ *
+ * @param id the public part
+ * @param secret the secret part, hexadecimal digits
+ */
+public record PresentedKey(KeyId id, String secret) {
+    private static final String PREFIX = "fl_";
+    private static final Pattern SECRET = Pattern.compile("[0-9a-f]{32,128}");
+
+    /** Returns the parts of a key, or none if the text does not have its form. */
+    public static Option<PresentedKey> parse(String text) {
+        // The secret holds no underscore, so that the identity may hold some.
+        int separator = text.lastIndexOf('_');
+        if (!text.startsWith(PREFIX) || separator <= PREFIX.length()) {
+            return Option.none();
+        }
+        String id = text.substring(PREFIX.length(), separator);
+        String secret = text.substring(separator + 1);
+        if (!Names.isValid(id) || !SECRET.matcher(secret).matches()) {
+            return Option.none();
+        }
+        return Option.some(new PresentedKey(new KeyId(id), secret));
+    }
+
+    /** Returns the whole text, which only its owner may see. */
+    public String text() {
+        return PREFIX + id + "_" + secret;
+    }
+
+    /** Returns the public part only, so that no log holds a secret. */
+    @Override
+    public String toString() {
+        return PREFIX + id + "_...";
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/keys/package-info.java
@@ -0,0 +1,5 @@
+/** Keys of callers: the table that checks them and the duty that keeps it up to date. */
+@NullMarked
+package org.fuchsialever.decisions.keys;
+
+import org.jspecify.annotations.NullMarked;
