Add the node components platform, config and keys

Cause: instances need configuration and keys from the table service, have to end calls of withdrawn keys, and must be able to start without that service.

--- a/decisions/src/main/java/org/fuchsialever/decisions/config/ConfigDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/config/ConfigDuty.java
@@ -35,7 +35,6 @@
     private long nextPollNanos;
     private long highestSeen;
     private long served;
-    private long highestPeer;
     private long refused;
     private long wanted;
     private Option<Long> proven = Option.none();
@@ -69,7 +68,6 @@
         } else if (event instanceof ConfigEvent.SnapshotRead read) {
             onSnapshotRead(read, actions);
         } else if (event instanceof ConfigEvent.PeerVersion peer) {
-            highestPeer = Math.max(highestPeer, peer.version());
             onVersionSeen(peer.version(), actions);
         } else if (event instanceof ConfigEvent.PeersListed listed) {
             peers.listed(listed.peers());
@@ -170,7 +168,7 @@
     }
 
     private boolean needsPeers() {
-        return freshness != Freshness.PROVEN || highestPeer > served;
+        return freshness != Freshness.PROVEN || wanted > served;
     }
 
     private void updateFreshness() {
@@ -211,7 +209,7 @@
 
     private void publishStatus(ActionSink<ConfigAction> actions) {
         boolean searchEnded = refused >= highestSeen && wanted <= served;
-        boolean upToDate = served >= highestPeer && (served >= highestSeen || searchEnded);
+        boolean upToDate = served >= highestSeen || searchEnded;
         ConfigStatus status =
                 new ConfigStatus(
                         served,
--- a/decisions/src/main/java/org/fuchsialever/decisions/keys/KeyDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/keys/KeyDuty.java
@@ -92,6 +92,8 @@
             unstored.remove(stored.key());
         } else if (event instanceof KeyEvent.MembershipChanged view) {
             onMembership(view, nowNanos);
+        } else if (event instanceof KeyEvent.PeersListed list) {
+            peers.listed(list.peers());
         } else if (event instanceof KeyEvent.PeerKeys answer) {
             onPeerKeys(answer, nowNanos, actions);
         }
@@ -143,7 +145,6 @@
             lastContactNanos = nowNanos;
         }
         majorityReachable = view.reachable() * 2 > view.listed();
-        peers.listed(Math.max(0, view.listed() - 1));
         if (majorityReachable) {
             lastContactNanos = nowNanos;
         }
@@ -233,7 +234,10 @@
         }
         published = new KeyView(table, version, usable);
         actions.emit(new PublishKeyTable(published));
-        actions.emit(new PublishKnown(List.copyOf(rows.values()), withdrawals));
+        if (informed) {
+            // An instance without keys must not count among the peers that another one asks.
+            actions.emit(new PublishKnown(List.copyOf(rows.values()), withdrawals));
+        }
     }
 
     private static long newest(List<KeyRow> rows) {
--- a/decisions/src/main/java/org/fuchsialever/decisions/keys/KeyEvent.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/keys/KeyEvent.java
@@ -61,6 +61,13 @@
      */
     record MembershipChanged(int listed, int reachable) implements KeyEvent {}
 
+    /**
+     * The instance list was read.
+     *
+     * @param peers the number of listed instances without this one
+     */
+    record PeersListed(int peers) implements KeyEvent {}
+
     /**
      * A peer answered with all keys that it knows.
      *
--- a/decisions/src/test/java/org/fuchsialever/decisions/keys/KeyDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/keys/KeyDutyTest.java
@@ -194,6 +194,22 @@
         assertThat(accepts(), is(false));
     }
 
+    @Test
+    void startsFromItsOnlyPeerWhenTheTableServiceIsDown() {
+        send(new KeyEvent.ReadFailed());
+        send(new KeyEvent.PeersListed(1));
+        send(peer("p1", "fd-1", row(1, false), Set.of()));
+
+        assertThat(view.usable(), is(true));
+    }
+
+    @Test
+    void givesPeersNoKeysBeforeItKnowsThem() {
+        duty.onEvent(new KeyEvent.PeerWithdrawals(Set.of(KEY)), now, actions::add);
+
+        assertThat(actions.stream().anyMatch(PublishKnown.class::isInstance), is(false));
+    }
+
     @Test
     void asksOnlyForRowsThatItDoesNotKnow() {
         send(read(row(7, false)));
--- a/node/src/main/java/org/fuchsialever/node/config/ConfigHolder.java
+++ b/node/src/main/java/org/fuchsialever/node/config/ConfigHolder.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import org.fuchsialever.decisions.config.ConfigSnapshot;
+import org.fuchsialever.decisions.config.ConfigStatus;
 import org.fuchsialever.kernel.invariant.Invariant;
 import org.fuchsialever.kernel.invariant.InvariantMonitor;
 import org.jspecify.annotations.Nullable;
@@ -14,6 +15,7 @@
     private final List<Consumer<ConfigSnapshot>> listeners = new CopyOnWriteArrayList<>();
     private final InvariantMonitor invariants;
     private volatile @Nullable ConfigSnapshot current;
+    private volatile @Nullable ConfigStatus status;
 
     /** Creates a holder without a configuration. */
     public ConfigHolder(InvariantMonitor invariants) {
@@ -25,6 +27,25 @@
         return Option.of(current);
     }
 
+    /**
+     * Returns how the configuration stands. A snapshot that was published without a status counts
+     * as the latest, because its source has no versions.
+     */
+    public ConfigStatus status() {
+        ConfigStatus reported = status;
+        ConfigSnapshot snapshot = current;
+        if (reported != null || snapshot == null) {
+            return reported == null ? ConfigStatus.NONE : reported;
+        }
+        long version = snapshot.version();
+        return new ConfigStatus(version, version, ConfigStatus.Freshness.PROVEN, true);
+    }
+
+    /** Sets how the configuration stands. */
+    public void publishStatus(ConfigStatus newStatus) {
+        status = newStatus;
+    }
+
     /** Adds a listener; it is called at once if there is a configuration. */
     public synchronized void onChange(Consumer<ConfigSnapshot> listener) {
         listeners.add(listener);
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/keys/KeyAuthenticator.java
@@ -0,0 +1,61 @@
+package org.fuchsialever.node.keys;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.Locale;
+import java.util.function.Supplier;
+import org.fuchsialever.decisions.config.Access;
+import org.fuchsialever.decisions.config.Route;
+import org.fuchsialever.decisions.dispatch.RefusalReason;
+import org.fuchsialever.decisions.keys.KeyRecord;
+import org.fuchsialever.decisions.keys.KeyView;
+import org.fuchsialever.frontend.Authenticator;
+import org.fuchsialever.frontend.Caller;
+import org.fuchsialever.kernel.time.TimeSource;
+
+/** Checks callers by the keys that this instance knows. */
+final class KeyAuthenticator implements Authenticator {
+    private static final String SCHEME = "bearer ";
+
+    private final Supplier<KeyView> views;
+    private final TimeSource time;
+
+    KeyAuthenticator(Supplier<KeyView> views, TimeSource time) {
+        this.views = views;
+        this.time = time;
+    }
+
+    @Override
+    public Either<RefusalReason, Caller> authenticate(Option<String> authorization, Route route) {
+        Option<String> shown = authorization.flatMap(KeyAuthenticator::bearer);
+        if (route.access() == Access.OPEN) {
+            // A key that does not hold is no reason to refuse what everybody may do.
+            return Either.right(
+                    shown.toEither(RefusalReason.KEY_MISSING)
+                            .flatMap(this::check)
+                            .map(KeyAuthenticator::caller)
+                            .getOrElse(Caller.anonymous()));
+        }
+        return shown.toEither(RefusalReason.KEY_MISSING)
+                .flatMap(this::check)
+                .filterOrElse(
+                        key -> route.allows(key.team()), key -> RefusalReason.TEAM_NOT_ALLOWED)
+                .map(KeyAuthenticator::caller);
+    }
+
+    private Either<RefusalReason, KeyRecord> check(String text) {
+        KeyView view = views.get();
+        return view.usable()
+                ? view.table().check(text, time.wallMillis())
+                : Either.left(RefusalReason.KEYS_STALE);
+    }
+
+    private static Caller caller(KeyRecord key) {
+        return new Caller(key.team(), Option.some(key.id()));
+    }
+
+    private static Option<String> bearer(String header) {
+        boolean matches = header.toLowerCase(Locale.ROOT).startsWith(SCHEME);
+        return matches ? Option.some(header.substring(SCHEME.length()).strip()) : Option.none();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/keys/StatusEndpoint.java
@@ -0,0 +1,58 @@
+package org.fuchsialever.node.keys;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.fuchsialever.decisions.config.ConfigStatus;
+import org.fuchsialever.decisions.keys.KeyView;
+import org.fuchsialever.frontend.Answers;
+import org.fuchsialever.frontend.Endpoint;
+import org.fuchsialever.kernel.settings.SettingsReader;
+import org.fuchsialever.node.NodeIdentity;
+import org.fuchsialever.node.config.ConfigHolder;
+import org.fuchsialever.node.http.Readiness;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Tells operators which versions this instance serves and whether it is ready. */
+final class StatusEndpoint implements Endpoint {
+    private static final String PATH = "/operator/status";
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final NodeIdentity identity;
+    private final ConfigHolder config;
+    private final KeyViews views;
+    private final Readiness readiness;
+
+    StatusEndpoint(
+            NodeIdentity identity, ConfigHolder config, KeyViews views, Readiness readiness) {
+        this.identity = identity;
+        this.config = config;
+        this.views = views;
+        this.readiness = readiness;
+    }
+
+    @Override
+    public boolean accepts(String method, String path) {
+        return method.equals("GET") && path.equals(PATH);
+    }
+
+    @Override
+    public Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+        ConfigStatus status = config.status();
+        KeyView view = views.current();
+        ObjectNode body = MAPPER.createObjectNode();
+        body.put("instance", identity.instance().value())
+                .put("start", identity.start())
+                .put("config_version", status.served())
+                .put("config_highest_seen", status.highestSeen())
+                .put("config_freshness", SettingsReader.label(status.freshness()))
+                .put("key_version", view.version())
+                .put("keys_usable", view.usable())
+                .put("ready", readiness.isReady());
+        ArrayNode unmet = body.putArray("unmet");
+        readiness.unmet().forEach(unmet::add);
+        return Answers.json(response, body);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/peerstate/PeerStateClient.java
@@ -0,0 +1,82 @@
+package org.fuchsialever.node.peerstate;
+
+import io.netty.channel.ChannelOption;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.IntConsumer;
+import org.fuchsialever.decisions.model.InstanceId;
+import org.fuchsialever.kernel.log.PartLogger;
+import org.fuchsialever.platform.InstanceList;
+import org.fuchsialever.platform.ListedInstance;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+
+/** Asks all listed peers for their state. */
+public final class PeerStateClient {
+    private static final PartLogger LOG = PartLogger.of("peer-state");
+    private static final int OK = 200;
+    private static final int CONCURRENT_CALLS = 16;
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+    private final InstanceList instances;
+    private final InstanceId self;
+    private final HttpClient client;
+
+    /**
+     * Creates a client.
+     *
+     * @param instances the list of instances
+     * @param self this instance, which is not asked
+     */
+    public PeerStateClient(InstanceList instances, InstanceId self) {
+        this.instances = instances;
+        this.self = self;
+        this.client =
+                HttpClient.newConnection()
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
+    }
+
+    /**
+     * Asks all listed peers. A peer that does not answer is left out.
+     *
+     * @param path the path of the state
+     * @param onList receives the number of listed peers before any answer
+     * @param onAnswer receives each peer with its answer
+     */
+    public void askAll(
+            String path, IntConsumer onList, BiConsumer<ListedInstance, String> onAnswer) {
+        instances
+                .list()
+                .map(this::peers)
+                .doOnNext(peers -> onList.accept(peers.size()))
+                .flatMapMany(Flux::fromIterable)
+                .flatMap(
+                        peer -> ask(peer, path).doOnNext(text -> onAnswer.accept(peer, text)),
+                        CONCURRENT_CALLS)
+                .subscribe(
+                        answer -> {},
+                        failure -> LOG.warning("Peers could not be asked: " + failure));
+    }
+
+    private List<ListedInstance> peers(List<ListedInstance> listed) {
+        return listed.stream().filter(peer -> !peer.instance().equals(self)).toList();
+    }
+
+    private Mono<String> ask(ListedInstance peer, String path) {
+        String host = peer.address().contains(":") ? "[" + peer.address() + "]" : peer.address();
+        return client.get()
+                .uri("http://" + host + ":" + peer.httpPort() + path)
+                .responseSingle(
+                        (response, content) ->
+                                response.status().code() == OK ? content.asString() : Mono.empty())
+                .timeout(TIMEOUT)
+                .onErrorResume(
+                        failure -> {
+                            LOG.debug("Peer " + peer.instance() + " did not answer: " + failure);
+                            return Mono.empty();
+                        });
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/peerstate/PeerStateEndpoint.java
@@ -0,0 +1,70 @@
+package org.fuchsialever.node.peerstate;
+
+import io.vavr.control.Option;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.function.Supplier;
+import org.fuchsialever.frontend.Endpoint;
+import org.fuchsialever.platform.InstanceList;
+import org.fuchsialever.platform.ListedInstance;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/**
+ * Answers with the state of this instance. Only listed instances are answered, because the state
+ * names all teams, keys and upstream addresses.
+ */
+public final class PeerStateEndpoint implements Endpoint {
+    private static final int OK = 200;
+    private static final int FORBIDDEN = 403;
+    private static final int UNAVAILABLE = 503;
+
+    private final String path;
+    private final InstanceList instances;
+    private final Supplier<Option<String>> state;
+
+    /**
+     * Creates the endpoint.
+     *
+     * @param path its path
+     * @param instances the list of instances
+     * @param state returns the state, or none if this instance does not know it yet
+     */
+    public PeerStateEndpoint(String path, InstanceList instances, Supplier<Option<String>> state) {
+        this.path = path;
+        this.instances = instances;
+        this.state = state;
+    }
+
+    @Override
+    public boolean accepts(String method, String requestPath) {
+        return method.equals("GET") && requestPath.equals(path);
+    }
+
+    @Override
+    public Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+        InetSocketAddress remote = request.remoteAddress();
+        String address =
+                remote == null || remote.getAddress() == null
+                        ? ""
+                        : remote.getAddress().getHostAddress();
+        return instances
+                .list()
+                .map(listed -> isListed(listed, address) ? OK : FORBIDDEN)
+                .onErrorReturn(UNAVAILABLE)
+                .flatMap(status -> answer(status, response));
+    }
+
+    private Mono<Void> answer(int status, HttpServerResponse response) {
+        Option<String> known = state.get();
+        if (status != OK || known.isEmpty()) {
+            return response.status(status == OK ? UNAVAILABLE : status).send();
+        }
+        return response.status(OK).sendString(Mono.just(known.get())).then();
+    }
+
+    private static boolean isListed(List<ListedInstance> listed, String address) {
+        return listed.stream().anyMatch(instance -> instance.address().equals(address));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/platform/PlatformComponent.java
@@ -0,0 +1,52 @@
+package org.fuchsialever.node.platform;
+
+import io.vavr.control.Option;
+import java.util.Set;
+import org.fuchsialever.kernel.findings.Findings;
+import org.fuchsialever.kernel.plugin.Component;
+import org.fuchsialever.kernel.plugin.ComponentContext;
+import org.fuchsialever.kernel.plugin.PluginRegistry;
+import org.fuchsialever.kernel.settings.SettingsReader;
+import org.fuchsialever.platform.Platform;
+import org.fuchsialever.platform.PlatformAdapter;
+
+/** Provides the platform through the adapter that {@code [platform] adapter} names. */
+public final class PlatformComponent implements Component {
+    private static final String SECTION = "platform";
+    private static final String DEFAULT_ADAPTER = "http";
+
+    private Option<PlatformAdapter> adapter = Option.none();
+
+    @Override
+    public String pluginName() {
+        return "platform";
+    }
+
+    @Override
+    public Set<Class<?>> requires() {
+        return Set.of();
+    }
+
+    @Override
+    public Set<Class<?>> provides() {
+        return Set.of(Platform.class);
+    }
+
+    @Override
+    public void configure(SettingsReader settings) {
+        // Duplicate names were reported when the components were discovered.
+        PluginRegistry registry = PluginRegistry.discover(new Findings());
+        adapter =
+                registry.select(
+                        PlatformAdapter.class,
+                        settings.text(SECTION, "adapter", DEFAULT_ADAPTER),
+                        settings.place(SECTION, "adapter"),
+                        settings.findings());
+        adapter.forEach(selected -> selected.configure(settings));
+    }
+
+    @Override
+    public void install(ComponentContext context) {
+        adapter.forEach(selected -> context.provide(Platform.class, selected.open(context)));
+    }
+}
