--- a/cli/src/main/java/org/fuchsialever/cli/command/ExitCode.java
+++ b/cli/src/main/java/org/fuchsialever/cli/command/ExitCode.java
@@ -8,10 +8,10 @@
     FAILURE(1, "failed"),
     /** The options or the files cannot be used. */
     USAGE(2, "options or files cannot be used"),
-    /** The change is made, but not every instance has confirmed it. */
-    UNCONFIRMED(3, "done, but not confirmed by all instances"),
     /** Somebody else made a change at the same time; nothing was changed. */
-    CONFLICT(4, "not done, because of a concurrent change"),
+    CONFLICT(3, "not done, because of a concurrent change"),
+    /** The change is made, but not every listed instance has confirmed it. */
+    UNCONFIRMED(4, "done, but not confirmed by all listed instances"),
     /** A comparison found differences. */
     DIFFERENT(5, "differences were found");
 
--- /dev/null
+++ b/cli/src/main/java/org/fuchsialever/cli/keys/KeyTask.java
@@ -0,0 +1,61 @@
+package org.fuchsialever.cli.keys;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import java.util.ArrayList;
+import java.util.List;
+import org.fuchsialever.cli.command.CommandContext;
+import org.fuchsialever.cli.command.ExitCode;
+import org.fuchsialever.cli.platform.PlatformSession;
+import org.fuchsialever.cli.platform.PlatformTask;
+import org.fuchsialever.kernel.settings.Quantities;
+
+/** One run of the command {@code key}. */
+@Parameters(commandDescription = "Grant, list and withdraw keys")
+final class KeyTask extends PlatformTask {
+    @Parameter(description = "grant | list | withdraw <key id>", required = true)
+    private List<String> words = new ArrayList<>();
+
+    @Parameter(names = "--team", description = "Team of a new key")
+    private String team = "";
+
+    @Parameter(
+            names = "--expires-in",
+            description = "Time until a new key expires, such as 720 h; by default it does not")
+    private String expiresIn = "";
+
+    @Override
+    protected ExitCode run(CommandContext context, PlatformSession session) throws Exception {
+        KeyOperation operation = KeyOperation.of(words.get(0));
+        return operation.run(this, new KeyStore(session, isJsonWanted()), context);
+    }
+
+    /** Returns the team of a new key. */
+    String team() {
+        if (team.isEmpty()) {
+            throw new ParameterException("grant needs --team");
+        }
+        return team;
+    }
+
+    /** Returns the time in milliseconds until a new key expires, 0 for never. */
+    long lifetimeMillis() {
+        if (expiresIn.isEmpty()) {
+            return 0;
+        }
+        return Quantities.parseDuration(expiresIn)
+                .filter(duration -> !duration.isZero())
+                .getOrElseThrow(
+                        () -> new ParameterException("\"" + expiresIn + "\" is not a duration"))
+                .toMillis();
+    }
+
+    /** Returns the identity of the key to withdraw. */
+    String keyId() {
+        if (words.size() != 2) {
+            throw new ParameterException("withdraw needs one key id");
+        }
+        return words.get(1);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/fuchsialever/cli/platform/Instances.java
@@ -0,0 +1,106 @@
+package org.fuchsialever.cli.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.ChannelOption;
+import io.vavr.control.Option;
+import io.vavr.control.Try;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Function;
+import org.fuchsialever.platform.InstanceList;
+import org.fuchsialever.platform.ListedInstance;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufMono;
+import reactor.netty.http.client.HttpClient;
+
+/** The operator interface of all listed instances. */
+public final class Instances {
+    private static final int OK = 200;
+    private static final int CONCURRENT_CALLS = 32;
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final Duration TIMEOUT = Duration.ofSeconds(3);
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final HttpClient client =
+            HttpClient.newConnection()
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
+    private final InstanceList list;
+
+    /** Creates the interface of the instances on a list. */
+    public Instances(InstanceList list) {
+        this.list = list;
+    }
+
+    /** Returns the listed instances, or none if the list cannot be read. */
+    public Option<List<ListedInstance>> listed() {
+        return Try.of(() -> PlatformSession.await(list.list())).toOption();
+    }
+
+    /** Returns the names of the instances that serve at least the given configuration version. */
+    public Set<String> serving(Collection<ListedInstance> asked, long version) {
+        return confirming(
+                asked,
+                instance ->
+                        json(client.get().uri(url(instance) + "/operator/status"))
+                                .filter(body -> body.path("config_version").asLong() >= version));
+    }
+
+    /** Sends a withdrawal and returns the names of the instances that confirmed it. */
+    public Set<String> withdraw(Collection<ListedInstance> asked, String key) {
+        byte[] body =
+                MAPPER.createObjectNode()
+                        .put("key", key)
+                        .toString()
+                        .getBytes(StandardCharsets.UTF_8);
+        return confirming(
+                asked,
+                instance ->
+                        json(client.headers(fields -> fields.set("Content-Length", body.length))
+                                        .post()
+                                        .uri(url(instance) + "/operator/withdrawals")
+                                        .send(
+                                                ByteBufMono.fromString(
+                                                        Mono.just(
+                                                                new String(
+                                                                        body,
+                                                                        StandardCharsets.UTF_8)))))
+                                .filter(answer -> answer.path("withdrawn").asBoolean()));
+    }
+
+    private static Set<String> confirming(
+            Collection<ListedInstance> asked, Function<ListedInstance, Mono<JsonNode>> call) {
+        List<String> names =
+                PlatformSession.await(
+                        Flux.fromIterable(asked)
+                                .flatMap(
+                                        instance ->
+                                                call.apply(instance)
+                                                        .timeout(TIMEOUT)
+                                                        .onErrorResume(failure -> Mono.empty())
+                                                        .map(answer -> instance.instance().value()),
+                                        CONCURRENT_CALLS)
+                                .collectList());
+        return new TreeSet<>(names);
+    }
+
+    private static Mono<JsonNode> json(HttpClient.ResponseReceiver<?> request) {
+        return request.responseSingle(
+                        (response, content) ->
+                                response.status().code() == OK
+                                        ? content.asByteArray()
+                                        : Mono.<byte[]>empty())
+                .flatMap(body -> Mono.fromCallable(() -> MAPPER.readTree(body)));
+    }
+
+    private static String url(ListedInstance instance) {
+        String address = instance.address();
+        String host = address.contains(":") ? "[" + address + "]" : address;
+        return "http://" + host + ":" + instance.httpPort();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/fuchsialever/cli/platform/PlatformSession.java
@@ -0,0 +1,79 @@
+package org.fuchsialever.cli.platform;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.UUID;
+import org.fuchsialever.kernel.lifecycle.Closer;
+import org.fuchsialever.kernel.plugin.ComponentContext;
+import org.fuchsialever.kernel.settings.SettingsReader;
+import org.fuchsialever.kernel.time.SystemTimeSource;
+import org.fuchsialever.node.platform.PlatformComponent;
+import org.fuchsialever.platform.CommitRetrier;
+import org.fuchsialever.platform.Delays;
+import org.fuchsialever.platform.Platform;
+import org.fuchsialever.platform.RetryDelays;
+import reactor.core.publisher.Mono;
+
+/** The platform during one run of a command. */
+public final class PlatformSession implements AutoCloseable {
+    /** Bounds a call that neither answers nor fails; the adapter has shorter bounds of its own. */
+    private static final Duration CALL_BOUND = Duration.ofMinutes(1);
+
+    private static final RetryDelays RETRIES =
+            new RetryDelays(Duration.ofMillis(100), Duration.ofSeconds(1), 5);
+
+    private final Closer closer;
+    private final Platform platform;
+    private final CommitRetrier commits;
+    private final String writer = "operator-" + UUID.randomUUID();
+
+    private PlatformSession(Closer closer, Platform platform, MeterRegistry meters) {
+        this.closer = closer;
+        this.platform = platform;
+        this.commits =
+                new CommitRetrier(
+                        platform.tables(),
+                        RETRIES,
+                        Delays.realTime(),
+                        new SplittableRandom(),
+                        meters);
+    }
+
+    /** Opens the platform with a configured component. */
+    static PlatformSession open(PlatformComponent component, SettingsReader settings) {
+        Closer closer = new Closer();
+        MeterRegistry meters = new SimpleMeterRegistry();
+        ComponentContext context =
+                new ComponentContext(
+                        settings, closer, SystemTimeSource.INSTANCE, System.nanoTime(), meters);
+        component.install(context);
+        return new PlatformSession(closer, context.require(Platform.class), meters);
+    }
+
+    /** Returns the platform. */
+    public Platform platform() {
+        return platform;
+    }
+
+    /** Returns the resolver of lost answers of commits. */
+    public CommitRetrier commits() {
+        return commits;
+    }
+
+    /** Returns the identity of the commits of this run. */
+    public String writer() {
+        return writer;
+    }
+
+    /** Waits for a call; its failure is thrown. */
+    public static <T> T await(Mono<T> call) {
+        return call.blockOptional(CALL_BOUND).orElseThrow();
+    }
+
+    @Override
+    public void close() {
+        closer.close();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/fuchsialever/cli/tables/StoredTables.java
@@ -0,0 +1,91 @@
+package org.fuchsialever.cli.tables;
+
+import io.vavr.control.Option;
+import java.util.List;
+import org.fuchsialever.cli.platform.PlatformSession;
+import org.fuchsialever.decisions.config.SnapshotText;
+import org.fuchsialever.node.config.ConfigRows;
+import org.fuchsialever.platform.Commit;
+import org.fuchsialever.platform.CommitResult;
+import org.fuchsialever.platform.Row;
+import org.fuchsialever.platform.TableService;
+
+/** The versions of the tables in the table service. */
+final class StoredTables {
+    private final PlatformSession session;
+    private final TableService tables;
+
+    StoredTables(PlatformSession session) {
+        this.session = session;
+        this.tables = session.platform().tables();
+    }
+
+    /** Returns the version in force; version 0 if there is none. */
+    Head head() {
+        return head(PlatformSession.await(tables.read(ConfigRows.TABLE, ConfigRows.CURRENT)));
+    }
+
+    /** Returns the tables of a version; empty tables for version 0. */
+    SnapshotText read(long version) {
+        if (version == 0) {
+            return new SnapshotText(0, "", "");
+        }
+        Option<Row> row =
+                PlatformSession.await(
+                        tables.read(ConfigRows.TABLE, ConfigRows.snapshotKey(version)));
+        return row.toEither("the row does not exist or the read was stale")
+                .flatMap(found -> SnapshotText.decode(found.value()))
+                .getOrElseThrow(
+                        problem ->
+                                new IllegalStateException(
+                                        "version " + version + " cannot be read: " + problem));
+    }
+
+    /** Returns the present head after a conflict, or none if the head is unchanged. */
+    Option<Head> commit(Head base, SnapshotText next) {
+        Commit.Put snapshot =
+                new Commit.Put(
+                        ConfigRows.TABLE, ConfigRows.snapshotKey(next.version()), next.encode());
+        Commit.Put current =
+                new Commit.Put(ConfigRows.TABLE, ConfigRows.CURRENT, Long.toString(next.version()));
+        Commit commit =
+                new Commit(
+                        session.writer(),
+                        List.of(
+                                new Commit.Condition(
+                                        ConfigRows.TABLE, ConfigRows.CURRENT, base.rowVersion()),
+                                new Commit.Condition(snapshot.table(), snapshot.key(), 0)),
+                        List.of(snapshot, current),
+                        List.of());
+        CommitResult result =
+                PlatformSession.await(session.commits().commitWithMarker(commit, snapshot));
+        if (result instanceof CommitResult.Conflict conflict) {
+            return Option.some(
+                    conflict.rows().stream()
+                            .filter(row -> row.key().equals(ConfigRows.CURRENT))
+                            .findFirst()
+                            .map(row -> head(Option.some(row)))
+                            .orElseGet(this::head));
+        }
+        return Option.none();
+    }
+
+    private static Head head(Option<Row> row) {
+        if (row.isEmpty()) {
+            return new Head(0, 0);
+        }
+        long version =
+                ConfigRows.version(row.get().value())
+                        .getOrElseThrow(
+                                () -> new IllegalStateException("the version row is damaged"));
+        return new Head(version, row.get().version());
+    }
+
+    /**
+     * The row that names the version in force.
+     *
+     * @param version the configuration version
+     * @param rowVersion the version of the row
+     */
+    record Head(long version, long rowVersion) {}
+}
--- /dev/null
+++ b/cli/src/main/java/org/fuchsialever/cli/tables/TableFiles.java
@@ -0,0 +1,32 @@
+package org.fuchsialever.cli.tables;
+
+import com.beust.jcommander.Parameter;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.fuchsialever.decisions.config.SnapshotText;
+import org.fuchsialever.decisions.config.TableParser;
+import org.fuchsialever.kernel.findings.Findings;
+
+/** Options that name the two tables. */
+final class TableFiles {
+    @Parameter(names = "--routes", description = "Table of routes (INI)", required = true)
+    private String routes = "";
+
+    @Parameter(names = "--pools", description = "Table of pools (INI)", required = true)
+    private String pools = "";
+
+    /** Returns the texts of both tables under a version; a file that cannot be read is thrown. */
+    SnapshotText read(long version) throws IOException {
+        return new SnapshotText(
+                version, Files.readString(Path.of(routes)), Files.readString(Path.of(pools)));
+    }
+
+    /** Returns all findings about both tables. */
+    Findings check(SnapshotText tables) {
+        Findings findings = new Findings();
+        TableParser.parse(
+                tables.version(), routes, tables.routes(), pools, tables.pools(), findings);
+        return findings;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/fuchsialever/cli/tables/package-info.java
@@ -0,0 +1,5 @@
+/** Commands for the tables of routes and pools. */
+@NullMarked
+package org.fuchsialever.cli.tables;
+
+import org.jspecify.annotations.NullMarked;
