--- a/cli/src/main/java/org/fuchsialever/cli/tables/ApplyTask.java
+++ b/cli/src/main/java/org/fuchsialever/cli/tables/ApplyTask.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import io.vavr.control.Option;
+import io.vavr.control.Try;
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
@@ -62,8 +63,14 @@
                         "Nothing was changed: version %d is in force, not version %d."
                                 .formatted(present, baseVersion));
         if (present > baseVersion) {
-            TableDiff.lines(stored.read(baseVersion), stored.read(present))
-                    .forEach(context.err()::println);
+            Try.of(() -> TableDiff.lines(stored.read(baseVersion), stored.read(present)))
+                    .onSuccess(lines -> lines.forEach(context.err()::println))
+                    .onFailure(
+                            failure ->
+                                    context.err()
+                                            .println(
+                                                    "What changed cannot be shown: "
+                                                            + failure.getMessage()));
         }
         return ExitCode.CONFLICT;
     }
