Add the splice of token streams

Streams of successive attempts must give every token once and in order, with the version that the engine stated. The splice delivers only the next certain token, drops and counts duplicates and late chunks, and reports doubt.

--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/stream/TokenSplice.java
@@ -0,0 +1,112 @@
+package org.fuchsialever.decisions.dispatch.stream;
+
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.List;
+import org.fuchsialever.decisions.model.TokenRange;
+import org.fuchsialever.decisions.model.UpstreamId;
+import org.fuchsialever.decisions.model.WeightVersion;
+
+/**
+ * Joins the streams of successive attempts to one answer in which every token occurs once and in
+ * order. A token whose provenance is in doubt is not delivered; the attempt is over and the next
+ * one continues from {@link #nextToken}.
+ */
+public final class TokenSplice {
+    private final List<TokenRange> ranges = new ArrayList<>();
+    private Option<UpstreamId> upstream = Option.none();
+    private Option<String> engineStart = Option.none();
+    private boolean doubtful;
+    private int attempt;
+    private int nextToken;
+    private long duplicates;
+    private long lateChunks;
+
+    /**
+     * Begins an attempt; chunks of earlier ones are late from now on.
+     *
+     * @param number the number of the attempt
+     * @param engine the upstream that is asked
+     * @return the index of the first token to ask for
+     */
+    public int begin(int number, UpstreamId engine) {
+        attempt = number;
+        upstream = Option.some(engine);
+        engineStart = Option.none();
+        doubtful = false;
+        return nextToken;
+    }
+
+    /**
+     * Takes one chunk.
+     *
+     * @param number the attempt that it belongs to
+     * @param chunk the chunk
+     * @return what becomes of it
+     */
+    public SpliceVerdict accept(int number, EngineChunk chunk) {
+        if (number != attempt || upstream.isEmpty()) {
+            lateChunks++;
+            return SpliceVerdict.LATE;
+        }
+        if (doubtful) {
+            return SpliceVerdict.AFTER_DOUBT;
+        }
+        SpliceVerdict verdict = judge(chunk);
+        if (verdict == SpliceVerdict.DELIVER) {
+            append(chunk.version().get(), upstream.get());
+        } else if (verdict == SpliceVerdict.DUPLICATE) {
+            duplicates++;
+        }
+        doubtful = verdict.isDoubt();
+        return verdict;
+    }
+
+    /** Returns the index of the first token that has not been delivered. */
+    public int nextToken() {
+        return nextToken;
+    }
+
+    /** Returns the delivered tokens by version and upstream, in order and without gaps. */
+    public List<TokenRange> ranges() {
+        return List.copyOf(ranges);
+    }
+
+    /** Returns how many tokens were dropped because they had been delivered before. */
+    public long duplicates() {
+        return duplicates;
+    }
+
+    /** Returns how many chunks of earlier attempts were dropped. */
+    public long lateChunks() {
+        return lateChunks;
+    }
+
+    private SpliceVerdict judge(EngineChunk chunk) {
+        if (chunk.engineStart().isEmpty()
+                || (engineStart.isDefined() && !engineStart.equals(chunk.engineStart()))) {
+            return SpliceVerdict.ENGINE_START_CHANGED;
+        }
+        engineStart = chunk.engineStart();
+        if (chunk.tokenIndex() < nextToken) {
+            return SpliceVerdict.DUPLICATE;
+        }
+        if (chunk.tokenIndex() > nextToken) {
+            return SpliceVerdict.GAP;
+        }
+        return chunk.version().isEmpty() ? SpliceVerdict.NO_VERSION : SpliceVerdict.DELIVER;
+    }
+
+    private void append(WeightVersion version, UpstreamId engine) {
+        int from = nextToken;
+        nextToken++;
+        if (!ranges.isEmpty()) {
+            TokenRange last = ranges.get(ranges.size() - 1);
+            if (last.version().equals(version) && last.upstream().equals(engine)) {
+                ranges.remove(ranges.size() - 1);
+                from = last.from();
+            }
+        }
+        ranges.add(new TokenRange(from, nextToken, version, engine));
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/stream/package-info.java
@@ -0,0 +1,5 @@
+/** Assembly of one answer from the streams of successive attempts. */
+@NullMarked
+package org.fuchsialever.decisions.dispatch.stream;
+
+import org.jspecify.annotations.NullMarked;
