--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/DispatchDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/DispatchDuty.java
@@ -19,6 +19,8 @@
 
 /** Queues requests, chooses an upstream for each and decides on retries and refusals. */
 public final class DispatchDuty implements Duty<DispatchEvent, DispatchAction> {
+    private static final int MAX_ATTEMPTS = 4;
+
     private final int queueCapacity;
     private final Map<RequestId, Entry> entries = new LinkedHashMap<>();
     private final Map<PoolName, Deque<Entry>> queues = new HashMap<>();
@@ -46,6 +48,11 @@
             arrive(arrived.request(), actions);
         } else if (event instanceof DispatchEvent.AttemptEnded ended) {
             end(ended, actions);
+        } else if (event instanceof DispatchEvent.AttemptProgressed progressed) {
+            Entry entry = entries.get(progressed.request());
+            if (entry != null) {
+                entry.tokens = Math.max(entry.tokens, progressed.tokens());
+            }
         } else if (event instanceof DispatchEvent.CallerLeft left) {
             cancel(left.request(), actions);
         } else if (event instanceof DispatchEvent.ConfigChanged changed) {
@@ -100,6 +107,9 @@
             return false;
         }
         for (UpstreamSpec candidate : pool.upstreams()) {
+            if (candidate.id().equals(entry.failed) && pool.upstreams().size() > 1) {
+                continue;
+            }
             int load = inFlight.getOrDefault(candidate.id(), 0);
             boolean usable = candidate.state() == UpstreamState.SERVING && load < candidate.slots();
             if (usable && load < bestLoad) {
@@ -113,7 +123,9 @@
         entry.upstream = best.id();
         entry.attempt++;
         inFlight.merge(best.id(), 1, Integer::sum);
-        actions.emit(new DispatchAction.StartAttempt(entry.request.id(), entry.attempt, best, 0));
+        actions.emit(
+                new DispatchAction.StartAttempt(
+                        entry.request.id(), entry.attempt, best, entry.tokens));
         return true;
     }
 
@@ -122,13 +134,27 @@
         if (entry == null || entry.attempt != ended.attempt()) {
             return;
         }
+        AttemptResult result = ended.report().result();
+        entry.failed = entry.upstream;
+        entry.mayHaveRun |= result.outcome() != Outcome.NOT_RUN;
         release(entry);
+        if (entry.request.resumable()
+                && result.retryReason().isDefined()
+                && entry.attempt < MAX_ATTEMPTS) {
+            RetryReason reason = result.retryReason().get();
+            actions.emit(new DispatchAction.Retry(ended.request(), reason, Duration.ZERO));
+            queue(entry.request.route().pool()).addFirst(entry);
+            startWaiting(actions);
+            return;
+        }
         entries.remove(ended.request());
-        AttemptResult result = ended.report().result();
         if (result == AttemptResult.COMPLETED) {
             actions.emit(new DispatchAction.Finish(ended.request(), Outcome.COMPLETED));
         } else {
-            refuse(ended.request(), refusalFor(result.outcome()), actions);
+            // An earlier attempt may have run even if the last one certainly did not.
+            boolean notRun = result.outcome() == Outcome.NOT_RUN;
+            Outcome outcome = notRun && entry.mayHaveRun ? Outcome.UNKNOWN : result.outcome();
+            refuse(ended.request(), refusalFor(outcome), actions);
         }
         startWaiting(actions);
         reportDrained(actions);
@@ -151,11 +177,14 @@
 
     private void refuseWaiting(ActionSink<DispatchAction> actions) {
         for (Deque<Entry> queue : queues.values()) {
+            // An entry that waits for a further attempt is a running call and finishes.
             for (Entry entry : queue) {
-                entries.remove(entry.request.id());
-                refuse(entry.request.id(), RefusalReason.DRAINING, actions);
+                if (entry.attempt == 0) {
+                    entries.remove(entry.request.id());
+                    refuse(entry.request.id(), RefusalReason.DRAINING, actions);
+                }
             }
-            queue.clear();
+            queue.removeIf(entry -> entry.attempt == 0);
         }
     }
 
@@ -193,7 +222,10 @@
     private static final class Entry {
         private final DispatchRequest request;
         private int attempt;
+        private int tokens;
+        private boolean mayHaveRun;
         private @Nullable UpstreamId upstream;
+        private @Nullable UpstreamId failed;
 
         private Entry(DispatchRequest request) {
             this.request = request;
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/DispatchEvent.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/DispatchEvent.java
@@ -33,6 +33,9 @@
     /** An upstream takes no new work from now on. */
     record UpstreamLeft(UpstreamId upstream) implements DispatchEvent {}
 
+    /** A connection to an upstream went silent and a fresh one was tried. */
+    record UpstreamProbed(UpstreamId upstream, boolean alive) implements DispatchEvent {}
+
     /** A new snapshot is in force. */
     record ConfigChanged(ConfigSnapshot snapshot) implements DispatchEvent {}
 
--- a/frontend/src/main/java/org/fuchsialever/frontend/Call.java
+++ b/frontend/src/main/java/org/fuchsialever/frontend/Call.java
@@ -17,6 +17,7 @@
  * @param body the request body
  * @param shape its size and form
  * @param idempotencyKey the caller's identity for a call that it may send again
+ * @param secret the secret that the caller showed, which no upstream may see
  */
 public record Call(
         RequestId id,
@@ -27,4 +28,5 @@
         List<HeaderField> headers,
         byte[] body,
         CallShape shape,
-        Option<String> idempotencyKey) {}
+        Option<String> idempotencyKey,
+        ShownSecret secret) {}
--- a/frontend/src/main/java/org/fuchsialever/frontend/CallEndpoint.java
+++ b/frontend/src/main/java/org/fuchsialever/frontend/CallEndpoint.java
@@ -101,6 +101,15 @@
             return Mono.error(new RefusedException(shape.getLeft()));
         }
         HttpHeaders headers = request.requestHeaders();
+        ShownSecret secret = ShownSecret.of(Option.of(headers.get("Authorization")));
+        List<HeaderField> fields = forwarded(headers);
+        if (secret.occursIn(request.uri(), fields, canonical(route, body))) {
+            return Mono.error(
+                    new RefusedException(
+                            Refusal.of(
+                                    RefusalReason.MALFORMED_BODY,
+                                    "the request contains the secret of its key")));
+        }
         return Mono.just(
                 new Call(
                         id,
@@ -108,10 +117,16 @@
                         caller,
                         request.method().name(),
                         request.uri(),
-                        forwarded(headers),
+                        fields,
                         body,
                         shape.get(),
-                        Option.of(headers.get("Idempotency-Key"))));
+                        Option.of(headers.get("Idempotency-Key")),
+                        secret));
+    }
+
+    /** Undoes JSON escapes, which could otherwise hide a secret. */
+    private byte[] canonical(Route route, byte[] body) {
+        return route.kind() == RouteKind.LIVE ? modelCalls.canonical(body) : body;
     }
 
     private Mono<Void> respond(
--- a/frontend/src/main/java/org/fuchsialever/frontend/HttpFrontEnd.java
+++ b/frontend/src/main/java/org/fuchsialever/frontend/HttpFrontEnd.java
@@ -2,8 +2,12 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.fuchsialever.kernel.log.PartLogger;
 import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
@@ -16,6 +20,9 @@
 
     private final List<Endpoint> endpoints;
     private final DisposableServer server;
+    private final AtomicInteger inProgress = new AtomicInteger();
+    private final Sinks.One<Boolean> idle = Sinks.one();
+    private volatile boolean draining;
 
     /**
      * Opens the port.
@@ -36,12 +43,44 @@
         return server.port();
     }
 
+    /**
+     * Accepts no more connections and closes each open one after its next answer; completes when no
+     * request is in progress.
+     */
+    public Mono<Void> drain() {
+        draining = true;
+        server.dispose();
+        reportIdle();
+        return idle.asMono().then();
+    }
+
     @Override
     public void close() {
         server.disposeNow(CLOSE_TIMEOUT);
     }
 
     private Publisher<Void> dispatch(HttpServerRequest request, HttpServerResponse response) {
+        inProgress.incrementAndGet();
+        if (draining) {
+            response.keepAlive(false);
+        }
+        return Flux.from(route(request, response)).doFinally(signal -> ended());
+    }
+
+    private void ended() {
+        inProgress.decrementAndGet();
+        if (draining) {
+            reportIdle();
+        }
+    }
+
+    private void reportIdle() {
+        if (inProgress.get() == 0) {
+            idle.tryEmitValue(true);
+        }
+    }
+
+    private Publisher<Void> route(HttpServerRequest request, HttpServerResponse response) {
         String method = request.method().name();
         String path = "/" + request.path();
         for (Endpoint endpoint : endpoints) {
--- a/frontend/src/main/java/org/fuchsialever/frontend/ModelCallReader.java
+++ b/frontend/src/main/java/org/fuchsialever/frontend/ModelCallReader.java
@@ -36,6 +36,9 @@
                         || maxTokens.asInt() > MAX_TOKENS)) {
             return malformed("\"max_tokens\" must be a number from 1 to " + MAX_TOKENS);
         }
+        if (root.path("n").asInt(1) != 1) {
+            return malformed("only one choice can be generated; \"n\" must be 1");
+        }
         String prompt = prompt(root);
         return Either.right(
                 new CallShape(
@@ -45,6 +48,15 @@
                         prefixHash(prompt)));
     }
 
+    /** Returns a body, which has been read before, with the shortest form of each character. */
+    byte[] canonical(byte[] body) {
+        try {
+            return mapper.writeValueAsBytes(mapper.readTree(body));
+        } catch (IOException e) {
+            return body;
+        }
+    }
+
     private static String prompt(JsonNode root) {
         if (root.has("prompt")) {
             return root.path("prompt").asText();
--- /dev/null
+++ b/frontend/src/main/java/org/fuchsialever/frontend/ShownSecret.java
@@ -0,0 +1,90 @@
+package org.fuchsialever.frontend;
+
+import io.vavr.control.Option;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The secret that a caller showed, kept only to make sure that it is not forwarded. Its text form
+ * does not contain the secret.
+ */
+public final class ShownSecret {
+    /** Shorter texts are no secrets of ours and would occur in requests by chance. */
+    private static final int LEAST_LENGTH = 8;
+
+    private static final String SCHEME = "bearer ";
+    private static final String KEY_PREFIX = "fl_";
+    private static final ShownSecret NONE = new ShownSecret(List.of());
+
+    private final List<String> secrets;
+
+    private ShownSecret(List<String> secrets) {
+        this.secrets = secrets;
+    }
+
+    /** Returns a value for requests without a secret. */
+    public static ShownSecret none() {
+        return NONE;
+    }
+
+    /** Returns the secret part of an {@code Authorization} header, if there is one. */
+    public static ShownSecret of(Option<String> authorization) {
+        String token = authorization.getOrElse("").strip();
+        if (token.regionMatches(true, 0, SCHEME, 0, SCHEME.length())) {
+            token = token.substring(SCHEME.length()).strip();
+        }
+        List<String> candidates = new ArrayList<>();
+        candidates.add(token);
+        if (token.startsWith(KEY_PREFIX)) {
+            // Both names and secrets may contain underscores, so both readings are searched for.
+            candidates.add(token.substring(token.indexOf('_', KEY_PREFIX.length()) + 1));
+            candidates.add(token.substring(token.lastIndexOf('_') + 1));
+        }
+        List<String> secrets =
+                candidates.stream().filter(text -> text.length() >= LEAST_LENGTH).toList();
+        return secrets.isEmpty() ? NONE : new ShownSecret(secrets);
+    }
+
+    /** Returns whether a text contains the secret, plainly or percent-encoded. */
+    public boolean occursIn(String text) {
+        if (secrets.isEmpty()) {
+            return false;
+        }
+        String decoded = decoded(text);
+        return secrets.stream().anyMatch(s -> text.contains(s) || decoded.contains(s));
+    }
+
+    /** Returns whether bytes contain the secret in UTF-8. */
+    public boolean occursIn(byte[] bytes) {
+        if (secrets.isEmpty()) {
+            return false;
+        }
+        // ISO 8859-1 maps each byte to one character, so that any content can be searched.
+        String content = new String(bytes, StandardCharsets.ISO_8859_1);
+        return secrets.stream()
+                .map(s -> s.getBytes(StandardCharsets.UTF_8))
+                .anyMatch(s -> content.contains(new String(s, StandardCharsets.ISO_8859_1)));
+    }
+
+    /** Returns whether a request contains the secret in its target, its fields or its body. */
+    public boolean occursIn(String uri, List<HeaderField> headers, byte[] body) {
+        return occursIn(uri)
+                || occursIn(body)
+                || headers.stream().anyMatch(field -> occursIn(field.value()));
+    }
+
+    @Override
+    public String toString() {
+        return secrets.isEmpty() ? "no secret" : "a secret";
+    }
+
+    private static String decoded(String text) {
+        try {
+            return URLDecoder.decode(text, StandardCharsets.UTF_8);
+        } catch (IllegalArgumentException e) {
+            return text;
+        }
+    }
+}
