Resume calls, detect silence, drain and generate samples

Attempts are numbered, late parts dropped and counted, and streams continue from the last certain token. Silence is watched only while a part is requested, and a probe on a fresh connection precedes the end of the attempt. The ring is sized so that events of admitted calls always fit, and reports use only a part of it. A shutdown waits for running calls and the process exits with 0.

--- a/node/src/main/java/org/fuchsialever/node/NodeMain.java
+++ b/node/src/main/java/org/fuchsialever/node/NodeMain.java
@@ -60,16 +60,23 @@
             System.err.println(started.getLeft().report());
             return EXIT_USAGE;
         }
-        CountDownLatch stopped = new CountDownLatch(1);
-        Runtime.getRuntime()
-                .addShutdownHook(
-                        new Thread(
-                                () -> {
-                                    started.get().close();
-                                    stopped.countDown();
-                                },
-                                "shutdown"));
-        stopped.await();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(started.get()), "shutdown"));
+        // The hook ends the process.
+        new CountDownLatch(1).await();
         return EXIT_FAILURE;
     }
+
+    /**
+     * Closes the instance and ends the process. A process that is told to stop by SIGTERM would
+     * otherwise exit with 143, whatever the hook does.
+     */
+    private static void shutDown(NodeProcess process) {
+        int status = EXIT_FAILURE;
+        try {
+            process.close();
+            status = EXIT_OK;
+        } finally {
+            Runtime.getRuntime().halt(status);
+        }
+    }
 }
--- a/node/src/main/java/org/fuchsialever/node/dispatch/CallDispatcher.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/CallDispatcher.java
@@ -1,10 +1,13 @@
 package org.fuchsialever.node.dispatch;
 
-import io.micrometer.core.instrument.MeterRegistry;
 import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.fuchsialever.decisions.config.RouteKind;
+import org.fuchsialever.decisions.config.UpstreamKind;
 import org.fuchsialever.decisions.dispatch.DispatchAction;
 import org.fuchsialever.decisions.dispatch.DispatchEvent;
 import org.fuchsialever.decisions.dispatch.DispatchRequest;
@@ -13,121 +16,220 @@
 import org.fuchsialever.frontend.Call;
 import org.fuchsialever.frontend.CallAnswer;
 import org.fuchsialever.frontend.CallPort;
+import org.fuchsialever.frontend.HeaderField;
 import org.fuchsialever.frontend.Refusal;
+import org.fuchsialever.frontend.RefusedException;
+import org.fuchsialever.frontend.ShownSecret;
 import org.fuchsialever.kernel.duty.ActionSink;
-import org.fuchsialever.kernel.duty.Inbox;
-import org.fuchsialever.kernel.log.PartLogger;
-import org.fuchsialever.kernel.time.TimeSource;
+import org.fuchsialever.node.generation.Generation;
+import org.fuchsialever.node.generation.GenerationPort;
+import org.fuchsialever.node.generation.GenerationRequest;
+import org.fuchsialever.node.keys.RunningCalls;
 import org.fuchsialever.node.upstream.UpstreamCall;
-import org.fuchsialever.node.upstream.UpstreamClient;
-import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 
 /** Translates calls to events of the dispatch duty, and its actions to attempts and answers. */
-final class CallDispatcher implements CallPort, ActionSink<DispatchAction> {
-    private static final PartLogger LOG = PartLogger.of("dispatch");
+final class CallDispatcher implements CallPort, GenerationPort, ActionSink<DispatchAction> {
+    private static final List<HeaderField> JSON =
+            List.of(new HeaderField("content-type", "application/json"));
 
-    private final Map<RequestId, CallExchange> exchanges = new ConcurrentHashMap<>();
-    private final CountDownLatch drained = new CountDownLatch(1);
+    private final Map<RequestId, Running> running = new ConcurrentHashMap<>();
+    private final AtomicInteger admitted = new AtomicInteger();
+    private final Sinks.One<Boolean> drained = Sinks.one();
     private final int maxCalls;
-    private final UpstreamClient client;
-    private final TimeSource time;
-    private final MeterRegistry meters;
-    private volatile @Nullable Inbox<DispatchEvent> inbox;
+    private final RunningCalls keys;
+    private final ExchangeServices services;
 
     /**
      * Creates a dispatcher.
      *
-     * @param maxCalls the most calls in progress; the ring of the duty must hold several events for
-     *     each, so that the end of an attempt always finds room
+     * @param maxCalls the most calls in progress
+     * @param keys ends calls whose key is withdrawn
+     * @param services what the exchanges use
      */
-    CallDispatcher(int maxCalls, UpstreamClient client, TimeSource time, MeterRegistry meters) {
+    CallDispatcher(int maxCalls, RunningCalls keys, ExchangeServices services) {
         this.maxCalls = maxCalls;
-        this.client = client;
-        this.time = time;
-        this.meters = meters;
+        this.keys = keys;
+        this.services = services;
     }
 
-    void connect(Inbox<DispatchEvent> ring) {
-        inbox = ring;
+    /** Refuses queued and new calls; completes when no call is queued or running. */
+    Mono<Void> drain() {
+        services.ring().send(new DispatchEvent.DrainStarted());
+        return drained.asMono().then();
     }
 
-    /** Returns the latch that opens when no call is queued or running after a drain. */
-    CountDownLatch drained() {
-        return drained;
+    /** Returns the number of calls that are queued or running. */
+    int callsInProgress() {
+        return admitted.get();
     }
 
     @Override
     public Mono<Either<Refusal, CallAnswer>> call(Call call) {
-        if (exchanges.size() >= maxCalls) {
-            return Mono.just(Either.left(Refusal.of(RefusalReason.QUEUE_FULL)));
+        boolean engine = call.route().kind() == RouteKind.LIVE;
+        if (engine && !call.shape().streamed()) {
+            CollectingTarget<CallAnswer> target = new CollectingTarget<>(new WholeAnswerForm());
+            return submit(work(call), target, target.answer());
         }
-        CallExchange exchange = new CallExchange(call, this::send);
-        exchanges.put(call.id(), exchange);
-        send(new DispatchEvent.RequestArrived(toRequest(call)));
-        return exchange.answer();
+        StreamTarget target = new StreamTarget();
+        return submit(work(call), target, target.answer());
+    }
+
+    @Override
+    public Mono<Generation> generate(GenerationRequest request) {
+        return Mono.defer(
+                () -> {
+                    CollectingTarget<Generation> target =
+                            new CollectingTarget<>(new GenerationForm());
+                    return submit(work(request), target, target.answer())
+                            .flatMap(
+                                    result ->
+                                            result.isRight()
+                                                    ? Mono.just(result.get())
+                                                    : Mono.error(
+                                                            new RefusedException(
+                                                                    result.getLeft())));
+                });
     }
 
     @Override
     public void emit(DispatchAction action) {
         if (action instanceof DispatchAction.StartAttempt start) {
-            startAttempt(start);
+            Running call = running.get(start.request());
+            if (call != null) {
+                call.exchange.start(start.attempt(), start.upstream());
+            }
         } else if (action instanceof DispatchAction.CancelAttempt cancel) {
-            CallExchange exchange = exchanges.get(cancel.request());
-            if (exchange != null) {
-                exchange.cancelAttempt(cancel.attempt());
+            Running call = running.get(cancel.request());
+            if (call != null) {
+                call.exchange.cancelAttempt(cancel.attempt());
             }
         } else if (action instanceof DispatchAction.Retry retry) {
-            meters.counter("fuchsialever.retries", "reason", retry.reason().code()).increment();
+            services.meters().retried(retry.reason());
         } else if (action instanceof DispatchAction.Refuse refuse) {
-            CallExchange exchange = exchanges.remove(refuse.request());
-            if (exchange != null) {
-                exchange.refuse(new Refusal(refuse.reason(), refuse.retryAfter(), ""));
-            }
+            remove(refuse.request())
+                    .forEach(
+                            exchange ->
+                                    exchange.refuse(
+                                            new Refusal(refuse.reason(), refuse.retryAfter(), "")));
         } else if (action instanceof DispatchAction.Finish finish) {
-            CallExchange exchange = exchanges.remove(finish.request());
-            if (exchange != null) {
-                exchange.finish();
-            }
+            remove(finish.request()).forEach(CallExchange::finish);
         } else if (action instanceof DispatchAction.Drained) {
-            drained.countDown();
+            drained.tryEmitValue(true);
         }
     }
 
-    private void startAttempt(DispatchAction.StartAttempt start) {
-        CallExchange exchange = exchanges.get(start.request());
-        if (exchange == null) {
-            return;
+    private <T> Mono<Either<Refusal, T>> submit(
+            CallWork work, AnswerTarget target, Mono<Either<Refusal, T>> answer) {
+        if (admitted.incrementAndGet() > maxCalls) {
+            admitted.decrementAndGet();
+            return Mono.just(Either.left(Refusal.of(RefusalReason.QUEUE_FULL)));
+        }
+        CallExchange exchange = new CallExchange(work, target, services);
+        Running call = new Running(exchange);
+        running.put(exchange.id(), call);
+        work.key().forEach(key -> call.registered(keys.register(key, exchange::withdraw)));
+        if (!exchange.arrive()) {
+            remove(exchange.id());
         }
-        Call call = exchange.call();
-        UpstreamCall upstreamCall =
-                new UpstreamCall(
+        return answer;
+    }
+
+    private Option<CallExchange> remove(RequestId id) {
+        Running call = running.remove(id);
+        if (call == null) {
+            return Option.none();
+        }
+        admitted.decrementAndGet();
+        call.end();
+        return Option.some(call.exchange);
+    }
+
+    private CallWork work(Call call) {
+        boolean engine = call.route().kind() == RouteKind.LIVE;
+        DispatchRequest request =
+                new DispatchRequest(
                         call.id(),
-                        start.upstream(),
-                        call.method(),
-                        call.uri(),
-                        call.headers(),
-                        call.body());
-        exchange.start(start.attempt(), client.send(upstreamCall));
+                        call.caller().team(),
+                        call.route(),
+                        call.shape().promptTokens(),
+                        call.shape().maxTokens(),
+                        call.shape().prefixHash(),
+                        engine && call.route().repeatable(),
+                        0,
+                        services.time().nanoTime() + call.route().deadline().toNanos());
+        int priority = call.route().priority().engineValue();
+        return new CallWork(
+                request,
+                call.caller().key(),
+                (attempt, upstream, resumeFrom) ->
+                        new UpstreamCall(
+                                engine ? EngineRequests.attemptId(call.id(), attempt) : call.id(),
+                                upstream,
+                                call.route().kind().upstreamKind(),
+                                call.method(),
+                                call.uri(),
+                                call.headers(),
+                                engine
+                                        ? EngineRequests.body(call.body(), priority, resumeFrom)
+                                        : call.body(),
+                                call.secret()));
     }
 
-    private DispatchRequest toRequest(Call call) {
-        return new DispatchRequest(
-                call.id(),
-                call.caller().team(),
-                call.route(),
-                call.shape().promptTokens(),
-                call.shape().maxTokens(),
-                call.shape().prefixHash(),
-                false,
-                0,
-                time.nanoTime() + call.route().deadline().toNanos());
+    private CallWork work(GenerationRequest generation) {
+        DispatchRequest request =
+                new DispatchRequest(
+                        generation.id(),
+                        generation.team(),
+                        generation.route(),
+                        generation.prompt().length() / 4 + 1,
+                        generation.maxTokens(),
+                        0,
+                        true,
+                        generation.urgency(),
+                        services.time().nanoTime() + generation.route().deadline().toNanos());
+        int priority = generation.route().priority().engineValue() + generation.urgency();
+        byte[] body = EngineRequests.body(generation);
+        return new CallWork(
+                request,
+                Option.none(),
+                (attempt, upstream, resumeFrom) ->
+                        new UpstreamCall(
+                                EngineRequests.attemptId(generation.id(), attempt),
+                                upstream,
+                                UpstreamKind.ENGINE,
+                                "POST",
+                                "/v1/completions",
+                                JSON,
+                                EngineRequests.body(body, priority, resumeFrom),
+                                ShownSecret.none()));
     }
 
-    private void send(DispatchEvent event) {
-        Inbox<DispatchEvent> ring = inbox;
-        if (ring == null || !ring.offer(event)) {
-            LOG.warning("Ring is full; an event of type " + event.getClass() + " was lost.");
+    /** A call in progress and its registration by key, whichever of the two ends first. */
+    private static final class Running {
+        private final CallExchange exchange;
+        private AutoCloseable registration = () -> {};
+        private boolean ended;
+
+        private Running(CallExchange exchange) {
+            this.exchange = exchange;
+        }
+
+        private synchronized void registered(AutoCloseable newRegistration) {
+            registration = newRegistration;
+            if (ended) {
+                end();
+            }
+        }
+
+        private synchronized void end() {
+            ended = true;
+            try {
+                registration.close();
+            } catch (Exception e) {
+                throw new IllegalStateException("a registration closes without failures", e);
+            }
         }
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/dispatch/CallExchange.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/CallExchange.java
@@ -1,185 +1,235 @@
 package org.fuchsialever.node.dispatch;
 
-import io.vavr.control.Either;
-import java.util.function.Consumer;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.concurrent.TimeUnit;
+import org.fuchsialever.decisions.config.UpstreamSpec;
 import org.fuchsialever.decisions.dispatch.AttemptReport;
 import org.fuchsialever.decisions.dispatch.AttemptResult;
 import org.fuchsialever.decisions.dispatch.DispatchEvent;
+import org.fuchsialever.decisions.dispatch.RefusalReason;
+import org.fuchsialever.decisions.dispatch.stream.SpliceVerdict;
+import org.fuchsialever.decisions.dispatch.stream.TokenSplice;
 import org.fuchsialever.decisions.model.RequestId;
-import org.fuchsialever.frontend.Call;
-import org.fuchsialever.frontend.CallAnswer;
 import org.fuchsialever.frontend.Refusal;
-import org.fuchsialever.frontend.RefusedException;
-import org.fuchsialever.node.upstream.UpstreamException;
 import org.fuchsialever.node.upstream.UpstreamPart;
 import org.jspecify.annotations.Nullable;
-import org.reactivestreams.Subscription;
-import reactor.core.publisher.BaseSubscriber;
-import reactor.core.publisher.Flux;
-import reactor.core.publisher.FluxSink;
-import reactor.core.publisher.Mono;
-import reactor.core.publisher.Sinks;
 
 /**
- * One call in progress: passes the parts of the current attempt to the caller at the caller's pace
- * and reports the end of the attempt to the dispatch duty.
+ * One call in progress: passes the certain parts of its successive attempts to the target and
+ * reports progress and ends to the dispatch duty.
  */
-final class CallExchange {
-    private final Call call;
-    private final Consumer<DispatchEvent> events;
-    private final Sinks.One<Either<Refusal, CallAnswer>> answer = Sinks.one();
-    private @Nullable FluxSink<byte[]> body;
+final class CallExchange implements AnswerTarget.Source {
+    private static final long PROGRESS_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    private final CallWork work;
+    private final AnswerTarget target;
+    private final ExchangeServices services;
+    private final TokenSplice splice = new TokenSplice();
     private @Nullable Attempt current;
-    private boolean answered;
+    private int earlierPromptTokens;
+    private int earlierGeneratedTokens;
+    private int resumedFrom;
+    private long progressReportedNanos;
+    private boolean progressReported;
+    private boolean arrived;
+    private boolean begun;
     private boolean finished;
 
-    CallExchange(Call call, Consumer<DispatchEvent> events) {
-        this.call = call;
-        this.events = events;
+    CallExchange(CallWork work, AnswerTarget target, ExchangeServices services) {
+        this.work = work;
+        this.target = target;
+        this.services = services;
+        target.connect(this);
     }
 
-    Call call() {
-        return call;
+    RequestId id() {
+        return work.request().id();
     }
 
     /**
-     * Returns the beginning of the answer or a refusal; cancelling reports that the caller left.
+     * Tells the duty of the call, unless the call was ended before.
+     *
+     * @return whether the duty was told
      */
-    Mono<Either<Refusal, CallAnswer>> answer() {
-        return answer.asMono().doOnCancel(this::leave);
+    boolean arrive() {
+        synchronized (target) {
+            if (finished) {
+                return false;
+            }
+            arrived = true;
+            services.ring().send(new DispatchEvent.RequestArrived(work.request()));
+            return true;
+        }
     }
 
-    synchronized void start(int number, Flux<UpstreamPart> parts) {
-        Attempt attempt = new Attempt(number);
-        current = attempt;
-        parts.subscribe(attempt);
+    /**
+     * Starts an attempt. It continues from the last certain token, which may be further than the
+     * token that the duty knows of.
+     */
+    void start(int number, UpstreamSpec upstream) {
+        Attempt attempt;
+        synchronized (target) {
+            if (finished) {
+                return;
+            }
+            resumedFrom = splice.begin(number, upstream.id());
+            attempt =
+                    new Attempt(
+                            number,
+                            work.attempts().build(number, upstream, resumedFrom),
+                            services,
+                            this,
+                            target);
+            current = attempt;
+        }
+        attempt.start();
     }
 
-    synchronized void cancelAttempt(int number) {
-        Attempt attempt = current;
-        if (attempt != null && attempt.number == number) {
+    void cancelAttempt(int number) {
+        Attempt attempt;
+        synchronized (target) {
+            attempt = current;
+            if (attempt == null || attempt.number() != number) {
+                return;
+            }
             current = null;
-            attempt.cancel();
         }
+        attempt.stop();
     }
 
     /** Ends the call after its last part has been passed on. */
-    synchronized void finish() {
-        finished = true;
-        FluxSink<byte[]> sink = body;
-        if (sink != null) {
-            sink.complete();
+    void finish() {
+        synchronized (target) {
+            if (!finished) {
+                finished = true;
+                target.finish(
+                        new AnswerTarget.Summary(
+                                splice.ranges(), earlierPromptTokens, earlierGeneratedTokens));
+            }
         }
     }
 
-    synchronized void refuse(Refusal refusal) {
-        if (finished) {
-            return;
-        }
-        finished = true;
-        if (!answered) {
-            answered = true;
-            answer.tryEmitValue(Either.left(refusal));
-            return;
-        }
-        FluxSink<byte[]> sink = body;
-        if (sink != null) {
-            sink.error(new RefusedException(refusal));
+    void refuse(Refusal refusal) {
+        synchronized (target) {
+            if (!finished) {
+                finished = true;
+                target.refuse(refusal);
+            }
         }
     }
 
-    private synchronized void attach(FluxSink<byte[]> sink) {
-        body = sink;
-        sink.onRequest(demand -> requestMore());
-        sink.onCancel(this::leave);
-        if (finished) {
-            sink.complete();
+    /** Ends the call because its key was withdrawn; the duty cancels the work. */
+    void withdraw() {
+        synchronized (target) {
+            if (finished) {
+                return;
+            }
+            refuse(
+                    Refusal.of(
+                            arrived
+                                    ? RefusalReason.KEY_WITHDRAWN_DURING_CALL
+                                    : RefusalReason.KEY_WITHDRAWN));
+            if (arrived) {
+                services.ring().send(new DispatchEvent.CallerLeft(id()));
+            }
         }
     }
 
-    private synchronized void requestMore() {
-        Attempt attempt = current;
+    @Override
+    public void more() {
+        Attempt attempt;
+        synchronized (target) {
+            attempt = current;
+        }
         if (attempt != null) {
-            attempt.resume();
+            attempt.next();
         }
     }
 
-    private synchronized void leave() {
-        if (!finished) {
+    @Override
+    public void left() {
+        synchronized (target) {
+            if (finished) {
+                return;
+            }
             finished = true;
-            RequestId id = call.id();
-            events.accept(new DispatchEvent.CallerLeft(id));
+            services.ring().send(new DispatchEvent.CallerLeft(id()));
         }
     }
 
-    private synchronized void pass(Attempt attempt, UpstreamPart part) {
+    /** Takes a part of an attempt; called with the monitor of the target. */
+    void pass(Attempt attempt, UpstreamPart part) {
         if (attempt != current || finished) {
+            services.meters().latePart();
             return;
         }
         if (part instanceof UpstreamPart.Head head) {
-            answered = true;
-            Flux<byte[]> content = Flux.create(this::attach);
-            answer.tryEmitValue(
-                    Either.right(new CallAnswer(head.status(), head.headers(), content)));
-        } else if (part instanceof UpstreamPart.Content content) {
-            FluxSink<byte[]> sink = body;
-            if (sink != null) {
-                sink.next(content.bytes());
-                attempt.continueIf(sink.requestedFromDownstream() > 0);
+            if (!begun) {
+                begun = true;
+                target.head(head);
             }
+        } else if (part instanceof UpstreamPart.Content content) {
+            target.content(content.bytes());
+        } else if (part instanceof UpstreamPart.EngineEvent event && !passEvent(attempt, event)) {
+            attempt.end(AttemptResult.MALFORMED_ANSWER);
+            attempt.stop();
+            return;
         }
-    }
-
-    private void end(Attempt attempt, AttemptResult result) {
-        AttemptReport report = new AttemptReport(result, 0, 0, -1, 0);
-        events.accept(new DispatchEvent.AttemptEnded(call.id(), attempt.number, report));
-    }
-
-    /** Requests one part at a time, so that a slow caller slows its upstream down. */
-    private final class Attempt extends BaseSubscriber<UpstreamPart> {
-        private final int number;
-        private boolean paused = true;
-
-        private Attempt(int number) {
-            this.number = number;
-        }
-
-        @Override
-        protected void hookOnSubscribe(Subscription subscription) {
-            request(1);
+        if (target.wantsMore()) {
+            attempt.next();
         }
+    }
 
-        @Override
-        protected void hookOnNext(UpstreamPart part) {
-            pass(this, part);
+    /** Reports the end of an attempt; called with the monitor of the target. */
+    void ended(Attempt attempt, AttemptReport report) {
+        services.meters().ended(report.result());
+        if (attempt != current) {
+            return;
         }
+        current = null;
+        earlierPromptTokens += report.promptTokens();
+        earlierGeneratedTokens += report.generatedTokens();
+        services.ring().send(new DispatchEvent.AttemptEnded(id(), attempt.number(), report));
+    }
 
-        @Override
-        protected void hookOnComplete() {
-            end(this, AttemptResult.COMPLETED);
+    /** Returns false if the provenance of the event's token is in doubt. */
+    private boolean passEvent(Attempt attempt, UpstreamPart.EngineEvent event) {
+        if (event.chunk().isEmpty()) {
+            // Opening events without a token are repeated by each attempt.
+            if (splice.nextToken() == 0 || event.completionTokens() >= 0) {
+                target.event(withTotals(event));
+            }
+            return true;
         }
-
-        @Override
-        protected void hookOnError(Throwable failure) {
-            boolean known = failure instanceof UpstreamException;
-            end(
-                    this,
-                    known ? ((UpstreamException) failure).result() : AttemptResult.CONNECTION_LOST);
+        SpliceVerdict verdict = splice.accept(attempt.number(), event.chunk().get());
+        if (verdict == SpliceVerdict.DELIVER) {
+            target.event(withTotals(event));
+            reportProgress(attempt);
+        } else {
+            services.meters().dropped(verdict);
         }
+        return !verdict.isDoubt();
+    }
 
-        private void continueIf(boolean wanted) {
-            if (wanted) {
-                request(1);
-            } else {
-                paused = true;
-            }
+    /** The engine of a resumed attempt counts only its own tokens; the caller is told of all. */
+    private UpstreamPart.EngineEvent withTotals(UpstreamPart.EngineEvent event) {
+        if (resumedFrom > 0
+                && event.completionTokens() >= 0
+                && event.document().get("usage") instanceof ObjectNode usage) {
+            usage.put("completion_tokens", splice.nextToken());
         }
+        return event;
+    }
 
-        private void resume() {
-            if (paused) {
-                paused = false;
-                request(1);
-            }
+    private void reportProgress(Attempt attempt) {
+        long now = services.time().nanoTime();
+        if (!progressReported || now - progressReportedNanos >= PROGRESS_INTERVAL_NANOS) {
+            progressReported = true;
+            progressReportedNanos = now;
+            services.ring()
+                    .report(
+                            new DispatchEvent.AttemptProgressed(
+                                    id(), attempt.number(), splice.nextToken()));
         }
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/dispatch/DispatchComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/DispatchComponent.java
@@ -6,11 +6,17 @@
 import org.fuchsialever.frontend.CallPort;
 import org.fuchsialever.kernel.duty.Inbox;
 import org.fuchsialever.kernel.duty.OverflowPolicy;
+import org.fuchsialever.kernel.invariant.InvariantMonitor;
 import org.fuchsialever.kernel.plugin.Component;
 import org.fuchsialever.kernel.plugin.ComponentContext;
 import org.fuchsialever.kernel.settings.SettingsReader;
 import org.fuchsialever.node.config.ConfigHolder;
+import org.fuchsialever.node.generation.GenerationPort;
+import org.fuchsialever.node.keys.RunningCalls;
 import org.fuchsialever.node.upstream.HttpUpstreamClient;
+import org.fuchsialever.node.upstream.UpstreamTimeouts;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
 
 /** Runs the dispatch duty and carries out calls. */
 public final class DispatchComponent implements Component {
@@ -18,10 +24,10 @@
     private static final int DEFAULT_QUEUE_CAPACITY = 1_024;
     private static final int DEFAULT_MAX_CALLS = 4_096;
     private static final int MAX_CAPACITY = 1_000_000;
-    private static final int EVENTS_PER_CALL = 4;
 
     private int queueCapacity;
     private int maxCalls;
+    private UpstreamTimeouts timeouts = UpstreamTimeouts.DEFAULTS;
 
     @Override
     public String pluginName() {
@@ -30,12 +36,12 @@
 
     @Override
     public Set<Class<?>> requires() {
-        return Set.of(ConfigHolder.class);
+        return Set.of(ConfigHolder.class, InvariantMonitor.class, RunningCalls.class);
     }
 
     @Override
     public Set<Class<?>> provides() {
-        return Set.of(CallPort.class);
+        return Set.of(CallPort.class, GenerationPort.class, CallDrain.class);
     }
 
     @Override
@@ -45,23 +51,46 @@
                         settings.integer(
                                 SECTION, "queue-capacity", DEFAULT_QUEUE_CAPACITY, 1, MAX_CAPACITY);
         maxCalls = (int) settings.integer(SECTION, "max-calls", DEFAULT_MAX_CALLS, 1, MAX_CAPACITY);
+        UpstreamTimeouts defaults = UpstreamTimeouts.DEFAULTS;
+        timeouts =
+                new UpstreamTimeouts(
+                        settings.duration(SECTION, "engine-first-byte", defaults.engineFirstByte()),
+                        settings.duration(SECTION, "engine-progress", defaults.engineProgress()),
+                        settings.duration(SECTION, "plain-first-byte", defaults.plainFirstByte()),
+                        settings.duration(SECTION, "plain-progress", defaults.plainProgress()),
+                        settings.duration(SECTION, "probe-timeout", defaults.probe()));
     }
 
     @Override
     public void install(ComponentContext context) {
+        Scheduler timers = Schedulers.parallel();
         HttpUpstreamClient client =
-                context.closer().register("upstream connections", new HttpUpstreamClient());
+                context.closer()
+                        .register(
+                                "upstream connections",
+                                new HttpUpstreamClient(
+                                        context.require(InvariantMonitor.class),
+                                        timeouts.probe(),
+                                        timers));
+        ExchangeMeters meters = new ExchangeMeters(context.meters());
+        DispatchRing ring = new DispatchRing(meters);
         CallDispatcher dispatcher =
-                new CallDispatcher(maxCalls, client, context.time(), context.meters());
+                new CallDispatcher(
+                        maxCalls,
+                        context.require(RunningCalls.class),
+                        new ExchangeServices(
+                                client, timeouts, timers, context.time(), meters, ring));
         Inbox<DispatchEvent> inbox =
                 context.startDuty(
                         new DispatchDuty(queueCapacity),
-                        maxCalls * EVENTS_PER_CALL,
+                        DispatchRing.capacity(maxCalls),
                         OverflowPolicy.REFUSE,
                         dispatcher);
-        dispatcher.connect(inbox);
+        ring.connect(inbox);
         context.require(ConfigHolder.class)
-                .onChange(snapshot -> inbox.offer(new DispatchEvent.ConfigChanged(snapshot)));
+                .onChange(snapshot -> ring.send(new DispatchEvent.ConfigChanged(snapshot)));
         context.provide(CallPort.class, dispatcher);
+        context.provide(GenerationPort.class, dispatcher);
+        context.provide(CallDrain.class, dispatcher::drain);
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/http/FrontEndComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/http/FrontEndComponent.java
@@ -1,6 +1,7 @@
 package org.fuchsialever.node.http;
 
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -12,19 +13,23 @@
 import org.fuchsialever.frontend.CallPort;
 import org.fuchsialever.frontend.Endpoint;
 import org.fuchsialever.frontend.HttpFrontEnd;
+import org.fuchsialever.kernel.invariant.InvariantMonitor;
 import org.fuchsialever.kernel.plugin.Component;
 import org.fuchsialever.kernel.plugin.ComponentContext;
 import org.fuchsialever.kernel.settings.SettingsReader;
 import org.fuchsialever.node.NodeIdentity;
 import org.fuchsialever.node.config.ConfigHolder;
+import org.fuchsialever.node.dispatch.CallDrain;
 
 /** Opens the HTTP port for callers, trainers and operators. */
 public final class FrontEndComponent implements Component {
     private static final String SECTION = "node";
     private static final int MAX_PORT = 65_535;
+    private static final Duration DEFAULT_DRAIN_DEADLINE = Duration.ofSeconds(30);
 
     private String address = "";
     private int port;
+    private Duration drainDeadline = DEFAULT_DRAIN_DEADLINE;
 
     @Override
     public String pluginName() {
@@ -39,7 +44,9 @@
                 CallPort.class,
                 NodeIdentity.class,
                 Readiness.class,
-                Endpoints.class);
+                Endpoints.class,
+                CallDrain.class,
+                InvariantMonitor.class);
     }
 
     @Override
@@ -51,6 +58,7 @@
     public void configure(SettingsReader settings) {
         address = settings.requiredText(SECTION, "http-address");
         port = (int) settings.integer(SECTION, "http-port", 0, 0, MAX_PORT);
+        drainDeadline = settings.duration("limits", "drain-deadline", DEFAULT_DRAIN_DEADLINE);
     }
 
     @Override
@@ -66,6 +74,14 @@
         endpoints.add(callEndpoint(context));
         HttpFrontEnd frontEnd = new HttpFrontEnd(address, port, endpoints);
         context.closer().register("front end", frontEnd);
+        Drain drain =
+                new Drain(
+                        frontEnd,
+                        context.require(CallDrain.class),
+                        drainDeadline,
+                        context.require(InvariantMonitor.class));
+        readiness.require("not draining", () -> !drain.started());
+        context.closer().register("calls in progress", drain);
         context.provide(HttpFrontEnd.class, frontEnd);
     }
 
--- a/node/src/main/java/org/fuchsialever/node/keys/OpenRoutesComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/keys/OpenRoutesComponent.java
@@ -24,7 +24,7 @@
 
     @Override
     public Set<Class<?>> provides() {
-        return Set.of(Authenticator.class);
+        return Set.of(Authenticator.class, RunningCalls.class);
     }
 
     @Override
@@ -35,5 +35,6 @@
                         route.access() == Access.OPEN
                                 ? Either.right(Caller.anonymous())
                                 : Either.left(RefusalReason.KEYS_STALE));
+        context.provide(RunningCalls.class, (key, end) -> () -> {});
     }
 }
--- /dev/null
+++ b/node/src/test/java/org/fuchsialever/node/calls/PlainCallTest.java
@@ -0,0 +1,89 @@
+package org.fuchsialever.node.calls;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a second run, and a false "not run", of requests that may not be repeated. */
+class PlainCallTest extends CallFixture {
+
+    @Test
+    void reportsAnUnknownOutcomeWhenTheConnectionBreaksBeforeTheFirstByte() throws Exception {
+        desk.then((request, reply) -> reply.disconnect());
+
+        HttpResponse<String> answer = post("/book", "{}");
+
+        assertLostAfterOneRun(answer, 1);
+    }
+
+    @Test
+    void breaksTheAnswerWhenTheConnectionBreaksAfterTheFirstByte() {
+        desk.then(
+                (request, reply) -> {
+                    reply.raw("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart");
+                    reply.disconnect();
+                });
+
+        assertThrows(IOException.class, () -> post("/book", "{}"));
+        assertThat(desk.requests(), hasSize(1));
+    }
+
+    @Test
+    void doesNotSendAgainOnADeadReusedConnection() throws Exception {
+        desk.then((request, reply) -> reply.whole(200, "booked"))
+                .then((request, reply) -> reply.disconnect())
+                .then((request, reply) -> reply.whole(200, "booked twice"));
+
+        assertThat(post("/book", "{}").body(), is("booked"));
+        assertLostAfterOneRun(post("/book", "{}"), 2);
+    }
+
+    @Test
+    void saysNotRunWhenNoConnectionOpens() throws Exception {
+        desk.close();
+
+        HttpResponse<String> answer = post("/book", "{}");
+
+        assertThat(answer.statusCode(), is(503));
+        assertThat(answer.body(), containsString("\"not_run\":true"));
+    }
+
+    @Test
+    void believesAServiceThatSaysNotRun() throws Exception {
+        desk.then(
+                (request, reply) ->
+                        reply.raw(
+                                "HTTP/1.1 503 x\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n"));
+
+        assertThat(post("/book", "{}").body(), containsString("\"not_run\":true"));
+    }
+
+    @Test
+    void refusesRequestsThatContainTheSecretOfTheirKey() throws Exception {
+        String secret = "0123456789abcdef";
+        String[] key = {"Authorization", "Bearer fl_key-1_" + secret};
+
+        assertThat(post("/book", "{\"k\":\"" + secret + "\"}", key).statusCode(), is(400));
+        assertThat(post("/book?k=" + secret, "{}", key).statusCode(), is(400));
+        assertThat(post("/book?k=%30" + secret.substring(1), "{}", key).statusCode(), is(400));
+        assertThat(
+                post("/v1/completions", "{\"prompt\":\"\\u0030" + secret.substring(1) + "\"}", key)
+                        .body(),
+                containsString("malformed-body"));
+        assertThat(desk.requests(), hasSize(0));
+        assertThat(first.requests(), hasSize(0));
+    }
+
+    private void assertLostAfterOneRun(HttpResponse<String> answer, int requests) {
+        assertThat(answer.statusCode(), is(502));
+        assertThat(answer.body(), containsString("\"code\":\"answer-lost\""));
+        assertThat(answer.body(), containsString("\"not_run\":false"));
+        assertThat(desk.requests(), hasSize(requests));
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/fuchsialever/node/calls/ResumedCallTest.java
@@ -0,0 +1,160 @@
+package org.fuchsialever.node.calls;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.endsWith;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import org.fuchsialever.decisions.config.ConfigSnapshot;
+import org.fuchsialever.decisions.model.RequestId;
+import org.fuchsialever.decisions.model.TeamName;
+import org.fuchsialever.decisions.model.TokenRange;
+import org.fuchsialever.decisions.model.UpstreamId;
+import org.fuchsialever.decisions.model.WeightVersion;
+import org.fuchsialever.node.config.ConfigHolder;
+import org.fuchsialever.node.generation.Generation;
+import org.fuchsialever.node.generation.GenerationPort;
+import org.fuchsialever.node.generation.GenerationRequest;
+import org.junit.jupiter.api.Test;
+
+/** Guards against lost and doubled tokens when an engine or its connection fails. */
+class ResumedCallTest extends CallFixture {
+    @Test
+    void resumesAStreamWhoseEngineDies() throws Exception {
+        first.then(
+                (request, reply) -> {
+                    reply.beginStream();
+                    reply.tokens("a", 0, 3, 1);
+                    reply.disconnect();
+                });
+        secondCompletesFrom(3);
+
+        HttpResponse<String> answer = complete(true);
+
+        assertThat(words(answer.body()), is(ALL));
+        assertThat(answer.body(), endsWith("data: [DONE]\n\n"));
+        assertThat(answer.body(), containsString("\"completion_tokens\":6"));
+        assertThat(second.requests().get(0).body(), containsString("\"resume_from\":3"));
+    }
+
+    @Test
+    void takesAStreamWithoutItsEndMarkerForALostConnection() throws Exception {
+        first.then(
+                (request, reply) -> {
+                    reply.beginStream();
+                    reply.tokens("a", 0, 3, 1);
+                    reply.endStream();
+                });
+        secondCompletesFrom(3);
+
+        assertThat(words(complete(true).body()), is(ALL));
+    }
+
+    @Test
+    void continuesFromTheLastCertainTokenWhenAVersionIsMissing() throws Exception {
+        first.then(
+                (request, reply) -> {
+                    reply.beginStream();
+                    reply.tokens("a", 0, 2, 1);
+                    reply.event(
+                            "{\"choices\":[{\"text\":\"doubtful\"}],\"engine\":{\"start\":\"a\","
+                                    + "\"token_index\":2}}");
+                    reply.staySilent();
+                });
+        secondCompletesFrom(2);
+
+        HttpResponse<String> answer = complete(true);
+
+        assertThat(words(answer.body()), is(ALL));
+        assertThat(answer.body(), not(containsString("doubtful")));
+    }
+
+    @Test
+    void resumesACallThatAskedForAWholeAnswer() throws Exception {
+        first.then(
+                (request, reply) -> {
+                    reply.beginStream();
+                    reply.tokens("a", 0, 3, 1);
+                    reply.disconnect();
+                });
+        secondCompletesFrom(3);
+
+        HttpResponse<String> answer = complete(false);
+
+        assertThat(answer.statusCode(), is(200));
+        assertThat(words(answer.body()), is(ALL));
+        assertThat(first.requests().get(0).body(), containsString("\"stream\":true"));
+        assertThat(answer.body(), containsString("{\"from\":0,\"to\":3,\"weight_version\":1}"));
+    }
+
+    @Test
+    void asksAnotherEngineWhenOneDoesNotAdmitARequest() throws Exception {
+        first.then((request, reply) -> reply.whole(429, "{\"error\":{\"code\":\"not_admitted\"}}"));
+        secondCompletesFrom(0);
+
+        assertThat(words(complete(true).body()), is(ALL));
+    }
+
+    @Test
+    void sendsItsOwnPriorityAndTheIdentityOfTheRequest() throws Exception {
+        first.then(
+                (request, reply) -> {
+                    reply.beginStream();
+                    reply.tokens("a", 0, 1, 1);
+                    reply.done();
+                });
+
+        HttpResponse<String> answer = complete(true);
+
+        ScriptedUpstream.Request request = first.requests().get(0);
+        assertThat(request.body(), containsString("\"priority\":100"));
+        assertThat(
+                request.headers().get("X-Request-Id"),
+                is(answer.headers().firstValue("X-Request-Id").orElse("")));
+    }
+
+    @Test
+    void generatesASampleWithTheRangesOfBothEngines() throws Exception {
+        first.then(
+                (request, reply) -> {
+                    reply.beginStream();
+                    reply.tokens("a", 0, 2, 4);
+                    reply.tokens("a", 2, 3, 5);
+                    reply.disconnect();
+                });
+        secondCompletesFrom(3);
+        ConfigSnapshot config = node.service(ConfigHolder.class).current().get();
+        GenerationRequest request =
+                new GenerationRequest(
+                        new RequestId("sample-1"),
+                        config.routeFor("/v1/completions").get(),
+                        new TeamName("team"),
+                        "p",
+                        6,
+                        2);
+
+        Generation generation =
+                node.service(GenerationPort.class)
+                        .generate(request)
+                        .blockOptional(Duration.ofSeconds(30))
+                        .orElseThrow();
+
+        assertThat(generation.text(), is(ALL));
+        assertThat(generation.generatedTokens(), is(6));
+        assertThat(generation.promptTokens(), is(9));
+        assertThat(
+                generation.ranges(),
+                contains(
+                        range(0, 2, 4, "engine-1"),
+                        range(2, 3, 5, "engine-1"),
+                        range(3, 6, 2, "engine-2")));
+    }
+
+    private static TokenRange range(int from, int to, int version, String upstream) {
+        return new TokenRange(from, to, new WeightVersion(version), new UpstreamId(upstream));
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/fuchsialever/node/dispatch/CallDispatcherTest.java
@@ -0,0 +1,318 @@
+package org.fuchsialever.node.dispatch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.fuchsialever.decisions.config.Access;
+import org.fuchsialever.decisions.config.CapacityKind;
+import org.fuchsialever.decisions.config.Fencing;
+import org.fuchsialever.decisions.config.Priority;
+import org.fuchsialever.decisions.config.Route;
+import org.fuchsialever.decisions.config.RouteKind;
+import org.fuchsialever.decisions.config.UpstreamSpec;
+import org.fuchsialever.decisions.config.UpstreamState;
+import org.fuchsialever.decisions.dispatch.AttemptResult;
+import org.fuchsialever.decisions.dispatch.DispatchAction;
+import org.fuchsialever.decisions.dispatch.DispatchEvent;
+import org.fuchsialever.decisions.dispatch.Outcome;
+import org.fuchsialever.decisions.dispatch.RefusalReason;
+import org.fuchsialever.decisions.model.FailureDomain;
+import org.fuchsialever.decisions.model.KeyId;
+import org.fuchsialever.decisions.model.PoolName;
+import org.fuchsialever.decisions.model.RequestId;
+import org.fuchsialever.decisions.model.RouteName;
+import org.fuchsialever.decisions.model.TeamName;
+import org.fuchsialever.decisions.model.UpstreamId;
+import org.fuchsialever.frontend.Call;
+import org.fuchsialever.frontend.CallAnswer;
+import org.fuchsialever.frontend.CallShape;
+import org.fuchsialever.frontend.Caller;
+import org.fuchsialever.frontend.Refusal;
+import org.fuchsialever.frontend.RefusedException;
+import org.fuchsialever.frontend.ShownSecret;
+import org.fuchsialever.kernel.duty.Inbox;
+import org.fuchsialever.kernel.duty.OverflowPolicy;
+import org.fuchsialever.kernel.time.ManualTimeSource;
+import org.fuchsialever.node.upstream.UpstreamPart;
+import org.fuchsialever.node.upstream.UpstreamTimeouts;
+import org.junit.jupiter.api.Test;
+import org.reactivestreams.Subscription;
+import reactor.core.publisher.BaseSubscriber;
+
+/** Guards the passage of parts and events between callers, the duty and upstreams. */
+class CallDispatcherTest {
+    private static final int MAX_CALLS = 50;
+    private static final RequestId ID = new RequestId("r-1");
+    private static final UpstreamSpec ENGINE =
+            new UpstreamSpec(
+                    new UpstreamId("engine-1"),
+                    new PoolName("small"),
+                    "127.0.0.1",
+                    1,
+                    new FailureDomain("fd-1"),
+                    CapacityKind.REGULAR,
+                    8,
+                    Fencing.IGNORED,
+                    UpstreamState.SERVING);
+
+    private final ManualTimeSource time = new ManualTimeSource(0);
+    private final ManualScheduler timers = new ManualScheduler(time);
+    private final ManualUpstreams upstreams = new ManualUpstreams();
+    private final SimpleMeterRegistry meters = new SimpleMeterRegistry();
+    private final ExchangeMeters exchangeMeters = new ExchangeMeters(meters);
+    private final DispatchRing ring = new DispatchRing(exchangeMeters);
+    private final Inbox<DispatchEvent> inbox =
+            new Inbox<>(DispatchRing.capacity(MAX_CALLS), OverflowPolicy.REFUSE);
+    private final List<Runnable> withdrawals = new ArrayList<>();
+    private final CallDispatcher dispatcher =
+            new CallDispatcher(
+                    MAX_CALLS,
+                    (key, end) -> {
+                        withdrawals.add(end);
+                        return () -> {};
+                    },
+                    new ExchangeServices(
+                            upstreams,
+                            UpstreamTimeouts.DEFAULTS,
+                            timers,
+                            time,
+                            exchangeMeters,
+                            ring));
+    private final Body body = new Body();
+
+    CallDispatcherTest() {
+        ring.connect(inbox);
+    }
+
+    @Test
+    void endsAnAttemptOnASilentConnectionAfterAProbe() {
+        stream();
+        body.request(10);
+        upstreams.token(0, 0);
+        events();
+
+        timers.advance(Duration.ofMillis(1_999));
+        assertThat(upstreams.probes, is(0));
+        timers.advance(Duration.ofMillis(1));
+
+        assertThat(upstreams.probes, is(1));
+        assertThat(upstreams.cancelled, contains(ID));
+        assertThat(upstreams.streams.get(0).isCancelled(), is(true));
+        DispatchEvent.AttemptEnded ended = ends().get(0);
+        assertThat(ended.report().result(), is(AttemptResult.SILENT));
+        assertThat(ended.report().generatedTokens(), is(1));
+        assertThat(ended.report().totalNanos(), is(Duration.ofSeconds(2).toNanos()));
+    }
+
+    @Test
+    void keepsAnAttemptWhoseTokensArriveInTime() {
+        stream();
+        body.request(100);
+        for (int i = 0; i < 20; i++) {
+            upstreams.token(0, i);
+            timers.advance(Duration.ofMillis(1_900));
+        }
+
+        assertThat(upstreams.probes, is(0));
+    }
+
+    @Test
+    void doesNotTakeASlowCallerForASilentUpstream() {
+        stream();
+        body.request(1);
+        upstreams.token(0, 0);
+        upstreams.token(0, 1);
+
+        timers.advance(Duration.ofMinutes(5));
+
+        assertThat(upstreams.probes, is(0));
+        assertThat(body.received, hasSize(1));
+    }
+
+    @Test
+    void requestsNoMoreFromTheUpstreamThanTheCallerTakes() {
+        stream();
+        body.request(2);
+        upstreams.token(0, 0);
+        upstreams.token(0, 1);
+
+        assertThat(upstreams.streams.get(0).requestedFromDownstream(), is(0L));
+        body.request(1);
+        assertThat(upstreams.streams.get(0).requestedFromDownstream(), is(1L));
+    }
+
+    @Test
+    void dropsAndCountsPartsOfAnEarlierAttempt() {
+        stream();
+        body.request(10);
+        upstreams.token(0, 0);
+        dispatcher.emit(new DispatchAction.StartAttempt(ID, 2, ENGINE, 0));
+        upstreams.token(0, 1);
+        upstreams.head(1);
+        upstreams.token(1, 0);
+        upstreams.token(1, 1);
+
+        assertThat(body.received, hasSize(2));
+        assertThat(meters.counter("fuchsialever.late.parts").count(), is(1.0));
+        assertThat(
+                meters.counter("fuchsialever.tokens.dropped", "reason", "duplicate").count(),
+                is(1.0));
+        assertThat(
+                new String(upstreams.calls.get(1).body(), StandardCharsets.UTF_8),
+                containsString("\"resume_from\":1"));
+    }
+
+    @Test
+    void reportsProgressAtMostFourTimesASecond() {
+        stream();
+        body.request(1_000);
+        events();
+        for (int i = 0; i < 100; i++) {
+            upstreams.token(0, i);
+            timers.advance(Duration.ofMillis(10));
+        }
+
+        assertThat(
+                events().stream().filter(DispatchEvent.AttemptProgressed.class::isInstance).count(),
+                is(4L));
+    }
+
+    @Test
+    void losesNoEndWhenTheDutyStandsStillAndReportsFillTheRing() {
+        List<RequestId> ids = new ArrayList<>();
+        for (int i = 0; i < MAX_CALLS + 1; i++) {
+            RequestId id = new RequestId("r-" + i);
+            ids.add(id);
+            dispatcher.call(call(id)).subscribe(Either::isRight);
+        }
+        for (RequestId id : ids) {
+            dispatcher.emit(new DispatchAction.StartAttempt(id, 1, ENGINE, 0));
+        }
+        for (int i = 0; i < 10_000; i++) {
+            ring.report(new DispatchEvent.UpstreamProbed(ENGINE.id(), true));
+        }
+        for (int i = 0; i < MAX_CALLS; i++) {
+            upstreams.streams.get(i).complete();
+        }
+        withdrawals.forEach(Runnable::run);
+
+        List<DispatchEvent> events = events();
+        assertThat(upstreams.streams, hasSize(MAX_CALLS));
+        assertThat(
+                events.stream().filter(DispatchEvent.AttemptEnded.class::isInstance).count(),
+                is((long) MAX_CALLS));
+        assertThat(
+                events.stream().filter(DispatchEvent.CallerLeft.class::isInstance).count(),
+                is((long) MAX_CALLS));
+        assertThat(meters.counter("fuchsialever.dispatch.events.lost").count(), is(0.0));
+        assertThat(inbox.overflows(), is(0L));
+    }
+
+    @Test
+    void endsARunningStreamWhoseKeyIsWithdrawn() {
+        stream();
+        body.request(10);
+        upstreams.token(0, 0);
+        events();
+
+        withdrawals.get(0).run();
+        dispatcher.emit(new DispatchAction.CancelAttempt(ID, 1));
+        dispatcher.emit(new DispatchAction.Finish(ID, Outcome.UNKNOWN));
+
+        assertThat(body.refusals, contains(RefusalReason.KEY_WITHDRAWN_DURING_CALL));
+        assertThat(events(), contains(new DispatchEvent.CallerLeft(ID)));
+        assertThat(upstreams.cancelled, contains(ID));
+        assertThat(dispatcher.callsInProgress(), is(0));
+    }
+
+    private void stream() {
+        dispatcher.call(call(ID)).map(Either::get).flatMapMany(CallAnswer::body).subscribe(body);
+        dispatcher.emit(new DispatchAction.StartAttempt(ID, 1, ENGINE, 0));
+        upstreams.head(0);
+    }
+
+    private List<DispatchEvent> events() {
+        List<DispatchEvent> events = new ArrayList<>();
+        DispatchEvent event = inbox.poll();
+        while (event != null) {
+            events.add(event);
+            event = inbox.poll();
+        }
+        return events;
+    }
+
+    private List<DispatchEvent.AttemptEnded> ends() {
+        return events().stream()
+                .filter(DispatchEvent.AttemptEnded.class::isInstance)
+                .map(DispatchEvent.AttemptEnded.class::cast)
+                .toList();
+    }
+
+    private static Call call(RequestId id) {
+        Route route =
+                new Route(
+                        new RouteName("chat"),
+                        "/v1/completions",
+                        RouteKind.LIVE,
+                        new PoolName("small"),
+                        Access.OPEN,
+                        Set.of(),
+                        true,
+                        Priority.LIVE,
+                        Duration.ofMinutes(1),
+                        1_000);
+        return new Call(
+                id,
+                route,
+                new Caller(new TeamName("team"), Option.some(new KeyId("key-1"))),
+                "POST",
+                "/v1/completions",
+                List.of(),
+                "{\"prompt\":\"p\"}".getBytes(StandardCharsets.UTF_8),
+                new CallShape(true, 1, 8, 0),
+                Option.none(),
+                ShownSecret.none());
+    }
+
+    /** A caller that takes as much of an answer as it is told to. */
+    private static final class Body extends BaseSubscriber<byte[]> {
+        private final List<byte[]> received = new ArrayList<>();
+        private final List<RefusalReason> refusals = new ArrayList<>();
+
+        @Override
+        protected void hookOnSubscribe(Subscription subscription) {}
+
+        @Override
+        protected void hookOnNext(byte[] bytes) {
+            received.add(bytes);
+        }
+
+        @Override
+        protected void hookOnError(Throwable failure) {
+            if (failure instanceof RefusedException refused) {
+                Refusal refusal = refused.refusal();
+                refusals.add(refusal.reason());
+            }
+        }
+    }
+
+    @Test
+    void passesOnAnAnswerThatIsNotAStream() {
+        stream();
+        body.request(2);
+        upstreams.streams.get(0).next(new UpstreamPart.Content(new byte[] {1}));
+
+        assertThat(body.received, hasSize(1));
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/fuchsialever/node/dispatch/ManualScheduler.java
@@ -0,0 +1,60 @@
+package org.fuchsialever.node.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.fuchsialever.kernel.time.ManualTimeSource;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
+import reactor.core.scheduler.Scheduler;
+
+/** Runs delayed tasks when a manual clock reaches their time. */
+final class ManualScheduler implements Scheduler {
+    private final ManualTimeSource time;
+    private final List<Task> tasks = new ArrayList<>();
+
+    ManualScheduler(ManualTimeSource time) {
+        this.time = time;
+    }
+
+    void advance(Duration delta) {
+        long end = time.nanoTime() + delta.toNanos();
+        Task next = nextUntil(end);
+        while (next != null) {
+            tasks.remove(next);
+            time.advanceNanos(next.atNanos - time.nanoTime());
+            next.action.run();
+            next = nextUntil(end);
+        }
+        time.advanceNanos(end - time.nanoTime());
+    }
+
+    @Override
+    public Disposable schedule(Runnable action) {
+        action.run();
+        return Disposables.disposed();
+    }
+
+    @Override
+    public Disposable schedule(Runnable action, long delay, TimeUnit unit) {
+        Task task = new Task(action, time.nanoTime() + unit.toNanos(delay));
+        tasks.add(task);
+        return () -> tasks.remove(task);
+    }
+
+    @Override
+    public Worker createWorker() {
+        throw new UnsupportedOperationException("attempts schedule without workers");
+    }
+
+    private @org.jspecify.annotations.Nullable Task nextUntil(long end) {
+        return tasks.stream()
+                .filter(task -> task.atNanos <= end)
+                .min(Comparator.comparingLong(Task::atNanos))
+                .orElse(null);
+    }
+
+    private record Task(Runnable action, long atNanos) {}
+}
