Claim calls with an Idempotency-Key before they run

A call that may not be repeated can be sent again by its caller under an Idempotency-Key. A claim row is committed before dispatch; a repeated call gets the stored outcome, and a lost answer of the commit is resolved by repeating it and reading back. Without the component the call is refused as not run. A refusal after the head of an answer no longer tries to write a second head.

--- a/frontend/src/main/java/org/fuchsialever/frontend/CallEndpoint.java
+++ b/frontend/src/main/java/org/fuchsialever/frontend/CallEndpoint.java
@@ -66,7 +66,10 @@
                 .flatMap(call -> calls.call(call).flatMap(result -> respond(response, id, result)))
                 .onErrorResume(
                         RefusedException.class,
-                        refused -> answers.refuse(response, refused.refusal(), id.value()));
+                        refused ->
+                                response.hasSentHeaders()
+                                        ? Mono.error(refused)
+                                        : answers.refuse(response, refused.refusal(), id.value()));
     }
 
     private Mono<Call> admit(HttpServerRequest request, RequestId id) {
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/claims/ClaimsComponent.java
@@ -0,0 +1,57 @@
+package org.fuchsialever.node.claims;
+
+import java.time.Duration;
+import java.util.Set;
+import org.fuchsialever.kernel.plugin.Component;
+import org.fuchsialever.kernel.plugin.ComponentContext;
+import org.fuchsialever.kernel.settings.SettingsReader;
+import org.fuchsialever.platform.Platform;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
+
+/** Claims calls with an Idempotency-Key in the table service. */
+public final class ClaimsComponent implements Component {
+    private static final String SECTION = "limits";
+    private static final long DEFAULT_ROW_BYTES = 16 * 1_024;
+    private static final long DEFAULT_OBJECT_BYTES = 1_024 * 1_024;
+    private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(1);
+
+    private OutcomeStore.Limits limits =
+            new OutcomeStore.Limits(
+                    (int) DEFAULT_ROW_BYTES, (int) DEFAULT_OBJECT_BYTES, DEFAULT_TIMEOUT);
+
+    @Override
+    public String pluginName() {
+        return "claims";
+    }
+
+    @Override
+    public Set<Class<?>> requires() {
+        return Set.of(Platform.class, ClaimGate.class);
+    }
+
+    @Override
+    public Set<Class<?>> provides() {
+        return Set.of();
+    }
+
+    @Override
+    public void configure(SettingsReader settings) {
+        limits =
+                new OutcomeStore.Limits(
+                        (int) settings.size(SECTION, "claim-row-body", DEFAULT_ROW_BYTES),
+                        (int) settings.size(SECTION, "claim-object-body", DEFAULT_OBJECT_BYTES),
+                        settings.duration(SECTION, "claim-timeout", DEFAULT_TIMEOUT));
+    }
+
+    @Override
+    public void install(ComponentContext context) {
+        Platform platform = context.require(Platform.class);
+        Scheduler timers = Schedulers.parallel();
+        OutcomeStore outcomes = new OutcomeStore(platform, limits, timers, context.meters());
+        context.require(ClaimGate.class)
+                .open(
+                        new ClaimedCalls(
+                                platform, outcomes, limits.timeout(), context.time(), timers));
+    }
+}
--- a/node/src/main/java/org/fuchsialever/node/dispatch/DispatchComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/DispatchComponent.java
@@ -10,6 +10,7 @@
 import org.fuchsialever.kernel.plugin.Component;
 import org.fuchsialever.kernel.plugin.ComponentContext;
 import org.fuchsialever.kernel.settings.SettingsReader;
+import org.fuchsialever.node.claims.ClaimGate;
 import org.fuchsialever.node.config.ConfigHolder;
 import org.fuchsialever.node.generation.GenerationPort;
 import org.fuchsialever.node.keys.RunningCalls;
@@ -41,7 +42,7 @@
 
     @Override
     public Set<Class<?>> provides() {
-        return Set.of(CallPort.class, GenerationPort.class, CallDrain.class);
+        return Set.of(CallPort.class, ClaimGate.class, GenerationPort.class, CallDrain.class);
     }
 
     @Override
@@ -89,7 +90,9 @@
         ring.connect(inbox);
         context.require(ConfigHolder.class)
                 .onChange(snapshot -> ring.send(new DispatchEvent.ConfigChanged(snapshot)));
-        context.provide(CallPort.class, dispatcher);
+        ClaimGate gate = new ClaimGate(dispatcher);
+        context.provide(CallPort.class, gate);
+        context.provide(ClaimGate.class, gate);
         context.provide(GenerationPort.class, dispatcher);
         context.provide(CallDrain.class, dispatcher::drain);
     }
--- /dev/null
+++ b/node/src/test/java/org/fuchsialever/node/claims/TableServiceFake.java
@@ -0,0 +1,64 @@
+package org.fuchsialever.node.claims;
+
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.fuchsialever.platform.Commit;
+import org.fuchsialever.platform.CommitResult;
+import org.fuchsialever.platform.PlatformException;
+import org.fuchsialever.platform.Row;
+import org.fuchsialever.platform.TableService;
+import reactor.core.publisher.Mono;
+
+/** A table service in memory that can lose answers and be out of reach. */
+final class TableServiceFake implements TableService {
+    final Map<String, Row> rows = new HashMap<>();
+    int lostAnswers;
+    boolean down;
+    private long version;
+
+    @Override
+    public Mono<Option<Row>> read(String table, String key) {
+        return Mono.fromSupplier(() -> Option.of(rows.get(key)));
+    }
+
+    @Override
+    public Mono<List<Row>> scan(String table, String prefix, long afterVersion) {
+        return Mono.error(new UnsupportedOperationException("claims are not scanned"));
+    }
+
+    @Override
+    public Mono<CommitResult> commit(Commit commit) {
+        return Mono.fromSupplier(() -> apply(commit));
+    }
+
+    private CommitResult apply(Commit commit) {
+        if (down) {
+            throw new PlatformException(PlatformException.Effect.NONE, "not reached");
+        }
+        List<Row> conflicts = new ArrayList<>();
+        for (Commit.Condition condition : commit.conditions()) {
+            Row row = rows.get(condition.key());
+            if ((row == null ? 0 : row.version()) != condition.version()) {
+                if (row != null) {
+                    conflicts.add(row);
+                }
+                return new CommitResult.Conflict(conflicts);
+            }
+        }
+        version++;
+        for (Commit.Put put : commit.puts()) {
+            rows.put(
+                    put.key(),
+                    new Row(put.table(), put.key(), version, put.value(), commit.writer()));
+        }
+        commit.deletes().forEach(delete -> rows.remove(delete.key()));
+        if (lostAnswers > 0) {
+            lostAnswers--;
+            throw new PlatformException(PlatformException.Effect.UNKNOWN, "answer lost");
+        }
+        return new CommitResult.Committed(version);
+    }
+}
