Check repeated attempts and "not run" where calls change state

The exchange knows which attempts may have run, so it refuses to send a second attempt of a request that may not be repeated and corrects a refusal that would falsely say "not run"; both count as violations. A claimed call whose caller leaves is stored as unknown.

--- a/node/src/main/java/org/fuchsialever/node/claims/ClaimedCalls.java
+++ b/node/src/main/java/org/fuchsialever/node/claims/ClaimedCalls.java
@@ -70,7 +70,10 @@
         }
         if (action instanceof ClaimAction.Run run) {
             HeldClaim held = new HeldClaim(request.row, run.version(), request.claim);
-            return request.calls.call(request.call).flatMap(result -> outcomes.keep(held, result));
+            return request.calls
+                    .call(request.call)
+                    .doOnCancel(() -> outcomes.abandoned(held).subscribe())
+                    .flatMap(result -> outcomes.keep(held, result));
         }
         if (action instanceof ClaimAction.Replay replay) {
             return replay(ClaimCodec.decodeOutcome(replay.outcome()));
--- a/node/src/main/java/org/fuchsialever/node/claims/OutcomeStore.java
+++ b/node/src/main/java/org/fuchsialever/node/claims/OutcomeStore.java
@@ -54,6 +54,11 @@
                         new CallAnswer(answer.status(), answer.headers(), body(held, answer))));
     }
 
+    /** The caller left before the end of the answer; whether the call ran stays unknown. */
+    Mono<Void> abandoned(HeldClaim held) {
+        return refused(held, RefusalReason.ANSWER_LOST);
+    }
+
     private Flux<byte[]> body(HeldClaim held, CallAnswer answer) {
         return Flux.defer(
                 () -> {
@@ -68,7 +73,7 @@
                                     failure ->
                                             refused(held, failure.refusal().reason())
                                                     .thenMany(Flux.error(failure)))
-                            .doOnCancel(() -> refused(held, RefusalReason.ANSWER_LOST).subscribe());
+                            .doOnCancel(() -> abandoned(held).subscribe());
                 });
     }
 
--- a/node/src/main/java/org/fuchsialever/node/dispatch/CallDispatcher.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/CallDispatcher.java
@@ -82,17 +82,18 @@
                 () -> {
                     CollectingTarget<Generation> target =
                             new CollectingTarget<>(new GenerationForm());
-                    return submit(work(request), target, target.answer())
-                            .flatMap(
-                                    result ->
-                                            result.isRight()
-                                                    ? Mono.just(result.get())
-                                                    : Mono.error(
-                                                            new RefusedException(
-                                                                    result.getLeft())));
+                    return submit(work(request), target, target.answer()).flatMap(this::generated);
                 });
     }
 
+    private Mono<Generation> generated(Either<Refusal, Generation> result) {
+        if (result.isRight()) {
+            return Mono.just(result.get());
+        }
+        services.meters().generationRefused(result.getLeft().reason());
+        return Mono.error(new RefusedException(result.getLeft()));
+    }
+
     @Override
     public void emit(DispatchAction action) {
         if (action instanceof DispatchAction.StartAttempt start) {
--- a/node/src/main/java/org/fuchsialever/node/dispatch/CallExchange.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/CallExchange.java
@@ -6,11 +6,13 @@
 import org.fuchsialever.decisions.dispatch.AttemptReport;
 import org.fuchsialever.decisions.dispatch.AttemptResult;
 import org.fuchsialever.decisions.dispatch.DispatchEvent;
+import org.fuchsialever.decisions.dispatch.Outcome;
 import org.fuchsialever.decisions.dispatch.RefusalReason;
 import org.fuchsialever.decisions.dispatch.stream.SpliceVerdict;
 import org.fuchsialever.decisions.dispatch.stream.TokenSplice;
 import org.fuchsialever.decisions.model.RequestId;
 import org.fuchsialever.frontend.Refusal;
+import org.fuchsialever.kernel.invariant.Invariant;
 import org.fuchsialever.node.upstream.UpstreamPart;
 import org.jspecify.annotations.Nullable;
 
@@ -33,6 +35,8 @@
     private boolean progressReported;
     private boolean arrived;
     private boolean begun;
+    private boolean completed;
+    private int attemptsThatMayHaveRun;
     private boolean finished;
 
     CallExchange(CallWork work, AnswerTarget target, ExchangeServices services) {
@@ -72,6 +76,11 @@
             if (finished) {
                 return;
             }
+            if (attemptsThatMayHaveRun > 0 && !mayRepeat()) {
+                refuseToRepeat(number);
+                return;
+            }
+            attemptsThatMayHaveRun++;
             resumedFrom = splice.begin(number, upstream.id());
             attempt =
                     new Attempt(
@@ -102,6 +111,11 @@
         synchronized (target) {
             if (!finished) {
                 finished = true;
+                services.invariants()
+                        .check(
+                                Invariant.ANSWER_WHOLE_AND_OWN,
+                                completed,
+                                () -> "request " + id() + " ended without a completed attempt");
                 target.finish(
                         new AnswerTarget.Summary(
                                 splice.ranges(), earlierPromptTokens, earlierGeneratedTokens));
@@ -113,7 +127,7 @@
         synchronized (target) {
             if (!finished) {
                 finished = true;
-                target.refuse(refusal);
+                target.refuse(truthful(refusal));
             }
         }
     }
@@ -187,11 +201,40 @@
             return;
         }
         current = null;
+        completed = report.result() == AttemptResult.COMPLETED;
+        if (report.result().outcome() == Outcome.NOT_RUN) {
+            attemptsThatMayHaveRun--;
+        }
         earlierPromptTokens += report.promptTokens();
         earlierGeneratedTokens += report.generatedTokens();
         services.ring().send(new DispatchEvent.AttemptEnded(id(), attempt.number(), report));
     }
 
+    /** Generations run again with every resumption; only other requests depend on their route. */
+    private boolean mayRepeat() {
+        return work.request().resumable() || work.request().route().repeatable();
+    }
+
+    private void refuseToRepeat(int number) {
+        services.invariants()
+                .violated(Invariant.AT_MOST_ONCE, "attempt " + number + " of request " + id());
+        AttemptReport report = new AttemptReport(AttemptResult.CONNECTION_LOST, 0, 0, -1, 0);
+        services.ring().send(new DispatchEvent.AttemptEnded(id(), number, report));
+    }
+
+    /** A refusal must not say "not run" if an attempt may have run. */
+    private Refusal truthful(Refusal refusal) {
+        boolean saysNotRun = refusal.reason().outcome() == Outcome.NOT_RUN;
+        if (!saysNotRun || attemptsThatMayHaveRun == 0) {
+            return refusal;
+        }
+        services.invariants()
+                .violated(
+                        Invariant.NOT_RUN_IS_TRUE,
+                        "refusal " + refusal.reason().code() + " of request " + id());
+        return Refusal.of(RefusalReason.ANSWER_LOST);
+    }
+
     /** Returns false if the provenance of the event's token is in doubt. */
     private boolean passEvent(Attempt attempt, UpstreamPart.EngineEvent event) {
         if (event.chunk().isEmpty()) {
--- a/node/src/main/java/org/fuchsialever/node/dispatch/DispatchComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/DispatchComponent.java
@@ -80,7 +80,13 @@
                         maxCalls,
                         context.require(RunningCalls.class),
                         new ExchangeServices(
-                                client, timeouts, timers, context.time(), meters, ring));
+                                client,
+                                timeouts,
+                                timers,
+                                context.time(),
+                                meters,
+                                context.require(InvariantMonitor.class),
+                                ring));
         Inbox<DispatchEvent> inbox =
                 context.startDuty(
                         new DispatchDuty(queueCapacity),
--- a/node/src/main/java/org/fuchsialever/node/dispatch/ExchangeMeters.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/ExchangeMeters.java
@@ -5,6 +5,7 @@
 import java.util.EnumMap;
 import java.util.Map;
 import org.fuchsialever.decisions.dispatch.AttemptResult;
+import org.fuchsialever.decisions.dispatch.RefusalReason;
 import org.fuchsialever.decisions.dispatch.RetryReason;
 import org.fuchsialever.decisions.dispatch.stream.SpliceVerdict;
 
@@ -13,6 +14,7 @@
     private final Map<SpliceVerdict, Counter> verdicts = new EnumMap<>(SpliceVerdict.class);
     private final Map<RetryReason, Counter> retries = new EnumMap<>(RetryReason.class);
     private final Map<AttemptResult, Counter> attempts = new EnumMap<>(AttemptResult.class);
+    private final Map<RefusalReason, Counter> refusals = new EnumMap<>(RefusalReason.class);
     private final Counter lateParts;
     private final Counter droppedReports;
     private final Counter lostEvents;
@@ -34,6 +36,11 @@
             String name = result.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
             attempts.put(result, meters.counter("fuchsialever.attempts", "result", name));
         }
+        for (RefusalReason reason : RefusalReason.values()) {
+            refusals.put(
+                    reason,
+                    meters.counter("fuchsialever.generation.refusals", "reason", reason.code()));
+        }
         lateParts = meters.counter("fuchsialever.late.parts");
         droppedReports = meters.counter("fuchsialever.dispatch.reports.dropped");
         lostEvents = meters.counter("fuchsialever.dispatch.events.lost");
@@ -53,6 +60,11 @@
         increment(attempts.get(result));
     }
 
+    /** Counts a refused generation; refused calls are counted where they are answered. */
+    void generationRefused(RefusalReason reason) {
+        increment(refusals.get(reason));
+    }
+
     void latePart() {
         lateParts.increment();
     }
--- a/node/src/main/java/org/fuchsialever/node/dispatch/ExchangeServices.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/ExchangeServices.java
@@ -1,5 +1,6 @@
 package org.fuchsialever.node.dispatch;
 
+import org.fuchsialever.kernel.invariant.InvariantMonitor;
 import org.fuchsialever.kernel.time.TimeSource;
 import org.fuchsialever.node.upstream.UpstreamClient;
 import org.fuchsialever.node.upstream.UpstreamTimeouts;
@@ -13,6 +14,7 @@
  * @param timers runs the timers
  * @param time the clock
  * @param meters the counters
+ * @param invariants receives the checks of attempts and refusals
  * @param ring takes events for the dispatch duty
  */
 record ExchangeServices(
@@ -21,4 +23,5 @@
         Scheduler timers,
         TimeSource time,
         ExchangeMeters meters,
+        InvariantMonitor invariants,
         DispatchRing ring) {}
--- a/node/src/test/java/org/fuchsialever/node/claims/ClaimedCallsTest.java
+++ b/node/src/test/java/org/fuchsialever/node/claims/ClaimedCallsTest.java
@@ -112,6 +112,23 @@
         assertThat(runs, is(1));
     }
 
+    @Test
+    void storesAnUnknownOutcomeWhenTheCallerLeavesBeforeTheAnswer() {
+        claimed()
+                .call(
+                        call(bytes("body")),
+                        "key",
+                        call -> {
+                            runs++;
+                            return Mono.never();
+                        })
+                .subscribe(Either::isRight)
+                .dispose();
+
+        assertThat(call("body"), is("answer-lost"));
+        assertThat(runs, is(1));
+    }
+
     @Test
     void givesTheClaimBackWhenTheCallWasNotRun() {
         result = Either.left(Refusal.of(RefusalReason.QUEUE_FULL));
--- a/node/src/test/java/org/fuchsialever/node/dispatch/CallDispatcherTest.java
+++ b/node/src/test/java/org/fuchsialever/node/dispatch/CallDispatcherTest.java
@@ -43,7 +43,9 @@
 import org.fuchsialever.frontend.ShownSecret;
 import org.fuchsialever.kernel.duty.Inbox;
 import org.fuchsialever.kernel.duty.OverflowPolicy;
+import org.fuchsialever.kernel.invariant.Invariant;
 import org.fuchsialever.kernel.time.ManualTimeSource;
+import org.fuchsialever.node.upstream.UpstreamException;
 import org.fuchsialever.node.upstream.UpstreamPart;
 import org.fuchsialever.node.upstream.UpstreamTimeouts;
 import org.junit.jupiter.api.Test;
@@ -74,6 +76,7 @@
     private final DispatchRing ring = new DispatchRing(exchangeMeters);
     private final Inbox<DispatchEvent> inbox =
             new Inbox<>(DispatchRing.capacity(MAX_CALLS), OverflowPolicy.REFUSE);
+    private final List<Invariant> violated = new ArrayList<>();
     private final List<Runnable> withdrawals = new ArrayList<>();
     private final CallDispatcher dispatcher =
             new CallDispatcher(
@@ -88,6 +91,7 @@
                             timers,
                             time,
                             exchangeMeters,
+                            (invariant, detail) -> violated.add(invariant),
                             ring));
     private final Body body = new Body();
 
@@ -115,6 +119,43 @@
         assertThat(ended.report().totalNanos(), is(Duration.ofSeconds(2).toNanos()));
     }
 
+    @Test
+    void endsAnAttemptWhoseFirstByteDoesNotArrive() {
+        dispatcher.call(call(ID)).subscribe(Either::isRight);
+        dispatcher.emit(new DispatchAction.StartAttempt(ID, 1, ENGINE, 0));
+
+        timers.advance(UpstreamTimeouts.DEFAULTS.engineFirstByte());
+
+        DispatchEvent.AttemptEnded ended = ends().get(0);
+        assertThat(ended.report().result(), is(AttemptResult.SILENT));
+        assertThat(ended.report().firstByteNanos(), is(-1L));
+    }
+
+    @Test
+    void sendsNoSecondAttemptOfACallThatMayNotBeRepeated() {
+        RequestId once = new RequestId("once");
+        dispatcher.call(call(once, false)).subscribe(Either::isRight);
+        dispatcher.emit(new DispatchAction.StartAttempt(once, 1, ENGINE, 0));
+        upstreams.streams.get(0).error(lost());
+        dispatcher.emit(new DispatchAction.StartAttempt(once, 2, ENGINE, 0));
+
+        assertThat(upstreams.streams, hasSize(1));
+        assertThat(violated, contains(Invariant.AT_MOST_ONCE));
+        assertThat(ends().get(1).report().result(), is(AttemptResult.CONNECTION_LOST));
+    }
+
+    @Test
+    void noticesAFalseNotRun() {
+        stream();
+        upstreams.streams.get(0).error(lost());
+
+        dispatcher.emit(
+                new DispatchAction.Refuse(ID, RefusalReason.RETRY_BUDGET_SPENT, Duration.ZERO));
+
+        assertThat(violated, contains(Invariant.NOT_RUN_IS_TRUE));
+        assertThat(body.refusals, contains(RefusalReason.ANSWER_LOST));
+    }
+
     @Test
     void keepsAnAttemptWhoseTokensArriveInTime() {
         stream();
@@ -259,7 +300,15 @@
                 .toList();
     }
 
+    private static UpstreamException lost() {
+        return new UpstreamException(AttemptResult.CONNECTION_LOST, "lost");
+    }
+
     private static Call call(RequestId id) {
+        return call(id, true);
+    }
+
+    private static Call call(RequestId id, boolean repeatable) {
         Route route =
                 new Route(
                         new RouteName("chat"),
@@ -268,7 +317,7 @@
                         new PoolName("small"),
                         Access.OPEN,
                         Set.of(),
-                        true,
+                        repeatable,
                         Priority.LIVE,
                         Duration.ofMinutes(1),
                         1_000);
