Register the shutdown hook before the instance starts

A SIGTERM that arrived between the start of the instance and the registration of the hook ended the process with 143 and without a drain; the test of the exit status failed once in four runs.

--- a/node/src/main/java/org/fuchsialever/node/NodeMain.java
+++ b/node/src/main/java/org/fuchsialever/node/NodeMain.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import org.fuchsialever.kernel.findings.Findings;
+import org.jspecify.annotations.Nullable;
 
 /** Entry point of the command {@code fuchsialever-node}. */
 public final class NodeMain {
@@ -22,6 +23,8 @@
     @Parameter(names = "--help", help = true, description = "Show the options")
     private boolean help;
 
+    private @Nullable NodeProcess process;
+
     private NodeMain() {}
 
     /**
@@ -55,25 +58,33 @@
             System.err.println(settings + ": cannot be read: " + e);
             return EXIT_USAGE;
         }
-        Either<Findings, NodeProcess> started = NodeProcess.start(settings, text);
-        if (started.isLeft()) {
-            System.err.println(started.getLeft().report());
-            return EXIT_USAGE;
+        // Registered before the start, so that a signal during the start is not missed.
+        Runtime.getRuntime().addShutdownHook(new Thread(this::shutDown, "shutdown"));
+        synchronized (this) {
+            Either<Findings, NodeProcess> started = NodeProcess.start(settings, text);
+            if (started.isLeft()) {
+                System.err.println(started.getLeft().report());
+                return EXIT_USAGE;
+            }
+            process = started.get();
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(started.get()), "shutdown"));
         // The hook ends the process.
         new CountDownLatch(1).await();
         return EXIT_FAILURE;
     }
 
     /**
-     * Closes the instance and ends the process. A process that is told to stop by SIGTERM would
-     * otherwise exit with 143, whatever the hook does.
+     * Closes the instance, once it has started, and ends the process. A process that is told to
+     * stop by SIGTERM would otherwise exit with 143, whatever the hook does.
      */
-    private static void shutDown(NodeProcess process) {
+    private synchronized void shutDown() {
+        NodeProcess running = process;
+        if (running == null) {
+            return;
+        }
         int status = EXIT_FAILURE;
         try {
-            process.close();
+            running.close();
             status = EXIT_OK;
         } finally {
             Runtime.getRuntime().halt(status);
