--- /dev/null
+++ b/node/src/test/java/org/fuchsialever/node/calls/ClaimedCallSocketTest.java
@@ -0,0 +1,68 @@
+package org.fuchsialever.node.calls;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import org.fuchsialever.standins.FaultMode;
+import org.fuchsialever.standins.TableServiceStandIn;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a second booking when a caller repeats a request, through sockets. */
+class ClaimedCallSocketTest extends CallFixture {
+    private static final String[] KEY = {"Idempotency-Key", "booking-1"};
+
+    private final TableServiceStandIn tables = new TableServiceStandIn();
+
+    @Override
+    protected String settings() throws IOException {
+        return super.settings()
+                        .replace(
+                                "[limits]",
+                                "components = identity, platform, table-files, open-routes,"
+                                        + " dispatch, claims, readiness, endpoints, front-end\n"
+                                        + "[limits]")
+                + "[platform]\ntable-service = "
+                + tables.url()
+                + "\n";
+    }
+
+    @AfterEach
+    void stopTables() {
+        tables.close();
+    }
+
+    @Test
+    void runsARepeatedRequestOnceAndGivesTheSameAnswer() throws Exception {
+        desk.then((request, reply) -> reply.whole(201, "booked"));
+
+        assertThat(post("/book", "{}", KEY).body(), is("booked"));
+        assertThat(post("/book", "{}", KEY).body(), is("booked"));
+        assertThat(post("/book", "{}", KEY).statusCode(), is(201));
+        assertThat(desk.requests(), hasSize(1));
+    }
+
+    @Test
+    void saysNotRunWhenTheTableServiceIsDown() throws Exception {
+        tables.faults().set(FaultMode.DOWN);
+
+        String answer = post("/book", "{}", KEY).body();
+
+        assertThat(answer, containsString("\"code\":\"claim-unavailable\""));
+        assertThat(answer, containsString("\"not_run\":true"));
+        assertThat(desk.requests(), hasSize(0));
+    }
+
+    @Test
+    void repeatsAnUnknownOutcomeInsteadOfRunningAgain() throws Exception {
+        desk.then((request, reply) -> reply.disconnect())
+                .then((request, reply) -> reply.whole(200, "booked twice"));
+
+        assertThat(post("/book", "{}", KEY).body(), containsString("answer-lost"));
+        assertThat(post("/book", "{}", KEY).body(), containsString("answer-lost"));
+        assertThat(desk.requests(), hasSize(1));
+    }
+}
