--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/Candidates.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/Candidates.java
@@ -175,6 +175,13 @@
         }
     }
 
+    /** Ejects an upstream that did not answer on a fresh connection either. */
+    void onUnreachable(UpstreamLoad load, long nowNanos) {
+        if (!load.health().isEjected(nowNanos) && mayEject(nowNanos)) {
+            load.health().eject(nowNanos);
+        }
+    }
+
     private boolean mayEject(long nowNanos) {
         int ejected = 0;
         for (UpstreamLoad load : loads) {
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/DispatchDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/DispatchDuty.java
@@ -74,6 +74,8 @@
             takeCache(reported);
         } else if (event instanceof DispatchEvent.UpstreamLeft left) {
             leave(left.upstream(), nowNanos, actions);
+        } else if (event instanceof DispatchEvent.UpstreamProbed probed) {
+            takeProbe(probed, nowNanos);
         } else if (event instanceof DispatchEvent.ConfigChanged changed) {
             configure(changed.snapshot(), nowNanos, actions);
         } else if (event instanceof DispatchEvent.SharesReceived received) {
@@ -276,6 +278,15 @@
         }
     }
 
+    private void takeProbe(DispatchEvent.UpstreamProbed probed, long nowNanos) {
+        for (PoolDispatcher pool : pools.values()) {
+            UpstreamLoad load = pool.candidates().find(probed.upstream());
+            if (load != null && !probed.alive()) {
+                pool.candidates().onUnreachable(load, nowNanos);
+            }
+        }
+    }
+
     private void leave(UpstreamId upstream, long nowNanos, ActionSink<DispatchAction> actions) {
         for (PoolDispatcher pool : pools.values()) {
             UpstreamLoad load = pool.candidates().find(upstream);
