--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/peers/package-info.java
@@ -0,0 +1,5 @@
+/** Messages to and from the other instances. */
+@NullMarked
+package org.fuchsialever.node.peers;
+
+import org.jspecify.annotations.NullMarked;
