--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/lease/LeaseCommit.java
@@ -0,0 +1,23 @@
+package org.fuchsialever.decisions.lease;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A conditional change of the lease table. A repeat carries the same content.
+ *
+ * @param writer identity of the commit
+ * @param conditions required versions by key, 0 for a row that must not exist
+ * @param puts rows to write; their version and writer are set by the table
+ * @param deletes keys to delete
+ */
+public record LeaseCommit(
+        String writer, Map<String, Long> conditions, List<LeaseRow> puts, List<String> deletes) {
+
+    /** Copies the collections. */
+    public LeaseCommit {
+        conditions = Map.copyOf(conditions);
+        puts = List.copyOf(puts);
+        deletes = List.copyOf(deletes);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/lease/LeaseView.java
@@ -0,0 +1,126 @@
+package org.fuchsialever.decisions.lease;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+
+/** The rows that an instance has observed, and since when it has observed their versions. */
+final class LeaseView {
+    private final Map<String, LeaseRow> rows = new TreeMap<>();
+    private final Map<String, Long> observedSince = new HashMap<>();
+    private long scannedVersion;
+    private boolean scanned;
+
+    /** Returns whether all rows have been read at least once. */
+    boolean isScanned() {
+        return scanned;
+    }
+
+    /**
+     * Returns the highest version that a scan has shown. Versions of own commits do not count: a
+     * stale scan could leave out rows that others wrote before them.
+     */
+    long scannedVersion() {
+        return scannedVersion;
+    }
+
+    void scanned(boolean full, List<LeaseRow> read, long now) {
+        Set<String> present = new HashSet<>();
+        long newest = 0;
+        for (LeaseRow row : read) {
+            observe(row, now);
+            present.add(row.key());
+            newest = Math.max(newest, row.version());
+        }
+        scannedVersion = Math.max(scannedVersion, newest);
+        if (full) {
+            scanned = true;
+            long horizon = newest;
+            rows.values().removeIf(row -> row.version() <= horizon && !present.contains(row.key()));
+            observedSince.keySet().retainAll(rows.keySet());
+        }
+    }
+
+    /** Takes a row over unless a newer version of it is known. */
+    void observe(LeaseRow row, long now) {
+        LeaseRow known = rows.get(row.key());
+        if (known == null || known.version() < row.version()) {
+            rows.put(row.key(), row);
+            observedSince.put(row.key(), now);
+        }
+    }
+
+    void forget(String key) {
+        rows.remove(key);
+        observedSince.remove(key);
+    }
+
+    /** Starts all observations anew, after a time in which nothing could be observed. */
+    void restartObservations(long now) {
+        observedSince.replaceAll((key, since) -> now);
+    }
+
+    long observedSince(String key) {
+        return observedSince.getOrDefault(key, Long.MAX_VALUE / 2);
+    }
+
+    LeaseRow.Role role(String role) {
+        LeaseRow row = rows.get(LeaseRow.Role.PREFIX + role);
+        return row instanceof LeaseRow.Role found ? found : LeaseRow.Role.absent(role);
+    }
+
+    LeaseRow.@Nullable Session session(String key) {
+        return rows.get(key) instanceof LeaseRow.Session found ? found : null;
+    }
+
+    LeaseRow.@Nullable Bid bid(String role) {
+        return rows.get(LeaseRow.Bid.PREFIX + role) instanceof LeaseRow.Bid found ? found : null;
+    }
+
+    /** Returns the roles of each session. */
+    Map<String, Set<String>> rolesBySession() {
+        Map<String, Set<String>> result = new TreeMap<>();
+        for (LeaseRow row : rows.values()) {
+            if (row instanceof LeaseRow.Role role && !role.holder().isEmpty()) {
+                result.computeIfAbsent(role.holder(), key -> new HashSet<>()).add(role.role());
+            }
+        }
+        return result;
+    }
+
+    /**
+     * Returns the dead sessions that no role names once some roles have been taken. Deleting such a
+     * row is safe at any time because its key is never used again.
+     */
+    List<String> deadSessionsWithout(List<LeaseRow.Role> taken) {
+        Map<String, Set<String>> named = rolesBySession();
+        for (LeaseRow.Role role : taken) {
+            named.getOrDefault(role.holder(), new HashSet<>()).remove(role.role());
+        }
+        List<String> result = new ArrayList<>();
+        for (LeaseRow row : rows.values()) {
+            if (row instanceof LeaseRow.Session session
+                    && session.dead()
+                    && named.getOrDefault(session.key(), Set.of()).isEmpty()) {
+                result.add(session.key());
+            }
+        }
+        return result;
+    }
+
+    /** Returns how many roles the sessions of an instance hold. */
+    int rolesOfInstance(String instance) {
+        int count = 0;
+        for (Map.Entry<String, Set<String>> entry : rolesBySession().entrySet()) {
+            if (LeaseRow.Session.instanceOf(entry.getKey()).equals(instance)) {
+                count += entry.getValue().size();
+            }
+        }
+        return count;
+    }
+}
