--- a/node/src/main/java/org/fuchsialever/node/lease/Leases.java
+++ b/node/src/main/java/org/fuchsialever/node/lease/Leases.java
@@ -17,6 +17,15 @@
     /** Returns the lease of a role if this instance holds it and may act under it now. */
     Option<HeldLease> held(String role);
 
+    /**
+     * Returns whether this instance may act under a lease now. Asked directly before an order is
+     * written, where {@code Invariant.ONE_ORDERING_HOLDER} is checked; a role that was lost and
+     * gained again does not make an earlier lease valid.
+     */
+    default boolean mayAct(HeldLease lease) {
+        return held(lease.role()).exists(current -> current.fencing() == lease.fencing());
+    }
+
     /** Learns of gained and lost roles. */
     interface LeaseListener {
 
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/lease/LeasesComponent.java
@@ -0,0 +1,57 @@
+package org.fuchsialever.node.lease;
+
+import java.util.Set;
+import org.fuchsialever.decisions.lease.LeaseDuty;
+import org.fuchsialever.decisions.lease.LeaseEvent;
+import org.fuchsialever.decisions.lease.LeaseTiming;
+import org.fuchsialever.kernel.duty.Inbox;
+import org.fuchsialever.kernel.duty.OverflowPolicy;
+import org.fuchsialever.kernel.plugin.Component;
+import org.fuchsialever.kernel.plugin.ComponentContext;
+import org.fuchsialever.node.NodeIdentity;
+import org.fuchsialever.platform.Platform;
+
+/** Provides roles under lease, kept in the table service. */
+public final class LeasesComponent implements Component {
+    /** Wishes arrive at the start; afterwards at most one read and one write are under way. */
+    private static final int RING_CAPACITY = 1_024;
+
+    @Override
+    public String pluginName() {
+        return "leases";
+    }
+
+    @Override
+    public Set<Class<?>> requires() {
+        return Set.of(NodeIdentity.class, Platform.class);
+    }
+
+    @Override
+    public Set<Class<?>> provides() {
+        return Set.of(Leases.class);
+    }
+
+    @Override
+    public void install(ComponentContext context) {
+        NodeIdentity identity = context.require(NodeIdentity.class);
+        LeaseService service =
+                new LeaseService(
+                        context.require(Platform.class).tables(), context.time(), context.meters());
+        LeaseDuty duty =
+                new LeaseDuty(
+                        identity.instance(),
+                        identity.start(),
+                        LeaseTiming.standard(),
+                        context.random("lease"));
+        Inbox<LeaseEvent> inbox =
+                context.startDuty(duty, RING_CAPACITY, OverflowPolicy.REFUSE, service);
+        service.connect(event -> offer(inbox, event));
+        context.provide(Leases.class, service);
+    }
+
+    private static void offer(Inbox<LeaseEvent> inbox, LeaseEvent event) {
+        if (!inbox.offer(event)) {
+            throw new IllegalStateException("the ring of the lease duty is full");
+        }
+    }
+}
