--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/membership/ChangeQueue.java
@@ -0,0 +1,49 @@
+package org.fuchsialever.decisions.membership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.fuchsialever.decisions.model.InstanceId;
+
+/** Member changes that are still to be passed on, each a bounded number of times. */
+final class ChangeQueue {
+    /** Six changes of about 40 bytes keep a heartbeat below 300 bytes. */
+    static final int MAX_CHANGES = 6;
+
+    private final Map<InstanceId, Entry> entries = new TreeMap<>();
+
+    /** Adds a change, which replaces an earlier one about the same instance. */
+    void add(Member change, int times) {
+        entries.put(change.instance(), new Entry(change, times));
+    }
+
+    /** Returns the changes for one message, those that were sent least first. */
+    List<Member> next() {
+        if (entries.isEmpty()) {
+            return List.of();
+        }
+        List<Entry> order = new ArrayList<>(entries.values());
+        order.sort(Comparator.comparingInt(entry -> -entry.remaining));
+        List<Member> result = new ArrayList<>(MAX_CHANGES);
+        for (Entry entry : order.subList(0, Math.min(MAX_CHANGES, order.size()))) {
+            result.add(entry.change);
+            entry.remaining--;
+            if (entry.remaining <= 0) {
+                entries.remove(entry.change.instance());
+            }
+        }
+        return result;
+    }
+
+    private static final class Entry {
+        private final Member change;
+        private int remaining;
+
+        Entry(Member change, int remaining) {
+            this.change = change;
+            this.remaining = remaining;
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/membership/MembershipAction.java
@@ -0,0 +1,26 @@
+package org.fuchsialever.decisions.membership;
+
+import java.util.List;
+import org.fuchsialever.decisions.model.InstanceId;
+
+/** Action of the membership duty. */
+public sealed interface MembershipAction {
+
+    /** Send a heartbeat to one instance. */
+    record SendHeartbeat(InstanceId receiver, PeerMessage.Heartbeat heartbeat)
+            implements MembershipAction {}
+
+    /**
+     * The view has changed.
+     *
+     * @param members the other members, suspected and leaving ones included
+     * @param cutOff whether this instance does not reach more than half of those it tried
+     */
+    record ViewChanged(List<Member> members, boolean cutOff) implements MembershipAction {
+
+        /** Copies the list. */
+        public ViewChanged {
+            members = List.copyOf(members);
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/membership/MembershipEvent.java
@@ -0,0 +1,29 @@
+package org.fuchsialever.decisions.membership;
+
+import java.util.List;
+
+/** Event of the membership duty. */
+public sealed interface MembershipEvent {
+
+    /**
+     * The platform's list of instances was read; it lags behind.
+     *
+     * @param instances its entries, with incarnation number 0
+     */
+    record InstancesListed(List<Member> instances) implements MembershipEvent {
+
+        /** Copies the list. */
+        public InstancesListed {
+            instances = List.copyOf(instances);
+        }
+    }
+
+    /** A heartbeat arrived from its sender. */
+    record HeartbeatReceived(PeerMessage.Heartbeat heartbeat) implements MembershipEvent {}
+
+    /** The versions that own heartbeats name have changed. */
+    record VersionsChanged(long configVersion, long keyVersion) implements MembershipEvent {}
+
+    /** This instance leaves. */
+    record LeaveRequested() implements MembershipEvent {}
+}
--- a/decisions/src/main/java/org/fuchsialever/decisions/membership/PeerMessage.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/membership/PeerMessage.java
@@ -18,9 +18,11 @@
      * @param sender the sender itself, with its own state and incarnation number
      * @param configVersion the highest configuration version that it has seen
      * @param keyVersion the highest version of the keys that it has seen
+     * @param probe whether the receiver answers with a heartbeat of its own
      * @param changes recent reports about other instances
      */
-    record Heartbeat(Member sender, long configVersion, long keyVersion, List<Member> changes)
+    record Heartbeat(
+            Member sender, long configVersion, long keyVersion, boolean probe, List<Member> changes)
             implements PeerMessage {
 
         /** Copies the list. */
