Add messages between instances and node component peers

Components exchange share counters, withdrawals, versions, usage and leaving upstreams through PeerMessages. The wire module has the protobuf messages with their mapping and the Netty transport: one connection per pair, bounded queues that drop the oldest, reconnection with exponential delay and jitter.

--- a/decisions/src/main/java/org/fuchsialever/decisions/membership/MembershipAction.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/membership/MembershipAction.java
@@ -6,6 +6,9 @@
 /** Action of the membership duty. */
 public sealed interface MembershipAction {
 
+    /** Read the platform's list of instances. */
+    record ReadInstances() implements MembershipAction {}
+
     /** Send a heartbeat to one instance. */
     record SendHeartbeat(InstanceId receiver, PeerMessage.Heartbeat heartbeat)
             implements MembershipAction {}
--- a/decisions/src/main/java/org/fuchsialever/decisions/membership/MembershipDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/membership/MembershipDuty.java
@@ -24,6 +24,10 @@
  */
 public final class MembershipDuty implements Duty<MembershipEvent, MembershipAction> {
     private static final long ROUND = TimeUnit.SECONDS.toNanos(1);
+
+    /** Time between reads of the list; one read a round until the first answer. */
+    private static final long LIST_INTERVAL = TimeUnit.SECONDS.toNanos(5);
+
     private static final long SUSPICION = TimeUnit.SECONDS.toNanos(5);
 
     /** Rounds by which an instance judges whether it is cut off. */
@@ -46,14 +50,17 @@
     private boolean viewChanged;
     private int probed;
     private long nextRound = NO_TIMER;
+    private long nextList;
 
     /**
      * Creates a duty that knows no other instance.
      *
      * @param self this instance, with incarnation number 1
      * @param random chooses peers
+     * @param nowNanos monotonic time, at which the list of instances is read first
      */
-    public MembershipDuty(Member self, RandomGenerator random) {
+    public MembershipDuty(Member self, RandomGenerator random, long nowNanos) {
+        this.nextList = nowNanos;
         this.self = self;
         this.rotation = new PeerRotation(self.region(), random);
     }
@@ -85,6 +92,10 @@
 
     @Override
     public void onTimer(long nowNanos, ActionSink<MembershipAction> actions) {
+        if (nowNanos >= nextList) {
+            nextList = nowNanos + (nextRound == NO_TIMER ? ROUND : LIST_INTERVAL);
+            actions.emit(new MembershipAction.ReadInstances());
+        }
         if (nowNanos < nextRound) {
             return;
         }
@@ -104,7 +115,7 @@
 
     @Override
     public long nextTimerNanos() {
-        return nextRound;
+        return Math.min(nextRound, nextList);
     }
 
     private void seed(List<Member> listed, long now) {
--- a/decisions/src/test/java/org/fuchsialever/decisions/membership/MembershipDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/membership/MembershipDutyTest.java
@@ -60,7 +60,7 @@
     private void startOne(int number) {
         InstanceId self = id(number);
         MembershipDuty duty =
-                new MembershipDuty(member(number, 1), new SplittableRandom(91 + number));
+                new MembershipDuty(member(number, 1), new SplittableRandom(91 + number), 0);
         inboxes.put(self, stepper.add(duty, action -> carryOut(self, action)));
     }
 
--- a/node/src/main/java/org/fuchsialever/node/peers/PeerComponents.java
+++ b/node/src/main/java/org/fuchsialever/node/peers/PeerComponents.java
@@ -16,6 +16,6 @@
 
     @Override
     public Collection<? extends Plugin> plugins() {
-        return List.of();
+        return List.of(new PeersComponent());
     }
 }
--- /dev/null
+++ b/wire/src/main/java/org/fuchsialever/wire/PeerLink.java
@@ -0,0 +1,146 @@
+package org.fuchsialever.wire;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.fuchsialever.decisions.model.InstanceId;
+import org.fuchsialever.kernel.duty.Inbox;
+import org.fuchsialever.kernel.duty.OverflowPolicy;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Queue and connection for one peer. All methods but {@link #enqueue} run on the event loop of the
+ * transport.
+ */
+final class PeerLink {
+    private final InstanceId peer;
+    private final Inbox<byte[]> queue;
+    private final AtomicBoolean flushScheduled = new AtomicBoolean();
+    private @Nullable InetSocketAddress address;
+    private @Nullable Channel channel;
+    private InstanceId dialer;
+    private boolean dialing;
+    private int failures;
+    private boolean awaitingAnswer;
+
+    PeerLink(InstanceId peer, int queuedFrames) {
+        this.peer = peer;
+        this.dialer = peer;
+        this.queue = new Inbox<>(queuedFrames, OverflowPolicy.DROP_OLDEST);
+    }
+
+    InstanceId peer() {
+        return peer;
+    }
+
+    /** Adds a frame and returns whether a flush has to be scheduled; called on any thread. */
+    boolean enqueue(byte[] frame) {
+        queue.offer(frame);
+        return flushScheduled.compareAndSet(false, true);
+    }
+
+    long dropped() {
+        return queue.overflows();
+    }
+
+    void address(InetSocketAddress newAddress) {
+        address = newAddress;
+    }
+
+    /** Returns the address to dial, or null if a connection or an attempt exists already. */
+    @Nullable InetSocketAddress startDialing() {
+        if (dialing || channel != null || address == null || queue.size() == 0) {
+            return null;
+        }
+        dialing = true;
+        return address;
+    }
+
+    /**
+     * Ends an attempt without a connection. No other one starts before {@link #endRetryDelay}.
+     *
+     * @return the number of failures in a row
+     */
+    int dialFailed() {
+        failures++;
+        return failures;
+    }
+
+    void endRetryDelay() {
+        dialing = false;
+    }
+
+    boolean isConnected() {
+        return channel != null;
+    }
+
+    /**
+     * Takes a connection over. Of two connections that both sides opened at once, both sides keep
+     * the one that the instance with the smaller name opened.
+     *
+     * @return whether the connection is used
+     */
+    boolean adopt(Channel opened, InstanceId openedBy, InstanceId self) {
+        InstanceId preferred = peer.compareTo(self) < 0 ? peer : self;
+        Channel current = channel;
+        if (current != null
+                && current.isActive()
+                && !dialer.equals(openedBy)
+                && dialer.equals(preferred)) {
+            return false;
+        }
+        channel = opened;
+        dialer = openedBy;
+        dialing = false;
+        failures = 0;
+        awaitingAnswer = false;
+        if (current != null) {
+            current.close();
+        }
+        return true;
+    }
+
+    /** Forgets a connection that was closed; returns whether it was the one in use. */
+    boolean closed(Channel closed) {
+        if (channel != closed) {
+            return false;
+        }
+        channel = null;
+        return true;
+    }
+
+    /** Writes waiting frames as long as the peer takes them. */
+    void flush() {
+        flushScheduled.set(false);
+        Channel current = channel;
+        if (current == null) {
+            return;
+        }
+        boolean written = false;
+        while (current.isWritable()) {
+            byte[] frame = queue.poll();
+            if (frame == null) {
+                break;
+            }
+            current.write(Unpooled.wrappedBuffer(frame), current.voidPromise());
+            written = true;
+        }
+        if (written) {
+            awaitingAnswer = true;
+            current.flush();
+        }
+    }
+
+    void heard() {
+        awaitingAnswer = false;
+    }
+
+    boolean isAwaitingAnswer() {
+        return awaitingAnswer;
+    }
+
+    void forgetAddress() {
+        address = null;
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/fuchsialever/wire/PeerTransport.java
@@ -0,0 +1,265 @@
+package org.fuchsialever.wire;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.fuchsialever.decisions.membership.PeerMessage;
+import org.fuchsialever.decisions.model.InstanceId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Messages between instances over TCP: one connection for each pair of instances, opened when there
+ * is something to send. A peer that is slow or silent fills only its own bounded queue. One event
+ * loop serves all connections and owns their state.
+ */
+public final class PeerTransport implements AutoCloseable {
+    private static final int LENGTH_BYTES = 4;
+    private static final int MAX_DOUBLINGS = 16;
+    private static final long QUIET_MILLIS = 0;
+    private static final long STOP_MILLIS = 2_000;
+
+    private final InstanceId self;
+    private final PeerTransportLimits limits;
+    private final Receiver receiver;
+    private final MeterRegistry meters;
+    private final RandomGenerator random;
+    private final EventLoopGroup group;
+    private final EventLoop loop;
+    private final byte[] hello;
+    private final Map<InstanceId, PeerLink> links = new ConcurrentHashMap<>();
+
+    /**
+     * Creates a transport that neither listens nor connects yet.
+     *
+     * @param self this instance
+     * @param limits sizes and periods
+     * @param receiver takes arriving messages on the event loop and must not block
+     * @param meters counts dropped frames and failed connections
+     * @param random spreads reconnections
+     */
+    public PeerTransport(
+            InstanceId self,
+            PeerTransportLimits limits,
+            Receiver receiver,
+            MeterRegistry meters,
+            RandomGenerator random) {
+        this.self = self;
+        this.limits = limits;
+        this.receiver = receiver;
+        this.meters = meters;
+        this.random = random;
+        this.hello = PeerCodec.encodeHello(self);
+        this.group =
+                new MultiThreadIoEventLoopGroup(
+                        1,
+                        new DefaultThreadFactory("peer-transport", true),
+                        NioIoHandler.newFactory());
+        this.loop = group.next();
+        FunctionCounter.builder("fuchsialever.peers.overflows", this, PeerTransport::overflows)
+                .register(meters);
+    }
+
+    /**
+     * Starts listening.
+     *
+     * @param port the TCP port, 0 for any free one
+     * @return the port in use
+     */
+    public int listen(String address, int port) {
+        Channel server =
+                new ServerBootstrap()
+                        .group(group)
+                        .channel(NioServerSocketChannel.class)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(initializer(null))
+                        .bind(address, port)
+                        .syncUninterruptibly()
+                        .channel();
+        return ((InetSocketAddress) server.localAddress()).getPort();
+    }
+
+    /** Replaces the known addresses. Unconnected links to other instances are given up. */
+    public void updateAddresses(Map<InstanceId, InetSocketAddress> addresses) {
+        Map<InstanceId, InetSocketAddress> copy = Map.copyOf(addresses);
+        loop.execute(
+                () -> {
+                    copy.forEach((peer, address) -> link(peer).address(address));
+                    links.values().removeIf(link -> isForgotten(link, copy));
+                    links.values().forEach(this::dial);
+                });
+    }
+
+    /**
+     * Queues a message for a peer. Messages wait until the address of the peer is known and it can
+     * be reached; if too many wait, the oldest is dropped and counted.
+     */
+    public void send(InstanceId peer, PeerMessage message) {
+        byte[] frame = PeerCodec.encode(message);
+        if (frame.length > limits.frameBytes()) {
+            count("too-large");
+            return;
+        }
+        PeerLink link = link(peer);
+        if (link.enqueue(frame)) {
+            loop.execute(
+                    () -> {
+                        link.flush();
+                        dial(link);
+                    });
+        }
+    }
+
+    /** Returns how many frames were dropped because a queue was full. */
+    public long overflows() {
+        return links.values().stream().mapToLong(PeerLink::dropped).sum();
+    }
+
+    /** Closes all connections and waits for the event loop. */
+    @Override
+    public void close() {
+        group.shutdownGracefully(QUIET_MILLIS, STOP_MILLIS, TimeUnit.MILLISECONDS)
+                .awaitUninterruptibly(STOP_MILLIS);
+    }
+
+    byte[] hello() {
+        return hello;
+    }
+
+    void count(String reason) {
+        Counter.builder("fuchsialever.peers.failures")
+                .tag("reason", reason)
+                .register(meters)
+                .increment();
+    }
+
+    /** Handles the first frame of a connection; returns null if the connection is not used. */
+    @Nullable PeerLink greeted(Channel channel, byte[] frame, @Nullable InstanceId dialed) {
+        InstanceId name = PeerCodec.decodeHello(frame).peekLeft(this::count).getOrNull();
+        if (name == null) {
+            return null;
+        }
+        if (name.equals(self) || dialed != null && !dialed.equals(name)) {
+            count("wrong-instance");
+            return null;
+        }
+        PeerLink link = link(name);
+        if (!link.adopt(channel, dialed == null ? name : self, self)) {
+            return null;
+        }
+        link.flush();
+        return link;
+    }
+
+    void received(PeerLink link, byte[] frame) {
+        link.heard();
+        PeerCodec.decode(frame)
+                .peekLeft(this::count)
+                .peek(message -> receiver.received(link.peer(), message));
+    }
+
+    void disconnected(Channel channel, @Nullable PeerLink link, @Nullable InstanceId dialed) {
+        if (link != null && link.closed(channel)) {
+            dial(link);
+        } else if (link == null && dialed != null) {
+            retry(link(dialed));
+        }
+    }
+
+    private PeerLink link(InstanceId peer) {
+        return links.computeIfAbsent(peer, name -> new PeerLink(name, limits.queuedFrames()));
+    }
+
+    /** An instance that the list does not name yet may have opened a connection already. */
+    private static boolean isForgotten(
+            PeerLink link, Map<InstanceId, InetSocketAddress> addresses) {
+        if (addresses.containsKey(link.peer())) {
+            return false;
+        }
+        link.forgetAddress();
+        return !link.isConnected();
+    }
+
+    private void dial(PeerLink link) {
+        InetSocketAddress address = link.startDialing();
+        if (address == null || loop.isShuttingDown()) {
+            return;
+        }
+        new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(
+                        ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                        (int) limits.connectTimeout().toMillis())
+                .handler(initializer(link.peer()))
+                .connect(address)
+                .addListener(
+                        result -> {
+                            if (!result.isSuccess()) {
+                                count("connect-failed");
+                                retry(link);
+                            }
+                        });
+    }
+
+    private void retry(PeerLink link) {
+        int doublings = Math.min(link.dialFailed() - 1, MAX_DOUBLINGS);
+        long delay =
+                Math.min(
+                        limits.lastRetry().toMillis(), limits.firstRetry().toMillis() << doublings);
+        if (!loop.isShuttingDown()) {
+            loop.schedule(
+                    () -> {
+                        link.endRetryDelay();
+                        dial(link);
+                    },
+                    delay / 2 + random.nextLong(delay / 2 + 1),
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private ChannelInitializer<SocketChannel> initializer(@Nullable InstanceId dialed) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                channel.pipeline()
+                        .addLast(
+                                new IdleStateHandler(
+                                        limits.silence().toMillis(), 0, 0, TimeUnit.MILLISECONDS),
+                                new LengthFieldBasedFrameDecoder(
+                                        limits.frameBytes(), 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+                                new LengthFieldPrepender(LENGTH_BYTES),
+                                new PeerConnectionHandler(PeerTransport.this, dialed));
+            }
+        };
+    }
+
+    /** Takes arriving messages. */
+    @FunctionalInterface
+    public interface Receiver {
+
+        /** Handles a message from a peer; must not block. */
+        void received(InstanceId sender, PeerMessage message);
+    }
+}
