--- a/decisions/src/main/java/org/fuchsialever/decisions/membership/MembershipDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/membership/MembershipDuty.java
@@ -152,12 +152,12 @@
     }
 
     private void answer(Member sender, ActionSink<MembershipAction> actions) {
-        List<Member> news = new ArrayList<>(changes.next());
+        // Probes alone carry news; with news in answers too, 400 members sent 6.8 KB/s each.
+        List<Member> news = List.of();
         Peer known = peers.get(sender.instance());
         if (known != null && known.member.replaces(sender)) {
             // Tells the sender that it is suspected or removed, so that it can refute this.
-            news.remove(known.member);
-            news.add(0, known.member);
+            news = List.of(known.member);
         }
         actions.emit(new MembershipAction.SendHeartbeat(sender.instance(), heartbeat(false, news)));
     }
@@ -175,8 +175,13 @@
                 changed(peer, now);
             }
         } else if (report.replaces(peer.member)) {
+            // The first report about a listed instance is no news: all learn of it themselves.
+            boolean expected =
+                    peer.member.incarnation() == 0 && report.state() == peer.member.state();
             peer.member = report;
-            changed(peer, now);
+            if (!expected) {
+                changed(peer, now);
+            }
         }
     }
 
