Connect the membership duty before its events are needed

The duty thread read the instance list before the field of its inbox was set, so a fast answer could fail. Events before that are counted and the list is read again after 1 s. PeerServiceTest asserted the view once, right after a message that does not depend on it; it failed once with 1 of 2 members. It now waits for the view and also compares the names.

--- a/node/src/main/java/org/fuchsialever/node/peers/PeerService.java
+++ b/node/src/main/java/org/fuchsialever/node/peers/PeerService.java
@@ -39,11 +39,13 @@
     private final MeterRegistry meters;
     private final PeerTransport transport;
     private final PeerRotation rotation;
-    private final Inbox<MembershipEvent> inbox;
     private final Map<Class<?>, List<Handler<PeerMessage>>> handlers = new ConcurrentHashMap<>();
     private volatile MembershipAction.ViewChanged view =
             new MembershipAction.ViewChanged(List.of(), false);
 
+    /** The duty runs before its inbox is known here; its next read of the list follows in 1 s. */
+    private volatile ActionSink<MembershipEvent> duty = event -> count("not-started");
+
     /** Creates a service whose transport does not listen yet. */
     PeerService(ComponentContext context, NodeIdentity identity, InstanceList instances) {
         this.self = identity.instance();
@@ -62,13 +64,14 @@
                                         context.random("peer-transport")));
         Member member =
                 new Member(self, identity.region(), identity.domain(), 1, MemberState.ALIVE);
-        this.inbox =
+        Inbox<MembershipEvent> inbox =
                 context.startDuty(
                         new MembershipDuty(
                                 member, context.random("membership"), context.time().nanoTime()),
                         RING_CAPACITY,
                         OverflowPolicy.DROP_OLDEST,
                         this);
+        duty = inbox::offer;
     }
 
     /** Starts listening and returns the port in use. */
@@ -120,12 +123,12 @@
 
     @Override
     public void announceVersions(long configVersion, long keyVersion) {
-        inbox.offer(new MembershipEvent.VersionsChanged(configVersion, keyVersion));
+        duty.emit(new MembershipEvent.VersionsChanged(configVersion, keyVersion));
     }
 
     @Override
     public void leave() {
-        inbox.offer(new MembershipEvent.LeaveRequested());
+        duty.emit(new MembershipEvent.LeaveRequested());
     }
 
     @Override
@@ -155,7 +158,7 @@
             }
         }
         transport.updateAddresses(addresses);
-        inbox.offer(
+        duty.emit(
                 new MembershipEvent.InstancesListed(
                         list.stream().map(PeerService::member).toList()));
     }
@@ -175,7 +178,7 @@
                 count("wrong-sender");
                 return;
             }
-            inbox.offer(new MembershipEvent.HeartbeatReceived(heartbeat));
+            duty.emit(new MembershipEvent.HeartbeatReceived(heartbeat));
         }
         for (Handler<PeerMessage> handler : handlers.getOrDefault(message.getClass(), List.of())) {
             try {
--- a/node/src/test/java/org/fuchsialever/node/peers/PeerServiceTest.java
+++ b/node/src/test/java/org/fuchsialever/node/peers/PeerServiceTest.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.fuchsialever.decisions.membership.Member;
 import org.fuchsialever.decisions.membership.PeerMessage;
 import org.fuchsialever.decisions.model.FailureDomain;
 import org.fuchsialever.decisions.model.InstanceId;
@@ -89,7 +91,13 @@
         while (version != 17) {
             version = versions.take();
         }
-        assertThat(first.members().size(), equalTo(2));
+        // The view follows the messages on a thread of its own; the next heartbeat is waited for.
+        while (first.members().size() < 2) {
+            versions.take();
+        }
+        assertThat(
+                first.members().stream().map(Member::instance).collect(Collectors.toSet()),
+                equalTo(Set.of(new InstanceId("node-b"), new InstanceId("node-c"))));
     }
 
     @Test
