Add the rollout duty

Cause: trainers need every sample exactly once, in whole groups and within the staleness bound, although instances die and answers of the platform get lost. Change: add package samples with the rollout duty, its log of delivery, batches, staleness checks and straggler policies. Every commit of a trainer is conditional on its head row, so a new holder confirms what it read before it generates anything.

--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/samples/BatchInProgress.java
@@ -0,0 +1,57 @@
+package org.fuchsialever.decisions.samples;
+
+import java.util.List;
+import org.fuchsialever.kernel.duty.Duty;
+
+/** A batch whose bodies are being stored, or that waits to be fixed. */
+final class BatchInProgress {
+    private final String object;
+    private final List<SampleState> samples;
+    private boolean stored;
+    private int failures;
+    private long retryAt = Duty.NO_TIMER;
+
+    BatchInProgress(String object, List<SampleState> samples) {
+        this.object = object;
+        this.samples = samples;
+    }
+
+    String object() {
+        return object;
+    }
+
+    List<SampleState> samples() {
+        return samples;
+    }
+
+    boolean isStored() {
+        return stored;
+    }
+
+    void stored() {
+        stored = true;
+        retryAt = Duty.NO_TIMER;
+    }
+
+    void store(Turn turn) {
+        retryAt = Duty.NO_TIMER;
+        List<JudgedSample> bodies = samples.stream().map(SampleState::result).toList();
+        turn.emit(new RolloutAction.StoreBody(turn.trainer(), turn.term(), object, bodies));
+    }
+
+    void storeLater(long now, RetryDelay delays) {
+        failures++;
+        retryAt = now + delays.nanos(failures);
+    }
+
+    void retryIfDue(Turn turn) {
+        if (retryAt <= turn.now()) {
+            turn.count(RolloutCounter.STORE_RETRIED, 1);
+            store(turn);
+        }
+    }
+
+    long retryAt() {
+        return retryAt;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/samples/HeadCommits.java
@@ -0,0 +1,96 @@
+package org.fuchsialever.decisions.samples;
+
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+/** Composes commits from the state of one trainer. */
+final class HeadCommits {
+    private final DeliveryLog log;
+    private final Map<Long, StepState> steps;
+    private final StalenessCheck staleness;
+
+    HeadCommits(DeliveryLog log, Map<Long, StepState> steps, StalenessCheck staleness) {
+        this.log = log;
+        this.steps = steps;
+        this.staleness = staleness;
+    }
+
+    /**
+     * Returns a commit of the cursor alone, which also shows whether the state that was read is
+     * new.
+     */
+    HeadCommit cursor(String writer, long headVersion) {
+        return compose(writer, headVersion, List.of(), Option.none(), log.end(), log.nextBatch());
+    }
+
+    HeadCommit submission(String writer, long headVersion, Submission submission) {
+        return compose(
+                writer,
+                headVersion,
+                List.of(),
+                Option.some(submission),
+                log.end(),
+                log.nextBatch());
+    }
+
+    /** Returns a commit that appends new samples and puts replacements into earlier batches. */
+    HeadCommit batch(String writer, long headVersion, BatchInProgress batch) {
+        List<BatchEntry> appended = new ArrayList<>();
+        Map<Long, BatchRecord> changed = new LinkedHashMap<>();
+        int slot = 0;
+        for (SampleState sample : batch.samples()) {
+            BatchEntry entry =
+                    new BatchEntry(sample.id(), batch.object(), slot, sample.generated().oldest());
+            slot++;
+            if (!sample.isReplacement()) {
+                appended.add(entry);
+            } else if (sample.position() >= log.acknowledged()) {
+                BatchRecord earlier = log.batchAt(sample.position());
+                BatchRecord base = changed.getOrDefault(earlier.number(), earlier);
+                changed.put(earlier.number(), log.withReplacement(base, sample.position(), entry));
+            }
+        }
+        List<BatchRecord> records = new ArrayList<>(changed.values());
+        long end = log.end();
+        long next = log.nextBatch();
+        if (!appended.isEmpty()) {
+            records.add(new BatchRecord(next, end, appended));
+            end += appended.size();
+            next++;
+        }
+        return compose(writer, headVersion, records, Option.none(), end, next);
+    }
+
+    private HeadCommit compose(
+            String writer,
+            long headVersion,
+            List<BatchRecord> records,
+            Option<Submission> submission,
+            long end,
+            long nextBatch) {
+        Set<Long> open = new TreeSet<>();
+        steps.forEach(
+                (number, step) -> {
+                    if (!step.isAcknowledged(log.acknowledged())) {
+                        open.add(number);
+                    }
+                });
+        submission.forEach(added -> open.add(added.step()));
+        long firstBatch = log.firstNeeded(open);
+        LogHead head =
+                new LogHead(
+                        log.acknowledged(),
+                        firstBatch,
+                        nextBatch,
+                        end,
+                        staleness.newest(),
+                        List.copyOf(open));
+        return new HeadCommit(
+                writer, headVersion, head, records, submission, log.firstBatch(), firstBatch);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/samples/SampleId.java
@@ -0,0 +1,19 @@
+package org.fuchsialever.decisions.samples;
+
+import org.fuchsialever.decisions.model.TrainerName;
+
+/**
+ * Identity of a sample; the same for every attempt to generate it.
+ *
+ * @param trainer the trainer that asked for it
+ * @param step the trainer's step
+ * @param group the group within the step
+ * @param index the index within the group
+ */
+public record SampleId(TrainerName trainer, long step, String group, int index) {
+
+    @Override
+    public String toString() {
+        return trainer + "/" + step + "/" + group + "/" + index;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/samples/StalenessCheck.java
@@ -0,0 +1,30 @@
+package org.fuchsialever.decisions.samples;
+
+import org.fuchsialever.decisions.model.WeightVersion;
+
+/** Compares versions of samples with the newest version of the trainer's model. */
+final class StalenessCheck {
+    private WeightVersion newest;
+
+    StalenessCheck(WeightVersion newest) {
+        this.newest = newest;
+    }
+
+    void observe(WeightVersion version) {
+        if (version.compareTo(newest) > 0) {
+            newest = version;
+        }
+    }
+
+    WeightVersion newest() {
+        return newest;
+    }
+
+    long staleness(WeightVersion oldest) {
+        return Math.max(0, newest.number() - oldest.number());
+    }
+
+    boolean isStale(WeightVersion oldest, int bound) {
+        return staleness(oldest) > bound;
+    }
+}
