Add the endpoints for trainers and component samples

Cause: trainers reach the service through a load balancer, so any instance must serve any trainer. Change: add the trainer endpoints over RolloutPort and component samples, which carries out the actions of the rollout duty.

--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/RefusalReason.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/RefusalReason.java
@@ -30,6 +30,11 @@
     UPSTREAM_FAILED(Kind.BAD_GATEWAY, Outcome.FAILED_AFTER_RUNNING, Duration.ZERO),
     ANSWER_LOST(Kind.BAD_GATEWAY, Outcome.UNKNOWN, Duration.ZERO),
     DEADLINE_WHILE_RUNNING(Kind.TIMEOUT, Outcome.UNKNOWN, Duration.ZERO),
+    STEP_DIFFERS(Kind.CONFLICT, Outcome.NOT_RUN, Duration.ZERO),
+    CURSOR_BEYOND_END(Kind.INVALID, Outcome.NOT_RUN, Duration.ZERO),
+    GROUP_TOO_LARGE(Kind.TOO_LARGE, Outcome.NOT_RUN, Duration.ZERO),
+    TRAINER_HOLDER_UNKNOWN(Kind.UNAVAILABLE, Outcome.NOT_RUN, Duration.ofSeconds(1)),
+    ROLLOUT_NOT_CONFIRMED(Kind.UNAVAILABLE, Outcome.UNKNOWN, Duration.ofSeconds(1)),
     INTERNAL(Kind.INTERNAL, Outcome.UNKNOWN, Duration.ZERO);
 
     private final Kind kind;
--- a/decisions/src/main/java/org/fuchsialever/decisions/samples/Submission.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/samples/Submission.java
@@ -35,6 +35,12 @@
         groups = List.copyOf(groups);
     }
 
+    /** Returns the same submission with the name of its stored object. */
+    public Submission withObject(String name) {
+        return new Submission(
+                trainer, step, model, maxStaleness, deadlineNanos, team, route, groups, name);
+    }
+
     /** Returns the number of samples of all groups. */
     public int sampleCount() {
         return groups.stream().mapToInt(GroupSpec::samples).sum();
--- /dev/null
+++ b/frontend/src/main/java/org/fuchsialever/frontend/rollout/RolloutForwarder.java
@@ -0,0 +1,83 @@
+package org.fuchsialever.frontend.rollout;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import java.time.Duration;
+import org.fuchsialever.decisions.dispatch.RefusalReason;
+import org.fuchsialever.frontend.Refusal;
+import org.fuchsialever.frontend.RefusedException;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/**
+ * Passes a trainer's request on to the instance that acts for the trainer. A redirect would not do,
+ * because behind a load balancer a trainer can reach only the address of the balancer. The holder
+ * checks the caller's key again.
+ */
+final class RolloutForwarder {
+    /** Marks a request that was passed on, so that it is not passed on again. */
+    static final String FORWARDED = "X-Rollout-Forwarded";
+
+    private static final Duration CONNECT_AND_WAIT = Duration.ofSeconds(75);
+    private static final int CONNECT_MILLIS = 1_000;
+
+    private final HttpClient client =
+            HttpClient.create()
+                    .option(io.netty.channel.ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+                    .responseTimeout(CONNECT_AND_WAIT);
+
+    Mono<Void> forward(
+            String holder, HttpServerRequest request, byte[] body, HttpServerResponse response) {
+        return client.headers(
+                        headers -> {
+                            copy(request, headers, HttpHeaderNames.AUTHORIZATION.toString());
+                            copy(request, headers, HttpHeaderNames.CONTENT_TYPE.toString());
+                            headers.set(FORWARDED, "true");
+                        })
+                .request(HttpMethod.valueOf(request.method().name()))
+                .uri("http://" + holder + request.uri())
+                .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
+                .responseSingle(
+                        (answer, content) ->
+                                content.asByteArray()
+                                        .defaultIfEmpty(new byte[0])
+                                        .map(
+                                                bytes ->
+                                                        new Answer(
+                                                                answer.status().code(),
+                                                                answer.responseHeaders()
+                                                                        .get("X-Not-Run"),
+                                                                bytes)))
+                .onErrorMap(
+                        failure ->
+                                new RefusedException(
+                                        Refusal.of(
+                                                RefusalReason.ROLLOUT_NOT_CONFIRMED,
+                                                "the instance that acts for the trainer did not"
+                                                        + " answer")))
+                .flatMap(answer -> answer.write(response));
+    }
+
+    private static void copy(
+            HttpServerRequest request, io.netty.handler.codec.http.HttpHeaders to, String name) {
+        String value = request.requestHeaders().get(name);
+        if (value != null) {
+            to.set(name, value);
+        }
+    }
+
+    private record Answer(
+            int status, @org.jspecify.annotations.Nullable String notRun, byte[] body) {
+
+        Mono<Void> write(HttpServerResponse response) {
+            response.status(status).header("Content-Type", "application/json");
+            if (notRun != null) {
+                response.header("X-Not-Run", notRun);
+            }
+            return response.sendByteArray(Mono.just(body)).then();
+        }
+    }
+}
--- /dev/null
+++ b/frontend/src/main/java/org/fuchsialever/frontend/rollout/RolloutServices.java
@@ -0,0 +1,77 @@
+package org.fuchsialever.frontend.rollout;
+
+import io.vavr.control.Option;
+import java.util.List;
+import java.util.function.Supplier;
+import org.fuchsialever.decisions.config.ConfigSnapshot;
+import org.fuchsialever.decisions.model.RequestId;
+import org.fuchsialever.frontend.Answers;
+import org.fuchsialever.frontend.Authenticator;
+import org.fuchsialever.frontend.Endpoint;
+
+/** What the endpoints for trainers use. */
+public final class RolloutServices {
+    private final Supplier<Option<ConfigSnapshot>> snapshots;
+    private final Supplier<RequestId> requestIds;
+    private final Authenticator authenticator;
+    private final RolloutPort port;
+    private final Answers answers;
+    private final SubmissionReader reader = new SubmissionReader();
+    private final RolloutForwarder forwarder = new RolloutForwarder();
+
+    /**
+     * Gathers the services.
+     *
+     * @param snapshots returns the configuration in force, if there is one
+     * @param requestIds returns a new identity each time
+     * @param authenticator checks callers
+     * @param port carries out requests
+     * @param answers writes refusals
+     */
+    public RolloutServices(
+            Supplier<Option<ConfigSnapshot>> snapshots,
+            Supplier<RequestId> requestIds,
+            Authenticator authenticator,
+            RolloutPort port,
+            Answers answers) {
+        this.snapshots = snapshots;
+        this.requestIds = requestIds;
+        this.authenticator = authenticator;
+        this.port = port;
+        this.answers = answers;
+    }
+
+    /** Returns all endpoints for trainers. */
+    public List<Endpoint> endpoints() {
+        return List.of(
+                new SubmitEndpoint(this), new SamplesEndpoint(this), new AcknowledgeEndpoint(this));
+    }
+
+    Supplier<Option<ConfigSnapshot>> snapshots() {
+        return snapshots;
+    }
+
+    Supplier<RequestId> requestIds() {
+        return requestIds;
+    }
+
+    Authenticator authenticator() {
+        return authenticator;
+    }
+
+    RolloutPort port() {
+        return port;
+    }
+
+    Answers answers() {
+        return answers;
+    }
+
+    SubmissionReader reader() {
+        return reader;
+    }
+
+    RolloutForwarder forwarder() {
+        return forwarder;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/samples/CommitSender.java
@@ -0,0 +1,84 @@
+package org.fuchsialever.node.samples;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.fuchsialever.decisions.model.TrainerName;
+import org.fuchsialever.decisions.samples.HeadCommit;
+import org.fuchsialever.decisions.samples.RolloutEvent;
+import org.fuchsialever.kernel.time.TimeSource;
+import org.fuchsialever.node.lease.HeldLease;
+import org.fuchsialever.node.lease.Leases;
+import org.fuchsialever.platform.CommitResult;
+import org.fuchsialever.platform.Row;
+import org.fuchsialever.platform.TableService;
+
+/** Sends commits under the lease of a trainer and reports their results. */
+final class CommitSender {
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+    private final TableService tables;
+    private final Leases leases;
+    private final String holder;
+    private final TimeSource time;
+
+    CommitSender(TableService tables, Leases leases, String holder, TimeSource time) {
+        this.tables = tables;
+        this.leases = leases;
+        this.holder = holder;
+        this.time = time;
+    }
+
+    void send(
+            TrainerName trainer,
+            long term,
+            HeadCommit commit,
+            String team,
+            Consumer<RolloutEvent> result) {
+        Option<HeldLease> lease =
+                leases.held(RolloutRows.role(trainer)).filter(held -> held.fencing() == term);
+        RolloutEvent unknown = new RolloutEvent.CommitUnknown(trainer, term, commit.writer());
+        if (lease.isEmpty()) {
+            result.accept(unknown);
+            return;
+        }
+        tables.commit(
+                        RolloutRows.encode(
+                                trainer, commit, lease.get(), holder, team, time.wallMillis()))
+                .timeout(TIMEOUT)
+                .map(answer -> eventOf(trainer, term, commit, answer))
+                .onErrorReturn(unknown)
+                .subscribe(result);
+    }
+
+    private static RolloutEvent eventOf(
+            TrainerName trainer, long term, HeadCommit commit, CommitResult answer) {
+        if (answer instanceof CommitResult.Committed committed) {
+            return new RolloutEvent.BatchFixed(trainer, term, commit.writer(), committed.version());
+        }
+        CommitResult.Conflict conflict = (CommitResult.Conflict) answer;
+        Option<RolloutEvent.RowWriter> head =
+                row(conflict, RolloutRows.DELIVERIES, RolloutRows.cursorKey(trainer))
+                        .map(row -> new RolloutEvent.RowWriter(row.writer(), row.version()));
+        Option<String> submitted =
+                commit.submission()
+                        .flatMap(
+                                added ->
+                                        row(
+                                                conflict,
+                                                RolloutRows.GROUPS,
+                                                RolloutRows.stepKey(trainer, added.step())))
+                        .map(
+                                row ->
+                                        RolloutRows.read(row.value(), RolloutRows.StepRow.class)
+                                                .object());
+        return new RolloutEvent.CommitConflicted(trainer, term, commit.writer(), head, submitted);
+    }
+
+    private static Option<Row> row(CommitResult.Conflict conflict, String table, String key) {
+        return Option.ofOptional(
+                conflict.rows().stream()
+                        .filter(row -> row.table().equals(table) && row.key().equals(key))
+                        .findFirst());
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/samples/PendingRequests.java
@@ -0,0 +1,72 @@
+package org.fuchsialever.node.samples;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongPredicate;
+import org.fuchsialever.decisions.dispatch.RefusalReason;
+import org.fuchsialever.decisions.samples.RolloutAction;
+import org.fuchsialever.decisions.samples.RolloutRefusal;
+import org.fuchsialever.frontend.Refusal;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.MonoSink;
+
+/** Requests of trainers that wait for an action of the duty. */
+final class PendingRequests {
+    private final Map<Long, MonoSink<Either<Refusal, RolloutAction>>> waiting =
+            new ConcurrentHashMap<>();
+    private final AtomicLong sequence = new AtomicLong();
+
+    /**
+     * Sends an event with a new request number and waits for the answer.
+     *
+     * @param offer sends the event; returns false if the ring is full
+     */
+    Mono<Either<Refusal, RolloutAction>> ask(LongPredicate offer, Duration timeout) {
+        return Mono.defer(() -> ask(sequence.incrementAndGet(), offer))
+                .timeout(timeout)
+                .onErrorReturn(
+                        TimeoutException.class,
+                        Either.left(Refusal.of(RefusalReason.ROLLOUT_NOT_CONFIRMED)));
+    }
+
+    void answer(long request, RolloutAction action) {
+        complete(request, Either.right(action));
+    }
+
+    void refuse(long request, RolloutRefusal reason) {
+        complete(request, Either.left(Refusal.of(reasonOf(reason))));
+    }
+
+    private Mono<Either<Refusal, RolloutAction>> ask(long request, LongPredicate offer) {
+        return Mono.<Either<Refusal, RolloutAction>>create(
+                        sink -> {
+                            waiting.put(request, sink);
+                            if (!offer.test(request)) {
+                                complete(
+                                        request, Either.left(Refusal.of(RefusalReason.QUEUE_FULL)));
+                            }
+                        })
+                .doFinally(signal -> waiting.remove(request));
+    }
+
+    private void complete(long request, Either<Refusal, RolloutAction> result) {
+        MonoSink<Either<Refusal, RolloutAction>> sink = waiting.remove(request);
+        if (sink != null) {
+            sink.success(result);
+        }
+    }
+
+    private static RefusalReason reasonOf(RolloutRefusal reason) {
+        return switch (reason) {
+            case NOT_HOLDER -> RefusalReason.TRAINER_HOLDER_UNKNOWN;
+            case STEP_DIFFERS -> RefusalReason.STEP_DIFFERS;
+            case TOO_MANY -> RefusalReason.QUEUE_FULL;
+            case GROUP_TOO_LARGE -> RefusalReason.GROUP_TOO_LARGE;
+            case CURSOR_BEYOND_END -> RefusalReason.CURSOR_BEYOND_END;
+        };
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/samples/RolloutExecutor.java
@@ -0,0 +1,260 @@
+package org.fuchsialever.node.samples;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.fuchsialever.decisions.config.Route;
+import org.fuchsialever.decisions.model.RequestId;
+import org.fuchsialever.decisions.model.RouteName;
+import org.fuchsialever.decisions.model.TeamName;
+import org.fuchsialever.decisions.model.TrainerName;
+import org.fuchsialever.decisions.samples.GeneratedSample;
+import org.fuchsialever.decisions.samples.HeadCommit;
+import org.fuchsialever.decisions.samples.RolloutAction;
+import org.fuchsialever.decisions.samples.RolloutEvent;
+import org.fuchsialever.decisions.samples.Submission;
+import org.fuchsialever.kernel.duty.ActionSink;
+import org.fuchsialever.kernel.duty.Inbox;
+import org.fuchsialever.kernel.time.TimeSource;
+import org.fuchsialever.node.config.ConfigHolder;
+import org.fuchsialever.node.generation.Generation;
+import org.fuchsialever.node.generation.GenerationPort;
+import org.fuchsialever.node.generation.GenerationRequest;
+import org.fuchsialever.node.lease.Leases;
+import org.fuchsialever.platform.JudgeService;
+import org.jspecify.annotations.Nullable;
+import reactor.core.Disposable;
+import reactor.core.publisher.Mono;
+
+/** Carries out the actions of the rollout duty. */
+final class RolloutExecutor implements ActionSink<RolloutAction> {
+    private static final Duration JUDGE_TIMEOUT = Duration.ofSeconds(30);
+    private static final Duration STORE_TIMEOUT = Duration.ofSeconds(10);
+
+    private final RolloutParts parts;
+    private final Map<AttemptKey, Disposable> running = new ConcurrentHashMap<>();
+    private final Map<TrainerName, Submission> newest = new ConcurrentHashMap<>();
+    private final Map<TrainerName, String> teams = new ConcurrentHashMap<>();
+    private @Nullable Inbox<RolloutEvent> inbox;
+
+    RolloutExecutor(RolloutParts parts) {
+        this.parts = parts;
+    }
+
+    void connect(Inbox<RolloutEvent> target) {
+        inbox = target;
+    }
+
+    /** Sends an event to the duty; returns false if its ring is full. */
+    boolean offer(RolloutEvent event) {
+        Inbox<RolloutEvent> target = inbox;
+        return target != null && target.offer(event);
+    }
+
+    /** Returns whether a trainer is free or belongs to a team. */
+    boolean belongsTo(TrainerName trainer, TeamName team) {
+        String owner = teams.getOrDefault(trainer, "");
+        return owner.isEmpty() || owner.equals(team.value());
+    }
+
+    /** Asks the weight store for the newest versions of the models that trainers use. */
+    void observeVersions() {
+        newest.forEach((trainer, submission) -> observeVersion(trainer, submission.model()));
+    }
+
+    @Override
+    public void emit(RolloutAction action) {
+        if (action instanceof RolloutAction.Generate generate) {
+            generate(generate);
+        } else if (action instanceof RolloutAction.CancelGeneration cancel) {
+            cancel(new AttemptKey(cancel.trainer(), cancel.term(), cancel.attempt()));
+        } else if (action instanceof RolloutAction.Judge judge) {
+            judge(judge);
+        } else if (action instanceof RolloutAction.StoreBody body) {
+            store(body);
+        } else if (action instanceof RolloutAction.CommitBatch batch) {
+            commit(batch.trainer(), batch.term(), batch.commit());
+        } else if (action instanceof RolloutAction.CommitCursor cursor) {
+            commit(cursor.trainer(), cursor.term(), cursor.commit());
+        } else if (action instanceof RolloutAction.Restore restore) {
+            restore(restore);
+        } else {
+            answer(action);
+        }
+    }
+
+    private void answer(RolloutAction action) {
+        if (action instanceof RolloutAction.Deliver delivery) {
+            if (!delivery.entries().isEmpty()) {
+                parts.metrics().delivered(delivery);
+            }
+            parts.pending().answer(delivery.request(), delivery);
+        } else if (action instanceof RolloutAction.Accept accept) {
+            parts.pending().answer(accept.request(), accept);
+        } else if (action instanceof RolloutAction.Refuse refuse) {
+            parts.pending().refuse(refuse.request(), refuse.reason());
+        } else if (action instanceof RolloutAction.Count count) {
+            parts.metrics().count(count.trainer(), count.counter(), count.amount());
+        }
+    }
+
+    private void generate(RolloutAction.Generate action) {
+        TrainerName trainer = action.sample().trainer();
+        AttemptKey key = new AttemptKey(trainer, action.term(), action.attempt());
+        RolloutEvent failed =
+                new RolloutEvent.SampleFailed(trainer, action.term(), action.attempt());
+        Option<Route> route = routeNamed(action.route());
+        if (route.isEmpty()) {
+            offer(failed);
+            return;
+        }
+        long started = parts.time().wallMillis();
+        GenerationRequest request =
+                new GenerationRequest(
+                        new RequestId(
+                                parts.writer() + "-s" + action.term() + "-" + action.attempt()),
+                        route.get(),
+                        action.team(),
+                        action.prompt(),
+                        action.maxTokens(),
+                        action.urgency());
+        Disposable work =
+                parts.generation()
+                        .generate(request)
+                        .map(result -> generated(action, result, started))
+                        .doOnError(failure -> parts.metrics().failure("generate"))
+                        .onErrorReturn(failed)
+                        .defaultIfEmpty(failed)
+                        .doFinally(signal -> running.remove(key))
+                        .subscribe(this::offer);
+        if (!work.isDisposed()) {
+            running.put(key, work);
+            if (work.isDisposed()) {
+                running.remove(key);
+            }
+        }
+    }
+
+    private RolloutEvent generated(
+            RolloutAction.Generate action, Generation result, long startedMillis) {
+        return new RolloutEvent.SampleGenerated(
+                action.sample().trainer(),
+                action.term(),
+                action.attempt(),
+                new GeneratedSample(
+                        result.text(), result.ranges(), startedMillis, parts.time().wallMillis()));
+    }
+
+    private Option<Route> routeNamed(RouteName name) {
+        return parts.config().current().flatMap(snapshot -> Option.of(snapshot.routes().get(name)));
+    }
+
+    private void cancel(AttemptKey key) {
+        Disposable work = running.remove(key);
+        if (work != null) {
+            work.dispose();
+        }
+    }
+
+    private void judge(RolloutAction.Judge action) {
+        TrainerName trainer = action.sample().trainer();
+        RolloutEvent failed =
+                new RolloutEvent.SampleFailed(trainer, action.term(), action.attempt());
+        parts.judge()
+                .judge(action.sample().toString(), action.prompt(), action.text())
+                .timeout(JUDGE_TIMEOUT)
+                .<RolloutEvent>map(
+                        score ->
+                                new RolloutEvent.SampleJudged(
+                                        trainer, action.term(), action.attempt(), score))
+                .doOnError(failure -> parts.metrics().failure("judge"))
+                .onErrorReturn(failed)
+                .defaultIfEmpty(failed)
+                .subscribe(this::offer);
+    }
+
+    private void store(RolloutAction.StoreBody action) {
+        RolloutEvent stored =
+                new RolloutEvent.BatchStored(action.trainer(), action.term(), action.object());
+        RolloutEvent failed =
+                new RolloutEvent.StoreFailed(action.trainer(), action.term(), action.object());
+        parts.objects()
+                .store(action.object(), action.samples())
+                .timeout(STORE_TIMEOUT)
+                .map(created -> stored)
+                .doOnError(failure -> parts.metrics().failure("store"))
+                .onErrorReturn(failed)
+                .defaultIfEmpty(failed)
+                .subscribe(this::offer);
+    }
+
+    private void commit(TrainerName trainer, long term, HeadCommit commit) {
+        commit.submission()
+                .forEach(
+                        submission -> {
+                            newest.put(trainer, submission);
+                            teams.put(trainer, submission.team().value());
+                            observeVersion(trainer, submission.model());
+                        });
+        parts.commits().send(trainer, term, commit, teams.getOrDefault(trainer, ""), this::offer);
+    }
+
+    private void restore(RolloutAction.Restore action) {
+        TrainerName trainer = action.trainer();
+        Mono.delay(Duration.ofNanos(action.delayNanos()))
+                .flatMap(
+                        tick ->
+                                parts.restorer()
+                                        .restore(
+                                                trainer,
+                                                action.atLeastVersion(),
+                                                () -> holds(trainer, action.term())))
+                .subscribe(
+                        restored -> takeRestored(trainer, action.term(), restored),
+                        failure -> parts.metrics().failure("restore"));
+    }
+
+    private void takeRestored(TrainerName trainer, long term, RolloutRestorer.Restored restored) {
+        teams.put(trainer, restored.team());
+        offer(new RolloutEvent.TrainerRestored(trainer, term, restored.log()));
+        restored.log().submissions().stream()
+                .reduce((earlier, later) -> later)
+                .ifPresent(
+                        last -> {
+                            newest.put(trainer, last.submission());
+                            observeVersion(trainer, last.submission().model());
+                        });
+    }
+
+    private boolean holds(TrainerName trainer, long term) {
+        return parts.leases()
+                .held(RolloutRows.role(trainer))
+                .exists(lease -> lease.fencing() == term);
+    }
+
+    private void observeVersion(TrainerName trainer, String model) {
+        parts.weights()
+                .latest(model)
+                .subscribe(
+                        version -> offer(new RolloutEvent.VersionObserved(trainer, version)),
+                        failure -> parts.metrics().failure("weights"));
+    }
+
+    private record AttemptKey(TrainerName trainer, long term, long attempt) {}
+
+    /** What the executor uses. */
+    record RolloutParts(
+            String writer,
+            ConfigHolder config,
+            Leases leases,
+            GenerationPort generation,
+            JudgeService judge,
+            org.fuchsialever.platform.WeightStore weights,
+            SampleObjects objects,
+            CommitSender commits,
+            RolloutRestorer restorer,
+            PendingRequests pending,
+            RolloutMetrics metrics,
+            TimeSource time) {}
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/samples/RolloutMetrics.java
@@ -0,0 +1,40 @@
+package org.fuchsialever.node.samples;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.concurrent.TimeUnit;
+import org.fuchsialever.decisions.model.TrainerName;
+import org.fuchsialever.decisions.samples.RolloutAction;
+import org.fuchsialever.decisions.samples.RolloutCounter;
+
+/** Metrics of each trainer. */
+final class RolloutMetrics {
+    private static final String TAG = "trainer";
+
+    private final MeterRegistry meters;
+
+    RolloutMetrics(MeterRegistry meters) {
+        this.meters = meters;
+    }
+
+    void count(TrainerName trainer, RolloutCounter counter, int amount) {
+        meters.counter(
+                        "fuchsialever.rollout.events",
+                        TAG,
+                        trainer.value(),
+                        "event",
+                        counter.metricName())
+                .increment(amount);
+    }
+
+    /** Records how long the trainer waited and the largest staleness of what it gets. */
+    void delivered(RolloutAction.Deliver delivery) {
+        String trainer = delivery.trainer().value();
+        meters.timer("fuchsialever.trainer.idle", TAG, trainer)
+                .record(delivery.idleNanos(), TimeUnit.NANOSECONDS);
+        meters.summary("fuchsialever.sample.staleness", TAG, trainer).record(delivery.staleness());
+    }
+
+    void failure(String stage) {
+        meters.counter("fuchsialever.rollout.failures", "stage", stage).increment();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/samples/SampleObjects.java
@@ -0,0 +1,84 @@
+package org.fuchsialever.node.samples;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.fuchsialever.decisions.samples.BatchEntry;
+import org.fuchsialever.decisions.samples.JudgedSample;
+import org.fuchsialever.platform.ObjectStore;
+import org.jspecify.annotations.Nullable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** Bodies of samples in the object store; keeps the objects used last. */
+final class SampleObjects {
+    private static final int KEPT = 32;
+    private static final int PARALLEL_READS = 8;
+
+    private final ObjectStore objects;
+    private final Map<String, List<JudgedSample>> kept =
+            new LinkedHashMap<>(16, 0.75f, true) {
+                private static final long serialVersionUID = 1L;
+
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<String, List<JudgedSample>> eldest) {
+                    return size() > KEPT;
+                }
+            };
+
+    SampleObjects(ObjectStore objects) {
+        this.objects = objects;
+    }
+
+    /** Stores samples; an object that exists was stored by an earlier attempt. */
+    Mono<Boolean> store(String name, List<JudgedSample> samples) {
+        return objects.putIfAbsent(name, RolloutRows.write(samples))
+                .doOnNext(stored -> keep(name, samples));
+    }
+
+    /** Returns the bodies of entries in their order. */
+    Mono<List<JudgedSample>> bodies(List<BatchEntry> entries) {
+        return Flux.fromIterable(entries)
+                .map(BatchEntry::object)
+                .distinct()
+                .flatMap(
+                        name -> read(name).map(samples -> Map.entry(name, samples)), PARALLEL_READS)
+                .collectMap(Map.Entry::getKey, Map.Entry::getValue)
+                .map(
+                        found ->
+                                entries.stream()
+                                        .map(entry -> body(entry, found.get(entry.object())))
+                                        .toList());
+    }
+
+    private static JudgedSample body(BatchEntry entry, @Nullable List<JudgedSample> samples) {
+        if (samples == null || !samples.get(entry.slot()).id().equals(entry.id())) {
+            throw new IllegalStateException("object " + entry.object() + " lacks " + entry.id());
+        }
+        return samples.get(entry.slot());
+    }
+
+    private Mono<List<JudgedSample>> read(String name) {
+        synchronized (kept) {
+            List<JudgedSample> samples = kept.get(name);
+            if (samples != null) {
+                return Mono.just(samples);
+            }
+        }
+        return objects.read(name)
+                .map(
+                        content ->
+                                RolloutRows.readSamples(
+                                        content.getOrElseThrow(
+                                                () ->
+                                                        new IllegalStateException(
+                                                                "no object " + name))))
+                .doOnNext(samples -> keep(name, samples));
+    }
+
+    private void keep(String name, List<JudgedSample> samples) {
+        synchronized (kept) {
+            kept.put(name, samples);
+        }
+    }
+}
