--- a/node/src/main/java/org/fuchsialever/node/samples/RolloutService.java
+++ b/node/src/main/java/org/fuchsialever/node/samples/RolloutService.java
@@ -15,6 +15,7 @@
 import org.fuchsialever.frontend.RefusedException;
 import org.fuchsialever.frontend.rollout.RolloutPort;
 import org.fuchsialever.frontend.rollout.SamplePage;
+import org.fuchsialever.kernel.log.PartLogger;
 import org.fuchsialever.node.lease.HeldLease;
 import org.fuchsialever.node.lease.Leases;
 import org.fuchsialever.platform.Platform;
@@ -24,6 +25,7 @@
 
 /** Requests of trainers, carried out by the rollout duty of the instance that holds the lease. */
 final class RolloutService implements RolloutPort {
+    private static final PartLogger LOG = PartLogger.of("samples");
     private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(10);
     private static final Duration LEASE_RETRY = Duration.ofMillis(200);
     private static final int LEASE_RETRIES = 15;
@@ -60,7 +62,7 @@
                                 .filter(HolderUnknownException.class::isInstance))
                 .onErrorMap(
                         failure -> !(failure instanceof RefusedException),
-                        failure -> refused(RefusalReason.TRAINER_HOLDER_UNKNOWN));
+                        failure -> holderUnknown(trainer, failure));
     }
 
     @Override
@@ -173,6 +175,11 @@
         }
     }
 
+    private static RefusedException holderUnknown(TrainerName trainer, Throwable failure) {
+        LOG.warning("The holder of trainer " + trainer + " is not known.", failure);
+        return refused(RefusalReason.TRAINER_HOLDER_UNKNOWN);
+    }
+
     private static <T> Mono<Either<Refusal, T>> refuse(RefusalReason reason) {
         return Mono.just(Either.left(Refusal.of(reason)));
     }
--- /dev/null
+++ b/node/src/test/java/org/fuchsialever/node/samples/FakePlatform.java
@@ -0,0 +1,117 @@
+package org.fuchsialever.node.samples;
+
+import io.vavr.control.Option;
+import java.lang.reflect.Proxy;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentSkipListMap;
+import org.fuchsialever.decisions.model.WeightVersion;
+import org.fuchsialever.platform.Commit;
+import org.fuchsialever.platform.CommitResult;
+import org.fuchsialever.platform.ObjectStore;
+import org.fuchsialever.platform.OrderingService;
+import org.fuchsialever.platform.Platform;
+import org.fuchsialever.platform.PlatformException;
+import org.fuchsialever.platform.Row;
+import org.fuchsialever.platform.TableService;
+import org.fuchsialever.platform.UsageReportService;
+import reactor.core.publisher.Mono;
+
+/** Tables and objects in memory; can lose the answer of every third commit. */
+final class FakePlatform implements TableService, ObjectStore {
+    private final Map<String, Row> rows = new TreeMap<>();
+    private final Map<String, byte[]> objects = new ConcurrentSkipListMap<>();
+    private long revision;
+    private int commits;
+
+    Platform platform() {
+        return new Platform(
+                this,
+                this,
+                unused(OrderingService.class),
+                unused(UsageReportService.class),
+                () -> Mono.just(List.of()),
+                model -> Mono.just(new WeightVersion(7)),
+                (sample, prompt, text) -> Mono.just(0.25));
+    }
+
+    private static <T> T unused(Class<T> type) {
+        return type.cast(
+                Proxy.newProxyInstance(
+                        type.getClassLoader(),
+                        new Class<?>[] {type},
+                        (proxy, method, arguments) -> {
+                            throw new UnsupportedOperationException(method.toString());
+                        }));
+    }
+
+    @Override
+    public synchronized Mono<Option<Row>> read(String table, String key) {
+        return Mono.just(Option.of(rows.get(table + " " + key)));
+    }
+
+    @Override
+    public synchronized Mono<List<Row>> scan(String table, String prefix, long afterVersion) {
+        return Mono.just(
+                rows.values().stream()
+                        .filter(row -> row.table().equals(table) && row.key().startsWith(prefix))
+                        .filter(row -> row.version() > afterVersion)
+                        .toList());
+    }
+
+    @Override
+    public Mono<CommitResult> commit(Commit commit) {
+        return Mono.fromSupplier(() -> apply(commit));
+    }
+
+    /** Writes rows without losing the answer; returns their version. */
+    synchronized long writeNow(Commit commit) {
+        commits = 0;
+        apply(commit);
+        return revision;
+    }
+
+    private synchronized CommitResult apply(Commit commit) {
+        List<Row> conflicts = new ArrayList<>();
+        boolean holds = true;
+        for (Commit.Condition condition : commit.conditions()) {
+            Row row = rows.get(condition.table() + " " + condition.key());
+            if ((row == null ? 0 : row.version()) != condition.version()) {
+                holds = false;
+                Option.of(row).forEach(conflicts::add);
+            }
+        }
+        if (!holds) {
+            return new CommitResult.Conflict(conflicts);
+        }
+        revision++;
+        for (Commit.Put put : commit.puts()) {
+            rows.put(
+                    put.table() + " " + put.key(),
+                    new Row(put.table(), put.key(), revision, put.value(), commit.writer()));
+        }
+        commit.deletes().forEach(gone -> rows.remove(gone.table() + " " + gone.key()));
+        commits++;
+        if (commits % 3 == 0) {
+            throw new PlatformException(PlatformException.Effect.UNKNOWN, "the answer was lost");
+        }
+        return new CommitResult.Committed(revision);
+    }
+
+    @Override
+    public Mono<Boolean> putIfAbsent(String name, byte[] content) {
+        return Mono.fromSupplier(() -> objects.putIfAbsent(name, content) == null);
+    }
+
+    @Override
+    public Mono<Option<byte[]>> read(String name) {
+        return Mono.fromSupplier(() -> Option.of(objects.get(name)));
+    }
+
+    @Override
+    public Mono<List<String>> list(String prefix) {
+        return Mono.just(objects.keySet().stream().filter(n -> n.startsWith(prefix)).toList());
+    }
+}
