--- a/decisions/src/test/java/org/fuchsialever/decisions/samples/RolloutDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/samples/RolloutDutyTest.java
@@ -99,6 +99,19 @@
         assertThat(replaced, greaterThan(0));
     }
 
+    @Test
+    void recognisesItsOwnCommitAfterALostAnswer() {
+        List<Submission> steps = List.of(RolloutWorld.submission(1, 4, 4));
+        RolloutWorld world = new RolloutWorld(11, StragglerPolicy.NONE);
+        world.lostAnswers = 50;
+        steps.forEach(world::submit);
+        world.runUntil(16, 60);
+
+        world.assertEverySampleExactlyOnce(steps);
+        assertThat(world.counters.getOrDefault(RolloutCounter.COMMIT_RETRIED, 0), greaterThan(0));
+        assertThat(world.counters.getOrDefault(RolloutCounter.COMMIT_CONFLICTED, 0), is(0));
+    }
+
     @Test
     void deliversOnlyWholeGroups() {
         List<Submission> steps = List.of(RolloutWorld.submission(1, 3, 4));
--- a/node/src/main/java/org/fuchsialever/node/samples/CommitSender.java
+++ b/node/src/main/java/org/fuchsialever/node/samples/CommitSender.java
@@ -12,6 +12,7 @@
 import org.fuchsialever.platform.CommitResult;
 import org.fuchsialever.platform.Row;
 import org.fuchsialever.platform.TableService;
+import reactor.core.publisher.Mono;
 
 /** Sends commits under the lease of a trainer and reports their results. */
 final class CommitSender {
@@ -42,12 +43,20 @@
             result.accept(unknown);
             return;
         }
-        tables.commit(
-                        RolloutRows.encode(
-                                trainer, commit, lease.get(), holder, team, time.wallMillis()))
+        Mono.defer(
+                        () ->
+                                tables.commit(
+                                        RolloutRows.encode(
+                                                trainer,
+                                                commit,
+                                                lease.get(),
+                                                holder,
+                                                team,
+                                                time.wallMillis())))
                 .timeout(TIMEOUT)
                 .map(answer -> eventOf(trainer, term, commit, answer))
                 .onErrorReturn(unknown)
+                .defaultIfEmpty(unknown)
                 .subscribe(result);
     }
 
--- a/node/src/main/java/org/fuchsialever/node/samples/RolloutExecutor.java
+++ b/node/src/main/java/org/fuchsialever/node/samples/RolloutExecutor.java
@@ -36,7 +36,7 @@
     private final Map<AttemptKey, Disposable> running = new ConcurrentHashMap<>();
     private final Map<TrainerName, Submission> newest = new ConcurrentHashMap<>();
     private final Map<TrainerName, String> teams = new ConcurrentHashMap<>();
-    private @Nullable Inbox<RolloutEvent> inbox;
+    private volatile @Nullable Inbox<RolloutEvent> inbox;
 
     RolloutExecutor(RolloutParts parts) {
         this.parts = parts;
@@ -49,7 +49,11 @@
     /** Sends an event to the duty; returns false if its ring is full. */
     boolean offer(RolloutEvent event) {
         Inbox<RolloutEvent> target = inbox;
-        return target != null && target.offer(event);
+        boolean taken = target != null && target.offer(event);
+        if (!taken) {
+            parts.metrics().failure("ring-full");
+        }
+        return taken;
     }
 
     /** Returns whether a trainer is free or belongs to a team. */
@@ -120,8 +124,7 @@
                         action.maxTokens(),
                         action.urgency());
         Disposable work =
-                parts.generation()
-                        .generate(request)
+                Mono.defer(() -> parts.generation().generate(request))
                         .map(result -> generated(action, result, started))
                         .doOnError(failure -> parts.metrics().failure("generate"))
                         .onErrorReturn(failed)
@@ -161,8 +164,13 @@
         TrainerName trainer = action.sample().trainer();
         RolloutEvent failed =
                 new RolloutEvent.SampleFailed(trainer, action.term(), action.attempt());
-        parts.judge()
-                .judge(action.sample().toString(), action.prompt(), action.text())
+        Mono.defer(
+                        () ->
+                                parts.judge()
+                                        .judge(
+                                                action.sample().toString(),
+                                                action.prompt(),
+                                                action.text()))
                 .timeout(JUDGE_TIMEOUT)
                 .<RolloutEvent>map(
                         score ->
@@ -179,8 +187,7 @@
                 new RolloutEvent.BatchStored(action.trainer(), action.term(), action.object());
         RolloutEvent failed =
                 new RolloutEvent.StoreFailed(action.trainer(), action.term(), action.object());
-        parts.objects()
-                .store(action.object(), action.samples())
+        Mono.defer(() -> parts.objects().store(action.object(), action.samples()))
                 .timeout(STORE_TIMEOUT)
                 .map(created -> stored)
                 .doOnError(failure -> parts.metrics().failure("store"))
