Leave the outcome open when a trainer's lease is lost

Cause: a submission that was refused because the lease was lost said "not run", although its commit may have taken effect. Result: PendingRequestsTest passes, 2 tests; verify of node and what it needs passes.

--- a/node/src/main/java/org/fuchsialever/node/samples/PendingRequests.java
+++ b/node/src/main/java/org/fuchsialever/node/samples/PendingRequests.java
@@ -62,7 +62,8 @@
 
     private static RefusalReason reasonOf(RolloutRefusal reason) {
         return switch (reason) {
-            case NOT_HOLDER -> RefusalReason.TRAINER_HOLDER_UNKNOWN;
+            // The commit of a submission may have taken effect before the lease was lost.
+            case NOT_HOLDER -> RefusalReason.ROLLOUT_NOT_CONFIRMED;
             case STEP_DIFFERS -> RefusalReason.STEP_DIFFERS;
             case TOO_MANY -> RefusalReason.QUEUE_FULL;
             case GROUP_TOO_LARGE -> RefusalReason.GROUP_TOO_LARGE;
--- /dev/null
+++ b/node/src/test/java/org/fuchsialever/node/samples/PendingRequestsTest.java
@@ -0,0 +1,42 @@
+package org.fuchsialever.node.samples;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.fuchsialever.decisions.dispatch.Outcome;
+import org.fuchsialever.decisions.dispatch.RefusalReason;
+import org.fuchsialever.decisions.samples.RolloutAction;
+import org.fuchsialever.decisions.samples.RolloutRefusal;
+import org.fuchsialever.frontend.Refusal;
+import org.junit.jupiter.api.Test;
+
+/** Guards against refusals that say "not run" although a commit may have taken effect. */
+class PendingRequestsTest {
+    private final PendingRequests pending = new PendingRequests();
+    private final List<Either<Refusal, RolloutAction>> results = new ArrayList<>();
+
+    @Test
+    void leavesTheOutcomeOpenWhenTheLeaseIsLost() {
+        ask(true);
+
+        pending.refuse(1, RolloutRefusal.NOT_HOLDER);
+
+        assertThat(results.get(0).getLeft().reason().outcome(), is(Outcome.UNKNOWN));
+    }
+
+    @Test
+    void saysNotRunWhenTheRingIsFull() {
+        ask(false);
+
+        assertThat(results.get(0).getLeft().reason(), is(RefusalReason.QUEUE_FULL));
+        assertThat(results.get(0).getLeft().reason().outcome(), is(Outcome.NOT_RUN));
+    }
+
+    private void ask(boolean taken) {
+        pending.ask(request -> taken, Duration.ofMinutes(1)).subscribe(results::add);
+    }
+}
