Exchange withdrawals, versions and shares between instances

Cause: keys, configuration and dispatch each had a feed that nothing filled, so a table outage of 5 s made every instance refuse keyed calls, and quotas knew only the demand of their own instance. Change: component exchange joins them with the peer messages. Share counters carry the demand; in groups above 32 instances they go to the own failure domain only. Result: a withdrawal reaches the second of two instances over sockets while the table service is down (ExchangeNodeTest); mvn -B verify -pl node -am passes.

--- a/decisions/src/main/java/org/fuchsialever/decisions/membership/MemberState.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/membership/MemberState.java
@@ -24,6 +24,11 @@
         return listed;
     }
 
+    /** Returns whether messages of an instance in this state have been arriving. */
+    public boolean isHeard() {
+        return this == ALIVE || this == LEAVING;
+    }
+
     /** Returns whether an instance in this state may be given new work. */
     public boolean takesWork() {
         return takesWork;
--- a/decisions/src/main/java/org/fuchsialever/decisions/membership/PeerMessage.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/membership/PeerMessage.java
@@ -50,8 +50,9 @@
      * @param pool the pool
      * @param team the team
      * @param cost tokens, decayed
+     * @param demand requests that wait or run
      */
-    record Share(PoolName pool, TeamName team, double cost) {}
+    record Share(PoolName pool, TeamName team, double cost, int demand) {}
 
     /**
      * Keys that have been withdrawn.
--- a/node/src/main/java/org/fuchsialever/node/dispatch/CallDispatcher.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/CallDispatcher.java
@@ -5,7 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import org.fuchsialever.decisions.config.RouteKind;
 import org.fuchsialever.decisions.config.UpstreamKind;
 import org.fuchsialever.decisions.dispatch.DispatchAction;
@@ -37,6 +39,8 @@
     private final Map<RequestId, Running> running = new ConcurrentHashMap<>();
     private final AtomicInteger admitted = new AtomicInteger();
     private final Sinks.One<Boolean> drained = Sinks.one();
+    private final List<Consumer<DispatchAction.PublishShares>> shareListeners =
+            new CopyOnWriteArrayList<>();
     private final int maxCalls;
     private final RunningCalls keys;
     private final ExchangeServices services;
@@ -54,6 +58,11 @@
         this.services = services;
     }
 
+    /** Adds a listener for what this instance serves; called on the thread of the duty. */
+    void onShares(Consumer<DispatchAction.PublishShares> listener) {
+        shareListeners.add(listener);
+    }
+
     /** Refuses queued and new calls; completes when no call is queued or running. */
     Mono<Void> drain() {
         services.ring().send(new DispatchEvent.DrainStarted());
@@ -106,6 +115,8 @@
             if (call != null) {
                 call.exchange.cancelAttempt(cancel.attempt());
             }
+        } else if (action instanceof DispatchAction.PublishShares published) {
+            shareListeners.forEach(listener -> listener.accept(published));
         } else if (action instanceof DispatchAction.Retry retry) {
             services.meters().retried(retry.reason());
         } else if (action instanceof DispatchAction.Refuse refuse) {
--- a/node/src/main/java/org/fuchsialever/node/dispatch/DispatchComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/DispatchComponent.java
@@ -45,7 +45,12 @@
 
     @Override
     public Set<Class<?>> provides() {
-        return Set.of(CallPort.class, ClaimGate.class, GenerationPort.class, CallDrain.class);
+        return Set.of(
+                CallPort.class,
+                ClaimGate.class,
+                GenerationPort.class,
+                CallDrain.class,
+                DispatchFeed.class);
     }
 
     @Override
@@ -104,6 +109,7 @@
         context.provide(ClaimGate.class, gate);
         context.provide(GenerationPort.class, dispatcher);
         context.provide(CallDrain.class, dispatcher::drain);
+        context.provide(DispatchFeed.class, new RingFeed(ring, dispatcher));
     }
 
     private DispatchDuty dispatchDuty(ComponentContext context) {
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/exchange/ShareExchange.java
@@ -0,0 +1,65 @@
+package org.fuchsialever.node.exchange;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.fuchsialever.decisions.dispatch.DispatchAction;
+import org.fuchsialever.decisions.dispatch.DispatchEvent;
+import org.fuchsialever.decisions.membership.Member;
+import org.fuchsialever.decisions.membership.PeerMessage;
+import org.fuchsialever.decisions.model.FailureDomain;
+import org.fuchsialever.decisions.model.InstanceId;
+import org.fuchsialever.decisions.model.PoolName;
+import org.fuchsialever.node.dispatch.DispatchFeed;
+import org.fuchsialever.node.peers.PeerMessages;
+
+/**
+ * Exchanges what instances serve for each team. A small group exchanges with everybody; in a large
+ * one the cost would grow with the square of its size, so each instance exchanges within its own
+ * failure domain only, and shares are divided there.
+ */
+final class ShareExchange {
+    private static final int MAX_RECEIVERS = 32;
+
+    private final PeerMessages peers;
+    private final DispatchFeed dispatch;
+    private final FailureDomain domain;
+
+    ShareExchange(PeerMessages peers, DispatchFeed dispatch, FailureDomain domain) {
+        this.peers = peers;
+        this.dispatch = dispatch;
+        this.domain = domain;
+    }
+
+    /** Sends what this instance serves. */
+    void publish(DispatchAction.PublishShares published) {
+        List<PeerMessage.Share> shares = new ArrayList<>();
+        for (DispatchEvent.TeamCost cost : published.costs()) {
+            shares.add(
+                    new PeerMessage.Share(
+                            published.pool(), cost.team(), cost.cost(), cost.demand()));
+        }
+        PeerMessage.ShareCounters message = new PeerMessage.ShareCounters(shares);
+        List<Member> members = peers.members();
+        for (Member member : members) {
+            boolean exchanges = members.size() <= MAX_RECEIVERS || member.domain().equals(domain);
+            if (exchanges && member.state().isListed()) {
+                peers.send(member.instance(), message);
+            }
+        }
+    }
+
+    /** Takes what another instance serves. */
+    void receive(InstanceId sender, PeerMessage.ShareCounters message) {
+        Map<PoolName, List<DispatchEvent.TeamCost>> byPool = new HashMap<>();
+        for (PeerMessage.Share share : message.shares()) {
+            byPool.computeIfAbsent(share.pool(), pool -> new ArrayList<>())
+                    .add(new DispatchEvent.TeamCost(share.team(), share.cost(), share.demand()));
+        }
+        byPool.forEach(
+                (pool, costs) ->
+                        dispatch.report(
+                                new DispatchEvent.SharesReceived(sender.value(), pool, costs)));
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/fuchsialever/node/exchange/ExchangeNodeTest.java
@@ -0,0 +1,172 @@
+package org.fuchsialever.node.exchange;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.fuchsialever.decisions.config.SnapshotText;
+import org.fuchsialever.decisions.keys.KeyHash;
+import org.fuchsialever.decisions.keys.KeyRecord;
+import org.fuchsialever.decisions.model.InstanceId;
+import org.fuchsialever.decisions.model.KeyId;
+import org.fuchsialever.decisions.model.TeamName;
+import org.fuchsialever.frontend.HttpFrontEnd;
+import org.fuchsialever.kernel.lifecycle.Closer;
+import org.fuchsialever.node.NodeProcess;
+import org.fuchsialever.node.config.ConfigRows;
+import org.fuchsialever.node.keys.KeyRows;
+import org.fuchsialever.node.keys.RunningCalls;
+import org.fuchsialever.node.peers.PeerMessages;
+import org.fuchsialever.standins.FaultMode;
+import org.fuchsialever.standins.InstanceListStandIn;
+import org.fuchsialever.standins.ListedInstanceEntry;
+import org.fuchsialever.standins.TableServiceStandIn;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Two instances that learn from each other what the table service cannot tell them. */
+class ExchangeNodeTest {
+    /** Bounds a hanging test; no verdict depends on it. */
+    private static final long PATIENCE_SECONDS = 30;
+
+    private static final String SECRET = "00112233445566778899aabbccddeeff";
+    private static final KeyId KEY = new KeyId("a");
+
+    private final Closer closer = new Closer();
+    private final HttpClient client = HttpClient.newHttpClient();
+    private TableServiceStandIn tables;
+    private InstanceListStandIn instances;
+
+    @BeforeEach
+    void startStandIns() {
+        tables = closer.register("tables", new TableServiceStandIn());
+        instances = closer.register("instances", new InstanceListStandIn(Duration.ZERO));
+        KeyRecord key =
+                new KeyRecord(KEY, new TeamName("alba"), KeyHash.of("5a17", SECRET), 0, false);
+        tables.put(KeyRows.TABLE, KEY.value(), key.encode());
+        String routes = "[team alba]\n[route r]\npath = /r\nkind = plain\npool = p\nteams = alba\n";
+        String pools =
+                """
+                [pool p]
+                kind = plain
+                [upstream u1]
+                pool = p
+                address = 127.0.0.1
+                port = 9
+                failure-domain = fd-1
+                """;
+        tables.put(
+                ConfigRows.TABLE,
+                ConfigRows.snapshotKey(1),
+                new SnapshotText(1, routes, pools).encode());
+        tables.put(ConfigRows.TABLE, ConfigRows.CURRENT, "1");
+    }
+
+    @AfterEach
+    void stopAll() {
+        closer.close();
+    }
+
+    /** Guards against withdrawals that wait for the table service to return. */
+    @Test
+    void passesAWithdrawalToTheOtherInstanceWhileTheTableServiceIsDown() throws Exception {
+        NodeProcess first = startReady("n1");
+        NodeProcess second = startReady("n2");
+        awaitMember(first, "n2");
+        awaitMember(second, "n1");
+        CountDownLatch ended = new CountDownLatch(1);
+        second.service(RunningCalls.class).register(KEY, ended::countDown);
+        tables.faults().set(FaultMode.DOWN);
+
+        post(first, "/operator/withdrawals", "{\"key\":\"a\"}");
+
+        assertThat(ended.await(PATIENCE_SECONDS, TimeUnit.SECONDS), is(true));
+        assertThat(post(second, "/r", "{}").body(), containsString("key-withdrawn"));
+    }
+
+    private void awaitMember(NodeProcess node, String name) throws InterruptedException {
+        PeerMessages peers = node.service(PeerMessages.class);
+        CountDownLatch met = new CountDownLatch(1);
+        peers.subscribe(
+                org.fuchsialever.decisions.membership.PeerMessage.Heartbeat.class,
+                (sender, message) -> {
+                    if (sender.equals(new InstanceId(name))) {
+                        met.countDown();
+                    }
+                });
+        assertThat(met.await(PATIENCE_SECONDS, TimeUnit.SECONDS), is(true));
+    }
+
+    private NodeProcess startReady(String name) throws Exception {
+        int httpPort = freePort();
+        int peerPort = freePort();
+        instances.put(
+                new ListedInstanceEntry(
+                        name, "127.0.0.1", httpPort, peerPort, "r1", "fd-1", false));
+        String settings =
+                """
+                [node]
+                name = %s
+                region = r1
+                failure-domain = fd-1
+                http-address = 127.0.0.1
+                http-port = %d
+                peer-address = 127.0.0.1
+                peer-port = %d
+                components = identity, platform, config, keys, peers, exchange, dispatch, \
+                readiness, endpoints, front-end
+                [platform]
+                table-service = %s
+                instance-list = %s
+                """
+                        .formatted(name, httpPort, peerPort, tables.url(), instances.url());
+        NodeProcess node =
+                NodeProcess.start("node.ini", settings)
+                        .getOrElseThrow(findings -> new AssertionError(findings.report()));
+        closer.register(name, node);
+        awaitStatus(node, "\"ready\":true");
+        return node;
+    }
+
+    /** Asks until the status says what is expected; the bound only ends a hanging test. */
+    private void awaitStatus(NodeProcess node, String expected) throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS);
+        String body = "";
+        while (!body.contains(expected) && System.nanoTime() < end) {
+            HttpRequest request = HttpRequest.newBuilder(uri(node, "/operator/status")).build();
+            body = client.send(request, HttpResponse.BodyHandlers.ofString()).body();
+        }
+        assertThat(body, containsString(expected));
+    }
+
+    private HttpResponse<String> post(NodeProcess node, String path, String body) throws Exception {
+        HttpRequest request =
+                HttpRequest.newBuilder(uri(node, path))
+                        .header("Authorization", "Bearer fl_a_" + SECRET)
+                        .POST(HttpRequest.BodyPublishers.ofString(body))
+                        .build();
+        return client.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    private static URI uri(NodeProcess node, String path) {
+        int port = node.service(HttpFrontEnd.class).port();
+        return URI.create("http://127.0.0.1:" + port + path);
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+}
--- a/wire/src/main/java/org/fuchsialever/wire/MessageKind.java
+++ b/wire/src/main/java/org/fuchsialever/wire/MessageKind.java
@@ -49,7 +49,8 @@
                 builder.addSharesBuilder()
                         .setPool(share.pool().value())
                         .setTeam(share.team().value())
-                        .setCost(share.cost());
+                        .setCost(share.cost())
+                        .setDemand(share.demand());
             }
         }
 
@@ -62,7 +63,8 @@
                                             new PeerMessage.Share(
                                                     new PoolName(share.getPool()),
                                                     new TeamName(share.getTeam()),
-                                                    share.getCost()))
+                                                    share.getCost(),
+                                                    share.getDemand()))
                             .toList());
         }
     },
--- a/wire/src/test/java/org/fuchsialever/wire/PeerCodecTest.java
+++ b/wire/src/test/java/org/fuchsialever/wire/PeerCodecTest.java
@@ -52,7 +52,7 @@
                 new PeerMessage.ShareCounters(
                         List.of(
                                 new PeerMessage.Share(
-                                        new PoolName("small"), new TeamName("alba"), 12.5))),
+                                        new PoolName("small"), new TeamName("alba"), 12.5, 7))),
                 new PeerMessage.KeyWithdrawals(Set.of(new KeyId("k1"), new KeyId("k2"))),
                 new PeerMessage.UsageHandover(
                         new InstanceId("node-1"),
