Add usage totals, the window closer and node component usage

Usage has to survive the loss of an instance, and the figures of a window must never change after the first report. Totals are absolute and only grow, so every write and hand-over may be repeated. The closer fixes a report in one commit under the lease before it sends it.

--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/usage/WindowReport.java
@@ -0,0 +1,44 @@
+package org.fuchsialever.decisions.usage;
+
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * Figures of a window before they are encoded.
+ *
+ * @param window the window
+ * @param totals its totals
+ * @param corrections totals that came too late for the report of their own window
+ */
+public record WindowReport(
+        WindowId window,
+        SortedMap<UsageKey, Figures> totals,
+        SortedMap<WindowId, SortedMap<UsageKey, Figures>> corrections) {
+
+    /** Copies the maps. */
+    public WindowReport {
+        totals = new TreeMap<>(totals);
+        corrections = new TreeMap<>(corrections);
+    }
+
+    /** Turns figures into the text that is reported. */
+    @FunctionalInterface
+    public interface Encoder {
+
+        /** Returns the text of a report. */
+        String encode(WindowReport report);
+    }
+
+    /** Returns whether there is nothing to report. */
+    public boolean isEmpty() {
+        return totals.isEmpty() && corrections.isEmpty();
+    }
+
+    /** Returns what all teams have to pay for in this report, by key. */
+    public Map<UsageKey, Figures> charged() {
+        Map<UsageKey, Figures> charged = new TreeMap<>();
+        totals.forEach((key, used) -> charged.put(key, key.usageClass().chargedToTeam(used)));
+        return charged;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/usage/CloserActions.java
@@ -0,0 +1,272 @@
+package org.fuchsialever.node.usage;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.vavr.control.Option;
+import io.vavr.control.Try;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+import org.fuchsialever.decisions.usage.CloserAction;
+import org.fuchsialever.decisions.usage.CloserEvent;
+import org.fuchsialever.decisions.usage.FixedWindow;
+import org.fuchsialever.decisions.usage.SlotLease;
+import org.fuchsialever.decisions.usage.StartId;
+import org.fuchsialever.decisions.usage.WindowCloser;
+import org.fuchsialever.decisions.usage.WindowId;
+import org.fuchsialever.kernel.duty.ActionSink;
+import org.fuchsialever.kernel.log.PartLogger;
+import org.fuchsialever.kernel.time.TimeSource;
+import org.fuchsialever.node.lease.HeldLease;
+import org.fuchsialever.node.lease.Leases;
+import org.fuchsialever.platform.Commit;
+import org.fuchsialever.platform.CommitResult;
+import org.fuchsialever.platform.Platform;
+import org.fuchsialever.platform.Row;
+import org.fuchsialever.platform.TableService;
+import org.fuchsialever.platform.UsageReportService;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** Carries out the actions of the window closer. */
+final class CloserActions implements ActionSink<CloserAction>, Leases.LeaseListener {
+    private static final PartLogger LOG = PartLogger.of("window-closer");
+    private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(5);
+
+    private final TableService tables;
+    private final UsageReportService reports;
+    private final Leases leases;
+    private final TimeSource time;
+    private final String writer;
+    private final MeterRegistry meters;
+    private final ActionSink<CloserEvent> duty;
+    private final AtomicLong commits = new AtomicLong();
+    private final Map<StartId, Long> totalsVersions = new ConcurrentHashMap<>();
+
+    CloserActions(
+            Platform platform,
+            Leases leases,
+            TimeSource time,
+            String writer,
+            MeterRegistry meters,
+            ActionSink<CloserEvent> duty) {
+        this.tables = platform.tables();
+        this.reports = platform.usageReports();
+        this.leases = leases;
+        this.time = time;
+        this.writer = writer;
+        this.meters = meters;
+        this.duty = duty;
+    }
+
+    /** Asks for all roles. */
+    void start() {
+        for (int number = 0; number < WindowCloser.ROLES; number++) {
+            leases.want(WindowCloser.role(number), this);
+        }
+    }
+
+    @Override
+    public void gained(HeldLease lease) {
+        duty.emit(
+                new CloserEvent.LeaseGained(
+                        new SlotLease(
+                                lease.role(),
+                                lease.fencing(),
+                                lease.guardTable(),
+                                lease.guardKey(),
+                                lease.guardVersion())));
+    }
+
+    @Override
+    public void lost(String role) {
+        duty.emit(new CloserEvent.LeaseLost(role));
+    }
+
+    @Override
+    public void emit(CloserAction action) {
+        if (action instanceof CloserAction.ReadRows) {
+            read();
+        } else if (action instanceof CloserAction.FixWindow fix) {
+            fix(fix);
+        } else if (action instanceof CloserAction.SendReport send) {
+            send(send);
+        } else if (action instanceof CloserAction.MarkReported mark) {
+            markReported(mark.window());
+        } else if (action instanceof CloserAction.DeleteTotals delete) {
+            delete(delete.start());
+        }
+    }
+
+    private void read() {
+        Mono.zip(
+                        tables.scan(UsageRows.TABLE, UsageRows.TOTALS_PREFIX, 0),
+                        scanDays(UsageRows.WINDOW_PREFIX),
+                        scanDays(UsageRows.INCLUDED_PREFIX),
+                        scanDays(UsageRows.REPORTED_PREFIX))
+                .timeout(ANSWER_TIMEOUT)
+                .map(rows -> rowsRead(rows.getT1(), rows.getT2(), rows.getT3(), rows.getT4()))
+                .subscribe(
+                        duty::emit,
+                        failure -> {
+                            count("read-failed");
+                            duty.emit(new CloserEvent.ReadFailed());
+                        });
+    }
+
+    private Mono<List<Row>> scanDays(String prefix) {
+        long now = time.wallMillis();
+        TreeSet<String> days = new TreeSet<>();
+        for (long back = 0; back <= WindowCloser.HORIZON.toDays(); back++) {
+            days.add(new WindowId(now - Duration.ofDays(back).toMillis()).day());
+        }
+        return Flux.fromIterable(days)
+                .concatMap(day -> tables.scan(UsageRows.TABLE, prefix + day, 0))
+                .flatMapIterable(rows -> rows)
+                .collectList();
+    }
+
+    private CloserEvent rowsRead(
+            List<Row> totals, List<Row> windows, List<Row> included, List<Row> reported) {
+        totalsVersions.clear();
+        for (Row row : totals) {
+            Try.of(() -> UsageRows.start(row))
+                    .forEach(start -> totalsVersions.put(start, row.version()));
+        }
+        return new CloserEvent.RowsRead(
+                time.wallMillis(),
+                decode(totals, UsageRows::start, row -> UsageRows.decodeTotals(row.value())),
+                decode(windows, UsageRows::window, row -> UsageRows.decodeWindow(row.value())),
+                decode(included, UsageRows::window, UsageRows::decodeIncluded),
+                decode(reported, UsageRows::window, Try::success).keySet());
+    }
+
+    private <K, V> Map<K, V> decode(
+            List<Row> rows, Function<Row, K> key, Function<Row, Try<V>> value) {
+        Map<K, V> decoded = new TreeMap<>();
+        for (Row row : rows) {
+            Try.of(() -> key.apply(row))
+                    .flatMap(k -> value.apply(row).onSuccess(v -> decoded.put(k, v)))
+                    .onFailure(
+                            failure -> {
+                                count("row-malformed");
+                                LOG.warning("Row " + row.key() + " cannot be used.");
+                            });
+        }
+        return decoded;
+    }
+
+    private void fix(CloserAction.FixWindow fix) {
+        SlotLease lease = fix.lease();
+        String key = UsageRows.WINDOW_PREFIX + fix.window().label();
+        List<Commit.Condition> conditions = new ArrayList<>();
+        conditions.add(
+                new Commit.Condition(lease.guardTable(), lease.guardKey(), lease.guardVersion()));
+        conditions.add(new Commit.Condition(UsageRows.TABLE, key, 0));
+        List<Commit.Put> puts = new ArrayList<>();
+        puts.add(new Commit.Put(UsageRows.TABLE, key, UsageRows.encode(fix.fixed())));
+        fix.included()
+                .forEach(
+                        (window, totals) -> {
+                            String row = UsageRows.INCLUDED_PREFIX + window.label();
+                            conditions.add(
+                                    new Commit.Condition(UsageRows.TABLE, row, totals.version()));
+                            puts.add(
+                                    new Commit.Put(UsageRows.TABLE, row, UsageRows.encode(totals)));
+                        });
+        tables.commit(new Commit(nextWriter(), conditions, puts, List.of()))
+                .timeout(ANSWER_TIMEOUT)
+                .map(result -> fixAnswered(fix, key, result))
+                .subscribe(
+                        duty::emit,
+                        failure -> {
+                            count("fix-unanswered");
+                            duty.emit(new CloserEvent.NotFixed(fix.window()));
+                        });
+    }
+
+    private CloserEvent fixAnswered(CloserAction.FixWindow fix, String key, CommitResult result) {
+        if (result instanceof CommitResult.Committed) {
+            LOG.info("Window " + fix.window().label() + " is fixed.");
+            return new CloserEvent.Fixed(fix.window(), fix.fixed());
+        }
+        count("fix-conflict");
+        Option<FixedWindow> present =
+                Option.ofOptional(
+                                ((CommitResult.Conflict) result)
+                                        .rows().stream()
+                                                .filter(row -> row.key().equals(key))
+                                                .findFirst())
+                        .flatMap(row -> UsageRows.decodeWindow(row.value()).toOption());
+        return present.<CloserEvent>map(fixed -> new CloserEvent.Fixed(fix.window(), fixed))
+                .getOrElse(() -> new CloserEvent.NotFixed(fix.window()));
+    }
+
+    private void send(CloserAction.SendReport send) {
+        SlotLease lease = send.lease();
+        HeldLease held =
+                new HeldLease(
+                        lease.role(),
+                        lease.fencing(),
+                        lease.guardTable(),
+                        lease.guardKey(),
+                        lease.guardVersion());
+        reports.report(
+                        send.window().label(),
+                        send.report().getBytes(StandardCharsets.UTF_8),
+                        () -> leases.mayAct(held))
+                .subscribe(
+                        accepted ->
+                                duty.emit(
+                                        accepted
+                                                ? new CloserEvent.ReportAccepted(send.window())
+                                                : new CloserEvent.ReportRefused(send.window())),
+                        failure -> {
+                            count("report-failed");
+                            duty.emit(new CloserEvent.ReportFailed(send.window()));
+                        });
+    }
+
+    private void markReported(WindowId window) {
+        String key = UsageRows.REPORTED_PREFIX + window.label();
+        Commit commit =
+                new Commit(
+                        nextWriter(),
+                        List.of(new Commit.Condition(UsageRows.TABLE, key, 0)),
+                        List.of(new Commit.Put(UsageRows.TABLE, key, "accepted")),
+                        List.of());
+        tables.commit(commit)
+                .timeout(ANSWER_TIMEOUT)
+                .subscribe(result -> {}, failure -> count("mark-unanswered"));
+    }
+
+    private void delete(StartId start) {
+        Long version = totalsVersions.get(start);
+        if (version != null) {
+            String key = UsageRows.totalsKey(start);
+            Commit commit =
+                    new Commit(
+                            nextWriter(),
+                            List.of(new Commit.Condition(UsageRows.TABLE, key, version)),
+                            List.of(),
+                            List.of(new Commit.Delete(UsageRows.TABLE, key)));
+            tables.commit(commit)
+                    .timeout(ANSWER_TIMEOUT)
+                    .subscribe(result -> {}, failure -> count("delete-unanswered"));
+        }
+    }
+
+    private String nextWriter() {
+        return writer + "-closer-" + commits.incrementAndGet();
+    }
+
+    private void count(String reason) {
+        meters.counter("fuchsialever.usage.retries", "reason", reason).increment();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/usage/UsageActions.java
@@ -0,0 +1,117 @@
+package org.fuchsialever.node.usage;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
+import org.fuchsialever.decisions.usage.UsageAction;
+import org.fuchsialever.decisions.usage.UsageEvent;
+import org.fuchsialever.decisions.usage.UsageTotals;
+import org.fuchsialever.kernel.duty.ActionSink;
+import org.fuchsialever.kernel.log.PartLogger;
+import org.fuchsialever.node.peers.PeerMessages;
+import org.fuchsialever.platform.Commit;
+import org.fuchsialever.platform.CommitResult;
+import org.fuchsialever.platform.Row;
+import org.fuchsialever.platform.TableService;
+
+/** Carries out the actions of the usage duty. */
+final class UsageActions implements ActionSink<UsageAction> {
+    private static final PartLogger LOG = PartLogger.of("usage");
+
+    /** Below the commit period, so that an answer is there before the next commit is due. */
+    private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(5);
+
+    private final TableService tables;
+    private final PeerMessages peers;
+    private final String writer;
+    private final MeterRegistry meters;
+    private final ActionSink<UsageEvent> duty;
+    private final AtomicLong commits = new AtomicLong();
+    private final CountDownLatch stopped = new CountDownLatch(1);
+
+    UsageActions(
+            TableService tables,
+            PeerMessages peers,
+            String writer,
+            MeterRegistry meters,
+            ActionSink<UsageEvent> duty) {
+        this.tables = tables;
+        this.peers = peers;
+        this.writer = writer;
+        this.meters = meters;
+        this.duty = duty;
+    }
+
+    /** Returns the latch that opens when all totals are in the table after a stop. */
+    CountDownLatch stopped() {
+        return stopped;
+    }
+
+    @Override
+    public void emit(UsageAction action) {
+        if (action instanceof UsageAction.WriteRow write) {
+            write(write);
+        } else if (action instanceof UsageAction.SendHandover handover) {
+            peers.send(handover.receiver(), HandoverMessages.encode(handover));
+        } else if (action instanceof UsageAction.ListPeers) {
+            duty.emit(new UsageEvent.PeersListed(takingWork()));
+        } else if (action instanceof UsageAction.Lost lost) {
+            LOG.warning("Usage was not kept: " + lost.reason().code() + ", " + lost.count() + ".");
+            meters.counter("fuchsialever.usage.lost", "reason", lost.reason().code())
+                    .increment(lost.count());
+        } else if (action instanceof UsageAction.Stopped) {
+            stopped.countDown();
+        }
+    }
+
+    private List<UsageEvent.Peer> takingWork() {
+        return peers.members().stream()
+                .filter(member -> member.state().takesWork())
+                .map(member -> new UsageEvent.Peer(member.instance(), member.domain()))
+                .toList();
+    }
+
+    private void write(UsageAction.WriteRow write) {
+        String key = UsageRows.totalsKey(write.owner());
+        Commit commit =
+                new Commit(
+                        writer + "-usage-" + commits.incrementAndGet(),
+                        List.of(new Commit.Condition(UsageRows.TABLE, key, write.version())),
+                        List.of(
+                                new Commit.Put(
+                                        UsageRows.TABLE, key, UsageRows.encode(write.totals()))),
+                        List.of());
+        tables.commit(commit)
+                .timeout(ANSWER_TIMEOUT)
+                .map(result -> answer(write, result))
+                .subscribe(
+                        duty::emit,
+                        failure -> {
+                            count("commit-failed");
+                            duty.emit(new UsageEvent.RowFailed(write.owner()));
+                        });
+    }
+
+    private UsageEvent answer(UsageAction.WriteRow write, CommitResult result) {
+        if (result instanceof CommitResult.Committed committed) {
+            return new UsageEvent.RowCommitted(write.owner(), committed.version());
+        }
+        count("commit-conflict");
+        List<Row> rows = ((CommitResult.Conflict) result).rows();
+        if (rows.isEmpty()) {
+            return new UsageEvent.RowConflicted(write.owner(), 0, new UsageTotals());
+        }
+        Row row = rows.get(0);
+        UsageTotals present =
+                UsageRows.decodeTotals(row.value())
+                        .onFailure(failure -> count("row-malformed"))
+                        .getOrElse(UsageTotals::new);
+        return new UsageEvent.RowConflicted(write.owner(), row.version(), present);
+    }
+
+    private void count(String reason) {
+        meters.counter("fuchsialever.usage.retries", "reason", reason).increment();
+    }
+}
