--- a/decisions/src/main/java/org/fuchsialever/decisions/usage/StartRow.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/usage/StartRow.java
@@ -11,7 +11,6 @@
     private final UsageTotals totals = new UsageTotals();
     private final TreeMap<WindowId, Long> changes = new TreeMap<>();
     private long change;
-    private long sentChange;
     private long committedChange;
     private long version;
     private boolean writing;
@@ -71,15 +70,14 @@
         if (!writing && !isCommitted()) {
             writing = true;
             writingSince = nowNanos;
-            sentChange = change;
-            actions.emit(new UsageAction.WriteRow(owner, version, totals.copy()));
+            actions.emit(new UsageAction.WriteRow(owner, version, change, totals.copy()));
         }
     }
 
-    void committed(long newVersion) {
+    void committed(long newVersion, long writtenChange) {
         writing = false;
-        version = newVersion;
-        committedChange = sentChange;
+        version = Math.max(version, newVersion);
+        committedChange = Math.max(committedChange, writtenChange);
     }
 
     /** Takes over what the row holds, so that the next write loses nothing of it. */
--- a/decisions/src/main/java/org/fuchsialever/decisions/usage/UsageAction.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/usage/UsageAction.java
@@ -8,10 +8,12 @@
 public sealed interface UsageAction {
 
     /**
-     * Write the row of a start if it has the given version. Each one is answered by exactly one
-     * event; the same start is not written again before.
+     * Write the row of a start if it has the given version.
+     *
+     * @param change number of the last change in these totals, repeated in the answer
      */
-    record WriteRow(StartId owner, long version, UsageTotals totals) implements UsageAction {}
+    record WriteRow(StartId owner, long version, long change, UsageTotals totals)
+            implements UsageAction {}
 
     /** Hand totals of a window over; empty totals say that all of the window is in the table. */
     record SendHandover(
--- a/decisions/src/main/java/org/fuchsialever/decisions/usage/UsageDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/usage/UsageDuty.java
@@ -75,7 +75,8 @@
         } else if (event instanceof UsageEvent.PeersListed listed) {
             choosePeer(listed.peers());
         } else if (event instanceof UsageEvent.RowCommitted committed) {
-            row(committed.owner()).forEach(row -> row.committed(committed.version()));
+            row(committed.owner())
+                    .forEach(row -> row.committed(committed.version(), committed.change()));
             held.forgetIfWritten(committed.owner());
             finishStop(committed.owner(), nowNanos, actions);
         } else if (event instanceof UsageEvent.RowConflicted conflict) {
--- a/decisions/src/main/java/org/fuchsialever/decisions/usage/UsageEvent.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/usage/UsageEvent.java
@@ -38,8 +38,8 @@
     /** Another instance and where it runs. */
     record Peer(InstanceId instance, FailureDomain domain) {}
 
-    /** The row of a start was written. */
-    record RowCommitted(StartId owner, long version) implements UsageEvent {}
+    /** The row of a start was written with all changes up to the given one. */
+    record RowCommitted(StartId owner, long version, long change) implements UsageEvent {}
 
     /** The row of a start has another version, 0 if there is no row. */
     record RowConflicted(StartId owner, long version, UsageTotals present) implements UsageEvent {}
--- a/node/src/main/java/org/fuchsialever/node/usage/CloserActions.java
+++ b/node/src/main/java/org/fuchsialever/node/usage/CloserActions.java
@@ -27,7 +27,6 @@
 import org.fuchsialever.node.lease.Leases;
 import org.fuchsialever.platform.Commit;
 import org.fuchsialever.platform.CommitResult;
-import org.fuchsialever.platform.Platform;
 import org.fuchsialever.platform.Row;
 import org.fuchsialever.platform.TableService;
 import org.fuchsialever.platform.UsageReportService;
@@ -50,14 +49,15 @@
     private final Map<StartId, Long> totalsVersions = new ConcurrentHashMap<>();
 
     CloserActions(
-            Platform platform,
+            TableService tables,
+            UsageReportService reports,
             Leases leases,
             TimeSource time,
             String writer,
             MeterRegistry meters,
             ActionSink<CloserEvent> duty) {
-        this.tables = platform.tables();
-        this.reports = platform.usageReports();
+        this.tables = tables;
+        this.reports = reports;
         this.leases = leases;
         this.time = time;
         this.writer = writer;
--- a/node/src/main/java/org/fuchsialever/node/usage/UsageActions.java
+++ b/node/src/main/java/org/fuchsialever/node/usage/UsageActions.java
@@ -96,7 +96,7 @@
 
     private UsageEvent answer(UsageAction.WriteRow write, CommitResult result) {
         if (result instanceof CommitResult.Committed committed) {
-            return new UsageEvent.RowCommitted(write.owner(), committed.version());
+            return new UsageEvent.RowCommitted(write.owner(), committed.version(), write.change());
         }
         count("commit-conflict");
         List<Row> rows = ((CommitResult.Conflict) result).rows();
--- a/node/src/main/java/org/fuchsialever/node/usage/UsageComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/usage/UsageComponent.java
@@ -86,7 +86,8 @@
         Link<CloserEvent> events = new Link<>();
         CloserActions closer =
                 new CloserActions(
-                        platform,
+                        platform.tables(),
+                        platform.usageReports(),
                         context.require(Leases.class),
                         context.time(),
                         identity.start(),
