--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/audit/BatchMarker.java
@@ -0,0 +1,18 @@
+package org.fuchsialever.decisions.audit;
+
+import java.util.Locale;
+
+/** Place of a batch among those of an instance start. */
+public enum BatchMarker {
+    /** The first batch of a start. */
+    START,
+    /** A batch between the first and the last one. */
+    NONE,
+    /** The last batch of a start that was shut down in order. */
+    END;
+
+    /** Returns the text in the header of a batch. */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/audit/AuditActions.java
@@ -0,0 +1,104 @@
+package org.fuchsialever.node.audit;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
+import org.fuchsialever.decisions.audit.AuditAction;
+import org.fuchsialever.decisions.audit.AuditEvent;
+import org.fuchsialever.kernel.duty.ActionSink;
+import org.fuchsialever.platform.Commit;
+import org.fuchsialever.platform.CommitResult;
+import org.fuchsialever.platform.ObjectStore;
+import org.fuchsialever.platform.Row;
+import org.fuchsialever.platform.TableService;
+
+/** Carries out the actions of the audit duty. */
+final class AuditActions implements ActionSink<AuditAction> {
+    private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(5);
+
+    private final TableService tables;
+    private final ObjectStore objects;
+    private final String start;
+    private final MeterRegistry meters;
+    private final ActionSink<AuditEvent> duty;
+    private final AtomicLong commits = new AtomicLong();
+    private final CountDownLatch stopped = new CountDownLatch(1);
+
+    AuditActions(
+            TableService tables,
+            ObjectStore objects,
+            String start,
+            MeterRegistry meters,
+            ActionSink<AuditEvent> duty) {
+        this.tables = tables;
+        this.objects = objects;
+        this.start = start;
+        this.meters = meters;
+        this.duty = duty;
+    }
+
+    /** Returns the latch that opens when the batch with the end marker is stored. */
+    CountDownLatch stopped() {
+        return stopped;
+    }
+
+    @Override
+    public void emit(AuditAction action) {
+        if (action instanceof AuditAction.StoreBatch store) {
+            store(store);
+        } else if (action instanceof AuditAction.WriteIndex write) {
+            writeIndex(write);
+        } else if (action instanceof AuditAction.RecordsLost lost) {
+            meters.counter("fuchsialever.audit.lost", "reason", "store-backlog-full")
+                    .increment(lost.count());
+        } else if (action instanceof AuditAction.Stopped) {
+            stopped.countDown();
+        }
+    }
+
+    private void store(AuditAction.StoreBatch store) {
+        long sequence = store.batch().sequence();
+        // An existing object is this batch: its name holds the identity of this start.
+        objects.putIfAbsent(store.objectName(), store.batch().bytes())
+                .timeout(ANSWER_TIMEOUT)
+                .subscribe(
+                        created -> duty.emit(new AuditEvent.BatchStored(sequence)),
+                        failure -> {
+                            count("store-failed");
+                            duty.emit(new AuditEvent.BatchFailed(sequence));
+                        });
+    }
+
+    private void writeIndex(AuditAction.WriteIndex write) {
+        String key = AuditRows.key(write.day(), start);
+        Commit commit =
+                new Commit(
+                        start + "-audit-" + commits.incrementAndGet(),
+                        List.of(new Commit.Condition(AuditRows.TABLE, key, write.version())),
+                        List.of(new Commit.Put(AuditRows.TABLE, key, write.checkpoint().text())),
+                        List.of());
+        tables.commit(commit)
+                .timeout(ANSWER_TIMEOUT)
+                .subscribe(
+                        result -> duty.emit(answer(write.day(), result)),
+                        failure -> {
+                            count("index-failed");
+                            duty.emit(new AuditEvent.IndexFailed(write.day()));
+                        });
+    }
+
+    private AuditEvent answer(String day, CommitResult result) {
+        if (result instanceof CommitResult.Committed committed) {
+            return new AuditEvent.IndexWritten(day, committed.version());
+        }
+        count("index-conflict");
+        List<Row> rows = ((CommitResult.Conflict) result).rows();
+        return new AuditEvent.IndexConflicted(day, rows.isEmpty() ? 0 : rows.get(0).version());
+    }
+
+    private void count(String reason) {
+        meters.counter("fuchsialever.audit.retries", "reason", reason).increment();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/audit/AuditComponent.java
@@ -0,0 +1,94 @@
+package org.fuchsialever.node.audit;
+
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.fuchsialever.decisions.audit.AuditDuty;
+import org.fuchsialever.decisions.audit.AuditEvent;
+import org.fuchsialever.kernel.duty.ActionSink;
+import org.fuchsialever.kernel.duty.Inbox;
+import org.fuchsialever.kernel.duty.OverflowPolicy;
+import org.fuchsialever.kernel.log.PartLogger;
+import org.fuchsialever.kernel.plugin.Component;
+import org.fuchsialever.kernel.plugin.ComponentContext;
+import org.fuchsialever.node.NodeIdentity;
+import org.fuchsialever.platform.Platform;
+import org.jspecify.annotations.Nullable;
+
+/** Gathers and stores audit records. */
+public final class AuditComponent implements Component {
+    private static final PartLogger LOG = PartLogger.of("audit");
+    private static final int RING_CAPACITY = 65_536;
+    private static final int MAX_WAITING_BATCHES = 20;
+    private static final long INDEX_PHASE_NANOS = TimeUnit.SECONDS.toNanos(10);
+    private static final long STOP_SECONDS = 5;
+
+    @Override
+    public String pluginName() {
+        return "audit";
+    }
+
+    @Override
+    public Set<Class<?>> requires() {
+        return Set.of(NodeIdentity.class, Platform.class);
+    }
+
+    @Override
+    public Set<Class<?>> provides() {
+        return Set.of(AuditRecorder.class);
+    }
+
+    @Override
+    public void install(ComponentContext context) {
+        NodeIdentity identity = context.require(NodeIdentity.class);
+        Platform platform = context.require(Platform.class);
+        String start = identity.instance().value() + "/" + identity.start();
+        Events events = new Events();
+        AuditActions actions =
+                new AuditActions(
+                        platform.tables(), platform.objects(), start, context.meters(), events);
+        AuditDuty duty =
+                new AuditDuty(
+                        start,
+                        new AuditJson(),
+                        MAX_WAITING_BATCHES,
+                        context.time().nanoTime(),
+                        context.random("audit").nextLong(INDEX_PHASE_NANOS));
+        Inbox<AuditEvent> ring =
+                context.startDuty(duty, RING_CAPACITY, OverflowPolicy.REFUSE, actions);
+        events.ring = ring;
+        context.closer()
+                .register(
+                        "audit records",
+                        () -> {
+                            ring.offer(new AuditEvent.Stop(context.time().wallMillis()));
+                            if (!actions.stopped().await(STOP_SECONDS, TimeUnit.SECONDS)) {
+                                LOG.warning("The end marker could not be stored.");
+                            }
+                        });
+        context.provide(
+                AuditRecorder.class,
+                record -> {
+                    long now = context.time().wallMillis();
+                    boolean taken = ring.offer(new AuditEvent.Recorded(now, record));
+                    if (!taken) {
+                        context.meters()
+                                .counter("fuchsialever.audit.lost", "reason", "ring-full")
+                                .increment();
+                    }
+                    return taken;
+                });
+    }
+
+    /** Events for the ring, which is created after the actions that answer with events. */
+    private static final class Events implements ActionSink<AuditEvent> {
+        private volatile @Nullable Inbox<AuditEvent> ring;
+
+        @Override
+        public void emit(AuditEvent event) {
+            Inbox<AuditEvent> target = ring;
+            if (target == null || !target.offer(event)) {
+                LOG.warning("Ring is full; an event of type " + event.getClass() + " was lost.");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/audit/AuditJson.java
@@ -0,0 +1,23 @@
+package org.fuchsialever.node.audit;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.fuchsialever.decisions.audit.AuditRecord;
+
+/** Audit records as lines of JSON. */
+public final class AuditJson implements AuditRecord.Encoder {
+    private final ObjectMapper mapper = new ObjectMapper();
+
+    @Override
+    public String encode(long wallMillis, AuditRecord record) {
+        ObjectNode line = mapper.createObjectNode();
+        line.put("at_millis", wallMillis);
+        AuditLine.of(record).put(record, line);
+        try {
+            return mapper.writeValueAsString(line);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("an audit record cannot be encoded", e);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/audit/package-info.java
@@ -0,0 +1,5 @@
+/** Storing of audit records. */
+@NullMarked
+package org.fuchsialever.node.audit;
+
+import org.jspecify.annotations.NullMarked;
