Add observers of finished calls and the commands usage and audit

Usage and audit records of calls come through one listener interface, so that the dispatcher knows neither.

--- /dev/null
+++ b/cli/src/main/java/org/fuchsialever/cli/audit/AuditDay.java
@@ -0,0 +1,64 @@
+package org.fuchsialever.cli.audit;
+
+import io.vavr.control.Option;
+import java.time.LocalDate;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.fuchsialever.cli.platform.DayOption;
+import org.fuchsialever.cli.platform.PlatformSession;
+import org.fuchsialever.decisions.audit.AuditCheckpoint;
+import org.fuchsialever.node.audit.AuditRows;
+
+/** The stored audit record of a day. */
+final class AuditDay {
+    private static final int NAME_PARTS = 5;
+
+    private final PlatformSession session;
+    private final LocalDate day;
+
+    AuditDay(PlatformSession session, LocalDate day) {
+        this.session = session;
+        this.day = day;
+    }
+
+    /** Returns the checkpoints of the day by start; fails for a row of another form. */
+    Map<String, AuditCheckpoint> index() {
+        return index(day);
+    }
+
+    /** Returns the checkpoints of the day after it by start; fails for a row of another form. */
+    Map<String, AuditCheckpoint> indexOfNextDay() {
+        return index(day.plusDays(1));
+    }
+
+    /** Returns the content of all batches by start and number. */
+    Map<String, SortedMap<Long, byte[]>> batches() {
+        Map<String, SortedMap<Long, byte[]>> batches = new TreeMap<>();
+        String prefix = "audit/" + DayOption.compact(day) + "/";
+        for (String name : PlatformSession.await(session.platform().objects().list(prefix))) {
+            String[] parts = name.split("/");
+            if (parts.length == NAME_PARTS && parts[4].matches("[0-9]{1,18}")) {
+                Option<byte[]> content =
+                        PlatformSession.await(session.platform().objects().read(name));
+                SortedMap<Long, byte[]> ofStart =
+                        batches.computeIfAbsent(
+                                parts[2] + "/" + parts[3], start -> new TreeMap<>());
+                content.forEach(bytes -> ofStart.put(Long.parseLong(parts[4]), bytes));
+            }
+        }
+        batches.values().removeIf(Map::isEmpty);
+        return batches;
+    }
+
+    private Map<String, AuditCheckpoint> index(LocalDate date) {
+        String compact = DayOption.compact(date);
+        return AuditRows.decode(
+                        compact,
+                        PlatformSession.await(
+                                session.platform()
+                                        .tables()
+                                        .scan(AuditRows.TABLE, compact + "/", 0)))
+                .get();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/fuchsialever/cli/usage/package-info.java
@@ -0,0 +1,5 @@
+/** The command {@code usage}. */
+@NullMarked
+package org.fuchsialever.cli.usage;
+
+import org.jspecify.annotations.NullMarked;
--- a/node/src/main/java/org/fuchsialever/node/audit/AuditComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/audit/AuditComponent.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.TimeUnit;
 import org.fuchsialever.decisions.audit.AuditDuty;
 import org.fuchsialever.decisions.audit.AuditEvent;
+import org.fuchsialever.decisions.audit.AuditRecord;
 import org.fuchsialever.kernel.duty.ActionSink;
 import org.fuchsialever.kernel.duty.Inbox;
 import org.fuchsialever.kernel.duty.OverflowPolicy;
@@ -11,6 +12,7 @@
 import org.fuchsialever.kernel.plugin.Component;
 import org.fuchsialever.kernel.plugin.ComponentContext;
 import org.fuchsialever.node.NodeIdentity;
+import org.fuchsialever.node.dispatch.CallObservers;
 import org.fuchsialever.platform.Platform;
 import org.jspecify.annotations.Nullable;
 
@@ -29,7 +31,7 @@
 
     @Override
     public Set<Class<?>> requires() {
-        return Set.of(NodeIdentity.class, Platform.class);
+        return Set.of(NodeIdentity.class, Platform.class, CallObservers.class);
     }
 
     @Override
@@ -65,18 +67,18 @@
                                 LOG.warning("The end marker could not be stored.");
                             }
                         });
-        context.provide(
-                AuditRecorder.class,
-                record -> {
-                    long now = context.time().wallMillis();
-                    boolean taken = ring.offer(new AuditEvent.Recorded(now, record));
-                    if (!taken) {
-                        context.meters()
-                                .counter("fuchsialever.audit.lost", "reason", "ring-full")
-                                .increment();
-                    }
-                    return taken;
-                });
+        AuditRecorder recorder = record -> offer(context, ring, record);
+        context.require(CallObservers.class).add(new CallRecords(recorder));
+        context.provide(AuditRecorder.class, recorder);
+    }
+
+    private static boolean offer(
+            ComponentContext context, Inbox<AuditEvent> ring, AuditRecord record) {
+        boolean taken = ring.offer(new AuditEvent.Recorded(context.time().wallMillis(), record));
+        if (!taken) {
+            context.meters().counter("fuchsialever.audit.lost", "reason", "ring-full").increment();
+        }
+        return taken;
     }
 
     /** Events for the ring, which is created after the actions that answer with events. */
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/CallObserver.java
@@ -0,0 +1,9 @@
+package org.fuchsialever.node.dispatch;
+
+/** Learns of finished calls. */
+@FunctionalInterface
+public interface CallObserver {
+
+    /** Called once for each call, on the thread of the dispatch duty; must not block. */
+    void callFinished(FinishedCall call);
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/CallObservers.java
@@ -0,0 +1,19 @@
+package org.fuchsialever.node.dispatch;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** All observers of finished calls. */
+public final class CallObservers implements CallObserver {
+    private final List<CallObserver> observers = new CopyOnWriteArrayList<>();
+
+    /** Adds an observer. */
+    public void add(CallObserver observer) {
+        observers.add(observer);
+    }
+
+    @Override
+    public void callFinished(FinishedCall call) {
+        observers.forEach(observer -> observer.callFinished(call));
+    }
+}
--- a/node/src/main/java/org/fuchsialever/node/usage/CloserActions.java
+++ b/node/src/main/java/org/fuchsialever/node/usage/CloserActions.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
+import org.fuchsialever.decisions.audit.AuditChain;
+import org.fuchsialever.decisions.audit.AuditRecord;
 import org.fuchsialever.decisions.usage.CloserAction;
 import org.fuchsialever.decisions.usage.CloserEvent;
 import org.fuchsialever.decisions.usage.FixedWindow;
@@ -23,6 +25,7 @@
 import org.fuchsialever.kernel.duty.ActionSink;
 import org.fuchsialever.kernel.log.PartLogger;
 import org.fuchsialever.kernel.time.TimeSource;
+import org.fuchsialever.node.audit.AuditRecorder;
 import org.fuchsialever.node.lease.HeldLease;
 import org.fuchsialever.node.lease.Leases;
 import org.fuchsialever.platform.Commit;
@@ -41,6 +44,7 @@
     private final TableService tables;
     private final UsageReportService reports;
     private final Leases leases;
+    private final AuditRecorder audit;
     private final TimeSource time;
     private final String writer;
     private final MeterRegistry meters;
@@ -52,6 +56,7 @@
             TableService tables,
             UsageReportService reports,
             Leases leases,
+            AuditRecorder audit,
             TimeSource time,
             String writer,
             MeterRegistry meters,
@@ -59,6 +64,7 @@
         this.tables = tables;
         this.reports = reports;
         this.leases = leases;
+        this.audit = audit;
         this.time = time;
         this.writer = writer;
         this.meters = meters;
@@ -222,17 +228,26 @@
                         send.report().getBytes(StandardCharsets.UTF_8),
                         () -> leases.mayAct(held))
                 .subscribe(
-                        accepted ->
-                                duty.emit(
-                                        accepted
-                                                ? new CloserEvent.ReportAccepted(send.window())
-                                                : new CloserEvent.ReportRefused(send.window())),
+                        accepted -> reportAnswered(send, accepted),
                         failure -> {
                             count("report-failed");
                             duty.emit(new CloserEvent.ReportFailed(send.window()));
                         });
     }
 
+    private void reportAnswered(CloserAction.SendReport send, boolean accepted) {
+        if (accepted) {
+            audit.record(
+                    new AuditRecord.UsageReported(
+                            send.window().label(),
+                            AuditChain.hash(send.report()),
+                            send.lease().fencing()));
+            duty.emit(new CloserEvent.ReportAccepted(send.window()));
+        } else {
+            duty.emit(new CloserEvent.ReportRefused(send.window()));
+        }
+    }
+
     private void markReported(WindowId window) {
         String key = UsageRows.REPORTED_PREFIX + window.label();
         Commit commit =
--- a/node/src/main/java/org/fuchsialever/node/usage/UsageComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/usage/UsageComponent.java
@@ -5,9 +5,11 @@
 import java.util.concurrent.TimeUnit;
 import org.fuchsialever.decisions.membership.PeerMessage.UsageHandover;
 import org.fuchsialever.decisions.usage.CloserEvent;
+import org.fuchsialever.decisions.usage.Figures;
 import org.fuchsialever.decisions.usage.StartId;
 import org.fuchsialever.decisions.usage.UsageDuty;
 import org.fuchsialever.decisions.usage.UsageEvent;
+import org.fuchsialever.decisions.usage.UsageKey;
 import org.fuchsialever.decisions.usage.UsageSettings;
 import org.fuchsialever.decisions.usage.WindowCloser;
 import org.fuchsialever.kernel.duty.ActionSink;
@@ -19,9 +21,13 @@
 import org.fuchsialever.kernel.plugin.ComponentContext;
 import org.fuchsialever.kernel.settings.SettingsReader;
 import org.fuchsialever.node.NodeIdentity;
+import org.fuchsialever.node.audit.AuditRecorder;
+import org.fuchsialever.node.dispatch.CallObservers;
+import org.fuchsialever.node.dispatch.FinishedCall;
 import org.fuchsialever.node.lease.Leases;
 import org.fuchsialever.node.peers.PeerMessages;
 import org.fuchsialever.platform.Platform;
+import org.jspecify.annotations.Nullable;
 
 /** Counts usage, stores it and reports usage windows. */
 public final class UsageComponent implements Component {
@@ -48,7 +54,9 @@
                 InvariantMonitor.class,
                 Platform.class,
                 Leases.class,
-                PeerMessages.class);
+                PeerMessages.class,
+                CallObservers.class,
+                AuditRecorder.class);
     }
 
     @Override
@@ -89,6 +97,7 @@
                         platform.tables(),
                         platform.usageReports(),
                         context.require(Leases.class),
+                        context.require(AuditRecorder.class),
                         context.time(),
                         identity.start(),
                         context.meters(),
@@ -120,18 +129,29 @@
         peers.subscribe(
                 UsageHandover.class,
                 (sender, message) -> HandoverMessages.decode(message).forEach(events::emit));
-        context.provide(
-                UsageRecorder.class,
-                (key, figures) -> {
-                    long now = context.time().wallMillis();
-                    boolean taken = ring.offer(new UsageEvent.Used(now, key, figures));
-                    if (!taken) {
-                        context.meters()
-                                .counter("fuchsialever.usage.lost", "reason", "ring-full")
-                                .increment(figures.requests());
-                    }
-                    return taken;
-                });
+        UsageRecorder recorder = (key, figures) -> offer(context, ring, key, figures);
+        context.require(CallObservers.class).add(call -> count(call, recorder));
+        context.provide(UsageRecorder.class, recorder);
+    }
+
+    private static void count(FinishedCall call, UsageRecorder recorder) {
+        for (FinishedCall.Attempt attempt : call.attempts()) {
+            recorder.record(
+                    new UsageKey(call.caller().team(), call.route(), attempt.usageClass()),
+                    attempt.used());
+        }
+    }
+
+    private static boolean offer(
+            ComponentContext context, Inbox<UsageEvent> ring, UsageKey key, Figures figures) {
+        long now = context.time().wallMillis();
+        boolean taken = ring.offer(new UsageEvent.Used(now, key, figures));
+        if (!taken) {
+            context.meters()
+                    .counter("fuchsialever.usage.lost", "reason", "ring-full")
+                    .increment(figures.requests());
+        }
+        return taken;
     }
 
     private static void stop(Inbox<UsageEvent> ring, UsageActions actions)
@@ -148,7 +168,7 @@
 
     /** Events for a ring that is created after its producers. */
     private static final class Link<E> implements ActionSink<E> {
-        private volatile @org.jspecify.annotations.Nullable Inbox<E> ring;
+        private volatile @Nullable Inbox<E> ring;
 
         @Override
         public void emit(E event) {
--- a/node/src/test/java/org/fuchsialever/node/usage/SimulatedInstance.java
+++ b/node/src/test/java/org/fuchsialever/node/usage/SimulatedInstance.java
@@ -66,6 +66,7 @@
                         tables,
                         world.receiver.seenBy(window -> () -> fencing(window)),
                         leases,
+                        record -> true,
                         world.clock,
                         start.label(),
                         meters,
