--- /dev/null
+++ b/cli/src/test/java/org/fuchsialever/cli/audit/AccountingCommandsTest.java
@@ -0,0 +1,148 @@
+package org.fuchsialever.cli.audit;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.URI;
+import java.net.URLEncoder;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.fuchsialever.cli.Main;
+import org.fuchsialever.cli.command.CommandContext;
+import org.fuchsialever.cli.command.ExitCode;
+import org.fuchsialever.decisions.audit.AuditBatch;
+import org.fuchsialever.decisions.audit.AuditChain;
+import org.fuchsialever.decisions.audit.AuditCheckpoint;
+import org.fuchsialever.kernel.lifecycle.Closer;
+import org.fuchsialever.standins.ObjectStoreStandIn;
+import org.fuchsialever.standins.TableServiceStandIn;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards against a damaged day that is called complete and figures that are shown wrongly. */
+class AccountingCommandsTest {
+    private static final String DAY = "20260102";
+    private static final String START = "n1/s1";
+    private static final String REPORT =
+            "{\"window\":\"20260102T080500Z\",\"totals\":[{\"team\":\"alba\",\"route\":\"chat\","
+                    + "\"class\":\"completed\",\"requests\":1,\"prompt_tokens\":10,"
+                    + "\"generated_tokens\":100}],\"corrections\":[]}";
+
+    @TempDir Path folder;
+
+    private final Closer closer = new Closer();
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+    private TableServiceStandIn tables;
+    private ObjectStoreStandIn objects;
+
+    @BeforeEach
+    void startStandIns() throws IOException {
+        tables = closer.register("tables", new TableServiceStandIn());
+        objects = closer.register("objects", new ObjectStoreStandIn());
+        Files.writeString(
+                folder.resolve("node.ini"),
+                "[platform]\ntable-service = %s\nobject-store = %s\n"
+                        .formatted(tables.url(), objects.url()));
+    }
+
+    @AfterEach
+    void stopAll() {
+        closer.close();
+    }
+
+    @Test
+    void verifyCallsAnIntactDayComplete() throws Exception {
+        storeDay(List.of(1, 2, 3));
+        assertThat(run("audit", "verify", "--day", "2026-01-02"), is(ExitCode.OK));
+        assertThat(out.toString(), containsString("complete"));
+    }
+
+    @Test
+    void verifyNamesAMissingBatch() throws Exception {
+        storeDay(List.of(1, 3));
+        assertThat(run("audit", "verify", "--day", "2026-01-02", "--json"), is(ExitCode.DIFFERENT));
+        assertThat(
+                out.toString(),
+                containsString("{\"start\":\"n1/s1\",\"batch\":2,\"problem\":\"missing\"}"));
+    }
+
+    @Test
+    void showPrintsTheRecordsOfOneTeam() throws Exception {
+        storeDay(List.of(1, 2, 3));
+        assertThat(run("audit", "show", "--day", "2026-01-02", "--team", "alba"), is(ExitCode.OK));
+        assertThat(out.toString(), containsString("\"team\":\"alba\""));
+        assertThat(out.toString(), not(containsString("barka")));
+    }
+
+    @Test
+    void usageShowsAFixedWindowAndWhetherItWasReported() {
+        tables.put("usage", "window/20260102T080500Z", "7\n" + REPORT);
+        assertThat(run("usage", "--day", "2026-01-02"), is(ExitCode.OK));
+        assertThat(out.toString(), containsString("fixed, not yet reported"));
+        tables.put("usage", "reported/20260102T080500Z", "accepted");
+        assertThat(run("usage", "--window", "20260102T080500Z", "--json"), is(ExitCode.OK));
+        assertThat(out.toString(), containsString("\"reported\":true,\"report\":" + REPORT));
+    }
+
+    @Test
+    void usageFailsForAWindowThatIsNotFixed() {
+        assertThat(run("usage", "--window", "20260102T080500Z"), is(ExitCode.FAILURE));
+    }
+
+    @Test
+    void refusesADayThatIsNone() {
+        assertThat(run("audit", "verify", "--day", "yesterday"), is(ExitCode.USAGE));
+        assertThat(run("usage"), is(ExitCode.USAGE));
+    }
+
+    private void storeDay(List<Integer> kept) throws Exception {
+        AuditChain chain = new AuditChain(START);
+        List<AuditBatch> batches =
+                List.of(
+                        chain.append(List.of("{\"team\":\"alba\"}"), false),
+                        chain.append(List.of("{\"team\":\"barka\"}"), false),
+                        chain.append(List.of(), true));
+        for (int number : kept) {
+            put(AuditBatch.objectName(DAY, START, number), batches.get(number - 1).bytes());
+        }
+        AuditCheckpoint checkpoint =
+                new AuditCheckpoint(1, AuditChain.ORIGIN, 3, chain.lastHash(), true);
+        tables.put("audit", DAY + "/" + START, checkpoint.text());
+    }
+
+    private void put(String name, byte[] content) throws Exception {
+        String path = "/objects/" + URLEncoder.encode(name, StandardCharsets.UTF_8);
+        HttpRequest request =
+                HttpRequest.newBuilder(URI.create(objects.url() + path))
+                        .header("If-None-Match", "*")
+                        .PUT(HttpRequest.BodyPublishers.ofByteArray(content))
+                        .build();
+        HttpResponse<Void> answer =
+                HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.discarding());
+        assertThat(answer.statusCode(), is(201));
+    }
+
+    private ExitCode run(String... words) {
+        List<String> arguments = new ArrayList<>(List.of(words));
+        arguments.addAll(List.of("--settings", folder.resolve("node.ini").toString()));
+        return Main.run(
+                arguments.toArray(String[]::new),
+                new CommandContext(
+                        new PrintStream(out), new PrintStream(err), new CountDownLatch(1)));
+    }
+}
