--- a/decisions/src/main/java/org/fuchsialever/decisions/usage/WindowReport.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/usage/WindowReport.java
@@ -1,6 +1,5 @@
 package org.fuchsialever.decisions.usage;
 
-import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
 
@@ -34,11 +33,4 @@
     public boolean isEmpty() {
         return totals.isEmpty() && corrections.isEmpty();
     }
-
-    /** Returns what all teams have to pay for in this report, by key. */
-    public Map<UsageKey, Figures> charged() {
-        Map<UsageKey, Figures> charged = new TreeMap<>();
-        totals.forEach((key, used) -> charged.put(key, key.usageClass().chargedToTeam(used)));
-        return charged;
-    }
 }
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/audit/RingRecorder.java
@@ -0,0 +1,39 @@
+package org.fuchsialever.node.audit;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
+import org.fuchsialever.decisions.audit.AuditEvent;
+import org.fuchsialever.decisions.audit.AuditRecord;
+import org.fuchsialever.kernel.time.TimeSource;
+
+/** Offers records to the ring; the number of those that found it full becomes a record itself. */
+final class RingRecorder implements AuditRecorder {
+    private final TimeSource time;
+    private final Counter lost;
+    private final Predicate<AuditEvent> ring;
+    private final AtomicLong missed = new AtomicLong();
+
+    RingRecorder(TimeSource time, MeterRegistry meters, Predicate<AuditEvent> ring) {
+        this.time = time;
+        this.lost = meters.counter("fuchsialever.audit.lost", "reason", "ring-full");
+        this.ring = ring;
+    }
+
+    @Override
+    public boolean record(AuditRecord record) {
+        long now = time.wallMillis();
+        long gap = missed.getAndSet(0);
+        boolean noted =
+                gap == 0
+                        || ring.test(
+                                new AuditEvent.Recorded(now, new AuditRecord.RecordsLost(gap)));
+        boolean taken = noted && ring.test(new AuditEvent.Recorded(now, record));
+        missed.addAndGet((noted ? 0 : gap) + (taken ? 0 : 1));
+        if (!taken) {
+            lost.increment();
+        }
+        return taken;
+    }
+}
