--- a/decisions/src/main/java/org/fuchsialever/decisions/intent/IntentMachine.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/intent/IntentMachine.java
@@ -28,6 +28,9 @@
     private final Map<String, ActResult> ended = new LinkedHashMap<>();
     private final Set<String> targets = new HashSet<>();
 
+    /** Receivers that ignore fencing numbers and may still get an act of a predecessor. */
+    private final Set<String> unsettledReceivers = new HashSet<>();
+
     private Phase phase = Phase.NOT_HOLDING;
     private long fencing;
     private long highestFencing;
@@ -87,7 +90,11 @@
             throw new IllegalStateException("no intent can be recorded for " + command.target());
         }
         Intent<C> intent = new Intent<>(role + "/" + uniqueName(), fencing, command);
-        open.put(intent.id(), new OpenIntent<>(intent, false, now));
+        OpenIntent<C> entry = new OpenIntent<>(intent, false, now);
+        if (unsettledReceivers.contains(command.receiver())) {
+            entry.retryAt(inheritedQuietFrom);
+        }
+        open.put(intent.id(), entry);
         advance(now, actions);
     }
 
@@ -188,11 +195,15 @@
         phase = Phase.TAKING_OVER;
         open.clear();
         targets.clear();
+        unsettledReceivers.clear();
         for (Intent<C> intent : journal.open()) {
             OpenIntent<C> entry = new OpenIntent<>(intent, true, now);
             entry.inherit(inheritedQuietFrom);
             open.put(intent.id(), entry);
             targets.add(intent.command().target());
+            if (!intent.command().fencingEnforced()) {
+                unsettledReceivers.add(intent.command().receiver());
+            }
         }
         journalVersion = journal.version();
         write(now, actions);
@@ -277,14 +288,14 @@
 
     private void carryOut(OpenIntent<C> entry, long now, ActionSink<IntentAction<C>> actions) {
         Intent<C> intent = entry.intent;
-        boolean inherited = intent.fencing() != fencing;
+        boolean unsettled =
+                intent.fencing() != fencing && !intent.command().fencingEnforced()
+                        || unsettledReceivers.contains(intent.command().receiver());
         invariants.check(
                 Invariant.ONE_ORDERING_HOLDER,
                 fencing == highestFencing
                         && intent.fencing() <= fencing
-                        && (!inherited
-                                || intent.command().fencingEnforced()
-                                || now >= inheritedQuietFrom),
+                        && (!unsettled || now >= inheritedQuietFrom),
                 () -> intent.id() + " would be sent while an earlier holder may still send it");
         actions.emit(new IntentAction.CarryOut<>(fencing, entry.send(now), intent));
     }
--- a/decisions/src/main/java/org/fuchsialever/decisions/orders/OrderDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/orders/OrderDuty.java
@@ -30,6 +30,9 @@
     /** The list of the platform may lag; a started upstream that is missing longer has failed. */
     private static final long LISTED_WITHIN_NANOS = TimeUnit.MINUTES.toNanos(2);
 
+    /** Time for the requests of an upstream between the end of new work and its stop order. */
+    private static final long DRAIN_NANOS = TimeUnit.SECONDS.toNanos(30);
+
     private final PoolName pool;
     private final OrderPolicy policy;
     private final IntentMachine<UpstreamCommand> intents;
@@ -38,6 +41,7 @@
     private final Map<UpstreamId, ObservedUpstream> listed = new HashMap<>();
     private final Map<UpstreamId, Started> started = new HashMap<>();
     private final Set<UpstreamId> stopping = new HashSet<>();
+    private final Map<UpstreamId, Long> draining = new HashMap<>();
     private final Set<UpstreamId> published = new HashSet<>();
 
     private Option<PlanLimits> limits = Option.none();
@@ -99,6 +103,7 @@
             nextPlanAt = nowNanos + PLAN_NANOS;
             actions.emit(new OrderAction.ListUpstreams());
             if (intents.ready() && listIsFresh(nowNanos)) {
+                stopDrained(nowNanos, actions);
                 limits.forEach(bounds -> demand.forEach(d -> plan(bounds, d, nowNanos, actions)));
             }
         }
@@ -179,25 +184,30 @@
             intents.propose(command(UpstreamCommand.Action.START, id, place), now, sink);
         }
         for (UpstreamId id : plan.stops()) {
-            if (!intents.busy(id.value())) {
-                stop(id, now, actions);
+            if (listed.containsKey(id) && stopping.add(id)) {
+                draining.put(id, now);
+                if (published.add(id)) {
+                    actions.emit(new OrderAction.PublishLeaving(id));
+                }
             }
         }
     }
 
-    private void stop(UpstreamId id, long now, ActionSink<OrderAction> actions) {
-        Option.of(listed.get(id))
-                .forEach(
-                        upstream -> {
-                            stopping.add(id);
-                            if (published.add(id)) {
-                                actions.emit(new OrderAction.PublishLeaving(id));
-                            }
-                            intents.propose(
-                                    command(UpstreamCommand.Action.STOP, id, upstream.place()),
-                                    now,
-                                    intentSink(now, actions));
-                        });
+    private void stopDrained(long now, ActionSink<OrderAction> actions) {
+        draining.keySet().retainAll(listed.keySet());
+        List<UpstreamId> drained =
+                draining.entrySet().stream()
+                        .filter(entry -> now - entry.getValue() >= DRAIN_NANOS)
+                        .map(Map.Entry::getKey)
+                        .filter(id -> !intents.busy(id.value()))
+                        .sorted()
+                        .toList();
+        for (UpstreamId id : drained) {
+            draining.remove(id);
+            Option.of(listed.get(id))
+                    .map(upstream -> command(UpstreamCommand.Action.STOP, id, upstream.place()))
+                    .forEach(stop -> intents.propose(stop, now, intentSink(now, actions)));
+        }
     }
 
     private UpstreamCommand command(
--- a/decisions/src/main/java/org/fuchsialever/decisions/orders/UpstreamCommand.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/orders/UpstreamCommand.java
@@ -20,6 +20,11 @@
         return upstream.value();
     }
 
+    @Override
+    public String receiver() {
+        return "ordering";
+    }
+
     /** The ordering interface checks no fencing number. */
     @Override
     public boolean fencingEnforced() {
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/weights/package-info.java
@@ -0,0 +1,5 @@
+/** Rollout of weights to the engines of a model, and rollback of versions that fail to load. */
+@NullMarked
+package org.fuchsialever.decisions.weights;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/decisions/src/test/java/org/fuchsialever/decisions/orders/PoolFixture.java
@@ -0,0 +1,152 @@
+package org.fuchsialever.decisions.orders;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.fuchsialever.decisions.config.CapacityKind;
+import org.fuchsialever.decisions.intent.ActResult;
+import org.fuchsialever.decisions.intent.IntentAction;
+import org.fuchsialever.decisions.intent.IntentEvent;
+import org.fuchsialever.decisions.intent.IntentTiming;
+import org.fuchsialever.decisions.intent.Journal;
+import org.fuchsialever.decisions.model.FailureDomain;
+import org.fuchsialever.decisions.model.PoolName;
+import org.fuchsialever.decisions.model.TeamName;
+import org.fuchsialever.decisions.model.UpstreamId;
+import org.fuchsialever.decisions.orders.ObservedUpstream.State;
+import org.fuchsialever.kernel.duty.ActionSink;
+import org.fuchsialever.kernel.duty.DutyStepper;
+import org.fuchsialever.kernel.invariant.InvariantMonitor;
+import org.fuchsialever.kernel.time.ManualTimeSource;
+
+/** An order duty before a platform that answers at once. */
+final class PoolFixture {
+    static final PoolName POOL = new PoolName("engines");
+    static final List<FailureDomain> DOMAINS =
+            List.of(new FailureDomain("a"), new FailureDomain("b"), new FailureDomain("c"));
+    static final long SECOND = 1_000_000_000L;
+
+    final Map<UpstreamId, ObservedUpstream> upstreams = new LinkedHashMap<>();
+    final Set<Place> unavailable = new HashSet<>();
+    final List<UpstreamCommand> received = new ArrayList<>();
+    final List<UpstreamId> leaving = new ArrayList<>();
+    final List<Place> refused = new ArrayList<>();
+    final DutyStepper stepper = new DutyStepper(new ManualTimeSource(0));
+    private final ActionSink<OrderEvent> duty;
+    private long version;
+
+    PoolFixture(OrderPolicy policy) {
+        duty =
+                stepper.add(
+                        new OrderDuty(
+                                POOL,
+                                policy,
+                                IntentTiming.standard(Duration.ofSeconds(10)),
+                                new SplittableRandom(1),
+                                0,
+                                InvariantMonitor.failing()),
+                        this::carryOut);
+        duty.emit(new OrderEvent.LimitsChanged(limits(2, 20)));
+        duty.emit(new OrderEvent.Role(new IntentEvent.Gained<>(1)));
+    }
+
+    static PlanLimits limits(int minimum, int maximum) {
+        return new PlanLimits(minimum, maximum, 10, DOMAINS, 1, 0.35, 60);
+    }
+
+    static PoolDemand demand(double live, double batch) {
+        return new PoolDemand(
+                List.of(new TeamDemand(new TeamName("blue"), 1, live, batch)), List.of());
+    }
+
+    static Place place(CapacityKind kind, String domain) {
+        return new Place(kind, new FailureDomain(domain));
+    }
+
+    void demandIs(double live, double batch) {
+        duty.emit(new OrderEvent.DemandObserved(demand(live, batch)));
+    }
+
+    void runSeconds(int seconds) {
+        for (int i = 0; i < seconds; i++) {
+            stepper.advance(SECOND);
+        }
+    }
+
+    void setState(UpstreamId id, State state) {
+        upstreams.computeIfPresent(
+                id, (key, known) -> new ObservedUpstream(id, known.place(), state));
+    }
+
+    void startedUpstreamsServe() {
+        List.copyOf(upstreams.values()).stream()
+                .filter(upstream -> upstream.state() == State.STARTING)
+                .forEach(upstream -> setState(upstream.id(), State.SERVING));
+    }
+
+    /** Announces a reclaim of all cheap upstreams of a failure domain. */
+    void reclaim(String domain) {
+        Place place = place(CapacityKind.CHEAP, domain);
+        unavailable.add(place);
+        List.copyOf(upstreams.values()).stream()
+                .filter(upstream -> upstream.place().equals(place))
+                .forEach(upstream -> setState(upstream.id(), State.LEAVING));
+    }
+
+    long count(CapacityKind kind, State state) {
+        return upstreams.values().stream()
+                .filter(each -> each.place().kind() == kind && each.state() == state)
+                .count();
+    }
+
+    private void carryOut(OrderAction action) {
+        if (action instanceof OrderAction.ListUpstreams) {
+            duty.emit(new OrderEvent.UpstreamsListed(List.copyOf(upstreams.values())));
+        } else if (action instanceof OrderAction.PublishLeaving publish) {
+            leaving.add(publish.upstream());
+        } else if (action instanceof OrderAction.CapacityRefused refusal) {
+            refused.add(refusal.place());
+        } else if (action instanceof OrderAction.Role role) {
+            carryOut(role.action());
+        }
+    }
+
+    private void carryOut(IntentAction<UpstreamCommand> action) {
+        if (action instanceof IntentAction.ReadJournal<UpstreamCommand> read) {
+            emit(new IntentEvent.JournalRead<>(read.fencing(), Journal.absent()));
+        } else if (action instanceof IntentAction.WriteJournal<UpstreamCommand> write) {
+            emit(new IntentEvent.Committed<>(write.writer(), ++version));
+        } else if (action instanceof IntentAction.CarryOut<UpstreamCommand> order) {
+            emit(
+                    new IntentEvent.Attempted<>(
+                            order.fencing(),
+                            order.intent().id(),
+                            order.attempt(),
+                            receive(order.intent().command())));
+        }
+    }
+
+    private ActResult receive(UpstreamCommand command) {
+        received.add(command);
+        if (command.action() == UpstreamCommand.Action.STOP) {
+            setState(command.upstream(), State.STOPPED);
+            return ActResult.DONE;
+        }
+        if (unavailable.contains(command.place())) {
+            return ActResult.REFUSED;
+        }
+        upstreams.put(
+                command.upstream(),
+                new ObservedUpstream(command.upstream(), command.place(), State.STARTING));
+        return ActResult.DONE;
+    }
+
+    private void emit(IntentEvent<UpstreamCommand> event) {
+        duty.emit(new OrderEvent.Role(event));
+    }
+}
