Name objects, commits and attempts of each holding of a lease anew

An instance whose lease expires in an outage and is renewed before another instance takes it holds it again under the same fencing number. The rollout duty then counted objects, commits and attempts from one again. The object store keeps the first body under a name, so samples were delivered with the stored body of other samples, and late results of the earlier holding could be taken for present ones.

The duty now numbers its holdings. The number is part of the names of objects and commits, and attempts start above those of earlier holdings.

RolloutDutyTest failed with the new test before the change and passes after it.

--- a/decisions/src/main/java/org/fuchsialever/decisions/samples/RolloutDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/samples/RolloutDuty.java
@@ -12,10 +12,14 @@
 
 /** Rollouts of all trainers for which this instance holds the lease. */
 public final class RolloutDuty implements Duty<RolloutEvent, RolloutAction> {
+    /** The attempts of one holding; those of another one must not be taken for them. */
+    private static final int ATTEMPT_BITS = 32;
+
     private final RolloutSetup setup;
     private final SampleBudget budget;
     private final Map<TrainerName, Owned> trainers = new TreeMap<>();
     private final Map<Class<? extends RolloutEvent>, Handler> handlers = new HashMap<>();
+    private int holdings;
 
     /** Creates a duty without trainers. */
     public RolloutDuty(RolloutSetup setup) {
@@ -73,10 +77,12 @@
 
     private void gain(RolloutEvent.LeaseGained event, long now, ActionSink<RolloutAction> actions) {
         lose(event.trainer(), now, actions);
+        // A lease that expired and was renewed before anybody else took it has the same term again.
+        holdings++;
+        String holding = setup.writer() + "-" + event.term() + "-" + holdings;
+        long firstAttempt = (long) holdings << ATTEMPT_BITS;
         Owned owned =
-                new Owned(
-                        event.term(),
-                        new TrainerRollouts(setup, budget, event.term(), event.trainer().value()));
+                new Owned(event.term(), new TrainerRollouts(setup, budget, holding, firstAttempt));
         trainers.put(event.trainer(), owned);
         owned.rollouts.restore(0, new Turn(event.trainer(), event.term(), now, actions));
     }
--- a/decisions/src/main/java/org/fuchsialever/decisions/samples/TrainerRollouts.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/samples/TrainerRollouts.java
@@ -16,6 +16,7 @@
     private final RolloutLimits limits;
     private final InvariantMonitor invariants;
     private final SampleBudget budget;
+    private final String holding;
     private final RetryDelay delays;
     private final CommitSequence commits;
     private final PollTable polls = new PollTable();
@@ -25,13 +26,21 @@
     private long nextAttempt;
     private int restores;
 
-    TrainerRollouts(RolloutSetup setup, SampleBudget budget, long term, String trainer) {
+    /**
+     * Creates the state of one holding of a trainer's lease.
+     *
+     * @param holding identity of the holding, for commits and objects
+     * @param firstAttempt the number of its first attempt
+     */
+    TrainerRollouts(RolloutSetup setup, SampleBudget budget, String holding, long firstAttempt) {
         this.setup = setup;
         this.limits = setup.limits();
         this.invariants = setup.invariants();
         this.budget = budget;
         this.delays = new RetryDelay(limits, setup.random());
-        this.commits = new CommitSequence(setup.writer() + "-" + trainer + "-" + term, delays);
+        this.holding = holding;
+        this.nextAttempt = firstAttempt;
+        this.commits = new CommitSequence(holding, delays);
     }
 
     /** Reads the stored state; nothing else is done for the trainer before that. */
@@ -360,14 +369,7 @@
                 if (!fresh.isEmpty()) {
                     storedObjects++;
                     String object =
-                            "samples/"
-                                    + turn.trainer()
-                                    + "/"
-                                    + setup.writer()
-                                    + "-"
-                                    + turn.term()
-                                    + "-"
-                                    + storedObjects;
+                            "samples/" + turn.trainer() + "/" + holding + "-" + storedObjects;
                     BatchInProgress next = new BatchInProgress(object, fresh);
                     batch = next;
                     next.store(turn);
--- a/decisions/src/test/java/org/fuchsialever/decisions/samples/RolloutDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/samples/RolloutDutyTest.java
@@ -60,6 +60,26 @@
         assertThat("late and doubled results were dropped", dropped, greaterThan(0));
     }
 
+    /**
+     * Guards against objects, commits and attempts that have the same names in two holdings of one
+     * lease: a sample was then delivered with the stored body of another one.
+     */
+    @Test
+    void deliversEverySampleWithItsOwnBodyWhenAnExpiredLeaseIsRenewed() {
+        for (long seed = 0; seed < SEEDS; seed++) {
+            RolloutWorld world = new RolloutWorld(seed, policy(seed));
+            List<Submission> steps = new ArrayList<>();
+            for (long step = 1; step <= 3; step++) {
+                steps.add(RolloutWorld.submission(step, 4, 5));
+                world.submit(steps.get(steps.size() - 1));
+                world.runUntil(60, 1);
+                world.loseAndRegainLease();
+            }
+            world.runUntil(60, 600);
+            world.assertEverySampleExactlyOnce(steps);
+        }
+    }
+
     @Test
     void holdsNoMoreSamplesThanTheLimitDuringAnOutageAndGoesOnAfterIt() {
         List<Submission> steps = List.of(RolloutWorld.submission(1, 10, 5));
--- a/decisions/src/test/java/org/fuchsialever/decisions/samples/RolloutWorld.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/samples/RolloutWorld.java
@@ -87,6 +87,15 @@
         holder.gain();
     }
 
+    /**
+     * The holder's lease expires in an outage and is renewed afterwards, before anybody takes it.
+     */
+    void loseAndRegainLease() {
+        holder.handle(new RolloutEvent.LeaseLost(TRAINER));
+        holder.handle(new RolloutEvent.LeaseGained(TRAINER, holder.guard));
+        holder.learn();
+    }
+
     /** Lets time pass until the trainer has a number of samples or the time is over. */
     void runUntil(int samples, long seconds) {
         long end = now + seconds * 1_000 * MILLI;
