Add a soak of several instances under faults

Checks of single duties do not show what happens when several instances, a store, upstreams, callers, operators and a trainer fail together. The command soak steps dispatch, key, configuration, lease and rollout duties of four instances with one thread under a manual clock. A checker that shares no state with the duties judges what callers, trainer and upstreams saw; afterwards all work must end without faults.

--- /dev/null
+++ b/cli/src/main/java/org/fuchsialever/cli/soak/SoakTables.java
@@ -0,0 +1,112 @@
+package org.fuchsialever.cli.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.fuchsialever.decisions.model.UpstreamId;
+
+/** The tables of a run as operators write them. */
+final class SoakTables {
+    static final int TEAMS = 3;
+    private static final int UPSTREAMS_PER_POOL = 4;
+
+    private final List<UpstreamId> engines = new ArrayList<>();
+    private final List<UpstreamId> desks = new ArrayList<>();
+    private final Set<UpstreamId> leaving = new TreeSet<>();
+    private int sequence;
+    private int weight = 1;
+
+    SoakTables() {
+        for (int i = 0; i < UPSTREAMS_PER_POOL; i++) {
+            engines.add(newId("engine"));
+            desks.add(newId("desk"));
+        }
+    }
+
+    List<UpstreamId> upstreams() {
+        List<UpstreamId> all = new ArrayList<>(engines);
+        all.addAll(desks);
+        return all;
+    }
+
+    String routes() {
+        StringBuilder text = new StringBuilder();
+        for (int team = 0; team < TEAMS; team++) {
+            text.append("[team team-%d]\nweight = %d\n".formatted(team, team == 0 ? weight : 1));
+        }
+        return text.append(route("live", "live", "engines", "yes"))
+                .append(route("plain", "plain", "desks", "no"))
+                .append(route("rollouts", "rollout", "engines", "yes"))
+                .toString();
+    }
+
+    String pools() {
+        return pool("engines", "kind = engine\nmodel = m\nbalancing = scored\n", engines)
+                + pool("desks", "kind = plain\n", desks);
+    }
+
+    void changeWeight(int newWeight) {
+        weight = newWeight;
+    }
+
+    void leave(UpstreamId upstream) {
+        leaving.add(upstream);
+    }
+
+    /** Removes an upstream and adds another one; a name is never used again. */
+    UpstreamId replace(UpstreamId upstream) {
+        List<UpstreamId> pool = engines.contains(upstream) ? engines : desks;
+        pool.remove(upstream);
+        leaving.remove(upstream);
+        UpstreamId added = newId(pool == engines ? "engine" : "desk");
+        pool.add(added);
+        return added;
+    }
+
+    private UpstreamId newId(String prefix) {
+        return new UpstreamId(prefix + "-" + sequence++);
+    }
+
+    private static String route(String name, String kind, String pool, String repeatable) {
+        return """
+        [route %s]
+        path = /%s
+        kind = %s
+        pool = %s
+        teams = all
+        repeatable = %s
+        deadline = 20 s
+        body-limit = 64 KB
+        """
+                .formatted(name, name, kind, pool, repeatable);
+    }
+
+    private String pool(String name, String kind, List<UpstreamId> upstreams) {
+        StringBuilder text =
+                new StringBuilder("[pool %s]\n%sminimum = 1\nmaximum = 9\n".formatted(name, kind));
+        for (UpstreamId id : upstreams) {
+            int number = Integer.parseInt(id.value().substring(id.value().indexOf('-') + 1));
+            text.append(
+                    """
+                    [upstream %s]
+                    pool = %s
+                    address = 127.0.0.1
+                    port = %d
+                    failure-domain = fd-%d
+                    capacity = regular
+                    slots = %d
+                    fencing = ignored
+                    state = %s
+                    """
+                            .formatted(
+                                    id,
+                                    name,
+                                    10_000 + number,
+                                    number % 3,
+                                    SoakUpstreams.SLOTS,
+                                    leaving.contains(id) ? "leaving" : "serving"));
+        }
+        return text.toString();
+    }
+}
