Check "not run" by the results of all attempts

The check in the dispatch duty compared the reason with the field by which the reason had just been replaced, so it could not fire. It now compares the number of attempts with the number of those that ended with a proof of "not run", and also when a caller leaves.

--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/DispatchDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/DispatchDuty.java
@@ -184,6 +184,8 @@
         } else {
             if (result.outcome() != Outcome.NOT_RUN) {
                 queued.noteMayHaveRun();
+            } else {
+                queued.noteNotRun();
             }
             Either<RefusalReason, RetryReason> decision =
                     retries.decide(queued, result, budget(queued.request().route().name()));
@@ -228,6 +230,10 @@
             return;
         }
         boolean ran = queued.mayHaveRun() || queued.upstream() != null;
+        invariants.check(
+                Invariant.NOT_RUN_IS_TRUE,
+                ran || queued.certainlyNotRun(),
+                () -> request + " ends as not run but may have run");
         stopWork(queued, nowNanos, actions);
         actions.emit(new DispatchAction.Finish(request, ran ? Outcome.UNKNOWN : Outcome.NOT_RUN));
         startWaiting(poolOf(queued), nowNanos, actions);
@@ -421,7 +427,7 @@
                         : reason;
         invariants.check(
                 Invariant.NOT_RUN_IS_TRUE,
-                truthful.outcome() != Outcome.NOT_RUN || !queued.mayHaveRun(),
+                truthful.outcome() != Outcome.NOT_RUN || queued.certainlyNotRun(),
                 () -> queued.request().id() + " is refused as not run but may have run");
         refuse(queued.request().id(), truthful, actions);
     }
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/QueuedRequest.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/QueuedRequest.java
@@ -17,6 +17,7 @@
     private @Nullable UpstreamLoad upstream;
     private @Nullable UpstreamLoad failedUpstream;
     private boolean mayHaveRun;
+    private int attemptsNotRun;
 
     QueuedRequest(DispatchRequest request, long arrival, long nowNanos) {
         this.request = request;
@@ -106,6 +107,16 @@
         retryAt = Long.MAX_VALUE;
     }
 
+    /** The present attempt ended with a proof that the upstream did not run the request. */
+    void noteNotRun() {
+        attemptsNotRun++;
+    }
+
+    /** Returns whether every attempt so far has ended with a proof that it did not run. */
+    boolean certainlyNotRun() {
+        return attempt == attemptsNotRun;
+    }
+
     boolean mayHaveRun() {
         return mayHaveRun;
     }
