--- a/node/src/test/java/org/fuchsialever/node/dispatch/CallDispatcherTest.java
+++ b/node/src/test/java/org/fuchsialever/node/dispatch/CallDispatcherTest.java
@@ -156,6 +156,17 @@
         assertThat(body.refusals, contains(RefusalReason.ANSWER_LOST));
     }
 
+    @Test
+    void noticesAnEndWithoutACompletedAttempt() {
+        stream();
+        body.request(10);
+        upstreams.token(0, 0);
+
+        dispatcher.emit(new DispatchAction.Finish(ID, Outcome.COMPLETED));
+
+        assertThat(violated, contains(Invariant.ANSWER_WHOLE_AND_OWN));
+    }
+
     @Test
     void keepsAnAttemptWhoseTokensArriveInTime() {
         stream();
