--- /dev/null
+++ b/cli/src/main/java/org/fuchsialever/cli/demo/DemoDeployment.java
@@ -0,0 +1,207 @@
+package org.fuchsialever.cli.demo;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.fuchsialever.cli.standins.StandInFiles;
+import org.fuchsialever.kernel.invariant.CountingInvariantMonitor;
+import org.fuchsialever.kernel.lifecycle.Closer;
+import org.fuchsialever.node.NodeProcess;
+import org.fuchsialever.node.http.Readiness;
+import org.fuchsialever.standins.EngineOptions;
+import org.fuchsialever.standins.StandInServer;
+import org.fuchsialever.standins.StandInWorld;
+
+/** Stand-ins and three instances in one process, with tables applied. */
+final class DemoDeployment implements AutoCloseable {
+    static final int ENGINES = 6;
+    static final int DESKS = 4;
+    static final int MEDIAN_TOKENS = 16;
+    private static final int DOMAINS = 3;
+    private static final int INSTANCES = 3;
+    private static final int SLOTS = 16;
+    private static final int STRAGGLER_EVERY = 16;
+    private static final int STRAGGLER_FACTOR = 20;
+    private static final Duration TOKEN_INTERVAL = Duration.ofMillis(4);
+    private static final Duration READY_BOUND = Duration.ofSeconds(10);
+    private static final long POLL_MILLIS = 100;
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final Closer closer = new Closer();
+    private final CountDownLatch stop;
+    private final Path folder;
+    private final StandInWorld world;
+    private final StandInFiles files;
+    private final OperatorConsole console;
+    private final List<NodeProcess> nodes = new ArrayList<>();
+    private final List<String> urls = new ArrayList<>();
+
+    DemoDeployment(CountDownLatch stop) throws IOException {
+        this.stop = stop;
+        folder = Files.createTempDirectory("fuchsialever-demo");
+        closer.register("files", this::deleteFiles);
+        world = closer.register("stand-ins", startStandIns());
+        files = new StandInFiles(world, ENGINES, DESKS, DOMAINS, SLOTS);
+        console = new OperatorConsole(folder.resolve("platform.ini"), stop);
+    }
+
+    /** Starts the instances, applies both tables and waits until all instances are ready. */
+    void start() throws IOException, InterruptedException {
+        Files.writeString(folder.resolve("platform.ini"), world.platformSection());
+        Files.writeString(folder.resolve("routes.ini"), files.keyedRoutes());
+        Files.writeString(folder.resolve("pools.ini"), files.pools());
+        List<Integer> ports = freePorts(2 * INSTANCES);
+        for (int i = 1; i <= INSTANCES; i++) {
+            int http = ports.get(2 * i - 2);
+            int peer = ports.get(2 * i - 1);
+            world.instanceList().put(files.listed(i, http, peer));
+            nodes.add(closer.register("node-" + i, startNode(i, http, peer)));
+            urls.add("http://" + StandInServer.HOST + ":" + http);
+        }
+        console.run(
+                "apply",
+                "--routes",
+                folder.resolve("routes.ini").toString(),
+                "--pools",
+                folder.resolve("pools.ini").toString(),
+                "--base-version",
+                "0");
+        awaitReady();
+    }
+
+    /** Grants a key with the command of the operators. */
+    DemoKey grant(String team) throws JsonProcessingException {
+        JsonNode granted = MAPPER.readTree(console.run("key", "grant", "--team", team, "--json"));
+        return new DemoKey(team, granted.path("id").asText(), granted.path("key").asText());
+    }
+
+    /** Withdraws a key with the command of the operators. */
+    void withdraw(DemoKey key) {
+        console.run("key", "withdraw", key.id());
+    }
+
+    /** Returns the addresses of the instances. */
+    List<String> urls() {
+        return urls;
+    }
+
+    StandInWorld world() {
+        return world;
+    }
+
+    /** Returns the violations that the instances have counted. */
+    long invariantViolations() {
+        return nodes.stream()
+                .mapToLong(node -> node.service(CountingInvariantMonitor.class).total())
+                .sum();
+    }
+
+    /** Returns the number of requests at upstreams that carried a key. */
+    long keysSeenByUpstreams() {
+        return Stream.concat(
+                        IntStream.rangeClosed(1, ENGINES).mapToObj(i -> "engine-" + i),
+                        IntStream.rangeClosed(1, DESKS).mapToObj(i -> "desk-" + i))
+                .mapToLong(name -> world.find(name, StandInServer.class).credentialsSeen())
+                .sum();
+    }
+
+    /** Returns how often plain services ran requests for a path. */
+    int runsOfPath(String path) {
+        return IntStream.rangeClosed(1, DESKS)
+                .map(i -> world.plainService("desk-" + i).runsOfPath(path))
+                .sum();
+    }
+
+    /** Returns the natural number of tokens of the answer to a prompt. */
+    static int answerLength(String prompt) {
+        return EngineOptions.stragglers(MEDIAN_TOKENS, STRAGGLER_EVERY, STRAGGLER_FACTOR)
+                .applyAsInt(prompt);
+    }
+
+    @Override
+    public void close() {
+        closer.close();
+    }
+
+    private static StandInWorld startStandIns() {
+        StandInWorld.Builder builder = StandInWorld.platform();
+        for (int i = 1; i <= ENGINES; i++) {
+            builder.engine(
+                    "engine-" + i,
+                    new EngineOptions()
+                            .start("engine-" + i + "-start-1")
+                            .slots(SLOTS)
+                            .tokenInterval(TOKEN_INTERVAL)
+                            .answerLength(DemoDeployment::answerLength));
+        }
+        for (int i = 1; i <= DESKS; i++) {
+            builder.plainService("desk-" + i, TOKEN_INTERVAL);
+        }
+        StandInWorld started = builder.start();
+        started.weightStore().publish(StandInFiles.MODEL, 0);
+        return started;
+    }
+
+    private NodeProcess startNode(int number, int httpPort, int peerPort) {
+        return NodeProcess.start(
+                        "node-" + number + ".ini", files.platformNode(number, httpPort, peerPort))
+                .getOrElseThrow(findings -> new IllegalStateException(findings.report()));
+    }
+
+    private void awaitReady() throws InterruptedException {
+        long end = System.nanoTime() + READY_BOUND.toNanos();
+        for (NodeProcess node : nodes) {
+            Readiness readiness = node.service(Readiness.class);
+            while (!readiness.isReady()) {
+                if (System.nanoTime() > end || stop.await(POLL_MILLIS, TimeUnit.MILLISECONDS)) {
+                    throw new IllegalStateException(
+                            "an instance is not ready: " + readiness.unmet());
+                }
+            }
+        }
+    }
+
+    /** Returns ports that were free a moment ago; the instance list needs them before the start. */
+    private static List<Integer> freePorts(int count) throws IOException {
+        Closer sockets = new Closer();
+        List<Integer> ports = new ArrayList<>();
+        try {
+            for (int i = 0; i < count; i++) {
+                ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                sockets.register("port", socket);
+                ports.add(socket.getLocalPort());
+            }
+        } finally {
+            sockets.close();
+        }
+        return ports;
+    }
+
+    private void deleteFiles() throws IOException {
+        try (Stream<Path> paths = Files.walk(folder)) {
+            paths.sorted(Comparator.reverseOrder())
+                    .forEach(
+                            path -> {
+                                try {
+                                    Files.delete(path);
+                                } catch (IOException e) {
+                                    throw new UncheckedIOException(e);
+                                }
+                            });
+        }
+    }
+}
--- a/cli/src/main/java/org/fuchsialever/cli/standins/StandInFiles.java
+++ b/cli/src/main/java/org/fuchsialever/cli/standins/StandInFiles.java
@@ -7,10 +7,11 @@
 
 /** Tables and node settings that match a set of running stand-ins. */
 public final class StandInFiles {
-    static final String MODEL = "small";
+    /** The model of the engines. */
+    public static final String MODEL = "small";
 
     static final int HTTP_PORT = 18_080;
-    private static final int PEER_PORT = 19_080;
+    static final int PEER_PORT = 19_080;
 
     private final StandInWorld world;
     private final int engines;
@@ -60,6 +61,73 @@
         """;
     }
 
+    /** Returns the routes table with routes of each kind; all but {@code /desk} need a key. */
+    public String keyedRoutes() {
+        return """
+        [team alba]
+        weight = 4
+
+        [team bistra]
+        weight = 2
+
+        [team cerna]
+        weight = 1
+
+        [team tuning]
+        weight = 2
+
+        [route completions]
+        path = /v1/completions
+        kind = live
+        pool = engines
+        teams = all
+        repeatable = yes
+        deadline = 30 s
+
+        [route chat]
+        path = /v1/chat/completions
+        kind = live
+        pool = engines
+        teams = alba, bistra, cerna
+        repeatable = yes
+        deadline = 30 s
+
+        [route rollouts]
+        path = /v1/rollouts
+        kind = rollout
+        pool = engines
+        teams = tuning
+        repeatable = yes
+        deadline = 60 s
+        body-limit = 1 MB
+        priority = rollout
+
+        # Bookings must not run twice.
+        [route bookings]
+        path = /booking/
+        kind = plain
+        pool = desks
+        teams = alba, bistra, cerna
+        repeatable = no
+        deadline = 10 s
+
+        [route stock]
+        path = /stock/
+        kind = plain
+        pool = desks
+        teams = all
+        repeatable = yes
+        deadline = 10 s
+
+        [route desk]
+        path = /desk
+        kind = plain
+        pool = desks
+        access = open
+        repeatable = no
+        """;
+    }
+
     /** Returns the pools table. */
     public String pools() {
         StringBuilder text = new StringBuilder();
@@ -103,18 +171,46 @@
                         folder.resolve("pools.ini"));
     }
 
+    /**
+     * Returns settings of an instance that takes its tables and keys from the platform.
+     *
+     * @param number the number of the instance, from 1
+     * @param httpPort the TCP port of its front end
+     * @param peerPort the TCP port for other instances
+     */
+    public String platformNode(int number, int httpPort, int peerPort) {
+        return """
+        [node]
+        name = node-%d
+        region = region-1
+        failure-domain = fd-%d
+        components = identity, platform, config, keys, claims, leases, peers, dispatch, readiness, \
+        endpoints, samples, front-end
+        http-address = 127.0.0.1
+        http-port = %d
+        peer-address = 127.0.0.1
+        peer-port = %d
+
+        [samples]
+        version-interval = 250 ms
+
+        """
+                        .formatted(number, domain(number), httpPort, peerPort)
+                + platform();
+    }
+
     /** Returns the settings to add for an instance that selects the component {@code platform}. */
     String platform() {
         return world.platformSection();
     }
 
     /** Returns the entry of an instance for the instance list. */
-    ListedInstanceEntry listed(int number) {
+    public ListedInstanceEntry listed(int number, int httpPort, int peerPort) {
         return new ListedInstanceEntry(
                 "node-" + number,
                 StandInServer.HOST,
-                HTTP_PORT + number,
-                PEER_PORT + number,
+                httpPort,
+                peerPort,
                 "region-1",
                 "fd-" + domain(number),
                 false);
--- a/cli/src/main/java/org/fuchsialever/cli/standins/StandInsTask.java
+++ b/cli/src/main/java/org/fuchsialever/cli/standins/StandInsTask.java
@@ -52,8 +52,8 @@
     @Parameter(
             names = "--folder",
             description =
-                    "Folder for routes.ini, pools.ini, node-<n>.ini, platform.ini (a section for"
-                            + " instances that use the platform) and addresses.json")
+                    "Folder for routes.ini, pools.ini, node-<n>.ini, platform.ini (section"
+                            + " [platform] for commands) and addresses.json")
     private @Nullable String folder;
 
     @Parameter(names = "--seconds", description = "Stop after this time (s); 0 runs until told")
@@ -68,7 +68,10 @@
             StandInFiles files = new StandInFiles(world, engines, plainServices, domains, slots);
             ObjectNode addresses = addresses(world);
             for (int i = 1; i <= nodes; i++) {
-                world.instanceList().put(files.listed(i));
+                world.instanceList()
+                        .put(
+                                files.listed(
+                                        i, StandInFiles.HTTP_PORT + i, StandInFiles.PEER_PORT + i));
             }
             if (folder != null) {
                 write(files, Path.of(folder), addresses);
@@ -106,12 +109,12 @@
 
     private void write(StandInFiles files, Path target, ObjectNode addresses) throws IOException {
         Files.createDirectories(target);
-        Files.writeString(target.resolve("routes.ini"), files.routes());
+        Files.writeString(target.resolve("routes.ini"), files.keyedRoutes());
         Files.writeString(target.resolve("pools.ini"), files.pools());
         for (int i = 1; i <= nodes; i++) {
             Files.writeString(
                     target.resolve("node-" + i + ".ini"),
-                    files.node(i, StandInFiles.HTTP_PORT + i, target));
+                    files.platformNode(i, StandInFiles.HTTP_PORT + i, StandInFiles.PEER_PORT + i));
         }
         Files.writeString(target.resolve("platform.ini"), files.platform());
         Files.writeString(target.resolve("addresses.json"), addresses.toPrettyString() + "\n");
--- a/standins/src/main/java/org/fuchsialever/standins/StandInRequest.java
+++ b/standins/src/main/java/org/fuchsialever/standins/StandInRequest.java
@@ -3,7 +3,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.regex.Pattern;
 
 /**
  * A complete request.
@@ -22,6 +24,16 @@
         HttpHeaders headers,
         byte[] body,
         int remotePort) {
+    private static final Pattern CALLER_KEY = Pattern.compile("fl_[0-9A-Za-z-]+_[0-9A-Za-z]{16,}");
+
+    /** Returns whether the request carries an {@code Authorization} field or a caller's key. */
+    boolean hasCredentials() {
+        return headers.contains("Authorization")
+                || CALLER_KEY.matcher(uri).find()
+                || headers.entries().stream()
+                        .anyMatch(field -> CALLER_KEY.matcher(field.getValue()).find())
+                || CALLER_KEY.matcher(new String(body, StandardCharsets.UTF_8)).find();
+    }
 
     JsonNode json() {
         return Json.parse(body);
--- a/standins/src/main/java/org/fuchsialever/standins/StandInServer.java
+++ b/standins/src/main/java/org/fuchsialever/standins/StandInServer.java
@@ -42,6 +42,7 @@
     private final Map<String, AtomicLong> calls = new ConcurrentHashMap<>();
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final FaultControl faults = new FaultControl(this);
+    private final AtomicLong credentials = new AtomicLong();
     private volatile @Nullable DisposableServer server;
     private volatile int port;
     private volatile boolean closed;
@@ -84,6 +85,14 @@
         return counts;
     }
 
+    /**
+     * Returns the number of requests with an {@code Authorization} field, or with the text of a
+     * caller's key in the URI, another header field or the body.
+     */
+    public final long credentialsSeen() {
+        return credentials.get();
+    }
+
     @Override
     public void close() {
         closed = true;
@@ -188,6 +197,9 @@
 
     private Mono<Void> serve(Route route, StandInRequest request, HttpServerResponse response) {
         if (!request.uri().startsWith(CONTROL_PREFIX)) {
+            if (request.hasCredentials()) {
+                credentials.incrementAndGet();
+            }
             calls.computeIfAbsent(route.operation, name -> new AtomicLong()).incrementAndGet();
             return faults.serve(new Exchange(route, request, response));
         }
--- a/standins/src/main/java/org/fuchsialever/standins/TrainerRecord.java
+++ b/standins/src/main/java/org/fuchsialever/standins/TrainerRecord.java
@@ -20,6 +20,7 @@
     private long lastPosition;
     private long repeated;
     private long newestVersion;
+    private long tokens;
 
     /**
      * Creates an empty record.
@@ -79,6 +80,11 @@
         return identities.size();
     }
 
+    /** Returns the number of tokens in all samples that were received, with duplicates. */
+    public synchronized long tokens() {
+        return tokens;
+    }
+
     /** Returns the samples that were delivered at more than one position. */
     public synchronized List<String> duplicates() {
         return List.copyOf(duplicates);
@@ -115,6 +121,7 @@
             }
             next = range.path("to").asLong();
         }
+        tokens += next;
         if (ranges.isEmpty()) {
             incomplete.add(identity);
         } else if (newestVersion - oldest > maxStaleness) {
