Let the demo complete and mend the trainer stand-in

Cause: with the service, every submission of the trainer stand-in was refused (662 answers 400 in 20 s), because it sent group names as numbers, and it dropped the first sample as a repetition, because it counted positions from 1. Change: names are texts and positions count from 0, as in the service; the demo marks a leaving engine in the pools table.

--- a/cli/src/main/java/org/fuchsialever/cli/demo/DemoCallers.java
+++ b/cli/src/main/java/org/fuchsialever/cli/demo/DemoCallers.java
@@ -69,15 +69,15 @@
         CallKind kind = kinds[number % kinds.length];
         int turn = number / kinds.length;
         String name = key.team() + "-" + key.id() + "-" + number;
-        Mono<Void> first = Mono.defer(() -> sendOne(call(kind, name, key, url(turn)), turn));
+        boolean claimed = kind == CallKind.BOOKING && turn % BOOKINGS_WITHOUT_KEY != 0;
+        Mono<Void> first = Mono.defer(() -> sendOne(call(kind, name, key, url(turn)), claimed));
         // The second request with the same Idempotency-Key goes to another instance.
-        return kind == CallKind.BOOKING && turn % REPEATED_BOOKINGS == 1
-                ? first.then(Mono.defer(() -> sendOne(call(kind, name, key, url(turn + 1)), 1)))
+        return claimed && turn % REPEATED_BOOKINGS == 1
+                ? first.then(Mono.defer(() -> sendOne(call(kind, name, key, url(turn + 1)), true)))
                 : first;
     }
 
-    private Mono<Void> sendOne(DemoCall call, int turn) {
-        boolean claimed = call.kind() == CallKind.BOOKING && turn % BOOKINGS_WITHOUT_KEY != 0;
+    private Mono<Void> sendOne(DemoCall call, boolean claimed) {
         if (call.kind() == CallKind.BOOKING) {
             tally.bookingSent(call.path());
         }
--- a/cli/src/main/java/org/fuchsialever/cli/demo/DemoDeployment.java
+++ b/cli/src/main/java/org/fuchsialever/cli/demo/DemoDeployment.java
@@ -72,17 +72,20 @@
             nodes.add(closer.register("node-" + i, startNode(i, http, peer)));
             urls.add("http://" + StandInServer.HOST + ":" + http);
         }
-        console.run(
-                "apply",
-                "--routes",
-                folder.resolve("routes.ini").toString(),
-                "--pools",
-                folder.resolve("pools.ini").toString(),
-                "--base-version",
-                "0");
+        apply(0);
         awaitReady();
     }
 
+    /** Marks an engine as leaving in the pools table, and tells it once all instances know. */
+    void leave(String engine) throws IOException {
+        Path pools = folder.resolve("pools.ini");
+        String section = "[upstream " + engine + "]\n";
+        String table = Files.readString(pools);
+        Files.writeString(pools, table.replace(section, section + "state = leaving\n"));
+        apply(1);
+        world.engine(engine).leave();
+    }
+
     /** Grants a key with the command of the operators. */
     DemoKey grant(String team) throws JsonProcessingException {
         JsonNode granted = MAPPER.readTree(console.run("key", "grant", "--team", team, "--json"));
@@ -137,6 +140,17 @@
         closer.close();
     }
 
+    private void apply(long baseVersion) {
+        console.run(
+                "apply",
+                "--routes",
+                folder.resolve("routes.ini").toString(),
+                "--pools",
+                folder.resolve("pools.ini").toString(),
+                "--base-version",
+                Long.toString(baseVersion));
+    }
+
     private static StandInWorld startStandIns() {
         StandInWorld.Builder builder = StandInWorld.platform();
         for (int i = 1; i <= ENGINES; i++) {
--- a/cli/src/main/java/org/fuchsialever/cli/demo/DemoRun.java
+++ b/cli/src/main/java/org/fuchsialever/cli/demo/DemoRun.java
@@ -1,5 +1,6 @@
 package org.fuchsialever.cli.demo;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -85,10 +86,10 @@
 
     /** Makes the changes at their times, shows progress and waits for the end of the work. */
     private void follow(CompletableFuture<Void> work, DemoTrainers trainers, DemoKey withdrawn)
-            throws InterruptedException {
+            throws IOException, InterruptedException {
         long start = System.nanoTime();
         await(work, start, LEAVE_PERCENT, trainers);
-        deployment.world().engine("engine-2").leave();
+        deployment.leave("engine-2");
         progress.accept("Engine engine-2 leaves.");
         await(work, start, WITHDRAW_PERCENT, trainers);
         long withdrawnNanos = System.nanoTime();
--- a/standins/src/main/java/org/fuchsialever/standins/TrainerRecord.java
+++ b/standins/src/main/java/org/fuchsialever/standins/TrainerRecord.java
@@ -17,7 +17,7 @@
     private final List<String> gaps = new ArrayList<>();
     private final List<String> stale = new ArrayList<>();
     private final List<String> incomplete = new ArrayList<>();
-    private long lastPosition;
+    private long lastPosition = -1;
     private long repeated;
     private long newestVersion;
     private long tokens;
@@ -32,8 +32,8 @@
     }
 
     /**
-     * Records a delivered sample. A position at or below the last one is a repetition, which a
-     * trainer drops; the same identity at a new position is a duplicate.
+     * Records a delivered sample; positions count from 0. A position at or below the last one is a
+     * repetition, which a trainer drops; the same identity at a new position is a duplicate.
      *
      * @param sample the sample as delivered
      * @return whether the sample is new
--- a/standins/src/main/java/org/fuchsialever/standins/TrainerStandIn.java
+++ b/standins/src/main/java/org/fuchsialever/standins/TrainerStandIn.java
@@ -184,7 +184,7 @@
         for (int group = 0; group < options.groups; group++) {
             String prompt = "@%s-%d-%d continue".formatted(options.trainer, step, group);
             groups.addObject()
-                    .put("group", group)
+                    .put("group", "g" + group)
                     .put("prompt", prompt)
                     .put("samples", options.samples)
                     .put("max_tokens", options.maxTokens);
--- a/standins/src/test/java/org/fuchsialever/standins/TrainerStandInTest.java
+++ b/standins/src/test/java/org/fuchsialever/standins/TrainerStandInTest.java
@@ -48,6 +48,14 @@
         assertThat(service.acknowledged, is(18L));
     }
 
+    /** The service refuses a group whose name is not a text. */
+    @Test
+    void namesItsGroupsInText() {
+        trainer.submit(1).block();
+
+        assertThat(service.samples.get(0).path("group").isTextual(), is(true));
+    }
+
     @Test
     void repeatsASubmissionWhoseAnswerWasLost() {
         service.faults().set(FaultMode.LOSE_ANSWER, Duration.ZERO, 1);
@@ -61,22 +69,22 @@
     @Test
     void recordsRepetitionsDuplicatesAndGaps() {
         TrainerRecord record = new TrainerRecord(2);
-        assertThat(record.receive(sample(1, 0, 7)), is(true));
+        assertThat(record.receive(sample(0, 0, 7)), is(true));
+        assertThat(record.receive(sample(0, 0, 7)), is(false));
         assertThat(record.receive(sample(1, 0, 7)), is(false));
-        assertThat(record.receive(sample(2, 0, 7)), is(false));
-        assertThat(record.receive(sample(5, 1, 7)), is(true));
+        assertThat(record.receive(sample(4, 1, 7)), is(true));
 
         assertThat(record.repeated(), is(1L));
         assertThat(record.duplicates(), contains("1/0/0"));
-        assertThat(record.gaps(), contains("3 to 4"));
+        assertThat(record.gaps(), contains("2 to 3"));
     }
 
     @Test
     void recordsASampleWhoseOldestRangeIsTooOld() {
         TrainerRecord record = new TrainerRecord(2);
         record.newestVersion(9);
-        record.receive(sample(1, 0, 7));
-        record.receive(sample(2, 1, 6));
+        record.receive(sample(0, 0, 7));
+        record.receive(sample(1, 1, 6));
 
         assertThat(record.staleSamples(), contains("1/0/1"));
     }
@@ -84,7 +92,7 @@
     @Test
     void recordsASampleWhoseRangesLeaveOutTokens() {
         TrainerRecord record = new TrainerRecord(2);
-        ObjectNode sample = sample(1, 0, 1);
+        ObjectNode sample = sample(0, 0, 1);
         ((ArrayNode) sample.path("ranges"))
                 .addObject()
                 .put("from", 5)
@@ -126,7 +134,7 @@
             steps.add(step);
             for (JsonNode group : body.path("groups")) {
                 for (int i = 0; i < group.path("samples").asInt(); i++) {
-                    ObjectNode sample = sample(samples.size() + 1, i, step - 1);
+                    ObjectNode sample = sample(samples.size(), i, step - 1);
                     samples.add(sample.put("step", step).set("group", group.path("group")));
                 }
             }
