--- a/cli/src/main/java/org/fuchsialever/cli/demo/CallTally.java
+++ b/cli/src/main/java/org/fuchsialever/cli/demo/CallTally.java
@@ -54,7 +54,10 @@
         }
         if (call.kind().isLive()) {
             liveCompleted++;
-            firstByte.recordValue(firstByteNanos - call.sentNanos());
+            // The first byte of a whole answer comes with the last one.
+            if (call.kind() == CallKind.STREAMED) {
+                firstByte.recordValue(firstByteNanos - call.sentNanos());
+            }
             total.recordValue(endNanos - call.sentNanos());
         } else {
             plainCompleted++;
--- a/cli/src/test/java/org/fuchsialever/cli/standins/StandInsTaskTest.java
+++ b/cli/src/test/java/org/fuchsialever/cli/standins/StandInsTaskTest.java
@@ -30,8 +30,8 @@
         assertThat(run("stand-ins", "--folder", folder.toString(), "--json"), is(ExitCode.OK));
 
         String settings = Files.readString(folder.resolve("node-1.ini"));
-        // Any free port, so that the test does not depend on the fixed one.
-        settings = settings.replaceAll("http-port = \\d+", "http-port = 0");
+        // Any free port, so that the test does not depend on the fixed ones.
+        settings = settings.replaceAll("(http|peer)-port = \\d+", "$1-port = 0");
         NodeProcess.start("node-1.ini", settings)
                 .getOrElseThrow(findings -> new AssertionError(findings.report()))
                 .close();
