--- a/standins/src/main/java/org/fuchsialever/standins/TrainerRecord.java
+++ b/standins/src/main/java/org/fuchsialever/standins/TrainerRecord.java
@@ -17,9 +17,10 @@
     private final List<String> gaps = new ArrayList<>();
     private final List<String> stale = new ArrayList<>();
     private final List<String> incomplete = new ArrayList<>();
-    private long lastPosition;
+    private long lastPosition = -1;
     private long repeated;
     private long newestVersion;
+    private long tokens;
 
     /**
      * Creates an empty record.
@@ -31,8 +32,8 @@
     }
 
     /**
-     * Records a delivered sample. A position at or below the last one is a repetition, which a
-     * trainer drops; the same identity at a new position is a duplicate.
+     * Records a delivered sample; positions count from 0. A position at or below the last one is a
+     * repetition, which a trainer drops; the same identity at a new position is a duplicate.
      *
      * @param sample the sample as delivered
      * @return whether the sample is new
@@ -79,6 +80,11 @@
         return identities.size();
     }
 
+    /** Returns the number of tokens in all samples that were received, with duplicates. */
+    public synchronized long tokens() {
+        return tokens;
+    }
+
     /** Returns the samples that were delivered at more than one position. */
     public synchronized List<String> duplicates() {
         return List.copyOf(duplicates);
@@ -115,6 +121,7 @@
             }
             next = range.path("to").asLong();
         }
+        tokens += next;
         if (ranges.isEmpty()) {
             incomplete.add(identity);
         } else if (newestVersion - oldest > maxStaleness) {
