Feed load reports, cache events and leaving upstreams to the dispatch duty

Cause: nothing polled the engines, so an engine that left by itself kept getting attempts until its failures ejected it. Change: upstream-watch and orders use the feed of the dispatch component; component exchange spreads leaving upstreams between instances.

--- a/node/src/main/java/org/fuchsialever/node/exchange/ExchangeComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/exchange/ExchangeComponent.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Set;
+import org.fuchsialever.decisions.dispatch.DispatchEvent;
 import org.fuchsialever.decisions.membership.PeerMessage;
 import org.fuchsialever.kernel.plugin.Component;
 import org.fuchsialever.kernel.plugin.ComponentContext;
@@ -10,6 +11,7 @@
 import org.fuchsialever.node.config.ConfigHolder;
 import org.fuchsialever.node.dispatch.DispatchFeed;
 import org.fuchsialever.node.keys.KeyFeed;
+import org.fuchsialever.node.orders.LeavingFeed;
 import org.fuchsialever.node.peers.PeerMessages;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
@@ -38,7 +40,7 @@
 
     @Override
     public Set<Class<?>> provides() {
-        return Set.of();
+        return Set.of(LeavingFeed.class);
     }
 
     @Override
@@ -57,6 +59,18 @@
                 PeerMessage.Heartbeat.class,
                 (sender, message) -> config.peerVersion(message.configVersion()));
 
+        peers.subscribe(
+                PeerMessage.LeavingUpstreams.class,
+                (sender, message) ->
+                        message.upstreams()
+                                .forEach(
+                                        upstream ->
+                                                dispatch.report(
+                                                        new DispatchEvent.UpstreamLeft(upstream))));
+        LeavingFeed leaving =
+                upstreams -> peers.broadcast(new PeerMessage.LeavingUpstreams(upstreams));
+        context.provide(LeavingFeed.class, leaving);
+
         NodeIdentity identity = context.require(NodeIdentity.class);
         ShareExchange shares = new ShareExchange(peers, dispatch, identity.domain());
         peers.subscribe(PeerMessage.ShareCounters.class, shares::receive);
--- a/node/src/main/java/org/fuchsialever/node/orders/OrderActions.java
+++ b/node/src/main/java/org/fuchsialever/node/orders/OrderActions.java
@@ -17,9 +17,9 @@
 import org.fuchsialever.decisions.orders.UpstreamCommand;
 import org.fuchsialever.kernel.duty.ActionSink;
 import org.fuchsialever.kernel.settings.SettingsReader;
+import org.fuchsialever.node.dispatch.DispatchFeed;
 import org.fuchsialever.node.intent.IntentServices;
 import org.fuchsialever.node.intent.RoleIntents;
-import org.fuchsialever.node.watch.DispatchFeed;
 import org.fuchsialever.platform.OrderAnswer;
 import org.fuchsialever.platform.OrderedUpstream;
 import org.fuchsialever.platform.OrderingService;
@@ -77,7 +77,7 @@
                             list -> events.accept(new OrderEvent.UpstreamsListed(observed(list))),
                             failure -> count("list-failed"));
         } else if (action instanceof OrderAction.PublishLeaving leaving) {
-            dispatch.offer(new DispatchEvent.UpstreamLeft(leaving.upstream()));
+            dispatch.report(new DispatchEvent.UpstreamLeft(leaving.upstream()));
             peers.spread(Set.of(leaving.upstream()));
         } else if (action instanceof OrderAction.CapacityRefused refusal) {
             count("capacity-refused-" + SettingsReader.label(refusal.place().kind()));
--- a/node/src/main/java/org/fuchsialever/node/orders/OrdersComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/orders/OrdersComponent.java
@@ -21,10 +21,10 @@
 import org.fuchsialever.kernel.settings.SettingsReader;
 import org.fuchsialever.node.NodeIdentity;
 import org.fuchsialever.node.config.ConfigHolder;
+import org.fuchsialever.node.dispatch.DispatchFeed;
 import org.fuchsialever.node.intent.EventPort;
 import org.fuchsialever.node.intent.IntentServices;
 import org.fuchsialever.node.lease.Leases;
-import org.fuchsialever.node.watch.DispatchFeed;
 import org.fuchsialever.platform.Delays;
 import org.fuchsialever.platform.Platform;
 
--- a/node/src/main/java/org/fuchsialever/node/watch/UpstreamWatchComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/watch/UpstreamWatchComponent.java
@@ -9,6 +9,7 @@
 import org.fuchsialever.kernel.plugin.ComponentContext;
 import org.fuchsialever.kernel.settings.SettingsReader;
 import org.fuchsialever.node.config.ConfigHolder;
+import org.fuchsialever.node.dispatch.DispatchFeed;
 import org.fuchsialever.node.intent.EventPort;
 import org.fuchsialever.platform.Delays;
 
--- a/node/src/main/java/org/fuchsialever/node/watch/WatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/watch/WatchActions.java
@@ -13,6 +13,7 @@
 import org.fuchsialever.decisions.model.UpstreamId;
 import org.fuchsialever.kernel.duty.ActionSink;
 import org.fuchsialever.kernel.time.TimeSource;
+import org.fuchsialever.node.dispatch.DispatchFeed;
 import org.fuchsialever.node.intent.EventPort;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
@@ -77,9 +78,9 @@
     }
 
     private boolean reported(UpstreamSpec spec, LoadReport report) {
-        offer(new DispatchEvent.LoadReported(spec.id(), report));
+        dispatch.report(new DispatchEvent.LoadReported(spec.id(), report));
         if (report.leaving()) {
-            offer(new DispatchEvent.UpstreamLeft(spec.id()));
+            dispatch.report(new DispatchEvent.UpstreamLeft(spec.id()));
         }
         listeners.reported(spec.id(), report);
         return !report.start().equals(starts.put(spec.id(), report.start()));
@@ -98,18 +99,13 @@
     private long passOn(UpstreamSpec spec, long after, List<EngineReports.CacheEvent> events) {
         long last = after;
         for (EngineReports.CacheEvent event : events) {
-            offer(new DispatchEvent.CacheReported(spec.id(), event.prefix(), event.stored()));
+            dispatch.report(
+                    new DispatchEvent.CacheReported(spec.id(), event.prefix(), event.stored()));
             last = Math.max(last, event.sequence());
         }
         return last;
     }
 
-    private void offer(DispatchEvent event) {
-        if (!dispatch.offer(event)) {
-            count("dispatch-full");
-        }
-    }
-
     private Mono<byte[]> read(UpstreamSpec spec, String path) {
         String host = spec.address().contains(":") ? "[" + spec.address() + "]" : spec.address();
         return client.get()
