Report finished calls to usage and audit and run all components by default

Cause: nothing told the usage and audit duties of calls that had ended, and an instance without a component list served two files only. Change: exchanges keep a log of their attempts; component call-accounting passes each ended call to the observers. The default components are those of an instance on the platform; orders and weights stay off until demand per pool and reported versions are provided to them.

--- a/cli/src/main/java/org/fuchsialever/cli/standins/StandInFiles.java
+++ b/cli/src/main/java/org/fuchsialever/cli/standins/StandInFiles.java
@@ -184,8 +184,6 @@
         name = node-%d
         region = region-1
         failure-domain = fd-%d
-        components = identity, platform, config, keys, claims, leases, peers, dispatch, readiness, \
-        endpoints, samples, front-end
         http-address = 127.0.0.1
         http-port = %d
         peer-address = 127.0.0.1
--- a/node/src/main/java/org/fuchsialever/node/NodeProcess.java
+++ b/node/src/main/java/org/fuchsialever/node/NodeProcess.java
@@ -24,11 +24,22 @@
     private static final List<String> DEFAULT_COMPONENTS =
             List.of(
                     "identity",
-                    "table-files",
-                    "open-routes",
+                    "platform",
+                    "config",
+                    "keys",
+                    "claims",
+                    "leases",
+                    "peers",
+                    "exchange",
+                    "call-observers",
+                    "call-accounting",
+                    "audit",
+                    "usage",
+                    "upstream-watch",
                     "dispatch",
                     "readiness",
                     "endpoints",
+                    "samples",
                     "front-end");
 
     private final ComponentContext context;
--- a/node/src/main/java/org/fuchsialever/node/dispatch/Attempt.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/Attempt.java
@@ -5,6 +5,7 @@
 import org.fuchsialever.decisions.dispatch.AttemptReport;
 import org.fuchsialever.decisions.dispatch.AttemptResult;
 import org.fuchsialever.decisions.dispatch.DispatchEvent;
+import org.fuchsialever.decisions.model.UpstreamId;
 import org.fuchsialever.node.upstream.UpstreamCall;
 import org.fuchsialever.node.upstream.UpstreamException;
 import org.fuchsialever.node.upstream.UpstreamPart;
@@ -53,6 +54,10 @@
         return number;
     }
 
+    UpstreamId upstreamId() {
+        return call.upstream().id();
+    }
+
     int promptTokens() {
         return promptTokens;
     }
--- a/node/src/main/java/org/fuchsialever/node/dispatch/CallDispatcher.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/CallDispatcher.java
@@ -41,6 +41,7 @@
     private final Sinks.One<Boolean> drained = Sinks.one();
     private final List<Consumer<DispatchAction.PublishShares>> shareListeners =
             new CopyOnWriteArrayList<>();
+    private final List<CallObserver> observers = new CopyOnWriteArrayList<>();
     private final int maxCalls;
     private final RunningCalls keys;
     private final ExchangeServices services;
@@ -63,6 +64,11 @@
         shareListeners.add(listener);
     }
 
+    /** Adds an observer of calls that have ended; called on the thread of the duty. */
+    void onFinished(CallObserver observer) {
+        observers.add(observer);
+    }
+
     /** Refuses queued and new calls; completes when no call is queued or running. */
     Mono<Void> drain() {
         services.ring().send(new DispatchEvent.DrainStarted());
@@ -120,18 +126,28 @@
         } else if (action instanceof DispatchAction.Retry retry) {
             services.meters().retried(retry.reason());
         } else if (action instanceof DispatchAction.Refuse refuse) {
-            remove(refuse.request())
-                    .forEach(
-                            exchange ->
-                                    exchange.refuse(
-                                            new Refusal(refuse.reason(), refuse.retryAfter(), "")));
+            remove(refuse.request()).forEach(exchange -> refuse(exchange, refuse));
         } else if (action instanceof DispatchAction.Finish finish) {
-            remove(finish.request()).forEach(CallExchange::finish);
+            remove(finish.request()).forEach(exchange -> finish(exchange, finish));
         } else if (action instanceof DispatchAction.Drained) {
             drained.tryEmitValue(true);
         }
     }
 
+    private void refuse(CallExchange exchange, DispatchAction.Refuse refuse) {
+        exchange.refuse(new Refusal(refuse.reason(), refuse.retryAfter(), ""));
+        observe(exchange.finishedCall(refuse.reason().outcome(), Option.some(refuse.reason())));
+    }
+
+    private void finish(CallExchange exchange, DispatchAction.Finish finish) {
+        exchange.finish();
+        observe(exchange.finishedCall(finish.outcome(), Option.none()));
+    }
+
+    private void observe(FinishedCall call) {
+        observers.forEach(observer -> observer.callFinished(call));
+    }
+
     private <T> Mono<Either<Refusal, T>> submit(
             CallWork work, AnswerTarget target, Mono<Either<Refusal, T>> answer) {
         if (admitted.incrementAndGet() > maxCalls) {
--- a/node/src/main/java/org/fuchsialever/node/dispatch/CallExchange.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/CallExchange.java
@@ -1,6 +1,7 @@
 package org.fuchsialever.node.dispatch;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Option;
 import java.util.concurrent.TimeUnit;
 import org.fuchsialever.decisions.config.UpstreamSpec;
 import org.fuchsialever.decisions.dispatch.AttemptReport;
@@ -11,6 +12,7 @@
 import org.fuchsialever.decisions.dispatch.stream.SpliceVerdict;
 import org.fuchsialever.decisions.dispatch.stream.TokenSplice;
 import org.fuchsialever.decisions.model.RequestId;
+import org.fuchsialever.frontend.Caller;
 import org.fuchsialever.frontend.Refusal;
 import org.fuchsialever.kernel.invariant.Invariant;
 import org.fuchsialever.node.upstream.UpstreamPart;
@@ -28,6 +30,7 @@
     private final ExchangeServices services;
     private final TokenSplice splice = new TokenSplice();
     private @Nullable Attempt current;
+    private final AttemptLog log = new AttemptLog();
     private int earlierPromptTokens;
     private int earlierGeneratedTokens;
     private int resumedFrom;
@@ -102,10 +105,24 @@
                 return;
             }
             current = null;
+            log.cancelled(attempt.upstreamId(), attempt.promptTokens(), attempt.generatedTokens());
         }
         attempt.stop();
     }
 
+    /** Describes the call after its end, for usage and audit. */
+    FinishedCall finishedCall(Outcome outcome, Option<RefusalReason> refusal) {
+        synchronized (target) {
+            return new FinishedCall(
+                    id(),
+                    new Caller(work.request().team(), work.key()),
+                    work.request().route().name(),
+                    log.attempts(),
+                    outcome,
+                    refusal);
+        }
+    }
+
     /** Ends the call after its last part has been passed on. */
     void finish() {
         synchronized (target) {
@@ -205,6 +222,7 @@
         if (report.result().outcome() == Outcome.NOT_RUN) {
             attemptsThatMayHaveRun--;
         }
+        log.ended(attempt.upstreamId(), report);
         earlierPromptTokens += report.promptTokens();
         earlierGeneratedTokens += report.generatedTokens();
         services.ring().send(new DispatchEvent.AttemptEnded(id(), attempt.number(), report));
--- a/node/src/main/java/org/fuchsialever/node/dispatch/CallObserverComponents.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/CallObserverComponents.java
@@ -16,6 +16,6 @@
 
     @Override
     public Collection<? extends Plugin> plugins() {
-        return List.of(new CallObserversComponent());
+        return List.of(new CallObserversComponent(), new CallAccountingComponent());
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/dispatch/DispatchFeed.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/DispatchFeed.java
@@ -15,4 +15,7 @@
      * the duty and must not block.
      */
     void onShares(Consumer<DispatchAction.PublishShares> listener);
+
+    /** Adds an observer of calls that have ended; it is called on the thread of the duty. */
+    void onFinished(CallObserver observer);
 }
--- a/node/src/main/java/org/fuchsialever/node/dispatch/RingFeed.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/RingFeed.java
@@ -16,4 +16,9 @@
     public void onShares(Consumer<DispatchAction.PublishShares> listener) {
         dispatcher.onShares(listener);
     }
+
+    @Override
+    public void onFinished(CallObserver observer) {
+        dispatcher.onFinished(observer);
+    }
 }
--- a/node/src/test/java/org/fuchsialever/node/LiveCallTest.java
+++ b/node/src/test/java/org/fuchsialever/node/LiveCallTest.java
@@ -65,6 +65,8 @@
                 region = region-1
                 failure-domain = fd-1
                 http-address = 127.0.0.1
+                components = identity, table-files, open-routes, dispatch, readiness, \
+                endpoints, front-end
                 [tables]
                 routes = %s
                 pools = %s
--- a/node/src/test/java/org/fuchsialever/node/exchange/ShareExchangeTest.java
+++ b/node/src/test/java/org/fuchsialever/node/exchange/ShareExchangeTest.java
@@ -16,6 +16,7 @@
 import org.fuchsialever.decisions.model.InstanceId;
 import org.fuchsialever.decisions.model.PoolName;
 import org.fuchsialever.decisions.model.TeamName;
+import org.fuchsialever.node.dispatch.CallObserver;
 import org.fuchsialever.node.dispatch.DispatchFeed;
 import org.fuchsialever.node.peers.PeerMessages;
 import org.junit.jupiter.api.Test;
@@ -68,6 +69,9 @@
 
         @Override
         public void onShares(Consumer<DispatchAction.PublishShares> listener) {}
+
+        @Override
+        public void onFinished(CallObserver observer) {}
     }
 
     private final class RecordingPeers implements PeerMessages {
