--- a/node/src/test/java/org/fuchsialever/node/calls/CallFixture.java
+++ b/node/src/test/java/org/fuchsialever/node/calls/CallFixture.java
@@ -100,6 +100,8 @@
         region = region-1
         failure-domain = fd-1
         http-address = 127.0.0.1
+        components = identity, table-files, open-routes, dispatch, readiness, \
+        endpoints, front-end
         [limits]
         engine-progress = %s
         plain-first-byte = %s
--- a/node/src/test/java/org/fuchsialever/node/calls/ClaimedCallSocketTest.java
+++ b/node/src/test/java/org/fuchsialever/node/calls/ClaimedCallSocketTest.java
@@ -20,11 +20,7 @@
     @Override
     protected String settings() throws IOException {
         return super.settings()
-                        .replace(
-                                "[limits]",
-                                "components = identity, platform, table-files, open-routes,"
-                                        + " dispatch, claims, readiness, endpoints, front-end\n"
-                                        + "[limits]")
+                        .replace("identity, table-files", "identity, platform, claims, table-files")
                 + "[platform]\ntable-service = "
                 + tables.url()
                 + "\n";
