--- a/cli/src/main/java/org/fuchsialever/cli/platform/Instances.java
+++ b/cli/src/main/java/org/fuchsialever/cli/platform/Instances.java
@@ -3,12 +3,14 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.ChannelOption;
+import io.vavr.Tuple;
 import io.vavr.control.Option;
 import io.vavr.control.Try;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Function;
@@ -47,10 +49,15 @@
         return confirming(
                 asked,
                 instance ->
-                        json(client.get().uri(url(instance) + "/operator/status"))
+                        statusOf(instance)
                                 .filter(body -> body.path("config_version").asLong() >= version));
     }
 
+    /** Returns what the instances that answer say about themselves, by name. */
+    public Map<String, JsonNode> status(Collection<ListedInstance> asked) {
+        return answers(asked, this::statusOf);
+    }
+
     /** Sends a withdrawal and returns the names of the instances that confirmed it. */
     public Set<String> withdraw(Collection<ListedInstance> asked, String key) {
         byte[] body =
@@ -73,20 +80,27 @@
                                 .filter(answer -> answer.path("withdrawn").asBoolean()));
     }
 
+    private Mono<JsonNode> statusOf(ListedInstance instance) {
+        return json(client.get().uri(url(instance) + "/operator/status"));
+    }
+
     private static Set<String> confirming(
             Collection<ListedInstance> asked, Function<ListedInstance, Mono<JsonNode>> call) {
-        List<String> names =
-                PlatformSession.await(
-                        Flux.fromIterable(asked)
-                                .flatMap(
-                                        instance ->
-                                                call.apply(instance)
-                                                        .timeout(TIMEOUT)
-                                                        .onErrorResume(failure -> Mono.empty())
-                                                        .map(answer -> instance.instance().value()),
-                                        CONCURRENT_CALLS)
-                                .collectList());
-        return new TreeSet<>(names);
+        return new TreeSet<>(answers(asked, call).keySet());
+    }
+
+    private static Map<String, JsonNode> answers(
+            Collection<ListedInstance> asked, Function<ListedInstance, Mono<JsonNode>> call) {
+        return PlatformSession.await(
+                Flux.fromIterable(asked)
+                        .flatMap(
+                                instance ->
+                                        call.apply(instance)
+                                                .timeout(TIMEOUT)
+                                                .onErrorResume(failure -> Mono.empty())
+                                                .map(answer -> Tuple.of(instance, answer)),
+                                CONCURRENT_CALLS)
+                        .collectMap(pair -> pair._1.instance().value(), pair -> pair._2));
     }
 
     private static Mono<JsonNode> json(HttpClient.ResponseReceiver<?> request) {
