--- a/node/src/main/java/org/fuchsialever/node/dispatch/CallDispatcher.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/CallDispatcher.java
@@ -23,6 +23,7 @@
 import org.fuchsialever.frontend.RefusedException;
 import org.fuchsialever.frontend.ShownSecret;
 import org.fuchsialever.kernel.duty.ActionSink;
+import org.fuchsialever.kernel.invariant.Invariant;
 import org.fuchsialever.node.generation.Generation;
 import org.fuchsialever.node.generation.GenerationPort;
 import org.fuchsialever.node.generation.GenerationRequest;
@@ -82,6 +83,13 @@
 
     @Override
     public Mono<Either<Refusal, CallAnswer>> call(Call call) {
+        if (!call.route().allows(call.caller().team())) {
+            services.invariants()
+                    .violated(
+                            Invariant.REQUEST_RUNS_FOR_ITS_TEAM,
+                            call.id() + " came to the dispatcher for a team without the route");
+            return Mono.just(Either.left(Refusal.of(RefusalReason.TEAM_NOT_ALLOWED)));
+        }
         boolean engine = call.route().kind() == RouteKind.LIVE;
         if (engine && !call.shape().streamed()) {
             CollectingTarget<CallAnswer> target = new CollectingTarget<>(new WholeAnswerForm());
--- a/node/src/test/java/org/fuchsialever/node/dispatch/CallDispatcherTest.java
+++ b/node/src/test/java/org/fuchsialever/node/dispatch/CallDispatcherTest.java
@@ -271,6 +271,17 @@
         assertThat(inbox.overflows(), is(0L));
     }
 
+    /** Guards against a call that the front end lets through for a team without the route. */
+    @Test
+    void noticesAndRefusesACallOfATeamThatItsRouteDoesNotList() {
+        Either<Refusal, CallAnswer> result =
+                dispatcher.call(call(ID, true, Access.KEYED)).blockOptional().orElseThrow();
+
+        assertThat(result.getLeft().reason(), is(RefusalReason.TEAM_NOT_ALLOWED));
+        assertThat(violated, contains(Invariant.REQUEST_RUNS_FOR_ITS_TEAM));
+        assertThat(events(), hasSize(0));
+    }
+
     @Test
     void endsARunningStreamWhoseKeyIsWithdrawn() {
         stream();
@@ -320,13 +331,17 @@
     }
 
     private static Call call(RequestId id, boolean repeatable) {
+        return call(id, repeatable, Access.OPEN);
+    }
+
+    private static Call call(RequestId id, boolean repeatable, Access access) {
         Route route =
                 new Route(
                         new RouteName("chat"),
                         "/v1/completions",
                         RouteKind.LIVE,
                         new PoolName("small"),
-                        Access.OPEN,
+                        access,
                         Set.of(),
                         repeatable,
                         Priority.LIVE,
