--- a/cli/src/main/java/org/fuchsialever/cli/keys/KeyStore.java
+++ b/cli/src/main/java/org/fuchsialever/cli/keys/KeyStore.java
@@ -28,10 +28,10 @@
 import org.fuchsialever.decisions.model.TeamName;
 import org.fuchsialever.node.keys.KeyRows;
 import org.fuchsialever.node.keys.WithdrawalWriter;
-import org.fuchsialever.platform.Commit;
-import org.fuchsialever.platform.CommitResult;
-import org.fuchsialever.platform.ListedInstance;
-import org.fuchsialever.platform.Row;
+import org.fuchsialever.services.Commit;
+import org.fuchsialever.services.CommitResult;
+import org.fuchsialever.services.ListedInstance;
+import org.fuchsialever.services.Row;
 
 /** Grants, lists and withdraws keys for one run of the command. */
 final class KeyStore {
--- a/cli/src/main/java/org/fuchsialever/cli/platform/PlatformSession.java
+++ b/cli/src/main/java/org/fuchsialever/cli/platform/PlatformSession.java
@@ -10,10 +10,10 @@
 import org.fuchsialever.kernel.settings.SettingsReader;
 import org.fuchsialever.kernel.time.SystemTimeSource;
 import org.fuchsialever.node.platform.PlatformComponent;
-import org.fuchsialever.platform.CommitRetrier;
-import org.fuchsialever.platform.Delays;
-import org.fuchsialever.platform.Platform;
-import org.fuchsialever.platform.RetryDelays;
+import org.fuchsialever.services.CommitRetrier;
+import org.fuchsialever.services.Delays;
+import org.fuchsialever.services.Platform;
+import org.fuchsialever.services.RetryDelays;
 import reactor.core.publisher.Mono;
 
 /** The platform during one run of a command. */
--- a/cli/src/main/java/org/fuchsialever/cli/status/StatusTask.java
+++ b/cli/src/main/java/org/fuchsialever/cli/status/StatusTask.java
@@ -13,7 +13,7 @@
 import org.fuchsialever.cli.platform.Instances;
 import org.fuchsialever.cli.platform.PlatformSession;
 import org.fuchsialever.cli.platform.PlatformTask;
-import org.fuchsialever.platform.ListedInstance;
+import org.fuchsialever.services.ListedInstance;
 
 /** One run of the command {@code status}; fails unless every listed instance is ready. */
 @Parameters(commandDescription = "Show the state of all listed instances")
--- a/cli/src/main/java/org/fuchsialever/cli/tables/ApplyTask.java
+++ b/cli/src/main/java/org/fuchsialever/cli/tables/ApplyTask.java
@@ -16,7 +16,7 @@
 import org.fuchsialever.cli.platform.PlatformTask;
 import org.fuchsialever.decisions.config.SnapshotText;
 import org.fuchsialever.kernel.findings.Findings;
-import org.fuchsialever.platform.ListedInstance;
+import org.fuchsialever.services.ListedInstance;
 
 /** One run of the command {@code apply}. */
 @Parameters(commandDescription = "Put both tables in force and wait until all instances use them")
--- a/cli/src/main/java/org/fuchsialever/cli/tables/StoredTables.java
+++ b/cli/src/main/java/org/fuchsialever/cli/tables/StoredTables.java
@@ -5,10 +5,10 @@
 import org.fuchsialever.cli.platform.PlatformSession;
 import org.fuchsialever.decisions.config.SnapshotText;
 import org.fuchsialever.node.config.ConfigRows;
-import org.fuchsialever.platform.Commit;
-import org.fuchsialever.platform.CommitResult;
-import org.fuchsialever.platform.Row;
-import org.fuchsialever.platform.TableService;
+import org.fuchsialever.services.Commit;
+import org.fuchsialever.services.CommitResult;
+import org.fuchsialever.services.Row;
+import org.fuchsialever.services.TableService;
 
 /** The versions of the tables in the table service. */
 final class StoredTables {
--- a/cli/src/main/java/org/fuchsialever/cli/usage/UsageTask.java
+++ b/cli/src/main/java/org/fuchsialever/cli/usage/UsageTask.java
@@ -18,7 +18,7 @@
 import org.fuchsialever.cli.platform.PlatformTask;
 import org.fuchsialever.decisions.usage.WindowId;
 import org.fuchsialever.node.usage.UsageRows;
-import org.fuchsialever.platform.Row;
+import org.fuchsialever.services.Row;
 
 /** One run of the command {@code usage}. */
 @Parameters(commandDescription = "Show the fixed figures of usage windows")
--- a/decisions/src/test/java/org/fuchsialever/decisions/ShapeTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/ShapeTest.java
@@ -27,7 +27,7 @@
                         "com.fasterxml..",
                         "java.net.http..",
                         "java.nio.channels..",
-                        "org.fuchsialever.platform..",
+                        "org.fuchsialever.services..",
                         "org.fuchsialever.wire..")
                 .check(classes);
     }
--- a/node/src/main/java/org/fuchsialever/node/audit/AuditActions.java
+++ b/node/src/main/java/org/fuchsialever/node/audit/AuditActions.java
@@ -8,11 +8,11 @@
 import org.fuchsialever.decisions.audit.AuditAction;
 import org.fuchsialever.decisions.audit.AuditEvent;
 import org.fuchsialever.kernel.duty.ActionSink;
-import org.fuchsialever.platform.Commit;
-import org.fuchsialever.platform.CommitResult;
-import org.fuchsialever.platform.ObjectStore;
-import org.fuchsialever.platform.Row;
-import org.fuchsialever.platform.TableService;
+import org.fuchsialever.services.Commit;
+import org.fuchsialever.services.CommitResult;
+import org.fuchsialever.services.ObjectStore;
+import org.fuchsialever.services.Row;
+import org.fuchsialever.services.TableService;
 
 /** Carries out the actions of the audit duty. */
 final class AuditActions implements ActionSink<AuditAction> {
--- a/node/src/main/java/org/fuchsialever/node/audit/AuditComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/audit/AuditComponent.java
@@ -12,7 +12,7 @@
 import org.fuchsialever.kernel.plugin.ComponentContext;
 import org.fuchsialever.node.NodeIdentity;
 import org.fuchsialever.node.dispatch.CallObservers;
-import org.fuchsialever.platform.Platform;
+import org.fuchsialever.services.Platform;
 import org.jspecify.annotations.Nullable;
 
 /** Gathers and stores audit records. */
--- a/node/src/main/java/org/fuchsialever/node/audit/AuditRows.java
+++ b/node/src/main/java/org/fuchsialever/node/audit/AuditRows.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.fuchsialever.decisions.audit.AuditCheckpoint;
-import org.fuchsialever.platform.Row;
+import org.fuchsialever.services.Row;
 
 /** Rows of table {@code audit}: one for each day and start. */
 public final class AuditRows {
--- a/node/src/main/java/org/fuchsialever/node/claims/ClaimCodec.java
+++ b/node/src/main/java/org/fuchsialever/node/claims/ClaimCodec.java
@@ -18,7 +18,7 @@
 import org.fuchsialever.decisions.dispatch.RefusalReason;
 import org.fuchsialever.frontend.Call;
 import org.fuchsialever.frontend.HeaderField;
-import org.fuchsialever.platform.Row;
+import org.fuchsialever.services.Row;
 
 /** Forms of claims in the table service. */
 final class ClaimCodec {
--- a/node/src/main/java/org/fuchsialever/node/claims/ClaimsComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/claims/ClaimsComponent.java
@@ -5,7 +5,7 @@
 import org.fuchsialever.kernel.plugin.Component;
 import org.fuchsialever.kernel.plugin.ComponentContext;
 import org.fuchsialever.kernel.settings.SettingsReader;
-import org.fuchsialever.platform.Platform;
+import org.fuchsialever.services.Platform;
 import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
 
--- a/node/src/main/java/org/fuchsialever/node/config/ConfigActions.java
+++ b/node/src/main/java/org/fuchsialever/node/config/ConfigActions.java
@@ -11,10 +11,10 @@
 import org.fuchsialever.kernel.findings.Finding;
 import org.fuchsialever.kernel.log.PartLogger;
 import org.fuchsialever.node.peerstate.PeerStateClient;
-import org.fuchsialever.platform.Commit;
-import org.fuchsialever.platform.CommitResult;
-import org.fuchsialever.platform.Row;
-import org.fuchsialever.platform.TableService;
+import org.fuchsialever.services.Commit;
+import org.fuchsialever.services.CommitResult;
+import org.fuchsialever.services.Row;
+import org.fuchsialever.services.TableService;
 import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Mono;
 
--- a/node/src/main/java/org/fuchsialever/node/config/ConfigComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/config/ConfigComponent.java
@@ -15,7 +15,7 @@
 import org.fuchsialever.node.http.Endpoints;
 import org.fuchsialever.node.peerstate.PeerStateClient;
 import org.fuchsialever.node.peerstate.PeerStateEndpoint;
-import org.fuchsialever.platform.Platform;
+import org.fuchsialever.services.Platform;
 
 /** Takes the tables from the table service and follows their changes. */
 public final class ConfigComponent implements Component {
--- a/node/src/main/java/org/fuchsialever/node/intent/EventPort.java
+++ b/node/src/main/java/org/fuchsialever/node/intent/EventPort.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.function.Consumer;
 import org.fuchsialever.kernel.duty.Inbox;
-import org.fuchsialever.platform.Delays;
+import org.fuchsialever.services.Delays;
 import org.jspecify.annotations.Nullable;
 
 /**
--- a/node/src/main/java/org/fuchsialever/node/intent/IntentServices.java
+++ b/node/src/main/java/org/fuchsialever/node/intent/IntentServices.java
@@ -3,7 +3,7 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import org.fuchsialever.kernel.invariant.InvariantMonitor;
 import org.fuchsialever.node.lease.Leases;
-import org.fuchsialever.platform.TableService;
+import org.fuchsialever.services.TableService;
 
 /**
  * What the intents of a role need.
--- a/node/src/main/java/org/fuchsialever/node/intent/JournalRows.java
+++ b/node/src/main/java/org/fuchsialever/node/intent/JournalRows.java
@@ -6,7 +6,7 @@
 import org.fuchsialever.decisions.intent.Intent;
 import org.fuchsialever.decisions.intent.IntentCommand;
 import org.fuchsialever.decisions.intent.Journal;
-import org.fuchsialever.platform.Row;
+import org.fuchsialever.services.Row;
 
 /** Text form of the rows of table {@code intents}: one line for each open intent. */
 final class JournalRows<C extends IntentCommand> {
--- a/node/src/main/java/org/fuchsialever/node/intent/RoleIntents.java
+++ b/node/src/main/java/org/fuchsialever/node/intent/RoleIntents.java
@@ -17,10 +17,10 @@
 import org.fuchsialever.kernel.log.PartLogger;
 import org.fuchsialever.node.lease.HeldLease;
 import org.fuchsialever.node.lease.Leases;
-import org.fuchsialever.platform.Commit;
-import org.fuchsialever.platform.CommitResult;
-import org.fuchsialever.platform.Row;
-import org.fuchsialever.platform.TableService;
+import org.fuchsialever.services.Commit;
+import org.fuchsialever.services.CommitResult;
+import org.fuchsialever.services.Row;
+import org.fuchsialever.services.TableService;
 
 /** Carries out the actions of the intent machine of one role. */
 public final class RoleIntents<C extends IntentCommand> implements Leases.LeaseListener {
--- a/node/src/main/java/org/fuchsialever/node/keys/KeyActions.java
+++ b/node/src/main/java/org/fuchsialever/node/keys/KeyActions.java
@@ -17,8 +17,8 @@
 import org.fuchsialever.kernel.log.PartLogger;
 import org.fuchsialever.kernel.time.TimeSource;
 import org.fuchsialever.node.peerstate.PeerStateClient;
-import org.fuchsialever.platform.Row;
-import org.fuchsialever.platform.TableService;
+import org.fuchsialever.services.Row;
+import org.fuchsialever.services.TableService;
 import org.jspecify.annotations.Nullable;
 
 /** Carries out the actions of the key duty and returns their results as events. */
--- a/node/src/main/java/org/fuchsialever/node/keys/KeyRows.java
+++ b/node/src/main/java/org/fuchsialever/node/keys/KeyRows.java
@@ -3,7 +3,7 @@
 import io.vavr.control.Either;
 import org.fuchsialever.decisions.keys.KeyRecord;
 import org.fuchsialever.decisions.keys.KeyRow;
-import org.fuchsialever.platform.Row;
+import org.fuchsialever.services.Row;
 
 /** Names and forms of the rows that hold keys; the key of a row is the identity of the key. */
 public final class KeyRows {
--- a/node/src/main/java/org/fuchsialever/node/keys/KeyStates.java
+++ b/node/src/main/java/org/fuchsialever/node/keys/KeyStates.java
@@ -16,7 +16,7 @@
 import org.fuchsialever.decisions.keys.KeyRow;
 import org.fuchsialever.decisions.model.KeyId;
 import org.fuchsialever.decisions.model.Names;
-import org.fuchsialever.platform.ListedInstance;
+import org.fuchsialever.services.ListedInstance;
 
 /** JSON form of all keys that an instance knows, for a peer that starts. */
 final class KeyStates {
--- a/node/src/main/java/org/fuchsialever/node/keys/KeysComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/keys/KeysComponent.java
@@ -19,7 +19,7 @@
 import org.fuchsialever.node.http.Readiness;
 import org.fuchsialever.node.peerstate.PeerStateClient;
 import org.fuchsialever.node.peerstate.PeerStateEndpoint;
-import org.fuchsialever.platform.Platform;
+import org.fuchsialever.services.Platform;
 
 /** Checks callers by the keys in the table service and ends calls of withdrawn keys. */
 public final class KeysComponent implements Component {
--- a/node/src/main/java/org/fuchsialever/node/keys/WithdrawalWriter.java
+++ b/node/src/main/java/org/fuchsialever/node/keys/WithdrawalWriter.java
@@ -6,10 +6,10 @@
 import org.fuchsialever.decisions.keys.KeyRecord;
 import org.fuchsialever.decisions.keys.KeyRow;
 import org.fuchsialever.decisions.model.KeyId;
-import org.fuchsialever.platform.Commit;
-import org.fuchsialever.platform.CommitResult;
-import org.fuchsialever.platform.Row;
-import org.fuchsialever.platform.TableService;
+import org.fuchsialever.services.Commit;
+import org.fuchsialever.services.CommitResult;
+import org.fuchsialever.services.Row;
+import org.fuchsialever.services.TableService;
 import reactor.core.publisher.Mono;
 
 /**
--- a/node/src/main/java/org/fuchsialever/node/lease/LeaseRows.java
+++ b/node/src/main/java/org/fuchsialever/node/lease/LeaseRows.java
@@ -4,8 +4,8 @@
 import java.util.List;
 import org.fuchsialever.decisions.lease.LeaseCommit;
 import org.fuchsialever.decisions.lease.LeaseRow;
-import org.fuchsialever.platform.Commit;
-import org.fuchsialever.platform.Row;
+import org.fuchsialever.services.Commit;
+import org.fuchsialever.services.Row;
 
 /** Text form of the rows of table {@code leases}. */
 final class LeaseRows {
--- a/node/src/main/java/org/fuchsialever/node/lease/LeaseService.java
+++ b/node/src/main/java/org/fuchsialever/node/lease/LeaseService.java
@@ -15,9 +15,9 @@
 import org.fuchsialever.kernel.duty.ActionSink;
 import org.fuchsialever.kernel.log.PartLogger;
 import org.fuchsialever.kernel.time.TimeSource;
-import org.fuchsialever.platform.CommitResult;
-import org.fuchsialever.platform.Row;
-import org.fuchsialever.platform.TableService;
+import org.fuchsialever.services.CommitResult;
+import org.fuchsialever.services.Row;
+import org.fuchsialever.services.TableService;
 
 /** Connects the lease duty to the table service and answers which roles are held now. */
 final class LeaseService implements Leases, ActionSink<LeaseAction> {
--- a/node/src/main/java/org/fuchsialever/node/lease/LeasesComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/lease/LeasesComponent.java
@@ -9,7 +9,7 @@
 import org.fuchsialever.kernel.plugin.Component;
 import org.fuchsialever.kernel.plugin.ComponentContext;
 import org.fuchsialever.node.NodeIdentity;
-import org.fuchsialever.platform.Platform;
+import org.fuchsialever.services.Platform;
 
 /** Provides roles under lease, kept in the table service. */
 public final class LeasesComponent implements Component {
--- a/node/src/main/java/org/fuchsialever/node/orders/OrderActions.java
+++ b/node/src/main/java/org/fuchsialever/node/orders/OrderActions.java
@@ -20,11 +20,11 @@
 import org.fuchsialever.node.dispatch.DispatchFeed;
 import org.fuchsialever.node.intent.IntentServices;
 import org.fuchsialever.node.intent.RoleIntents;
-import org.fuchsialever.platform.OrderAnswer;
-import org.fuchsialever.platform.OrderedUpstream;
-import org.fuchsialever.platform.OrderingService;
-import org.fuchsialever.platform.PlatformException;
-import org.fuchsialever.platform.UpstreamOrder;
+import org.fuchsialever.services.OrderAnswer;
+import org.fuchsialever.services.OrderedUpstream;
+import org.fuchsialever.services.OrderingService;
+import org.fuchsialever.services.PlatformException;
+import org.fuchsialever.services.UpstreamOrder;
 import reactor.core.publisher.Mono;
 
 /** Carries out the actions of the order duty of one pool. */
--- a/node/src/main/java/org/fuchsialever/node/peers/PeerService.java
+++ b/node/src/main/java/org/fuchsialever/node/peers/PeerService.java
@@ -23,8 +23,8 @@
 import org.fuchsialever.kernel.log.PartLogger;
 import org.fuchsialever.kernel.plugin.ComponentContext;
 import org.fuchsialever.node.NodeIdentity;
-import org.fuchsialever.platform.InstanceList;
-import org.fuchsialever.platform.ListedInstance;
+import org.fuchsialever.services.InstanceList;
+import org.fuchsialever.services.ListedInstance;
 import org.fuchsialever.wire.PeerTransport;
 import org.fuchsialever.wire.PeerTransportLimits;
 
--- a/node/src/main/java/org/fuchsialever/node/peers/PeersComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/peers/PeersComponent.java
@@ -5,7 +5,7 @@
 import org.fuchsialever.kernel.plugin.ComponentContext;
 import org.fuchsialever.kernel.settings.SettingsReader;
 import org.fuchsialever.node.NodeIdentity;
-import org.fuchsialever.platform.Platform;
+import org.fuchsialever.services.Platform;
 
 /** Provides messages to and from the other instances. */
 public final class PeersComponent implements Component {
--- a/node/src/main/java/org/fuchsialever/node/platform/PlatformComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/platform/PlatformComponent.java
@@ -7,8 +7,8 @@
 import org.fuchsialever.kernel.plugin.ComponentContext;
 import org.fuchsialever.kernel.plugin.PluginRegistry;
 import org.fuchsialever.kernel.settings.SettingsReader;
-import org.fuchsialever.platform.Platform;
-import org.fuchsialever.platform.PlatformAdapter;
+import org.fuchsialever.services.Platform;
+import org.fuchsialever.services.PlatformAdapter;
 
 /** Provides the platform through the adapter that {@code [platform] adapter} names. */
 public final class PlatformComponent implements Component {
--- a/node/src/main/java/org/fuchsialever/node/samples/CommitSender.java
+++ b/node/src/main/java/org/fuchsialever/node/samples/CommitSender.java
@@ -9,9 +9,9 @@
 import org.fuchsialever.kernel.time.TimeSource;
 import org.fuchsialever.node.lease.HeldLease;
 import org.fuchsialever.node.lease.Leases;
-import org.fuchsialever.platform.CommitResult;
-import org.fuchsialever.platform.Row;
-import org.fuchsialever.platform.TableService;
+import org.fuchsialever.services.CommitResult;
+import org.fuchsialever.services.Row;
+import org.fuchsialever.services.TableService;
 import reactor.core.publisher.Mono;
 
 /** Sends commits under the lease of a trainer and reports their results. */
--- a/node/src/main/java/org/fuchsialever/node/samples/RolloutExecutor.java
+++ b/node/src/main/java/org/fuchsialever/node/samples/RolloutExecutor.java
@@ -22,7 +22,7 @@
 import org.fuchsialever.node.generation.GenerationPort;
 import org.fuchsialever.node.generation.GenerationRequest;
 import org.fuchsialever.node.lease.Leases;
-import org.fuchsialever.platform.JudgeService;
+import org.fuchsialever.services.JudgeService;
 import org.jspecify.annotations.Nullable;
 import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
@@ -257,7 +257,7 @@
             Leases leases,
             GenerationPort generation,
             JudgeService judge,
-            org.fuchsialever.platform.WeightStore weights,
+            org.fuchsialever.services.WeightStore weights,
             SampleObjects objects,
             CommitSender commits,
             RolloutRestorer restorer,
--- a/node/src/main/java/org/fuchsialever/node/samples/RolloutRows.java
+++ b/node/src/main/java/org/fuchsialever/node/samples/RolloutRows.java
@@ -17,7 +17,7 @@
 import org.fuchsialever.decisions.samples.LogHead;
 import org.fuchsialever.decisions.samples.Submission;
 import org.fuchsialever.node.lease.HeldLease;
-import org.fuchsialever.platform.Commit;
+import org.fuchsialever.services.Commit;
 
 /** Rows and objects of rollouts: their keys and their JSON form. */
 final class RolloutRows {
--- a/node/src/main/java/org/fuchsialever/node/samples/RolloutService.java
+++ b/node/src/main/java/org/fuchsialever/node/samples/RolloutService.java
@@ -18,8 +18,8 @@
 import org.fuchsialever.kernel.log.PartLogger;
 import org.fuchsialever.node.lease.HeldLease;
 import org.fuchsialever.node.lease.Leases;
-import org.fuchsialever.platform.Platform;
-import org.fuchsialever.platform.Row;
+import org.fuchsialever.services.Platform;
+import org.fuchsialever.services.Row;
 import reactor.core.publisher.Mono;
 import reactor.util.retry.Retry;
 
--- a/node/src/main/java/org/fuchsialever/node/samples/SampleObjects.java
+++ b/node/src/main/java/org/fuchsialever/node/samples/SampleObjects.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import org.fuchsialever.decisions.samples.BatchEntry;
 import org.fuchsialever.decisions.samples.JudgedSample;
-import org.fuchsialever.platform.ObjectStore;
+import org.fuchsialever.services.ObjectStore;
 import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
--- a/node/src/main/java/org/fuchsialever/node/samples/SamplesComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/samples/SamplesComponent.java
@@ -25,7 +25,7 @@
 import org.fuchsialever.node.generation.GenerationPort;
 import org.fuchsialever.node.http.Endpoints;
 import org.fuchsialever.node.lease.Leases;
-import org.fuchsialever.platform.Platform;
+import org.fuchsialever.services.Platform;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 
--- a/node/src/main/java/org/fuchsialever/node/usage/CloserActions.java
+++ b/node/src/main/java/org/fuchsialever/node/usage/CloserActions.java
@@ -28,11 +28,11 @@
 import org.fuchsialever.node.audit.AuditRecorder;
 import org.fuchsialever.node.lease.HeldLease;
 import org.fuchsialever.node.lease.Leases;
-import org.fuchsialever.platform.Commit;
-import org.fuchsialever.platform.CommitResult;
-import org.fuchsialever.platform.Row;
-import org.fuchsialever.platform.TableService;
-import org.fuchsialever.platform.UsageReportService;
+import org.fuchsialever.services.Commit;
+import org.fuchsialever.services.CommitResult;
+import org.fuchsialever.services.Row;
+import org.fuchsialever.services.TableService;
+import org.fuchsialever.services.UsageReportService;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
--- a/node/src/main/java/org/fuchsialever/node/usage/UsageActions.java
+++ b/node/src/main/java/org/fuchsialever/node/usage/UsageActions.java
@@ -11,10 +11,10 @@
 import org.fuchsialever.kernel.duty.ActionSink;
 import org.fuchsialever.kernel.log.PartLogger;
 import org.fuchsialever.node.peers.PeerMessages;
-import org.fuchsialever.platform.Commit;
-import org.fuchsialever.platform.CommitResult;
-import org.fuchsialever.platform.Row;
-import org.fuchsialever.platform.TableService;
+import org.fuchsialever.services.Commit;
+import org.fuchsialever.services.CommitResult;
+import org.fuchsialever.services.Row;
+import org.fuchsialever.services.TableService;
 
 /** Carries out the actions of the usage duty. */
 final class UsageActions implements ActionSink<UsageAction> {
--- a/node/src/main/java/org/fuchsialever/node/usage/UsageComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/usage/UsageComponent.java
@@ -26,7 +26,7 @@
 import org.fuchsialever.node.dispatch.FinishedCall;
 import org.fuchsialever.node.lease.Leases;
 import org.fuchsialever.node.peers.PeerMessages;
-import org.fuchsialever.platform.Platform;
+import org.fuchsialever.services.Platform;
 import org.jspecify.annotations.Nullable;
 
 /** Counts usage, stores it and reports usage windows. */
--- a/node/src/main/java/org/fuchsialever/node/usage/UsageRows.java
+++ b/node/src/main/java/org/fuchsialever/node/usage/UsageRows.java
@@ -14,7 +14,7 @@
 import org.fuchsialever.decisions.usage.UsageKey;
 import org.fuchsialever.decisions.usage.UsageTotals;
 import org.fuchsialever.decisions.usage.WindowId;
-import org.fuchsialever.platform.Row;
+import org.fuchsialever.services.Row;
 
 /** Text form of the rows of table {@code usage}. */
 public final class UsageRows {
--- a/node/src/main/java/org/fuchsialever/node/watch/UpstreamWatchComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/watch/UpstreamWatchComponent.java
@@ -11,7 +11,7 @@
 import org.fuchsialever.node.config.ConfigHolder;
 import org.fuchsialever.node.dispatch.DispatchFeed;
 import org.fuchsialever.node.intent.EventPort;
-import org.fuchsialever.platform.Delays;
+import org.fuchsialever.services.Delays;
 
 /** Polls the upstreams of the pool table and feeds their reports to the dispatch duty. */
 public final class UpstreamWatchComponent implements Component {
--- a/node/src/main/java/org/fuchsialever/node/weights/WeightActions.java
+++ b/node/src/main/java/org/fuchsialever/node/weights/WeightActions.java
@@ -17,7 +17,7 @@
 import org.fuchsialever.node.intent.EventPort;
 import org.fuchsialever.node.intent.IntentServices;
 import org.fuchsialever.node.intent.RoleIntents;
-import org.fuchsialever.platform.WeightStore;
+import org.fuchsialever.services.WeightStore;
 import reactor.core.publisher.Mono;
 
 /** Carries out the actions of the weight duty of one model. */
--- a/node/src/test/java/org/fuchsialever/node/claims/ClaimedCallsTest.java
+++ b/node/src/test/java/org/fuchsialever/node/claims/ClaimedCallsTest.java
@@ -27,15 +27,15 @@
 import org.fuchsialever.frontend.Refusal;
 import org.fuchsialever.frontend.ShownSecret;
 import org.fuchsialever.kernel.time.ManualTimeSource;
-import org.fuchsialever.platform.InstanceList;
-import org.fuchsialever.platform.JudgeService;
-import org.fuchsialever.platform.ObjectStore;
-import org.fuchsialever.platform.OrderedUpstream;
-import org.fuchsialever.platform.OrderingService;
-import org.fuchsialever.platform.Platform;
-import org.fuchsialever.platform.UpstreamOrder;
-import org.fuchsialever.platform.UsageReportService;
-import org.fuchsialever.platform.WeightStore;
+import org.fuchsialever.services.InstanceList;
+import org.fuchsialever.services.JudgeService;
+import org.fuchsialever.services.ObjectStore;
+import org.fuchsialever.services.OrderedUpstream;
+import org.fuchsialever.services.OrderingService;
+import org.fuchsialever.services.Platform;
+import org.fuchsialever.services.UpstreamOrder;
+import org.fuchsialever.services.UsageReportService;
+import org.fuchsialever.services.WeightStore;
 import org.junit.jupiter.api.Test;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -206,7 +206,7 @@
         OrderingService ordering =
                 new OrderingService() {
                     @Override
-                    public Mono<org.fuchsialever.platform.OrderAnswer> send(
+                    public Mono<org.fuchsialever.services.OrderAnswer> send(
                             UpstreamOrder order, java.util.function.BooleanSupplier holding) {
                         return Mono.empty();
                     }
--- a/node/src/test/java/org/fuchsialever/node/claims/TableServiceFake.java
+++ b/node/src/test/java/org/fuchsialever/node/claims/TableServiceFake.java
@@ -5,11 +5,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.fuchsialever.platform.Commit;
-import org.fuchsialever.platform.CommitResult;
-import org.fuchsialever.platform.PlatformException;
-import org.fuchsialever.platform.Row;
-import org.fuchsialever.platform.TableService;
+import org.fuchsialever.services.Commit;
+import org.fuchsialever.services.CommitResult;
+import org.fuchsialever.services.PlatformException;
+import org.fuchsialever.services.Row;
+import org.fuchsialever.services.TableService;
 import reactor.core.publisher.Mono;
 
 /** A table service in memory that can lose answers and be out of reach. */
--- a/node/src/test/java/org/fuchsialever/node/intent/RoleIntentsTest.java
+++ b/node/src/test/java/org/fuchsialever/node/intent/RoleIntentsTest.java
@@ -21,10 +21,10 @@
 import org.fuchsialever.kernel.invariant.InvariantMonitor;
 import org.fuchsialever.node.lease.HeldLease;
 import org.fuchsialever.node.lease.Leases;
-import org.fuchsialever.platform.Commit;
-import org.fuchsialever.platform.Row;
-import org.fuchsialever.platform.fake.FakeTableService;
-import org.fuchsialever.platform.fake.Fault;
+import org.fuchsialever.services.Commit;
+import org.fuchsialever.services.Row;
+import org.fuchsialever.services.fake.FakeTableService;
+import org.fuchsialever.services.fake.Fault;
 import org.junit.jupiter.api.Test;
 import reactor.core.publisher.Mono;
 
--- a/node/src/test/java/org/fuchsialever/node/keys/WithdrawalWriterTest.java
+++ b/node/src/test/java/org/fuchsialever/node/keys/WithdrawalWriterTest.java
@@ -9,10 +9,10 @@
 import org.fuchsialever.decisions.keys.KeyRecord;
 import org.fuchsialever.decisions.model.KeyId;
 import org.fuchsialever.decisions.model.TeamName;
-import org.fuchsialever.platform.Commit;
-import org.fuchsialever.platform.PlatformException;
-import org.fuchsialever.platform.fake.FakeTableService;
-import org.fuchsialever.platform.fake.Fault;
+import org.fuchsialever.services.Commit;
+import org.fuchsialever.services.PlatformException;
+import org.fuchsialever.services.fake.FakeTableService;
+import org.fuchsialever.services.fake.Fault;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a withdrawal that is lost on its way to the table service. */
--- a/node/src/test/java/org/fuchsialever/node/lease/LeaseServiceTest.java
+++ b/node/src/test/java/org/fuchsialever/node/lease/LeaseServiceTest.java
@@ -18,11 +18,11 @@
 import org.fuchsialever.decisions.model.InstanceId;
 import org.fuchsialever.kernel.duty.DutyStepper;
 import org.fuchsialever.kernel.time.ManualTimeSource;
-import org.fuchsialever.platform.Commit;
-import org.fuchsialever.platform.CommitResult;
-import org.fuchsialever.platform.PlatformException;
-import org.fuchsialever.platform.Row;
-import org.fuchsialever.platform.TableService;
+import org.fuchsialever.services.Commit;
+import org.fuchsialever.services.CommitResult;
+import org.fuchsialever.services.PlatformException;
+import org.fuchsialever.services.Row;
+import org.fuchsialever.services.TableService;
 import org.junit.jupiter.api.Test;
 import reactor.core.publisher.Mono;
 
--- a/node/src/test/java/org/fuchsialever/node/peers/PeerServiceTest.java
+++ b/node/src/test/java/org/fuchsialever/node/peers/PeerServiceTest.java
@@ -25,7 +25,7 @@
 import org.fuchsialever.kernel.settings.SettingsReader;
 import org.fuchsialever.kernel.time.SystemTimeSource;
 import org.fuchsialever.node.NodeIdentity;
-import org.fuchsialever.platform.ListedInstance;
+import org.fuchsialever.services.ListedInstance;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
--- a/node/src/test/java/org/fuchsialever/node/samples/FakeLeases.java
+++ b/node/src/test/java/org/fuchsialever/node/samples/FakeLeases.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import org.fuchsialever.node.lease.HeldLease;
 import org.fuchsialever.node.lease.Leases;
-import org.fuchsialever.platform.Commit;
+import org.fuchsialever.services.Commit;
 import org.jspecify.annotations.Nullable;
 
 /** One role for several instances; the first that asks holds it until it is moved. */
--- a/node/src/test/java/org/fuchsialever/node/samples/FakePlatform.java
+++ b/node/src/test/java/org/fuchsialever/node/samples/FakePlatform.java
@@ -8,15 +8,15 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentSkipListMap;
 import org.fuchsialever.decisions.model.WeightVersion;
-import org.fuchsialever.platform.Commit;
-import org.fuchsialever.platform.CommitResult;
-import org.fuchsialever.platform.ObjectStore;
-import org.fuchsialever.platform.OrderingService;
-import org.fuchsialever.platform.Platform;
-import org.fuchsialever.platform.PlatformException;
-import org.fuchsialever.platform.Row;
-import org.fuchsialever.platform.TableService;
-import org.fuchsialever.platform.UsageReportService;
+import org.fuchsialever.services.Commit;
+import org.fuchsialever.services.CommitResult;
+import org.fuchsialever.services.ObjectStore;
+import org.fuchsialever.services.OrderingService;
+import org.fuchsialever.services.Platform;
+import org.fuchsialever.services.PlatformException;
+import org.fuchsialever.services.Row;
+import org.fuchsialever.services.TableService;
+import org.fuchsialever.services.UsageReportService;
 import reactor.core.publisher.Mono;
 
 /** Tables and objects in memory; can lose the answer of every third commit. */
--- a/node/src/test/java/org/fuchsialever/node/samples/TestInstance.java
+++ b/node/src/test/java/org/fuchsialever/node/samples/TestInstance.java
@@ -33,7 +33,7 @@
 import org.fuchsialever.node.http.FrontEndComponent;
 import org.fuchsialever.node.http.ReadinessComponent;
 import org.fuchsialever.node.lease.Leases;
-import org.fuchsialever.platform.Platform;
+import org.fuchsialever.services.Platform;
 import reactor.core.publisher.Mono;
 
 /** An instance whose component {@code samples} runs on fakes. */
--- a/node/src/test/java/org/fuchsialever/node/usage/RandomisedRun.java
+++ b/node/src/test/java/org/fuchsialever/node/usage/RandomisedRun.java
@@ -6,7 +6,7 @@
 import org.fuchsialever.decisions.usage.Figures;
 import org.fuchsialever.decisions.usage.UsageClass;
 import org.fuchsialever.decisions.usage.WindowCloser;
-import org.fuchsialever.platform.fake.Fault;
+import org.fuchsialever.services.fake.Fault;
 
 /** Faults in random order: outages, lost answers, stale reads, moved roles, pauses and deaths. */
 final class RandomisedRun {
--- a/node/src/test/java/org/fuchsialever/node/usage/SimulatedLeases.java
+++ b/node/src/test/java/org/fuchsialever/node/usage/SimulatedLeases.java
@@ -7,9 +7,9 @@
 import java.util.TreeMap;
 import org.fuchsialever.node.lease.HeldLease;
 import org.fuchsialever.node.lease.Leases;
-import org.fuchsialever.platform.Commit;
-import org.fuchsialever.platform.CommitResult;
-import org.fuchsialever.platform.TableService;
+import org.fuchsialever.services.Commit;
+import org.fuchsialever.services.CommitResult;
+import org.fuchsialever.services.TableService;
 
 /**
  * Roles that the test hands out. As with real leases, the clock of a former holder tells it that
--- a/node/src/test/java/org/fuchsialever/node/usage/SimulatedReceiver.java
+++ b/node/src/test/java/org/fuchsialever/node/usage/SimulatedReceiver.java
@@ -9,10 +9,10 @@
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
-import org.fuchsialever.platform.Delays;
-import org.fuchsialever.platform.PlatformException;
-import org.fuchsialever.platform.PlatformException.Effect;
-import org.fuchsialever.platform.UsageReportService;
+import org.fuchsialever.services.Delays;
+import org.fuchsialever.services.PlatformException;
+import org.fuchsialever.services.PlatformException.Effect;
+import org.fuchsialever.services.UsageReportService;
 import reactor.core.publisher.Mono;
 
 /**
--- a/node/src/test/java/org/fuchsialever/node/usage/SimulatedTables.java
+++ b/node/src/test/java/org/fuchsialever/node/usage/SimulatedTables.java
@@ -3,13 +3,13 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.List;
-import org.fuchsialever.platform.Commit;
-import org.fuchsialever.platform.CommitResult;
-import org.fuchsialever.platform.Delays;
-import org.fuchsialever.platform.PlatformException;
-import org.fuchsialever.platform.PlatformException.Effect;
-import org.fuchsialever.platform.Row;
-import org.fuchsialever.platform.TableService;
+import org.fuchsialever.services.Commit;
+import org.fuchsialever.services.CommitResult;
+import org.fuchsialever.services.Delays;
+import org.fuchsialever.services.PlatformException;
+import org.fuchsialever.services.PlatformException.Effect;
+import org.fuchsialever.services.Row;
+import org.fuchsialever.services.TableService;
 import reactor.core.publisher.Mono;
 
 /** The view that one instance has of the table service, with faults of its own. */
--- a/node/src/test/java/org/fuchsialever/node/usage/UsageWorld.java
+++ b/node/src/test/java/org/fuchsialever/node/usage/UsageWorld.java
@@ -24,9 +24,9 @@
 import org.fuchsialever.decisions.usage.WindowCloser;
 import org.fuchsialever.kernel.duty.DutyStepper;
 import org.fuchsialever.kernel.time.ManualTimeSource;
-import org.fuchsialever.platform.fake.FakeObjectStore;
-import org.fuchsialever.platform.fake.FakeTableService;
-import org.fuchsialever.platform.fake.VirtualDelays;
+import org.fuchsialever.services.fake.FakeObjectStore;
+import org.fuchsialever.services.fake.FakeTableService;
+import org.fuchsialever.services.fake.VirtualDelays;
 
 /** Several instances in three failure domains under one manual clock. */
 final class UsageWorld {
--- a/platform/src/main/java/org/fuchsialever/platform/CommitRetrier.java
+++ b/services/src/main/java/org/fuchsialever/services/CommitRetrier.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.platform;
+package org.fuchsialever.services;
 
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
@@ -6,7 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.random.RandomGenerator;
-import org.fuchsialever.platform.PlatformException.Effect;
+import org.fuchsialever.services.PlatformException.Effect;
 import reactor.core.publisher.Mono;
 
 /**
--- a/platform/src/main/java/org/fuchsialever/platform/OrderAnswer.java
+++ b/services/src/main/java/org/fuchsialever/services/OrderAnswer.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.platform;
+package org.fuchsialever.services;
 
 /** Answer of the ordering interface. */
 public enum OrderAnswer {
--- a/platform/src/main/java/org/fuchsialever/platform/OrderedUpstream.java
+++ b/services/src/main/java/org/fuchsialever/services/OrderedUpstream.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.platform;
+package org.fuchsialever.services;
 
 import org.fuchsialever.decisions.config.CapacityKind;
 import org.fuchsialever.decisions.model.FailureDomain;
--- a/platform/src/main/java/org/fuchsialever/platform/Platform.java
+++ b/services/src/main/java/org/fuchsialever/services/Platform.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.platform;
+package org.fuchsialever.services;
 
 /**
  * All interfaces of the platform.
--- a/platform/src/main/java/org/fuchsialever/platform/PlatformAdapter.java
+++ b/services/src/main/java/org/fuchsialever/services/PlatformAdapter.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.platform;
+package org.fuchsialever.services;
 
 import org.fuchsialever.kernel.plugin.ComponentContext;
 import org.fuchsialever.kernel.plugin.Plugin;
--- a/platform/src/main/java/org/fuchsialever/platform/PlatformException.java
+++ b/services/src/main/java/org/fuchsialever/services/PlatformException.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.platform;
+package org.fuchsialever.services;
 
 /** A call to the platform failed. */
 public final class PlatformException extends RuntimeException {
--- a/platform/src/main/java/org/fuchsialever/platform/UsageReportService.java
+++ b/services/src/main/java/org/fuchsialever/services/UsageReportService.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.platform;
+package org.fuchsialever.services;
 
 import java.util.function.BooleanSupplier;
 import reactor.core.publisher.Mono;
--- a/platform/src/main/java/org/fuchsialever/platform/WeightStore.java
+++ b/services/src/main/java/org/fuchsialever/services/WeightStore.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.platform;
+package org.fuchsialever.services;
 
 import org.fuchsialever.decisions.model.WeightVersion;
 import reactor.core.publisher.Mono;
--- a/platform/src/main/java/org/fuchsialever/platform/fake/FakeObjectStore.java
+++ b/services/src/main/java/org/fuchsialever/services/fake/FakeObjectStore.java
@@ -1,11 +1,11 @@
-package org.fuchsialever.platform.fake;
+package org.fuchsialever.services.fake;
 
 import io.vavr.control.Option;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import org.fuchsialever.platform.Delays;
-import org.fuchsialever.platform.ObjectStore;
+import org.fuchsialever.services.Delays;
+import org.fuchsialever.services.ObjectStore;
 import reactor.core.publisher.Mono;
 
 /** An object store in memory. Used by one thread. */
--- a/platform/src/main/java/org/fuchsialever/platform/fake/FakeTableService.java
+++ b/services/src/main/java/org/fuchsialever/services/fake/FakeTableService.java
@@ -1,15 +1,15 @@
-package org.fuchsialever.platform.fake;
+package org.fuchsialever.services.fake;
 
 import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import org.fuchsialever.platform.Commit;
-import org.fuchsialever.platform.CommitResult;
-import org.fuchsialever.platform.Delays;
-import org.fuchsialever.platform.Row;
-import org.fuchsialever.platform.TableService;
+import org.fuchsialever.services.Commit;
+import org.fuchsialever.services.CommitResult;
+import org.fuchsialever.services.Delays;
+import org.fuchsialever.services.Row;
+import org.fuchsialever.services.TableService;
 import reactor.core.publisher.Mono;
 
 /** A table service in memory. Used by one thread. */
--- a/platform/src/main/java/org/fuchsialever/platform/fake/Fault.java
+++ b/services/src/main/java/org/fuchsialever/services/fake/Fault.java
@@ -1,7 +1,7 @@
-package org.fuchsialever.platform.fake;
+package org.fuchsialever.services.fake;
 
-import org.fuchsialever.platform.PlatformException;
-import org.fuchsialever.platform.PlatformException.Effect;
+import org.fuchsialever.services.PlatformException;
+import org.fuchsialever.services.PlatformException.Effect;
 import reactor.core.publisher.Mono;
 
 /** What a fake does to a change. */
--- a/platform/src/main/java/org/fuchsialever/platform/fake/Faults.java
+++ b/services/src/main/java/org/fuchsialever/services/fake/Faults.java
@@ -1,9 +1,9 @@
-package org.fuchsialever.platform.fake;
+package org.fuchsialever.services.fake;
 
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import org.fuchsialever.platform.Delays;
+import org.fuchsialever.services.Delays;
 import reactor.core.publisher.Mono;
 
 /** Faults and counts of one fake. Used by one thread. */
--- a/platform/src/main/java/org/fuchsialever/platform/fake/VirtualDelays.java
+++ b/services/src/main/java/org/fuchsialever/services/fake/VirtualDelays.java
@@ -1,10 +1,10 @@
-package org.fuchsialever.platform.fake;
+package org.fuchsialever.services.fake;
 
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.PriorityQueue;
 import org.fuchsialever.kernel.time.ManualTimeSource;
-import org.fuchsialever.platform.Delays;
+import org.fuchsialever.services.Delays;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
--- a/platform/src/main/java/org/fuchsialever/platform/fake/package-info.java
+++ b/services/src/main/java/org/fuchsialever/services/fake/package-info.java
@@ -1,5 +1,5 @@
 /** In-memory platform services with faults, for tests that use no sockets and no real time. */
 @NullMarked
-package org.fuchsialever.platform.fake;
+package org.fuchsialever.services.fake;
 
 import org.jspecify.annotations.NullMarked;
--- a/platform/src/main/java/org/fuchsialever/platform/http/CallFailure.java
+++ b/services/src/main/java/org/fuchsialever/services/http/CallFailure.java
@@ -1,7 +1,7 @@
-package org.fuchsialever.platform.http;
+package org.fuchsialever.services.http;
 
 import java.util.Locale;
-import org.fuchsialever.platform.PlatformException.Effect;
+import org.fuchsialever.services.PlatformException.Effect;
 
 /** Why a call to the platform failed, with what this says about a change. */
 enum CallFailure {
--- a/platform/src/main/java/org/fuchsialever/platform/http/HttpInstanceList.java
+++ b/services/src/main/java/org/fuchsialever/services/http/HttpInstanceList.java
@@ -1,12 +1,12 @@
-package org.fuchsialever.platform.http;
+package org.fuchsialever.services.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.List;
 import org.fuchsialever.decisions.model.FailureDomain;
 import org.fuchsialever.decisions.model.InstanceId;
-import org.fuchsialever.platform.InstanceList;
-import org.fuchsialever.platform.ListedInstance;
+import org.fuchsialever.services.InstanceList;
+import org.fuchsialever.services.ListedInstance;
 import reactor.core.publisher.Mono;
 
 /** The instance list over HTTP. */
--- a/platform/src/main/java/org/fuchsialever/platform/http/HttpJudgeService.java
+++ b/services/src/main/java/org/fuchsialever/services/http/HttpJudgeService.java
@@ -1,10 +1,10 @@
-package org.fuchsialever.platform.http;
+package org.fuchsialever.services.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.handler.codec.http.HttpMethod;
 import java.nio.charset.StandardCharsets;
-import org.fuchsialever.platform.JudgeService;
+import org.fuchsialever.services.JudgeService;
 import reactor.core.publisher.Mono;
 
 /** The judge over HTTP. */
--- a/platform/src/main/java/org/fuchsialever/platform/http/HttpObjectStore.java
+++ b/services/src/main/java/org/fuchsialever/services/http/HttpObjectStore.java
@@ -1,11 +1,11 @@
-package org.fuchsialever.platform.http;
+package org.fuchsialever.services.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.handler.codec.http.HttpMethod;
 import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.List;
-import org.fuchsialever.platform.ObjectStore;
+import org.fuchsialever.services.ObjectStore;
 import reactor.core.publisher.Mono;
 
 /** The object store over HTTP. */
--- a/platform/src/main/java/org/fuchsialever/platform/http/HttpOrderingService.java
+++ b/services/src/main/java/org/fuchsialever/services/http/HttpOrderingService.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.platform.http;
+package org.fuchsialever.services.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -13,10 +13,10 @@
 import org.fuchsialever.decisions.model.PoolName;
 import org.fuchsialever.decisions.model.UpstreamId;
 import org.fuchsialever.kernel.settings.SettingsReader;
-import org.fuchsialever.platform.OrderAnswer;
-import org.fuchsialever.platform.OrderedUpstream;
-import org.fuchsialever.platform.OrderingService;
-import org.fuchsialever.platform.UpstreamOrder;
+import org.fuchsialever.services.OrderAnswer;
+import org.fuchsialever.services.OrderedUpstream;
+import org.fuchsialever.services.OrderingService;
+import org.fuchsialever.services.UpstreamOrder;
 import reactor.core.publisher.Mono;
 
 /** The ordering interface over HTTP. */
--- a/platform/src/main/java/org/fuchsialever/platform/http/HttpPlatformAdapter.java
+++ b/services/src/main/java/org/fuchsialever/services/http/HttpPlatformAdapter.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.platform.http;
+package org.fuchsialever.services.http;
 
 import io.netty.channel.ChannelOption;
 import io.vavr.control.Try;
@@ -10,8 +10,8 @@
 import java.util.function.UnaryOperator;
 import org.fuchsialever.kernel.plugin.ComponentContext;
 import org.fuchsialever.kernel.settings.SettingsReader;
-import org.fuchsialever.platform.Platform;
-import org.fuchsialever.platform.PlatformAdapter;
+import org.fuchsialever.services.Platform;
+import org.fuchsialever.services.PlatformAdapter;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
 
--- a/platform/src/main/java/org/fuchsialever/platform/http/HttpReply.java
+++ b/services/src/main/java/org/fuchsialever/services/http/HttpReply.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.platform.http;
+package org.fuchsialever.services.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
--- a/platform/src/main/java/org/fuchsialever/platform/http/HttpTableService.java
+++ b/services/src/main/java/org/fuchsialever/services/http/HttpTableService.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.platform.http;
+package org.fuchsialever.services.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -8,10 +8,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import org.fuchsialever.platform.Commit;
-import org.fuchsialever.platform.CommitResult;
-import org.fuchsialever.platform.Row;
-import org.fuchsialever.platform.TableService;
+import org.fuchsialever.services.Commit;
+import org.fuchsialever.services.CommitResult;
+import org.fuchsialever.services.Row;
+import org.fuchsialever.services.TableService;
 import reactor.core.publisher.Mono;
 
 /** The table service over HTTP. */
--- a/platform/src/main/java/org/fuchsialever/platform/http/HttpTarget.java
+++ b/services/src/main/java/org/fuchsialever/services/http/HttpTarget.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.platform.http;
+package org.fuchsialever.services.http;
 
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
@@ -10,8 +10,8 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
-import org.fuchsialever.platform.PlatformException;
-import org.fuchsialever.platform.PlatformException.Effect;
+import org.fuchsialever.services.PlatformException;
+import org.fuchsialever.services.PlatformException.Effect;
 import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufMono;
--- a/platform/src/main/java/org/fuchsialever/platform/http/HttpUsageReportService.java
+++ b/services/src/main/java/org/fuchsialever/services/http/HttpUsageReportService.java
@@ -1,8 +1,8 @@
-package org.fuchsialever.platform.http;
+package org.fuchsialever.services.http;
 
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.function.BooleanSupplier;
-import org.fuchsialever.platform.UsageReportService;
+import org.fuchsialever.services.UsageReportService;
 import reactor.core.publisher.Mono;
 
 /** The usage interface over HTTP. */
--- a/platform/src/main/java/org/fuchsialever/platform/http/HttpWeightStore.java
+++ b/services/src/main/java/org/fuchsialever/services/http/HttpWeightStore.java
@@ -1,7 +1,7 @@
-package org.fuchsialever.platform.http;
+package org.fuchsialever.services.http;
 
 import org.fuchsialever.decisions.model.WeightVersion;
-import org.fuchsialever.platform.WeightStore;
+import org.fuchsialever.services.WeightStore;
 import reactor.core.publisher.Mono;
 
 /** The weight store over HTTP; its rate limit appears as a refused call. */
--- a/platform/src/main/java/org/fuchsialever/platform/http/PlatformAdapters.java
+++ b/services/src/main/java/org/fuchsialever/services/http/PlatformAdapters.java
@@ -1,10 +1,10 @@
-package org.fuchsialever.platform.http;
+package org.fuchsialever.services.http;
 
 import java.util.Collection;
 import java.util.List;
 import org.fuchsialever.kernel.plugin.Plugin;
 import org.fuchsialever.kernel.plugin.PluginProvider;
-import org.fuchsialever.platform.PlatformAdapter;
+import org.fuchsialever.services.PlatformAdapter;
 
 /** Registers the HTTP adapter. */
 public final class PlatformAdapters implements PluginProvider {
--- a/platform/src/main/java/org/fuchsialever/platform/http/UnexpectedReplyException.java
+++ b/services/src/main/java/org/fuchsialever/services/http/UnexpectedReplyException.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.platform.http;
+package org.fuchsialever.services.http;
 
 /** An answer that the protocol does not name. */
 final class UnexpectedReplyException extends RuntimeException {
--- a/platform/src/main/java/org/fuchsialever/platform/http/package-info.java
+++ b/services/src/main/java/org/fuchsialever/services/http/package-info.java
@@ -1,5 +1,5 @@
 /** The HTTP adapter to the platform. */
 @NullMarked
-package org.fuchsialever.platform.http;
+package org.fuchsialever.services.http;
 
 import org.jspecify.annotations.NullMarked;
--- a/platform/src/test/java/org/fuchsialever/platform/CommitRetrierTest.java
+++ b/services/src/test/java/org/fuchsialever/services/CommitRetrierTest.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.platform;
+package org.fuchsialever.services;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
@@ -13,10 +13,10 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import org.fuchsialever.kernel.time.ManualTimeSource;
-import org.fuchsialever.platform.PlatformException.Effect;
-import org.fuchsialever.platform.fake.FakeTableService;
-import org.fuchsialever.platform.fake.Fault;
-import org.fuchsialever.platform.fake.VirtualDelays;
+import org.fuchsialever.services.PlatformException.Effect;
+import org.fuchsialever.services.fake.FakeTableService;
+import org.fuchsialever.services.fake.Fault;
+import org.fuchsialever.services.fake.VirtualDelays;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a change that is applied twice, or whose true result is not found out. */
--- a/platform/src/test/java/org/fuchsialever/platform/fake/FakeTableServiceTest.java
+++ b/services/src/test/java/org/fuchsialever/services/fake/FakeTableServiceTest.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.platform.fake;
+package org.fuchsialever.services.fake;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
@@ -7,7 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.fuchsialever.kernel.time.ManualTimeSource;
-import org.fuchsialever.platform.Commit;
+import org.fuchsialever.services.Commit;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a fake whose faults do not happen, which would make other tests pass. */
--- a/platform/src/test/java/org/fuchsialever/platform/http/HttpPlatformAdapterTest.java
+++ b/services/src/test/java/org/fuchsialever/services/http/HttpPlatformAdapterTest.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.platform.http;
+package org.fuchsialever.services.http;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
@@ -25,14 +25,14 @@
 import org.fuchsialever.kernel.settings.IniDocument;
 import org.fuchsialever.kernel.settings.SettingsReader;
 import org.fuchsialever.kernel.time.SystemTimeSource;
-import org.fuchsialever.platform.Commit;
-import org.fuchsialever.platform.CommitResult;
-import org.fuchsialever.platform.OrderAnswer;
-import org.fuchsialever.platform.Platform;
-import org.fuchsialever.platform.PlatformException;
-import org.fuchsialever.platform.PlatformException.Effect;
-import org.fuchsialever.platform.Row;
-import org.fuchsialever.platform.UpstreamOrder;
+import org.fuchsialever.services.Commit;
+import org.fuchsialever.services.CommitResult;
+import org.fuchsialever.services.OrderAnswer;
+import org.fuchsialever.services.Platform;
+import org.fuchsialever.services.PlatformException;
+import org.fuchsialever.services.PlatformException.Effect;
+import org.fuchsialever.services.Row;
+import org.fuchsialever.services.UpstreamOrder;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import reactor.core.publisher.Mono;
--- a/platform/src/test/java/org/fuchsialever/platform/http/PlatformServer.java
+++ b/services/src/test/java/org/fuchsialever/services/http/PlatformServer.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.platform.http;
+package org.fuchsialever.services.http;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.nio.charset.StandardCharsets;
