--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchAction.java
@@ -0,0 +1,37 @@
+package org.fuchsialever.decisions.batch;
+
+import java.util.List;
+
+/** What the batch duty decides. */
+public sealed interface BatchAction {
+
+    /** Takes a submission over whose owner is gone. */
+    record Claim(BatchHead head, long version, String reason) implements BatchAction {}
+
+    /** Generates the text of an item. */
+    record Generate(BatchSpec spec, BatchHead head, int item, long urgency)
+            implements BatchAction {}
+
+    /** Scores the text of an item. */
+    record Score(BatchSpec spec, int item, ItemCall call, long urgency) implements BatchAction {}
+
+    /** Ends what runs for an item. */
+    record Stop(String id, int item) implements BatchAction {}
+
+    /**
+     * Writes results and the head.
+     *
+     * @param head the head to write
+     * @param version the version that the row of the head must have
+     * @param firstPosition the position of the first result
+     * @param results the results, in the order of their positions
+     */
+    record Commit(BatchHead head, long version, int firstPosition, List<ItemResult> results)
+            implements BatchAction {}
+
+    /** This instance no longer runs the submission. */
+    record Closed(String id, String reason) implements BatchAction {}
+
+    /** All submissions have been given up for shutdown. */
+    record Drained() implements BatchAction {}
+}
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
@@ -0,0 +1,283 @@
+package org.fuchsialever.decisions.batch;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.fuchsialever.kernel.duty.ActionSink;
+import org.fuchsialever.kernel.duty.Duty;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Runs the items of the submissions that this instance owns, gives results their positions and
+ * takes over submissions whose owner no longer writes.
+ */
+public final class BatchDuty implements Duty<BatchEvent, BatchAction> {
+    /** An owner without new results writes this often, three times within the silence. */
+    private static final long SIGN_OF_LIFE = TimeUnit.MILLISECONDS.toNanos(900);
+
+    /** An owner that has not written for this long is gone: three signs of life are missing. */
+    private static final long OWNER_SILENCE = TimeUnit.MILLISECONDS.toNanos(2_800);
+
+    /** Spread of the instances that take a submission over. */
+    private static final long CLAIM_SPREAD = TimeUnit.MILLISECONDS.toNanos(300);
+
+    private static final long CHECK_INTERVAL = TimeUnit.MILLISECONDS.toNanos(200);
+    private static final long COMMIT_RETRY = TimeUnit.MILLISECONDS.toNanos(200);
+
+    private final String instance;
+    private final String start;
+    private final RandomGenerator random;
+    private final Map<String, Watched> watched = new HashMap<>();
+    private final Map<String, OwnedBatch> owned = new HashMap<>();
+    private final Set<String> claiming = new HashSet<>();
+    private long contactSince = Long.MAX_VALUE;
+    private boolean contact;
+    private boolean draining;
+    private boolean drainedReported;
+    private long nextCheck = NO_TIMER;
+
+    /**
+     * Creates a duty.
+     *
+     * @param instance the name of this instance
+     * @param start identity of this process
+     * @param random source of the spread
+     */
+    public BatchDuty(String instance, String start, RandomGenerator random) {
+        this.instance = instance;
+        this.start = start;
+        this.random = random;
+    }
+
+    @Override
+    public String dutyName() {
+        return "batch";
+    }
+
+    @Override
+    public void onEvent(BatchEvent event, long nowNanos, ActionSink<BatchAction> actions) {
+        if (event instanceof BatchEvent.HeadsChanged changed) {
+            headsChanged(changed, nowNanos, actions);
+        } else if (event instanceof BatchEvent.StoreContact state) {
+            contactChanged(state.present(), nowNanos);
+        } else if (event instanceof BatchEvent.Opened opened) {
+            opened(opened.batch(), nowNanos, actions);
+        } else if (event instanceof BatchEvent.ClaimFailed failed) {
+            claiming.remove(failed.id());
+        } else if (event instanceof BatchEvent.Draining) {
+            drain(nowNanos, actions);
+        } else {
+            ownedEvent(event, nowNanos, actions);
+        }
+        schedule(nowNanos);
+    }
+
+    @Override
+    public void onTimer(long nowNanos, ActionSink<BatchAction> actions) {
+        for (OwnedBatch batch : List.copyOf(owned.values())) {
+            if (nowNanos >= batch.giveUpNanos()) {
+                batch.giveUpRest(actions);
+            }
+            if (batch.retryAt() <= nowNanos) {
+                batch.repeat(nowNanos, actions);
+            } else if (batch.hasFinished() || nowNanos - batch.lastCommit() >= SIGN_OF_LIFE) {
+                batch.commit(nowNanos, actions);
+            }
+        }
+        if (contact && !draining) {
+            watched.values().forEach(head -> claimIfAbandoned(head, nowNanos, actions));
+        }
+        nextCheck = NO_TIMER;
+        schedule(nowNanos);
+    }
+
+    @Override
+    public long nextTimerNanos() {
+        return nextCheck;
+    }
+
+    private void schedule(long now) {
+        boolean openElsewhere = watched.values().stream().anyMatch(head -> head.head.isOpen());
+        if (nextCheck == NO_TIMER && (!owned.isEmpty() || openElsewhere)) {
+            nextCheck = now + CHECK_INTERVAL;
+        }
+    }
+
+    private void contactChanged(boolean present, long now) {
+        if (present && !contact) {
+            contactSince = now;
+        }
+        contact = present;
+    }
+
+    private void headsChanged(
+            BatchEvent.HeadsChanged changed, long now, ActionSink<BatchAction> actions) {
+        for (BatchEvent.VersionedHead row : changed.heads()) {
+            String id = row.head().id();
+            watched.put(
+                    id, new Watched(row.head(), row.version(), now, random.nextLong(CLAIM_SPREAD)));
+            OwnedBatch batch = owned.get(id);
+            if (batch != null && row.head().ended()) {
+                close(batch, "ended", actions);
+            }
+        }
+        for (String id : changed.removed()) {
+            watched.remove(id);
+            OwnedBatch batch = owned.get(id);
+            if (batch != null) {
+                close(batch, "removed", actions);
+            }
+        }
+        if (contact && !draining) {
+            watched.values().forEach(head -> claimIfAbandoned(head, now, actions));
+        }
+    }
+
+    private void claimIfAbandoned(Watched row, long now, ActionSink<BatchAction> actions) {
+        BatchHead head = row.head;
+        String id = head.id();
+        if (!head.isOpen() || owned.containsKey(id) || claiming.contains(id)) {
+            return;
+        }
+        // A submission that an earlier process of this instance ran has no owner any more.
+        boolean ownFormer = head.owner().equals(instance) && !head.ownerStart().equals(start);
+        boolean released = head.owner().isEmpty() && now - row.changedAt >= row.spread / 4;
+        long silentSince = Math.max(row.changedAt, contactSince);
+        boolean silent = now - silentSince >= OWNER_SILENCE + row.spread;
+        if (ownFormer || released || silent) {
+            claiming.add(id);
+            String reason = ownFormer ? "restarted" : released ? "released" : "owner-silent";
+            actions.emit(new BatchAction.Claim(head.ownedBy(instance, start), row.version, reason));
+        }
+    }
+
+    private void opened(BatchEvent.OpenedBatch opened, long now, ActionSink<BatchAction> actions) {
+        String id = opened.spec().id();
+        claiming.remove(id);
+        Watched row = watched.get(id);
+        boolean endedMeanwhile = row != null && row.head.ended();
+        if (owned.containsKey(id) || endedMeanwhile) {
+            return;
+        }
+        OwnedBatch batch = new OwnedBatch(opened, now);
+        owned.put(id, batch);
+        if (draining) {
+            batch.release(actions);
+            batch.commit(now, actions);
+        } else {
+            batch.start(actions);
+        }
+    }
+
+    private void ownedEvent(BatchEvent event, long now, ActionSink<BatchAction> actions) {
+        if (event instanceof BatchEvent.Generated done) {
+            OwnedBatch batch = owned.get(done.id());
+            if (batch != null) {
+                batch.generated(done.item(), done.text(), done.versions(), actions);
+                commitFinished(batch, now, actions);
+            }
+        } else if (event instanceof BatchEvent.GenerationFailed failed) {
+            itemFailed(failed.id(), failed.item(), now, actions);
+        } else if (event instanceof BatchEvent.ScoringFailed failed) {
+            itemFailed(failed.id(), failed.item(), now, actions);
+        } else if (event instanceof BatchEvent.Scored scored) {
+            OwnedBatch batch = owned.get(scored.id());
+            if (batch != null) {
+                batch.scored(scored.item(), scored.score());
+                commitFinished(batch, now, actions);
+            }
+        } else {
+            commitEvent(event, now, actions);
+        }
+    }
+
+    private void itemFailed(String id, int item, long now, ActionSink<BatchAction> actions) {
+        OwnedBatch batch = owned.get(id);
+        if (batch != null) {
+            batch.failed(item);
+            commitFinished(batch, now, actions);
+        }
+    }
+
+    private static void commitFinished(
+            OwnedBatch batch, long now, ActionSink<BatchAction> actions) {
+        if (batch.hasFinished()) {
+            batch.commit(now, actions);
+        }
+    }
+
+    private void commitEvent(BatchEvent event, long now, ActionSink<BatchAction> actions) {
+        if (event instanceof BatchEvent.Committed committed) {
+            OwnedBatch batch = owned.get(committed.id());
+            if (batch != null) {
+                batch.committed(committed.version());
+                afterCommit(batch, now, actions);
+            }
+        } else if (event instanceof BatchEvent.Conflicted conflicted) {
+            OwnedBatch batch = owned.get(conflicted.id());
+            if (batch != null) {
+                conflicted(batch, conflicted.present().getOrNull(), now, actions);
+            }
+        } else if (event instanceof BatchEvent.CommitFailed failed) {
+            OwnedBatch batch = owned.get(failed.id());
+            if (batch != null) {
+                batch.repeatAt(now + COMMIT_RETRY / 2 + random.nextLong(COMMIT_RETRY));
+            }
+        }
+    }
+
+    private void afterCommit(OwnedBatch batch, long now, ActionSink<BatchAction> actions) {
+        if (batch.head().isComplete()) {
+            close(batch, "complete", actions);
+        } else if (batch.head().owner().isEmpty()) {
+            close(batch, "released", actions);
+        } else {
+            commitFinished(batch, now, actions);
+        }
+    }
+
+    private void conflicted(
+            OwnedBatch batch,
+            BatchEvent.@Nullable VersionedHead present,
+            long now,
+            ActionSink<BatchAction> actions) {
+        if (present == null) {
+            close(batch, "removed", actions);
+        } else if (present.head().ended()) {
+            close(batch, "ended", actions);
+        } else if (present.head().epoch() == batch.head().epoch()) {
+            batch.recommit(present.version(), now, actions);
+        } else {
+            close(batch, "taken-over", actions);
+        }
+    }
+
+    private void close(OwnedBatch batch, String reason, ActionSink<BatchAction> actions) {
+        batch.stopAll(actions);
+        owned.remove(batch.id());
+        actions.emit(new BatchAction.Closed(batch.id(), reason));
+        reportDrained(actions);
+    }
+
+    private void drain(long now, ActionSink<BatchAction> actions) {
+        draining = true;
+        for (OwnedBatch batch : List.copyOf(owned.values())) {
+            batch.release(actions);
+            batch.commit(now, actions);
+        }
+        reportDrained(actions);
+    }
+
+    private void reportDrained(ActionSink<BatchAction> actions) {
+        if (draining && owned.isEmpty() && !drainedReported) {
+            drainedReported = true;
+            actions.emit(new BatchAction.Drained());
+        }
+    }
+
+    private record Watched(BatchHead head, long version, long changedAt, long spread) {}
+}
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchHead.java
@@ -0,0 +1,94 @@
+package org.fuchsialever.decisions.batch;
+
+/**
+ * The state of a batch submission that all instances share. Its row guards the submission: whoever
+ * changes results does so under the condition that the row has not changed.
+ *
+ * @param id identity of the submission
+ * @param team the team that submitted it, empty if no key was needed
+ * @param host the host that selects its route
+ * @param path its path
+ * @param total the number of items
+ * @param listed the number of results that have a position
+ * @param submittedMillis when it was accepted, Unix time in milliseconds
+ * @param owner the instance that runs its items, empty if there is none
+ * @param ownerStart identity of the owner's process
+ * @param epoch grows with each change of the owner
+ * @param ended whether it was ended by its trainer
+ */
+public record BatchHead(
+        String id,
+        String team,
+        String host,
+        String path,
+        int total,
+        int listed,
+        long submittedMillis,
+        String owner,
+        String ownerStart,
+        long epoch,
+        boolean ended) {
+
+    /** Returns whether all items have a result. */
+    public boolean isComplete() {
+        return listed >= total;
+    }
+
+    /** Returns whether items may still have to run. */
+    public boolean isOpen() {
+        return !ended && !isComplete();
+    }
+
+    /** Returns whether a process runs its items. */
+    public boolean isOwnedBy(String instance, String start) {
+        return owner.equals(instance) && ownerStart.equals(start);
+    }
+
+    /** Returns the head with another owner. */
+    public BatchHead ownedBy(String instance, String start) {
+        return new BatchHead(
+                id,
+                team,
+                host,
+                path,
+                total,
+                listed,
+                submittedMillis,
+                instance,
+                start,
+                epoch + 1,
+                ended);
+    }
+
+    /** Returns the head with more results. */
+    public BatchHead withListed(int count) {
+        return new BatchHead(
+                id,
+                team,
+                host,
+                path,
+                total,
+                count,
+                submittedMillis,
+                owner,
+                ownerStart,
+                epoch,
+                ended);
+    }
+
+    /** Returns the head of a submission that its trainer has ended. */
+    public BatchHead asEnded() {
+        return new BatchHead(
+                id,
+                team,
+                host,
+                path,
+                total,
+                listed,
+                submittedMillis,
+                owner,
+                ownerStart,
+                epoch,
+                true);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/fleet/UpstreamState.java
@@ -0,0 +1,130 @@
+package org.fuchsialever.decisions.fleet;
+
+import io.vavr.control.Option;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** What this instance knows of one upstream. Single writer. */
+public final class UpstreamState {
+    /** Load told by an upstream is used this long; later its calls have mostly ended. */
+    private static final long HINT_LIFETIME = TimeUnit.MILLISECONDS.toNanos(500);
+
+    /** First period without calls after a failure; doubles with each further failure. */
+    private static final long FIRST_EJECTION = TimeUnit.MILLISECONDS.toNanos(250);
+
+    /** Longest period without calls, about the time until a lost upstream leaves the list. */
+    private static final long LONGEST_EJECTION = TimeUnit.SECONDS.toNanos(4);
+
+    /** Period without calls after an upstream refused one. */
+    private static final long REFUSAL_PAUSE = TimeUnit.MILLISECONDS.toNanos(100);
+
+    private static final int MOST_DOUBLINGS = 5;
+
+    private FleetUpstream spec;
+    private final Map<String, Long> observedVersions = new HashMap<>();
+    private int inFlight;
+    private int foreign;
+    private long foreignUntil = Long.MIN_VALUE;
+    private long pausedUntil = Long.MIN_VALUE;
+    private int failures;
+    private boolean listed = true;
+
+    /** Creates the state of an upstream that has just been listed. */
+    public UpstreamState(FleetUpstream spec) {
+        this.spec = spec;
+    }
+
+    /** Returns how the upstream describes itself. */
+    public FleetUpstream spec() {
+        return spec;
+    }
+
+    /** Takes a newer description. A restart under the same name clears what was observed. */
+    public void describe(FleetUpstream newer) {
+        if (newer.startedMillis() != spec.startedMillis()) {
+            observedVersions.clear();
+            failures = 0;
+            pausedUntil = Long.MIN_VALUE;
+        }
+        spec = newer;
+        listed = true;
+    }
+
+    /** Notes that the upstream is no longer listed. */
+    public void unlist() {
+        listed = false;
+    }
+
+    /** Returns whether new calls may go there. */
+    public boolean isServing() {
+        return listed && spec.serving();
+    }
+
+    /** Returns whether calls of this instance still run on an upstream that has left the list. */
+    public boolean isForgettable() {
+        return !listed && inFlight == 0;
+    }
+
+    /** Returns whether the upstream may get a call now. */
+    public boolean isAvailable(long now) {
+        return isServing() && now >= pausedUntil;
+    }
+
+    /** Returns when the pause after a failure ends, in monotonic nanoseconds. */
+    public long pausedUntil() {
+        return pausedUntil;
+    }
+
+    /** Returns the weight version of a model, by the newest of list and answers. */
+    public long versionOf(String model) {
+        return Math.max(spec.versionOf(model), observedVersions.getOrDefault(model, 0L));
+    }
+
+    /** Notes the weight version that an answer named. */
+    public void observeVersion(String model, long version) {
+        observedVersions.merge(model, version, Math::max);
+    }
+
+    /** Returns the calls of this instance that are running there. */
+    public int inFlight() {
+        return inFlight;
+    }
+
+    /** Returns all calls that are probably there, those of other instances included. */
+    public int load(long now) {
+        return inFlight + (now < foreignUntil ? foreign : 0);
+    }
+
+    /** Returns the load per slot. */
+    public double utilization(long now) {
+        return (double) load(now) / Math.max(1, spec.slots());
+    }
+
+    /** Notes that a call was sent. */
+    public void started() {
+        inFlight++;
+    }
+
+    /** Notes that a call has ended. */
+    public void ended(Option<LoadHint> hint, boolean failed, boolean refused, long now) {
+        inFlight--;
+        hint.forEach(
+                told -> {
+                    foreign = Math.max(0, told.running() + told.waiting() - 1 - inFlight);
+                    foreignUntil = now + HINT_LIFETIME;
+                });
+        if (failed) {
+            int doublings = Math.min(failures++, MOST_DOUBLINGS);
+            pause(now + Math.min(FIRST_EJECTION << doublings, LONGEST_EJECTION));
+        } else if (refused) {
+            pause(now + REFUSAL_PAUSE);
+        } else {
+            failures = 0;
+        }
+    }
+
+    private void pause(long until) {
+        pausedUntil = Math.max(pausedUntil, until);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardEvent.java
@@ -0,0 +1,26 @@
+package org.fuchsialever.decisions.forward;
+
+import java.util.List;
+import org.fuchsialever.decisions.fleet.FleetUpstream;
+
+/** What the forward duty learns. */
+public sealed interface ForwardEvent {
+
+    /** The list of upstreams has changed. */
+    record FleetChanged(List<FleetUpstream> upstreams) implements ForwardEvent {
+
+        /** Copies the list. */
+        public FleetChanged {
+            upstreams = List.copyOf(upstreams);
+        }
+    }
+
+    /** A call has to run. */
+    record Arrived(Work work) implements ForwardEvent {}
+
+    /** Nobody waits for the call any more. */
+    record Withdrawn(long number) implements ForwardEvent {}
+
+    /** An attempt has ended; reported once for each attempt that was started. */
+    record Ended(long number, int attempt, AttemptReport report) implements ForwardEvent {}
+}
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/WorkState.java
@@ -0,0 +1,92 @@
+package org.fuchsialever.decisions.forward;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.TreeMap;
+import org.fuchsialever.decisions.fleet.UpstreamState;
+
+/** Progress of one call. */
+final class WorkState {
+    private final Work work;
+    private final String service;
+    private final TreeMap<Integer, UpstreamState> running = new TreeMap<>();
+    private final Set<String> tried = new HashSet<>();
+    private int attempts;
+    private int sent;
+    private int failures;
+    private boolean mayHaveRun;
+    private boolean queued;
+
+    WorkState(Work work, String service) {
+        this.work = work;
+        this.service = service;
+    }
+
+    Work work() {
+        return work;
+    }
+
+    String service() {
+        return service;
+    }
+
+    Set<Integer> runningAttempts() {
+        return Set.copyOf(running.keySet());
+    }
+
+    boolean isRunning() {
+        return !running.isEmpty();
+    }
+
+    boolean wasTried(UpstreamState upstream) {
+        return tried.contains(upstream.spec().id());
+    }
+
+    int start(UpstreamState upstream) {
+        attempts++;
+        sent++;
+        tried.add(upstream.spec().id());
+        running.put(attempts, upstream);
+        return attempts;
+    }
+
+    int attempts() {
+        return attempts;
+    }
+
+    void end(int attempt, AttemptOutcome outcome) {
+        running.remove(attempt);
+        mayHaveRun |= outcome.mayHaveRun();
+        if (outcome == AttemptOutcome.NOT_CONNECTED) {
+            sent--;
+        }
+        if (outcome == AttemptOutcome.FAILED) {
+            failures++;
+        }
+    }
+
+    /** Returns whether another upstream may get the call. */
+    boolean mayBeSentAgain() {
+        if (work.kind() != WorkKind.LIVE) {
+            return failures < work.maxAttempts();
+        }
+        return sent < work.maxAttempts() && (work.idempotent() || !mayHaveRun && !isRunning());
+    }
+
+    /** Allows upstreams that were tried before, for calls that are tried until they succeed. */
+    void forgetTried() {
+        tried.clear();
+    }
+
+    boolean mayHaveRun() {
+        return mayHaveRun || isRunning();
+    }
+
+    boolean isQueued() {
+        return queued;
+    }
+
+    void setQueued(boolean value) {
+        queued = value;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/version/package-info.java
@@ -0,0 +1,5 @@
+/** Weight versions: which upstream gets which version next. */
+@NullMarked
+package org.fuchsialever.decisions.version;
+
+import org.jspecify.annotations.NullMarked;
--- a/kernel/src/main/java/org/fuchsialever/kernel/plugin/ComponentContext.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/plugin/ComponentContext.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.fuchsialever.kernel.duty.ActionSink;
 import org.fuchsialever.kernel.duty.Duty;
@@ -106,14 +107,31 @@
      */
     public <E, A> Inbox<E> startDuty(
             Duty<E, A> duty, int capacity, OverflowPolicy overflow, ActionSink<A> actions) {
-        DutyThread<E, A> thread =
-                new DutyThread<>(duty, new Inbox<>(capacity, overflow), actions, time);
+        return startDutyWith(duty, capacity, overflow, inbox -> actions);
+    }
+
+    /**
+     * Starts a duty whose actions lead to further events of the same duty.
+     *
+     * @param duty the state machine
+     * @param capacity the number of events that its inbox holds
+     * @param overflow what happens to an event when the inbox is full
+     * @param actions creates what carries out the actions, from the inbox of the duty
+     * @return the inbox of the duty
+     */
+    public <E, A> Inbox<E> startDutyWith(
+            Duty<E, A> duty,
+            int capacity,
+            OverflowPolicy overflow,
+            Function<Inbox<E>, ActionSink<A>> actions) {
+        Inbox<E> inbox = new Inbox<>(capacity, overflow);
+        DutyThread<E, A> thread = new DutyThread<>(duty, inbox, actions.apply(inbox), time);
         String name = duty.dutyName();
-        meters.gauge("fuchsialever.ring.size." + name, thread.inbox(), Inbox::size);
-        meters.gauge("fuchsialever.ring.overflows." + name, thread.inbox(), Inbox::overflows);
+        meters.gauge("fuchsialever.ring.size." + name, inbox, Inbox::size);
+        meters.gauge("fuchsialever.ring.overflows." + name, inbox, Inbox::overflows);
         meters.gauge("fuchsialever.duty.failures." + name, thread, DutyThread::failures);
         closer.register("duty " + name, thread);
         thread.start();
-        return thread.inbox();
+        return inbox;
     }
 }
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchService.java
@@ -0,0 +1,307 @@
+package org.fuchsialever.node.batch;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.fuchsialever.decisions.batch.BatchEvent.VersionedHead;
+import org.fuchsialever.decisions.batch.BatchHead;
+import org.fuchsialever.decisions.batch.BatchItem;
+import org.fuchsialever.decisions.batch.BatchSpec;
+import org.fuchsialever.decisions.batch.ItemResult;
+import org.fuchsialever.decisions.directory.DirectoryTable;
+import org.fuchsialever.kernel.time.TimeSource;
+import org.fuchsialever.node.NodeIdentity;
+import org.fuchsialever.node.directory.Directory;
+import org.fuchsialever.node.trace.TraceLog;
+import org.fuchsialever.services.PlatformException;
+import org.fuchsialever.services.PlatformException.Effect;
+import org.fuchsialever.services.hosted.EntryProtocol;
+import org.fuchsialever.services.rows.RowChangeResult;
+import reactor.core.publisher.Mono;
+import reactor.util.retry.Retry;
+
+/** Accepts submissions and answers questions about them, at any instance. */
+public final class BatchService {
+    private static final String PART = "batch";
+
+    /** Callers are told to try another instance; it may reach the store. */
+    private static final long RETRY_AFTER_MILLIS = 200;
+
+    /** The mirrored heads are trusted this long after they were known to be up to date. */
+    private static final long FRESH_MILLIS = 600;
+
+    /** A store that has not answered for this long is not asked to keep a submission. */
+    private static final long OUT_OF_CONTACT_MILLIS = 2_600;
+
+    private static final int REPEATS = 3;
+    private static final Duration FIRST_REPEAT = Duration.ofMillis(100);
+
+    private final BatchStore store;
+    private final BatchActions actions;
+    private final BatchWaiters waiters;
+    private final Directory directory;
+    private final EntryProtocol protocol;
+    private final NodeIdentity identity;
+    private final TimeSource time;
+    private final TraceLog trace;
+
+    BatchService(
+            BatchStore store,
+            BatchActions actions,
+            BatchWaiters waiters,
+            Directory directory,
+            EntryProtocol protocol,
+            NodeIdentity identity,
+            TimeSource time,
+            TraceLog trace) {
+        this.store = store;
+        this.actions = actions;
+        this.waiters = waiters;
+        this.directory = directory;
+        this.protocol = protocol;
+        this.identity = identity;
+        this.time = time;
+        this.trace = trace;
+    }
+
+    /**
+     * Keeps a submission and begins to run it.
+     *
+     * @param id its identity
+     * @param team the team that submits it, empty if no key is needed
+     * @param host the host that selects its route
+     * @param path its path
+     * @param body what was submitted
+     */
+    public Mono<BatchReply> submit(String id, String team, String host, String path, byte[] body) {
+        Option<VersionedHead> known = directory.head(id);
+        if (known.exists(head -> head.head().team().equals(team))) {
+            return Mono.just(new BatchReply.Accepted());
+        }
+        if (directory.ageMillis(DirectoryTable.BATCHES) > OUT_OF_CONTACT_MILLIS) {
+            return Mono.just(notAccepted(id, "store-out-of-contact"));
+        }
+        Either<String, BatchSpec> read = protocol.batch(id, body);
+        if (read.isLeft()) {
+            return Mono.just(new BatchReply.Malformed(read.getLeft()));
+        }
+        BatchSpec spec = read.get();
+        BatchHead head =
+                new BatchHead(
+                        id,
+                        team,
+                        host,
+                        path,
+                        spec.items().size(),
+                        0,
+                        time.wallMillis(),
+                        identity.instance().value(),
+                        identity.start(),
+                        1,
+                        false);
+        return store.storeSpec(spec, body)
+                .flatMap(
+                        same ->
+                                same
+                                        ? create(head, spec)
+                                        : Mono.<BatchReply>just(new BatchReply.IdentityTaken()))
+                .onErrorResume(
+                        PlatformException.class,
+                        failure -> Mono.just(notAccepted(id, failure.getMessage())));
+    }
+
+    private Mono<BatchReply> create(BatchHead head, BatchSpec spec) {
+        return repeated(() -> store.write(head, 0, 0, List.of()))
+                .map(result -> created(head, spec, result))
+                .onErrorResume(
+                        PlatformException.class,
+                        failure ->
+                                Mono.just(
+                                        failure.effect() == Effect.NONE
+                                                ? notAccepted(head.id(), failure.getMessage())
+                                                : unknown(head.id(), failure.getMessage())));
+    }
+
+    private BatchReply created(BatchHead head, BatchSpec spec, RowChangeResult result) {
+        if (result instanceof RowChangeResult.Applied applied) {
+            trace.line(PART, "accepted").with("id", head.id()).with("team", head.team()).write();
+            actions.open(head, applied.version(), spec, Set.of());
+            return new BatchReply.Accepted();
+        }
+        Option<VersionedHead> present =
+                BatchStore.head(((RowChangeResult.Rejected) result).present());
+        if (!present.exists(row -> row.head().team().equals(head.team()))) {
+            return new BatchReply.IdentityTaken();
+        }
+        BatchHead kept = present.get().head();
+        boolean own = kept.isOwnedBy(identity.instance().value(), identity.start());
+        trace.line(PART, "accepted-before")
+                .with("id", head.id())
+                .with("owner", kept.owner())
+                .write();
+        if (own && kept.isOpen() && kept.listed() == 0) {
+            // The first answer was lost; opening twice has no effect.
+            actions.open(kept, present.get().version(), spec, Set.of());
+        }
+        return new BatchReply.Accepted();
+    }
+
+    /** Repeats a change whose effect is unknown; the repeat conflicts if it took effect. */
+    private static Mono<RowChangeResult> repeated(Supplier<Mono<RowChangeResult>> change) {
+        boolean[] mayHaveTakenEffect = new boolean[1];
+        return Mono.defer(change)
+                .doOnError(
+                        PlatformException.class,
+                        failure -> mayHaveTakenEffect[0] |= failure.effect() == Effect.UNKNOWN)
+                .retryWhen(
+                        Retry.backoff(REPEATS, FIRST_REPEAT)
+                                .filter(failure -> mayHaveTakenEffect[0])
+                                .onRetryExhaustedThrow(
+                                        (spec, signal) ->
+                                                new PlatformException(
+                                                        Effect.UNKNOWN,
+                                                        "no answer to any repeat",
+                                                        signal.failure())));
+    }
+
+    private BatchReply notAccepted(String id, @org.jspecify.annotations.Nullable String reason) {
+        trace.line(PART, "not-accepted")
+                .with("id", id)
+                .with("reason", String.valueOf(reason))
+                .with("storeAgeMillis", directory.ageMillis(DirectoryTable.BATCHES))
+                .write();
+        return new BatchReply.NotAccepted(String.valueOf(reason), RETRY_AFTER_MILLIS);
+    }
+
+    private BatchReply unknown(String id, @org.jspecify.annotations.Nullable String reason) {
+        trace.line(PART, "effect-unknown")
+                .with("id", id)
+                .with("reason", String.valueOf(reason))
+                .write();
+        return new BatchReply.Unknown(String.valueOf(reason));
+    }
+
+    /**
+     * Returns results from a position on; waits for the first one if there is none.
+     *
+     * @param id the submission
+     * @param team the team that asks
+     * @param after the first position
+     * @param waitMillis how long to wait at most
+     */
+    public Mono<BatchReply> results(String id, String team, int after, long waitMillis) {
+        return head(id).flatMap(
+                        found -> {
+                            if (!found.exists(row -> row.head().team().equals(team))) {
+                                return Mono.<BatchReply>just(new BatchReply.Missing());
+                            }
+                            BatchHead head = found.get().head();
+                            boolean wait =
+                                    waitMillis > 0
+                                            && head.listed() <= after
+                                            && head.isOpen()
+                                            && after < head.total();
+                            return wait
+                                    ? waiters.await(id, after, Duration.ofMillis(waitMillis))
+                                            .then(Mono.defer(() -> page(head.total(), id, after)))
+                                    : page(head.total(), id, after);
+                        })
+                .onErrorResume(
+                        PlatformException.class,
+                        failure -> Mono.just(notAccepted(id, failure.getMessage())));
+    }
+
+    private Mono<BatchReply> page(int total, String id, int after) {
+        boolean fresh = directory.ageMillis(DirectoryTable.BATCHES) <= FRESH_MILLIS;
+        boolean none = directory.head(id).exists(row -> row.head().listed() <= after);
+        if (fresh && none) {
+            return Mono.just(new BatchReply.Results(total, List.of(), after));
+        }
+        return store.results(id, after)
+                .map(results -> new BatchReply.Results(total, results, after + results.size()));
+    }
+
+    /** Returns the head; asks the store if it is not mirrored. */
+    private Mono<Option<VersionedHead>> head(String id) {
+        Option<VersionedHead> known = directory.head(id);
+        return known.isDefined() ? Mono.just(known) : store.head(id);
+    }
+
+    /** Returns the body of an item that has no result yet. */
+    public Mono<BatchReply> itemBody(String id, String team, String itemId) {
+        return head(id).flatMap(
+                        found -> {
+                            if (!found.exists(row -> row.head().team().equals(team))) {
+                                return Mono.<BatchReply>just(new BatchReply.Missing());
+                            }
+                            return store.spec(id).map(spec -> body(spec, itemId));
+                        })
+                .onErrorResume(
+                        PlatformException.class,
+                        failure -> Mono.just(notAccepted(id, failure.getMessage())));
+    }
+
+    private static BatchReply body(BatchSpec spec, String itemId) {
+        for (BatchItem item : spec.items()) {
+            if (item.id().equals(itemId)) {
+                return new BatchReply.ItemBody(item.body());
+            }
+        }
+        return new BatchReply.Missing();
+    }
+
+    /** Ends a submission; may be called again. */
+    public Mono<BatchReply> end(String id, String team) {
+        return head(id).flatMap(
+                        found -> {
+                            if (!found.exists(row -> row.head().team().equals(team))) {
+                                return Mono.<BatchReply>just(new BatchReply.Missing());
+                            }
+                            return end(found.get(), time.nanoTime());
+                        })
+                .onErrorResume(
+                        PlatformException.class,
+                        failure ->
+                                Mono.just(
+                                        failure.effect() == Effect.NONE
+                                                ? notAccepted(id, failure.getMessage())
+                                                : unknown(id, failure.getMessage())));
+    }
+
+    private Mono<BatchReply> end(VersionedHead row, long begin) {
+        BatchHead head = row.head();
+        if (head.ended()) {
+            return Mono.just(new BatchReply.Ended());
+        }
+        return store.write(head.asEnded(), row.version(), head.listed(), List.of())
+                .flatMap(
+                        result -> {
+                            if (result instanceof RowChangeResult.Applied) {
+                                trace.line(PART, "ended")
+                                        .with("id", head.id())
+                                        .with("listed", head.listed())
+                                        .with("total", head.total())
+                                        .write();
+                                return Mono.<BatchReply>just(new BatchReply.Ended());
+                            }
+                            Option<VersionedHead> present =
+                                    BatchStore.head(((RowChangeResult.Rejected) result).present());
+                            boolean late = time.nanoTime() - begin > TimeUnit.SECONDS.toNanos(2);
+                            if (present.isEmpty()) {
+                                return Mono.<BatchReply>just(new BatchReply.Missing());
+                            }
+                            return late
+                                    ? Mono.just(unknown(head.id(), "too many conflicts"))
+                                    : end(present.get(), begin);
+                        });
+    }
+
+    /** Returns all results of a submission, for the operator's commands. */
+    public Mono<List<ItemResult>> allResults(String id) {
+        return store.allResults(id);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/directory/Directory.java
@@ -0,0 +1,113 @@
+package org.fuchsialever.node.directory;
+
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.fuchsialever.decisions.batch.BatchEvent.VersionedHead;
+import org.fuchsialever.decisions.directory.DirectoryTable;
+import org.fuchsialever.decisions.fleet.FleetUpstream;
+import org.fuchsialever.decisions.manifest.Manifest;
+import org.fuchsialever.kernel.time.TimeSource;
+
+/** The state of the mirrored tables. Written on the thread of the directory duty only. */
+public final class Directory {
+    private final TimeSource time;
+    private final List<DirectoryListener> listeners = new CopyOnWriteArrayList<>();
+    private final Map<String, FleetUpstream> upstreams = new HashMap<>();
+    private final Map<String, VersionedHead> heads = new ConcurrentHashMap<>();
+    private final Map<String, Long> named = new ConcurrentHashMap<>();
+    private final EnumMap<DirectoryTable, Long> currentAt = new EnumMap<>(DirectoryTable.class);
+    private volatile Option<Manifest> manifest = Option.none();
+    private volatile List<FleetUpstream> upstreamList = List.of();
+
+    Directory(TimeSource time) {
+        this.time = time;
+    }
+
+    /** Adds a listener and tells it the present state. */
+    public synchronized void listen(DirectoryListener listener) {
+        listeners.add(listener);
+        manifest.forEach(listener::onManifest);
+        listener.onUpstreams(upstreamList);
+        named.forEach(listener::onVersionNamed);
+        listener.onHeads(List.copyOf(heads.values()), List.of());
+    }
+
+    /** Returns the manifest in force, or none before the first one was read. */
+    public Option<Manifest> manifest() {
+        return manifest;
+    }
+
+    /** Returns the upstreams. */
+    public List<FleetUpstream> upstreams() {
+        return upstreamList;
+    }
+
+    /** Returns the head of a submission. */
+    public Option<VersionedHead> head(String id) {
+        return Option.of(heads.get(id));
+    }
+
+    /** Returns all submissions. */
+    public List<VersionedHead> heads() {
+        return List.copyOf(heads.values());
+    }
+
+    /**
+     * Returns how long ago a table was known to be up to date, in milliseconds.
+     *
+     * @return {@link Long#MAX_VALUE} if it never was
+     */
+    public long ageMillis(DirectoryTable table) {
+        synchronized (currentAt) {
+            Long at = currentAt.get(table);
+            return at == null
+                    ? Long.MAX_VALUE
+                    : TimeUnit.NANOSECONDS.toMillis(time.nanoTime() - at);
+        }
+    }
+
+    void markCurrent(DirectoryTable table) {
+        synchronized (currentAt) {
+            currentAt.put(table, time.nanoTime());
+        }
+    }
+
+    synchronized boolean replaceManifest(Manifest newer) {
+        if (manifest.isDefined() && manifest.get().version() >= newer.version()) {
+            return false;
+        }
+        manifest = Option.some(newer);
+        listeners.forEach(listener -> listener.onManifest(newer));
+        return true;
+    }
+
+    synchronized void replaceVersion(String model, long version) {
+        if (named.merge(model, version, Math::max) == version) {
+            listeners.forEach(listener -> listener.onVersionNamed(model, version));
+        }
+    }
+
+    synchronized void changeUpstreams(List<FleetUpstream> listed, List<String> gone) {
+        gone.forEach(upstreams::remove);
+        listed.forEach(upstream -> upstreams.put(upstream.id(), upstream));
+        upstreamList = new ArrayList<>(upstreams.values());
+        listeners.forEach(listener -> listener.onUpstreams(upstreamList));
+    }
+
+    synchronized void changeHeads(List<VersionedHead> changed, List<String> removed) {
+        changed.forEach(head -> heads.put(head.head().id(), head));
+        removed.forEach(heads::remove);
+        listeners.forEach(listener -> listener.onHeads(changed, removed));
+    }
+
+    synchronized void batchContact(boolean present) {
+        listeners.forEach(listener -> listener.onBatchContact(present));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryComponent.java
@@ -0,0 +1,176 @@
+package org.fuchsialever.node.entry;
+
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.Set;
+import org.fuchsialever.decisions.directory.DirectoryTable;
+import org.fuchsialever.kernel.plugin.Component;
+import org.fuchsialever.kernel.plugin.ComponentContext;
+import org.fuchsialever.kernel.settings.SettingsReader;
+import org.fuchsialever.node.batch.BatchDrain;
+import org.fuchsialever.node.batch.BatchService;
+import org.fuchsialever.node.directory.Directory;
+import org.fuchsialever.node.forward.ForwardPort;
+import org.fuchsialever.node.hosted.DrainPhases;
+import org.fuchsialever.node.trace.TraceLog;
+import org.fuchsialever.services.hosted.HostedServices;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.resources.LoopResources;
+
+/** Opens the addresses for callers, the balancer and metrics. */
+public final class EntryComponent implements Component {
+    private static final String MSG_BAD_ADDRESS = "entry.bad-address";
+    private static final String SECTION = "entry";
+    private static final int MAX_PORT = 65_535;
+
+    /** The balancer notices within two checks, one a second, that the instance is leaving. */
+    private static final Duration DEFAULT_LINGER = Duration.ofMillis(2_600);
+
+    private static final Duration DEFAULT_DRAIN = Duration.ofMillis(6_500);
+
+    /** An instance without news from the store for this long leaves callers to others. */
+    private static final long STALE_MILLIS = 3_000;
+
+    private String host = "";
+    private int port;
+    private int readinessPort;
+    private int metricsPort;
+    private Duration linger = DEFAULT_LINGER;
+    private Duration drainDeadline = DEFAULT_DRAIN;
+
+    @Override
+    public String pluginName() {
+        return "entry";
+    }
+
+    @Override
+    public Set<Class<?>> requires() {
+        return Set.of(
+                HostedServices.class,
+                Directory.class,
+                ForwardPort.class,
+                BatchService.class,
+                BatchDrain.class,
+                DrainPhases.class,
+                LoopResources.class,
+                TraceLog.class);
+    }
+
+    @Override
+    public Set<Class<?>> provides() {
+        return Set.of();
+    }
+
+    @Override
+    public void configure(SettingsReader settings) {
+        host = settings.requiredText(SECTION, "address");
+        port = port(settings, "listen");
+        readinessPort = port(settings, "readiness-listen");
+        metricsPort = (int) settings.integer(SECTION, "metrics-port", 0, 0, MAX_PORT);
+        linger = settings.duration(SECTION, "linger", DEFAULT_LINGER);
+        drainDeadline = settings.duration(SECTION, "drain-deadline", DEFAULT_DRAIN);
+    }
+
+    /** Reads the port of an address such as {@code 10.1.0.31:8368}; 0 means any free one. */
+    private static int port(SettingsReader settings, String key) {
+        String value = settings.text(SECTION, key, ":0");
+        String digits = value.substring(value.lastIndexOf(':') + 1);
+        if (!digits.matches("[0-9]{1,5}") || Integer.parseInt(digits) > MAX_PORT) {
+            settings.findings()
+                    .error(
+                            settings.place(SECTION, key),
+                            MSG_BAD_ADDRESS,
+                            "\"%s\" is not an address with a port",
+                            value);
+            return 0;
+        }
+        return Integer.parseInt(digits);
+    }
+
+    @Override
+    public void install(ComponentContext context) {
+        HostedServices services = context.require(HostedServices.class);
+        Directory directory = context.require(Directory.class);
+        DrainPhases drain = context.require(DrainPhases.class);
+        LoopResources loops = context.require(LoopResources.class);
+        TraceLog trace = context.require(TraceLog.class);
+        Refusals refusals = new Refusals(services.entry(), trace, context.meters());
+        EntryHandler handler =
+                new EntryHandler(
+                        directory,
+                        context.require(ForwardPort.class),
+                        context.require(BatchService.class),
+                        services.entry(),
+                        services.upstreams(),
+                        refusals,
+                        drain,
+                        context.time());
+        openMetrics(context, loops);
+        EntryServer readiness =
+                open(context, loops, handler, refusals, drain, directory, readinessPort);
+        EntryServer entry = open(context, loops, handler, refusals, drain, directory, port);
+        trace.line("entry", "listening")
+                .with("address", host)
+                .with("port", entry.port())
+                .with("readinessPort", readiness.port())
+                .write();
+        context.closer()
+                .register(
+                        "calls in progress",
+                        new EntryDrain(
+                                drain,
+                                context.require(BatchDrain.class),
+                                entry::inProgress,
+                                linger,
+                                drainDeadline,
+                                trace));
+    }
+
+    private EntryServer open(
+            ComponentContext context,
+            LoopResources loops,
+            EntryHandler handler,
+            Refusals refusals,
+            DrainPhases drain,
+            Directory directory,
+            int openedPort) {
+        EntryServer server =
+                new EntryServer(
+                        host,
+                        openedPort,
+                        loops,
+                        handler,
+                        context.require(HostedServices.class).entry(),
+                        refusals,
+                        () -> !drain.isStarted() && isCurrent(directory),
+                        drain);
+        context.closer().register("entry on port " + server.port(), server);
+        return server;
+    }
+
+    private static boolean isCurrent(Directory directory) {
+        return directory.manifest().isDefined()
+                && directory.ageMillis(DirectoryTable.DECLARATIONS) < STALE_MILLIS
+                && directory.ageMillis(DirectoryTable.BATCHES) < STALE_MILLIS;
+    }
+
+    private void openMetrics(ComponentContext context, LoopResources loops) {
+        if (metricsPort > 0 && context.meters() instanceof PrometheusMeterRegistry prometheus) {
+            context.closer()
+                    .register(
+                            "metrics",
+                            HttpServer.create()
+                                            .host(host)
+                                            .port(metricsPort)
+                                            .runOn(loops)
+                                            .handle(
+                                                    (request, response) ->
+                                                            response.sendString(
+                                                                    Mono.fromSupplier(
+                                                                            prometheus::scrape)))
+                                            .bindNow()
+                                    ::disposeNow);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardComponent.java
@@ -0,0 +1,67 @@
+package org.fuchsialever.node.forward;
+
+import java.util.List;
+import java.util.Set;
+import org.fuchsialever.decisions.fleet.FleetUpstream;
+import org.fuchsialever.decisions.forward.ForwardDuty;
+import org.fuchsialever.decisions.forward.ForwardEvent;
+import org.fuchsialever.kernel.duty.Inbox;
+import org.fuchsialever.kernel.duty.OverflowPolicy;
+import org.fuchsialever.kernel.plugin.Component;
+import org.fuchsialever.kernel.plugin.ComponentContext;
+import org.fuchsialever.node.directory.Directory;
+import org.fuchsialever.node.directory.DirectoryListener;
+import org.fuchsialever.node.trace.TraceLog;
+import org.fuchsialever.services.hosted.HostedServices;
+
+/** Provides the way of calls and items to upstreams. */
+public final class ForwardComponent implements Component {
+    /** Four times the calls in progress, so that the end of an attempt always finds room. */
+    private static final int RING_CAPACITY = 16_384;
+
+    @Override
+    public String pluginName() {
+        return "forward";
+    }
+
+    @Override
+    public Set<Class<?>> requires() {
+        return Set.of(HostedServices.class, Directory.class, TraceLog.class);
+    }
+
+    @Override
+    public Set<Class<?>> provides() {
+        return Set.of(ForwardPort.class, UsageListeners.class);
+    }
+
+    @Override
+    public void install(ComponentContext context) {
+        ForwardRunner[] created = new ForwardRunner[1];
+        Inbox<ForwardEvent> inbox =
+                context.startDutyWith(
+                        new ForwardDuty(context.random("forward")),
+                        RING_CAPACITY,
+                        OverflowPolicy.REFUSE,
+                        ring -> {
+                            created[0] =
+                                    new ForwardRunner(
+                                            context.require(HostedServices.class).exchange(),
+                                            ring,
+                                            context.time(),
+                                            context.require(TraceLog.class),
+                                            context.meters());
+                            return created[0];
+                        });
+        ForwardRunner runner = created[0];
+        context.provide(ForwardPort.class, runner);
+        context.provide(UsageListeners.class, runner::addUsageListener);
+        context.require(Directory.class)
+                .listen(
+                        new DirectoryListener() {
+                            @Override
+                            public void onUpstreams(List<FleetUpstream> upstreams) {
+                                inbox.offer(new ForwardEvent.FleetChanged(upstreams));
+                            }
+                        });
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/forward/package-info.java
@@ -0,0 +1,5 @@
+/** Sends calls and items to upstreams. */
+@NullMarked
+package org.fuchsialever.node.forward;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/hosted/package-info.java
@@ -0,0 +1,5 @@
+/** The platform that hosts the node, and the phases of its shutdown. */
+@NullMarked
+package org.fuchsialever.node.hosted;
+
+import org.jspecify.annotations.NullMarked;
--- a/node/src/main/java/org/fuchsialever/node/lease/LeasesComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/lease/LeasesComponent.java
@@ -1,5 +1,6 @@
 package org.fuchsialever.node.lease;
 
+import java.time.Duration;
 import java.util.Set;
 import org.fuchsialever.decisions.lease.LeaseDuty;
 import org.fuchsialever.decisions.lease.LeaseEvent;
@@ -8,22 +9,39 @@
 import org.fuchsialever.kernel.duty.OverflowPolicy;
 import org.fuchsialever.kernel.plugin.Component;
 import org.fuchsialever.kernel.plugin.ComponentContext;
+import org.fuchsialever.kernel.settings.SettingsReader;
 import org.fuchsialever.node.NodeIdentity;
-import org.fuchsialever.services.Platform;
+import org.fuchsialever.services.TableService;
 
 /** Provides roles under lease, kept in the table service. */
 public final class LeasesComponent implements Component {
     /** Wishes arrive at the start; afterwards at most one read and one write are under way. */
     private static final int RING_CAPACITY = 1_024;
 
+    private LeaseTiming timing = LeaseTiming.standard();
+
     @Override
     public String pluginName() {
         return "leases";
     }
 
+    @Override
+    public void configure(SettingsReader settings) {
+        LeaseTiming standard = LeaseTiming.standard();
+        timing =
+                new LeaseTiming(
+                        nanos(settings, "duration", standard.duration()),
+                        nanos(settings, "renewal", standard.renewal()),
+                        nanos(settings, "poll", standard.poll()));
+    }
+
+    private static long nanos(SettingsReader settings, String key, long standard) {
+        return settings.duration("leases", key, Duration.ofNanos(standard)).toNanos();
+    }
+
     @Override
     public Set<Class<?>> requires() {
-        return Set.of(NodeIdentity.class, Platform.class);
+        return Set.of(NodeIdentity.class, TableService.class);
     }
 
     @Override
@@ -36,13 +54,10 @@
         NodeIdentity identity = context.require(NodeIdentity.class);
         LeaseService service =
                 new LeaseService(
-                        context.require(Platform.class).tables(), context.time(), context.meters());
+                        context.require(TableService.class), context.time(), context.meters());
         LeaseDuty duty =
                 new LeaseDuty(
-                        identity.instance(),
-                        identity.start(),
-                        LeaseTiming.standard(),
-                        context.random("lease"));
+                        identity.instance(), identity.start(), timing, context.random("lease"));
         Inbox<LeaseEvent> inbox =
                 context.startDuty(duty, RING_CAPACITY, OverflowPolicy.REFUSE, service);
         service.connect(event -> offer(inbox, event));
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/metering/MeteringComponent.java
@@ -0,0 +1,75 @@
+package org.fuchsialever.node.metering;
+
+import java.time.Duration;
+import java.util.Set;
+import org.fuchsialever.kernel.plugin.Component;
+import org.fuchsialever.kernel.plugin.ComponentContext;
+import org.fuchsialever.kernel.settings.SettingsReader;
+import org.fuchsialever.node.NodeIdentity;
+import org.fuchsialever.node.forward.UsageListeners;
+import org.fuchsialever.node.hosted.DrainPhases;
+import org.fuchsialever.node.lease.Leases;
+import org.fuchsialever.node.trace.TraceLog;
+import org.fuchsialever.services.hosted.HostedServices;
+
+/** Counts calls by team and reports each usage window, under a lease. */
+public final class MeteringComponent implements Component {
+    /** The length of windows of the deployments known today. */
+    private static final Duration DEFAULT_WINDOW = Duration.ofSeconds(5);
+
+    private static final String SECTION = "metering";
+
+    private Duration window = DEFAULT_WINDOW;
+
+    @Override
+    public String pluginName() {
+        return "metering";
+    }
+
+    @Override
+    public Set<Class<?>> requires() {
+        return Set.of(
+                HostedServices.class,
+                UsageListeners.class,
+                Leases.class,
+                NodeIdentity.class,
+                DrainPhases.class,
+                TraceLog.class);
+    }
+
+    @Override
+    public Set<Class<?>> provides() {
+        return Set.of();
+    }
+
+    @Override
+    public void configure(SettingsReader settings) {
+        window = settings.duration(SECTION, "window", DEFAULT_WINDOW);
+    }
+
+    @Override
+    public void install(ComponentContext context) {
+        HostedServices services = context.require(HostedServices.class);
+        NodeIdentity identity = context.require(NodeIdentity.class);
+        Leases leases = context.require(Leases.class);
+        TraceLog trace = context.require(TraceLog.class);
+        WindowCounts counts = new WindowCounts(window.toMillis());
+        context.require(UsageListeners.class).add(counts::add);
+        MeteringRows rows =
+                new MeteringRows(
+                        services.rows(), identity.instance().value() + "." + identity.start());
+        MeteringLoop loop =
+                new MeteringLoop(
+                        counts,
+                        rows,
+                        services.duties(),
+                        leases,
+                        context.time(),
+                        window.toMillis(),
+                        trace,
+                        context.meters());
+        context.closer().register("metering", loop);
+        loop.start(services.exchange().loop());
+        context.require(DrainPhases.class).onStart(loop::drain);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/metering/MeteringRows.java
@@ -0,0 +1,102 @@
+package org.fuchsialever.node.metering;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.fuchsialever.services.PlatformException;
+import org.fuchsialever.services.PlatformException.Effect;
+import org.fuchsialever.services.rows.RowChange;
+import org.fuchsialever.services.rows.RowChangeResult;
+import org.fuchsialever.services.rows.RowKey;
+import org.fuchsialever.services.rows.RowStore;
+import org.fuchsialever.services.rows.StoredRow;
+import reactor.core.publisher.Mono;
+
+/** Rows with the counts of usage windows. */
+final class MeteringRows {
+    /** Counts of one process in one window; the key is the window, a slash and the process. */
+    private static final String COUNTS = "usage";
+
+    /** Counts that were fixed before they were reported; the key is the window. */
+    private static final String REPORTS = "usage-reports";
+
+    private static final int MOST_PROCESSES = 500;
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final RowStore rows;
+    private final String process;
+
+    MeteringRows(RowStore rows, String process) {
+        this.rows = rows;
+        this.process = process;
+    }
+
+    /** Writes the counts of this process. */
+    Mono<RowChangeResult> write(long window, Map<String, Long> counts) {
+        RowKey key = new RowKey(COUNTS, window + "/" + process);
+        return rows.change(new RowChange(Map.of(), Map.of(key, encode(counts)), List.of()));
+    }
+
+    /** Returns the sum of the counts of all processes. */
+    Mono<Map<String, Long>> sum(long window) {
+        return rows.range(COUNTS, window + "/", window + "/~", MOST_PROCESSES)
+                .map(
+                        page -> {
+                            Map<String, Long> sum = new TreeMap<>();
+                            for (StoredRow row : page.rows()) {
+                                decode(row.value())
+                                        .forEach((team, n) -> sum.merge(team, n, Long::sum));
+                            }
+                            return sum;
+                        });
+    }
+
+    /** Fixes the counts of a window, unless they are fixed; returns the fixed counts. */
+    Mono<Map<String, Long>> fix(long window, Map<String, Long> counts) {
+        RowKey key = new RowKey(REPORTS, Long.toString(window));
+        return rows.change(new RowChange(Map.of(key, 0L), Map.of(key, encode(counts)), List.of()))
+                .map(
+                        result -> {
+                            if (result instanceof RowChangeResult.Rejected rejected
+                                    && !rejected.present().isEmpty()) {
+                                return decode(rejected.present().get(0).value());
+                            }
+                            return counts;
+                        });
+    }
+
+    /** Returns the first window that may not have been reported, given those of a range. */
+    Mono<Long> lastFixed(long fromWindow) {
+        return rows.range(REPORTS, Long.toString(fromWindow), "", MOST_PROCESSES)
+                .map(
+                        page ->
+                                page.rows().stream()
+                                        .mapToLong(row -> Long.parseLong(row.key().key()))
+                                        .max()
+                                        .orElse(-1));
+    }
+
+    private static byte[] encode(Map<String, Long> counts) {
+        try {
+            return MAPPER.writeValueAsBytes(new TreeMap<>(counts));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("counts cannot be written", e);
+        }
+    }
+
+    private static Map<String, Long> decode(byte[] value) {
+        try {
+            Map<String, Long> counts = new TreeMap<>();
+            JsonNode node = MAPPER.readTree(value);
+            node.fields()
+                    .forEachRemaining(team -> counts.put(team.getKey(), team.getValue().asLong()));
+            return counts;
+        } catch (IOException e) {
+            throw new PlatformException(Effect.NONE, "counts of a window are not JSON", e);
+        }
+    }
+}
--- a/node/src/main/java/org/fuchsialever/node/platform/PlatformComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/platform/PlatformComponent.java
@@ -9,6 +9,7 @@
 import org.fuchsialever.kernel.settings.SettingsReader;
 import org.fuchsialever.services.Platform;
 import org.fuchsialever.services.PlatformAdapter;
+import org.fuchsialever.services.TableService;
 
 /** Provides the platform through the adapter that {@code [platform] adapter} names. */
 public final class PlatformComponent implements Component {
@@ -29,7 +30,7 @@
 
     @Override
     public Set<Class<?>> provides() {
-        return Set.of(Platform.class);
+        return Set.of(Platform.class, TableService.class);
     }
 
     @Override
@@ -47,6 +48,11 @@
 
     @Override
     public void install(ComponentContext context) {
-        adapter.forEach(selected -> context.provide(Platform.class, selected.open(context)));
+        adapter.forEach(
+                selected -> {
+                    Platform platform = selected.open(context);
+                    context.provide(Platform.class, platform);
+                    context.provide(TableService.class, platform.tables());
+                });
     }
 }
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/version/VersionComponent.java
@@ -0,0 +1,122 @@
+package org.fuchsialever.node.version;
+
+import io.vavr.control.Option;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.fuchsialever.decisions.fleet.FleetUpstream;
+import org.fuchsialever.decisions.manifest.Manifest;
+import org.fuchsialever.decisions.manifest.ServiceSpec;
+import org.fuchsialever.decisions.version.VersionDuty;
+import org.fuchsialever.decisions.version.VersionEvent;
+import org.fuchsialever.kernel.duty.Inbox;
+import org.fuchsialever.kernel.duty.OverflowPolicy;
+import org.fuchsialever.kernel.plugin.Component;
+import org.fuchsialever.kernel.plugin.ComponentContext;
+import org.fuchsialever.node.directory.Directory;
+import org.fuchsialever.node.directory.DirectoryListener;
+import org.fuchsialever.node.hosted.DrainPhases;
+import org.fuchsialever.node.lease.HeldLease;
+import org.fuchsialever.node.lease.Leases;
+import org.fuchsialever.node.trace.TraceLog;
+import org.fuchsialever.services.hosted.HostedServices;
+
+/** Moves upstreams to the weight versions that trainers name, under a lease. */
+public final class VersionComponent implements Component {
+    /** The role under which orders are sent. */
+    static final String ROLE = "versions";
+
+    private static final int RING_CAPACITY = 4_096;
+
+    @Override
+    public String pluginName() {
+        return "versions";
+    }
+
+    @Override
+    public Set<Class<?>> requires() {
+        return Set.of(
+                HostedServices.class,
+                Directory.class,
+                Leases.class,
+                DrainPhases.class,
+                TraceLog.class);
+    }
+
+    @Override
+    public Set<Class<?>> provides() {
+        return Set.of();
+    }
+
+    @Override
+    public void install(ComponentContext context) {
+        Leases leases = context.require(Leases.class);
+        TraceLog trace = context.require(TraceLog.class);
+        Inbox<VersionEvent> inbox =
+                context.startDutyWith(
+                        new VersionDuty(),
+                        RING_CAPACITY,
+                        OverflowPolicy.REFUSE,
+                        ring ->
+                                new VersionActions(
+                                        context.require(HostedServices.class).orders(),
+                                        leases,
+                                        ring,
+                                        trace,
+                                        context.meters()));
+        context.require(Directory.class).listen(listener(inbox));
+        leases.want(
+                ROLE,
+                new Leases.LeaseListener() {
+                    @Override
+                    public void gained(HeldLease lease) {
+                        trace.line("versions", "role-gained")
+                                .with("fencing", lease.fencing())
+                                .write();
+                        inbox.offer(new VersionEvent.RoleGained(lease.fencing()));
+                    }
+
+                    @Override
+                    public void lost(String role) {
+                        trace.line("versions", "role-lost").write();
+                        inbox.offer(new VersionEvent.RoleLost());
+                    }
+                });
+        context.require(DrainPhases.class).onStart(() -> leases.release(ROLE));
+    }
+
+    private static DirectoryListener listener(Inbox<VersionEvent> inbox) {
+        return new DirectoryListener() {
+            private Option<Manifest> manifest = Option.none();
+            private List<FleetUpstream> upstreams = List.of();
+
+            @Override
+            public void onManifest(Manifest newer) {
+                manifest = Option.some(newer);
+                publish();
+            }
+
+            @Override
+            public void onUpstreams(List<FleetUpstream> listed) {
+                upstreams = listed;
+                publish();
+            }
+
+            @Override
+            public void onVersionNamed(String model, long version) {
+                inbox.offer(new VersionEvent.Named(model, version));
+            }
+
+            private void publish() {
+                Map<String, List<String>> models = new HashMap<>();
+                for (ServiceSpec service : manifest.map(Manifest::services).getOrElse(List.of())) {
+                    if (!service.models().isEmpty()) {
+                        models.put(service.name(), service.models());
+                    }
+                }
+                inbox.offer(new VersionEvent.FleetChanged(models, upstreams));
+            }
+        };
+    }
+}
--- /dev/null
+++ b/services/src/main/java/org/fuchsialever/services/hosted/UpstreamOrders.java
@@ -0,0 +1,38 @@
+package org.fuchsialever.services.hosted;
+
+import java.util.Map;
+import org.fuchsialever.decisions.fleet.FleetUpstream;
+import org.fuchsialever.decisions.version.VersionEvent.OrderAnswer;
+import org.fuchsialever.decisions.version.VersionOrder;
+import reactor.core.publisher.Mono;
+
+/** Orders to upstreams and their reports. */
+public interface UpstreamOrders {
+
+    /** Asks an upstream for its state; fails if it gives none. */
+    Mono<Report> report(FleetUpstream upstream);
+
+    /**
+     * Orders an upstream to load a weight version; runs in progress go on under the new version.
+     *
+     * @param order what to load
+     * @param fencing the fencing number of the role
+     * @param sequence the number of orders that the upstream must have accepted so far
+     */
+    Mono<OrderAnswer> load(VersionOrder order, long fencing, long sequence);
+
+    /**
+     * State of an upstream.
+     *
+     * @param sequence the number of orders that it has accepted since its start
+     * @param versions the weight version of each model
+     * @param busy whether an order is in progress
+     */
+    record Report(long sequence, Map<String, Long> versions, boolean busy) {
+
+        /** Copies the map. */
+        public Report {
+            versions = Map.copyOf(versions);
+        }
+    }
+}
--- /dev/null
+++ b/services/src/main/java/org/fuchsialever/services/rows/RowChange.java
@@ -0,0 +1,22 @@
+package org.fuchsialever.services.rows;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * An atomic, conditional change.
+ *
+ * @param expected the version that each of these rows must have, 0 if it must not exist
+ * @param puts rows to write
+ * @param removals rows to remove
+ */
+public record RowChange(
+        Map<RowKey, Long> expected, Map<RowKey, byte[]> puts, List<RowKey> removals) {
+
+    /** Copies the collections. */
+    public RowChange {
+        expected = Map.copyOf(expected);
+        puts = Map.copyOf(puts);
+        removals = List.copyOf(removals);
+    }
+}
--- /dev/null
+++ b/services/src/main/java/org/fuchsialever/services/rows/RowChangeResult.java
@@ -0,0 +1,27 @@
+package org.fuchsialever.services.rows;
+
+import java.util.List;
+
+/** Answer to a change. */
+public sealed interface RowChangeResult {
+
+    /**
+     * The change took effect.
+     *
+     * @param version the version of all rows that it wrote
+     */
+    record Applied(long version) implements RowChangeResult {}
+
+    /**
+     * A condition did not hold and nothing was changed.
+     *
+     * @param present the present rows of the conditions; rows that do not exist are left out
+     */
+    record Rejected(List<StoredRow> present) implements RowChangeResult {
+
+        /** Copies the list. */
+        public Rejected {
+            present = List.copyOf(present);
+        }
+    }
+}
--- /dev/null
+++ b/services/src/main/java/org/fuchsialever/services/rows/RowPage.java
@@ -0,0 +1,18 @@
+package org.fuchsialever.services.rows;
+
+import java.util.List;
+
+/**
+ * Rows as of one moment.
+ *
+ * @param rows the rows in the order of their keys, or changes in the order of their versions
+ * @param more whether further rows follow
+ * @param version the newest version at that moment
+ */
+public record RowPage(List<StoredRow> rows, boolean more, long version) {
+
+    /** Copies the list. */
+    public RowPage {
+        rows = List.copyOf(rows);
+    }
+}
