Keep submissions of a model at one instance and reuse connections

Cause: each submission ran where it arrived, so each time two dozen connections to the engines were opened, and instances did not know each other's load. Change: instances show signs of life in the store; a submission is given to the instance that ranks first for its team and model, and taken back if it does not begin within 1.2 s. Calls prefer the upstream used last among equally loaded ones and avoid one that kept a call waiting for 3 s. Refusals by an engine double its pause. Ruled out: a lease for each model, which moves after 5 s only.

--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchAction.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchAction.java
@@ -8,6 +8,9 @@
     /** Takes a submission over whose owner is gone. */
     record Claim(BatchHead head, long version, String reason) implements BatchAction {}
 
+    /** Begins to run a submission that another instance has placed here. */
+    record Adopt(BatchHead head, long version) implements BatchAction {}
+
     /** Generates the text of an item. */
     record Generate(BatchSpec spec, BatchHead head, int item, long urgency)
             implements BatchAction {}
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
@@ -22,8 +22,16 @@
     /** An owner that has not written for this long is gone: three signs of life are missing. */
     private static final long OWNER_SILENCE = TimeUnit.MILLISECONDS.toNanos(2_800);
 
-    /** Spread of the instances that take a submission over. */
-    private static final long CLAIM_SPREAD = TimeUnit.MILLISECONDS.toNanos(300);
+    /** The same for an owner whose own signs of life have stopped as well. */
+    private static final long DEAD_OWNER_SILENCE = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+    /** An instance that does not begin a placed submission within this time does not know it. */
+    private static final long PLACEMENT_SILENCE = TimeUnit.MILLISECONDS.toNanos(1_200);
+
+    /** Each instance waits this long for each one that is ranked before it. */
+    private static final long CLAIM_STEP = TimeUnit.MILLISECONDS.toNanos(120);
+
+    private static final int MOST_CLAIM_STEPS = 4;
 
     /** Items go on for this long after shutdown has begun; most of them end within it. */
     private static final long DRAIN_PERIOD = TimeUnit.MILLISECONDS.toNanos(2_400);
@@ -37,6 +45,8 @@
     private final Map<String, Watched> watched = new HashMap<>();
     private final Map<String, OwnedBatch> owned = new HashMap<>();
     private final Set<String> claiming = new HashSet<>();
+    private final Set<String> placed = new HashSet<>();
+    private List<Peer> peers = List.of();
     private long contactSince = Long.MAX_VALUE;
     private boolean contact;
     private boolean draining;
@@ -70,6 +80,10 @@
             contactChanged(state.present(), nowNanos);
         } else if (event instanceof BatchEvent.Opened opened) {
             opened(opened.batch(), nowNanos, actions);
+        } else if (event instanceof BatchEvent.PeersChanged changed) {
+            peers = changed.peers();
+        } else if (event instanceof BatchEvent.Placed submission) {
+            placed.add(submission.id());
         } else if (event instanceof BatchEvent.ClaimFailed failed) {
             claiming.remove(failed.id());
         } else if (event instanceof BatchEvent.Draining) {
@@ -126,8 +140,8 @@
             BatchEvent.HeadsChanged changed, long now, ActionSink<BatchAction> actions) {
         for (BatchEvent.VersionedHead row : changed.heads()) {
             String id = row.head().id();
-            watched.put(
-                    id, new Watched(row.head(), row.version(), now, random.nextLong(CLAIM_SPREAD)));
+            Watched former = watched.get(id);
+            watched.put(id, new Watched(row.head(), row.version(), now, former == null));
             OwnedBatch batch = owned.get(id);
             if (batch != null && row.head().ended()) {
                 close(batch, "ended", actions);
@@ -135,6 +149,7 @@
         }
         for (String id : changed.removed()) {
             watched.remove(id);
+            placed.remove(id);
             OwnedBatch batch = owned.get(id);
             if (batch != null) {
                 close(batch, "removed", actions);
@@ -151,18 +166,43 @@
         if (!head.isOpen() || owned.containsKey(id) || claiming.contains(id)) {
             return;
         }
-        // A submission that an earlier process of this instance ran has no owner any more.
-        boolean ownFormer = head.owner().equals(instance) && !head.ownerStart().equals(start);
-        boolean released = head.owner().isEmpty() && now - row.changedAt >= row.spread / 4;
-        long silentSince = Math.max(row.changedAt, contactSince);
-        boolean silent = now - silentSince >= OWNER_SILENCE + row.spread;
-        if (ownFormer || released || silent) {
+        if (head.isOwnedBy(instance, start)) {
             claiming.add(id);
-            String reason = ownFormer ? "restarted" : released ? "released" : "owner-silent";
-            actions.emit(new BatchAction.Claim(head.ownedBy(instance, start), row.version, reason));
+            actions.emit(new BatchAction.Adopt(head, row.version));
+            return;
+        }
+        long silentFor = now - Math.max(row.changedAt, contactSince);
+        AbandonReason reason = abandonReason(row);
+        if (silentFor >= reason.silence + claimDelay(id)) {
+            claiming.add(id);
+            actions.emit(
+                    new BatchAction.Claim(
+                            head.ownedBy(instance, start), row.version, reason.name()));
         }
     }
 
+    private AbandonReason abandonReason(Watched row) {
+        BatchHead head = row.head;
+        // A submission that an earlier process of this instance ran has no owner any more.
+        if (head.owner().equals(instance)) {
+            return AbandonReason.OWNER_RESTARTED;
+        }
+        if (head.owner().isEmpty()) {
+            return AbandonReason.RELEASED;
+        }
+        if (row.untouched && placed.contains(head.id())) {
+            return AbandonReason.NEVER_STARTED;
+        }
+        boolean alive = peers.contains(new Peer(head.owner(), head.ownerStart()));
+        return alive ? AbandonReason.OWNER_SILENT : AbandonReason.OWNER_DEAD;
+    }
+
+    private long claimDelay(String id) {
+        List<Peer> ranked = Peer.ranked(peers, id);
+        int rank = Math.max(0, ranked.indexOf(new Peer(instance, start)));
+        return Math.min(rank, MOST_CLAIM_STEPS) * CLAIM_STEP;
+    }
+
     private void opened(BatchEvent.OpenedBatch opened, long now, ActionSink<BatchAction> actions) {
         String id = opened.spec().id();
         claiming.remove(id);
@@ -177,7 +217,7 @@
             batch.release(actions);
             batch.commit(now, actions);
         } else {
-            batch.start(actions);
+            batch.start(now, actions);
         }
     }
 
@@ -292,5 +332,20 @@
         }
     }
 
-    private record Watched(BatchHead head, long version, long changedAt, long spread) {}
+    private record Watched(BatchHead head, long version, long changedAt, boolean untouched) {}
+
+    /** Why a submission is taken over, and after which silence. */
+    private enum AbandonReason {
+        OWNER_RESTARTED(0),
+        RELEASED(0),
+        NEVER_STARTED(PLACEMENT_SILENCE),
+        OWNER_DEAD(DEAD_OWNER_SILENCE),
+        OWNER_SILENT(OWNER_SILENCE);
+
+        private final long silence;
+
+        AbandonReason(long silence) {
+            this.silence = silence;
+        }
+    }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchEvent.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchEvent.java
@@ -13,6 +13,18 @@
     /** The store answers reads of the submissions (again), or no longer. */
     record StoreContact(boolean present) implements BatchEvent {}
 
+    /** The instances that are alive have changed. */
+    record PeersChanged(List<Peer> peers) implements BatchEvent {
+
+        /** Copies the list. */
+        public PeersChanged {
+            peers = List.copyOf(peers);
+        }
+    }
+
+    /** This instance has accepted a submission for another instance to run. */
+    record Placed(String id) implements BatchEvent {}
+
     /** This instance has accepted or taken over a submission and knows its items. */
     record Opened(OpenedBatch batch) implements BatchEvent {}
 
@@ -56,6 +68,7 @@
      * @param dueMillis when all results are due, Unix time in milliseconds
      * @param giveUpNanos when items may be given up, in monotonic nanoseconds
      * @param singleVersion whether a text must come from one weight version
+     * @param announced whether the instance that placed it knows that it runs
      */
     record OpenedBatch(
             BatchHead head,
@@ -64,5 +77,6 @@
             Set<String> listedItems,
             long dueMillis,
             long giveUpNanos,
-            boolean singleVersion) {}
+            boolean singleVersion,
+            boolean announced) {}
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/OwnedBatch.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/OwnedBatch.java
@@ -26,6 +26,7 @@
     private final long urgency;
     private final long giveUpNanos;
     private final boolean singleVersion;
+    private final boolean announced;
     private final Set<Integer> active = new HashSet<>();
     private final Map<Integer, Text> texts = new HashMap<>();
     private final Deque<ItemResult> finished = new ArrayDeque<>();
@@ -43,6 +44,7 @@
         this.urgency = opened.dueMillis() * URGENCY_SCALE;
         this.giveUpNanos = opened.giveUpNanos();
         this.singleVersion = opened.singleVersion();
+        this.announced = opened.announced();
         this.lastCommit = now;
         for (int item = 0; item < spec.items().size(); item++) {
             if (!opened.listedItems().contains(spec.items().get(item).id())) {
@@ -75,7 +77,11 @@
         return releasing;
     }
 
-    void start(ActionSink<BatchAction> actions) {
+    /** Starts all items, and shows the instance that placed the submission that it runs. */
+    void start(long now, ActionSink<BatchAction> actions) {
+        if (!announced) {
+            commit(now, actions);
+        }
         for (int item = 0; item < spec.items().size(); item++) {
             if (active.contains(item)) {
                 generate(item, actions);
--- a/decisions/src/main/java/org/fuchsialever/decisions/directory/DirectoryTable.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/directory/DirectoryTable.java
@@ -7,5 +7,7 @@
     /** What upstreams say of themselves. */
     UPSTREAMS,
     /** The state of batch submissions. */
-    BATCHES
+    BATCHES,
+    /** Signs of life of the instances. */
+    INSTANCES
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/fleet/Fleet.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/fleet/Fleet.java
@@ -16,6 +16,9 @@
     /** An upstream that has read the shared prompt is preferred over one this much less loaded. */
     private static final double AFFINITY_BONUS = 0.4;
 
+    /** Cost of an upstream that keeps calls waiting, in loads per slot. */
+    private static final double SLOWNESS_COST = 1.0;
+
     private final Map<String, UpstreamState> states = new HashMap<>();
     private final Map<String, List<UpstreamState>> byService = new HashMap<>();
     private final RandomGenerator random;
@@ -60,11 +63,13 @@
     }
 
     /**
-     * Returns the least loaded upstream that may get a call now.
+     * Returns the least loaded upstream that may get a call now; among equals the one that was used
+     * last, because a connection to it is probably open.
      *
      * @param service the service
      * @param allowed further conditions
      * @param mostUtilization load per slot that must not be reached
+     * @param loadStep loads per slot that differ by less than this count as equal; 0 for none
      * @param preferred name of an upstream that has read the prompt, empty if there is none
      * @param now monotonic time in nanoseconds
      */
@@ -72,28 +77,33 @@
             String service,
             Predicate<UpstreamState> allowed,
             double mostUtilization,
+            double loadStep,
             String preferred,
             long now) {
-        List<UpstreamState> best = new ArrayList<>();
+        UpstreamState best = null;
         double bestCost = Double.MAX_VALUE;
         for (UpstreamState state : ofService(service)) {
             double utilization = state.utilization(now);
             if (!state.isAvailable(now) || utilization >= mostUtilization || !allowed.test(state)) {
                 continue;
             }
-            double cost =
-                    state.spec().id().equals(preferred)
-                            ? utilization - AFFINITY_BONUS
-                            : utilization;
-            if (cost < bestCost) {
-                best.clear();
+            double cost = loadStep > 0 ? Math.floor(utilization / loadStep) : utilization;
+            cost -= state.spec().id().equals(preferred) ? AFFINITY_BONUS : 0;
+            cost += state.isSlow(now) ? SLOWNESS_COST : 0;
+            boolean better =
+                    best == null || cost < bestCost || cost == bestCost && isUsedLater(state, best);
+            if (better) {
+                best = state;
                 bestCost = cost;
             }
-            if (cost == bestCost) {
-                best.add(state);
-            }
         }
-        return best.isEmpty() ? Option.none() : Option.some(best.get(random.nextInt(best.size())));
+        return Option.of(best);
+    }
+
+    private boolean isUsedLater(UpstreamState state, UpstreamState other) {
+        return state.lastUsed() == other.lastUsed()
+                ? random.nextBoolean()
+                : state.lastUsed() > other.lastUsed();
     }
 
     /** Returns an upstream that is in a pause after a failure, for calls without another choice. */
--- a/decisions/src/main/java/org/fuchsialever/decisions/fleet/UpstreamState.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/fleet/UpstreamState.java
@@ -16,8 +16,14 @@
     /** Longest period without calls, about the time until a lost upstream leaves the list. */
     private static final long LONGEST_EJECTION = TimeUnit.SECONDS.toNanos(4);
 
-    /** Period without calls after an upstream refused one. */
-    private static final long REFUSAL_PAUSE = TimeUnit.MILLISECONDS.toNanos(100);
+    /** An upstream that kept a call waiting is avoided this long. */
+    private static final long SLOW_PERIOD = TimeUnit.SECONDS.toNanos(3);
+
+    /** First period without calls after an upstream refused one; doubles with each further one. */
+    private static final long REFUSAL_PAUSE = TimeUnit.MILLISECONDS.toNanos(50);
+
+    /** Longest such period, well below the second that a load of weights takes. */
+    private static final long LONGEST_REFUSAL_PAUSE = TimeUnit.MILLISECONDS.toNanos(300);
 
     private static final int MOST_DOUBLINGS = 5;
 
@@ -27,7 +33,10 @@
     private int foreign;
     private long foreignUntil = Long.MIN_VALUE;
     private long pausedUntil = Long.MIN_VALUE;
+    private long slowUntil = Long.MIN_VALUE;
+    private long lastUsed = Long.MIN_VALUE;
     private int failures;
+    private int refusals;
     private boolean listed = true;
 
     /** Creates the state of an upstream that has just been listed. */
@@ -102,8 +111,24 @@
     }
 
     /** Notes that a call was sent. */
-    public void started() {
+    public void started(long now) {
         inFlight++;
+        lastUsed = now;
+    }
+
+    /** Returns when the last call was sent there, in monotonic nanoseconds. */
+    public long lastUsed() {
+        return lastUsed;
+    }
+
+    /** Notes that a call takes longer than calls of its kind usually do. */
+    public void keptWaiting(long now) {
+        slowUntil = now + SLOW_PERIOD;
+    }
+
+    /** Returns whether the upstream has lately kept a call waiting. */
+    public boolean isSlow(long now) {
+        return now < slowUntil;
     }
 
     /** Notes that a call has ended. */
@@ -118,9 +143,11 @@
             int doublings = Math.min(failures++, MOST_DOUBLINGS);
             pause(now + Math.min(FIRST_EJECTION << doublings, LONGEST_EJECTION));
         } else if (refused) {
-            pause(now + REFUSAL_PAUSE);
+            int doublings = Math.min(refusals++, MOST_DOUBLINGS);
+            pause(now + Math.min(REFUSAL_PAUSE << doublings, LONGEST_REFUSAL_PAUSE));
         } else {
             failures = 0;
+            refusals = 0;
         }
     }
 
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
@@ -146,9 +146,11 @@
         String preferred =
                 work.affinity().isEmpty() ? "" : affinities.getOrDefault(work.affinity(), "");
         double most = work.kind().mostUtilization();
-        Option<UpstreamState> choice = fleet.choose(state.service(), untried, most, preferred, now);
+        double step = work.kind().loadStep();
+        Option<UpstreamState> choice =
+                fleet.choose(state.service(), untried, most, step, preferred, now);
         if (choice.isEmpty() && work.kind().waitsForSlot()) {
-            return fleet.choose(state.service(), suitable, most, preferred, now);
+            return fleet.choose(state.service(), suitable, most, step, preferred, now);
         }
         // A live call rather goes to an upstream in a pause than nowhere.
         return choice.orElse(
@@ -168,7 +170,7 @@
         dequeue(state);
         int load = upstream.load(now);
         int attempt = state.start(upstream);
-        upstream.started();
+        upstream.started(now);
         attempts.put(new AttemptKey(work.number(), attempt), upstream);
         if (!work.affinity().isEmpty()) {
             affinities.put(work.affinity(), upstream.spec().id());
@@ -275,6 +277,7 @@
                                 mayHaveRun ? 0 : RETRY_AFTER_MILLIS));
             }
             case HEDGE -> {
+                state.runningUpstreams().forEach(upstream -> upstream.keptWaiting(now));
                 if (state.isRunning() && state.mayBeSentAgain()) {
                     startOrWait(state, ForwardAction.StartReason.HEDGE, now, actions);
                 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/WorkKind.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/WorkKind.java
@@ -21,6 +21,11 @@
             return 1.0;
         }
 
+        @Override
+        double loadStep() {
+            return 0;
+        }
+
         @Override
         boolean waitsForSlot() {
             return true;
@@ -42,6 +47,11 @@
     /** Returns the load per slot above which an upstream gets no call of this kind. */
     abstract double mostUtilization();
 
+    /** Returns the difference in load per slot that does not matter for this kind. */
+    double loadStep() {
+        return 0.5;
+    }
+
     /** Returns whether a call is queued while no upstream has room; others are refused. */
     abstract boolean waitsForSlot();
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/WorkState.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/WorkState.java
@@ -1,6 +1,7 @@
 package org.fuchsialever.decisions.forward;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.TreeMap;
 import org.fuchsialever.decisions.fleet.UpstreamState;
@@ -34,6 +35,10 @@
         return Set.copyOf(running.keySet());
     }
 
+    List<UpstreamState> runningUpstreams() {
+        return List.copyOf(running.values());
+    }
+
     boolean isRunning() {
         return !running.isEmpty();
     }
--- a/decisions/src/test/java/org/fuchsialever/decisions/batch/BatchDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/batch/BatchDutyTest.java
@@ -102,6 +102,7 @@
     @Test
     void takesOverASubmissionWhoseOwnerIsSilent() {
         event(new BatchEvent.StoreContact(true));
+        event(new BatchEvent.PeersChanged(List.of(new Peer("i2", "s2"))));
         heads(head("i2", "s2"), 20);
         advance(2 * SECOND);
         assertThat(all(BatchAction.Claim.class), is(empty()));
@@ -112,6 +113,32 @@
         assertThat(claim.head().epoch(), is(2L));
     }
 
+    @Test
+    void takesOverSoonerWhenTheOwnersProcessIsGone() {
+        event(new BatchEvent.StoreContact(true));
+        event(new BatchEvent.PeersChanged(List.of(new Peer("i2", "restarted"))));
+        heads(head("i2", "s2"), 20);
+        advance(2 * SECOND);
+        assertThat(last(BatchAction.Claim.class).reason(), is("OWNER_DEAD"));
+    }
+
+    @Test
+    void beginsASubmissionThatAnotherInstanceHasPlacedHere() {
+        event(new BatchEvent.StoreContact(true));
+        heads(head("i1", "s1"), 20);
+        assertThat(last(BatchAction.Adopt.class).version(), is(20L));
+    }
+
+    @Test
+    void takesBackASubmissionThatIsNotBegunWhereItWasPlaced() {
+        event(new BatchEvent.StoreContact(true));
+        event(new BatchEvent.PeersChanged(List.of(new Peer("i2", "s2"))));
+        event(new BatchEvent.Placed(ID));
+        heads(head("i2", "s2"), 20);
+        advance(2 * SECOND);
+        assertThat(last(BatchAction.Claim.class).reason(), is("NEVER_STARTED"));
+    }
+
     @Test
     void doesNotTakeOverWhileTheStoreIsSilentForEverybody() {
         event(new BatchEvent.StoreContact(true));
@@ -128,7 +155,7 @@
     void takesOverAtOnceWhatItsOwnFormerProcessRan() {
         event(new BatchEvent.StoreContact(true));
         heads(head("i1", "former"), 20);
-        assertThat(last(BatchAction.Claim.class).reason(), is("restarted"));
+        assertThat(last(BatchAction.Claim.class).reason(), is("OWNER_RESTARTED"));
     }
 
     @Test
@@ -172,7 +199,7 @@
         event(new BatchEvent.StoreContact(true));
         heads(head("", ""), 20);
         advance(SECOND);
-        assertThat(last(BatchAction.Claim.class).reason(), is("released"));
+        assertThat(last(BatchAction.Claim.class).reason(), is("RELEASED"));
     }
 
     private void open(Set<String> listed) {
@@ -180,7 +207,7 @@
         event(
                 new BatchEvent.Opened(
                         new OpenedBatch(
-                                head, 10, spec(), listed, 7_500, now + 40 * SECOND, false)));
+                                head, 10, spec(), listed, 7_500, now + 40 * SECOND, false, true)));
     }
 
     private void list(int item) {
--- a/node/src/main/java/org/fuchsialever/node/NodeMain.java
+++ b/node/src/main/java/org/fuchsialever/node/NodeMain.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.fuchsialever.kernel.findings.Findings;
 import org.jspecify.annotations.Nullable;
 
@@ -20,6 +21,11 @@
     @Parameter(names = "--settings", description = "Settings file (INI)", required = true)
     private String settings = "";
 
+    @Parameter(
+            names = "--stop-after",
+            description = "Stop after this many milliseconds, to try a start; 0 runs on")
+    private long stopAfterMillis;
+
     @Parameter(names = "--help", help = true, description = "Show the options")
     private boolean help;
 
@@ -68,6 +74,10 @@
             }
             process = started.get();
         }
+        if (stopAfterMillis > 0) {
+            boolean never = new CountDownLatch(1).await(stopAfterMillis, TimeUnit.MILLISECONDS);
+            return never ? EXIT_FAILURE : EXIT_OK;
+        }
         // The hook ends the process.
         new CountDownLatch(1).await();
         return EXIT_FAILURE;
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
@@ -69,6 +69,8 @@
     public void emit(BatchAction action) {
         if (action instanceof BatchAction.Claim claim) {
             claim(claim);
+        } else if (action instanceof BatchAction.Adopt adopt) {
+            adopt(adopt);
         } else if (action instanceof BatchAction.Generate generate) {
             generate(generate);
         } else if (action instanceof BatchAction.Score score) {
@@ -114,7 +116,7 @@
     }
 
     /** Opens a submission that this instance owns. */
-    void open(BatchHead head, long version, BatchSpec spec, Set<String> listed) {
+    void open(BatchHead head, long version, BatchSpec spec, Set<String> listed, boolean announced) {
         Option<ForwardRoute> route =
                 directory.manifest().flatMap(m -> m.route(head.host(), head.path()));
         long due = route.map(ForwardRoute::dueMillis).getOrElse(0L);
@@ -143,7 +145,13 @@
                                 listed,
                                 head.submittedMillis() + due,
                                 giveUpNanos,
-                                route.exists(ForwardRoute::singleVersion))));
+                                route.exists(ForwardRoute::singleVersion),
+                                announced)));
+    }
+
+    /** Watches that the instance to which a submission was given begins to run it. */
+    void placed(String id) {
+        inbox.offer(new BatchEvent.Placed(id));
     }
 
     private void claim(BatchAction.Claim claim) {
@@ -163,11 +171,27 @@
                                                 head.id(), String.valueOf(failure.getMessage()))));
     }
 
+    private void adopt(BatchAction.Adopt adopt) {
+        BatchHead head = adopt.head();
+        trace.line(PART, "adopt").with("id", head.id()).with("version", adopt.version()).write();
+        load(head, adopt.version())
+                .subscribe(
+                        done -> {},
+                        failure ->
+                                inbox.offer(
+                                        new BatchEvent.ClaimFailed(
+                                                head.id(), String.valueOf(failure.getMessage()))));
+    }
+
     private Mono<Boolean> load(BatchHead head, RowChangeResult result) {
         if (!(result instanceof RowChangeResult.Applied applied)) {
             inbox.offer(new BatchEvent.ClaimFailed(head.id(), "another instance was first"));
             return Mono.just(false);
         }
+        return load(head, applied.version());
+    }
+
+    private Mono<Boolean> load(BatchHead head, long version) {
         return Mono.zip(store.spec(head.id()), store.allResults(head.id()))
                 .map(
                         loaded -> {
@@ -175,7 +199,7 @@
                             for (ItemResult listedResult : loaded.getT2()) {
                                 listed.add(listedResult.itemId());
                             }
-                            open(head, applied.version(), loaded.getT1(), listed);
+                            open(head, version, loaded.getT1(), listed, false);
                             return true;
                         });
     }
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchComponent.java
@@ -108,6 +108,8 @@
 
                     @Override
                     public void onBatchContact(boolean present) {
+                        // Called about once a second, often enough to tell who is alive.
+                        inbox.offer(new BatchEvent.PeersChanged(directory.livePeers()));
                         inbox.offer(new BatchEvent.StoreContact(present));
                     }
                 });
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchService.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchService.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -12,6 +13,7 @@
 import org.fuchsialever.decisions.batch.BatchItem;
 import org.fuchsialever.decisions.batch.BatchSpec;
 import org.fuchsialever.decisions.batch.ItemResult;
+import org.fuchsialever.decisions.batch.Peer;
 import org.fuchsialever.decisions.directory.DirectoryTable;
 import org.fuchsialever.kernel.time.TimeSource;
 import org.fuchsialever.node.NodeIdentity;
@@ -90,6 +92,7 @@
             return Mono.just(new BatchReply.Malformed(read.getLeft()));
         }
         BatchSpec spec = read.get();
+        Peer owner = owner(team, spec);
         BatchHead head =
                 new BatchHead(
                         id,
@@ -99,8 +102,8 @@
                         spec.items().size(),
                         0,
                         time.wallMillis(),
-                        identity.instance().value(),
-                        identity.start(),
+                        owner.instance(),
+                        owner.start(),
                         1,
                         false);
         return store.storeSpec(spec, body)
@@ -114,6 +117,16 @@
                         failure -> Mono.just(notAccepted(id, failure.getMessage())));
     }
 
+    /** Submissions of a model stay at one instance, which keeps its connections to the engines. */
+    private Peer owner(String team, BatchSpec spec) {
+        Peer self = new Peer(identity.instance().value(), identity.start());
+        List<Peer> candidates = new ArrayList<>(directory.livePeers());
+        if (!candidates.contains(self)) {
+            candidates.add(self);
+        }
+        return Peer.ranked(candidates, team + "/" + spec.model()).get(0);
+    }
+
     private Mono<BatchReply> create(BatchHead head, BatchSpec spec) {
         return repeated(() -> store.write(head, 0, 0, List.of()))
                 .map(result -> created(head, spec, result))
@@ -128,8 +141,16 @@
 
     private BatchReply created(BatchHead head, BatchSpec spec, RowChangeResult result) {
         if (result instanceof RowChangeResult.Applied applied) {
-            trace.line(PART, "accepted").with("id", head.id()).with("team", head.team()).write();
-            actions.open(head, applied.version(), spec, Set.of());
+            trace.line(PART, "accepted")
+                    .with("id", head.id())
+                    .with("team", head.team())
+                    .with("owner", head.owner())
+                    .write();
+            if (head.isOwnedBy(identity.instance().value(), identity.start())) {
+                actions.open(head, applied.version(), spec, Set.of(), true);
+            } else {
+                actions.placed(head.id());
+            }
             return new BatchReply.Accepted();
         }
         Option<VersionedHead> present =
@@ -145,7 +166,7 @@
                 .write();
         if (own && kept.isOpen() && kept.listed() == 0) {
             // The first answer was lost; opening twice has no effect.
-            actions.open(kept, present.get().version(), spec, Set.of());
+            actions.open(kept, present.get().version(), spec, Set.of(), true);
         }
         return new BatchReply.Accepted();
     }
--- a/node/src/main/java/org/fuchsialever/node/directory/Directory.java
+++ b/node/src/main/java/org/fuchsialever/node/directory/Directory.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.fuchsialever.decisions.batch.BatchEvent.VersionedHead;
+import org.fuchsialever.decisions.batch.Peer;
 import org.fuchsialever.decisions.directory.DirectoryTable;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.manifest.Manifest;
@@ -17,12 +18,19 @@
 
 /** The state of the mirrored tables. Written on the thread of the directory duty only. */
 public final class Directory {
+    /** Three signs of life are missing. */
+    private static final long LIVE_MILLIS = 2_100;
+
+    /** A row of an instance that is gone is told apart by its time when it is first read. */
+    private static final long MOST_SKEW_MILLIS = 8_000;
+
     private final TimeSource time;
     private final List<DirectoryListener> listeners = new CopyOnWriteArrayList<>();
     private final Map<String, FleetUpstream> upstreams = new HashMap<>();
     private final Map<String, VersionedHead> heads = new ConcurrentHashMap<>();
     private final Map<String, Long> named = new ConcurrentHashMap<>();
     private final EnumMap<DirectoryTable, Long> currentAt = new EnumMap<>(DirectoryTable.class);
+    private final Map<String, SeenPresence> presences = new HashMap<>();
     private volatile Option<Manifest> manifest = Option.none();
     private volatile List<FleetUpstream> upstreamList = List.of();
 
@@ -79,6 +87,9 @@
         }
     }
 
+    /** A sign of life with the local time at which it was seen. */
+    private record SeenPresence(Presence presence, long seenNanos) {}
+
     synchronized boolean replaceManifest(Manifest newer) {
         if (manifest.isDefined() && manifest.get().version() >= newer.version()) {
             return false;
@@ -107,6 +118,27 @@
         listeners.forEach(listener -> listener.onHeads(changed, removed));
     }
 
+    synchronized void changePresences(List<Presence> changed, List<String> gone) {
+        gone.forEach(presences::remove);
+        for (Presence presence : changed) {
+            presences.put(presence.instance(), new SeenPresence(presence, time.nanoTime()));
+        }
+    }
+
+    /** Returns the instances that have shown a sign of life lately and are not leaving. */
+    public synchronized List<Peer> livePeers() {
+        List<Peer> live = new ArrayList<>();
+        for (SeenPresence seen : presences.values()) {
+            Presence presence = seen.presence;
+            long age = TimeUnit.NANOSECONDS.toMillis(time.nanoTime() - seen.seenNanos);
+            long skew = Math.abs(time.wallMillis() - presence.wallMillis());
+            if (!presence.leaving() && age < LIVE_MILLIS && skew < MOST_SKEW_MILLIS) {
+                live.add(new Peer(presence.instance(), presence.start()));
+            }
+        }
+        return live;
+    }
+
     synchronized void batchContact(boolean present) {
         listeners.forEach(listener -> listener.onBatchContact(present));
     }
--- a/node/src/main/java/org/fuchsialever/node/directory/DirectoryActions.java
+++ b/node/src/main/java/org/fuchsialever/node/directory/DirectoryActions.java
@@ -137,6 +137,7 @@
             case DECLARATIONS -> rows.forEach(this::declaration);
             case UPSTREAMS -> upstreams(rows);
             case BATCHES -> heads(rows);
+            case INSTANCES -> presences(rows);
         }
     }
 
@@ -205,6 +206,21 @@
         directory.changeHeads(changed, removed);
     }
 
+    private void presences(List<MirrorRow> rows) {
+        List<Presence> changed = new ArrayList<>();
+        List<String> gone = new ArrayList<>();
+        for (MirrorRow row : rows) {
+            if (row.removed()) {
+                gone.add(row.key());
+                continue;
+            }
+            Presence.decode(row.key(), row.value())
+                    .peek(changed::add)
+                    .peekLeft(problem -> unreadable(DirectoryTable.INSTANCES, row, problem));
+        }
+        directory.changePresences(changed, gone);
+    }
+
     private void unreadable(DirectoryTable table, MirrorRow row, String problem) {
         meters.counter("fuchsialever.directory.unreadable", "table", table.name()).increment();
         trace.line(PART, "row-unreadable")
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/directory/PresenceComponent.java
@@ -0,0 +1,74 @@
+package org.fuchsialever.node.directory;
+
+import io.netty.util.concurrent.Future;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.fuchsialever.decisions.directory.DirectoryTable;
+import org.fuchsialever.kernel.plugin.Component;
+import org.fuchsialever.kernel.plugin.ComponentContext;
+import org.fuchsialever.kernel.time.TimeSource;
+import org.fuchsialever.node.NodeIdentity;
+import org.fuchsialever.node.hosted.DrainPhases;
+import org.fuchsialever.services.hosted.HostedServices;
+import org.fuchsialever.services.rows.RowChange;
+import org.fuchsialever.services.rows.RowKey;
+
+/** Writes signs of life of this instance. */
+public final class PresenceComponent implements Component {
+    /** Three of them fit into the time after which an instance counts as gone. */
+    private static final long INTERVAL_MILLIS = 700;
+
+    @Override
+    public String pluginName() {
+        return "presence";
+    }
+
+    @Override
+    public Set<Class<?>> requires() {
+        return Set.of(HostedServices.class, Directory.class, NodeIdentity.class, DrainPhases.class);
+    }
+
+    @Override
+    public Set<Class<?>> provides() {
+        return Set.of();
+    }
+
+    @Override
+    public void install(ComponentContext context) {
+        HostedServices services = context.require(HostedServices.class);
+        NodeIdentity identity = context.require(NodeIdentity.class);
+        DrainPhases drain = context.require(DrainPhases.class);
+        TimeSource time = context.time();
+        RowKey key =
+                new RowKey(
+                        services.directory().tableName(DirectoryTable.INSTANCES),
+                        identity.instance().value());
+        Runnable write =
+                () -> {
+                    Presence presence =
+                            new Presence(
+                                    identity.instance().value(),
+                                    identity.start(),
+                                    time.wallMillis(),
+                                    drain.isStarted());
+                    services.rows()
+                            .change(
+                                    new RowChange(
+                                            Map.of(), Map.of(key, presence.encode()), List.of()))
+                            .subscribe(
+                                    written -> {},
+                                    failure ->
+                                            context.meters()
+                                                    .counter("fuchsialever.presence.failures")
+                                                    .increment());
+                };
+        Future<?> timer =
+                services.exchange()
+                        .loop()
+                        .scheduleAtFixedRate(write, 0, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        context.closer().register("presence", () -> timer.cancel(false));
+        drain.onStart(write);
+    }
+}
--- a/node/src/main/java/org/fuchsialever/node/hosted/HostedComponents.java
+++ b/node/src/main/java/org/fuchsialever/node/hosted/HostedComponents.java
@@ -7,6 +7,7 @@
 import org.fuchsialever.kernel.plugin.PluginProvider;
 import org.fuchsialever.node.batch.BatchComponent;
 import org.fuchsialever.node.directory.DirectoryComponent;
+import org.fuchsialever.node.directory.PresenceComponent;
 import org.fuchsialever.node.entry.EntryComponent;
 import org.fuchsialever.node.forward.ForwardComponent;
 import org.fuchsialever.node.metering.MeteringComponent;
@@ -27,6 +28,7 @@
                 new HostedComponent(),
                 new TraceComponent(),
                 new DirectoryComponent(),
+                new PresenceComponent(),
                 new ForwardComponent(),
                 new BatchComponent(),
                 new VersionComponent(),
