Never move the head of a submission back, remove old submissions, reload on SIGHUP

Ruled out: the page that is read (its rows were all there), the cut of the reading instances (they had regained the store seconds before). Change: a placed submission begins with a conditional write of its head; a conflict whose head counts other results closes the submission, and one that shows the commit's own effect counts as committed; older mirrored heads are ignored. Also: submissions are removed when their time is over, and SIGHUP reads the settings again instead of ending the process.

--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchAction.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchAction.java
@@ -5,12 +5,12 @@
 /** What the batch duty decides. */
 public sealed interface BatchAction {
 
-    /** Takes a submission over whose owner is gone. */
+    /**
+     * Takes a submission over whose owner is gone, or begins one that was placed here. The head is
+     * written first, because the view that led to this may be old.
+     */
     record Claim(BatchHead head, long version, String reason) implements BatchAction {}
 
-    /** Begins to run a submission that another instance has placed here. */
-    record Adopt(BatchHead head, long version) implements BatchAction {}
-
     /** Generates the text of an item. */
     record Generate(BatchSpec spec, BatchHead head, int item, long urgency)
             implements BatchAction {}
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
@@ -141,6 +141,9 @@
         for (BatchEvent.VersionedHead row : changed.heads()) {
             String id = row.head().id();
             Watched former = watched.get(id);
+            if (former != null && former.version >= row.version()) {
+                continue;
+            }
             watched.put(id, new Watched(row.head(), row.version(), now, former == null));
             OwnedBatch batch = owned.get(id);
             if (batch != null && row.head().ended()) {
@@ -168,7 +171,7 @@
         }
         if (head.isOwnedBy(instance, start)) {
             claiming.add(id);
-            actions.emit(new BatchAction.Adopt(head, row.version));
+            actions.emit(new BatchAction.Claim(head, row.version, "PLACED_HERE"));
             return;
         }
         long silentFor = now - Math.max(row.changedAt, contactSince);
@@ -217,7 +220,7 @@
             batch.release(actions);
             batch.commit(now, actions);
         } else {
-            batch.start(now, actions);
+            batch.start(actions);
         }
     }
 
@@ -279,6 +282,8 @@
     }
 
     private void afterCommit(OwnedBatch batch, long now, ActionSink<BatchAction> actions) {
+        // The mirror lags behind, and an older head would look abandoned once this one is closed.
+        watched.put(batch.id(), new Watched(batch.head(), batch.version(), now, false));
         if (batch.head().isComplete()) {
             close(batch, "complete", actions);
         } else if (batch.head().owner().isEmpty()) {
@@ -297,10 +302,16 @@
             close(batch, "removed", actions);
         } else if (present.head().ended()) {
             close(batch, "ended", actions);
-        } else if (present.head().epoch() == batch.head().epoch()) {
+        } else if (present.head().epoch() != batch.head().epoch()) {
+            close(batch, "taken-over", actions);
+        } else if (batch.isEffectOfCommit(present.head())) {
+            batch.committed(present.version());
+            afterCommit(batch, now, actions);
+        } else if (present.head().listed() == batch.head().listed()) {
             batch.recommit(present.version(), now, actions);
         } else {
-            close(batch, "taken-over", actions);
+            // The submission was opened from an old view; its present head is read again.
+            close(batch, "outdated", actions);
         }
     }
 
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchEvent.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchEvent.java
@@ -68,7 +68,6 @@
      * @param dueMillis when all results are due, Unix time in milliseconds
      * @param giveUpNanos when items may be given up, in monotonic nanoseconds
      * @param singleVersion whether a text must come from one weight version
-     * @param announced whether the instance that placed it knows that it runs
      */
     record OpenedBatch(
             BatchHead head,
@@ -77,6 +76,5 @@
             Set<String> listedItems,
             long dueMillis,
             long giveUpNanos,
-            boolean singleVersion,
-            boolean announced) {}
+            boolean singleVersion) {}
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/OwnedBatch.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/OwnedBatch.java
@@ -26,7 +26,6 @@
     private final long urgency;
     private final long giveUpNanos;
     private final boolean singleVersion;
-    private final boolean announced;
     private final Set<Integer> active = new HashSet<>();
     private final Map<Integer, Text> texts = new HashMap<>();
     private final Deque<ItemResult> finished = new ArrayDeque<>();
@@ -44,7 +43,6 @@
         this.urgency = opened.dueMillis() * URGENCY_SCALE;
         this.giveUpNanos = opened.giveUpNanos();
         this.singleVersion = opened.singleVersion();
-        this.announced = opened.announced();
         this.lastCommit = now;
         for (int item = 0; item < spec.items().size(); item++) {
             if (!opened.listedItems().contains(spec.items().get(item).id())) {
@@ -61,6 +59,10 @@
         return head;
     }
 
+    long version() {
+        return version;
+    }
+
     long giveUpNanos() {
         return giveUpNanos;
     }
@@ -77,11 +79,8 @@
         return releasing;
     }
 
-    /** Starts all items, and shows the instance that placed the submission that it runs. */
-    void start(long now, ActionSink<BatchAction> actions) {
-        if (!announced) {
-            commit(now, actions);
-        }
+    /** Starts all items that have no result. */
+    void start(ActionSink<BatchAction> actions) {
         for (int item = 0; item < spec.items().size(); item++) {
             if (active.contains(item)) {
                 generate(item, actions);
@@ -172,6 +171,12 @@
         }
     }
 
+    /** Returns whether the present head shows that the unanswered commit took effect. */
+    boolean isEffectOfCommit(BatchHead present) {
+        BatchAction.Commit sent = commit;
+        return sent != null && !sent.results().isEmpty() && sent.head().equals(present);
+    }
+
     /** Writes the same commit again under the version that another writer left. */
     void recommit(long newVersion, long now, ActionSink<BatchAction> actions) {
         BatchAction.Commit former = commit;
--- a/node/src/main/java/org/fuchsialever/node/NodeMain.java
+++ b/node/src/main/java/org/fuchsialever/node/NodeMain.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import org.fuchsialever.kernel.findings.Findings;
 import org.jspecify.annotations.Nullable;
+import sun.misc.Signal;
 
 /** Entry point of the command {@code fuchsialever-node}. */
 public final class NodeMain {
@@ -64,6 +65,9 @@
             System.err.println(settings + ": cannot be read: " + e);
             return EXIT_USAGE;
         }
+        // The default action of this signal would end the process.
+        SettingsReload reload = new SettingsReload(settings, text);
+        Signal.handle(new Signal("HUP"), signal -> reload.reload());
         // Registered before the start, so that a signal during the start is not missed.
         Runtime.getRuntime().addShutdownHook(new Thread(this::shutDown, "shutdown"));
         synchronized (this) {
--- /dev/null
+++ b/node/src/main/java/org/fuchsialever/node/SettingsReload.java
@@ -0,0 +1,71 @@
+package org.fuchsialever.node;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.fuchsialever.kernel.findings.Findings;
+import org.fuchsialever.kernel.log.PartLogger;
+import org.fuchsialever.kernel.settings.IniDocument;
+
+/**
+ * Reads the settings again when the process is told that they have changed. A running instance
+ * keeps its settings, because addresses and names cannot change under open connections; a file that
+ * can be read takes effect at the next start, and each changed key is logged.
+ */
+final class SettingsReload {
+    private static final PartLogger LOG = PartLogger.of("node");
+
+    private final String file;
+    private IniDocument inForce;
+
+    SettingsReload(String file, String text) {
+        this.file = file;
+        this.inForce = IniDocument.parse(file, text, new Findings());
+    }
+
+    /** Reads the file and logs what differs; never fails. */
+    synchronized void reload() {
+        try {
+            report(Files.readString(Path.of(file)));
+        } catch (IOException e) {
+            LOG.warning("Settings could not be read again; those in force stay.", e);
+        }
+    }
+
+    /** Returns the keys that differ from the settings in force, or none if the text is unusable. */
+    synchronized List<String> report(String text) {
+        Findings findings = new Findings();
+        IniDocument read = IniDocument.parse(file, text, findings);
+        if (findings.hasErrors()) {
+            LOG.warning("Settings cannot be used; those in force stay: " + findings.report());
+            return List.of();
+        }
+        List<String> changed = changedKeys(inForce, read);
+        LOG.info(
+                changed.isEmpty()
+                        ? "Settings were read again; nothing has changed."
+                        : "Settings take effect at the next start; changed: " + changed + ".");
+        return changed;
+    }
+
+    private static List<String> changedKeys(IniDocument before, IniDocument after) {
+        List<String> changed = new ArrayList<>();
+        for (String section : after.sections()) {
+            for (String key : after.keys(section)) {
+                if (!after.value(section, key).equals(before.value(section, key))) {
+                    changed.add(section + "/" + key);
+                }
+            }
+        }
+        for (String section : before.sections()) {
+            for (String key : before.keys(section)) {
+                if (after.value(section, key).isEmpty()) {
+                    changed.add(section + "/" + key);
+                }
+            }
+        }
+        return changed;
+    }
+}
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
@@ -69,8 +69,6 @@
     public void emit(BatchAction action) {
         if (action instanceof BatchAction.Claim claim) {
             claim(claim);
-        } else if (action instanceof BatchAction.Adopt adopt) {
-            adopt(adopt);
         } else if (action instanceof BatchAction.Generate generate) {
             generate(generate);
         } else if (action instanceof BatchAction.Score score) {
@@ -116,7 +114,7 @@
     }
 
     /** Opens a submission that this instance owns. */
-    void open(BatchHead head, long version, BatchSpec spec, Set<String> listed, boolean announced) {
+    void open(BatchHead head, long version, BatchSpec spec, Set<String> listed) {
         Option<ForwardRoute> route =
                 directory.manifest().flatMap(m -> m.route(head.host(), head.path()));
         long due = route.map(ForwardRoute::dueMillis).getOrElse(0L);
@@ -145,8 +143,7 @@
                                 listed,
                                 head.submittedMillis() + due,
                                 giveUpNanos,
-                                route.exists(ForwardRoute::singleVersion),
-                                announced)));
+                                route.exists(ForwardRoute::singleVersion))));
     }
 
     /** Watches that the instance to which a submission was given begins to run it. */
@@ -171,27 +168,11 @@
                                                 head.id(), String.valueOf(failure.getMessage()))));
     }
 
-    private void adopt(BatchAction.Adopt adopt) {
-        BatchHead head = adopt.head();
-        trace.line(PART, "adopt").with("id", head.id()).with("version", adopt.version()).write();
-        load(head, adopt.version())
-                .subscribe(
-                        done -> {},
-                        failure ->
-                                inbox.offer(
-                                        new BatchEvent.ClaimFailed(
-                                                head.id(), String.valueOf(failure.getMessage()))));
-    }
-
     private Mono<Boolean> load(BatchHead head, RowChangeResult result) {
         if (!(result instanceof RowChangeResult.Applied applied)) {
             inbox.offer(new BatchEvent.ClaimFailed(head.id(), "another instance was first"));
             return Mono.just(false);
         }
-        return load(head, applied.version());
-    }
-
-    private Mono<Boolean> load(BatchHead head, long version) {
         return Mono.zip(store.spec(head.id()), store.allResults(head.id()))
                 .map(
                         loaded -> {
@@ -199,7 +180,7 @@
                             for (ItemResult listedResult : loaded.getT2()) {
                                 listed.add(listedResult.itemId());
                             }
-                            open(head, version, loaded.getT1(), listed, false);
+                            open(head, applied.version(), loaded.getT1(), listed);
                             return true;
                         });
     }
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchComponent.java
@@ -1,7 +1,10 @@
 package org.fuchsialever.node.batch;
 
+import io.netty.util.concurrent.Future;
+import java.time.Duration;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.fuchsialever.decisions.batch.BatchDuty;
 import org.fuchsialever.decisions.batch.BatchEvent;
 import org.fuchsialever.decisions.batch.BatchEvent.VersionedHead;
@@ -10,11 +13,14 @@
 import org.fuchsialever.kernel.duty.OverflowPolicy;
 import org.fuchsialever.kernel.plugin.Component;
 import org.fuchsialever.kernel.plugin.ComponentContext;
+import org.fuchsialever.kernel.settings.SettingsReader;
 import org.fuchsialever.node.NodeIdentity;
 import org.fuchsialever.node.directory.Directory;
 import org.fuchsialever.node.directory.DirectoryListener;
 import org.fuchsialever.node.forward.ForwardPort;
 import org.fuchsialever.node.hosted.DrainPhases;
+import org.fuchsialever.node.lease.HeldLease;
+import org.fuchsialever.node.lease.Leases;
 import org.fuchsialever.node.trace.TraceLog;
 import org.fuchsialever.services.hosted.HostedServices;
 import reactor.core.scheduler.Scheduler;
@@ -25,11 +31,23 @@
     /** Each item in progress has one event to come; 8,192 are two large steps. */
     private static final int RING_CAPACITY = 16_384;
 
+    /** Results of the deployments known today must be readable for this long. */
+    private static final Duration DEFAULT_RETENTION = Duration.ofSeconds(120);
+
+    private static final long PURGE_INTERVAL_MILLIS = 2_000;
+
+    private Duration retention = DEFAULT_RETENTION;
+
     @Override
     public String pluginName() {
         return "batch";
     }
 
+    @Override
+    public void configure(SettingsReader settings) {
+        retention = settings.duration("batch", "retention", DEFAULT_RETENTION);
+    }
+
     @Override
     public Set<Class<?>> requires() {
         return Set.of(
@@ -38,6 +56,7 @@
                 ForwardPort.class,
                 NodeIdentity.class,
                 DrainPhases.class,
+                Leases.class,
                 TraceLog.class);
     }
 
@@ -46,6 +65,40 @@
         return Set.of(BatchService.class, BatchDrain.class);
     }
 
+    private void startPurge(
+            ComponentContext context,
+            HostedServices services,
+            Directory directory,
+            TraceLog trace) {
+        Leases leases = context.require(Leases.class);
+        BatchPurge purge =
+                new BatchPurge(
+                        services, directory, leases, context.time(), retention.toMillis(), trace);
+        leases.want(
+                BatchPurge.ROLE,
+                new Leases.LeaseListener() {
+                    @Override
+                    public void gained(HeldLease lease) {
+                        trace.line("batch", "purge-role-gained").write();
+                    }
+
+                    @Override
+                    public void lost(String role) {
+                        trace.line("batch", "purge-role-lost").write();
+                    }
+                });
+        context.require(DrainPhases.class).onStart(() -> leases.release(BatchPurge.ROLE));
+        Future<?> timer =
+                services.exchange()
+                        .loop()
+                        .scheduleAtFixedRate(
+                                purge::tick,
+                                PURGE_INTERVAL_MILLIS,
+                                PURGE_INTERVAL_MILLIS,
+                                TimeUnit.MILLISECONDS);
+        context.closer().register("purge", () -> timer.cancel(false));
+    }
+
     @Override
     public void install(ComponentContext context) {
         HostedServices services = context.require(HostedServices.class);
@@ -92,6 +145,7 @@
                         context.time(),
                         trace));
         context.provide(BatchDrain.class, drain);
+        startPurge(context, services, directory, trace);
         context.require(DrainPhases.class).onStart(() -> inbox.offer(new BatchEvent.Draining()));
         directory.listen(
                 new DirectoryListener() {
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchService.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchService.java
@@ -147,7 +147,7 @@
                     .with("owner", head.owner())
                     .write();
             if (head.isOwnedBy(identity.instance().value(), identity.start())) {
-                actions.open(head, applied.version(), spec, Set.of(), true);
+                actions.open(head, applied.version(), spec, Set.of());
             } else {
                 actions.placed(head.id());
             }
@@ -166,7 +166,7 @@
                 .write();
         if (own && kept.isOpen() && kept.listed() == 0) {
             // The first answer was lost; opening twice has no effect.
-            actions.open(kept, present.get().version(), spec, Set.of(), true);
+            actions.open(kept, present.get().version(), spec, Set.of());
         }
         return new BatchReply.Accepted();
     }
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchStore.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchStore.java
@@ -38,13 +38,18 @@
         this.services = services;
     }
 
+    /** Returns the name of the object that holds what was submitted. */
+    static String objectName(String id) {
+        return OBJECT_PREFIX + id;
+    }
+
     /**
      * Stores what was submitted, unless it is stored already.
      *
      * @return false if another content is stored under this identity
      */
     Mono<Boolean> storeSpec(BatchSpec spec, byte[] body) {
-        String name = OBJECT_PREFIX + spec.id();
+        String name = objectName(spec.id());
         return services.objects()
                 .putIfAbsent(name, body)
                 .flatMap(
@@ -75,7 +80,7 @@
             return Mono.just(cached);
         }
         return services.objects()
-                .read(OBJECT_PREFIX + id)
+                .read(objectName(id))
                 .map(
                         bytes -> {
                             Either<String, BatchSpec> spec =
--- /dev/null
+++ b/node/src/test/java/org/fuchsialever/node/SettingsReloadTest.java
@@ -0,0 +1,25 @@
+package org.fuchsialever.node;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class SettingsReloadTest {
+    private final SettingsReload reload =
+            new SettingsReload("node.ini", "[node]\nname = a\nregion = r\n");
+
+    @Test
+    void namesTheKeysThatHaveChanged() {
+        assertThat(
+                reload.report("[node]\nname = b\n[entry]\nlinger = 1 s\n"),
+                is(List.of("node/name", "entry/linger", "node/region")));
+    }
+
+    @Test
+    void keepsTheSettingsInForceWhenTheFileCannotBeUsed() {
+        assertThat(reload.report("[node]\nno separator\n"), is(empty()));
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/fuchsialever/node/batch/BatchPurgeTest.java
@@ -0,0 +1,30 @@
+package org.fuchsialever.node.batch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import org.fuchsialever.decisions.batch.BatchEvent.VersionedHead;
+import org.fuchsialever.decisions.batch.BatchHead;
+import org.junit.jupiter.api.Test;
+
+class BatchPurgeTest {
+    private static final long RETENTION = 120_000;
+
+    @Test
+    void keepsResultsUntilTheirTimeIsOver() {
+        List<VersionedHead> heads = List.of(head(2));
+        assertThat(BatchPurge.due(heads, 150_000, RETENTION).isEmpty(), is(true));
+        assertThat(BatchPurge.due(heads, 150_001, RETENTION).isDefined(), is(true));
+    }
+
+    @Test
+    void keepsASubmissionThatIsStillOpen() {
+        assertThat(BatchPurge.due(List.of(head(1)), 999_999, RETENTION).isEmpty(), is(true));
+    }
+
+    private static VersionedHead head(int listed) {
+        return new VersionedHead(
+                new BatchHead("b", "t", "h", "/p/", 2, listed, 0, "i", "s", 1, false), 7);
+    }
+}
