Begin no submission before the manifest is known; test exchanges with upstreams

A test showed a fault of this kind: an instance that starts while submissions are open may read them before the manifest, finds no route for their items and gives them up. Change: submissions count as out of reach until a manifest is in force. An instance is ready only when its list of upstreams is up to date as well. Result: HostedBatchesTest.givesUpNothingOfAnEarlierSubmissionWhileItKnowsNoManifest failed before and passes; ExchangeClientTest, 8 tests, passes.

--- a/node/src/main/java/org/fuchsialever/node/batch/BatchComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchComponent.java
@@ -164,7 +164,9 @@
                     public void onBatchContact(boolean present) {
                         // Called about once a second, often enough to tell who is alive.
                         inbox.offer(new BatchEvent.PeersChanged(directory.livePeers()));
-                        inbox.offer(new BatchEvent.StoreContact(present));
+                        // Without routes, items of earlier submissions would look impossible.
+                        boolean usable = present && directory.manifest().isDefined();
+                        inbox.offer(new BatchEvent.StoreContact(usable));
                     }
                 });
     }
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryComponent.java
@@ -152,6 +152,7 @@
     private static boolean isCurrent(Directory directory) {
         return directory.manifest().isDefined()
                 && directory.ageMillis(DirectoryTable.DECLARATIONS) < STALE_MILLIS
+                && directory.ageMillis(DirectoryTable.UPSTREAMS) < STALE_MILLIS
                 && directory.ageMillis(DirectoryTable.BATCHES) < STALE_MILLIS;
     }
 
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryDrain.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryDrain.java
@@ -18,6 +18,7 @@
     private final Duration linger;
     private final Duration deadline;
     private final TraceLog trace;
+    private final CountDownLatch abandoned = new CountDownLatch(1);
 
     EntryDrain(
             DrainPhases phases,
@@ -40,10 +41,9 @@
         phases.start();
         trace.line("entry", "draining").with("inProgress", inProgress.getAsInt()).write();
         // Callers arrive until the balancer has noticed.
-        CountDownLatch never = new CountDownLatch(1);
-        boolean unused = never.await(linger.toMillis(), TimeUnit.MILLISECONDS);
+        pause(linger.toMillis());
         while (inProgress.getAsInt() > 0 && left(begin) > 0) {
-            unused |= never.await(CHECK_MILLIS, TimeUnit.MILLISECONDS);
+            pause(CHECK_MILLIS);
         }
         boolean handedOver = batches.await(Math.max(1, left(begin)));
         trace.line("entry", "drained")
@@ -53,6 +53,12 @@
                 .write();
     }
 
+    private void pause(long millis) throws InterruptedException {
+        if (abandoned.await(millis, TimeUnit.MILLISECONDS)) {
+            throw new IllegalStateException("nothing ends this wait early");
+        }
+    }
+
     private long left(long begin) {
         return deadline.toMillis() - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begin);
     }
--- a/node/src/test/java/org/fuchsialever/node/hosted/HostedBatchesTest.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/HostedBatchesTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.is;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.fuchsialever.platform.ManifestText;
 import org.fuchsialever.platform.StoreStandIn;
 import org.fuchsialever.platform.UpstreamStandIn;
 import org.fuchsialever.platform.UpstreamStandIn.Behaviour;
@@ -144,6 +145,29 @@
         }
     }
 
+    @Test
+    void givesUpNothingOfAnEarlierSubmissionWhileItKnowsNoManifest() {
+        try (HostedFixture fixture = HostedFixture.running()) {
+            fixture.upstream("e1").behave(Behaviour.MUTE);
+            fixture.submit("n1", "b1", "x1");
+            fixture.eventually(() -> fixture.upstream("e1").runs("x1") == 1);
+            fixture.store.remove("op", "config");
+            fixture.start("n2");
+            fixture.stop("n1");
+            fixture.eventually(
+                    () ->
+                            !String.valueOf(fixture.store.read("batches", "b1"))
+                                    .contains("\"owner\":\"n1\""));
+            fixture.upstream("e1").behave(Behaviour.SOUND);
+            fixture.store.write("op", "config", ManifestText.of(3, KEY));
+            fixture.awaitServing("n2");
+            JsonNode page = fixture.results("n2", "b1", 1);
+            assertThat(
+                    page.path("results").path(0).path("message").asText(),
+                    is(UpstreamStandIn.text("x1")));
+        }
+    }
+
     @Test
     void movesEnginesToTheVersionThatATrainerNames() {
         try (HostedFixture fixture = HostedFixture.running()) {
--- /dev/null
+++ b/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
@@ -0,0 +1,139 @@
+package org.fuchsialever.services.exchange;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import reactor.netty.resources.LoopResources;
+
+class ExchangeClientTest {
+    private static final long PATIENCE_SECONDS = 30;
+
+    private final LoopResources loops = LoopResources.create("exchange-test", 1, true);
+    private final ExchangeClient client = new ExchangeClient(loops, new SimpleMeterRegistry());
+
+    @AfterEach
+    void release() {
+        client.close();
+        loops.dispose();
+    }
+
+    @Test
+    void readsAWholeResponseAndUsesItsConnectionAgain() throws Exception {
+        try (ScriptedServer server = new ScriptedServer(answer("1", "one"), answer("2", "two"))) {
+            assertThat(send(server, "1"), is("COMPLETE one"));
+            assertThat(send(server, "2"), is("COMPLETE two"));
+            assertThat(server.connections(), is(1));
+        }
+    }
+
+    @Test
+    void skipsAResponseThatAnswersAnEarlierRequest() throws Exception {
+        try (ScriptedServer server =
+                new ScriptedServer(answer("1", "one"), answer("1", "late") + answer("2", "two"))) {
+            assertThat(send(server, "1"), is("COMPLETE one"));
+            assertThat(send(server, "2"), is("COMPLETE two"));
+        }
+    }
+
+    @Test
+    void givesUpAConnectionOnWhichMoreThanTheResponseCame() throws Exception {
+        try (ScriptedServer server =
+                new ScriptedServer(answer("1", "one") + answer("1", "again"), answer("2", "two"))) {
+            assertThat(send(server, "1"), is("COMPLETE one"));
+            assertThat(send(server, "2"), is("COMPLETE two"));
+            assertThat(server.connections(), is(2));
+        }
+    }
+
+    @Test
+    void doesNotTakeAShortBodyForAWholeOne() throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\n";
+        try (ScriptedServer server = new ScriptedServer(head + "shor" + ScriptedServer.CLOSE)) {
+            assertThat(send(server, "1"), is("LOST shor"));
+        }
+    }
+
+    @Test
+    void takesABodyWithoutLengthForWholeUnlessItsConnectionIsReset() throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n";
+        try (ScriptedServer server = new ScriptedServer(head + "all" + ScriptedServer.CLOSE)) {
+            assertThat(send(server, "1"), is("COMPLETE all"));
+        }
+        try (ScriptedServer server = new ScriptedServer(head + "all" + ScriptedServer.RESET)) {
+            assertThat(send(server, "1").split(" ")[0], is("LOST"));
+        }
+    }
+
+    @Test
+    void noticesBytesThatAreNoResponse() throws Exception {
+        try (ScriptedServer server = new ScriptedServer("garbage without a meaning\r\n\r\n")) {
+            assertThat(send(server, "1"), is("MALFORMED "));
+        }
+    }
+
+    @Test
+    void endsAnExchangeOnASilentConnection() throws Exception {
+        try (ScriptedServer server = new ScriptedServer("")) {
+            assertThat(send(server, "1"), is("SILENT "));
+        }
+    }
+
+    @Test
+    void saysThatNothingWasSentWhenNoConnectionIsOpened() throws Exception {
+        ScriptedServer server = new ScriptedServer();
+        server.close();
+        assertThat(send(server, "1"), is("NOT_CONNECTED "));
+    }
+
+    private String send(ScriptedServer server, String id) throws Exception {
+        CompletableFuture<String> result = new CompletableFuture<>();
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        ExchangeRequest request =
+                new ExchangeRequest(
+                        "127.0.0.1",
+                        server.port(),
+                        "GET",
+                        "/",
+                        new DefaultHttpHeaders().set("Host", "h"),
+                        new byte[0],
+                        head -> id.equals(head.headers().get("Id")),
+                        Duration.ofMillis(2_000),
+                        Duration.ofMillis(2_000));
+        client.send(
+                request,
+                new ExchangeListener() {
+                    @Override
+                    public void onHead(int status, HttpHeaders headers) {}
+
+                    @Override
+                    public void onContent(byte[] bytes) {
+                        body.writeBytes(bytes);
+                    }
+
+                    @Override
+                    public void onEnd(ExchangeEnd end) {
+                        result.complete(end + " " + body.toString(StandardCharsets.US_ASCII));
+                    }
+                });
+        return result.get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private static String answer(String id, String body) {
+        return "HTTP/1.1 200 OK\r\nId: "
+                + id
+                + "\r\nContent-Length: "
+                + body.length()
+                + "\r\n\r\n"
+                + body;
+    }
+}
--- /dev/null
+++ b/services/src/test/java/org/fuchsialever/services/exchange/ScriptedServer.java
@@ -0,0 +1,82 @@
+package org.fuchsialever.services.exchange;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Iterator;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Answers the requests of all connections with given bytes, one after the other. */
+final class ScriptedServer implements AutoCloseable {
+    /** Closes the connection after the bytes. */
+    static final String CLOSE = "<close>";
+
+    /** Resets the connection after the bytes. */
+    static final String RESET = "<reset>";
+
+    private final ServerSocket socket;
+    private final Iterator<String> answers;
+    private final AtomicInteger connections = new AtomicInteger();
+
+    ScriptedServer(String... answers) throws IOException {
+        this.socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        this.answers = List.of(answers).iterator();
+        Thread thread = new Thread(this::accept, "scripted-server");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    int port() {
+        return socket.getLocalPort();
+    }
+
+    int connections() {
+        return connections.get();
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+
+    private void accept() {
+        while (!socket.isClosed()) {
+            try (Socket connection = socket.accept()) {
+                connections.incrementAndGet();
+                serve(connection);
+            } catch (IOException e) {
+                // The client closed the connection or the test has ended; the next one is accepted.
+                continue;
+            }
+        }
+    }
+
+    private void serve(Socket connection) throws IOException {
+        BufferedReader reader =
+                new BufferedReader(
+                        new InputStreamReader(
+                                connection.getInputStream(), StandardCharsets.US_ASCII));
+        String line = reader.readLine();
+        while (line != null) {
+            if (line.isEmpty() && answers.hasNext()) {
+                String answer = answers.next();
+                boolean reset = answer.endsWith(RESET);
+                String bytes = answer.replace(CLOSE, "").replace(RESET, "");
+                connection.getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
+                connection.getOutputStream().flush();
+                if (reset) {
+                    connection.setSoLinger(true, 0);
+                }
+                if (reset || answer.endsWith(CLOSE)) {
+                    return;
+                }
+            }
+            line = reader.readLine();
+        }
+    }
+}
