--- a/decisions/src/main/java/org/fuchsialever/decisions/version/VersionPlanner.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/version/VersionPlanner.java
@@ -1,5 +1,6 @@
 package org.fuchsialever.decisions.version;
 
+import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -42,7 +43,7 @@
         for (int round = 0; round < rounds; round++) {
             for (Map.Entry<String, List<FleetUpstream>> entry : homes.entrySet()) {
                 best(entry.getKey(), entry.getValue(), upstreams, taken)
-                        .ifPresent(
+                        .forEach(
                                 upstream -> {
                                     taken.add(upstream.id());
                                     entry.getValue().add(upstream);
@@ -52,8 +53,7 @@
         // With fewer upstreams than models, upstreams are the home of several models.
         for (Map.Entry<String, List<FleetUpstream>> entry : homes.entrySet()) {
             if (entry.getValue().isEmpty()) {
-                best(entry.getKey(), List.of(), upstreams, Set.of())
-                        .ifPresent(entry.getValue()::add);
+                best(entry.getKey(), List.of(), upstreams, Set.of()).forEach(entry.getValue()::add);
             }
         }
         return homes;
@@ -95,7 +95,7 @@
         return orders;
     }
 
-    private static java.util.Optional<FleetUpstream> best(
+    private static Option<FleetUpstream> best(
             String model,
             List<FleetUpstream> chosen,
             Collection<FleetUpstream> upstreams,
@@ -107,7 +107,8 @@
                         .thenComparingLong(upstream -> versionsOfOthers(upstream, model))
                         .thenComparing(upstream -> domains.contains(upstream.failureDomain()))
                         .thenComparing(FleetUpstream::id);
-        return upstreams.stream().filter(upstream -> !taken.contains(upstream.id())).min(order);
+        return Option.ofOptional(
+                upstreams.stream().filter(upstream -> !taken.contains(upstream.id())).min(order));
     }
 
     private static long versionsOfOthers(FleetUpstream upstream, String model) {
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchService.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchService.java
@@ -23,6 +23,7 @@
 import org.fuchsialever.services.PlatformException.Effect;
 import org.fuchsialever.services.hosted.EntryProtocol;
 import org.fuchsialever.services.rows.RowChangeResult;
+import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Mono;
 import reactor.util.retry.Retry;
 
@@ -189,7 +190,7 @@
                                                         signal.failure())));
     }
 
-    private BatchReply notAccepted(String id, @org.jspecify.annotations.Nullable String reason) {
+    private BatchReply notAccepted(String id, @Nullable String reason) {
         trace.line(PART, "not-accepted")
                 .with("id", id)
                 .with("reason", String.valueOf(reason))
@@ -198,7 +199,7 @@
         return new BatchReply.NotAccepted(String.valueOf(reason), RETRY_AFTER_MILLIS);
     }
 
-    private BatchReply unknown(String id, @org.jspecify.annotations.Nullable String reason) {
+    private BatchReply unknown(String id, @Nullable String reason) {
         trace.line(PART, "effect-unknown")
                 .with("id", id)
                 .with("reason", String.valueOf(reason))
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryDrain.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryDrain.java
@@ -18,7 +18,7 @@
     private final Duration linger;
     private final Duration deadline;
     private final TraceLog trace;
-    private final CountDownLatch abandoned = new CountDownLatch(1);
+    private final CountDownLatch never = new CountDownLatch(1);
 
     EntryDrain(
             DrainPhases phases,
@@ -54,8 +54,10 @@
     }
 
     private void pause(long millis) throws InterruptedException {
-        if (abandoned.await(millis, TimeUnit.MILLISECONDS)) {
-            throw new IllegalStateException("nothing ends this wait early");
+        // Nothing counts the latch down, so this waits for the whole time.
+        boolean ended = never.await(millis, TimeUnit.MILLISECONDS);
+        if (ended) {
+            trace.line("entry", "drain-wait-ended").write();
         }
     }
 
--- a/node/src/main/java/org/fuchsialever/node/metering/MeteringRows.java
+++ b/node/src/main/java/org/fuchsialever/node/metering/MeteringRows.java
@@ -69,7 +69,7 @@
                         });
     }
 
-    /** Returns the first window that may not have been reported, given those of a range. */
+    /** Returns the last window whose counts are fixed, from the given one on, or -1. */
     Mono<Long> lastFixed(long fromWindow) {
         return rows.range(REPORTS, Long.toString(fromWindow), "", MOST_PROCESSES)
                 .map(
--- a/node/src/main/java/org/fuchsialever/node/version/VersionActions.java
+++ b/node/src/main/java/org/fuchsialever/node/version/VersionActions.java
@@ -13,6 +13,7 @@
 import org.fuchsialever.services.PlatformException;
 import org.fuchsialever.services.PlatformException.Effect;
 import org.fuchsialever.services.hosted.UpstreamOrders;
+import reactor.core.publisher.Mono;
 
 /** Sends orders and asks for reports. */
 final class VersionActions implements ActionSink<VersionAction> {
@@ -83,7 +84,7 @@
                 .onErrorResume(
                         PlatformException.class,
                         failure ->
-                                reactor.core.publisher.Mono.just(
+                                Mono.just(
                                         failure.effect() == Effect.NONE
                                                 ? OrderAnswer.REFUSED
                                                 : OrderAnswer.MAY_BE_LOADING))
