Count ages by the store's clock and pace reads of changes

The steady clock that the store names in its answers now dates submissions and signs of life. Reads of a table's changes start at least 50 to 500 ms apart, further apart above 100 instances.

Ruled out for the time: Unix time with a tolerance, since steps have no bound.

--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchHead.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchHead.java
@@ -10,7 +10,7 @@
  * @param path its path
  * @param total the number of items
  * @param listed the number of results that have a position
- * @param submittedMillis when it was accepted, Unix time in milliseconds
+ * @param submittedMillis when it was accepted, by the steady clock of the store in milliseconds
  * @param owner the instance that runs its items, empty if there is none
  * @param ownerStart identity of the owner's process
  * @param epoch grows with each change of the owner
--- a/decisions/src/main/java/org/fuchsialever/decisions/directory/DirectoryDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/directory/DirectoryDuty.java
@@ -25,6 +25,12 @@
 
     private static final int MOST_DOUBLINGS = 3;
 
+    /** So many instances make about 1,700 reads a second; with more, each reads less often. */
+    private static final int INSTANCES_AT_FULL_RATE = 100;
+
+    /** Far enough in the past, without an overflow when an interval is added. */
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
     private final RandomGenerator random;
     private final Map<DirectoryTable, Mirror> mirrors = new EnumMap<>(DirectoryTable.class);
     private long newestVersion;
@@ -51,7 +57,7 @@
             feedRead(mirror, read, nowNanos, actions);
         } else if (event instanceof DirectoryEvent.HistoryLost) {
             mirror.following = false;
-            actions.emit(new DirectoryAction.ReadRange(mirror.table));
+            readSoon(mirror, nowNanos, actions);
         } else if (event instanceof DirectoryEvent.ReadFailed failed) {
             failed(mirror, failed.reason(), nowNanos, actions);
         }
@@ -61,8 +67,7 @@
     public void onTimer(long nowNanos, ActionSink<DirectoryAction> actions) {
         for (Mirror mirror : mirrors.values()) {
             if (mirror.nextReadAt <= nowNanos) {
-                mirror.nextReadAt = NO_TIMER;
-                read(mirror, actions);
+                read(mirror, nowNanos, actions);
             }
         }
     }
@@ -84,7 +89,13 @@
         return mirror;
     }
 
-    private static void read(Mirror mirror, ActionSink<DirectoryAction> actions) {
+    private static void read(Mirror mirror, long now, ActionSink<DirectoryAction> actions) {
+        mirror.nextReadAt = NO_TIMER;
+        if (mirror.following) {
+            mirror.changesReadAt = now;
+        } else {
+            mirror.wholeReadAt = now;
+        }
         actions.emit(
                 mirror.following
                         ? new DirectoryAction.ReadFeed(mirror.table, mirror.version)
@@ -112,7 +123,7 @@
             }
         }
         mirror.following = true;
-        answered(mirror, changes, read.version(), actions);
+        answered(mirror, changes, read.version(), now, actions);
     }
 
     private void feedRead(
@@ -127,13 +138,14 @@
             failed(mirror, "the changes are older than those before", now, actions);
             return;
         }
-        answered(mirror, read.rows(), read.version(), actions);
+        answered(mirror, read.rows(), read.version(), now, actions);
     }
 
     private void answered(
             Mirror mirror,
             List<MirrorRow> rows,
             long version,
+            long now,
             ActionSink<DirectoryAction> actions) {
         newestVersion = Math.max(newestVersion, version);
         mirror.version = version;
@@ -147,7 +159,25 @@
             actions.emit(new DirectoryAction.ContactRegained(mirror.table));
         }
         actions.emit(new DirectoryAction.Current(mirror.table));
-        read(mirror, actions);
+        readSoon(mirror, now, actions);
+    }
+
+    private void readSoon(Mirror mirror, long now, ActionSink<DirectoryAction> actions) {
+        long last = mirror.following ? mirror.changesReadAt : mirror.wholeReadAt;
+        long next = last + intervalNanos(mirror.table);
+        if (next <= now) {
+            read(mirror, now, actions);
+        } else {
+            mirror.nextReadAt = next;
+        }
+    }
+
+    /** Reads of all instances together stay below the store's rate at any number of instances. */
+    private long intervalNanos(DirectoryTable table) {
+        int instances = mirror(DirectoryTable.INSTANCES).versions.size();
+        return table.intervalNanos()
+                * Math.max(INSTANCES_AT_FULL_RATE, instances)
+                / INSTANCES_AT_FULL_RATE;
     }
 
     private void failed(
@@ -169,6 +199,8 @@
         private long version;
         private int failures;
         private long nextReadAt = Long.MIN_VALUE;
+        private long changesReadAt = NEVER;
+        private long wholeReadAt = NEVER;
 
         Mirror(DirectoryTable table) {
             this.table = table;
--- a/decisions/src/test/java/org/fuchsialever/decisions/directory/DirectoryDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/directory/DirectoryDutyTest.java
@@ -2,11 +2,15 @@
 
 import static org.fuchsialever.decisions.directory.DirectoryTable.BATCHES;
 import static org.fuchsialever.decisions.directory.DirectoryTable.DECLARATIONS;
+import static org.fuchsialever.decisions.directory.DirectoryTable.INSTANCES;
+import static org.fuchsialever.decisions.directory.DirectoryTable.UPSTREAMS;
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -79,12 +83,52 @@
         assertThat(actions, hasItem(new DirectoryAction.ReadFeed(BATCHES, 10)));
     }
 
+    /** Guards against one read by every instance for every change of a busy table. */
+    @Test
+    void readsChangesOfABusyTableAtMostOnceInItsInterval() {
+        range(UPSTREAMS, 10, row("u1", 5));
+        actions.clear();
+        for (int version = 11; version < 111; version++) {
+            long now = TimeUnit.MILLISECONDS.toNanos(10L * (version - 10));
+            feed(UPSTREAMS, version, now, row("u1", version));
+            duty.onTimer(now, actions::add);
+        }
+        long reads =
+                actions.stream()
+                        .filter(DirectoryAction.ReadFeed.class::isInstance)
+                        .filter(action -> ((DirectoryAction.ReadFeed) action).table() == UPSTREAMS)
+                        .count();
+        assertThat(reads, is(lessThanOrEqualTo(6L)));
+        assertThat(changes(), hasSize(100));
+    }
+
+    /** Guards against instances that together exceed the store's rate of reads. */
+    @Test
+    void readsLessOftenWhenThereAreManyInstances() {
+        MirrorRow[] instances = new MirrorRow[400];
+        for (int i = 0; i < instances.length; i++) {
+            instances[i] = row("n" + i, i + 1);
+        }
+        range(INSTANCES, 500, instances);
+        range(UPSTREAMS, 500);
+        feed(UPSTREAMS, 501, 0, row("u1", 501));
+        actions.clear();
+        duty.onTimer(TimeUnit.MILLISECONDS.toNanos(799), actions::add);
+        assertThat(actions, not(hasItem(new DirectoryAction.ReadFeed(UPSTREAMS, 501))));
+        duty.onTimer(TimeUnit.MILLISECONDS.toNanos(800), actions::add);
+        assertThat(actions, hasItem(new DirectoryAction.ReadFeed(UPSTREAMS, 501)));
+    }
+
     private void range(DirectoryTable table, long version, MirrorRow... rows) {
         duty.onEvent(new DirectoryEvent.RangeRead(table, List.of(rows), version), 0, actions::add);
     }
 
     private void feed(DirectoryTable table, long version, MirrorRow... rows) {
-        duty.onEvent(new DirectoryEvent.FeedRead(table, List.of(rows), version), 0, actions::add);
+        feed(table, version, 0, rows);
+    }
+
+    private void feed(DirectoryTable table, long version, long now, MirrorRow... rows) {
+        duty.onEvent(new DirectoryEvent.FeedRead(table, List.of(rows), version), now, actions::add);
     }
 
     private void fail(DirectoryTable table) {
--- a/kernel/src/main/java/org/fuchsialever/kernel/time/ManualTimeSource.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/time/ManualTimeSource.java
@@ -7,7 +7,7 @@
 /** A clock that moves only when told to. */
 public final class ManualTimeSource implements TimeSource {
     private final AtomicLong nanos = new AtomicLong();
-    private final long wallOriginMillis;
+    private volatile long wallOriginMillis;
 
     /**
      * Creates a clock at monotonic time zero.
@@ -40,4 +40,9 @@
     public void advance(Duration delta) {
         advanceNanos(delta.toNanos());
     }
+
+    /** Sets the wall clock forward, or back by a negative number of milliseconds. */
+    public void jumpWallMillis(long delta) {
+        wallOriginMillis = wallOriginMillis + delta;
+    }
 }
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
@@ -25,6 +25,7 @@
 import org.fuchsialever.kernel.duty.Inbox;
 import org.fuchsialever.kernel.time.TimeSource;
 import org.fuchsialever.node.directory.Directory;
+import org.fuchsialever.node.directory.StoreClock;
 import org.fuchsialever.node.forward.ForwardPort;
 import org.fuchsialever.node.forward.Payload;
 import org.fuchsialever.node.trace.TraceLog;
@@ -42,6 +43,7 @@
     private final UpstreamProtocol protocol;
     private final Inbox<BatchEvent> inbox;
     private final TimeSource time;
+    private final StoreClock clock;
     private final TraceLog trace;
     private final Runnable onDrained;
     private final Map<ItemKey, Running> running = new ConcurrentHashMap<>();
@@ -53,6 +55,7 @@
             UpstreamProtocol protocol,
             Inbox<BatchEvent> inbox,
             TimeSource time,
+            StoreClock clock,
             TraceLog trace,
             Runnable onDrained) {
         this.store = store;
@@ -61,6 +64,7 @@
         this.protocol = protocol;
         this.inbox = inbox;
         this.time = time;
+        this.clock = clock;
         this.trace = trace;
         this.onDrained = onDrained;
     }
@@ -119,7 +123,8 @@
                 directory.manifest().flatMap(m -> m.route(head.host(), head.path()));
         long due = route.map(ForwardRoute::dueMillis).getOrElse(0L);
         long giveUp = route.map(ForwardRoute::giveUpMillis).getOrElse(0L);
-        long age = time.wallMillis() - head.submittedMillis();
+        // Whoever opens a submission has read its head, and with it the time of the store.
+        long age = clock.millis().getOrElse(head.submittedMillis()) - head.submittedMillis();
         long giveUpNanos =
                 giveUp <= 0
                         ? Duty.NO_TIMER
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchComponent.java
@@ -17,6 +17,7 @@
 import org.fuchsialever.node.NodeIdentity;
 import org.fuchsialever.node.directory.Directory;
 import org.fuchsialever.node.directory.DirectoryListener;
+import org.fuchsialever.node.directory.StoreClock;
 import org.fuchsialever.node.forward.ForwardPort;
 import org.fuchsialever.node.hosted.DrainPhases;
 import org.fuchsialever.node.lease.HeldLease;
@@ -53,6 +54,7 @@
         return Set.of(
                 HostedServices.class,
                 Directory.class,
+                StoreClock.class,
                 ForwardPort.class,
                 NodeIdentity.class,
                 DrainPhases.class,
@@ -69,11 +71,11 @@
             ComponentContext context,
             HostedServices services,
             Directory directory,
+            StoreClock clock,
             TraceLog trace) {
         Leases leases = context.require(Leases.class);
         BatchPurge purge =
-                new BatchPurge(
-                        services, directory, leases, context.time(), retention.toMillis(), trace);
+                new BatchPurge(services, directory, leases, clock, retention.toMillis(), trace);
         leases.want(
                 BatchPurge.ROLE,
                 new Leases.LeaseListener() {
@@ -105,6 +107,7 @@
         Directory directory = context.require(Directory.class);
         NodeIdentity identity = context.require(NodeIdentity.class);
         TraceLog trace = context.require(TraceLog.class);
+        StoreClock clock = context.require(StoreClock.class);
         BatchStore store = new BatchStore(services);
         BatchDrain drain = new BatchDrain();
         BatchActions[] created = new BatchActions[1];
@@ -125,6 +128,7 @@
                                             services.upstreams(),
                                             ring,
                                             context.time(),
+                                            clock,
                                             trace,
                                             drain::completed);
                             return created[0];
@@ -143,31 +147,39 @@
                         services.entry(),
                         identity,
                         context.time(),
+                        clock,
                         trace));
         context.provide(BatchDrain.class, drain);
-        startPurge(context, services, directory, trace);
+        startPurge(context, services, directory, clock, trace);
         context.require(DrainPhases.class).onStart(() -> inbox.offer(new BatchEvent.Draining()));
-        directory.listen(
-                new DirectoryListener() {
-                    @Override
-                    public void onManifest(Manifest manifest) {
-                        actions.reroute(manifest);
-                    }
+        directory.listen(listener(actions, waiters, directory, inbox));
+    }
 
-                    @Override
-                    public void onHeads(List<VersionedHead> heads, List<String> removed) {
-                        waiters.changed(heads);
-                        inbox.offer(new BatchEvent.HeadsChanged(heads, removed));
-                    }
+    private static DirectoryListener listener(
+            BatchActions actions,
+            BatchWaiters waiters,
+            Directory directory,
+            Inbox<BatchEvent> inbox) {
+        return new DirectoryListener() {
+            @Override
+            public void onManifest(Manifest manifest) {
+                actions.reroute(manifest);
+            }
 
-                    @Override
-                    public void onBatchContact(boolean present) {
-                        // Called about once a second, often enough to tell who is alive.
-                        inbox.offer(new BatchEvent.PeersChanged(directory.livePeers()));
-                        // Without routes, items of earlier submissions would look impossible.
-                        boolean usable = present && directory.manifest().isDefined();
-                        inbox.offer(new BatchEvent.StoreContact(usable));
-                    }
-                });
+            @Override
+            public void onHeads(List<VersionedHead> heads, List<String> removed) {
+                waiters.changed(heads);
+                inbox.offer(new BatchEvent.HeadsChanged(heads, removed));
+            }
+
+            @Override
+            public void onBatchContact(boolean present) {
+                // Called about once a second, often enough to tell who is alive.
+                inbox.offer(new BatchEvent.PeersChanged(directory.livePeers()));
+                // Without routes, items of earlier submissions would look impossible.
+                boolean usable = present && directory.manifest().isDefined();
+                inbox.offer(new BatchEvent.StoreContact(usable));
+            }
+        };
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchPurge.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchPurge.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 import org.fuchsialever.decisions.batch.BatchEvent.VersionedHead;
 import org.fuchsialever.decisions.batch.BatchHead;
-import org.fuchsialever.kernel.time.TimeSource;
 import org.fuchsialever.node.directory.Directory;
+import org.fuchsialever.node.directory.StoreClock;
 import org.fuchsialever.node.lease.Leases;
 import org.fuchsialever.node.trace.TraceLog;
 import org.fuchsialever.services.hosted.HostedServices;
@@ -20,7 +20,7 @@
     /** The role under which submissions are removed. */
     static final String ROLE = "purge";
 
-    /** Clocks of instances differ, and a trainer may read until the last moment. */
+    /** A trainer may read until the last moment, by a clock that differs. */
     private static final long MARGIN_MILLIS = 30_000;
 
     /** Below the store's limit of 100 entries a change. */
@@ -29,7 +29,7 @@
     private final HostedServices services;
     private final Directory directory;
     private final Leases leases;
-    private final TimeSource time;
+    private final StoreClock clock;
     private final long retentionMillis;
     private final TraceLog trace;
     private boolean running;
@@ -38,13 +38,13 @@
             HostedServices services,
             Directory directory,
             Leases leases,
-            TimeSource time,
+            StoreClock clock,
             long retentionMillis,
             TraceLog trace) {
         this.services = services;
         this.directory = directory;
         this.leases = leases;
-        this.time = time;
+        this.clock = clock;
         this.retentionMillis = retentionMillis;
         this.trace = trace;
     }
@@ -54,7 +54,8 @@
         if (running || leases.held(ROLE).isEmpty()) {
             return;
         }
-        Option<VersionedHead> due = due(directory.heads(), time.wallMillis(), retentionMillis);
+        Option<VersionedHead> due =
+                clock.millis().flatMap(now -> due(directory.heads(), now, retentionMillis));
         if (due.isEmpty()) {
             return;
         }
@@ -74,11 +75,11 @@
 
     /** Returns a submission that is no longer open and whose time is over. */
     static Option<VersionedHead> due(
-            List<VersionedHead> heads, long wallMillis, long retentionMillis) {
+            List<VersionedHead> heads, long nowMillis, long retentionMillis) {
         for (VersionedHead row : heads) {
             BatchHead head = row.head();
             if (!head.isOpen()
-                    && wallMillis - head.submittedMillis() > retentionMillis + MARGIN_MILLIS) {
+                    && nowMillis - head.submittedMillis() > retentionMillis + MARGIN_MILLIS) {
                 return Option.some(row);
             }
         }
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchService.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchService.java
@@ -18,6 +18,7 @@
 import org.fuchsialever.kernel.time.TimeSource;
 import org.fuchsialever.node.NodeIdentity;
 import org.fuchsialever.node.directory.Directory;
+import org.fuchsialever.node.directory.StoreClock;
 import org.fuchsialever.node.trace.TraceLog;
 import org.fuchsialever.services.PlatformException;
 import org.fuchsialever.services.PlatformException.Effect;
@@ -50,6 +51,7 @@
     private final EntryProtocol protocol;
     private final NodeIdentity identity;
     private final TimeSource time;
+    private final StoreClock clock;
     private final TraceLog trace;
 
     BatchService(
@@ -60,6 +62,7 @@
             EntryProtocol protocol,
             NodeIdentity identity,
             TimeSource time,
+            StoreClock clock,
             TraceLog trace) {
         this.store = store;
         this.actions = actions;
@@ -68,6 +71,7 @@
         this.protocol = protocol;
         this.identity = identity;
         this.time = time;
+        this.clock = clock;
         this.trace = trace;
     }
 
@@ -92,6 +96,10 @@
         if (read.isLeft()) {
             return Mono.just(new BatchReply.Malformed(read.getLeft()));
         }
+        Option<Long> now = clock.millis();
+        if (now.isEmpty()) {
+            return Mono.just(notAccepted(id, "store-clock-unknown"));
+        }
         BatchSpec spec = read.get();
         Peer owner = owner(team, spec);
         BatchHead head =
@@ -102,7 +110,7 @@
                         path,
                         spec.items().size(),
                         0,
-                        time.wallMillis(),
+                        now.get(),
                         owner.instance(),
                         owner.start(),
                         1,
--- a/node/src/main/java/org/fuchsialever/node/directory/Directory.java
+++ b/node/src/main/java/org/fuchsialever/node/directory/Directory.java
@@ -18,24 +18,23 @@
 
 /** The state of the mirrored tables. Written on the thread of the directory duty only. */
 public final class Directory {
-    /** Three signs of life are missing. */
-    private static final long LIVE_MILLIS = 2_100;
-
-    /** A row of an instance that is gone is told apart by its time when it is first read. */
-    private static final long MOST_SKEW_MILLIS = 8_000;
+    /** Three signs of life are missing, 0.7 s each, and the table is read each 0.5 s. */
+    private static final long LIVE_MILLIS = 2_600;
 
     private final TimeSource time;
+    private final StoreClock clock;
     private final List<DirectoryListener> listeners = new CopyOnWriteArrayList<>();
     private final Map<String, FleetUpstream> upstreams = new HashMap<>();
     private final Map<String, VersionedHead> heads = new ConcurrentHashMap<>();
     private final Map<String, Long> named = new ConcurrentHashMap<>();
     private final EnumMap<DirectoryTable, Long> currentAt = new EnumMap<>(DirectoryTable.class);
-    private final Map<String, SeenPresence> presences = new HashMap<>();
+    private final Map<String, Presence> presences = new HashMap<>();
     private volatile Option<Manifest> manifest = Option.none();
     private volatile List<FleetUpstream> upstreamList = List.of();
 
-    Directory(TimeSource time) {
+    Directory(TimeSource time, StoreClock clock) {
         this.time = time;
+        this.clock = clock;
     }
 
     /** Adds a listener and tells it the present state. */
@@ -87,9 +86,6 @@
         }
     }
 
-    /** A sign of life with the local time at which it was seen. */
-    private record SeenPresence(Presence presence, long seenNanos) {}
-
     synchronized boolean replaceManifest(Manifest newer) {
         if (manifest.isDefined() && manifest.get().version() >= newer.version()) {
             return false;
@@ -120,19 +116,16 @@
 
     synchronized void changePresences(List<Presence> changed, List<String> gone) {
         gone.forEach(presences::remove);
-        for (Presence presence : changed) {
-            presences.put(presence.instance(), new SeenPresence(presence, time.nanoTime()));
-        }
+        changed.forEach(presence -> presences.put(presence.instance(), presence));
     }
 
     /** Returns the instances that have shown a sign of life lately and are not leaving. */
     public synchronized List<Peer> livePeers() {
         List<Peer> live = new ArrayList<>();
-        for (SeenPresence seen : presences.values()) {
-            Presence presence = seen.presence;
-            long age = TimeUnit.NANOSECONDS.toMillis(time.nanoTime() - seen.seenNanos);
-            long skew = Math.abs(time.wallMillis() - presence.wallMillis());
-            if (!presence.leaving() && age < LIVE_MILLIS && skew < MOST_SKEW_MILLIS) {
+        for (Presence presence : presences.values()) {
+            long written = presence.storeMillis();
+            boolean recent = clock.millis().exists(now -> now - written < LIVE_MILLIS);
+            if (!presence.leaving() && recent) {
                 live.add(new Peer(presence.instance(), presence.start()));
             }
         }
--- a/node/src/main/java/org/fuchsialever/node/directory/DirectoryActions.java
+++ b/node/src/main/java/org/fuchsialever/node/directory/DirectoryActions.java
@@ -31,6 +31,7 @@
 
     private final HostedServices services;
     private final Directory directory;
+    private final StoreClock clock;
     private final TraceLog trace;
     private final MeterRegistry meters;
     private final ActionSink<DirectoryEvent> duty;
@@ -38,11 +39,13 @@
     DirectoryActions(
             HostedServices services,
             Directory directory,
+            StoreClock clock,
             TraceLog trace,
             MeterRegistry meters,
             ActionSink<DirectoryEvent> duty) {
         this.services = services;
         this.directory = directory;
+        this.clock = clock;
         this.trace = trace;
         this.meters = meters;
         this.duty = duty;
@@ -79,10 +82,12 @@
         String name = services.directory().tableName(table);
         readPages(name, "", new ArrayList<>(), -1)
                 .subscribe(
-                        page ->
-                                duty.emit(
-                                        new DirectoryEvent.RangeRead(
-                                                table, mirror(page.rows()), page.version())),
+                        page -> {
+                            clock.observe(page.storeMillis());
+                            duty.emit(
+                                    new DirectoryEvent.RangeRead(
+                                            table, mirror(page.rows()), page.version()));
+                        },
                         failure -> failed(table, failure));
     }
 
@@ -96,7 +101,8 @@
                             found.addAll(page.rows());
                             long version = firstVersion < 0 ? page.version() : firstVersion;
                             if (!page.more() || page.rows().isEmpty()) {
-                                return Mono.just(new RowPage(found, false, version));
+                                return Mono.just(
+                                        new RowPage(found, false, version, page.storeMillis()));
                             }
                             String last = found.get(found.size() - 1).key().key();
                             return readPages(table, last + "\u0001", found, version);
@@ -107,10 +113,12 @@
         services.rows()
                 .changes(services.directory().tableName(table), after, FEED_WAIT)
                 .subscribe(
-                        page ->
-                                duty.emit(
-                                        new DirectoryEvent.FeedRead(
-                                                table, mirror(page.rows()), page.version())),
+                        page -> {
+                            clock.observe(page.storeMillis());
+                            duty.emit(
+                                    new DirectoryEvent.FeedRead(
+                                            table, mirror(page.rows()), page.version()));
+                        },
                         failure -> failed(table, failure));
     }
 
--- a/node/src/main/java/org/fuchsialever/node/directory/DirectoryComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/directory/DirectoryComponent.java
@@ -27,12 +27,13 @@
 
     @Override
     public Set<Class<?>> provides() {
-        return Set.of(Directory.class);
+        return Set.of(Directory.class, StoreClock.class);
     }
 
     @Override
     public void install(ComponentContext context) {
-        Directory directory = new Directory(context.time());
+        StoreClock clock = new StoreClock(context.time());
+        Directory directory = new Directory(context.time(), clock);
         context.startDutyWith(
                 new DirectoryDuty(context.random("directory")),
                 RING_CAPACITY,
@@ -41,10 +42,12 @@
                         new DirectoryActions(
                                 context.require(HostedServices.class),
                                 directory,
+                                clock,
                                 context.require(TraceLog.class),
                                 context.meters(),
                                 event -> offer(inbox, event)));
         context.provide(Directory.class, directory);
+        context.provide(StoreClock.class, clock);
     }
 
     private static void offer(Inbox<DirectoryEvent> inbox, DirectoryEvent event) {
--- a/node/src/main/java/org/fuchsialever/node/directory/Presence.java
+++ b/node/src/main/java/org/fuchsialever/node/directory/Presence.java
@@ -11,10 +11,10 @@
  *
  * @param instance its name
  * @param start identity of its process
- * @param wallMillis when it was written, Unix time in milliseconds
+ * @param storeMillis when it was written, by the steady clock of the store in milliseconds
  * @param leaving whether the instance is shutting down
  */
-public record Presence(String instance, String start, long wallMillis, boolean leaving) {
+public record Presence(String instance, String start, long storeMillis, boolean leaving) {
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     /** Writes the row. */
@@ -23,7 +23,7 @@
             return MAPPER.writeValueAsBytes(
                     MAPPER.createObjectNode()
                             .put("start", start)
-                            .put("at", wallMillis)
+                            .put("at", storeMillis)
                             .put("leaving", leaving));
         } catch (JsonProcessingException e) {
             throw new IllegalStateException("a tree of values cannot be written", e);
--- a/node/src/main/java/org/fuchsialever/node/directory/PresenceComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/directory/PresenceComponent.java
@@ -8,7 +8,6 @@
 import org.fuchsialever.decisions.directory.DirectoryTable;
 import org.fuchsialever.kernel.plugin.Component;
 import org.fuchsialever.kernel.plugin.ComponentContext;
-import org.fuchsialever.kernel.time.TimeSource;
 import org.fuchsialever.node.NodeIdentity;
 import org.fuchsialever.node.hosted.DrainPhases;
 import org.fuchsialever.services.hosted.HostedServices;
@@ -20,6 +19,9 @@
     /** Three of them fit into the time after which an instance counts as gone. */
     private static final long INTERVAL_MILLIS = 700;
 
+    /** The first reads have told the time of the store by then. */
+    private static final long FIRST_MILLIS = 50;
+
     @Override
     public String pluginName() {
         return "presence";
@@ -27,7 +29,8 @@
 
     @Override
     public Set<Class<?>> requires() {
-        return Set.of(HostedServices.class, Directory.class, NodeIdentity.class, DrainPhases.class);
+        return Set.of(
+                HostedServices.class, StoreClock.class, NodeIdentity.class, DrainPhases.class);
     }
 
     @Override
@@ -40,35 +43,43 @@
         HostedServices services = context.require(HostedServices.class);
         NodeIdentity identity = context.require(NodeIdentity.class);
         DrainPhases drain = context.require(DrainPhases.class);
-        TimeSource time = context.time();
+        StoreClock clock = context.require(StoreClock.class);
         RowKey key =
                 new RowKey(
                         services.directory().tableName(DirectoryTable.INSTANCES),
                         identity.instance().value());
         Runnable write =
-                () -> {
-                    Presence presence =
-                            new Presence(
-                                    identity.instance().value(),
-                                    identity.start(),
-                                    time.wallMillis(),
-                                    drain.isStarted());
-                    services.rows()
-                            .change(
-                                    new RowChange(
-                                            Map.of(), Map.of(key, presence.encode()), List.of()))
-                            .subscribe(
-                                    written -> {},
-                                    failure ->
-                                            context.meters()
-                                                    .counter("fuchsialever.presence.failures")
-                                                    .increment());
-                };
+                () ->
+                        clock.millis()
+                                .forEach(
+                                        now ->
+                                                write(
+                                                        context,
+                                                        services,
+                                                        key,
+                                                        new Presence(
+                                                                identity.instance().value(),
+                                                                identity.start(),
+                                                                now,
+                                                                drain.isStarted())));
         Future<?> timer =
                 services.exchange()
                         .loop()
-                        .scheduleAtFixedRate(write, 0, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+                        .scheduleAtFixedRate(
+                                write, FIRST_MILLIS, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         context.closer().register("presence", () -> timer.cancel(false));
         drain.onStart(write);
     }
+
+    private static void write(
+            ComponentContext context, HostedServices services, RowKey key, Presence presence) {
+        services.rows()
+                .change(new RowChange(Map.of(), Map.of(key, presence.encode()), List.of()))
+                .subscribe(
+                        written -> {},
+                        failure ->
+                                context.meters()
+                                        .counter("fuchsialever.presence.failures")
+                                        .increment());
+    }
 }
--- a/services/src/main/java/org/fuchsialever/services/rows/RowPage.java
+++ b/services/src/main/java/org/fuchsialever/services/rows/RowPage.java
@@ -8,8 +8,9 @@
  * @param rows the rows in the order of their keys, or changes in the order of their versions
  * @param more whether further rows follow
  * @param version the newest version at that moment
+ * @param storeMillis steady clock of the store at that moment, in milliseconds
  */
-public record RowPage(List<StoredRow> rows, boolean more, long version) {
+public record RowPage(List<StoredRow> rows, boolean more, long version, long storeMillis) {
 
     /** Copies the list. */
     public RowPage {
