Add a fault soak of real processes

Runs three instances as processes against the stand-ins of the platform, with loopback proxies on the links to the store, the upstreams and the instances, and signals to the processes.

--- /dev/null
+++ b/soak/src/test/java/org/fuchsialever/soak/FaultSoakTest.java
@@ -0,0 +1,53 @@
+package org.fuchsialever.soak;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.Test;
+
+/** Runs the seeds of a run by hand, or in CI the seeds that have failed before and one more. */
+class FaultSoakTest {
+    private static final String SEEDS_IN_CI = "1";
+
+    @Test
+    void keepsItsPromisesUnderRandomFaults() throws Exception {
+        Path directory = Path.of(System.getProperty("soak.directory", "target/runs"));
+        ExecutorService threads =
+                Executors.newFixedThreadPool(Integer.getInteger("soak.parallel", 2));
+        try {
+            Map<Long, Future<List<String>>> runs = new LinkedHashMap<>();
+            for (long seed : seeds(System.getProperty("soak.seeds", ""))) {
+                runs.put(seed, threads.submit(() -> new SoakRun(seed, directory).findings()));
+            }
+            List<String> broken = new ArrayList<>();
+            for (Map.Entry<Long, Future<List<String>>> run : runs.entrySet()) {
+                run.getValue()
+                        .get()
+                        .forEach(text -> broken.add("seed " + run.getKey() + ": " + text));
+            }
+            assertThat(String.join("\n", broken), is(""));
+        } finally {
+            threads.shutdownNow();
+        }
+    }
+
+    private static List<Long> seeds(String text) {
+        List<Long> seeds = new ArrayList<>();
+        for (String part : (text.isBlank() ? SEEDS_IN_CI : text).split(",", -1)) {
+            String[] bounds = part.trim().split("-", -1);
+            long last = Long.parseLong(bounds[bounds.length - 1]);
+            for (long seed = Long.parseLong(bounds[0]); seed <= last; seed++) {
+                seeds.add(seed);
+            }
+        }
+        return seeds;
+    }
+}
--- /dev/null
+++ b/soak/src/test/java/org/fuchsialever/soak/LoopbackProxy.java
@@ -0,0 +1,158 @@
+package org.fuchsialever.soak;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/** A TCP link between two processes that can be disturbed. */
+final class LoopbackProxy implements AutoCloseable {
+    private static final String LOOPBACK = "127.0.0.1";
+
+    private final EventLoopGroup group;
+    private final int targetPort;
+    private final Channel server;
+    private final Set<Channel> open = ConcurrentHashMap.newKeySet();
+    private volatile LinkState state = LinkState.SOUND;
+
+    LoopbackProxy(EventLoopGroup group, int targetPort) {
+        this.group = group;
+        this.targetPort = targetPort;
+        this.server =
+                new ServerBootstrap()
+                        .group(group)
+                        .channel(NioServerSocketChannel.class)
+                        .childOption(ChannelOption.AUTO_READ, false)
+                        .childHandler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel caller) {
+                                        accept(caller);
+                                    }
+                                })
+                        .bind(LOOPBACK, 0)
+                        .syncUninterruptibly()
+                        .channel();
+    }
+
+    int port() {
+        return ((InetSocketAddress) server.localAddress()).getPort();
+    }
+
+    String address() {
+        return LOOPBACK + ":" + port();
+    }
+
+    /** Changes how bytes are treated from now on; a state that resets breaks what is open. */
+    void behave(LinkState newState) {
+        state = newState;
+        if (newState.resets()) {
+            open.forEach(LoopbackProxy::reset);
+        }
+    }
+
+    private void accept(SocketChannel caller) {
+        if (state.resets()) {
+            reset(caller);
+            return;
+        }
+        ChannelFuture connecting =
+                new Bootstrap()
+                        .group(caller.eventLoop())
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.AUTO_READ, false)
+                        .handler(new ChannelInboundHandlerAdapter())
+                        .connect(LOOPBACK, targetPort);
+        connecting.addListener(
+                done -> {
+                    if (!done.isSuccess()) {
+                        reset(caller);
+                        return;
+                    }
+                    Channel target = connecting.channel();
+                    join(caller, target, true);
+                    join(target, caller, false);
+                });
+    }
+
+    private void join(Channel from, Channel to, boolean requests) {
+        open.add(from);
+        from.pipeline().addLast(new Pump(to, requests));
+        from.config().setAutoRead(true);
+    }
+
+    private static void reset(Channel channel) {
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        channel.close();
+    }
+
+    @Override
+    public void close() {
+        server.close().syncUninterruptibly();
+        open.forEach(LoopbackProxy::reset);
+    }
+
+    /** Passes the bytes of one direction on. */
+    private final class Pump extends ChannelInboundHandlerAdapter {
+        private final Channel to;
+        private final boolean requests;
+        private boolean silent;
+        private long dueNanos = System.nanoTime();
+
+        Pump(Channel to, boolean requests) {
+            this.to = to;
+            this.requests = requests;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            LinkState now = state;
+            silent |= requests ? !now.passesRequests() : !now.passesAnswers();
+            if (silent) {
+                ReferenceCountUtil.release(message);
+            } else {
+                later(context, now.delayMillis(), () -> to.writeAndFlush(message));
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            open.remove(context.channel());
+            if (!silent) {
+                later(context, 0, to::close);
+            }
+        }
+
+        /** Keeps the order of bytes when a delay ends. */
+        private void later(ChannelHandlerContext context, long delayMillis, Runnable step) {
+            long now = System.nanoTime();
+            dueNanos = Math.max(dueNanos, now + TimeUnit.MILLISECONDS.toNanos(delayMillis));
+            if (dueNanos <= now) {
+                step.run();
+            } else {
+                context.executor().schedule(step, dueNanos - now, TimeUnit.NANOSECONDS);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, @Nullable Throwable cause) {
+            // The other side resets its connection: this one is reset as well.
+            reset(context.channel());
+            reset(to);
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/test/java/org/fuchsialever/soak/SoakFault.java
@@ -0,0 +1,168 @@
+package org.fuchsialever.soak;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.fuchsialever.platform.StoreStandIn;
+import org.fuchsialever.platform.UpstreamStandIn;
+
+/** A disturbance from outside. */
+enum SoakFault {
+    /** An instance is killed and starts again. */
+    KILL(false) {
+        @Override
+        Healing begin(SoakWorld world, RandomGenerator random) {
+            InstanceProgram instance = any(world.instances(), random);
+            instance.kill();
+            return instance::startAgain;
+        }
+    },
+    /** An instance is told to stop and starts again as soon as it has ended. */
+    TERMINATE(true) {
+        @Override
+        Healing begin(SoakWorld world, RandomGenerator random) {
+            any(world.instances(), random).terminate(world.record());
+            return () -> {};
+        }
+    },
+    /** An instance stands still. */
+    PAUSE(false) {
+        @Override
+        Healing begin(SoakWorld world, RandomGenerator random) throws IOException {
+            InstanceProgram instance = any(world.instances(), random);
+            instance.pause();
+            return instance::resume;
+        }
+    },
+    /** An instance is told that its settings have changed. */
+    RELOAD(true) {
+        @Override
+        Healing begin(SoakWorld world, RandomGenerator random) throws IOException {
+            any(world.instances(), random).reload();
+            return () -> {};
+        }
+    },
+    /** All instances are killed at once. */
+    KILL_ALL(false) {
+        @Override
+        Healing begin(SoakWorld world, RandomGenerator random) {
+            world.instances().forEach(InstanceProgram::kill);
+            return () -> {
+                for (InstanceProgram instance : world.instances()) {
+                    instance.startAgain();
+                }
+            };
+        }
+    },
+    /** The link of an instance to the store is disturbed. */
+    STORE_LINK(false) {
+        @Override
+        Healing begin(SoakWorld world, RandomGenerator random) {
+            return disturb(any(world.instances(), random).storeLink(), random);
+        }
+    },
+    /** The link of the callers to an instance is disturbed. */
+    ENTRY_LINK(false) {
+        @Override
+        Healing begin(SoakWorld world, RandomGenerator random) {
+            return disturb(any(world.instances(), random).entryLink(), random);
+        }
+    },
+    /** The link to an upstream is disturbed. */
+    UPSTREAM_LINK(false) {
+        @Override
+        Healing begin(SoakWorld world, RandomGenerator random) {
+            return disturb(any(List.copyOf(world.upstreamLinks().values()), random), random);
+        }
+    },
+    /** The store refuses, is silent or loses answers. */
+    STORE(false) {
+        @Override
+        Healing begin(SoakWorld world, RandomGenerator random) {
+            StoreStandIn.Mode[] modes = StoreStandIn.Mode.values();
+            world.store().behave(modes[1 + random.nextInt(modes.length - 1)]);
+            return () -> world.store().behave(StoreStandIn.Mode.UP);
+        }
+    },
+    /** The store forgets its history. */
+    STORE_HISTORY(false) {
+        @Override
+        Healing begin(SoakWorld world, RandomGenerator random) {
+            world.store().forgetHistory();
+            return () -> {};
+        }
+    },
+    /** An upstream refuses, loses answers, breaks streams off or is mute. */
+    UPSTREAM(false) {
+        @Override
+        Healing begin(SoakWorld world, RandomGenerator random) {
+            UpstreamStandIn upstream = any(List.copyOf(world.upstreams().values()), random);
+            UpstreamStandIn.Behaviour[] behaviours = UpstreamStandIn.Behaviour.values();
+            upstream.behave(behaviours[1 + random.nextInt(behaviours.length - 1)]);
+            return () -> upstream.behave(UpstreamStandIn.Behaviour.SOUND);
+        }
+    },
+    /** An upstream leaves and comes back. */
+    UPSTREAM_LEAVES(true) {
+        @Override
+        Healing begin(SoakWorld world, RandomGenerator random) {
+            String id = any(List.copyOf(world.upstreams().keySet()), random);
+            world.register(id, "draining");
+            return () -> world.register(id, "ready");
+        }
+    },
+    /** The manifest changes. */
+    MANIFEST(true) {
+        @Override
+        Healing begin(SoakWorld world, RandomGenerator random) {
+            world.changeManifest();
+            return () -> {};
+        }
+    },
+    /** A trainer names a weight version. */
+    WEIGHT_VERSION(true) {
+        @Override
+        Healing begin(SoakWorld world, RandomGenerator random) {
+            world.nameWeightVersion();
+            return () -> {};
+        }
+    };
+
+    private final boolean planned;
+
+    SoakFault(boolean planned) {
+        this.planned = planned;
+    }
+
+    /** Returns whether operators do this on purpose, so that no caller may notice it. */
+    boolean isPlanned() {
+        return planned;
+    }
+
+    /**
+     * Begins the disturbance.
+     *
+     * @return what ends it
+     */
+    abstract Healing begin(SoakWorld world, RandomGenerator random) throws IOException;
+
+    private static <T> T any(List<T> choices, RandomGenerator random) {
+        return choices.get(random.nextInt(choices.size()));
+    }
+
+    private static Healing disturb(LoopbackProxy link, RandomGenerator random) {
+        List<LinkState> states = new ArrayList<>(List.of(LinkState.values()));
+        states.remove(LinkState.SOUND);
+        link.behave(any(states, random));
+        return () -> link.behave(LinkState.SOUND);
+    }
+
+    /** What ends a disturbance. */
+    @FunctionalInterface
+    interface Healing {
+
+        /** Ends it. */
+        void run() throws IOException;
+    }
+}
--- /dev/null
+++ b/soak/src/test/java/org/fuchsialever/soak/SoakWorld.java
@@ -0,0 +1,131 @@
+package org.fuchsialever.soak;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.fuchsialever.kernel.lifecycle.Closer;
+import org.fuchsialever.platform.ManifestText;
+import org.fuchsialever.platform.StoreStandIn;
+import org.fuchsialever.platform.UpstreamStandIn;
+
+/** Instances as processes, with stand-ins for the store and the upstreams in this process. */
+final class SoakWorld implements AutoCloseable {
+    static final String KEY = "key-1";
+    static final String TEAM = "team";
+    static final String MODEL = "m";
+
+    private static final int INSTANCES = 3;
+    private static final Map<String, String> SERVICES =
+            Map.of("p1", "plain", "p2", "plain", "e1", "engines", "e2", "engines");
+
+    private final Closer closer = new Closer();
+    private final StoreStandIn store;
+    private final SoakRecord record = new SoakRecord();
+    private final List<InstanceProgram> instances = new ArrayList<>();
+    private final Map<String, UpstreamStandIn> upstreams = new TreeMap<>();
+    private final Map<String, LoopbackProxy> upstreamLinks = new LinkedHashMap<>();
+    private final AtomicLong manifestVersion = new AtomicLong(1);
+    private final AtomicLong weightVersion = new AtomicLong(1);
+
+    SoakWorld(Path directory) throws IOException {
+        Files.createDirectories(directory);
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        closer.register("links", () -> group.shutdownGracefully().syncUninterruptibly());
+        store = closer.register("store", new StoreStandIn());
+        changeManifest();
+        for (Map.Entry<String, String> entry : new TreeMap<>(SERVICES).entrySet()) {
+            String id = entry.getKey();
+            Map<String, Long> versions =
+                    entry.getValue().equals("engines") ? Map.of(MODEL, 1L) : Map.of();
+            UpstreamStandIn upstream =
+                    closer.register(id, new UpstreamStandIn(id, entry.getValue(), versions));
+            int port = Integer.parseInt(upstream.address().split(":", -1)[1]);
+            upstreams.put(id, upstream);
+            upstreamLinks.put(id, closer.register(id + "-link", new LoopbackProxy(group, port)));
+            register(id, "ready");
+        }
+        int storePort = Integer.parseInt(store.address().split(":", -1)[1]);
+        for (int i = 1; i <= INSTANCES; i++) {
+            String name = "n" + i;
+            instances.add(
+                    closer.register(name, new InstanceProgram(name, storePort, directory, group)));
+        }
+    }
+
+    SoakRecord record() {
+        return record;
+    }
+
+    StoreStandIn store() {
+        return store;
+    }
+
+    List<InstanceProgram> instances() {
+        return instances;
+    }
+
+    Map<String, UpstreamStandIn> upstreams() {
+        return upstreams;
+    }
+
+    Map<String, LoopbackProxy> upstreamLinks() {
+        return upstreamLinks;
+    }
+
+    /** Writes the entry of an upstream. */
+    void register(String id, String state) {
+        UpstreamStandIn upstream = upstreams.get(id);
+        LoopbackProxy link = upstreamLinks.get(id);
+        if (upstream != null && link != null) {
+            upstream.register(store, state, link.address());
+        }
+    }
+
+    /** Writes a newer manifest. */
+    void changeManifest() {
+        store.write("op", "config", ManifestText.of(manifestVersion.incrementAndGet(), KEY));
+    }
+
+    /** Names a newer weight version, as a trainer does. */
+    void nameWeightVersion() {
+        long version = weightVersion.incrementAndGet();
+        store.write(
+                "op",
+                "version/" + MODEL,
+                "{\"model\":\"" + MODEL + "\",\"version\":" + version + "}");
+    }
+
+    long weightVersion() {
+        return weightVersion.get();
+    }
+
+    /** Ends all disturbances and starts all processes that are down. */
+    void heal() throws IOException {
+        store.behave(StoreStandIn.Mode.UP);
+        upstreamLinks.values().forEach(link -> link.behave(LinkState.SOUND));
+        for (Map.Entry<String, UpstreamStandIn> upstream : upstreams.entrySet()) {
+            upstream.getValue().behave(UpstreamStandIn.Behaviour.SOUND);
+            register(upstream.getKey(), "ready");
+        }
+        for (InstanceProgram instance : instances) {
+            instance.entryLink().behave(LinkState.SOUND);
+            instance.storeLink().behave(LinkState.SOUND);
+            instance.resume();
+            instance.startAgain();
+        }
+    }
+
+    @Override
+    public void close() {
+        closer.close();
+    }
+}
