--- a/soak/src/test/java/org/fuchsialever/soak/FaultPlan.java
+++ b/soak/src/test/java/org/fuchsialever/soak/FaultPlan.java
@@ -7,8 +7,8 @@
 
 /** The disturbances of one run, which follow from its seed. They come in series and overlap. */
 final class FaultPlan {
-    private static final int FEWEST_FAULTS = 6;
-    private static final int MORE_FAULTS = 7;
+    private static final int FEWEST_FAULTS = 10;
+    private static final int MORE_FAULTS = 9;
     private static final int SHORTEST_MILLIS = 200;
     private static final int LONGER_MILLIS = 3_800;
 
--- a/soak/src/test/java/org/fuchsialever/soak/SoakFault.java
+++ b/soak/src/test/java/org/fuchsialever/soak/SoakFault.java
@@ -98,8 +98,13 @@
         @Override
         Healing begin(SoakWorld world, RandomGenerator random) {
             UpstreamStandIn upstream = any(List.copyOf(world.upstreams().values()), random);
-            UpstreamStandIn.Behaviour[] behaviours = UpstreamStandIn.Behaviour.values();
-            upstream.behave(behaviours[1 + random.nextInt(behaviours.length - 1)]);
+            List<UpstreamStandIn.Behaviour> behaviours =
+                    new ArrayList<>(List.of(UpstreamStandIn.Behaviour.values()));
+            behaviours.remove(UpstreamStandIn.Behaviour.SOUND);
+            if (!upstream.isEngine()) {
+                behaviours.remove(UpstreamStandIn.Behaviour.BREAKS_STREAMS);
+            }
+            upstream.behave(any(behaviours, random));
             return () -> upstream.behave(UpstreamStandIn.Behaviour.SOUND);
         }
     },
--- a/soak/src/test/java/org/fuchsialever/soak/SoakRun.java
+++ b/soak/src/test/java/org/fuchsialever/soak/SoakRun.java
@@ -33,9 +33,9 @@
     /** Identity of the calls that ask whether an instance serves. */
     static final String PROBE = "probe";
 
-    private static final int CALL_INTERVAL_MILLIS = 30;
-    private static final int SUBMISSION_INTERVAL_MILLIS = 900;
-    private static final int READ_INTERVAL_MILLIS = 150;
+    private static final int CALL_INTERVAL_MILLIS = 10;
+    private static final int SUBMISSION_INTERVAL_MILLIS = 500;
+    private static final int READ_INTERVAL_MILLIS = 50;
 
     private final long seed;
     private final Path directory;
