--- a/kernel/src/main/java/org/fuchsialever/kernel/plugin/ComponentContext.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/plugin/ComponentContext.java
@@ -1,6 +1,7 @@
 package org.fuchsialever.kernel.plugin;
 
 import io.micrometer.core.instrument.MeterRegistry;
+import io.vavr.control.Option;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -60,6 +61,11 @@
         return type.cast(service);
     }
 
+    /** Returns a service, or none if no component provided it. */
+    public <T> Option<T> find(Class<T> type) {
+        return Option.of(services.get(type)).map(type::cast);
+    }
+
     /**
      * Makes a service available to components that are installed later.
      *
--- a/node/src/main/java/org/fuchsialever/node/NodeMain.java
+++ b/node/src/main/java/org/fuchsialever/node/NodeMain.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.fuchsialever.kernel.findings.Findings;
+import org.fuchsialever.node.trace.TraceLog;
 import org.jspecify.annotations.Nullable;
 import sun.misc.Signal;
 
@@ -77,6 +78,7 @@
                 return EXIT_USAGE;
             }
             process = started.get();
+            reload.logTo(process.find(TraceLog.class));
         }
         if (stopAfterMillis > 0) {
             boolean never = new CountDownLatch(1).await(stopAfterMillis, TimeUnit.MILLISECONDS);
--- a/node/src/main/java/org/fuchsialever/node/NodeProcess.java
+++ b/node/src/main/java/org/fuchsialever/node/NodeProcess.java
@@ -88,6 +88,11 @@
         return context.require(type);
     }
 
+    /** Returns a service of the instance, or none if none of its components provides it. */
+    public <T> Option<T> find(Class<T> type) {
+        return context.find(type);
+    }
+
     @Override
     public void close() {
         context.closer().close();
--- a/node/src/main/java/org/fuchsialever/node/SettingsReload.java
+++ b/node/src/main/java/org/fuchsialever/node/SettingsReload.java
@@ -1,5 +1,6 @@
 package org.fuchsialever.node;
 
+import io.vavr.control.Option;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -8,29 +9,38 @@
 import org.fuchsialever.kernel.findings.Findings;
 import org.fuchsialever.kernel.log.PartLogger;
 import org.fuchsialever.kernel.settings.IniDocument;
+import org.fuchsialever.node.trace.TraceLog;
 
 /**
  * Reads the settings again when the process is told that they have changed. A running instance
  * keeps its settings, because addresses and names cannot change under open connections; a file that
- * can be read takes effect at the next start, and each changed key is logged.
+ * can be read takes effect at the next start, and each changed key is logged, also to the
+ * structured log of the instance.
  */
 final class SettingsReload {
     private static final PartLogger LOG = PartLogger.of("node");
 
     private final String file;
-    private IniDocument inForce;
+    private final IniDocument inForce;
+    private Option<TraceLog> trace = Option.none();
 
     SettingsReload(String file, String text) {
         this.file = file;
         this.inForce = IniDocument.parse(file, text, new Findings());
     }
 
+    /** Writes what later reloads find to the structured log as well. */
+    synchronized void logTo(Option<TraceLog> log) {
+        trace = log;
+    }
+
     /** Reads the file and logs what differs; never fails. */
     synchronized void reload() {
         try {
             report(Files.readString(Path.of(file)));
         } catch (IOException e) {
             LOG.warning("Settings could not be read again; those in force stay.", e);
+            line("unreadable", String.valueOf(e.getMessage()));
         }
     }
 
@@ -40,6 +50,7 @@
         IniDocument read = IniDocument.parse(file, text, findings);
         if (findings.hasErrors()) {
             LOG.warning("Settings cannot be used; those in force stay: " + findings.report());
+            line("unusable", findings.report());
             return List.of();
         }
         List<String> changed = changedKeys(inForce, read);
@@ -47,9 +58,20 @@
                 changed.isEmpty()
                         ? "Settings were read again; nothing has changed."
                         : "Settings take effect at the next start; changed: " + changed + ".");
+        line(changed.isEmpty() ? "unchanged" : "changed", String.join(", ", changed));
         return changed;
     }
 
+    private void line(String outcome, String details) {
+        trace.forEach(
+                log ->
+                        log.line("node", "reload")
+                                .with("file", file)
+                                .with("outcome", outcome)
+                                .with("details", details)
+                                .write());
+    }
+
     private static List<String> changedKeys(IniDocument before, IniDocument after) {
         List<String> changed = new ArrayList<>();
         for (String section : after.sections()) {
--- a/soak/src/test/java/org/fuchsialever/soak/InstanceProgram.java
+++ b/soak/src/test/java/org/fuchsialever/soak/InstanceProgram.java
@@ -43,6 +43,8 @@
         this.entryLink = new LoopbackProxy(group, port);
         Files.writeString(settings(), settingsText());
         this.process = launch();
+        // A soak that is interrupted leaves no process behind.
+        Runtime.getRuntime().addShutdownHook(new Thread(this::kill, "end-" + name));
     }
 
     String name() {
--- a/soak/src/test/java/org/fuchsialever/soak/LoopbackProxy.java
+++ b/soak/src/test/java/org/fuchsialever/soak/LoopbackProxy.java
@@ -95,9 +95,16 @@
         from.config().setAutoRead(true);
     }
 
+    /** Runs in the event loop of the connection, which may close it at the same time. */
     private static void reset(Channel channel) {
-        channel.config().setOption(ChannelOption.SO_LINGER, 0);
-        channel.close();
+        channel.eventLoop()
+                .execute(
+                        () -> {
+                            if (channel.isOpen()) {
+                                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                                channel.close();
+                            }
+                        });
     }
 
     @Override
