Load each home of a model only every second version

Items of a step may run under the version before, so half of the homes keep theirs until the next one is named. How far behind a version may be is learnt from the submissions; heads now name their model and oldest version.

Ruled out: fewer homes for each model, since steps are bound by the engines.

--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchHead.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchHead.java
@@ -15,6 +15,7 @@
  * @param ownerStart identity of the owner's process
  * @param epoch grows with each change of the owner
  * @param ended whether it was ended by its trainer
+ * @param content what is known of its content
  */
 public record BatchHead(
         String id,
@@ -27,7 +28,8 @@
         String owner,
         String ownerStart,
         long epoch,
-        boolean ended) {
+        boolean ended,
+        BatchContent content) {
 
     /** Returns whether all items have a result. */
     public boolean isComplete() {
@@ -57,7 +59,8 @@
                 instance,
                 start,
                 epoch + 1,
-                ended);
+                ended,
+                content);
     }
 
     /** Returns the head with more results. */
@@ -73,7 +76,8 @@
                 owner,
                 ownerStart,
                 epoch,
-                ended);
+                ended,
+                content);
     }
 
     /** Returns the head of a submission that its trainer has ended. */
@@ -89,6 +93,7 @@
                 owner,
                 ownerStart,
                 epoch,
-                true);
+                true,
+                content);
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/version/VersionDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/version/VersionDuty.java
@@ -27,6 +27,8 @@
     private static final long REFUSAL_PAUSE = TimeUnit.MILLISECONDS.toNanos(500);
 
     private final Map<String, Long> named = new HashMap<>();
+    private final Map<String, Long> newestAsked = new HashMap<>();
+    private final Map<String, Long> tolerated = new HashMap<>();
     private final Map<String, Pending> pending = new HashMap<>();
     private final Map<String, Long> pausedUntil = new HashMap<>();
     private Map<String, List<String>> modelsByService = Map.of();
@@ -46,6 +48,8 @@
             fleetChanged(changed);
         } else if (event instanceof VersionEvent.Named version) {
             named.merge(version.model(), version.version(), Math::max);
+        } else if (event instanceof VersionEvent.Asked asked) {
+            asked(asked);
         } else if (event instanceof VersionEvent.RoleGained gained) {
             holding = true;
             fencing = gained.fencing();
@@ -83,6 +87,16 @@
         return timer;
     }
 
+    /** Learns how far behind the named version the items of a model may run. */
+    private void asked(VersionEvent.Asked asked) {
+        long newest = asked.minVersion();
+        if (newest >= newestAsked.getOrDefault(asked.model(), 0L)) {
+            newestAsked.put(asked.model(), newest);
+            tolerated.put(
+                    asked.model(), Math.max(0, named.getOrDefault(asked.model(), newest) - newest));
+        }
+    }
+
     private void fleetChanged(VersionEvent.FleetChanged changed) {
         modelsByService = changed.modelsByService();
         upstreams.clear();
@@ -184,7 +198,11 @@
         pending.forEach((id, load) -> loading.put(id, load.order.model()));
         for (VersionOrder order :
                 VersionPlanner.plan(
-                        VersionPlanner.homes(models, serving), named, loading, serving.size())) {
+                        VersionPlanner.homes(models, serving),
+                        named,
+                        tolerated,
+                        loading,
+                        serving.size())) {
             pending.put(order.upstream().id(), new Pending(order, now));
             actions.emit(new VersionAction.ReadReport(order.upstream()));
         }
--- a/decisions/src/main/java/org/fuchsialever/decisions/version/VersionEvent.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/version/VersionEvent.java
@@ -14,6 +14,9 @@
     /** A trainer has named a version. */
     record Named(String model, long version) implements VersionEvent {}
 
+    /** A trainer has submitted items that may run under a version or a newer one. */
+    record Asked(String model, long minVersion) implements VersionEvent {}
+
     /** This instance may order loads. */
     record RoleGained(long fencing) implements VersionEvent {}
 
--- a/decisions/src/main/java/org/fuchsialever/decisions/version/VersionPlanner.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/version/VersionPlanner.java
@@ -60,16 +60,20 @@
     }
 
     /**
-     * Returns the loads to order now.
+     * Returns the loads to order now. Homes that are too old for the trainer load first. Where
+     * items may run under older versions, half of the homes keep theirs until the next one is
+     * named, so that each of them loads only every second version and the others serve meanwhile.
      *
      * @param homes the homes of each model
      * @param named the newest version of each model
+     * @param tolerated by how many versions a home may be behind for each model, 0 if not told
      * @param loading names of the upstreams that are loading, with the model that they load
      * @param upstreams the number of upstreams of the service
      */
     public static List<VersionOrder> plan(
             Map<String, List<FleetUpstream>> homes,
             Map<String, Long> named,
+            Map<String, Long> tolerated,
             Map<String, String> loading,
             int upstreams) {
         int room =
@@ -80,21 +84,36 @@
         for (Map.Entry<String, List<FleetUpstream>> entry : homes.entrySet()) {
             String model = entry.getKey();
             long version = named.getOrDefault(model, 0L);
-            // Half of the homes go on with the version before.
+            long oldest = version - tolerated.getOrDefault(model, 0L);
+            List<FleetUpstream> candidates =
+                    entry.getValue().stream()
+                            .filter(upstream -> upstream.versionOf(model) < version)
+                            .sorted(
+                                    Comparator.comparing(
+                                            upstream -> upstream.versionOf(model) >= oldest))
+                            .toList();
+            int homesOfModel = entry.getValue().size();
             long ofModel = loading.values().stream().filter(model::equals).count();
-            long most = Math.max(1, entry.getValue().size() / 2) - ofModel;
-            for (FleetUpstream upstream : entry.getValue()) {
-                boolean behind = upstream.versionOf(model) < version;
-                if (behind && room > 0 && most > 0 && busy.add(upstream.id())) {
+            long newest = homesOfModel - candidates.size() + loadingAmong(candidates, loading);
+            // Half of the homes go on with the version before.
+            long most = Math.max(1, homesOfModel / 2) - ofModel;
+            for (FleetUpstream upstream : candidates) {
+                boolean needed = upstream.versionOf(model) < oldest || newest < homesOfModel / 2;
+                if (needed && room > 0 && most > 0 && busy.add(upstream.id())) {
                     orders.add(new VersionOrder(upstream, model, version));
                     room--;
                     most--;
+                    newest++;
                 }
             }
         }
         return orders;
     }
 
+    private static long loadingAmong(List<FleetUpstream> upstreams, Map<String, String> loading) {
+        return upstreams.stream().filter(upstream -> loading.containsKey(upstream.id())).count();
+    }
+
     private static Option<FleetUpstream> best(
             String model,
             List<FleetUpstream> chosen,
--- a/decisions/src/test/java/org/fuchsialever/decisions/batch/BatchDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/batch/BatchDutyTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 
 class BatchDutyTest {
+    private static final BatchContent CONTENT = new BatchContent("m", 1, 0);
     private static final String ID = "b1";
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
@@ -292,7 +293,7 @@
     }
 
     private static BatchHead head(String owner, String start) {
-        return new BatchHead(ID, "team", "h", "/p/1", 2, 0, 0, owner, start, 1, false);
+        return new BatchHead(ID, "team", "h", "/p/1", 2, 0, 0, owner, start, 1, false, CONTENT);
     }
 
     private static BatchSpec spec() {
--- a/decisions/src/test/java/org/fuchsialever/decisions/version/VersionPlannerTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/version/VersionPlannerTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
@@ -51,11 +52,16 @@
     @Test
     void leavesHalfOfTheHomesOnTheFormerVersionWhileOthersLoad() {
         Map<String, List<FleetUpstream>> homes = VersionPlanner.homes(MODELS, engines(6));
-        List<VersionOrder> orders = VersionPlanner.plan(homes, Map.of("m1", 2L), Map.of(), 6);
+        List<VersionOrder> orders =
+                VersionPlanner.plan(homes, Map.of("m1", 2L), Map.of(), Map.of(), 6);
         assertThat(orders, hasSize(1));
         assertThat(
                 VersionPlanner.plan(
-                        homes, Map.of("m1", 2L), Map.of(orders.get(0).upstream().id(), "m1"), 6),
+                        homes,
+                        Map.of("m1", 2L),
+                        Map.of(),
+                        Map.of(orders.get(0).upstream().id(), "m1"),
+                        6),
                 is(empty()));
     }
 
@@ -63,7 +69,40 @@
     void loadsAtMostAsManyAtOnceAsLoadAtFullSpeed() {
         Map<String, List<FleetUpstream>> homes = VersionPlanner.homes(MODELS, engines(6));
         Map<String, Long> named = Map.of("m1", 2L, "m2", 2L, "m3", 2L);
-        assertThat(VersionPlanner.plan(homes, named, Map.of(), 6), hasSize(2));
+        assertThat(VersionPlanner.plan(homes, named, Map.of(), Map.of(), 6), hasSize(2));
+    }
+
+    /** Guards against loads that take a fifth of the time of each engine. */
+    @Test
+    void loadsEachHomeOnlyEverySecondVersionWhereItemsMayRunUnderTheOneBefore() {
+        List<FleetUpstream> upstreams = new ArrayList<>(engines(2));
+        Map<String, Long> tolerated = Map.of("m1", 1L);
+        int loads = 0;
+        for (long version = 2; version <= 11; version++) {
+            Map<String, List<FleetUpstream>> homes = Map.of("m1", List.copyOf(upstreams));
+            for (VersionOrder order :
+                    VersionPlanner.plan(
+                            homes, Map.of("m1", version), tolerated, Map.of(), upstreams.size())) {
+                loads++;
+                upstreams.remove(order.upstream());
+                upstreams.add(engine(order.upstream().id(), Map.of("m1", version)));
+            }
+            for (FleetUpstream upstream : upstreams) {
+                assertThat(upstream.versionOf("m1"), is(greaterThanOrEqualTo(version - 1)));
+            }
+        }
+        assertThat(loads, is(10));
+    }
+
+    @Test
+    void loadsHomesFirstThatAreTooOldForTheTrainer() {
+        List<FleetUpstream> upstreams =
+                List.of(engine("e1", Map.of("m1", 4L)), engine("e2", Map.of("m1", 3L)));
+        List<VersionOrder> orders =
+                VersionPlanner.plan(
+                        Map.of("m1", upstreams), Map.of("m1", 5L), Map.of("m1", 1L), Map.of(), 2);
+        assertThat(orders, hasSize(1));
+        assertThat(orders.get(0).upstream().id(), is("e2"));
     }
 
     private static List<FleetUpstream> engines(int count) {
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
@@ -178,7 +178,7 @@
             inbox.offer(new BatchEvent.ClaimFailed(head.id(), "another instance was first"));
             return Mono.just(false);
         }
-        return Mono.zip(store.spec(head.id()), store.allResults(head.id()))
+        return Mono.zip(store.spec(head), store.allResults(head.id()))
                 .map(
                         loaded -> {
                             Set<String> listed = new HashSet<>();
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchPurge.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchPurge.java
@@ -13,6 +13,7 @@
 import org.fuchsialever.services.hosted.HostedServices;
 import org.fuchsialever.services.rows.RowChange;
 import org.fuchsialever.services.rows.RowKey;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
 /** Removes submissions whose results need not be kept any longer, while it holds the role. */
@@ -112,8 +113,12 @@
         RowKey key = BatchRows.headKey(row.head().id());
         Map<RowKey, Long> expected = new HashMap<>();
         expected.put(key, row.version());
-        return services.rows()
-                .removeObject(BatchStore.objectName(row.head().id()))
+        // Lower copies may have been stored although the store did not say so.
+        return Flux.range(0, row.head().content().copy() + 1)
+                .concatMap(
+                        copy ->
+                                services.rows()
+                                        .removeObject(BatchStore.objectName(row.head().id(), copy)))
                 .then(services.rows().change(new RowChange(expected, Map.of(), List.of(key))))
                 .then();
     }
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchRows.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchRows.java
@@ -12,6 +12,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import org.fuchsialever.decisions.batch.BatchContent;
 import org.fuchsialever.decisions.batch.BatchHead;
 import org.fuchsialever.decisions.batch.ItemResult;
 import org.fuchsialever.services.rows.RowKey;
@@ -62,7 +63,10 @@
                         .put("owner", head.owner())
                         .put("start", head.ownerStart())
                         .put("epoch", head.epoch())
-                        .put("ended", head.ended());
+                        .put("ended", head.ended())
+                        .put("model", head.content().model())
+                        .put("minVersion", head.content().minVersion())
+                        .put("copy", head.content().copy());
         return bytes(node);
     }
 
@@ -85,7 +89,11 @@
                             node.path("owner").asText(),
                             node.path("start").asText(),
                             node.path("epoch").asLong(),
-                            node.path("ended").asBoolean()));
+                            node.path("ended").asBoolean(),
+                            new BatchContent(
+                                    node.path("model").asText(),
+                                    node.path("minVersion").asLong(),
+                                    node.path("copy").asInt())));
         } catch (IOException e) {
             return Either.left("not JSON: " + e.getMessage());
         }
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchService.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchService.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.fuchsialever.decisions.batch.BatchContent;
 import org.fuchsialever.decisions.batch.BatchEvent.VersionedHead;
 import org.fuchsialever.decisions.batch.BatchHead;
 import org.fuchsialever.decisions.batch.BatchItem;
@@ -102,25 +103,30 @@
         }
         BatchSpec spec = read.get();
         Peer owner = owner(team, spec);
-        BatchHead head =
-                new BatchHead(
-                        id,
-                        team,
-                        host,
-                        path,
-                        spec.items().size(),
-                        0,
-                        now.get(),
-                        owner.instance(),
-                        owner.start(),
-                        1,
-                        false);
         return store.storeSpec(spec, body)
                 .flatMap(
-                        same ->
-                                same
-                                        ? create(head, spec)
-                                        : Mono.<BatchReply>just(new BatchReply.IdentityTaken()))
+                        copy -> {
+                            if (copy.isEmpty()) {
+                                return Mono.<BatchReply>just(new BatchReply.IdentityTaken());
+                            }
+                            BatchContent content =
+                                    new BatchContent(spec.model(), spec.minVersion(), copy.get());
+                            BatchHead head =
+                                    new BatchHead(
+                                            id,
+                                            team,
+                                            host,
+                                            path,
+                                            spec.items().size(),
+                                            0,
+                                            now.get(),
+                                            owner.instance(),
+                                            owner.start(),
+                                            1,
+                                            false,
+                                            content);
+                            return create(head, spec);
+                        })
                 .onErrorResume(
                         PlatformException.class,
                         failure -> Mono.just(notAccepted(id, failure.getMessage())));
@@ -268,7 +274,7 @@
                             if (!found.exists(row -> row.head().team().equals(team))) {
                                 return Mono.<BatchReply>just(new BatchReply.Missing());
                             }
-                            return store.spec(id).map(spec -> body(spec, itemId));
+                            return store.spec(found.get().head()).map(spec -> body(spec, itemId));
                         })
                 .onErrorResume(
                         PlatformException.class,
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchStore.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchStore.java
@@ -27,6 +27,9 @@
     private static final String OBJECT_PREFIX = "batch-";
     private static final int PAGE = 500;
 
+    /** With three in ten parts out of reach, 97 in 100 submissions are stored. */
+    private static final int MOST_COPIES = 3;
+
     /** Submissions that are read again and again; one takes about 100 KB. */
     private static final int MOST_CACHED = 32;
 
@@ -38,18 +41,33 @@
         this.services = services;
     }
 
-    /** Returns the name of the object that holds what was submitted. */
-    static String objectName(String id) {
-        return OBJECT_PREFIX + id;
+    /** Returns the name of the object that holds a copy of what was submitted. */
+    static String objectName(String id, int copy) {
+        return OBJECT_PREFIX + id + (copy == 0 ? "" : "-" + copy);
     }
 
     /**
      * Stores what was submitted, unless it is stored already.
      *
-     * @return false if another content is stored under this identity
+     * @return the number of the copy that was stored, or none if another content is stored under
+     *     this identity
      */
-    Mono<Boolean> storeSpec(BatchSpec spec, byte[] body) {
-        String name = objectName(spec.id());
+    Mono<Option<Integer>> storeSpec(BatchSpec spec, byte[] body) {
+        return storeCopy(spec, body, 0);
+    }
+
+    /** Part of the store's objects may be out of reach; another name may lie in a sound part. */
+    private Mono<Option<Integer>> storeCopy(BatchSpec spec, byte[] body, int copy) {
+        Mono<Option<Integer>> stored =
+                storeCopy(spec, body, objectName(spec.id(), copy))
+                        .map(same -> same ? Option.some(copy) : Option.none());
+        return copy + 1 >= MOST_COPIES
+                ? stored
+                : stored.onErrorResume(
+                        PlatformException.class, failure -> storeCopy(spec, body, copy + 1));
+    }
+
+    private Mono<Boolean> storeCopy(BatchSpec spec, byte[] body, String name) {
         return services.objects()
                 .putIfAbsent(name, body)
                 .flatMap(
@@ -74,13 +92,14 @@
     }
 
     /** Reads what was submitted. */
-    Mono<BatchSpec> spec(String id) {
+    Mono<BatchSpec> spec(BatchHead head) {
+        String id = head.id();
         BatchSpec cached = specs.getIfPresent(id);
         if (cached != null) {
             return Mono.just(cached);
         }
         return services.objects()
-                .read(objectName(id))
+                .read(objectName(id, head.content().copy()))
                 .map(
                         bytes -> {
                             Either<String, BatchSpec> spec =
--- a/node/src/main/java/org/fuchsialever/node/version/VersionComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/version/VersionComponent.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.fuchsialever.decisions.batch.BatchContent;
+import org.fuchsialever.decisions.batch.BatchEvent.VersionedHead;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.manifest.Manifest;
 import org.fuchsialever.decisions.manifest.ServiceSpec;
@@ -108,6 +110,16 @@
                 inbox.offer(new VersionEvent.Named(model, version));
             }
 
+            @Override
+            public void onHeads(List<VersionedHead> heads, List<String> removed) {
+                for (VersionedHead row : heads) {
+                    BatchContent content = row.head().content();
+                    if (row.head().isOpen() && !content.model().isEmpty()) {
+                        inbox.offer(new VersionEvent.Asked(content.model(), content.minVersion()));
+                    }
+                }
+            }
+
             private void publish() {
                 Map<String, List<String>> models = new HashMap<>();
                 for (ServiceSpec service : manifest.map(Manifest::services).getOrElse(List.of())) {
--- a/node/src/test/java/org/fuchsialever/node/batch/BatchPurgeTest.java
+++ b/node/src/test/java/org/fuchsialever/node/batch/BatchPurgeTest.java
@@ -4,11 +4,13 @@
 import static org.hamcrest.Matchers.is;
 
 import java.util.List;
+import org.fuchsialever.decisions.batch.BatchContent;
 import org.fuchsialever.decisions.batch.BatchEvent.VersionedHead;
 import org.fuchsialever.decisions.batch.BatchHead;
 import org.junit.jupiter.api.Test;
 
 class BatchPurgeTest {
+    private static final BatchContent CONTENT = new BatchContent("m", 1, 0);
     private static final long RETENTION = 120_000;
 
     @Test
@@ -25,6 +27,6 @@
 
     private static VersionedHead head(int listed) {
         return new VersionedHead(
-                new BatchHead("b", "t", "h", "/p/", 2, listed, 0, "i", "s", 1, false), 7);
+                new BatchHead("b", "t", "h", "/p/", 2, listed, 0, "i", "s", 1, false, CONTENT), 7);
     }
 }
