--- a/kernel/src/main/java/org/fuchsialever/kernel/duty/DutyThread.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/duty/DutyThread.java
@@ -76,8 +76,19 @@
         }
     }
 
+    /**
+     * Returns how long to wait for an event; differences may overflow, as a timer may lie far off.
+     */
+    static long waitNanos(long timer, long now) {
+        if (timer <= now) {
+            return 0;
+        }
+        long wait = timer - now;
+        return wait < 0 ? MAX_WAIT_NANOS : Math.min(wait, MAX_WAIT_NANOS);
+    }
+
     private void step() throws InterruptedException {
-        long wait = Math.min(duty.nextTimerNanos() - time.nanoTime(), MAX_WAIT_NANOS);
+        long wait = waitNanos(duty.nextTimerNanos(), time.nanoTime());
         @Nullable E event = wait > 0 ? inbox.poll(wait) : inbox.poll();
         if (event != null) {
             duty.onEvent(event, time.nanoTime(), actions);
