--- a/decisions/src/main/java/org/fuchsialever/decisions/directory/DirectoryDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/directory/DirectoryDuty.java
@@ -25,9 +25,6 @@
 
     private static final int MOST_DOUBLINGS = 3;
 
-    /** So many instances make about 1,700 reads a second; with more, each reads less often. */
-    private static final int INSTANCES_AT_FULL_RATE = 100;
-
     /** Far enough in the past, without an overflow when an interval is added. */
     private static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -163,8 +160,9 @@
     }
 
     private void readSoon(Mirror mirror, long now, ActionSink<DirectoryAction> actions) {
+        int instances = mirror(DirectoryTable.INSTANCES).versions.size();
         long last = mirror.following ? mirror.changesReadAt : mirror.wholeReadAt;
-        long next = last + intervalNanos(mirror.table);
+        long next = last + mirror.table.intervalNanos(instances);
         if (next <= now) {
             read(mirror, now, actions);
         } else {
@@ -172,14 +170,6 @@
         }
     }
 
-    /** Reads of all instances together stay below the store's rate at any number of instances. */
-    private long intervalNanos(DirectoryTable table) {
-        int instances = mirror(DirectoryTable.INSTANCES).versions.size();
-        return table.intervalNanos()
-                * Math.max(INSTANCES_AT_FULL_RATE, instances)
-                / INSTANCES_AT_FULL_RATE;
-    }
-
     private void failed(
             Mirror mirror, String reason, long now, ActionSink<DirectoryAction> actions) {
         if (!mirror.lost) {
--- a/decisions/src/main/java/org/fuchsialever/decisions/directory/DirectoryTable.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/directory/DirectoryTable.java
@@ -7,23 +7,35 @@
     /** What operators and trainers declare; changes are rare and must be in force soon. */
     DECLARATIONS(50),
     /** What upstreams say of themselves; must be known well within the 2 s they go on serving. */
-    UPSTREAMS(200),
+    UPSTREAMS(400),
     /** The state of batch submissions; an instance begins a submission that it finds here. */
     BATCHES(100),
     /** Signs of life of the instances, written each 0.7 s. */
-    INSTANCES(500);
+    INSTANCES(700);
 
-    private final long intervalNanos;
+    /** With more instances each reads less often, so that all of them read as often together. */
+    private static final int INSTANCES_AT_FULL_RATE = 40;
+
+    private final long intervalMillis;
 
     DirectoryTable(long intervalMillis) {
-        intervalNanos = TimeUnit.MILLISECONDS.toNanos(intervalMillis);
+        this.intervalMillis = intervalMillis;
     }
 
     /**
-     * Returns the least time between the starts of two reads of the changes, in nanoseconds.
-     * Without it each change of a table would cost a read by every instance.
+     * Returns the least time between the starts of two reads of the changes. Without it each change
+     * of a table would cost a read by every instance.
+     *
+     * @param instances the number of instances that read the table
+     * @return the time in milliseconds
      */
-    long intervalNanos() {
-        return intervalNanos;
+    public long intervalMillis(int instances) {
+        return intervalMillis
+                * Math.max(INSTANCES_AT_FULL_RATE, instances)
+                / INSTANCES_AT_FULL_RATE;
+    }
+
+    long intervalNanos(int instances) {
+        return TimeUnit.MILLISECONDS.toNanos(intervalMillis(instances));
     }
 }
--- a/decisions/src/test/java/org/fuchsialever/decisions/directory/DirectoryDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/directory/DirectoryDutyTest.java
@@ -98,7 +98,7 @@
                         .filter(DirectoryAction.ReadFeed.class::isInstance)
                         .filter(action -> ((DirectoryAction.ReadFeed) action).table() == UPSTREAMS)
                         .count();
-        assertThat(reads, is(lessThanOrEqualTo(6L)));
+        assertThat(reads, is(lessThanOrEqualTo(3L)));
         assertThat(changes(), hasSize(100));
     }
 
@@ -113,9 +113,9 @@
         range(UPSTREAMS, 500);
         feed(UPSTREAMS, 501, 0, row("u1", 501));
         actions.clear();
-        duty.onTimer(TimeUnit.MILLISECONDS.toNanos(799), actions::add);
+        duty.onTimer(TimeUnit.MILLISECONDS.toNanos(3_999), actions::add);
         assertThat(actions, not(hasItem(new DirectoryAction.ReadFeed(UPSTREAMS, 501))));
-        duty.onTimer(TimeUnit.MILLISECONDS.toNanos(800), actions::add);
+        duty.onTimer(TimeUnit.MILLISECONDS.toNanos(4_000), actions::add);
         assertThat(actions, hasItem(new DirectoryAction.ReadFeed(UPSTREAMS, 501)));
     }
 
--- a/node/src/main/java/org/fuchsialever/node/NodeMain.java
+++ b/node/src/main/java/org/fuchsialever/node/NodeMain.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.fuchsialever.kernel.findings.Findings;
+import org.fuchsialever.kernel.log.LibraryLogs;
 import org.fuchsialever.node.trace.TraceLog;
 import org.jspecify.annotations.Nullable;
 import sun.misc.Signal;
@@ -59,6 +60,7 @@
     }
 
     private int run() throws InterruptedException {
+        LibraryLogs.onlyErrors();
         String text;
         try {
             text = Files.readString(Path.of(settings));
--- a/node/src/main/java/org/fuchsialever/node/directory/Directory.java
+++ b/node/src/main/java/org/fuchsialever/node/directory/Directory.java
@@ -18,8 +18,8 @@
 
 /** The state of the mirrored tables. Written on the thread of the directory duty only. */
 public final class Directory {
-    /** Three signs of life are missing, 0.7 s each, and the table is read each 0.5 s. */
-    private static final long LIVE_MILLIS = 2_600;
+    /** Three signs of life of 0.7 s each are missing; the time until they are read comes on top. */
+    private static final long LIVE_MILLIS = 2_100;
 
     private final TimeSource time;
     private final StoreClock clock;
@@ -122,9 +122,10 @@
     /** Returns the instances that have shown a sign of life lately and are not leaving. */
     public synchronized List<Peer> livePeers() {
         List<Peer> live = new ArrayList<>();
+        long longest = LIVE_MILLIS + DirectoryTable.INSTANCES.intervalMillis(presences.size());
         for (Presence presence : presences.values()) {
             long written = presence.storeMillis();
-            boolean recent = clock.millis().exists(now -> now - written < LIVE_MILLIS);
+            boolean recent = clock.millis().exists(now -> now - written < longest);
             if (!presence.leaving() && recent) {
                 live.add(new Peer(presence.instance(), presence.start()));
             }
