--- a/decisions/src/main/java/org/fuchsialever/decisions/directory/DirectoryTable.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/directory/DirectoryTable.java
@@ -16,6 +16,9 @@
     /** With more instances each reads less often, so that all of them read as often together. */
     private static final int INSTANCES_AT_FULL_RATE = 40;
 
+    /** Half of the time that an upstream serves on after it has said that it leaves. */
+    private static final long LONGEST_INTERVAL_MILLIS = 1_000;
+
     private final long intervalMillis;
 
     DirectoryTable(long intervalMillis) {
@@ -30,9 +33,11 @@
      * @return the time in milliseconds
      */
     public long intervalMillis(int instances) {
-        return intervalMillis
-                * Math.max(INSTANCES_AT_FULL_RATE, instances)
-                / INSTANCES_AT_FULL_RATE;
+        long spread =
+                intervalMillis
+                        * Math.max(INSTANCES_AT_FULL_RATE, instances)
+                        / INSTANCES_AT_FULL_RATE;
+        return Math.min(spread, LONGEST_INTERVAL_MILLIS);
     }
 
     long intervalNanos(int instances) {
