--- a/decisions/src/test/java/org/fuchsialever/decisions/version/VersionDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/version/VersionDutyTest.java
@@ -66,6 +66,20 @@
         assertThat(orders(), hasSize(1));
     }
 
+    /** Guards against loads that no trainer needs, and against none where a trainer needs them. */
+    @Test
+    void loadsTheOnlyHomeOnceItIsTooOldForWhatTrainersAskFor() {
+        fleet(2);
+        event(new VersionEvent.RoleGained(9));
+        event(new VersionEvent.Named("m", 2));
+        event(new VersionEvent.Asked("m", 1));
+        event(new VersionEvent.Named("m", 3));
+        assertThat(actions, is(empty()));
+        event(new VersionEvent.Asked("m", 2));
+        event(new VersionEvent.Named("m", 4));
+        assertThat(actions, hasSize(1));
+    }
+
     @Test
     void triesAnUpstreamAgainThatGaveNoReport() {
         fleet(1);
--- a/node/src/test/java/org/fuchsialever/node/hosted/HostedBatchesTest.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/HostedBatchesTest.java
@@ -55,6 +55,20 @@
         }
     }
 
+    /** Guards against a trainer that waits until the part of the store with one object is back. */
+    @Test
+    void keepsASubmissionUnderAnotherNameWhileItsFirstObjectIsOutOfReach() {
+        try (HostedFixture fixture = HostedFixture.running()) {
+            fixture.store.refuseObject("batch-b1");
+            assertThat(fixture.submit("n1", "b1", "x1").status(), is(202));
+            fixture.start("n2");
+            fixture.awaitServing("n2");
+            fixture.results("n2", "b1", 1);
+            assertThat(fixture.submit("n2", "b1", "x1").status(), is(202));
+            assertThat(fixture.upstream("e1").runs("x1"), is(1));
+        }
+    }
+
     @Test
     void refusesAnotherSubmissionUnderTheSameIdentity() {
         try (HostedFixture fixture = HostedFixture.running()) {
