Share the caller, the submission and the settings of tests

The fixture of the node's tests, the soak and the rehearsal of the deploy build each had their own copy of the calling code, the text of a submission and the settings of an instance.

--- a/node/src/test/java/org/fuchsialever/node/hosted/HostedCallsTest.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/HostedCallsTest.java
@@ -7,7 +7,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 
-import org.fuchsialever.node.hosted.HostedFixture.Answer;
+import org.fuchsialever.platform.CallerStandIn.Answer;
 import org.fuchsialever.platform.ManifestText;
 import org.fuchsialever.platform.StoreStandIn;
 import org.fuchsialever.platform.UpstreamStandIn;
--- a/node/src/test/java/org/fuchsialever/node/hosted/HostedFixture.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/HostedFixture.java
@@ -6,21 +6,19 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.ServerSocket;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Base64;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
 import org.fuchsialever.kernel.lifecycle.Closer;
 import org.fuchsialever.node.NodeProcess;
+import org.fuchsialever.platform.CallerStandIn;
+import org.fuchsialever.platform.InstanceSettings;
 import org.fuchsialever.platform.ManifestText;
 import org.fuchsialever.platform.StoreStandIn;
+import org.fuchsialever.platform.SubmissionText;
 import org.fuchsialever.platform.UpstreamStandIn;
-import reactor.core.publisher.Mono;
-import reactor.netty.http.client.HttpClient;
 
 /** Instances, a store and upstreams on the loopback address. */
 final class HostedFixture implements AutoCloseable {
@@ -33,12 +31,14 @@
 
     final StoreStandIn store;
     private final Closer closer = new Closer();
+    private final CallerStandIn caller;
     private final Map<String, UpstreamStandIn> upstreams = new HashMap<>();
     private final Map<String, Integer> ports = new HashMap<>();
     private final Map<String, NodeProcess> nodes = new HashMap<>();
 
     HostedFixture() {
         store = closer.register("store", new StoreStandIn());
+        caller = closer.register("caller", CallerStandIn.withNewConnections(PATIENCE));
     }
 
     /** Returns a fixture with a manifest, one plain upstream, one engine and one instance. */
@@ -71,30 +71,7 @@
     void start(String name) {
         int port = freePort();
         ports.put(name, port);
-        String settings =
-                String.join(
-                        "\n",
-                        "[node]",
-                        "name = " + name,
-                        "region = r",
-                        "failure-domain = z",
-                        "components = identity, trace, hosted, directory, presence, forward,"
-                                + " batch, leases, versions, metering, entry",
-                        "[platform]",
-                        "adapter = fleet",
-                        "store = " + store.address(),
-                        "duties = " + store.address(),
-                        "[entry]",
-                        "address = 127.0.0.1",
-                        "listen = 127.0.0.1:" + port,
-                        "readiness-listen = 127.0.0.1:0",
-                        "linger = 1 ms",
-                        "[metering]",
-                        "window = 1 s",
-                        "[leases]",
-                        "duration = 2500 ms",
-                        "renewal = 800 ms",
-                        "poll = 800 ms");
+        String settings = InstanceSettings.of(name, store.address(), port);
         nodes.put(name, closer.register(name, NodeProcess.start(name + ".ini", settings).get()));
     }
 
@@ -114,75 +91,20 @@
         await().atMost(PATIENCE).pollInterval(Duration.ofMillis(20)).until(condition);
     }
 
-    Answer call(
+    CallerStandIn.Answer call(
             String node, String method, String path, String requestId, String key, String body) {
-        return HttpClient.newConnection()
-                .headers(
-                        headers -> {
-                            headers.set("Host", ManifestText.HOST);
-                            headers.set("Request-Id", requestId);
-                            headers.set("Deadline-Ms", "3000");
-                            if (!key.isEmpty()) {
-                                headers.set("Authorization", "Bearer " + key);
-                            }
-                        })
-                .request(io.netty.handler.codec.http.HttpMethod.valueOf(method))
-                .uri("http://127.0.0.1:" + ports.get(node) + path)
-                .send(
-                        (request, outbound) ->
-                                outbound.sendByteArray(
-                                        Mono.just(body.getBytes(StandardCharsets.UTF_8))))
-                .responseSingle(
-                        (response, content) ->
-                                content.asString()
-                                        .defaultIfEmpty("")
-                                        .map(
-                                                text ->
-                                                        new Answer(
-                                                                response.status().code(),
-                                                                Map.copyOf(
-                                                                        headers(
-                                                                                response
-                                                                                        .responseHeaders())),
-                                                                text)))
+        return caller.call("127.0.0.1:" + ports.get(node), method, path, requestId, key, body)
                 .blockOptional(PATIENCE)
                 .orElseThrow();
     }
 
-    private static Map<String, String> headers(Iterable<Map.Entry<String, String>> received) {
-        Map<String, String> headers = new HashMap<>();
-        received.forEach(field -> headers.put(field.getKey(), field.getValue()));
-        return headers;
-    }
-
     /** Submits items with the given identities. */
-    Answer submit(String node, String batch, String... items) {
+    CallerStandIn.Answer submit(String node, String batch, String... items) {
         return call(node, "POST", "/rollout/" + batch, batch, KEY, submission(items));
     }
 
     static String submission(String... items) {
-        List<String> requests = new ArrayList<>();
-        for (String item : items) {
-            requests.add(
-                    "{\"id\":\""
-                            + item
-                            + "\",\"path\":\"/rollout/"
-                            + item
-                            + "\",\"headers\":{\"Model\":\"m\"},\"body\":\""
-                            + Base64.getEncoder()
-                                    .encodeToString(
-                                            ("body " + item).getBytes(StandardCharsets.UTF_8))
-                            + "\",\"tokenCount\":9,\"group\":\"g\",\"scorer\":{\"id\":\"s-"
-                            + item
-                            + "\",\"hostname\":\""
-                            + ManifestText.HOST
-                            + "\",\"path\":\"/score/"
-                            + item
-                            + "\",\"body\":\"\"}}");
-        }
-        return "{\"step\":1,\"model\":\"m\",\"minVersion\":1,\"targetCount\":1,\"requests\":["
-                + String.join(",", requests)
-                + "]}";
+        return SubmissionText.of(List.of(items));
     }
 
     /** Waits until all results are listed and returns them. */
@@ -190,7 +112,7 @@
         JsonNode[] page = new JsonNode[1];
         eventually(
                 () -> {
-                    Answer answer =
+                    CallerStandIn.Answer answer =
                             call(node, "GET", "/api/lots/" + batch + "?after=0", "read", KEY, "");
                     if (answer.status() != 200) {
                         return false;
@@ -213,7 +135,4 @@
     public void close() {
         closer.close();
     }
-
-    /** An answer of an instance. */
-    record Answer(int status, Map<String, String> headers, String body) {}
 }
--- a/soak/src/test/java/org/fuchsialever/soak/InstanceProcessTest.java
+++ b/soak/src/test/java/org/fuchsialever/soak/InstanceProcessTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.concurrent.Callable;
+import org.fuchsialever.platform.CallerStandIn;
 import org.fuchsialever.platform.UpstreamStandIn.Behaviour;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -46,7 +47,7 @@
             InstanceProgram instance = world.instances().get(0);
             eventually(() -> call(caller, instance, "/safe/x", "c1") == 200);
             world.upstreams().values().forEach(upstream -> upstream.behave(Behaviour.MUTE));
-            Mono<Caller.Answer> running =
+            Mono<CallerStandIn.Answer> running =
                     caller.call(instance, "POST", "/unsafe/x", "c2", "").cache();
             running.subscribe();
             eventually(
@@ -55,7 +56,7 @@
                                     .anyMatch(upstream -> upstream.runs("c2") == 1));
             instance.terminate(world.record());
             // The upstream never answers, so the call ends at the time limit of its route.
-            assertThat(running.map(Caller.Answer::status).block(), is(504));
+            assertThat(running.map(CallerStandIn.Answer::status).block(), is(504));
             eventually(() -> !world.record().exits().isEmpty());
             assertThat(log().contains("\"event\":\"stop\""), is(true));
         }
@@ -64,7 +65,7 @@
     private static int call(Caller caller, InstanceProgram instance, String path, String id) {
         return caller.call(instance, "GET", path, id, "")
                 .blockOptional()
-                .map(Caller.Answer::status)
+                .map(CallerStandIn.Answer::status)
                 .orElse(0);
     }
 
--- a/soak/src/test/java/org/fuchsialever/soak/InstanceProgram.java
+++ b/soak/src/test/java/org/fuchsialever/soak/InstanceProgram.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.fuchsialever.node.NodeMain;
+import org.fuchsialever.platform.InstanceSettings;
 
 /**
  * An instance: its process, its settings and the links that lead to it and from it to the store.
@@ -41,7 +42,7 @@
         this.port = freePort();
         this.storeLink = new LoopbackProxy(group, storePort);
         this.entryLink = new LoopbackProxy(group, port);
-        Files.writeString(settings(), settingsText());
+        Files.writeString(settings(), InstanceSettings.of(name, storeLink.address(), port));
         this.process = launch();
         // A soak that is interrupted leaves no process behind.
         Runtime.getRuntime().addShutdownHook(new Thread(this::kill, "end-" + name));
@@ -145,31 +146,6 @@
         return directory.resolve(name + ".ini");
     }
 
-    private String settingsText() {
-        return String.join(
-                "\n",
-                "[node]",
-                "name = " + name,
-                "region = r",
-                "failure-domain = z",
-                "components = identity, trace, hosted, directory, presence, forward, batch, leases,"
-                        + " versions, metering, entry",
-                "[platform]",
-                "adapter = fleet",
-                "store = " + storeLink.address(),
-                "duties = " + storeLink.address(),
-                "[entry]",
-                "address = 127.0.0.1",
-                "listen = 127.0.0.1:" + port,
-                "readiness-listen = 127.0.0.1:0",
-                "[metering]",
-                "window = 1 s",
-                "[leases]",
-                "duration = 2500 ms",
-                "renewal = 800 ms",
-                "poll = 800 ms");
-    }
-
     private static int freePort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0)) {
             return socket.getLocalPort();
--- a/soak/src/test/java/org/fuchsialever/soak/LiveCallers.java
+++ b/soak/src/test/java/org/fuchsialever/soak/LiveCallers.java
@@ -37,7 +37,8 @@
                                                         begin,
                                                         System.nanoTime(),
                                                         answer.status(),
-                                                        answer.stamp(),
+                                                        answer.headers()
+                                                                .getOrDefault("Response-Stamp", ""),
                                                         answer.body())));
     }
 
--- a/soak/src/test/java/org/fuchsialever/soak/SoakRun.java
+++ b/soak/src/test/java/org/fuchsialever/soak/SoakRun.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import org.awaitility.core.ConditionTimeoutException;
+import org.fuchsialever.platform.CallerStandIn;
 
 /** One run: instances start, serve under disturbances, recover, and all promises are checked. */
 final class SoakRun {
@@ -130,7 +131,7 @@
                     () ->
                             caller.call(instance, "GET", "/safe/x", PROBE, "")
                                             .blockOptional()
-                                            .map(Caller.Answer::status)
+                                            .map(CallerStandIn.Answer::status)
                                             .orElse(0)
                                     == 200);
         }
--- a/soak/src/test/java/org/fuchsialever/soak/Trainer.java
+++ b/soak/src/test/java/org/fuchsialever/soak/Trainer.java
@@ -3,16 +3,14 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
-import java.util.Base64;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.fuchsialever.platform.ManifestText;
+import org.fuchsialever.platform.CallerStandIn;
+import org.fuchsialever.platform.SubmissionText;
 import reactor.core.publisher.Mono;
 
 /** Submits items, submits again elsewhere after a failure, and reads results at all instances. */
@@ -42,7 +40,7 @@
             items.add(id + "-" + item);
         }
         underWay.incrementAndGet();
-        attempt(id, items, text(items), 0, true)
+        attempt(id, items, SubmissionText.of(List.copyOf(items)), 0, true)
                 .doFinally(signal -> underWay.decrementAndGet())
                 .subscribe(world.record()::submission);
     }
@@ -80,14 +78,14 @@
     }
 
     /** Reads a submission from its start at an instance and notes what is listed. */
-    Mono<Caller.Answer> read(InstanceProgram instance, String id) {
+    Mono<CallerStandIn.Answer> read(InstanceProgram instance, String id) {
         boolean accepted = world.record().isAccepted(id);
         return caller.call(instance, "GET", "/api/lots/" + id + "?after=0", "read-" + id, "")
                 .doOnNext(answer -> noteResults(instance, id, accepted, answer));
     }
 
     private void noteResults(
-            InstanceProgram instance, String id, boolean accepted, Caller.Answer answer) {
+            InstanceProgram instance, String id, boolean accepted, CallerStandIn.Answer answer) {
         if (accepted && (answer.status() == 404 || answer.status() == 410)) {
             world.record().violation(id + " is accepted but unknown at " + instance.name());
         } else if (answer.status() == 200) {
@@ -118,36 +116,4 @@
             throw new IllegalStateException("not JSON: " + text, e);
         }
     }
-
-    private static String text(Set<String> items) {
-        ObjectNode submission =
-                MAPPER.createObjectNode()
-                        .put("step", 1)
-                        .put("model", SoakWorld.MODEL)
-                        .put("minVersion", 1)
-                        .put("targetCount", 1);
-        ArrayNode requests = submission.putArray("requests");
-        for (String item : items) {
-            ObjectNode request =
-                    requests.addObject()
-                            .put("id", item)
-                            .put("path", "/rollout/" + item)
-                            .put(
-                                    "body",
-                                    Base64.getEncoder()
-                                            .encodeToString(
-                                                    item.getBytes(
-                                                            java.nio.charset.StandardCharsets
-                                                                    .UTF_8)))
-                            .put("tokenCount", 9)
-                            .put("group", "g");
-            request.putObject("headers").put("Model", SoakWorld.MODEL);
-            request.putObject("scorer")
-                    .put("id", "s-" + item)
-                    .put("hostname", ManifestText.HOST)
-                    .put("path", "/score/" + item)
-                    .put("body", "");
-        }
-        return submission.toString();
-    }
 }
