--- /dev/null
+++ b/soak/src/test/java/org/fuchsialever/soak/Evidence.java
@@ -0,0 +1,37 @@
+package org.fuchsialever.soak;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.fuchsialever.platform.UpstreamStandIn;
+
+/**
+ * What callers, upstreams and the store have seen in a run.
+ *
+ * @param record what callers saw and what was done to the processes
+ * @param runs how often each request ran at all upstreams together
+ * @param upstreamCalls what arrived at the upstreams
+ * @param orders the orders that upstreams accepted
+ * @param usageReports the reports of usage as they arrived
+ */
+record Evidence(
+        SoakRecord record,
+        Map<String, Integer> runs,
+        List<UpstreamStandIn.SeenCall> upstreamCalls,
+        List<UpstreamStandIn.SeenOrder> orders,
+        List<String> usageReports) {
+
+    /** Gathers the evidence of a run. */
+    static Evidence of(SoakWorld world) {
+        Map<String, Integer> runs = new HashMap<>();
+        List<UpstreamStandIn.SeenCall> calls = new ArrayList<>();
+        List<UpstreamStandIn.SeenOrder> orders = new ArrayList<>();
+        for (UpstreamStandIn upstream : world.upstreams().values()) {
+            upstream.allRuns().forEach((id, count) -> runs.merge(id, count, Integer::sum));
+            calls.addAll(upstream.calls());
+            orders.addAll(upstream.acceptedOrders());
+        }
+        return new Evidence(world.record(), runs, calls, orders, world.store().usageReports());
+    }
+}
--- a/soak/src/test/java/org/fuchsialever/soak/Promise.java
+++ b/soak/src/test/java/org/fuchsialever/soak/Promise.java
@@ -16,8 +16,8 @@
     /** A success is the whole answer of an upstream to this call. */
     ANSWERS_ARE_GENUINE {
         @Override
-        void check(SoakWorld world, List<String> findings) {
-            for (SoakRecord.LiveCall call : world.record().liveCalls()) {
+        void check(Evidence evidence, List<String> findings) {
+            for (SoakRecord.LiveCall call : evidence.record().liveCalls()) {
                 boolean genuine =
                         call.body().equals("body of " + call.id())
                                 && call.stamp().equals("stamp-" + call.id());
@@ -30,8 +30,8 @@
     /** An unsafe call runs once at most. */
     UNSAFE_CALLS_RUN_ONCE {
         @Override
-        void check(SoakWorld world, List<String> findings) {
-            runs(world)
+        void check(Evidence evidence, List<String> findings) {
+            evidence.runs()
                     .forEach(
                             (id, runs) -> {
                                 if (id.startsWith("unsafe-") && runs > 1) {
@@ -43,9 +43,9 @@
     /** A refusal that says that a call has not run is true. */
     REFUSED_CALLS_HAVE_NOT_RUN {
         @Override
-        void check(SoakWorld world, List<String> findings) {
-            Map<String, Integer> runs = runs(world);
-            for (SoakRecord.LiveCall call : world.record().liveCalls()) {
+        void check(Evidence evidence, List<String> findings) {
+            Map<String, Integer> runs = evidence.runs();
+            for (SoakRecord.LiveCall call : evidence.record().liveCalls()) {
                 if (!call.safe()
                         && NOT_RUN.contains(call.status())
                         && runs.containsKey(call.id())) {
@@ -57,8 +57,8 @@
     /** No proper call is answered as if it were not allowed. */
     PROPER_CALLS_ARE_NOT_DENIED {
         @Override
-        void check(SoakWorld world, List<String> findings) {
-            for (SoakRecord.LiveCall call : world.record().liveCalls()) {
+        void check(Evidence evidence, List<String> findings) {
+            for (SoakRecord.LiveCall call : evidence.record().liveCalls()) {
                 if (call.status() >= 300 && call.status() < 500 && call.status() != 408) {
                     findings.add(call + " was denied");
                 }
@@ -68,8 +68,8 @@
     /** A call reaches no more upstreams than its route allows. */
     ATTEMPTS_STAY_WITHIN_THE_ROUTE {
         @Override
-        void check(SoakWorld world, List<String> findings) {
-            runs(world)
+        void check(Evidence evidence, List<String> findings) {
+            evidence.runs()
                     .forEach(
                             (id, runs) -> {
                                 if (id.startsWith("safe-") && runs > MOST_ATTEMPTS) {
@@ -81,17 +81,15 @@
     /** An upstream sees only what callers asked for, for their team and without their key. */
     UPSTREAMS_SEE_WHAT_WAS_ASKED {
         @Override
-        void check(SoakWorld world, List<String> findings) {
-            Set<String> asked = world.record().asked();
-            for (UpstreamStandIn upstream : world.upstreams().values()) {
-                for (UpstreamStandIn.SeenCall call : upstream.calls()) {
-                    boolean scoring = call.requestId().startsWith("s-");
-                    String team = call.headers().getOrDefault("Tenant", "");
-                    if (!asked.contains(call.requestId())
-                            || call.headers().containsKey("Authorization")
-                            || !scoring && !team.equals(SoakWorld.TEAM)) {
-                        findings.add("an upstream got " + call);
-                    }
+        void check(Evidence evidence, List<String> findings) {
+            Set<String> asked = evidence.record().asked();
+            for (UpstreamStandIn.SeenCall call : evidence.upstreamCalls()) {
+                boolean scoring = call.requestId().startsWith("s-");
+                String team = call.headers().getOrDefault("Tenant", "");
+                if (!asked.contains(call.requestId())
+                        || call.headers().containsKey("Authorization")
+                        || !scoring && !team.equals(SoakWorld.TEAM)) {
+                    findings.add("an upstream got " + call);
                 }
             }
         }
@@ -99,9 +97,9 @@
     /** Nothing runs of a submission that was refused each time. */
     REFUSED_SUBMISSIONS_DO_NOT_RUN {
         @Override
-        void check(SoakWorld world, List<String> findings) {
-            Map<String, Integer> runs = runs(world);
-            for (SoakRecord.Submission submission : world.record().submissions()) {
+        void check(Evidence evidence, List<String> findings) {
+            Map<String, Integer> runs = evidence.runs();
+            for (SoakRecord.Submission submission : evidence.record().submissions()) {
                 for (String item : submission.items()) {
                     if (submission.refused() && runs.containsKey(item)) {
                         findings.add(item + " has run although its submission was refused");
@@ -113,10 +111,10 @@
     /** Each item of an accepted submission is listed once, with its whole text and its score. */
     ACCEPTED_SUBMISSIONS_ARE_LISTED_WHOLE {
         @Override
-        void check(SoakWorld world, List<String> findings) {
-            for (SoakRecord.Submission submission : world.record().submissions()) {
+        void check(Evidence evidence, List<String> findings) {
+            for (SoakRecord.Submission submission : evidence.record().submissions()) {
                 if (submission.accepted()) {
-                    checkListed(world, submission, findings);
+                    checkListed(evidence.record(), submission, findings);
                 }
             }
         }
@@ -124,8 +122,8 @@
     /** A process that is told to stop ends within the time that the platform allows. */
     PROCESSES_END_IN_TIME {
         @Override
-        void check(SoakWorld world, List<String> findings) {
-            for (SoakRecord.Exit exit : world.record().exits()) {
+        void check(Evidence evidence, List<String> findings) {
+            for (SoakRecord.Exit exit : evidence.record().exits()) {
                 if (exit.calm() && exit.tookNanos() > GRACE_NANOS) {
                     findings.add(exit + " took too long");
                 }
@@ -135,16 +133,16 @@
     /** A call that a stopping instance has passed on is answered. */
     STOPPING_INSTANCES_ANSWER_WHAT_RUNS {
         @Override
-        void check(SoakWorld world, List<String> findings) {
-            Map<String, Integer> runs = runs(world);
-            for (SoakRecord.Termination stop : world.record().terminations()) {
-                for (SoakRecord.LiveCall call : world.record().liveCalls()) {
+        void check(Evidence evidence, List<String> findings) {
+            Map<String, Integer> runs = evidence.runs();
+            for (SoakRecord.Termination stop : evidence.record().terminations()) {
+                for (SoakRecord.LiveCall call : evidence.record().liveCalls()) {
                     boolean crosses =
                             call.instance().equals(stop.instance())
                                     && call.sentNanos() < stop.atNanos() + GRACE_NANOS
                                     && call.endedNanos() > stop.atNanos();
                     boolean calm =
-                            world.record()
+                            evidence.record()
                                     .isCalm(
                                             call.sentNanos() - CONTACT_NANOS,
                                             call.endedNanos() + CONTACT_NANOS);
@@ -158,14 +156,12 @@
     /** Two holders never order an upstream under the same number. */
     ORDERS_HAVE_ONE_HOLDER {
         @Override
-        void check(SoakWorld world, List<String> findings) {
+        void check(Evidence evidence, List<String> findings) {
             Map<Long, String> holders = new HashMap<>();
-            for (UpstreamStandIn upstream : world.upstreams().values()) {
-                for (UpstreamStandIn.SeenOrder order : upstream.acceptedOrders()) {
-                    String other = holders.putIfAbsent(order.fencing(), order.holder());
-                    if (other != null && !other.equals(order.holder())) {
-                        findings.add(order + " bears the number of " + other);
-                    }
+            for (UpstreamStandIn.SeenOrder order : evidence.orders()) {
+                String other = holders.putIfAbsent(order.fencing(), order.holder());
+                if (other != null && !other.equals(order.holder())) {
+                    findings.add(order + " bears the number of " + other);
                 }
             }
         }
@@ -173,9 +169,9 @@
     /** All reports of a window have the same counts. */
     USAGE_IS_REPORTED_ONCE {
         @Override
-        void check(SoakWorld world, List<String> findings) {
+        void check(Evidence evidence, List<String> findings) {
             Map<String, String> reports = new TreeMap<>();
-            for (String report : world.store().usageReports()) {
+            for (String report : evidence.usageReports()) {
                 JsonNode window = Trainer.json(report);
                 String counts = window.path("counts").toString();
                 String before = reports.putIfAbsent(window.path("window").toString(), counts);
@@ -199,31 +195,23 @@
     private static final long CONTACT_NANOS = TimeUnit.SECONDS.toNanos(4);
 
     /** Adds a finding for each time that the promise was broken. */
-    abstract void check(SoakWorld world, List<String> findings);
+    abstract void check(Evidence evidence, List<String> findings);
 
     /** Returns all findings, each with the promise that was broken. */
-    static List<String> checkAll(SoakWorld world) {
+    static List<String> checkAll(Evidence evidence) {
         List<String> all = new ArrayList<>();
         for (Promise promise : values()) {
             List<String> findings = new ArrayList<>();
-            promise.check(world, findings);
+            promise.check(evidence, findings);
             findings.forEach(finding -> all.add(promise + ": " + finding));
         }
-        world.record().violations().forEach(text -> all.add("RESULTS_STAY: " + text));
+        evidence.record().violations().forEach(text -> all.add("RESULTS_STAY: " + text));
         return all;
     }
 
-    private static Map<String, Integer> runs(SoakWorld world) {
-        Map<String, Integer> runs = new HashMap<>();
-        for (UpstreamStandIn upstream : world.upstreams().values()) {
-            upstream.allRuns().forEach((id, count) -> runs.merge(id, count, Integer::sum));
-        }
-        return runs;
-    }
-
     private static void checkListed(
-            SoakWorld world, SoakRecord.Submission submission, List<String> findings) {
-        List<JsonNode> results = world.record().listedResults(submission.id());
+            SoakRecord record, SoakRecord.Submission submission, List<String> findings) {
+        List<JsonNode> results = record.listedResults(submission.id());
         Set<String> items = new HashSet<>();
         for (JsonNode result : results) {
             String item = result.path("id").asText();
--- a/soak/src/test/java/org/fuchsialever/soak/SoakRun.java
+++ b/soak/src/test/java/org/fuchsialever/soak/SoakRun.java
@@ -65,7 +65,7 @@
             callers.shutdown();
             within(START, () -> live.isIdle() && trainer.isIdle());
             awaitResults(world, trainer);
-            return Promise.checkAll(world);
+            return Promise.checkAll(Evidence.of(world));
         } catch (ConditionTimeoutException e) {
             return List.of("RECOVERY: " + e.getMessage());
         } finally {
