--- a/benchmarks/src/main/java/org/fuchsialever/benchmarks/capacity/CapacitySlopes.java
+++ b/benchmarks/src/main/java/org/fuchsialever/benchmarks/capacity/CapacitySlopes.java
@@ -24,7 +24,7 @@
     private static final int LOOKUPS = 20_000;
 
     /** Keeps the measured object alive while memory is read. */
-    private static @Nullable Object kept;
+    private static @Nullable Object sKept;
 
     private CapacitySlopes() {}
 
@@ -88,7 +88,7 @@
             for (int i = 0; i < REPEATS; i++) {
                 long start = System.nanoTime();
                 for (int j = 0; j < LOOKUPS; j++) {
-                    kept = table.check("fl_k" + j % count + "_secret", 0);
+                    sKept = table.check("fl_k" + j % count + "_secret", 0);
                 }
                 micros = Math.min(micros, (System.nanoTime() - start) / 1e3 / LOOKUPS);
             }
@@ -119,9 +119,9 @@
     }
 
     private static double heapKilobytes(IntFunction<Object> factory, int size) {
-        kept = null;
+        sKept = null;
         long before = usedBytes();
-        kept = factory.apply(size);
+        sKept = factory.apply(size);
         return (usedBytes() - before) / 1024.0;
     }
 
--- a/benchmarks/src/main/java/org/fuchsialever/benchmarks/capacity/DispatchLoad.java
+++ b/benchmarks/src/main/java/org/fuchsialever/benchmarks/capacity/DispatchLoad.java
@@ -42,9 +42,9 @@
     private static final int REQUESTS = 20_000;
     private static final long GAP_NANOS = 12_000_000;
 
-    private final DispatchDuty duty;
-    private final List<DispatchAction.StartAttempt> started = new ArrayList<>();
-    private final Route route =
+    private final DispatchDuty mDuty;
+    private final List<DispatchAction.StartAttempt> mStarted = new ArrayList<>();
+    private final Route mRoute =
             new Route(
                     new RouteName("route"),
                     "/r",
@@ -56,11 +56,11 @@
                     Priority.LIVE,
                     Duration.ofMinutes(10),
                     1024);
-    private long now;
-    private int next;
+    private long mNow;
+    private int mNext;
 
     DispatchLoad(int upstreams) {
-        duty =
+        mDuty =
                 new DispatchDuty(
                         DispatchSettings.standard(new InstanceId("n1"), new FailureDomain("fd-0")),
                         new SplittableRandom(3),
@@ -91,9 +91,9 @@
         }
         long start = System.nanoTime();
         for (int i = 0; i < REQUESTS; i++) {
-            now += GAP_NANOS;
-            if (duty.nextTimerNanos() <= now) {
-                duty.onTimer(now, this::act);
+            mNow += GAP_NANOS;
+            if (mDuty.nextTimerNanos() <= mNow) {
+                mDuty.onTimer(mNow, this::act);
             }
             finishOldest();
             arrive();
@@ -102,29 +102,29 @@
     }
 
     private void finishOldest() {
-        DispatchAction.StartAttempt oldest = started.remove(0);
+        DispatchAction.StartAttempt oldest = mStarted.remove(0);
         AttemptReport report =
                 new AttemptReport(AttemptResult.COMPLETED, 100, 100, 10_000_000, 900_000_000);
         send(new DispatchEvent.AttemptEnded(oldest.request(), oldest.attempt(), report));
     }
 
     private void arrive() {
-        TeamName team = new TeamName("team-" + next % 8);
-        RequestId id = new RequestId("r" + next++);
-        long deadline = now + route.deadline().toNanos();
+        TeamName team = new TeamName("team-" + mNext % 8);
+        RequestId id = new RequestId("r" + mNext++);
+        long deadline = mNow + mRoute.deadline().toNanos();
         send(
                 new DispatchEvent.RequestArrived(
                         new DispatchRequest(
-                                id, team, route, 100, 100, next % 500 + 1, true, 0, deadline)));
+                                id, team, mRoute, 100, 100, mNext % 500 + 1, true, 0, deadline)));
     }
 
     private void send(DispatchEvent event) {
-        duty.onEvent(event, now, this::act);
+        mDuty.onEvent(event, mNow, this::act);
     }
 
     private void act(DispatchAction action) {
         if (action instanceof DispatchAction.StartAttempt start) {
-            started.add(start);
+            mStarted.add(start);
         }
     }
 }
--- a/benchmarks/src/main/java/org/fuchsialever/benchmarks/dispatch/Agenda.java
+++ b/benchmarks/src/main/java/org/fuchsialever/benchmarks/dispatch/Agenda.java
@@ -4,31 +4,31 @@
 
 /** Events in order of time. */
 final class Agenda {
-    private final PriorityQueue<Item> items = new PriorityQueue<>();
-    private long now;
-    private long sequence;
+    private final PriorityQueue<Item> mItems = new PriorityQueue<>();
+    private long mNow;
+    private long mSequence;
 
     long now() {
-        return now;
+        return mNow;
     }
 
     void at(long nanos, Runnable task) {
-        items.add(new Item(Math.max(nanos, now), sequence++, task));
+        mItems.add(new Item(Math.max(nanos, mNow), mSequence++, task));
     }
 
     void after(long nanos, Runnable task) {
-        at(now + nanos, task);
+        at(mNow + nanos, task);
     }
 
     void runUntil(long end) {
-        Item next = items.peek();
+        Item next = mItems.peek();
         while (next != null && next.nanos <= end) {
-            items.poll();
-            now = next.nanos;
+            mItems.poll();
+            mNow = next.nanos;
             next.task.run();
-            next = items.peek();
+            next = mItems.peek();
         }
-        now = end;
+        mNow = end;
     }
 
     private record Item(long nanos, long sequence, Runnable task) implements Comparable<Item> {
--- a/benchmarks/src/main/java/org/fuchsialever/benchmarks/dispatch/ChoiceBenchmark.java
+++ b/benchmarks/src/main/java/org/fuchsialever/benchmarks/dispatch/ChoiceBenchmark.java
@@ -26,17 +26,17 @@
     @Param({"6", "600", "10000"})
     public int upstreams;
 
-    private ChoiceHarness probe = new ChoiceHarness(1);
+    private ChoiceHarness mProbe = new ChoiceHarness(1);
 
     /** Fills the pool. */
     @Setup
     public void fillPool() {
-        probe = new ChoiceHarness(upstreams);
+        mProbe = new ChoiceHarness(upstreams);
     }
 
     /** Chooses once with the policy in use. */
     @Benchmark
     public int scoredChoice() {
-        return probe.choose();
+        return mProbe.choose();
     }
 }
--- a/benchmarks/src/main/java/org/fuchsialever/benchmarks/dispatch/EngineModel.java
+++ b/benchmarks/src/main/java/org/fuchsialever/benchmarks/dispatch/EngineModel.java
@@ -17,20 +17,20 @@
     private static final long PREFILL_NANOS_PER_TOKEN = TimeUnit.MICROSECONDS.toNanos(200);
     private static final double CACHED_PART = 0.9;
 
-    private final Agenda agenda;
-    private final UpstreamSpec spec;
-    private final long nanosPerToken;
-    private final Map<Long, Boolean> cache;
-    private final Deque<Job> queue = new ArrayDeque<>();
-    private int running;
-    private int hits;
-    private int started;
+    private final Agenda mAgenda;
+    private final UpstreamSpec mSpec;
+    private final long mNanosPerToken;
+    private final Map<Long, Boolean> mCache;
+    private final Deque<Job> mQueue = new ArrayDeque<>();
+    private int mRunning;
+    private int mHits;
+    private int mStarted;
 
     EngineModel(Agenda agenda, UpstreamSpec spec, long nanosPerToken, int cacheEntries) {
-        this.agenda = agenda;
-        this.spec = spec;
-        this.nanosPerToken = nanosPerToken;
-        this.cache =
+        mAgenda = agenda;
+        mSpec = spec;
+        mNanosPerToken = nanosPerToken;
+        mCache =
                 new LinkedHashMap<>(cacheEntries, 0.75f, true) {
                     private static final long serialVersionUID = 1L;
 
@@ -42,43 +42,43 @@
     }
 
     UpstreamSpec spec() {
-        return spec;
+        return mSpec;
     }
 
     Job submit(long prefix, int promptTokens, int tokens, Consumer<AttemptReport> done) {
-        Job job = new Job(prefix, promptTokens, tokens, agenda.now(), done);
-        queue.add(job);
+        Job job = new Job(prefix, promptTokens, tokens, mAgenda.now(), done);
+        mQueue.add(job);
         startNext();
         return job;
     }
 
     /** Stops a job at once; its slot becomes free. */
     void cancel(Job job) {
-        job.cancelled = true;
-        if (!queue.remove(job) && job.runs) {
-            job.runs = false;
-            running--;
+        job.mCancelled = true;
+        if (!mQueue.remove(job) && job.mRuns) {
+            job.mRuns = false;
+            mRunning--;
             startNext();
         }
     }
 
     int busy() {
-        return running + queue.size();
+        return mRunning + mQueue.size();
     }
 
     int hits() {
-        return hits;
+        return mHits;
     }
 
     int started() {
-        return started;
+        return mStarted;
     }
 
     LoadReport report(long ageNanos) {
         return new LoadReport(
-                running,
-                queue.size(),
-                spec.slots(),
+                mRunning,
+                mQueue.size(),
+                mSpec.slots(),
                 new WeightVersion(0),
                 "start",
                 false,
@@ -86,43 +86,43 @@
     }
 
     private void startNext() {
-        while (running < spec.slots() && !queue.isEmpty()) {
-            Job job = queue.remove();
-            job.runs = true;
-            running++;
-            started++;
-            boolean hit = cache.put(job.prefix, true) != null;
-            hits += hit ? 1 : 0;
-            double prefill = job.promptTokens * (double) PREFILL_NANOS_PER_TOKEN;
+        while (mRunning < mSpec.slots() && !mQueue.isEmpty()) {
+            Job job = mQueue.remove();
+            job.mRuns = true;
+            mRunning++;
+            mStarted++;
+            boolean hit = mCache.put(job.mPrefix, true) != null;
+            mHits += hit ? 1 : 0;
+            double prefill = job.mPromptTokens * (double) PREFILL_NANOS_PER_TOKEN;
             long firstToken = (long) (hit ? prefill * (1 - CACHED_PART) : prefill);
-            long firstByte = agenda.now() + firstToken - job.submittedAt;
-            long service = firstToken + job.tokens * nanosPerToken;
-            long total = agenda.now() + service - job.submittedAt;
-            agenda.after(service, () -> finish(job, firstByte, total));
+            long firstByte = mAgenda.now() + firstToken - job.mSubmittedAt;
+            long service = firstToken + job.mTokens * mNanosPerToken;
+            long total = mAgenda.now() + service - job.mSubmittedAt;
+            mAgenda.after(service, () -> finish(job, firstByte, total));
         }
     }
 
     private void finish(Job job, long firstByte, long total) {
-        if (job.cancelled) {
+        if (job.mCancelled) {
             return;
         }
-        job.runs = false;
-        running--;
+        job.mRuns = false;
+        mRunning--;
         startNext();
-        job.done.accept(
+        job.mDone.accept(
                 new AttemptReport(
-                        AttemptResult.COMPLETED, job.promptTokens, job.tokens, firstByte, total));
+                        AttemptResult.COMPLETED, job.mPromptTokens, job.mTokens, firstByte, total));
     }
 
     /** One request at the engine. */
     static final class Job {
-        private final long prefix;
-        private final int promptTokens;
-        private final int tokens;
-        private final long submittedAt;
-        private final Consumer<AttemptReport> done;
-        private boolean runs;
-        private boolean cancelled;
+        private final long mPrefix;
+        private final int mPromptTokens;
+        private final int mTokens;
+        private final long mSubmittedAt;
+        private final Consumer<AttemptReport> mDone;
+        private boolean mRuns;
+        private boolean mCancelled;
 
         private Job(
                 long prefix,
@@ -130,11 +130,11 @@
                 int tokens,
                 long submittedAt,
                 Consumer<AttemptReport> done) {
-            this.prefix = prefix;
-            this.promptTokens = promptTokens;
-            this.tokens = tokens;
-            this.submittedAt = submittedAt;
-            this.done = done;
+            mPrefix = prefix;
+            mPromptTokens = promptTokens;
+            mTokens = tokens;
+            mSubmittedAt = submittedAt;
+            mDone = done;
         }
     }
 }
--- a/benchmarks/src/main/java/org/fuchsialever/benchmarks/dispatch/OverloadExperiment.java
+++ b/benchmarks/src/main/java/org/fuchsialever/benchmarks/dispatch/OverloadExperiment.java
@@ -77,45 +77,46 @@
     private static int fifo(double load) {
         Fifo fifo = new Fifo(rate(load));
         fifo.arriveLater();
-        fifo.agenda.runUntil(WARM_UP.plus(LENGTH).toNanos());
-        return fifo.inTime;
+        fifo.mAgenda.runUntil(WARM_UP.plus(LENGTH).toNanos());
+        return fifo.mInTime;
     }
 
     /** One unbounded queue before all slots; the baseline. */
     private static final class Fifo {
-        private final Agenda agenda = new Agenda();
-        private final Workload workload = new Workload(SEED);
-        private final Deque<long[]> queue = new ArrayDeque<>();
-        private final double rate;
-        private int busy;
-        private int inTime;
+        private final Agenda mAgenda = new Agenda();
+        private final Workload mWorkload = new Workload(SEED);
+        private final Deque<long[]> mQueue = new ArrayDeque<>();
+        private final double mRate;
+        private int mBusy;
+        private int mInTime;
 
         private Fifo(double rate) {
-            this.rate = rate;
+            mRate = rate;
         }
 
         private void arriveLater() {
-            agenda.after(
-                    workload.gap(rate),
+            mAgenda.after(
+                    mWorkload.gap(mRate),
                     () -> {
-                        queue.add(new long[] {agenda.now(), workload.tokens(MEDIAN_TOKENS, SIGMA)});
+                        mQueue.add(
+                                new long[] {mAgenda.now(), mWorkload.tokens(MEDIAN_TOKENS, SIGMA)});
                         startNext();
                         arriveLater();
                     });
         }
 
         private void startNext() {
-            while (busy < ENGINES * SLOTS && !queue.isEmpty()) {
-                long[] job = queue.remove();
-                busy++;
+            while (mBusy < ENGINES * SLOTS && !mQueue.isEmpty()) {
+                long[] job = mQueue.remove();
+                mBusy++;
                 long service = Duration.ofMillis(20).toNanos() + job[1] * TOKEN_TIME.toNanos();
-                agenda.after(
+                mAgenda.after(
                         service,
                         () -> {
-                            busy--;
-                            boolean measured = agenda.now() >= WARM_UP.toNanos();
-                            boolean met = agenda.now() - job[0] <= DEADLINE.toNanos();
-                            inTime += measured && met ? 1 : 0;
+                            mBusy--;
+                            boolean measured = mAgenda.now() >= WARM_UP.toNanos();
+                            boolean met = mAgenda.now() - job[0] <= DEADLINE.toNanos();
+                            mInTime += measured && met ? 1 : 0;
                             startNext();
                         });
             }
--- a/benchmarks/src/main/java/org/fuchsialever/benchmarks/dispatch/RoutingExperiment.java
+++ b/benchmarks/src/main/java/org/fuchsialever/benchmarks/dispatch/RoutingExperiment.java
@@ -104,29 +104,29 @@
 
     /** Mean of the highest load over the average load, sampled each second. */
     private static final class Imbalance {
-        private final Scenario scenario;
-        private double sum;
-        private int samples;
+        private final Scenario mScenario;
+        private double mSum;
+        private int mSamples;
 
         private Imbalance(Scenario scenario) {
-            this.scenario = scenario;
+            mScenario = scenario;
             scenario.agenda().at(WARM_UP.toNanos(), this::sample);
         }
 
         private void sample() {
             double most = 0;
             double total = 0;
-            for (EngineModel engine : scenario.engines()) {
+            for (EngineModel engine : mScenario.engines()) {
                 most = Math.max(most, engine.busy());
                 total += engine.busy();
             }
-            sum += most / Math.max(1, total / scenario.engines().size());
-            samples++;
-            scenario.agenda().after(Duration.ofSeconds(1).toNanos(), this::sample);
+            mSum += most / Math.max(1, total / mScenario.engines().size());
+            mSamples++;
+            mScenario.agenda().after(Duration.ofSeconds(1).toNanos(), this::sample);
         }
 
         private double mean() {
-            return sum / Math.max(1, samples);
+            return mSum / Math.max(1, mSamples);
         }
     }
 }
--- a/benchmarks/src/main/java/org/fuchsialever/benchmarks/dispatch/Scenario.java
+++ b/benchmarks/src/main/java/org/fuchsialever/benchmarks/dispatch/Scenario.java
@@ -41,18 +41,18 @@
     private static final int DOMAINS = 3;
     private static final int QUEUE_CAPACITY = 1_000_000;
 
-    private final Agenda agenda = new Agenda();
-    private final List<EngineModel> engines = new ArrayList<>();
-    private final List<Instance> instances = new ArrayList<>();
-    private final Map<UpstreamId, EngineModel> engineById = new HashMap<>();
-    private final Map<TeamName, Long> servedTokens = new HashMap<>();
-    private final Map<RefusalReason, Integer> refusals = new HashMap<>();
-    private final Histogram firstBytes = new Histogram(3_600_000_000L, 3);
-    private final Duration deadline;
-    private long measureFrom;
-    private int goodput;
-    private int late;
-    private int sequence;
+    private final Agenda mAgenda = new Agenda();
+    private final List<EngineModel> mEngines = new ArrayList<>();
+    private final List<Instance> mInstances = new ArrayList<>();
+    private final Map<UpstreamId, EngineModel> mEngineById = new HashMap<>();
+    private final Map<TeamName, Long> mServedTokens = new HashMap<>();
+    private final Map<RefusalReason, Integer> mRefusals = new HashMap<>();
+    private final Histogram mFirstBytes = new Histogram(3_600_000_000L, 3);
+    private final Duration mDeadline;
+    private long mMeasureFrom;
+    private int mGoodput;
+    private int mLate;
+    private int mSequence;
 
     Scenario(
             long seed,
@@ -62,82 +62,82 @@
             Duration tokenTime,
             Duration deadline,
             String policy) {
-        this.deadline = deadline;
+        mDeadline = deadline;
         List<UpstreamSpec> specs = new ArrayList<>();
         for (int i = 0; i < engineCount; i++) {
             UpstreamSpec spec = spec(i, slots);
             specs.add(spec);
-            EngineModel engine = new EngineModel(agenda, spec, tokenTime.toNanos(), 64);
-            engines.add(engine);
-            engineById.put(spec.id(), engine);
+            EngineModel engine = new EngineModel(mAgenda, spec, tokenTime.toNanos(), 64);
+            mEngines.add(engine);
+            mEngineById.put(spec.id(), engine);
         }
         Pool pool = new Pool(POOL, UpstreamKind.ENGINE, "m", policy, 0, engineCount, specs);
         ConfigSnapshot snapshot = new ConfigSnapshot(1, Map.of(), Map.of(POOL, pool), Map.of());
         SplittableRandom seeds = new SplittableRandom(seed);
         for (int i = 0; i < instanceCount; i++) {
             Instance instance = new Instance(i, seeds.split());
-            instances.add(instance);
+            mInstances.add(instance);
             instance.send(new DispatchEvent.ConfigChanged(snapshot));
         }
     }
 
     Agenda agenda() {
-        return agenda;
+        return mAgenda;
     }
 
     List<EngineModel> engines() {
-        return engines;
+        return mEngines;
     }
 
     /** Lets every engine report its load to every instance at an interval, late by the lag. */
     void reportLoads(Duration interval, Duration lag) {
-        for (EngineModel engine : engines) {
-            agenda.after(
-                    interval.toNanos() * (engines.indexOf(engine) + 1) / engines.size(),
+        for (EngineModel engine : mEngines) {
+            mAgenda.after(
+                    interval.toNanos() * (mEngines.indexOf(engine) + 1) / mEngines.size(),
                     () -> report(engine, interval, lag));
         }
     }
 
     void measureFrom(long nanos) {
-        measureFrom = nanos;
+        mMeasureFrom = nanos;
     }
 
     void arrive(int instance, TeamName team, long prefix, int promptTokens, int tokens) {
-        instances.get(instance).arrive(team, prefix, promptTokens, tokens);
+        mInstances.get(instance).arrive(team, prefix, promptTokens, tokens);
     }
 
     Histogram firstBytes() {
-        return firstBytes;
+        return mFirstBytes;
     }
 
     Map<TeamName, Long> servedTokens() {
-        return servedTokens;
+        return mServedTokens;
     }
 
     Map<RefusalReason, Integer> refusals() {
-        return refusals;
+        return mRefusals;
     }
 
     /** Returns the number of requests that were completed within their deadline. */
     int goodput() {
-        return goodput;
+        return mGoodput;
     }
 
     /** Returns the number of requests that were completed after their deadline. */
     int late() {
-        return late;
+        return mLate;
     }
 
     private void report(EngineModel engine, Duration interval, Duration lag) {
         var report = engine.report(lag.toNanos());
-        agenda.after(
+        mAgenda.after(
                 lag.toNanos(),
                 () -> {
-                    for (Instance instance : instances) {
+                    for (Instance instance : mInstances) {
                         instance.send(new DispatchEvent.LoadReported(engine.spec().id(), report));
                     }
                 });
-        agenda.after(interval.toNanos(), () -> report(engine, interval, lag));
+        mAgenda.after(interval.toNanos(), () -> report(engine, interval, lag));
     }
 
     private static UpstreamSpec spec(int number, int slots) {
@@ -154,24 +154,24 @@
     }
 
     private final class Instance {
-        private final String name;
-        private final DispatchDuty duty;
-        private final Map<RequestId, Arrival> arrivals = new HashMap<>();
-        private final Map<RequestId, Running> running = new HashMap<>();
-        private final Route route;
-        private long timerAt = Long.MAX_VALUE;
+        private final String mName;
+        private final DispatchDuty mDuty;
+        private final Map<RequestId, Arrival> mArrivals = new HashMap<>();
+        private final Map<RequestId, Running> mRunning = new HashMap<>();
+        private final Route mRoute;
+        private long mTimerAt = Long.MAX_VALUE;
 
         private Instance(int number, SplittableRandom random) {
-            name = "n" + number;
-            duty =
+            mName = "n" + number;
+            mDuty =
                     new DispatchDuty(
                             DispatchSettings.standard(
-                                            new InstanceId(name),
+                                            new InstanceId(mName),
                                             new FailureDomain("fd-" + number % DOMAINS))
                                     .withQueueCapacity(QUEUE_CAPACITY),
                             random,
                             InvariantMonitor.throwing());
-            route =
+            mRoute =
                     new Route(
                             new RouteName("route"),
                             "/r",
@@ -181,44 +181,44 @@
                             Set.of(),
                             true,
                             Priority.LIVE,
-                            deadline,
+                            mDeadline,
                             1024);
         }
 
         private void arrive(TeamName team, long prefix, int promptTokens, int tokens) {
-            RequestId id = new RequestId("r" + sequence++);
-            arrivals.put(id, new Arrival(team, prefix, promptTokens, tokens, agenda.now()));
+            RequestId id = new RequestId("r" + mSequence++);
+            mArrivals.put(id, new Arrival(team, prefix, promptTokens, tokens, mAgenda.now()));
             send(
                     new DispatchEvent.RequestArrived(
                             new DispatchRequest(
                                     id,
                                     team,
-                                    route,
+                                    mRoute,
                                     promptTokens,
                                     4 * tokens,
                                     prefix,
                                     false,
                                     0,
-                                    agenda.now() + deadline.toNanos())));
+                                    mAgenda.now() + mDeadline.toNanos())));
         }
 
         private void send(DispatchEvent event) {
-            duty.onEvent(event, agenda.now(), this::act);
+            mDuty.onEvent(event, mAgenda.now(), this::act);
             setTimer();
         }
 
         private void setTimer() {
-            long next = duty.nextTimerNanos();
-            if (next < timerAt) {
-                timerAt = next;
-                agenda.at(next, this::runTimer);
+            long next = mDuty.nextTimerNanos();
+            if (next < mTimerAt) {
+                mTimerAt = next;
+                mAgenda.at(next, this::runTimer);
             }
         }
 
         private void runTimer() {
-            timerAt = Long.MAX_VALUE;
-            if (duty.nextTimerNanos() <= agenda.now()) {
-                duty.onTimer(agenda.now(), this::act);
+            mTimerAt = Long.MAX_VALUE;
+            if (mDuty.nextTimerNanos() <= mAgenda.now()) {
+                mDuty.onTimer(mAgenda.now(), this::act);
             }
             setTimer();
         }
@@ -226,13 +226,13 @@
         private void act(DispatchAction action) {
             if (action instanceof DispatchAction.StartAttempt start) {
                 // The engine answers in a later event, since a duty must not be re-entered.
-                agenda.after(0, () -> submit(start));
+                mAgenda.after(0, () -> submit(start));
             } else if (action instanceof DispatchAction.CancelAttempt cancel) {
-                agenda.after(0, () -> cancel(cancel.request()));
+                mAgenda.after(0, () -> cancel(cancel.request()));
             } else if (action instanceof DispatchAction.Refuse refuse) {
-                arrivals.remove(refuse.request());
-                if (agenda.now() >= measureFrom) {
-                    refusals.merge(refuse.reason(), 1, Integer::sum);
+                mArrivals.remove(refuse.request());
+                if (mAgenda.now() >= mMeasureFrom) {
+                    mRefusals.merge(refuse.reason(), 1, Integer::sum);
                 }
             } else if (action instanceof DispatchAction.PublishShares shares) {
                 publish(shares);
@@ -240,8 +240,8 @@
         }
 
         private void submit(DispatchAction.StartAttempt start) {
-            Arrival arrival = arrivals.get(start.request());
-            EngineModel engine = engineById.get(start.upstream().id());
+            Arrival arrival = mArrivals.get(start.request());
+            EngineModel engine = mEngineById.get(start.upstream().id());
             if (arrival != null && engine != null) {
                 EngineModel.Job job =
                         engine.submit(
@@ -249,41 +249,41 @@
                                 arrival.promptTokens,
                                 arrival.tokens,
                                 report -> end(start, arrival, report));
-                running.put(start.request(), new Running(engine, job));
+                mRunning.put(start.request(), new Running(engine, job));
             }
         }
 
         private void cancel(RequestId request) {
-            Running work = running.remove(request);
+            Running work = mRunning.remove(request);
             if (work != null) {
                 work.engine.cancel(work.job);
             }
         }
 
         private void publish(DispatchAction.PublishShares shares) {
-            agenda.after(
+            mAgenda.after(
                     Duration.ofMillis(2).toNanos(),
                     () -> {
-                        for (Instance other : instances) {
+                        for (Instance other : mInstances) {
                             if (other != this) {
                                 other.send(
                                         new DispatchEvent.SharesReceived(
-                                                name, shares.pool(), shares.costs()));
+                                                mName, shares.pool(), shares.costs()));
                             }
                         }
                     });
         }
 
         private void end(DispatchAction.StartAttempt start, Arrival arrival, AttemptReport report) {
-            running.remove(start.request());
-            if (arrivals.remove(start.request()) != null && agenda.now() >= measureFrom) {
-                long waited = agenda.now() - report.totalNanos() - arrival.at;
-                firstBytes.recordValue((waited + report.firstByteNanos()) / 1000);
-                servedTokens.merge(
+            mRunning.remove(start.request());
+            if (mArrivals.remove(start.request()) != null && mAgenda.now() >= mMeasureFrom) {
+                long waited = mAgenda.now() - report.totalNanos() - arrival.at;
+                mFirstBytes.recordValue((waited + report.firstByteNanos()) / 1000);
+                mServedTokens.merge(
                         arrival.team, (long) arrival.promptTokens + arrival.tokens, Long::sum);
-                boolean inTime = agenda.now() <= arrival.at + deadline.toNanos();
-                goodput += inTime ? 1 : 0;
-                late += inTime ? 0 : 1;
+                boolean inTime = mAgenda.now() <= arrival.at + mDeadline.toNanos();
+                mGoodput += inTime ? 1 : 0;
+                mLate += inTime ? 0 : 1;
             }
             send(new DispatchEvent.AttemptEnded(start.request(), start.attempt(), report));
         }
--- a/benchmarks/src/main/java/org/fuchsialever/benchmarks/dispatch/ShareExperiment.java
+++ b/benchmarks/src/main/java/org/fuchsialever/benchmarks/dispatch/ShareExperiment.java
@@ -89,27 +89,27 @@
 
     /** Mean part of the slots that are in use, sampled ten times a second. */
     private static final class Utilisation {
-        private final Scenario scenario;
-        private double sum;
-        private int samples;
+        private final Scenario mScenario;
+        private double mSum;
+        private int mSamples;
 
         private Utilisation(Scenario scenario) {
-            this.scenario = scenario;
+            mScenario = scenario;
             scenario.agenda().at(SETTLE.toNanos(), this::sample);
         }
 
         private void sample() {
             double busy = 0;
-            for (EngineModel engine : scenario.engines()) {
+            for (EngineModel engine : mScenario.engines()) {
                 busy += Math.min(SLOTS, engine.busy());
             }
-            sum += busy / (ENGINES * SLOTS);
-            samples++;
-            scenario.agenda().after(Duration.ofMillis(100).toNanos(), this::sample);
+            mSum += busy / (ENGINES * SLOTS);
+            mSamples++;
+            mScenario.agenda().after(Duration.ofMillis(100).toNanos(), this::sample);
         }
 
         private double mean() {
-            return sum / Math.max(1, samples);
+            return mSum / Math.max(1, mSamples);
         }
     }
 }
--- a/benchmarks/src/main/java/org/fuchsialever/benchmarks/dispatch/Workload.java
+++ b/benchmarks/src/main/java/org/fuchsialever/benchmarks/dispatch/Workload.java
@@ -4,15 +4,15 @@
 
 /** Random arrivals and sizes. */
 final class Workload {
-    private final SplittableRandom random;
+    private final SplittableRandom mRandom;
 
     Workload(long seed) {
-        random = new SplittableRandom(seed);
+        mRandom = new SplittableRandom(seed);
     }
 
     /** Returns an exponential time between arrivals in nanoseconds. */
     long gap(double perSecond) {
-        return (long) (-Math.log(1 - random.nextDouble()) / perSecond * 1e9);
+        return (long) (-Math.log(1 - mRandom.nextDouble()) / perSecond * 1e9);
     }
 
     /** Returns a log-normal number of tokens, at least 1. */
@@ -23,20 +23,20 @@
 
     /** Returns a prefix; low numbers are much more frequent than high ones. */
     long prefix(int count) {
-        double u = random.nextDouble();
+        double u = mRandom.nextDouble();
         return 1 + (long) (Math.pow(count, u) - 1);
     }
 
     int below(int bound) {
-        return random.nextInt(bound);
+        return mRandom.nextInt(bound);
     }
 
     boolean chance(double probability) {
-        return random.nextDouble() < probability;
+        return mRandom.nextDouble() < probability;
     }
 
     private double gaussian() {
-        double u = 1 - random.nextDouble();
-        return Math.sqrt(-2 * Math.log(u)) * Math.cos(2 * Math.PI * random.nextDouble());
+        double u = 1 - mRandom.nextDouble();
+        return Math.sqrt(-2 * Math.log(u)) * Math.cos(2 * Math.PI * mRandom.nextDouble());
     }
 }
--- a/benchmarks/src/main/java/org/fuchsialever/benchmarks/orders/DayExperiment.java
+++ b/benchmarks/src/main/java/org/fuchsialever/benchmarks/orders/DayExperiment.java
@@ -57,28 +57,28 @@
     private static final PlanLimits LIMITS =
             new PlanLimits(3, 24, SLOTS, DOMAINS, 1, CHEAP_PRICE, START_COST);
 
-    private final Map<UpstreamId, Running> upstreams = new LinkedHashMap<>();
-    private final Map<CapacityPlacement, Integer> refusingUntil = new LinkedHashMap<>();
-    private final DutyStepper stepper = new DutyStepper(new ManualTimeSource(0));
-    private final SplittableRandom random;
-    private final ActionSink<OrderEvent> duty;
-    private long version;
-    private int second;
-    private int starts;
-    private double cost;
-    private double cheapWork;
-    private double work;
-    private double missedLive;
-    private double live;
-    private double missedBatch;
-    private double batch;
-    private int secondsShort;
-    private double noise = 1;
+    private final Map<UpstreamId, Running> mUpstreams = new LinkedHashMap<>();
+    private final Map<CapacityPlacement, Integer> mRefusingUntil = new LinkedHashMap<>();
+    private final DutyStepper mStepper = new DutyStepper(new ManualTimeSource(0));
+    private final SplittableRandom mRandom;
+    private final ActionSink<OrderEvent> mDuty;
+    private long mVersion;
+    private int mSecond;
+    private int mStarts;
+    private double mCost;
+    private double mCheapWork;
+    private double mWork;
+    private double mMissedLive;
+    private double mLive;
+    private double mMissedBatch;
+    private double mBatch;
+    private int mSecondsShort;
+    private double mNoise = 1;
 
     private DayExperiment(OrderPolicy policy, long seed) {
-        random = new SplittableRandom(seed);
-        duty =
-                stepper.add(
+        mRandom = new SplittableRandom(seed);
+        mDuty =
+                mStepper.add(
                         new OrderDuty(
                                 new PoolName("engines"),
                                 policy,
@@ -87,8 +87,8 @@
                                 0,
                                 InvariantMonitor.throwing()),
                         this::carryOut);
-        duty.emit(new OrderEvent.LimitsChanged(LIMITS));
-        duty.emit(new OrderEvent.RoleEvent(new IntentEvent.LeaseAcquired<>(1)));
+        mDuty.emit(new OrderEvent.LimitsChanged(LIMITS));
+        mDuty.emit(new OrderEvent.RoleEvent(new IntentEvent.LeaseAcquired<>(1)));
     }
 
     /** Runs each policy with each seed and prints cost and service. */
@@ -107,12 +107,12 @@
 
     private void run() {
         Set<Integer> reclaims = new HashSet<>();
-        SplittableRandom events = random.split();
+        SplittableRandom events = mRandom.split();
         while (reclaims.size() < RECLAIMS_PER_DAY) {
             reclaims.add(events.nextInt(DAY_SECONDS));
         }
-        for (second = 0; second < DAY_SECONDS; second++) {
-            if (reclaims.contains(second)) {
+        for (mSecond = 0; mSecond < DAY_SECONDS; mSecond++) {
+            if (reclaims.contains(mSecond)) {
                 reclaim(DOMAINS.get(events.nextInt(DOMAINS.size())));
             }
             step();
@@ -120,32 +120,32 @@
     }
 
     private void step() {
-        upstreams.values().forEach(this::age);
-        if (second % 10 == 0) {
-            noise = 0.9 * noise + 0.1 * (0.7 + 0.6 * random.nextDouble());
+        mUpstreams.values().forEach(this::age);
+        if (mSecond % 10 == 0) {
+            mNoise = 0.9 * mNoise + 0.1 * (0.7 + 0.6 * mRandom.nextDouble());
         }
-        double hour = second / 3_600.0;
-        double liveNow = (90 + 80 * Math.sin((hour - 8) / 24 * 2 * Math.PI)) * noise;
+        double hour = mSecond / 3_600.0;
+        double liveNow = (90 + 80 * Math.sin((hour - 8) / 24 * 2 * Math.PI)) * mNoise;
         // Steps of 10 minutes with a pause of 5 minutes between them.
-        double batchNow = second % 900 < 600 ? 120 : 0;
-        duty.emit(
+        double batchNow = mSecond % 900 < 600 ? 120 : 0;
+        mDuty.emit(
                 new OrderEvent.DemandObserved(
                         new PoolDemand(
                                 List.of(new TeamDemand(new TeamName("t"), 1, liveNow, batchNow)),
                                 List.of())));
-        stepper.advance(SECOND);
+        mStepper.advance(SECOND);
         account(liveNow, batchNow);
     }
 
     private void account(double liveNow, double batchNow) {
         int regularSlots = 0;
         int cheapSlots = 0;
-        for (Running upstream : upstreams.values()) {
-            boolean regular = upstream.place.kind() == CapacityKind.REGULAR;
-            if (upstream.state != State.STOPPED) {
-                cost += regular ? 1 : CHEAP_PRICE;
+        for (Running upstream : mUpstreams.values()) {
+            boolean regular = upstream.mPlace.kind() == CapacityKind.REGULAR;
+            if (upstream.mState != State.STOPPED) {
+                mCost += regular ? 1 : CHEAP_PRICE;
             }
-            if (upstream.state == State.SERVING) {
+            if (upstream.mState == State.SERVING) {
                 regularSlots += regular ? SLOTS : 0;
                 cheapSlots += regular ? 0 : SLOTS;
             }
@@ -153,16 +153,16 @@
         double slots = regularSlots + cheapSlots;
         double liveServed = Math.min(liveNow, slots);
         double batchServed = Math.min(batchNow, slots - liveServed);
-        if (second < 600) {
+        if (mSecond < 600) {
             return; // The pool starts empty; its first ten minutes say nothing about a policy.
         }
-        live += liveNow;
-        batch += batchNow;
-        missedLive += liveNow - liveServed;
-        missedBatch += batchNow - batchServed;
-        secondsShort += liveServed < liveNow ? 1 : 0;
-        work += liveServed + batchServed;
-        cheapWork += slots == 0 ? 0 : (liveServed + batchServed) * cheapSlots / slots;
+        mLive += liveNow;
+        mBatch += batchNow;
+        mMissedLive += liveNow - liveServed;
+        mMissedBatch += batchNow - batchServed;
+        mSecondsShort += liveServed < liveNow ? 1 : 0;
+        mWork += liveServed + batchServed;
+        mCheapWork += slots == 0 ? 0 : (liveServed + batchServed) * cheapSlots / slots;
     }
 
     private void print(OrderPolicy policy, long seed) {
@@ -171,44 +171,44 @@
                 "%-9s  %4d  %6.2f  %10.4f%%  %11.3f%%  %13d  %7.1f%%  %6d%n",
                 policy,
                 seed,
-                cost / DAY_SECONDS,
-                100 * missedLive / live,
-                100 * missedBatch / batch,
-                secondsShort,
-                100 * cheapWork / work,
-                starts);
+                mCost / DAY_SECONDS,
+                100 * mMissedLive / mLive,
+                100 * mMissedBatch / mBatch,
+                mSecondsShort,
+                100 * mCheapWork / mWork,
+                mStarts);
     }
 
     private void reclaim(FailureDomain domain) {
         CapacityPlacement place = new CapacityPlacement(CapacityKind.CHEAP, domain);
-        refusingUntil.put(place, second + REFUSING_SECONDS);
-        for (Running upstream : upstreams.values()) {
-            if (upstream.place.equals(place) && upstream.state != State.STOPPED) {
-                upstream.state = State.LEAVING;
-                upstream.stopAt = second + NOTICE_SECONDS;
+        mRefusingUntil.put(place, mSecond + REFUSING_SECONDS);
+        for (Running upstream : mUpstreams.values()) {
+            if (upstream.mPlace.equals(place) && upstream.mState != State.STOPPED) {
+                upstream.mState = State.LEAVING;
+                upstream.mStopAt = mSecond + NOTICE_SECONDS;
             }
         }
     }
 
     private void age(Running upstream) {
-        if (upstream.state == State.STARTING && second >= upstream.serveAt) {
-            upstream.state = State.SERVING;
+        if (upstream.mState == State.STARTING && mSecond >= upstream.mServeAt) {
+            upstream.mState = State.SERVING;
         }
-        if (upstream.state == State.LEAVING && second >= upstream.stopAt) {
-            upstream.state = State.STOPPED;
+        if (upstream.mState == State.LEAVING && mSecond >= upstream.mStopAt) {
+            upstream.mState = State.STOPPED;
         }
     }
 
     private void carryOut(OrderAction action) {
         if (action instanceof OrderAction.ListUpstreams) {
-            upstreams.values().removeIf(each -> each.state == State.STOPPED && each.listed);
+            mUpstreams.values().removeIf(each -> each.mState == State.STOPPED && each.mListed);
             List<ObservedUpstream> list = new ArrayList<>();
-            upstreams.forEach(
+            mUpstreams.forEach(
                     (id, each) -> {
-                        each.listed = each.state == State.STOPPED;
-                        list.add(new ObservedUpstream(id, each.place, each.state));
+                        each.mListed = each.mState == State.STOPPED;
+                        list.add(new ObservedUpstream(id, each.mPlace, each.mState));
                     });
-            duty.emit(new OrderEvent.UpstreamsListed(list));
+            mDuty.emit(new OrderEvent.UpstreamsListed(list));
         } else if (action instanceof OrderAction.RoleAction role) {
             carryOut(role.action());
         }
@@ -218,7 +218,7 @@
         if (action instanceof IntentAction.ReadJournal<UpstreamCommand> read) {
             emit(new IntentEvent.JournalRead<>(read.fencing(), Journal.absent()));
         } else if (action instanceof IntentAction.WriteJournal<UpstreamCommand> write) {
-            emit(new IntentEvent.Committed<>(write.writer(), ++version));
+            emit(new IntentEvent.Committed<>(write.writer(), ++mVersion));
         } else if (action instanceof IntentAction.SendCommand<UpstreamCommand> order) {
             emit(
                     new IntentEvent.AttemptEnded<>(
@@ -231,37 +231,38 @@
 
     private CommandResult receive(UpstreamCommand command) {
         if (command.action() == UpstreamCommand.Action.STOP) {
-            upstreams.computeIfPresent(
+            mUpstreams.computeIfPresent(
                     command.upstream(),
                     (id, upstream) -> {
-                        upstream.state = State.STOPPED;
+                        upstream.mState = State.STOPPED;
                         return upstream;
                     });
             return CommandResult.DONE;
         }
-        if (refusingUntil.getOrDefault(command.placement(), 0) > second) {
+        if (mRefusingUntil.getOrDefault(command.placement(), 0) > mSecond) {
             return CommandResult.REFUSED;
         }
-        starts++;
-        cost += START_COST;
-        upstreams.put(command.upstream(), new Running(command.placement(), second + START_SECONDS));
+        mStarts++;
+        mCost += START_COST;
+        mUpstreams.put(
+                command.upstream(), new Running(command.placement(), mSecond + START_SECONDS));
         return CommandResult.DONE;
     }
 
     private void emit(IntentEvent<UpstreamCommand> event) {
-        duty.emit(new OrderEvent.RoleEvent(event));
+        mDuty.emit(new OrderEvent.RoleEvent(event));
     }
 
     private static final class Running {
-        private final CapacityPlacement place;
-        private final int serveAt;
-        private State state = State.STARTING;
-        private int stopAt;
-        private boolean listed;
+        private final CapacityPlacement mPlace;
+        private final int mServeAt;
+        private State mState = State.STARTING;
+        private int mStopAt;
+        private boolean mListed;
 
         private Running(CapacityPlacement place, int serveAt) {
-            this.place = place;
-            this.serveAt = serveAt;
+            mPlace = place;
+            mServeAt = serveAt;
         }
     }
 }
--- a/benchmarks/src/main/java/org/fuchsialever/benchmarks/peers/ExpiryExperiment.java
+++ b/benchmarks/src/main/java/org/fuchsialever/benchmarks/peers/ExpiryExperiment.java
@@ -55,7 +55,7 @@
     private static long timers(SplittableRandom random) {
         Timer[] current = new Timer[PEERS];
         PriorityQueue<Timer> heap =
-                new PriorityQueue<>((a, b) -> Long.compare(a.deadline, b.deadline));
+                new PriorityQueue<>((a, b) -> Long.compare(a.mDeadline, b.mDeadline));
         for (int peer = 0; peer < PEERS; peer++) {
             current[peer] = new Timer(peer, 0);
             heap.add(current[peer]);
@@ -69,11 +69,11 @@
                 heap.add(current[peer]);
             }
             Timer first = heap.peek();
-            while (first != null && first.deadline <= second) {
+            while (first != null && first.mDeadline <= second) {
                 heap.poll();
                 expired++;
-                current[first.peer] = new Timer(first.peer, second + LIFETIME);
-                heap.add(current[first.peer]);
+                current[first.mPeer] = new Timer(first.mPeer, second + LIFETIME);
+                heap.add(current[first.mPeer]);
                 first = heap.peek();
             }
         }
@@ -81,12 +81,12 @@
     }
 
     private static final class Timer {
-        private final int peer;
-        private final long deadline;
+        private final int mPeer;
+        private final long mDeadline;
 
         Timer(int peer, long deadline) {
-            this.peer = peer;
-            this.deadline = deadline;
+            mPeer = peer;
+            mDeadline = deadline;
         }
     }
 }
--- a/benchmarks/src/main/java/org/fuchsialever/benchmarks/peers/GossipCost.java
+++ b/benchmarks/src/main/java/org/fuchsialever/benchmarks/peers/GossipCost.java
@@ -36,27 +36,27 @@
     /** The planned size loses and replaces 930 instances a day; this is far above that rate. */
     private static final long SECONDS_PER_CHANGE = 10;
 
-    private final ManualTimeSource clock = new ManualTimeSource(0);
-    private final DutyStepper stepper = new DutyStepper(clock);
-    private final Map<InstanceId, ActionSink<MembershipEvent>> inboxes = new HashMap<>();
-    private final int members;
-    private long bytes;
-    private long messages;
+    private final ManualTimeSource mClock = new ManualTimeSource(0);
+    private final DutyStepper mStepper = new DutyStepper(mClock);
+    private final Map<InstanceId, ActionSink<MembershipEvent>> mInboxes = new HashMap<>();
+    private final int mMembers;
+    private long mBytes;
+    private long mMessages;
 
     private GossipCost(long seed, int members) {
-        this.members = members;
+        mMembers = members;
         List<Member> listed = IntStream.range(0, members).mapToObj(GossipCost::member).toList();
         for (Member self : listed) {
             MembershipDuty duty =
                     new MembershipDuty(
                             new Member(
                                     self.instance(), self.region(), self.domain(), 1, self.state()),
-                            new SplittableRandom(seed * 1_000 + inboxes.size()),
+                            new SplittableRandom(seed * 1_000 + mInboxes.size()),
                             0);
-            inboxes.put(self.instance(), stepper.add(duty, this::carryOut));
+            mInboxes.put(self.instance(), mStepper.add(duty, this::carryOut));
         }
         MembershipEvent seeds = new MembershipEvent.InstancesListed(listed);
-        inboxes.values().forEach(inbox -> inbox.emit(seeds));
+        mInboxes.values().forEach(inbox -> inbox.emit(seeds));
     }
 
     /** Runs the measurement and prints one line for each member count. */
@@ -69,36 +69,36 @@
     }
 
     private String run() {
-        stepper.advance(TimeUnit.SECONDS.toNanos(WARM_UP_SECONDS));
-        bytes = 0;
-        messages = 0;
+        mStepper.advance(TimeUnit.SECONDS.toNanos(WARM_UP_SECONDS));
+        mBytes = 0;
+        mMessages = 0;
         ThreadMXBean threads = ManagementFactory.getThreadMXBean();
         long cpuBefore = threads.getCurrentThreadCpuTime();
         for (long second = 0; second < MEASURED_SECONDS; second++) {
             if (second % SECONDS_PER_CHANGE == 0) {
-                InstanceId leaving = name((int) (second / SECONDS_PER_CHANGE) % members);
-                inboxes.getOrDefault(leaving, event -> {})
+                InstanceId leaving = name((int) (second / SECONDS_PER_CHANGE) % mMembers);
+                mInboxes.getOrDefault(leaving, event -> {})
                         .emit(new MembershipEvent.LeaveRequested());
             }
-            stepper.advance(TimeUnit.SECONDS.toNanos(1));
+            mStepper.advance(TimeUnit.SECONDS.toNanos(1));
         }
         double cpu = threads.getCurrentThreadCpuTime() - cpuBefore;
-        double nodeSeconds = (double) members * MEASURED_SECONDS;
+        double nodeSeconds = (double) mMembers * MEASURED_SECONDS;
         return String.format(
                 "%d members: %.1f messages/s, %.0f B/s sent, %.4f%% of a core per node",
-                members,
-                messages / nodeSeconds,
-                bytes / nodeSeconds,
+                mMembers,
+                mMessages / nodeSeconds,
+                mBytes / nodeSeconds,
                 cpu / nodeSeconds / TimeUnit.SECONDS.toNanos(1) * 100);
     }
 
     private void carryOut(MembershipAction action) {
         if (action instanceof MembershipAction.SendHeartbeat send) {
             byte[] frame = PeerCodec.encode(send.heartbeat());
-            bytes += frame.length + FRAME_PREFIX;
-            messages++;
+            mBytes += frame.length + FRAME_PREFIX;
+            mMessages++;
             PeerMessage message = PeerCodec.decode(frame).get();
-            inboxes.getOrDefault(send.receiver(), event -> {})
+            mInboxes.getOrDefault(send.receiver(), event -> {})
                     .emit(new MembershipEvent.HeartbeatReceived((PeerMessage.Heartbeat) message));
         }
     }
--- a/benchmarks/src/main/java/org/fuchsialever/benchmarks/stragglers/SimulatedSample.java
+++ b/benchmarks/src/main/java/org/fuchsialever/benchmarks/stragglers/SimulatedSample.java
@@ -2,19 +2,19 @@
 
 /** One run of a sample at an engine. */
 final class SimulatedSample {
-    final int number;
-    final String prompt;
+    final int mNumber;
+    final String mPrompt;
     final double length;
-    final long startedMillis;
-    int engine;
-    double left;
+    final long mStartedMillis;
+    int mEngine;
+    double mLeft;
 
     SimulatedSample(int number, String prompt, double length, long startedMillis, int engine) {
-        this.number = number;
-        this.prompt = prompt;
+        mNumber = number;
+        mPrompt = prompt;
         this.length = length;
-        this.left = length;
-        this.startedMillis = startedMillis;
-        this.engine = engine;
+        mLeft = length;
+        mStartedMillis = startedMillis;
+        mEngine = engine;
     }
 }
--- a/benchmarks/src/main/java/org/fuchsialever/benchmarks/stragglers/SimulatedStep.java
+++ b/benchmarks/src/main/java/org/fuchsialever/benchmarks/stragglers/SimulatedStep.java
@@ -23,22 +23,22 @@
     /** Tokens whose time is lost when a sample is moved, because its text is read again. */
     private static final double MOVE_TOKENS = 20;
 
-    private final StragglerPolicy policy;
-    private final LengthPredictor predictor;
-    private final ToDoubleFunction<String> lengths;
-    private final int[] load = new int[ENGINES];
-    private final List<SimulatedSample> running = new ArrayList<>();
-    private final Set<Integer> finished = new HashSet<>();
-    private final Set<Integer> duplicated = new HashSet<>();
-    private double generatedTokens;
-    private double typicalMillis;
-    private long now;
+    private final StragglerPolicy mPolicy;
+    private final LengthPredictor mPredictor;
+    private final ToDoubleFunction<String> mLengths;
+    private final int[] mLoad = new int[ENGINES];
+    private final List<SimulatedSample> mRunning = new ArrayList<>();
+    private final Set<Integer> mFinished = new HashSet<>();
+    private final Set<Integer> mDuplicated = new HashSet<>();
+    private double mGeneratedTokens;
+    private double mTypicalMillis;
+    private long mNow;
 
     SimulatedStep(
             StragglerPolicy policy, LengthPredictor predictor, ToDoubleFunction<String> lengths) {
-        this.policy = policy;
-        this.predictor = predictor;
-        this.lengths = lengths;
+        mPolicy = policy;
+        mPredictor = predictor;
+        mLengths = lengths;
     }
 
     /**
@@ -54,9 +54,9 @@
             waiting.add(number);
         }
         waiting.sort(Comparator.comparingInt(number -> -rank(prompts.get(number))));
-        while (finished.size() < drawn.length) {
+        while (mFinished.size() < drawn.length) {
             int engine = leastLoaded();
-            while (!waiting.isEmpty() && load[engine] < SLOTS) {
+            while (!waiting.isEmpty() && mLoad[engine] < SLOTS) {
                 int number = waiting.remove(0);
                 start(number, prompts.get(number), drawn[number], engine);
                 engine = leastLoaded();
@@ -65,76 +65,81 @@
             duplicate(drawn.length);
             tick();
         }
-        return now;
+        return mNow;
     }
 
     /** Returns the tokens that engines generated, including those of runs that were cancelled. */
     double generatedTokens() {
-        return generatedTokens;
+        return mGeneratedTokens;
     }
 
     private int rank(String prompt) {
-        int predicted = predictor.predict(prompt);
-        return policy.rank(predicted) + policy.urgencyBoost(predicted, predictor.averageTokens());
+        int predicted = mPredictor.predict(prompt);
+        return mPolicy.rank(predicted)
+                + mPolicy.urgencyBoost(predicted, mPredictor.averageTokens());
     }
 
     private void start(int number, String prompt, double length, int engine) {
-        running.add(new SimulatedSample(number, prompt, length, now, engine));
-        load[engine]++;
+        mRunning.add(new SimulatedSample(number, prompt, length, mNow, engine));
+        mLoad[engine]++;
     }
 
     private void move() {
-        for (SimulatedSample sample : running) {
+        for (SimulatedSample sample : mRunning) {
             int target = leastLoaded();
-            if (policy.shouldMove(load[sample.engine], load[target])) {
-                load[sample.engine]--;
-                load[target]++;
-                sample.engine = target;
-                sample.left += MOVE_TOKENS;
+            if (mPolicy.shouldMove(mLoad[sample.mEngine], mLoad[target])) {
+                mLoad[sample.mEngine]--;
+                mLoad[target]++;
+                sample.mEngine = target;
+                sample.mLeft += MOVE_TOKENS;
             }
         }
     }
 
     private void duplicate(int total) {
-        double unfinished = (double) (total - finished.size()) / total;
-        for (SimulatedSample sample : List.copyOf(running)) {
+        double unfinished = (double) (total - mFinished.size()) / total;
+        for (SimulatedSample sample : List.copyOf(mRunning)) {
             StragglerPolicy.RunningSample late =
                     new StragglerPolicy.RunningSample(
-                            TimeUnit.MILLISECONDS.toNanos(now - sample.startedMillis),
-                            TimeUnit.MILLISECONDS.toNanos((long) typicalMillis),
+                            TimeUnit.MILLISECONDS.toNanos(mNow - sample.mStartedMillis),
+                            TimeUnit.MILLISECONDS.toNanos((long) mTypicalMillis),
                             unfinished,
                             total,
-                            duplicated.size());
+                            mDuplicated.size());
             int engine = leastLoaded();
-            if (load[engine] < SLOTS
-                    && !duplicated.contains(sample.number)
-                    && policy.shouldDuplicate(late)) {
-                duplicated.add(sample.number);
-                start(sample.number, sample.prompt, lengths.applyAsDouble(sample.prompt), engine);
+            if (mLoad[engine] < SLOTS
+                    && !mDuplicated.contains(sample.mNumber)
+                    && mPolicy.shouldDuplicate(late)) {
+                mDuplicated.add(sample.mNumber);
+                start(
+                        sample.mNumber,
+                        sample.mPrompt,
+                        mLengths.applyAsDouble(sample.mPrompt),
+                        engine);
             }
         }
     }
 
     private void tick() {
-        now += TICK_MILLIS;
-        for (SimulatedSample sample : running) {
-            double tokenMillis = TOKEN_MILLIS * (1 + LOAD_FACTOR * (load[sample.engine] - 1));
+        mNow += TICK_MILLIS;
+        for (SimulatedSample sample : mRunning) {
+            double tokenMillis = TOKEN_MILLIS * (1 + LOAD_FACTOR * (mLoad[sample.mEngine] - 1));
             double tokens = TICK_MILLIS / tokenMillis;
-            sample.left -= tokens;
-            generatedTokens += tokens;
+            sample.mLeft -= tokens;
+            mGeneratedTokens += tokens;
         }
-        for (SimulatedSample sample : List.copyOf(running)) {
-            if (sample.left <= 0 && finished.add(sample.number)) {
-                predictor.observe(sample.prompt, (int) sample.length);
-                double elapsed = now - sample.startedMillis;
-                typicalMillis =
-                        typicalMillis == 0 ? elapsed : 0.95 * typicalMillis + 0.05 * elapsed;
+        for (SimulatedSample sample : List.copyOf(mRunning)) {
+            if (sample.mLeft <= 0 && mFinished.add(sample.mNumber)) {
+                mPredictor.observe(sample.mPrompt, (int) sample.length);
+                double elapsed = mNow - sample.mStartedMillis;
+                mTypicalMillis =
+                        mTypicalMillis == 0 ? elapsed : 0.95 * mTypicalMillis + 0.05 * elapsed;
             }
         }
-        running.removeIf(
+        mRunning.removeIf(
                 sample -> {
-                    boolean over = finished.contains(sample.number);
-                    load[sample.engine] -= over ? 1 : 0;
+                    boolean over = mFinished.contains(sample.mNumber);
+                    mLoad[sample.mEngine] -= over ? 1 : 0;
                     return over;
                 });
     }
@@ -142,7 +147,7 @@
     private int leastLoaded() {
         int best = 0;
         for (int engine = 1; engine < ENGINES; engine++) {
-            best = load[engine] < load[best] ? engine : best;
+            best = mLoad[engine] < mLoad[best] ? engine : best;
         }
         return best;
     }
--- a/benchmarks/src/main/java/org/fuchsialever/benchmarks/weights/RolloutExperiment.java
+++ b/benchmarks/src/main/java/org/fuchsialever/benchmarks/weights/RolloutExperiment.java
@@ -39,27 +39,27 @@
     private static final long PUBLISHED_AT = 5 * SECOND;
     private static final double FAILING_SHARE = 0.002;
 
-    private final PriorityQueue<Task> agenda =
+    private final PriorityQueue<Task> mAgenda =
             new PriorityQueue<>(Comparator.comparingLong(Task::at).thenComparingLong(Task::order));
-    private final Map<UpstreamId, Engine> engines = new LinkedHashMap<>();
-    private final SplittableRandom random;
-    private final WeightDuty duty;
-    private final double meanLoadNanos;
-    private long now;
-    private long order;
-    private long journalVersion;
-    private long journalWrites;
-    private int mostOpen;
-    private int failedLoads;
-    private int loading;
-    private int mostLoading;
-    private int current;
-    private final List<Long> loadStarts = new ArrayList<>();
+    private final Map<UpstreamId, Engine> mEngines = new LinkedHashMap<>();
+    private final SplittableRandom mRandom;
+    private final WeightDuty mDuty;
+    private final double mMeanLoadNanos;
+    private long mNow;
+    private long mOrder;
+    private long mJournalVersion;
+    private long mJournalWrites;
+    private int mMostOpen;
+    private int mFailedLoads;
+    private int mLoading;
+    private int mMostLoading;
+    private int mCurrent;
+    private final List<Long> mLoadStarts = new ArrayList<>();
 
     private RolloutExperiment(int count, double rate, double loadMillis, long seed) {
-        random = new SplittableRandom(seed);
-        meanLoadNanos = loadMillis * 1e6;
-        duty =
+        mRandom = new SplittableRandom(seed);
+        mMeanLoadNanos = loadMillis * 1e6;
+        mDuty =
                 new WeightDuty(
                         "model",
                         RollingUpdateLimits.standard(rate),
@@ -70,12 +70,12 @@
         List<WeightEvent.Engine> specs = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             UpstreamId id = new UpstreamId("engine-" + i);
-            engines.put(id, new Engine(id));
+            mEngines.put(id, new Engine(id));
             specs.add(new WeightEvent.Engine(id, new FailureDomain("d" + i % DOMAINS), i % 2 == 0));
         }
         event(new WeightEvent.EnginesChanged(specs));
         event(new WeightEvent.RoleEvent(new IntentEvent.LeaseAcquired<>(1)));
-        engines.values().forEach(engine -> after(random.nextLong(SECOND), engine::report));
+        mEngines.values().forEach(engine -> after(mRandom.nextLong(SECOND), engine::report));
     }
 
     /** Runs one rollout and prints its figures. */
@@ -95,32 +95,32 @@
                 rate,
                 loadMillis,
                 (doneAt - PUBLISHED_AT) / 1e9,
-                run.failedLoads,
-                run.mostLoading,
-                run.journalWrites,
-                run.mostOpen,
+                run.mFailedLoads,
+                run.mMostLoading,
+                run.mJournalWrites,
+                run.mMostOpen,
                 run.greatestRate());
     }
 
     private long untilAllReport() {
-        while (current < engines.size() && now < LIMIT) {
-            Task task = agenda.peek();
-            long next = Math.min(task == null ? LIMIT : task.at, duty.nextTimerNanos());
-            now = Math.max(now, next);
-            if (task != null && task.at <= now) {
-                agenda.remove().run.run();
+        while (mCurrent < mEngines.size() && mNow < LIMIT) {
+            Task task = mAgenda.peek();
+            long next = Math.min(task == null ? LIMIT : task.at, mDuty.nextTimerNanos());
+            mNow = Math.max(mNow, next);
+            if (task != null && task.at <= mNow) {
+                mAgenda.remove().run.run();
             } else {
-                duty.onTimer(now, this::carryOut);
+                mDuty.onTimer(mNow, this::carryOut);
             }
         }
-        return now;
+        return mNow;
     }
 
     private int greatestRate() {
         int greatest = 0;
         int first = 0;
-        for (int last = 0; last < loadStarts.size(); last++) {
-            while (loadStarts.get(last) - loadStarts.get(first) >= SECOND) {
+        for (int last = 0; last < mLoadStarts.size(); last++) {
+            while (mLoadStarts.get(last) - mLoadStarts.get(first) >= SECOND) {
                 first++;
             }
             greatest = Math.max(greatest, last - first + 1);
@@ -129,11 +129,11 @@
     }
 
     private void after(long nanos, Runnable run) {
-        agenda.add(new Task(now + nanos, order++, run));
+        mAgenda.add(new Task(mNow + nanos, mOrder++, run));
     }
 
     private void event(WeightEvent event) {
-        duty.onEvent(event, now, this::carryOut);
+        mDuty.onEvent(event, mNow, this::carryOut);
     }
 
     private void role(long delay, IntentEvent<LoadCommand> event) {
@@ -142,7 +142,7 @@
 
     private void carryOut(WeightAction action) {
         if (action instanceof WeightAction.ReadLatestVersion) {
-            long version = now < PUBLISHED_AT ? 1 : 2;
+            long version = mNow < PUBLISHED_AT ? 1 : 2;
             after(
                     ORDER_NANOS,
                     () -> event(new WeightEvent.LatestVersionRead(new WeightVersion(version))));
@@ -155,48 +155,48 @@
         if (action instanceof IntentAction.ReadJournal<LoadCommand> read) {
             role(WRITE_NANOS, new IntentEvent.JournalRead<>(read.fencing(), Journal.absent()));
         } else if (action instanceof IntentAction.WriteJournal<LoadCommand> write) {
-            journalWrites++;
-            mostOpen = Math.max(mostOpen, write.openIntents().size());
-            role(WRITE_NANOS, new IntentEvent.Committed<>(write.writer(), ++journalVersion));
+            mJournalWrites++;
+            mMostOpen = Math.max(mMostOpen, write.openIntents().size());
+            role(WRITE_NANOS, new IntentEvent.Committed<>(write.writer(), ++mJournalVersion));
         } else if (action instanceof IntentAction.SendCommand<LoadCommand> sent) {
             UpstreamId id = sent.intent().command().upstream();
-            Objects.requireNonNull(engines.get(id)).load(sent);
+            Objects.requireNonNull(mEngines.get(id)).load(sent);
         }
     }
 
     private record Task(long at, long order, Runnable run) {}
 
     private final class Engine {
-        private final UpstreamId id;
-        private long version = 1;
-        private boolean counted;
+        private final UpstreamId mId;
+        private long mVersion = 1;
+        private boolean mCounted;
 
         private Engine(UpstreamId id) {
-            this.id = id;
+            mId = id;
         }
 
         private void report() {
-            if (version == 2 && !counted) {
-                counted = true;
-                current++;
+            if (mVersion == 2 && !mCounted) {
+                mCounted = true;
+                mCurrent++;
             }
-            event(new WeightEvent.VersionReported(id, new WeightVersion(version), "start"));
+            event(new WeightEvent.VersionReported(mId, new WeightVersion(mVersion), "start"));
             after(SECOND, this::report);
         }
 
         private void load(IntentAction.SendCommand<LoadCommand> sent) {
-            loadStarts.add(now);
-            loading++;
-            mostLoading = Math.max(mostLoading, loading);
-            boolean fails = random.nextDouble() < FAILING_SHARE;
+            mLoadStarts.add(mNow);
+            mLoading++;
+            mMostLoading = Math.max(mMostLoading, mLoading);
+            boolean fails = mRandom.nextDouble() < FAILING_SHARE;
             // Load times spread by a quarter around their mean.
-            long takes = (long) (meanLoadNanos * (0.75 + random.nextDouble() / 2));
+            long takes = (long) (mMeanLoadNanos * (0.75 + mRandom.nextDouble() / 2));
             after(
                     ORDER_NANOS + takes,
                     () -> {
-                        loading--;
-                        failedLoads += fails ? 1 : 0;
-                        version = fails ? version : sent.intent().command().version().number();
+                        mLoading--;
+                        mFailedLoads += fails ? 1 : 0;
+                        mVersion = fails ? mVersion : sent.intent().command().version().number();
                         role(
                                 ORDER_NANOS,
                                 new IntentEvent.AttemptEnded<>(
--- a/cli/src/main/java/org/fuchsialever/cli/Main.java
+++ b/cli/src/main/java/org/fuchsialever/cli/Main.java
@@ -18,15 +18,15 @@
 public final class Main {
     private static final String PROGRAM = "fuchsialever";
 
-    private final Map<String, Command> commands = new LinkedHashMap<>();
-    private final Map<String, CommandTask> tasks = new LinkedHashMap<>();
-    private final GlobalOptions options = new GlobalOptions();
-    private final JCommander parser =
-            JCommander.newBuilder().programName(PROGRAM).addObject(options).build();
-    private final CommandContext context;
+    private final Map<String, Command> mCommands = new LinkedHashMap<>();
+    private final Map<String, CommandTask> mTasks = new LinkedHashMap<>();
+    private final GlobalOptions mOptions = new GlobalOptions();
+    private final JCommander mParser =
+            JCommander.newBuilder().programName(PROGRAM).addObject(mOptions).build();
+    private final CommandContext mContext;
 
     private Main(CommandContext context) {
-        this.context = context;
+        mContext = context;
     }
 
     /**
@@ -65,24 +65,24 @@
 
     private void add(Command command) {
         CommandTask task = command.newTask();
-        commands.put(command.pluginName(), command);
-        tasks.put(command.pluginName(), task);
-        parser.addCommand(command.pluginName(), task);
+        mCommands.put(command.pluginName(), command);
+        mTasks.put(command.pluginName(), task);
+        mParser.addCommand(command.pluginName(), task);
     }
 
     private ExitCode parseAndRun(String[] arguments) {
         try {
-            parser.parse(arguments);
+            mParser.parse(arguments);
         } catch (ParameterException e) {
-            context.err().println(e.getMessage());
+            mContext.err().println(e.getMessage());
             return ExitCode.USAGE;
         }
-        String name = parser.getParsedCommand();
+        String name = mParser.getParsedCommand();
         if (name == null) {
             return showCommands();
         }
-        Command command = commands.get(name);
-        CommandTask task = tasks.get(name);
+        Command command = mCommands.get(name);
+        CommandTask task = mTasks.get(name);
         if (command == null || task == null) {
             return ExitCode.USAGE;
         }
@@ -95,38 +95,38 @@
 
     private ExitCode run(CommandTask task) {
         try {
-            return task.run(context);
+            return task.run(mContext);
         } catch (ParameterException e) {
-            context.err().println(e.getMessage());
+            mContext.err().println(e.getMessage());
             return ExitCode.USAGE;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return ExitCode.FAILURE;
         } catch (Exception e) {
-            context.err().println("The command failed: " + message(e));
+            mContext.err().println("The command failed: " + message(e));
             return ExitCode.FAILURE;
         }
     }
 
     private ExitCode showCommands() {
         StringBuilder text = new StringBuilder();
-        parser.getUsageFormatter().usage(text);
-        if (options.help) {
-            context.out().print(text);
+        mParser.getUsageFormatter().usage(text);
+        if (mOptions.mHelp) {
+            mContext.out().print(text);
             return ExitCode.OK;
         }
-        context.err().print(text);
+        mContext.err().print(text);
         return ExitCode.USAGE;
     }
 
     private void showHelp(Command command) {
         StringBuilder text = new StringBuilder();
-        parser.getUsageFormatter().usage(command.pluginName(), text);
+        mParser.getUsageFormatter().usage(command.pluginName(), text);
         text.append("\n  Exit codes:\n");
         for (ExitCode code : command.exitCodes()) {
             text.append("    %d  %s%n".formatted(code.code(), code.meaning()));
         }
-        context.out().print(text);
+        mContext.out().print(text);
     }
 
     private static @Nullable String message(Exception failure) {
@@ -145,6 +145,6 @@
 
     private static final class GlobalOptions {
         @Parameter(names = "--help", help = true, description = "Show the commands")
-        private boolean help;
+        private boolean mHelp;
     }
 }
--- a/cli/src/main/java/org/fuchsialever/cli/audit/AuditDay.java
+++ b/cli/src/main/java/org/fuchsialever/cli/audit/AuditDay.java
@@ -14,33 +14,33 @@
 final class AuditDay {
     private static final int OBJECT_NAME_PARTS = 5;
 
-    private final PlatformSession session;
-    private final LocalDate day;
+    private final PlatformSession mSession;
+    private final LocalDate mDay;
 
     AuditDay(PlatformSession session, LocalDate day) {
-        this.session = session;
-        this.day = day;
+        mSession = session;
+        mDay = day;
     }
 
     /** Returns the checkpoints of the day by start ID; throws if a row is malformed. */
     Map<String, AuditCheckpoint> checkpoints() {
-        return checkpoints(day);
+        return checkpoints(mDay);
     }
 
     /** Returns the checkpoints of the following day by start ID; throws if a row is malformed. */
     Map<String, AuditCheckpoint> checkpointsOfNextDay() {
-        return checkpoints(day.plusDays(1));
+        return checkpoints(mDay.plusDays(1));
     }
 
     /** Returns the content of all batches by start ID and batch number. */
     Map<String, SortedMap<Long, byte[]>> batches() {
         Map<String, SortedMap<Long, byte[]>> batches = new TreeMap<>();
-        String prefix = "audit/" + DayOption.compact(day) + "/";
-        for (String name : PlatformSession.await(session.platform().objects().list(prefix))) {
+        String prefix = "audit/" + DayOption.compact(mDay) + "/";
+        for (String name : PlatformSession.await(mSession.platform().objects().list(prefix))) {
             String[] parts = name.split("/");
             if (parts.length == OBJECT_NAME_PARTS && parts[4].matches("[0-9]{1,18}")) {
                 Option<byte[]> content =
-                        PlatformSession.await(session.platform().objects().read(name));
+                        PlatformSession.await(mSession.platform().objects().read(name));
                 SortedMap<Long, byte[]> batchesOfStart =
                         batches.computeIfAbsent(
                                 parts[2] + "/" + parts[3], start -> new TreeMap<>());
@@ -56,7 +56,7 @@
         return AuditRows.decode(
                         compact,
                         PlatformSession.await(
-                                session.platform()
+                                mSession.platform()
                                         .tables()
                                         .scan(AuditRows.TABLE, compact + "/", 0)))
                 .get();
--- a/cli/src/main/java/org/fuchsialever/cli/audit/AuditTask.java
+++ b/cli/src/main/java/org/fuchsialever/cli/audit/AuditTask.java
@@ -14,17 +14,17 @@
 @Parameters(commandDescription = "Show or verify the audit record of a day")
 final class AuditTask extends PlatformTask {
     @Parameter(description = "show | verify", required = true)
-    private List<String> arguments = new ArrayList<>();
+    private List<String> mArguments = new ArrayList<>();
 
     @Parameter(names = "--day", description = "The day in UTC, such as 2026-12-04", required = true)
-    private String day = "";
+    private String mDay = "";
 
     @Parameter(names = "--team", description = "Show the records of one team only")
-    private String team = "";
+    private String mTeam = "";
 
     @Override
     protected ExitCode run(CommandContext context, PlatformSession session) throws Exception {
-        AuditDay stored = new AuditDay(session, DayOption.parse(day));
-        return AuditOperation.of(arguments.get(0)).run(stored, team, isJsonRequested(), context);
+        AuditDay stored = new AuditDay(session, DayOption.parse(mDay));
+        return AuditOperation.of(mArguments.get(0)).run(stored, mTeam, isJsonRequested(), context);
     }
 }
--- a/cli/src/main/java/org/fuchsialever/cli/command/CommandTask.java
+++ b/cli/src/main/java/org/fuchsialever/cli/command/CommandTask.java
@@ -8,11 +8,11 @@
  */
 public abstract class CommandTask {
     @Parameter(names = "--help", help = true, description = "Show the options and exit codes")
-    private boolean help;
+    private boolean mHelp;
 
     /** Returns whether {@code --help} was given. */
     public final boolean isHelpRequested() {
-        return help;
+        return mHelp;
     }
 
     /**
--- a/cli/src/main/java/org/fuchsialever/cli/command/ExitCode.java
+++ b/cli/src/main/java/org/fuchsialever/cli/command/ExitCode.java
@@ -15,21 +15,21 @@
     /** A comparison found differences. */
     DIFFERENT(5, "differences were found");
 
-    private final int code;
-    private final String meaning;
+    private final int mCode;
+    private final String mMeaning;
 
     ExitCode(int code, String meaning) {
-        this.code = code;
-        this.meaning = meaning;
+        mCode = code;
+        mMeaning = meaning;
     }
 
     /** Returns the exit code of the process. */
     public int code() {
-        return code;
+        return mCode;
     }
 
     /** Returns what the code means, for the help. */
     public String meaning() {
-        return meaning;
+        return mMeaning;
     }
 }
--- a/cli/src/main/java/org/fuchsialever/cli/demo/CallKind.java
+++ b/cli/src/main/java/org/fuchsialever/cli/demo/CallKind.java
@@ -84,15 +84,15 @@
     private static final String DATA = "data: ";
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    private final boolean live;
+    private final boolean mLive;
 
     CallKind(boolean live) {
-        this.live = live;
+        mLive = live;
     }
 
     /** Returns whether a model engine answers. */
     boolean isLive() {
-        return live;
+        return mLive;
     }
 
     /** Returns the path of the call with this name. */
--- a/cli/src/main/java/org/fuchsialever/cli/demo/CallTally.java
+++ b/cli/src/main/java/org/fuchsialever/cli/demo/CallTally.java
@@ -16,126 +16,126 @@
     private static final double NANOS_PER_MILLI = 1e6;
     private static final long WITHDRAWAL_BOUND_NANOS = TimeUnit.SECONDS.toNanos(5);
 
-    private final Histogram firstByte = new Histogram(DIGITS);
-    private final Histogram total = new Histogram(DIGITS);
-    private final Map<String, Long> refusals = new TreeMap<>();
-    private final Map<String, TeamUse> teams = new TreeMap<>();
-    private final Map<String, Integer> bookings = new TreeMap<>();
-    private final Set<String> ranOnce = new TreeSet<>();
-    private final List<String> badAnswers = new ArrayList<>();
-    private String withdrawnKey = "";
-    private long withdrawnNanos = Long.MAX_VALUE;
-    private long worksAfterWithdrawal;
-    private long liveCompleted;
-    private long liveFailed;
-    private long plainCompleted;
+    private final Histogram mFirstByte = new Histogram(DIGITS);
+    private final Histogram mTotal = new Histogram(DIGITS);
+    private final Map<String, Long> mRefusals = new TreeMap<>();
+    private final Map<String, TeamUse> mTeams = new TreeMap<>();
+    private final Map<String, Integer> mBookings = new TreeMap<>();
+    private final Set<String> mRanOnce = new TreeSet<>();
+    private final List<String> mBadAnswers = new ArrayList<>();
+    private String mWithdrawnKey = "";
+    private long mWithdrawnNanos = Long.MAX_VALUE;
+    private long mWorksAfterWithdrawal;
+    private long mLiveCompleted;
+    private long mLiveFailed;
+    private long mPlainCompleted;
 
     /** Notes that the withdrawal of a key begins. */
     synchronized void withdrawing(DemoKey key, long nowNanos) {
-        withdrawnKey = key.id();
-        withdrawnNanos = nowNanos;
+        mWithdrawnKey = key.id();
+        mWithdrawnNanos = nowNanos;
     }
 
     /** Notes that a booking is sent, possibly again with the same Idempotency-Key. */
     synchronized void bookingSent(String path) {
-        bookings.merge(path, 1, Integer::sum);
+        mBookings.merge(path, 1, Integer::sum);
     }
 
     /** Records a complete answer; times count from sending. */
     synchronized void completed(
             DemoCall call, CallKind.Verdict verdict, long firstByteNanos, long endNanos) {
-        TeamUse use = teams.computeIfAbsent(call.key().team(), name -> new TeamUse());
-        use.requests++;
-        use.promptTokens += verdict.promptTokens();
-        use.answerTokens += verdict.answerTokens();
-        if (call.key().id().equals(withdrawnKey)
-                && endNanos - withdrawnNanos > WITHDRAWAL_BOUND_NANOS) {
-            worksAfterWithdrawal++;
+        TeamUse use = mTeams.computeIfAbsent(call.key().team(), name -> new TeamUse());
+        use.mRequests++;
+        use.mPromptTokens += verdict.promptTokens();
+        use.mAnswerTokens += verdict.answerTokens();
+        if (call.key().id().equals(mWithdrawnKey)
+                && endNanos - mWithdrawnNanos > WITHDRAWAL_BOUND_NANOS) {
+            mWorksAfterWithdrawal++;
         }
         if (call.kind().isLive()) {
-            liveCompleted++;
+            mLiveCompleted++;
             // The first byte of a whole answer comes with the last one.
             if (call.kind() == CallKind.STREAMED) {
-                firstByte.recordValue(firstByteNanos - call.sentNanos());
+                mFirstByte.recordValue(firstByteNanos - call.sentNanos());
             }
-            total.recordValue(endNanos - call.sentNanos());
+            mTotal.recordValue(endNanos - call.sentNanos());
         } else {
-            plainCompleted++;
+            mPlainCompleted++;
         }
         if (call.kind() == CallKind.BOOKING) {
-            ranOnce.add(call.path());
+            mRanOnce.add(call.path());
         }
     }
 
     /** Records that a call was refused, by an answer or by an event in a stream. */
     synchronized void refused(DemoCall call, String reason) {
-        refusals.merge(reason, 1L, Long::sum);
-        if (call.kind().isLive() && !call.key().id().equals(withdrawnKey)) {
-            liveFailed++;
+        mRefusals.merge(reason, 1L, Long::sum);
+        if (call.kind().isLive() && !call.key().id().equals(mWithdrawnKey)) {
+            mLiveFailed++;
         }
     }
 
     /** Records an answer that is not the complete answer to the call, without a refusal. */
     synchronized void bad(DemoCall call, String problem) {
-        badAnswers.add(call.path() + " " + call.name() + ": " + problem);
+        mBadAnswers.add(call.path() + " " + call.name() + ": " + problem);
         if (call.kind().isLive()) {
-            liveFailed++;
+            mLiveFailed++;
         }
     }
 
     synchronized long liveCompleted() {
-        return liveCompleted;
+        return mLiveCompleted;
     }
 
     synchronized long liveFailed() {
-        return liveFailed;
+        return mLiveFailed;
     }
 
     synchronized long plainCompleted() {
-        return plainCompleted;
+        return mPlainCompleted;
     }
 
     synchronized long refusedCalls() {
-        return refusals.values().stream().mapToLong(Long::longValue).sum();
+        return mRefusals.values().stream().mapToLong(Long::longValue).sum();
     }
 
     synchronized List<String> badAnswers() {
-        return List.copyOf(badAnswers);
+        return List.copyOf(mBadAnswers);
     }
 
     synchronized long worksAfterWithdrawal() {
-        return worksAfterWithdrawal;
+        return mWorksAfterWithdrawal;
     }
 
     /** Returns the paths of all bookings. */
     synchronized Set<String> bookings() {
-        return Set.copyOf(bookings.keySet());
+        return Set.copyOf(mBookings.keySet());
     }
 
     /** Returns the paths of the bookings that were answered as done. */
     synchronized Set<String> bookingsDone() {
-        return Set.copyOf(ranOnce);
+        return Set.copyOf(mRanOnce);
     }
 
     double firstByteMillis(double percentile) {
-        return millis(firstByte, percentile);
+        return millis(mFirstByte, percentile);
     }
 
     double totalMillis(double percentile) {
-        return millis(total, percentile);
+        return millis(mTotal, percentile);
     }
 
     /** Adds refusals by reason and usage by team. */
     synchronized void addTo(ObjectNode body) {
         ObjectNode reasons = body.putObject("refusals");
-        refusals.forEach(reasons::put);
+        mRefusals.forEach(reasons::put);
         ObjectNode usage = body.putObject("usage");
-        teams.forEach(
+        mTeams.forEach(
                 (team, use) ->
                         usage.putObject(team)
-                                .put("requests", use.requests)
-                                .put("promptTokens", use.promptTokens)
-                                .put("answerTokens", use.answerTokens));
+                                .put("requests", use.mRequests)
+                                .put("promptTokens", use.mPromptTokens)
+                                .put("answerTokens", use.mAnswerTokens));
     }
 
     private synchronized double millis(Histogram times, double percentile) {
@@ -145,8 +145,8 @@
     }
 
     private static final class TeamUse {
-        private long requests;
-        private long promptTokens;
-        private long answerTokens;
+        private long mRequests;
+        private long mPromptTokens;
+        private long mAnswerTokens;
     }
 }
--- a/cli/src/main/java/org/fuchsialever/cli/demo/DemoCallers.java
+++ b/cli/src/main/java/org/fuchsialever/cli/demo/DemoCallers.java
@@ -26,20 +26,20 @@
     private static final String ERROR_EVENT = "data: {\"error\"";
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    private final TimeSource time = SystemTimeSource.INSTANCE;
-    private final ConnectionProvider connections =
+    private final TimeSource mTime = SystemTimeSource.INSTANCE;
+    private final ConnectionProvider mConnections =
             ConnectionProvider.builder("demo-callers")
                     .maxConnections(MAX_CONNECTIONS)
                     .pendingAcquireMaxCount(MAX_CONNECTIONS)
                     .build();
     // A hidden second attempt of the client would run a call twice.
-    private final HttpClient client = HttpClient.create(connections).disableRetry(true);
-    private final List<String> urls;
-    private final CallTally tally;
+    private final HttpClient mClient = HttpClient.create(mConnections).disableRetry(true);
+    private final List<String> mUrls;
+    private final CallTally mTally;
 
     DemoCallers(List<String> urls, CallTally tally) {
-        this.urls = urls;
-        this.tally = tally;
+        mUrls = urls;
+        mTally = tally;
     }
 
     /** Sends calls with a key for a time; completes when the last one has ended. */
@@ -54,14 +54,14 @@
     /** Sends one call that may be repeated to an instance; returns its status, 0 for a failure. */
     Mono<Integer> probe(DemoKey key, String url) {
         return exchange(call(CallKind.STOCK, "probe-" + key.id(), key, url))
-                .map(answer -> answer.status)
+                .map(answer -> answer.mStatus)
                 .timeout(TIMEOUT)
                 .onErrorReturn(0);
     }
 
     @Override
     public void close() {
-        connections.dispose();
+        mConnections.dispose();
     }
 
     private Mono<Void> send(DemoKey key, int number) {
@@ -79,10 +79,10 @@
 
     private Mono<Void> sendOne(DemoCall call, boolean claimed) {
         if (call.kind() == CallKind.BOOKING) {
-            tally.bookingSent(call.path());
+            mTally.bookingSent(call.path());
         }
         return exchange(call, claimed)
-                .timeout(TIMEOUT, Mono.fromRunnable(() -> tally.bad(call, "no answer in time")))
+                .timeout(TIMEOUT, Mono.fromRunnable(() -> mTally.bad(call, "no answer in time")))
                 .doOnNext(answer -> finish(call, answer))
                 .then();
     }
@@ -94,18 +94,18 @@
     private Mono<Received> exchange(DemoCall call, boolean claimed) {
         Received received = new Received();
         byte[] body = call.kind().body(call.name()).getBytes(StandardCharsets.UTF_8);
-        return client.headers(fields -> addFields(fields, call, claimed, body.length))
+        return mClient.headers(fields -> addFields(fields, call, claimed, body.length))
                 .post()
                 .uri(call.url() + call.path())
                 .send(ByteBufFlux.from(Mono.just(Unpooled.wrappedBuffer(body))))
                 .response(
                         (response, content) -> {
-                            received.status = response.status().code();
+                            received.mStatus = response.status().code();
                             return content.asByteArray()
-                                    .doOnNext(part -> received.add(part, time.nanoTime()));
+                                    .doOnNext(part -> received.add(part, mTime.nanoTime()));
                         })
                 .then()
-                .doOnError(failure -> received.failure = failure.toString())
+                .doOnError(failure -> received.mFailure = failure.toString())
                 .onErrorComplete()
                 .thenReturn(received);
     }
@@ -121,26 +121,26 @@
     }
 
     private void finish(DemoCall call, Received received) {
-        long now = time.nanoTime();
-        String text = received.content.toString(StandardCharsets.UTF_8);
+        long now = mTime.nanoTime();
+        String text = received.mContent.toString(StandardCharsets.UTF_8);
         try {
             int event = text.lastIndexOf(ERROR_EVENT);
-            if (received.status != OK && !text.isEmpty()) {
-                tally.refused(call, reason(text));
+            if (received.mStatus != OK && !text.isEmpty()) {
+                mTally.refused(call, reason(text));
             } else if (event >= 0) {
-                tally.refused(call, reason(text.substring(event + "data: ".length())));
-            } else if (!received.failure.isEmpty()) {
-                tally.bad(call, received.failure);
+                mTally.refused(call, reason(text.substring(event + "data: ".length())));
+            } else if (!received.mFailure.isEmpty()) {
+                mTally.bad(call, received.mFailure);
             } else {
                 CallKind.Verdict verdict = call.kind().check(call.name(), text);
                 if (verdict.whole()) {
-                    tally.completed(call, verdict, received.firstByteNanos, now);
+                    mTally.completed(call, verdict, received.mFirstByteNanos, now);
                 } else {
-                    tally.bad(call, "not the complete answer");
+                    mTally.bad(call, "not the complete answer");
                 }
             }
         } catch (IOException e) {
-            tally.bad(call, "answer cannot be read: " + e.getMessage());
+            mTally.bad(call, "answer cannot be read: " + e.getMessage());
         }
     }
 
@@ -149,25 +149,25 @@
     }
 
     private String url(int turn) {
-        return urls.get(turn % urls.size());
+        return mUrls.get(turn % mUrls.size());
     }
 
     private DemoCall call(CallKind kind, String name, DemoKey key, String url) {
-        return new DemoCall(kind, name, key, url, time.nanoTime());
+        return new DemoCall(kind, name, key, url, mTime.nanoTime());
     }
 
     /** What has arrived of an answer; used by one thread at a time. */
     private static final class Received {
-        private final ByteArrayOutputStream content = new ByteArrayOutputStream();
-        private int status;
-        private long firstByteNanos;
-        private String failure = "";
+        private final ByteArrayOutputStream mContent = new ByteArrayOutputStream();
+        private int mStatus;
+        private long mFirstByteNanos;
+        private String mFailure = "";
 
         private void add(byte[] part, long nowNanos) {
-            if (content.size() == 0) {
-                firstByteNanos = nowNanos;
+            if (mContent.size() == 0) {
+                mFirstByteNanos = nowNanos;
             }
-            content.write(part, 0, part.length);
+            mContent.write(part, 0, part.length);
         }
     }
 }
--- a/cli/src/main/java/org/fuchsialever/cli/demo/DemoDeployment.java
+++ b/cli/src/main/java/org/fuchsialever/cli/demo/DemoDeployment.java
@@ -39,35 +39,35 @@
     private static final long POLL_MILLIS = 100;
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    private final Closer closer = new Closer();
-    private final CountDownLatch stop;
-    private final Path folder;
-    private final StandInEnvironment world;
-    private final StandInFiles files;
-    private final OperatorConsole console;
-    private final List<NodeProcess> nodes = new ArrayList<>();
-    private final List<String> urls = new ArrayList<>();
+    private final Closer mCloser = new Closer();
+    private final CountDownLatch mStop;
+    private final Path mFolder;
+    private final StandInEnvironment mWorld;
+    private final StandInFiles mFiles;
+    private final OperatorConsole mConsole;
+    private final List<NodeProcess> mNodes = new ArrayList<>();
+    private final List<String> mUrls = new ArrayList<>();
 
     DemoDeployment(CountDownLatch stop) throws IOException {
-        this.stop = stop;
-        folder = Files.createTempDirectory("fuchsialever-demo");
-        closer.register("files", this::deleteFiles);
-        world = closer.register("stand-ins", startStandIns());
-        files = new StandInFiles(world, ENGINES, DESKS, DOMAINS, SLOTS);
-        console = new OperatorConsole(folder.resolve("platform.ini"), stop);
+        mStop = stop;
+        mFolder = Files.createTempDirectory("fuchsialever-demo");
+        mCloser.register("files", this::deleteFiles);
+        mWorld = mCloser.register("stand-ins", startStandIns());
+        mFiles = new StandInFiles(mWorld, ENGINES, DESKS, DOMAINS, SLOTS);
+        mConsole = new OperatorConsole(mFolder.resolve("platform.ini"), stop);
     }
 
     /** Starts the instances, applies both tables and waits until all instances are ready. */
     void start() throws IOException, InterruptedException {
-        Files.writeString(folder.resolve("platform.ini"), world.platformSection());
-        Files.writeString(folder.resolve("routes.ini"), files.keyedRoutes());
-        Files.writeString(folder.resolve("pools.ini"), files.pools());
+        Files.writeString(mFolder.resolve("platform.ini"), mWorld.platformSection());
+        Files.writeString(mFolder.resolve("routes.ini"), mFiles.keyedRoutes());
+        Files.writeString(mFolder.resolve("pools.ini"), mFiles.pools());
         for (int i = 1; i <= INSTANCES; i++) {
             int http = FreePorts.next();
             int peer = FreePorts.next();
-            world.instanceList().put(files.instanceListEntry(i, http, peer));
-            nodes.add(closer.register("node-" + i, startNode(i, http, peer)));
-            urls.add("http://" + StandInServer.HOST + ":" + http);
+            mWorld.instanceList().put(mFiles.instanceListEntry(i, http, peer));
+            mNodes.add(mCloser.register("node-" + i, startNode(i, http, peer)));
+            mUrls.add("http://" + StandInServer.HOST + ":" + http);
         }
         apply(0);
         awaitReady();
@@ -75,37 +75,37 @@
 
     /** Marks an engine as leaving in the pools table, and tells it once all instances know. */
     void leave(String engine) throws IOException {
-        Path pools = folder.resolve("pools.ini");
+        Path pools = mFolder.resolve("pools.ini");
         String section = "[upstream " + engine + "]\n";
         String table = Files.readString(pools);
         Files.writeString(pools, table.replace(section, section + "state = leaving\n"));
         apply(1);
-        world.engine(engine).leave();
+        mWorld.engine(engine).leave();
     }
 
     /** Grants a key with the command of the operators. */
     DemoKey grant(String team) throws JsonProcessingException {
-        JsonNode granted = MAPPER.readTree(console.run("key", "grant", "--team", team, "--json"));
+        JsonNode granted = MAPPER.readTree(mConsole.run("key", "grant", "--team", team, "--json"));
         return new DemoKey(team, granted.path("id").asText(), granted.path("key").asText());
     }
 
     /** Withdraws a key with the command of the operators. */
     void withdraw(DemoKey key) {
-        console.run("key", "withdraw", key.id());
+        mConsole.run("key", "withdraw", key.id());
     }
 
     /** Returns the addresses of the instances. */
     List<String> urls() {
-        return urls;
+        return mUrls;
     }
 
     StandInEnvironment world() {
-        return world;
+        return mWorld;
     }
 
     /** Returns the violations that the instances have counted. */
     long invariantViolations() {
-        return nodes.stream()
+        return mNodes.stream()
                 .mapToLong(node -> node.service(CountingInvariantMonitor.class).violationCount())
                 .sum();
     }
@@ -115,14 +115,14 @@
         return Stream.concat(
                         IntStream.rangeClosed(1, ENGINES).mapToObj(i -> "engine-" + i),
                         IntStream.rangeClosed(1, DESKS).mapToObj(i -> "desk-" + i))
-                .mapToLong(name -> world.find(name, StandInServer.class).requestsWithCredentials())
+                .mapToLong(name -> mWorld.find(name, StandInServer.class).requestsWithCredentials())
                 .sum();
     }
 
     /** Returns how often plain services ran requests for a path. */
     int runsOfPath(String path) {
         return IntStream.rangeClosed(1, DESKS)
-                .map(i -> world.plainService("desk-" + i).executionCountForPath(path))
+                .map(i -> mWorld.plainService("desk-" + i).executionCountForPath(path))
                 .sum();
     }
 
@@ -134,16 +134,16 @@
 
     @Override
     public void close() {
-        closer.close();
+        mCloser.close();
     }
 
     private void apply(long baseVersion) {
-        console.run(
+        mConsole.run(
                 "apply",
                 "--routes",
-                folder.resolve("routes.ini").toString(),
+                mFolder.resolve("routes.ini").toString(),
                 "--pools",
-                folder.resolve("pools.ini").toString(),
+                mFolder.resolve("pools.ini").toString(),
                 "--base-version",
                 Long.toString(baseVersion));
     }
@@ -170,16 +170,16 @@
     private NodeProcess startNode(int number, int httpPort, int peerPort) {
         return NodeProcess.start(
                         "node-" + number + ".ini",
-                        files.platformNodeSettings(number, httpPort, peerPort))
+                        mFiles.platformNodeSettings(number, httpPort, peerPort))
                 .getOrElseThrow(findings -> new IllegalStateException(findings.report()));
     }
 
     private void awaitReady() throws InterruptedException {
         long end = System.nanoTime() + READY_BOUND.toNanos();
-        for (NodeProcess node : nodes) {
+        for (NodeProcess node : mNodes) {
             Readiness readiness = node.service(Readiness.class);
             while (!readiness.isReady()) {
-                if (System.nanoTime() > end || stop.await(POLL_MILLIS, TimeUnit.MILLISECONDS)) {
+                if (System.nanoTime() > end || mStop.await(POLL_MILLIS, TimeUnit.MILLISECONDS)) {
                     throw new IllegalStateException(
                             "an instance is not ready: " + readiness.unmetConditions());
                 }
@@ -188,7 +188,7 @@
     }
 
     private void deleteFiles() throws IOException {
-        try (Stream<Path> paths = Files.walk(folder)) {
+        try (Stream<Path> paths = Files.walk(mFolder)) {
             paths.sorted(Comparator.reverseOrder())
                     .forEach(
                             path -> {
--- a/cli/src/main/java/org/fuchsialever/cli/demo/DemoReport.java
+++ b/cli/src/main/java/org/fuchsialever/cli/demo/DemoReport.java
@@ -15,10 +15,10 @@
     private static final int HIGH = 99;
     private static final int SHOWN_ANSWERS = 5;
 
-    private final ObjectNode body = new ObjectMapper().createObjectNode();
-    private final List<String> faults = new ArrayList<>();
-    private final DemoDeployment deployment;
-    private final CallTally tally;
+    private final ObjectNode mBody = new ObjectMapper().createObjectNode();
+    private final List<String> mFaults = new ArrayList<>();
+    private final DemoDeployment mDeployment;
+    private final CallTally mTally;
 
     /** Takes the figures of a run whose work has ended. */
     DemoReport(
@@ -26,27 +26,27 @@
             CallTally tally,
             DemoTrainers trainers,
             List<String> problems) {
-        this.deployment = deployment;
-        this.tally = tally;
-        faults.addAll(problems);
+        mDeployment = deployment;
+        mTally = tally;
+        mFaults.addAll(problems);
         addSamples(trainers);
         addCalls();
         addChecks();
-        faults.forEach(body.putArray("faults")::add);
+        mFaults.forEach(mBody.putArray("faults")::add);
     }
 
     /** Returns the figures as one JSON object. */
     ObjectNode json() {
-        return body;
+        return mBody;
     }
 
     /** Returns what did not hold. */
     List<String> faults() {
-        return List.copyOf(faults);
+        return List.copyOf(mFaults);
     }
 
     void print(PrintStream out) {
-        body.properties()
+        mBody.properties()
                 .forEach(
                         entry ->
                                 out.printf(
@@ -54,7 +54,7 @@
                                         "%-24s %s%n",
                                         entry.getKey(),
                                         entry.getValue()));
-        out.println(faults.isEmpty() ? "Everything held." : faults.size() + " faults.");
+        out.println(mFaults.isEmpty() ? "Everything held." : mFaults.size() + " faults.");
     }
 
     private void addSamples(DemoTrainers trainers) {
@@ -71,61 +71,61 @@
             tokens += record.tokens();
         }
         long submitted = trainers.submitted();
-        body.put("samplesSubmitted", submitted).put("samplesDelivered", delivered);
-        body.put("duplicates", duplicates).put("beyondStaleness", stale);
-        body.put("brokenSamples", broken).put("sampleTokens", tokens);
-        body.put("weightVersions", trainers.newestVersion());
-        body.put("trainerIdleShare", Math.round(trainers.idleShare() * 1_000) / 1_000.0);
+        mBody.put("samplesSubmitted", submitted).put("samplesDelivered", delivered);
+        mBody.put("duplicates", duplicates).put("beyondStaleness", stale);
+        mBody.put("brokenSamples", broken).put("sampleTokens", tokens);
+        mBody.put("weightVersions", trainers.newestVersion());
+        mBody.put("trainerIdleShare", Math.round(trainers.idleShare() * 1_000) / 1_000.0);
         expectNone(duplicates, "samples delivered twice");
         expectNone(stale, "samples beyond the staleness bound");
         expectNone(broken, "samples with broken token ranges, or gaps in positions");
         expectNone(Math.abs(submitted - delivered), "samples submitted but not delivered");
         if (submitted == 0) {
-            faults.add("no samples were submitted");
+            mFaults.add("no samples were submitted");
         }
     }
 
     private void addCalls() {
-        body.put("liveCompleted", tally.liveCompleted()).put("liveFailed", tally.liveFailed());
-        body.put("plainCompleted", tally.plainCompleted());
-        tally.addTo(body);
-        body.putObject("firstByteMillis")
-                .put("p50", tally.firstByteMillis(MEDIAN))
-                .put("p99", tally.firstByteMillis(HIGH));
-        body.putObject("totalMillis")
-                .put("p50", tally.totalMillis(MEDIAN))
-                .put("p99", tally.totalMillis(HIGH));
-        if (tally.liveCompleted() == 0 || tally.plainCompleted() == 0) {
-            faults.add("no live or no plain answers");
+        mBody.put("liveCompleted", mTally.liveCompleted()).put("liveFailed", mTally.liveFailed());
+        mBody.put("plainCompleted", mTally.plainCompleted());
+        mTally.addTo(mBody);
+        mBody.putObject("firstByteMillis")
+                .put("p50", mTally.firstByteMillis(MEDIAN))
+                .put("p99", mTally.firstByteMillis(HIGH));
+        mBody.putObject("totalMillis")
+                .put("p50", mTally.totalMillis(MEDIAN))
+                .put("p99", mTally.totalMillis(HIGH));
+        if (mTally.liveCompleted() == 0 || mTally.plainCompleted() == 0) {
+            mFaults.add("no live or no plain answers");
         }
     }
 
     private void addChecks() {
-        List<String> bad = tally.badAnswers();
-        body.put("badAnswers", bad.size());
-        bad.stream().limit(SHOWN_ANSWERS).forEach(answer -> faults.add("bad answer: " + answer));
+        List<String> bad = mTally.badAnswers();
+        mBody.put("badAnswers", bad.size());
+        bad.stream().limit(SHOWN_ANSWERS).forEach(answer -> mFaults.add("bad answer: " + answer));
         expectNone(Math.max(0, bad.size() - SHOWN_ANSWERS), "more bad answers");
-        Set<String> done = tally.bookingsDone();
+        Set<String> done = mTally.bookingsDone();
         long repeated = 0;
         long notRun = 0;
-        for (String path : tally.bookings()) {
-            int runs = deployment.runsOfPath(path);
+        for (String path : mTally.bookings()) {
+            int runs = mDeployment.runsOfPath(path);
             repeated += runs > 1 ? 1 : 0;
             notRun += runs == 0 && done.contains(path) ? 1 : 0;
         }
-        body.put("bookings", tally.bookings().size()).put("bookingsRepeated", repeated);
+        mBody.put("bookings", mTally.bookings().size()).put("bookingsRepeated", repeated);
         expectNone(repeated, "bookings that ran twice");
         expectNone(notRun, "bookings that were confirmed but did not run");
-        long violations = deployment.invariantViolations();
-        body.put("invariantViolations", violations);
+        long violations = mDeployment.invariantViolations();
+        mBody.put("invariantViolations", violations);
         expectNone(violations, "invariant violations");
-        expectNone(deployment.keysSeenByUpstreams(), "requests with a key at upstreams");
-        expectNone(tally.worksAfterWithdrawal(), "answers to a withdrawn key after 5 s");
+        expectNone(mDeployment.keysSeenByUpstreams(), "requests with a key at upstreams");
+        expectNone(mTally.worksAfterWithdrawal(), "answers to a withdrawn key after 5 s");
     }
 
     private void expectNone(long count, String what) {
         if (count != 0) {
-            faults.add(count + " " + what);
+            mFaults.add(count + " " + what);
         }
     }
 }
--- a/cli/src/main/java/org/fuchsialever/cli/demo/DemoRun.java
+++ b/cli/src/main/java/org/fuchsialever/cli/demo/DemoRun.java
@@ -28,59 +28,59 @@
     private static final Duration WITHDRAWAL_BOUND = Duration.ofSeconds(5);
     private static final Duration GRACE = Duration.ofSeconds(15);
 
-    private final DemoDeployment deployment;
-    private final int seconds;
-    private final CountDownLatch stop;
-    private final Consumer<String> progress;
-    private final Closer closer = new Closer();
-    private final CallTally tally = new CallTally();
-    private final DemoCallers callers;
-    private final List<String> problems = new ArrayList<>();
+    private final DemoDeployment mDeployment;
+    private final int mSeconds;
+    private final CountDownLatch mStop;
+    private final Consumer<String> mProgress;
+    private final Closer mCloser = new Closer();
+    private final CallTally mTally = new CallTally();
+    private final DemoCallers mCallers;
+    private final List<String> mProblems = new ArrayList<>();
 
     DemoRun(
             DemoDeployment deployment,
             int seconds,
             CountDownLatch stop,
             Consumer<String> progress) {
-        this.deployment = deployment;
-        this.seconds = seconds;
-        this.stop = stop;
-        this.progress = progress;
-        this.callers = closer.register("callers", new DemoCallers(deployment.urls(), tally));
+        mDeployment = deployment;
+        mSeconds = seconds;
+        mStop = stop;
+        mProgress = progress;
+        mCallers = mCloser.register("callers", new DemoCallers(deployment.urls(), mTally));
     }
 
     /** Runs everything and checks what must hold. */
     DemoReport run() throws Exception {
-        try (closer) {
+        try (mCloser) {
             List<DemoKey> keys =
                     List.of(
-                            deployment.grant("alba"),
-                            deployment.grant("bistra"),
-                            deployment.grant("cerna"));
-            DemoKey withdrawn = deployment.grant("bistra");
-            DemoKey tuning = deployment.grant("tuning");
+                            mDeployment.grant("alba"),
+                            mDeployment.grant("bistra"),
+                            mDeployment.grant("cerna"));
+            DemoKey withdrawn = mDeployment.grant("bistra");
+            DemoKey tuning = mDeployment.grant("tuning");
             List<DemoKey> all = new ArrayList<>(keys);
             all.add(withdrawn);
             awaitKeys(all);
             awaitKeys(List.of(tuning));
             DemoTrainers trainers =
-                    closer.register(
+                    mCloser.register(
                             "trainers",
-                            new DemoTrainers(deployment.world(), deployment.urls(), tuning));
-            progress.accept("All instances are ready; traffic starts.");
+                            new DemoTrainers(mDeployment.world(), mDeployment.urls(), tuning));
+            mProgress.accept("All instances are ready; traffic starts.");
             CompletableFuture<Void> work = start(trainers, all);
             follow(work, trainers, withdrawn);
-            return new DemoReport(deployment, tally, trainers, problems);
+            return new DemoReport(mDeployment, mTally, trainers, mProblems);
         }
     }
 
     private CompletableFuture<Void> start(DemoTrainers trainers, List<DemoKey> keys) {
-        Duration length = Duration.ofSeconds(seconds);
+        Duration length = Duration.ofSeconds(mSeconds);
         Mono<Void> calls =
                 Flux.fromIterable(keys)
-                        .flatMap(key -> callers.run(key, CALL_INTERVAL, length))
+                        .flatMap(key -> mCallers.run(key, CALL_INTERVAL, length))
                         .then();
-        Mono<Void> rollouts = trainers.run(Math.max(MIN_STEPS, seconds / SECONDS_PER_STEP));
+        Mono<Void> rollouts = trainers.run(Math.max(MIN_STEPS, mSeconds / SECONDS_PER_STEP));
         return Mono.when(calls, rollouts).toFuture();
     }
 
@@ -89,35 +89,39 @@
             throws IOException, InterruptedException {
         long start = System.nanoTime();
         await(work, start, LEAVE_PERCENT, trainers);
-        deployment.leave("engine-2");
-        progress.accept("Engine engine-2 leaves.");
+        mDeployment.leave("engine-2");
+        mProgress.accept("Engine engine-2 leaves.");
         await(work, start, WITHDRAW_PERCENT, trainers);
         long withdrawnNanos = System.nanoTime();
-        tally.withdrawing(withdrawn, withdrawnNanos);
-        deployment.withdraw(withdrawn);
-        progress.accept("A key of team bistra is withdrawn.");
+        mTally.withdrawing(withdrawn, withdrawnNanos);
+        mDeployment.withdraw(withdrawn);
+        mProgress.accept("A key of team bistra is withdrawn.");
         await(work, start, RESTART_PERCENT, trainers);
-        deployment.world().engine("engine-3").restart("engine-3-start-2", trainers.newestVersion());
-        progress.accept("Engine engine-3 restarts.");
+        mDeployment
+                .world()
+                .engine("engine-3")
+                .restart("engine-3-start-2", trainers.newestVersion());
+        mProgress.accept("Engine engine-3 restarts.");
         awaitEnd(work, start, trainers);
         long left = withdrawnNanos + WITHDRAWAL_BOUND.toNanos() - System.nanoTime();
-        stop.await(Math.max(0, left), TimeUnit.NANOSECONDS);
+        mStop.await(Math.max(0, left), TimeUnit.NANOSECONDS);
         checkWithdrawn(withdrawn);
     }
 
     private void await(
             CompletableFuture<Void> work, long startNanos, long percent, DemoTrainers trainers)
             throws InterruptedException {
-        waitUntil(work, startNanos + TimeUnit.SECONDS.toNanos(seconds) * percent / 100, trainers);
+        waitUntil(work, startNanos + TimeUnit.SECONDS.toNanos(mSeconds) * percent / 100, trainers);
     }
 
     private void awaitEnd(CompletableFuture<Void> work, long startNanos, DemoTrainers trainers)
             throws InterruptedException {
-        waitUntil(work, startNanos + TimeUnit.SECONDS.toNanos(seconds) + GRACE.toNanos(), trainers);
+        waitUntil(
+                work, startNanos + TimeUnit.SECONDS.toNanos(mSeconds) + GRACE.toNanos(), trainers);
         if (!work.isDone()) {
-            problems.add("calls or rollouts did not end in time: " + trainers.answers());
+            mProblems.add("calls or rollouts did not end in time: " + trainers.answers());
         } else if (work.isCompletedExceptionally()) {
-            problems.add("calls or rollouts failed");
+            mProblems.add("calls or rollouts failed");
         }
     }
 
@@ -125,7 +129,7 @@
             throws InterruptedException {
         long nextProgress = System.nanoTime() + TimeUnit.SECONDS.toNanos(PROGRESS_SECONDS);
         while (System.nanoTime() < endNanos && !work.isDone()) {
-            if (stop.await(POLL_MILLIS, TimeUnit.MILLISECONDS)) {
+            if (mStop.await(POLL_MILLIS, TimeUnit.MILLISECONDS)) {
                 throw new InterruptedException("told to stop");
             }
             if (System.nanoTime() > nextProgress) {
@@ -137,24 +141,25 @@
 
     private void showProgress(DemoTrainers trainers) {
         long delivered = trainers.records().stream().mapToLong(record -> record.samples()).sum();
-        progress.accept(
+        mProgress.accept(
                 "samples %d/%d, weights %d, live answers %d, plain answers %d, refused %d"
                         .formatted(
                                 delivered,
                                 trainers.submitted(),
                                 trainers.newestVersion(),
-                                tally.liveCompleted(),
-                                tally.plainCompleted(),
-                                tally.refusedCalls()));
+                                mTally.liveCompleted(),
+                                mTally.plainCompleted(),
+                                mTally.refusedCalls()));
     }
 
     /** Waits until every instance knows every key. */
     private void awaitKeys(List<DemoKey> keys) throws InterruptedException {
         long end = System.nanoTime() + KEYS_BOUND.toNanos();
         for (DemoKey key : keys) {
-            for (String url : deployment.urls()) {
+            for (String url : mDeployment.urls()) {
                 while (status(key, url) != OK) {
-                    if (System.nanoTime() > end || stop.await(POLL_MILLIS, TimeUnit.MILLISECONDS)) {
+                    if (System.nanoTime() > end
+                            || mStop.await(POLL_MILLIS, TimeUnit.MILLISECONDS)) {
                         throw new IllegalStateException("a granted key is refused at " + url);
                     }
                 }
@@ -163,15 +168,15 @@
     }
 
     private void checkWithdrawn(DemoKey key) {
-        for (String url : deployment.urls()) {
+        for (String url : mDeployment.urls()) {
             int status = status(key, url);
             if (status != UNAUTHENTICATED) {
-                problems.add("a withdrawn key is answered with " + status + " after 5 s");
+                mProblems.add("a withdrawn key is answered with " + status + " after 5 s");
             }
         }
     }
 
     private int status(DemoKey key, String url) {
-        return callers.probe(key, url).blockOptional().orElse(0);
+        return mCallers.probe(key, url).blockOptional().orElse(0);
     }
 }
--- a/cli/src/main/java/org/fuchsialever/cli/demo/DemoTask.java
+++ b/cli/src/main/java/org/fuchsialever/cli/demo/DemoTask.java
@@ -22,11 +22,11 @@
     private static final Logger LOGGERS = Logger.getLogger("org.fuchsialever");
 
     @Parameter(names = "--seconds", description = "Length of the traffic (s), 2 to 30")
-    private int seconds = 20;
+    private int mSeconds = 20;
 
     @Override
     public ExitCode run(CommandContext context) throws Exception {
-        if (seconds < MIN_SECONDS || seconds > MAX_SECONDS) {
+        if (mSeconds < MIN_SECONDS || mSeconds > MAX_SECONDS) {
             throw new ParameterException(
                     "--seconds must be from " + MIN_SECONDS + " to " + MAX_SECONDS);
         }
@@ -48,7 +48,7 @@
         try (DemoDeployment deployment = new DemoDeployment(stop)) {
             progress.accept("Starting stand-ins and three instances.");
             deployment.start();
-            return new DemoRun(deployment, seconds, stop, progress).run();
+            return new DemoRun(deployment, mSeconds, stop, progress).run();
         }
     }
 }
--- a/cli/src/main/java/org/fuchsialever/cli/demo/DemoTrainers.java
+++ b/cli/src/main/java/org/fuchsialever/cli/demo/DemoTrainers.java
@@ -23,12 +23,12 @@
     private static final Duration TRAINING = Duration.ofMillis(400);
     private static final Duration SWAP_INTERVAL = Duration.ofMillis(30);
 
-    private final StandInEnvironment world;
-    private final List<TrainerStandIn> trainers = new ArrayList<>();
-    private final AtomicLong newestVersion = new AtomicLong();
+    private final StandInEnvironment mWorld;
+    private final List<TrainerStandIn> mTrainers = new ArrayList<>();
+    private final AtomicLong mNewestVersion = new AtomicLong();
 
     DemoTrainers(StandInEnvironment world, List<String> urls, DemoKey key) {
-        this.world = world;
+        mWorld = world;
         AtomicInteger turn = new AtomicInteger();
         for (int i = 1; i <= TRAINERS; i++) {
             TrainerOptions options =
@@ -40,7 +40,7 @@
                             .maxStaleness(MAX_STALENESS)
                             .deadline(Duration.ofSeconds(60))
                             .trainingTime(TRAINING);
-            trainers.add(
+            mTrainers.add(
                     new TrainerStandIn(
                             options,
                             () -> urls.get(turn.getAndIncrement() % urls.size()),
@@ -50,47 +50,47 @@
 
     /** Runs steps; completes when all trainers have trained on all of them. */
     Mono<Void> run(int steps) {
-        return Flux.fromIterable(trainers).flatMap(trainer -> trainer.run(1, steps)).then();
+        return Flux.fromIterable(mTrainers).flatMap(trainer -> trainer.run(1, steps)).then();
     }
 
     long newestVersion() {
-        return newestVersion.get();
+        return mNewestVersion.get();
     }
 
     /** Returns the number of samples in accepted submissions. */
     long submitted() {
-        return trainers.stream()
+        return mTrainers.stream()
                 .mapToLong(trainer -> trainer.responseCounts().getOrDefault("submit 202", 0L))
                 .map(steps -> steps * GROUPS * SAMPLES)
                 .sum();
     }
 
     List<TrainerRecord> records() {
-        return trainers.stream().map(TrainerStandIn::record).toList();
+        return mTrainers.stream().map(TrainerStandIn::record).toList();
     }
 
     /** Returns the answers and failures of the trainers' requests. */
     List<String> answers() {
-        return trainers.stream().map(trainer -> trainer.responseCounts().toString()).toList();
+        return mTrainers.stream().map(trainer -> trainer.responseCounts().toString()).toList();
     }
 
     /** Returns the highest share of time in which a trainer waited. */
     double idleShare() {
-        return trainers.stream().mapToDouble(TrainerStandIn::idleShare).max().orElse(0);
+        return mTrainers.stream().mapToDouble(TrainerStandIn::idleShare).max().orElse(0);
     }
 
     @Override
     public void close() {
-        trainers.forEach(TrainerStandIn::close);
+        mTrainers.forEach(TrainerStandIn::close);
     }
 
     /** Puts new weights on one engine after the other, while requests run. */
     private void publish(long version) {
-        long newest = newestVersion.accumulateAndGet(version, Math::max);
-        world.weightStore().publish(StandInFiles.MODEL, newest);
-        trainers.forEach(trainer -> trainer.record().newestVersion(newest));
+        long newest = mNewestVersion.accumulateAndGet(version, Math::max);
+        mWorld.weightStore().publish(StandInFiles.MODEL, newest);
+        mTrainers.forEach(trainer -> trainer.record().newestVersion(newest));
         Flux.range(1, DemoDeployment.ENGINES)
                 .delayElements(SWAP_INTERVAL)
-                .subscribe(i -> world.engine("engine-" + i).loadVersion(newest));
+                .subscribe(i -> mWorld.engine("engine-" + i).loadVersion(newest));
     }
 }
--- a/cli/src/main/java/org/fuchsialever/cli/demo/OperatorConsole.java
+++ b/cli/src/main/java/org/fuchsialever/cli/demo/OperatorConsole.java
@@ -13,8 +13,8 @@
 
 /** Runs the commands of an operator in this process. */
 final class OperatorConsole {
-    private final Path settings;
-    private final CountDownLatch stop;
+    private final Path mSettings;
+    private final CountDownLatch mStop;
 
     /**
      * Creates a console.
@@ -23,8 +23,8 @@
      * @param stop reaches zero when the process is told to stop
      */
     OperatorConsole(Path settings, CountDownLatch stop) {
-        this.settings = settings;
-        this.stop = stop;
+        mSettings = settings;
+        mStop = stop;
     }
 
     /**
@@ -34,13 +34,13 @@
      */
     String run(String... words) {
         List<String> arguments = new ArrayList<>(List.of(words));
-        arguments.addAll(List.of("--settings", settings.toString()));
+        arguments.addAll(List.of("--settings", mSettings.toString()));
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         ByteArrayOutputStream err = new ByteArrayOutputStream();
         ExitCode exit =
                 Main.run(
                         arguments.toArray(String[]::new),
-                        new CommandContext(stream(out), stream(err), stop));
+                        new CommandContext(stream(out), stream(err), mStop));
         if (exit != ExitCode.OK) {
             throw new IllegalStateException(
                     "fuchsialever %s exited with %d: %s"
--- a/cli/src/main/java/org/fuchsialever/cli/keys/KeyAdministration.java
+++ b/cli/src/main/java/org/fuchsialever/cli/keys/KeyAdministration.java
@@ -42,13 +42,13 @@
     private static final long STORE_RETRY_DELAY_MILLIS = 200;
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    private final PlatformSession session;
-    private final boolean json;
-    private final SecureRandom random = new SecureRandom();
+    private final PlatformSession mSession;
+    private final boolean mJson;
+    private final SecureRandom mRandom = new SecureRandom();
 
     KeyAdministration(PlatformSession session, boolean json) {
-        this.session = session;
-        this.json = json;
+        mSession = session;
+        mJson = json;
     }
 
     ExitCode grant(String team, long lifetimeMillis, CommandContext context) {
@@ -65,14 +65,14 @@
                         expires,
                         false);
         CommitResult result =
-                PlatformSession.await(session.commitRetrier().commit(insertion(granted)));
+                PlatformSession.await(mSession.commitRetrier().commit(insertion(granted)));
         if (result instanceof CommitResult.Conflict) {
             context.err().println("Nothing was changed: key " + key.id() + " exists.");
             return ExitCode.CONFLICT;
         }
         ObjectNode body = MAPPER.createObjectNode();
         body.put("id", key.id().value()).put("team", team).put("key", key.text());
-        context.out().println(json ? body.toString() : key.text());
+        context.out().println(mJson ? body.toString() : key.text());
         return ExitCode.OK;
     }
 
@@ -80,7 +80,7 @@
         ArrayNode keys = MAPPER.createArrayNode();
         boolean damaged = false;
         for (Row row :
-                PlatformSession.await(session.platform().tables().scan(KeyRows.TABLE, "", 0))) {
+                PlatformSession.await(mSession.platform().tables().scan(KeyRows.TABLE, "", 0))) {
             Either<String, KeyRow> key = KeyRows.decode(row);
             if (key.isLeft()) {
                 context.err().println("Key " + row.key() + ": " + key.getLeft());
@@ -93,11 +93,11 @@
                     .put("team", record.team().value())
                     .put("expires_millis", record.expiresMillis())
                     .put("withdrawn", record.withdrawn());
-            if (!json) {
+            if (!mJson) {
                 context.out().println(line(record));
             }
         }
-        if (json) {
+        if (mJson) {
             context.out().println(MAPPER.createObjectNode().set("keys", keys).toString());
         }
         return damaged ? ExitCode.USAGE : ExitCode.OK;
@@ -114,9 +114,9 @@
         // Started before the instances receive the withdrawal, so that most of them find the row
         // already written and do not write it themselves.
         WithdrawalWriter writer =
-                new WithdrawalWriter(session.platform().tables(), session.writerId());
+                new WithdrawalWriter(mSession.platform().tables(), mSession.writerId());
         CompletableFuture<Boolean> firstAttempt = writer.store(new KeyId(id)).toFuture();
-        OperatorClient client = new OperatorClient(session.platform().instances());
+        OperatorClient client = new OperatorClient(mSession.platform().instances());
         Option<List<ListedInstance>> listed = client.listInstances();
         Set<String> unconfirmed = new TreeSet<>();
         Set<String> confirmed = Set.of();
@@ -160,7 +160,7 @@
     private Commit insertion(KeyRecord key) {
         String id = key.id().value();
         return new Commit(
-                session.writerId(),
+                mSession.writerId(),
                 List.of(new Commit.Condition(KeyRows.TABLE, id, 0)),
                 List.of(new Commit.Put(KeyRows.TABLE, id, key.encode())),
                 List.of());
@@ -168,7 +168,7 @@
 
     private String hex(int bytes) {
         byte[] content = new byte[bytes];
-        random.nextBytes(content);
+        mRandom.nextBytes(content);
         return HexFormat.of().formatHex(content);
     }
 
--- a/cli/src/main/java/org/fuchsialever/cli/keys/KeyTask.java
+++ b/cli/src/main/java/org/fuchsialever/cli/keys/KeyTask.java
@@ -15,47 +15,47 @@
 @Parameters(commandDescription = "Grant, list and withdraw keys")
 final class KeyTask extends PlatformTask {
     @Parameter(description = "grant | list | withdraw <key id>", required = true)
-    private List<String> arguments = new ArrayList<>();
+    private List<String> mArguments = new ArrayList<>();
 
     @Parameter(names = "--team", description = "Team of a new key")
-    private String team = "";
+    private String mTeam = "";
 
     @Parameter(
             names = "--expires-in",
             description = "Time until a new key expires, such as 720 h; by default it does not")
-    private String expiresIn = "";
+    private String mExpiresIn = "";
 
     @Override
     protected ExitCode run(CommandContext context, PlatformSession session) throws Exception {
-        KeyOperation operation = KeyOperation.of(arguments.get(0));
+        KeyOperation operation = KeyOperation.of(mArguments.get(0));
         return operation.run(this, new KeyAdministration(session, isJsonRequested()), context);
     }
 
     /** Returns the team of a new key. */
     String team() {
-        if (team.isEmpty()) {
+        if (mTeam.isEmpty()) {
             throw new ParameterException("grant needs --team");
         }
-        return team;
+        return mTeam;
     }
 
     /** Returns the lifetime of a new key in milliseconds; 0 if it does not expire. */
     long lifetimeMillis() {
-        if (expiresIn.isEmpty()) {
+        if (mExpiresIn.isEmpty()) {
             return 0;
         }
-        return Quantities.parseDuration(expiresIn)
+        return Quantities.parseDuration(mExpiresIn)
                 .filter(duration -> !duration.isZero())
                 .getOrElseThrow(
-                        () -> new ParameterException("\"" + expiresIn + "\" is not a duration"))
+                        () -> new ParameterException("\"" + mExpiresIn + "\" is not a duration"))
                 .toMillis();
     }
 
     /** Returns the ID of the key to withdraw. */
     String keyId() {
-        if (arguments.size() != 2) {
+        if (mArguments.size() != 2) {
             throw new ParameterException("withdraw needs one key id");
         }
-        return arguments.get(1);
+        return mArguments.get(1);
     }
 }
--- a/cli/src/main/java/org/fuchsialever/cli/load/CallMix.java
+++ b/cli/src/main/java/org/fuchsialever/cli/load/CallMix.java
@@ -8,8 +8,8 @@
 
 /** The shares of the kinds of calls. */
 final class CallMix {
-    private final Map<CallKind, Integer> weights = new EnumMap<>(CallKind.class);
-    private int sum;
+    private final Map<CallKind, Integer> mWeights = new EnumMap<>(CallKind.class);
+    private int mSum;
 
     private CallMix() {}
 
@@ -25,8 +25,8 @@
                 String[] pair = part.trim().split("=", 2);
                 CallKind kind = CallKind.valueOf(pair[0].trim().toUpperCase(Locale.ROOT));
                 int weight = pair.length == 2 ? Integer.parseInt(pair[1].trim()) : 1;
-                mix.weights.put(kind, weight);
-                mix.sum += weight;
+                mix.mWeights.put(kind, weight);
+                mix.mSum += weight;
                 if (weight < 0) {
                     throw new IllegalArgumentException("negative weight");
                 }
@@ -35,16 +35,16 @@
             throw new ParameterException(
                     "\"%s\" is not a mix such as streamed=70,whole=20,plain=10".formatted(text), e);
         }
-        if (mix.sum == 0) {
+        if (mix.mSum == 0) {
             throw new ParameterException("the mix \"%s\" has no calls".formatted(text));
         }
         return mix;
     }
 
     CallKind pick(Random random) {
-        int left = random.nextInt(sum);
+        int left = random.nextInt(mSum);
         CallKind picked = CallKind.STREAMED;
-        for (Map.Entry<CallKind, Integer> entry : weights.entrySet()) {
+        for (Map.Entry<CallKind, Integer> entry : mWeights.entrySet()) {
             picked = entry.getKey();
             left -= entry.getValue();
             if (left < 0) {
--- a/cli/src/main/java/org/fuchsialever/cli/load/CallRecorder.java
+++ b/cli/src/main/java/org/fuchsialever/cli/load/CallRecorder.java
@@ -16,52 +16,52 @@
     private static final int END_LENGTH = 64;
     private static final int REFUSAL_LENGTH = 4_096;
 
-    private final CallKind kind;
-    private final long scheduledNanos;
-    private final TimeSource time;
-    private final LoadResult result;
-    private final ByteArrayOutputStream refusal = new ByteArrayOutputStream(0);
-    private String end = "";
-    private int status;
-    private long firstByteNanos = -1;
+    private final CallKind mKind;
+    private final long mScheduledNanos;
+    private final TimeSource mTime;
+    private final LoadResult mResult;
+    private final ByteArrayOutputStream mRefusal = new ByteArrayOutputStream(0);
+    private String mEnd = "";
+    private int mStatus;
+    private long mFirstByteNanos = -1;
 
     CallRecorder(CallKind kind, long scheduledNanos, TimeSource time, LoadResult result) {
-        this.kind = kind;
-        this.scheduledNanos = scheduledNanos;
-        this.time = time;
-        this.result = result;
+        mKind = kind;
+        mScheduledNanos = scheduledNanos;
+        mTime = time;
+        mResult = result;
     }
 
     void onStatus(int code) {
-        status = code;
+        mStatus = code;
     }
 
     void onContent(byte[] content) {
-        if (firstByteNanos < 0) {
-            firstByteNanos = time.nanoTime() - scheduledNanos;
+        if (mFirstByteNanos < 0) {
+            mFirstByteNanos = mTime.nanoTime() - mScheduledNanos;
         }
-        if (status != OK) {
-            int length = Math.min(content.length, REFUSAL_LENGTH - refusal.size());
-            refusal.write(content, 0, length);
+        if (mStatus != OK) {
+            int length = Math.min(content.length, REFUSAL_LENGTH - mRefusal.size());
+            mRefusal.write(content, 0, length);
             return;
         }
         int kept = Math.min(content.length, END_LENGTH);
         String last = new String(content, content.length - kept, kept, StandardCharsets.ISO_8859_1);
-        end = kept == END_LENGTH ? last : tail(end + last);
+        mEnd = kept == END_LENGTH ? last : tail(mEnd + last);
     }
 
     void onEnd() {
-        if (status != OK) {
-            result.count((status + " " + refusalCode()).trim());
-        } else if (kind.isComplete(end)) {
-            result.succeeded(firstByteNanos, time.nanoTime() - scheduledNanos);
+        if (mStatus != OK) {
+            mResult.count((mStatus + " " + refusalCode()).trim());
+        } else if (mKind.isComplete(mEnd)) {
+            mResult.succeeded(mFirstByteNanos, mTime.nanoTime() - mScheduledNanos);
         } else {
-            result.count("200 incomplete");
+            mResult.count("200 incomplete");
         }
     }
 
     void onFailure(Throwable failure) {
-        result.count("failed " + failure.getClass().getSimpleName());
+        mResult.count("failed " + failure.getClass().getSimpleName());
     }
 
     private static String tail(String text) {
@@ -70,7 +70,7 @@
 
     private String refusalCode() {
         try {
-            return MAPPER.readTree(refusal.toByteArray()).at("/error/code").asText();
+            return MAPPER.readTree(mRefusal.toByteArray()).at("/error/code").asText();
         } catch (IOException e) {
             return "no code";
         }
--- a/cli/src/main/java/org/fuchsialever/cli/load/DirectComparison.java
+++ b/cli/src/main/java/org/fuchsialever/cli/load/DirectComparison.java
@@ -18,45 +18,45 @@
     private static final double MEDIAN = 50;
     private static final double NINETY_NINE = 99;
 
-    private final LoadRunner runner;
-    private final Side instance;
-    private final Side direct;
+    private final LoadRunner mRunner;
+    private final Side mInstance;
+    private final Side mDirect;
 
     DirectComparison(LoadRunner runner, LoadTarget instance, LoadTarget direct) {
-        this.runner = runner;
-        this.instance = new Side(instance);
-        this.direct = new Side(direct);
+        mRunner = runner;
+        mInstance = new Side(instance);
+        mDirect = new Side(direct);
     }
 
     /** Runs one pair of phases with the same plan. */
     void runPair(int number, LoadPlan plan) {
-        Side first = number % 2 == 0 ? instance : direct;
-        Side second = first == instance ? direct : instance;
-        first.run(runner, plan);
-        second.run(runner, plan);
+        Side first = number % 2 == 0 ? mInstance : mDirect;
+        Side second = first == mInstance ? mDirect : mInstance;
+        first.run(mRunner, plan);
+        second.run(mRunner, plan);
     }
 
     /** Runs the plan on both sides without recording it. */
     void warmUp(LoadPlan plan) {
-        runner.run(plan, instance.target, new LoadResult()).block();
-        runner.run(plan, direct.target, new LoadResult()).block();
+        mRunner.run(plan, mInstance.mTarget, new LoadResult()).block();
+        mRunner.run(plan, mDirect.mTarget, new LoadResult()).block();
     }
 
     LoadResult instanceResult() {
-        return instance.result;
+        return mInstance.mResult;
     }
 
     LoadResult directResult() {
-        return direct.result;
+        return mDirect.mResult;
     }
 
     double addedFirstByteMillis(double percentile) {
-        return instance.result.firstByteMillis(percentile)
-                - direct.result.firstByteMillis(percentile);
+        return mInstance.mResult.firstByteMillis(percentile)
+                - mDirect.mResult.firstByteMillis(percentile);
     }
 
     double addedTotalMillis(double percentile) {
-        return instance.result.totalMillis(percentile) - direct.result.totalMillis(percentile);
+        return mInstance.mResult.totalMillis(percentile) - mDirect.mResult.totalMillis(percentile);
     }
 
     /**
@@ -69,12 +69,12 @@
     }
 
     private double addedCpuNanos() {
-        return instance.cpuNanosPerRequest() - direct.cpuNanosPerRequest();
+        return mInstance.cpuNanosPerRequest() - mDirect.cpuNanosPerRequest();
     }
 
     void toJson(ObjectNode body, boolean inProcess) {
-        instance.result.toJson(body.putObject(instance.target.name()));
-        direct.result.toJson(body.putObject(direct.target.name()));
+        mInstance.mResult.toJson(body.putObject(mInstance.mTarget.name()));
+        mDirect.mResult.toJson(body.putObject(mDirect.mTarget.name()));
         ObjectNode added = body.putObject("added_ms");
         added.put("first_byte_p50", addedFirstByteMillis(MEDIAN));
         added.put("first_byte_p99", addedFirstByteMillis(NINETY_NINE));
@@ -87,8 +87,8 @@
     }
 
     void print(PrintStream out, boolean inProcess) {
-        instance.result.print(out, instance.target.name());
-        direct.result.print(out, direct.target.name());
+        mInstance.mResult.print(out, mInstance.mTarget.name());
+        mDirect.mResult.print(out, mDirect.mTarget.name());
         out.println("added latency, milliseconds");
         print(out, "p50", MEDIAN);
         print(out, "p99", NINETY_NINE);
@@ -112,23 +112,23 @@
     }
 
     private static final class Side {
-        private final LoadTarget target;
-        private final LoadResult result = new LoadResult();
-        private long cpuNanos;
+        private final LoadTarget mTarget;
+        private final LoadResult mResult = new LoadResult();
+        private long mCpuNanos;
 
         private Side(LoadTarget target) {
-            this.target = target;
+            mTarget = target;
         }
 
         private void run(LoadRunner runner, LoadPlan plan) {
             long before = processCpuNanos();
-            Mono<Void> phase = runner.run(plan, target, result);
+            Mono<Void> phase = runner.run(plan, mTarget, mResult);
             phase.block();
-            cpuNanos += processCpuNanos() - before;
+            mCpuNanos += processCpuNanos() - before;
         }
 
         private double cpuNanosPerRequest() {
-            return (double) cpuNanos / Math.max(1, result.count());
+            return (double) mCpuNanos / Math.max(1, mResult.count());
         }
 
         private static long processCpuNanos() {
--- a/cli/src/main/java/org/fuchsialever/cli/load/InProcessInstance.java
+++ b/cli/src/main/java/org/fuchsialever/cli/load/InProcessInstance.java
@@ -16,48 +16,49 @@
 final class InProcessInstance implements AutoCloseable {
     private static final int SLOTS = 1_024;
 
-    private final Closer closer = new Closer();
-    private final StandInEnvironment world;
-    private final NodeProcess node;
+    private final Closer mCloser = new Closer();
+    private final StandInEnvironment mWorld;
+    private final NodeProcess mNode;
 
     InProcessInstance(Duration tokenInterval) throws IOException {
         EngineOptions options =
                 new EngineOptions().slots(SLOTS).queueCapacity(SLOTS).tokenInterval(tokenInterval);
-        world =
-                closer.register(
+        mWorld =
+                mCloser.register(
                         "stand-ins",
                         StandInEnvironment.builder()
                                 .engine("engine-1", options)
                                 .plainService("desk-1", Duration.ZERO)
                                 .start());
         try {
-            node = closer.register("instance", startNode());
+            mNode = mCloser.register("instance", startNode());
         } catch (IOException | RuntimeException e) {
-            closer.close();
+            mCloser.close();
             throw e;
         }
     }
 
     LoadTarget instance() {
-        String url = "http://" + StandInServer.HOST + ":" + node.service(HttpFrontEnd.class).port();
+        String url =
+                "http://" + StandInServer.HOST + ":" + mNode.service(HttpFrontEnd.class).port();
         return new LoadTarget("instance", url + "/v1/completions", url + "/desk", "");
     }
 
     LoadTarget direct() {
         return new LoadTarget(
                 "direct",
-                world.engine("engine-1").url() + "/v1/completions",
-                world.plainService("desk-1").url() + "/desk",
+                mWorld.engine("engine-1").url() + "/v1/completions",
+                mWorld.plainService("desk-1").url() + "/desk",
                 "");
     }
 
     @Override
     public void close() {
-        closer.close();
+        mCloser.close();
     }
 
     private NodeProcess startNode() throws IOException {
-        StandInFiles files = new StandInFiles(world, 1, 1, 1, SLOTS);
+        StandInFiles files = new StandInFiles(mWorld, 1, 1, 1, SLOTS);
         Path folder = Files.createTempDirectory("fuchsialever-load");
         Path routes = folder.resolve("routes.ini");
         Path pools = folder.resolve("pools.ini");
--- a/cli/src/main/java/org/fuchsialever/cli/load/LoadPlan.java
+++ b/cli/src/main/java/org/fuchsialever/cli/load/LoadPlan.java
@@ -9,10 +9,10 @@
 final class LoadPlan {
     private static final double NANOS_PER_SECOND = 1e9;
 
-    private final List<PlannedCall> calls;
+    private final List<PlannedCall> mCalls;
 
     private LoadPlan(List<PlannedCall> calls) {
-        this.calls = calls;
+        mCalls = calls;
     }
 
     /**
@@ -35,7 +35,7 @@
     }
 
     List<PlannedCall> calls() {
-        return calls;
+        return mCalls;
     }
 
     private static double gap(Random random, double ratePerSecond) {
--- a/cli/src/main/java/org/fuchsialever/cli/load/LoadResult.java
+++ b/cli/src/main/java/org/fuchsialever/cli/load/LoadResult.java
@@ -17,41 +17,41 @@
     private static final double NANOS_PER_MILLI = 1e6;
     private static final double[] PERCENTILES = {50, 90, 99, 99.9, 100};
 
-    private final Histogram firstByte = new ConcurrentHistogram(LONGEST_NANOS, DIGITS);
-    private final Histogram total = new ConcurrentHistogram(LONGEST_NANOS, DIGITS);
-    private final Map<String, LongAdder> answers = new ConcurrentSkipListMap<>();
+    private final Histogram mFirstByte = new ConcurrentHistogram(LONGEST_NANOS, DIGITS);
+    private final Histogram mTotal = new ConcurrentHistogram(LONGEST_NANOS, DIGITS);
+    private final Map<String, LongAdder> mAnswers = new ConcurrentSkipListMap<>();
 
     /** Records a complete answer with status 200; times count from the scheduled send time. */
     void succeeded(long firstByteNanos, long totalNanos) {
-        firstByte.recordValue(Math.min(firstByteNanos, LONGEST_NANOS));
-        total.recordValue(Math.min(totalNanos, LONGEST_NANOS));
+        mFirstByte.recordValue(Math.min(firstByteNanos, LONGEST_NANOS));
+        mTotal.recordValue(Math.min(totalNanos, LONGEST_NANOS));
         count("200");
     }
 
     /** Counts an answer or failure under a name such as {@code 503 queue-full}. */
     void count(String name) {
-        answers.computeIfAbsent(name, key -> new LongAdder()).increment();
+        mAnswers.computeIfAbsent(name, key -> new LongAdder()).increment();
     }
 
     long completed() {
-        return total.getTotalCount();
+        return mTotal.getTotalCount();
     }
 
     long count() {
-        return answers.values().stream().mapToLong(LongAdder::sum).sum();
+        return mAnswers.values().stream().mapToLong(LongAdder::sum).sum();
     }
 
     double firstByteMillis(double percentile) {
-        return firstByte.getValueAtPercentile(percentile) / NANOS_PER_MILLI;
+        return mFirstByte.getValueAtPercentile(percentile) / NANOS_PER_MILLI;
     }
 
     double totalMillis(double percentile) {
-        return total.getValueAtPercentile(percentile) / NANOS_PER_MILLI;
+        return mTotal.getValueAtPercentile(percentile) / NANOS_PER_MILLI;
     }
 
     void toJson(ObjectNode body) {
         ObjectNode counts = body.putObject("answers");
-        answers.forEach((name, count) -> counts.put(name, count.sum()));
+        mAnswers.forEach((name, count) -> counts.put(name, count.sum()));
         ObjectNode first = body.putObject("first_byte_ms");
         ObjectNode whole = body.putObject("total_ms");
         for (double percentile : PERCENTILES) {
@@ -62,7 +62,7 @@
 
     void print(PrintStream out, String title) {
         out.println(title);
-        answers.forEach((name, count) -> out.printf("  answers %-28s %d%n", name, count.sum()));
+        mAnswers.forEach((name, count) -> out.printf("  answers %-28s %d%n", name, count.sum()));
         out.printf("  %-16s %12s %12s%n", "milliseconds", "first byte", "total");
         for (double percentile : PERCENTILES) {
             out.printf(
@@ -76,9 +76,9 @@
 
     void printDistributions(PrintStream out) {
         out.println("Time to first byte, in milliseconds:");
-        firstByte.outputPercentileDistribution(out, NANOS_PER_MILLI);
+        mFirstByte.outputPercentileDistribution(out, NANOS_PER_MILLI);
         out.println("Total time, in milliseconds:");
-        total.outputPercentileDistribution(out, NANOS_PER_MILLI);
+        mTotal.outputPercentileDistribution(out, NANOS_PER_MILLI);
     }
 
     private static String label(double percentile) {
--- a/cli/src/main/java/org/fuchsialever/cli/load/LoadRunner.java
+++ b/cli/src/main/java/org/fuchsialever/cli/load/LoadRunner.java
@@ -20,22 +20,22 @@
 final class LoadRunner implements AutoCloseable {
     private static final int MAX_CONNECTIONS = 20_000;
 
-    private final TimeSource time = SystemTimeSource.INSTANCE;
-    private final Scheduler arrivals = Schedulers.newSingle("load-arrivals");
-    private final ConnectionProvider connections =
+    private final TimeSource mTime = SystemTimeSource.INSTANCE;
+    private final Scheduler mArrivals = Schedulers.newSingle("load-arrivals");
+    private final ConnectionProvider mConnections =
             ConnectionProvider.builder("load")
                     .maxConnections(MAX_CONNECTIONS)
                     .pendingAcquireMaxCount(MAX_CONNECTIONS)
                     .build();
-    private final HttpClient client;
-    private final int maxTokens;
-    private final Duration timeout;
+    private final HttpClient mClient;
+    private final int mMaxTokens;
+    private final Duration mTimeout;
 
     LoadRunner(int maxTokens, Duration timeout) {
-        this.maxTokens = maxTokens;
-        this.timeout = timeout;
+        mMaxTokens = maxTokens;
+        mTimeout = timeout;
         // A hidden second attempt would falsify both the counts and the times.
-        this.client = HttpClient.create(connections).disableRetry(true);
+        mClient = HttpClient.create(mConnections).disableRetry(true);
     }
 
     /** Runs a plan; completes when the last call has ended. */
@@ -45,13 +45,13 @@
 
     @Override
     public void close() {
-        arrivals.dispose();
-        connections.dispose();
+        mArrivals.dispose();
+        mConnections.dispose();
     }
 
     private Mono<Void> send(LoadTarget target, LoadPlan.PlannedCall call, CallRecorder recorder) {
-        byte[] body = call.kind().body(call.number(), maxTokens).getBytes(StandardCharsets.UTF_8);
-        return client.headers(
+        byte[] body = call.kind().body(call.number(), mMaxTokens).getBytes(StandardCharsets.UTF_8);
+        return mClient.headers(
                         headers -> {
                             headers.set("Content-Type", "application/json");
                             headers.set("Content-Length", body.length);
@@ -68,57 +68,57 @@
                             return content.asByteArray().doOnNext(recorder::onContent);
                         })
                 .then()
-                .timeout(timeout)
+                .timeout(mTimeout)
                 .doOnSuccess(done -> recorder.onEnd())
                 .doOnError(recorder::onFailure)
                 .onErrorComplete();
     }
 
     private final class Phase {
-        private final List<LoadPlan.PlannedCall> calls;
-        private final LoadTarget target;
-        private final LoadResult result;
-        private final AtomicInteger open;
-        private final Sinks.Empty<Void> ended = Sinks.empty();
-        private final long startNanos = time.nanoTime();
-        private int next;
+        private final List<LoadPlan.PlannedCall> mCalls;
+        private final LoadTarget mTarget;
+        private final LoadResult mResult;
+        private final AtomicInteger mOpen;
+        private final Sinks.Empty<Void> mEnded = Sinks.empty();
+        private final long mStartNanos = mTime.nanoTime();
+        private int mNext;
 
         private Phase(LoadPlan plan, LoadTarget target, LoadResult result) {
-            this.calls = plan.calls();
-            this.target = target;
-            this.result = result;
-            this.open = new AtomicInteger(calls.size() + 1);
+            mCalls = plan.calls();
+            mTarget = target;
+            mResult = result;
+            mOpen = new AtomicInteger(mCalls.size() + 1);
         }
 
         private Mono<Void> start() {
-            arrivals.schedule(this::sendDue);
-            return ended.asMono();
+            mArrivals.schedule(this::sendDue);
+            return mEnded.asMono();
         }
 
         /** Sends all calls that are due and schedules itself for the next one. */
         private void sendDue() {
-            while (next < calls.size()) {
-                long wait = calls.get(next).atNanos() - (time.nanoTime() - startNanos);
+            while (mNext < mCalls.size()) {
+                long wait = mCalls.get(mNext).atNanos() - (mTime.nanoTime() - mStartNanos);
                 if (wait > 0) {
-                    arrivals.schedule(this::sendDue, wait, TimeUnit.NANOSECONDS);
+                    mArrivals.schedule(this::sendDue, wait, TimeUnit.NANOSECONDS);
                     return;
                 }
-                send(calls.get(next++));
+                send(mCalls.get(mNext++));
             }
             end();
         }
 
         private void send(LoadPlan.PlannedCall call) {
             CallRecorder recorder =
-                    new CallRecorder(call.kind(), startNanos + call.atNanos(), time, result);
+                    new CallRecorder(call.kind(), mStartNanos + call.atNanos(), mTime, mResult);
             LoadRunner.this
-                    .send(target, call, recorder)
+                    .send(mTarget, call, recorder)
                     .subscribe(done -> {}, e -> end(), this::end);
         }
 
         private void end() {
-            if (open.decrementAndGet() == 0) {
-                ended.tryEmitEmpty();
+            if (mOpen.decrementAndGet() == 0) {
+                mEnded.tryEmitEmpty();
             }
         }
     }
--- a/cli/src/main/java/org/fuchsialever/cli/platform/OperatorClient.java
+++ b/cli/src/main/java/org/fuchsialever/cli/platform/OperatorClient.java
@@ -29,19 +29,19 @@
     private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(3);
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    private final HttpClient client =
+    private final HttpClient mClient =
             HttpClient.newConnection()
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
-    private final InstanceList list;
+    private final InstanceList mList;
 
     /** Creates a client for the instances on a list. */
     public OperatorClient(InstanceList list) {
-        this.list = list;
+        mList = list;
     }
 
     /** Returns the listed instances, or none if the list cannot be read. */
     public Option<List<ListedInstance>> listInstances() {
-        return Try.of(() -> PlatformSession.await(list.list())).toOption();
+        return Try.of(() -> PlatformSession.await(mList.list())).toOption();
     }
 
     /** Returns the names of the instances whose configuration version is at least the given one. */
@@ -69,7 +69,7 @@
                 instances,
                 instance ->
                         readJson(
-                                        client.headers(
+                                        mClient.headers(
                                                         fields ->
                                                                 fields.set(
                                                                         "Content-Length",
@@ -87,7 +87,7 @@
     }
 
     private Mono<JsonNode> requestStatus(ListedInstance instance) {
-        return readJson(client.get().uri(url(instance) + "/operator/status"));
+        return readJson(mClient.get().uri(url(instance) + "/operator/status"));
     }
 
     private static Set<String> instancesConfirming(
--- a/cli/src/main/java/org/fuchsialever/cli/platform/PlatformSession.java
+++ b/cli/src/main/java/org/fuchsialever/cli/platform/PlatformSession.java
@@ -24,15 +24,15 @@
     private static final RetryBackoff RETRY_BACKOFF =
             new RetryBackoff(Duration.ofMillis(100), Duration.ofSeconds(1), 5);
 
-    private final Closer closer;
-    private final Platform platform;
-    private final CommitRetrier commits;
-    private final String writerId = "operator-" + UUID.randomUUID();
+    private final Closer mCloser;
+    private final Platform mPlatform;
+    private final CommitRetrier mCommits;
+    private final String mWriterId = "operator-" + UUID.randomUUID();
 
     private PlatformSession(Closer closer, Platform platform, MeterRegistry meters) {
-        this.closer = closer;
-        this.platform = platform;
-        this.commits =
+        mCloser = closer;
+        mPlatform = platform;
+        mCommits =
                 new CommitRetrier(
                         platform.tables(),
                         RETRY_BACKOFF,
@@ -54,17 +54,17 @@
 
     /** Returns the platform. */
     public Platform platform() {
-        return platform;
+        return mPlatform;
     }
 
     /** Returns the retrier that resolves commits whose outcome is unknown. */
     public CommitRetrier commitRetrier() {
-        return commits;
+        return mCommits;
     }
 
     /** Returns the writer ID of the commits of this run. */
     public String writerId() {
-        return writerId;
+        return mWriterId;
     }
 
     /** Waits for a call and returns its result; throws its failure, or an exception on timeout. */
@@ -74,6 +74,6 @@
 
     @Override
     public void close() {
-        closer.close();
+        mCloser.close();
     }
 }
--- a/cli/src/main/java/org/fuchsialever/cli/platform/PlatformTask.java
+++ b/cli/src/main/java/org/fuchsialever/cli/platform/PlatformTask.java
@@ -17,13 +17,13 @@
             names = "--settings",
             description = "Node settings (INI); only section [platform] is used",
             required = true)
-    private String settings = "";
+    private String mSettings = "";
 
     @Override
     public final ExitCode run(CommandContext context) throws Exception {
         Findings findings = new Findings();
         IniDocument document =
-                IniDocument.parse(settings, Files.readString(Path.of(settings)), findings);
+                IniDocument.parse(mSettings, Files.readString(Path.of(mSettings)), findings);
         SettingsReader reader = new SettingsReader(document, findings);
         PlatformComponent component = new PlatformComponent();
         component.configure(reader);
--- a/cli/src/main/java/org/fuchsialever/cli/soak/SoakCall.java
+++ b/cli/src/main/java/org/fuchsialever/cli/soak/SoakCall.java
@@ -16,18 +16,18 @@
 
 /** One request and what its caller and the upstreams have seen of it. */
 final class SoakCall {
-    final RequestId id;
-    final KeyId key;
-    final boolean plain;
-    final int tokens;
-    int delivered;
-    int runs;
-    boolean answered;
-    boolean refusedAsNotRun;
-    boolean sample;
-    Consumer<Outcome> onEnd = outcome -> {};
-    private final List<Token> shown = new ArrayList<>();
-    private final Map<Integer, Set<Token>> generated = new HashMap<>();
+    final RequestId mId;
+    final KeyId mKey;
+    final boolean mPlain;
+    final int mTokens;
+    int mDelivered;
+    int mRuns;
+    boolean mAnswered;
+    boolean mRefusedAsNotRun;
+    boolean mSample;
+    Consumer<Outcome> mOnEnd = outcome -> {};
+    private final List<Token> mShown = new ArrayList<>();
+    private final Map<Integer, Set<Token>> mGenerated = new HashMap<>();
 
     /**
      * Creates a call.
@@ -38,29 +38,29 @@
      * @param tokens number of tokens of its whole answer
      */
     SoakCall(RequestId id, KeyId key, boolean plain, int tokens) {
-        this.id = id;
-        this.key = key;
-        this.plain = plain;
-        this.tokens = tokens;
+        mId = id;
+        mKey = key;
+        mPlain = plain;
+        mTokens = tokens;
     }
 
     /** An upstream generates a token, whether it arrives or not. */
     void generated(int index, Token token) {
-        generated.computeIfAbsent(index, i -> new HashSet<>()).add(token);
+        mGenerated.computeIfAbsent(index, i -> new HashSet<>()).add(token);
     }
 
     /** An instance receives the next token. */
     void shown(Token token) {
-        shown.add(token);
+        mShown.add(token);
     }
 
     /** Returns the received tokens as ranges of one version and upstream each. */
     List<TokenRange> ranges() {
         List<TokenRange> ranges = new ArrayList<>();
         int from = 0;
-        for (int index = 1; index <= shown.size(); index++) {
-            Token token = shown.get(index - 1);
-            if (index == shown.size() || !shown.get(index).equals(token)) {
+        for (int index = 1; index <= mShown.size(); index++) {
+            Token token = mShown.get(index - 1);
+            if (index == mShown.size() || !mShown.get(index).equals(token)) {
                 ranges.add(
                         new TokenRange(
                                 from, index, new WeightVersion(token.version), token.upstream));
@@ -76,13 +76,13 @@
         for (TokenRange range : ranges) {
             Token token = new Token(range.version().number(), range.upstream());
             while (next < range.to()) {
-                if (!generated.getOrDefault(next, Set.of()).contains(token)) {
+                if (!mGenerated.getOrDefault(next, Set.of()).contains(token)) {
                     return false;
                 }
                 next++;
             }
         }
-        return next == tokens;
+        return next == mTokens;
     }
 
     /** The origin of a token. */
--- a/cli/src/main/java/org/fuchsialever/cli/soak/SoakChecker.java
+++ b/cli/src/main/java/org/fuchsialever/cli/soak/SoakChecker.java
@@ -16,26 +16,26 @@
     private static final long WITHDRAWAL_BOUND = 5 * SoakTimeline.SECOND;
     private static final long LEAVING_BOUND = 2 * SoakTimeline.SECOND;
 
-    private final Map<KeyId, Long> withdrawnAt = new HashMap<>();
-    private final Map<UpstreamId, Long> leavingSince = new HashMap<>();
-    private final Map<String, Long> versions = new HashMap<>();
-    private final Map<String, Integer> counts = new java.util.TreeMap<>();
+    private final Map<KeyId, Long> mWithdrawnAt = new HashMap<>();
+    private final Map<UpstreamId, Long> mLeavingSince = new HashMap<>();
+    private final Map<String, Long> mVersions = new HashMap<>();
+    private final Map<String, Integer> mCounts = new java.util.TreeMap<>();
 
     /** Returns how often each kind of result was seen, by name. */
     Map<String, Integer> counts() {
-        return counts;
+        return mCounts;
     }
 
     void count(String name) {
-        counts.merge(name, 1, Integer::sum);
+        mCounts.merge(name, 1, Integer::sum);
     }
 
     void withdrawn(KeyId key, long now) {
-        withdrawnAt.putIfAbsent(key, now);
+        mWithdrawnAt.putIfAbsent(key, now);
     }
 
     void leaving(UpstreamId upstream, long now) {
-        leavingSince.putIfAbsent(upstream, now);
+        mLeavingSince.putIfAbsent(upstream, now);
     }
 
     /**
@@ -46,16 +46,16 @@
      */
     void started(SoakCall call, UpstreamId upstream, long now, long resumedAt) {
         count("attempts");
-        Long withdrawn = withdrawnAt.get(call.key);
+        Long withdrawn = mWithdrawnAt.get(call.mKey);
         require(
                 withdrawn == null || now - Math.max(withdrawn, resumedAt) <= WITHDRAWAL_BOUND,
                 Invariant.WITHDRAWN_KEY_STOPS,
-                call.id + " started " + age(withdrawn, now) + " after the withdrawal");
-        Long left = leavingSince.get(upstream);
+                call.mId + " started " + age(withdrawn, now) + " after the withdrawal");
+        Long left = mLeavingSince.get(upstream);
         require(
                 left == null || now - Math.max(left, resumedAt) <= LEAVING_BOUND,
                 Invariant.LEAVING_UPSTREAM_IDLE,
-                call.id
+                call.mId
                         + " sent to "
                         + upstream
                         + " "
@@ -66,48 +66,48 @@
 
     /** An upstream runs a request. */
     void ran(SoakCall call) {
-        call.runs++;
+        call.mRuns++;
         require(
-                !call.plain || call.runs == 1,
+                !call.mPlain || call.mRuns == 1,
                 Invariant.AT_MOST_ONCE,
-                call.id + " ran " + call.runs + " times");
+                call.mId + " ran " + call.mRuns + " times");
         require(
-                !call.refusedAsNotRun,
+                !call.mRefusedAsNotRun,
                 Invariant.NOT_RUN_IS_TRUE,
-                call.id + " ran after it was refused as not run");
+                call.mId + " ran after it was refused as not run");
     }
 
     /** A caller receives the token with an index. */
     void token(SoakCall call, int index) {
         require(
-                index == call.delivered && !call.answered,
+                index == call.mDelivered && !call.mAnswered,
                 Invariant.ANSWER_WHOLE_AND_OWN,
-                call.id + " got token " + index + " after " + call.delivered);
-        call.delivered++;
+                call.mId + " got token " + index + " after " + call.mDelivered);
+        call.mDelivered++;
     }
 
     /** A caller receives the final answer. */
     void answered(SoakCall call, Outcome outcome, String reason) {
         require(
-                !call.answered,
+                !call.mAnswered,
                 Invariant.ANSWER_WHOLE_AND_OWN,
-                call.id + " was answered twice, then with " + reason);
-        call.answered = true;
-        call.refusedAsNotRun = outcome == Outcome.NOT_RUN;
+                call.mId + " was answered twice, then with " + reason);
+        call.mAnswered = true;
+        call.mRefusedAsNotRun = outcome == Outcome.NOT_RUN;
         count("answer." + reason);
         require(
-                outcome != Outcome.NOT_RUN || call.runs == 0,
+                outcome != Outcome.NOT_RUN || call.mRuns == 0,
                 Invariant.NOT_RUN_IS_TRUE,
-                call.id + " was refused with " + reason + " and ran " + call.runs + " times");
+                call.mId + " was refused with " + reason + " and ran " + call.mRuns + " times");
         require(
-                outcome != Outcome.COMPLETED || call.delivered == call.tokens && call.runs > 0,
+                outcome != Outcome.COMPLETED || call.mDelivered == call.mTokens && call.mRuns > 0,
                 Invariant.ANSWER_WHOLE_AND_OWN,
-                call.id + " ended with " + call.delivered + " of " + call.tokens + " tokens");
+                call.mId + " ended with " + call.mDelivered + " of " + call.mTokens + " tokens");
     }
 
     /** An instance puts a version of the tables in force. */
     void inForce(String start, long version) {
-        Long earlier = versions.put(start, version);
+        Long earlier = mVersions.put(start, version);
         require(
                 earlier == null || earlier < version,
                 Invariant.CONFIGURATION_MONOTONIC,
--- a/cli/src/main/java/org/fuchsialever/cli/soak/SoakFault.java
+++ b/cli/src/main/java/org/fuchsialever/cli/soak/SoakFault.java
@@ -5,8 +5,8 @@
     STORE_DOWN(12_000) {
         @Override
         Runnable begin(SoakWorld world) {
-            world.store.down = true;
-            return () -> world.store.down = false;
+            world.mStore.mDown = true;
+            return () -> world.mStore.mDown = false;
         }
     },
     /** Kept short: the bounds of the service assume that a read lags by a few seconds at most. */
@@ -20,22 +20,22 @@
     ANSWERS_LOST(8_000) {
         @Override
         Runnable begin(SoakWorld world) {
-            world.lossPercent = 30;
-            return () -> world.lossPercent = 0;
+            world.mLossPercent = 30;
+            return () -> world.mLossPercent = 0;
         }
     },
     ATTEMPTS_BROKEN(8_000) {
         @Override
         Runnable begin(SoakWorld world) {
-            world.upstreams.brokenPercent = 25;
-            return () -> world.upstreams.brokenPercent = 0;
+            world.mUpstreams.mBrokenPercent = 25;
+            return () -> world.mUpstreams.mBrokenPercent = 0;
         }
     },
     ATTEMPTS_SILENT(8_000) {
         @Override
         Runnable begin(SoakWorld world) {
-            world.upstreams.silentPercent = 10;
-            return () -> world.upstreams.silentPercent = 0;
+            world.mUpstreams.mSilentPercent = 10;
+            return () -> world.mUpstreams.mSilentPercent = 0;
         }
     },
     UPSTREAM_CRASHED(5_000) {
@@ -65,14 +65,14 @@
         }
     };
 
-    private final int maxMillis;
+    private final int mMaxMillis;
 
     SoakFault(int maxMillis) {
-        this.maxMillis = maxMillis;
+        mMaxMillis = maxMillis;
     }
 
     int maxMillis() {
-        return maxMillis;
+        return mMaxMillis;
     }
 
     /** Begins the fault and returns what ends it. */
--- a/cli/src/main/java/org/fuchsialever/cli/soak/SoakInstance.java
+++ b/cli/src/main/java/org/fuchsialever/cli/soak/SoakInstance.java
@@ -45,133 +45,133 @@
     private static final Duration POLL = Duration.ofSeconds(1);
     private static final Duration FRESHNESS = Duration.ofSeconds(5);
 
-    final String name;
-    final FailureDomain domain;
-    private final SoakWorld world;
-    private final ManualTimeSource clock = new ManualTimeSource(0);
-    private final DutyStepper stepper = new DutyStepper(clock);
-    private final Map<RequestId, Call> calls = new TreeMap<>();
-    private final List<Runnable> whilePaused = new ArrayList<>();
-    private final SoakStoreClient store;
-    private final ActionSink<DispatchEvent> dispatch;
-    private final ActionSink<KeyEvent> keys;
-    private final SoakRollouts rollouts;
-    private KeyView keyView = KeyView.NONE;
-    private Option<ConfigSnapshot> snapshot = Option.none();
-    private ConfigStatus status = ConfigStatus.NONE;
-    private boolean alive = true;
-    private boolean paused;
-    private long resumedAt;
+    final String mName;
+    final FailureDomain mDomain;
+    private final SoakWorld mWorld;
+    private final ManualTimeSource mClock = new ManualTimeSource(0);
+    private final DutyStepper mStepper = new DutyStepper(mClock);
+    private final Map<RequestId, Call> mCalls = new TreeMap<>();
+    private final List<Runnable> mWhilePaused = new ArrayList<>();
+    private final SoakStoreClient mStore;
+    private final ActionSink<DispatchEvent> mDispatch;
+    private final ActionSink<KeyEvent> mKeys;
+    private final SoakRollouts mRollouts;
+    private KeyView mKeyView = KeyView.NONE;
+    private Option<ConfigSnapshot> mSnapshot = Option.none();
+    private ConfigStatus mStatus = ConfigStatus.NONE;
+    private boolean mAlive = true;
+    private boolean mPaused;
+    private long mResumedAt;
 
     SoakInstance(String name, int domainNumber, SoakWorld world, RandomGenerator random) {
-        this.name = name;
-        this.world = world;
-        long now = world.timeline.now();
-        resumedAt = now;
-        clock.advanceNanos(now);
-        domain = new FailureDomain("fd-" + domainNumber);
+        mName = name;
+        mWorld = world;
+        long now = world.mTimeline.now();
+        mResumedAt = now;
+        mClock.advanceNanos(now);
+        mDomain = new FailureDomain("fd-" + domainNumber);
         InvariantMonitor monitor = InvariantMonitor.throwing();
-        dispatch =
-                stepper.add(
+        mDispatch =
+                mStepper.add(
                         new DispatchDuty(
-                                DispatchSettings.standard(new InstanceId(name), domain)
+                                DispatchSettings.standard(new InstanceId(name), mDomain)
                                         .withQueueCapacity(16),
                                 random,
                                 monitor),
                         this::carryOut);
-        keys = stepper.add(new KeyDuty(POLL, FRESHNESS, now, monitor), this::carryOut);
-        store = new SoakStoreClient(this, world);
+        mKeys = mStepper.add(new KeyDuty(POLL, FRESHNESS, now, monitor), this::carryOut);
+        mStore = new SoakStoreClient(this, world);
         ActionSink<ConfigEvent> config =
-                stepper.add(new ConfigDuty(POLL, now, monitor), store::carryOut);
-        store.connect(config, keys);
+                mStepper.add(new ConfigDuty(POLL, now, monitor), mStore::carryOut);
+        mStore.connect(config, mKeys);
         StragglerPolicy[] policies = StragglerPolicy.values();
-        rollouts =
+        mRollouts =
                 new SoakRollouts(
-                        this, world, stepper, random, policies[random.nextInt(policies.length)]);
+                        this, world, mStepper, random, policies[random.nextInt(policies.length)]);
     }
 
     boolean isIdle() {
-        return calls.isEmpty();
+        return mCalls.isEmpty();
     }
 
     boolean isReady() {
-        return alive && status.ready();
+        return mAlive && mStatus.ready();
     }
 
     void kill() {
-        alive = false;
-        for (Call call : List.copyOf(calls.values())) {
-            world.checker.answered(call.call, Outcome.UNKNOWN, "instance-died");
+        mAlive = false;
+        for (Call call : List.copyOf(mCalls.values())) {
+            mWorld.mChecker.answered(call.mCall, Outcome.UNKNOWN, "instance-died");
         }
-        calls.clear();
+        mCalls.clear();
     }
 
     void pause() {
-        paused = true;
+        mPaused = true;
     }
 
     /** Goes on after a pause; what arrived meanwhile is handled first, in order of arrival. */
     void resume() {
-        if (paused) {
-            paused = false;
-            resumedAt = world.timeline.now();
-            List<Runnable> waiting = List.copyOf(whilePaused);
-            whilePaused.clear();
+        if (mPaused) {
+            mPaused = false;
+            mResumedAt = mWorld.mTimeline.now();
+            List<Runnable> waiting = List.copyOf(mWhilePaused);
+            mWhilePaused.clear();
             waiting.forEach(this::receive);
         }
     }
 
     /** Runs the timers that are due. */
     void step() {
-        if (alive && !paused) {
-            stepper.advance(world.timeline.now() - clock.nanoTime());
+        if (mAlive && !mPaused) {
+            mStepper.advance(mWorld.mTimeline.now() - mClock.nanoTime());
         }
     }
 
     /** Handles something that arrives; it waits while the process is paused. */
     void receive(Runnable arrival) {
-        if (paused) {
-            whilePaused.add(arrival);
-        } else if (alive) {
+        if (mPaused) {
+            mWhilePaused.add(arrival);
+        } else if (mAlive) {
             // Advancing runs timers, whose actions may again arrive here at the same moment.
-            clock.advanceNanos(world.timeline.now() - clock.nanoTime());
+            mClock.advanceNanos(mWorld.mTimeline.now() - mClock.nanoTime());
             arrival.run();
-            stepper.runPending();
+            mStepper.runPending();
         }
     }
 
     void send(DispatchEvent event) {
-        receive(() -> dispatch.emit(event));
+        receive(() -> mDispatch.emit(event));
     }
 
     void send(KeyEvent event) {
-        receive(() -> keys.emit(event));
+        receive(() -> mKeys.emit(event));
     }
 
     void send(RolloutEvent event) {
-        receive(() -> rollouts.emit(event));
+        receive(() -> mRollouts.emit(event));
     }
 
     SoakRollouts rollouts() {
-        return rollouts;
+        return mRollouts;
     }
 
     boolean isAlive() {
-        return alive;
+        return mAlive;
     }
 
     /** Generates a sample under the route of rollouts; called by the duty's own thread. */
     void generate(SoakCall call, RolloutAction.Generate action) {
-        Option<Route> route = snapshot.flatMap(now -> Option.of(now.routes().get(action.route())));
+        Option<Route> route = mSnapshot.flatMap(now -> Option.of(now.routes().get(action.route())));
         if (route.isEmpty()) {
-            call.onEnd.accept(Outcome.NOT_RUN);
+            call.mOnEnd.accept(Outcome.NOT_RUN);
         } else {
             submit(call, action.team(), route.get(), action.urgency());
         }
     }
 
     void endCall(SoakCall call) {
-        dispatch.emit(new DispatchEvent.RequestCancelled(call.id));
+        mDispatch.emit(new DispatchEvent.RequestCancelled(call.mId));
     }
 
     /** Takes a request of a caller and checks its key, as the front end does. */
@@ -179,54 +179,54 @@
         receive(
                 () -> {
                     Either<RefusalReason, KeyRecord> key =
-                            keyView.usable()
-                                    ? keyView.table().check(shownKey, 0)
+                            mKeyView.usable()
+                                    ? mKeyView.table().check(shownKey, 0)
                                     : Either.left(RefusalReason.KEYS_STALE);
-                    if (!status.ready() || snapshot.isEmpty()) {
+                    if (!mStatus.ready() || mSnapshot.isEmpty()) {
                         refuse(call, RefusalReason.NOT_READY);
                     } else if (key.isLeft()) {
                         refuse(call, key.getLeft());
                     } else {
-                        accept(call, key.get(), snapshot.get());
+                        accept(call, key.get(), mSnapshot.get());
                     }
                 });
     }
 
     private void accept(SoakCall call, KeyRecord key, ConfigSnapshot tables) {
-        RouteName name = new RouteName(call.plain ? "plain" : "live");
+        RouteName name = new RouteName(call.mPlain ? "plain" : "live");
         Route route = Option.of(tables.routes().get(name)).getOrElseThrow(AssertionError::new);
         submit(call, key.team(), route, 0);
     }
 
     private void submit(SoakCall call, TeamName team, Route route, int urgency) {
-        calls.put(call.id, new Call(call));
-        dispatch.emit(
+        mCalls.put(call.mId, new Call(call));
+        mDispatch.emit(
                 new DispatchEvent.RequestArrived(
                         new DispatchRequest(
-                                call.id,
+                                call.mId,
                                 team,
                                 route,
-                                call.plain ? 0 : 10,
-                                call.plain ? 0 : call.tokens,
+                                call.mPlain ? 0 : 10,
+                                call.mPlain ? 0 : call.mTokens,
                                 0,
-                                !call.plain,
+                                !call.mPlain,
                                 urgency,
-                                clock.nanoTime() + route.deadline().toNanos())));
+                                mClock.nanoTime() + route.deadline().toNanos())));
     }
 
     /** The caller closes its connection. */
     void callerLeaves(RequestId id) {
         receive(
                 () -> {
-                    if (calls.containsKey(id)) {
-                        dispatch.emit(new DispatchEvent.RequestCancelled(id));
+                    if (mCalls.containsKey(id)) {
+                        mDispatch.emit(new DispatchEvent.RequestCancelled(id));
                     }
                 });
     }
 
     boolean hasGivenUp(SoakCall call, int attempt) {
-        Call known = calls.get(call.id);
-        return !alive || known == null || known.attempt != attempt;
+        Call known = mCalls.get(call.mId);
+        return !mAlive || known == null || known.mAttempt != attempt;
     }
 
     void token(
@@ -238,11 +238,11 @@
                 () -> {
                     if (!hasGivenUp(call, action.attempt())) {
                         int index = action.resumeFrom() + generated;
-                        world.checker.token(call, index);
+                        mWorld.mChecker.token(call, index);
                         call.shown(token);
-                        dispatch.emit(
+                        mDispatch.emit(
                                 new DispatchEvent.AttemptProgressed(
-                                        call.id, action.attempt(), index + 1));
+                                        call.mId, action.attempt(), index + 1));
                     }
                 });
     }
@@ -250,29 +250,29 @@
     void attemptEnded(
             SoakCall call, DispatchAction.StartAttempt action, AttemptResult result, int tokens) {
         AttemptReport report = new AttemptReport(result, 10, tokens, 1_000_000, 50_000_000);
-        send(new DispatchEvent.AttemptEnded(call.id, action.attempt(), report));
+        send(new DispatchEvent.AttemptEnded(call.mId, action.attempt(), report));
     }
 
     private void carryOut(DispatchAction action) {
         if (action instanceof DispatchAction.StartAttempt start) {
             Call call = find(start.request());
-            call.attempt = start.attempt();
-            if (world.upstreams.isUp(start.upstream().id())) {
-                world.checker.started(
-                        call.call, start.upstream().id(), clock.nanoTime(), resumedAt);
+            call.mAttempt = start.attempt();
+            if (mWorld.mUpstreams.isUp(start.upstream().id())) {
+                mWorld.mChecker.started(
+                        call.mCall, start.upstream().id(), mClock.nanoTime(), mResumedAt);
             }
-            world.upstreams.send(call.call, start, this);
+            mWorld.mUpstreams.send(call.mCall, start, this);
         } else if (action instanceof DispatchAction.CancelAttempt cancel) {
-            find(cancel.request()).attempt = -1;
+            find(cancel.request()).mAttempt = -1;
         } else if (action instanceof DispatchAction.Retry retry) {
-            world.checker.count("retry." + retry.reason().code());
+            mWorld.mChecker.count("retry." + retry.reason().code());
         } else if (action instanceof DispatchAction.Refuse refusal) {
-            SoakCall call = find(refusal.request()).call;
-            calls.remove(refusal.request());
+            SoakCall call = find(refusal.request()).mCall;
+            mCalls.remove(refusal.request());
             refuse(call, refusal.reason());
         } else if (action instanceof DispatchAction.Finish finish) {
-            SoakCall call = find(finish.request()).call;
-            calls.remove(finish.request());
+            SoakCall call = find(finish.request()).mCall;
+            mCalls.remove(finish.request());
             String reason = finish.outcome() == Outcome.COMPLETED ? "completed" : "caller-left";
             answer(call, finish.outcome(), reason);
         }
@@ -283,63 +283,63 @@
     }
 
     private void answer(SoakCall call, Outcome outcome, String reason) {
-        world.checker.answered(call, outcome, (call.sample ? "sample-" : "") + reason);
-        call.onEnd.accept(outcome);
+        mWorld.mChecker.answered(call, outcome, (call.mSample ? "sample-" : "") + reason);
+        call.mOnEnd.accept(outcome);
     }
 
     private Call find(RequestId id) {
-        return Option.of(calls.get(id))
+        return Option.of(mCalls.get(id))
                 .getOrElseThrow(() -> new AssertionError(id + " was answered already"));
     }
 
     private void carryOut(KeyAction action) {
         if (action instanceof KeyAction.PublishKeyTable publish) {
-            keyView = publish.view();
+            mKeyView = publish.view();
         } else if (action instanceof KeyAction.EndCallsOfKey end) {
-            endCalls(call -> call.key.equals(end.key()));
+            endCalls(call -> call.mKey.equals(end.key()));
         } else if (action instanceof KeyAction.EndAllKeyedCalls) {
-            endCalls(call -> !call.sample);
+            endCalls(call -> !call.mSample);
         } else {
-            store.carryOut(action);
+            mStore.carryOut(action);
         }
     }
 
     private void endCalls(java.util.function.Predicate<SoakCall> ended) {
-        for (Call call : calls.values()) {
-            if (ended.test(call.call)) {
-                dispatch.emit(new DispatchEvent.RequestCancelled(call.call.id));
+        for (Call call : mCalls.values()) {
+            if (ended.test(call.mCall)) {
+                mDispatch.emit(new DispatchEvent.RequestCancelled(call.mCall.mId));
             }
         }
     }
 
     Option<KeyAction.PublishKeysForPeers> knownKeys() {
-        return isRunning() ? store.known() : Option.none();
+        return isRunning() ? mStore.known() : Option.none();
     }
 
     Option<String> servedText() {
-        return isRunning() ? store.served() : Option.none();
+        return isRunning() ? mStore.served() : Option.none();
     }
 
     private boolean isRunning() {
-        return alive && !paused;
+        return mAlive && !mPaused;
     }
 
     void publish(ConfigSnapshot newSnapshot) {
-        world.checker.inForce(name, newSnapshot.version());
-        snapshot = Option.some(newSnapshot);
-        dispatch.emit(new DispatchEvent.ConfigChanged(newSnapshot));
+        mWorld.mChecker.inForce(mName, newSnapshot.version());
+        mSnapshot = Option.some(newSnapshot);
+        mDispatch.emit(new DispatchEvent.ConfigChanged(newSnapshot));
     }
 
     void publish(ConfigStatus newStatus) {
-        status = newStatus;
+        mStatus = newStatus;
     }
 
     private static final class Call {
-        private final SoakCall call;
-        private int attempt;
+        private final SoakCall mCall;
+        private int mAttempt;
 
         Call(SoakCall call) {
-            this.call = call;
+            mCall = call;
         }
     }
 }
--- a/cli/src/main/java/org/fuchsialever/cli/soak/SoakLeaseTable.java
+++ b/cli/src/main/java/org/fuchsialever/cli/soak/SoakLeaseTable.java
@@ -10,24 +10,24 @@
 
 /** The table {@code leases} in memory, with stale reads. */
 final class SoakLeaseTable {
-    private final TreeMap<String, LeaseRow> rows = new TreeMap<>();
-    private Map<String, LeaseRow> replica = Map.of();
-    private boolean stale;
-    private long revision;
+    private final TreeMap<String, LeaseRow> mRows = new TreeMap<>();
+    private Map<String, LeaseRow> mReplica = Map.of();
+    private boolean mStale;
+    private long mRevision;
 
     void beginStaleReads() {
-        replica = new TreeMap<>(rows);
-        stale = true;
+        mReplica = new TreeMap<>(mRows);
+        mStale = true;
     }
 
     void endStaleReads() {
-        stale = false;
+        mStale = false;
     }
 
     LeaseEvent read(long afterVersion) {
         return new LeaseEvent.TableRead(
                 afterVersion == 0,
-                (stale ? replica : rows)
+                (mStale ? mReplica : mRows)
                         .values().stream().filter(row -> row.version() > afterVersion).toList());
     }
 
@@ -37,7 +37,7 @@
         for (Map.Entry<String, Long> condition : commit.conditions().entrySet()) {
             if (versionOf(condition.getKey()) != condition.getValue()) {
                 holds = false;
-                LeaseRow row = rows.get(condition.getKey());
+                LeaseRow row = mRows.get(condition.getKey());
                 if (row != null) {
                     present.add(row);
                 }
@@ -46,14 +46,15 @@
         if (!holds) {
             return new LeaseEvent.Conflicted(commit.writer(), present);
         }
-        revision++;
-        commit.deletes().forEach(rows::remove);
-        commit.puts().forEach(row -> rows.put(row.key(), row.writtenBy(commit.writer(), revision)));
-        return new LeaseEvent.Committed(commit.writer(), revision);
+        mRevision++;
+        commit.deletes().forEach(mRows::remove);
+        commit.puts()
+                .forEach(row -> mRows.put(row.key(), row.writtenBy(commit.writer(), mRevision)));
+        return new LeaseEvent.Committed(commit.writer(), mRevision);
     }
 
     long versionOf(String key) {
-        LeaseRow row = rows.get(key);
+        LeaseRow row = mRows.get(key);
         return row == null ? 0 : row.version();
     }
 }
--- a/cli/src/main/java/org/fuchsialever/cli/soak/SoakRollouts.java
+++ b/cli/src/main/java/org/fuchsialever/cli/soak/SoakRollouts.java
@@ -29,14 +29,14 @@
 
 /** Lease and rollout duties of an instance and the translation of their actions. */
 final class SoakRollouts {
-    private final SoakInstance instance;
-    private final SoakWorld world;
-    private final ActionSink<LeaseEvent> leases;
-    private final ActionSink<RolloutEvent> rollouts;
-    private final Map<Long, SoakCall> running = new HashMap<>();
-    private Option<LeaseRow.Role> held = Option.none();
-    private long validUntil;
-    private long knownVersion;
+    private final SoakInstance mInstance;
+    private final SoakWorld mWorld;
+    private final ActionSink<LeaseEvent> mLeases;
+    private final ActionSink<RolloutEvent> mRollouts;
+    private final Map<Long, SoakCall> mRunning = new HashMap<>();
+    private Option<LeaseRow.Role> mHeld = Option.none();
+    private long mValidUntil;
+    private long mKnownVersion;
 
     SoakRollouts(
             SoakInstance instance,
@@ -44,13 +44,13 @@
             DutyStepper stepper,
             RandomGenerator random,
             StragglerPolicy policy) {
-        this.instance = instance;
-        this.world = world;
-        leases =
+        mInstance = instance;
+        mWorld = world;
+        mLeases =
                 stepper.add(
                         new LeaseDuty(
-                                new InstanceId(instance.name),
-                                instance.name + "-start",
+                                new InstanceId(instance.mName),
+                                instance.mName + "-start",
                                 LeaseTiming.standard(),
                                 random),
                         this::carryOut);
@@ -63,53 +63,53 @@
                         Duration.ofMillis(50),
                         Duration.ofSeconds(1),
                         8);
-        rollouts =
+        mRollouts =
                 stepper.add(
                         new RolloutDuty(
                                 new RolloutSetup(
-                                        instance.name,
+                                        instance.mName,
                                         limits,
                                         policy,
                                         new LengthPredictor(),
                                         random,
                                         InvariantMonitor.throwing())),
                         this::carryOut);
-        leases.emit(new LeaseEvent.RoleRequested(SoakTrainer.ROLE));
+        mLeases.emit(new LeaseEvent.RoleRequested(SoakTrainer.ROLE));
     }
 
     void emit(RolloutEvent event) {
         if (event instanceof RolloutEvent.VersionObserved observed) {
-            knownVersion = Math.max(knownVersion, observed.version().number());
+            mKnownVersion = Math.max(mKnownVersion, observed.version().number());
         }
-        rollouts.emit(event);
+        mRollouts.emit(event);
     }
 
     /** A paused process may resume at any moment, so a pause does not end the right to act. */
     boolean mayAct() {
-        return instance.isAlive() && held.isDefined() && world.timeline.now() < validUntil;
+        return mInstance.isAlive() && mHeld.isDefined() && mWorld.mTimeline.now() < mValidUntil;
     }
 
     private void carryOut(LeaseAction action) {
         if (action instanceof LeaseAction.StartHolding start) {
-            held = Option.some(start.role());
-            validUntil = start.validUntilNanos();
-            world.checker.count("lease.gained");
+            mHeld = Option.some(start.role());
+            mValidUntil = start.validUntilNanos();
+            mWorld.mChecker.count("lease.gained");
             emit(new RolloutEvent.LeaseAcquired(SoakTrainer.NAME, start.role().fencing()));
         } else if (action instanceof LeaseAction.ExtendHolding extend) {
-            validUntil = extend.validUntilNanos();
+            mValidUntil = extend.validUntilNanos();
         } else if (action instanceof LeaseAction.StopHolding) {
-            held = Option.none();
-            world.checker.count("lease.lost");
+            mHeld = Option.none();
+            mWorld.mChecker.count("lease.lost");
             emit(new RolloutEvent.LeaseLost(SoakTrainer.NAME));
         } else if (action instanceof LeaseAction.ReadTable read) {
             request(
-                    leases,
-                    () -> world.leases.read(read.afterVersion()),
+                    mLeases,
+                    () -> mWorld.mLeases.read(read.afterVersion()),
                     new LeaseEvent.ReadFailed());
         } else if (action instanceof LeaseAction.WriteRows write) {
             request(
-                    leases,
-                    () -> world.leases.commit(write.commit()),
+                    mLeases,
+                    () -> mWorld.mLeases.commit(write.commit()),
                     new LeaseEvent.WriteOutcomeUnknown(write.commit().writer()));
         }
     }
@@ -118,21 +118,21 @@
         if (action instanceof RolloutAction.Generate generate) {
             generate(generate);
         } else if (action instanceof RolloutAction.CancelGeneration cancel) {
-            SoakCall call = running.remove(cancel.attempt());
+            SoakCall call = mRunning.remove(cancel.attempt());
             if (call != null) {
-                call.onEnd = (outcome) -> {};
-                instance.endCall(call);
+                call.mOnEnd = (outcome) -> {};
+                mInstance.endCall(call);
             }
         } else if (action instanceof RolloutAction.Judge judge) {
             RolloutEvent judged =
                     new RolloutEvent.SampleJudged(
                             SoakTrainer.NAME, judge.term(), judge.attempt(), 0.5);
-            after(world.latency(), world.lost() ? failed(judge.term(), judge.attempt()) : judged);
+            after(mWorld.latency(), mWorld.lost() ? failed(judge.term(), judge.attempt()) : judged);
         } else if (action instanceof RolloutAction.StoreBody body) {
             request(
-                    rollouts,
+                    mRollouts,
                     () -> {
-                        world.samples.put(body.object(), body.samples());
+                        mWorld.mSamples.put(body.object(), body.samples());
                         return new RolloutEvent.BatchStored(
                                 SoakTrainer.NAME, body.term(), body.object());
                     },
@@ -142,18 +142,18 @@
         } else if (action instanceof RolloutAction.CommitCursor cursor) {
             commit(cursor.term(), cursor.commit());
         } else if (action instanceof RolloutAction.Restore restore) {
-            world.timeline.after(restore.delayNanos(), () -> restore(restore));
-        } else if (!world.lost()) {
-            long known = knownVersion;
-            world.timeline.after(world.latency(), () -> world.trainer().answer(action, known));
+            mWorld.mTimeline.after(restore.delayNanos(), () -> restore(restore));
+        } else if (!mWorld.lost()) {
+            long known = mKnownVersion;
+            mWorld.mTimeline.after(mWorld.latency(), () -> mWorld.trainer().answer(action, known));
         }
     }
 
     private void restore(RolloutAction.Restore restore) {
-        if (world.store.down) {
+        if (mWorld.mStore.mDown) {
             // The reader of a node goes on trying while the lease is held.
             if (mayAct()) {
-                world.timeline.after(500 * SoakTimeline.MILLI, () -> restore(restore));
+                mWorld.mTimeline.after(500 * SoakTimeline.MILLI, () -> restore(restore));
             }
             return;
         }
@@ -161,27 +161,27 @@
                 new RolloutEvent.TrainerRestored(
                         SoakTrainer.NAME,
                         restore.term(),
-                        world.samples.read(restore.atLeastVersion()));
-        after(world.latency(), restored);
+                        mWorld.mSamples.read(restore.atLeastVersion()));
+        after(mWorld.latency(), restored);
         after(
                 10 * SoakTimeline.MILLI,
                 new RolloutEvent.VersionObserved(
-                        SoakTrainer.NAME, new WeightVersion(world.newestVersion())));
+                        SoakTrainer.NAME, new WeightVersion(mWorld.newestVersion())));
     }
 
     private void generate(RolloutAction.Generate action) {
-        SoakCall call = world.sampleCall(action.maxTokens());
-        running.put(action.attempt(), call);
-        call.onEnd =
+        SoakCall call = mWorld.sampleCall(action.maxTokens());
+        mRunning.put(action.attempt(), call);
+        call.mOnEnd =
                 outcome -> {
-                    running.remove(action.attempt());
+                    mRunning.remove(action.attempt());
                     RolloutEvent result =
                             outcome == Outcome.COMPLETED
                                     ? generated(action, call)
                                     : failed(action.term(), action.attempt());
                     after(SoakTimeline.MILLI, result);
                 };
-        instance.generate(call, action);
+        mInstance.generate(call, action);
     }
 
     private static RolloutEvent generated(RolloutAction.Generate action, SoakCall call) {
@@ -189,7 +189,7 @@
                 SoakTrainer.NAME,
                 action.term(),
                 action.attempt(),
-                new GeneratedSample(call.id.value(), call.ranges(), 0, 1));
+                new GeneratedSample(call.mId.value(), call.ranges(), 0, 1));
     }
 
     private static RolloutEvent failed(long term, long attempt) {
@@ -197,32 +197,32 @@
     }
 
     private void commit(long term, HeadCommit commit) {
-        long guard = held.map(LeaseRow.Role::version).getOrElse(-1L);
+        long guard = mHeld.map(LeaseRow.Role::version).getOrElse(-1L);
         request(
-                rollouts,
+                mRollouts,
                 () ->
-                        world.samples.commit(
+                        mWorld.mSamples.commit(
                                 SoakTrainer.NAME,
                                 term,
                                 commit,
                                 guard
-                                        == world.leases.versionOf(
+                                        == mWorld.mLeases.versionOf(
                                                 LeaseRow.Role.PREFIX + SoakTrainer.ROLE)),
                 new RolloutEvent.CommitOutcomeUnknown(SoakTrainer.NAME, term, commit.writer()));
     }
 
     private <E> void request(ActionSink<E> sink, Supplier<E> call, E unanswered) {
-        world.timeline.after(
-                world.latency(),
+        mWorld.mTimeline.after(
+                mWorld.latency(),
                 () -> {
-                    E answer = world.store.down ? unanswered : call.get();
-                    E shown = world.lost() ? unanswered : answer;
-                    world.timeline.after(
-                            world.latency(), () -> instance.receive(() -> sink.emit(shown)));
+                    E answer = mWorld.mStore.mDown ? unanswered : call.get();
+                    E shown = mWorld.lost() ? unanswered : answer;
+                    mWorld.mTimeline.after(
+                            mWorld.latency(), () -> mInstance.receive(() -> sink.emit(shown)));
                 });
     }
 
     private void after(long delay, RolloutEvent event) {
-        world.timeline.after(delay, () -> instance.send(event));
+        mWorld.mTimeline.after(delay, () -> mInstance.send(event));
     }
 }
