--- a/cli/src/main/java/org/fuchsialever/cli/soak/SoakRun.java
+++ b/cli/src/main/java/org/fuchsialever/cli/soak/SoakRun.java
@@ -43,10 +43,10 @@
                 }
             } catch (InvariantViolationException | IllegalStateException | AssertionError e) {
                 String text = e.getClass().getSimpleName() + ": " + e.getMessage();
-                return new SoakRun(seed, step + 1, Option.some(text), world.checker.counts());
+                return new SoakRun(seed, step + 1, Option.some(text), world.mChecker.counts());
             }
             step++;
         }
-        return new SoakRun(seed, step, Option.none(), world.checker.counts());
+        return new SoakRun(seed, step, Option.none(), world.mChecker.counts());
     }
 }
--- a/cli/src/main/java/org/fuchsialever/cli/soak/SoakSampleStore.java
+++ b/cli/src/main/java/org/fuchsialever/cli/soak/SoakSampleStore.java
@@ -16,30 +16,30 @@
 
 /** Rows and stored bodies of one trainer, with stale reads. */
 final class SoakSampleStore {
-    private final Map<String, List<JudgedSample>> objects = new HashMap<>();
-    private final TreeMap<Long, BatchRecord> batches = new TreeMap<>();
-    private final Map<Long, Submission> submissions = new HashMap<>();
-    private LogHead head = LogHead.EMPTY;
-    private String headWriter = "";
-    private long headVersion;
-    private RestoredLog replica = new RestoredLog(0, LogHead.EMPTY, List.of(), List.of());
-    private boolean stale;
+    private final Map<String, List<JudgedSample>> mObjects = new HashMap<>();
+    private final TreeMap<Long, BatchRecord> mBatches = new TreeMap<>();
+    private final Map<Long, Submission> mSubmissions = new HashMap<>();
+    private LogHead mHead = LogHead.EMPTY;
+    private String mHeadWriter = "";
+    private long mHeadVersion;
+    private RestoredLog mReplica = new RestoredLog(0, LogHead.EMPTY, List.of(), List.of());
+    private boolean mStale;
 
     void beginStaleReads() {
-        replica = present();
-        stale = true;
+        mReplica = present();
+        mStale = true;
     }
 
     void endStaleReads() {
-        stale = false;
+        mStale = false;
     }
 
     void put(String object, List<JudgedSample> samples) {
-        objects.putIfAbsent(object, samples);
+        mObjects.putIfAbsent(object, samples);
     }
 
     JudgedSample body(String object, int slot) {
-        return Option.of(objects.get(object))
+        return Option.of(mObjects.get(object))
                 .getOrElseThrow(() -> new AssertionError("no object " + object))
                 .get(slot);
     }
@@ -50,38 +50,38 @@
                 commit.submission()
                         .flatMap(
                                 added ->
-                                        Option.of(submissions.get(added.step()))
+                                        Option.of(mSubmissions.get(added.step()))
                                                 .map(Submission::object));
-        boolean headHolds = commit.expectedHeadVersion() == headVersion;
+        boolean headHolds = commit.expectedHeadVersion() == mHeadVersion;
         if (!guardHolds || !headHolds || known.isDefined()) {
             Option<RolloutEvent.RowWriter> other =
                     headHolds
                             ? Option.none()
-                            : Option.some(new RolloutEvent.RowWriter(headWriter, headVersion));
+                            : Option.some(new RolloutEvent.RowWriter(mHeadWriter, mHeadVersion));
             return new RolloutEvent.CommitConflicted(trainer, term, commit.writer(), other, known);
         }
-        headVersion++;
-        headWriter = commit.writer();
-        head = commit.head();
-        commit.batches().forEach(batch -> batches.put(batch.number(), batch));
-        batches.headMap(commit.endDeleted()).clear();
-        commit.submission().forEach(added -> submissions.put(added.step(), added));
-        return new RolloutEvent.CommitSucceeded(trainer, term, commit.writer(), headVersion);
+        mHeadVersion++;
+        mHeadWriter = commit.writer();
+        mHead = commit.head();
+        commit.batches().forEach(batch -> mBatches.put(batch.number(), batch));
+        mBatches.headMap(commit.endDeleted()).clear();
+        commit.submission().forEach(added -> mSubmissions.put(added.step(), added));
+        return new RolloutEvent.CommitSucceeded(trainer, term, commit.writer(), mHeadVersion);
     }
 
     /** Returns the stored state at the given version of the head row or a later one. */
     RestoredLog read(long atLeastVersion) {
-        return stale && replica.headVersion() >= atLeastVersion ? replica : present();
+        return mStale && mReplica.headVersion() >= atLeastVersion ? mReplica : present();
     }
 
     private RestoredLog present() {
         return new RestoredLog(
-                headVersion,
-                head,
-                head.openSteps().stream()
-                        .map(submissions::get)
+                mHeadVersion,
+                mHead,
+                mHead.openSteps().stream()
+                        .map(mSubmissions::get)
                         .map(known -> new RestoredLog.RestoredSubmission(known, 0))
                         .toList(),
-                List.copyOf(batches.values()));
+                List.copyOf(mBatches.values()));
     }
 }
--- a/cli/src/main/java/org/fuchsialever/cli/soak/SoakStore.java
+++ b/cli/src/main/java/org/fuchsialever/cli/soak/SoakStore.java
@@ -12,73 +12,73 @@
 
 /** The tables {@code config} and {@code keys} in memory, with outages and stale reads. */
 final class SoakStore {
-    private final Map<Long, String> snapshots = new HashMap<>();
-    private final TreeMap<KeyId, KeyRow> keys = new TreeMap<>();
-    private long revision;
-    private long configVersion;
-    private long configRowVersion;
-    private long staleConfigVersion;
-    private long staleConfigRowVersion;
-    private List<KeyRow> staleKeys = List.of();
-    private boolean stale;
-    boolean down;
+    private final Map<Long, String> mSnapshots = new HashMap<>();
+    private final TreeMap<KeyId, KeyRow> mKeys = new TreeMap<>();
+    private long mRevision;
+    private long mConfigVersion;
+    private long mConfigRowVersion;
+    private long mStaleConfigVersion;
+    private long mStaleConfigRowVersion;
+    private List<KeyRow> mStaleKeys = List.of();
+    private boolean mStale;
+    boolean mDown;
 
     void apply(String routes, String pools) {
-        configVersion++;
-        revision++;
-        configRowVersion = revision;
-        snapshots.put(configVersion, new SnapshotText(configVersion, routes, pools).encode());
+        mConfigVersion++;
+        mRevision++;
+        mConfigRowVersion = mRevision;
+        mSnapshots.put(mConfigVersion, new SnapshotText(mConfigVersion, routes, pools).encode());
     }
 
     void put(KeyRecord key) {
-        KeyRow present = keys.get(key.id());
+        KeyRow present = mKeys.get(key.id());
         if (present != null && present.key().withdrawn()) {
             return;
         }
-        revision++;
-        keys.put(key.id(), new KeyRow(revision, key));
+        mRevision++;
+        mKeys.put(key.id(), new KeyRow(mRevision, key));
     }
 
     void withdraw(KeyId id) {
-        KeyRow present = keys.get(id);
+        KeyRow present = mKeys.get(id);
         put(present == null ? KeyRecord.tombstone(id) : present.key().asWithdrawn());
     }
 
     /** Makes reads return the present state until {@link #endStaleReads}. */
     void beginStaleReads() {
-        staleKeys = new ArrayList<>(keys.values());
-        staleConfigVersion = configVersion;
-        staleConfigRowVersion = configRowVersion;
-        stale = true;
+        mStaleKeys = new ArrayList<>(mKeys.values());
+        mStaleConfigVersion = mConfigVersion;
+        mStaleConfigRowVersion = mConfigRowVersion;
+        mStale = true;
     }
 
     void endStaleReads() {
-        stale = false;
+        mStale = false;
     }
 
     List<KeyRow> keysAfter(long version) {
-        return (stale ? staleKeys : List.copyOf(keys.values()))
+        return (mStale ? mStaleKeys : List.copyOf(mKeys.values()))
                 .stream().filter(row -> row.version() > version).toList();
     }
 
     long readVersion() {
-        return stale ? staleConfigVersion : configVersion;
+        return mStale ? mStaleConfigVersion : mConfigVersion;
     }
 
     long readRowVersion() {
-        return stale ? staleConfigRowVersion : configRowVersion;
+        return mStale ? mStaleConfigRowVersion : mConfigRowVersion;
     }
 
     long currentVersion() {
-        return configVersion;
+        return mConfigVersion;
     }
 
     long currentRowVersion() {
-        return configRowVersion;
+        return mConfigRowVersion;
     }
 
     /** Returns the text of a snapshot row, or an empty text if a stale read does not show it. */
     String snapshot(long version) {
-        return version > readVersion() ? "" : snapshots.getOrDefault(version, "");
+        return version > readVersion() ? "" : mSnapshots.getOrDefault(version, "");
     }
 }
--- a/cli/src/main/java/org/fuchsialever/cli/soak/SoakStoreClient.java
+++ b/cli/src/main/java/org/fuchsialever/cli/soak/SoakStoreClient.java
@@ -13,28 +13,28 @@
 
 /** Carries out what the configuration and key duties of an instance ask of the outside. */
 final class SoakStoreClient {
-    private final SoakInstance instance;
-    private final SoakWorld world;
-    private @Nullable ActionSink<ConfigEvent> config;
-    private @Nullable ActionSink<KeyEvent> keys;
-    private Option<KeyAction.PublishKeysForPeers> known = Option.none();
-    private Option<String> served = Option.none();
+    private final SoakInstance mInstance;
+    private final SoakWorld mWorld;
+    private @Nullable ActionSink<ConfigEvent> mConfig;
+    private @Nullable ActionSink<KeyEvent> mKeys;
+    private Option<KeyAction.PublishKeysForPeers> mKnown = Option.none();
+    private Option<String> mServed = Option.none();
 
     SoakStoreClient(SoakInstance instance, SoakWorld world) {
-        this.instance = instance;
-        this.world = world;
+        mInstance = instance;
+        mWorld = world;
     }
 
     void connect(ActionSink<ConfigEvent> configEvents, ActionSink<KeyEvent> keyEvents) {
-        config = configEvents;
-        keys = keyEvents;
+        mConfig = configEvents;
+        mKeys = keyEvents;
     }
 
     void carryOut(KeyAction action) {
-        ActionSink<KeyEvent> sink = Objects.requireNonNull(keys);
-        SoakStore store = world.store;
+        ActionSink<KeyEvent> sink = Objects.requireNonNull(mKeys);
+        SoakStore store = mWorld.mStore;
         if (action instanceof KeyAction.ReadKeys read) {
-            long asked = world.timeline.now();
+            long asked = mWorld.mTimeline.now();
             request(
                     sink,
                     () -> new KeyEvent.KeysRead(store.keysAfter(read.afterVersion()), asked),
@@ -48,27 +48,27 @@
                     },
                     Option.none());
         } else if (action instanceof KeyAction.BroadcastWithdrawals spread) {
-            for (SoakInstance peer : world.instances()) {
-                if (peer != instance && !world.lost()) {
-                    world.timeline.after(
-                            world.latency(),
+            for (SoakInstance peer : mWorld.instances()) {
+                if (peer != mInstance && !mWorld.lost()) {
+                    mWorld.mTimeline.after(
+                            mWorld.latency(),
                             () -> peer.send(new KeyEvent.PeerWithdrawals(spread.keys())));
                 }
             }
         } else if (action instanceof KeyAction.PublishKeysForPeers published) {
-            known = Option.some(published);
+            mKnown = Option.some(published);
         } else if (action instanceof KeyAction.AskPeers) {
-            answer(sink, new KeyEvent.PeersListed(world.instances().size() - 1));
-            for (SoakInstance peer : world.instances()) {
-                if (peer != instance) {
+            answer(sink, new KeyEvent.PeersListed(mWorld.instances().size() - 1));
+            for (SoakInstance peer : mWorld.instances()) {
+                if (peer != mInstance) {
                     peer.knownKeys()
                             .forEach(
                                     content ->
                                             answer(
                                                     sink,
                                                     new KeyEvent.PeerKeys(
-                                                            new InstanceId(peer.name),
-                                                            peer.domain,
+                                                            new InstanceId(peer.mName),
+                                                            peer.mDomain,
                                                             content.rows(),
                                                             content.withdrawals())));
                 }
@@ -77,9 +77,9 @@
     }
 
     void carryOut(ConfigAction action) {
-        ActionSink<ConfigEvent> sink = Objects.requireNonNull(config);
+        ActionSink<ConfigEvent> sink = Objects.requireNonNull(mConfig);
         Option<ConfigEvent> failed = Option.some(new ConfigEvent.ReadFailed());
-        SoakStore store = world.store;
+        SoakStore store = mWorld.mStore;
         if (action instanceof ConfigAction.ReadVersion) {
             request(
                     sink,
@@ -97,40 +97,40 @@
         } else if (action instanceof ConfigAction.ReadSnapshot read) {
             request(sink, () -> readSnapshot(read.version()), failed);
         } else if (action instanceof ConfigAction.AskPeers) {
-            answer(sink, new ConfigEvent.PeersListed(world.instances().size() - 1));
-            for (SoakInstance peer : world.instances()) {
-                if (peer != instance) {
+            answer(sink, new ConfigEvent.PeersListed(mWorld.instances().size() - 1));
+            for (SoakInstance peer : mWorld.instances()) {
+                if (peer != mInstance) {
                     peer.servedText()
                             .forEach(
                                     text ->
                                             answer(
                                                     sink,
                                                     new ConfigEvent.PeerSnapshot(
-                                                            new InstanceId(peer.name),
-                                                            peer.domain,
+                                                            new InstanceId(peer.mName),
+                                                            peer.mDomain,
                                                             text)));
                 }
             }
         } else if (action instanceof ConfigAction.PublishSnapshot publish) {
-            served = Option.some(publish.text());
-            instance.publish(publish.snapshot());
+            mServed = Option.some(publish.text());
+            mInstance.publish(publish.snapshot());
         } else if (action instanceof ConfigAction.PublishStatus change) {
-            instance.publish(change.status());
+            mInstance.publish(change.status());
         } else if (action instanceof ConfigAction.RaiseAlarm alarm) {
             throw new IllegalStateException("a good table was refused: " + alarm.findings());
         }
     }
 
     Option<KeyAction.PublishKeysForPeers> known() {
-        return known;
+        return mKnown;
     }
 
     Option<String> served() {
-        return served;
+        return mServed;
     }
 
     private ConfigEvent readSnapshot(long version) {
-        String text = world.store.snapshot(version);
+        String text = mWorld.mStore.snapshot(version);
         return text.isEmpty()
                 ? new ConfigEvent.ReadFailed()
                 : new ConfigEvent.SnapshotRead(version, text);
@@ -138,15 +138,15 @@
 
     /** Sends a request to the store; request or answer may be lost. */
     private <E> void request(ActionSink<E> sink, Supplier<E> call, Option<? extends E> failed) {
-        world.timeline.after(
-                world.latency(),
+        mWorld.mTimeline.after(
+                mWorld.latency(),
                 () -> {
-                    if (world.store.down) {
+                    if (mWorld.mStore.mDown) {
                         failed.forEach(event -> answer(sink, event));
                         return;
                     }
                     E result = call.get();
-                    if (world.lost()) {
+                    if (mWorld.lost()) {
                         failed.forEach(event -> answer(sink, event));
                     } else {
                         answer(sink, result);
@@ -155,6 +155,6 @@
     }
 
     private <E> void answer(ActionSink<E> sink, E event) {
-        world.timeline.after(world.latency(), () -> instance.receive(() -> sink.emit(event)));
+        mWorld.mTimeline.after(mWorld.latency(), () -> mInstance.receive(() -> sink.emit(event)));
     }
 }
--- a/cli/src/main/java/org/fuchsialever/cli/soak/SoakTables.java
+++ b/cli/src/main/java/org/fuchsialever/cli/soak/SoakTables.java
@@ -11,29 +11,29 @@
     static final int TEAMS = 3;
     private static final int UPSTREAMS_PER_POOL = 4;
 
-    private final List<UpstreamId> engines = new ArrayList<>();
-    private final List<UpstreamId> desks = new ArrayList<>();
-    private final Set<UpstreamId> leaving = new TreeSet<>();
-    private int sequence;
-    private int weight = 1;
+    private final List<UpstreamId> mEngines = new ArrayList<>();
+    private final List<UpstreamId> mDesks = new ArrayList<>();
+    private final Set<UpstreamId> mLeaving = new TreeSet<>();
+    private int mSequence;
+    private int mWeight = 1;
 
     SoakTables() {
         for (int i = 0; i < UPSTREAMS_PER_POOL; i++) {
-            engines.add(newId("engine"));
-            desks.add(newId("desk"));
+            mEngines.add(newId("engine"));
+            mDesks.add(newId("desk"));
         }
     }
 
     List<UpstreamId> upstreams() {
-        List<UpstreamId> all = new ArrayList<>(engines);
-        all.addAll(desks);
+        List<UpstreamId> all = new ArrayList<>(mEngines);
+        all.addAll(mDesks);
         return all;
     }
 
     String routes() {
         StringBuilder text = new StringBuilder();
         for (int team = 0; team < TEAMS; team++) {
-            text.append("[team team-%d]\nweight = %d\n".formatted(team, team == 0 ? weight : 1));
+            text.append("[team team-%d]\nweight = %d\n".formatted(team, team == 0 ? mWeight : 1));
         }
         return text.append(route("live", "live", "engines", "yes"))
                 .append(route("plain", "plain", "desks", "no"))
@@ -42,30 +42,30 @@
     }
 
     String pools() {
-        return pool("engines", "kind = engine\nmodel = m\nbalancing = scored\n", engines)
-                + pool("desks", "kind = plain\n", desks);
+        return pool("engines", "kind = engine\nmodel = m\nbalancing = scored\n", mEngines)
+                + pool("desks", "kind = plain\n", mDesks);
     }
 
     void changeWeight(int newWeight) {
-        weight = newWeight;
+        mWeight = newWeight;
     }
 
     void leave(UpstreamId upstream) {
-        leaving.add(upstream);
+        mLeaving.add(upstream);
     }
 
     /** Removes an upstream and adds another one; a name is never used again. */
     UpstreamId replace(UpstreamId upstream) {
-        List<UpstreamId> pool = engines.contains(upstream) ? engines : desks;
+        List<UpstreamId> pool = mEngines.contains(upstream) ? mEngines : mDesks;
         pool.remove(upstream);
-        leaving.remove(upstream);
-        UpstreamId added = newId(pool == engines ? "engine" : "desk");
+        mLeaving.remove(upstream);
+        UpstreamId added = newId(pool == mEngines ? "engine" : "desk");
         pool.add(added);
         return added;
     }
 
     private UpstreamId newId(String prefix) {
-        return new UpstreamId(prefix + "-" + sequence++);
+        return new UpstreamId(prefix + "-" + mSequence++);
     }
 
     private static String route(String name, String kind, String pool, String repeatable) {
@@ -105,7 +105,7 @@
                                     10_000 + number,
                                     number % 3,
                                     SoakUpstreams.SLOTS,
-                                    leaving.contains(id) ? "leaving" : "serving"));
+                                    mLeaving.contains(id) ? "leaving" : "serving"));
         }
         return text.toString();
     }
--- a/cli/src/main/java/org/fuchsialever/cli/soak/SoakTask.java
+++ b/cli/src/main/java/org/fuchsialever/cli/soak/SoakTask.java
@@ -22,19 +22,19 @@
                         + " clock, and report every violation with its seed")
 final class SoakTask extends JsonTask {
     @Parameter(names = "--seed", description = "First seed")
-    private long seed = 1;
+    private long mSeed = 1;
 
     @Parameter(names = "--seeds", description = "Number of seeds, each a run of its own")
-    private int seeds = 10;
+    private int mSeeds = 10;
 
     @Parameter(
             names = "--steps",
             description = "Steps of 10 ms with faults for each seed; a recovery follows")
-    private long steps = 2_000;
+    private long mSteps = 2_000;
 
     @Override
     public ExitCode run(CommandContext context) {
-        if (seeds <= 0 || steps <= 0) {
+        if (mSeeds <= 0 || mSteps <= 0) {
             throw new ParameterException("--seeds and --steps must be positive");
         }
         long started = System.nanoTime();
@@ -42,8 +42,8 @@
         Map<String, Integer> counts = new TreeMap<>();
         long taken = 0;
         int runs = 0;
-        while (runs < seeds && context.stop().getCount() > 0) {
-            SoakRun result = SoakRun.of(seed + runs, steps);
+        while (runs < mSeeds && context.stop().getCount() > 0) {
+            SoakRun result = SoakRun.of(mSeed + runs, mSteps);
             runs++;
             taken += result.steps();
             result.counts().forEach((name, count) -> counts.merge(name, count, Integer::sum));
@@ -58,7 +58,7 @@
             context.out()
                     .printf(
                             "%d seeds from %d, %d steps, %.0f steps/s, %d violations%n",
-                            runs, seed, taken, taken / seconds, violated.size());
+                            runs, mSeed, taken, taken / seconds, violated.size());
             counts.forEach((name, count) -> context.out().printf("%-32s %d%n", name, count));
             violated.forEach(run -> context.out().println(line(run)));
         }
@@ -77,7 +77,7 @@
             List<SoakRun> violated,
             Map<String, Integer> counts) {
         ObjectNode body = new ObjectMapper().createObjectNode();
-        body.put("seed", seed).put("seeds", runs).put("steps", taken);
+        body.put("seed", mSeed).put("seeds", runs).put("steps", taken);
         body.put("steps_per_second", Math.round(rate));
         ArrayNode list = body.putArray("violations");
         for (SoakRun run : violated) {
--- a/cli/src/main/java/org/fuchsialever/cli/soak/SoakTimeline.java
+++ b/cli/src/main/java/org/fuchsialever/cli/soak/SoakTimeline.java
@@ -8,30 +8,30 @@
     static final long MILLI = 1_000_000;
     static final long SECOND = 1_000 * MILLI;
 
-    private final PriorityQueue<Task> tasks =
+    private final PriorityQueue<Task> mTasks =
             new PriorityQueue<>(
                     Comparator.comparingLong(Task::atNanos).thenComparingLong(Task::order));
-    private long nowNanos;
-    private long order;
+    private long mNowNanos;
+    private long mOrder;
 
     long now() {
-        return nowNanos;
+        return mNowNanos;
     }
 
     void after(long delayNanos, Runnable work) {
-        tasks.add(new Task(nowNanos + delayNanos, order++, work));
+        mTasks.add(new Task(mNowNanos + delayNanos, mOrder++, work));
     }
 
     /** Advances to a moment and runs what becomes due on the way. */
     void advanceTo(long endNanos) {
-        Task next = tasks.peek();
+        Task next = mTasks.peek();
         while (next != null && next.atNanos <= endNanos) {
-            tasks.remove();
-            nowNanos = Math.max(nowNanos, next.atNanos);
+            mTasks.remove();
+            mNowNanos = Math.max(mNowNanos, next.atNanos);
             next.work.run();
-            next = tasks.peek();
+            next = mTasks.peek();
         }
-        nowNanos = endNanos;
+        mNowNanos = endNanos;
     }
 
     private record Task(long atNanos, long order, Runnable work) {}
--- a/cli/src/main/java/org/fuchsialever/cli/soak/SoakTrainer.java
+++ b/cli/src/main/java/org/fuchsialever/cli/soak/SoakTrainer.java
@@ -30,73 +30,73 @@
     private static final long POLL_NANOS = 500 * SoakTimeline.MILLI;
     private static final long TIMEOUT_NANOS = SoakTimeline.SECOND;
 
-    private final SoakWorld world;
-    private final RandomGenerator random;
-    private final Map<Long, SampleId> byPosition = new HashMap<>();
-    private final Set<SampleId> received = new HashSet<>();
-    private final Set<SampleId> expected = new HashSet<>();
-    private long step;
-    private long cursor;
-    private long requests;
-    private boolean accepted = true;
-    private boolean stopped;
+    private final SoakWorld mWorld;
+    private final RandomGenerator mRandom;
+    private final Map<Long, SampleId> mByPosition = new HashMap<>();
+    private final Set<SampleId> mReceived = new HashSet<>();
+    private final Set<SampleId> mExpected = new HashSet<>();
+    private long mStep;
+    private long mCursor;
+    private long mRequests;
+    private boolean mAccepted = true;
+    private boolean mStopped;
 
     SoakTrainer(SoakWorld world, RandomGenerator random) {
-        this.world = world;
-        this.random = random;
+        mWorld = world;
+        mRandom = random;
         nextStep();
         poll();
     }
 
     /** Submits no further step. */
     void stop() {
-        stopped = true;
+        mStopped = true;
     }
 
     /** Returns whether all samples of all submitted steps have been received. */
     boolean isComplete() {
-        return received.size() == expected.size();
+        return mReceived.size() == mExpected.size();
     }
 
     private void nextStep() {
-        step++;
+        mStep++;
         List<GroupSpec> groups = new ArrayList<>();
         for (int group = 0; group < GROUPS; group++) {
             String name = "g" + group;
             groups.add(new GroupSpec(name, "prompt " + group, SAMPLES, MAX_TOKENS));
             for (int index = 0; index < SAMPLES; index++) {
-                expected.add(new SampleId(NAME, step, name, index));
+                mExpected.add(new SampleId(NAME, mStep, name, index));
             }
         }
-        accepted = false;
+        mAccepted = false;
         submit(
                 new Submission(
                         NAME,
-                        step,
+                        mStep,
                         "m",
                         STALENESS,
                         60 * SoakTimeline.SECOND,
                         new TeamName("team-0"),
                         new RouteName("rollouts"),
                         groups,
-                        "groups/" + step));
+                        "groups/" + mStep));
     }
 
     private void submit(Submission submission) {
-        if (!accepted && submission.step() == step) {
-            send(new RolloutEvent.GroupsSubmitted(-step, submission));
-            world.timeline.after(TIMEOUT_NANOS, () -> submit(submission));
+        if (!mAccepted && submission.step() == mStep) {
+            send(new RolloutEvent.GroupsSubmitted(-mStep, submission));
+            mWorld.mTimeline.after(TIMEOUT_NANOS, () -> submit(submission));
         }
     }
 
     private void poll() {
-        requests++;
-        long request = requests;
-        send(new RolloutEvent.SamplesRequested(NAME, request, cursor, 5, POLL_NANOS));
-        world.timeline.after(
+        mRequests++;
+        long request = mRequests;
+        send(new RolloutEvent.SamplesRequested(NAME, request, mCursor, 5, POLL_NANOS));
+        mWorld.mTimeline.after(
                 TIMEOUT_NANOS,
                 () -> {
-                    if (requests == request) {
+                    if (mRequests == request) {
                         poll();
                     }
                 });
@@ -104,17 +104,17 @@
 
     private void send(RolloutEvent event) {
         List<SoakInstance> holders =
-                world.instances().stream().filter(each -> each.rollouts().mayAct()).toList();
+                mWorld.instances().stream().filter(each -> each.rollouts().mayAct()).toList();
         if (!holders.isEmpty()) {
             SoakInstance holder = holders.get(0);
-            world.timeline.after(world.latency(), () -> holder.send(event));
+            mWorld.mTimeline.after(mWorld.latency(), () -> holder.send(event));
         }
     }
 
     /** Takes an answer of an instance that knows the given newest version. */
     void answer(RolloutAction action, long knownVersion) {
-        if (action instanceof RolloutAction.Accept accept && accept.request() == -step) {
-            accepted = true;
+        if (action instanceof RolloutAction.Accept accept && accept.request() == -mStep) {
+            mAccepted = true;
         } else if (action instanceof RolloutAction.Deliver delivery) {
             deliver(delivery, knownVersion);
         }
@@ -123,44 +123,44 @@
     private void deliver(RolloutAction.Deliver delivery, long knownVersion) {
         long position = delivery.firstPosition();
         for (BatchEntry entry : delivery.entries()) {
-            JudgedSample body = world.samples.body(entry.object(), entry.slot());
+            JudgedSample body = mWorld.mSamples.body(entry.object(), entry.slot());
             check(entry, body, position, knownVersion);
             position++;
         }
-        if (delivery.request() != requests) {
+        if (delivery.request() != mRequests) {
             return;
         }
-        cursor = Math.max(cursor, position);
-        if (random.nextInt(3) == 0) {
-            send(new RolloutEvent.CursorAcknowledged(NAME, 0, cursor));
+        mCursor = Math.max(mCursor, position);
+        if (mRandom.nextInt(3) == 0) {
+            send(new RolloutEvent.CursorAcknowledged(NAME, 0, mCursor));
         }
-        if (isComplete() && !stopped) {
+        if (isComplete() && !mStopped) {
             nextStep();
         }
         poll();
     }
 
     private void check(BatchEntry entry, JudgedSample body, long position, long knownVersion) {
-        SampleId earlier = byPosition.putIfAbsent(position, entry.id());
-        boolean first = received.add(entry.id());
-        world.checker.require(
+        SampleId earlier = mByPosition.putIfAbsent(position, entry.id());
+        boolean first = mReceived.add(entry.id());
+        mWorld.mChecker.require(
                 earlier == null ? first : earlier.equals(entry.id()),
                 Invariant.SAMPLE_EXACTLY_ONCE,
                 entry.id() + " at position " + position + " after " + earlier);
-        world.checker.require(
-                expected.contains(entry.id()) && body.id().equals(entry.id()),
+        mWorld.mChecker.require(
+                mExpected.contains(entry.id()) && body.id().equals(entry.id()),
                 Invariant.SAMPLE_EXACTLY_ONCE,
                 entry.id() + " was not asked for or has the body of " + body.id());
-        world.checker.require(
+        mWorld.mChecker.require(
                 body.sample().oldest().number() >= knownVersion - STALENESS,
                 Invariant.SAMPLE_WITHIN_STALENESS,
                 entry.id() + " of version " + body.sample().oldest() + " at " + knownVersion);
-        world.checker.require(
-                world.wasGenerated(body.sample()),
+        mWorld.mChecker.require(
+                mWorld.wasGenerated(body.sample()),
                 Invariant.SAMPLE_NAMES_TRUE_VERSIONS,
                 entry.id() + " names " + body.sample().ranges());
         if (first) {
-            world.checker.count("samples");
+            mWorld.mChecker.count("samples");
         }
     }
 }
--- a/cli/src/main/java/org/fuchsialever/cli/soak/SoakUpstreams.java
+++ b/cli/src/main/java/org/fuchsialever/cli/soak/SoakUpstreams.java
@@ -16,84 +16,84 @@
     private static final long TOKEN_NANOS = 20 * SoakTimeline.MILLI;
     private static final long SILENCE_NANOS = 3 * SoakTimeline.SECOND;
 
-    private final SoakTimeline timeline;
-    private final RandomGenerator random;
-    private final SoakChecker checker;
-    private final Map<UpstreamId, Upstream> upstreams = new TreeMap<>();
-    private long newestVersion = 1;
-    int brokenPercent;
-    int silentPercent;
+    private final SoakTimeline mTimeline;
+    private final RandomGenerator mRandom;
+    private final SoakChecker mChecker;
+    private final Map<UpstreamId, Upstream> mUpstreams = new TreeMap<>();
+    private long mNewestVersion = 1;
+    int mBrokenPercent;
+    int mSilentPercent;
 
     SoakUpstreams(SoakTimeline timeline, RandomGenerator random, SoakChecker checker) {
-        this.timeline = timeline;
-        this.random = random;
-        this.checker = checker;
+        mTimeline = timeline;
+        mRandom = random;
+        mChecker = checker;
     }
 
     void add(UpstreamId id) {
         Upstream upstream = new Upstream();
-        upstream.version = newestVersion;
-        upstreams.put(id, upstream);
+        upstream.mVersion = mNewestVersion;
+        mUpstreams.put(id, upstream);
     }
 
     /** Ends the process of an upstream with all its requests. */
     void crash(UpstreamId id) {
         Upstream upstream = find(id);
-        upstream.up = false;
-        upstream.start++;
-        upstream.running = 0;
+        upstream.mUp = false;
+        upstream.mStart++;
+        upstream.mRunning = 0;
     }
 
     void restart(UpstreamId id) {
         Upstream upstream = find(id);
-        upstream.up = true;
-        upstream.version = newestVersion;
+        upstream.mUp = true;
+        upstream.mVersion = mNewestVersion;
     }
 
     /** Loads a weight version on all upstreams, one after the other within a second. */
     void load(long version) {
-        newestVersion = version;
-        for (Upstream upstream : upstreams.values()) {
-            timeline.after(
-                    random.nextLong(SoakTimeline.SECOND),
-                    () -> upstream.version = Math.max(upstream.version, version));
+        mNewestVersion = version;
+        for (Upstream upstream : mUpstreams.values()) {
+            mTimeline.after(
+                    mRandom.nextLong(SoakTimeline.SECOND),
+                    () -> upstream.mVersion = Math.max(upstream.mVersion, version));
         }
     }
 
     void leave(UpstreamId id) {
-        find(id).leaving = true;
+        find(id).mLeaving = true;
     }
 
     /** Returns the upstreams whose process runs. */
     List<UpstreamId> running() {
-        return upstreams.keySet().stream().filter(this::isUp).toList();
+        return mUpstreams.keySet().stream().filter(this::isUp).toList();
     }
 
     boolean isUp(UpstreamId id) {
-        return find(id).up;
+        return find(id).mUp;
     }
 
     LoadReport report(UpstreamId id) {
         Upstream upstream = find(id);
         return new LoadReport(
-                upstream.running,
+                upstream.mRunning,
                 0,
                 SLOTS,
-                new WeightVersion(upstream.version),
-                id + "-" + upstream.start,
-                upstream.leaving,
+                new WeightVersion(upstream.mVersion),
+                id + "-" + upstream.mStart,
+                upstream.mLeaving,
                 SoakTimeline.MILLI);
     }
 
     /** Sends a request of an instance to an upstream. */
     void send(SoakCall call, DispatchAction.StartAttempt action, SoakInstance caller) {
         Upstream upstream = find(action.upstream().id());
-        if (!upstream.up) {
+        if (!upstream.mUp) {
             end(call, action, caller, AttemptResult.NOT_CONNECTED, 0);
             return;
         }
-        timeline.after(
-                random.nextLong(1, 5) * SoakTimeline.MILLI,
+        mTimeline.after(
+                mRandom.nextLong(1, 5) * SoakTimeline.MILLI,
                 () -> receive(upstream, call, action, caller));
     }
 
@@ -102,24 +102,24 @@
             SoakCall call,
             DispatchAction.StartAttempt action,
             SoakInstance caller) {
-        if (!upstream.up) {
+        if (!upstream.mUp) {
             end(call, action, caller, AttemptResult.CONNECTION_LOST, 0);
-        } else if (upstream.running >= SLOTS) {
+        } else if (upstream.mRunning >= SLOTS) {
             end(call, action, caller, AttemptResult.NOT_ADMITTED, 0);
         } else {
-            checker.ran(call);
-            upstream.running++;
-            Run run = new Run(upstream, upstream.start, call, action, caller);
-            int rest = call.plain ? 1 : call.tokens - action.resumeFrom();
-            boolean silent = random.nextInt(100) < silentPercent;
-            boolean broken = random.nextInt(100) < brokenPercent;
-            int stopAfter = silent || broken ? random.nextInt(rest + 1) : Integer.MAX_VALUE;
+            mChecker.ran(call);
+            upstream.mRunning++;
+            Run run = new Run(upstream, upstream.mStart, call, action, caller);
+            int rest = call.mPlain ? 1 : call.mTokens - action.resumeFrom();
+            boolean silent = mRandom.nextInt(100) < mSilentPercent;
+            boolean broken = mRandom.nextInt(100) < mBrokenPercent;
+            int stopAfter = silent || broken ? mRandom.nextInt(rest + 1) : Integer.MAX_VALUE;
             run.next(0, stopAfter, silent ? AttemptResult.SILENT : failure());
         }
     }
 
     private AttemptResult failure() {
-        return switch (random.nextInt(3)) {
+        return switch (mRandom.nextInt(3)) {
             case 0 -> AttemptResult.CONNECTION_LOST;
             case 1 -> AttemptResult.UPSTREAM_ERROR;
             default -> AttemptResult.MALFORMED_ANSWER;
@@ -132,11 +132,12 @@
             SoakInstance caller,
             AttemptResult result,
             int tokens) {
-        timeline.after(SoakTimeline.MILLI, () -> caller.attemptEnded(call, action, result, tokens));
+        mTimeline.after(
+                SoakTimeline.MILLI, () -> caller.attemptEnded(call, action, result, tokens));
     }
 
     private Upstream find(UpstreamId id) {
-        Upstream upstream = upstreams.get(id);
+        Upstream upstream = mUpstreams.get(id);
         if (upstream == null) {
             throw new IllegalStateException("a request was sent to " + id + ", which is not known");
         }
@@ -144,19 +145,19 @@
     }
 
     private static final class Upstream {
-        private boolean up = true;
-        private boolean leaving;
-        private int running;
-        private int start;
-        private long version;
+        private boolean mUp = true;
+        private boolean mLeaving;
+        private int mRunning;
+        private int mStart;
+        private long mVersion;
     }
 
     private final class Run {
-        private final Upstream upstream;
-        private final int start;
-        private final SoakCall call;
-        private final DispatchAction.StartAttempt action;
-        private final SoakInstance caller;
+        private final Upstream mUpstream;
+        private final int mStart;
+        private final SoakCall mCall;
+        private final DispatchAction.StartAttempt mAction;
+        private final SoakInstance mCaller;
 
         Run(
                 Upstream upstream,
@@ -164,38 +165,38 @@
                 SoakCall call,
                 DispatchAction.StartAttempt action,
                 SoakInstance caller) {
-            this.upstream = upstream;
-            this.start = start;
-            this.call = call;
-            this.action = action;
-            this.caller = caller;
+            mUpstream = upstream;
+            mStart = start;
+            mCall = call;
+            mAction = action;
+            mCaller = caller;
         }
 
         /** Generates one token, or ends the answer in the given way when its time has come. */
         void next(int generated, int stopAfter, AttemptResult failure) {
-            if (upstream.start != start) {
-                end(call, action, caller, AttemptResult.CONNECTION_LOST, generated);
-            } else if (caller.hasGivenUp(call, action.attempt())) {
-                upstream.running--;
+            if (mUpstream.mStart != mStart) {
+                end(mCall, mAction, mCaller, AttemptResult.CONNECTION_LOST, generated);
+            } else if (mCaller.hasGivenUp(mCall, mAction.attempt())) {
+                mUpstream.mRunning--;
             } else if (generated >= stopAfter) {
-                upstream.running--;
+                mUpstream.mRunning--;
                 long delay = failure == AttemptResult.SILENT ? SILENCE_NANOS : 0;
-                timeline.after(delay, () -> end(call, action, caller, failure, generated));
-            } else if (action.resumeFrom() + generated >= call.tokens) {
-                upstream.running--;
-                end(call, action, caller, AttemptResult.COMPLETED, generated);
+                mTimeline.after(delay, () -> end(mCall, mAction, mCaller, failure, generated));
+            } else if (mAction.resumeFrom() + generated >= mCall.mTokens) {
+                mUpstream.mRunning--;
+                end(mCall, mAction, mCaller, AttemptResult.COMPLETED, generated);
             } else {
-                timeline.after(
-                        TOKEN_NANOS + random.nextLong(TOKEN_NANOS),
+                mTimeline.after(
+                        TOKEN_NANOS + mRandom.nextLong(TOKEN_NANOS),
                         () -> {
-                            if (upstream.start != start) {
+                            if (mUpstream.mStart != mStart) {
                                 next(generated, stopAfter, failure);
                                 return;
                             }
                             SoakCall.Token token =
-                                    new SoakCall.Token(upstream.version, action.upstream().id());
-                            call.generated(action.resumeFrom() + generated, token);
-                            caller.token(call, action, generated, token);
+                                    new SoakCall.Token(mUpstream.mVersion, mAction.upstream().id());
+                            mCall.generated(mAction.resumeFrom() + generated, token);
+                            mCaller.token(mCall, mAction, generated, token);
                             next(generated + 1, stopAfter, failure);
                         });
             }
--- a/cli/src/main/java/org/fuchsialever/cli/soak/SoakWorld.java
+++ b/cli/src/main/java/org/fuchsialever/cli/soak/SoakWorld.java
@@ -29,142 +29,142 @@
     private static final long STEP_NANOS = 10 * SoakTimeline.MILLI;
     private static final int STEPS_PER_REPORT = 50;
 
-    final SoakTimeline timeline = new SoakTimeline();
-    final SoakChecker checker = new SoakChecker();
-    final SoakStore store = new SoakStore();
-    final SoakLeaseTable leases = new SoakLeaseTable();
-    final SoakSampleStore samples = new SoakSampleStore();
-    final SoakUpstreams upstreams;
-    int lossPercent;
-    private final SplittableRandom random;
-    private final SoakTables tables = new SoakTables();
-    private final List<SoakInstance> instances = new ArrayList<>();
-    private final List<KeyId> keys = new ArrayList<>();
-    private final Set<SoakFault> active = EnumSet.noneOf(SoakFault.class);
-    private final Map<String, SoakCall> sampleCalls = new HashMap<>();
-    private final SoakTrainer trainer;
-    private long newestVersion = 1;
-    private boolean recovering;
-    private boolean tablesChanged;
-    private int sequence;
-    private long steps;
+    final SoakTimeline mTimeline = new SoakTimeline();
+    final SoakChecker mChecker = new SoakChecker();
+    final SoakStore mStore = new SoakStore();
+    final SoakLeaseTable mLeases = new SoakLeaseTable();
+    final SoakSampleStore mSamples = new SoakSampleStore();
+    final SoakUpstreams mUpstreams;
+    int mLossPercent;
+    private final SplittableRandom mRandom;
+    private final SoakTables mTables = new SoakTables();
+    private final List<SoakInstance> mInstances = new ArrayList<>();
+    private final List<KeyId> mKeys = new ArrayList<>();
+    private final Set<SoakFault> mActive = EnumSet.noneOf(SoakFault.class);
+    private final Map<String, SoakCall> mSampleCalls = new HashMap<>();
+    private final SoakTrainer mTrainer;
+    private long mNewestVersion = 1;
+    private boolean mRecovering;
+    private boolean mTablesChanged;
+    private int mSequence;
+    private long mSteps;
 
     SoakWorld(long seed) {
-        random = new SplittableRandom(seed);
-        upstreams = new SoakUpstreams(timeline, random.split(), checker);
-        tables.upstreams().forEach(upstreams::add);
-        store.apply(tables.routes(), tables.pools());
+        mRandom = new SplittableRandom(seed);
+        mUpstreams = new SoakUpstreams(mTimeline, mRandom.split(), mChecker);
+        mTables.upstreams().forEach(mUpstreams::add);
+        mStore.apply(mTables.routes(), mTables.pools());
         for (int i = 0; i < SoakTables.TEAMS; i++) {
             grant();
         }
         for (int i = 0; i < INSTANCES; i++) {
             startInstance(i % FAILURE_DOMAINS);
         }
-        trainer = new SoakTrainer(this, random.split());
+        mTrainer = new SoakTrainer(this, mRandom.split());
     }
 
     List<SoakInstance> instances() {
-        return List.copyOf(instances);
+        return List.copyOf(mInstances);
     }
 
     SoakInstance anyInstance() {
-        return instances.get(random.nextInt(instances.size()));
+        return mInstances.get(mRandom.nextInt(mInstances.size()));
     }
 
     boolean lost() {
-        return random.nextInt(100) < lossPercent;
+        return mRandom.nextInt(100) < mLossPercent;
     }
 
     long latency() {
-        return random.nextLong(1, 6) * SoakTimeline.MILLI;
+        return mRandom.nextLong(1, 6) * SoakTimeline.MILLI;
     }
 
     /** Advances by 10 ms of simulated time. */
     void step() {
-        steps++;
-        timeline.advanceTo(steps * STEP_NANOS);
+        mSteps++;
+        mTimeline.advanceTo(mSteps * STEP_NANOS);
         for (SoakInstance instance : instances()) {
             instance.step();
         }
         checkHolders();
-        if (!recovering && random.nextInt(100) < 40) {
+        if (!mRecovering && mRandom.nextInt(100) < 40) {
             call();
         }
-        if (steps % STEPS_PER_REPORT == 0) {
+        if (mSteps % STEPS_PER_REPORT == 0) {
             reportLoad();
             applyTables();
         }
-        if (!recovering && random.nextInt(200) == 0) {
+        if (!mRecovering && mRandom.nextInt(200) == 0) {
             operate();
         }
-        if (!recovering && random.nextInt(300) == 0 && active.size() < MAX_FAULTS) {
+        if (!mRecovering && mRandom.nextInt(300) == 0 && mActive.size() < MAX_FAULTS) {
             beginFault();
         }
     }
 
     /** Adds no further work or faults from now on. */
     void recover() {
-        recovering = true;
-        trainer.stop();
+        mRecovering = true;
+        mTrainer.stop();
     }
 
     /** Returns whether all calls are answered and all samples delivered. */
     boolean isSettled() {
-        return trainer.isComplete() && instances.stream().allMatch(SoakInstance::isIdle);
+        return mTrainer.isComplete() && mInstances.stream().allMatch(SoakInstance::isIdle);
     }
 
     SoakTrainer trainer() {
-        return trainer;
+        return mTrainer;
     }
 
     long newestVersion() {
-        return newestVersion;
+        return mNewestVersion;
     }
 
     SoakCall sampleCall(int maxTokens) {
-        RequestId id = new RequestId("s" + sequence++);
-        SoakCall call = new SoakCall(id, new KeyId("none"), false, 1 + random.nextInt(maxTokens));
-        call.sample = true;
-        sampleCalls.put(id.value(), call);
+        RequestId id = new RequestId("s" + mSequence++);
+        SoakCall call = new SoakCall(id, new KeyId("none"), false, 1 + mRandom.nextInt(maxTokens));
+        call.mSample = true;
+        mSampleCalls.put(id.value(), call);
         return call;
     }
 
     /** Returns whether a sample was generated by the versions and upstreams that it names. */
     boolean wasGenerated(GeneratedSample sample) {
-        SoakCall call = sampleCalls.get(sample.text());
+        SoakCall call = mSampleCalls.get(sample.text());
         return call != null && call.wasGenerated(sample.ranges());
     }
 
     void beginStaleReads() {
-        store.beginStaleReads();
-        leases.beginStaleReads();
-        samples.beginStaleReads();
+        mStore.beginStaleReads();
+        mLeases.beginStaleReads();
+        mSamples.beginStaleReads();
     }
 
     void endStaleReads() {
-        store.endStaleReads();
-        leases.endStaleReads();
-        samples.endStaleReads();
+        mStore.endStaleReads();
+        mLeases.endStaleReads();
+        mSamples.endStaleReads();
     }
 
     private void checkHolders() {
         List<String> acting =
-                instances.stream()
+                mInstances.stream()
                         .filter(instance -> instance.rollouts().mayAct())
-                        .map(instance -> instance.name)
+                        .map(instance -> instance.mName)
                         .toList();
-        checker.require(
+        mChecker.require(
                 acting.size() <= 1,
                 Invariant.ONE_ORDERING_HOLDER,
                 acting + " act in one role at the same time");
     }
 
     private void newWeights() {
-        newestVersion++;
-        upstreams.load(newestVersion);
-        WeightVersion version = new WeightVersion(newestVersion);
+        mNewestVersion++;
+        mUpstreams.load(mNewestVersion);
+        WeightVersion version = new WeightVersion(mNewestVersion);
         for (SoakInstance instance : instances()) {
-            timeline.after(
+            mTimeline.after(
                     latency(),
                     () ->
                             instance.send(
@@ -174,117 +174,117 @@
 
     Runnable crashUpstream() {
         UpstreamId id = anyUpstream();
-        upstreams.crash(id);
-        return () -> upstreams.restart(id);
+        mUpstreams.crash(id);
+        return () -> mUpstreams.restart(id);
     }
 
     /** Marks an upstream as leaving; it is replaced when the fault is over. */
     Runnable leaveUpstream() {
         UpstreamId id = anyUpstream();
-        upstreams.leave(id);
-        tables.leave(id);
-        tablesChanged = true;
-        checker.leaving(id, timeline.now());
+        mUpstreams.leave(id);
+        mTables.leave(id);
+        mTablesChanged = true;
+        mChecker.leaving(id, mTimeline.now());
         return () -> {
-            upstreams.add(tables.replace(id));
-            tablesChanged = true;
-            timeline.after(30 * SoakTimeline.SECOND, () -> upstreams.crash(id));
+            mUpstreams.add(mTables.replace(id));
+            mTablesChanged = true;
+            mTimeline.after(30 * SoakTimeline.SECOND, () -> mUpstreams.crash(id));
         };
     }
 
     /** Ends an instance with everything that it knows; another one starts empty. */
     Runnable crashInstance() {
         SoakInstance instance = anyInstance();
-        int domain = random.nextInt(FAILURE_DOMAINS);
+        int domain = mRandom.nextInt(FAILURE_DOMAINS);
         instance.kill();
-        instances.remove(instance);
+        mInstances.remove(instance);
         return () -> startInstance(domain);
     }
 
     private UpstreamId anyUpstream() {
-        List<UpstreamId> all = tables.upstreams();
-        return all.get(random.nextInt(all.size()));
+        List<UpstreamId> all = mTables.upstreams();
+        return all.get(mRandom.nextInt(all.size()));
     }
 
     private void startInstance(int domain) {
-        instances.add(new SoakInstance("i" + sequence++, domain, this, random.split()));
+        mInstances.add(new SoakInstance("i" + mSequence++, domain, this, mRandom.split()));
     }
 
     private void beginFault() {
-        SoakFault fault = SoakFault.values()[random.nextInt(SoakFault.values().length)];
-        if (active.add(fault)) {
-            checker.count("fault." + fault.name().toLowerCase(java.util.Locale.ROOT));
+        SoakFault fault = SoakFault.values()[mRandom.nextInt(SoakFault.values().length)];
+        if (mActive.add(fault)) {
+            mChecker.count("fault." + fault.name().toLowerCase(java.util.Locale.ROOT));
             Runnable end = fault.begin(this);
-            long length = random.nextLong(200, fault.maxMillis()) * SoakTimeline.MILLI;
-            timeline.after(
+            long length = mRandom.nextLong(200, fault.maxMillis()) * SoakTimeline.MILLI;
+            mTimeline.after(
                     length,
                     () -> {
                         end.run();
-                        active.remove(fault);
+                        mActive.remove(fault);
                     });
         }
     }
 
     /** One caller sends a request to an instance that the load balancer considers ready. */
     private void call() {
-        List<SoakInstance> ready = instances.stream().filter(SoakInstance::isReady).toList();
+        List<SoakInstance> ready = mInstances.stream().filter(SoakInstance::isReady).toList();
         if (ready.isEmpty()) {
             return;
         }
-        SoakInstance instance = ready.get(random.nextInt(ready.size()));
-        KeyId key = keys.get(random.nextInt(keys.size()));
-        boolean plain = random.nextInt(3) == 0;
-        RequestId id = new RequestId("r" + sequence++);
-        SoakCall call = new SoakCall(id, key, plain, plain ? 1 : 1 + random.nextInt(40));
-        checker.count("calls");
+        SoakInstance instance = ready.get(mRandom.nextInt(ready.size()));
+        KeyId key = mKeys.get(mRandom.nextInt(mKeys.size()));
+        boolean plain = mRandom.nextInt(3) == 0;
+        RequestId id = new RequestId("r" + mSequence++);
+        SoakCall call = new SoakCall(id, key, plain, plain ? 1 : 1 + mRandom.nextInt(40));
+        mChecker.count("calls");
         instance.arrive(call, "fl_" + key + "_" + SECRET);
-        if (random.nextInt(20) == 0) {
-            long patience = random.nextLong(1_000) * SoakTimeline.MILLI;
-            timeline.after(patience, () -> instance.callerLeaves(id));
+        if (mRandom.nextInt(20) == 0) {
+            long patience = mRandom.nextLong(1_000) * SoakTimeline.MILLI;
+            mTimeline.after(patience, () -> instance.callerLeaves(id));
         }
     }
 
     private void reportLoad() {
         for (SoakInstance instance : instances()) {
-            for (UpstreamId id : upstreams.running()) {
-                DispatchEvent event = new DispatchEvent.LoadReported(id, upstreams.report(id));
-                timeline.after(latency(), () -> instance.send(event));
+            for (UpstreamId id : mUpstreams.running()) {
+                DispatchEvent event = new DispatchEvent.LoadReported(id, mUpstreams.report(id));
+                mTimeline.after(latency(), () -> instance.send(event));
             }
         }
     }
 
     private void applyTables() {
-        if (tablesChanged && !store.down) {
-            tablesChanged = false;
-            store.apply(tables.routes(), tables.pools());
+        if (mTablesChanged && !mStore.mDown) {
+            mTablesChanged = false;
+            mStore.apply(mTables.routes(), mTables.pools());
         }
     }
 
     private void operate() {
-        switch (random.nextInt(4)) {
+        switch (mRandom.nextInt(4)) {
             case 0 -> {
-                tables.changeWeight(1 + random.nextInt(5));
-                tablesChanged = true;
+                mTables.changeWeight(1 + mRandom.nextInt(5));
+                mTablesChanged = true;
             }
             case 1 -> {
-                if (!store.down) {
+                if (!mStore.mDown) {
                     grant();
                 }
             }
             case 2 -> newWeights();
-            default -> withdraw(keys.get(random.nextInt(keys.size())));
+            default -> withdraw(mKeys.get(mRandom.nextInt(mKeys.size())));
         }
     }
 
     private void grant() {
-        KeyId id = new KeyId("k" + sequence++);
-        TeamName team = new TeamName("team-" + sequence % SoakTables.TEAMS);
+        KeyId id = new KeyId("k" + mSequence++);
+        TeamName team = new TeamName("team-" + mSequence % SoakTables.TEAMS);
         KeyHash hash = KeyHash.of("salt", SECRET);
-        store.put(new KeyRecord(id, team, hash, 0, false));
-        keys.add(id);
+        mStore.put(new KeyRecord(id, team, hash, 0, false));
+        mKeys.add(id);
         // Callers go on to use keys after their withdrawal, but not forever.
-        if (keys.size() > 8) {
-            keys.remove(0);
+        if (mKeys.size() > 8) {
+            mKeys.remove(0);
         }
     }
 
@@ -293,21 +293,22 @@
      * The withdrawal counts as accepted if the table has it or all instances were told.
      */
     private void withdraw(KeyId id) {
-        boolean accepted = !store.down;
+        boolean accepted = !mStore.mDown;
         if (accepted) {
-            store.withdraw(id);
+            mStore.withdraw(id);
         }
         boolean allTold = true;
         for (SoakInstance instance : instances()) {
             boolean told = !lost();
             allTold &= told;
             if (told) {
-                timeline.after(latency(), () -> instance.send(new KeyEvent.OperatorWithdrawal(id)));
+                mTimeline.after(
+                        latency(), () -> instance.send(new KeyEvent.OperatorWithdrawal(id)));
             }
         }
-        checker.count("withdrawals");
+        mChecker.count("withdrawals");
         if (accepted || allTold) {
-            checker.withdrawn(id, timeline.now());
+            mChecker.withdrawn(id, mTimeline.now());
         }
     }
 }
--- a/cli/src/main/java/org/fuchsialever/cli/standins/StandInFiles.java
+++ b/cli/src/main/java/org/fuchsialever/cli/standins/StandInFiles.java
@@ -13,11 +13,11 @@
     static final int HTTP_PORT = 18_080;
     static final int PEER_PORT = 19_080;
 
-    private final StandInEnvironment environment;
-    private final int engines;
-    private final int plainServices;
-    private final int failureDomains;
-    private final int slots;
+    private final StandInEnvironment mEnvironment;
+    private final int mEngines;
+    private final int mPlainServices;
+    private final int mFailureDomains;
+    private final int mSlots;
 
     /**
      * Creates a generator.
@@ -34,11 +34,11 @@
             int plainServices,
             int failureDomains,
             int slots) {
-        this.environment = environment;
-        this.engines = engines;
-        this.plainServices = plainServices;
-        this.failureDomains = failureDomains;
-        this.slots = slots;
+        mEnvironment = environment;
+        mEngines = engines;
+        mPlainServices = plainServices;
+        mFailureDomains = failureDomains;
+        mSlots = slots;
     }
 
     /** Returns a routes table in which all routes are open. */
@@ -137,10 +137,10 @@
         StringBuilder text = new StringBuilder();
         text.append("[pool engines]\nkind = engine\nmodel = ").append(MODEL).append("\n\n");
         text.append("[pool desks]\nkind = plain\n");
-        for (int i = 1; i <= engines; i++) {
-            upstream(text, "engine-" + i, "engines", i).append("slots = " + slots + "\n");
+        for (int i = 1; i <= mEngines; i++) {
+            upstream(text, "engine-" + i, "engines", i).append("slots = " + mSlots + "\n");
         }
-        for (int i = 1; i <= plainServices; i++) {
+        for (int i = 1; i <= mPlainServices; i++) {
             upstream(text, "desk-" + i, "desks", i);
         }
         return text.toString();
@@ -203,7 +203,7 @@
 
     /** Returns the section {@code [platform]} of node settings. */
     String platform() {
-        return environment.platformSection();
+        return mEnvironment.platformSection();
     }
 
     /** Returns the entry of an instance for the instance list. */
@@ -232,11 +232,11 @@
                                 name,
                                 pool,
                                 StandInServer.HOST,
-                                environment.find(name, StandInServer.class).port(),
+                                mEnvironment.find(name, StandInServer.class).port(),
                                 failureDomain(number)));
     }
 
     private int failureDomain(int number) {
-        return (number - 1) % failureDomains + 1;
+        return (number - 1) % mFailureDomains + 1;
     }
 }
--- a/cli/src/main/java/org/fuchsialever/cli/standins/StandInsTask.java
+++ b/cli/src/main/java/org/fuchsialever/cli/standins/StandInsTask.java
@@ -27,45 +27,45 @@
     private static final int MAX_FAILURE_DOMAINS = 9;
 
     @Parameter(names = "--engines", description = "Number of engines")
-    private int engines = 6;
+    private int mEngines = 6;
 
     @Parameter(names = "--plain-services", description = "Number of plain services")
-    private int plainServices = 4;
+    private int mPlainServices = 4;
 
     @Parameter(names = "--failure-domains", description = "Number of failure domains (1 to 9)")
-    private int failureDomains = 3;
+    private int mFailureDomains = 3;
 
     @Parameter(names = "--nodes", description = "Number of node settings files to write")
-    private int nodes = 3;
+    private int mNodes = 3;
 
     @Parameter(names = "--slots", description = "Requests that an engine runs at the same time")
-    private int slots = 16;
+    private int mSlots = 16;
 
     @Parameter(names = "--token-millis", description = "Time between two tokens (ms)")
-    private int tokenMillis = 5;
+    private int mTokenMillis = 5;
 
     @Parameter(
             names = "--stragglers",
             description =
                     "Average number of prompts per response of 20 times the length; 0 for none")
-    private int stragglers;
+    private int mStragglers;
 
     @Parameter(
             names = "--folder",
             description =
                     "Folder for routes.ini, pools.ini, node-<n>.ini, platform.ini (section"
                             + " [platform] for commands) and addresses.json")
-    private @Nullable String folder;
+    private @Nullable String mFolder;
 
     @Parameter(names = "--seconds", description = "Stop after this time (s); 0 runs until told")
-    private int seconds;
+    private int mSeconds;
 
     @Override
     public ExitCode run(CommandContext context) throws Exception {
-        if (failureDomains < 1
-                || failureDomains > MAX_FAILURE_DOMAINS
-                || engines < 0
-                || plainServices < 0) {
+        if (mFailureDomains < 1
+                || mFailureDomains > MAX_FAILURE_DOMAINS
+                || mEngines < 0
+                || mPlainServices < 0) {
             throw new ParameterException(
                     "--failure-domains must be 1 to "
                             + MAX_FAILURE_DOMAINS
@@ -73,21 +73,22 @@
         }
         try (StandInEnvironment environment = start()) {
             StandInFiles files =
-                    new StandInFiles(environment, engines, plainServices, failureDomains, slots);
+                    new StandInFiles(
+                            environment, mEngines, mPlainServices, mFailureDomains, mSlots);
             ObjectNode addresses = addresses(environment);
-            for (int i = 1; i <= nodes; i++) {
+            for (int i = 1; i <= mNodes; i++) {
                 environment
                         .instanceList()
                         .put(
                                 files.instanceListEntry(
                                         i, StandInFiles.HTTP_PORT + i, StandInFiles.PEER_PORT + i));
             }
-            if (folder != null) {
-                write(files, Path.of(folder), addresses);
+            if (mFolder != null) {
+                write(files, Path.of(mFolder), addresses);
             }
             print(context, addresses);
-            if (seconds > 0) {
-                context.stop().await(seconds, TimeUnit.SECONDS);
+            if (mSeconds > 0) {
+                context.stop().await(mSeconds, TimeUnit.SECONDS);
             } else {
                 context.stop().await();
             }
@@ -97,19 +98,19 @@
 
     private StandInEnvironment start() {
         StandInEnvironment.Builder builder = StandInEnvironment.platform();
-        for (int i = 1; i <= engines; i++) {
+        for (int i = 1; i <= mEngines; i++) {
             EngineOptions options =
                     new EngineOptions()
                             .startId("engine-" + i + "-start-1")
-                            .slots(slots)
-                            .tokenInterval(Duration.ofMillis(tokenMillis));
-            if (stragglers > 0) {
-                options.responseLength(EngineOptions.stragglers(16, stragglers, 20));
+                            .slots(mSlots)
+                            .tokenInterval(Duration.ofMillis(mTokenMillis));
+            if (mStragglers > 0) {
+                options.responseLength(EngineOptions.stragglers(16, mStragglers, 20));
             }
             builder.engine("engine-" + i, options);
         }
-        for (int i = 1; i <= plainServices; i++) {
-            builder.plainService("desk-" + i, Duration.ofMillis(tokenMillis));
+        for (int i = 1; i <= mPlainServices; i++) {
+            builder.plainService("desk-" + i, Duration.ofMillis(mTokenMillis));
         }
         StandInEnvironment environment = builder.start();
         environment.weightStore().publish(StandInFiles.MODEL, 0);
@@ -120,7 +121,7 @@
         Files.createDirectories(target);
         Files.writeString(target.resolve("routes.ini"), files.keyedRoutes());
         Files.writeString(target.resolve("pools.ini"), files.pools());
-        for (int i = 1; i <= nodes; i++) {
+        for (int i = 1; i <= mNodes; i++) {
             Files.writeString(
                     target.resolve("node-" + i + ".ini"),
                     files.platformNodeSettings(
--- a/cli/src/main/java/org/fuchsialever/cli/tables/ApplyTask.java
+++ b/cli/src/main/java/org/fuchsialever/cli/tables/ApplyTask.java
@@ -23,7 +23,7 @@
 final class ApplyTask extends PlatformTask {
     private static final long POLL_INTERVAL_MILLIS = 250;
 
-    @ParametersDelegate private TableFiles files = new TableFiles();
+    @ParametersDelegate private TableFiles mFiles = new TableFiles();
 
     @Parameter(
             names = "--base-version",
@@ -31,16 +31,16 @@
                     "Version that the files are based on, as shown by diff; 0 for the first."
                             + " A newer version in force is never overwritten",
             required = true)
-    private long baseVersion;
+    private long mBaseVersion;
 
     @Parameter(names = "--wait", description = "Maximum time to wait for the instances (s)")
-    private int waitSeconds = 13;
+    private int mWaitSeconds = 13;
 
     @Override
     protected ExitCode run(CommandContext context, PlatformSession session) throws Exception {
         StoredTables stored = new StoredTables(session);
-        SnapshotText next = files.read(baseVersion + 1);
-        Findings findings = files.check(next);
+        SnapshotText next = mFiles.read(mBaseVersion + 1);
+        Findings findings = mFiles.check(next);
         if (!findings.isEmpty()) {
             context.err().println(findings.report());
         }
@@ -49,7 +49,7 @@
         }
         StoredTables.CurrentVersion current = stored.currentVersion();
         Option<StoredTables.CurrentVersion> conflicting =
-                current.version() == baseVersion
+                current.version() == mBaseVersion
                         ? stored.commit(current, next)
                         : Option.some(current);
         if (conflicting.isDefined()) {
@@ -64,9 +64,9 @@
         context.err()
                 .println(
                         "Nothing was changed: version %d is in force, not version %d."
-                                .formatted(current, baseVersion));
-        if (current > baseVersion) {
-            Try.of(() -> TableDiff.lines(stored.read(baseVersion), stored.read(current)))
+                                .formatted(current, mBaseVersion));
+        if (current > mBaseVersion) {
+            Try.of(() -> TableDiff.lines(stored.read(mBaseVersion), stored.read(current)))
                     .onSuccess(lines -> lines.forEach(context.err()::println))
                     .onFailure(
                             failure ->
@@ -80,7 +80,7 @@
 
     private ExitCode awaitConfirmation(CommandContext context, OperatorClient client, long version)
             throws InterruptedException {
-        long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(waitSeconds);
+        long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(mWaitSeconds);
         Set<String> unconfirmed = unconfirmedInstances(client, version);
         boolean stopped = false;
         while (!unconfirmed.isEmpty() && !stopped && System.nanoTime() < deadlineNanos) {
--- a/cli/src/main/java/org/fuchsialever/cli/tables/CheckTask.java
+++ b/cli/src/main/java/org/fuchsialever/cli/tables/CheckTask.java
@@ -10,11 +10,11 @@
 /** One run of the command {@code check}. */
 @Parameters(commandDescription = "Check both tables and print all findings")
 final class CheckTask extends CommandTask {
-    @ParametersDelegate private TableFiles files = new TableFiles();
+    @ParametersDelegate private TableFiles mFiles = new TableFiles();
 
     @Override
     public ExitCode run(CommandContext context) throws Exception {
-        Findings findings = files.check(files.read(1));
+        Findings findings = mFiles.check(mFiles.read(1));
         if (!findings.isEmpty()) {
             context.err().println(findings.report());
         }
--- a/cli/src/main/java/org/fuchsialever/cli/tables/DiffTask.java
+++ b/cli/src/main/java/org/fuchsialever/cli/tables/DiffTask.java
@@ -13,13 +13,13 @@
 /** One run of the command {@code diff}. */
 @Parameters(commandDescription = "Show how the files differ from the version in force")
 final class DiffTask extends PlatformTask {
-    @ParametersDelegate private TableFiles files = new TableFiles();
+    @ParametersDelegate private TableFiles mFiles = new TableFiles();
 
     @Override
     protected ExitCode run(CommandContext context, PlatformSession session) throws Exception {
         StoredTables stored = new StoredTables(session);
         long version = stored.currentVersion().version();
-        List<String> lines = TableDiff.lines(stored.read(version), files.read(version));
+        List<String> lines = TableDiff.lines(stored.read(version), mFiles.read(version));
         if (isJsonRequested()) {
             ObjectNode body = new ObjectMapper().createObjectNode();
             body.put("version", version);
--- a/cli/src/main/java/org/fuchsialever/cli/tables/StoredTables.java
+++ b/cli/src/main/java/org/fuchsialever/cli/tables/StoredTables.java
@@ -12,18 +12,18 @@
 
 /** Reads and commits versions of the tables in the table service. */
 final class StoredTables {
-    private final PlatformSession session;
-    private final TableService tables;
+    private final PlatformSession mSession;
+    private final TableService mTables;
 
     StoredTables(PlatformSession session) {
-        this.session = session;
-        this.tables = session.platform().tables();
+        mSession = session;
+        mTables = session.platform().tables();
     }
 
     /** Returns the version in force, or version 0 if there is none. */
     CurrentVersion currentVersion() {
         return currentVersion(
-                PlatformSession.await(tables.read(ConfigRows.TABLE, ConfigRows.CURRENT)));
+                PlatformSession.await(mTables.read(ConfigRows.TABLE, ConfigRows.CURRENT)));
     }
 
     /** Returns the tables of a version; version 0 has empty tables. */
@@ -33,7 +33,7 @@
         }
         Option<Row> row =
                 PlatformSession.await(
-                        tables.read(ConfigRows.TABLE, ConfigRows.snapshotKey(version)));
+                        mTables.read(ConfigRows.TABLE, ConfigRows.snapshotKey(version)));
         return row.toEither("the row does not exist or the read was stale")
                 .flatMap(found -> SnapshotText.decode(found.value()))
                 .getOrElseThrow(
@@ -51,7 +51,7 @@
                 new Commit.Put(ConfigRows.TABLE, ConfigRows.CURRENT, Long.toString(next.version()));
         Commit commit =
                 new Commit(
-                        session.writerId(),
+                        mSession.writerId(),
                         List.of(
                                 new Commit.Condition(
                                         ConfigRows.TABLE, ConfigRows.CURRENT, base.rowVersion()),
@@ -59,7 +59,7 @@
                         List.of(snapshot, current),
                         List.of());
         CommitResult result =
-                PlatformSession.await(session.commitRetrier().commitWithMarker(commit, snapshot));
+                PlatformSession.await(mSession.commitRetrier().commitWithMarker(commit, snapshot));
         if (result instanceof CommitResult.Conflict conflict) {
             return Option.some(
                     conflict.rows().stream()
--- a/cli/src/main/java/org/fuchsialever/cli/tables/TableCommand.java
+++ b/cli/src/main/java/org/fuchsialever/cli/tables/TableCommand.java
@@ -23,12 +23,12 @@
                     ExitCode.CONFLICT,
                     ExitCode.UNCONFIRMED));
 
-    private final Supplier<CommandTask> tasks;
-    private final List<ExitCode> codes;
+    private final Supplier<CommandTask> mTasks;
+    private final List<ExitCode> mCodes;
 
     TableCommand(Supplier<CommandTask> tasks, List<ExitCode> codes) {
-        this.tasks = tasks;
-        this.codes = codes;
+        mTasks = tasks;
+        mCodes = codes;
     }
 
     @Override
@@ -38,11 +38,11 @@
 
     @Override
     public List<ExitCode> exitCodes() {
-        return codes;
+        return mCodes;
     }
 
     @Override
     public CommandTask newTask() {
-        return tasks.get();
+        return mTasks.get();
     }
 }
--- a/cli/src/main/java/org/fuchsialever/cli/tables/TableFiles.java
+++ b/cli/src/main/java/org/fuchsialever/cli/tables/TableFiles.java
@@ -11,22 +11,22 @@
 /** Options that name the files of both tables. */
 final class TableFiles {
     @Parameter(names = "--routes", description = "Table of routes (INI)", required = true)
-    private String routes = "";
+    private String mRoutes = "";
 
     @Parameter(names = "--pools", description = "Table of pools (INI)", required = true)
-    private String pools = "";
+    private String mPools = "";
 
     /** Reads both files as the given version; throws if a file cannot be read. */
     SnapshotText read(long version) throws IOException {
         return new SnapshotText(
-                version, Files.readString(Path.of(routes)), Files.readString(Path.of(pools)));
+                version, Files.readString(Path.of(mRoutes)), Files.readString(Path.of(mPools)));
     }
 
     /** Returns all findings about both tables. */
     Findings check(SnapshotText tables) {
         Findings findings = new Findings();
         TableParser.parse(
-                tables.version(), routes, tables.routes(), pools, tables.pools(), findings);
+                tables.version(), mRoutes, tables.routes(), mPools, tables.pools(), findings);
         return findings;
     }
 }
--- a/cli/src/main/java/org/fuchsialever/cli/usage/UsageTask.java
+++ b/cli/src/main/java/org/fuchsialever/cli/usage/UsageTask.java
@@ -26,10 +26,10 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     @Parameter(names = "--window", description = "One window, such as 20261204T080500Z")
-    private String window = "";
+    private String mWindow = "";
 
     @Parameter(names = "--day", description = "All windows that begin on a day, such as 2026-12-04")
-    private String day = "";
+    private String mDay = "";
 
     @Override
     protected ExitCode run(CommandContext context, PlatformSession session) throws Exception {
@@ -47,8 +47,8 @@
             entry.put("reported", reported.contains(name));
             entry.set("report", MAPPER.readTree(text));
         }
-        if (windows.isEmpty() && !window.isEmpty()) {
-            context.err().println("Window " + window + " is not closed.");
+        if (windows.isEmpty() && !mWindow.isEmpty()) {
+            context.err().println("Window " + mWindow + " is not closed.");
             return ExitCode.FAILURE;
         }
         if (isJsonRequested()) {
@@ -60,14 +60,14 @@
     }
 
     private String keyPrefix() {
-        if (window.isEmpty() == day.isEmpty()) {
+        if (mWindow.isEmpty() == mDay.isEmpty()) {
             throw new ParameterException("usage needs either --window or --day");
         }
-        if (window.isEmpty()) {
-            return DayOption.compact(DayOption.parse(day));
+        if (mWindow.isEmpty()) {
+            return DayOption.compact(DayOption.parse(mDay));
         }
         try {
-            return WindowId.parse(window).label();
+            return WindowId.parse(mWindow).label();
         } catch (IllegalArgumentException e) {
             throw new ParameterException(e.getMessage());
         }
--- a/cli/src/test/java/org/fuchsialever/cli/audit/AccountingCommandsTest.java
+++ b/cli/src/test/java/org/fuchsialever/cli/audit/AccountingCommandsTest.java
@@ -44,34 +44,34 @@
                     + "\"class\":\"completed\",\"requests\":1,\"prompt_tokens\":10,"
                     + "\"generated_tokens\":100}],\"corrections\":[]}";
 
-    @TempDir Path folder;
+    @TempDir Path mFolder;
 
-    private final Closer closer = new Closer();
-    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
-    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
-    private TableServiceStandIn tables;
-    private ObjectStoreStandIn objects;
+    private final Closer mCloser = new Closer();
+    private final ByteArrayOutputStream mOut = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream mErr = new ByteArrayOutputStream();
+    private TableServiceStandIn mTables;
+    private ObjectStoreStandIn mObjects;
 
     @BeforeEach
     void startStandIns() throws IOException {
-        tables = closer.register("tables", new TableServiceStandIn());
-        objects = closer.register("objects", new ObjectStoreStandIn());
+        mTables = mCloser.register("tables", new TableServiceStandIn());
+        mObjects = mCloser.register("objects", new ObjectStoreStandIn());
         Files.writeString(
-                folder.resolve("node.ini"),
+                mFolder.resolve("node.ini"),
                 "[platform]\ntable-service = %s\nobject-store = %s\n"
-                        .formatted(tables.url(), objects.url()));
+                        .formatted(mTables.url(), mObjects.url()));
     }
 
     @AfterEach
     void stopAll() {
-        closer.close();
+        mCloser.close();
     }
 
     @Test
     void verifyCallsAnIntactDayComplete() throws Exception {
         storeDay(List.of(1, 2, 3));
         assertThat(run("audit", "verify", "--day", "2026-01-02"), is(ExitCode.OK));
-        assertThat(out.toString(), containsString("complete"));
+        assertThat(mOut.toString(), containsString("complete"));
     }
 
     @Test
@@ -79,7 +79,7 @@
         storeDay(List.of(1, 3));
         assertThat(run("audit", "verify", "--day", "2026-01-02", "--json"), is(ExitCode.DIFFERENT));
         assertThat(
-                out.toString(),
+                mOut.toString(),
                 containsString("{\"start\":\"n1/s1\",\"batch\":2,\"problem\":\"missing\"}"));
     }
 
@@ -87,18 +87,18 @@
     void showPrintsTheRecordsOfOneTeam() throws Exception {
         storeDay(List.of(1, 2, 3));
         assertThat(run("audit", "show", "--day", "2026-01-02", "--team", "alba"), is(ExitCode.OK));
-        assertThat(out.toString(), containsString("\"team\":\"alba\""));
-        assertThat(out.toString(), not(containsString("barka")));
+        assertThat(mOut.toString(), containsString("\"team\":\"alba\""));
+        assertThat(mOut.toString(), not(containsString("barka")));
     }
 
     @Test
     void usageShowsAClosedWindowAndWhetherItWasReported() {
-        tables.put("usage", "window/20260102T080500Z", "7\n" + REPORT);
+        mTables.put("usage", "window/20260102T080500Z", "7\n" + REPORT);
         assertThat(run("usage", "--day", "2026-01-02"), is(ExitCode.OK));
-        assertThat(out.toString(), containsString("closed, not yet reported"));
-        tables.put("usage", "reported/20260102T080500Z", "accepted");
+        assertThat(mOut.toString(), containsString("closed, not yet reported"));
+        mTables.put("usage", "reported/20260102T080500Z", "accepted");
         assertThat(run("usage", "--window", "20260102T080500Z", "--json"), is(ExitCode.OK));
-        assertThat(out.toString(), containsString("\"reported\":true,\"report\":" + REPORT));
+        assertThat(mOut.toString(), containsString("\"reported\":true,\"report\":" + REPORT));
     }
 
     @Test
@@ -124,13 +124,13 @@
         }
         AuditCheckpoint checkpoint =
                 new AuditCheckpoint(1, AuditChain.INITIAL_HASH, 3, chain.lastHash(), true);
-        tables.put("audit", DAY + "/" + START, checkpoint.text());
+        mTables.put("audit", DAY + "/" + START, checkpoint.text());
     }
 
     private void put(String name, byte[] content) throws Exception {
         String path = "/objects/" + URLEncoder.encode(name, StandardCharsets.UTF_8);
         HttpRequest request =
-                HttpRequest.newBuilder(URI.create(objects.url() + path))
+                HttpRequest.newBuilder(URI.create(mObjects.url() + path))
                         .header("If-None-Match", "*")
                         .PUT(HttpRequest.BodyPublishers.ofByteArray(content))
                         .build();
@@ -141,10 +141,10 @@
 
     private ExitCode run(String... words) {
         List<String> arguments = new ArrayList<>(List.of(words));
-        arguments.addAll(List.of("--settings", folder.resolve("node.ini").toString()));
+        arguments.addAll(List.of("--settings", mFolder.resolve("node.ini").toString()));
         return Main.run(
                 arguments.toArray(String[]::new),
                 new CommandContext(
-                        new PrintStream(out), new PrintStream(err), new CountDownLatch(1)));
+                        new PrintStream(mOut), new PrintStream(mErr), new CountDownLatch(1)));
     }
 }
--- a/cli/src/test/java/org/fuchsialever/cli/demo/CallTallyTest.java
+++ b/cli/src/test/java/org/fuchsialever/cli/demo/CallTallyTest.java
@@ -14,40 +14,40 @@
     private static final DemoKey KEY = new DemoKey("alba", "k1", "fl_k1_secret");
     private static final CallKind.Verdict WHOLE = new CallKind.Verdict(true, 2, 16);
 
-    private final CallTally tally = new CallTally();
+    private final CallTally mTally = new CallTally();
 
     @Test
     void countsAnswersToAWithdrawnKeyOnlyAfterFiveSeconds() {
-        tally.withdrawing(KEY, 0);
-        tally.completed(call(CallKind.STOCK, KEY), WHOLE, 1, TimeUnit.SECONDS.toNanos(5));
-        assertThat(tally.worksAfterWithdrawal(), is(0L));
+        mTally.withdrawing(KEY, 0);
+        mTally.completed(call(CallKind.STOCK, KEY), WHOLE, 1, TimeUnit.SECONDS.toNanos(5));
+        assertThat(mTally.worksAfterWithdrawal(), is(0L));
 
-        tally.completed(call(CallKind.STOCK, KEY), WHOLE, 1, TimeUnit.SECONDS.toNanos(5) + 1);
-        assertThat(tally.worksAfterWithdrawal(), is(1L));
+        mTally.completed(call(CallKind.STOCK, KEY), WHOLE, 1, TimeUnit.SECONDS.toNanos(5) + 1);
+        assertThat(mTally.worksAfterWithdrawal(), is(1L));
     }
 
     @Test
     void countsRefusalsOfAWithdrawnKeyByReasonButNotAsFailures() {
-        tally.refused(call(CallKind.WHOLE, KEY), "queue-full");
-        tally.withdrawing(KEY, 0);
-        tally.refused(call(CallKind.WHOLE, KEY), "key-withdrawn");
+        mTally.refused(call(CallKind.WHOLE, KEY), "queue-full");
+        mTally.withdrawing(KEY, 0);
+        mTally.refused(call(CallKind.WHOLE, KEY), "key-withdrawn");
 
-        assertThat(tally.liveFailed(), is(1L));
+        assertThat(mTally.liveFailed(), is(1L));
         assertThat(figures().at("/refusals/key-withdrawn").asLong(), is(1L));
     }
 
     @Test
     void countsBadAnswersEvenOfAWithdrawnKey() {
-        tally.withdrawing(KEY, 0);
-        tally.bad(call(CallKind.STREAMED, KEY), "cut");
+        mTally.withdrawing(KEY, 0);
+        mTally.bad(call(CallKind.STREAMED, KEY), "cut");
 
-        assertThat(tally.badAnswers(), hasSize(1));
+        assertThat(mTally.badAnswers(), hasSize(1));
     }
 
     @Test
     void addsUsageToTheTeamOfTheKey() {
-        tally.completed(call(CallKind.WHOLE, KEY), WHOLE, 1, 2);
-        tally.completed(call(CallKind.WHOLE, new DemoKey("cerna", "k2", "")), WHOLE, 1, 2);
+        mTally.completed(call(CallKind.WHOLE, KEY), WHOLE, 1, 2);
+        mTally.completed(call(CallKind.WHOLE, new DemoKey("cerna", "k2", "")), WHOLE, 1, 2);
 
         assertThat(figures().at("/usage/alba/answerTokens").asLong(), is(16L));
         assertThat(figures().at("/usage/alba/requests").asLong(), is(1L));
@@ -55,7 +55,7 @@
 
     private ObjectNode figures() {
         ObjectNode body = new ObjectMapper().createObjectNode();
-        tally.addTo(body);
+        mTally.addTo(body);
         return body;
     }
 
--- a/cli/src/test/java/org/fuchsialever/cli/keys/KeyCommandTest.java
+++ b/cli/src/test/java/org/fuchsialever/cli/keys/KeyCommandTest.java
@@ -36,24 +36,24 @@
 
 /** Guards against stored secrets of keys, and withdrawals that do not reach the instances. */
 class KeyCommandTest {
-    @TempDir Path folder;
+    @TempDir Path mFolder;
 
-    private final Closer closer = new Closer();
-    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
-    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
-    private TableServiceStandIn tables;
-    private InstanceListStandIn instances;
+    private final Closer mCloser = new Closer();
+    private final ByteArrayOutputStream mOut = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream mErr = new ByteArrayOutputStream();
+    private TableServiceStandIn mTables;
+    private InstanceListStandIn mInstances;
 
     @BeforeEach
     void startStandIns() throws IOException {
-        tables = closer.register("tables", new TableServiceStandIn());
-        instances = closer.register("instances", new InstanceListStandIn(Duration.ZERO));
-        Files.writeString(folder.resolve("node.ini"), platform());
+        mTables = mCloser.register("tables", new TableServiceStandIn());
+        mInstances = mCloser.register("instances", new InstanceListStandIn(Duration.ZERO));
+        Files.writeString(mFolder.resolve("node.ini"), platform());
     }
 
     @AfterEach
     void stopAll() {
-        closer.close();
+        mCloser.close();
     }
 
     @Test
@@ -69,11 +69,11 @@
     @Test
     void listShowsNeitherHashNorSecret() {
         PresentedKey key = grant();
-        out.reset();
+        mOut.reset();
 
         assertThat(run("list"), is(ExitCode.OK));
-        assertThat(out.toString(), containsString(key.id() + "  team alba  does not expire"));
-        assertThat(out.toString(), not(containsString(stored(key).hash().hash())));
+        assertThat(mOut.toString(), containsString(key.id() + "  team alba  does not expire"));
+        assertThat(mOut.toString(), not(containsString(stored(key).hash().hash())));
     }
 
     @Test
@@ -90,7 +90,7 @@
         list("n1", 1);
 
         assertThat(run("withdraw", key.id().value()), is(ExitCode.UNCONFIRMED));
-        assertThat(err.toString(), containsString("Not confirmed by: n1"));
+        assertThat(mErr.toString(), containsString("Not confirmed by: n1"));
         assertThat(stored(key).withdrawn(), is(true));
     }
 
@@ -99,16 +99,16 @@
         PresentedKey key = grant();
         NodeProcess node = startNode();
         list("n1", node.service(HttpFrontEnd.class).port());
-        tables.faults().set(FaultMode.DOWN);
+        mTables.faults().set(FaultMode.DOWN);
 
         assertThat(run("withdraw", key.id().value()), is(ExitCode.OK));
-        assertThat(out.toString(), containsString("Confirmed by: n1"));
-        assertThat(err.toString(), containsString("has not stored the withdrawal yet"));
+        assertThat(mOut.toString(), containsString("Confirmed by: n1"));
+        assertThat(mErr.toString(), containsString("has not stored the withdrawal yet"));
     }
 
     @Test
     void withdrawFailsWhenNothingCanBeReached() {
-        tables.faults().set(FaultMode.DOWN);
+        mTables.faults().set(FaultMode.DOWN);
 
         assertThat(run("withdraw", "a"), is(ExitCode.FAILURE));
     }
@@ -120,16 +120,16 @@
 
     private PresentedKey grant() {
         assertThat(run("grant", "--team", "alba"), is(ExitCode.OK));
-        return PresentedKey.parse(out.toString().strip()).get();
+        return PresentedKey.parse(mOut.toString().strip()).get();
     }
 
     private KeyRecord stored(PresentedKey key) {
-        String value = tables.value(KeyRows.TABLE, key.id().value()).get();
+        String value = mTables.value(KeyRows.TABLE, key.id().value()).get();
         return KeyRecord.decode(key.id().value(), value).get();
     }
 
     private void list(String name, int port) {
-        instances.put(new ListedInstanceEntry(name, "127.0.0.1", port, 1, "r1", "fd-1", false));
+        mInstances.put(new ListedInstanceEntry(name, "127.0.0.1", port, 1, "r1", "fd-1", false));
     }
 
     private NodeProcess startNode() {
@@ -144,7 +144,7 @@
                 endpoints, front-end
                 """
                         + platform();
-        return closer.register(
+        return mCloser.register(
                 "node",
                 NodeProcess.start("node.ini", settings)
                         .getOrElseThrow(findings -> new AssertionError(findings.report())));
@@ -152,16 +152,16 @@
 
     private String platform() {
         return "[platform]\ntable-service = %s\ninstance-list = %s\n"
-                .formatted(tables.url(), instances.url());
+                .formatted(mTables.url(), mInstances.url());
     }
 
     private ExitCode run(String... words) {
         List<String> arguments = new ArrayList<>(List.of("key"));
         arguments.addAll(List.of(words));
-        arguments.addAll(List.of("--settings", folder.resolve("node.ini").toString()));
+        arguments.addAll(List.of("--settings", mFolder.resolve("node.ini").toString()));
         return Main.run(
                 arguments.toArray(String[]::new),
                 new CommandContext(
-                        new PrintStream(out), new PrintStream(err), new CountDownLatch(1)));
+                        new PrintStream(mOut), new PrintStream(mErr), new CountDownLatch(1)));
     }
 }
--- a/cli/src/test/java/org/fuchsialever/cli/load/CallRecorderTest.java
+++ b/cli/src/test/java/org/fuchsialever/cli/load/CallRecorderTest.java
@@ -13,30 +13,30 @@
 
 /** Guards against answers that are timed or counted better than they were. */
 class CallRecorderTest {
-    private final ManualTimeSource time = new ManualTimeSource(0);
-    private final LoadResult result = new LoadResult();
+    private final ManualTimeSource mTime = new ManualTimeSource(0);
+    private final LoadResult mResult = new LoadResult();
 
     @Test
     void aCallThatWasSentLateCountsFromItsScheduledTime() {
-        time.advance(Duration.ofSeconds(5));
-        CallRecorder recorder = new CallRecorder(CallKind.STREAMED, 0, time, result);
+        mTime.advance(Duration.ofSeconds(5));
+        CallRecorder recorder = new CallRecorder(CallKind.STREAMED, 0, mTime, mResult);
         recorder.onStatus(200);
-        time.advance(Duration.ofSeconds(1));
+        mTime.advance(Duration.ofSeconds(1));
         recorder.onContent(bytes("data: {}\n\n"));
-        time.advance(Duration.ofSeconds(1));
+        mTime.advance(Duration.ofSeconds(1));
         recorder.onContent(bytes("data: [DO"));
         recorder.onContent(bytes("NE]\n\n"));
         recorder.onEnd();
 
-        assertThat(result.firstByteMillis(100), is(closeTo(6_000, 10)));
-        assertThat(result.totalMillis(100), is(closeTo(7_000, 10)));
+        assertThat(mResult.firstByteMillis(100), is(closeTo(6_000, 10)));
+        assertThat(mResult.totalMillis(100), is(closeTo(7_000, 10)));
     }
 
     @Test
     void aStreamWithoutItsEndIsIncomplete() {
         answer(CallKind.STREAMED, 200, "data: {}\n\n");
         assertThat(answers().path("200 incomplete").asInt(), is(1));
-        assertThat(result.completed(), is(0L));
+        assertThat(mResult.completed(), is(0L));
     }
 
     @Test
@@ -48,7 +48,7 @@
     }
 
     private void answer(CallKind kind, int status, String body) {
-        CallRecorder recorder = new CallRecorder(kind, 0, time, result);
+        CallRecorder recorder = new CallRecorder(kind, 0, mTime, mResult);
         recorder.onStatus(status);
         recorder.onContent(bytes(body));
         recorder.onEnd();
@@ -56,7 +56,7 @@
 
     private ObjectNode answers() {
         ObjectNode body = new ObjectMapper().createObjectNode();
-        result.toJson(body);
+        mResult.toJson(body);
         return (ObjectNode) body.path("answers");
     }
 
--- a/cli/src/test/java/org/fuchsialever/cli/load/LoadPlanTest.java
+++ b/cli/src/test/java/org/fuchsialever/cli/load/LoadPlanTest.java
@@ -19,12 +19,12 @@
     private static final Duration LENGTH = Duration.ofSeconds(100);
     private static final double RATE = 200;
 
-    private final List<LoadPlan.PlannedCall> calls = LoadPlan.of(1, RATE, LENGTH, MIX).calls();
+    private final List<LoadPlan.PlannedCall> mCalls = LoadPlan.of(1, RATE, LENGTH, MIX).calls();
 
     @Test
     void theSeedFixesTimesAndKinds() {
-        assertThat(LoadPlan.of(1, RATE, LENGTH, MIX).calls(), equalTo(calls));
-        assertThat(LoadPlan.of(2, RATE, LENGTH, MIX).calls(), not(equalTo(calls)));
+        assertThat(LoadPlan.of(1, RATE, LENGTH, MIX).calls(), equalTo(mCalls));
+        assertThat(LoadPlan.of(2, RATE, LENGTH, MIX).calls(), not(equalTo(mCalls)));
     }
 
     @Test
@@ -32,14 +32,14 @@
         double sum = 0;
         double squares = 0;
         long before = 0;
-        for (LoadPlan.PlannedCall call : calls) {
+        for (LoadPlan.PlannedCall call : mCalls) {
             double gap = (call.atNanos() - before) / 1e9;
             sum += gap;
             squares += gap * gap;
             before = call.atNanos();
         }
-        double mean = sum / calls.size();
-        double deviation = Math.sqrt(squares / calls.size() - mean * mean);
+        double mean = sum / mCalls.size();
+        double deviation = Math.sqrt(squares / mCalls.size() - mean * mean);
         assertThat(mean, is(closeTo(1 / RATE, 0.05 / RATE)));
         assertThat(deviation, is(closeTo(mean, 0.05 * mean)));
         assertThat(before, is(lessThan(LENGTH.toNanos())));
@@ -47,10 +47,10 @@
 
     @Test
     void kindsHaveTheSharesOfTheMix() {
-        double streamed = calls.stream().filter(call -> call.kind() == CallKind.STREAMED).count();
-        double plain = calls.stream().filter(call -> call.kind() == CallKind.PLAIN).count();
-        assertThat(streamed / calls.size(), is(closeTo(0.7, 0.02)));
-        assertThat(plain / calls.size(), is(closeTo(0.1, 0.02)));
+        double streamed = mCalls.stream().filter(call -> call.kind() == CallKind.STREAMED).count();
+        double plain = mCalls.stream().filter(call -> call.kind() == CallKind.PLAIN).count();
+        assertThat(streamed / mCalls.size(), is(closeTo(0.7, 0.02)));
+        assertThat(plain / mCalls.size(), is(closeTo(0.1, 0.02)));
     }
 
     @Test
--- a/cli/src/test/java/org/fuchsialever/cli/load/LoadTaskTest.java
+++ b/cli/src/test/java/org/fuchsialever/cli/load/LoadTaskTest.java
@@ -19,8 +19,8 @@
 class LoadTaskTest {
     private static final int RATE = 60;
 
-    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
-    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream mOut = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream mErr = new ByteArrayOutputStream();
 
     @Test
     void sendsEveryPlannedCallThroughTheInstanceAndDirectly() throws Exception {
@@ -30,8 +30,8 @@
                                 + " --warm-up-seconds 0 --seed 7 --rate "
                                 + RATE);
 
-        assertThat(err.toString(), exit, is(ExitCode.OK));
-        JsonNode body = new ObjectMapper().readTree(out.toString());
+        assertThat(mErr.toString(), exit, is(ExitCode.OK));
+        JsonNode body = new ObjectMapper().readTree(mOut.toString());
         int planned =
                 LoadPlan.of(
                                 7,
@@ -40,8 +40,8 @@
                                 CallMix.parse(body.path("mix").asText()))
                         .calls()
                         .size();
-        assertThat(out.toString(), body.at("/instance/answers/200").asInt(), is(planned));
-        assertThat(out.toString(), body.at("/direct/answers/200").asInt(), is(planned));
+        assertThat(mOut.toString(), body.at("/instance/answers/200").asInt(), is(planned));
+        assertThat(mOut.toString(), body.at("/direct/answers/200").asInt(), is(planned));
         assertThat(body.at("/added_ms/total_p99").isNumber(), is(true));
     }
 
@@ -51,19 +51,19 @@
         assertThat(
                 run("load --url http://127.0.0.1:1 --seconds 1 --warm-up-seconds 0 --rate 20"),
                 is(ExitCode.FAILURE));
-        assertThat(out.toString(), containsString("failed "));
+        assertThat(mOut.toString(), containsString("failed "));
     }
 
     @Test
     void needsAnInstance() {
         assertThat(run("load"), is(ExitCode.USAGE));
-        assertThat(err.toString(), containsString("--url"));
+        assertThat(mErr.toString(), containsString("--url"));
     }
 
     private ExitCode run(String line) {
         return Main.run(
                 line.split(" "),
                 new CommandContext(
-                        new PrintStream(out), new PrintStream(err), new CountDownLatch(1)));
+                        new PrintStream(mOut), new PrintStream(mErr), new CountDownLatch(1)));
     }
 }
--- a/cli/src/test/java/org/fuchsialever/cli/soak/SoakCheckerTest.java
+++ b/cli/src/test/java/org/fuchsialever/cli/soak/SoakCheckerTest.java
@@ -18,65 +18,65 @@
     private static final KeyId KEY = new KeyId("k1");
     private static final UpstreamId UPSTREAM = new UpstreamId("u1");
 
-    private final SoakChecker checker = new SoakChecker();
+    private final SoakChecker mChecker = new SoakChecker();
 
     @Test
     void seesASecondRunOfANonRepeatableRequest() {
         SoakCall call = plainCall();
-        checker.ran(call);
-        assertViolated(Invariant.AT_MOST_ONCE, () -> checker.ran(call));
+        mChecker.ran(call);
+        assertViolated(Invariant.AT_MOST_ONCE, () -> mChecker.ran(call));
     }
 
     @Test
     void seesThatARequestRanBeforeItWasRefusedAsNotRun() {
         SoakCall call = plainCall();
-        checker.ran(call);
+        mChecker.ran(call);
         assertViolated(
                 Invariant.NOT_RUN_IS_TRUE,
-                () -> checker.answered(call, Outcome.NOT_RUN, "queue-full"));
+                () -> mChecker.answered(call, Outcome.NOT_RUN, "queue-full"));
     }
 
     @Test
     void seesThatARequestRunsAfterItWasRefusedAsNotRun() {
         SoakCall call = plainCall();
-        checker.answered(call, Outcome.NOT_RUN, "queue-full");
-        assertViolated(Invariant.NOT_RUN_IS_TRUE, () -> checker.ran(call));
+        mChecker.answered(call, Outcome.NOT_RUN, "queue-full");
+        assertViolated(Invariant.NOT_RUN_IS_TRUE, () -> mChecker.ran(call));
     }
 
     @Test
     void seesARequestStartedTooLateAfterTheWithdrawalOfItsKey() {
-        checker.withdrawn(KEY, 0);
-        checker.started(plainCall(), UPSTREAM, 5 * SoakTimeline.SECOND, 0);
+        mChecker.withdrawn(KEY, 0);
+        mChecker.started(plainCall(), UPSTREAM, 5 * SoakTimeline.SECOND, 0);
         assertViolated(
                 Invariant.WITHDRAWN_KEY_STOPS,
-                () -> checker.started(plainCall(), UPSTREAM, 5 * SoakTimeline.SECOND + 1, 0));
+                () -> mChecker.started(plainCall(), UPSTREAM, 5 * SoakTimeline.SECOND + 1, 0));
     }
 
     @Test
     void seesNewWorkForAnUpstreamThatLeaves() {
-        checker.leaving(UPSTREAM, 0);
-        checker.started(plainCall(), UPSTREAM, 2 * SoakTimeline.SECOND, 0);
+        mChecker.leaving(UPSTREAM, 0);
+        mChecker.started(plainCall(), UPSTREAM, 2 * SoakTimeline.SECOND, 0);
         assertViolated(
                 Invariant.LEAVING_UPSTREAM_IDLE,
-                () -> checker.started(plainCall(), UPSTREAM, 2 * SoakTimeline.SECOND + 1, 0));
+                () -> mChecker.started(plainCall(), UPSTREAM, 2 * SoakTimeline.SECOND + 1, 0));
     }
 
     @Test
     void seesAMissingTokenARepeatedTokenAndAnEarlyEnd() {
         SoakCall call = new SoakCall(new RequestId("r1"), KEY, false, 3);
-        checker.ran(call);
-        checker.token(call, 0);
-        assertViolated(Invariant.ANSWER_WHOLE_AND_OWN, () -> checker.token(call, 0));
-        assertViolated(Invariant.ANSWER_WHOLE_AND_OWN, () -> checker.token(call, 2));
+        mChecker.ran(call);
+        mChecker.token(call, 0);
+        assertViolated(Invariant.ANSWER_WHOLE_AND_OWN, () -> mChecker.token(call, 0));
+        assertViolated(Invariant.ANSWER_WHOLE_AND_OWN, () -> mChecker.token(call, 2));
         assertViolated(
                 Invariant.ANSWER_WHOLE_AND_OWN,
-                () -> checker.answered(call, Outcome.COMPLETED, "completed"));
+                () -> mChecker.answered(call, Outcome.COMPLETED, "completed"));
     }
 
     @Test
     void seesAConfigurationThatGoesBack() {
-        checker.inForce("i1", 2);
-        assertViolated(Invariant.CONFIGURATION_MONOTONIC, () -> checker.inForce("i1", 1));
+        mChecker.inForce("i1", 2);
+        assertViolated(Invariant.CONFIGURATION_MONOTONIC, () -> mChecker.inForce("i1", 1));
     }
 
     private static SoakCall plainCall() {
--- a/cli/src/test/java/org/fuchsialever/cli/standins/StandInsTaskTest.java
+++ b/cli/src/test/java/org/fuchsialever/cli/standins/StandInsTaskTest.java
@@ -18,41 +18,41 @@
 
 /** Guards against generated files from which an instance cannot start. */
 class StandInsTaskTest {
-    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
-    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
-    private final CountDownLatch stop = new CountDownLatch(1);
+    private final ByteArrayOutputStream mOut = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream mErr = new ByteArrayOutputStream();
+    private final CountDownLatch mStop = new CountDownLatch(1);
 
-    @TempDir Path folder;
+    @TempDir Path mFolder;
 
     @Test
     void writesFilesFromWhichAnInstanceStarts() throws Exception {
-        stop.countDown();
-        assertThat(run("stand-ins", "--folder", folder.toString(), "--json"), is(ExitCode.OK));
+        mStop.countDown();
+        assertThat(run("stand-ins", "--folder", mFolder.toString(), "--json"), is(ExitCode.OK));
 
-        String settings = Files.readString(folder.resolve("node-1.ini"));
+        String settings = Files.readString(mFolder.resolve("node-1.ini"));
         // Port 0 selects a free port; the generated fixed ports may be in use.
         settings = settings.replaceAll("(http|peer)-port = \\d+", "$1-port = 0");
         NodeProcess.start("node-1.ini", settings)
                 .getOrElseThrow(findings -> new AssertionError(findings.report()))
                 .close();
-        assertThat(out.toString(), containsString("\"table-service\":\"http://127.0.0.1:"));
+        assertThat(mOut.toString(), containsString("\"table-service\":\"http://127.0.0.1:"));
     }
 
     @Test
     void helpListsOptionsAndExitCodes() {
         assertThat(run("stand-ins", "--help"), is(ExitCode.OK));
-        assertThat(out.toString(), containsString("--folder"));
-        assertThat(out.toString(), containsString("2  options or files cannot be used"));
+        assertThat(mOut.toString(), containsString("--folder"));
+        assertThat(mOut.toString(), containsString("2  options or files cannot be used"));
     }
 
     @Test
     void anUnknownOptionIsAUsageError() {
         assertThat(run("stand-ins", "--no-such-option"), is(ExitCode.USAGE));
-        assertThat(err.toString(), containsString("--no-such-option"));
+        assertThat(mErr.toString(), containsString("--no-such-option"));
     }
 
     private ExitCode run(String... arguments) {
         return Main.run(
-                arguments, new CommandContext(new PrintStream(out), new PrintStream(err), stop));
+                arguments, new CommandContext(new PrintStream(mOut), new PrintStream(mErr), mStop));
     }
 }
--- a/cli/src/test/java/org/fuchsialever/cli/status/StatusCommandTest.java
+++ b/cli/src/test/java/org/fuchsialever/cli/status/StatusCommandTest.java
@@ -25,50 +25,50 @@
 
 /** Guards against a status that reports unresponsive instances as ready. */
 class StatusCommandTest {
-    @TempDir Path folder;
+    @TempDir Path mFolder;
 
-    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
-    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
-    private final TableServiceStandIn tables = new TableServiceStandIn();
-    private final InstanceListStandIn instances = new InstanceListStandIn(Duration.ZERO);
+    private final ByteArrayOutputStream mOut = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream mErr = new ByteArrayOutputStream();
+    private final TableServiceStandIn mTables = new TableServiceStandIn();
+    private final InstanceListStandIn mInstances = new InstanceListStandIn(Duration.ZERO);
 
     @BeforeEach
     void writeSettings() throws IOException {
         Files.writeString(
-                folder.resolve("node.ini"),
+                mFolder.resolve("node.ini"),
                 "[platform]\ntable-service = %s\ninstance-list = %s\n"
-                        .formatted(tables.url(), instances.url()));
+                        .formatted(mTables.url(), mInstances.url()));
     }
 
     @AfterEach
     void stopStandIns() {
-        tables.close();
-        instances.close();
+        mTables.close();
+        mInstances.close();
     }
 
     @Test
     void failsAndNamesAnInstanceThatDoesNotAnswer() {
-        instances.put(new ListedInstanceEntry("n1", "127.0.0.1", 1, 2, "r1", "fd-1", false));
+        mInstances.put(new ListedInstanceEntry("n1", "127.0.0.1", 1, 2, "r1", "fd-1", false));
 
         assertThat(run(), is(ExitCode.FAILURE));
-        assertThat(out.toString(), containsString("n1  fd-1  no answer"));
+        assertThat(mOut.toString(), containsString("n1  fd-1  no answer"));
     }
 
     @Test
     void failsWhenTheListCannotBeRead() {
-        instances.faults().set(FaultMode.DOWN);
+        mInstances.faults().set(FaultMode.DOWN);
 
         assertThat(run(), is(ExitCode.FAILURE));
-        assertThat(err.toString(), containsString("cannot be read"));
+        assertThat(mErr.toString(), containsString("cannot be read"));
     }
 
     private ExitCode run() {
         CommandContext context =
                 new CommandContext(
-                        new PrintStream(out, true),
-                        new PrintStream(err, true),
+                        new PrintStream(mOut, true),
+                        new PrintStream(mErr, true),
                         new CountDownLatch(1));
-        String settings = folder.resolve("node.ini").toString();
+        String settings = mFolder.resolve("node.ini").toString();
         return Main.run(new String[] {"status", "--settings", settings}, context);
     }
 }
--- a/cli/src/test/java/org/fuchsialever/cli/tables/TableCommandTest.java
+++ b/cli/src/test/java/org/fuchsialever/cli/tables/TableCommandTest.java
@@ -42,28 +42,28 @@
             failure-domain = fd-1
             """;
 
-    @TempDir Path folder;
+    @TempDir Path mFolder;
 
-    private final Closer closer = new Closer();
-    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
-    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
-    private TableServiceStandIn tables;
-    private InstanceListStandIn instances;
+    private final Closer mCloser = new Closer();
+    private final ByteArrayOutputStream mOut = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream mErr = new ByteArrayOutputStream();
+    private TableServiceStandIn mTables;
+    private InstanceListStandIn mInstances;
 
     @BeforeEach
     void startStandIns() throws IOException {
-        tables = closer.register("tables", new TableServiceStandIn());
-        instances = closer.register("instances", new InstanceListStandIn(Duration.ZERO));
+        mTables = mCloser.register("tables", new TableServiceStandIn());
+        mInstances = mCloser.register("instances", new InstanceListStandIn(Duration.ZERO));
         Files.writeString(
-                folder.resolve("node.ini"),
+                mFolder.resolve("node.ini"),
                 "[platform]\ntable-service = %s\ninstance-list = %s\n"
-                        .formatted(tables.url(), instances.url()));
+                        .formatted(mTables.url(), mInstances.url()));
         write(ROUTES);
     }
 
     @AfterEach
     void stopStandIns() {
-        closer.close();
+        mCloser.close();
     }
 
     @Test
@@ -71,7 +71,7 @@
         write(ROUTES + "colour = red\n");
 
         assertThat(run("check"), is(ExitCode.USAGE));
-        assertThat(err.toString(), containsString("routes.ini:6: route chat/colour"));
+        assertThat(mErr.toString(), containsString("routes.ini:6: route chat/colour"));
     }
 
     @Test
@@ -79,9 +79,9 @@
         assertThat(apply(0), is(ExitCode.OK));
         assertThat(apply(1), is(ExitCode.OK));
 
-        assertThat(tables.value(ConfigRows.TABLE, ConfigRows.CURRENT).get(), is("2"));
+        assertThat(mTables.value(ConfigRows.TABLE, ConfigRows.CURRENT).get(), is("2"));
         assertThat(
-                SnapshotText.decode(tables.value(ConfigRows.TABLE, "snapshot/2").get()).get(),
+                SnapshotText.decode(mTables.value(ConfigRows.TABLE, "snapshot/2").get()).get(),
                 is(new SnapshotText(2, ROUTES, POOLS)));
     }
 
@@ -90,7 +90,7 @@
         write(ROUTES + "colour = red\n");
 
         assertThat(apply(0), is(ExitCode.USAGE));
-        assertThat(tables.revision(), is(0L));
+        assertThat(mTables.revision(), is(0L));
     }
 
     @Test
@@ -101,38 +101,38 @@
         write(ROUTES.replace("/chat", "/talk"));
 
         assertThat(apply(1), is(ExitCode.CONFLICT));
-        assertThat(err.toString(), containsString("routes: [route chat] deadline: 5 s -> 7 s"));
-        assertThat(tables.value(ConfigRows.TABLE, ConfigRows.CURRENT).get(), is("2"));
+        assertThat(mErr.toString(), containsString("routes: [route chat] deadline: 5 s -> 7 s"));
+        assertThat(mTables.value(ConfigRows.TABLE, ConfigRows.CURRENT).get(), is("2"));
     }
 
     @Test
     void applyOverwritesNothingWhenItsReadIsStale() throws IOException {
         apply(0);
-        tables.serveStaleReads();
-        tables.put(ConfigRows.TABLE, "snapshot/2", new SnapshotText(2, ROUTES, POOLS).encode());
-        tables.put(ConfigRows.TABLE, ConfigRows.CURRENT, "2");
+        mTables.serveStaleReads();
+        mTables.put(ConfigRows.TABLE, "snapshot/2", new SnapshotText(2, ROUTES, POOLS).encode());
+        mTables.put(ConfigRows.TABLE, ConfigRows.CURRENT, "2");
 
         // The rows of the conflict name version 2, but its tables cannot be read yet.
         assertThat(apply(1), is(ExitCode.CONFLICT));
-        assertThat(err.toString(), containsString("What changed cannot be shown"));
-        assertThat(tables.value(ConfigRows.TABLE, ConfigRows.CURRENT).get(), is("2"));
+        assertThat(mErr.toString(), containsString("What changed cannot be shown"));
+        assertThat(mTables.value(ConfigRows.TABLE, ConfigRows.CURRENT).get(), is("2"));
     }
 
     @Test
     void applyWritesNothingWhenTheVersionCannotBeRead() {
-        tables.faults().set(FaultMode.FAIL);
+        mTables.faults().set(FaultMode.FAIL);
 
         assertThat(apply(0), is(ExitCode.FAILURE));
-        assertThat(tables.revision(), is(0L));
-        assertThat(tables.calls("commit"), is(0L));
+        assertThat(mTables.revision(), is(0L));
+        assertThat(mTables.calls("commit"), is(0L));
     }
 
     @Test
     void applyNamesInstancesThatDoNotConfirm() {
-        instances.put(new ListedInstanceEntry("n1", "127.0.0.1", 1, 1, "r1", "fd-1", false));
+        mInstances.put(new ListedInstanceEntry("n1", "127.0.0.1", 1, 1, "r1", "fd-1", false));
 
         assertThat(apply(0), is(ExitCode.UNCONFIRMED));
-        assertThat(err.toString(), containsString("Not confirmed by: n1"));
+        assertThat(mErr.toString(), containsString("Not confirmed by: n1"));
     }
 
     @Test
@@ -141,8 +141,8 @@
         write(ROUTES.replace("5 s", "7 s"));
 
         assertThat(run("diff", "--settings", settings()), is(ExitCode.OK));
-        assertThat(out.toString(), containsString("Version 1 is in force."));
-        assertThat(out.toString(), containsString("[route chat] deadline: 5 s -> 7 s"));
+        assertThat(mOut.toString(), containsString("Version 1 is in force."));
+        assertThat(mOut.toString(), containsString("[route chat] deadline: 5 s -> 7 s"));
     }
 
     private ExitCode apply(long base) {
@@ -161,21 +161,21 @@
         arguments.addAll(
                 List.of(
                         "--routes",
-                        folder.resolve("routes.ini").toString(),
+                        mFolder.resolve("routes.ini").toString(),
                         "--pools",
-                        folder.resolve("pools.ini").toString()));
+                        mFolder.resolve("pools.ini").toString()));
         return Main.run(
                 arguments.toArray(String[]::new),
                 new CommandContext(
-                        new PrintStream(out), new PrintStream(err), new CountDownLatch(1)));
+                        new PrintStream(mOut), new PrintStream(mErr), new CountDownLatch(1)));
     }
 
     private String settings() {
-        return folder.resolve("node.ini").toString();
+        return mFolder.resolve("node.ini").toString();
     }
 
     private void write(String routes) throws IOException {
-        Files.writeString(folder.resolve("routes.ini"), routes);
-        Files.writeString(folder.resolve("pools.ini"), POOLS);
+        Files.writeString(mFolder.resolve("routes.ini"), routes);
+        Files.writeString(mFolder.resolve("pools.ini"), POOLS);
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/audit/AuditChain.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/audit/AuditChain.java
@@ -11,33 +11,34 @@
     /** Value that stands for the previous hash in the first batch. */
     public static final String INITIAL_HASH = "0".repeat(64);
 
-    private final String start;
-    private long sequence;
-    private String lastHash = INITIAL_HASH;
+    private final String mStart;
+    private long mSequence;
+    private String mLastHash = INITIAL_HASH;
 
     /** Creates the chain of a start, which is named by instance and start ID. */
     public AuditChain(String start) {
-        this.start = start;
+        mStart = start;
     }
 
     /** Appends a batch with the given records and returns it. */
     public AuditBatch append(List<String> lines, boolean last) {
-        sequence++;
-        BatchMarker marker = sequence == 1 ? BatchMarker.START : BatchMarker.NONE;
+        mSequence++;
+        BatchMarker marker = mSequence == 1 ? BatchMarker.START : BatchMarker.NONE;
         AuditBatch batch =
-                new AuditBatch(start, sequence, last ? BatchMarker.END : marker, lastHash, lines);
-        lastHash = hash(batch.bytes());
+                new AuditBatch(
+                        mStart, mSequence, last ? BatchMarker.END : marker, mLastHash, lines);
+        mLastHash = hash(batch.bytes());
         return batch;
     }
 
     /** Returns the hash of the last batch. */
     public String lastHash() {
-        return lastHash;
+        return mLastHash;
     }
 
     /** Returns the number of the last batch, 0 if there is none. */
     public long lastSequence() {
-        return sequence;
+        return mSequence;
     }
 
     /** Returns the hash of the content of a batch as 64 hexadecimal digits. */
--- a/decisions/src/main/java/org/fuchsialever/decisions/audit/AuditDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/audit/AuditDuty.java
@@ -27,21 +27,21 @@
     private static final long INDEX_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(10);
     private static final DateTimeFormatter DAY = DateTimeFormatter.ofPattern("yyyyMMdd");
 
-    private final AuditChain chain;
-    private final AuditRecord.Encoder encoder;
-    private final int maxWaiting;
-    private final Deque<Sealed> waiting = new ArrayDeque<>();
-    private final DayIndex index = new DayIndex();
-    private final String start;
-
-    private List<String> openBatch = new ArrayList<>();
-    private String openDay = "";
-    private long sealNanos = NO_TIMER;
-    private long retryNanos = NO_TIMER;
-    private long nextIndexNanos;
-    private long lost;
-    private boolean stopping;
-    private boolean stopped;
+    private final AuditChain mChain;
+    private final AuditRecord.Encoder mEncoder;
+    private final int mMaxWaiting;
+    private final Deque<Sealed> mWaiting = new ArrayDeque<>();
+    private final DayIndex mIndex = new DayIndex();
+    private final String mStart;
+
+    private List<String> mOpenBatch = new ArrayList<>();
+    private String mOpenDay = "";
+    private long mSealNanos = NO_TIMER;
+    private long mRetryNanos = NO_TIMER;
+    private long mNextIndexNanos;
+    private long mLost;
+    private boolean mStopping;
+    private boolean mStopped;
 
     /**
      * Creates the duty.
@@ -58,11 +58,11 @@
             int maxWaiting,
             long startNanos,
             long phaseNanos) {
-        this.start = start;
-        this.chain = new AuditChain(start);
-        this.encoder = encoder;
-        this.maxWaiting = maxWaiting;
-        this.nextIndexNanos = startNanos + phaseNanos;
+        mStart = start;
+        mChain = new AuditChain(start);
+        mEncoder = encoder;
+        mMaxWaiting = maxWaiting;
+        mNextIndexNanos = startNanos + phaseNanos;
     }
 
     @Override
@@ -78,45 +78,45 @@
             onStored(stored.sequence(), nowNanos, actions);
         } else if (event instanceof AuditEvent.BatchFailed failure) {
             if (isFirst(failure.sequence())) {
-                retryNanos = nowNanos + BATCH_INTERVAL_NANOS;
+                mRetryNanos = nowNanos + BATCH_INTERVAL_NANOS;
             }
         } else if (event instanceof AuditEvent.IndexWritten written) {
-            index.written(written.day(), written.version());
+            mIndex.written(written.day(), written.version());
             writeLastIndex(nowNanos, actions);
         } else if (event instanceof AuditEvent.IndexConflicted conflict) {
-            index.conflicted(conflict.day(), conflict.version());
-            index.write(nowNanos, actions);
+            mIndex.conflicted(conflict.day(), conflict.version());
+            mIndex.write(nowNanos, actions);
         } else if (event instanceof AuditEvent.IndexFailed) {
-            index.failed();
-        } else if (event instanceof AuditEvent.Stop stop && !stopping) {
-            stopping = true;
-            openDay = openDay.isEmpty() ? day(stop.wallMillis()) : openDay;
+            mIndex.failed();
+        } else if (event instanceof AuditEvent.Stop stop && !mStopping) {
+            mStopping = true;
+            mOpenDay = mOpenDay.isEmpty() ? day(stop.wallMillis()) : mOpenDay;
             seal(true, nowNanos, actions);
         }
     }
 
     @Override
     public void onTimer(long nowNanos, ActionSink<AuditAction> actions) {
-        if (sealNanos <= nowNanos) {
-            sealNanos = NO_TIMER;
+        if (mSealNanos <= nowNanos) {
+            mSealNanos = NO_TIMER;
             // While earlier batches wait, the batch keeps growing: fewer, larger batches need less
             // memory and fewer objects.
-            if (waiting.isEmpty()) {
+            if (mWaiting.isEmpty()) {
                 seal(false, nowNanos, actions);
             }
         }
-        if (retryNanos <= nowNanos) {
+        if (mRetryNanos <= nowNanos) {
             store(nowNanos, actions);
         }
-        if (nextIndexNanos <= nowNanos) {
-            nextIndexNanos = nowNanos + INDEX_INTERVAL_NANOS;
-            index.write(nowNanos, actions);
+        if (mNextIndexNanos <= nowNanos) {
+            mNextIndexNanos = nowNanos + INDEX_INTERVAL_NANOS;
+            mIndex.write(nowNanos, actions);
         }
     }
 
     @Override
     public long nextTimerNanos() {
-        return Math.min(nextIndexNanos, Math.min(sealNanos, retryNanos));
+        return Math.min(mNextIndexNanos, Math.min(mSealNanos, mRetryNanos));
     }
 
     /** Returns the UTC day of a wall-clock time, such as {@code 20261204}. */
@@ -127,45 +127,45 @@
     private void record(
             AuditEvent.Recorded recorded, long nowNanos, ActionSink<AuditAction> actions) {
         String day = day(recorded.wallMillis());
-        if (!openBatch.isEmpty() && !day.equals(openDay)) {
+        if (!mOpenBatch.isEmpty() && !day.equals(mOpenDay)) {
             seal(false, nowNanos, actions);
         }
-        if (stopping || waiting.size() >= maxWaiting) {
-            lost++;
+        if (mStopping || mWaiting.size() >= mMaxWaiting) {
+            mLost++;
             actions.emit(new AuditAction.RecordsLost(1));
             return;
         }
-        if (openBatch.isEmpty()) {
-            openDay = day;
-            sealNanos = nowNanos + BATCH_INTERVAL_NANOS;
+        if (mOpenBatch.isEmpty()) {
+            mOpenDay = day;
+            mSealNanos = nowNanos + BATCH_INTERVAL_NANOS;
         }
-        if (lost > 0) {
-            AuditRecord gap = new AuditRecord.RecordsLost(lost);
-            openBatch.add(encoder.encode(recorded.wallMillis(), gap));
-            lost = 0;
+        if (mLost > 0) {
+            AuditRecord gap = new AuditRecord.RecordsLost(mLost);
+            mOpenBatch.add(mEncoder.encode(recorded.wallMillis(), gap));
+            mLost = 0;
         }
-        openBatch.add(encoder.encode(recorded.wallMillis(), recorded.record()));
-        if (openBatch.size() >= MAX_BATCH_RECORDS) {
+        mOpenBatch.add(mEncoder.encode(recorded.wallMillis(), recorded.record()));
+        if (mOpenBatch.size() >= MAX_BATCH_RECORDS) {
             seal(false, nowNanos, actions);
         }
     }
 
     private void seal(boolean last, long nowNanos, ActionSink<AuditAction> actions) {
-        sealNanos = NO_TIMER;
-        AuditBatch batch = chain.append(openBatch, last);
-        openBatch = new ArrayList<>();
-        waiting.add(new Sealed(openDay, batch, chain.lastHash()));
-        if (waiting.size() == 1) {
+        mSealNanos = NO_TIMER;
+        AuditBatch batch = mChain.append(mOpenBatch, last);
+        mOpenBatch = new ArrayList<>();
+        mWaiting.add(new Sealed(mOpenDay, batch, mChain.lastHash()));
+        if (mWaiting.size() == 1) {
             store(nowNanos, actions);
         }
     }
 
     private void store(long nowNanos, ActionSink<AuditAction> actions) {
-        retryNanos = NO_TIMER;
-        Sealed first = waiting.peek();
+        mRetryNanos = NO_TIMER;
+        Sealed first = mWaiting.peek();
         if (first != null) {
-            retryNanos = nowNanos + WRITE_TIMEOUT_NANOS;
-            String name = AuditBatch.objectName(first.day, start, first.batch.sequence());
+            mRetryNanos = nowNanos + WRITE_TIMEOUT_NANOS;
+            String name = AuditBatch.objectName(first.day, mStart, first.batch.sequence());
             actions.emit(new AuditAction.StoreBatch(name, first.batch));
         }
     }
@@ -174,9 +174,9 @@
         if (!isFirst(sequence)) {
             return;
         }
-        Sealed stored = waiting.remove();
-        index.stored(stored.day, stored.batch, stored.hash);
-        if (waiting.isEmpty() && !openBatch.isEmpty() && sealNanos == NO_TIMER) {
+        Sealed stored = mWaiting.remove();
+        mIndex.stored(stored.day, stored.batch, stored.hash);
+        if (mWaiting.isEmpty() && !mOpenBatch.isEmpty() && mSealNanos == NO_TIMER) {
             seal(false, nowNanos, actions);
         } else {
             store(nowNanos, actions);
@@ -185,19 +185,19 @@
     }
 
     private void writeLastIndex(long nowNanos, ActionSink<AuditAction> actions) {
-        if (!stopping || !waiting.isEmpty() || stopped) {
+        if (!mStopping || !mWaiting.isEmpty() || mStopped) {
             return;
         }
-        if (index.isWritten()) {
-            stopped = true;
+        if (mIndex.isWritten()) {
+            mStopped = true;
             actions.emit(new AuditAction.Stopped());
         } else {
-            index.write(nowNanos, actions);
+            mIndex.write(nowNanos, actions);
         }
     }
 
     private boolean isFirst(long sequence) {
-        return Option.of(waiting.peek()).exists(first -> first.batch.sequence() == sequence);
+        return Option.of(mWaiting.peek()).exists(first -> first.batch.sequence() == sequence);
     }
 
     private record Sealed(String day, AuditBatch batch, String hash) {}
--- a/decisions/src/main/java/org/fuchsialever/decisions/audit/DayIndex.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/audit/DayIndex.java
@@ -7,42 +7,42 @@
 
 /** Index rows to be written, one per day, oldest first. */
 final class DayIndex {
-    private final Deque<Day> days = new ArrayDeque<>();
-    private boolean writing;
-    private long writingSince;
+    private final Deque<Day> mDays = new ArrayDeque<>();
+    private boolean mWriting;
+    private long mWritingSince;
 
     /** Adds a stored batch to the index row of its day. */
     void stored(String day, AuditBatch batch, String hash) {
-        Day current = days.peekLast();
-        if (current == null || !current.name.equals(day)) {
+        Day current = mDays.peekLast();
+        if (current == null || !current.mName.equals(day)) {
             current = new Day(day, batch.sequence(), batch.previousHash());
-            days.add(current);
+            mDays.add(current);
         }
-        current.checkpoint =
+        current.mCheckpoint =
                 Option.some(
                         new AuditCheckpoint(
-                                current.first,
-                                current.beforeFirst,
+                                current.mFirst,
+                                current.mBeforeFirst,
                                 batch.sequence(),
                                 hash,
                                 batch.marker() == BatchMarker.END));
     }
 
     boolean isWritten() {
-        return days.stream().allMatch(day -> day.checkpoint.equals(day.written));
+        return mDays.stream().allMatch(day -> day.mCheckpoint.equals(day.mWritten));
     }
 
     void write(long nowNanos, ActionSink<AuditAction> actions) {
-        if (writing && nowNanos - writingSince < AuditDuty.WRITE_TIMEOUT_NANOS) {
+        if (mWriting && nowNanos - mWritingSince < AuditDuty.WRITE_TIMEOUT_NANOS) {
             return;
         }
-        for (Day day : days) {
-            if (!day.checkpoint.equals(day.written)) {
-                writing = true;
-                writingSince = nowNanos;
-                day.sent = day.checkpoint;
-                for (AuditCheckpoint checkpoint : day.checkpoint) {
-                    actions.emit(new AuditAction.WriteIndex(day.name, day.version, checkpoint));
+        for (Day day : mDays) {
+            if (!day.mCheckpoint.equals(day.mWritten)) {
+                mWriting = true;
+                mWritingSince = nowNanos;
+                day.mSent = day.mCheckpoint;
+                for (AuditCheckpoint checkpoint : day.mCheckpoint) {
+                    actions.emit(new AuditAction.WriteIndex(day.mName, day.mVersion, checkpoint));
                 }
                 return;
             }
@@ -50,40 +50,40 @@
     }
 
     void written(String name, long version) {
-        writing = false;
-        for (Day day : days) {
-            if (day.name.equals(name)) {
-                day.version = version;
-                day.written = day.sent;
+        mWriting = false;
+        for (Day day : mDays) {
+            if (day.mName.equals(name)) {
+                day.mVersion = version;
+                day.mWritten = day.mSent;
             }
         }
-        while (days.size() > 1 && days.element().checkpoint.equals(days.element().written)) {
-            days.remove();
+        while (mDays.size() > 1 && mDays.element().mCheckpoint.equals(mDays.element().mWritten)) {
+            mDays.remove();
         }
     }
 
     void conflicted(String name, long version) {
-        writing = false;
-        days.stream().filter(day -> day.name.equals(name)).forEach(day -> day.version = version);
+        mWriting = false;
+        mDays.stream().filter(day -> day.mName.equals(name)).forEach(day -> day.mVersion = version);
     }
 
     void failed() {
-        writing = false;
+        mWriting = false;
     }
 
     private static final class Day {
-        private final String name;
-        private final long first;
-        private final String beforeFirst;
-        private Option<AuditCheckpoint> checkpoint = Option.none();
-        private Option<AuditCheckpoint> sent = Option.none();
-        private Option<AuditCheckpoint> written = Option.none();
-        private long version;
+        private final String mName;
+        private final long mFirst;
+        private final String mBeforeFirst;
+        private Option<AuditCheckpoint> mCheckpoint = Option.none();
+        private Option<AuditCheckpoint> mSent = Option.none();
+        private Option<AuditCheckpoint> mWritten = Option.none();
+        private long mVersion;
 
         Day(String name, long first, String beforeFirst) {
-            this.name = name;
-            this.first = first;
-            this.beforeFirst = beforeFirst;
+            mName = name;
+            mFirst = first;
+            mBeforeFirst = beforeFirst;
         }
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
@@ -39,20 +39,20 @@
     private static final long CHECK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
     private static final long COMMIT_RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
-    private final String instance;
-    private final String startId;
-    private final RandomGenerator random;
-    private final Map<String, ObservedState> observed = new HashMap<>();
-    private final Map<String, OwnedBatch> owned = new HashMap<>();
-    private final Set<String> claiming = new HashSet<>();
-    private final Set<String> placed = new HashSet<>();
-    private List<Peer> peers = List.of();
-    private long reachableSince = Long.MAX_VALUE;
-    private boolean storeReachable;
-    private boolean draining;
-    private long releaseAt = NO_TIMER;
-    private boolean drainedReported;
-    private long nextCheck = NO_TIMER;
+    private final String mInstance;
+    private final String mStartId;
+    private final RandomGenerator mRandom;
+    private final Map<String, ObservedState> mObserved = new HashMap<>();
+    private final Map<String, OwnedBatch> mOwned = new HashMap<>();
+    private final Set<String> mClaiming = new HashSet<>();
+    private final Set<String> mPlaced = new HashSet<>();
+    private List<Peer> mPeers = List.of();
+    private long mReachableSince = Long.MAX_VALUE;
+    private boolean mStoreReachable;
+    private boolean mDraining;
+    private long mReleaseAt = NO_TIMER;
+    private boolean mDrainedReported;
+    private long mNextCheck = NO_TIMER;
 
     /**
      * Creates a duty.
@@ -62,9 +62,9 @@
      * @param random source of the jitter of retries
      */
     public BatchDuty(String instance, String startId, RandomGenerator random) {
-        this.instance = instance;
-        this.startId = startId;
-        this.random = random;
+        mInstance = instance;
+        mStartId = startId;
+        mRandom = random;
     }
 
     @Override
@@ -81,11 +81,11 @@
         } else if (event instanceof BatchEvent.Opened opened) {
             opened(opened.batch(), nowNanos, actions);
         } else if (event instanceof BatchEvent.PeersChanged changed) {
-            peers = changed.peers();
+            mPeers = changed.peers();
         } else if (event instanceof BatchEvent.Placed submission) {
-            placed.add(submission.id());
+            mPlaced.add(submission.id());
         } else if (event instanceof BatchEvent.ClaimFailed failed) {
-            claiming.remove(failed.id());
+            mClaiming.remove(failed.id());
         } else if (event instanceof BatchEvent.Draining) {
             drain(nowNanos, actions);
         } else {
@@ -96,7 +96,7 @@
 
     @Override
     public void onTimer(long nowNanos, ActionSink<BatchAction> actions) {
-        for (OwnedBatch batch : List.copyOf(owned.values())) {
+        for (OwnedBatch batch : List.copyOf(mOwned.values())) {
             if (nowNanos >= batch.giveUpNanos()) {
                 batch.abandonUnfinished(actions);
             }
@@ -107,117 +107,117 @@
                 batch.commit(nowNanos, actions);
             }
         }
-        if (storeReachable && !draining) {
-            observed.values().forEach(row -> claimIfAbandoned(row, nowNanos, actions));
+        if (mStoreReachable && !mDraining) {
+            mObserved.values().forEach(row -> claimIfAbandoned(row, nowNanos, actions));
         }
-        if (releaseAt <= nowNanos) {
-            releaseAt = NO_TIMER;
+        if (mReleaseAt <= nowNanos) {
+            mReleaseAt = NO_TIMER;
             releaseAll(nowNanos, actions);
         }
-        nextCheck = NO_TIMER;
+        mNextCheck = NO_TIMER;
         scheduleCheck(nowNanos);
     }
 
     @Override
     public long nextTimerNanos() {
-        return nextCheck;
+        return mNextCheck;
     }
 
     private void scheduleCheck(long now) {
-        boolean openElsewhere = observed.values().stream().anyMatch(row -> row.state.isOpen());
-        if (nextCheck == NO_TIMER && (!owned.isEmpty() || openElsewhere)) {
-            nextCheck = now + CHECK_INTERVAL_NANOS;
+        boolean openElsewhere = mObserved.values().stream().anyMatch(row -> row.state.isOpen());
+        if (mNextCheck == NO_TIMER && (!mOwned.isEmpty() || openElsewhere)) {
+            mNextCheck = now + CHECK_INTERVAL_NANOS;
         }
     }
 
     private void reachabilityChanged(boolean reachable, long now) {
-        if (reachable && !storeReachable) {
-            reachableSince = now;
+        if (reachable && !mStoreReachable) {
+            mReachableSince = now;
         }
-        storeReachable = reachable;
+        mStoreReachable = reachable;
     }
 
     private void statesChanged(
             BatchEvent.StatesChanged changed, long now, ActionSink<BatchAction> actions) {
         for (BatchEvent.VersionedState row : changed.states()) {
             String id = row.state().id();
-            ObservedState previous = observed.get(id);
+            ObservedState previous = mObserved.get(id);
             if (previous != null && previous.version >= row.version()) {
                 continue;
             }
-            observed.put(id, new ObservedState(row.state(), row.version(), now, previous == null));
-            OwnedBatch batch = owned.get(id);
+            mObserved.put(id, new ObservedState(row.state(), row.version(), now, previous == null));
+            OwnedBatch batch = mOwned.get(id);
             if (batch != null && row.state().ended()) {
                 close(batch, "ended", actions);
             }
         }
         for (String id : changed.removed()) {
-            observed.remove(id);
-            placed.remove(id);
-            OwnedBatch batch = owned.get(id);
+            mObserved.remove(id);
+            mPlaced.remove(id);
+            OwnedBatch batch = mOwned.get(id);
             if (batch != null) {
                 close(batch, "removed", actions);
             }
         }
-        if (storeReachable && !draining) {
-            observed.values().forEach(row -> claimIfAbandoned(row, now, actions));
+        if (mStoreReachable && !mDraining) {
+            mObserved.values().forEach(row -> claimIfAbandoned(row, now, actions));
         }
     }
 
     private void claimIfAbandoned(ObservedState row, long now, ActionSink<BatchAction> actions) {
         BatchState state = row.state;
         String id = state.id();
-        if (!state.isOpen() || owned.containsKey(id) || claiming.contains(id)) {
+        if (!state.isOpen() || mOwned.containsKey(id) || mClaiming.contains(id)) {
             return;
         }
-        if (state.isOwnedBy(instance, startId)) {
-            claiming.add(id);
+        if (state.isOwnedBy(mInstance, mStartId)) {
+            mClaiming.add(id);
             actions.emit(new BatchAction.Claim(state, row.version, "PLACED_HERE"));
             return;
         }
-        long silentFor = now - Math.max(row.changedAtNanos, reachableSince);
+        long silentFor = now - Math.max(row.changedAtNanos, mReachableSince);
         TakeoverReason reason = takeoverReason(row);
-        if (silentFor >= reason.timeoutNanos + claimDelay(id)) {
-            claiming.add(id);
+        if (silentFor >= reason.mTimeoutNanos + claimDelay(id)) {
+            mClaiming.add(id);
             actions.emit(
                     new BatchAction.Claim(
-                            state.withOwner(instance, startId), row.version, reason.name()));
+                            state.withOwner(mInstance, mStartId), row.version, reason.name()));
         }
     }
 
     private TakeoverReason takeoverReason(ObservedState row) {
         BatchState state = row.state;
         // This process does not own it, so an earlier process of this instance did and has ended.
-        if (state.owner().equals(instance)) {
+        if (state.owner().equals(mInstance)) {
             return TakeoverReason.OWNER_RESTARTED;
         }
         if (state.owner().isEmpty()) {
             return TakeoverReason.RELEASED;
         }
-        if (row.neverUpdated && placed.contains(state.id())) {
+        if (row.neverUpdated && mPlaced.contains(state.id())) {
             return TakeoverReason.NEVER_STARTED;
         }
-        boolean alive = peers.contains(new Peer(state.owner(), state.ownerStartId()));
+        boolean alive = mPeers.contains(new Peer(state.owner(), state.ownerStartId()));
         return alive ? TakeoverReason.OWNER_SILENT : TakeoverReason.OWNER_DEAD;
     }
 
     private long claimDelay(String id) {
-        List<Peer> ranked = Peer.ranked(peers, id);
-        int rank = Math.max(0, ranked.indexOf(new Peer(instance, startId)));
+        List<Peer> ranked = Peer.ranked(mPeers, id);
+        int rank = Math.max(0, ranked.indexOf(new Peer(mInstance, mStartId)));
         return Math.min(rank, MAX_DELAYED_RANKS) * CLAIM_DELAY_PER_RANK_NANOS;
     }
 
     private void opened(BatchEvent.OpenedBatch opened, long now, ActionSink<BatchAction> actions) {
         String id = opened.spec().id();
-        claiming.remove(id);
-        ObservedState row = observed.get(id);
+        mClaiming.remove(id);
+        ObservedState row = mObserved.get(id);
         boolean endedMeanwhile = row != null && row.state.ended();
-        if (owned.containsKey(id) || endedMeanwhile) {
+        if (mOwned.containsKey(id) || endedMeanwhile) {
             return;
         }
         OwnedBatch batch = new OwnedBatch(opened, now);
-        owned.put(id, batch);
-        if (draining && releaseAt == NO_TIMER) {
+        mOwned.put(id, batch);
+        if (mDraining && mReleaseAt == NO_TIMER) {
             batch.release(actions);
             batch.commit(now, actions);
         } else {
@@ -227,7 +227,7 @@
 
     private void ownedEvent(BatchEvent event, long now, ActionSink<BatchAction> actions) {
         if (event instanceof BatchEvent.Generated done) {
-            OwnedBatch batch = owned.get(done.id());
+            OwnedBatch batch = mOwned.get(done.id());
             if (batch != null) {
                 batch.generated(done.item(), done.text(), done.versions(), actions);
                 commitFinished(batch, now, actions);
@@ -237,7 +237,7 @@
         } else if (event instanceof BatchEvent.ScoringFailed failed) {
             itemFailed(failed.id(), failed.item(), now, actions);
         } else if (event instanceof BatchEvent.Scored scored) {
-            OwnedBatch batch = owned.get(scored.id());
+            OwnedBatch batch = mOwned.get(scored.id());
             if (batch != null) {
                 batch.scored(scored.item(), scored.score());
                 commitFinished(batch, now, actions);
@@ -248,7 +248,7 @@
     }
 
     private void itemFailed(String id, int item, long now, ActionSink<BatchAction> actions) {
-        OwnedBatch batch = owned.get(id);
+        OwnedBatch batch = mOwned.get(id);
         if (batch != null) {
             batch.failed(item);
             commitFinished(batch, now, actions);
@@ -264,30 +264,30 @@
 
     private void commitEvent(BatchEvent event, long now, ActionSink<BatchAction> actions) {
         if (event instanceof BatchEvent.Committed committed) {
-            OwnedBatch batch = owned.get(committed.id());
+            OwnedBatch batch = mOwned.get(committed.id());
             if (batch != null) {
                 batch.committed(committed.version());
                 afterCommit(batch, now, actions);
             }
         } else if (event instanceof BatchEvent.Conflicted conflicted) {
-            OwnedBatch batch = owned.get(conflicted.id());
+            OwnedBatch batch = mOwned.get(conflicted.id());
             if (batch != null) {
                 conflicted(batch, conflicted.current().getOrNull(), now, actions);
             }
         } else if (event instanceof BatchEvent.CommitFailed failed) {
-            OwnedBatch batch = owned.get(failed.id());
+            OwnedBatch batch = mOwned.get(failed.id());
             if (batch != null) {
                 batch.scheduleRepeat(
                         now
                                 + COMMIT_RETRY_DELAY_NANOS / 2
-                                + random.nextLong(COMMIT_RETRY_DELAY_NANOS));
+                                + mRandom.nextLong(COMMIT_RETRY_DELAY_NANOS));
             }
         }
     }
 
     private void afterCommit(OwnedBatch batch, long now, ActionSink<BatchAction> actions) {
         // Mirrored rows lag behind; an older state would look abandoned once this batch is closed.
-        observed.put(batch.id(), new ObservedState(batch.state(), batch.version(), now, false));
+        mObserved.put(batch.id(), new ObservedState(batch.state(), batch.version(), now, false));
         if (batch.state().isComplete()) {
             close(batch, "complete", actions);
         } else if (batch.state().owner().isEmpty()) {
@@ -321,19 +321,19 @@
 
     private void close(OwnedBatch batch, String reason, ActionSink<BatchAction> actions) {
         batch.stopAll(actions);
-        owned.remove(batch.id());
+        mOwned.remove(batch.id());
         actions.emit(new BatchAction.Closed(batch.id(), reason));
         reportDrained(actions);
     }
 
     private void drain(long now, ActionSink<BatchAction> actions) {
-        draining = true;
-        releaseAt = now + DRAIN_PERIOD_NANOS;
+        mDraining = true;
+        mReleaseAt = now + DRAIN_PERIOD_NANOS;
         reportDrained(actions);
     }
 
     private void releaseAll(long now, ActionSink<BatchAction> actions) {
-        for (OwnedBatch batch : List.copyOf(owned.values())) {
+        for (OwnedBatch batch : List.copyOf(mOwned.values())) {
             batch.release(actions);
             batch.commit(now, actions);
         }
@@ -341,8 +341,8 @@
     }
 
     private void reportDrained(ActionSink<BatchAction> actions) {
-        if (draining && owned.isEmpty() && !drainedReported) {
-            drainedReported = true;
+        if (mDraining && mOwned.isEmpty() && !mDrainedReported) {
+            mDrainedReported = true;
             actions.emit(new BatchAction.Drained());
         }
     }
@@ -358,10 +358,10 @@
         OWNER_DEAD(DEAD_OWNER_TIMEOUT_NANOS),
         OWNER_SILENT(OWNER_TIMEOUT_NANOS);
 
-        private final long timeoutNanos;
+        private final long mTimeoutNanos;
 
         TakeoverReason(long timeoutNanos) {
-            this.timeoutNanos = timeoutNanos;
+            mTimeoutNanos = timeoutNanos;
         }
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/OwnedBatch.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/OwnedBatch.java
@@ -22,116 +22,116 @@
     /** Items of one submission share a due time; a finer unit leaves room to order them. */
     private static final long MICROS_PER_MILLI = 1_000;
 
-    private final BatchSpec spec;
-    private final long dueMicros;
-    private final long giveUpNanos;
-    private final boolean singleVersion;
-    private final Set<Integer> unfinished = new HashSet<>();
-    private final Map<Integer, GeneratedText> texts = new HashMap<>();
-    private final Deque<ItemResult> finishedResults = new ArrayDeque<>();
-    private BatchState state;
-    private long version;
-    private BatchAction.@Nullable Commit pendingCommit;
-    private boolean releasing;
-    private long lastCommitNanos;
-    private long retryAtNanos = Long.MAX_VALUE;
+    private final BatchSpec mSpec;
+    private final long mDueMicros;
+    private final long mGiveUpNanos;
+    private final boolean mSingleVersion;
+    private final Set<Integer> mUnfinished = new HashSet<>();
+    private final Map<Integer, GeneratedText> mTexts = new HashMap<>();
+    private final Deque<ItemResult> mFinishedResults = new ArrayDeque<>();
+    private BatchState mState;
+    private long mVersion;
+    private BatchAction.@Nullable Commit mPendingCommit;
+    private boolean mReleasing;
+    private long mLastCommitNanos;
+    private long mRetryAtNanos = Long.MAX_VALUE;
 
     OwnedBatch(BatchEvent.OpenedBatch opened, long now) {
-        this.spec = opened.spec();
-        this.state = opened.state();
-        this.version = opened.version();
-        this.dueMicros = opened.dueAtMillis() * MICROS_PER_MILLI;
-        this.giveUpNanos = opened.abandonAtNanos();
-        this.singleVersion = opened.singleVersion();
-        this.lastCommitNanos = now;
-        for (int item = 0; item < spec.items().size(); item++) {
-            if (!opened.finishedItems().contains(spec.items().get(item).id())) {
-                unfinished.add(item);
+        mSpec = opened.spec();
+        mState = opened.state();
+        mVersion = opened.version();
+        mDueMicros = opened.dueAtMillis() * MICROS_PER_MILLI;
+        mGiveUpNanos = opened.abandonAtNanos();
+        mSingleVersion = opened.singleVersion();
+        mLastCommitNanos = now;
+        for (int item = 0; item < mSpec.items().size(); item++) {
+            if (!opened.finishedItems().contains(mSpec.items().get(item).id())) {
+                mUnfinished.add(item);
             }
         }
     }
 
     String id() {
-        return spec.id();
+        return mSpec.id();
     }
 
     BatchState state() {
-        return state;
+        return mState;
     }
 
     long version() {
-        return version;
+        return mVersion;
     }
 
     long giveUpNanos() {
-        return giveUpNanos;
+        return mGiveUpNanos;
     }
 
     long retryAtNanos() {
-        return retryAtNanos;
+        return mRetryAtNanos;
     }
 
     long lastCommitNanos() {
-        return lastCommitNanos;
+        return mLastCommitNanos;
     }
 
     boolean isReleasing() {
-        return releasing;
+        return mReleasing;
     }
 
     /** Starts generation of all items without a result. */
     void start(ActionSink<BatchAction> actions) {
-        for (int item = 0; item < spec.items().size(); item++) {
-            if (unfinished.contains(item)) {
+        for (int item = 0; item < mSpec.items().size(); item++) {
+            if (mUnfinished.contains(item)) {
                 generate(item, actions);
             }
         }
     }
 
     private void generate(int item, ActionSink<BatchAction> actions) {
-        actions.emit(new BatchAction.Generate(spec, state, item, dueMicros + item));
+        actions.emit(new BatchAction.Generate(mSpec, mState, item, mDueMicros + item));
     }
 
     void generated(int item, String text, List<Long> versions, ActionSink<BatchAction> actions) {
-        if (!unfinished.contains(item)) {
+        if (!mUnfinished.contains(item)) {
             return;
         }
-        boolean tooOld = versions.stream().anyMatch(used -> used < spec.minVersion());
-        boolean mixed = singleVersion && versions.size() > 1;
+        boolean tooOld = versions.stream().anyMatch(used -> used < mSpec.minVersion());
+        boolean mixed = mSingleVersion && versions.size() > 1;
         if (versions.isEmpty() || tooOld || mixed) {
             generate(item, actions);
             return;
         }
-        texts.put(item, new GeneratedText(text, versions));
-        BatchItem subject = spec.items().get(item);
+        mTexts.put(item, new GeneratedText(text, versions));
+        BatchItem subject = mSpec.items().get(item);
         if (subject.scoringCall().isDefined()) {
             actions.emit(
                     new BatchAction.Score(
-                            spec, item, subject.scoringCall().get(), dueMicros + item));
+                            mSpec, item, subject.scoringCall().get(), mDueMicros + item));
         } else {
             scored(item, "");
         }
     }
 
     void scored(int item, String score) {
-        GeneratedText text = texts.remove(item);
-        if (text != null && unfinished.remove(item)) {
-            finishedResults.add(
+        GeneratedText text = mTexts.remove(item);
+        if (text != null && mUnfinished.remove(item)) {
+            mFinishedResults.add(
                     new ItemResult(
-                            spec.items().get(item).id(), true, text.text, text.versions, score));
+                            mSpec.items().get(item).id(), true, text.text, text.versions, score));
         }
     }
 
     void failed(int item) {
-        texts.remove(item);
-        if (unfinished.remove(item)) {
-            finishedResults.add(ItemResult.abandoned(spec.items().get(item).id()));
+        mTexts.remove(item);
+        if (mUnfinished.remove(item)) {
+            mFinishedResults.add(ItemResult.abandoned(mSpec.items().get(item).id()));
         }
     }
 
     /** Stops all items without a result and lists them as abandoned. */
     void abandonUnfinished(ActionSink<BatchAction> actions) {
-        for (int item : List.copyOf(unfinished)) {
+        for (int item : List.copyOf(mUnfinished)) {
             actions.emit(new BatchAction.Stop(id(), item));
             failed(item);
         }
@@ -139,85 +139,85 @@
 
     /** Writes finished results, or the state row alone as a heartbeat; one commit at a time. */
     void commit(long now, ActionSink<BatchAction> actions) {
-        if (pendingCommit != null) {
+        if (mPendingCommit != null) {
             return;
         }
         List<ItemResult> results = new ArrayList<>();
         int characters = 0;
-        while (!finishedResults.isEmpty()
+        while (!mFinishedResults.isEmpty()
                 && results.size() < MAX_RESULTS_PER_COMMIT
                 && characters < MAX_CHARACTERS_PER_COMMIT) {
-            ItemResult next = finishedResults.remove();
+            ItemResult next = mFinishedResults.remove();
             characters += next.text().length();
             results.add(next);
         }
-        BatchState next = state.withResultCount(state.resultCount() + results.size());
-        if (releasing && finishedResults.isEmpty()) {
+        BatchState next = mState.withResultCount(mState.resultCount() + results.size());
+        if (mReleasing && mFinishedResults.isEmpty()) {
             next = next.withOwner("", "");
         }
-        pendingCommit = new BatchAction.Commit(next, version, state.resultCount(), results);
-        lastCommitNanos = now;
-        retryAtNanos = Long.MAX_VALUE;
-        actions.emit(pendingCommit);
+        mPendingCommit = new BatchAction.Commit(next, mVersion, mState.resultCount(), results);
+        mLastCommitNanos = now;
+        mRetryAtNanos = Long.MAX_VALUE;
+        actions.emit(mPendingCommit);
     }
 
     boolean hasFinishedResults() {
-        return !finishedResults.isEmpty();
+        return !mFinishedResults.isEmpty();
     }
 
     void committed(long newVersion) {
-        if (pendingCommit != null) {
-            state = pendingCommit.state();
-            version = newVersion;
-            pendingCommit = null;
+        if (mPendingCommit != null) {
+            mState = mPendingCommit.state();
+            mVersion = newVersion;
+            mPendingCommit = null;
         }
     }
 
     /** Returns whether the current state shows that the unanswered commit was applied. */
     boolean wasCommitApplied(BatchState current) {
-        BatchAction.Commit sent = pendingCommit;
+        BatchAction.Commit sent = mPendingCommit;
         return sent != null && !sent.results().isEmpty() && sent.state().equals(current);
     }
 
     /** Repeats the commit on top of the row version that another writer created. */
     void rebaseCommit(long newVersion, long now, ActionSink<BatchAction> actions) {
-        BatchAction.Commit unanswered = pendingCommit;
+        BatchAction.Commit unanswered = mPendingCommit;
         if (unanswered != null) {
-            version = newVersion;
-            pendingCommit =
+            mVersion = newVersion;
+            mPendingCommit =
                     new BatchAction.Commit(
                             unanswered.state(),
                             newVersion,
                             unanswered.firstPosition(),
                             unanswered.results());
-            lastCommitNanos = now;
-            actions.emit(pendingCommit);
+            mLastCommitNanos = now;
+            actions.emit(mPendingCommit);
         }
     }
 
     /** Repeats an unanswered commit unchanged, so that it cannot be applied twice. */
     void repeatCommit(long now, ActionSink<BatchAction> actions) {
-        BatchAction.Commit unanswered = pendingCommit;
+        BatchAction.Commit unanswered = mPendingCommit;
         if (unanswered != null) {
-            retryAtNanos = Long.MAX_VALUE;
-            lastCommitNanos = now;
+            mRetryAtNanos = Long.MAX_VALUE;
+            mLastCommitNanos = now;
             actions.emit(unanswered);
         }
     }
 
     void scheduleRepeat(long nanos) {
-        retryAtNanos = nanos;
+        mRetryAtNanos = nanos;
     }
 
     void release(ActionSink<BatchAction> actions) {
-        releasing = true;
+        mReleasing = true;
         stopAll(actions);
     }
 
     void stopAll(ActionSink<BatchAction> actions) {
-        unfinished.forEach(item -> actions.emit(new BatchAction.Stop(id(), item)));
-        unfinished.clear();
-        texts.clear();
+        mUnfinished.forEach(item -> actions.emit(new BatchAction.Stop(id(), item)));
+        mUnfinished.clear();
+        mTexts.clear();
     }
 
     private record GeneratedText(String text, List<Long> versions) {}
--- a/decisions/src/main/java/org/fuchsialever/decisions/claims/ClaimMachine.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/claims/ClaimMachine.java
@@ -10,10 +10,10 @@
 public final class ClaimMachine {
     private static final int MAX_WRITE_ATTEMPTS = 3;
 
-    private final Claim claim;
-    private final String writer;
-    private int writes;
-    private boolean mayHaveTakenEffect;
+    private final Claim mClaim;
+    private final String mWriter;
+    private int mWrites;
+    private boolean mMayHaveTakenEffect;
 
     /**
      * Creates a machine.
@@ -22,8 +22,8 @@
      * @param writer unique ID of the commit of this claim
      */
     public ClaimMachine(Claim claim, String writer) {
-        this.claim = claim;
-        this.writer = writer;
+        mClaim = claim;
+        mWriter = writer;
     }
 
     /** Writes the claim without reading it first, which saves a round trip. */
@@ -52,7 +52,7 @@
      * @param effectUnknown whether it may take effect now or later, rather than certainly not
      */
     public ClaimAction writeFailed(boolean effectUnknown) {
-        mayHaveTakenEffect |= effectUnknown;
+        mMayHaveTakenEffect |= effectUnknown;
         return writeAgain();
     }
 
@@ -72,11 +72,11 @@
     }
 
     private ClaimAction evaluate(ObservedClaim current, long nowMillis) {
-        if (current.writer().equals(writer)) {
+        if (current.writer().equals(mWriter)) {
             return new ClaimAction.Run(current.version());
         }
         Claim other = current.claim();
-        if (!other.digest().equals(claim.digest())) {
+        if (!other.digest().equals(mClaim.digest())) {
             return new ClaimAction.Refuse(RefusalReason.CLAIM_MISMATCH);
         }
         if (other.outcome().isDefined()) {
@@ -89,15 +89,15 @@
     }
 
     private ClaimAction writeAgain() {
-        if (writes < MAX_WRITE_ATTEMPTS) {
+        if (mWrites < MAX_WRITE_ATTEMPTS) {
             return write();
         }
-        return mayHaveTakenEffect ? new ClaimAction.ReadBack() : unavailable();
+        return mMayHaveTakenEffect ? new ClaimAction.ReadBack() : unavailable();
     }
 
     private ClaimAction write() {
-        ClaimAction action = new ClaimAction.WriteClaim(claim, writer, writes);
-        writes++;
+        ClaimAction action = new ClaimAction.WriteClaim(mClaim, mWriter, mWrites);
+        mWrites++;
         return action;
     }
 
--- a/decisions/src/main/java/org/fuchsialever/decisions/config/ConfigDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/config/ConfigDuty.java
@@ -28,19 +28,19 @@
     private static final String MSG_DAMAGED = "snapshot.damaged";
     private static final String MSG_WRONG_VERSION = "snapshot.wrong-version";
 
-    private final long pollNanos;
-    private final InvariantMonitor invariants;
-    private final PeerResponses<SnapshotText> peerResponses =
+    private final long mPollNanos;
+    private final InvariantMonitor mInvariants;
+    private final PeerResponses<SnapshotText> mPeerResponses =
             new PeerResponses<>(SnapshotText::version);
 
-    private long nextPollNanos;
-    private long highestSeen;
-    private long servedVersion;
-    private long rejectedVersion;
-    private long wantedVersion;
-    private Option<Long> confirmedVersion = Option.none();
-    private Freshness freshness = Freshness.UNPROVEN;
-    private ConfigStatus published = ConfigStatus.NONE;
+    private long mNextPollNanos;
+    private long mHighestSeen;
+    private long mServedVersion;
+    private long mRejectedVersion;
+    private long mWantedVersion;
+    private Option<Long> mConfirmedVersion = Option.none();
+    private Freshness mFreshness = Freshness.UNPROVEN;
+    private ConfigStatus mPublished = ConfigStatus.NONE;
 
     /**
      * Creates the duty.
@@ -50,9 +50,9 @@
      * @param invariants receives the results of checks
      */
     public ConfigDuty(Duration pollInterval, long startNanos, InvariantMonitor invariants) {
-        this.pollNanos = pollInterval.toNanos();
-        this.nextPollNanos = startNanos;
-        this.invariants = invariants;
+        mPollNanos = pollInterval.toNanos();
+        mNextPollNanos = startNanos;
+        mInvariants = invariants;
     }
 
     @Override
@@ -71,7 +71,7 @@
         } else if (event instanceof ConfigEvent.PeerVersion peer) {
             onVersionSeen(peer.version(), actions);
         } else if (event instanceof ConfigEvent.PeersListed listed) {
-            peerResponses.setPeerCount(listed.peers());
+            mPeerResponses.setPeerCount(listed.peers());
             startFromPeers(actions);
         } else if (event instanceof ConfigEvent.PeerSnapshot response) {
             onPeerSnapshot(response, actions);
@@ -83,37 +83,37 @@
 
     @Override
     public void onTimer(long nowNanos, ActionSink<ConfigAction> actions) {
-        nextPollNanos = nowNanos + pollNanos;
+        mNextPollNanos = nowNanos + mPollNanos;
         actions.emit(new ReadVersion());
         // A known version that is not in force is read again: its read may have failed.
-        if (wantedVersion > servedVersion) {
-            actions.emit(new ReadSnapshot(wantedVersion));
+        if (mWantedVersion > mServedVersion) {
+            actions.emit(new ReadSnapshot(mWantedVersion));
         }
     }
 
     @Override
     public long nextTimerNanos() {
-        return nextPollNanos;
+        return mNextPollNanos;
     }
 
     private void onVersionRead(ConfigEvent.VersionRead read, ActionSink<ConfigAction> actions) {
         onVersionSeen(read.version(), actions);
         // The read may be stale; after a restart there is no earlier version that would reveal it.
-        if (freshness != Freshness.PROVEN && confirmedVersion.isEmpty()) {
+        if (mFreshness != Freshness.PROVEN && mConfirmedVersion.isEmpty()) {
             actions.emit(new ConfirmVersion(read.version(), read.rowVersion()));
         }
     }
 
     private void onVersionConfirmed(long version, ActionSink<ConfigAction> actions) {
         onVersionSeen(version, actions);
-        confirmedVersion = Option.some(Math.max(version, confirmedVersion.getOrElse(0L)));
+        mConfirmedVersion = Option.some(Math.max(version, mConfirmedVersion.getOrElse(0L)));
         updateFreshness();
     }
 
     private void onVersionSeen(long version, ActionSink<ConfigAction> actions) {
-        if (version > highestSeen) {
-            highestSeen = version;
-            wantedVersion = version;
+        if (version > mHighestSeen) {
+            mHighestSeen = version;
+            mWantedVersion = version;
             actions.emit(new ReadSnapshot(version));
         }
     }
@@ -134,8 +134,8 @@
             ConfigEvent.PeerSnapshot response, ActionSink<ConfigAction> actions) {
         Either<String, SnapshotText> tables = SnapshotText.decode(response.text());
         if (tables.isRight()) {
-            peerResponses.add(response.peer(), response.domain(), tables.get());
-            if (freshness == Freshness.PROVEN) {
+            mPeerResponses.add(response.peer(), response.domain(), tables.get());
+            if (mFreshness == Freshness.PROVEN) {
                 // One response suffices here: versions are immutable, and an older one is ignored.
                 serveFromPeer(tables.get(), actions);
             } else {
@@ -145,19 +145,19 @@
     }
 
     private void startFromPeers(ActionSink<ConfigAction> actions) {
-        if (freshness != Freshness.PROVEN) {
-            for (SnapshotText newest : peerResponses.newest()) {
+        if (mFreshness != Freshness.PROVEN) {
+            for (SnapshotText newest : mPeerResponses.newest()) {
                 serveFromPeer(newest, actions);
-                if (servedVersion > 0) {
-                    freshness = Freshness.FROM_PEERS;
+                if (mServedVersion > 0) {
+                    mFreshness = Freshness.FROM_PEERS;
                 }
             }
         }
     }
 
     private void serveFromPeer(SnapshotText tables, ActionSink<ConfigAction> actions) {
-        highestSeen = Math.max(highestSeen, tables.version());
-        if (tables.version() <= servedVersion) {
+        mHighestSeen = Math.max(mHighestSeen, tables.version());
+        if (tables.version() <= mServedVersion) {
             return;
         }
         Findings findings = new Findings();
@@ -170,58 +170,58 @@
     }
 
     private boolean needsPeers() {
-        return freshness != Freshness.PROVEN || wantedVersion > servedVersion;
+        return mFreshness != Freshness.PROVEN || mWantedVersion > mServedVersion;
     }
 
     private void updateFreshness() {
         boolean current =
-                confirmedVersion.exists(
-                        version -> servedVersion >= version || rejectedVersion >= version);
-        if (current && servedVersion > 0) {
-            freshness = Freshness.PROVEN;
+                mConfirmedVersion.exists(
+                        version -> mServedVersion >= version || mRejectedVersion >= version);
+        if (current && mServedVersion > 0) {
+            mFreshness = Freshness.PROVEN;
         }
     }
 
     private void serve(ConfigSnapshot snapshot, String text, ActionSink<ConfigAction> actions) {
-        highestSeen = Math.max(highestSeen, snapshot.version());
-        if (snapshot.version() <= servedVersion) {
+        mHighestSeen = Math.max(mHighestSeen, snapshot.version());
+        if (snapshot.version() <= mServedVersion) {
             return;
         }
-        long earlier = servedVersion;
-        servedVersion = snapshot.version();
-        invariants.check(
+        long earlier = mServedVersion;
+        mServedVersion = snapshot.version();
+        mInvariants.check(
                 Invariant.CONFIGURATION_MONOTONIC,
-                servedVersion > earlier && servedVersion <= highestSeen,
-                () -> "version " + servedVersion + " after " + earlier);
+                mServedVersion > earlier && mServedVersion <= mHighestSeen,
+                () -> "version " + mServedVersion + " after " + earlier);
         actions.emit(new PublishSnapshot(snapshot, text));
     }
 
     /** Rejects a version, keeps the last valid snapshot and tries the version before this one. */
     private void reject(long version, List<Finding> findings, ActionSink<ConfigAction> actions) {
-        if (version > rejectedVersion) {
-            rejectedVersion = version;
+        if (version > mRejectedVersion) {
+            mRejectedVersion = version;
             actions.emit(new RaiseAlarm(version, findings));
         }
-        if (wantedVersion == version) {
-            wantedVersion = version - 1;
-            if (wantedVersion > servedVersion) {
-                actions.emit(new ReadSnapshot(wantedVersion));
+        if (mWantedVersion == version) {
+            mWantedVersion = version - 1;
+            if (mWantedVersion > mServedVersion) {
+                actions.emit(new ReadSnapshot(mWantedVersion));
             }
         }
         updateFreshness();
     }
 
     private void publishStatus(ActionSink<ConfigAction> actions) {
-        boolean searchEnded = rejectedVersion >= highestSeen && wantedVersion <= servedVersion;
-        boolean upToDate = servedVersion >= highestSeen || searchEnded;
+        boolean searchEnded = mRejectedVersion >= mHighestSeen && mWantedVersion <= mServedVersion;
+        boolean upToDate = mServedVersion >= mHighestSeen || searchEnded;
         ConfigStatus status =
                 new ConfigStatus(
-                        servedVersion,
-                        highestSeen,
-                        freshness,
-                        servedVersion > 0 && freshness.isServable() && upToDate);
-        if (!status.equals(published)) {
-            published = status;
+                        mServedVersion,
+                        mHighestSeen,
+                        mFreshness,
+                        mServedVersion > 0 && mFreshness.isServable() && upToDate);
+        if (!status.equals(mPublished)) {
+            mPublished = status;
             actions.emit(new PublishStatus(status));
         }
     }
--- a/decisions/src/main/java/org/fuchsialever/decisions/config/ConfigStatus.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/config/ConfigStatus.java
@@ -21,15 +21,15 @@
         /** A conditional commit has shown that a read was not stale. */
         PROVEN(true);
 
-        private final boolean servable;
+        private final boolean mServable;
 
         Freshness(boolean servable) {
-            this.servable = servable;
+            mServable = servable;
         }
 
         /** Returns whether callers may be served with such a version. */
         public boolean isServable() {
-            return servable;
+            return mServable;
         }
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/config/PeerResponses.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/config/PeerResponses.java
@@ -18,39 +18,39 @@
 public final class PeerResponses<T> {
     private static final int MIN_DOMAINS = 2;
 
-    private final ToLongFunction<T> version;
-    private final Map<InstanceId, Response<T>> responses = new TreeMap<>();
-    private int peerCount;
+    private final ToLongFunction<T> mVersion;
+    private final Map<InstanceId, Response<T>> mResponses = new TreeMap<>();
+    private int mPeerCount;
 
     /** Creates an empty collection that compares responses by the given version. */
     public PeerResponses(ToLongFunction<T> version) {
-        this.version = version;
+        mVersion = version;
     }
 
     /** Sets the number of listed peers, without this instance. */
     public void setPeerCount(int peers) {
-        peerCount = peers;
+        mPeerCount = peers;
     }
 
     /** Adds a response, unless a newer one of the same peer is known. */
     public void add(InstanceId peer, FailureDomain domain, T value) {
-        Response<T> earlier = responses.get(peer);
-        if (earlier == null || version.applyAsLong(earlier.value) <= version.applyAsLong(value)) {
-            responses.put(peer, new Response<>(domain, value));
+        Response<T> earlier = mResponses.get(peer);
+        if (earlier == null || mVersion.applyAsLong(earlier.value) <= mVersion.applyAsLong(value)) {
+            mResponses.put(peer, new Response<>(domain, value));
         }
     }
 
     /** Returns the response with the highest version, or none while too few have arrived. */
     public Option<T> newest() {
-        long domains = responses.values().stream().map(Response::domain).distinct().count();
-        boolean allResponded = peerCount > 0 && responses.size() >= peerCount;
+        long domains = mResponses.values().stream().map(Response::domain).distinct().count();
+        boolean allResponded = mPeerCount > 0 && mResponses.size() >= mPeerCount;
         if (domains < MIN_DOMAINS && !allResponded) {
             return Option.none();
         }
         return Option.ofOptional(
-                responses.values().stream()
+                mResponses.values().stream()
                         .map(Response::value)
-                        .max(Comparator.comparingLong(version)));
+                        .max(Comparator.comparingLong(mVersion)));
     }
 
     private record Response<T>(FailureDomain domain, T value) {}
--- a/decisions/src/main/java/org/fuchsialever/decisions/config/PoolTableReader.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/config/PoolTableReader.java
@@ -27,19 +27,19 @@
     private static final int MAX_UPSTREAMS = 100_000;
     private static final String DEFAULT_BALANCING = "scored";
 
-    private final SettingsReader reader;
-    private final TableSections sections;
-    private final Map<PoolName, List<UpstreamSpec>> upstreams = new HashMap<>();
-    private final Map<String, UpstreamId> addresses = new HashMap<>();
+    private final SettingsReader mReader;
+    private final TableSections mSections;
+    private final Map<PoolName, List<UpstreamSpec>> mUpstreams = new HashMap<>();
+    private final Map<String, UpstreamId> mAddresses = new HashMap<>();
 
     PoolTableReader(SettingsReader reader) {
-        this.reader = reader;
-        this.sections = new TableSections(reader);
+        mReader = reader;
+        mSections = new TableSections(reader);
     }
 
     Map<PoolName, Pool> read() {
-        List<String> poolNames = sections.sectionNames("pool");
-        for (String name : sections.sectionNames("upstream")) {
+        List<String> poolNames = mSections.sectionNames("pool");
+        for (String name : mSections.sectionNames("upstream")) {
             readUpstream(name, poolNames);
         }
         Map<PoolName, Pool> pools = new TreeMap<>();
@@ -52,13 +52,13 @@
 
     private Pool readPool(PoolName name) {
         String section = "pool " + name;
-        List<UpstreamSpec> members = upstreams.getOrDefault(name, List.of());
-        int minimum = (int) reader.integer(section, "minimum", 0, 0, MAX_UPSTREAMS);
-        int maximum = (int) reader.integer(section, "maximum", members.size(), 0, MAX_UPSTREAMS);
+        List<UpstreamSpec> members = mUpstreams.getOrDefault(name, List.of());
+        int minimum = (int) mReader.integer(section, "minimum", 0, 0, MAX_UPSTREAMS);
+        int maximum = (int) mReader.integer(section, "maximum", members.size(), 0, MAX_UPSTREAMS);
         if (minimum > maximum) {
-            reader.findings()
+            mReader.findings()
                     .error(
-                            reader.location(section, "minimum"),
+                            mReader.location(section, "minimum"),
                             MSG_BOUNDS,
                             "minimum %d is above maximum %d",
                             minimum,
@@ -66,9 +66,9 @@
         }
         return new Pool(
                 name,
-                reader.choice(section, "kind", UpstreamKind.class, UpstreamKind.ENGINE),
-                reader.text(section, "model", ""),
-                reader.text(section, "balancing", DEFAULT_BALANCING),
+                mReader.choice(section, "kind", UpstreamKind.class, UpstreamKind.ENGINE),
+                mReader.text(section, "model", ""),
+                mReader.text(section, "balancing", DEFAULT_BALANCING),
                 minimum,
                 maximum,
                 members.stream().sorted(Comparator.comparing(UpstreamSpec::id)).toList());
@@ -76,26 +76,26 @@
 
     private void readUpstream(String name, List<String> poolNames) {
         String section = "upstream " + name;
-        Option<String> pool = sections.requiredName(section, "pool");
+        Option<String> pool = mSections.requiredName(section, "pool");
         String address = readAddress(section);
-        int port = (int) reader.integer(section, "port", 0, 1, MAX_PORT);
-        Option<String> domain = sections.requiredName(section, "failure-domain");
+        int port = (int) mReader.integer(section, "port", 0, 1, MAX_PORT);
+        Option<String> domain = mSections.requiredName(section, "failure-domain");
         CapacityKind capacity =
-                reader.choice(section, "capacity", CapacityKind.class, CapacityKind.REGULAR);
-        int slots = (int) reader.integer(section, "slots", 8, 1, MAX_SLOTS);
-        Fencing fencing = reader.choice(section, "fencing", Fencing.class, Fencing.IGNORED);
+                mReader.choice(section, "capacity", CapacityKind.class, CapacityKind.REGULAR);
+        int slots = (int) mReader.integer(section, "slots", 8, 1, MAX_SLOTS);
+        Fencing fencing = mReader.choice(section, "fencing", Fencing.class, Fencing.IGNORED);
         UpstreamState state =
-                reader.choice(section, "state", UpstreamState.class, UpstreamState.SERVING);
+                mReader.choice(section, "state", UpstreamState.class, UpstreamState.SERVING);
         if (port == 0) {
-            reader.requiredText(section, "port");
+            mReader.requiredText(section, "port");
         }
         if (pool.isEmpty() || domain.isEmpty()) {
             return;
         }
         if (!poolNames.contains(pool.get())) {
-            reader.findings()
+            mReader.findings()
                     .error(
-                            reader.location(section, "pool"),
+                            mReader.location(section, "pool"),
                             MSG_UNKNOWN_POOL,
                             "pool \"%s\" does not exist; known pools are %s",
                             pool.get(),
@@ -105,7 +105,7 @@
         UpstreamId id = new UpstreamId(name);
         checkAddressIsUnique(section, address + ":" + port, id);
         PoolName poolName = new PoolName(pool.get());
-        upstreams
+        mUpstreams
                 .computeIfAbsent(poolName, p -> new ArrayList<>())
                 .add(
                         new UpstreamSpec(
@@ -121,11 +121,11 @@
     }
 
     private String readAddress(String section) {
-        String address = reader.requiredText(section, "address");
+        String address = mReader.requiredText(section, "address");
         if (!address.isEmpty() && !isIpAddress(address)) {
-            reader.findings()
+            mReader.findings()
                     .error(
-                            reader.location(section, "address"),
+                            mReader.location(section, "address"),
                             MSG_BAD_ADDRESS,
                             "\"%s\" is not an IP address; host names are not resolved",
                             address);
@@ -134,11 +134,11 @@
     }
 
     private void checkAddressIsUnique(String section, String address, UpstreamId id) {
-        UpstreamId earlier = addresses.putIfAbsent(address, id);
+        UpstreamId earlier = mAddresses.putIfAbsent(address, id);
         if (earlier != null) {
-            reader.findings()
+            mReader.findings()
                     .error(
-                            reader.location(section, "address"),
+                            mReader.location(section, "address"),
                             MSG_SAME_ADDRESS,
                             "upstream \"%s\" has the same address and port",
                             earlier);
--- a/decisions/src/main/java/org/fuchsialever/decisions/config/Priority.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/config/Priority.java
@@ -7,14 +7,14 @@
     /** Background requests of trainers. */
     ROLLOUT(0);
 
-    private final int engineValue;
+    private final int mEngineValue;
 
     Priority(int engineValue) {
-        this.engineValue = engineValue;
+        mEngineValue = engineValue;
     }
 
     /** Returns the priority value sent to engines; a higher one is scheduled first. */
     public int engineValue() {
-        return engineValue;
+        return mEngineValue;
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/config/RouteKind.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/config/RouteKind.java
@@ -9,14 +9,14 @@
     /** Rollouts for trainers. */
     ROLLOUT(UpstreamKind.ENGINE);
 
-    private final UpstreamKind upstreamKind;
+    private final UpstreamKind mUpstreamKind;
 
     RouteKind(UpstreamKind upstreamKind) {
-        this.upstreamKind = upstreamKind;
+        mUpstreamKind = upstreamKind;
     }
 
     /** Returns the kind of upstream that this kind of route needs. */
     public UpstreamKind upstreamKind() {
-        return upstreamKind;
+        return mUpstreamKind;
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/config/RouteTableReader.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/config/RouteTableReader.java
@@ -23,18 +23,18 @@
     private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(60);
     private static final long DEFAULT_BODY_LIMIT_BYTES = 1024 * 1024;
 
-    private final SettingsReader reader;
-    private final TableSections sections;
+    private final SettingsReader mReader;
+    private final TableSections mSections;
 
     RouteTableReader(SettingsReader reader) {
-        this.reader = reader;
-        this.sections = new TableSections(reader);
+        mReader = reader;
+        mSections = new TableSections(reader);
     }
 
     Map<TeamName, Integer> readTeams() {
         Map<TeamName, Integer> teams = new TreeMap<>();
-        for (String name : sections.sectionNames("team")) {
-            int weight = (int) reader.integer("team " + name, "weight", 1, 1, MAX_WEIGHT);
+        for (String name : mSections.sectionNames("team")) {
+            int weight = (int) mReader.integer("team " + name, "weight", 1, 1, MAX_WEIGHT);
             teams.put(new TeamName(name), weight);
         }
         return teams;
@@ -42,7 +42,7 @@
 
     Map<RouteName, Route> readRoutes(Set<TeamName> knownTeams) {
         Map<RouteName, Route> routes = new TreeMap<>();
-        for (String name : sections.sectionNames("route")) {
+        for (String name : mSections.sectionNames("route")) {
             readRoute(name, knownTeams).forEach(route -> routes.put(route.name(), route));
         }
         return routes;
@@ -51,15 +51,15 @@
     private Option<Route> readRoute(String name, Set<TeamName> knownTeams) {
         String section = "route " + name;
         String path = readPath(section);
-        RouteKind kind = reader.choice(section, "kind", RouteKind.class, RouteKind.LIVE);
-        Option<String> pool = sections.requiredName(section, "pool");
-        Access access = reader.choice(section, "access", Access.class, Access.KEYED);
+        RouteKind kind = mReader.choice(section, "kind", RouteKind.class, RouteKind.LIVE);
+        Option<String> pool = mSections.requiredName(section, "pool");
+        Access access = mReader.choice(section, "access", Access.class, Access.KEYED);
         Set<TeamName> teams = readRouteTeams(section, access, knownTeams);
-        YesNo repeatable = reader.choice(section, "repeatable", YesNo.class, YesNo.NO);
+        YesNo repeatable = mReader.choice(section, "repeatable", YesNo.class, YesNo.NO);
         Priority usual = kind == RouteKind.ROLLOUT ? Priority.ROLLOUT : Priority.LIVE;
-        Priority priority = reader.choice(section, "priority", Priority.class, usual);
-        Duration deadline = reader.duration(section, "deadline", DEFAULT_DEADLINE);
-        long bodyLimit = reader.size(section, "body-limit", DEFAULT_BODY_LIMIT_BYTES);
+        Priority priority = mReader.choice(section, "priority", Priority.class, usual);
+        Duration deadline = mReader.duration(section, "deadline", DEFAULT_DEADLINE);
+        long bodyLimit = mReader.size(section, "body-limit", DEFAULT_BODY_LIMIT_BYTES);
         return pool.map(
                 poolName ->
                         new Route(
@@ -76,11 +76,11 @@
     }
 
     private String readPath(String section) {
-        String path = reader.requiredText(section, "path");
+        String path = mReader.requiredText(section, "path");
         if (!path.isEmpty() && !path.startsWith("/")) {
-            reader.findings()
+            mReader.findings()
                     .error(
-                            reader.location(section, "path"),
+                            mReader.location(section, "path"),
                             MSG_BAD_PATH,
                             "\"%s\" must begin with /",
                             path);
@@ -89,12 +89,12 @@
     }
 
     private Set<TeamName> readRouteTeams(String section, Access access, Set<TeamName> knownTeams) {
-        List<String> names = reader.list(section, "teams", List.of());
+        List<String> names = mReader.list(section, "teams", List.of());
         if (access == Access.OPEN) {
             if (!names.isEmpty()) {
-                reader.findings()
+                mReader.findings()
                         .error(
-                                reader.location(section, "teams"),
+                                mReader.location(section, "teams"),
                                 MSG_TEAMS_ON_OPEN_ROUTE,
                                 "an open route cannot be limited to teams");
             }
@@ -107,9 +107,9 @@
         for (String name : names) {
             knownTeams.stream().filter(team -> team.value().equals(name)).forEach(teams::add);
             if (knownTeams.stream().noneMatch(team -> team.value().equals(name))) {
-                reader.findings()
+                mReader.findings()
                         .error(
-                                reader.location(section, "teams"),
+                                mReader.location(section, "teams"),
                                 MSG_UNKNOWN_TEAM,
                                 "team \"%s\" does not exist; known teams are %s",
                                 name,
@@ -117,9 +117,9 @@
             }
         }
         if (names.isEmpty()) {
-            reader.findings()
+            mReader.findings()
                     .error(
-                            reader.location(section, "teams"),
+                            mReader.location(section, "teams"),
                             MSG_NO_TEAM,
                             "a keyed route needs teams, or \"%s\"",
                             ALL_TEAMS);
--- a/decisions/src/main/java/org/fuchsialever/decisions/config/TableParser.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/config/TableParser.java
@@ -19,13 +19,13 @@
     private static final String MSG_UNUSED_POOL = "pool.unused";
     private static final String MSG_NO_UPSTREAM = "pool.no-upstream";
 
-    private final Findings findings;
-    private final Map<RouteName, Route> routes = new TreeMap<>();
-    private final Map<PoolName, Pool> pools = new TreeMap<>();
-    private final Map<TeamName, Integer> teams = new TreeMap<>();
+    private final Findings mFindings;
+    private final Map<RouteName, Route> mRoutes = new TreeMap<>();
+    private final Map<PoolName, Pool> mPools = new TreeMap<>();
+    private final Map<TeamName, Integer> mTeams = new TreeMap<>();
 
     private TableParser(Findings findings) {
-        this.findings = findings;
+        mFindings = findings;
     }
 
     /**
@@ -57,38 +57,39 @@
         if (own.hasErrors()) {
             return Option.none();
         }
-        return Option.some(new ConfigSnapshot(version, parser.routes, parser.pools, parser.teams));
+        return Option.some(
+                new ConfigSnapshot(version, parser.mRoutes, parser.mPools, parser.mTeams));
     }
 
     private void readPools(IniDocument table) {
-        SettingsReader reader = new SettingsReader(table, findings);
+        SettingsReader reader = new SettingsReader(table, mFindings);
         PoolTableReader poolReader = new PoolTableReader(reader);
-        pools.putAll(poolReader.read());
+        mPools.putAll(poolReader.read());
         reader.reportUnknownKeys();
     }
 
     private void readRoutes(IniDocument table) {
-        SettingsReader reader = new SettingsReader(table, findings);
+        SettingsReader reader = new SettingsReader(table, mFindings);
         RouteTableReader routeReader = new RouteTableReader(reader);
-        teams.putAll(routeReader.readTeams());
-        routes.putAll(routeReader.readRoutes(teams.keySet()));
+        mTeams.putAll(routeReader.readTeams());
+        mRoutes.putAll(routeReader.readRoutes(mTeams.keySet()));
         reader.reportUnknownKeys();
     }
 
     private void checkTogether(IniDocument routeTable, IniDocument poolTable) {
         Map<String, RouteName> paths = new TreeMap<>();
-        for (Route route : routes.values()) {
+        for (Route route : mRoutes.values()) {
             Location location = routeTable.location("route " + route.name(), "pool");
-            Pool pool = pools.get(route.pool());
+            Pool pool = mPools.get(route.pool());
             if (pool == null) {
-                findings.error(
+                mFindings.error(
                         location,
                         MSG_UNKNOWN_POOL,
                         "pool \"%s\" does not exist; known pools are %s",
                         route.pool(),
-                        pools.keySet());
+                        mPools.keySet());
             } else if (pool.kind() != route.kind().upstreamKind()) {
-                findings.error(
+                mFindings.error(
                         location,
                         MSG_KIND_MISMATCH,
                         "a %s route needs a pool of kind %s, but \"%s\" is of kind %s",
@@ -99,24 +100,24 @@
             }
             RouteName earlier = paths.putIfAbsent(route.path(), route.name());
             if (earlier != null) {
-                findings.error(
+                mFindings.error(
                         routeTable.location("route " + route.name(), "path"),
                         MSG_SAME_PATH,
                         "route \"%s\" has the same path",
                         earlier);
             }
         }
-        for (Pool pool : pools.values()) {
+        for (Pool pool : mPools.values()) {
             checkPool(pool, poolTable.location("pool " + pool.name()));
         }
     }
 
     private void checkPool(Pool pool, Location location) {
-        if (routes.values().stream().noneMatch(route -> route.pool().equals(pool.name()))) {
-            findings.warning(location, MSG_UNUSED_POOL, "no route uses this pool");
+        if (mRoutes.values().stream().noneMatch(route -> route.pool().equals(pool.name()))) {
+            mFindings.warning(location, MSG_UNUSED_POOL, "no route uses this pool");
         }
         if (pool.upstreams().isEmpty() && pool.maximum() == 0) {
-            findings.error(
+            mFindings.error(
                     location,
                     MSG_NO_UPSTREAM,
                     "the pool has no upstream and may not order any (maximum is 0)");
--- a/decisions/src/main/java/org/fuchsialever/decisions/config/TableSections.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/config/TableSections.java
@@ -11,16 +11,16 @@
 final class TableSections {
     private static final String MSG_BAD_NAME = "table.bad-name";
 
-    private final SettingsReader reader;
+    private final SettingsReader mReader;
 
     TableSections(SettingsReader reader) {
-        this.reader = reader;
+        mReader = reader;
     }
 
     /** Returns the names of all sections {@code [type name]}; reports invalid names. */
     List<String> sectionNames(String type) {
         List<String> names = new ArrayList<>();
-        for (String section : reader.document().sections()) {
+        for (String section : mReader.document().sections()) {
             if (section.startsWith(type + " ")) {
                 String name = section.substring(type.length() + 1).strip();
                 if (Names.isValid(name)) {
@@ -28,7 +28,7 @@
                 } else {
                     findings()
                             .error(
-                                    reader.document().location(section),
+                                    mReader.document().location(section),
                                     MSG_BAD_NAME,
                                     "the name needs %s",
                                     Names.RULE);
@@ -40,14 +40,14 @@
 
     /** Returns the name that a key must contain; reports a missing or invalid name. */
     Option<String> requiredName(String section, String key) {
-        String value = reader.requiredText(section, key);
+        String value = mReader.requiredText(section, key);
         if (value.isEmpty()) {
             return Option.none();
         }
         if (!Names.isValid(value)) {
             findings()
                     .error(
-                            reader.location(section, key),
+                            mReader.location(section, key),
                             MSG_BAD_NAME,
                             "\"%s\" is not a name; it needs %s",
                             value,
@@ -58,6 +58,6 @@
     }
 
     private Findings findings() {
-        return reader.findings();
+        return mReader.findings();
     }
 }
