--- a/decisions/src/main/java/org/fuchsialever/decisions/directory/DirectoryDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/directory/DirectoryDuty.java
@@ -28,15 +28,15 @@
     /** Far in the past; adding an interval to it does not overflow. */
     private static final long NEVER = Long.MIN_VALUE / 2;
 
-    private final RandomGenerator random;
-    private final Map<DirectoryTable, Mirror> mirrors = new EnumMap<>(DirectoryTable.class);
-    private long newestVersion;
+    private final RandomGenerator mRandom;
+    private final Map<DirectoryTable, Mirror> mMirrors = new EnumMap<>(DirectoryTable.class);
+    private long mNewestVersion;
 
     /** Creates a duty that starts to read all tables on its first timer. */
     public DirectoryDuty(RandomGenerator random) {
-        this.random = random;
+        mRandom = random;
         for (DirectoryTable table : DirectoryTable.values()) {
-            mirrors.put(table, new Mirror(table));
+            mMirrors.put(table, new Mirror(table));
         }
     }
 
@@ -53,7 +53,7 @@
         } else if (event instanceof DirectoryEvent.FeedRead read) {
             feedRead(mirror, read, nowNanos, actions);
         } else if (event instanceof DirectoryEvent.HistoryLost) {
-            mirror.following = false;
+            mirror.mFollowing = false;
             scheduleRead(mirror, nowNanos, actions);
         } else if (event instanceof DirectoryEvent.ReadFailed failed) {
             failed(mirror, failed.reason(), nowNanos, actions);
@@ -62,8 +62,8 @@
 
     @Override
     public void onTimer(long nowNanos, ActionSink<DirectoryAction> actions) {
-        for (Mirror mirror : mirrors.values()) {
-            if (mirror.nextReadAt <= nowNanos) {
+        for (Mirror mirror : mMirrors.values()) {
+            if (mirror.mNextReadAt <= nowNanos) {
                 read(mirror, nowNanos, actions);
             }
         }
@@ -72,14 +72,14 @@
     @Override
     public long nextTimerNanos() {
         long next = NO_TIMER;
-        for (Mirror mirror : mirrors.values()) {
-            next = Math.min(next, mirror.nextReadAt);
+        for (Mirror mirror : mMirrors.values()) {
+            next = Math.min(next, mirror.mNextReadAt);
         }
         return next;
     }
 
     private Mirror mirror(DirectoryTable table) {
-        Mirror mirror = mirrors.get(table);
+        Mirror mirror = mMirrors.get(table);
         if (mirror == null) {
             throw new IllegalStateException("table " + table + " is not mirrored");
         }
@@ -87,16 +87,16 @@
     }
 
     private static void read(Mirror mirror, long now, ActionSink<DirectoryAction> actions) {
-        mirror.nextReadAt = NO_TIMER;
-        if (mirror.following) {
-            mirror.feedReadAt = now;
+        mirror.mNextReadAt = NO_TIMER;
+        if (mirror.mFollowing) {
+            mirror.mFeedReadAt = now;
         } else {
-            mirror.fullReadAt = now;
+            mirror.mFullReadAt = now;
         }
         actions.emit(
-                mirror.following
-                        ? new DirectoryAction.ReadFeed(mirror.table, mirror.version)
-                        : new DirectoryAction.ReadTable(mirror.table));
+                mirror.mFollowing
+                        ? new DirectoryAction.ReadFeed(mirror.mTable, mirror.mVersion)
+                        : new DirectoryAction.ReadTable(mirror.mTable));
     }
 
     private void rangeRead(
@@ -104,8 +104,8 @@
             DirectoryEvent.TableRead read,
             long now,
             ActionSink<DirectoryAction> actions) {
-        if (read.version() < newestVersion) {
-            String reason = "stale read: version " + read.version() + " after " + newestVersion;
+        if (read.version() < mNewestVersion) {
+            String reason = "stale read: version " + read.version() + " after " + mNewestVersion;
             failed(mirror, reason, now, actions);
             return;
         }
@@ -115,12 +115,12 @@
             present.add(row.key());
             changes.add(row);
         }
-        for (String key : mirror.versions.keySet()) {
+        for (String key : mirror.mVersions.keySet()) {
             if (!present.contains(key)) {
                 changes.add(new MirrorRow(key, new byte[0], read.version(), true));
             }
         }
-        mirror.following = true;
+        mirror.mFollowing = true;
         readSucceeded(mirror, changes, read.version(), now, actions);
     }
 
@@ -129,12 +129,12 @@
             DirectoryEvent.FeedRead read,
             long now,
             ActionSink<DirectoryAction> actions) {
-        if (!mirror.following) {
+        if (!mirror.mFollowing) {
             return;
         }
-        if (read.version() < mirror.version) {
+        if (read.version() < mirror.mVersion) {
             String reason =
-                    "stale change feed: version " + read.version() + " after " + mirror.version;
+                    "stale change feed: version " + read.version() + " after " + mirror.mVersion;
             failed(mirror, reason, now, actions);
             return;
         }
@@ -147,68 +147,68 @@
             long version,
             long now,
             ActionSink<DirectoryAction> actions) {
-        newestVersion = Math.max(newestVersion, version);
-        mirror.version = version;
-        mirror.failures = 0;
+        mNewestVersion = Math.max(mNewestVersion, version);
+        mirror.mVersion = version;
+        mirror.mFailures = 0;
         List<MirrorRow> newer = rows.stream().filter(mirror::accept).toList();
         if (!newer.isEmpty()) {
-            actions.emit(new DirectoryAction.Changed(mirror.table, newer));
+            actions.emit(new DirectoryAction.Changed(mirror.mTable, newer));
         }
-        if (mirror.unreachable) {
-            mirror.unreachable = false;
-            actions.emit(new DirectoryAction.StoreReachable(mirror.table));
+        if (mirror.mUnreachable) {
+            mirror.mUnreachable = false;
+            actions.emit(new DirectoryAction.StoreReachable(mirror.mTable));
         }
-        actions.emit(new DirectoryAction.UpToDate(mirror.table));
+        actions.emit(new DirectoryAction.UpToDate(mirror.mTable));
         scheduleRead(mirror, now, actions);
     }
 
     private void scheduleRead(Mirror mirror, long now, ActionSink<DirectoryAction> actions) {
-        int instances = mirror(DirectoryTable.INSTANCES).versions.size();
-        long last = mirror.following ? mirror.feedReadAt : mirror.fullReadAt;
-        long next = last + mirror.table.intervalNanos(instances);
+        int instances = mirror(DirectoryTable.INSTANCES).mVersions.size();
+        long last = mirror.mFollowing ? mirror.mFeedReadAt : mirror.mFullReadAt;
+        long next = last + mirror.mTable.intervalNanos(instances);
         if (next <= now) {
             read(mirror, now, actions);
         } else {
-            mirror.nextReadAt = next;
+            mirror.mNextReadAt = next;
         }
     }
 
     private void failed(
             Mirror mirror, String reason, long now, ActionSink<DirectoryAction> actions) {
-        if (!mirror.unreachable) {
-            mirror.unreachable = true;
-            actions.emit(new DirectoryAction.StoreUnreachable(mirror.table, reason));
+        if (!mirror.mUnreachable) {
+            mirror.mUnreachable = true;
+            actions.emit(new DirectoryAction.StoreUnreachable(mirror.mTable, reason));
         }
         long delay =
                 Math.min(
-                        MIN_RETRY_DELAY_NANOS << Math.min(mirror.failures++, MAX_DOUBLINGS),
+                        MIN_RETRY_DELAY_NANOS << Math.min(mirror.mFailures++, MAX_DOUBLINGS),
                         MAX_RETRY_DELAY_NANOS);
-        mirror.nextReadAt = now + delay / 2 + random.nextLong(delay / 2);
+        mirror.mNextReadAt = now + delay / 2 + mRandom.nextLong(delay / 2);
     }
 
     private static final class Mirror {
-        private final DirectoryTable table;
-        private final Map<String, Long> versions = new HashMap<>();
-        private boolean following;
-        private boolean unreachable;
-        private long version;
-        private int failures;
-        private long nextReadAt = Long.MIN_VALUE;
-        private long feedReadAt = NEVER;
-        private long fullReadAt = NEVER;
+        private final DirectoryTable mTable;
+        private final Map<String, Long> mVersions = new HashMap<>();
+        private boolean mFollowing;
+        private boolean mUnreachable;
+        private long mVersion;
+        private int mFailures;
+        private long mNextReadAt = Long.MIN_VALUE;
+        private long mFeedReadAt = NEVER;
+        private long mFullReadAt = NEVER;
 
         Mirror(DirectoryTable table) {
-            this.table = table;
+            mTable = table;
         }
 
         boolean accept(MirrorRow row) {
-            if (row.version() <= versions.getOrDefault(row.key(), 0L)) {
+            if (row.version() <= mVersions.getOrDefault(row.key(), 0L)) {
                 return false;
             }
             if (row.removed()) {
-                return versions.remove(row.key()) != null;
+                return mVersions.remove(row.key()) != null;
             }
-            versions.put(row.key(), row.version());
+            mVersions.put(row.key(), row.version());
             return true;
         }
     }
--- a/decisions/src/main/java/org/fuchsialever/decisions/directory/DirectoryTable.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/directory/DirectoryTable.java
@@ -19,10 +19,10 @@
     /** Half of the 2 s for which a leaving upstream still serves. */
     private static final long MAX_INTERVAL_MILLIS = 1_000;
 
-    private final long intervalMillis;
+    private final long mIntervalMillis;
 
     DirectoryTable(long intervalMillis) {
-        this.intervalMillis = intervalMillis;
+        mIntervalMillis = intervalMillis;
     }
 
     /**
@@ -34,7 +34,7 @@
      */
     public long intervalMillis(int instances) {
         long spread =
-                intervalMillis
+                mIntervalMillis
                         * Math.max(INSTANCES_AT_FULL_RATE, instances)
                         / INSTANCES_AT_FULL_RATE;
         return Math.min(spread, MAX_INTERVAL_MILLIS);
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/AttemptResult.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/AttemptResult.java
@@ -21,23 +21,23 @@
     /** This instance cancelled the attempt. */
     CANCELLED(Outcome.UNKNOWN, null);
 
-    private final Outcome outcome;
-    private final Option<RetryReason> retryReason;
+    private final Outcome mOutcome;
+    private final Option<RetryReason> mRetryReason;
 
     AttemptResult(Outcome outcome, @org.jspecify.annotations.Nullable RetryReason retryReason) {
-        this.outcome = outcome;
-        this.retryReason = Option.of(retryReason);
+        mOutcome = outcome;
+        mRetryReason = Option.of(retryReason);
     }
 
     /** Returns what is known about the request if no further attempt is made. */
     public Outcome outcome() {
-        return outcome;
+        return mOutcome;
     }
 
     /**
      * Returns the reason under which a retry is counted, or none if this result is never retried.
      */
     public Option<RetryReason> retryReason() {
-        return retryReason;
+        return mRetryReason;
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/Candidates.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/Candidates.java
@@ -20,74 +20,74 @@
     /** Limits the cost of counting to about 0.1% of a core, regardless of the size of the pool. */
     private static final long RECOUNT_INTERVAL_NANOS_PER_UPSTREAM = 33_000;
 
-    private final Map<UpstreamId, UpstreamLoad> byId = new HashMap<>();
-    private final PrefixCacheView cache = new PrefixCacheView();
-    private final RandomGenerator random;
-    private final FailureDomain ownDomain;
-    private final ServiceTimes times;
-    private final PoolAverage average = new PoolAverage();
-    private UpstreamLoad[] loads = new UpstreamLoad[0];
-    private long lastCountAt = -1;
-    private int countedSlots;
-    private int countedFree;
-    private int roundRobinIndex;
+    private final Map<UpstreamId, UpstreamLoad> mById = new HashMap<>();
+    private final PrefixCacheView mCache = new PrefixCacheView();
+    private final RandomGenerator mRandom;
+    private final FailureDomain mOwnDomain;
+    private final ServiceTimes mTimes;
+    private final PoolAverage mAverage = new PoolAverage();
+    private UpstreamLoad[] mLoads = new UpstreamLoad[0];
+    private long mLastCountAt = -1;
+    private int mCountedSlots;
+    private int mCountedFree;
+    private int mRoundRobinIndex;
 
     Candidates(RandomGenerator random, FailureDomain ownDomain, ServiceTimes times) {
-        this.random = random;
-        this.ownDomain = ownDomain;
-        this.times = times;
+        mRandom = random;
+        mOwnDomain = ownDomain;
+        mTimes = times;
     }
 
     /** Applies the rows of the pool table; the state of upstreams that remain is kept. */
     void update(List<UpstreamSpec> specs) {
-        byId.values().forEach(UpstreamLoad::markRemoved);
+        mById.values().forEach(UpstreamLoad::markRemoved);
         List<UpstreamLoad> serving = new ArrayList<>();
         for (UpstreamSpec spec : specs) {
-            UpstreamLoad load = byId.computeIfAbsent(spec.id(), id -> new UpstreamLoad(spec));
+            UpstreamLoad load = mById.computeIfAbsent(spec.id(), id -> new UpstreamLoad(spec));
             load.update(spec);
             serving.add(load);
         }
-        byId.values().removeIf(load -> load.inFlight() == 0 && !serving.contains(load));
+        mById.values().removeIf(load -> load.inFlight() == 0 && !serving.contains(load));
         UpstreamLoad[] updated = serving.toArray(new UpstreamLoad[0]);
         if (!sameOrder(updated)) {
-            cache.clear();
+            mCache.clear();
         }
-        loads = updated;
-        lastCountAt = -1;
+        mLoads = updated;
+        mLastCountAt = -1;
     }
 
     @Nullable UpstreamLoad find(UpstreamId id) {
-        return byId.get(id);
+        return mById.get(id);
     }
 
     int size() {
-        return loads.length;
+        return mLoads.length;
     }
 
     UpstreamLoad at(int index) {
-        return loads[index];
+        return mLoads[index];
     }
 
     PrefixCacheView cache() {
-        return cache;
+        return mCache;
     }
 
     RandomGenerator random() {
-        return random;
+        return mRandom;
     }
 
     FailureDomain ownDomain() {
-        return ownDomain;
+        return mOwnDomain;
     }
 
     int advanceRoundRobin() {
-        roundRobinIndex = roundRobinIndex + 1 >= loads.length ? 0 : roundRobinIndex + 1;
-        return roundRobinIndex;
+        mRoundRobinIndex = mRoundRobinIndex + 1 >= mLoads.length ? 0 : mRoundRobinIndex + 1;
+        return mRoundRobinIndex;
     }
 
     int indexOf(UpstreamId id) {
-        for (int i = 0; i < loads.length; i++) {
-            if (loads[i].spec().id().equals(id)) {
+        for (int i = 0; i < mLoads.length; i++) {
+            if (mLoads[i].spec().id().equals(id)) {
                 return i;
             }
         }
@@ -96,7 +96,7 @@
 
     /** Returns whether any upstream is not leaving, including upstreams that are ejected. */
     boolean hasServingUpstream() {
-        for (UpstreamLoad load : loads) {
+        for (UpstreamLoad load : mLoads) {
             if (!load.isLeaving()) {
                 return true;
             }
@@ -107,7 +107,7 @@
     /** Returns the number of slots of all upstreams that are neither leaving nor ejected. */
     int countSlots(long nowNanos) {
         int slots = 0;
-        for (UpstreamLoad load : loads) {
+        for (UpstreamLoad load : mLoads) {
             if (!load.isLeaving() && !load.health().isEjected(nowNanos)) {
                 slots += load.spec().slots();
             }
@@ -124,38 +124,38 @@
         long interval =
                 Math.max(
                         MIN_RECOUNT_INTERVAL_NANOS,
-                        RECOUNT_INTERVAL_NANOS_PER_UPSTREAM * loads.length);
-        if (nowNanos - lastCountAt >= interval || lastCountAt < 0) {
-            lastCountAt = nowNanos;
+                        RECOUNT_INTERVAL_NANOS_PER_UPSTREAM * mLoads.length);
+        if (nowNanos - mLastCountAt >= interval || mLastCountAt < 0) {
+            mLastCountAt = nowNanos;
             updateAverage();
-            countedSlots = countSlots(nowNanos);
-            countedFree = countFree(nowNanos);
+            mCountedSlots = countSlots(nowNanos);
+            mCountedFree = countFree(nowNanos);
         }
-        return countedFree;
+        return mCountedFree;
     }
 
     PoolAverage average() {
-        return average;
+        return mAverage;
     }
 
     /** Returns the number of slots at the last count; see {@link #countSlots}. */
     int countedSlots() {
-        return countedSlots;
+        return mCountedSlots;
     }
 
     void onAssigned() {
-        countedFree--;
+        mCountedFree--;
     }
 
     void onReleased() {
-        countedFree++;
+        mCountedFree++;
     }
 
     private void updateAverage() {
         double busy = 0;
         double inFlight = 0;
         int counted = 0;
-        for (UpstreamLoad load : loads) {
+        for (UpstreamLoad load : mLoads) {
             if (!load.isLeaving()) {
                 busy += Math.max(load.inFlight(), load.reportedBusy());
                 inFlight += load.inFlight();
@@ -163,14 +163,14 @@
             }
         }
         int divisor = Math.max(1, counted);
-        average.set(busy / divisor, inFlight / divisor, times.averageNanos());
+        mAverage.set(busy / divisor, inFlight / divisor, mTimes.averageNanos());
     }
 
     private int countFree(long nowNanos) {
         int free = 0;
-        for (UpstreamLoad load : loads) {
+        for (UpstreamLoad load : mLoads) {
             if (!load.isLeaving() && !load.health().isEjected(nowNanos)) {
-                double busy = load.estimatedBusy(average, nowNanos);
+                double busy = load.estimatedBusy(mAverage, nowNanos);
                 free += (int) Math.max(0, load.spec().slots() - busy);
             }
         }
@@ -192,15 +192,15 @@
 
     private boolean mayEject(long nowNanos) {
         int ejected = 0;
-        for (UpstreamLoad load : loads) {
+        for (UpstreamLoad load : mLoads) {
             if (load.health().isEjected(nowNanos)) {
                 ejected++;
             }
         }
-        return ejected + 1 <= loads.length * MAX_EJECTED_SHARE;
+        return ejected + 1 <= mLoads.length * MAX_EJECTED_SHARE;
     }
 
     private boolean sameOrder(UpstreamLoad[] updated) {
-        return java.util.Arrays.equals(loads, updated);
+        return java.util.Arrays.equals(mLoads, updated);
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/ChoiceHarness.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/ChoiceHarness.java
@@ -27,29 +27,29 @@
     private static final int PREFIXES = 1_000;
     private static final long NOW_NANOS = 1_000_000_000;
 
-    private final Candidates candidates;
-    private final SelectionCriteria criteria = new SelectionCriteria();
-    private final List<DispatchRequest> requests = new ArrayList<>();
-    private int next;
+    private final Candidates mCandidates;
+    private final SelectionCriteria mCriteria = new SelectionCriteria();
+    private final List<DispatchRequest> mRequests = new ArrayList<>();
+    private int mNext;
 
     /** Creates a pool of the given number of upstreams with random load. */
     public ChoiceHarness(int upstreams) {
         SplittableRandom random = new SplittableRandom(17);
-        candidates = new Candidates(random, new FailureDomain("fd-0"), new ServiceTimes());
+        mCandidates = new Candidates(random, new FailureDomain("fd-0"), new ServiceTimes());
         List<UpstreamSpec> specs = new ArrayList<>();
         for (int i = 0; i < upstreams; i++) {
             specs.add(upstream(i));
         }
-        candidates.update(specs);
+        mCandidates.update(specs);
         for (int i = 0; i < upstreams; i++) {
             int sends = random.nextInt(SLOTS);
             for (int j = 0; j < sends; j++) {
-                candidates.at(i).onSent(NOW_NANOS);
+                mCandidates.at(i).onSent(NOW_NANOS);
             }
         }
         for (int i = 0; i < PREFIXES; i++) {
-            candidates.cache().onStored(i + 1, random.nextInt(upstreams));
-            requests.add(request(i + 1));
+            mCandidates.cache().onStored(i + 1, random.nextInt(upstreams));
+            mRequests.add(request(i + 1));
         }
     }
 
@@ -57,9 +57,9 @@
      * Selects an upstream with the scored policy and returns its index, or -1 if none is usable.
      */
     public int choose() {
-        next = next + 1 == PREFIXES ? 0 : next + 1;
-        criteria.set(requests.get(next), null, false);
-        return BalancingPolicy.SCORED.choose(candidates, criteria, NOW_NANOS);
+        mNext = mNext + 1 == PREFIXES ? 0 : mNext + 1;
+        mCriteria.set(mRequests.get(mNext), null, false);
+        return BalancingPolicy.SCORED.choose(mCandidates, mCriteria, NOW_NANOS);
     }
 
     private static UpstreamSpec upstream(int number) {
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/ConcurrencyLimit.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/ConcurrencyLimit.java
@@ -17,58 +17,58 @@
     private static final double DECREASE_FACTOR = 0.9;
     private static final double SMOOTHING = 0.2;
 
-    private final int slots;
-    private double limit;
-    private double averageFirstByteNanos;
-    private double averageTotalNanos;
-    private double windowFirstByteNanos;
-    private double windowTotalNanos;
-    private int windowCount;
-    private boolean windowWasFull;
+    private final int mSlots;
+    private double mLimit;
+    private double mAverageFirstByteNanos;
+    private double mAverageTotalNanos;
+    private double mWindowFirstByteNanos;
+    private double mWindowTotalNanos;
+    private int mWindowCount;
+    private boolean mWindowWasFull;
 
     ConcurrencyLimit(int slots) {
-        this.slots = slots;
-        this.limit = slots;
+        mSlots = slots;
+        mLimit = slots;
     }
 
     /** Records the times of a response and the number of requests in flight, including its own. */
     void onResponse(long firstByteNanos, long totalNanos, int inFlight) {
-        windowFirstByteNanos += firstByteNanos;
-        windowTotalNanos += totalNanos;
-        windowWasFull |= inFlight >= (int) limit;
-        windowCount++;
-        if (windowCount >= limit) {
+        mWindowFirstByteNanos += firstByteNanos;
+        mWindowTotalNanos += totalNanos;
+        mWindowWasFull |= inFlight >= (int) mLimit;
+        mWindowCount++;
+        if (mWindowCount >= mLimit) {
             closeWindow();
         }
     }
 
     /** Reduces the limit because the upstream refused a request. */
     void onNotAdmitted() {
-        limit = Math.max(1, limit * DECREASE_FACTOR);
+        mLimit = Math.max(1, mLimit * DECREASE_FACTOR);
     }
 
     int limit() {
-        return (int) limit;
+        return (int) mLimit;
     }
 
     private void closeWindow() {
-        double firstByte = windowFirstByteNanos / windowCount;
-        double total = windowTotalNanos / windowCount;
+        double firstByte = mWindowFirstByteNanos / mWindowCount;
+        double total = mWindowTotalNanos / mWindowCount;
         double tolerated =
                 Math.max(
-                        SLOW_FACTOR * averageFirstByteNanos,
-                        TOLERATED_SHARE_OF_TOTAL * averageTotalNanos);
-        if (averageTotalNanos > 0 && firstByte > tolerated) {
-            limit = Math.max(1, limit * DECREASE_FACTOR);
-        } else if (windowWasFull) {
-            limit = Math.min(slots, limit + 1);
+                        SLOW_FACTOR * mAverageFirstByteNanos,
+                        TOLERATED_SHARE_OF_TOTAL * mAverageTotalNanos);
+        if (mAverageTotalNanos > 0 && firstByte > tolerated) {
+            mLimit = Math.max(1, mLimit * DECREASE_FACTOR);
+        } else if (mWindowWasFull) {
+            mLimit = Math.min(mSlots, mLimit + 1);
         }
-        averageFirstByteNanos = smooth(averageFirstByteNanos, firstByte);
-        averageTotalNanos = smooth(averageTotalNanos, total);
-        windowFirstByteNanos = 0;
-        windowTotalNanos = 0;
-        windowCount = 0;
-        windowWasFull = false;
+        mAverageFirstByteNanos = smooth(mAverageFirstByteNanos, firstByte);
+        mAverageTotalNanos = smooth(mAverageTotalNanos, total);
+        mWindowFirstByteNanos = 0;
+        mWindowTotalNanos = 0;
+        mWindowCount = 0;
+        mWindowWasFull = false;
     }
 
     private static double smooth(double old, double sample) {
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/DecayingSum.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/DecayingSum.java
@@ -2,28 +2,28 @@
 
 /** A sum that loses half of its value in each half-life. */
 final class DecayingSum {
-    private final double halfLifeNanos;
-    private double value;
-    private long updatedAt;
+    private final double mHalfLifeNanos;
+    private double mValue;
+    private long mUpdatedAt;
 
     DecayingSum(long halfLifeNanos) {
-        this.halfLifeNanos = halfLifeNanos;
+        mHalfLifeNanos = halfLifeNanos;
     }
 
     void add(double amount, long nowNanos) {
-        value = at(nowNanos) + amount;
-        updatedAt = nowNanos;
+        mValue = at(nowNanos) + amount;
+        mUpdatedAt = nowNanos;
     }
 
     void set(double newValue, long nowNanos) {
-        value = newValue;
-        updatedAt = nowNanos;
+        mValue = newValue;
+        mUpdatedAt = nowNanos;
     }
 
     double at(long nowNanos) {
-        if (value == 0) {
+        if (mValue == 0) {
             return 0;
         }
-        return value * Math.pow(0.5, (nowNanos - updatedAt) / halfLifeNanos);
+        return mValue * Math.pow(0.5, (nowNanos - mUpdatedAt) / mHalfLifeNanos);
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/DispatchDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/DispatchDuty.java
@@ -24,19 +24,19 @@
 public final class DispatchDuty implements Duty<DispatchEvent, DispatchAction> {
     private static final long SWEEP_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
-    private final Map<RequestId, QueuedRequest> requests = new LinkedHashMap<>();
-    private final Map<PoolName, PoolDispatcher> pools = new HashMap<>();
-    private final Map<RouteName, RetryBudget> retryBudgets = new HashMap<>();
-    private final DispatchSettings settings;
-    private final RandomGenerator random;
-    private final InvariantMonitor invariants;
-    private final RetryPolicy retryPolicy;
-    private long nextArrival;
-    private long nextSweep = NO_TIMER;
-    private long nextRetry = NO_TIMER;
-    private long nextSharePublication = NO_TIMER;
-    private boolean draining;
-    private boolean drainReported;
+    private final Map<RequestId, QueuedRequest> mRequests = new LinkedHashMap<>();
+    private final Map<PoolName, PoolDispatcher> mPools = new HashMap<>();
+    private final Map<RouteName, RetryBudget> mRetryBudgets = new HashMap<>();
+    private final DispatchSettings mSettings;
+    private final RandomGenerator mRandom;
+    private final InvariantMonitor mInvariants;
+    private final RetryPolicy mRetryPolicy;
+    private long mNextArrival;
+    private long mNextSweep = NO_TIMER;
+    private long mNextRetry = NO_TIMER;
+    private long mNextSharePublication = NO_TIMER;
+    private boolean mDraining;
+    private boolean mDrainReported;
 
     /**
      * Creates the duty.
@@ -47,10 +47,10 @@
      */
     public DispatchDuty(
             DispatchSettings settings, RandomGenerator random, InvariantMonitor invariants) {
-        this.settings = settings;
-        this.random = random;
-        this.invariants = invariants;
-        this.retryPolicy = new RetryPolicy(settings.maxAttempts(), random);
+        mSettings = settings;
+        mRandom = random;
+        mInvariants = invariants;
+        mRetryPolicy = new RetryPolicy(settings.maxAttempts(), random);
     }
 
     @Override
@@ -88,30 +88,30 @@
 
     @Override
     public void onTimer(long nowNanos, ActionSink<DispatchAction> actions) {
-        if (nextSharePublication <= nowNanos) {
-            nextSharePublication = nowNanos + settings.shareInterval().toNanos();
+        if (mNextSharePublication <= nowNanos) {
+            mNextSharePublication = nowNanos + mSettings.shareInterval().toNanos();
             publishShares(nowNanos, actions);
             startWaitingInAllPools(nowNanos, actions);
         }
-        if (nextRetry <= nowNanos) {
+        if (mNextRetry <= nowNanos) {
             requeueRetries(nowNanos, actions);
         }
-        if (nextSweep <= nowNanos) {
+        if (mNextSweep <= nowNanos) {
             sweepDeadlines(nowNanos, actions);
-            nextSweep = requests.isEmpty() ? NO_TIMER : nowNanos + SWEEP_INTERVAL_NANOS;
+            mNextSweep = mRequests.isEmpty() ? NO_TIMER : nowNanos + SWEEP_INTERVAL_NANOS;
         }
         reportDrained(actions);
     }
 
     @Override
     public long nextTimerNanos() {
-        return Math.min(nextSweep, Math.min(nextRetry, nextSharePublication));
+        return Math.min(mNextSweep, Math.min(mNextRetry, mNextSharePublication));
     }
 
     private void onRequestArrived(
             DispatchRequest request, long nowNanos, ActionSink<DispatchAction> actions) {
-        PoolDispatcher pool = pools.get(request.route().pool());
-        if (draining) {
+        PoolDispatcher pool = mPools.get(request.route().pool());
+        if (mDraining) {
             refuse(request.id(), RefusalReason.DRAINING, actions);
         } else if (pool == null || pool.hasNoServingUpstream()) {
             refuse(request.id(), RefusalReason.NO_UPSTREAM, actions);
@@ -120,11 +120,11 @@
         } else if (pool.wouldMissDeadline(request, nowNanos)) {
             refuse(request.id(), RefusalReason.WOULD_MISS_DEADLINE, actions);
         } else {
-            QueuedRequest queued = new QueuedRequest(request, nextArrival++, nowNanos);
-            requests.put(request.id(), queued);
+            QueuedRequest queued = new QueuedRequest(request, mNextArrival++, nowNanos);
+            mRequests.put(request.id(), queued);
             retryBudget(request.route().name()).onRequest();
             pool.queue().add(queued, nowNanos);
-            nextSweep = Math.min(nextSweep, nowNanos + SWEEP_INTERVAL_NANOS);
+            mNextSweep = Math.min(mNextSweep, nowNanos + SWEEP_INTERVAL_NANOS);
             startWaiting(pool, nowNanos, actions);
         }
     }
@@ -155,14 +155,14 @@
     }
 
     private void checkAtMostOnce(QueuedRequest queued) {
-        invariants.check(
+        mInvariants.check(
                 Invariant.AT_MOST_ONCE,
                 queued.request().route().repeatable() || !queued.mayHaveRun(),
                 () -> queued.request().id() + " is sent again although it may have run");
     }
 
     private void onAttemptProgressed(DispatchEvent.AttemptProgressed progressed) {
-        QueuedRequest queued = requests.get(progressed.request());
+        QueuedRequest queued = mRequests.get(progressed.request());
         if (queued != null && queued.attempt() == progressed.attempt()) {
             queued.updateTokens(progressed.tokens());
         }
@@ -170,7 +170,7 @@
 
     private void onAttemptEnded(
             DispatchEvent.AttemptEnded ended, long nowNanos, ActionSink<DispatchAction> actions) {
-        QueuedRequest queued = requests.get(ended.request());
+        QueuedRequest queued = mRequests.get(ended.request());
         if (queued == null || queued.attempt() != ended.attempt() || queued.upstream() == null) {
             return;
         }
@@ -179,7 +179,7 @@
         queued.updateAttemptTokens(ended.report().generatedTokens());
         pool.release(queued, ended.report(), nowNanos);
         if (result == AttemptResult.COMPLETED) {
-            requests.remove(ended.request());
+            mRequests.remove(ended.request());
             actions.emit(new DispatchAction.Finish(ended.request(), Outcome.COMPLETED));
         } else {
             if (result.outcome() != Outcome.NOT_RUN) {
@@ -188,7 +188,7 @@
                 queued.recordNotRun();
             }
             Either<RefusalReason, RetryReason> decision =
-                    retryPolicy.decide(
+                    mRetryPolicy.decide(
                             queued, result, retryBudget(queued.request().route().name()));
             if (decision.isRight()) {
                 scheduleRetry(queued, decision.get(), nowNanos, actions);
@@ -204,35 +204,35 @@
             RetryReason reason,
             long nowNanos,
             ActionSink<DispatchAction> actions) {
-        long delay = retryPolicy.delayNanos(queued);
+        long delay = mRetryPolicy.delayNanos(queued);
         queued.scheduleRetryAt(nowNanos + delay);
-        nextRetry = Math.min(nextRetry, nowNanos + delay);
+        mNextRetry = Math.min(mNextRetry, nowNanos + delay);
         actions.emit(
                 new DispatchAction.Retry(queued.request().id(), reason, Duration.ofNanos(delay)));
     }
 
     private void requeueRetries(long nowNanos, ActionSink<DispatchAction> actions) {
-        nextRetry = NO_TIMER;
-        for (QueuedRequest queued : List.copyOf(requests.values())) {
+        mNextRetry = NO_TIMER;
+        for (QueuedRequest queued : List.copyOf(mRequests.values())) {
             if (queued.retryAt() <= nowNanos) {
                 queued.retryStarted();
                 PoolDispatcher pool = poolOf(queued);
                 pool.queue().add(queued, nowNanos);
                 startWaiting(pool, nowNanos, actions);
             } else {
-                nextRetry = Math.min(nextRetry, queued.retryAt());
+                mNextRetry = Math.min(mNextRetry, queued.retryAt());
             }
         }
     }
 
     private void cancelRequest(
             RequestId request, long nowNanos, ActionSink<DispatchAction> actions) {
-        QueuedRequest queued = requests.remove(request);
+        QueuedRequest queued = mRequests.remove(request);
         if (queued == null) {
             return;
         }
         boolean ran = queued.mayHaveRun() || queued.upstream() != null;
-        invariants.check(
+        mInvariants.check(
                 Invariant.NOT_RUN_IS_TRUE,
                 ran || queued.isProvenNotRun(),
                 () -> request + " ends as not run but may have run");
@@ -263,7 +263,7 @@
             DispatchEvent.LoadReported reported,
             long nowNanos,
             ActionSink<DispatchAction> actions) {
-        for (PoolDispatcher pool : pools.values()) {
+        for (PoolDispatcher pool : mPools.values()) {
             UpstreamLoad load = pool.candidates().find(reported.upstream());
             if (load != null) {
                 boolean wasLeaving = load.isLeaving();
@@ -277,7 +277,7 @@
     }
 
     private void onCacheReported(DispatchEvent.CacheReported reported) {
-        for (PoolDispatcher pool : pools.values()) {
+        for (PoolDispatcher pool : mPools.values()) {
             int index = pool.candidates().indexOf(reported.upstream());
             if (index >= 0 && reported.stored()) {
                 pool.candidates().cache().onStored(reported.prefixHash(), index);
@@ -288,7 +288,7 @@
     }
 
     private void onUpstreamProbed(DispatchEvent.UpstreamProbed probed, long nowNanos) {
-        for (PoolDispatcher pool : pools.values()) {
+        for (PoolDispatcher pool : mPools.values()) {
             UpstreamLoad load = pool.candidates().find(probed.upstream());
             if (load != null && !probed.alive()) {
                 pool.candidates().onUnreachable(load, nowNanos);
@@ -298,7 +298,7 @@
 
     private void onUpstreamLeaving(
             UpstreamId upstream, long nowNanos, ActionSink<DispatchAction> actions) {
-        for (PoolDispatcher pool : pools.values()) {
+        for (PoolDispatcher pool : mPools.values()) {
             UpstreamLoad load = pool.candidates().find(upstream);
             if (load != null && !load.isLeaving()) {
                 load.markLeaving();
@@ -310,7 +310,7 @@
     /** Moves resumable requests away from a leaving upstream; the others may finish there. */
     private void moveResumableRequests(
             UpstreamId upstream, long nowNanos, ActionSink<DispatchAction> actions) {
-        for (QueuedRequest queued : List.copyOf(requests.values())) {
+        for (QueuedRequest queued : List.copyOf(mRequests.values())) {
             boolean movable = queued.request().resumable() && queued.request().route().repeatable();
             if (movable && queued.runsAt(upstream)) {
                 cancelOrDequeue(queued, nowNanos, actions);
@@ -322,7 +322,7 @@
 
     private void onConfigChanged(
             ConfigSnapshot snapshot, long nowNanos, ActionSink<DispatchAction> actions) {
-        pools.forEach(
+        mPools.forEach(
                 (name, pool) -> {
                     if (!snapshot.pools().containsKey(name)) {
                         pool.markRemoved();
@@ -331,26 +331,26 @@
         snapshot.pools()
                 .forEach(
                         (name, pool) ->
-                                pools.computeIfAbsent(
+                                mPools.computeIfAbsent(
                                                 name,
                                                 n ->
                                                         new PoolDispatcher(
-                                                                settings, random, invariants))
+                                                                mSettings, mRandom, mInvariants))
                                         .update(pool, snapshot.teamWeights()));
-        for (QueuedRequest queued : List.copyOf(requests.values())) {
+        for (QueuedRequest queued : List.copyOf(mRequests.values())) {
             UpstreamLoad load = queued.upstream();
             if (load != null && load.isLeaving()) {
                 moveResumableRequests(load.spec().id(), nowNanos, actions);
             }
         }
         refuseUnservable(actions);
-        nextSharePublication =
-                Math.min(nextSharePublication, nowNanos + settings.shareInterval().toNanos());
+        mNextSharePublication =
+                Math.min(mNextSharePublication, nowNanos + mSettings.shareInterval().toNanos());
         startWaitingInAllPools(nowNanos, actions);
     }
 
     private void refuseUnservable(ActionSink<DispatchAction> actions) {
-        for (QueuedRequest queued : List.copyOf(requests.values())) {
+        for (QueuedRequest queued : List.copyOf(mRequests.values())) {
             PoolDispatcher pool = poolOf(queued);
             boolean live = queued.request().route().priority() == Priority.LIVE;
             if (live && queued.upstream() == null && pool.hasNoServingUpstream()) {
@@ -361,7 +361,7 @@
     }
 
     private void onSharesReceived(DispatchEvent.SharesReceived received, long nowNanos) {
-        PoolDispatcher pool = pools.get(received.pool());
+        PoolDispatcher pool = mPools.get(received.pool());
         if (pool == null) {
             return;
         }
@@ -373,7 +373,7 @@
     }
 
     private void publishShares(long nowNanos, ActionSink<DispatchAction> actions) {
-        pools.forEach(
+        mPools.forEach(
                 (name, pool) -> {
                     pool.queue().updateQuotas(pool.candidates().countSlots(nowNanos), nowNanos);
                     List<DispatchEvent.TeamCost> costs = pool.queue().teamCosts(nowNanos);
@@ -384,7 +384,7 @@
     }
 
     private void sweepDeadlines(long nowNanos, ActionSink<DispatchAction> actions) {
-        for (QueuedRequest queued : List.copyOf(requests.values())) {
+        for (QueuedRequest queued : List.copyOf(mRequests.values())) {
             if (queued.request().deadlineNanos() > nowNanos) {
                 continue;
             }
@@ -402,8 +402,8 @@
     }
 
     private void onDrainStarted(ActionSink<DispatchAction> actions) {
-        draining = true;
-        for (QueuedRequest queued : new ArrayList<>(requests.values())) {
+        mDraining = true;
+        for (QueuedRequest queued : new ArrayList<>(mRequests.values())) {
             if (queued.upstream() == null && !queued.mayHaveRun()) {
                 poolOf(queued).queue().remove(queued);
                 refuseQueued(queued, RefusalReason.DRAINING, actions);
@@ -412,26 +412,26 @@
     }
 
     private void reportDrained(ActionSink<DispatchAction> actions) {
-        if (draining && !drainReported && requests.isEmpty()) {
-            drainReported = true;
+        if (mDraining && !mDrainReported && mRequests.isEmpty()) {
+            mDrainReported = true;
             actions.emit(new DispatchAction.Drained());
         }
     }
 
     private void startWaitingInAllPools(long nowNanos, ActionSink<DispatchAction> actions) {
-        for (PoolDispatcher pool : pools.values()) {
+        for (PoolDispatcher pool : mPools.values()) {
             startWaiting(pool, nowNanos, actions);
         }
     }
 
     private void refuseQueued(
             QueuedRequest queued, RefusalReason reason, ActionSink<DispatchAction> actions) {
-        requests.remove(queued.request().id());
+        mRequests.remove(queued.request().id());
         RefusalReason actualReason =
                 reason.outcome() == Outcome.NOT_RUN && queued.mayHaveRun()
                         ? RefusalReason.ANSWER_LOST
                         : reason;
-        invariants.check(
+        mInvariants.check(
                 Invariant.NOT_RUN_IS_TRUE,
                 actualReason.outcome() != Outcome.NOT_RUN || queued.isProvenNotRun(),
                 () -> queued.request().id() + " is refused as not run but may have run");
@@ -439,11 +439,11 @@
     }
 
     private RetryBudget retryBudget(RouteName route) {
-        return retryBudgets.computeIfAbsent(route, r -> new RetryBudget(settings.retryRatio()));
+        return mRetryBudgets.computeIfAbsent(route, r -> new RetryBudget(mSettings.retryRatio()));
     }
 
     private PoolDispatcher poolOf(QueuedRequest queued) {
-        PoolDispatcher pool = pools.get(queued.request().route().pool());
+        PoolDispatcher pool = mPools.get(queued.request().route().pool());
         if (pool == null) {
             throw new IllegalStateException("no pool for " + queued.request().id());
         }
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/Health.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/Health.java
@@ -14,39 +14,39 @@
     private static final long SLOW_START_NANOS = TimeUnit.SECONDS.toNanos(10);
     private static final double SLOW_START_FLOOR = 0.1;
 
-    private int consecutiveFailures;
-    private int ejectionCount;
-    private long ejectedUntil = Long.MIN_VALUE;
+    private int mConsecutiveFailures;
+    private int mEjectionCount;
+    private long mEjectedUntil = Long.MIN_VALUE;
 
     void onSuccess(long nowNanos) {
-        consecutiveFailures = 0;
-        if (ejectionCount > 0 && nowNanos - ejectedUntil > EJECTION_RESET_NANOS) {
-            ejectionCount = 0;
+        mConsecutiveFailures = 0;
+        if (mEjectionCount > 0 && nowNanos - mEjectedUntil > EJECTION_RESET_NANOS) {
+            mEjectionCount = 0;
         }
     }
 
     /** Counts a failure and returns whether the upstream should be ejected. */
     boolean onFailure() {
-        consecutiveFailures++;
-        return consecutiveFailures >= EJECTION_FAILURE_COUNT;
+        mConsecutiveFailures++;
+        return mConsecutiveFailures >= EJECTION_FAILURE_COUNT;
     }
 
     void eject(long nowNanos) {
-        ejectedUntil = nowNanos + (BASE_EJECTION_NANOS << Math.min(ejectionCount, MAX_DOUBLINGS));
-        ejectionCount++;
-        consecutiveFailures = 0;
+        mEjectedUntil = nowNanos + (BASE_EJECTION_NANOS << Math.min(mEjectionCount, MAX_DOUBLINGS));
+        mEjectionCount++;
+        mConsecutiveFailures = 0;
     }
 
     boolean isEjected(long nowNanos) {
-        return ejectionCount > 0 && nowNanos < ejectedUntil;
+        return mEjectionCount > 0 && nowNanos < mEjectedUntil;
     }
 
     /** Returns the usable share of the capacity, from {@link #SLOW_START_FLOOR} to 1. */
     double capacityFactor(long nowNanos) {
-        if (ejectionCount == 0) {
+        if (mEjectionCount == 0) {
             return 1;
         }
-        double ramp = (double) (nowNanos - ejectedUntil) / SLOW_START_NANOS;
+        double ramp = (double) (nowNanos - mEjectedUntil) / SLOW_START_NANOS;
         return Math.max(SLOW_START_FLOOR, Math.min(1, ramp));
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/Outcome.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/Outcome.java
@@ -11,14 +11,14 @@
     /** The request may have run; no final response arrived. */
     UNKNOWN(false);
 
-    private final boolean safeToRepeat;
+    private final boolean mSafeToRepeat;
 
     Outcome(boolean safeToRepeat) {
-        this.safeToRepeat = safeToRepeat;
+        mSafeToRepeat = safeToRepeat;
     }
 
     /** Returns whether even a non-repeatable request may be sent again by its caller. */
     public boolean safeToRepeat() {
-        return safeToRepeat;
+        return mSafeToRepeat;
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/PoolAverage.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/PoolAverage.java
@@ -10,26 +10,26 @@
      */
     private static final double STALENESS_FACTOR = 20;
 
-    private double busy;
-    private double inFlight;
-    private double serviceNanos = DEFAULT_SERVICE_NANOS;
+    private double mBusy;
+    private double mInFlight;
+    private double mServiceNanos = DEFAULT_SERVICE_NANOS;
 
     void set(double newBusy, double newInFlight, double newServiceNanos) {
-        busy = newBusy;
-        inFlight = newInFlight;
-        serviceNanos = newServiceNanos > 0 ? newServiceNanos : DEFAULT_SERVICE_NANOS;
+        mBusy = newBusy;
+        mInFlight = newInFlight;
+        mServiceNanos = newServiceNanos > 0 ? newServiceNanos : DEFAULT_SERVICE_NANOS;
     }
 
     double busy() {
-        return busy;
+        return mBusy;
     }
 
     double inFlight() {
-        return inFlight;
+        return mInFlight;
     }
 
     /** Returns the weight given to a report of the given age, from 1 for a new one towards 0. */
     double reportWeight(long ageNanos) {
-        return 1 / (1 + STALENESS_FACTOR * ageNanos / serviceNanos);
+        return 1 / (1 + STALENESS_FACTOR * ageNanos / mServiceNanos);
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/PoolDispatcher.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/PoolDispatcher.java
@@ -13,97 +13,97 @@
 final class PoolDispatcher {
     private static final double MIN_SPARE_SHARE = 0.05;
 
-    private final PoolQueue queue;
-    private final Candidates candidates;
-    private final ServiceTimes times = new ServiceTimes();
-    private final SelectionCriteria criteria = new SelectionCriteria();
-    private final InvariantMonitor invariants;
-    private BalancingPolicy policy = BalancingPolicy.SCORED;
-    private boolean removed;
+    private final PoolQueue mQueue;
+    private final Candidates mCandidates;
+    private final ServiceTimes mTimes = new ServiceTimes();
+    private final SelectionCriteria mCriteria = new SelectionCriteria();
+    private final InvariantMonitor mInvariants;
+    private BalancingPolicy mPolicy = BalancingPolicy.SCORED;
+    private boolean mRemoved;
 
     PoolDispatcher(DispatchSettings settings, RandomGenerator random, InvariantMonitor invariants) {
-        this.queue = new PoolQueue(settings, random);
-        this.candidates = new Candidates(random, settings.domain(), times);
-        this.invariants = invariants;
+        mQueue = new PoolQueue(settings, random);
+        mCandidates = new Candidates(random, settings.domain(), mTimes);
+        mInvariants = invariants;
     }
 
     PoolQueue queue() {
-        return queue;
+        return mQueue;
     }
 
     Candidates candidates() {
-        return candidates;
+        return mCandidates;
     }
 
     ServiceTimes times() {
-        return times;
+        return mTimes;
     }
 
     void update(Pool pool, Map<TeamName, Integer> weights) {
-        removed = false;
-        candidates.update(pool.upstreams());
-        weights.forEach((team, weight) -> queue.team(team).setWeight(weight));
+        mRemoved = false;
+        mCandidates.update(pool.upstreams());
+        weights.forEach((team, weight) -> mQueue.team(team).setWeight(weight));
         for (BalancingPolicy candidate : BalancingPolicy.values()) {
             if (candidate.pluginName().equals(pool.balancing())) {
-                policy = candidate;
+                mPolicy = candidate;
             }
         }
     }
 
     /** Marks the pool as removed from the table: running requests may finish, none is started. */
     void markRemoved() {
-        removed = true;
-        candidates.update(List.of());
+        mRemoved = true;
+        mCandidates.update(List.of());
     }
 
     boolean hasNoServingUpstream() {
-        return removed || !candidates.hasServingUpstream();
+        return mRemoved || !mCandidates.hasServingUpstream();
     }
 
     /** Returns whether a new request would probably miss its deadline. */
     boolean wouldMissDeadline(DispatchRequest request, long nowNanos) {
-        TeamShare share = queue.team(request.team());
+        TeamShare share = mQueue.team(request.team());
         int ahead = share.countAhead(request.route().priority());
-        double wait = ahead * times.averageNanos() / Math.max(1, share.running());
-        return times.wouldMissDeadline(request, nowNanos + wait);
+        double wait = ahead * mTimes.averageNanos() / Math.max(1, share.running());
+        return mTimes.wouldMissDeadline(request, nowNanos + wait);
     }
 
     /** Returns whether a waiting request can no longer be completed in time. */
     boolean isTooLate(QueuedRequest queued, long nowNanos) {
-        return times.wouldMissDeadline(queued.request(), nowNanos);
+        return mTimes.wouldMissDeadline(queued.request(), nowNanos);
     }
 
     @Nullable QueuedRequest next(long nowNanos) {
-        int free = candidates.freeSlots(nowNanos);
-        boolean spare = free > candidates.countedSlots() * MIN_SPARE_SHARE;
-        return queue.next(nowNanos, spare);
+        int free = mCandidates.freeSlots(nowNanos);
+        boolean spare = free > mCandidates.countedSlots() * MIN_SPARE_SHARE;
+        return mQueue.next(nowNanos, spare);
     }
 
     /** Selects an upstream and assigns the request to it; returns null if none is usable. */
     @Nullable UpstreamLoad assign(QueuedRequest queued, long nowNanos) {
-        boolean hasQuota = queue.team(queued.request().team()).hasQuota();
-        criteria.set(queued.request(), queued.failedUpstream(), hasQuota);
-        int index = policy.choose(candidates, criteria, nowNanos);
+        boolean hasQuota = mQueue.team(queued.request().team()).hasQuota();
+        mCriteria.set(queued.request(), queued.failedUpstream(), hasQuota);
+        int index = mPolicy.choose(mCandidates, mCriteria, nowNanos);
         if (index < 0 && queued.failedUpstream() != null) {
             // The upstream that failed may be the only one left.
-            criteria.set(queued.request(), null, hasQuota);
-            index = policy.choose(candidates, criteria, nowNanos);
+            mCriteria.set(queued.request(), null, hasQuota);
+            index = mPolicy.choose(mCandidates, mCriteria, nowNanos);
         }
         if (index < 0) {
             return null;
         }
-        UpstreamLoad load = candidates.at(index);
-        invariants.check(
+        UpstreamLoad load = mCandidates.at(index);
+        mInvariants.check(
                 Invariant.LEAVING_UPSTREAM_IDLE,
                 !load.isLeaving(),
                 () -> load.spec().id() + " is leaving");
         double cost = expectedCost(queued.request());
         queued.start(load, cost);
         load.onSent(nowNanos);
-        candidates.onAssigned();
-        queue.team(queued.request().team()).onStarted(cost, nowNanos);
+        mCandidates.onAssigned();
+        mQueue.team(queued.request().team()).onStarted(cost, nowNanos);
         if (queued.request().prefixHash() != 0) {
-            candidates.cache().onStored(queued.request().prefixHash(), index);
+            mCandidates.cache().onStored(queued.request().prefixHash(), index);
         }
         return load;
     }
@@ -115,17 +115,17 @@
             return;
         }
         load.onEnded(report);
-        candidates.onReleased();
+        mCandidates.onReleased();
         boolean plain = queued.request().maxTokens() == 0;
         double cost = plain ? 1 : report.promptTokens() + report.generatedTokens();
-        queue.team(queued.request().team()).onEnded(queued.chargedCost(), cost, nowNanos);
+        mQueue.team(queued.request().team()).onEnded(queued.chargedCost(), cost, nowNanos);
         switch (report.result()) {
             case COMPLETED -> {
                 load.health().onSuccess(nowNanos);
-                times.onCompleted(report);
+                mTimes.onCompleted(report);
             }
             case CANCELLED, NOT_ADMITTED -> {}
-            default -> candidates.onFailure(load, nowNanos);
+            default -> mCandidates.onFailure(load, nowNanos);
         }
         queued.stop();
     }
@@ -133,6 +133,6 @@
     private double expectedCost(DispatchRequest request) {
         return request.maxTokens() == 0
                 ? 1
-                : request.promptTokens() + times.expectedTokens(request.maxTokens());
+                : request.promptTokens() + mTimes.expectedTokens(request.maxTokens());
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/PoolQueue.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/PoolQueue.java
@@ -16,31 +16,31 @@
     /** Quotas lag behind demand; without overbooking, slots would stay idle in the meantime. */
     private static final double OVERBOOKING = 1.2;
 
-    private final Map<TeamName, TeamShare> teams = new TreeMap<>();
-    private final DispatchSettings settings;
-    private final RandomGenerator random;
-    private int waiting;
+    private final Map<TeamName, TeamShare> mTeams = new TreeMap<>();
+    private final DispatchSettings mSettings;
+    private final RandomGenerator mRandom;
+    private int mWaiting;
 
     PoolQueue(DispatchSettings settings, RandomGenerator random) {
-        this.settings = settings;
-        this.random = random;
+        mSettings = settings;
+        mRandom = random;
     }
 
     TeamShare team(TeamName name) {
-        return teams.computeIfAbsent(
-                name, n -> new TeamShare(n, settings.shareHalfLife().toNanos()));
+        return mTeams.computeIfAbsent(
+                name, n -> new TeamShare(n, mSettings.shareHalfLife().toNanos()));
     }
 
     Iterable<TeamShare> teams() {
-        return teams.values();
+        return mTeams.values();
     }
 
     int waiting() {
-        return waiting;
+        return mWaiting;
     }
 
     boolean isFull() {
-        return waiting >= settings.queueCapacity();
+        return mWaiting >= mSettings.queueCapacity();
     }
 
     void add(QueuedRequest queued, long nowNanos) {
@@ -49,13 +49,13 @@
             share.raiseVirtualTimeTo(minActiveVirtualTime(nowNanos), nowNanos);
         }
         share.add(queued);
-        waiting++;
+        mWaiting++;
     }
 
     boolean remove(QueuedRequest queued) {
         boolean removed = team(queued.request().team()).remove(queued);
         if (removed) {
-            waiting--;
+            mWaiting--;
         }
         return removed;
     }
@@ -69,8 +69,8 @@
     @Nullable QueuedRequest next(long nowNanos, boolean ignoreQuotas) {
         QueuedRequest best = null;
         double bestTime = 0;
-        for (TeamShare share : teams.values()) {
-            QueuedRequest head = share.head(nowNanos, settings.rolloutAgeing().toNanos());
+        for (TeamShare share : mTeams.values()) {
+            QueuedRequest head = share.head(nowNanos, mSettings.rolloutAgeing().toNanos());
             if (head == null || !ignoreQuotas && share.running() >= share.quota()) {
                 continue;
             }
@@ -85,8 +85,8 @@
 
     /** Computes the quota of each team at this instance from the demand at all instances. */
     void updateQuotas(int slots, long nowNanos) {
-        long remoteTimeout = settings.shareInterval().toNanos() * REMOTE_TIMEOUT_INTERVALS;
-        List<TeamShare> shares = new ArrayList<>(teams.values());
+        long remoteTimeout = mSettings.shareInterval().toNanos() * REMOTE_TIMEOUT_INTERVALS;
+        List<TeamShare> shares = new ArrayList<>(mTeams.values());
         double[] demands = new double[shares.size()];
         double[] weights = new double[shares.size()];
         for (int i = 0; i < demands.length; i++) {
@@ -106,7 +106,7 @@
 
     List<DispatchEvent.TeamCost> teamCosts(long nowNanos) {
         List<DispatchEvent.TeamCost> costs = new ArrayList<>();
-        for (TeamShare share : teams.values()) {
+        for (TeamShare share : mTeams.values()) {
             double cost = share.ownCost(nowNanos);
             if (cost >= 1 || share.demand() > 0) {
                 costs.add(new DispatchEvent.TeamCost(share.team(), cost, share.demand()));
@@ -118,7 +118,7 @@
     /** Rounds up or down at random, so that quotas are exact on average, also below 1. */
     private double roundRandomly(double value) {
         double floor = Math.floor(value);
-        return floor + (random.nextDouble() < value - floor ? 1 : 0);
+        return floor + (mRandom.nextDouble() < value - floor ? 1 : 0);
     }
 
     private boolean precedes(
@@ -134,12 +134,12 @@
 
     private boolean countsAsLive(QueuedRequest queued, long nowNanos) {
         return queued.request().route().priority() == Priority.LIVE
-                || nowNanos - queued.queuedAt() > settings.rolloutAgeing().toNanos();
+                || nowNanos - queued.queuedAt() > mSettings.rolloutAgeing().toNanos();
     }
 
     private double minActiveVirtualTime(long nowNanos) {
         double least = Double.MAX_VALUE;
-        for (TeamShare share : teams.values()) {
+        for (TeamShare share : mTeams.values()) {
             if (share.demand() > 0 || share.remoteDemand() > 0) {
                 least = Math.min(least, share.virtualStartTime(nowNanos));
             }
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/PrefixCacheView.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/PrefixCacheView.java
@@ -11,37 +11,37 @@
     private static final int ENTRY_COUNT = 1 << 14;
     private static final int NONE = -1;
 
-    private final long[] prefixes = new long[ENTRY_COUNT];
-    private final int[] holders = new int[ENTRY_COUNT * MAX_HOLDERS];
+    private final long[] mPrefixes = new long[ENTRY_COUNT];
+    private final int[] mHolders = new int[ENTRY_COUNT * MAX_HOLDERS];
 
     PrefixCacheView() {
-        java.util.Arrays.fill(holders, NONE);
+        java.util.Arrays.fill(mHolders, NONE);
     }
 
     void onStored(long prefix, int upstream) {
         int place = entryIndex(prefix);
-        if (prefixes[place] != prefix) {
-            prefixes[place] = prefix;
+        if (mPrefixes[place] != prefix) {
+            mPrefixes[place] = prefix;
             for (int i = 0; i < MAX_HOLDERS; i++) {
-                holders[place * MAX_HOLDERS + i] = NONE;
+                mHolders[place * MAX_HOLDERS + i] = NONE;
             }
         }
         int oldest = place * MAX_HOLDERS + MAX_HOLDERS - 1;
         for (int i = place * MAX_HOLDERS; i < oldest; i++) {
-            if (holders[i] == upstream || holders[i] == NONE) {
-                holders[i] = upstream;
+            if (mHolders[i] == upstream || mHolders[i] == NONE) {
+                mHolders[i] = upstream;
                 return;
             }
         }
-        holders[oldest] = upstream;
+        mHolders[oldest] = upstream;
     }
 
     void onEvicted(long prefix, int upstream) {
         int place = entryIndex(prefix);
-        if (prefixes[place] == prefix) {
+        if (mPrefixes[place] == prefix) {
             for (int i = place * MAX_HOLDERS; i < (place + 1) * MAX_HOLDERS; i++) {
-                if (holders[i] == upstream) {
-                    holders[i] = NONE;
+                if (mHolders[i] == upstream) {
+                    mHolders[i] = NONE;
                 }
             }
         }
@@ -50,7 +50,7 @@
     /** Returns the upstream at a position below {@link #MAX_HOLDERS}, or -1. */
     int holder(long prefix, int position) {
         int place = entryIndex(prefix);
-        return prefixes[place] == prefix ? holders[place * MAX_HOLDERS + position] : NONE;
+        return mPrefixes[place] == prefix ? mHolders[place * MAX_HOLDERS + position] : NONE;
     }
 
     boolean holds(long prefix, int upstream) {
@@ -64,7 +64,7 @@
 
     /** Removes all entries; required when the indices of the upstreams have changed. */
     void clear() {
-        java.util.Arrays.fill(holders, NONE);
+        java.util.Arrays.fill(mHolders, NONE);
     }
 
     private static int entryIndex(long prefix) {
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/QueuedRequest.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/QueuedRequest.java
@@ -5,123 +5,123 @@
 
 /** A request that is queued, running or waiting for a retry at this instance. */
 final class QueuedRequest {
-    private final DispatchRequest request;
-    private final long arrival;
-    private final long arrivedAt;
-    private long queuedAt;
-    private int attempt;
-    private int tokens;
-    private int tokensBeforeAttempt;
-    private double chargedCost;
-    private long retryAt = Long.MAX_VALUE;
-    private @Nullable UpstreamLoad upstream;
-    private @Nullable UpstreamLoad failedUpstream;
-    private boolean mayHaveRun;
-    private int provenNotRunAttempts;
+    private final DispatchRequest mRequest;
+    private final long mArrival;
+    private final long mArrivedAt;
+    private long mQueuedAt;
+    private int mAttempt;
+    private int mTokens;
+    private int mTokensBeforeAttempt;
+    private double mChargedCost;
+    private long mRetryAt = Long.MAX_VALUE;
+    private @Nullable UpstreamLoad mUpstream;
+    private @Nullable UpstreamLoad mFailedUpstream;
+    private boolean mMayHaveRun;
+    private int mProvenNotRunAttempts;
 
     QueuedRequest(DispatchRequest request, long arrival, long nowNanos) {
-        this.request = request;
-        this.arrival = arrival;
-        this.arrivedAt = nowNanos;
-        this.queuedAt = nowNanos;
+        mRequest = request;
+        mArrival = arrival;
+        mArrivedAt = nowNanos;
+        mQueuedAt = nowNanos;
     }
 
     DispatchRequest request() {
-        return request;
+        return mRequest;
     }
 
     /** Returns the sequence number of the request in order of arrival. */
     long arrival() {
-        return arrival;
+        return mArrival;
     }
 
     long arrivedAt() {
-        return arrivedAt;
+        return mArrivedAt;
     }
 
     long queuedAt() {
-        return queuedAt;
+        return mQueuedAt;
     }
 
     int attempt() {
-        return attempt;
+        return mAttempt;
     }
 
     int tokens() {
-        return tokens;
+        return mTokens;
     }
 
     /** Records how many tokens of the complete response have been delivered; never decreases. */
     void updateTokens(int delivered) {
-        tokens = Math.max(tokens, delivered);
+        mTokens = Math.max(mTokens, delivered);
     }
 
     /** Records how many tokens the attempt that has just ended delivered. */
     void updateAttemptTokens(int delivered) {
-        updateTokens(tokensBeforeAttempt + delivered);
+        updateTokens(mTokensBeforeAttempt + delivered);
     }
 
     double chargedCost() {
-        return chargedCost;
+        return mChargedCost;
     }
 
     @Nullable UpstreamLoad upstream() {
-        return upstream;
+        return mUpstream;
     }
 
     @Nullable UpstreamLoad failedUpstream() {
-        return failedUpstream;
+        return mFailedUpstream;
     }
 
     boolean runsAt(UpstreamId id) {
-        return upstream != null && upstream.spec().id().equals(id);
+        return mUpstream != null && mUpstream.spec().id().equals(id);
     }
 
     void start(UpstreamLoad target, double cost) {
-        upstream = target;
-        chargedCost = cost;
-        attempt++;
-        tokensBeforeAttempt = tokens;
-        retryAt = Long.MAX_VALUE;
+        mUpstream = target;
+        mChargedCost = cost;
+        mAttempt++;
+        mTokensBeforeAttempt = mTokens;
+        mRetryAt = Long.MAX_VALUE;
     }
 
     void stop() {
-        failedUpstream = upstream;
-        upstream = null;
+        mFailedUpstream = mUpstream;
+        mUpstream = null;
     }
 
     void scheduleRetryAt(long nanos) {
-        retryAt = nanos;
-        queuedAt = nanos;
+        mRetryAt = nanos;
+        mQueuedAt = nanos;
     }
 
     boolean waitsForRetry() {
-        return retryAt != Long.MAX_VALUE;
+        return mRetryAt != Long.MAX_VALUE;
     }
 
     long retryAt() {
-        return retryAt;
+        return mRetryAt;
     }
 
     void retryStarted() {
-        retryAt = Long.MAX_VALUE;
+        mRetryAt = Long.MAX_VALUE;
     }
 
     /** Records that the current attempt is proven not to have run. */
     void recordNotRun() {
-        provenNotRunAttempts++;
+        mProvenNotRunAttempts++;
     }
 
     /** Returns whether every attempt so far is proven not to have run. */
     boolean isProvenNotRun() {
-        return attempt == provenNotRunAttempts;
+        return mAttempt == mProvenNotRunAttempts;
     }
 
     boolean mayHaveRun() {
-        return mayHaveRun;
+        return mMayHaveRun;
     }
 
     void recordMayHaveRun() {
-        mayHaveRun = true;
+        mMayHaveRun = true;
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/RefusalReason.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/RefusalReason.java
@@ -37,29 +37,29 @@
     ROLLOUT_NOT_CONFIRMED(Kind.UNAVAILABLE, Outcome.UNKNOWN, Duration.ofSeconds(1)),
     INTERNAL(Kind.INTERNAL, Outcome.UNKNOWN, Duration.ZERO);
 
-    private final Kind kind;
-    private final Outcome outcome;
-    private final Duration retryAfter;
+    private final Kind mKind;
+    private final Outcome mOutcome;
+    private final Duration mRetryAfter;
 
     RefusalReason(Kind kind, Outcome outcome, Duration retryAfter) {
-        this.kind = kind;
-        this.outcome = outcome;
-        this.retryAfter = retryAfter;
+        mKind = kind;
+        mOutcome = outcome;
+        mRetryAfter = retryAfter;
     }
 
     /** Returns the class of the error; each front end maps it to its own status codes. */
     public Kind kind() {
-        return kind;
+        return mKind;
     }
 
     /** Returns what is known about the request. */
     public Outcome outcome() {
-        return outcome;
+        return mOutcome;
     }
 
     /** Returns the delay after which the caller may retry; zero if a retry cannot succeed. */
     public Duration retryAfter() {
-        return retryAfter;
+        return mRetryAfter;
     }
 
     /** Returns the stable code in responses and metrics, such as {@code queue-full}. */
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/RetryBudget.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/RetryBudget.java
@@ -7,22 +7,22 @@
 final class RetryBudget {
     private static final double RESERVE = 10;
 
-    private final double ratio;
-    private double tokens = RESERVE;
+    private final double mRatio;
+    private double mTokens = RESERVE;
 
     RetryBudget(double ratio) {
-        this.ratio = ratio;
+        mRatio = ratio;
     }
 
     void onRequest() {
-        tokens = Math.min(RESERVE, tokens + ratio);
+        mTokens = Math.min(RESERVE, mTokens + mRatio);
     }
 
     boolean tryRetry() {
-        if (tokens < 1) {
+        if (mTokens < 1) {
             return false;
         }
-        tokens -= 1;
+        mTokens -= 1;
         return true;
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/RetryPolicy.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/RetryPolicy.java
@@ -11,12 +11,12 @@
     private static final long MAX_DELAY_NANOS = Duration.ofSeconds(1).toNanos();
     private static final int MAX_DOUBLINGS = 7;
 
-    private final int maxAttempts;
-    private final RandomGenerator random;
+    private final int mMaxAttempts;
+    private final RandomGenerator mRandom;
 
     RetryPolicy(int maxAttempts, RandomGenerator random) {
-        this.maxAttempts = maxAttempts;
-        this.random = random;
+        mMaxAttempts = maxAttempts;
+        mRandom = random;
     }
 
     /**
@@ -33,7 +33,7 @@
         if (reason.isEmpty() || !isRetryAllowed(queued, reason.get())) {
             return Either.left(refusal(queued, result));
         }
-        if (queued.attempt() >= maxAttempts) {
+        if (queued.attempt() >= mMaxAttempts) {
             return Either.left(refusal(queued, result));
         }
         if (!budget.tryRetry()) {
@@ -54,7 +54,7 @@
         }
         int doublings = Math.min(queued.attempt() - 1, MAX_DOUBLINGS);
         long bound = Math.min(MAX_DELAY_NANOS, BASE_DELAY_NANOS << doublings);
-        return random.nextLong(bound) + 1;
+        return mRandom.nextLong(bound) + 1;
     }
 
     /**
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/RetryReason.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/RetryReason.java
@@ -19,10 +19,10 @@
     /** The upstream is leaving and the request can be resumed at another one. */
     UPSTREAM_LEAVING(false);
 
-    private final boolean provesNotRun;
+    private final boolean mProvesNotRun;
 
     RetryReason(boolean provesNotRun) {
-        this.provesNotRun = provesNotRun;
+        mProvesNotRun = provesNotRun;
     }
 
     /**
@@ -30,7 +30,7 @@
      * retried.
      */
     public boolean provesNotRun() {
-        return provesNotRun;
+        return mProvesNotRun;
     }
 
     /** Returns the name used in metrics and responses, such as {@code not-connected}. */
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/SelectionCriteria.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/SelectionCriteria.java
@@ -9,51 +9,51 @@
  * all requests, so that a selection allocates no memory.
  */
 final class SelectionCriteria {
-    private long prefixHash;
-    private int promptTokens;
-    private boolean toleratesUpstreamLoss;
-    private boolean withinQuota;
-    private Priority priority = Priority.LIVE;
-    private @Nullable FailureDomain avoidedDomain;
-    private @Nullable UpstreamLoad avoidedUpstream;
+    private long mPrefixHash;
+    private int mPromptTokens;
+    private boolean mToleratesUpstreamLoss;
+    private boolean mWithinQuota;
+    private Priority mPriority = Priority.LIVE;
+    private @Nullable FailureDomain mAvoidedDomain;
+    private @Nullable UpstreamLoad mAvoidedUpstream;
 
     void set(DispatchRequest request, @Nullable UpstreamLoad failedUpstream, boolean hasQuota) {
-        withinQuota = hasQuota;
-        prefixHash = request.prefixHash();
-        promptTokens = request.promptTokens();
-        toleratesUpstreamLoss = request.resumable() || request.route().repeatable();
-        priority = request.route().priority();
-        avoidedUpstream = failedUpstream;
-        avoidedDomain = failedUpstream == null ? null : failedUpstream.spec().domain();
+        mWithinQuota = hasQuota;
+        mPrefixHash = request.prefixHash();
+        mPromptTokens = request.promptTokens();
+        mToleratesUpstreamLoss = request.resumable() || request.route().repeatable();
+        mPriority = request.route().priority();
+        mAvoidedUpstream = failedUpstream;
+        mAvoidedDomain = failedUpstream == null ? null : failedUpstream.spec().domain();
     }
 
     long prefixHash() {
-        return prefixHash;
+        return mPrefixHash;
     }
 
     int promptTokens() {
-        return promptTokens;
+        return mPromptTokens;
     }
 
     /** Returns whether the request can be resumed or repeated if its upstream is lost. */
     boolean toleratesUpstreamLoss() {
-        return toleratesUpstreamLoss;
+        return mToleratesUpstreamLoss;
     }
 
     /** Returns whether the team is below its quota, so that no slot needs to be free. */
     boolean isWithinQuota() {
-        return withinQuota;
+        return mWithinQuota;
     }
 
     Priority priority() {
-        return priority;
+        return mPriority;
     }
 
     boolean avoids(UpstreamLoad load) {
-        return load == avoidedUpstream;
+        return load == mAvoidedUpstream;
     }
 
     boolean avoidsDomainOf(UpstreamLoad load) {
-        return avoidedDomain != null && avoidedDomain.equals(load.spec().domain());
+        return mAvoidedDomain != null && mAvoidedDomain.equals(load.spec().domain());
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/ServiceTimes.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/ServiceTimes.java
@@ -10,27 +10,30 @@
      */
     private static final double DEADLINE_MARGIN = 1.5;
 
-    private double averageFirstByteNanos;
-    private double averageNanosPerToken;
-    private double averageTokens;
-    private double averageTotalNanos;
+    private double mAverageFirstByteNanos;
+    private double mAverageNanosPerToken;
+    private double mAverageTokens;
+    private double mAverageTotalNanos;
 
     void onCompleted(AttemptReport report) {
         if (report.firstByteNanos() < 0) {
             return;
         }
-        averageFirstByteNanos = smooth(averageFirstByteNanos, report.firstByteNanos());
-        averageTotalNanos = smooth(averageTotalNanos, report.totalNanos());
+        mAverageFirstByteNanos = smooth(mAverageFirstByteNanos, report.firstByteNanos());
+        mAverageTotalNanos = smooth(mAverageTotalNanos, report.totalNanos());
         if (report.generatedTokens() > 0) {
             double decode = report.totalNanos() - report.firstByteNanos();
-            averageNanosPerToken = smooth(averageNanosPerToken, decode / report.generatedTokens());
-            averageTokens = smooth(averageTokens, report.generatedTokens());
+            mAverageNanosPerToken =
+                    smooth(mAverageNanosPerToken, decode / report.generatedTokens());
+            mAverageTokens = smooth(mAverageTokens, report.generatedTokens());
         }
     }
 
     /** Returns the expected number of generated tokens, at most the given number. */
     int expectedTokens(int maxTokens) {
-        return averageTokens == 0 ? maxTokens : (int) Math.min(maxTokens, Math.ceil(averageTokens));
+        return mAverageTokens == 0
+                ? maxTokens
+                : (int) Math.min(maxTokens, Math.ceil(mAverageTokens));
     }
 
     /** Returns whether a request that starts at the given time will probably miss its deadline. */
@@ -40,14 +43,14 @@
 
     /** Returns the expected service time in nanoseconds; 0 before any request has completed. */
     double expectedNanos(DispatchRequest request) {
-        if (request.maxTokens() == 0 || averageNanosPerToken == 0) {
-            return averageTotalNanos;
+        if (request.maxTokens() == 0 || mAverageNanosPerToken == 0) {
+            return mAverageTotalNanos;
         }
-        return averageFirstByteNanos + expectedTokens(request.maxTokens()) * averageNanosPerToken;
+        return mAverageFirstByteNanos + expectedTokens(request.maxTokens()) * mAverageNanosPerToken;
     }
 
     double averageNanos() {
-        return averageTotalNanos;
+        return mAverageTotalNanos;
     }
 
     private static double smooth(double old, double sample) {
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/TeamShare.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/TeamShare.java
@@ -14,35 +14,35 @@
             Comparator.comparingInt((QueuedRequest queued) -> -queued.request().urgency())
                     .thenComparingLong(QueuedRequest::arrival);
 
-    private final TeamName team;
-    private final PriorityQueue<QueuedRequest> live = new PriorityQueue<>(BY_URGENCY);
-    private final PriorityQueue<QueuedRequest> rollouts = new PriorityQueue<>(BY_URGENCY);
-    private final DecayingSum ownCost;
-    private final DecayingSum virtualTimeOffset;
-    private final Map<String, RemoteShare> remotes = new HashMap<>();
-    private final long halfLifeNanos;
-    private int weight = 1;
-    private int running;
-    private double runningCost;
-    private double quota = Double.MAX_VALUE;
+    private final TeamName mTeam;
+    private final PriorityQueue<QueuedRequest> mLive = new PriorityQueue<>(BY_URGENCY);
+    private final PriorityQueue<QueuedRequest> mRollouts = new PriorityQueue<>(BY_URGENCY);
+    private final DecayingSum mOwnCost;
+    private final DecayingSum mVirtualTimeOffset;
+    private final Map<String, RemoteShare> mRemotes = new HashMap<>();
+    private final long mHalfLifeNanos;
+    private int mWeight = 1;
+    private int mRunning;
+    private double mRunningCost;
+    private double mQuota = Double.MAX_VALUE;
 
     TeamShare(TeamName team, long halfLifeNanos) {
-        this.team = team;
-        this.halfLifeNanos = halfLifeNanos;
-        this.ownCost = new DecayingSum(halfLifeNanos);
-        this.virtualTimeOffset = new DecayingSum(halfLifeNanos);
+        mTeam = team;
+        mHalfLifeNanos = halfLifeNanos;
+        mOwnCost = new DecayingSum(halfLifeNanos);
+        mVirtualTimeOffset = new DecayingSum(halfLifeNanos);
     }
 
     TeamName team() {
-        return team;
+        return mTeam;
     }
 
     int weight() {
-        return weight;
+        return mWeight;
     }
 
     void setWeight(int newWeight) {
-        weight = newWeight;
+        mWeight = newWeight;
     }
 
     void add(QueuedRequest queued) {
@@ -58,80 +58,81 @@
      * rollout.
      */
     @Nullable QueuedRequest head(long nowNanos, long ageingNanos) {
-        QueuedRequest rollout = rollouts.peek();
+        QueuedRequest rollout = mRollouts.peek();
         if (rollout != null && nowNanos - rollout.queuedAt() > ageingNanos) {
             return rollout;
         }
-        return live.isEmpty() ? rollout : live.peek();
+        return mLive.isEmpty() ? rollout : mLive.peek();
     }
 
     int waiting() {
-        return live.size() + rollouts.size();
+        return mLive.size() + mRollouts.size();
     }
 
     /** Returns how many queued requests would be served before a new one of the given priority. */
     int countAhead(Priority priority) {
-        return priority == Priority.LIVE ? live.size() : waiting();
+        return priority == Priority.LIVE ? mLive.size() : waiting();
     }
 
     Iterable<QueuedRequest> queued() {
-        return io.vavr.collection.List.ofAll(live).appendAll(rollouts);
+        return io.vavr.collection.List.ofAll(mLive).appendAll(mRollouts);
     }
 
     /** Charges the expected cost of a request that starts. */
     void onStarted(double expectedCost, long nowNanos) {
-        running++;
-        runningCost += expectedCost;
-        ownCost.add(expectedCost, nowNanos);
+        mRunning++;
+        mRunningCost += expectedCost;
+        mOwnCost.add(expectedCost, nowNanos);
     }
 
     /** Corrects the charge of a request that has ended to its actual cost. */
     void onEnded(double expectedCost, double realCost, long nowNanos) {
-        running--;
-        runningCost -= expectedCost;
-        ownCost.add(realCost - expectedCost, nowNanos);
+        mRunning--;
+        mRunningCost -= expectedCost;
+        mOwnCost.add(realCost - expectedCost, nowNanos);
     }
 
     int running() {
-        return running;
+        return mRunning;
     }
 
     int demand() {
-        return waiting() + running;
+        return waiting() + mRunning;
     }
 
     double quota() {
-        return quota;
+        return mQuota;
     }
 
     /** Returns whether capacity is contended and the team runs fewer requests than its quota. */
     boolean hasQuota() {
-        return quota != Double.MAX_VALUE && running < quota;
+        return mQuota != Double.MAX_VALUE && mRunning < mQuota;
     }
 
     void setQuota(double newQuota) {
-        quota = newQuota;
+        mQuota = newQuota;
     }
 
     double ownCost(long nowNanos) {
-        return ownCost.at(nowNanos);
+        return mOwnCost.at(nowNanos);
     }
 
     void onRemote(String instance, double cost, int demand, long nowNanos) {
-        RemoteShare remote = remotes.computeIfAbsent(instance, i -> new RemoteShare(halfLifeNanos));
-        remote.cost.set(cost, nowNanos);
-        remote.demand = demand;
-        remote.receivedAt = nowNanos;
+        RemoteShare remote =
+                mRemotes.computeIfAbsent(instance, i -> new RemoteShare(mHalfLifeNanos));
+        remote.mCost.set(cost, nowNanos);
+        remote.mDemand = demand;
+        remote.mReceivedAt = nowNanos;
     }
 
     void removeRemotesBefore(long nanos) {
-        remotes.values().removeIf(remote -> remote.receivedAt < nanos);
+        mRemotes.values().removeIf(remote -> remote.mReceivedAt < nanos);
     }
 
     int remoteDemand() {
         int sum = 0;
-        for (RemoteShare remote : remotes.values()) {
-            sum += remote.demand;
+        for (RemoteShare remote : mRemotes.values()) {
+            sum += remote.mDemand;
         }
         return sum;
     }
@@ -140,37 +141,37 @@
      * Returns the virtual time of the team: the cost served by all instances divided by its weight.
      */
     double virtualTime(long nowNanos) {
-        double cost = ownCost.at(nowNanos) + virtualTimeOffset.at(nowNanos);
-        for (RemoteShare remote : remotes.values()) {
-            cost += remote.cost.at(nowNanos);
+        double cost = mOwnCost.at(nowNanos) + mVirtualTimeOffset.at(nowNanos);
+        for (RemoteShare remote : mRemotes.values()) {
+            cost += remote.mCost.at(nowNanos);
         }
-        return cost / weight;
+        return cost / mWeight;
     }
 
     /** Returns the virtual time without the charges of the running requests. */
     double virtualStartTime(long nowNanos) {
-        return virtualTime(nowNanos) - runningCost / weight;
+        return virtualTime(nowNanos) - mRunningCost / mWeight;
     }
 
     /** Raises the virtual time to that of the active teams, so that idle time earns no credit. */
     void raiseVirtualTimeTo(double virtualTime, long nowNanos) {
         double deficit = virtualTime - virtualTime(nowNanos);
         if (deficit > 0) {
-            virtualTimeOffset.add(deficit * weight, nowNanos);
+            mVirtualTimeOffset.add(deficit * mWeight, nowNanos);
         }
     }
 
     private PriorityQueue<QueuedRequest> queueOf(QueuedRequest queued) {
-        return queued.request().route().priority() == Priority.LIVE ? live : rollouts;
+        return queued.request().route().priority() == Priority.LIVE ? mLive : mRollouts;
     }
 
     private static final class RemoteShare {
-        private final DecayingSum cost;
-        private int demand;
-        private long receivedAt;
+        private final DecayingSum mCost;
+        private int mDemand;
+        private long mReceivedAt;
 
         private RemoteShare(long halfLifeNanos) {
-            cost = new DecayingSum(halfLifeNanos);
+            mCost = new DecayingSum(halfLifeNanos);
         }
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/UpstreamLoad.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/UpstreamLoad.java
@@ -10,53 +10,53 @@
     /** A short queue at the upstream keeps it busy until this instance learns of a free slot. */
     private static final int MAX_UPSTREAM_QUEUE = 2;
 
-    private final long[] sentAt = new long[RECENT_SENDS];
-    private final Health health = new Health();
-    private final ConcurrencyLimit limit;
-    private UpstreamSpec spec;
-    private int sends;
-    private int inFlight;
-    private int reportedBusy = -1;
-    private long reportedAt;
-    private int sentSinceReport;
-    private int endedSinceReport;
-    private boolean leaving;
-    private boolean removed;
+    private final long[] mSentAt = new long[RECENT_SENDS];
+    private final Health mHealth = new Health();
+    private final ConcurrencyLimit mLimit;
+    private UpstreamSpec mSpec;
+    private int mSends;
+    private int mInFlight;
+    private int mReportedBusy = -1;
+    private long mReportedAt;
+    private int mSentSinceReport;
+    private int mEndedSinceReport;
+    private boolean mLeaving;
+    private boolean mRemoved;
 
     UpstreamLoad(UpstreamSpec spec) {
-        this.spec = spec;
-        this.limit = new ConcurrencyLimit(spec.slots());
+        mSpec = spec;
+        mLimit = new ConcurrencyLimit(spec.slots());
     }
 
     UpstreamSpec spec() {
-        return spec;
+        return mSpec;
     }
 
     Health health() {
-        return health;
+        return mHealth;
     }
 
     int inFlight() {
-        return inFlight;
+        return mInFlight;
     }
 
     /** Applies a changed row of the pool table. */
     void update(UpstreamSpec newSpec) {
-        spec = newSpec;
-        removed = false;
+        mSpec = newSpec;
+        mRemoved = false;
     }
 
     /** Marks the upstream as removed from the pool table; its running requests may finish. */
     void markRemoved() {
-        removed = true;
+        mRemoved = true;
     }
 
     void markLeaving() {
-        leaving = true;
+        mLeaving = true;
     }
 
     boolean isLeaving() {
-        return leaving || removed || spec.state() == UpstreamState.LEAVING;
+        return mLeaving || mRemoved || mSpec.state() == UpstreamState.LEAVING;
     }
 
     /**
@@ -66,41 +66,41 @@
      *     be free, so that the request does not take the share of other instances
      */
     boolean canAccept(boolean withinQuota, PoolAverage average, long nowNanos) {
-        if (isLeaving() || health.isEjected(nowNanos)) {
+        if (isLeaving() || mHealth.isEjected(nowNanos)) {
             return false;
         }
-        double factor = health.capacityFactor(nowNanos);
-        return inFlight < Math.max(1, limit.limit() * factor)
+        double factor = mHealth.capacityFactor(nowNanos);
+        return mInFlight < Math.max(1, mLimit.limit() * factor)
                 && (withinQuota
                         || estimatedBusy(average, nowNanos)
-                                < spec.slots() * factor + MAX_UPSTREAM_QUEUE);
+                                < mSpec.slots() * factor + MAX_UPSTREAM_QUEUE);
     }
 
     void onSent(long nowNanos) {
-        inFlight++;
-        sentSinceReport++;
-        sentAt[sends++ & (RECENT_SENDS - 1)] = nowNanos;
+        mInFlight++;
+        mSentSinceReport++;
+        mSentAt[mSends++ & (RECENT_SENDS - 1)] = nowNanos;
     }
 
     void onEnded(AttemptReport report) {
         if (report.firstByteNanos() >= 0) {
-            limit.onResponse(report.firstByteNanos(), report.totalNanos(), inFlight);
+            mLimit.onResponse(report.firstByteNanos(), report.totalNanos(), mInFlight);
         }
-        inFlight--;
-        endedSinceReport++;
+        mInFlight--;
+        mEndedSinceReport++;
         if (report.result() == AttemptResult.NOT_ADMITTED) {
-            limit.onNotAdmitted();
+            mLimit.onNotAdmitted();
         }
     }
 
     /** Applies a load report and adds the requests that were sent while it was in transit. */
     void onReport(LoadReport report, long nowNanos) {
-        reportedBusy = report.running() + report.waiting();
-        reportedAt = nowNanos - report.ageNanos();
-        sentSinceReport = sentWithin(report.ageNanos(), nowNanos);
-        endedSinceReport = 0;
+        mReportedBusy = report.running() + report.waiting();
+        mReportedAt = nowNanos - report.ageNanos();
+        mSentSinceReport = sentWithin(report.ageNanos(), nowNanos);
+        mEndedSinceReport = 0;
         if (report.leaving()) {
-            leaving = true;
+            mLeaving = true;
         }
     }
 
@@ -113,18 +113,18 @@
      * @param nowNanos monotonic time in nanoseconds
      */
     double estimatedBusy(PoolAverage average, long nowNanos) {
-        if (reportedBusy < 0) {
-            return inFlight;
+        if (mReportedBusy < 0) {
+            return mInFlight;
         }
-        double weight = average.reportWeight(nowNanos - reportedAt);
-        double reported = Math.max(inFlight, reportedBusy + sentSinceReport - endedSinceReport);
-        double expected = Math.max(inFlight, average.busy() + inFlight - average.inFlight());
+        double weight = average.reportWeight(nowNanos - mReportedAt);
+        double reported = Math.max(mInFlight, mReportedBusy + mSentSinceReport - mEndedSinceReport);
+        double expected = Math.max(mInFlight, average.busy() + mInFlight - average.inFlight());
         return weight * reported + (1 - weight) * expected;
     }
 
     /** Returns the last reported number of requests, regardless of the age of the report. */
     int reportedBusy() {
-        return Math.max(0, reportedBusy);
+        return Math.max(0, mReportedBusy);
     }
 
     /**
@@ -132,15 +132,15 @@
      * use.
      */
     double loadAfterOneMore(PoolAverage average, long nowNanos) {
-        double capacity = spec.slots() * health.capacityFactor(nowNanos);
+        double capacity = mSpec.slots() * mHealth.capacityFactor(nowNanos);
         return (estimatedBusy(average, nowNanos) + 1) / capacity;
     }
 
     private int sentWithin(long ageNanos, long nowNanos) {
         int count = 0;
-        int recorded = Math.min(sends, RECENT_SENDS);
+        int recorded = Math.min(mSends, RECENT_SENDS);
         while (count < recorded
-                && nowNanos - sentAt[(sends - 1 - count) & (RECENT_SENDS - 1)] <= ageNanos) {
+                && nowNanos - mSentAt[(mSends - 1 - count) & (RECENT_SENDS - 1)] <= ageNanos) {
             count++;
         }
         return count;
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/stream/ChunkVerdict.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/stream/ChunkVerdict.java
@@ -19,17 +19,17 @@
     /** At least one token between the last delivered one and this one is missing. */
     GAP(true);
 
-    private final boolean endsAttempt;
+    private final boolean mEndsAttempt;
 
     ChunkVerdict(boolean doubt) {
-        this.endsAttempt = doubt;
+        mEndsAttempt = doubt;
     }
 
     /**
      * Returns whether the attempt must end and generation resume after the last delivered token.
      */
     public boolean endsAttempt() {
-        return endsAttempt;
+        return mEndsAttempt;
     }
 
     /** Returns the name used in metrics, such as {@code no-version}. */
--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/stream/TokenStreamAssembler.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/stream/TokenStreamAssembler.java
@@ -13,14 +13,14 @@
  * next attempt resumes at {@link #nextToken}.
  */
 public final class TokenStreamAssembler {
-    private final List<TokenRange> ranges = new ArrayList<>();
-    private Option<UpstreamId> upstream = Option.none();
-    private Option<String> engineStart = Option.none();
-    private boolean attemptFailed;
-    private int attempt;
-    private int nextToken;
-    private long duplicates;
-    private long lateChunks;
+    private final List<TokenRange> mRanges = new ArrayList<>();
+    private Option<UpstreamId> mUpstream = Option.none();
+    private Option<String> mEngineStart = Option.none();
+    private boolean mAttemptFailed;
+    private int mAttempt;
+    private int mNextToken;
+    private long mDuplicates;
+    private long mLateChunks;
 
     /**
      * Starts an attempt; chunks of earlier attempts are dropped from now on.
@@ -30,11 +30,11 @@
      * @return the index of the first token to request
      */
     public int begin(int number, UpstreamId engine) {
-        attempt = number;
-        upstream = Option.some(engine);
-        engineStart = Option.none();
-        attemptFailed = false;
-        return nextToken;
+        mAttempt = number;
+        mUpstream = Option.some(engine);
+        mEngineStart = Option.none();
+        mAttemptFailed = false;
+        return mNextToken;
     }
 
     /**
@@ -44,68 +44,68 @@
      * @return how the chunk is handled
      */
     public ChunkVerdict accept(int number, EngineChunk chunk) {
-        if (number != attempt || upstream.isEmpty()) {
-            lateChunks++;
+        if (number != mAttempt || mUpstream.isEmpty()) {
+            mLateChunks++;
             return ChunkVerdict.LATE;
         }
-        if (attemptFailed) {
+        if (mAttemptFailed) {
             return ChunkVerdict.AFTER_DOUBT;
         }
         ChunkVerdict verdict = classify(chunk);
         if (verdict == ChunkVerdict.DELIVER) {
-            append(chunk.version().get(), upstream.get());
+            append(chunk.version().get(), mUpstream.get());
         } else if (verdict == ChunkVerdict.DUPLICATE) {
-            duplicates++;
+            mDuplicates++;
         }
-        attemptFailed = verdict.endsAttempt();
+        mAttemptFailed = verdict.endsAttempt();
         return verdict;
     }
 
     /** Returns the index of the first token that has not been delivered. */
     public int nextToken() {
-        return nextToken;
+        return mNextToken;
     }
 
     /** Returns the delivered tokens by version and upstream, in order and without gaps. */
     public List<TokenRange> ranges() {
-        return List.copyOf(ranges);
+        return List.copyOf(mRanges);
     }
 
     /** Returns how many tokens were dropped because they had been delivered before. */
     public long duplicates() {
-        return duplicates;
+        return mDuplicates;
     }
 
     /** Returns how many chunks of earlier attempts were dropped. */
     public long lateChunks() {
-        return lateChunks;
+        return mLateChunks;
     }
 
     private ChunkVerdict classify(EngineChunk chunk) {
         if (chunk.engineStartId().isEmpty()
-                || (engineStart.isDefined() && !engineStart.equals(chunk.engineStartId()))) {
+                || (mEngineStart.isDefined() && !mEngineStart.equals(chunk.engineStartId()))) {
             return ChunkVerdict.ENGINE_START_CHANGED;
         }
-        engineStart = chunk.engineStartId();
-        if (chunk.tokenIndex() < nextToken) {
+        mEngineStart = chunk.engineStartId();
+        if (chunk.tokenIndex() < mNextToken) {
             return ChunkVerdict.DUPLICATE;
         }
-        if (chunk.tokenIndex() > nextToken) {
+        if (chunk.tokenIndex() > mNextToken) {
             return ChunkVerdict.GAP;
         }
         return chunk.version().isEmpty() ? ChunkVerdict.NO_VERSION : ChunkVerdict.DELIVER;
     }
 
     private void append(WeightVersion version, UpstreamId engine) {
-        int from = nextToken;
-        nextToken++;
-        if (!ranges.isEmpty()) {
-            TokenRange last = ranges.get(ranges.size() - 1);
+        int from = mNextToken;
+        mNextToken++;
+        if (!mRanges.isEmpty()) {
+            TokenRange last = mRanges.get(mRanges.size() - 1);
             if (last.version().equals(version) && last.upstream().equals(engine)) {
-                ranges.remove(ranges.size() - 1);
+                mRanges.remove(mRanges.size() - 1);
                 from = last.from();
             }
         }
-        ranges.add(new TokenRange(from, nextToken, version, engine));
+        mRanges.add(new TokenRange(from, mNextToken, version, engine));
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/fleet/Fleet.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/fleet/Fleet.java
@@ -19,13 +19,13 @@
     /** Penalty added to the cost of an upstream that is slow to respond. */
     private static final double SLOW_PENALTY = 1.0;
 
-    private final Map<String, UpstreamState> states = new HashMap<>();
-    private final Map<String, List<UpstreamState>> byService = new HashMap<>();
-    private final RandomGenerator random;
+    private final Map<String, UpstreamState> mStates = new HashMap<>();
+    private final Map<String, List<UpstreamState>> mByService = new HashMap<>();
+    private final RandomGenerator mRandom;
 
     /** Creates an empty fleet. */
     public Fleet(RandomGenerator random) {
-        this.random = random;
+        mRandom = random;
     }
 
     /** Replaces the list of upstreams; the state of those that remain is kept. */
@@ -33,20 +33,20 @@
         Set<String> ids = new HashSet<>();
         for (FleetUpstream upstream : listed) {
             ids.add(upstream.id());
-            UpstreamState state = states.get(upstream.id());
+            UpstreamState state = mStates.get(upstream.id());
             if (state == null) {
-                states.put(upstream.id(), new UpstreamState(upstream));
+                mStates.put(upstream.id(), new UpstreamState(upstream));
             } else {
                 state.update(upstream);
             }
         }
-        states.values().stream()
+        mStates.values().stream()
                 .filter(state -> !ids.contains(state.spec().id()))
                 .forEach(UpstreamState::markUnlisted);
-        states.values().removeIf(UpstreamState::isRemovable);
-        byService.clear();
-        for (UpstreamState state : states.values()) {
-            byService
+        mStates.values().removeIf(UpstreamState::isRemovable);
+        mByService.clear();
+        for (UpstreamState state : mStates.values()) {
+            mByService
                     .computeIfAbsent(state.spec().service(), service -> new ArrayList<>())
                     .add(state);
         }
@@ -54,12 +54,12 @@
 
     /** Returns the upstreams of a service; empty for an unknown one. */
     public List<UpstreamState> ofService(String service) {
-        return byService.getOrDefault(service, List.of());
+        return mByService.getOrDefault(service, List.of());
     }
 
     /** Returns an upstream by its name. */
     public Option<UpstreamState> byId(String id) {
-        return Option.of(states.get(id));
+        return Option.of(mStates.get(id));
     }
 
     /**
@@ -104,7 +104,7 @@
 
     private boolean isMoreRecentlyUsed(UpstreamState state, UpstreamState other) {
         return state.lastUsed() == other.lastUsed()
-                ? random.nextBoolean()
+                ? mRandom.nextBoolean()
                 : state.lastUsed() > other.lastUsed();
     }
 
--- a/decisions/src/main/java/org/fuchsialever/decisions/fleet/UpstreamState.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/fleet/UpstreamState.java
@@ -27,132 +27,132 @@
 
     private static final int MAX_DOUBLINGS = 5;
 
-    private FleetUpstream spec;
-    private final Map<String, Long> observedVersions = new HashMap<>();
-    private int inFlight;
-    private int otherCalls;
-    private long otherCallsUntil = Long.MIN_VALUE;
-    private long suspendedUntil = Long.MIN_VALUE;
-    private long slowUntil = Long.MIN_VALUE;
-    private long lastUsed = Long.MIN_VALUE;
-    private int failures;
-    private int refusals;
-    private boolean listed = true;
+    private FleetUpstream mSpec;
+    private final Map<String, Long> mObservedVersions = new HashMap<>();
+    private int mInFlight;
+    private int mOtherCalls;
+    private long mOtherCallsUntil = Long.MIN_VALUE;
+    private long mSuspendedUntil = Long.MIN_VALUE;
+    private long mSlowUntil = Long.MIN_VALUE;
+    private long mLastUsed = Long.MIN_VALUE;
+    private int mFailures;
+    private int mRefusals;
+    private boolean mListed = true;
 
     /** Creates the state of an upstream that has just been listed. */
     public UpstreamState(FleetUpstream spec) {
-        this.spec = spec;
+        mSpec = spec;
     }
 
     /** Returns the latest description of the upstream. */
     public FleetUpstream spec() {
-        return spec;
+        return mSpec;
     }
 
     /** Replaces the description; a restart under the same name clears versions and failures. */
     public void update(FleetUpstream newer) {
-        if (newer.startedMillis() != spec.startedMillis()) {
-            observedVersions.clear();
-            failures = 0;
-            suspendedUntil = Long.MIN_VALUE;
+        if (newer.startedMillis() != mSpec.startedMillis()) {
+            mObservedVersions.clear();
+            mFailures = 0;
+            mSuspendedUntil = Long.MIN_VALUE;
         }
-        spec = newer;
-        listed = true;
+        mSpec = newer;
+        mListed = true;
     }
 
     /** Marks the upstream as no longer listed. */
     public void markUnlisted() {
-        listed = false;
+        mListed = false;
     }
 
     /** Returns whether the upstream is listed and accepts new calls. */
     public boolean isServing() {
-        return listed && spec.serving();
+        return mListed && mSpec.serving();
     }
 
     /** Returns whether the upstream is unlisted and runs no call of this instance any more. */
     public boolean isRemovable() {
-        return !listed && inFlight == 0;
+        return !mListed && mInFlight == 0;
     }
 
     /** Returns whether the upstream may get a call now. */
     public boolean isAvailable(long now) {
-        return isServing() && now >= suspendedUntil;
+        return isServing() && now >= mSuspendedUntil;
     }
 
     /** Returns when the ejection or back-off ends, in monotonic nanoseconds. */
     public long suspendedUntil() {
-        return suspendedUntil;
+        return mSuspendedUntil;
     }
 
     /** Returns the newest weight version of a model in the description and in responses. */
     public long versionOf(String model) {
-        return Math.max(spec.versionOf(model), observedVersions.getOrDefault(model, 0L));
+        return Math.max(mSpec.versionOf(model), mObservedVersions.getOrDefault(model, 0L));
     }
 
     /** Records the weight version that a response named. */
     public void observeVersion(String model, long version) {
-        observedVersions.merge(model, version, Math::max);
+        mObservedVersions.merge(model, version, Math::max);
     }
 
     /** Returns the number of calls of this instance that are running there. */
     public int inFlight() {
-        return inFlight;
+        return mInFlight;
     }
 
     /** Returns the estimated number of calls there, including those of other instances. */
     public int load(long now) {
-        return inFlight + (now < otherCallsUntil ? otherCalls : 0);
+        return mInFlight + (now < mOtherCallsUntil ? mOtherCalls : 0);
     }
 
     /** Returns the load per slot. */
     public double utilization(long now) {
-        return (double) load(now) / Math.max(1, spec.slots());
+        return (double) load(now) / Math.max(1, mSpec.slots());
     }
 
     /** Records that a call was sent. */
     public void callStarted(long now) {
-        inFlight++;
-        lastUsed = now;
+        mInFlight++;
+        mLastUsed = now;
     }
 
     /** Returns when the last call was sent there, in monotonic nanoseconds. */
     public long lastUsed() {
-        return lastUsed;
+        return mLastUsed;
     }
 
     /** Marks the upstream as slow because a call takes longer than usual for its kind. */
     public void markSlow(long now) {
-        slowUntil = now + SLOW_PERIOD_NANOS;
+        mSlowUntil = now + SLOW_PERIOD_NANOS;
     }
 
     /** Returns whether the upstream was marked as slow recently. */
     public boolean isSlow(long now) {
-        return now < slowUntil;
+        return now < mSlowUntil;
     }
 
     /** Records that a call has ended, with the reported load and the verdict on the upstream. */
     public void callEnded(Option<LoadHint> hint, boolean failed, boolean refused, long now) {
-        inFlight--;
+        mInFlight--;
         hint.forEach(
                 reported -> {
-                    otherCalls =
-                            Math.max(0, reported.running() + reported.waiting() - 1 - inFlight);
-                    otherCallsUntil = now + HINT_LIFETIME_NANOS;
+                    mOtherCalls =
+                            Math.max(0, reported.running() + reported.waiting() - 1 - mInFlight);
+                    mOtherCallsUntil = now + HINT_LIFETIME_NANOS;
                 });
         if (failed) {
-            int doublings = Math.min(failures++, MAX_DOUBLINGS);
+            int doublings = Math.min(mFailures++, MAX_DOUBLINGS);
             suspendUntil(now + Math.min(MIN_EJECTION_NANOS << doublings, MAX_EJECTION_NANOS));
         } else if (refused) {
-            int doublings = Math.min(refusals++, MAX_DOUBLINGS);
+            int doublings = Math.min(mRefusals++, MAX_DOUBLINGS);
             suspendUntil(now + Math.min(MIN_BACKOFF_NANOS << doublings, MAX_BACKOFF_NANOS));
         } else {
-            failures = 0;
-            refusals = 0;
+            mFailures = 0;
+            mRefusals = 0;
         }
     }
 
     private void suspendUntil(long until) {
-        suspendedUntil = Math.max(suspendedUntil, until);
+        mSuspendedUntil = Math.max(mSuspendedUntil, until);
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/AttemptOutcome.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/AttemptOutcome.java
@@ -25,29 +25,29 @@
     /** This instance cancelled the attempt. */
     CANCELLED(true, false, false);
 
-    private final boolean mayHaveRun;
-    private final boolean upstreamFault;
-    private final boolean refusal;
+    private final boolean mMayHaveRun;
+    private final boolean mUpstreamFault;
+    private final boolean mRefusal;
 
     AttemptOutcome(boolean mayHaveRun, boolean upstreamFault, boolean refusal) {
-        this.mayHaveRun = mayHaveRun;
-        this.upstreamFault = upstreamFault;
-        this.refusal = refusal;
+        mMayHaveRun = mayHaveRun;
+        mUpstreamFault = upstreamFault;
+        mRefusal = refusal;
     }
 
     /** Returns whether the upstream may have run the call. */
     public boolean mayHaveRun() {
-        return mayHaveRun;
+        return mMayHaveRun;
     }
 
     /** Returns whether the upstream is at fault and gets no calls for some time. */
     public boolean isUpstreamFault() {
-        return upstreamFault;
+        return mUpstreamFault;
     }
 
     /** Returns whether the upstream refused the call and may accept it later. */
     public boolean isRefusal() {
-        return refusal;
+        return mRefusal;
     }
 
     /** Returns whether there is a response of the upstream to pass to the caller. */
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallState.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallState.java
@@ -8,90 +8,90 @@
 
 /** Attempts and retry budget of one call in progress. */
 final class ForwardCallState {
-    private final ForwardCall call;
-    private final String service;
-    private final TreeMap<Integer, UpstreamState> running = new TreeMap<>();
-    private final Set<String> tried = new HashSet<>();
-    private int attempts;
-    private int sent;
-    private int failures;
-    private boolean mayHaveRun;
-    private boolean queued;
+    private final ForwardCall mCall;
+    private final String mService;
+    private final TreeMap<Integer, UpstreamState> mRunning = new TreeMap<>();
+    private final Set<String> mTried = new HashSet<>();
+    private int mAttempts;
+    private int mSent;
+    private int mFailures;
+    private boolean mMayHaveRun;
+    private boolean mQueued;
 
     ForwardCallState(ForwardCall call, String service) {
-        this.call = call;
-        this.service = service;
+        mCall = call;
+        mService = service;
     }
 
     ForwardCall call() {
-        return call;
+        return mCall;
     }
 
     String service() {
-        return service;
+        return mService;
     }
 
     Set<Integer> runningAttempts() {
-        return Set.copyOf(running.keySet());
+        return Set.copyOf(mRunning.keySet());
     }
 
     List<UpstreamState> runningUpstreams() {
-        return List.copyOf(running.values());
+        return List.copyOf(mRunning.values());
     }
 
     boolean isRunning() {
-        return !running.isEmpty();
+        return !mRunning.isEmpty();
     }
 
     boolean wasTried(UpstreamState upstream) {
-        return tried.contains(upstream.spec().id());
+        return mTried.contains(upstream.spec().id());
     }
 
     int start(UpstreamState upstream) {
-        attempts++;
-        sent++;
-        tried.add(upstream.spec().id());
-        running.put(attempts, upstream);
-        return attempts;
+        mAttempts++;
+        mSent++;
+        mTried.add(upstream.spec().id());
+        mRunning.put(mAttempts, upstream);
+        return mAttempts;
     }
 
     int attempts() {
-        return attempts;
+        return mAttempts;
     }
 
     void end(int attempt, AttemptOutcome outcome) {
-        running.remove(attempt);
-        mayHaveRun |= outcome.mayHaveRun();
+        mRunning.remove(attempt);
+        mMayHaveRun |= outcome.mayHaveRun();
         if (outcome == AttemptOutcome.NOT_CONNECTED) {
-            sent--;
+            mSent--;
         }
         if (outcome == AttemptOutcome.FAILED) {
-            failures++;
+            mFailures++;
         }
     }
 
     /** Returns whether the call may be sent to another upstream. */
     boolean mayBeSentAgain() {
-        if (call.kind() != ForwardCallKind.LIVE) {
-            return failures < call.maxAttempts();
+        if (mCall.kind() != ForwardCallKind.LIVE) {
+            return mFailures < mCall.maxAttempts();
         }
-        return sent < call.maxAttempts() && (call.idempotent() || !mayHaveRun && !isRunning());
+        return mSent < mCall.maxAttempts() && (mCall.idempotent() || !mMayHaveRun && !isRunning());
     }
 
     /** Makes upstreams eligible again that were tried before, for calls with many retries. */
     void clearTried() {
-        tried.clear();
+        mTried.clear();
     }
 
     boolean mayHaveRun() {
-        return mayHaveRun || isRunning();
+        return mMayHaveRun || isRunning();
     }
 
     boolean isQueued() {
-        return queued;
+        return mQueued;
     }
 
     void setQueued(boolean value) {
-        queued = value;
+        mQueued = value;
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
@@ -34,17 +34,17 @@
 
     private static final int MAX_AFFINITIES = 4_096;
 
-    private final Fleet fleet;
-    private final RandomGenerator random;
-    private final Map<Long, ForwardCallState> calls = new HashMap<>();
-    private final Map<AttemptKey, UpstreamState> attempts = new HashMap<>();
-    private final PriorityQueue<Timer> timers =
+    private final Fleet mFleet;
+    private final RandomGenerator mRandom;
+    private final Map<Long, ForwardCallState> mCalls = new HashMap<>();
+    private final Map<AttemptKey, UpstreamState> mAttempts = new HashMap<>();
+    private final PriorityQueue<Timer> mTimers =
             new PriorityQueue<>(Comparator.comparingLong(Timer::at));
-    private final TreeSet<ForwardCall> queue =
+    private final TreeSet<ForwardCall> mQueue =
             new TreeSet<>(
                     Comparator.comparingLong(ForwardCall::queueRank)
                             .thenComparingLong(ForwardCall::number));
-    private final Map<String, String> affinities =
+    private final Map<String, String> mAffinities =
             new LinkedHashMap<>() {
                 private static final long serialVersionUID = 1L;
 
@@ -53,12 +53,12 @@
                     return size() > MAX_AFFINITIES;
                 }
             };
-    private long queueTimer = NO_TIMER;
+    private long mQueueTimer = NO_TIMER;
 
     /** Creates a duty without upstreams; they arrive with the first change of the fleet. */
     public ForwardDuty(RandomGenerator random) {
-        this.random = random;
-        this.fleet = new Fleet(random);
+        mRandom = random;
+        mFleet = new Fleet(random);
     }
 
     @Override
@@ -76,43 +76,43 @@
             cancelled(cancelled.number(), actions);
             drainQueue(nowNanos, actions);
         } else if (event instanceof ForwardEvent.FleetChanged changed) {
-            fleet.update(changed.upstreams());
+            mFleet.update(changed.upstreams());
             drainQueue(nowNanos, actions);
         }
     }
 
     @Override
     public void onTimer(long nowNanos, ActionSink<ForwardAction> actions) {
-        Timer timer = timers.peek();
+        Timer timer = mTimers.peek();
         while (timer != null && timer.at <= nowNanos) {
-            timers.poll();
+            mTimers.poll();
             fire(timer, nowNanos, actions);
-            timer = timers.peek();
+            timer = mTimers.peek();
         }
-        if (queueTimer <= nowNanos) {
-            queueTimer = NO_TIMER;
+        if (mQueueTimer <= nowNanos) {
+            mQueueTimer = NO_TIMER;
             drainQueue(nowNanos, actions);
         }
     }
 
     @Override
     public long nextTimerNanos() {
-        Timer timer = timers.peek();
-        return Math.min(queueTimer, timer == null ? NO_TIMER : timer.at);
+        Timer timer = mTimers.peek();
+        return Math.min(mQueueTimer, timer == null ? NO_TIMER : timer.at);
     }
 
     private void arrived(ForwardCall call, long now, ActionSink<ForwardAction> actions) {
         ForwardCallState state = new ForwardCallState(call, pickService(call.shares()));
-        calls.put(call.number(), state);
+        mCalls.put(call.number(), state);
         if (call.deadlineNanos() != NO_TIMER) {
-            timers.add(new Timer(call.deadlineNanos(), call.number(), TimerKind.DEADLINE));
+            mTimers.add(new Timer(call.deadlineNanos(), call.number(), TimerKind.DEADLINE));
         }
         startOrQueue(state, ForwardAction.StartReason.FIRST, now, actions);
     }
 
     private String pickService(List<ServiceShare> shares) {
         int total = shares.stream().mapToInt(ServiceShare::weight).sum();
-        int point = total <= 1 ? 0 : random.nextInt(total);
+        int point = total <= 1 ? 0 : mRandom.nextInt(total);
         for (ServiceShare share : shares) {
             point -= share.weight();
             if (point < 0) {
@@ -146,13 +146,13 @@
         Predicate<UpstreamState> untried =
                 upstream -> suitable.test(upstream) && !state.wasTried(upstream);
         String preferred =
-                call.affinity().isEmpty() ? "" : affinities.getOrDefault(call.affinity(), "");
+                call.affinity().isEmpty() ? "" : mAffinities.getOrDefault(call.affinity(), "");
         double maxUtilization = call.kind().maxUtilization();
         double loadStep = call.kind().loadStep();
         Option<UpstreamState> choice =
-                fleet.choose(state.service(), untried, maxUtilization, loadStep, preferred, now);
+                mFleet.choose(state.service(), untried, maxUtilization, loadStep, preferred, now);
         if (choice.isEmpty() && call.kind().waitsForSlot()) {
-            return fleet.choose(
+            return mFleet.choose(
                     state.service(), suitable, maxUtilization, loadStep, preferred, now);
         }
         // A live call is sent to an ejected upstream rather than refused.
@@ -160,7 +160,7 @@
                 () ->
                         call.kind().waitsForSlot()
                                 ? Option.none()
-                                : fleet.chooseSuspended(state.service(), untried));
+                                : mFleet.chooseSuspended(state.service(), untried));
     }
 
     private void start(
@@ -174,13 +174,13 @@
         int load = upstream.load(now);
         int attempt = state.start(upstream);
         upstream.callStarted(now);
-        attempts.put(new AttemptKey(call.number(), attempt), upstream);
+        mAttempts.put(new AttemptKey(call.number(), attempt), upstream);
         if (!call.affinity().isEmpty()) {
-            affinities.put(call.affinity(), upstream.spec().id());
+            mAffinities.put(call.affinity(), upstream.spec().id());
         }
         boolean maySendAgain = call.idempotent() && call.hedgeAfterNanos() != NO_TIMER;
         if (maySendAgain && state.mayBeSentAgain()) {
-            timers.add(new Timer(now + call.hedgeAfterNanos(), call.number(), TimerKind.HEDGE));
+            mTimers.add(new Timer(now + call.hedgeAfterNanos(), call.number(), TimerKind.HEDGE));
         }
         actions.emit(new ForwardAction.Start(call, attempt, upstream.spec(), reason, load));
     }
@@ -189,12 +189,12 @@
             ForwardEvent.AttemptEnded event, long now, ActionSink<ForwardAction> actions) {
         AttemptReport report = event.report();
         AttemptOutcome outcome = report.outcome();
-        UpstreamState upstream = attempts.remove(new AttemptKey(event.number(), event.attempt()));
+        UpstreamState upstream = mAttempts.remove(new AttemptKey(event.number(), event.attempt()));
         if (upstream == null) {
             return;
         }
         upstream.callEnded(report.load(), outcome.isUpstreamFault(), outcome.isRefusal(), now);
-        ForwardCallState state = calls.get(event.number());
+        ForwardCallState state = mCalls.get(event.number());
         if (state != null) {
             if (report.version() > 0) {
                 upstream.observeVersion(state.call().model(), report.version());
@@ -229,7 +229,7 @@
             ActionSink<ForwardAction> actions) {
         if (state.call().kind().waitsForSlot() && outcome == AttemptOutcome.FAILED) {
             state.clearTried();
-            timers.add(
+            mTimers.add(
                     new Timer(
                             now + FAILURE_RETRY_DELAY_NANOS,
                             state.call().number(),
@@ -273,7 +273,7 @@
     }
 
     private void fire(Timer timer, long now, ActionSink<ForwardAction> actions) {
-        ForwardCallState state = calls.get(timer.number);
+        ForwardCallState state = mCalls.get(timer.number);
         if (state == null) {
             return;
         }
@@ -298,7 +298,7 @@
     }
 
     private void cancelled(long number, ActionSink<ForwardAction> actions) {
-        ForwardCallState state = calls.get(number);
+        ForwardCallState state = mCalls.get(number);
         if (state != null) {
             finish(state, actions);
         }
@@ -306,7 +306,7 @@
 
     private void finish(ForwardCallState state, ActionSink<ForwardAction> actions) {
         long number = state.call().number();
-        calls.remove(number);
+        mCalls.remove(number);
         dequeue(state);
         for (int attempt : state.runningAttempts()) {
             actions.emit(new ForwardAction.Cancel(number, attempt));
@@ -318,25 +318,25 @@
         if (state.isRunning()) {
             return;
         }
-        queue.add(state.call());
+        mQueue.add(state.call());
         state.setQueued(true);
-        queueTimer = Math.min(queueTimer, now + QUEUE_INTERVAL_NANOS);
+        mQueueTimer = Math.min(mQueueTimer, now + QUEUE_INTERVAL_NANOS);
     }
 
     private void dequeue(ForwardCallState state) {
         if (state.isQueued()) {
-            queue.remove(state.call());
+            mQueue.remove(state.call());
             state.setQueued(false);
         }
     }
 
     private void drainQueue(long now, ActionSink<ForwardAction> actions) {
-        if (queue.isEmpty()) {
+        if (mQueue.isEmpty()) {
             return;
         }
-        List<ForwardCall> waiting = new ArrayList<>(queue);
+        List<ForwardCall> waiting = new ArrayList<>(mQueue);
         for (ForwardCall call : waiting) {
-            ForwardCallState state = calls.get(call.number());
+            ForwardCallState state = mCalls.get(call.number());
             if (state != null && state.isQueued()) {
                 Option<UpstreamState> upstream = choose(state, now);
                 upstream.forEach(
@@ -349,8 +349,8 @@
                         });
             }
         }
-        if (!queue.isEmpty()) {
-            queueTimer = Math.min(queueTimer, now + QUEUE_INTERVAL_NANOS);
+        if (!mQueue.isEmpty()) {
+            mQueueTimer = Math.min(mQueueTimer, now + QUEUE_INTERVAL_NANOS);
         }
     }
 
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardRefusal.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardRefusal.java
@@ -17,14 +17,14 @@
     /** The call has failed as often as its route allows. */
     EXHAUSTED(false);
 
-    private final boolean notRun;
+    private final boolean mNotRun;
 
     ForwardRefusal(boolean notRun) {
-        this.notRun = notRun;
+        mNotRun = notRun;
     }
 
     /** Returns whether the call has certainly not run and never will. */
     public boolean isNotRun() {
-        return notRun;
+        return mNotRun;
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/intent/CommandResult.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/intent/CommandResult.java
@@ -15,28 +15,28 @@
     /** No response; the command may take effect now or later. */
     UNKNOWN(false, false, true);
 
-    private final boolean endsIntent;
-    private final boolean withoutEffect;
-    private final boolean mayBeInTransit;
+    private final boolean mEndsIntent;
+    private final boolean mWithoutEffect;
+    private final boolean mMayBeInTransit;
 
     CommandResult(boolean endsIntent, boolean withoutEffect, boolean mayBeInTransit) {
-        this.endsIntent = endsIntent;
-        this.withoutEffect = withoutEffect;
-        this.mayBeInTransit = mayBeInTransit;
+        mEndsIntent = endsIntent;
+        mWithoutEffect = withoutEffect;
+        mMayBeInTransit = mayBeInTransit;
     }
 
     /** Returns whether the receiver gave a response that ends the intent. */
     public boolean isFinal() {
-        return endsIntent;
+        return mEndsIntent;
     }
 
     /** Returns whether an earlier attempt that is in transit could contradict the response. */
     boolean mayBeContradicted() {
-        return withoutEffect;
+        return mWithoutEffect;
     }
 
     /** Returns whether the attempt may still take effect. */
     boolean mayBeInTransit() {
-        return mayBeInTransit;
+        return mMayBeInTransit;
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/intent/IntentMachine.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/intent/IntentMachine.java
@@ -21,29 +21,29 @@
  * @param <C> the type of the commands
  */
 public final class IntentMachine<C extends IntentCommand> {
-    private final String role;
-    private final IntentTiming timing;
-    private final RandomGenerator random;
-    private final InvariantMonitor invariants;
-    private final Map<String, OpenIntent<C>> open = new LinkedHashMap<>();
-    private final Map<String, CommandResult> ended = new LinkedHashMap<>();
-    private final Set<String> targets = new HashSet<>();
+    private final String mRole;
+    private final IntentTiming mTiming;
+    private final RandomGenerator mRandom;
+    private final InvariantMonitor mInvariants;
+    private final Map<String, OpenIntent<C>> mOpen = new LinkedHashMap<>();
+    private final Map<String, CommandResult> mEnded = new LinkedHashMap<>();
+    private final Set<String> mTargets = new HashSet<>();
 
     /** Receivers that ignore fencing tokens and may still get a command of a predecessor. */
-    private final Set<String> unsettledReceivers = new HashSet<>();
+    private final Set<String> mUnsettledReceivers = new HashSet<>();
 
-    private Phase phase = Phase.NOT_HOLDING;
-    private long fencing;
-    private long highestFencing;
-    private long inheritedQuietPeriodEnd;
-    private long journalVersion;
-    private long sequence;
-    private long writes;
-    private long nextWriteAt;
-    private int writeFailures;
-    private Option<IntentAction.WriteJournal<C>> pendingWrite = Option.none();
-    private Set<String> endedInWrite = Set.of();
-    private long retryAt = Duty.NO_TIMER;
+    private Phase mPhase = Phase.NOT_HOLDING;
+    private long mFencing;
+    private long mHighestFencing;
+    private long mInheritedQuietPeriodEnd;
+    private long mJournalVersion;
+    private long mSequence;
+    private long mWrites;
+    private long mNextWriteAt;
+    private int mWriteFailures;
+    private Option<IntentAction.WriteJournal<C>> mPendingWrite = Option.none();
+    private Set<String> mEndedInWrite = Set.of();
+    private long mRetryAt = Duty.NO_TIMER;
 
     /**
      * Creates a machine that does not hold the role.
@@ -54,30 +54,30 @@
      */
     public IntentMachine(
             String role, IntentTiming timing, RandomGenerator random, InvariantMonitor invariants) {
-        this.role = role;
-        this.timing = timing;
-        this.random = random;
-        this.invariants = invariants;
+        mRole = role;
+        mTiming = timing;
+        mRandom = random;
+        mInvariants = invariants;
     }
 
     /** Returns whether new intents can be proposed. */
     public boolean isReady() {
-        return phase == Phase.READY;
+        return mPhase == Phase.READY;
     }
 
     /** Returns whether a target has an open intent. */
     public boolean hasOpenIntent(String target) {
-        return targets.contains(target);
+        return mTargets.contains(target);
     }
 
     /** Returns the commands of the open intents. */
     public List<C> openCommands() {
-        return open.values().stream().map(entry -> entry.intent.command()).toList();
+        return mOpen.values().stream().map(entry -> entry.mIntent.command()).toList();
     }
 
     /** Returns a name that neither this nor any other holder has used before. */
     public String nextUniqueName() {
-        return fencing + "-" + ++sequence;
+        return mFencing + "-" + ++mSequence;
     }
 
     /**
@@ -86,15 +86,15 @@
      * @throws IllegalStateException if the machine is not ready or the target has an open intent
      */
     public void propose(C command, long now, ActionSink<IntentAction<C>> actions) {
-        if (!isReady() || !targets.add(command.target())) {
+        if (!isReady() || !mTargets.add(command.target())) {
             throw new IllegalStateException("no intent can be recorded for " + command.target());
         }
-        Intent<C> intent = new Intent<>(role + "/" + nextUniqueName(), fencing, command);
+        Intent<C> intent = new Intent<>(mRole + "/" + nextUniqueName(), mFencing, command);
         OpenIntent<C> entry = new OpenIntent<>(intent, false, now);
-        if (unsettledReceivers.contains(command.receiver())) {
-            entry.delayUntil(inheritedQuietPeriodEnd);
+        if (mUnsettledReceivers.contains(command.receiver())) {
+            entry.delayUntil(mInheritedQuietPeriodEnd);
         }
-        open.put(intent.id(), entry);
+        mOpen.put(intent.id(), entry);
         advance(now, actions);
     }
 
@@ -103,8 +103,8 @@
      * A command that may be in transit is never cancelled.
      */
     public void abandon(String target) {
-        for (OpenIntent<C> entry : open.values()) {
-            if (entry.intent.command().target().equals(target)) {
+        for (OpenIntent<C> entry : mOpen.values()) {
+            if (entry.mIntent.command().target().equals(target)) {
                 entry.abandon();
             }
         }
@@ -117,12 +117,12 @@
         } else if (event instanceof IntentEvent.LeaseLost<C>) {
             reset();
         } else if (event instanceof IntentEvent.JournalRead<C> read) {
-            if (phase == Phase.READING && read.fencing() == fencing) {
+            if (mPhase == Phase.READING && read.fencing() == mFencing) {
                 takeOver(read.journal(), now, actions);
             }
         } else if (event instanceof IntentEvent.ReadFailed<C> failed) {
-            if (phase == Phase.READING && failed.fencing() == fencing) {
-                retryAt = now + timing.retryDelayNanos(++writeFailures, random);
+            if (mPhase == Phase.READING && failed.fencing() == mFencing) {
+                mRetryAt = now + mTiming.retryDelayNanos(++mWriteFailures, mRandom);
             }
         } else if (event instanceof IntentEvent.Committed<C> committed) {
             if (isPending(committed.writer())) {
@@ -134,7 +134,7 @@
             }
         } else if (event instanceof IntentEvent.WriteOutcomeUnknown<C> unknown) {
             if (isPending(unknown.writer())) {
-                retryAt = now + timing.retryDelayNanos(++writeFailures, random);
+                mRetryAt = now + mTiming.retryDelayNanos(++mWriteFailures, mRandom);
             }
         } else if (event instanceof IntentEvent.AttemptEnded<C> attempted) {
             onAttemptEnded(attempted, now, actions);
@@ -143,12 +143,12 @@
 
     /** Handles all timers that are due. */
     public void onTimer(long now, ActionSink<IntentAction<C>> actions) {
-        if (retryAt <= now) {
-            retryAt = Duty.NO_TIMER;
-            if (phase == Phase.READING) {
-                actions.emit(new IntentAction.ReadJournal<>(fencing));
+        if (mRetryAt <= now) {
+            mRetryAt = Duty.NO_TIMER;
+            if (mPhase == Phase.READING) {
+                actions.emit(new IntentAction.ReadJournal<>(mFencing));
             } else {
-                pendingWrite.forEach(actions::emit);
+                mPendingWrite.forEach(actions::emit);
             }
         }
         advance(now, actions);
@@ -156,13 +156,13 @@
 
     /** Returns the monotonic time of the next timer, or {@link Duty#NO_TIMER}. */
     public long nextTimerNanos() {
-        long next = retryAt;
-        if (phase == Phase.READY) {
-            if (pendingWrite.isEmpty() && hasUnwrittenChanges()) {
-                next = Math.min(next, nextWriteAt);
+        long next = mRetryAt;
+        if (mPhase == Phase.READY) {
+            if (mPendingWrite.isEmpty() && hasUnwrittenChanges()) {
+                next = Math.min(next, mNextWriteAt);
             }
-            for (OpenIntent<C> entry : open.values()) {
-                if (!ended.containsKey(entry.intent.id())) {
+            for (OpenIntent<C> entry : mOpen.values()) {
+                if (!mEnded.containsKey(entry.mIntent.id())) {
                     next = Math.min(next, entry.nextTimer());
                 }
             }
@@ -172,62 +172,62 @@
 
     private void onLeaseAcquired(long newFencing, long now, ActionSink<IntentAction<C>> actions) {
         reset();
-        fencing = newFencing;
-        highestFencing = Math.max(highestFencing, newFencing);
+        mFencing = newFencing;
+        mHighestFencing = Math.max(mHighestFencing, newFencing);
         // The predecessor's lease ended before this one began.
-        inheritedQuietPeriodEnd = now + timing.quietPeriodNanos();
-        phase = Phase.READING;
-        actions.emit(new IntentAction.ReadJournal<>(fencing));
+        mInheritedQuietPeriodEnd = now + mTiming.quietPeriodNanos();
+        mPhase = Phase.READING;
+        actions.emit(new IntentAction.ReadJournal<>(mFencing));
     }
 
     private void reset() {
-        phase = Phase.NOT_HOLDING;
-        open.clear();
-        ended.clear();
-        targets.clear();
-        pendingWrite = Option.none();
-        endedInWrite = Set.of();
-        retryAt = Duty.NO_TIMER;
-        writeFailures = 0;
+        mPhase = Phase.NOT_HOLDING;
+        mOpen.clear();
+        mEnded.clear();
+        mTargets.clear();
+        mPendingWrite = Option.none();
+        mEndedInWrite = Set.of();
+        mRetryAt = Duty.NO_TIMER;
+        mWriteFailures = 0;
     }
 
     private void takeOver(Journal<C> journal, long now, ActionSink<IntentAction<C>> actions) {
-        phase = Phase.TAKING_OVER;
-        open.clear();
-        targets.clear();
-        unsettledReceivers.clear();
+        mPhase = Phase.TAKING_OVER;
+        mOpen.clear();
+        mTargets.clear();
+        mUnsettledReceivers.clear();
         for (Intent<C> intent : journal.openIntents()) {
             OpenIntent<C> entry = new OpenIntent<>(intent, true, now);
-            entry.inherit(inheritedQuietPeriodEnd);
-            open.put(intent.id(), entry);
-            targets.add(intent.command().target());
+            entry.inherit(mInheritedQuietPeriodEnd);
+            mOpen.put(intent.id(), entry);
+            mTargets.add(intent.command().target());
             if (!intent.command().fencingEnforced()) {
-                unsettledReceivers.add(intent.command().receiver());
+                mUnsettledReceivers.add(intent.command().receiver());
             }
         }
-        journalVersion = journal.version();
+        mJournalVersion = journal.version();
         write(now, actions);
     }
 
     private void onCommitted(long version, long now, ActionSink<IntentAction<C>> actions) {
-        IntentAction.WriteJournal<C> written = pendingWrite.get();
-        pendingWrite = Option.none();
-        retryAt = Duty.NO_TIMER;
-        writeFailures = 0;
-        journalVersion = version;
-        phase = Phase.READY;
+        IntentAction.WriteJournal<C> written = mPendingWrite.get();
+        mPendingWrite = Option.none();
+        mRetryAt = Duty.NO_TIMER;
+        mWriteFailures = 0;
+        mJournalVersion = version;
+        mPhase = Phase.READY;
         for (Intent<C> intent : written.openIntents()) {
-            Option.of(open.get(intent.id())).forEach(OpenIntent::markRecorded);
+            Option.of(mOpen.get(intent.id())).forEach(OpenIntent::markRecorded);
         }
-        for (String id : endedInWrite) {
-            OpenIntent<C> entry = open.remove(id);
-            CommandResult result = ended.remove(id);
+        for (String id : mEndedInWrite) {
+            OpenIntent<C> entry = mOpen.remove(id);
+            CommandResult result = mEnded.remove(id);
             if (entry != null && result != null) {
-                targets.remove(entry.intent.command().target());
-                actions.emit(new IntentAction.Completed<>(entry.intent, result));
+                mTargets.remove(entry.mIntent.command().target());
+                actions.emit(new IntentAction.Completed<>(entry.mIntent, result));
             }
         }
-        endedInWrite = Set.of();
+        mEndedInWrite = Set.of();
         advance(now, actions);
     }
 
@@ -243,85 +243,85 @@
             onCommitted(current.version(), now, actions);
             return;
         }
-        invariants.check(
+        mInvariants.check(
                 Invariant.ONE_ORDERING_HOLDER,
-                phase == Phase.TAKING_OVER,
-                () -> "another process wrote the journal of " + role + " under this lease");
-        pendingWrite = Option.none();
+                mPhase == Phase.TAKING_OVER,
+                () -> "another process wrote the journal of " + mRole + " under this lease");
+        mPendingWrite = Option.none();
         takeOver(current, now, actions);
     }
 
     private void onAttemptEnded(
             IntentEvent.AttemptEnded<C> attempted, long now, ActionSink<IntentAction<C>> actions) {
-        Option<OpenIntent<C>> found = Option.of(open.get(attempted.id()));
-        if (attempted.fencing() != fencing
+        Option<OpenIntent<C>> found = Option.of(mOpen.get(attempted.id()));
+        if (attempted.fencing() != mFencing
                 || !found.exists(entry -> entry.isInFlight(attempted.attempt()))) {
             return;
         }
         OpenIntent<C> entry = found.get();
-        entry.onResult(attempted.result(), now, timing.quietPeriodNanos());
+        entry.onResult(attempted.result(), now, mTiming.quietPeriodNanos());
         if (entry.needsRetryDelay(attempted.result())) {
-            entry.delayUntil(now + timing.retryDelayNanos(entry.failures(), random));
+            entry.delayUntil(now + mTiming.retryDelayNanos(entry.failures(), mRandom));
         }
         advance(now, actions);
     }
 
     private void advance(long now, ActionSink<IntentAction<C>> actions) {
-        if (phase != Phase.READY) {
+        if (mPhase != Phase.READY) {
             return;
         }
-        for (OpenIntent<C> entry : open.values()) {
-            String id = entry.intent.id();
-            if (!ended.containsKey(id)) {
-                entry.finalResult(now).forEach(result -> ended.put(id, result));
+        for (OpenIntent<C> entry : mOpen.values()) {
+            String id = entry.mIntent.id();
+            if (!mEnded.containsKey(id)) {
+                entry.finalResult(now).forEach(result -> mEnded.put(id, result));
             }
         }
-        for (OpenIntent<C> entry : open.values()) {
+        for (OpenIntent<C> entry : mOpen.values()) {
             if (entry.isDue(now)) {
                 sendCommand(entry, now, actions);
             }
         }
-        if (pendingWrite.isEmpty() && hasUnwrittenChanges() && now >= nextWriteAt) {
+        if (mPendingWrite.isEmpty() && hasUnwrittenChanges() && now >= mNextWriteAt) {
             write(now, actions);
         }
     }
 
     private void sendCommand(OpenIntent<C> entry, long now, ActionSink<IntentAction<C>> actions) {
-        Intent<C> intent = entry.intent;
+        Intent<C> intent = entry.mIntent;
         boolean unsettled =
-                intent.fencing() != fencing && !intent.command().fencingEnforced()
-                        || unsettledReceivers.contains(intent.command().receiver());
-        invariants.check(
+                intent.fencing() != mFencing && !intent.command().fencingEnforced()
+                        || mUnsettledReceivers.contains(intent.command().receiver());
+        mInvariants.check(
                 Invariant.ONE_ORDERING_HOLDER,
-                fencing == highestFencing
-                        && intent.fencing() <= fencing
-                        && (!unsettled || now >= inheritedQuietPeriodEnd),
+                mFencing == mHighestFencing
+                        && intent.fencing() <= mFencing
+                        && (!unsettled || now >= mInheritedQuietPeriodEnd),
                 () -> intent.id() + " would be sent while an earlier holder may still send it");
-        actions.emit(new IntentAction.SendCommand<>(fencing, entry.startAttempt(now), intent));
+        actions.emit(new IntentAction.SendCommand<>(mFencing, entry.startAttempt(now), intent));
     }
 
     private boolean hasUnwrittenChanges() {
-        return !ended.isEmpty() || open.values().stream().anyMatch(entry -> !entry.isRecorded());
+        return !mEnded.isEmpty() || mOpen.values().stream().anyMatch(entry -> !entry.isRecorded());
     }
 
     private void write(long now, ActionSink<IntentAction<C>> actions) {
         List<Intent<C>> left = new ArrayList<>();
-        for (OpenIntent<C> entry : open.values()) {
-            if (!ended.containsKey(entry.intent.id())) {
-                left.add(entry.intent);
+        for (OpenIntent<C> entry : mOpen.values()) {
+            if (!mEnded.containsKey(entry.mIntent.id())) {
+                left.add(entry.mIntent);
             }
         }
-        endedInWrite = Set.copyOf(ended.keySet());
-        nextWriteAt = now + timing.minWriteInterval().toNanos();
+        mEndedInWrite = Set.copyOf(mEnded.keySet());
+        mNextWriteAt = now + mTiming.minWriteInterval().toNanos();
         IntentAction.WriteJournal<C> action =
                 new IntentAction.WriteJournal<>(
-                        fencing, role + "#" + fencing + "#" + ++writes, journalVersion, left);
-        pendingWrite = Option.some(action);
+                        mFencing, mRole + "#" + mFencing + "#" + ++mWrites, mJournalVersion, left);
+        mPendingWrite = Option.some(action);
         actions.emit(action);
     }
 
     private boolean isPending(String writer) {
-        return pendingWrite.exists(write -> write.writer().equals(writer));
+        return mPendingWrite.exists(write -> write.writer().equals(writer));
     }
 
     private enum Phase {
--- a/decisions/src/main/java/org/fuchsialever/decisions/intent/OpenIntent.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/intent/OpenIntent.java
@@ -4,93 +4,97 @@
 
 /** State of an open intent of the current holder. */
 final class OpenIntent<C extends IntentCommand> {
-    final Intent<C> intent;
+    final Intent<C> mIntent;
 
     /** Time until which an earlier attempt may still reach the receiver. */
-    private long quietPeriodEnd;
+    private long mQuietPeriodEnd;
 
     /**
      * Time until which an inherited intent must not be abandoned, even if its receiver checks
      * fencing tokens.
      */
-    private long earliestAbandon;
+    private long mEarliestAbandon;
 
-    private long nextAttemptAt;
-    private boolean recorded;
-    private boolean inFlight;
-    private boolean abandoned;
-    private int attempts;
-    private int failures;
-    private long sentAt;
-    private Option<CommandResult> response = Option.none();
+    private long mNextAttemptAt;
+    private boolean mRecorded;
+    private boolean mInFlight;
+    private boolean mAbandoned;
+    private int mAttempts;
+    private int mFailures;
+    private long mSentAt;
+    private Option<CommandResult> mResponse = Option.none();
 
     OpenIntent(Intent<C> intent, boolean recorded, long now) {
-        this.intent = intent;
-        this.recorded = recorded;
-        this.quietPeriodEnd = now;
-        this.earliestAbandon = now;
-        this.nextAttemptAt = now;
+        mIntent = intent;
+        mRecorded = recorded;
+        mQuietPeriodEnd = now;
+        mEarliestAbandon = now;
+        mNextAttemptAt = now;
     }
 
     /** Marks an intent as inherited; requests of the predecessor are dropped by the given time. */
     void inherit(long quietPeriodEndNanos) {
-        earliestAbandon = quietPeriodEndNanos;
-        if (!intent.command().fencingEnforced()) {
-            quietPeriodEnd = quietPeriodEndNanos;
-            nextAttemptAt = quietPeriodEndNanos;
+        mEarliestAbandon = quietPeriodEndNanos;
+        if (!mIntent.command().fencingEnforced()) {
+            mQuietPeriodEnd = quietPeriodEndNanos;
+            mNextAttemptAt = quietPeriodEndNanos;
         }
     }
 
     void markRecorded() {
-        recorded = true;
+        mRecorded = true;
     }
 
     boolean isRecorded() {
-        return recorded;
+        return mRecorded;
     }
 
     void abandon() {
-        abandoned = true;
+        mAbandoned = true;
     }
 
     /** Returns whether an attempt may be sent now. */
     boolean isDue(long now) {
-        return recorded && !inFlight && response.isEmpty() && !abandoned && now >= nextAttemptAt;
+        return mRecorded
+                && !mInFlight
+                && mResponse.isEmpty()
+                && !mAbandoned
+                && now >= mNextAttemptAt;
     }
 
     int startAttempt(long now) {
-        inFlight = true;
-        sentAt = now;
-        return ++attempts;
+        mInFlight = true;
+        mSentAt = now;
+        return ++mAttempts;
     }
 
     /** Returns whether the given attempt is the one in flight. */
     boolean isInFlight(int attempt) {
-        return inFlight && attempt == attempts;
+        return mInFlight && attempt == mAttempts;
     }
 
     void onResult(CommandResult result, long now, long quietPeriodNanos) {
-        inFlight = false;
+        mInFlight = false;
         if (result.mayBeInTransit()) {
-            quietPeriodEnd = Math.max(quietPeriodEnd, now + quietPeriodNanos);
+            mQuietPeriodEnd = Math.max(mQuietPeriodEnd, now + quietPeriodNanos);
         }
         if (result.isFinal()) {
-            if (result.mayBeContradicted() && sentAt < quietPeriodEnd) {
-                nextAttemptAt = quietPeriodEnd;
+            if (result.mayBeContradicted() && mSentAt < mQuietPeriodEnd) {
+                mNextAttemptAt = mQuietPeriodEnd;
             } else {
-                response = Option.some(result);
+                mResponse = Option.some(result);
             }
         } else {
-            failures++;
+            mFailures++;
         }
     }
 
     void delayUntil(long nanos) {
-        nextAttemptAt = Math.max(nanos, nextAttemptAt);
+        mNextAttemptAt = Math.max(nanos, mNextAttemptAt);
     }
 
     int failures() {
-        return failures;
+        return mFailures;
     }
 
     boolean needsRetryDelay(CommandResult result) {
@@ -99,20 +103,20 @@
 
     /** Returns the result if the intent has ended and no attempt can be in transit. */
     Option<CommandResult> finalResult(long now) {
-        if (!recorded || inFlight || now < quietPeriodEnd) {
+        if (!mRecorded || mInFlight || now < mQuietPeriodEnd) {
             return Option.none();
         }
-        boolean isAbandoned = abandoned && response.isEmpty() && now >= earliestAbandon;
-        return isAbandoned ? Option.some(CommandResult.FAILED) : response;
+        boolean isAbandoned = mAbandoned && mResponse.isEmpty() && now >= mEarliestAbandon;
+        return isAbandoned ? Option.some(CommandResult.FAILED) : mResponse;
     }
 
     long nextTimer() {
-        if (!recorded || inFlight) {
+        if (!mRecorded || mInFlight) {
             return Long.MAX_VALUE;
         }
-        if (response.isDefined()) {
-            return quietPeriodEnd;
+        if (mResponse.isDefined()) {
+            return mQuietPeriodEnd;
         }
-        return abandoned ? Math.max(quietPeriodEnd, earliestAbandon) : nextAttemptAt;
+        return mAbandoned ? Math.max(mQuietPeriodEnd, mEarliestAbandon) : mNextAttemptAt;
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/keys/KeyDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/keys/KeyDuty.java
@@ -34,21 +34,21 @@
      */
     private static final int POLLS_BEFORE_STORING = 5;
 
-    private final long pollNanos;
-    private final long freshnessNanos;
-    private final InvariantMonitor invariants;
-    private final Map<KeyId, KeyRow> rows = new TreeMap<>();
-    private final Set<KeyId> withdrawals = new HashSet<>();
-    private final Map<KeyId, Integer> pollsUntilStored = new TreeMap<>();
-    private final PeerResponses<KeyEvent.PeerKeys> peerResponses =
+    private final long mPollNanos;
+    private final long mFreshnessNanos;
+    private final InvariantMonitor mInvariants;
+    private final Map<KeyId, KeyRow> mRows = new TreeMap<>();
+    private final Set<KeyId> mWithdrawals = new HashSet<>();
+    private final Map<KeyId, Integer> mPollsUntilStored = new TreeMap<>();
+    private final PeerResponses<KeyEvent.PeerKeys> mPeerResponses =
             new PeerResponses<>(response -> newest(response.rows()));
 
-    private long nextPollNanos;
-    private long lastContactNanos;
-    private long version;
-    private boolean keysKnown;
-    private boolean majorityReachable;
-    private KeyView published = KeyView.NONE;
+    private long mNextPollNanos;
+    private long mLastContactNanos;
+    private long mVersion;
+    private boolean mKeysKnown;
+    private boolean mMajorityReachable;
+    private KeyView mPublished = KeyView.NONE;
 
     /**
      * Creates the duty.
@@ -64,11 +64,11 @@
             Duration freshnessBound,
             long startNanos,
             InvariantMonitor invariants) {
-        this.pollNanos = pollInterval.toNanos();
-        this.freshnessNanos = freshnessBound.toNanos();
-        this.nextPollNanos = startNanos;
-        this.lastContactNanos = startNanos;
-        this.invariants = invariants;
+        mPollNanos = pollInterval.toNanos();
+        mFreshnessNanos = freshnessBound.toNanos();
+        mNextPollNanos = startNanos;
+        mLastContactNanos = startNanos;
+        mInvariants = invariants;
     }
 
     @Override
@@ -81,7 +81,7 @@
         if (event instanceof KeyEvent.KeysRead read) {
             onKeysRead(read, actions);
         } else if (event instanceof KeyEvent.ReadFailed) {
-            if (!keysKnown) {
+            if (!mKeysKnown) {
                 actions.emit(new AskPeers());
             }
         } else if (event instanceof KeyEvent.PeerWithdrawals peer) {
@@ -89,11 +89,11 @@
         } else if (event instanceof KeyEvent.OperatorWithdrawal operator) {
             withdraw(Set.of(operator.key()), 0, actions);
         } else if (event instanceof KeyEvent.WithdrawalStored stored) {
-            pollsUntilStored.remove(stored.key());
+            mPollsUntilStored.remove(stored.key());
         } else if (event instanceof KeyEvent.MembershipChanged view) {
             onMembership(view, nowNanos);
         } else if (event instanceof KeyEvent.PeersListed list) {
-            peerResponses.setPeerCount(list.peers());
+            mPeerResponses.setPeerCount(list.peers());
         } else if (event instanceof KeyEvent.PeerKeys response) {
             onPeerKeys(response, nowNanos, actions);
         }
@@ -102,9 +102,9 @@
 
     @Override
     public void onTimer(long nowNanos, ActionSink<KeyAction> actions) {
-        if (nextPollNanos <= nowNanos) {
-            nextPollNanos = nowNanos + pollNanos;
-            actions.emit(new ReadKeys(version));
+        if (mNextPollNanos <= nowNanos) {
+            mNextPollNanos = nowNanos + mPollNanos;
+            actions.emit(new ReadKeys(mVersion));
             storeDue(actions);
         }
         checkFreshness(nowNanos, actions);
@@ -112,41 +112,41 @@
 
     @Override
     public long nextTimerNanos() {
-        if (!published.usable() || majorityReachable) {
-            return nextPollNanos;
+        if (!mPublished.usable() || mMajorityReachable) {
+            return mNextPollNanos;
         }
-        return Math.min(nextPollNanos, lastContactNanos + freshnessNanos);
+        return Math.min(mNextPollNanos, mLastContactNanos + mFreshnessNanos);
     }
 
     private void onKeysRead(KeyEvent.KeysRead read, ActionSink<KeyAction> actions) {
         // Counted from when the read was sent: the response may lack later changes.
-        lastContactNanos = Math.max(lastContactNanos, read.sentNanos());
-        boolean first = !keysKnown;
-        keysKnown = true;
+        mLastContactNanos = Math.max(mLastContactNanos, read.sentNanos());
+        boolean first = !mKeysKnown;
+        mKeysKnown = true;
         merge(read.rows(), first, actions);
     }
 
     private void onPeerKeys(
             KeyEvent.PeerKeys response, long nowNanos, ActionSink<KeyAction> actions) {
         withdraw(response.withdrawals(), POLLS_BEFORE_STORING, actions);
-        if (keysKnown) {
+        if (mKeysKnown) {
             return;
         }
-        peerResponses.add(response.peer(), response.domain(), response);
-        for (KeyEvent.PeerKeys newest : peerResponses.newest()) {
-            keysKnown = true;
-            lastContactNanos = nowNanos;
+        mPeerResponses.add(response.peer(), response.domain(), response);
+        for (KeyEvent.PeerKeys newest : mPeerResponses.newest()) {
+            mKeysKnown = true;
+            mLastContactNanos = nowNanos;
             merge(newest.rows(), true, actions);
         }
     }
 
     private void onMembership(KeyEvent.MembershipChanged view, long nowNanos) {
-        if (majorityReachable) {
-            lastContactNanos = nowNanos;
+        if (mMajorityReachable) {
+            mLastContactNanos = nowNanos;
         }
-        majorityReachable = view.reachable() * 2 > view.listed();
-        if (majorityReachable) {
-            lastContactNanos = nowNanos;
+        mMajorityReachable = view.reachable() * 2 > view.listed();
+        if (mMajorityReachable) {
+            mLastContactNanos = nowNanos;
         }
     }
 
@@ -155,50 +155,50 @@
         Set<KeyId> withdrawn = new HashSet<>();
         for (KeyRow row : read) {
             KeyId id = row.key().id();
-            KeyRow earlier = rows.get(id);
+            KeyRow earlier = mRows.get(id);
             if (earlier == null || earlier.version() < row.version()) {
-                rows.put(id, row);
-                version = Math.max(version, row.version());
+                mRows.put(id, row);
+                mVersion = Math.max(mVersion, row.version());
                 changed = true;
             }
             if (row.key().withdrawn()) {
-                pollsUntilStored.remove(id);
-                if (withdrawals.add(id)) {
+                mPollsUntilStored.remove(id);
+                if (mWithdrawals.add(id)) {
                     withdrawn.add(id);
                 }
             }
         }
         if (changed || !withdrawn.isEmpty()) {
-            publish(published.usable(), actions);
+            publish(mPublished.usable(), actions);
         }
         withdrawn.forEach(id -> actions.emit(new EndCallsOfKey(id)));
     }
 
     private void withdraw(Set<KeyId> keys, int pollsBeforeStoring, ActionSink<KeyAction> actions) {
         Set<KeyId> added = new HashSet<>(keys);
-        added.removeAll(withdrawals);
+        added.removeAll(mWithdrawals);
         if (pollsBeforeStoring == 0) {
-            keys.stream().filter(id -> !isStored(id)).forEach(id -> pollsUntilStored.put(id, 0));
+            keys.stream().filter(id -> !isStored(id)).forEach(id -> mPollsUntilStored.put(id, 0));
         }
         if (!added.isEmpty()) {
-            withdrawals.addAll(added);
+            mWithdrawals.addAll(added);
             added.stream()
                     .filter(id -> !isStored(id))
-                    .forEach(id -> pollsUntilStored.putIfAbsent(id, pollsBeforeStoring));
-            publish(published.usable(), actions);
+                    .forEach(id -> mPollsUntilStored.putIfAbsent(id, pollsBeforeStoring));
+            publish(mPublished.usable(), actions);
             added.stream().sorted().forEach(id -> actions.emit(new EndCallsOfKey(id)));
             actions.emit(new BroadcastWithdrawals(added));
         }
         if (pollsBeforeStoring == 0) {
             keys.stream()
-                    .filter(pollsUntilStored::containsKey)
+                    .filter(mPollsUntilStored::containsKey)
                     .forEach(id -> actions.emit(new StoreWithdrawal(id)));
         }
     }
 
     private void storeDue(ActionSink<KeyAction> actions) {
-        pollsUntilStored.replaceAll((id, polls) -> Math.max(0, polls - 1));
-        pollsUntilStored.forEach(
+        mPollsUntilStored.replaceAll((id, polls) -> Math.max(0, polls - 1));
+        mPollsUntilStored.forEach(
                 (id, polls) -> {
                     if (polls == 0) {
                         actions.emit(new StoreWithdrawal(id));
@@ -207,14 +207,14 @@
     }
 
     private boolean isStored(KeyId id) {
-        KeyRow row = rows.get(id);
+        KeyRow row = mRows.get(id);
         return row != null && row.key().withdrawn();
     }
 
     private void checkFreshness(long nowNanos, ActionSink<KeyAction> actions) {
-        boolean fresh = majorityReachable || nowNanos - lastContactNanos < freshnessNanos;
-        boolean usable = keysKnown && fresh;
-        if (usable == published.usable()) {
+        boolean fresh = mMajorityReachable || nowNanos - mLastContactNanos < mFreshnessNanos;
+        boolean usable = mKeysKnown && fresh;
+        if (usable == mPublished.usable()) {
             return;
         }
         publish(usable, actions);
@@ -224,19 +224,19 @@
     }
 
     private void publish(boolean usable, ActionSink<KeyAction> actions) {
-        List<KeyRecord> records = rows.values().stream().map(KeyRow::key).toList();
-        KeyTable table = new KeyTable(records, withdrawals);
-        for (KeyId id : withdrawals) {
-            invariants.check(
+        List<KeyRecord> records = mRows.values().stream().map(KeyRow::key).toList();
+        KeyTable table = new KeyTable(records, mWithdrawals);
+        for (KeyId id : mWithdrawals) {
+            mInvariants.check(
                     Invariant.WITHDRAWN_KEY_STOPS,
                     table.isWithdrawn(id),
                     () -> "key " + id + " would be accepted after its withdrawal");
         }
-        published = new KeyView(table, version, usable);
-        actions.emit(new PublishKeyTable(published));
-        if (keysKnown) {
+        mPublished = new KeyView(table, mVersion, usable);
+        actions.emit(new PublishKeyTable(mPublished));
+        if (mKeysKnown) {
             // An instance that knows no keys yet must not respond to starting peers.
-            actions.emit(new PublishKeysForPeers(List.copyOf(rows.values()), withdrawals));
+            actions.emit(new PublishKeysForPeers(List.copyOf(mRows.values()), mWithdrawals));
         }
     }
 
--- a/decisions/src/main/java/org/fuchsialever/decisions/keys/KeyTable.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/keys/KeyTable.java
@@ -21,8 +21,8 @@
     private static final KeyHash UNKNOWN_KEY =
             KeyHash.of("0123456789abcdef0123456789abcdef", "no secret has this form");
 
-    private final Map<KeyId, KeyRecord> records;
-    private final Set<KeyId> withdrawals;
+    private final Map<KeyId, KeyRecord> mRecords;
+    private final Set<KeyId> mWithdrawals;
 
     /**
      * Creates a table.
@@ -33,8 +33,8 @@
     public KeyTable(Collection<KeyRecord> records, Set<KeyId> withdrawals) {
         Map<KeyId, KeyRecord> byId = new HashMap<>();
         records.forEach(keyRecord -> byId.put(keyRecord.id(), keyRecord));
-        this.records = Map.copyOf(byId);
-        this.withdrawals = Set.copyOf(withdrawals);
+        mRecords = Map.copyOf(byId);
+        mWithdrawals = Set.copyOf(withdrawals);
     }
 
     /**
@@ -48,7 +48,7 @@
     public Either<RefusalReason, KeyRecord> check(String text, long wallMillis) {
         Option<PresentedKey> presented = PresentedKey.parse(text);
         String secret = presented.map(PresentedKey::secret).getOrElse("");
-        Option<KeyRecord> found = presented.flatMap(key -> Option.of(records.get(key.id())));
+        Option<KeyRecord> found = presented.flatMap(key -> Option.of(mRecords.get(key.id())));
         boolean matches = found.map(KeyRecord::hash).getOrElse(UNKNOWN_KEY).matches(secret);
         if (!matches || found.isEmpty()) {
             return Either.left(RefusalReason.KEY_WRONG);
@@ -65,12 +65,12 @@
 
     /** Returns whether a key is withdrawn. */
     public boolean isWithdrawn(KeyId id) {
-        KeyRecord known = records.get(id);
-        return withdrawals.contains(id) || (known != null && known.withdrawn());
+        KeyRecord known = mRecords.get(id);
+        return mWithdrawals.contains(id) || (known != null && known.withdrawn());
     }
 
     /** Returns the number of keys. */
     public int size() {
-        return records.size();
+        return mRecords.size();
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/lease/LeaseDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/lease/LeaseDuty.java
@@ -25,33 +25,33 @@
     /** Full reads replace incremental ones this often, since only they reveal deleted rows. */
     private static final int READS_PER_FULL_READ = 10;
 
-    private final String instance;
-    private final String start;
-    private final LeaseTiming timing;
-    private final RandomGenerator random;
-    private final LeaseView view = new LeaseView();
-    private final LeasePlan plan;
-    private final Set<String> wantedRoles = new TreeSet<>();
+    private final String mInstance;
+    private final String mStart;
+    private final LeaseTiming mTiming;
+    private final RandomGenerator mRandom;
+    private final LeaseView mView = new LeaseView();
+    private final LeasePlan mPlan;
+    private final Set<String> mWantedRoles = new TreeSet<>();
 
     /** Roles held by the session in the table, whether or not their leases are still valid. */
-    private final Map<String, LeaseRow.Role> heldRoles = new TreeMap<>();
-
-    private final Map<String, String> pendingReleases = new TreeMap<>();
-    private String session;
-    private int sessionNumber;
-    private long sessionVersion;
-    private boolean leasesValid;
-    private long validUntil = Long.MIN_VALUE;
-    private @Nullable PendingCommit pending;
-    private boolean renewOnly;
-    private long commits;
-    private long nextRenewal;
-    private long nextRead = Long.MIN_VALUE;
-    private boolean reading;
-    private long lastRead = Long.MIN_VALUE;
-    private long reads;
-    private long readBackoff = MIN_RETRY_DELAY_NANOS;
-    private long nextEvaluation = NO_TIMER;
+    private final Map<String, LeaseRow.Role> mHeldRoles = new TreeMap<>();
+
+    private final Map<String, String> mPendingReleases = new TreeMap<>();
+    private String mSession;
+    private int mSessionNumber;
+    private long mSessionVersion;
+    private boolean mLeasesValid;
+    private long mValidUntil = Long.MIN_VALUE;
+    private @Nullable PendingCommit mPending;
+    private boolean mRenewOnly;
+    private long mCommits;
+    private long mNextRenewal;
+    private long mNextRead = Long.MIN_VALUE;
+    private boolean mReading;
+    private long mLastRead = Long.MIN_VALUE;
+    private long mReads;
+    private long mReadBackoff = MIN_RETRY_DELAY_NANOS;
+    private long mNextEvaluation = NO_TIMER;
 
     /**
      * Creates a duty that holds no role.
@@ -63,13 +63,13 @@
      */
     public LeaseDuty(
             InstanceId instance, String start, LeaseTiming timing, RandomGenerator random) {
-        this.instance = instance.value();
-        this.start = start;
-        this.timing = timing;
-        this.random = random;
-        this.session = LeaseRow.Session.keyOf(this.instance, start, sessionNumber);
-        String ownPrefix = LeaseRow.Session.PREFIX + this.instance + "/" + start + "/";
-        this.plan = new LeasePlan(this.instance, ownPrefix, timing, view, random);
+        mInstance = instance.value();
+        mStart = start;
+        mTiming = timing;
+        mRandom = random;
+        mSession = LeaseRow.Session.keyOf(mInstance, start, mSessionNumber);
+        String ownPrefix = LeaseRow.Session.PREFIX + mInstance + "/" + start + "/";
+        mPlan = new LeasePlan(mInstance, ownPrefix, timing, mView, random);
     }
 
     @Override
@@ -82,16 +82,16 @@
         // Comes first: after a pause of the process, expired leases end before anything else.
         stopIfExpired(nowNanos, actions);
         if (event instanceof LeaseEvent.RoleRequested want) {
-            wantedRoles.add(want.role());
+            mWantedRoles.add(want.role());
         } else if (event instanceof LeaseEvent.RoleReleased release) {
-            wantedRoles.remove(release.role());
+            mWantedRoles.remove(release.role());
             release(release.role(), "", actions);
         } else if (event instanceof LeaseEvent.TableRead read) {
             tableRead(read, nowNanos);
         } else if (event instanceof LeaseEvent.ReadFailed) {
-            reading = false;
-            nextRead = nowNanos + readBackoff / 2 + random.nextLong(readBackoff);
-            readBackoff = Math.min(readBackoff * 2, MAX_RETRY_DELAY_NANOS);
+            mReading = false;
+            mNextRead = nowNanos + mReadBackoff / 2 + mRandom.nextLong(mReadBackoff);
+            mReadBackoff = Math.min(mReadBackoff * 2, MAX_RETRY_DELAY_NANOS);
         } else {
             commitEnded(event, nowNanos, actions);
         }
@@ -101,112 +101,113 @@
     @Override
     public void onTimer(long nowNanos, ActionSink<LeaseAction> actions) {
         stopIfExpired(nowNanos, actions);
-        if (pending != null && nowNanos >= pending.retryAt) {
-            pending.retryAt = NO_TIMER;
-            actions.emit(new LeaseAction.WriteRows(pending.commit));
+        if (mPending != null && nowNanos >= mPending.mRetryAt) {
+            mPending.mRetryAt = NO_TIMER;
+            actions.emit(new LeaseAction.WriteRows(mPending.mCommit));
         }
         evaluate(nowNanos, actions);
     }
 
     @Override
     public long nextTimerNanos() {
-        long next = Math.min(nextEvaluation, leasesValid ? validUntil : NO_TIMER);
-        return pending == null ? next : Math.min(next, pending.retryAt);
+        long next = Math.min(mNextEvaluation, mLeasesValid ? mValidUntil : NO_TIMER);
+        return mPending == null ? next : Math.min(next, mPending.mRetryAt);
     }
 
     private void stopIfExpired(long now, ActionSink<LeaseAction> actions) {
-        if (leasesValid && now >= validUntil) {
-            leasesValid = false;
-            heldRoles.keySet().forEach(role -> actions.emit(new LeaseAction.StopHolding(role)));
+        if (mLeasesValid && now >= mValidUntil) {
+            mLeasesValid = false;
+            mHeldRoles.keySet().forEach(role -> actions.emit(new LeaseAction.StopHolding(role)));
         }
     }
 
     private void tableRead(LeaseEvent.TableRead read, long now) {
-        reading = false;
-        readBackoff = MIN_RETRY_DELAY_NANOS;
+        mReading = false;
+        mReadBackoff = MIN_RETRY_DELAY_NANOS;
         // Nothing was observed during a gap in reads, so holders get the full time to renew.
-        if (lastRead != Long.MIN_VALUE
-                && now - lastRead > 2 * timing.pollInterval() + timing.pollInterval() / 2) {
-            view.restartObservations(now);
+        if (mLastRead != Long.MIN_VALUE
+                && now - mLastRead > 2 * mTiming.pollInterval() + mTiming.pollInterval() / 2) {
+            mView.restartObservations(now);
         }
-        lastRead = now;
-        view.addScan(read.full(), read.rows(), now);
-        nextRead = now + plan.readInterval(now);
+        mLastRead = now;
+        mView.addScan(read.full(), read.rows(), now);
+        mNextRead = now + mPlan.readInterval(now);
     }
 
     /** Starts whatever is due, in order of priority, and sets the timer for the rest. */
     private void evaluate(long now, ActionSink<LeaseAction> actions) {
-        nextEvaluation = NO_TIMER;
-        if (!reading && now >= nextRead) {
-            boolean full = !view.isScanned() || reads % READS_PER_FULL_READ == 0;
-            reads++;
-            reading = true;
-            actions.emit(new LeaseAction.ReadTable(full ? 0 : view.scannedVersion()));
-        } else if (!reading) {
-            scheduleEvaluation(nextRead);
-        }
-        if (pending == null) {
+        mNextEvaluation = NO_TIMER;
+        if (!mReading && now >= mNextRead) {
+            boolean full = !mView.isScanned() || mReads % READS_PER_FULL_READ == 0;
+            mReads++;
+            mReading = true;
+            actions.emit(new LeaseAction.ReadTable(full ? 0 : mView.scannedVersion()));
+        } else if (!mReading) {
+            scheduleEvaluation(mNextRead);
+        }
+        if (mPending == null) {
             writeOwnSession(now, actions);
         }
-        if (pending == null) {
+        if (mPending == null) {
             endSessionOrBid(now, actions);
         }
-        if (pending == null && sessionVersion > 0) {
-            scheduleEvaluation(nextRenewal);
+        if (mPending == null && mSessionVersion > 0) {
+            scheduleEvaluation(mNextRenewal);
         }
     }
 
     private void scheduleEvaluation(long nanos) {
-        nextEvaluation = Math.min(nextEvaluation, nanos);
+        mNextEvaluation = Math.min(mNextEvaluation, nanos);
     }
 
     private void writeOwnSession(long now, ActionSink<LeaseAction> actions) {
         List<LeaseRow.Role> takes = List.of();
-        if (!renewOnly) {
-            plan.rolesToHandOver(heldRoles.keySet(), now)
+        if (!mRenewOnly) {
+            mPlan.rolesToHandOver(mHeldRoles.keySet(), now)
                     .forEach((role, next) -> release(role, next, actions));
-            Set<String> takeable = new TreeSet<>(wantedRoles);
-            takeable.removeAll(pendingReleases.keySet());
-            takes = plan.rolesToTake(takeable, heldRoles.keySet(), now, this::scheduleEvaluation);
+            Set<String> takeable = new TreeSet<>(mWantedRoles);
+            takeable.removeAll(mPendingReleases.keySet());
+            takes = mPlan.rolesToTake(takeable, mHeldRoles.keySet(), now, this::scheduleEvaluation);
         }
-        boolean renewalDue = sessionVersion > 0 && now >= nextRenewal;
-        if (!renewalDue && !renewOnly && takes.isEmpty() && pendingReleases.isEmpty()) {
+        boolean renewalDue = mSessionVersion > 0 && now >= mNextRenewal;
+        if (!renewalDue && !mRenewOnly && takes.isEmpty() && mPendingReleases.isEmpty()) {
             return;
         }
-        if (sessionVersion == 0 && takes.isEmpty()) {
-            renewOnly = false;
+        if (mSessionVersion == 0 && takes.isEmpty()) {
+            mRenewOnly = false;
             return;
         }
-        renewOnly = false;
+        mRenewOnly = false;
         Map<String, Long> conditions = new HashMap<>();
         List<LeaseRow> puts = new ArrayList<>();
         List<String> deletes = new ArrayList<>();
-        conditions.put(session, sessionVersion);
-        for (Map.Entry<String, String> entry : pendingReleases.entrySet()) {
-            LeaseRow.Role row = view.role(entry.getKey());
+        conditions.put(mSession, mSessionVersion);
+        for (Map.Entry<String, String> entry : mPendingReleases.entrySet()) {
+            LeaseRow.Role row = mView.role(entry.getKey());
             conditions.put(row.key(), row.version());
             puts.add(row.releasedFor(entry.getValue()));
         }
-        pendingReleases.clear();
+        mPendingReleases.clear();
         for (LeaseRow.Role take : takes) {
-            conditions.putAll(plan.conditionsToTake(take));
-            puts.add(take.takenBy(session));
-            if (view.bid(take.role()) != null) {
+            conditions.putAll(mPlan.conditionsToTake(take));
+            puts.add(take.takenBy(mSession));
+            if (mView.bid(take.role()) != null) {
                 deletes.add(LeaseRow.Bid.PREFIX + take.role());
             }
         }
-        deletes.addAll(view.unreferencedDeadSessions(takes));
-        if (heldRoles.isEmpty() && takes.isEmpty()) {
-            deletes.add(session);
+        deletes.addAll(mView.unreferencedDeadSessions(takes));
+        if (mHeldRoles.isEmpty() && takes.isEmpty()) {
+            deletes.add(mSession);
         } else {
-            puts.add(new LeaseRow.Session(session, sessionVersion, "", false));
+            puts.add(new LeaseRow.Session(mSession, mSessionVersion, "", false));
         }
         write(Purpose.OWN_SESSION, conditions, puts, deletes, now, actions);
     }
 
     private void endSessionOrBid(long now, ActionSink<LeaseAction> actions) {
-        int held = heldRoles.size();
-        LeaseRow.Session dead = plan.sessionToEnd(wantedRoles, held, now, this::scheduleEvaluation);
+        int held = mHeldRoles.size();
+        LeaseRow.Session dead =
+                mPlan.sessionToEnd(mWantedRoles, held, now, this::scheduleEvaluation);
         if (dead != null) {
             LeaseRow.Session ended = new LeaseRow.Session(dead.key(), dead.version(), "", true);
             write(
@@ -218,7 +219,7 @@
                     actions);
             return;
         }
-        LeaseRow.Bid bid = plan.bidToPlace(wantedRoles, held, now, this::scheduleEvaluation);
+        LeaseRow.Bid bid = mPlan.bidToPlace(mWantedRoles, held, now, this::scheduleEvaluation);
         if (bid != null) {
             write(
                     Purpose.BID,
@@ -237,92 +238,92 @@
             List<String> deletes,
             long now,
             ActionSink<LeaseAction> actions) {
-        String writer = instance + "/" + start + "/" + commits++;
+        String writer = mInstance + "/" + mStart + "/" + mCommits++;
         LeaseCommit commit = new LeaseCommit(writer, conditions, puts, deletes);
-        pending = new PendingCommit(purpose, commit, now);
+        mPending = new PendingCommit(purpose, commit, now);
         actions.emit(new LeaseAction.WriteRows(commit));
     }
 
     private void release(String role, String next, ActionSink<LeaseAction> actions) {
-        if (heldRoles.remove(role) != null) {
-            if (leasesValid) {
+        if (mHeldRoles.remove(role) != null) {
+            if (mLeasesValid) {
                 actions.emit(new LeaseAction.StopHolding(role));
             }
-            pendingReleases.put(role, next);
+            mPendingReleases.put(role, next);
         }
     }
 
     private void commitEnded(LeaseEvent event, long now, ActionSink<LeaseAction> actions) {
-        PendingCommit write = pending;
+        PendingCommit write = mPending;
         if (write == null) {
             return;
         }
         if (event instanceof LeaseEvent.Committed result
-                && result.writer().equals(write.commit.writer())) {
-            pending = null;
+                && result.writer().equals(write.mCommit.writer())) {
+            mPending = null;
             committed(write, result.version(), now, actions);
         } else if (event instanceof LeaseEvent.Conflicted result
-                && result.writer().equals(write.commit.writer())) {
-            pending = null;
+                && result.writer().equals(write.mCommit.writer())) {
+            mPending = null;
             conflicted(write, result.rows(), now, actions);
         } else if (event instanceof LeaseEvent.WriteOutcomeUnknown result
-                && result.writer().equals(write.commit.writer())) {
+                && result.writer().equals(write.mCommit.writer())) {
             unanswered(write, now);
         }
     }
 
     private void unanswered(PendingCommit write, long now) {
-        if (write.purpose.isRepeated()) {
-            write.retryAt = now + write.backoff / 2 + random.nextLong(write.backoff);
-            write.backoff = Math.min(write.backoff * 2, MAX_RETRY_DELAY_NANOS);
+        if (write.mPurpose.isRepeated()) {
+            write.mRetryAt = now + write.mBackoff / 2 + mRandom.nextLong(write.mBackoff);
+            write.mBackoff = Math.min(write.mBackoff * 2, MAX_RETRY_DELAY_NANOS);
         } else {
-            pending = null;
+            mPending = null;
         }
     }
 
     private void committed(
             PendingCommit write, long version, long now, ActionSink<LeaseAction> actions) {
-        LeaseCommit commit = write.commit;
-        commit.deletes().forEach(view::remove);
+        LeaseCommit commit = write.mCommit;
+        commit.deletes().forEach(mView::remove);
         for (LeaseRow row : commit.puts()) {
-            view.observe(row.writtenBy(commit.writer(), version), now);
+            mView.observe(row.writtenBy(commit.writer(), version), now);
         }
-        if (write.purpose != Purpose.OWN_SESSION) {
+        if (write.mPurpose != Purpose.OWN_SESSION) {
             return;
         }
-        if (commit.deletes().contains(session)) {
+        if (commit.deletes().contains(mSession)) {
             openSession(actions);
             return;
         }
-        sessionVersion = version;
-        nextRenewal = write.firstSent + timing.renewalInterval();
-        validUntil = write.firstSent + timing.validityPeriod();
+        mSessionVersion = version;
+        mNextRenewal = write.mFirstSent + mTiming.renewalInterval();
+        mValidUntil = write.mFirstSent + mTiming.validityPeriod();
         extendLeases(commit, version, now, actions);
     }
 
     private void extendLeases(
             LeaseCommit commit, long version, long now, ActionSink<LeaseAction> actions) {
-        boolean valid = now < validUntil;
-        if (leasesValid && valid) {
-            actions.emit(new LeaseAction.ExtendHolding(validUntil));
+        boolean valid = now < mValidUntil;
+        if (mLeasesValid && valid) {
+            actions.emit(new LeaseAction.ExtendHolding(mValidUntil));
         }
         Map<String, LeaseRow.Role> started =
-                leasesValid ? new TreeMap<>() : new TreeMap<>(heldRoles);
+                mLeasesValid ? new TreeMap<>() : new TreeMap<>(mHeldRoles);
         for (LeaseRow put : commit.puts()) {
-            if (put instanceof LeaseRow.Role role && role.holder().equals(session)) {
+            if (put instanceof LeaseRow.Role role && role.holder().equals(mSession)) {
                 LeaseRow.Role taken = role.writtenBy(commit.writer(), version);
-                heldRoles.put(role.role(), taken);
+                mHeldRoles.put(role.role(), taken);
                 started.put(role.role(), taken);
             }
         }
         if (valid) {
-            leasesValid = true;
+            mLeasesValid = true;
             started.values()
-                    .forEach(r -> actions.emit(new LeaseAction.StartHolding(r, validUntil)));
+                    .forEach(r -> actions.emit(new LeaseAction.StartHolding(r, mValidUntil)));
         }
         // The role may have been released while the commit that took it was in flight.
-        for (String role : List.copyOf(heldRoles.keySet())) {
-            if (!wantedRoles.contains(role)) {
+        for (String role : List.copyOf(mHeldRoles.keySet())) {
+            if (!mWantedRoles.contains(role)) {
                 release(role, "", actions);
             }
         }
@@ -330,13 +331,13 @@
 
     private void conflicted(
             PendingCommit write, List<LeaseRow> rows, long now, ActionSink<LeaseAction> actions) {
-        rows.forEach(row -> view.observe(row, now));
-        if (write.purpose != Purpose.OWN_SESSION) {
+        rows.forEach(row -> mView.observe(row, now));
+        if (write.mPurpose != Purpose.OWN_SESSION) {
             return;
         }
         for (LeaseRow row : rows) {
-            if (row.key().equals(session)) {
-                if (row.writer().equals(write.commit.writer())) {
+            if (row.key().equals(mSession)) {
+                if (row.writer().equals(write.mCommit.writer())) {
                     committed(write, row.version(), now, actions);
                 } else {
                     openSession(actions);
@@ -344,36 +345,36 @@
                 return;
             }
         }
-        boolean renewalOnly = write.commit.conditions().size() == 1;
-        if (renewalOnly || write.commit.deletes().contains(session)) {
+        boolean renewalOnly = write.mCommit.conditions().size() == 1;
+        if (renewalOnly || write.mCommit.deletes().contains(mSession)) {
             openSession(actions);
             return;
         }
         // A conflict on a role alone says nothing about the session, so it is renewed alone next.
-        restoreReleases(write.commit);
-        renewOnly = sessionVersion > 0;
+        restoreReleases(write.mCommit);
+        mRenewOnly = mSessionVersion > 0;
     }
 
     private void restoreReleases(LeaseCommit commit) {
         for (LeaseRow put : commit.puts()) {
             if (put instanceof LeaseRow.Role role && role.holder().isEmpty()) {
-                pendingReleases.put(role.role(), role.successor());
+                mPendingReleases.put(role.role(), role.successor());
             }
         }
     }
 
     /** Ends the session, which can never be renewed again, and chooses the key of the next. */
     private void openSession(ActionSink<LeaseAction> actions) {
-        if (leasesValid) {
-            heldRoles.keySet().forEach(role -> actions.emit(new LeaseAction.StopHolding(role)));
-        }
-        leasesValid = false;
-        heldRoles.clear();
-        pendingReleases.clear();
-        renewOnly = false;
-        sessionVersion = 0;
-        sessionNumber++;
-        session = LeaseRow.Session.keyOf(instance, start, sessionNumber);
+        if (mLeasesValid) {
+            mHeldRoles.keySet().forEach(role -> actions.emit(new LeaseAction.StopHolding(role)));
+        }
+        mLeasesValid = false;
+        mHeldRoles.clear();
+        mPendingReleases.clear();
+        mRenewOnly = false;
+        mSessionVersion = 0;
+        mSessionNumber++;
+        mSession = LeaseRow.Session.keyOf(mInstance, mStart, mSessionNumber);
     }
 
     /** Purpose of a commit. */
@@ -382,29 +383,29 @@
         END_SESSION(false),
         BID(false);
 
-        private final boolean repeated;
+        private final boolean mRepeated;
 
         Purpose(boolean repeated) {
-            this.repeated = repeated;
+            mRepeated = repeated;
         }
 
         /** Returns whether an unanswered commit is repeated until its result is known. */
         boolean isRepeated() {
-            return repeated;
+            return mRepeated;
         }
     }
 
     private static final class PendingCommit {
-        private final Purpose purpose;
-        private final LeaseCommit commit;
-        private final long firstSent;
-        private long retryAt = NO_TIMER;
-        private long backoff = MIN_RETRY_DELAY_NANOS;
+        private final Purpose mPurpose;
+        private final LeaseCommit mCommit;
+        private final long mFirstSent;
+        private long mRetryAt = NO_TIMER;
+        private long mBackoff = MIN_RETRY_DELAY_NANOS;
 
         PendingCommit(Purpose purpose, LeaseCommit commit, long firstSent) {
-            this.purpose = purpose;
-            this.commit = commit;
-            this.firstSent = firstSent;
+            mPurpose = purpose;
+            mCommit = commit;
+            mFirstSent = firstSent;
         }
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/lease/LeasePlan.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/lease/LeasePlan.java
@@ -36,14 +36,14 @@
     private static final long BID_LIFETIME_NANOS = 5_000 * NANOS_PER_MILLI;
     private static final int MIN_IMBALANCE = 2;
 
-    private final String instance;
-    private final String ownPrefix;
-    private final LeaseTiming timing;
-    private final LeaseView view;
-    private final RandomGenerator random;
-    private final Map<String, Long> freeSince = new HashMap<>();
-    private long nextBid = Long.MIN_VALUE;
-    private long handoverExpectedUntil = Long.MIN_VALUE;
+    private final String mInstance;
+    private final String mOwnPrefix;
+    private final LeaseTiming mTiming;
+    private final LeaseView mView;
+    private final RandomGenerator mRandom;
+    private final Map<String, Long> mFreeSince = new HashMap<>();
+    private long mNextBid = Long.MIN_VALUE;
+    private long mHandoverExpectedUntil = Long.MIN_VALUE;
 
     LeasePlan(
             String instance,
@@ -51,11 +51,11 @@
             LeaseTiming timing,
             LeaseView view,
             RandomGenerator random) {
-        this.instance = instance;
-        this.ownPrefix = ownPrefix;
-        this.timing = timing;
-        this.view = view;
-        this.random = random;
+        mInstance = instance;
+        mOwnPrefix = ownPrefix;
+        mTiming = timing;
+        mView = view;
+        mRandom = random;
     }
 
     /** Returns the roles to take now; roles that become due later set the timer. */
@@ -64,13 +64,13 @@
         List<LeaseRow.Role> due = new ArrayList<>();
         List<LeaseRow.Role> overdue = new ArrayList<>();
         for (String role : wanted) {
-            LeaseRow.Role row = view.role(role);
-            if (heldRoles.contains(role) || !view.isScanned() || !isFree(row)) {
-                freeSince.remove(role);
+            LeaseRow.Role row = mView.role(role);
+            if (heldRoles.contains(role) || !mView.isScanned() || !isFree(row)) {
+                mFreeSince.remove(role);
                 continue;
             }
             long since =
-                    freeSince.computeIfAbsent(role, key -> now + random.nextLong(JITTER_NANOS));
+                    mFreeSince.computeIfAbsent(role, key -> now + mRandom.nextLong(JITTER_NANOS));
             long dueAt = since + takeDelay(row, heldRoles.size());
             long longest = MAX_WAIT_NANOS + (row.successor().isEmpty() ? 0 : RESERVATION_NANOS);
             if (now >= since + longest) {
@@ -84,7 +84,7 @@
         if (!overdue.isEmpty()) {
             return overdue;
         }
-        return due.isEmpty() ? due : List.of(due.get(random.nextInt(due.size())));
+        return due.isEmpty() ? due : List.of(due.get(mRandom.nextInt(due.size())));
     }
 
     /** Returns the row versions on which taking a free role is conditional. */
@@ -93,8 +93,8 @@
         conditions.put(row.key(), row.version());
         // A stale read may not show the session row although the session is alive.
         if (!row.holder().isEmpty()
-                && !row.holder().startsWith(ownPrefix)
-                && view.session(row.holder()) == null) {
+                && !row.holder().startsWith(mOwnPrefix)
+                && mView.session(row.holder()) == null) {
             conditions.put(row.holder(), 0L);
         }
         return conditions;
@@ -102,19 +102,19 @@
 
     /** Returns a session to end now: one observed without a renewal for the full period. */
     LeaseRow.@Nullable Session sessionToEnd(Set<String> wanted, int held, long now, Timer timer) {
-        for (Map.Entry<String, Set<String>> entry : view.rolesBySession().entrySet()) {
-            LeaseRow.Session session = view.session(entry.getKey());
+        for (Map.Entry<String, Set<String>> entry : mView.rolesBySession().entrySet()) {
+            LeaseRow.Session session = mView.session(entry.getKey());
             boolean concerned = entry.getValue().stream().anyMatch(wanted::contains);
-            if (session == null || session.dead() || session.key().startsWith(ownPrefix)) {
+            if (session == null || session.dead() || session.key().startsWith(mOwnPrefix)) {
                 continue;
             }
             long spread =
                     Math.floorMod(
-                            instance.hashCode() * 31L + session.version(),
+                            mInstance.hashCode() * 31L + session.version(),
                             SESSION_END_JITTER_NANOS);
             long dueAt =
-                    view.observedSince(session.key())
-                            + timing.observationPeriod()
+                    mView.observedSince(session.key())
+                            + mTiming.observationPeriod()
                             + spread
                             + Math.min(held, MAX_ROLES_COUNTED) * JITTER_NANOS / MAX_ROLES_COUNTED;
             if (concerned && now >= dueAt) {
@@ -132,13 +132,13 @@
         Map<String, String> result = new HashMap<>();
         Map<String, Integer> counts = new HashMap<>();
         for (String role : new TreeSet<>(heldRoles)) {
-            LeaseRow.Bid bid = view.bid(role);
+            LeaseRow.Bid bid = mView.bid(role);
             if (bid == null
-                    || bid.bidder().equals(instance)
-                    || now - view.observedSince(bid.key()) > BID_LIFETIME_NANOS) {
+                    || bid.bidder().equals(mInstance)
+                    || now - mView.observedSince(bid.key()) > BID_LIFETIME_NANOS) {
                 continue;
             }
-            int bidderRoles = counts.computeIfAbsent(bid.bidder(), view::roleCountOf);
+            int bidderRoles = counts.computeIfAbsent(bid.bidder(), mView::roleCountOf);
             if (heldRoles.size() - result.size() - bidderRoles >= MIN_IMBALANCE) {
                 result.put(role, bid.bidder());
                 counts.put(bid.bidder(), bidderRoles + 1);
@@ -149,21 +149,21 @@
 
     /** Returns a role to bid for now: one of a holder that has at least two roles more. */
     LeaseRow.@Nullable Bid bidToPlace(Set<String> wanted, int held, long now, Timer timer) {
-        if (!view.isScanned()) {
+        if (!mView.isScanned()) {
             return null;
         }
-        if (now < nextBid) {
-            timer.atLatest(nextBid);
+        if (now < mNextBid) {
+            timer.atLatest(mNextBid);
             return null;
         }
         Set<String> largest = Set.of();
-        for (Map.Entry<String, Set<String>> entry : view.rolesBySession().entrySet()) {
-            LeaseRow.Session session = view.session(entry.getKey());
+        for (Map.Entry<String, Set<String>> entry : mView.rolesBySession().entrySet()) {
+            LeaseRow.Session session = mView.session(entry.getKey());
             Set<String> roles = new HashSet<>(entry.getValue());
             roles.retainAll(wanted);
             if (session != null
                     && !session.dead()
-                    && !session.key().startsWith(ownPrefix)
+                    && !session.key().startsWith(mOwnPrefix)
                     && roles.size() > largest.size()) {
                 largest = roles;
             }
@@ -171,31 +171,31 @@
         if (largest.size() - held < MIN_IMBALANCE) {
             return null;
         }
-        nextBid = now + timing.pollInterval() * 2 + random.nextLong(timing.pollInterval());
-        handoverExpectedUntil = now + timing.pollInterval() * 3;
+        mNextBid = now + mTiming.pollInterval() * 2 + mRandom.nextLong(mTiming.pollInterval());
+        mHandoverExpectedUntil = now + mTiming.pollInterval() * 3;
         List<String> choice = new ArrayList<>(new TreeSet<>(largest));
-        String role = choice.get(random.nextInt(choice.size()));
-        LeaseRow.Bid known = view.bid(role);
-        return new LeaseRow.Bid(role, known == null ? 0 : known.version(), "", instance);
+        String role = choice.get(mRandom.nextInt(choice.size()));
+        LeaseRow.Bid known = mView.bid(role);
+        return new LeaseRow.Bid(role, known == null ? 0 : known.version(), "", mInstance);
     }
 
     /** Returns the delay before the next read; shorter while a bid may be granted. */
     long readInterval(long now) {
         long interval =
-                now < handoverExpectedUntil ? timing.pollInterval() / 4 : timing.pollInterval();
-        return interval * 7 / 8 + random.nextLong(interval / 4);
+                now < mHandoverExpectedUntil ? mTiming.pollInterval() / 4 : mTiming.pollInterval();
+        return interval * 7 / 8 + mRandom.nextLong(interval / 4);
     }
 
     private boolean isFree(LeaseRow.Role row) {
-        if (row.holder().isEmpty() || row.holder().startsWith(ownPrefix)) {
+        if (row.holder().isEmpty() || row.holder().startsWith(mOwnPrefix)) {
             return true;
         }
-        LeaseRow.Session session = view.session(row.holder());
+        LeaseRow.Session session = mView.session(row.holder());
         return session == null || session.dead();
     }
 
     private long takeDelay(LeaseRow.Role row, int held) {
-        if (row.successor().equals(instance)) {
+        if (row.successor().equals(mInstance)) {
             return -JITTER_NANOS;
         }
         long reserved = row.successor().isEmpty() ? 0 : RESERVATION_NANOS;
--- a/decisions/src/main/java/org/fuchsialever/decisions/lease/LeaseView.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/lease/LeaseView.java
@@ -11,14 +11,14 @@
 
 /** The rows that an instance has observed, with the time each version was first observed. */
 final class LeaseView {
-    private final Map<String, LeaseRow> rows = new TreeMap<>();
-    private final Map<String, Long> observedSince = new HashMap<>();
-    private long scannedVersion;
-    private boolean scanned;
+    private final Map<String, LeaseRow> mRows = new TreeMap<>();
+    private final Map<String, Long> mObservedSince = new HashMap<>();
+    private long mScannedVersion;
+    private boolean mScanned;
 
     /** Returns whether all rows have been read at least once. */
     boolean isScanned() {
-        return scanned;
+        return mScanned;
     }
 
     /**
@@ -26,7 +26,7 @@
      * stale scan may miss rows that others wrote before them.
      */
     long scannedVersion() {
-        return scannedVersion;
+        return mScannedVersion;
     }
 
     void addScan(boolean full, List<LeaseRow> read, long now) {
@@ -37,55 +37,56 @@
             present.add(row.key());
             newest = Math.max(newest, row.version());
         }
-        scannedVersion = Math.max(scannedVersion, newest);
+        mScannedVersion = Math.max(mScannedVersion, newest);
         if (full) {
-            scanned = true;
+            mScanned = true;
             long horizon = newest;
-            rows.values().removeIf(row -> row.version() <= horizon && !present.contains(row.key()));
-            observedSince.keySet().retainAll(rows.keySet());
+            mRows.values()
+                    .removeIf(row -> row.version() <= horizon && !present.contains(row.key()));
+            mObservedSince.keySet().retainAll(mRows.keySet());
         }
     }
 
     /** Stores a row unless this version or a newer one is known. */
     void observe(LeaseRow row, long now) {
-        LeaseRow known = rows.get(row.key());
+        LeaseRow known = mRows.get(row.key());
         if (known == null || known.version() < row.version()) {
-            rows.put(row.key(), row);
-            observedSince.put(row.key(), now);
+            mRows.put(row.key(), row);
+            mObservedSince.put(row.key(), now);
         }
     }
 
     void remove(String key) {
-        rows.remove(key);
-        observedSince.remove(key);
+        mRows.remove(key);
+        mObservedSince.remove(key);
     }
 
     /** Restarts all observations, after a period without reads. */
     void restartObservations(long now) {
-        observedSince.replaceAll((key, since) -> now);
+        mObservedSince.replaceAll((key, since) -> now);
     }
 
     long observedSince(String key) {
-        return observedSince.getOrDefault(key, Long.MAX_VALUE / 2);
+        return mObservedSince.getOrDefault(key, Long.MAX_VALUE / 2);
     }
 
     LeaseRow.Role role(String role) {
-        LeaseRow row = rows.get(LeaseRow.Role.PREFIX + role);
+        LeaseRow row = mRows.get(LeaseRow.Role.PREFIX + role);
         return row instanceof LeaseRow.Role found ? found : LeaseRow.Role.absent(role);
     }
 
     LeaseRow.@Nullable Session session(String key) {
-        return rows.get(key) instanceof LeaseRow.Session found ? found : null;
+        return mRows.get(key) instanceof LeaseRow.Session found ? found : null;
     }
 
     LeaseRow.@Nullable Bid bid(String role) {
-        return rows.get(LeaseRow.Bid.PREFIX + role) instanceof LeaseRow.Bid found ? found : null;
+        return mRows.get(LeaseRow.Bid.PREFIX + role) instanceof LeaseRow.Bid found ? found : null;
     }
 
     /** Returns the names of the roles that each session holds, by session key. */
     Map<String, Set<String>> rolesBySession() {
         Map<String, Set<String>> result = new TreeMap<>();
-        for (LeaseRow row : rows.values()) {
+        for (LeaseRow row : mRows.values()) {
             if (row instanceof LeaseRow.Role role && !role.holder().isEmpty()) {
                 result.computeIfAbsent(role.holder(), key -> new HashSet<>()).add(role.role());
             }
@@ -103,7 +104,7 @@
             named.getOrDefault(role.holder(), new HashSet<>()).remove(role.role());
         }
         List<String> result = new ArrayList<>();
-        for (LeaseRow row : rows.values()) {
+        for (LeaseRow row : mRows.values()) {
             if (row instanceof LeaseRow.Session session
                     && session.dead()
                     && named.getOrDefault(session.key(), Set.of()).isEmpty()) {
