--- a/decisions/src/main/java/org/fuchsialever/decisions/manifest/Manifest.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/manifest/Manifest.java
@@ -9,12 +9,12 @@
 
 /** One version of the operator's declarations. Immutable. */
 public final class Manifest {
-    private final long version;
-    private final Map<String, List<ForwardRoute>> routesByHost = new HashMap<>();
-    private final Map<String, ServiceSpec> services = new HashMap<>();
-    private final Map<String, String> teamsByKey = new HashMap<>();
-    private final RequestLimits limits;
-    private final boolean keysRequired;
+    private final long mVersion;
+    private final Map<String, List<ForwardRoute>> mRoutesByHost = new HashMap<>();
+    private final Map<String, ServiceSpec> mServices = new HashMap<>();
+    private final Map<String, String> mTeamsByKey = new HashMap<>();
+    private final RequestLimits mLimits;
+    private final boolean mKeysRequired;
 
     /**
      * Creates a manifest.
@@ -31,38 +31,38 @@
             List<ServiceSpec> services,
             List<TeamKeys> teams,
             RequestLimits limits) {
-        this.version = version;
-        this.limits = limits;
-        this.keysRequired = !teams.isEmpty();
+        mVersion = version;
+        mLimits = limits;
+        mKeysRequired = !teams.isEmpty();
         for (ForwardRoute route : routes) {
-            routesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+            mRoutesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
         }
         // Longest prefix first, so that the first match is the most specific.
         Comparator<ForwardRoute> longestFirst =
                 Comparator.comparingInt(route -> -route.pathPrefix().length());
-        routesByHost.values().forEach(list -> list.sort(longestFirst));
-        services.forEach(service -> this.services.put(service.name(), service));
-        teams.forEach(team -> team.keys().forEach(key -> teamsByKey.put(key, team.team())));
+        mRoutesByHost.values().forEach(list -> list.sort(longestFirst));
+        services.forEach(service -> mServices.put(service.name(), service));
+        teams.forEach(team -> team.keys().forEach(key -> mTeamsByKey.put(key, team.team())));
     }
 
     /** Returns the version. */
     public long version() {
-        return version;
+        return mVersion;
     }
 
     /** Returns the limits on requests and connections of callers. */
     public RequestLimits limits() {
-        return limits;
+        return mLimits;
     }
 
     /** Returns whether calls need a key, except on open routes. */
     public boolean requiresKeys() {
-        return keysRequired;
+        return mKeysRequired;
     }
 
     /** Returns the route of a host whose prefix is the longest one that matches the path. */
     public Option<ForwardRoute> route(String host, String path) {
-        for (ForwardRoute route : routesByHost.getOrDefault(host, List.of())) {
+        for (ForwardRoute route : mRoutesByHost.getOrDefault(host, List.of())) {
             if (path.startsWith(route.pathPrefix())) {
                 return Option.some(route);
             }
@@ -72,26 +72,26 @@
 
     /** Returns the team that a key belongs to. */
     public Option<String> teamOf(String key) {
-        return Option.of(teamsByKey.get(key));
+        return Option.of(mTeamsByKey.get(key));
     }
 
     /** Returns a service by its name. */
     public Option<ServiceSpec> service(String name) {
-        return Option.of(services.get(name));
+        return Option.of(mServices.get(name));
     }
 
     /** Returns all services. */
     public List<ServiceSpec> services() {
-        return List.copyOf(services.values());
+        return List.copyOf(mServices.values());
     }
 
     /** Returns the number of routes. */
     public int routeCount() {
-        return routesByHost.values().stream().mapToInt(List::size).sum();
+        return mRoutesByHost.values().stream().mapToInt(List::size).sum();
     }
 
     /** Returns the number of keys. */
     public int keyCount() {
-        return teamsByKey.size();
+        return mTeamsByKey.size();
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/membership/MemberState.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/membership/MemberState.java
@@ -14,17 +14,17 @@
     /** Heartbeats stayed overdue for the whole suspicion timeout. */
     REMOVED(false, false);
 
-    private final boolean listed;
-    private final boolean takesWork;
+    private final boolean mListed;
+    private final boolean mTakesWork;
 
     MemberState(boolean listed, boolean takesWork) {
-        this.listed = listed;
-        this.takesWork = takesWork;
+        mListed = listed;
+        mTakesWork = takesWork;
     }
 
     /** Returns whether an instance in this state is still a member and receives messages. */
     public boolean isListed() {
-        return listed;
+        return mListed;
     }
 
     /** Returns whether the heartbeats of an instance in this state are not overdue. */
@@ -34,7 +34,7 @@
 
     /** Returns whether an instance in this state may be given new work. */
     public boolean takesWork() {
-        return takesWork;
+        return mTakesWork;
     }
 
     /**
--- a/decisions/src/main/java/org/fuchsialever/decisions/membership/MembershipDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/membership/MembershipDuty.java
@@ -38,19 +38,19 @@
     /** Each change is sent this many times the fan-out, which grows as log2 of the members. */
     private static final int SENDS_PER_FAN_OUT = 3;
 
-    private final Map<InstanceId, Peer> peers = new TreeMap<>();
-    private final ChangeQueue changes = new ChangeQueue();
-    private final PeerRotation rotation;
-    private final Set<InstanceId> unanswered = new LinkedHashSet<>();
-    private final Deque<Round> rounds = new ArrayDeque<>();
-    private Member self;
-    private long configVersion;
-    private long keyVersion;
-    private boolean isolated;
-    private boolean viewChanged;
-    private int probeCount;
-    private long nextRoundNanos = NO_TIMER;
-    private long nextListNanos;
+    private final Map<InstanceId, Peer> mPeers = new TreeMap<>();
+    private final ChangeQueue mChanges = new ChangeQueue();
+    private final PeerRotation mRotation;
+    private final Set<InstanceId> mUnanswered = new LinkedHashSet<>();
+    private final Deque<Round> mRounds = new ArrayDeque<>();
+    private Member mSelf;
+    private long mConfigVersion;
+    private long mKeyVersion;
+    private boolean mIsolated;
+    private boolean mViewChanged;
+    private int mProbeCount;
+    private long mNextRoundNanos = NO_TIMER;
+    private long mNextListNanos;
 
     /**
      * Creates a duty that knows no other instance.
@@ -60,9 +60,9 @@
      * @param nowNanos monotonic time, at which the list of instances is read first
      */
     public MembershipDuty(Member self, RandomGenerator random, long nowNanos) {
-        this.nextListNanos = nowNanos;
-        this.self = self;
-        this.rotation = new PeerRotation(self.region(), random);
+        mNextListNanos = nowNanos;
+        mSelf = self;
+        mRotation = new PeerRotation(self.region(), random);
     }
 
     @Override
@@ -75,77 +75,77 @@
             MembershipEvent event, long nowNanos, ActionSink<MembershipAction> actions) {
         if (event instanceof MembershipEvent.InstancesListed listed) {
             mergeInstanceList(listed.instances(), nowNanos);
-            if (nextRoundNanos == NO_TIMER) {
-                nextRoundNanos = nowNanos;
+            if (mNextRoundNanos == NO_TIMER) {
+                mNextRoundNanos = nowNanos;
             }
         } else if (event instanceof MembershipEvent.HeartbeatReceived received) {
             onHeartbeat(received.heartbeat(), nowNanos, actions);
         } else if (event instanceof MembershipEvent.VersionsChanged versions) {
-            configVersion = Math.max(configVersion, versions.configVersion());
-            keyVersion = Math.max(keyVersion, versions.keyVersion());
+            mConfigVersion = Math.max(mConfigVersion, versions.configVersion());
+            mKeyVersion = Math.max(mKeyVersion, versions.keyVersion());
         } else if (event instanceof MembershipEvent.LeaveRequested) {
-            self = self.withState(MemberState.LEAVING);
-            gossip(self);
+            mSelf = mSelf.withState(MemberState.LEAVING);
+            gossip(mSelf);
         }
         publish(actions);
     }
 
     @Override
     public void onTimer(long nowNanos, ActionSink<MembershipAction> actions) {
-        if (nowNanos >= nextListNanos) {
-            nextListNanos =
-                    nowNanos + (nextRoundNanos == NO_TIMER ? ROUND_NANOS : LIST_INTERVAL_NANOS);
+        if (nowNanos >= mNextListNanos) {
+            mNextListNanos =
+                    nowNanos + (mNextRoundNanos == NO_TIMER ? ROUND_NANOS : LIST_INTERVAL_NANOS);
             actions.emit(new MembershipAction.ReadInstances());
         }
-        if (nowNanos < nextRoundNanos) {
+        if (nowNanos < mNextRoundNanos) {
             return;
         }
         // After a pause of this process, peers are probed again before any of them is suspected:
         // their responses may not have been read yet.
-        boolean late = nowNanos - nextRoundNanos > ROUND_NANOS;
+        boolean late = nowNanos - mNextRoundNanos > ROUND_NANOS;
         if (late) {
-            unanswered.clear();
-            probeCount = 0;
+            mUnanswered.clear();
+            mProbeCount = 0;
             restartSuspicions(nowNanos);
         }
         evaluateRound(nowNanos);
         expire(nowNanos);
         startRound(actions);
-        nextRoundNanos = late ? nowNanos + ROUND_NANOS : nextRoundNanos + ROUND_NANOS;
+        mNextRoundNanos = late ? nowNanos + ROUND_NANOS : mNextRoundNanos + ROUND_NANOS;
         publish(actions);
     }
 
     @Override
     public long nextTimerNanos() {
-        return Math.min(nextRoundNanos, nextListNanos);
+        return Math.min(mNextRoundNanos, mNextListNanos);
     }
 
     private void mergeInstanceList(List<Member> listed, long now) {
         Set<InstanceId> names = new HashSet<>();
         for (Member member : listed) {
             names.add(member.instance());
-            if (!member.instance().equals(self.instance())
-                    && !peers.containsKey(member.instance())) {
-                peers.put(member.instance(), new Peer(member));
-                viewChanged = true;
+            if (!member.instance().equals(mSelf.instance())
+                    && !mPeers.containsKey(member.instance())) {
+                mPeers.put(member.instance(), new Peer(member));
+                mViewChanged = true;
             }
         }
         // A removed instance is dropped once the instance list, which lags, does not contain it.
-        peers.values()
+        mPeers.values()
                 .removeIf(
                         peer ->
-                                peer.member.state() == MemberState.REMOVED
-                                        && !names.contains(peer.member.instance())
-                                        && now >= peer.removalNanos + SUSPICION_TIMEOUT_NANOS);
+                                peer.mMember.state() == MemberState.REMOVED
+                                        && !names.contains(peer.mMember.instance())
+                                        && now >= peer.mRemovalNanos + SUSPICION_TIMEOUT_NANOS);
     }
 
     private void onHeartbeat(
             PeerMessage.Heartbeat heartbeat, long now, ActionSink<MembershipAction> actions) {
         Member sender = heartbeat.sender();
-        if (sender.instance().equals(self.instance())) {
+        if (sender.instance().equals(mSelf.instance())) {
             return;
         }
-        unanswered.remove(sender.instance());
+        mUnanswered.remove(sender.instance());
         applyReport(sender, now);
         heartbeat.changes().forEach(change -> applyReport(change, now));
         if (heartbeat.probe()) {
@@ -156,33 +156,33 @@
     private void respond(Member sender, ActionSink<MembershipAction> actions) {
         // Only probes carry changes: with changes in responses too, 400 members sent 6.8 KB/s each.
         List<Member> reports = List.of();
-        Peer known = peers.get(sender.instance());
-        if (known != null && known.member.replaces(sender)) {
+        Peer known = mPeers.get(sender.instance());
+        if (known != null && known.mMember.replaces(sender)) {
             // The sender is suspected or removed; include this so that it can refute it.
-            reports = List.of(known.member);
+            reports = List.of(known.mMember);
         }
         actions.emit(
                 new MembershipAction.SendHeartbeat(sender.instance(), heartbeat(false, reports)));
     }
 
     private void applyReport(Member report, long now) {
-        if (report.instance().equals(self.instance())) {
+        if (report.instance().equals(mSelf.instance())) {
             refute(report);
             return;
         }
-        Peer peer = peers.get(report.instance());
+        Peer peer = mPeers.get(report.instance());
         if (peer == null) {
             if (report.state().isListed()) {
                 peer = new Peer(report);
-                peers.put(report.instance(), peer);
+                mPeers.put(report.instance(), peer);
                 onChange(peer, now);
             }
-        } else if (report.replaces(peer.member)) {
+        } else if (report.replaces(peer.mMember)) {
             // The first report about a listed instance is not gossiped: every instance learns of it
             // by itself.
             boolean expected =
-                    peer.member.incarnation() == 0 && report.state() == peer.member.state();
-            peer.member = report;
+                    peer.mMember.incarnation() == 0 && report.state() == peer.mMember.state();
+            peer.mMember = report;
             if (!expected) {
                 onChange(peer, now);
             }
@@ -192,51 +192,51 @@
     private void refute(Member report) {
         boolean suspectOrRemoved =
                 report.state() == MemberState.SUSPECT || report.state() == MemberState.REMOVED;
-        if (suspectOrRemoved && report.incarnation() >= self.incarnation()) {
-            self =
+        if (suspectOrRemoved && report.incarnation() >= mSelf.incarnation()) {
+            mSelf =
                     new Member(
-                            self.instance(),
-                            self.region(),
-                            self.domain(),
+                            mSelf.instance(),
+                            mSelf.region(),
+                            mSelf.domain(),
                             report.incarnation() + 1,
-                            self.state());
-            gossip(self);
+                            mSelf.state());
+            gossip(mSelf);
         }
     }
 
     private void onChange(Peer peer, long now) {
-        MemberState state = peer.member.state();
+        MemberState state = peer.mMember.state();
         boolean suspectOrRemoved = state == MemberState.SUSPECT || state == MemberState.REMOVED;
-        peer.removalNanos = suspectOrRemoved ? now + SUSPICION_TIMEOUT_NANOS : NO_TIMER;
-        viewChanged = true;
-        gossip(peer.member);
+        peer.mRemovalNanos = suspectOrRemoved ? now + SUSPICION_TIMEOUT_NANOS : NO_TIMER;
+        mViewChanged = true;
+        gossip(peer.mMember);
     }
 
     private void gossip(Member change) {
-        changes.add(change, SENDS_PER_FAN_OUT * Math.max(1, PeerRotation.fanOut(peers.size())));
+        mChanges.add(change, SENDS_PER_FAN_OUT * Math.max(1, PeerRotation.fanOut(mPeers.size())));
     }
 
     private void evaluateRound(long now) {
-        if (probeCount > 0) {
-            rounds.add(new Round(probeCount, unanswered.size()));
+        if (mProbeCount > 0) {
+            mRounds.add(new Round(mProbeCount, mUnanswered.size()));
         }
-        if (rounds.size() > ISOLATION_ROUNDS) {
-            rounds.remove();
+        if (mRounds.size() > ISOLATION_ROUNDS) {
+            mRounds.remove();
         }
-        int probes = rounds.stream().mapToInt(Round::probeCount).sum();
-        int unansweredProbes = rounds.stream().mapToInt(Round::unansweredCount).sum();
+        int probes = mRounds.stream().mapToInt(Round::probeCount).sum();
+        int unansweredProbes = mRounds.stream().mapToInt(Round::unansweredCount).sum();
         boolean mostlyUnanswered =
-                unansweredProbes * 2 > probes || unanswered.size() * 2 > probeCount;
-        if (mostlyUnanswered != isolated) {
-            isolated = mostlyUnanswered;
-            viewChanged = true;
+                unansweredProbes * 2 > probes || mUnanswered.size() * 2 > mProbeCount;
+        if (mostlyUnanswered != mIsolated) {
+            mIsolated = mostlyUnanswered;
+            mViewChanged = true;
         }
-        if (isolated) {
+        if (mIsolated) {
             restartSuspicions(now);
             return;
         }
-        for (InstanceId receiver : unanswered) {
-            Peer peer = peers.get(receiver);
+        for (InstanceId receiver : mUnanswered) {
+            Peer peer = mPeers.get(receiver);
             if (peer != null) {
                 suspect(peer, now);
             }
@@ -244,95 +244,95 @@
     }
 
     private void suspect(Peer peer, long now) {
-        if (peer.member.state() == MemberState.ALIVE) {
-            peer.member = peer.member.withState(MemberState.SUSPECT);
+        if (peer.mMember.state() == MemberState.ALIVE) {
+            peer.mMember = peer.mMember.withState(MemberState.SUSPECT);
             onChange(peer, now);
-        } else if (peer.removalNanos == NO_TIMER) {
+        } else if (peer.mRemovalNanos == NO_TIMER) {
             // A leaving instance stays in its own state until it is removed.
-            peer.removalNanos = now + SUSPICION_TIMEOUT_NANOS;
+            peer.mRemovalNanos = now + SUSPICION_TIMEOUT_NANOS;
         }
     }
 
     private void restartSuspicions(long now) {
-        for (Peer peer : peers.values()) {
-            if (peer.removalNanos != NO_TIMER && peer.member.state().isListed()) {
-                peer.removalNanos = now + SUSPICION_TIMEOUT_NANOS;
+        for (Peer peer : mPeers.values()) {
+            if (peer.mRemovalNanos != NO_TIMER && peer.mMember.state().isListed()) {
+                peer.mRemovalNanos = now + SUSPICION_TIMEOUT_NANOS;
             }
         }
     }
 
     /** Scans all peers once per round, which is cheaper than timers (see ExpiryExperiment). */
     private void expire(long now) {
-        for (Peer peer : peers.values()) {
-            if (peer.removalNanos <= now && peer.member.state().isListed()) {
-                peer.member = peer.member.withState(MemberState.REMOVED);
-                viewChanged = true;
-                gossip(peer.member);
+        for (Peer peer : mPeers.values()) {
+            if (peer.mRemovalNanos <= now && peer.mMember.state().isListed()) {
+                peer.mMember = peer.mMember.withState(MemberState.REMOVED);
+                mViewChanged = true;
+                gossip(peer.mMember);
             }
         }
     }
 
     private void startRound(ActionSink<MembershipAction> actions) {
-        unanswered.clear();
+        mUnanswered.clear();
         List<Member> listed = listed();
         int suspects = 0;
         for (Member member : listed) {
             if (member.state() == MemberState.SUSPECT && suspects < MAX_SUSPECT_PROBES) {
-                unanswered.add(member.instance());
+                mUnanswered.add(member.instance());
                 suspects++;
             }
         }
         // Extra probes of suspects do not count towards isolation: they are unresponsive already.
-        List<InstanceId> suspectIds = List.copyOf(unanswered);
-        unanswered.clear();
-        List<InstanceId> chosen = rotation.next(listed);
+        List<InstanceId> suspectIds = List.copyOf(mUnanswered);
+        mUnanswered.clear();
+        List<InstanceId> chosen = mRotation.next(listed);
         for (InstanceId receiver : suspectIds) {
             if (!chosen.contains(receiver)) {
                 sendProbe(receiver, actions);
             }
         }
         chosen.forEach(receiver -> sendProbe(receiver, actions));
-        unanswered.addAll(chosen);
-        probeCount = chosen.size();
+        mUnanswered.addAll(chosen);
+        mProbeCount = chosen.size();
     }
 
     private void sendProbe(InstanceId receiver, ActionSink<MembershipAction> actions) {
-        List<Member> reports = new ArrayList<>(changes.next());
-        Peer peer = peers.get(receiver);
+        List<Member> reports = new ArrayList<>(mChanges.next());
+        Peer peer = mPeers.get(receiver);
         if (peer != null
-                && peer.member.state() == MemberState.SUSPECT
-                && !reports.contains(peer.member)) {
-            reports.add(0, peer.member);
+                && peer.mMember.state() == MemberState.SUSPECT
+                && !reports.contains(peer.mMember)) {
+            reports.add(0, peer.mMember);
         }
         actions.emit(new MembershipAction.SendHeartbeat(receiver, heartbeat(true, reports)));
     }
 
     private PeerMessage.Heartbeat heartbeat(boolean probe, List<Member> reports) {
-        return new PeerMessage.Heartbeat(self, configVersion, keyVersion, probe, reports);
+        return new PeerMessage.Heartbeat(mSelf, mConfigVersion, mKeyVersion, probe, reports);
     }
 
     private List<Member> listed() {
-        return peers.values().stream()
-                .map(peer -> peer.member)
+        return mPeers.values().stream()
+                .map(peer -> peer.mMember)
                 .filter(member -> member.state().isListed())
                 .toList();
     }
 
     private void publish(ActionSink<MembershipAction> actions) {
-        if (viewChanged) {
-            viewChanged = false;
-            actions.emit(new MembershipAction.ViewChanged(listed(), isolated));
+        if (mViewChanged) {
+            mViewChanged = false;
+            actions.emit(new MembershipAction.ViewChanged(listed(), mIsolated));
         }
     }
 
     private record Round(int probeCount, int unansweredCount) {}
 
     private static final class Peer {
-        private Member member;
-        private long removalNanos = NO_TIMER;
+        private Member mMember;
+        private long mRemovalNanos = NO_TIMER;
 
         Peer(Member member) {
-            this.member = member;
+            mMember = member;
         }
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/membership/PeerRotation.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/membership/PeerRotation.java
@@ -16,15 +16,15 @@
     /** One of four messages goes to another region, so that gossip reaches all regions. */
     private static final int OTHER_REGIONS_DIVISOR = 4;
 
-    private final String region;
-    private final RandomGenerator random;
-    private final Deque<InstanceId> sameRegion = new ArrayDeque<>();
-    private final Deque<InstanceId> otherRegions = new ArrayDeque<>();
+    private final String mRegion;
+    private final RandomGenerator mRandom;
+    private final Deque<InstanceId> mSameRegion = new ArrayDeque<>();
+    private final Deque<InstanceId> mOtherRegions = new ArrayDeque<>();
 
     /** Creates a rotation that prefers a region. */
     public PeerRotation(String region, RandomGenerator random) {
-        this.region = region;
-        this.random = random;
+        mRegion = region;
+        mRandom = random;
     }
 
     /** Returns {@code log2(n)+1}, rounded up, where n includes this instance; 0 without peers. */
@@ -37,12 +37,12 @@
     /** Returns the next {@link #fanOut} of the given members. */
     public List<InstanceId> next(Collection<Member> members) {
         int count = fanOut(members.size());
-        Predicate<Member> isSameRegion = member -> member.region().equals(region);
+        Predicate<Member> isSameRegion = member -> member.region().equals(mRegion);
         Set<InstanceId> chosen = new LinkedHashSet<>();
         int outside = (count + OTHER_REGIONS_DIVISOR - 1) / OTHER_REGIONS_DIVISOR;
-        select(otherRegions, members, isSameRegion.negate(), outside, chosen);
-        select(sameRegion, members, isSameRegion, count - chosen.size(), chosen);
-        select(otherRegions, members, isSameRegion.negate(), count - chosen.size(), chosen);
+        select(mOtherRegions, members, isSameRegion.negate(), outside, chosen);
+        select(mSameRegion, members, isSameRegion, count - chosen.size(), chosen);
+        select(mOtherRegions, members, isSameRegion.negate(), count - chosen.size(), chosen);
         return List.copyOf(chosen);
     }
 
@@ -72,7 +72,7 @@
     private List<InstanceId> shuffled(Collection<InstanceId> candidates) {
         List<InstanceId> result = new ArrayList<>(candidates);
         for (int i = result.size() - 1; i > 0; i--) {
-            int other = random.nextInt(i + 1);
+            int other = mRandom.nextInt(i + 1);
             InstanceId swapped = result.get(i);
             result.set(i, result.get(other));
             result.set(other, swapped);
--- a/decisions/src/main/java/org/fuchsialever/decisions/orders/ObservedUpstream.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/orders/ObservedUpstream.java
@@ -17,22 +17,22 @@
         LEAVING(false, false),
         STOPPED(false, false);
 
-        private final boolean counts;
-        private final boolean serves;
+        private final boolean mCounts;
+        private final boolean mServes;
 
         State(boolean counts, boolean serves) {
-            this.counts = counts;
-            this.serves = serves;
+            mCounts = counts;
+            mServes = serves;
         }
 
         /** Returns whether the upstream counts towards the capacity of the pool. */
         public boolean countsAsCapacity() {
-            return counts;
+            return mCounts;
         }
 
         /** Returns whether the upstream accepts new requests. */
         public boolean isServing() {
-            return serves;
+            return mServes;
         }
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/orders/OrderDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/orders/OrderDuty.java
@@ -39,21 +39,21 @@
      */
     private static final long DRAIN_NANOS = TimeUnit.SECONDS.toNanos(30);
 
-    private final PoolName pool;
-    private final OrderPolicy policy;
-    private final IntentMachine<UpstreamCommand> intents;
-    private final PlacementBackOff backOff;
-    private final PeakNeed peakNeed = new PeakNeed();
-    private final Map<UpstreamId, ObservedUpstream> listed = new HashMap<>();
-    private final Map<UpstreamId, Started> startedUnlisted = new HashMap<>();
-    private final Set<UpstreamId> stopping = new HashSet<>();
-    private final Map<UpstreamId, Long> draining = new HashMap<>();
-    private final Set<UpstreamId> publishedLeaving = new HashSet<>();
+    private final PoolName mPool;
+    private final OrderPolicy mPolicy;
+    private final IntentMachine<UpstreamCommand> mIntents;
+    private final PlacementBackOff mBackOff;
+    private final PeakNeed mPeakNeed = new PeakNeed();
+    private final Map<UpstreamId, ObservedUpstream> mListed = new HashMap<>();
+    private final Map<UpstreamId, Started> mStartedUnlisted = new HashMap<>();
+    private final Set<UpstreamId> mStopping = new HashSet<>();
+    private final Map<UpstreamId, Long> mDraining = new HashMap<>();
+    private final Set<UpstreamId> mPublishedLeaving = new HashSet<>();
 
-    private Option<PlanLimits> limits = Option.none();
-    private Option<PoolDemand> demand = Option.none();
-    private Option<Long> listedAt = Option.none();
-    private long nextPlanAt;
+    private Option<PlanLimits> mLimits = Option.none();
+    private Option<PoolDemand> mDemand = Option.none();
+    private Option<Long> mListedAt = Option.none();
+    private long mNextPlanAt;
 
     /**
      * Creates the duty.
@@ -71,11 +71,11 @@
             RandomGenerator random,
             long startNanos,
             InvariantMonitor invariants) {
-        this.pool = pool;
-        this.policy = policy;
-        this.intents = new IntentMachine<>(roleOf(pool), timing, random, invariants);
-        this.backOff = new PlacementBackOff(random);
-        this.nextPlanAt = startNanos;
+        mPool = pool;
+        mPolicy = policy;
+        mIntents = new IntentMachine<>(roleOf(pool), timing, random, invariants);
+        mBackOff = new PlacementBackOff(random);
+        mNextPlanAt = startNanos;
     }
 
     /** Returns the role under which the upstreams of a pool are ordered. */
@@ -85,42 +85,42 @@
 
     @Override
     public String dutyName() {
-        return "orders-" + pool;
+        return "orders-" + mPool;
     }
 
     @Override
     public void onEvent(OrderEvent event, long nowNanos, ActionSink<OrderAction> actions) {
         if (event instanceof OrderEvent.RoleEvent role) {
-            intents.onEvent(role.event(), nowNanos, intentSink(nowNanos, actions));
+            mIntents.onEvent(role.event(), nowNanos, intentSink(nowNanos, actions));
         } else if (event instanceof OrderEvent.UpstreamsListed list) {
             onUpstreamsListed(list.upstreams(), nowNanos, actions);
         } else if (event instanceof OrderEvent.DemandObserved observed) {
-            demand = Option.some(observed.demand());
+            mDemand = Option.some(observed.demand());
         } else if (event instanceof OrderEvent.LimitsChanged changed) {
-            limits = Option.some(changed.limits());
+            mLimits = Option.some(changed.limits());
         }
     }
 
     @Override
     public void onTimer(long nowNanos, ActionSink<OrderAction> actions) {
-        intents.onTimer(nowNanos, intentSink(nowNanos, actions));
-        if (nextPlanAt <= nowNanos) {
-            nextPlanAt = nowNanos + PLAN_INTERVAL_NANOS;
+        mIntents.onTimer(nowNanos, intentSink(nowNanos, actions));
+        if (mNextPlanAt <= nowNanos) {
+            mNextPlanAt = nowNanos + PLAN_INTERVAL_NANOS;
             actions.emit(new OrderAction.ListUpstreams());
-            if (intents.isReady() && isListFresh(nowNanos)) {
+            if (mIntents.isReady() && isListFresh(nowNanos)) {
                 stopDrained(nowNanos, actions);
-                limits.forEach(bounds -> demand.forEach(d -> plan(bounds, d, nowNanos, actions)));
+                mLimits.forEach(bounds -> mDemand.forEach(d -> plan(bounds, d, nowNanos, actions)));
             }
         }
     }
 
     @Override
     public long nextTimerNanos() {
-        return Math.min(nextPlanAt, intents.nextTimerNanos());
+        return Math.min(mNextPlanAt, mIntents.nextTimerNanos());
     }
 
     private boolean isListFresh(long now) {
-        return listedAt.exists(at -> now - at <= MAX_LIST_AGE_NANOS);
+        return mListedAt.exists(at -> now - at <= MAX_LIST_AGE_NANOS);
     }
 
     private ActionSink<IntentAction<UpstreamCommand>> intentSink(
@@ -141,43 +141,43 @@
             ActionSink<OrderAction> actions) {
         if (command.action() == UpstreamCommand.Action.STOP) {
             if (result != CommandResult.DONE) {
-                stopping.remove(command.upstream());
+                mStopping.remove(command.upstream());
             }
             return;
         }
         if (result == CommandResult.DONE) {
-            backOff.onAccepted(command.placement());
-            if (!listed.containsKey(command.upstream())) {
-                startedUnlisted.put(command.upstream(), new Started(command.placement(), now));
+            mBackOff.onAccepted(command.placement());
+            if (!mListed.containsKey(command.upstream())) {
+                mStartedUnlisted.put(command.upstream(), new Started(command.placement(), now));
             }
         } else if (result == CommandResult.REFUSED) {
-            backOff.onRefused(command.placement(), now);
+            mBackOff.onRefused(command.placement(), now);
             actions.emit(new OrderAction.CapacityRefused(command.placement()));
         }
     }
 
     private void onUpstreamsListed(
             List<ObservedUpstream> upstreams, long now, ActionSink<OrderAction> actions) {
-        listedAt = Option.some(now);
-        listed.clear();
+        mListedAt = Option.some(now);
+        mListed.clear();
         for (ObservedUpstream upstream : upstreams) {
-            listed.put(upstream.id(), upstream);
-            startedUnlisted.remove(upstream.id());
+            mListed.put(upstream.id(), upstream);
+            mStartedUnlisted.remove(upstream.id());
             if (upstream.state().countsAsCapacity()) {
                 continue;
             }
-            if (publishedLeaving.add(upstream.id())) {
+            if (mPublishedLeaving.add(upstream.id())) {
                 actions.emit(new OrderAction.PublishLeaving(upstream.id()));
                 if (upstream.placement().kind() == CapacityKind.CHEAP
-                        && !stopping.contains(upstream.id())) {
+                        && !mStopping.contains(upstream.id())) {
                     // After a reclaim the placement has no capacity for some time.
-                    backOff.onRefused(upstream.placement(), now);
+                    mBackOff.onRefused(upstream.placement(), now);
                 }
             }
         }
-        publishedLeaving.retainAll(listed.keySet());
-        stopping.removeIf(id -> !listed.containsKey(id) && !intents.hasOpenIntent(id.value()));
-        startedUnlisted.values().removeIf(start -> now - start.nanos > LISTING_TIMEOUT_NANOS);
+        mPublishedLeaving.retainAll(mListed.keySet());
+        mStopping.removeIf(id -> !mListed.containsKey(id) && !mIntents.hasOpenIntent(id.value()));
+        mStartedUnlisted.values().removeIf(start -> now - start.nanos > LISTING_TIMEOUT_NANOS);
     }
 
     private void plan(
@@ -186,18 +186,18 @@
             long now,
             ActionSink<OrderAction> actions) {
         CapacityNeed need = bounds.need(currentDemand);
-        CapacityNeed recent = peakNeed.add(need, now, bounds.spareRetentionSeconds());
-        PlanInput input = new PlanInput(bounds, need, recent, present(), backOff.unavailable(now));
-        CapacityPlan plan = CapacityPlanner.plan(input, policy);
+        CapacityNeed recent = mPeakNeed.add(need, now, bounds.spareRetentionSeconds());
+        PlanInput input = new PlanInput(bounds, need, recent, present(), mBackOff.unavailable(now));
+        CapacityPlan plan = CapacityPlanner.plan(input, mPolicy);
         ActionSink<IntentAction<UpstreamCommand>> sink = intentSink(now, actions);
         for (CapacityPlacement placement : plan.starts()) {
-            UpstreamId id = new UpstreamId(pool + "-" + intents.nextUniqueName());
-            intents.propose(command(UpstreamCommand.Action.START, id, placement), now, sink);
+            UpstreamId id = new UpstreamId(mPool + "-" + mIntents.nextUniqueName());
+            mIntents.propose(command(UpstreamCommand.Action.START, id, placement), now, sink);
         }
         for (UpstreamId id : plan.stops()) {
-            if (listed.containsKey(id) && stopping.add(id)) {
-                draining.put(id, now);
-                if (publishedLeaving.add(id)) {
+            if (mListed.containsKey(id) && mStopping.add(id)) {
+                mDraining.put(id, now);
+                if (mPublishedLeaving.add(id)) {
                     actions.emit(new OrderAction.PublishLeaving(id));
                 }
             }
@@ -205,39 +205,39 @@
     }
 
     private void stopDrained(long now, ActionSink<OrderAction> actions) {
-        draining.keySet().retainAll(listed.keySet());
+        mDraining.keySet().retainAll(mListed.keySet());
         List<UpstreamId> drained =
-                draining.entrySet().stream()
+                mDraining.entrySet().stream()
                         .filter(entry -> now - entry.getValue() >= DRAIN_NANOS)
                         .map(Map.Entry::getKey)
-                        .filter(id -> !intents.hasOpenIntent(id.value()))
+                        .filter(id -> !mIntents.hasOpenIntent(id.value()))
                         .sorted()
                         .toList();
         for (UpstreamId id : drained) {
-            draining.remove(id);
-            Option.of(listed.get(id))
+            mDraining.remove(id);
+            Option.of(mListed.get(id))
                     .map(upstream -> command(UpstreamCommand.Action.STOP, id, upstream.placement()))
-                    .forEach(stop -> intents.propose(stop, now, intentSink(now, actions)));
+                    .forEach(stop -> mIntents.propose(stop, now, intentSink(now, actions)));
         }
     }
 
     private UpstreamCommand command(
             UpstreamCommand.Action action, UpstreamId upstream, CapacityPlacement placement) {
-        return new UpstreamCommand(action, upstream, pool, placement);
+        return new UpstreamCommand(action, upstream, mPool, placement);
     }
 
     /** Returns the listed upstreams and those that have been ordered but are not listed yet. */
     private List<ObservedUpstream> present() {
-        Map<UpstreamId, ObservedUpstream> all = new HashMap<>(listed);
-        startedUnlisted.forEach(
+        Map<UpstreamId, ObservedUpstream> all = new HashMap<>(mListed);
+        mStartedUnlisted.forEach(
                 (id, start) ->
                         all.put(
                                 id,
                                 new ObservedUpstream(
                                         id, start.placement, ObservedUpstream.State.STARTING)));
-        for (UpstreamCommand command : intents.openCommands()) {
+        for (UpstreamCommand command : mIntents.openCommands()) {
             if (command.action() == UpstreamCommand.Action.STOP) {
-                stopping.add(command.upstream());
+                mStopping.add(command.upstream());
             } else {
                 all.putIfAbsent(
                         command.upstream(),
@@ -250,7 +250,7 @@
         List<ObservedUpstream> present = new ArrayList<>();
         for (ObservedUpstream upstream : all.values()) {
             present.add(
-                    stopping.contains(upstream.id())
+                    mStopping.contains(upstream.id())
                             ? new ObservedUpstream(
                                     upstream.id(),
                                     upstream.placement(),
--- a/decisions/src/main/java/org/fuchsialever/decisions/orders/PeakNeed.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/orders/PeakNeed.java
@@ -5,16 +5,16 @@
 
 /** Maximum need within a sliding window. */
 final class PeakNeed {
-    private final Deque<Observation> observations = new ArrayDeque<>();
+    private final Deque<Observation> mObservations = new ArrayDeque<>();
 
     CapacityNeed add(CapacityNeed need, long now, double keepSeconds) {
-        observations.addLast(new Observation(now, need));
+        mObservations.addLast(new Observation(now, need));
         long oldest = now - (long) (keepSeconds * 1e9);
-        while (observations.getFirst().nanos < oldest) {
-            observations.removeFirst();
+        while (mObservations.getFirst().nanos < oldest) {
+            mObservations.removeFirst();
         }
         CapacityNeed greatest = need;
-        for (Observation observation : observations) {
+        for (Observation observation : mObservations) {
             greatest = greatest.max(observation.need);
         }
         return greatest;
--- a/decisions/src/main/java/org/fuchsialever/decisions/orders/PlacementBackOff.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/orders/PlacementBackOff.java
@@ -13,16 +13,16 @@
     private static final long MAX_DELAY_NANOS = TimeUnit.MINUTES.toNanos(10);
     private static final int MAX_DOUBLINGS = 10;
 
-    private final RandomGenerator random;
-    private final Map<CapacityPlacement, Refusals> refusals = new HashMap<>();
+    private final RandomGenerator mRandom;
+    private final Map<CapacityPlacement, Refusals> mRefusals = new HashMap<>();
 
     PlacementBackOff(RandomGenerator random) {
-        this.random = random;
+        mRandom = random;
     }
 
     /** Counts the refusals of one plan once: refusals that arrive during the delay are ignored. */
     void onRefused(CapacityPlacement placement, long now) {
-        Refusals earlier = refusals.getOrDefault(placement, new Refusals(0, now));
+        Refusals earlier = mRefusals.getOrDefault(placement, new Refusals(0, now));
         if (earlier.until > now) {
             return;
         }
@@ -30,17 +30,17 @@
                 Math.min(
                         MAX_DELAY_NANOS,
                         INITIAL_DELAY_NANOS << Math.min(MAX_DOUBLINGS, earlier.count));
-        long delay = bound / 2 + random.nextLong(bound / 2 + 1);
-        refusals.put(placement, new Refusals(earlier.count + 1, now + delay));
+        long delay = bound / 2 + mRandom.nextLong(bound / 2 + 1);
+        mRefusals.put(placement, new Refusals(earlier.count + 1, now + delay));
     }
 
     void onAccepted(CapacityPlacement placement) {
-        refusals.remove(placement);
+        mRefusals.remove(placement);
     }
 
     Set<CapacityPlacement> unavailable(long now) {
         Set<CapacityPlacement> placements = new HashSet<>();
-        refusals.forEach(
+        mRefusals.forEach(
                 (placement, refused) -> {
                     if (refused.until > now) {
                         placements.add(placement);
--- a/decisions/src/main/java/org/fuchsialever/decisions/samples/BatchBuilder.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/samples/BatchBuilder.java
@@ -11,18 +11,18 @@
  * delay.
  */
 final class BatchBuilder {
-    private final int capacity;
-    private final long maxDelayNanos;
-    private final Deque<WaitingSample> waiting = new ArrayDeque<>();
+    private final int mCapacity;
+    private final long mMaxDelayNanos;
+    private final Deque<WaitingSample> mWaiting = new ArrayDeque<>();
 
     BatchBuilder(RolloutLimits limits) {
-        this.capacity = limits.maxBatchSamples();
-        this.maxDelayNanos = limits.maxBatchDelay().toNanos();
+        mCapacity = limits.maxBatchSamples();
+        mMaxDelayNanos = limits.maxBatchDelay().toNanos();
     }
 
     void add(SampleState sample, long now) {
         sample.moveTo(SampleState.Stage.BATCHED);
-        waiting.add(new WaitingSample(sample, now));
+        mWaiting.add(new WaitingSample(sample, now));
     }
 
     /**
@@ -30,21 +30,21 @@
      * waiting for it.
      */
     long dueNanos() {
-        WaitingSample first = waiting.peek();
+        WaitingSample first = mWaiting.peek();
         if (first == null) {
             return Duty.NO_TIMER;
         }
         boolean dueImmediately =
-                waiting.size() >= capacity
-                        || waiting.stream().anyMatch(entry -> entry.sample.isReplacement());
-        return dueImmediately ? first.since : first.since + maxDelayNanos;
+                mWaiting.size() >= mCapacity
+                        || mWaiting.stream().anyMatch(entry -> entry.sample.isReplacement());
+        return dueImmediately ? first.since : first.since + mMaxDelayNanos;
     }
 
     /** Removes and returns the samples of the next batch. */
     List<SampleState> takeBatch() {
         List<SampleState> batch = new ArrayList<>();
-        while (batch.size() < capacity && !waiting.isEmpty()) {
-            batch.add(waiting.remove().sample);
+        while (batch.size() < mCapacity && !mWaiting.isEmpty()) {
+            batch.add(mWaiting.remove().sample);
         }
         return batch;
     }
--- a/decisions/src/main/java/org/fuchsialever/decisions/samples/CommitSequence.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/samples/CommitSequence.java
@@ -8,84 +8,84 @@
  * unchanged until its outcome is known; until then nothing else is committed.
  */
 final class CommitSequence {
-    private final String writerPrefix;
-    private final RetryDelay delays;
-    private long headVersion;
-    private long sequence;
-    private int failureCount;
-    private long retryAt = Duty.NO_TIMER;
-    private @Nullable RolloutAction action;
-    private @Nullable HeadCommit commit;
+    private final String mWriterPrefix;
+    private final RetryDelay mDelays;
+    private long mHeadVersion;
+    private long mSequence;
+    private int mFailureCount;
+    private long mRetryAt = Duty.NO_TIMER;
+    private @Nullable RolloutAction mAction;
+    private @Nullable HeadCommit mCommit;
 
     CommitSequence(String writerPrefix, RetryDelay delays) {
-        this.writerPrefix = writerPrefix;
-        this.delays = delays;
+        mWriterPrefix = writerPrefix;
+        mDelays = delays;
     }
 
     void onRestored(long version) {
-        headVersion = version;
+        mHeadVersion = version;
         clear();
     }
 
     long headVersion() {
-        return headVersion;
+        return mHeadVersion;
     }
 
     String nextWriter() {
-        sequence++;
-        return writerPrefix + "-" + sequence;
+        mSequence++;
+        return mWriterPrefix + "-" + mSequence;
     }
 
     boolean isIdle() {
-        return commit == null;
+        return mCommit == null;
     }
 
     boolean isAwaiting(String writer) {
-        return commit != null && commit.writer().equals(writer);
+        return mCommit != null && mCommit.writer().equals(writer);
     }
 
     HeadCommit current() {
-        if (commit == null) {
+        if (mCommit == null) {
             throw new IllegalStateException("no commit is in progress");
         }
-        return commit;
+        return mCommit;
     }
 
     void send(HeadCommit next, RolloutAction nextAction, InvocationContext context) {
-        commit = next;
-        action = nextAction;
-        failureCount = 0;
-        retryAt = Duty.NO_TIMER;
+        mCommit = next;
+        mAction = nextAction;
+        mFailureCount = 0;
+        mRetryAt = Duty.NO_TIMER;
         context.emit(nextAction);
     }
 
     HeadCommit onCommitted(long version) {
         HeadCommit finished = current();
-        headVersion = version;
+        mHeadVersion = version;
         clear();
         return finished;
     }
 
     void scheduleRetry(long now) {
-        failureCount++;
-        retryAt = now + delays.delayNanos(failureCount);
+        mFailureCount++;
+        mRetryAt = now + mDelays.delayNanos(mFailureCount);
     }
 
     void retryIfDue(InvocationContext context) {
-        if (retryAt <= context.now() && action != null) {
-            retryAt = Duty.NO_TIMER;
+        if (mRetryAt <= context.now() && mAction != null) {
+            mRetryAt = Duty.NO_TIMER;
             context.count(RolloutCounter.COMMIT_RETRIED, 1);
-            context.emit(action);
+            context.emit(mAction);
         }
     }
 
     long retryAt() {
-        return retryAt;
+        return mRetryAt;
     }
 
     void clear() {
-        commit = null;
-        action = null;
-        retryAt = Duty.NO_TIMER;
+        mCommit = null;
+        mAction = null;
+        mRetryAt = Duty.NO_TIMER;
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/samples/DeliveryLog.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/samples/DeliveryLog.java
@@ -13,44 +13,44 @@
 
 /** The committed delivery order of one trainer and its acknowledged cursor. */
 final class DeliveryLog {
-    private final InvariantMonitor invariants;
-    private final NavigableMap<Long, BatchRecord> byPosition = new TreeMap<>();
-    private final Set<Long> positionsBeingReplaced = new HashSet<>();
-    private long acknowledged;
-    private long firstBatch;
-    private long nextBatch;
-    private long end;
+    private final InvariantMonitor mInvariants;
+    private final NavigableMap<Long, BatchRecord> mByPosition = new TreeMap<>();
+    private final Set<Long> mPositionsBeingReplaced = new HashSet<>();
+    private long mAcknowledged;
+    private long mFirstBatch;
+    private long mNextBatch;
+    private long mEnd;
 
     DeliveryLog(LogHead head, List<BatchRecord> batches, InvariantMonitor invariants) {
-        this.invariants = invariants;
-        this.acknowledged = head.acknowledged();
-        this.firstBatch = head.firstBatch();
-        this.nextBatch = head.nextBatch();
-        this.end = head.nextPosition();
-        batches.forEach(batch -> byPosition.put(batch.firstPosition(), batch));
+        mInvariants = invariants;
+        mAcknowledged = head.acknowledged();
+        mFirstBatch = head.firstBatch();
+        mNextBatch = head.nextBatch();
+        mEnd = head.nextPosition();
+        batches.forEach(batch -> mByPosition.put(batch.firstPosition(), batch));
     }
 
     long acknowledged() {
-        return acknowledged;
+        return mAcknowledged;
     }
 
     long firstBatch() {
-        return firstBatch;
+        return mFirstBatch;
     }
 
     long nextBatch() {
-        return nextBatch;
+        return mNextBatch;
     }
 
     long end() {
-        return end;
+        return mEnd;
     }
 
     boolean acknowledge(long cursor) {
-        if (cursor <= acknowledged) {
+        if (cursor <= mAcknowledged) {
             return false;
         }
-        acknowledged = cursor;
+        mAcknowledged = cursor;
         return true;
     }
 
@@ -61,10 +61,10 @@
      */
     List<BatchEntry> deliverable(long from, int limit, Predicate<BatchEntry> stale) {
         List<BatchEntry> entries = new ArrayList<>();
-        long last = Math.min(end, from + limit);
+        long last = Math.min(mEnd, from + limit);
         for (long position = from; position < last; position++) {
             BatchEntry entry = entry(position);
-            if (positionsBeingReplaced.contains(position) || stale.test(entry)) {
+            if (mPositionsBeingReplaced.contains(position) || stale.test(entry)) {
                 break;
             }
             entries.add(entry);
@@ -75,10 +75,10 @@
     /** Returns the positions of stale entries and marks them as being replaced. */
     List<Long> markStaleForReplacement(long from, int limit, Predicate<BatchEntry> stale) {
         List<Long> positions = new ArrayList<>();
-        long last = Math.min(end, from + limit);
+        long last = Math.min(mEnd, from + limit);
         for (long position = from; position < last; position++) {
-            if (!positionsBeingReplaced.contains(position) && stale.test(entry(position))) {
-                positionsBeingReplaced.add(position);
+            if (!mPositionsBeingReplaced.contains(position) && stale.test(entry(position))) {
+                mPositionsBeingReplaced.add(position);
                 positions.add(position);
             }
         }
@@ -94,7 +94,7 @@
     BatchRecord withReplacement(BatchRecord batch, long position, BatchEntry replacement) {
         List<BatchEntry> entries = new ArrayList<>(batch.entries());
         BatchEntry earlier = entries.set((int) (position - batch.firstPosition()), replacement);
-        invariants.check(
+        mInvariants.check(
                 Invariant.SAMPLE_EXACTLY_ONCE,
                 earlier.id().equals(replacement.id()),
                 () -> "position " + position + " changed to " + replacement.id());
@@ -102,7 +102,7 @@
     }
 
     BatchRecord batchAt(long position) {
-        Map.Entry<Long, BatchRecord> found = byPosition.floorEntry(position);
+        Map.Entry<Long, BatchRecord> found = mByPosition.floorEntry(position);
         if (found == null || position >= found.getValue().endPosition()) {
             throw new IllegalStateException("no batch holds position " + position);
         }
@@ -112,16 +112,16 @@
     /** Applies a commit that took effect. */
     void onCommitted(HeadCommit commit) {
         for (BatchRecord batch : commit.batches()) {
-            byPosition.put(batch.firstPosition(), batch);
+            mByPosition.put(batch.firstPosition(), batch);
         }
-        nextBatch = commit.head().nextBatch();
-        end = commit.head().nextPosition();
-        firstBatch = commit.head().firstBatch();
-        byPosition.values().removeIf(batch -> batch.number() < firstBatch);
+        mNextBatch = commit.head().nextBatch();
+        mEnd = commit.head().nextPosition();
+        mFirstBatch = commit.head().firstBatch();
+        mByPosition.values().removeIf(batch -> batch.number() < mFirstBatch);
     }
 
     void onReplaced(long position) {
-        positionsBeingReplaced.remove(position);
+        mPositionsBeingReplaced.remove(position);
     }
 
     /**
@@ -129,19 +129,19 @@
      * step.
      */
     long firstNeededBatch(Set<Long> openSteps) {
-        for (BatchRecord batch : byPosition.values()) {
+        for (BatchRecord batch : mByPosition.values()) {
             boolean needed =
-                    batch.endPosition() > acknowledged
+                    batch.endPosition() > mAcknowledged
                             || batch.entries().stream()
                                     .anyMatch(entry -> openSteps.contains(entry.id().step()));
             if (needed) {
                 return batch.number();
             }
         }
-        return nextBatch;
+        return mNextBatch;
     }
 
     Iterable<BatchRecord> batches() {
-        return byPosition.values();
+        return mByPosition.values();
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/samples/GroupState.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/samples/GroupState.java
@@ -5,39 +5,39 @@
 
 /** The samples of one group. */
 final class GroupState {
-    private final StepState step;
-    private final GroupSpec spec;
-    private final List<SampleState> samples = new ArrayList<>();
+    private final StepState mStep;
+    private final GroupSpec mSpec;
+    private final List<SampleState> mSamples = new ArrayList<>();
 
     GroupState(StepState step, GroupSpec spec) {
-        this.step = step;
-        this.spec = spec;
+        mStep = step;
+        mSpec = spec;
         Submission submission = step.submission();
         for (int index = 0; index < spec.samples(); index++) {
             SampleId id =
                     new SampleId(submission.trainer(), submission.step(), spec.group(), index);
-            samples.add(new SampleState(id, this));
+            mSamples.add(new SampleState(id, this));
         }
     }
 
     StepState step() {
-        return step;
+        return mStep;
     }
 
     GroupSpec spec() {
-        return spec;
+        return mSpec;
     }
 
     List<SampleState> samples() {
-        return samples;
+        return mSamples;
     }
 
     List<SampleState> missing() {
-        return samples.stream().filter(s -> s.stage() != SampleState.Stage.COMMITTED).toList();
+        return mSamples.stream().filter(s -> s.stage() != SampleState.Stage.COMMITTED).toList();
     }
 
     /** Returns whether every sample is ready for a batch, in a batch or committed. */
     boolean isFinished() {
-        return samples.stream().allMatch(sample -> sample.stage().isFinished());
+        return mSamples.stream().allMatch(sample -> sample.stage().isFinished());
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/samples/HeadCommitFactory.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/samples/HeadCommitFactory.java
@@ -10,14 +10,14 @@
 
 /** Creates commits from the state of one trainer. */
 final class HeadCommitFactory {
-    private final DeliveryLog log;
-    private final Map<Long, StepState> steps;
-    private final StalenessTracker staleness;
+    private final DeliveryLog mLog;
+    private final Map<Long, StepState> mSteps;
+    private final StalenessTracker mStaleness;
 
     HeadCommitFactory(DeliveryLog log, Map<Long, StepState> steps, StalenessTracker staleness) {
-        this.log = log;
-        this.steps = steps;
-        this.staleness = staleness;
+        mLog = log;
+        mSteps = steps;
+        mStaleness = staleness;
     }
 
     /**
@@ -25,7 +25,7 @@
      * is current.
      */
     HeadCommit cursor(String writer, long headVersion) {
-        return compose(writer, headVersion, List.of(), Option.none(), log.end(), log.nextBatch());
+        return compose(writer, headVersion, List.of(), Option.none(), mLog.end(), mLog.nextBatch());
     }
 
     HeadCommit submission(String writer, long headVersion, Submission submission) {
@@ -34,8 +34,8 @@
                 headVersion,
                 List.of(),
                 Option.some(submission),
-                log.end(),
-                log.nextBatch());
+                mLog.end(),
+                mLog.nextBatch());
     }
 
     /** Returns a commit that appends new samples and puts replacements into earlier batches. */
@@ -49,15 +49,15 @@
             slot++;
             if (!sample.isReplacement()) {
                 appended.add(entry);
-            } else if (sample.position() >= log.acknowledged()) {
-                BatchRecord earlier = log.batchAt(sample.position());
+            } else if (sample.position() >= mLog.acknowledged()) {
+                BatchRecord earlier = mLog.batchAt(sample.position());
                 BatchRecord base = changed.getOrDefault(earlier.number(), earlier);
-                changed.put(earlier.number(), log.withReplacement(base, sample.position(), entry));
+                changed.put(earlier.number(), mLog.withReplacement(base, sample.position(), entry));
             }
         }
         List<BatchRecord> records = new ArrayList<>(changed.values());
-        long end = log.end();
-        long next = log.nextBatch();
+        long end = mLog.end();
+        long next = mLog.nextBatch();
         if (!appended.isEmpty()) {
             records.add(new BatchRecord(next, end, appended));
             end += appended.size();
@@ -74,23 +74,23 @@
             long end,
             long nextBatch) {
         Set<Long> openSteps = new TreeSet<>();
-        steps.forEach(
+        mSteps.forEach(
                 (number, step) -> {
-                    if (!step.isAcknowledged(log.acknowledged())) {
+                    if (!step.isAcknowledged(mLog.acknowledged())) {
                         openSteps.add(number);
                     }
                 });
         submission.forEach(added -> openSteps.add(added.step()));
-        long firstBatch = log.firstNeededBatch(openSteps);
+        long firstBatch = mLog.firstNeededBatch(openSteps);
         LogHead head =
                 new LogHead(
-                        log.acknowledged(),
+                        mLog.acknowledged(),
                         firstBatch,
                         nextBatch,
                         end,
-                        staleness.newest(),
+                        mStaleness.newest(),
                         List.copyOf(openSteps));
         return new HeadCommit(
-                writer, headVersion, head, records, submission, log.firstBatch(), firstBatch);
+                writer, headVersion, head, records, submission, mLog.firstBatch(), firstBatch);
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/samples/LengthPredictor.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/samples/LengthPredictor.java
@@ -12,7 +12,7 @@
     private static final int MAX_PROMPTS = 10_000;
     private static final double SMOOTHING = 0.05;
 
-    private final Map<Long, Integer> maxTokensByPrompt =
+    private final Map<Long, Integer> mMaxTokensByPrompt =
             new LinkedHashMap<>(16, 0.75f, true) {
                 private static final long serialVersionUID = 1L;
 
@@ -21,24 +21,26 @@
                     return size() > MAX_PROMPTS;
                 }
             };
-    private double averageTokens;
+    private double mAverageTokens;
 
     /** Records the length of a sample in tokens. */
     public void observe(String prompt, int tokens) {
-        maxTokensByPrompt.merge(key(prompt), tokens, Math::max);
-        averageTokens =
-                averageTokens == 0 ? tokens : averageTokens + SMOOTHING * (tokens - averageTokens);
+        mMaxTokensByPrompt.merge(key(prompt), tokens, Math::max);
+        mAverageTokens =
+                mAverageTokens == 0
+                        ? tokens
+                        : mAverageTokens + SMOOTHING * (tokens - mAverageTokens);
     }
 
     /** Returns the expected length in tokens; for an unknown prompt the average of all prompts. */
     public int predict(String prompt) {
-        Integer seen = maxTokensByPrompt.get(key(prompt));
-        return seen == null ? (int) averageTokens : seen;
+        Integer seen = mMaxTokensByPrompt.get(key(prompt));
+        return seen == null ? (int) mAverageTokens : seen;
     }
 
     /** Returns the moving average over all samples in tokens, or 0 before the first sample. */
     public double averageTokens() {
-        return averageTokens;
+        return mAverageTokens;
     }
 
     private static long key(String prompt) {
--- a/decisions/src/main/java/org/fuchsialever/decisions/samples/PendingBatch.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/samples/PendingBatch.java
@@ -5,54 +5,54 @@
 
 /** A batch whose sample bodies are being stored or that waits for its commit. */
 final class PendingBatch {
-    private final String object;
-    private final List<SampleState> samples;
-    private boolean stored;
-    private int failureCount;
-    private long retryAt = Duty.NO_TIMER;
+    private final String mObject;
+    private final List<SampleState> mSamples;
+    private boolean mStored;
+    private int mFailureCount;
+    private long mRetryAt = Duty.NO_TIMER;
 
     PendingBatch(String object, List<SampleState> samples) {
-        this.object = object;
-        this.samples = samples;
+        mObject = object;
+        mSamples = samples;
     }
 
     String object() {
-        return object;
+        return mObject;
     }
 
     List<SampleState> samples() {
-        return samples;
+        return mSamples;
     }
 
     boolean isStored() {
-        return stored;
+        return mStored;
     }
 
     void markStored() {
-        stored = true;
-        retryAt = Duty.NO_TIMER;
+        mStored = true;
+        mRetryAt = Duty.NO_TIMER;
     }
 
     void store(InvocationContext context) {
-        retryAt = Duty.NO_TIMER;
-        List<JudgedSample> bodies = samples.stream().map(SampleState::judgedSample).toList();
+        mRetryAt = Duty.NO_TIMER;
+        List<JudgedSample> bodies = mSamples.stream().map(SampleState::judgedSample).toList();
         context.emit(
-                new RolloutAction.StoreBody(context.trainer(), context.term(), object, bodies));
+                new RolloutAction.StoreBody(context.trainer(), context.term(), mObject, bodies));
     }
 
     void scheduleStoreRetry(long now, RetryDelay delays) {
-        failureCount++;
-        retryAt = now + delays.delayNanos(failureCount);
+        mFailureCount++;
+        mRetryAt = now + delays.delayNanos(mFailureCount);
     }
 
     void retryIfDue(InvocationContext context) {
-        if (retryAt <= context.now()) {
+        if (mRetryAt <= context.now()) {
             context.count(RolloutCounter.STORE_RETRIED, 1);
             store(context);
         }
     }
 
     long retryAt() {
-        return retryAt;
+        return mRetryAt;
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/samples/PendingPolls.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/samples/PendingPolls.java
@@ -9,11 +9,11 @@
 final class PendingPolls {
     private static final long NOT_IDLE = -1;
 
-    private final List<Poll> polls = new ArrayList<>();
-    private long idleSince = NOT_IDLE;
+    private final List<Poll> mPolls = new ArrayList<>();
+    private long mIdleSince = NOT_IDLE;
 
     void add(RolloutEvent.SamplesRequested request, long now) {
-        polls.add(
+        mPolls.add(
                 new Poll(
                         request.request(),
                         request.cursor(),
@@ -23,20 +23,20 @@
     }
 
     int size() {
-        return polls.size();
+        return mPolls.size();
     }
 
     /** Serves each poll for which samples are available and ends expired ones. */
     void serveAll(InvocationContext context, PollHandler server) {
-        Iterator<Poll> iterator = polls.iterator();
+        Iterator<Poll> iterator = mPolls.iterator();
         while (iterator.hasNext()) {
             Poll poll = iterator.next();
-            long idle = idleSince == NOT_IDLE ? 0 : context.now() - idleSince;
+            long idle = mIdleSince == NOT_IDLE ? 0 : context.now() - mIdleSince;
             if (server.handle(poll, idle)) {
-                idleSince = NOT_IDLE;
+                mIdleSince = NOT_IDLE;
                 iterator.remove();
             } else {
-                idleSince = idleSince == NOT_IDLE ? poll.startedAt : idleSince;
+                mIdleSince = mIdleSince == NOT_IDLE ? poll.startedAt : mIdleSince;
             }
         }
         endExpired(context);
@@ -44,7 +44,7 @@
 
     /** Answers expired polls with an empty delivery. */
     void endExpired(InvocationContext context) {
-        polls.removeIf(
+        mPolls.removeIf(
                 poll -> {
                     boolean over = poll.deadline <= context.now();
                     if (over) {
@@ -62,16 +62,16 @@
     }
 
     void refuseAll(InvocationContext context) {
-        for (Poll poll : polls) {
+        for (Poll poll : mPolls) {
             context.emit(
                     new RolloutAction.Refuse(
                             context.trainer(), poll.request, RolloutRefusal.NOT_HOLDER));
         }
-        polls.clear();
+        mPolls.clear();
     }
 
     long nextTimer() {
-        return polls.stream().mapToLong(Poll::deadline).min().orElse(Duty.NO_TIMER);
+        return mPolls.stream().mapToLong(Poll::deadline).min().orElse(Duty.NO_TIMER);
     }
 
     /** Delivers samples to a poll; returns false if none are available. */
--- a/decisions/src/main/java/org/fuchsialever/decisions/samples/RetryDelay.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/samples/RetryDelay.java
@@ -6,21 +6,21 @@
 final class RetryDelay {
     private static final int MAX_DOUBLINGS = 20;
 
-    private final long initialNanos;
-    private final long maxNanos;
-    private final RandomGenerator random;
+    private final long mInitialNanos;
+    private final long mMaxNanos;
+    private final RandomGenerator mRandom;
 
     RetryDelay(RolloutLimits limits, RandomGenerator random) {
-        this.initialNanos = limits.initialRetryDelay().toNanos();
-        this.maxNanos = limits.maxRetryDelay().toNanos();
-        this.random = random;
+        mInitialNanos = limits.initialRetryDelay().toNanos();
+        mMaxNanos = limits.maxRetryDelay().toNanos();
+        mRandom = random;
     }
 
     long delayNanos(int failures) {
         long full =
                 Math.min(
-                        maxNanos,
-                        initialNanos << Math.min(MAX_DOUBLINGS, Math.max(0, failures - 1)));
-        return full / 2 + random.nextLong(full / 2 + 1);
+                        mMaxNanos,
+                        mInitialNanos << Math.min(MAX_DOUBLINGS, Math.max(0, failures - 1)));
+        return full / 2 + mRandom.nextLong(full / 2 + 1);
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/samples/RolloutDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/samples/RolloutDuty.java
@@ -18,16 +18,16 @@
      */
     private static final int ATTEMPT_BITS = 32;
 
-    private final RolloutSetup setup;
-    private final SampleBudget budget;
-    private final Map<TrainerName, HeldTrainer> trainers = new TreeMap<>();
-    private final Map<Class<? extends RolloutEvent>, Handler> handlers = new HashMap<>();
-    private int tenureCount;
+    private final RolloutSetup mSetup;
+    private final SampleBudget mBudget;
+    private final Map<TrainerName, HeldTrainer> mTrainers = new TreeMap<>();
+    private final Map<Class<? extends RolloutEvent>, Handler> mHandlers = new HashMap<>();
+    private int mTenureCount;
 
     /** Creates a duty without trainers. */
     public RolloutDuty(RolloutSetup setup) {
-        this.setup = setup;
-        this.budget = new SampleBudget(setup.limits().maxHeldSamples());
+        mSetup = setup;
+        mBudget = new SampleBudget(setup.limits().maxHeldSamples());
         registerResults();
         registerRequests();
     }
@@ -44,8 +44,8 @@
         } else if (event instanceof RolloutEvent.LeaseLost lost) {
             onLeaseLost(lost.trainer(), nowNanos, actions);
         } else {
-            HeldTrainer owned = trainers.get(event.trainer());
-            Handler handler = handlers.get(event.getClass());
+            HeldTrainer owned = mTrainers.get(event.trainer());
+            Handler handler = mHandlers.get(event.getClass());
             if (owned == null) {
                 refuse(event, actions);
             } else if (handler != null) {
@@ -59,7 +59,7 @@
 
     @Override
     public void onTimer(long nowNanos, ActionSink<RolloutAction> actions) {
-        trainers.forEach(
+        mTrainers.forEach(
                 (trainer, owned) ->
                         owned.rollouts.onTimer(
                                 new InvocationContext(trainer, owned.term, nowNanos, actions)));
@@ -69,7 +69,7 @@
     @Override
     public long nextTimerNanos() {
         long next = NO_TIMER;
-        for (HeldTrainer owned : trainers.values()) {
+        for (HeldTrainer owned : mTrainers.values()) {
             next = Math.min(next, owned.rollouts.nextTimer());
         }
         return next;
@@ -77,26 +77,26 @@
 
     /** Returns the number of samples that are being generated or wait for storage. */
     public int heldSampleCount() {
-        return budget.used();
+        return mBudget.used();
     }
 
     private void onLeaseAcquired(
             RolloutEvent.LeaseAcquired event, long now, ActionSink<RolloutAction> actions) {
         onLeaseLost(event.trainer(), now, actions);
         // A lease that expires and is renewed before another instance takes it keeps its term.
-        tenureCount++;
-        String tenureId = setup.writer() + "-" + event.term() + "-" + tenureCount;
-        long firstAttempt = (long) tenureCount << ATTEMPT_BITS;
+        mTenureCount++;
+        String tenureId = mSetup.writer() + "-" + event.term() + "-" + mTenureCount;
+        long firstAttempt = (long) mTenureCount << ATTEMPT_BITS;
         HeldTrainer owned =
                 new HeldTrainer(
-                        event.term(), new TrainerRollouts(setup, budget, tenureId, firstAttempt));
-        trainers.put(event.trainer(), owned);
+                        event.term(), new TrainerRollouts(mSetup, mBudget, tenureId, firstAttempt));
+        mTrainers.put(event.trainer(), owned);
         owned.rollouts.restore(
                 0, new InvocationContext(event.trainer(), event.term(), now, actions));
     }
 
     private void onLeaseLost(TrainerName trainer, long now, ActionSink<RolloutAction> actions) {
-        HeldTrainer owned = trainers.remove(trainer);
+        HeldTrainer owned = mTrainers.remove(trainer);
         if (owned != null) {
             owned.rollouts.stop(new InvocationContext(trainer, owned.term, now, actions));
         }
@@ -106,7 +106,7 @@
      * Runs the trainer that is furthest behind its step first, so that it gets free capacity first.
      */
     private void runPendingWork(long now, ActionSink<RolloutAction> actions) {
-        List<Map.Entry<TrainerName, HeldTrainer>> order = new ArrayList<>(trainers.entrySet());
+        List<Map.Entry<TrainerName, HeldTrainer>> order = new ArrayList<>(mTrainers.entrySet());
         if (order.size() > 1) {
             order.sort(
                     Comparator.comparingInt(
@@ -190,7 +190,7 @@
     }
 
     private <E extends RolloutEvent> void on(Class<E> type, TypedHandler<E> handler) {
-        handlers.put(
+        mHandlers.put(
                 type,
                 (rollouts, event, context) -> handler.handle(rollouts, type.cast(event), context));
     }
--- a/decisions/src/main/java/org/fuchsialever/decisions/samples/SampleBudget.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/samples/SampleBudget.java
@@ -6,30 +6,30 @@
  * several incomplete groups could use up the capacity and none could complete.
  */
 final class SampleBudget {
-    private final int capacity;
-    private int used;
+    private final int mCapacity;
+    private int mUsed;
 
     SampleBudget(int capacity) {
-        this.capacity = capacity;
+        mCapacity = capacity;
     }
 
     boolean reserve(int samples) {
-        if (used + samples > capacity) {
+        if (mUsed + samples > mCapacity) {
             return false;
         }
-        used += samples;
+        mUsed += samples;
         return true;
     }
 
     void release(int samples) {
-        used -= samples;
+        mUsed -= samples;
     }
 
     int capacity() {
-        return capacity;
+        return mCapacity;
     }
 
     int used() {
-        return used;
+        return mUsed;
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/samples/SamplePipeline.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/samples/SamplePipeline.java
@@ -17,22 +17,22 @@
     private static final double SMOOTHING = 0.05;
     private static final long TICK_INTERVAL_NANOS = 1_000_000_000L;
 
-    private final StragglerPolicy policy;
-    private final LengthPredictor predictor;
-    private final SampleBudget budget;
-    private final RetryDelay delays;
-    private final StalenessTracker staleness;
-    private final BatchBuilder batches;
-    private final InvariantMonitor invariants;
-    private final List<GroupState> waitingGroups = new ArrayList<>();
-    private final Deque<SampleState> waitingReplacements = new ArrayDeque<>();
-    private final Map<Long, Attempt> attempts = new HashMap<>();
-    private final PriorityQueue<Retry> retries =
+    private final StragglerPolicy mPolicy;
+    private final LengthPredictor mPredictor;
+    private final SampleBudget mBudget;
+    private final RetryDelay mDelays;
+    private final StalenessTracker mStaleness;
+    private final BatchBuilder mBatches;
+    private final InvariantMonitor mInvariants;
+    private final List<GroupState> mWaitingGroups = new ArrayList<>();
+    private final Deque<SampleState> mWaitingReplacements = new ArrayDeque<>();
+    private final Map<Long, Attempt> mAttempts = new HashMap<>();
+    private final PriorityQueue<Retry> mRetries =
             new PriorityQueue<>(Comparator.comparingLong(Retry::at));
-    private long nextAttempt;
-    private int reservedSamples;
-    private double averageNanos;
-    private long nextTick = Duty.NO_TIMER;
+    private long mNextAttempt;
+    private int mReservedSamples;
+    private double mAverageNanos;
+    private long mNextTick = Duty.NO_TIMER;
 
     SamplePipeline(
             RolloutSetup setup,
@@ -40,32 +40,32 @@
             StalenessTracker staleness,
             BatchBuilder batches,
             long firstAttempt) {
-        this.policy = setup.policy();
-        this.predictor = setup.predictor();
-        this.delays = new RetryDelay(setup.limits(), setup.random());
-        this.invariants = setup.invariants();
-        this.budget = budget;
-        this.staleness = staleness;
-        this.batches = batches;
-        this.nextAttempt = firstAttempt;
+        mPolicy = setup.policy();
+        mPredictor = setup.predictor();
+        mDelays = new RetryDelay(setup.limits(), setup.random());
+        mInvariants = setup.invariants();
+        mBudget = budget;
+        mStaleness = staleness;
+        mBatches = batches;
+        mNextAttempt = firstAttempt;
     }
 
     long nextAttempt() {
-        return nextAttempt;
+        return mNextAttempt;
     }
 
     /** Queues all samples of a step that are not committed. */
     void add(StepState step) {
         for (GroupState group : step.groups()) {
             if (!group.missing().isEmpty()) {
-                waitingGroups.add(group);
+                mWaitingGroups.add(group);
             }
         }
     }
 
     void replace(SampleState sample, long position, InvocationContext context) {
         sample.requestReplacementAt(position);
-        waitingReplacements.add(sample);
+        mWaitingReplacements.add(sample);
         context.count(RolloutCounter.REPLACED_STALE, 1);
     }
 
@@ -74,29 +74,29 @@
      * waiting for them.
      */
     void startPending(InvocationContext context) {
-        while (!waitingReplacements.isEmpty() && reserve(1)) {
-            generate(waitingReplacements.remove(), context);
+        while (!mWaitingReplacements.isEmpty() && reserve(1)) {
+            generate(mWaitingReplacements.remove(), context);
         }
-        while (!waitingGroups.isEmpty()) {
+        while (!mWaitingGroups.isEmpty()) {
             GroupState group = nextGroup();
             List<SampleState> missing = group.missing();
             if (!reserve(missing.size())) {
                 return;
             }
-            waitingGroups.remove(group);
+            mWaitingGroups.remove(group);
             missing.forEach(sample -> generate(sample, context));
         }
     }
 
     void onGenerated(long id, GeneratedSample result, InvocationContext context) {
-        Attempt attempt = attempts.get(id);
+        Attempt attempt = mAttempts.get(id);
         if (attempt == null || attempt.sample.stage() != SampleState.Stage.GENERATING) {
             context.count(RolloutCounter.DROPPED, 1);
             return;
         }
         SampleState sample = attempt.sample;
         if (!result.coversEveryToken()) {
-            invariants.check(
+            mInvariants.check(
                     Invariant.SAMPLE_NAMES_TRUE_VERSIONS,
                     result.ranges().isEmpty(),
                     () -> "token ranges of " + sample.id() + " have a gap: " + result.ranges());
@@ -106,7 +106,7 @@
         cancelOthers(sample, id, context);
         observe(attempt, result, context.now());
         if (isStale(sample, result)) {
-            attempts.remove(id);
+            mAttempts.remove(id);
             regenerate(sample, context);
             return;
         }
@@ -115,7 +115,7 @@
     }
 
     void onJudged(long id, double score, InvocationContext context) {
-        Attempt attempt = attempts.remove(id);
+        Attempt attempt = mAttempts.remove(id);
         if (attempt == null || attempt.sample.stage() != SampleState.Stage.JUDGING) {
             context.count(RolloutCounter.DROPPED, 1);
             return;
@@ -127,7 +127,7 @@
     }
 
     void onFailed(long id, InvocationContext context) {
-        Attempt attempt = attempts.get(id);
+        Attempt attempt = mAttempts.get(id);
         if (attempt == null) {
             context.count(RolloutCounter.DROPPED, 1);
             return;
@@ -137,14 +137,14 @@
         context.count(
                 judging ? RolloutCounter.JUDGE_RETRIED : RolloutCounter.GENERATION_RETRIED, 1);
         if (!judging) {
-            attempts.remove(id);
+            mAttempts.remove(id);
             sample.attempts().remove(id);
             if (!sample.attempts().isEmpty()) {
                 return;
             }
         }
-        retries.add(
-                new Retry(context.now() + delays.delayNanos(sample.recordFailure()), sample, id));
+        mRetries.add(
+                new Retry(context.now() + mDelays.delayNanos(sample.recordFailure()), sample, id));
     }
 
     /** Removes stale samples from a batch and regenerates them; returns the others. */
@@ -162,19 +162,19 @@
 
     void onCommitted(SampleState sample) {
         sample.onCommitted();
-        reservedSamples--;
-        budget.release(1);
+        mReservedSamples--;
+        mBudget.release(1);
     }
 
     void onTimer(Iterable<StepState> steps, InvocationContext context) {
-        Retry retry = retries.peek();
+        Retry retry = mRetries.peek();
         while (retry != null && retry.at <= context.now()) {
-            retries.remove();
+            mRetries.remove();
             retry(retry, context);
-            retry = retries.peek();
+            retry = mRetries.peek();
         }
-        if (nextTick <= context.now()) {
-            nextTick = attempts.isEmpty() ? Duty.NO_TIMER : context.now() + TICK_INTERVAL_NANOS;
+        if (mNextTick <= context.now()) {
+            mNextTick = mAttempts.isEmpty() ? Duty.NO_TIMER : context.now() + TICK_INTERVAL_NANOS;
             duplicateLateSamples(context);
             for (StepState step : steps) {
                 context.count(
@@ -184,27 +184,27 @@
     }
 
     long nextTimer() {
-        Retry retry = retries.peek();
-        return Math.min(nextTick, retry == null ? Duty.NO_TIMER : retry.at);
+        Retry retry = mRetries.peek();
+        return Math.min(mNextTick, retry == null ? Duty.NO_TIMER : retry.at);
     }
 
     /** Cancels all generation because the state is read again or the lease is lost. */
     void stop(InvocationContext context) {
-        attempts.forEach(
+        mAttempts.forEach(
                 (id, attempt) -> {
                     if (attempt.sample.stage() == SampleState.Stage.GENERATING) {
                         cancel(id, context);
                     }
                 });
-        attempts.clear();
-        budget.release(reservedSamples);
-        reservedSamples = 0;
+        mAttempts.clear();
+        mBudget.release(mReservedSamples);
+        mReservedSamples = 0;
     }
 
     private GroupState nextGroup() {
-        GroupState best = waitingGroups.get(0);
+        GroupState best = mWaitingGroups.get(0);
         int bestRank = rank(best);
-        for (GroupState group : waitingGroups) {
+        for (GroupState group : mWaitingGroups) {
             int rank = rank(group);
             if (rank > bestRank) {
                 best = group;
@@ -215,12 +215,12 @@
     }
 
     private int rank(GroupState group) {
-        return policy.rank(predictor.predict(group.spec().prompt()));
+        return mPolicy.rank(mPredictor.predict(group.spec().prompt()));
     }
 
     private boolean reserve(int samples) {
-        boolean possible = budget.reserve(samples);
-        reservedSamples += possible ? samples : 0;
+        boolean possible = mBudget.reserve(samples);
+        mReservedSamples += possible ? samples : 0;
         return possible;
     }
 
@@ -228,12 +228,12 @@
         GroupState group = sample.group();
         Submission submission = group.step().submission();
         String prompt = group.spec().prompt();
-        int boost = policy.urgencyBoost(predictor.predict(prompt), predictor.averageTokens());
-        long id = nextAttempt++;
-        attempts.put(id, new Attempt(sample, context.now()));
+        int boost = mPolicy.urgencyBoost(mPredictor.predict(prompt), mPredictor.averageTokens());
+        long id = mNextAttempt++;
+        mAttempts.put(id, new Attempt(sample, context.now()));
         sample.attempts().add(id);
         sample.moveTo(SampleState.Stage.GENERATING);
-        nextTick = Math.min(nextTick, context.now() + TICK_INTERVAL_NANOS);
+        mNextTick = Math.min(mNextTick, context.now() + TICK_INTERVAL_NANOS);
         context.emit(
                 new RolloutAction.Generate(
                         sample.id(),
@@ -259,7 +259,7 @@
     /** Passes a replacement on by itself, and any other sample together with its complete group. */
     private void onReady(SampleState sample, InvocationContext context) {
         if (sample.isReplacement()) {
-            batches.add(sample, context.now());
+            mBatches.add(sample, context.now());
             return;
         }
         if (!sample.group().isFinished()) {
@@ -270,7 +270,7 @@
                         .filter(other -> other.stage() == SampleState.Stage.READY)
                         .toList();
         if (withoutStale(ready, context).size() == ready.size()) {
-            ready.forEach(other -> batches.add(other, context.now()));
+            ready.forEach(other -> mBatches.add(other, context.now()));
         }
     }
 
@@ -282,21 +282,23 @@
 
     private boolean isStale(SampleState sample, GeneratedSample result) {
         int bound = sample.group().step().submission().maxStaleness();
-        return staleness.isStale(result.oldest(), bound);
+        return mStaleness.isStale(result.oldest(), bound);
     }
 
     private void observe(Attempt attempt, GeneratedSample result, long now) {
-        predictor.observe(attempt.sample.group().spec().prompt(), result.tokenCount());
+        mPredictor.observe(attempt.sample.group().spec().prompt(), result.tokenCount());
         double elapsed = now - attempt.startedNanos;
-        averageNanos =
-                averageNanos == 0 ? elapsed : averageNanos + SMOOTHING * (elapsed - averageNanos);
-        staleness.observe(result.newest());
+        mAverageNanos =
+                mAverageNanos == 0
+                        ? elapsed
+                        : mAverageNanos + SMOOTHING * (elapsed - mAverageNanos);
+        mStaleness.observe(result.newest());
     }
 
     private void cancelOthers(SampleState sample, long winner, InvocationContext context) {
         for (Long other : sample.attempts()) {
             if (other != winner) {
-                attempts.remove(other);
+                mAttempts.remove(other);
                 cancel(other, context);
             }
         }
@@ -309,7 +311,7 @@
 
     private void retry(Retry retry, InvocationContext context) {
         SampleState sample = retry.sample;
-        if (sample.stage() == SampleState.Stage.JUDGING && attempts.containsKey(retry.attempt)) {
+        if (sample.stage() == SampleState.Stage.JUDGING && mAttempts.containsKey(retry.attempt)) {
             judge(sample, retry.attempt, context);
         } else if (sample.stage() == SampleState.Stage.GENERATING && sample.attempts().isEmpty()) {
             generate(sample, context);
@@ -317,16 +319,16 @@
     }
 
     private void duplicateLateSamples(InvocationContext context) {
-        for (Attempt attempt : List.copyOf(attempts.values())) {
+        for (Attempt attempt : List.copyOf(mAttempts.values())) {
             SampleState sample = attempt.sample;
             StepState step = sample.group().step();
             boolean late =
                     sample.stage() == SampleState.Stage.GENERATING
                             && sample.attempts().size() == 1
-                            && policy.shouldDuplicate(
+                            && mPolicy.shouldDuplicate(
                                     new StragglerPolicy.RunningSample(
                                             context.now() - attempt.startedNanos,
-                                            (long) averageNanos,
+                                            (long) mAverageNanos,
                                             step.unfinishedShare(),
                                             step.total(),
                                             step.duplicateCount()));
--- a/decisions/src/main/java/org/fuchsialever/decisions/samples/SampleState.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/samples/SampleState.java
@@ -8,94 +8,94 @@
 final class SampleState {
     private static final long NO_POSITION = -1;
 
-    private final SampleId id;
-    private final GroupState group;
-    private final List<Long> attempts = new ArrayList<>();
-    private Stage stage = Stage.PENDING;
-    private long position = NO_POSITION;
-    private int failureCount;
-    private double score;
-    private @Nullable GeneratedSample sample;
+    private final SampleId mId;
+    private final GroupState mGroup;
+    private final List<Long> mAttempts = new ArrayList<>();
+    private Stage mStage = Stage.PENDING;
+    private long mPosition = NO_POSITION;
+    private int mFailureCount;
+    private double mScore;
+    private @Nullable GeneratedSample mSample;
 
     SampleState(SampleId id, GroupState group) {
-        this.id = id;
-        this.group = group;
+        mId = id;
+        mGroup = group;
     }
 
     SampleId id() {
-        return id;
+        return mId;
     }
 
     GroupState group() {
-        return group;
+        return mGroup;
     }
 
     Stage stage() {
-        return stage;
+        return mStage;
     }
 
     void moveTo(Stage next) {
-        group.step().onStageChanged(stage, next);
-        stage = next;
+        mGroup.step().onStageChanged(mStage, next);
+        mStage = next;
     }
 
     /** Discards the result so that the sample is generated again. */
     void discard() {
-        sample = null;
-        attempts.clear();
+        mSample = null;
+        mAttempts.clear();
         moveTo(Stage.PENDING);
     }
 
     /** Requests a replacement for the sample at a committed position. */
     void requestReplacementAt(long fixedPosition) {
-        position = fixedPosition;
+        mPosition = fixedPosition;
         discard();
     }
 
     boolean isReplacement() {
-        return position != NO_POSITION;
+        return mPosition != NO_POSITION;
     }
 
     long position() {
-        return position;
+        return mPosition;
     }
 
     void onCommitted() {
-        position = NO_POSITION;
-        sample = null;
+        mPosition = NO_POSITION;
+        mSample = null;
         moveTo(Stage.COMMITTED);
     }
 
     List<Long> attempts() {
-        return attempts;
+        return mAttempts;
     }
 
     int recordFailure() {
-        failureCount++;
-        return failureCount;
+        mFailureCount++;
+        return mFailureCount;
     }
 
     void onGenerated(GeneratedSample result) {
-        sample = result;
-        failureCount = 0;
+        mSample = result;
+        mFailureCount = 0;
         moveTo(Stage.JUDGING);
     }
 
     void onJudged(double result) {
-        score = result;
-        failureCount = 0;
+        mScore = result;
+        mFailureCount = 0;
         moveTo(Stage.READY);
     }
 
     JudgedSample judgedSample() {
-        return new JudgedSample(id, generated(), score);
+        return new JudgedSample(mId, generated(), mScore);
     }
 
     GeneratedSample generated() {
-        if (sample == null) {
-            throw new IllegalStateException("no generated result for sample " + id);
+        if (mSample == null) {
+            throw new IllegalStateException("no generated result for sample " + mId);
         }
-        return sample;
+        return mSample;
     }
 
     /** Stage of processing of a sample. */
@@ -107,14 +107,14 @@
         BATCHED(true),
         COMMITTED(true);
 
-        private final boolean finished;
+        private final boolean mFinished;
 
         Stage(boolean finished) {
-            this.finished = finished;
+            mFinished = finished;
         }
 
         boolean isFinished() {
-            return finished;
+            return mFinished;
         }
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/samples/StalenessTracker.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/samples/StalenessTracker.java
@@ -6,24 +6,24 @@
  * Tracks the newest version of the trainer's model and compares the versions of samples with it.
  */
 final class StalenessTracker {
-    private WeightVersion newest;
+    private WeightVersion mNewest;
 
     StalenessTracker(WeightVersion newest) {
-        this.newest = newest;
+        mNewest = newest;
     }
 
     void observe(WeightVersion version) {
-        if (version.compareTo(newest) > 0) {
-            newest = version;
+        if (version.compareTo(mNewest) > 0) {
+            mNewest = version;
         }
     }
 
     WeightVersion newest() {
-        return newest;
+        return mNewest;
     }
 
     long staleness(WeightVersion oldest) {
-        return Math.max(0, newest.number() - oldest.number());
+        return Math.max(0, mNewest.number() - oldest.number());
     }
 
     boolean isStale(WeightVersion oldest, int bound) {
--- a/decisions/src/main/java/org/fuchsialever/decisions/samples/StepState.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/samples/StepState.java
@@ -5,35 +5,35 @@
 
 /** State of one step of a trainer. */
 final class StepState {
-    private final Submission submission;
-    private final Map<String, GroupState> groups = new LinkedHashMap<>();
-    private final long startedNanos;
-    private final int total;
-    private int finished;
-    private int committed;
-    private int duplicateCount;
-    private long lastPosition = -1;
-    private boolean lateReported;
+    private final Submission mSubmission;
+    private final Map<String, GroupState> mGroups = new LinkedHashMap<>();
+    private final long mStartedNanos;
+    private final int mTotal;
+    private int mFinished;
+    private int mCommitted;
+    private int mDuplicateCount;
+    private long mLastPosition = -1;
+    private boolean mLateReported;
 
     StepState(Submission submission, long startedNanos) {
-        this.submission = submission;
-        this.startedNanos = startedNanos;
-        this.total = submission.sampleCount();
+        mSubmission = submission;
+        mStartedNanos = startedNanos;
+        mTotal = submission.sampleCount();
         for (GroupSpec spec : submission.groups()) {
-            groups.put(spec.group(), new GroupState(this, spec));
+            mGroups.put(spec.group(), new GroupState(this, spec));
         }
     }
 
     Submission submission() {
-        return submission;
+        return mSubmission;
     }
 
     Iterable<GroupState> groups() {
-        return groups.values();
+        return mGroups.values();
     }
 
     SampleState sample(SampleId id) {
-        GroupState group = groups.get(id.group());
+        GroupState group = mGroups.get(id.group());
         if (group == null) {
             throw new IllegalStateException("the submission has no sample " + id);
         }
@@ -41,45 +41,47 @@
     }
 
     void onStageChanged(SampleState.Stage from, SampleState.Stage to) {
-        finished += (to.isFinished() ? 1 : 0) - (from.isFinished() ? 1 : 0);
-        committed +=
+        mFinished += (to.isFinished() ? 1 : 0) - (from.isFinished() ? 1 : 0);
+        mCommitted +=
                 (to == SampleState.Stage.COMMITTED ? 1 : 0)
                         - (from == SampleState.Stage.COMMITTED ? 1 : 0);
     }
 
     void onCommittedAt(long position) {
-        lastPosition = Math.max(lastPosition, position);
+        mLastPosition = Math.max(mLastPosition, position);
     }
 
     boolean isAcknowledged(long acknowledged) {
-        return committed == total && lastPosition < acknowledged;
+        return mCommitted == mTotal && mLastPosition < acknowledged;
     }
 
     boolean markLateIfOverdue(long now) {
-        if (lateReported || finished == total || now < startedNanos + submission.deadlineNanos()) {
+        if (mLateReported
+                || mFinished == mTotal
+                || now < mStartedNanos + mSubmission.deadlineNanos()) {
             return false;
         }
-        lateReported = true;
+        mLateReported = true;
         return true;
     }
 
     int total() {
-        return total;
+        return mTotal;
     }
 
     int duplicateCount() {
-        return duplicateCount;
+        return mDuplicateCount;
     }
 
     void countDuplicate() {
-        duplicateCount++;
+        mDuplicateCount++;
     }
 
     double unfinishedShare() {
-        return (double) (total - finished) / total;
+        return (double) (mTotal - mFinished) / mTotal;
     }
 
     int urgency(long now) {
-        return Urgency.of(now - startedNanos, submission.deadlineNanos(), finished, total);
+        return Urgency.of(now - mStartedNanos, mSubmission.deadlineNanos(), mFinished, mTotal);
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/samples/TrainerRollouts.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/samples/TrainerRollouts.java
@@ -12,19 +12,19 @@
 
 /** The rollouts of one trainer during one tenure of its lease. */
 final class TrainerRollouts {
-    private final RolloutSetup setup;
-    private final RolloutLimits limits;
-    private final InvariantMonitor invariants;
-    private final SampleBudget budget;
-    private final String tenureId;
-    private final RetryDelay delays;
-    private final CommitSequence commits;
-    private final PendingPolls polls = new PendingPolls();
-    private final Deque<RolloutEvent.GroupsSubmitted> submissions = new ArrayDeque<>();
-    private @Nullable RestoredState state;
-    private long storedObjectCount;
-    private long nextAttempt;
-    private int restoreCount;
+    private final RolloutSetup mSetup;
+    private final RolloutLimits mLimits;
+    private final InvariantMonitor mInvariants;
+    private final SampleBudget mBudget;
+    private final String mTenureId;
+    private final RetryDelay mDelays;
+    private final CommitSequence mCommits;
+    private final PendingPolls mPolls = new PendingPolls();
+    private final Deque<RolloutEvent.GroupsSubmitted> mSubmissions = new ArrayDeque<>();
+    private @Nullable RestoredState mState;
+    private long mStoredObjectCount;
+    private long mNextAttempt;
+    private int mRestoreCount;
 
     /**
      * Creates the state of one tenure of a trainer's lease: a period in which this instance holds
@@ -34,22 +34,22 @@
      * @param firstAttempt number of the first attempt of the tenure
      */
     TrainerRollouts(RolloutSetup setup, SampleBudget budget, String tenureId, long firstAttempt) {
-        this.setup = setup;
-        this.limits = setup.limits();
-        this.invariants = setup.invariants();
-        this.budget = budget;
-        this.delays = new RetryDelay(limits, setup.random());
-        this.tenureId = tenureId;
-        this.nextAttempt = firstAttempt;
-        this.commits = new CommitSequence(tenureId, delays);
+        mSetup = setup;
+        mLimits = setup.limits();
+        mInvariants = setup.invariants();
+        mBudget = budget;
+        mDelays = new RetryDelay(mLimits, setup.random());
+        mTenureId = tenureId;
+        mNextAttempt = firstAttempt;
+        mCommits = new CommitSequence(tenureId, mDelays);
     }
 
     /** Requests the stored state; no other work for the trainer starts before it has been read. */
     void restore(long atLeastVersion, InvocationContext context) {
         stopWork(context);
-        commits.clear();
-        long delay = restoreCount == 0 ? 0 : delays.delayNanos(restoreCount);
-        restoreCount++;
+        mCommits.clear();
+        long delay = mRestoreCount == 0 ? 0 : mDelays.delayNanos(mRestoreCount);
+        mRestoreCount++;
         context.emit(
                 new RolloutAction.Restore(
                         context.trainer(), context.term(), atLeastVersion, delay));
@@ -58,113 +58,113 @@
     /** Ends all work because the lease is lost. */
     void stop(InvocationContext context) {
         stopWork(context);
-        polls.refuseAll(context);
-        for (RolloutEvent.GroupsSubmitted submitted : submissions) {
+        mPolls.refuseAll(context);
+        for (RolloutEvent.GroupsSubmitted submitted : mSubmissions) {
             refuse(submitted.request(), RolloutRefusal.NOT_HOLDER, context);
         }
-        submissions.clear();
+        mSubmissions.clear();
     }
 
     /** Applies the stored state and verifies by a commit that it is current. */
     void onRestored(RestoredLog stored, InvocationContext context) {
-        if (state != null) {
+        if (mState != null) {
             return;
         }
         RestoredState restored = new RestoredState(stored, context.now());
-        state = restored;
-        commits.onRestored(stored.headVersion());
+        mState = restored;
+        mCommits.onRestored(stored.headVersion());
         sendCursor(restored, context);
     }
 
     void onGroupsSubmitted(RolloutEvent.GroupsSubmitted event, InvocationContext context) {
         int largest =
                 event.submission().groups().stream().mapToInt(GroupSpec::samples).max().orElse(0);
-        if (largest > budget.capacity()) {
+        if (largest > mBudget.capacity()) {
             refuse(event.request(), RolloutRefusal.GROUP_TOO_LARGE, context);
-        } else if (submissions.size() >= limits.maxOpenPolls()) {
+        } else if (mSubmissions.size() >= mLimits.maxOpenPolls()) {
             refuse(event.request(), RolloutRefusal.TOO_MANY, context);
         } else {
-            submissions.add(event);
+            mSubmissions.add(event);
         }
     }
 
     void onSamplesRequested(RolloutEvent.SamplesRequested event, InvocationContext context) {
-        if (polls.size() >= limits.maxOpenPolls()) {
+        if (mPolls.size() >= mLimits.maxOpenPolls()) {
             refuse(event.request(), RolloutRefusal.TOO_MANY, context);
         } else {
-            polls.add(event, context.now());
+            mPolls.add(event, context.now());
         }
     }
 
     void onCursorAcknowledged(RolloutEvent.CursorAcknowledged event, InvocationContext context) {
-        if (state == null || !state.confirmed) {
+        if (mState == null || !mState.mConfirmed) {
             refuse(event.request(), RolloutRefusal.NOT_HOLDER, context);
-        } else if (event.cursor() > state.log.end()) {
+        } else if (event.cursor() > mState.mLog.end()) {
             refuse(event.request(), RolloutRefusal.CURSOR_BEYOND_END, context);
         } else {
-            if (state.log.acknowledge(event.cursor())) {
-                state.cursorCommitDueAt =
+            if (mState.mLog.acknowledge(event.cursor())) {
+                mState.mCursorCommitDueAt =
                         Math.min(
-                                state.cursorCommitDueAt,
-                                context.now() + limits.maxBatchDelay().toNanos());
+                                mState.mCursorCommitDueAt,
+                                context.now() + mLimits.maxBatchDelay().toNanos());
             }
             context.emit(new RolloutAction.Accept(context.trainer(), event.request(), 0));
         }
     }
 
     void onVersionObserved(RolloutEvent.VersionObserved event) {
-        if (state != null) {
-            state.staleness.observe(event.version());
+        if (mState != null) {
+            mState.mStaleness.observe(event.version());
         }
     }
 
     void onSampleGenerated(RolloutEvent.SampleGenerated event, InvocationContext context) {
-        if (state == null) {
+        if (mState == null) {
             context.count(RolloutCounter.DROPPED, 1);
         } else {
-            state.pipeline.onGenerated(event.attempt(), event.sample(), context);
+            mState.mPipeline.onGenerated(event.attempt(), event.sample(), context);
         }
     }
 
     void onSampleJudged(RolloutEvent.SampleJudged event, InvocationContext context) {
-        if (state == null) {
+        if (mState == null) {
             context.count(RolloutCounter.DROPPED, 1);
         } else {
-            state.pipeline.onJudged(event.attempt(), event.score(), context);
+            mState.mPipeline.onJudged(event.attempt(), event.score(), context);
         }
     }
 
     void onSampleFailed(RolloutEvent.SampleFailed event, InvocationContext context) {
-        if (state != null) {
-            state.pipeline.onFailed(event.attempt(), context);
+        if (mState != null) {
+            mState.mPipeline.onFailed(event.attempt(), context);
         }
     }
 
     void onBatchStored(String object) {
-        if (state != null && state.batch != null && state.batch.object().equals(object)) {
-            state.batch.markStored();
+        if (mState != null && mState.mBatch != null && mState.mBatch.object().equals(object)) {
+            mState.mBatch.markStored();
         }
     }
 
     void onStoreFailed(String object, InvocationContext context) {
-        if (state != null
-                && state.batch != null
-                && !state.batch.isStored()
-                && state.batch.object().equals(object)) {
-            state.batch.scheduleStoreRetry(context.now(), delays);
+        if (mState != null
+                && mState.mBatch != null
+                && !mState.mBatch.isStored()
+                && mState.mBatch.object().equals(object)) {
+            mState.mBatch.scheduleStoreRetry(context.now(), mDelays);
         }
     }
 
     void onCommitSucceeded(String writer, long version, InvocationContext context) {
-        if (state != null && commits.isAwaiting(writer)) {
-            restoreCount = 0;
-            state.onCommitted(commits.onCommitted(version), context);
+        if (mState != null && mCommits.isAwaiting(writer)) {
+            mRestoreCount = 0;
+            mState.onCommitted(mCommits.onCommitted(version), context);
         }
     }
 
     void onCommitOutcomeUnknown(String writer, InvocationContext context) {
-        if (commits.isAwaiting(writer)) {
-            commits.scheduleRetry(context.now());
+        if (mCommits.isAwaiting(writer)) {
+            mCommits.scheduleRetry(context.now());
         }
     }
 
@@ -174,7 +174,7 @@
      * either the lease was renewed or its loss is about to be reported.
      */
     void onCommitConflicted(RolloutEvent.CommitConflicted event, InvocationContext context) {
-        if (state == null || !commits.isAwaiting(event.writer())) {
+        if (mState == null || !mCommits.isAwaiting(event.writer())) {
             return;
         }
         if (event.head().exists(row -> row.writer().equals(event.writer()))) {
@@ -183,45 +183,45 @@
             context.count(RolloutCounter.COMMIT_CONFLICTED, 1);
             restore(event.head().get().version(), context);
         } else if (event.submittedObject().isDefined()) {
-            state.answerSubmittedStep(event.submittedObject().get(), context);
+            mState.answerSubmittedStep(event.submittedObject().get(), context);
         } else {
-            commits.scheduleRetry(context.now());
+            mCommits.scheduleRetry(context.now());
         }
     }
 
     void onTimer(InvocationContext context) {
-        commits.retryIfDue(context);
-        if (state != null) {
-            state.pipeline.onTimer(state.steps.values(), context);
-            if (state.batch != null) {
-                state.batch.retryIfDue(context);
+        mCommits.retryIfDue(context);
+        if (mState != null) {
+            mState.mPipeline.onTimer(mState.mSteps.values(), context);
+            if (mState.mBatch != null) {
+                mState.mBatch.retryIfDue(context);
             }
         }
     }
 
     /** Starts all work that has become possible since the last call. */
     void runPendingWork(InvocationContext context) {
-        if (state != null && state.confirmed) {
-            state.pipeline.startPending(context);
-            state.sealBatch(context);
-            state.sendNextCommit(context);
-            polls.serveAll(context, (poll, idle) -> deliver(state, poll, idle, context));
+        if (mState != null && mState.mConfirmed) {
+            mState.mPipeline.startPending(context);
+            mState.sealBatch(context);
+            mState.sendNextCommit(context);
+            mPolls.serveAll(context, (poll, idle) -> deliver(mState, poll, idle, context));
         } else {
-            polls.endExpired(context);
+            mPolls.endExpired(context);
         }
     }
 
     long nextTimer() {
-        long next = Math.min(polls.nextTimer(), commits.retryAt());
-        return state == null ? next : Math.min(next, state.nextTimer());
+        long next = Math.min(mPolls.nextTimer(), mCommits.retryAt());
+        return mState == null ? next : Math.min(next, mState.nextTimer());
     }
 
     /** Returns the urgency of the oldest step, or {@link Integer#MIN_VALUE} if there is none. */
     int urgency(long now) {
-        if (state == null || state.steps.isEmpty()) {
+        if (mState == null || mState.mSteps.isEmpty()) {
             return Integer.MIN_VALUE;
         }
-        return state.steps.firstEntry().getValue().urgency(now);
+        return mState.mSteps.firstEntry().getValue().urgency(now);
     }
 
     private boolean deliver(
@@ -232,25 +232,25 @@
         if (current == null) {
             return false;
         }
-        if (poll.cursor() > current.log.end()) {
+        if (poll.cursor() > current.mLog.end()) {
             refuse(poll.request(), RolloutRefusal.CURSOR_BEYOND_END, context);
             return true;
         }
-        long cursor = Math.max(poll.cursor(), current.log.acknowledged());
+        long cursor = Math.max(poll.cursor(), current.mLog.acknowledged());
         for (long position :
-                current.log.markStaleForReplacement(cursor, poll.limit(), current.isStale)) {
-            SampleId id = current.log.entry(position).id();
-            current.pipeline.replace(current.step(id).sample(id), position, context);
+                current.mLog.markStaleForReplacement(cursor, poll.limit(), current.mIsStale)) {
+            SampleId id = current.mLog.entry(position).id();
+            current.mPipeline.replace(current.step(id).sample(id), position, context);
         }
-        current.pipeline.startPending(context);
-        List<BatchEntry> entries = current.log.deliverable(cursor, poll.limit(), current.isStale);
+        current.mPipeline.startPending(context);
+        List<BatchEntry> entries = current.mLog.deliverable(cursor, poll.limit(), current.mIsStale);
         if (entries.isEmpty()) {
             return false;
         }
         long staleness = 0;
         for (BatchEntry entry : entries) {
-            long lag = current.staleness.newest().number() - entry.oldest().number();
-            invariants.check(
+            long lag = current.mStaleness.newest().number() - entry.oldest().number();
+            mInvariants.check(
                     Invariant.SAMPLE_WITHIN_STALENESS,
                     lag <= current.step(entry.id()).submission().maxStaleness(),
                     () -> entry.id() + " lags " + lag + " versions");
@@ -265,19 +265,19 @@
 
     private void sendCursor(RestoredState current, InvocationContext context) {
         HeadCommit commit =
-                current.commitFactory.cursor(commits.nextWriter(), commits.headVersion());
-        current.cursorCommitDueAt = Duty.NO_TIMER;
-        commits.send(
+                current.mCommitFactory.cursor(mCommits.nextWriter(), mCommits.headVersion());
+        current.mCursorCommitDueAt = Duty.NO_TIMER;
+        mCommits.send(
                 commit,
                 new RolloutAction.CommitCursor(context.trainer(), context.term(), commit),
                 context);
     }
 
     private void stopWork(InvocationContext context) {
-        if (state != null) {
-            state.pipeline.stop(context);
-            nextAttempt = state.pipeline.nextAttempt();
-            state = null;
+        if (mState != null) {
+            mState.mPipeline.stop(context);
+            mNextAttempt = mState.mPipeline.nextAttempt();
+            mState = null;
         }
     }
 
@@ -287,37 +287,38 @@
 
     /** State that is available only after it has been restored. */
     private final class RestoredState {
-        private final DeliveryLog log;
-        private final TreeMap<Long, StepState> steps = new TreeMap<>();
-        private final StalenessTracker staleness;
-        private final BatchBuilder batchBuilder = new BatchBuilder(limits);
-        private final SamplePipeline pipeline;
-        private final HeadCommitFactory commitFactory;
-        private final Predicate<BatchEntry> isStale;
-        private @Nullable PendingBatch batch;
-        private boolean confirmed;
-        private long cursorCommitDueAt = Duty.NO_TIMER;
+        private final DeliveryLog mLog;
+        private final TreeMap<Long, StepState> mSteps = new TreeMap<>();
+        private final StalenessTracker mStaleness;
+        private final BatchBuilder mBatchBuilder = new BatchBuilder(mLimits);
+        private final SamplePipeline mPipeline;
+        private final HeadCommitFactory mCommitFactory;
+        private final Predicate<BatchEntry> mIsStale;
+        private @Nullable PendingBatch mBatch;
+        private boolean mConfirmed;
+        private long mCursorCommitDueAt = Duty.NO_TIMER;
 
         RestoredState(RestoredLog stored, long now) {
-            log = new DeliveryLog(stored.head(), stored.batches(), invariants);
-            staleness = new StalenessTracker(stored.head().newest());
-            pipeline = new SamplePipeline(setup, budget, staleness, batchBuilder, nextAttempt);
-            commitFactory = new HeadCommitFactory(log, steps, staleness);
-            isStale =
+            mLog = new DeliveryLog(stored.head(), stored.batches(), mInvariants);
+            mStaleness = new StalenessTracker(stored.head().newest());
+            mPipeline =
+                    new SamplePipeline(mSetup, mBudget, mStaleness, mBatchBuilder, mNextAttempt);
+            mCommitFactory = new HeadCommitFactory(mLog, mSteps, mStaleness);
+            mIsStale =
                     entry ->
-                            staleness.isStale(
+                            mStaleness.isStale(
                                     entry.oldest(), step(entry.id()).submission().maxStaleness());
             for (RestoredLog.RestoredSubmission known : stored.submissions()) {
                 StepState step = new StepState(known.submission(), now - known.ageNanos());
-                steps.put(known.submission().step(), step);
+                mSteps.put(known.submission().step(), step);
             }
-            for (BatchRecord record : log.batches()) {
+            for (BatchRecord record : mLog.batches()) {
                 markCommitted(record);
             }
         }
 
         StepState step(SampleId id) {
-            StepState step = steps.get(id.step());
+            StepState step = mSteps.get(id.step());
             if (step == null) {
                 throw new IllegalStateException("the step of " + id + " is closed");
             }
@@ -325,71 +326,72 @@
         }
 
         void onCommitted(HeadCommit commit, InvocationContext context) {
-            if (!confirmed) {
-                confirmed = true;
-                steps.values().forEach(pipeline::add);
+            if (!mConfirmed) {
+                mConfirmed = true;
+                mSteps.values().forEach(mPipeline::add);
             }
             if (!commit.submission().isEmpty()) {
                 Submission submission = commit.submission().get();
                 StepState step = new StepState(submission, context.now());
-                steps.put(submission.step(), step);
-                pipeline.add(step);
+                mSteps.put(submission.step(), step);
+                mPipeline.add(step);
                 accept(step, context);
             }
-            PendingBatch fixedBatch = batch;
-            boolean withBatch = fixedBatch != null && fixedBatch.isStored() && batchCommitSent;
+            PendingBatch fixedBatch = mBatch;
+            boolean withBatch = fixedBatch != null && fixedBatch.isStored() && mBatchCommitSent;
             if (withBatch && fixedBatch != null) {
                 applyCommittedBatch(fixedBatch, commit);
-                batch = null;
-                batchCommitSent = false;
+                mBatch = null;
+                mBatchCommitSent = false;
             }
-            log.onCommitted(commit);
-            steps.keySet().retainAll(commit.head().openSteps());
+            mLog.onCommitted(commit);
+            mSteps.keySet().retainAll(commit.head().openSteps());
         }
 
-        private boolean batchCommitSent;
+        private boolean mBatchCommitSent;
 
         private void applyCommittedBatch(PendingBatch fixedBatch, HeadCommit commit) {
-            long position = log.end();
+            long position = mLog.end();
             for (SampleState sample : fixedBatch.samples()) {
-                invariants.check(
+                mInvariants.check(
                         Invariant.SAMPLE_EXACTLY_ONCE,
                         sample.stage() == SampleState.Stage.BATCHED,
                         () -> sample.id() + " was fixed twice by " + commit.writer());
                 if (sample.isReplacement()) {
-                    log.onReplaced(sample.position());
+                    mLog.onReplaced(sample.position());
                 } else {
                     sample.group().step().onCommittedAt(position);
                     position++;
                 }
-                pipeline.onCommitted(sample);
+                mPipeline.onCommitted(sample);
             }
-            invariants.check(
+            mInvariants.check(
                     Invariant.SAMPLE_EXACTLY_ONCE,
                     position == commit.head().nextPosition(),
                     () -> "positions of " + commit.writer() + " do not follow each other");
         }
 
         void answerSubmittedStep(String knownObject, InvocationContext context) {
-            commits.clear();
-            RolloutEvent.GroupsSubmitted event = submissions.remove();
+            mCommits.clear();
+            RolloutEvent.GroupsSubmitted event = mSubmissions.remove();
             answerRepeat(event, knownObject, context);
         }
 
         void sealBatch(InvocationContext context) {
-            while (batch == null && batchBuilder.dueNanos() <= context.now()) {
-                List<SampleState> fresh = pipeline.withoutStale(batchBuilder.takeBatch(), context);
+            while (mBatch == null && mBatchBuilder.dueNanos() <= context.now()) {
+                List<SampleState> fresh =
+                        mPipeline.withoutStale(mBatchBuilder.takeBatch(), context);
                 if (!fresh.isEmpty()) {
-                    storedObjectCount++;
+                    mStoredObjectCount++;
                     String object =
                             "samples/"
                                     + context.trainer()
                                     + "/"
-                                    + tenureId
+                                    + mTenureId
                                     + "-"
-                                    + storedObjectCount;
+                                    + mStoredObjectCount;
                     PendingBatch next = new PendingBatch(object, fresh);
-                    batch = next;
+                    mBatch = next;
                     next.store(context);
                 }
             }
@@ -397,55 +399,55 @@
 
         void sendNextCommit(InvocationContext context) {
             answerWithoutCommit(context);
-            if (!commits.isIdle()) {
+            if (!mCommits.isIdle()) {
                 return;
             }
-            RolloutEvent.GroupsSubmitted submitted = submissions.peek();
+            RolloutEvent.GroupsSubmitted submitted = mSubmissions.peek();
             if (submitted != null) {
                 HeadCommit commit =
-                        commitFactory.submission(
-                                commits.nextWriter(),
-                                commits.headVersion(),
+                        mCommitFactory.submission(
+                                mCommits.nextWriter(),
+                                mCommits.headVersion(),
                                 submitted.submission());
-                commits.send(
+                mCommits.send(
                         commit,
                         new RolloutAction.CommitCursor(context.trainer(), context.term(), commit),
                         context);
-            } else if (batch != null && batch.isStored()) {
+            } else if (mBatch != null && mBatch.isStored()) {
                 HeadCommit commit =
-                        commitFactory.batch(commits.nextWriter(), commits.headVersion(), batch);
-                batchCommitSent = true;
-                cursorCommitDueAt = Duty.NO_TIMER;
-                commits.send(
+                        mCommitFactory.batch(mCommits.nextWriter(), mCommits.headVersion(), mBatch);
+                mBatchCommitSent = true;
+                mCursorCommitDueAt = Duty.NO_TIMER;
+                mCommits.send(
                         commit,
                         new RolloutAction.CommitBatch(context.trainer(), context.term(), commit),
                         context);
-            } else if (cursorCommitDueAt <= context.now()) {
+            } else if (mCursorCommitDueAt <= context.now()) {
                 sendCursor(this, context);
             }
         }
 
         long nextTimer() {
-            long next = pipeline.nextTimer();
-            if (batch != null) {
-                next = Math.min(next, batch.retryAt());
-            } else if (confirmed) {
-                next = Math.min(next, batchBuilder.dueNanos());
+            long next = mPipeline.nextTimer();
+            if (mBatch != null) {
+                next = Math.min(next, mBatch.retryAt());
+            } else if (mConfirmed) {
+                next = Math.min(next, mBatchBuilder.dueNanos());
             }
-            return confirmed && commits.isIdle() ? Math.min(next, cursorCommitDueAt) : next;
+            return mConfirmed && mCommits.isIdle() ? Math.min(next, mCursorCommitDueAt) : next;
         }
 
         /** Answers queued submissions that need no commit; stops while a commit is in progress. */
         private void answerWithoutCommit(InvocationContext context) {
-            while (commits.isIdle() && !submissions.isEmpty()) {
-                RolloutEvent.GroupsSubmitted event = submissions.element();
-                StepState known = steps.get(event.submission().step());
+            while (mCommits.isIdle() && !mSubmissions.isEmpty()) {
+                RolloutEvent.GroupsSubmitted event = mSubmissions.element();
+                StepState known = mSteps.get(event.submission().step());
                 if (known != null) {
-                    submissions.remove();
+                    mSubmissions.remove();
                     answerRepeat(event, known.submission().object(), context);
                 } else if (openSamples() + event.submission().sampleCount()
-                        > limits.maxOpenSamples()) {
-                    submissions.remove();
+                        > mLimits.maxOpenSamples()) {
+                    mSubmissions.remove();
                     refuse(event.request(), RolloutRefusal.TOO_MANY, context);
                 } else {
                     return;
@@ -454,11 +456,11 @@
         }
 
         private int openSamples() {
-            return steps.values().stream().mapToInt(StepState::total).sum();
+            return mSteps.values().stream().mapToInt(StepState::total).sum();
         }
 
         private void accept(StepState step, InvocationContext context) {
-            RolloutEvent.GroupsSubmitted event = submissions.remove();
+            RolloutEvent.GroupsSubmitted event = mSubmissions.remove();
             context.emit(
                     new RolloutAction.Accept(context.trainer(), event.request(), step.total()));
         }
@@ -476,10 +478,10 @@
         private void markCommitted(BatchRecord record) {
             long position = record.firstPosition();
             for (BatchEntry entry : record.entries()) {
-                StepState step = steps.get(entry.id().step());
+                StepState step = mSteps.get(entry.id().step());
                 if (step != null) {
                     SampleState sample = step.sample(entry.id());
-                    invariants.check(
+                    mInvariants.check(
                             Invariant.SAMPLE_EXACTLY_ONCE,
                             sample.stage() == SampleState.Stage.PENDING,
                             () -> entry.id() + " has two positions");
--- a/decisions/src/main/java/org/fuchsialever/decisions/usage/ReceivedHandovers.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/usage/ReceivedHandovers.java
@@ -10,36 +10,36 @@
  * handover within the timeout.
  */
 final class ReceivedHandovers {
-    private final int maxOwners;
-    private final TreeMap<StartId, ReceivedTotals> byOwner = new TreeMap<>();
+    private final int mMaxOwners;
+    private final TreeMap<StartId, ReceivedTotals> mByOwner = new TreeMap<>();
 
     ReceivedHandovers(int bound) {
-        this.maxOwners = bound;
+        mMaxOwners = bound;
     }
 
     /** Returns false if the handover is dropped because too many starts are held already. */
     boolean receive(UsageEvent.HandoverReceived handover, long nowNanos) {
-        ReceivedTotals entry = byOwner.get(handover.owner());
+        ReceivedTotals entry = mByOwner.get(handover.owner());
         if (entry == null) {
             if (handover.totals().isEmpty()) {
                 return true;
             }
-            if (byOwner.size() >= maxOwners) {
+            if (mByOwner.size() >= mMaxOwners) {
                 return false;
             }
             entry = new ReceivedTotals(handover.owner());
-            byOwner.put(handover.owner(), entry);
+            mByOwner.put(handover.owner(), entry);
         }
-        entry.lastReceivedNanos = nowNanos;
+        entry.mLastReceivedNanos = nowNanos;
         entry.receive(handover);
         if (entry.isDone()) {
-            byOwner.remove(handover.owner());
+            mByOwner.remove(handover.owner());
         }
         return true;
     }
 
     Option<StartRow> row(StartId owner) {
-        return Option.of(byOwner.get(owner)).map(entry -> entry.row);
+        return Option.of(mByOwner.get(owner)).map(entry -> entry.mRow);
     }
 
     /**
@@ -47,57 +47,57 @@
      * that chose another receiver, which is harmless because the totals are absolute.
      */
     void writeTimedOut(long nowNanos, ActionSink<UsageAction> actions) {
-        for (ReceivedTotals entry : byOwner.values()) {
-            if (nowNanos - entry.lastReceivedNanos >= UsageSettings.OWNER_TIMEOUT_NANOS
-                    && nowNanos - entry.lastWriteNanos >= UsageSettings.COMMIT_INTERVAL_NANOS) {
-                entry.lastWriteNanos = nowNanos;
-                entry.row.write(nowNanos, actions);
+        for (ReceivedTotals entry : mByOwner.values()) {
+            if (nowNanos - entry.mLastReceivedNanos >= UsageSettings.OWNER_TIMEOUT_NANOS
+                    && nowNanos - entry.mLastWriteNanos >= UsageSettings.COMMIT_INTERVAL_NANOS) {
+                entry.mLastWriteNanos = nowNanos;
+                entry.mRow.write(nowNanos, actions);
             }
         }
     }
 
     void removeIfWritten(StartId owner) {
-        ReceivedTotals entry = byOwner.get(owner);
-        if (entry != null && entry.row.isCommitted()) {
-            byOwner.remove(owner);
+        ReceivedTotals entry = mByOwner.get(owner);
+        if (entry != null && entry.mRow.isCommitted()) {
+            mByOwner.remove(owner);
         }
     }
 
     int dropBefore(WindowId oldest) {
         int lost = 0;
-        for (ReceivedTotals entry : byOwner.values()) {
-            lost += entry.row.dropBefore(oldest);
+        for (ReceivedTotals entry : mByOwner.values()) {
+            lost += entry.mRow.dropBefore(oldest);
         }
-        byOwner.values().removeIf(ReceivedTotals::isDone);
+        mByOwner.values().removeIf(ReceivedTotals::isDone);
         return lost;
     }
 
     private static final class ReceivedTotals {
-        private final StartRow row;
-        private final Map<WindowId, Long> sequences = new TreeMap<>();
-        private final Map<WindowId, Boolean> openWindows = new TreeMap<>();
-        private long lastReceivedNanos;
-        private long lastWriteNanos = Long.MIN_VALUE / 2;
+        private final StartRow mRow;
+        private final Map<WindowId, Long> mSequences = new TreeMap<>();
+        private final Map<WindowId, Boolean> mOpenWindows = new TreeMap<>();
+        private long mLastReceivedNanos;
+        private long mLastWriteNanos = Long.MIN_VALUE / 2;
 
         ReceivedTotals(StartId owner) {
-            row = new StartRow(owner);
+            mRow = new StartRow(owner);
         }
 
         void receive(UsageEvent.HandoverReceived handover) {
-            long known = sequences.getOrDefault(handover.window(), 0L);
+            long known = mSequences.getOrDefault(handover.window(), 0L);
             if (handover.sequence() <= known) {
                 return;
             }
-            sequences.put(handover.window(), handover.sequence());
-            openWindows.put(handover.window(), !handover.totals().isEmpty());
+            mSequences.put(handover.window(), handover.sequence());
+            mOpenWindows.put(handover.window(), !handover.totals().isEmpty());
             if (!handover.totals().isEmpty()) {
-                row.mergeMax(handover.window(), handover.totals());
+                mRow.mergeMax(handover.window(), handover.totals());
             }
         }
 
         boolean isDone() {
-            boolean allInTable = openWindows.values().stream().noneMatch(isOpen -> isOpen);
-            return !row.isWriting() && (allInTable || row.isCommitted());
+            boolean allInTable = mOpenWindows.values().stream().noneMatch(isOpen -> isOpen);
+            return !mRow.isWriting() && (allInTable || mRow.isCommitted());
         }
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/usage/StartRow.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/usage/StartRow.java
@@ -7,41 +7,41 @@
 
 /** Usage totals of one start and the known state of its row in the table. */
 final class StartRow {
-    private final StartId owner;
-    private final UsageTotals totals = new UsageTotals();
-    private final TreeMap<WindowId, Long> lastChanges = new TreeMap<>();
-    private long lastChange;
-    private long committedChange;
-    private long version;
-    private boolean writing;
-    private long writingSince;
+    private final StartId mOwner;
+    private final UsageTotals mTotals = new UsageTotals();
+    private final TreeMap<WindowId, Long> mLastChanges = new TreeMap<>();
+    private long mLastChange;
+    private long mCommittedChange;
+    private long mVersion;
+    private boolean mWriting;
+    private long mWritingSince;
 
     StartRow(StartId owner) {
-        this.owner = owner;
+        mOwner = owner;
     }
 
     UsageTotals totals() {
-        return totals;
+        return mTotals;
     }
 
     void add(WindowId window, UsageKey key, UsageCounts counts) {
-        totals.add(window, key, counts);
-        lastChanges.put(window, ++lastChange);
+        mTotals.add(window, key, counts);
+        mLastChanges.put(window, ++mLastChange);
     }
 
     void mergeMax(WindowId window, Map<UsageKey, UsageCounts> newer) {
-        totals.mergeMax(window, newer);
-        lastChanges.put(window, ++lastChange);
+        mTotals.mergeMax(window, newer);
+        mLastChanges.put(window, ++mLastChange);
     }
 
     /** Returns the windows with totals that are not known to be in the table. */
     TreeSet<WindowId> uncommitted() {
-        return changedAfter(committedChange);
+        return changedAfter(mCommittedChange);
     }
 
     TreeSet<WindowId> changedAfter(long number) {
         TreeSet<WindowId> result = new TreeSet<>();
-        lastChanges.forEach(
+        mLastChanges.forEach(
                 (window, last) -> {
                     if (last > number) {
                         result.add(window);
@@ -51,11 +51,11 @@
     }
 
     long lastChange() {
-        return lastChange;
+        return mLastChange;
     }
 
     boolean isWriting() {
-        return writing;
+        return mWriting;
     }
 
     boolean isCommitted() {
@@ -64,38 +64,38 @@
 
     void write(long nowNanos, ActionSink<UsageAction> actions) {
         // The result of a write is lost if the ring of the duty is full. Writing again is harmless.
-        if (writing && nowNanos - writingSince >= UsageSettings.WRITE_TIMEOUT_NANOS) {
-            writing = false;
+        if (mWriting && nowNanos - mWritingSince >= UsageSettings.WRITE_TIMEOUT_NANOS) {
+            mWriting = false;
         }
-        if (!writing && !isCommitted()) {
-            writing = true;
-            writingSince = nowNanos;
-            actions.emit(new UsageAction.WriteRow(owner, version, lastChange, totals.copy()));
+        if (!mWriting && !isCommitted()) {
+            mWriting = true;
+            mWritingSince = nowNanos;
+            actions.emit(new UsageAction.WriteRow(mOwner, mVersion, mLastChange, mTotals.copy()));
         }
     }
 
     void committed(long newVersion, long writtenChange) {
-        writing = false;
-        version = Math.max(version, newVersion);
-        committedChange = Math.max(committedChange, writtenChange);
+        mWriting = false;
+        mVersion = Math.max(mVersion, newVersion);
+        mCommittedChange = Math.max(mCommittedChange, writtenChange);
     }
 
     /** Merges the current content of the row, so that the next write preserves it. */
     void conflicted(long currentVersion, UsageTotals current) {
-        writing = false;
-        version = currentVersion;
-        totals.mergeMax(current);
+        mWriting = false;
+        mVersion = currentVersion;
+        mTotals.mergeMax(current);
     }
 
     void failed() {
-        writing = false;
+        mWriting = false;
     }
 
     /** Drops old windows and returns how many of them had not been written. */
     int dropBefore(WindowId oldest) {
         int lost = uncommitted().headSet(oldest).size();
-        totals.dropBefore(oldest);
-        lastChanges.headMap(oldest).clear();
+        mTotals.dropBefore(oldest);
+        mLastChanges.headMap(oldest).clear();
         return lost;
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/usage/UsageDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/usage/UsageDuty.java
@@ -19,21 +19,21 @@
     /** Handovers may be lost, so every tenth one repeats all uncommitted windows. */
     private static final int FULL_HANDOVER_PERIOD = 10;
 
-    private final StartId self;
-    private final FailureDomain domain;
-    private final UsageSettings settings;
-    private final StartRow ownRow;
-    private final ReceivedHandovers receivedHandovers;
-
-    private long nextHandoverNanos;
-    private long nextCommitNanos;
-    private long newestWallMillis;
-    private long sequence;
-    private long sentChange;
-    private int handoverCount;
-    private Option<UsageEvent.Peer> receiver = Option.none();
-    private Set<WindowId> sentWindows = new TreeSet<>();
-    private boolean stopping;
+    private final StartId mSelf;
+    private final FailureDomain mDomain;
+    private final UsageSettings mSettings;
+    private final StartRow mOwnRow;
+    private final ReceivedHandovers mReceivedHandovers;
+
+    private long mNextHandoverNanos;
+    private long mNextCommitNanos;
+    private long mNewestWallMillis;
+    private long mSequence;
+    private long mSentChange;
+    private int mHandoverCount;
+    private Option<UsageEvent.Peer> mReceiver = Option.none();
+    private Set<WindowId> mSentWindows = new TreeSet<>();
+    private boolean mStopping;
 
     /**
      * Creates the duty.
@@ -50,13 +50,13 @@
             UsageSettings settings,
             long startNanos,
             long phaseNanos) {
-        this.self = self;
-        this.domain = domain;
-        this.settings = settings;
-        this.ownRow = new StartRow(self);
-        this.receivedHandovers = new ReceivedHandovers(settings.maxHandovers());
-        this.nextHandoverNanos = startNanos + UsageSettings.HANDOVER_INTERVAL_NANOS;
-        this.nextCommitNanos = startNanos + phaseNanos;
+        mSelf = self;
+        mDomain = domain;
+        mSettings = settings;
+        mOwnRow = new StartRow(self);
+        mReceivedHandovers = new ReceivedHandovers(settings.maxHandovers());
+        mNextHandoverNanos = startNanos + UsageSettings.HANDOVER_INTERVAL_NANOS;
+        mNextCommitNanos = startNanos + phaseNanos;
     }
 
     @Override
@@ -69,7 +69,7 @@
         if (event instanceof UsageEvent.Used used) {
             count(used, actions);
         } else if (event instanceof UsageEvent.HandoverReceived handover) {
-            if (!receivedHandovers.receive(handover, nowNanos)) {
+            if (!mReceivedHandovers.receive(handover, nowNanos)) {
                 actions.emit(new UsageAction.Lost(Reason.TOO_MANY_HANDOVERS, 1));
             }
         } else if (event instanceof UsageEvent.PeersListed listed) {
@@ -77,7 +77,7 @@
         } else if (event instanceof UsageEvent.RowCommitted committed) {
             row(committed.owner())
                     .forEach(row -> row.committed(committed.version(), committed.change()));
-            receivedHandovers.removeIfWritten(committed.owner());
+            mReceivedHandovers.removeIfWritten(committed.owner());
             finishStop(committed.owner(), nowNanos, actions);
         } else if (event instanceof UsageEvent.RowConflicted conflict) {
             for (StartRow row : row(conflict.owner())) {
@@ -87,46 +87,46 @@
         } else if (event instanceof UsageEvent.RowFailed failure) {
             row(failure.owner()).forEach(StartRow::failed);
         } else if (event instanceof UsageEvent.Stop) {
-            stopping = true;
-            ownRow.write(nowNanos, actions);
-            finishStop(self, nowNanos, actions);
+            mStopping = true;
+            mOwnRow.write(nowNanos, actions);
+            finishStop(mSelf, nowNanos, actions);
         }
     }
 
     @Override
     public void onTimer(long nowNanos, ActionSink<UsageAction> actions) {
-        if (nextHandoverNanos <= nowNanos) {
-            nextHandoverNanos = nowNanos + UsageSettings.HANDOVER_INTERVAL_NANOS;
+        if (mNextHandoverNanos <= nowNanos) {
+            mNextHandoverNanos = nowNanos + UsageSettings.HANDOVER_INTERVAL_NANOS;
             actions.emit(new UsageAction.ListPeers());
             sendHandovers(actions);
-            receivedHandovers.writeTimedOut(nowNanos, actions);
+            mReceivedHandovers.writeTimedOut(nowNanos, actions);
         }
-        if (nextCommitNanos <= nowNanos) {
-            nextCommitNanos = nowNanos + UsageSettings.COMMIT_INTERVAL_NANOS;
+        if (mNextCommitNanos <= nowNanos) {
+            mNextCommitNanos = nowNanos + UsageSettings.COMMIT_INTERVAL_NANOS;
             expire(actions);
-            ownRow.write(nowNanos, actions);
+            mOwnRow.write(nowNanos, actions);
         }
     }
 
     @Override
     public long nextTimerNanos() {
-        return Math.min(nextHandoverNanos, nextCommitNanos);
+        return Math.min(mNextHandoverNanos, mNextCommitNanos);
     }
 
     private void count(UsageEvent.Used used, ActionSink<UsageAction> actions) {
-        newestWallMillis = Math.max(newestWallMillis, used.wallMillis());
-        WindowId window = WindowId.at(used.wallMillis(), settings.windowMillis());
-        UsageTotals totals = ownRow.totals();
-        if (totals.size() >= settings.maxTotals() && !totals.contains(window, used.key())) {
+        mNewestWallMillis = Math.max(mNewestWallMillis, used.wallMillis());
+        WindowId window = WindowId.at(used.wallMillis(), mSettings.windowMillis());
+        UsageTotals totals = mOwnRow.totals();
+        if (totals.size() >= mSettings.maxTotals() && !totals.contains(window, used.key())) {
             actions.emit(new UsageAction.Lost(Reason.TOO_MANY_TOTALS, used.counts().requests()));
             return;
         }
-        ownRow.add(window, used.key(), used.counts());
+        mOwnRow.add(window, used.key(), used.counts());
     }
 
     private void expire(ActionSink<UsageAction> actions) {
-        WindowId oldest = settings.oldestOpen(newestWallMillis);
-        int lost = ownRow.dropBefore(oldest) + receivedHandovers.dropBefore(oldest);
+        WindowId oldest = mSettings.oldestOpen(mNewestWallMillis);
+        int lost = mOwnRow.dropBefore(oldest) + mReceivedHandovers.dropBefore(oldest);
         if (lost > 0) {
             actions.emit(new UsageAction.Lost(Reason.WINDOW_EXPIRED, lost));
         }
@@ -134,72 +134,72 @@
 
     /** Keeps the receiver while it is listed, so that one peer holds all uncommitted totals. */
     private void chooseReceiver(List<UsageEvent.Peer> peers) {
-        if (receiver.exists(peers::contains)) {
+        if (mReceiver.exists(peers::contains)) {
             return;
         }
         Option<UsageEvent.Peer> next =
                 Option.ofOptional(
                         peers.stream()
-                                .filter(peer -> !peer.domain().equals(domain))
+                                .filter(peer -> !peer.domain().equals(mDomain))
                                 .min(
                                         Comparator.comparingLong(this::rank)
                                                 .thenComparing(UsageEvent.Peer::instance)));
-        if (!next.equals(receiver)) {
-            receiver = next;
-            sentChange = 0;
-            sentWindows = new TreeSet<>();
+        if (!next.equals(mReceiver)) {
+            mReceiver = next;
+            mSentChange = 0;
+            mSentWindows = new TreeSet<>();
         }
     }
 
     /** Returns a pseudo-random rank, which distributes the handovers of all instances evenly. */
     private long rank(UsageEvent.Peer peer) {
-        return (self.instance().value() + ">" + peer.instance().value()).hashCode();
+        return (mSelf.instance().value() + ">" + peer.instance().value()).hashCode();
     }
 
     private void sendHandovers(ActionSink<UsageAction> actions) {
-        if (receiver.isEmpty()) {
+        if (mReceiver.isEmpty()) {
             return;
         }
-        TreeSet<WindowId> uncommitted = ownRow.uncommitted();
+        TreeSet<WindowId> uncommitted = mOwnRow.uncommitted();
         TreeSet<WindowId> due = new TreeSet<>(uncommitted);
-        if (handoverCount++ % FULL_HANDOVER_PERIOD != 0) {
-            due.retainAll(ownRow.changedAfter(sentChange));
+        if (mHandoverCount++ % FULL_HANDOVER_PERIOD != 0) {
+            due.retainAll(mOwnRow.changedAfter(mSentChange));
             if (due.isEmpty() && !uncommitted.isEmpty()) {
                 // Tells the receiver that this start is still alive.
                 due.add(uncommitted.last());
             }
         }
-        sentChange = ownRow.lastChange();
+        mSentChange = mOwnRow.lastChange();
         for (WindowId window : due) {
-            sendHandover(window, ownRow.totals(), actions);
+            sendHandover(window, mOwnRow.totals(), actions);
         }
-        sentWindows.removeAll(uncommitted);
-        for (WindowId window : sentWindows) {
+        mSentWindows.removeAll(uncommitted);
+        for (WindowId window : mSentWindows) {
             sendHandover(window, new UsageTotals(), actions);
         }
-        sentWindows = uncommitted;
+        mSentWindows = uncommitted;
     }
 
     private void sendHandover(
             WindowId window, UsageTotals totals, ActionSink<UsageAction> actions) {
-        for (UsageEvent.Peer peer : receiver) {
+        for (UsageEvent.Peer peer : mReceiver) {
             actions.emit(
                     new UsageAction.SendHandover(
-                            peer.instance(), self, window, ++sequence, totals.of(window)));
+                            peer.instance(), mSelf, window, ++mSequence, totals.of(window)));
         }
     }
 
     private void finishStop(StartId owner, long nowNanos, ActionSink<UsageAction> actions) {
-        if (stopping && owner.equals(self) && !ownRow.isWriting()) {
-            if (ownRow.isCommitted()) {
+        if (mStopping && owner.equals(mSelf) && !mOwnRow.isWriting()) {
+            if (mOwnRow.isCommitted()) {
                 actions.emit(new UsageAction.Stopped());
             } else {
-                ownRow.write(nowNanos, actions);
+                mOwnRow.write(nowNanos, actions);
             }
         }
     }
 
     private Option<StartRow> row(StartId owner) {
-        return owner.equals(self) ? Option.some(ownRow) : receivedHandovers.row(owner);
+        return owner.equals(mSelf) ? Option.some(mOwnRow) : mReceivedHandovers.row(owner);
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/usage/UsageTotals.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/usage/UsageTotals.java
@@ -6,7 +6,7 @@
 
 /** Absolute totals by window. Totals of one start only grow. Not thread-safe. */
 public final class UsageTotals {
-    private final TreeMap<WindowId, TreeMap<UsageKey, UsageCounts>> windows = new TreeMap<>();
+    private final TreeMap<WindowId, TreeMap<UsageKey, UsageCounts>> mWindows = new TreeMap<>();
 
     /** Adds counts to one total. */
     public void add(WindowId window, UsageKey key, UsageCounts counts) {
@@ -21,17 +21,17 @@
 
     /** Merges the totals of all windows by the maximum of each count; idempotent. */
     public void mergeMax(UsageTotals other) {
-        other.windows.forEach(this::mergeMax);
+        other.mWindows.forEach(this::mergeMax);
     }
 
     /** Returns the totals of a window, possibly empty. */
     public Map<UsageKey, UsageCounts> of(WindowId window) {
-        return Map.copyOf(windows.getOrDefault(window, new TreeMap<>()));
+        return Map.copyOf(mWindows.getOrDefault(window, new TreeMap<>()));
     }
 
     /** Returns the windows that have totals. */
     public NavigableSet<WindowId> windows() {
-        return windows.navigableKeySet();
+        return mWindows.navigableKeySet();
     }
 
     /** Returns a copy, which does not change with this object. */
@@ -43,37 +43,37 @@
 
     /** Removes all windows before the given one and returns their number. */
     public int dropBefore(WindowId oldest) {
-        int before = windows.size();
-        windows.headMap(oldest).clear();
-        return before - windows.size();
+        int before = mWindows.size();
+        mWindows.headMap(oldest).clear();
+        return before - mWindows.size();
     }
 
     /** Returns the number of totals. */
     public int size() {
-        return windows.values().stream().mapToInt(Map::size).sum();
+        return mWindows.values().stream().mapToInt(Map::size).sum();
     }
 
     /** Returns whether there is a total for a window and key. */
     public boolean contains(WindowId window, UsageKey key) {
-        return windows.getOrDefault(window, new TreeMap<>()).containsKey(key);
+        return mWindows.getOrDefault(window, new TreeMap<>()).containsKey(key);
     }
 
     private TreeMap<UsageKey, UsageCounts> window(WindowId window) {
-        return windows.computeIfAbsent(window, w -> new TreeMap<>());
+        return mWindows.computeIfAbsent(window, w -> new TreeMap<>());
     }
 
     @Override
     public boolean equals(Object other) {
-        return other instanceof UsageTotals totals && windows.equals(totals.windows);
+        return other instanceof UsageTotals totals && mWindows.equals(totals.mWindows);
     }
 
     @Override
     public int hashCode() {
-        return windows.hashCode();
+        return mWindows.hashCode();
     }
 
     @Override
     public String toString() {
-        return windows.toString();
+        return mWindows.toString();
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/usage/WindowCloser.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/usage/WindowCloser.java
@@ -31,20 +31,20 @@
 
     private static final long POLL_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
 
-    private final UsageSettings settings;
-    private final long requestTimeoutNanos;
-    private final WindowReport.Encoder encoder;
-    private final InvariantMonitor invariants;
+    private final UsageSettings mSettings;
+    private final long mRequestTimeoutNanos;
+    private final WindowReport.Encoder mEncoder;
+    private final InvariantMonitor mInvariants;
 
-    private final Map<String, HeldLease> leases = new TreeMap<>();
-    private final TreeMap<WindowId, ClosedWindow> closed = new TreeMap<>();
-    private final TreeMap<WindowId, String> sent = new TreeMap<>();
-    private final TreeSet<WindowId> accepted = new TreeSet<>();
-    private final TreeSet<WindowId> refused = new TreeSet<>();
-    private final Set<WindowId> sending = new HashSet<>();
-    private Option<WindowId> closing = Option.none();
-    private boolean reading;
-    private long nextPollNanos;
+    private final Map<String, HeldLease> mLeases = new TreeMap<>();
+    private final TreeMap<WindowId, ClosedWindow> mClosed = new TreeMap<>();
+    private final TreeMap<WindowId, String> mSent = new TreeMap<>();
+    private final TreeSet<WindowId> mAccepted = new TreeSet<>();
+    private final TreeSet<WindowId> mRefused = new TreeSet<>();
+    private final Set<WindowId> mSending = new HashSet<>();
+    private Option<WindowId> mClosing = Option.none();
+    private boolean mReading;
+    private long mNextPollNanos;
 
     /**
      * Creates the duty.
@@ -61,11 +61,11 @@
             WindowReport.Encoder encoder,
             InvariantMonitor invariants,
             long startNanos) {
-        this.settings = settings;
-        this.requestTimeoutNanos = requestTimeout.toNanos();
-        this.encoder = encoder;
-        this.invariants = invariants;
-        this.nextPollNanos = startNanos + POLL_INTERVAL_NANOS;
+        mSettings = settings;
+        mRequestTimeoutNanos = requestTimeout.toNanos();
+        mEncoder = encoder;
+        mInvariants = invariants;
+        mNextPollNanos = startNanos + POLL_INTERVAL_NANOS;
     }
 
     /** Returns the name of a role. */
@@ -82,21 +82,21 @@
     public void onEvent(
             WindowCloserEvent event, long nowNanos, ActionSink<WindowCloserAction> actions) {
         if (event instanceof WindowCloserEvent.LeaseAcquired acquired) {
-            leases.put(acquired.lease().role(), new HeldLease(acquired.lease(), nowNanos));
+            mLeases.put(acquired.lease().role(), new HeldLease(acquired.lease(), nowNanos));
         } else if (event instanceof WindowCloserEvent.LeaseLost lost) {
-            leases.remove(lost.role());
+            mLeases.remove(lost.role());
         } else if (event instanceof WindowCloserEvent.RowsRead rows) {
-            reading = false;
+            mReading = false;
             onRows(rows, nowNanos, actions);
         } else if (event instanceof WindowCloserEvent.ReadFailed) {
-            reading = false;
+            mReading = false;
         } else if (event instanceof WindowCloserEvent.WindowClosed result) {
-            closing = Option.none();
-            closed.put(result.window(), result.closed());
+            mClosing = Option.none();
+            mClosed.put(result.window(), result.closed());
             report(result.window(), nowNanos, actions);
             poll(actions);
         } else if (event instanceof WindowCloserEvent.CloseFailed) {
-            closing = Option.none();
+            mClosing = Option.none();
         } else {
             onReportAnswered(event, actions);
         }
@@ -104,18 +104,18 @@
 
     @Override
     public void onTimer(long nowNanos, ActionSink<WindowCloserAction> actions) {
-        nextPollNanos = nowNanos + POLL_INTERVAL_NANOS;
+        mNextPollNanos = nowNanos + POLL_INTERVAL_NANOS;
         poll(actions);
     }
 
     @Override
     public long nextTimerNanos() {
-        return nextPollNanos;
+        return mNextPollNanos;
     }
 
     private void poll(ActionSink<WindowCloserAction> actions) {
-        if (!reading && !leases.isEmpty()) {
-            reading = true;
+        if (!mReading && !mLeases.isEmpty()) {
+            mReading = true;
             actions.emit(new WindowCloserAction.ReadRows());
         }
     }
@@ -125,16 +125,16 @@
             long nowNanos,
             ActionSink<WindowCloserAction> actions) {
         dropBefore(new WindowId(rows.wallMillis() - CLOSED_WINDOW_LOOKBACK.toMillis()));
-        closed.putAll(rows.closed());
-        for (WindowId window : closed.keySet()) {
+        mClosed.putAll(rows.closed());
+        for (WindowId window : mClosed.keySet()) {
             if (!rows.reported().contains(window)) {
                 report(window, nowNanos, actions);
             }
         }
-        if (closing.isEmpty()) {
+        if (mClosing.isEmpty()) {
             closeNext(rows, actions);
         }
-        if (leases.containsKey(role(0))) {
+        if (mLeases.containsKey(role(0))) {
             deleteOldRows(rows, actions);
         }
     }
@@ -142,7 +142,7 @@
     /** Deletes rows whose windows all stopped accepting contributions; no closer needs them. */
     private void deleteOldRows(
             WindowCloserEvent.RowsRead rows, ActionSink<WindowCloserAction> actions) {
-        WindowId oldest = settings.oldestOpen(rows.wallMillis());
+        WindowId oldest = mSettings.oldestOpen(rows.wallMillis());
         rows.contributions()
                 .forEach(
                         (start, totals) -> {
@@ -153,25 +153,26 @@
     }
 
     private void report(WindowId window, long nowNanos, ActionSink<WindowCloserAction> actions) {
-        HeldLease held = leases.get(roleOf(window));
-        ClosedWindow closedWindow = closed.get(window);
-        if (held == null || closedWindow == null || refused.contains(window)) {
+        HeldLease held = mLeases.get(roleOf(window));
+        ClosedWindow closedWindow = mClosed.get(window);
+        if (held == null || closedWindow == null || mRefused.contains(window)) {
             return;
         }
-        if (accepted.contains(window)) {
+        if (mAccepted.contains(window)) {
             actions.emit(new WindowCloserAction.MarkReported(window));
             return;
         }
         // A report of a previous holder may be in transit until the receiver drops its connection.
         boolean own = closedWindow.fencing() == held.lease.fencing();
-        if ((own || nowNanos - held.acquiredNanos >= requestTimeoutNanos) && sending.add(window)) {
-            String earlier = sent.getOrDefault(window, closedWindow.report());
-            invariants.check(
+        if ((own || nowNanos - held.acquiredNanos >= mRequestTimeoutNanos)
+                && mSending.add(window)) {
+            String earlier = mSent.getOrDefault(window, closedWindow.report());
+            mInvariants.check(
                     Invariant.USAGE_WINDOW_FIXED,
                     earlier.equals(closedWindow.report()),
                     () -> "window " + window.label() + " was reported with other figures");
             if (earlier.equals(closedWindow.report())) {
-                sent.put(window, earlier);
+                mSent.put(window, earlier);
                 actions.emit(new WindowCloserAction.SendReport(window, held.lease, earlier));
             }
         }
@@ -181,7 +182,7 @@
             WindowCloserEvent.RowsRead rows, ActionSink<WindowCloserAction> actions) {
         TreeSet<WindowId> candidates = candidates(rows);
         for (WindowId window : candidates) {
-            HeldLease held = leases.get(roleOf(window));
+            HeldLease held = mLeases.get(roleOf(window));
             if (held == null) {
                 continue;
             }
@@ -191,9 +192,9 @@
                     window, IncludedTotals.empty().merge(window, rows.contributions(), totals));
             WindowReport report = new WindowReport(window, totals, corrections(rows, included));
             if (!report.isEmpty()) {
-                closing = Option.some(window);
+                mClosing = Option.some(window);
                 ClosedWindow closedWindow =
-                        new ClosedWindow(held.lease.fencing(), encoder.encode(report));
+                        new ClosedWindow(held.lease.fencing(), mEncoder.encode(report));
                 actions.emit(
                         new WindowCloserAction.CloseWindow(
                                 window, held.lease, closedWindow, included));
@@ -206,15 +207,15 @@
     private TreeSet<WindowId> candidates(WindowCloserEvent.RowsRead rows) {
         TreeSet<WindowId> windows = new TreeSet<>();
         rows.contributions().values().forEach(totals -> windows.addAll(totals.windows()));
-        long lastEnd = rows.wallMillis() - settings.closeDelayMillis();
+        long lastEnd = rows.wallMillis() - mSettings.closeDelayMillis();
         WindowId newest =
                 new WindowId(
-                        WindowId.at(lastEnd, settings.windowMillis()).startMillis()
-                                - settings.windowMillis());
+                        WindowId.at(lastEnd, mSettings.windowMillis()).startMillis()
+                                - mSettings.windowMillis());
         windows.add(newest);
         windows.removeIf(window -> window.compareTo(newest) > 0);
-        windows.removeIf(window -> window.compareTo(settings.oldestOpen(rows.wallMillis())) < 0);
-        windows.removeAll(closed.keySet());
+        windows.removeIf(window -> window.compareTo(mSettings.oldestOpen(rows.wallMillis())) < 0);
+        windows.removeAll(mClosed.keySet());
         return windows;
     }
 
@@ -226,7 +227,7 @@
     private SortedMap<WindowId, SortedMap<UsageKey, UsageCounts>> corrections(
             WindowCloserEvent.RowsRead rows, Map<WindowId, IncludedTotals> raised) {
         SortedMap<WindowId, SortedMap<UsageKey, UsageCounts>> corrections = new TreeMap<>();
-        WindowId oldest = settings.oldestOpen(rows.wallMillis());
+        WindowId oldest = mSettings.oldestOpen(rows.wallMillis());
         rows.included()
                 .forEach(
                         (window, known) -> {
@@ -243,30 +244,30 @@
 
     private void onReportAnswered(WindowCloserEvent event, ActionSink<WindowCloserAction> actions) {
         if (event instanceof WindowCloserEvent.ReportAccepted result) {
-            sending.remove(result.window());
-            accepted.add(result.window());
+            mSending.remove(result.window());
+            mAccepted.add(result.window());
             actions.emit(new WindowCloserAction.MarkReported(result.window()));
         } else if (event instanceof WindowCloserEvent.ReportRefused result) {
-            sending.remove(result.window());
-            refused.add(result.window());
-            invariants.reportViolation(
+            mSending.remove(result.window());
+            mRefused.add(result.window());
+            mInvariants.reportViolation(
                     Invariant.USAGE_WINDOW_FIXED,
                     "the receiver has other figures for " + result.window().label());
         } else if (event instanceof WindowCloserEvent.ReportFailed result) {
-            sending.remove(result.window());
+            mSending.remove(result.window());
         }
     }
 
     private void dropBefore(WindowId oldest) {
-        closed.headMap(oldest).clear();
-        sent.headMap(oldest).clear();
-        accepted.headSet(oldest).clear();
-        refused.headSet(oldest).clear();
+        mClosed.headMap(oldest).clear();
+        mSent.headMap(oldest).clear();
+        mAccepted.headSet(oldest).clear();
+        mRefused.headSet(oldest).clear();
     }
 
     private String roleOf(WindowId window) {
         return role(
-                (int) Math.floorMod(window.startMillis() / settings.windowMillis(), ROLE_COUNT));
+                (int) Math.floorMod(window.startMillis() / mSettings.windowMillis(), ROLE_COUNT));
     }
 
     private record HeldLease(WindowLease lease, long acquiredNanos) {}
--- a/decisions/src/main/java/org/fuchsialever/decisions/version/VersionDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/version/VersionDuty.java
@@ -26,16 +26,16 @@
     /** Delay before the next order to an upstream that refused one or sent no report. */
     private static final long REFUSAL_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-    private final Map<String, Long> announcedVersions = new HashMap<>();
-    private final Map<String, Long> newestMinVersions = new HashMap<>();
-    private final Map<String, Long> maxLags = new HashMap<>();
-    private final Map<String, PendingLoad> pending = new HashMap<>();
-    private final Map<String, Long> backoffUntil = new HashMap<>();
-    private Map<String, List<String>> modelsByService = Map.of();
-    private final Map<String, FleetUpstream> upstreams = new HashMap<>();
-    private long fencing;
-    private boolean holding;
-    private long nextTimer = NO_TIMER;
+    private final Map<String, Long> mAnnouncedVersions = new HashMap<>();
+    private final Map<String, Long> mNewestMinVersions = new HashMap<>();
+    private final Map<String, Long> mMaxLags = new HashMap<>();
+    private final Map<String, PendingLoad> mPending = new HashMap<>();
+    private final Map<String, Long> mBackoffUntil = new HashMap<>();
+    private Map<String, List<String>> mModelsByService = Map.of();
+    private final Map<String, FleetUpstream> mUpstreams = new HashMap<>();
+    private long mFencing;
+    private boolean mHolding;
+    private long mNextTimer = NO_TIMER;
 
     @Override
     public String dutyName() {
@@ -47,15 +47,15 @@
         if (event instanceof VersionEvent.FleetChanged changed) {
             fleetChanged(changed);
         } else if (event instanceof VersionEvent.VersionAnnounced version) {
-            announcedVersions.merge(version.model(), version.version(), Math::max);
+            mAnnouncedVersions.merge(version.model(), version.version(), Math::max);
         } else if (event instanceof VersionEvent.MinVersionRequested requested) {
             minVersionRequested(requested);
         } else if (event instanceof VersionEvent.RoleAcquired acquired) {
-            holding = true;
-            fencing = acquired.fencing();
+            mHolding = true;
+            mFencing = acquired.fencing();
         } else if (event instanceof VersionEvent.RoleLost) {
-            holding = false;
-            pending.clear();
+            mHolding = false;
+            mPending.clear();
         } else if (event instanceof VersionEvent.Reported report) {
             reported(report, nowNanos, actions);
         } else if (event instanceof VersionEvent.ReportFailed failed) {
@@ -68,144 +68,145 @@
 
     @Override
     public void onTimer(long nowNanos, ActionSink<VersionAction> actions) {
-        nextTimer = NO_TIMER;
-        for (Map.Entry<String, PendingLoad> entry : List.copyOf(pending.entrySet())) {
+        mNextTimer = NO_TIMER;
+        for (Map.Entry<String, PendingLoad> entry : List.copyOf(mPending.entrySet())) {
             PendingLoad load = entry.getValue();
-            if (nowNanos - load.since >= ORDER_TIMEOUT_NANOS) {
+            if (nowNanos - load.mSince >= ORDER_TIMEOUT_NANOS) {
                 abandon(entry.getKey(), nowNanos);
-            } else if (load.checkAt <= nowNanos) {
-                load.checkAt = NO_TIMER;
-                actions.emit(new VersionAction.ReadReport(load.order.upstream()));
+            } else if (load.mCheckAt <= nowNanos) {
+                load.mCheckAt = NO_TIMER;
+                actions.emit(new VersionAction.ReadReport(load.mOrder.upstream()));
             }
         }
-        backoffUntil.values().removeIf(until -> until <= nowNanos);
+        mBackoffUntil.values().removeIf(until -> until <= nowNanos);
         plan(nowNanos, actions);
     }
 
     @Override
     public long nextTimerNanos() {
-        return nextTimer;
+        return mNextTimer;
     }
 
     /** Derives how many versions behind the announced one the items of a model may run. */
     private void minVersionRequested(VersionEvent.MinVersionRequested requested) {
         long newest = requested.minVersion();
-        if (newest >= newestMinVersions.getOrDefault(requested.model(), 0L)) {
-            newestMinVersions.put(requested.model(), newest);
-            maxLags.put(
+        if (newest >= mNewestMinVersions.getOrDefault(requested.model(), 0L)) {
+            mNewestMinVersions.put(requested.model(), newest);
+            mMaxLags.put(
                     requested.model(),
                     Math.max(
-                            0, announcedVersions.getOrDefault(requested.model(), newest) - newest));
+                            0,
+                            mAnnouncedVersions.getOrDefault(requested.model(), newest) - newest));
         }
     }
 
     private void fleetChanged(VersionEvent.FleetChanged changed) {
-        modelsByService = changed.modelsByService();
-        upstreams.clear();
-        changed.upstreams().forEach(upstream -> upstreams.put(upstream.id(), upstream));
-        pending.values()
+        mModelsByService = changed.modelsByService();
+        mUpstreams.clear();
+        changed.upstreams().forEach(upstream -> mUpstreams.put(upstream.id(), upstream));
+        mPending.values()
                 .removeIf(
                         load -> {
-                            FleetUpstream now = upstreams.get(load.order.upstream().id());
+                            FleetUpstream now = mUpstreams.get(load.mOrder.upstream().id());
                             return now == null || load.isDoneAt(now.versions());
                         });
     }
 
     private void reported(
             VersionEvent.Reported report, long now, ActionSink<VersionAction> actions) {
-        FleetUpstream known = upstreams.get(report.upstream());
+        FleetUpstream known = mUpstreams.get(report.upstream());
         if (known != null) {
-            upstreams.put(known.id(), withVersions(known, report.versions()));
+            mUpstreams.put(known.id(), withVersions(known, report.versions()));
         }
-        PendingLoad load = pending.get(report.upstream());
+        PendingLoad load = mPending.get(report.upstream());
         if (load == null) {
             return;
         }
         if (load.isDoneAt(report.versions())) {
-            pending.remove(report.upstream());
-        } else if (report.busy() || load.ordered && report.sequence() > load.sequence) {
-            load.checkAt = now + CHECK_INTERVAL_NANOS;
-        } else if (!load.ordered && holding) {
-            load.ordered = true;
-            load.sequence = report.sequence();
-            load.checkAt = now + FIRST_CHECK_DELAY_NANOS;
-            actions.emit(new VersionAction.SendOrder(load.order, fencing, report.sequence()));
+            mPending.remove(report.upstream());
+        } else if (report.busy() || load.mOrdered && report.sequence() > load.mSequence) {
+            load.mCheckAt = now + CHECK_INTERVAL_NANOS;
+        } else if (!load.mOrdered && mHolding) {
+            load.mOrdered = true;
+            load.mSequence = report.sequence();
+            load.mCheckAt = now + FIRST_CHECK_DELAY_NANOS;
+            actions.emit(new VersionAction.SendOrder(load.mOrder, mFencing, report.sequence()));
         } else {
             // No effect so far. If the order still arrives, its condition on the number protects.
-            load.ordered = false;
-            load.checkAt = now + CHECK_INTERVAL_NANOS;
+            load.mOrdered = false;
+            load.mCheckAt = now + CHECK_INTERVAL_NANOS;
         }
     }
 
     private void orderEnded(VersionEvent.OrderEnded ended, long now) {
-        PendingLoad load = pending.get(ended.upstream());
+        PendingLoad load = mPending.get(ended.upstream());
         if (load == null) {
             return;
         }
         switch (ended.result()) {
-            case MAY_BE_LOADING -> load.checkAt = now + FIRST_CHECK_DELAY_NANOS;
+            case MAY_BE_LOADING -> load.mCheckAt = now + FIRST_CHECK_DELAY_NANOS;
             case DONE -> {
-                FleetUpstream known = upstreams.get(ended.upstream());
+                FleetUpstream known = mUpstreams.get(ended.upstream());
                 if (known != null) {
                     Map<String, Long> versions = new HashMap<>(known.versions());
-                    versions.put(load.order.model(), load.order.version());
-                    upstreams.put(known.id(), withVersions(known, versions));
+                    versions.put(load.mOrder.model(), load.mOrder.version());
+                    mUpstreams.put(known.id(), withVersions(known, versions));
                 }
-                pending.remove(ended.upstream());
+                mPending.remove(ended.upstream());
             }
             case OUTDATED -> {
-                load.ordered = false;
-                load.checkAt = now + CHECK_INTERVAL_NANOS;
+                load.mOrdered = false;
+                load.mCheckAt = now + CHECK_INTERVAL_NANOS;
             }
             case FENCED -> {
-                holding = false;
-                pending.clear();
+                mHolding = false;
+                mPending.clear();
             }
             case REFUSED -> abandon(ended.upstream(), now);
         }
     }
 
     private void abandon(String upstream, long now) {
-        if (pending.remove(upstream) != null) {
-            backoffUntil.put(upstream, now + REFUSAL_DELAY_NANOS);
+        if (mPending.remove(upstream) != null) {
+            mBackoffUntil.put(upstream, now + REFUSAL_DELAY_NANOS);
         }
     }
 
     private void plan(long now, ActionSink<VersionAction> actions) {
-        if (holding) {
-            for (Map.Entry<String, List<String>> service : modelsByService.entrySet()) {
+        if (mHolding) {
+            for (Map.Entry<String, List<String>> service : mModelsByService.entrySet()) {
                 planService(service.getKey(), service.getValue(), now, actions);
             }
         }
         long next = NO_TIMER;
-        for (PendingLoad load : pending.values()) {
-            next = Math.min(next, Math.min(load.checkAt, load.since + ORDER_TIMEOUT_NANOS));
+        for (PendingLoad load : mPending.values()) {
+            next = Math.min(next, Math.min(load.mCheckAt, load.mSince + ORDER_TIMEOUT_NANOS));
         }
-        for (long until : backoffUntil.values()) {
+        for (long until : mBackoffUntil.values()) {
             next = Math.min(next, until);
         }
-        nextTimer = next;
+        mNextTimer = next;
     }
 
     private void planService(
             String service, List<String> models, long now, ActionSink<VersionAction> actions) {
         List<FleetUpstream> serving = new ArrayList<>();
-        for (FleetUpstream upstream : upstreams.values()) {
-            boolean backingOff = backoffUntil.getOrDefault(upstream.id(), now) > now;
+        for (FleetUpstream upstream : mUpstreams.values()) {
+            boolean backingOff = mBackoffUntil.getOrDefault(upstream.id(), now) > now;
             if (upstream.service().equals(service) && upstream.serving() && !backingOff) {
                 serving.add(upstream);
             }
         }
         Map<String, String> loading = new HashMap<>();
-        pending.forEach((id, load) -> loading.put(id, load.order.model()));
+        mPending.forEach((id, load) -> loading.put(id, load.mOrder.model()));
         for (VersionOrder order :
                 VersionPlanner.plan(
                         VersionPlanner.assign(models, serving),
-                        announcedVersions,
-                        maxLags,
+                        mAnnouncedVersions,
+                        mMaxLags,
                         loading,
                         serving.size())) {
-            pending.put(order.upstream().id(), new PendingLoad(order, now));
+            mPending.put(order.upstream().id(), new PendingLoad(order, now));
             actions.emit(new VersionAction.ReadReport(order.upstream()));
         }
     }
@@ -224,19 +225,19 @@
     }
 
     private static final class PendingLoad {
-        private final VersionOrder order;
-        private final long since;
-        private boolean ordered;
-        private long sequence;
-        private long checkAt = NO_TIMER;
+        private final VersionOrder mOrder;
+        private final long mSince;
+        private boolean mOrdered;
+        private long mSequence;
+        private long mCheckAt = NO_TIMER;
 
         PendingLoad(VersionOrder order, long since) {
-            this.order = order;
-            this.since = since;
+            mOrder = order;
+            mSince = since;
         }
 
         boolean isDoneAt(Map<String, Long> versions) {
-            return versions.getOrDefault(order.model(), 0L) >= order.version();
+            return versions.getOrDefault(mOrder.model(), 0L) >= mOrder.version();
         }
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/weights/EngineState.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/weights/EngineState.java
@@ -23,15 +23,15 @@
         /** Reports the target version. */
         CURRENT(false);
 
-        private final boolean outOfService;
+        private final boolean mOutOfService;
 
         Phase(boolean outOfService) {
-            this.outOfService = outOfService;
+            mOutOfService = outOfService;
         }
 
         /** Returns whether the engine counts as unavailable capacity. */
         public boolean isOutOfService() {
-            return outOfService;
+            return mOutOfService;
         }
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/weights/RollingUpdatePlanner.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/weights/RollingUpdatePlanner.java
@@ -54,16 +54,18 @@
     private static List<UpstreamId> roundRobin(
             Collection<Domain> domains, RollingUpdateLimits limits, int count) {
         List<Domain> order = new ArrayList<>(domains);
-        order.sort(Comparator.comparingInt((Domain domain) -> domain.outdated.size()).reversed());
+        order.sort(Comparator.comparingInt((Domain domain) -> domain.mOutdated.size()).reversed());
         List<UpstreamId> chosen = new ArrayList<>();
         boolean progress = true;
         while (progress && chosen.size() < count) {
             progress = false;
             for (Domain domain : order) {
-                if (chosen.size() < count && domain.hasRoom(limits) && !domain.outdated.isEmpty()) {
-                    chosen.add(domain.outdated.remove());
-                    domain.outOfService++;
-                    domain.loading++;
+                if (chosen.size() < count
+                        && domain.hasRoom(limits)
+                        && !domain.mOutdated.isEmpty()) {
+                    chosen.add(domain.mOutdated.remove());
+                    domain.mOutOfService++;
+                    domain.mLoading++;
                     progress = true;
                 }
             }
@@ -76,25 +78,25 @@
     }
 
     private static final class Domain {
-        private final Deque<UpstreamId> outdated = new ArrayDeque<>();
-        private int size;
-        private int outOfService;
-        private int loading;
+        private final Deque<UpstreamId> mOutdated = new ArrayDeque<>();
+        private int mSize;
+        private int mOutOfService;
+        private int mLoading;
 
         /**
          * Returns whether another engine of the domain may load. Unreachable engines never block
          * the first load of a domain.
          */
         boolean hasRoom(RollingUpdateLimits limits) {
-            return loading == 0 || outOfService < maxUnavailable(size, limits);
+            return mLoading == 0 || mOutOfService < maxUnavailable(mSize, limits);
         }
 
         void add(EngineState engine) {
-            size++;
-            outOfService += engine.phase().isOutOfService() ? 1 : 0;
-            loading += engine.phase() == Phase.LOADING ? 1 : 0;
+            mSize++;
+            mOutOfService += engine.phase().isOutOfService() ? 1 : 0;
+            mLoading += engine.phase() == Phase.LOADING ? 1 : 0;
             if (engine.phase() == Phase.OUTDATED) {
-                outdated.add(engine.id());
+                mOutdated.add(engine.id());
             }
         }
     }
--- a/decisions/src/main/java/org/fuchsialever/decisions/weights/TrackedEngine.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/weights/TrackedEngine.java
@@ -13,51 +13,51 @@
     /** Time for which an engine stays on its earlier version after its last failed attempt. */
     private static final long FALLBACK_NANOS = TimeUnit.MINUTES.toNanos(1);
 
-    final WeightEvent.Engine engine;
-
-    private Option<WeightVersion> reportedVersion = Option.none();
-    private Option<WeightVersion> previousVersion = Option.none();
-    private String startId = "";
-    private long reportedAt;
-    private Option<WeightVersion> orderedVersion = Option.none();
-    private Option<Long> acceptedAt = Option.none();
-    private WeightVersion failedVersion = new WeightVersion(0);
-    private int failureCount;
-    private long nextAttemptAt = Long.MIN_VALUE;
-    private long fallbackUntil = Long.MIN_VALUE;
+    final WeightEvent.Engine mEngine;
+
+    private Option<WeightVersion> mReportedVersion = Option.none();
+    private Option<WeightVersion> mPreviousVersion = Option.none();
+    private String mStartId = "";
+    private long mReportedAt;
+    private Option<WeightVersion> mOrderedVersion = Option.none();
+    private Option<Long> mAcceptedAt = Option.none();
+    private WeightVersion mFailedVersion = new WeightVersion(0);
+    private int mFailureCount;
+    private long mNextAttemptAt = Long.MIN_VALUE;
+    private long mFallbackUntil = Long.MIN_VALUE;
 
     TrackedEngine(WeightEvent.Engine engine) {
-        this.engine = engine;
+        mEngine = engine;
     }
 
     void onReport(WeightVersion version, String newStart, long now) {
-        if (!newStart.equals(startId)) {
+        if (!newStart.equals(mStartId)) {
             // A restart aborts any load in progress.
-            acceptedAt = Option.none();
-            nextAttemptAt = Long.MIN_VALUE;
+            mAcceptedAt = Option.none();
+            mNextAttemptAt = Long.MIN_VALUE;
         }
-        startId = newStart;
-        reportedVersion = Option.some(version);
-        reportedAt = now;
-        if (orderedVersion.contains(version)) {
-            orderedVersion = Option.none();
-            acceptedAt = Option.none();
-            if (version.equals(failedVersion)) {
-                failureCount = 0;
+        mStartId = newStart;
+        mReportedVersion = Option.some(version);
+        mReportedAt = now;
+        if (mOrderedVersion.contains(version)) {
+            mOrderedVersion = Option.none();
+            mAcceptedAt = Option.none();
+            if (version.equals(mFailedVersion)) {
+                mFailureCount = 0;
             }
         }
     }
 
     Option<WeightVersion> reportedVersion() {
-        return reportedVersion;
+        return mReportedVersion;
     }
 
     boolean serves(WeightVersion version) {
-        return reportedVersion.contains(version);
+        return mReportedVersion.contains(version);
     }
 
     boolean isReachable(long now) {
-        return reportedVersion.isDefined() && now - reportedAt <= REPORT_VALIDITY_NANOS;
+        return mReportedVersion.isDefined() && now - mReportedAt <= REPORT_VALIDITY_NANOS;
     }
 
     /**
@@ -65,38 +65,38 @@
      * period after failed loads of the target lasts, else the target.
      */
     WeightVersion versionToServe(WeightVersion target, long now) {
-        return now < fallbackUntil && target.equals(failedVersion)
-                ? previousVersion.getOrElse(target)
+        return now < mFallbackUntil && target.equals(mFailedVersion)
+                ? mPreviousVersion.getOrElse(target)
                 : target;
     }
 
     boolean isBackingOff(long now) {
-        return now < nextAttemptAt;
+        return now < mNextAttemptAt;
     }
 
     boolean isAwaitingReport() {
-        return acceptedAt.isDefined();
+        return mAcceptedAt.isDefined();
     }
 
     boolean isLoadOverdue(long now, long timeoutNanos) {
-        return acceptedAt.exists(at -> now - at > timeoutNanos);
+        return mAcceptedAt.exists(at -> now - at > timeoutNanos);
     }
 
     void onOrdered(WeightVersion version) {
-        if (!reportedVersion.contains(version) && !failedVersion.equals(version)) {
-            previousVersion = reportedVersion;
+        if (!mReportedVersion.contains(version) && !mFailedVersion.equals(version)) {
+            mPreviousVersion = mReportedVersion;
         }
-        orderedVersion = Option.some(version);
-        acceptedAt = Option.none();
+        mOrderedVersion = Option.some(version);
+        mAcceptedAt = Option.none();
     }
 
     Option<WeightVersion> orderedVersion() {
-        return orderedVersion;
+        return mOrderedVersion;
     }
 
     void onAccepted(long now) {
-        if (orderedVersion.isDefined()) {
-            acceptedAt = Option.some(now);
+        if (mOrderedVersion.isDefined()) {
+            mAcceptedAt = Option.some(now);
         }
     }
 
@@ -104,16 +104,16 @@
      * Records a failed load and returns whether it was the last attempt before the fallback period.
      */
     boolean onFailed(WeightVersion version, int attempts, long now) {
-        failureCount = version.equals(failedVersion) ? failureCount + 1 : 1;
-        failedVersion = version;
-        orderedVersion = Option.none();
-        acceptedAt = Option.none();
-        nextAttemptAt =
-                now + (INITIAL_RETRY_DELAY_NANOS << Math.min(MAX_DOUBLINGS, failureCount - 1));
-        boolean last = failureCount >= attempts;
+        mFailureCount = version.equals(mFailedVersion) ? mFailureCount + 1 : 1;
+        mFailedVersion = version;
+        mOrderedVersion = Option.none();
+        mAcceptedAt = Option.none();
+        mNextAttemptAt =
+                now + (INITIAL_RETRY_DELAY_NANOS << Math.min(MAX_DOUBLINGS, mFailureCount - 1));
+        boolean last = mFailureCount >= attempts;
         if (last) {
-            fallbackUntil = now + FALLBACK_NANOS;
-            failureCount = 0;
+            mFallbackUntil = now + FALLBACK_NANOS;
+            mFailureCount = 0;
         }
         return last;
     }
--- a/decisions/src/main/java/org/fuchsialever/decisions/weights/WeightDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/weights/WeightDuty.java
@@ -42,18 +42,18 @@
      */
     private static final double MIN_FAILED_SHARE = 0.2;
 
-    private final String model;
-    private final RollingUpdateLimits limits;
-    private final IntentMachine<LoadCommand> intents;
-    private final Map<UpstreamId, TrackedEngine> engines = new LinkedHashMap<>();
-    private final Set<WeightVersion> rolledBack = new HashSet<>();
-    private final Map<WeightVersion, Set<UpstreamId>> failedEngines = new HashMap<>();
+    private final String mModel;
+    private final RollingUpdateLimits mLimits;
+    private final IntentMachine<LoadCommand> mIntents;
+    private final Map<UpstreamId, TrackedEngine> mEngines = new LinkedHashMap<>();
+    private final Set<WeightVersion> mRolledBack = new HashSet<>();
+    private final Map<WeightVersion, Set<UpstreamId>> mFailedEngines = new HashMap<>();
 
-    private Option<WeightVersion> latestVersion = Option.none();
-    private long nextStepAt;
-    private long nextReadAt;
-    private double allowance;
-    private long allowanceAt;
+    private Option<WeightVersion> mLatestVersion = Option.none();
+    private long mNextStepAt;
+    private long mNextReadAt;
+    private double mAllowance;
+    private long mAllowanceAt;
 
     /**
      * Creates the duty.
@@ -71,12 +71,12 @@
             RandomGenerator random,
             long startNanos,
             InvariantMonitor invariants) {
-        this.model = model;
-        this.limits = limits;
-        this.intents = new IntentMachine<>(roleOf(model), timing, random, invariants);
-        this.nextStepAt = startNanos;
-        this.nextReadAt = startNanos;
-        this.allowanceAt = startNanos;
+        mModel = model;
+        mLimits = limits;
+        mIntents = new IntentMachine<>(roleOf(model), timing, random, invariants);
+        mNextStepAt = startNanos;
+        mNextReadAt = startNanos;
+        mAllowanceAt = startNanos;
     }
 
     /** Returns the role under which the weights of a model are changed. */
@@ -86,21 +86,21 @@
 
     @Override
     public String dutyName() {
-        return "weights-" + model;
+        return "weights-" + mModel;
     }
 
     @Override
     public void onEvent(WeightEvent event, long nowNanos, ActionSink<WeightAction> actions) {
         if (event instanceof WeightEvent.RoleEvent role) {
-            intents.onEvent(role.event(), nowNanos, intentSink(nowNanos, actions));
+            mIntents.onEvent(role.event(), nowNanos, intentSink(nowNanos, actions));
         } else if (event instanceof WeightEvent.LatestVersionRead read) {
-            latestVersion =
+            mLatestVersion =
                     Option.some(
-                            latestVersion.fold(read::version, seen -> max(seen, read.version())));
+                            mLatestVersion.fold(read::version, seen -> max(seen, read.version())));
         } else if (event instanceof WeightEvent.EnginesChanged changed) {
             onEnginesChanged(changed.engines());
         } else if (event instanceof WeightEvent.VersionReported report) {
-            Option.of(engines.get(report.upstream()))
+            Option.of(mEngines.get(report.upstream()))
                     .forEach(
                             engine ->
                                     engine.onReport(report.version(), report.startId(), nowNanos));
@@ -109,16 +109,16 @@
 
     @Override
     public void onTimer(long nowNanos, ActionSink<WeightAction> actions) {
-        intents.onTimer(nowNanos, intentSink(nowNanos, actions));
-        if (nextReadAt <= nowNanos) {
-            nextReadAt = nowNanos + READ_INTERVAL_NANOS;
-            if (intents.isReady()) {
+        mIntents.onTimer(nowNanos, intentSink(nowNanos, actions));
+        if (mNextReadAt <= nowNanos) {
+            mNextReadAt = nowNanos + READ_INTERVAL_NANOS;
+            if (mIntents.isReady()) {
                 actions.emit(new WeightAction.ReadLatestVersion());
             }
         }
-        if (nextStepAt <= nowNanos) {
-            nextStepAt = nowNanos + STEP_INTERVAL_NANOS;
-            if (intents.isReady()) {
+        if (mNextStepAt <= nowNanos) {
+            mNextStepAt = nowNanos + STEP_INTERVAL_NANOS;
+            if (mIntents.isReady()) {
                 step(nowNanos, actions);
             }
         }
@@ -126,7 +126,7 @@
 
     @Override
     public long nextTimerNanos() {
-        return Math.min(Math.min(nextReadAt, nextStepAt), intents.nextTimerNanos());
+        return Math.min(Math.min(mNextReadAt, mNextStepAt), mIntents.nextTimerNanos());
     }
 
     private ActionSink<IntentAction<LoadCommand>> intentSink(
@@ -142,7 +142,7 @@
 
     private void onCompleted(
             LoadCommand command, CommandResult result, long now, ActionSink<WeightAction> actions) {
-        Option<TrackedEngine> engine = Option.of(engines.get(command.upstream()));
+        Option<TrackedEngine> engine = Option.of(mEngines.get(command.upstream()));
         if (result == CommandResult.DONE) {
             engine.filter(tracked -> tracked.orderedVersion().contains(command.version()))
                     .forEach(tracked -> tracked.onAccepted(now));
@@ -152,22 +152,22 @@
     }
 
     private void onEnginesChanged(List<WeightEvent.Engine> present) {
-        Map<UpstreamId, TrackedEngine> earlier = new HashMap<>(engines);
-        engines.clear();
+        Map<UpstreamId, TrackedEngine> earlier = new HashMap<>(mEngines);
+        mEngines.clear();
         for (WeightEvent.Engine engine : present) {
             TrackedEngine known = earlier.remove(engine.id());
-            engines.put(
+            mEngines.put(
                     engine.id(),
-                    known != null && known.engine.equals(engine)
+                    known != null && known.mEngine.equals(engine)
                             ? known
                             : new TrackedEngine(engine));
         }
     }
 
     private void step(long now, ActionSink<WeightAction> actions) {
-        for (LoadCommand open : intents.openCommands()) {
-            if (!engines.containsKey(open.upstream())) {
-                intents.abandon(open.target());
+        for (LoadCommand open : mIntents.openCommands()) {
+            if (!mEngines.containsKey(open.upstream())) {
+                mIntents.abandon(open.target());
             }
         }
         addAllowance(now);
@@ -175,21 +175,21 @@
     }
 
     private void orderLoads(WeightVersion target, long now, ActionSink<WeightAction> actions) {
-        long timeout = limits.loadTimeout().toNanos();
-        for (TrackedEngine engine : engines.values()) {
+        long timeout = mLimits.loadTimeout().toNanos();
+        for (TrackedEngine engine : mEngines.values()) {
             if (engine.isLoadOverdue(now, timeout)) {
                 engine.orderedVersion()
                         .forEach(version -> onLoadFailed(engine, version, now, actions));
             }
         }
-        List<EngineState> states = new ArrayList<>(engines.size());
-        for (TrackedEngine engine : engines.values()) {
-            WeightEvent.Engine spec = engine.engine;
+        List<EngineState> states = new ArrayList<>(mEngines.size());
+        for (TrackedEngine engine : mEngines.values()) {
+            WeightEvent.Engine spec = engine.mEngine;
             states.add(new EngineState(spec.id(), spec.domain(), phase(engine, target, now)));
         }
-        for (UpstreamId id : RollingUpdatePlanner.nextEngines(states, limits, (int) allowance)) {
-            allowance--;
-            Option.of(engines.get(id)).forEach(engine -> order(engine, target, now, actions));
+        for (UpstreamId id : RollingUpdatePlanner.nextEngines(states, mLimits, (int) mAllowance)) {
+            mAllowance--;
+            Option.of(mEngines.get(id)).forEach(engine -> order(engine, target, now, actions));
         }
     }
 
@@ -200,8 +200,8 @@
             ActionSink<WeightAction> actions) {
         WeightVersion version = engine.versionToServe(target, now);
         engine.onOrdered(version);
-        WeightEvent.Engine spec = engine.engine;
-        intents.propose(
+        WeightEvent.Engine spec = engine.mEngine;
+        mIntents.propose(
                 new LoadCommand(spec.id(), version, spec.fencingEnforced()),
                 now,
                 intentSink(now, actions));
@@ -211,7 +211,7 @@
         if (engine.serves(target) && engine.isReachable(now)) {
             return Phase.CURRENT;
         }
-        if (intents.hasOpenIntent(engine.engine.id().value()) || engine.isAwaitingReport()) {
+        if (mIntents.hasOpenIntent(engine.mEngine.id().value()) || engine.isAwaitingReport()) {
             return Phase.LOADING;
         }
         if (!engine.isReachable(now)) {
@@ -227,18 +227,18 @@
             WeightVersion version,
             long now,
             ActionSink<WeightAction> actions) {
-        UpstreamId id = engine.engine.id();
+        UpstreamId id = engine.mEngine.id();
         actions.emit(new WeightAction.LoadFailed(id, version));
-        if (!engine.onFailed(version, limits.maxLoadAttempts(), now)) {
+        if (!engine.onFailed(version, mLimits.maxLoadAttempts(), now)) {
             return;
         }
-        Set<UpstreamId> failedOn = failedEngines.computeIfAbsent(version, key -> new HashSet<>());
+        Set<UpstreamId> failedOn = mFailedEngines.computeIfAbsent(version, key -> new HashSet<>());
         failedOn.add(id);
-        long loaded = engines.values().stream().filter(other -> other.serves(version)).count();
+        long loaded = mEngines.values().stream().filter(other -> other.serves(version)).count();
         boolean widespread = failedOn.size() >= MIN_FAILED_SHARE * (failedOn.size() + loaded);
-        if (failedOn.size() >= limits.rollbackThreshold() && widespread) {
+        if (failedOn.size() >= mLimits.rollbackThreshold() && widespread) {
             fallback(version)
-                    .filter(other -> rolledBack.add(version))
+                    .filter(other -> mRolledBack.add(version))
                     .forEach(
                             other ->
                                     actions.emit(
@@ -248,17 +248,17 @@
 
     /** Returns the newest version, or its fallback if it was rolled back. */
     private Option<WeightVersion> target() {
-        return latestVersion.flatMap(
-                newest -> rolledBack.contains(newest) ? fallback(newest) : Option.some(newest));
+        return mLatestVersion.flatMap(
+                newest -> mRolledBack.contains(newest) ? fallback(newest) : Option.some(newest));
     }
 
     /** Returns the version below the given one that most engines report. */
     private Option<WeightVersion> fallback(WeightVersion below) {
         Map<WeightVersion, Integer> counts = new TreeMap<>();
-        for (TrackedEngine engine : engines.values()) {
+        for (TrackedEngine engine : mEngines.values()) {
             engine.reportedVersion()
                     .filter(version -> version.compareTo(below) < 0 && version.number() > 0)
-                    .filter(version -> !rolledBack.contains(version))
+                    .filter(version -> !mRolledBack.contains(version))
                     .forEach(version -> counts.merge(version, 1, Integer::sum));
         }
         Option<WeightVersion> best = Option.none();
@@ -277,10 +277,10 @@
      * one second at a rate of 400.
      */
     private void addAllowance(long now) {
-        double rate = limits.loadsPerSecond() * USED_RATE_SHARE;
-        double earned = (now - allowanceAt) / 1e9 * rate;
-        allowance = Math.min(Math.max(1, rate * STEP_INTERVAL_NANOS / 1e9), allowance + earned);
-        allowanceAt = now;
+        double rate = mLimits.loadsPerSecond() * USED_RATE_SHARE;
+        double earned = (now - mAllowanceAt) / 1e9 * rate;
+        mAllowance = Math.min(Math.max(1, rate * STEP_INTERVAL_NANOS / 1e9), mAllowance + earned);
+        mAllowanceAt = now;
     }
 
     private static WeightVersion max(WeightVersion a, WeightVersion b) {
--- a/decisions/src/test/java/org/fuchsialever/decisions/ArchitectureTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/ArchitectureTest.java
@@ -8,7 +8,7 @@
 
 /** Guards against decisions that depend on message encodings, transports, stores or clocks. */
 class ArchitectureTest {
-    private final JavaClasses classes =
+    private final JavaClasses mClasses =
             new ClassFileImporter()
                     .withImportOption(location -> !location.contains("/test-classes/"))
                     .importPackages("org.fuchsialever.decisions");
@@ -28,13 +28,13 @@
                         "java.nio.channels..",
                         "org.fuchsialever.services..",
                         "org.fuchsialever.wire..")
-                .check(classes);
+                .check(mClasses);
     }
 
     @Test
     void decisionsReadNoClockAndStartNoThread() {
-        noClasses().should().callMethod(System.class, "nanoTime").check(classes);
-        noClasses().should().callMethod(System.class, "currentTimeMillis").check(classes);
-        noClasses().should().dependOnClassesThat().areAssignableTo(Thread.class).check(classes);
+        noClasses().should().callMethod(System.class, "nanoTime").check(mClasses);
+        noClasses().should().callMethod(System.class, "currentTimeMillis").check(mClasses);
+        noClasses().should().dependOnClassesThat().areAssignableTo(Thread.class).check(mClasses);
     }
 }
