--- a/decisions/src/test/java/org/fuchsialever/decisions/audit/AuditDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/audit/AuditDutyTest.java
@@ -29,26 +29,26 @@
     private static final String START = "node-1/s1";
     private static final int MAX_WAITING = 3;
 
-    private final ManualTimeSource clock = new ManualTimeSource(MIDNIGHT - 7_200_000);
-    private final DutyStepper stepper = new DutyStepper(clock);
-    private final Map<String, SortedMap<Long, byte[]>> objects = new TreeMap<>();
-    private final Map<String, AuditCheckpoint> index = new TreeMap<>();
-    private final List<AuditAction> others = new ArrayList<>();
-    private final ActionSink<AuditEvent> duty;
-    private final String day = AuditDuty.day(MIDNIGHT - 1);
-    private final String nextDay = AuditDuty.day(MIDNIGHT);
-    private boolean down;
-    private boolean losesAnswers;
-    private long revision;
+    private final ManualTimeSource mClock = new ManualTimeSource(MIDNIGHT - 7_200_000);
+    private final DutyStepper mStepper = new DutyStepper(mClock);
+    private final Map<String, SortedMap<Long, byte[]>> mObjects = new TreeMap<>();
+    private final Map<String, AuditCheckpoint> mIndex = new TreeMap<>();
+    private final List<AuditAction> mOthers = new ArrayList<>();
+    private final ActionSink<AuditEvent> mDuty;
+    private final String mDay = AuditDuty.day(MIDNIGHT - 1);
+    private final String mNextDay = AuditDuty.day(MIDNIGHT);
+    private boolean mDown;
+    private boolean mLosesAnswers;
+    private long mRevision;
 
     AuditDutyTest() {
         ActionSink<AuditEvent>[] self = sinks();
         self[0] =
-                stepper.add(
+                mStepper.add(
                         new AuditDuty(
                                 START, (wall, rec) -> wall + " " + rec, MAX_WAITING, 0, SECOND),
                         action -> perform(action, self[0]));
-        duty = self[0];
+        mDuty = self[0];
     }
 
     @SuppressWarnings("unchecked")
@@ -59,36 +59,36 @@
     @Test
     void storesABatchAfterTwoSeconds() {
         record(1);
-        stepper.advance(2 * SECOND - 1);
-        assertThat(objects.isEmpty(), is(true));
-        stepper.advance(1);
-        assertThat(batches(day).keySet(), contains(1L));
+        mStepper.advance(2 * SECOND - 1);
+        assertThat(mObjects.isEmpty(), is(true));
+        mStepper.advance(1);
+        assertThat(batches(mDay).keySet(), contains(1L));
     }
 
     @Test
     void storesABatchOfAThousandRecordsAtOnce() {
         record(AuditDuty.MAX_BATCH_RECORDS);
-        assertThat(batches(day).keySet(), contains(1L));
+        assertThat(batches(mDay).keySet(), contains(1L));
     }
 
     @Test
     void aDayWithAnOrderlyStopIsComplete() {
         recordBatches(5);
         stop();
-        assertThat(others, contains(new AuditAction.Stopped()));
+        assertThat(mOthers, contains(new AuditAction.Stopped()));
         assertThat(verify(), empty());
     }
 
     @Test
     void aStartThatSpansMidnightIsCompleteOnBothDays() {
         recordBatches(2);
-        stepper.advance(7_200 * SECOND);
+        mStepper.advance(7_200 * SECOND);
         recordBatches(2);
         stop();
-        assertThat(batches(nextDay).firstKey(), equalTo(3L));
+        assertThat(batches(mNextDay).firstKey(), equalTo(3L));
         assertThat(verify(), empty());
         assertThat(
-                AuditVerifier.verify(indexOf(nextDay), Map.of(), Map.of(START, batches(nextDay))),
+                AuditVerifier.verify(indexOf(mNextDay), Map.of(), Map.of(START, batches(mNextDay))),
                 empty());
     }
 
@@ -96,7 +96,7 @@
     void namesARemovedBatch() {
         recordBatches(5);
         stop();
-        batches(day).remove(3L);
+        batches(mDay).remove(3L);
         assertThat(verify(), contains(problem(2, Kind.NOT_PROVEN), problem(3, Kind.MISSING)));
     }
 
@@ -104,7 +104,7 @@
     void namesARemovedLastBatch() {
         recordBatches(3);
         stop();
-        batches(day).remove(batches(day).lastKey());
+        batches(mDay).remove(batches(mDay).lastKey());
         assertThat(verify(), hasItem(problem(4, Kind.MISSING)));
     }
 
@@ -112,9 +112,9 @@
     void namesAChangedBatch() {
         recordBatches(5);
         stop();
-        String text = new String(batches(day).get(3L), StandardCharsets.UTF_8);
+        String text = new String(batches(mDay).get(3L), StandardCharsets.UTF_8);
         String other = text.replace("version=", "version=1");
-        batches(day).put(3L, other.getBytes(StandardCharsets.UTF_8));
+        batches(mDay).put(3L, other.getBytes(StandardCharsets.UTF_8));
         assertThat(verify(), contains(problem(2, Kind.NOT_PROVEN), problem(3, Kind.CHANGED)));
     }
 
@@ -122,15 +122,15 @@
     void namesAChangedLastBatch() {
         recordBatches(2);
         stop();
-        String text = new String(batches(day).get(3L), StandardCharsets.UTF_8);
-        batches(day).put(3L, (text + " ").getBytes(StandardCharsets.UTF_8));
+        String text = new String(batches(mDay).get(3L), StandardCharsets.UTF_8);
+        batches(mDay).put(3L, (text + " ").getBytes(StandardCharsets.UTF_8));
         assertThat(verify(), hasItem(problem(3, Kind.CHANGED)));
     }
 
     @Test
     void showsThatALostInstanceHasNoEndMarker() {
         recordBatches(2);
-        stepper.advance(20 * SECOND);
+        mStepper.advance(20 * SECOND);
         assertThat(verify(), contains(problem(2, Kind.NO_END_MARKER)));
     }
 
@@ -138,16 +138,16 @@
     void showsAStartWhoseIndexRowIsGone() {
         recordBatches(2);
         stop();
-        index.clear();
+        mIndex.clear();
         assertThat(verify(), contains(problem(1, Kind.NOT_INDEXED)));
     }
 
     @Test
     void aLostAnswerNeitherDoublesNorSkipsABatch() {
-        losesAnswers = true;
+        mLosesAnswers = true;
         recordBatches(1);
-        losesAnswers = false;
-        stepper.advance(60 * SECOND);
+        mLosesAnswers = false;
+        mStepper.advance(60 * SECOND);
         recordBatches(1);
         stop();
         assertThat(verify(), empty());
@@ -155,27 +155,27 @@
 
     @Test
     void staysBoundedInAnOutageOfAnHourAndRecordsHowMuchWasLost() {
-        down = true;
+        mDown = true;
         for (int second = 0; second < 3_600; second++) {
             record(2);
-            stepper.advance(SECOND);
+            mStepper.advance(SECOND);
         }
-        down = false;
-        stepper.advance(60 * SECOND);
+        mDown = false;
+        mStepper.advance(60 * SECOND);
         record(1);
         stop();
-        long lost = others.stream().filter(AuditAction.RecordsLost.class::isInstance).count();
+        long lost = mOthers.stream().filter(AuditAction.RecordsLost.class::isInstance).count();
         long kept =
-                batches(day).values().stream()
+                batches(mDay).values().stream()
                         .map(bytes -> new String(bytes, StandardCharsets.UTF_8))
                         .flatMap(String::lines)
                         .filter(line -> line.contains("ConfigurationChanged"))
                         .count();
         assertThat(lost, greaterThan(0L));
         assertThat(kept + lost, equalTo(7_201L));
-        assertThat(batches(day).size(), lessThanOrEqualTo(MAX_WAITING + 3));
+        assertThat(batches(mDay).size(), lessThanOrEqualTo(MAX_WAITING + 3));
         boolean noted =
-                batches(day).values().stream()
+                batches(mDay).values().stream()
                         .map(bytes -> new String(bytes, StandardCharsets.UTF_8))
                         .anyMatch(text -> text.contains("RecordsLost[count=" + lost + "]"));
         assertThat(noted, is(true));
@@ -185,36 +185,36 @@
     private void recordBatches(int count) {
         for (int i = 0; i < count; i++) {
             record(1);
-            stepper.advance(3 * SECOND);
+            mStepper.advance(3 * SECOND);
         }
     }
 
     private void record(int count) {
         for (int i = 0; i < count; i++) {
             AuditRecord change = new AuditRecord.ConfigurationChanged(i);
-            duty.emit(new AuditEvent.Recorded(clock.wallMillis(), change));
+            mDuty.emit(new AuditEvent.Recorded(mClock.wallMillis(), change));
         }
-        stepper.runPending();
+        mStepper.runPending();
     }
 
     private void stop() {
-        duty.emit(new AuditEvent.Stop(clock.wallMillis()));
-        stepper.runPending();
+        mDuty.emit(new AuditEvent.Stop(mClock.wallMillis()));
+        mStepper.runPending();
     }
 
     private List<AuditProblem> verify() {
-        return AuditVerifier.verify(indexOf(day), indexOf(nextDay), Map.of(START, batches(day)));
+        return AuditVerifier.verify(indexOf(mDay), indexOf(mNextDay), Map.of(START, batches(mDay)));
     }
 
     private Map<String, AuditCheckpoint> indexOf(String name) {
-        AuditCheckpoint checkpoint = index.get(name);
+        AuditCheckpoint checkpoint = mIndex.get(name);
         return checkpoint == null
                 ? Map.of()
                 : Map.of(START, AuditCheckpoint.parse(checkpoint.text()).get());
     }
 
     private SortedMap<Long, byte[]> batches(String name) {
-        return objects.computeIfAbsent(name, n -> new TreeMap<>());
+        return mObjects.computeIfAbsent(name, n -> new TreeMap<>());
     }
 
     private static AuditProblem problem(long sequence, Kind kind) {
@@ -224,28 +224,28 @@
     private void perform(AuditAction action, ActionSink<AuditEvent> events) {
         if (action instanceof AuditAction.StoreBatch store) {
             long number = store.batch().sequence();
-            if (!down) {
+            if (!mDown) {
                 batches(store.objectName().split("/")[1])
                         .putIfAbsent(number, store.batch().bytes());
             }
             events.emit(
-                    down || losesAnswers
+                    mDown || mLosesAnswers
                             ? new AuditEvent.BatchFailed(number)
                             : new AuditEvent.BatchStored(number));
         } else if (action instanceof AuditAction.WriteIndex write) {
-            if (write.version() == 0 && index.containsKey(write.day())) {
-                events.emit(new AuditEvent.IndexConflicted(write.day(), revision));
+            if (write.version() == 0 && mIndex.containsKey(write.day())) {
+                events.emit(new AuditEvent.IndexConflicted(write.day(), mRevision));
                 return;
             }
-            if (!down) {
-                index.put(write.day(), write.checkpoint());
+            if (!mDown) {
+                mIndex.put(write.day(), write.checkpoint());
             }
             events.emit(
-                    down || losesAnswers
+                    mDown || mLosesAnswers
                             ? new AuditEvent.IndexFailed(write.day())
-                            : new AuditEvent.IndexWritten(write.day(), ++revision));
+                            : new AuditEvent.IndexWritten(write.day(), ++mRevision));
         } else {
-            others.add(action);
+            mOthers.add(action);
         }
     }
 }
--- a/decisions/src/test/java/org/fuchsialever/decisions/batch/BatchDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/batch/BatchDutyTest.java
@@ -23,9 +23,9 @@
     private static final String ID = "b1";
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
-    private final BatchDuty duty = new BatchDuty("i1", "s1", new SplittableRandom(1));
-    private final List<BatchAction> actions = new ArrayList<>();
-    private long now;
+    private final BatchDuty mDuty = new BatchDuty("i1", "s1", new SplittableRandom(1));
+    private final List<BatchAction> mActions = new ArrayList<>();
+    private long mNow;
 
     @Test
     void generatesScoresAndListsEachItem() {
@@ -260,7 +260,7 @@
         event(
                 new BatchEvent.Opened(
                         new OpenedBatch(
-                                state, 10, spec(), listed, 7_500, now + 40 * SECOND, false)));
+                                state, 10, spec(), listed, 7_500, mNow + 40 * SECOND, false)));
     }
 
     private void list(int item) {
@@ -273,20 +273,20 @@
     }
 
     private void event(BatchEvent event) {
-        duty.onEvent(event, now, actions::add);
+        mDuty.onEvent(event, mNow, mActions::add);
     }
 
     private void advance(long nanos) {
-        long end = now + nanos;
-        while (duty.nextTimerNanos() <= end) {
-            now = Math.max(now, duty.nextTimerNanos());
-            duty.onTimer(now, actions::add);
+        long end = mNow + nanos;
+        while (mDuty.nextTimerNanos() <= end) {
+            mNow = Math.max(mNow, mDuty.nextTimerNanos());
+            mDuty.onTimer(mNow, mActions::add);
         }
-        now = end;
+        mNow = end;
     }
 
     private <T extends BatchAction> List<T> all(Class<T> type) {
-        return actions.stream().filter(type::isInstance).map(type::cast).toList();
+        return mActions.stream().filter(type::isInstance).map(type::cast).toList();
     }
 
     private <T extends BatchAction> T last(Class<T> type) {
--- a/decisions/src/test/java/org/fuchsialever/decisions/claims/ClaimMachineTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/claims/ClaimMachineTest.java
@@ -16,7 +16,7 @@
 class ClaimMachineTest {
     private static final Claim MINE = new Claim("digest", 1_000, Option.none());
 
-    private final ClaimMachine machine = new ClaimMachine(MINE, "writer-1");
+    private final ClaimMachine mMachine = new ClaimMachine(MINE, "writer-1");
 
     /** Several instances claim one request while writes fail and responses are lost. */
     @Property(tries = 500, seed = "20261204")
@@ -58,49 +58,49 @@
 
     @Test
     void runsWhenACommitWithALostResponseProvesToHaveSucceeded() {
-        machine.start();
-        assertThat(machine.writeFailed(true), instanceOf(ClaimAction.WriteClaim.class));
+        mMachine.start();
+        assertThat(mMachine.writeFailed(true), instanceOf(ClaimAction.WriteClaim.class));
 
         ClaimAction action =
-                machine.conflict(Option.some(new ObservedClaim(MINE, 5, "writer-1")), 0);
+                mMachine.conflict(Option.some(new ObservedClaim(MINE, 5, "writer-1")), 0);
 
         assertThat(action, is(new ClaimAction.Run(5)));
     }
 
     @Test
     void readsBackWhenEveryWriteStaysUnknown() {
-        machine.start();
-        machine.writeFailed(true);
-        machine.writeFailed(false);
+        mMachine.start();
+        mMachine.writeFailed(true);
+        mMachine.writeFailed(false);
 
-        assertThat(machine.writeFailed(false), instanceOf(ClaimAction.ReadBack.class));
-        assertThat(machine.readFailed(), is(refusal(RefusalReason.CLAIM_UNAVAILABLE)));
+        assertThat(mMachine.writeFailed(false), instanceOf(ClaimAction.ReadBack.class));
+        assertThat(mMachine.readFailed(), is(refusal(RefusalReason.CLAIM_UNAVAILABLE)));
     }
 
     @Test
     void refusesAsNotRunWhenTheTableServiceIsNotReached() {
-        machine.start();
-        machine.writeFailed(false);
-        machine.writeFailed(false);
+        mMachine.start();
+        mMachine.writeFailed(false);
+        mMachine.writeFailed(false);
 
-        assertThat(machine.writeFailed(false), is(refusal(RefusalReason.CLAIM_UNAVAILABLE)));
+        assertThat(mMachine.writeFailed(false), is(refusal(RefusalReason.CLAIM_UNAVAILABLE)));
     }
 
     @Test
     void respondsToAClaimOfAnotherRequestByItsState() {
-        machine.start();
+        mMachine.start();
 
         assertThat(
-                machine.conflict(other("digest", Option.none()), 999),
+                mMachine.conflict(other("digest", Option.none()), 999),
                 is(refusal(RefusalReason.CLAIM_IN_PROGRESS)));
         assertThat(
-                machine.conflict(other("digest", Option.none()), 1_000),
+                mMachine.conflict(other("digest", Option.none()), 1_000),
                 is(refusal(RefusalReason.ANSWER_LOST)));
         assertThat(
-                machine.conflict(other("digest", Option.some("stored")), 1_000),
+                mMachine.conflict(other("digest", Option.some("stored")), 1_000),
                 is(new ClaimAction.Replay("stored")));
         assertThat(
-                machine.conflict(other("other", Option.some("stored")), 0),
+                mMachine.conflict(other("other", Option.some("stored")), 0),
                 is(refusal(RefusalReason.CLAIM_MISMATCH)));
     }
 
--- a/decisions/src/test/java/org/fuchsialever/decisions/config/ConfigDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/config/ConfigDutyTest.java
@@ -38,20 +38,20 @@
             failure-domain = fd-1
             """;
 
-    private final ConfigDuty duty =
+    private final ConfigDuty mDuty =
             new ConfigDuty(Duration.ofSeconds(1), 0, InvariantMonitor.throwing());
-    private final List<ConfigAction> actions = new ArrayList<>();
-    private ConfigStatus status = ConfigStatus.NONE;
+    private final List<ConfigAction> mActions = new ArrayList<>();
+    private ConfigStatus mStatus = ConfigStatus.NONE;
 
     @Test
     void isReadyOnlyAfterTheVersionWasProven() {
         send(new ConfigEvent.VersionRead(3, 30));
-        assertThat(actions, contains(new ReadSnapshot(3), new ConfirmVersion(3, 30)));
+        assertThat(mActions, contains(new ReadSnapshot(3), new ConfirmVersion(3, 30)));
 
         send(good(3));
-        assertThat(status, is(new ConfigStatus(3, 3, Freshness.UNPROVEN, false)));
+        assertThat(mStatus, is(new ConfigStatus(3, 3, Freshness.UNPROVEN, false)));
         send(new ConfigEvent.VersionConfirmed(3));
-        assertThat(status, is(new ConfigStatus(3, 3, Freshness.PROVEN, true)));
+        assertThat(mStatus, is(new ConfigStatus(3, 3, Freshness.PROVEN, true)));
     }
 
     @Test
@@ -60,12 +60,12 @@
         send(good(3));
         // The conditional commit conflicts, and the conflict returns the latest row.
         send(new ConfigEvent.VersionRead(4, 40));
-        assertThat(actions, hasItem(new ConfirmVersion(4, 40)));
+        assertThat(mActions, hasItem(new ConfirmVersion(4, 40)));
         send(new ConfigEvent.VersionConfirmed(4));
-        assertThat(status.ready(), is(false));
+        assertThat(mStatus.ready(), is(false));
 
         send(good(4));
-        assertThat(status, is(new ConfigStatus(4, 4, Freshness.PROVEN, true)));
+        assertThat(mStatus, is(new ConfigStatus(4, 4, Freshness.PROVEN, true)));
     }
 
     @Test
@@ -75,7 +75,7 @@
         send(good(4));
 
         assertThat(published(), contains(5L));
-        assertThat(status.ready(), is(true));
+        assertThat(mStatus.ready(), is(true));
     }
 
     @Test
@@ -93,16 +93,16 @@
         start(5);
         send(new ConfigEvent.PeerVersion(6));
 
-        assertThat(actions, hasItem(new ReadSnapshot(6)));
-        assertThat(status.ready(), is(false));
+        assertThat(mActions, hasItem(new ReadSnapshot(6)));
+        assertThat(mStatus.ready(), is(false));
         send(good(6));
-        assertThat(status.ready(), is(true));
+        assertThat(mStatus.ready(), is(true));
     }
 
     @Test
     void keepsTheLastGoodSnapshotAndRaisesOneAlarmForAMalformedOne() {
         start(5);
-        actions.clear();
+        mActions.clear();
         String text = new SnapshotText(6, ROUTES + "colour = red\n", POOLS).encode();
         send(new ConfigEvent.VersionRead(6, 60));
         send(new ConfigEvent.SnapshotRead(6, text));
@@ -110,7 +110,7 @@
 
         assertThat(published(), is(empty()));
         assertThat(alarms("settings.unknown-key"), is(1L));
-        assertThat(status, is(new ConfigStatus(5, 6, Freshness.PROVEN, true)));
+        assertThat(mStatus, is(new ConfigStatus(5, 6, Freshness.PROVEN, true)));
     }
 
     @Test
@@ -118,12 +118,12 @@
         send(new ConfigEvent.VersionRead(6, 60));
         send(new ConfigEvent.VersionConfirmed(6));
         send(new ConfigEvent.SnapshotRead(6, "damaged"));
-        assertThat(actions, hasItem(new ReadSnapshot(5)));
+        assertThat(mActions, hasItem(new ReadSnapshot(5)));
         send(new ConfigEvent.SnapshotRead(5, "damaged, too"));
         send(good(4));
 
         assertThat(published(), contains(4L));
-        assertThat(status, is(new ConfigStatus(4, 6, Freshness.PROVEN, true)));
+        assertThat(mStatus, is(new ConfigStatus(4, 6, Freshness.PROVEN, true)));
     }
 
     @Test
@@ -148,16 +148,16 @@
     void asksAgainForASnapshotWhoseReadFailed() {
         send(new ConfigEvent.VersionRead(6, 60));
         send(new ConfigEvent.ReadFailed());
-        actions.clear();
-        duty.onTimer(1_000_000_000L, actions::add);
+        mActions.clear();
+        mDuty.onTimer(1_000_000_000L, mActions::add);
 
-        assertThat(actions, contains(new ReadVersion(), new ReadSnapshot(6)));
+        assertThat(mActions, contains(new ReadVersion(), new ReadSnapshot(6)));
     }
 
     @Test
     void startsFromTwoPeersOfDifferentDomainsWhileTheTableServiceIsDown() {
         send(new ConfigEvent.ReadFailed());
-        assertThat(actions, contains(new AskPeers()));
+        assertThat(mActions, contains(new AskPeers()));
         send(new ConfigEvent.PeersListed(9));
         send(peer("a", "fd-1", 7));
         send(peer("b", "fd-1", 7));
@@ -165,7 +165,7 @@
         send(peer("c", "fd-2", 6));
 
         assertThat(published(), contains(7L));
-        assertThat(status, is(new ConfigStatus(7, 7, Freshness.FROM_PEERS, true)));
+        assertThat(mStatus, is(new ConfigStatus(7, 7, Freshness.FROM_PEERS, true)));
     }
 
     @Test
@@ -184,23 +184,23 @@
         send(new ConfigEvent.PeersListed(1));
         send(peer("a", "fd-1", 7));
         send(new ConfigEvent.VersionRead(7, 70));
-        assertThat(actions, hasItem(new ConfirmVersion(7, 70)));
+        assertThat(mActions, hasItem(new ConfirmVersion(7, 70)));
         send(new ConfigEvent.VersionConfirmed(7));
 
-        assertThat(status.freshness(), is(Freshness.PROVEN));
+        assertThat(mStatus.freshness(), is(Freshness.PROVEN));
     }
 
     @Test
     void takesANewerVersionFromAPeerDuringAnOutage() {
         start(5);
         send(new ConfigEvent.PeerVersion(6));
-        actions.clear();
+        mActions.clear();
         send(new ConfigEvent.ReadFailed());
-        assertThat(actions, contains(new AskPeers()));
+        assertThat(mActions, contains(new AskPeers()));
         send(peer("a", "fd-1", 6));
 
         assertThat(published(), contains(6L));
-        assertThat(status.ready(), is(true));
+        assertThat(mStatus.ready(), is(true));
     }
 
     @Test
@@ -240,20 +240,20 @@
     }
 
     private void send(ConfigEvent event) {
-        duty.onEvent(
+        mDuty.onEvent(
                 event,
                 0,
                 action -> {
                     if (action instanceof PublishStatus change) {
-                        status = change.status();
+                        mStatus = change.status();
                     } else {
-                        actions.add(action);
+                        mActions.add(action);
                     }
                 });
     }
 
     private List<Long> published() {
-        return published(actions);
+        return published(mActions);
     }
 
     private static List<Long> published(List<ConfigAction> actions) {
@@ -264,7 +264,7 @@
     }
 
     private long alarms(String messageKey) {
-        return actions.stream()
+        return mActions.stream()
                 .filter(RaiseAlarm.class::isInstance)
                 .flatMap(action -> ((RaiseAlarm) action).findings().stream())
                 .filter(finding -> finding.messageKey().equals(messageKey))
--- a/decisions/src/test/java/org/fuchsialever/decisions/config/TableParserTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/config/TableParserTest.java
@@ -23,7 +23,7 @@
             failure-domain = fd-1
             """;
 
-    private final Findings findings = new Findings();
+    private final Findings mFindings = new Findings();
 
     @Test
     void joinsRoutesAndPoolsByName() {
@@ -39,7 +39,7 @@
                         """,
                         POOLS);
 
-        assertThat(findings.report(), snapshot.isDefined(), is(true));
+        assertThat(mFindings.report(), snapshot.isDefined(), is(true));
         Route route = snapshot.get().routeFor("/v1/chat/completions").get();
         assertThat(snapshot.get().pools().containsKey(route.pool()), is(true));
         assertThat(route.repeatable(), is(false));
@@ -59,7 +59,7 @@
                 POOLS.replace("9001", "99999999"));
 
         List<String> problems =
-                findings.list().stream()
+                mFindings.list().stream()
                         .map(finding -> finding.messageKey() + ":" + finding.location().line())
                         .toList();
         assertThat(
@@ -92,10 +92,10 @@
     }
 
     private List<String> messageKeys() {
-        return findings.list().stream().map(Finding::messageKey).toList();
+        return mFindings.list().stream().map(Finding::messageKey).toList();
     }
 
     private Option<ConfigSnapshot> parse(String routes, String pools) {
-        return TableParser.parse(1, "routes.ini", routes, "pools.ini", pools, findings);
+        return TableParser.parse(1, "routes.ini", routes, "pools.ini", pools, mFindings);
     }
 }
--- a/decisions/src/test/java/org/fuchsialever/decisions/directory/DirectoryDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/directory/DirectoryDutyTest.java
@@ -19,21 +19,21 @@
 import org.junit.jupiter.api.Test;
 
 class DirectoryDutyTest {
-    private final DirectoryDuty duty = new DirectoryDuty(new SplittableRandom(1));
-    private final List<DirectoryAction> actions = new ArrayList<>();
+    private final DirectoryDuty mDuty = new DirectoryDuty(new SplittableRandom(1));
+    private final List<DirectoryAction> mActions = new ArrayList<>();
 
     @Test
     void readsEachTableInFullAndThenFollowsItsChanges() {
-        duty.onTimer(0, actions::add);
-        assertThat(actions, hasSize(DirectoryTable.values().length));
+        mDuty.onTimer(0, mActions::add);
+        assertThat(mActions, hasSize(DirectoryTable.values().length));
         range(DECLARATIONS, 10, row("config", 7));
-        assertThat(actions, hasItem(new DirectoryAction.ReadFeed(DECLARATIONS, 10)));
+        assertThat(mActions, hasItem(new DirectoryAction.ReadFeed(DECLARATIONS, 10)));
     }
 
     @Test
     void neverGoesBackToAnOlderRow() {
         range(DECLARATIONS, 10, row("config", 9));
-        actions.clear();
+        mActions.clear();
         feed(DECLARATIONS, 11, row("config", 8));
         assertThat(changes(), is(empty()));
     }
@@ -41,20 +41,20 @@
     @Test
     void repeatsAReadThatIsOlderThanOneBefore() {
         range(DECLARATIONS, 50, row("config", 40));
-        duty.onEvent(new DirectoryEvent.HistoryLost(DECLARATIONS), 0, actions::add);
-        actions.clear();
+        mDuty.onEvent(new DirectoryEvent.HistoryLost(DECLARATIONS), 0, mActions::add);
+        mActions.clear();
         range(DECLARATIONS, 30, row("config", 20));
         assertThat(changes(), is(empty()));
-        duty.onTimer(TimeUnit.SECONDS.toNanos(1), actions::add);
-        assertThat(actions, hasItem(new DirectoryAction.ReadTable(DECLARATIONS)));
+        mDuty.onTimer(TimeUnit.SECONDS.toNanos(1), mActions::add);
+        assertThat(mActions, hasItem(new DirectoryAction.ReadTable(DECLARATIONS)));
     }
 
     @Test
     void reportsRowsRemovedWhileTheHistoryWasLost() {
         range(BATCHES, 10, row("b1", 5), row("b2", 6));
-        duty.onEvent(new DirectoryEvent.HistoryLost(BATCHES), 0, actions::add);
-        assertThat(actions, hasItem(new DirectoryAction.ReadTable(BATCHES)));
-        actions.clear();
+        mDuty.onEvent(new DirectoryEvent.HistoryLost(BATCHES), 0, mActions::add);
+        assertThat(mActions, hasItem(new DirectoryAction.ReadTable(BATCHES)));
+        mActions.clear();
         range(BATCHES, 20, row("b2", 6));
         assertThat(changes(), hasSize(1));
         assertThat(changes().get(0).key(), is("b1"));
@@ -68,9 +68,11 @@
         fail(BATCHES);
         feed(BATCHES, 10);
         long lost =
-                actions.stream().filter(DirectoryAction.StoreUnreachable.class::isInstance).count();
+                mActions.stream()
+                        .filter(DirectoryAction.StoreUnreachable.class::isInstance)
+                        .count();
         assertThat(lost, is(1L));
-        assertThat(actions, hasItem(new DirectoryAction.StoreReachable(BATCHES)));
+        assertThat(mActions, hasItem(new DirectoryAction.StoreReachable(BATCHES)));
     }
 
     @Test
@@ -79,23 +81,23 @@
         for (int i = 0; i < 20; i++) {
             fail(BATCHES);
         }
-        actions.clear();
-        duty.onTimer(TimeUnit.SECONDS.toNanos(1), actions::add);
-        assertThat(actions, hasItem(new DirectoryAction.ReadFeed(BATCHES, 10)));
+        mActions.clear();
+        mDuty.onTimer(TimeUnit.SECONDS.toNanos(1), mActions::add);
+        assertThat(mActions, hasItem(new DirectoryAction.ReadFeed(BATCHES, 10)));
     }
 
     /** Guards against one read by every instance for every change of a busy table. */
     @Test
     void readsChangesOfABusyTableAtMostOnceInItsInterval() {
         range(UPSTREAMS, 10, row("u1", 5));
-        actions.clear();
+        mActions.clear();
         for (int version = 11; version < 111; version++) {
             long now = TimeUnit.MILLISECONDS.toNanos(10L * (version - 10));
             feed(UPSTREAMS, version, now, row("u1", version));
-            duty.onTimer(now, actions::add);
+            mDuty.onTimer(now, mActions::add);
         }
         long reads =
-                actions.stream()
+                mActions.stream()
                         .filter(DirectoryAction.ReadFeed.class::isInstance)
                         .filter(action -> ((DirectoryAction.ReadFeed) action).table() == UPSTREAMS)
                         .count();
@@ -113,15 +115,16 @@
         range(INSTANCES, 500, instances);
         range(UPSTREAMS, 500);
         feed(UPSTREAMS, 501, 0, row("u1", 501));
-        actions.clear();
-        duty.onTimer(TimeUnit.MILLISECONDS.toNanos(999), actions::add);
-        assertThat(actions, not(hasItem(new DirectoryAction.ReadFeed(UPSTREAMS, 501))));
-        duty.onTimer(TimeUnit.MILLISECONDS.toNanos(1_000), actions::add);
-        assertThat(actions, hasItem(new DirectoryAction.ReadFeed(UPSTREAMS, 501)));
+        mActions.clear();
+        mDuty.onTimer(TimeUnit.MILLISECONDS.toNanos(999), mActions::add);
+        assertThat(mActions, not(hasItem(new DirectoryAction.ReadFeed(UPSTREAMS, 501))));
+        mDuty.onTimer(TimeUnit.MILLISECONDS.toNanos(1_000), mActions::add);
+        assertThat(mActions, hasItem(new DirectoryAction.ReadFeed(UPSTREAMS, 501)));
     }
 
     private void range(DirectoryTable table, long version, MirrorRow... rows) {
-        duty.onEvent(new DirectoryEvent.TableRead(table, List.of(rows), version), 0, actions::add);
+        mDuty.onEvent(
+                new DirectoryEvent.TableRead(table, List.of(rows), version), 0, mActions::add);
     }
 
     private void feed(DirectoryTable table, long version, MirrorRow... rows) {
@@ -129,15 +132,16 @@
     }
 
     private void feed(DirectoryTable table, long version, long now, MirrorRow... rows) {
-        duty.onEvent(new DirectoryEvent.FeedRead(table, List.of(rows), version), now, actions::add);
+        mDuty.onEvent(
+                new DirectoryEvent.FeedRead(table, List.of(rows), version), now, mActions::add);
     }
 
     private void fail(DirectoryTable table) {
-        duty.onEvent(new DirectoryEvent.ReadFailed(table, "timeout"), 0, actions::add);
+        mDuty.onEvent(new DirectoryEvent.ReadFailed(table, "timeout"), 0, mActions::add);
     }
 
     private List<MirrorRow> changes() {
-        return actions.stream()
+        return mActions.stream()
                 .filter(DirectoryAction.Changed.class::isInstance)
                 .flatMap(action -> ((DirectoryAction.Changed) action).rows().stream())
                 .toList();
--- a/decisions/src/test/java/org/fuchsialever/decisions/dispatch/DispatchFixture.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/dispatch/DispatchFixture.java
@@ -34,27 +34,27 @@
     static final PoolName POOL = new PoolName("pool");
     static final TeamName TEAM = new TeamName("alba");
 
-    final ManualTimeSource time = new ManualTimeSource(0);
-    final DutyStepper stepper = new DutyStepper(time);
-    final List<DispatchAction> actions = new ArrayList<>();
-    final ActionSink<DispatchEvent> events;
-    private final DispatchSettings settings =
+    final ManualTimeSource mTime = new ManualTimeSource(0);
+    final DutyStepper mStepper = new DutyStepper(mTime);
+    final List<DispatchAction> mActions = new ArrayList<>();
+    final ActionSink<DispatchEvent> mEvents;
+    private final DispatchSettings mSettings =
             DispatchSettings.standard(new InstanceId("n1"), new FailureDomain("fd-0"))
                     .withQueueCapacity(8);
-    private int sequence;
-    private long version;
+    private int mSequence;
+    private long mVersion;
 
     DispatchFixture() {
         DispatchDuty duty =
-                new DispatchDuty(settings, new SplittableRandom(7), InvariantMonitor.throwing());
-        events = stepper.add(duty, actions::add);
+                new DispatchDuty(mSettings, new SplittableRandom(7), InvariantMonitor.throwing());
+        mEvents = mStepper.add(duty, mActions::add);
     }
 
     void configure(UpstreamSpec... upstreams) {
         Pool pool = new Pool(POOL, UpstreamKind.ENGINE, "m", "scored", 0, 9, List.of(upstreams));
         send(
                 new DispatchEvent.ConfigChanged(
-                        new ConfigSnapshot(++version, Map.of(), Map.of(POOL, pool), Map.of())));
+                        new ConfigSnapshot(++mVersion, Map.of(), Map.of(POOL, pool), Map.of())));
     }
 
     static UpstreamSpec upstream(int number, int slots) {
@@ -92,8 +92,8 @@
                         priority,
                         Duration.ofSeconds(60),
                         1024);
-        RequestId id = new RequestId("r" + sequence++);
-        long deadline = time.nanoTime() + route.deadline().toNanos();
+        RequestId id = new RequestId("r" + mSequence++);
+        long deadline = mTime.nanoTime() + route.deadline().toNanos();
         send(
                 new DispatchEvent.RequestArrived(
                         new DispatchRequest(
@@ -110,12 +110,12 @@
     }
 
     void send(DispatchEvent event) {
-        events.emit(event);
-        stepper.runPending();
+        mEvents.emit(event);
+        mStepper.runPending();
     }
 
     void advance(Duration duration) {
-        stepper.advance(duration.toNanos());
+        mStepper.advance(duration.toNanos());
     }
 
     List<DispatchAction.StartAttempt> starts() {
@@ -134,6 +134,6 @@
     }
 
     <T extends DispatchAction> List<T> ofType(Class<T> type) {
-        return actions.stream().filter(type::isInstance).map(type::cast).toList();
+        return mActions.stream().filter(type::isInstance).map(type::cast).toList();
     }
 }
--- a/decisions/src/test/java/org/fuchsialever/decisions/dispatch/stream/TokenStreamAssemblerTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/dispatch/stream/TokenStreamAssemblerTest.java
@@ -22,7 +22,7 @@
     private static final UpstreamId FIRST = new UpstreamId("engine-1");
     private static final UpstreamId SECOND = new UpstreamId("engine-2");
 
-    private final TokenStreamAssembler splice = new TokenStreamAssembler();
+    private final TokenStreamAssembler mSplice = new TokenStreamAssembler();
 
     /**
      * Attempts end early, repeat or skip tokens and omit metadata at random; the result is exact.
@@ -77,15 +77,15 @@
 
     @Test
     void mergesAdjacentTokensAndSplitsAtAChangeOfVersionOrUpstream() {
-        splice.begin(1, FIRST);
-        splice.accept(1, chunk("a", 0, 4));
-        splice.accept(1, chunk("a", 1, 4));
-        splice.accept(1, chunk("a", 2, 5));
-        splice.begin(2, SECOND);
-        splice.accept(2, chunk("b", 3, 5));
+        mSplice.begin(1, FIRST);
+        mSplice.accept(1, chunk("a", 0, 4));
+        mSplice.accept(1, chunk("a", 1, 4));
+        mSplice.accept(1, chunk("a", 2, 5));
+        mSplice.begin(2, SECOND);
+        mSplice.accept(2, chunk("b", 3, 5));
 
         assertThat(
-                splice.ranges(),
+                mSplice.ranges(),
                 contains(
                         new TokenRange(0, 2, new WeightVersion(4), FIRST),
                         new TokenRange(2, 3, new WeightVersion(5), FIRST),
@@ -94,33 +94,33 @@
 
     @Test
     void countsDuplicatesAndDoesNotDeliverThem() {
-        splice.begin(1, FIRST);
-        splice.accept(1, chunk("a", 0, 4));
+        mSplice.begin(1, FIRST);
+        mSplice.accept(1, chunk("a", 0, 4));
 
-        assertThat(splice.accept(1, chunk("a", 0, 4)), is(ChunkVerdict.DUPLICATE));
-        assertThat(splice.duplicates(), is(1L));
-        assertThat(splice.nextToken(), is(1));
+        assertThat(mSplice.accept(1, chunk("a", 0, 4)), is(ChunkVerdict.DUPLICATE));
+        assertThat(mSplice.duplicates(), is(1L));
+        assertThat(mSplice.nextToken(), is(1));
     }
 
     @Test
     void endsTheAttemptWhenTheEngineStartChanges() {
-        splice.begin(1, FIRST);
-        splice.accept(1, chunk("a", 0, 4));
+        mSplice.begin(1, FIRST);
+        mSplice.accept(1, chunk("a", 0, 4));
 
-        assertThat(splice.accept(1, chunk("b", 1, 4)), is(ChunkVerdict.ENGINE_START_CHANGED));
-        assertThat(splice.accept(1, chunk("a", 1, 4)), is(ChunkVerdict.AFTER_DOUBT));
-        assertThat(splice.begin(2, SECOND), is(1));
-        assertThat(splice.accept(2, chunk("b", 1, 4)), is(ChunkVerdict.DELIVER));
+        assertThat(mSplice.accept(1, chunk("b", 1, 4)), is(ChunkVerdict.ENGINE_START_CHANGED));
+        assertThat(mSplice.accept(1, chunk("a", 1, 4)), is(ChunkVerdict.AFTER_DOUBT));
+        assertThat(mSplice.begin(2, SECOND), is(1));
+        assertThat(mSplice.accept(2, chunk("b", 1, 4)), is(ChunkVerdict.DELIVER));
     }
 
     @Test
     void endsTheAttemptWhenAVersionOrATokenIsMissing() {
-        splice.begin(1, FIRST);
+        mSplice.begin(1, FIRST);
         EngineChunk unversioned = new EngineChunk(Option.some("a"), Option.none(), 0, "t");
-        assertThat(splice.accept(1, unversioned), is(ChunkVerdict.NO_VERSION));
-        splice.begin(2, FIRST);
-        assertThat(splice.accept(2, chunk("a", 1, 4)), is(ChunkVerdict.GAP));
-        assertThat(splice.ranges().isEmpty(), is(true));
+        assertThat(mSplice.accept(1, unversioned), is(ChunkVerdict.NO_VERSION));
+        mSplice.begin(2, FIRST);
+        assertThat(mSplice.accept(2, chunk("a", 1, 4)), is(ChunkVerdict.GAP));
+        assertThat(mSplice.ranges().isEmpty(), is(true));
     }
 
     private static EngineChunk chunk(String start, int index, long version) {
--- a/decisions/src/test/java/org/fuchsialever/decisions/forward/ForwardDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/forward/ForwardDutyTest.java
@@ -21,8 +21,8 @@
 class ForwardDutyTest {
     private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
-    private final ForwardDuty duty = new ForwardDuty(new SplittableRandom(1));
-    private final List<ForwardAction> actions = new ArrayList<>();
+    private final ForwardDuty mDuty = new ForwardDuty(new SplittableRandom(1));
+    private final List<ForwardAction> mActions = new ArrayList<>();
 
     @Test
     void retriesASafeCallAtAnotherUpstreamWhenTheAnswerIsLost() {
@@ -93,20 +93,20 @@
     void endsACallAtItsDeadlineAndCancelsWhatRuns() {
         fleet(plain("a"));
         arrive(live(1, true, 1));
-        duty.onTimer(800 * MILLI, actions::add);
+        mDuty.onTimer(800 * MILLI, mActions::add);
         assertThat(lastRefusal(), is(ForwardRefusal.LATE));
-        assertThat(actions.get(actions.size() - 2), is(new ForwardAction.Cancel(1, 1)));
+        assertThat(mActions.get(mActions.size() - 2), is(new ForwardAction.Cancel(1, 1)));
     }
 
     @Test
     void hedgesASafeCallThatTakesLong() {
         fleet(plain("a"), plain("b"));
         arrive(live(1, true, 2));
-        duty.onTimer(75 * MILLI, actions::add);
+        mDuty.onTimer(75 * MILLI, mActions::add);
         assertThat(lastStart().reason(), is(ForwardAction.StartReason.HEDGE));
         end(1, 2, AttemptOutcome.ANSWERED);
-        assertThat(actions.contains(new ForwardAction.Deliver(1, 2)), is(true));
-        assertThat(actions.contains(new ForwardAction.Cancel(1, 1)), is(true));
+        assertThat(mActions.contains(new ForwardAction.Deliver(1, 2)), is(true));
+        assertThat(mActions.contains(new ForwardAction.Cancel(1, 1)), is(true));
     }
 
     @Test
@@ -114,7 +114,7 @@
         fleet(plain("a"));
         arrive(live(1, true, 1));
         event(new ForwardEvent.Cancelled(1));
-        assertThat(actions.contains(new ForwardAction.Cancel(1, 1)), is(true));
+        assertThat(mActions.contains(new ForwardAction.Cancel(1, 1)), is(true));
         end(1, 1, AttemptOutcome.CANCELLED);
         assertThat(refusals(), is(empty()));
     }
@@ -154,12 +154,12 @@
         fleet(engine("e", 5));
         arrive(item(1, 5, 10));
         end(1, 1, AttemptOutcome.LOST);
-        duty.onTimer(300 * MILLI, actions::add);
+        mDuty.onTimer(300 * MILLI, mActions::add);
         assertThat(starts(), hasSize(2));
         end(1, 2, AttemptOutcome.FAILED);
-        duty.onTimer(600 * MILLI, actions::add);
+        mDuty.onTimer(600 * MILLI, mActions::add);
         end(1, 3, AttemptOutcome.FAILED);
-        duty.onTimer(900 * MILLI, actions::add);
+        mDuty.onTimer(900 * MILLI, mActions::add);
         end(1, 4, AttemptOutcome.FAILED);
         assertThat(lastRefusal(), is(ForwardRefusal.EXHAUSTED));
         assertThat(starts(), hasSize(4));
@@ -189,7 +189,7 @@
         fleet(plain("a"));
         arrive(live(1, false, 1));
         end(1, 1, AttemptOutcome.FAILED);
-        assertThat(actions.get(actions.size() - 1), is(instanceOf(ForwardAction.Deliver.class)));
+        assertThat(mActions.get(mActions.size() - 1), is(instanceOf(ForwardAction.Deliver.class)));
     }
 
     private void fleet(FleetUpstream... upstreams) {
@@ -205,11 +205,11 @@
     }
 
     private void event(ForwardEvent event) {
-        duty.onEvent(event, 0, actions::add);
+        mDuty.onEvent(event, 0, mActions::add);
     }
 
     private List<ForwardAction.Start> starts() {
-        return actions.stream()
+        return mActions.stream()
                 .filter(ForwardAction.Start.class::isInstance)
                 .map(ForwardAction.Start.class::cast)
                 .toList();
@@ -220,7 +220,7 @@
     }
 
     private List<ForwardRefusal> refusals() {
-        return actions.stream()
+        return mActions.stream()
                 .filter(ForwardAction.Refuse.class::isInstance)
                 .map(action -> ((ForwardAction.Refuse) action).reason())
                 .toList();
--- a/decisions/src/test/java/org/fuchsialever/decisions/intent/IntentMachineTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/intent/IntentMachineTest.java
@@ -34,7 +34,7 @@
     /** Fails if a receiver executed a command of a previous holder after one of a later holder. */
     private static void assertNoEffectAfterASuccessor(IntentSimulation simulation) {
         Map<String, Long> highest = new HashMap<>();
-        for (Effect effect : simulation.effects) {
+        for (Effect effect : simulation.mEffects) {
             String receiver = effect.intent().command().receiver();
             long before = highest.merge(receiver, effect.fencing(), Math::max);
             assertThat("fencing after " + before, effect.fencing(), equalTo(before));
@@ -61,20 +61,20 @@
             simulation.keepLease();
             simulation.runFor(SECOND);
             Holder second = simulation.addHolder();
-            first.pauseAt = Option.some(step);
-            first.pauseNanos = pause * SECOND;
+            first.mPauseAt = Option.some(step);
+            first.mPauseNanos = pause * SECOND;
             first.propose(command("a", 1, enforced));
             simulation.runFor(8 * SECOND);
-            if (second.machine.isReady()) {
+            if (second.mMachine.isReady()) {
                 second.propose(command("b", 2, enforced));
-                if (!second.machine.hasOpenIntent("a")) {
+                if (!second.mMachine.hasOpenIntent("a")) {
                     second.propose(command("a", 3, enforced));
                 }
             }
             simulation.runFor(90 * SECOND);
             assertNoEffectAfterASuccessor(simulation);
-            assertThat(simulation.journal.openIntents(), is(empty()));
-            if (second.machine.isReady()) {
+            assertThat(simulation.mJournal.openIntents(), is(empty()));
+            if (second.mMachine.isReady()) {
                 assertThat("pause " + pause, values(simulation).contains(2), is(true));
             } else {
                 assertThat("pause " + pause, values(simulation), contains(1));
@@ -84,7 +84,7 @@
 
     private static Set<Integer> values(IntentSimulation simulation) {
         Set<Integer> values = new TreeSet<>();
-        simulation.effects.forEach(effect -> values.add(effect.intent().command().value()));
+        simulation.mEffects.forEach(effect -> values.add(effect.intent().command().value()));
         return values;
     }
 
@@ -95,17 +95,17 @@
         simulation.keepLease();
         simulation.runFor(SECOND);
         Holder second = simulation.addHolder();
-        first.pauseAt = Option.some(Step.READ_COMMAND_RESULT);
-        first.pauseNanos = 300 * SECOND;
+        first.mPauseAt = Option.some(Step.READ_COMMAND_RESULT);
+        first.mPauseNanos = 300 * SECOND;
         first.propose(command("a", 1, false));
         simulation.runFor(60 * SECOND);
-        assertThat(simulation.effects.size(), equalTo(2));
-        Effect repeat = simulation.effects.get(1);
-        assertThat(repeat.intent(), equalTo(simulation.effects.get(0).intent()));
-        assertThat(repeat.holder(), equalTo(second.number));
+        assertThat(simulation.mEffects.size(), equalTo(2));
+        Effect repeat = simulation.mEffects.get(1);
+        assertThat(repeat.intent(), equalTo(simulation.mEffects.get(0).intent()));
+        assertThat(repeat.holder(), equalTo(second.mNumber));
         assertThat(repeat.fencing(), equalTo(2L));
         assertThat(
-                repeat.at() - simulation.effects.get(0).at(),
+                repeat.at() - simulation.mEffects.get(0).at(),
                 greaterThanOrEqualTo(IntentSimulation.RECEIVER_TIMEOUT_NANOS));
     }
 
@@ -117,13 +117,13 @@
         simulation.runFor(SECOND);
         Holder second = simulation.addHolder();
         first.pause(300 * SECOND);
-        while (!second.machine.isReady()) {
+        while (!second.mMachine.isReady()) {
             simulation.runFor(SECOND / 10);
         }
         long proposedAt = simulation.now();
         second.propose(command("a", 1, false));
         simulation.runFor(SECOND);
-        assertThat(simulation.effects.get(0).at() - proposedAt, lessThan(SECOND));
+        assertThat(simulation.mEffects.get(0).at() - proposedAt, lessThan(SECOND));
     }
 
     @Test
@@ -133,13 +133,13 @@
         simulation.keepLease();
         simulation.runFor(SECOND);
         simulation.addHolder();
-        first.pauseAt = Option.some(Step.SEND_COMMAND);
-        first.pauseNanos = 8 * SECOND;
+        first.mPauseAt = Option.some(Step.SEND_COMMAND);
+        first.mPauseNanos = 8 * SECOND;
         first.propose(command("a", 1, true));
         simulation.runFor(7 * SECOND);
-        assertThat(simulation.effects.stream().map(Effect::fencing).toList(), contains(2L));
+        assertThat(simulation.mEffects.stream().map(Effect::fencing).toList(), contains(2L));
         simulation.runFor(20 * SECOND);
-        assertThat(simulation.effects.stream().map(Effect::fencing).toList(), contains(2L));
+        assertThat(simulation.mEffects.stream().map(Effect::fencing).toList(), contains(2L));
     }
 
     @Test
@@ -149,13 +149,13 @@
         simulation.keepLease();
         simulation.runFor(SECOND);
         Holder second = simulation.addHolder();
-        first.pauseAt = Option.some(Step.CONNECT);
-        first.pauseNanos = 300 * SECOND;
+        first.mPauseAt = Option.some(Step.CONNECT);
+        first.mPauseNanos = 300 * SECOND;
         first.propose(command("a", 1, false));
-        simulation.staleReads = true;
+        simulation.mStaleReads = true;
         simulation.runFor(8 * SECOND);
-        assertThat(second.machine.isReady(), is(true));
-        assertThat(second.machine.hasOpenIntent("a"), is(true));
+        assertThat(second.mMachine.isReady(), is(true));
+        assertThat(second.mMachine.hasOpenIntent("a"), is(true));
     }
 
     @Test
@@ -166,14 +166,14 @@
         simulation.runFor(SECOND);
         holder.propose(command("a", 1, false));
         simulation.runFor(SECOND / 100 + 1);
-        simulation.lossProbability = 1;
+        simulation.mLossProbability = 1;
         simulation.runFor(SECOND / 10);
-        simulation.lossProbability = 0;
+        simulation.mLossProbability = 0;
         simulation.runFor(5 * SECOND);
         assertThat(values(simulation), contains(1));
-        assertThat(holder.machine.hasOpenIntent("a"), is(true));
+        assertThat(holder.mMachine.hasOpenIntent("a"), is(true));
         simulation.runFor(10 * SECOND);
-        assertThat(holder.machine.hasOpenIntent("a"), is(false));
+        assertThat(holder.mMachine.hasOpenIntent("a"), is(false));
     }
 
     @Test
@@ -183,23 +183,23 @@
         simulation.keepLease();
         simulation.runFor(SECOND);
         Holder second = simulation.addHolder();
-        first.pauseAt = Option.some(Step.SEND_COMMAND);
-        first.pauseNanos = 300 * SECOND;
+        first.mPauseAt = Option.some(Step.SEND_COMMAND);
+        first.mPauseNanos = 300 * SECOND;
         first.propose(command("a", 1, true));
         // The successor acquires the lease 5 s after the last renewal by the first holder.
         simulation.runFor(5 * SECOND);
-        while (!second.machine.isReady()) {
+        while (!second.mMachine.isReady()) {
             simulation.runFor(1_000_000);
         }
         long readyAt = simulation.now();
-        simulation.lossProbability = 1;
+        simulation.mLossProbability = 1;
         simulation.runFor(SECOND);
-        second.machine.abandon("a");
-        simulation.lossProbability = 0;
+        second.mMachine.abandon("a");
+        simulation.mLossProbability = 0;
         simulation.runFor(SECOND);
-        assertThat(second.machine.hasOpenIntent("a"), is(true));
+        assertThat(second.mMachine.hasOpenIntent("a"), is(true));
         simulation.runFor(20 * SECOND);
-        assertThat(second.machine.hasOpenIntent("a"), is(false));
+        assertThat(second.mMachine.hasOpenIntent("a"), is(false));
         assertThat(
                 simulation.now() - readyAt,
                 greaterThanOrEqualTo(IntentSimulation.RECEIVER_TIMEOUT_NANOS));
@@ -210,37 +210,39 @@
     void randomPausesAndLostAnswersBreakNoRuleAndLoseNoIntent(long seed) {
         for (long run = 0; run < 25; run++) {
             IntentSimulation simulation = new IntentSimulation(seed * 1_000 + run);
-            simulation.lossProbability = 0.15;
+            simulation.mLossProbability = 0.15;
             for (int i = 0; i < 3; i++) {
                 simulation.addHolder();
             }
             simulation.keepLease();
             for (int round = 0; round < 120; round++) {
                 disturb(simulation, round);
-                simulation.runFor(simulation.random.nextLong(2 * SECOND));
+                simulation.runFor(simulation.mRandom.nextLong(2 * SECOND));
             }
-            simulation.lossProbability = 0;
-            simulation.staleReads = false;
-            simulation.holders.forEach(holder -> holder.pauseAt = Option.none());
+            simulation.mLossProbability = 0;
+            simulation.mStaleReads = false;
+            simulation.mHolders.forEach(holder -> holder.mPauseAt = Option.none());
             simulation.runFor(120 * SECOND);
             assertNoEffectAfterASuccessor(simulation);
-            assertThat(simulation.journal.openIntents(), is(empty()));
+            assertThat(simulation.mJournal.openIntents(), is(empty()));
             assertCompletedIntentsTookEffect(simulation);
             assertNewIntentsAreCarriedOutAtOnce(simulation);
         }
     }
 
     private static void disturb(IntentSimulation simulation, int round) {
-        Holder holder = simulation.holders.get(simulation.random.nextInt(3));
-        if (simulation.random.nextInt(6) == 0) {
-            holder.pauseAt =
-                    Option.some(Step.values()[simulation.random.nextInt(Step.values().length)]);
-            holder.pauseNanos = simulation.random.nextLong(25 * SECOND);
+        Holder holder = simulation.mHolders.get(simulation.mRandom.nextInt(3));
+        if (simulation.mRandom.nextInt(6) == 0) {
+            holder.mPauseAt =
+                    Option.some(Step.values()[simulation.mRandom.nextInt(Step.values().length)]);
+            holder.mPauseNanos = simulation.mRandom.nextLong(25 * SECOND);
         }
-        simulation.staleReads = simulation.random.nextInt(3) == 0;
-        for (Holder each : simulation.holders) {
-            String target = "t" + simulation.random.nextInt(4);
-            if (each.isRunning() && each.machine.isReady() && !each.machine.hasOpenIntent(target)) {
+        simulation.mStaleReads = simulation.mRandom.nextInt(3) == 0;
+        for (Holder each : simulation.mHolders) {
+            String target = "t" + simulation.mRandom.nextInt(4);
+            if (each.isRunning()
+                    && each.mMachine.isReady()
+                    && !each.mMachine.hasOpenIntent(target)) {
                 boolean enforced = target.equals("t0") || target.equals("t1");
                 each.propose(
                         new TestCommand(target, enforced ? target : "platform", round, enforced));
@@ -250,9 +252,9 @@
 
     private static void assertCompletedIntentsTookEffect(IntentSimulation simulation) {
         List<String> effective =
-                simulation.effects.stream().map(effect -> effect.intent().id()).toList();
-        for (Holder holder : simulation.holders) {
-            for (Intent<TestCommand> intent : holder.completed) {
+                simulation.mEffects.stream().map(effect -> effect.intent().id()).toList();
+        for (Holder holder : simulation.mHolders) {
+            for (Intent<TestCommand> intent : holder.mCompleted) {
                 assertThat(effective.contains(intent.id()), is(true));
             }
         }
@@ -266,6 +268,6 @@
         }
         simulation.runFor(SECOND);
         assertThat(values(simulation).containsAll(Set.of(1_000, 1_001, 1_002, 1_003)), is(true));
-        assertThat(holder.machine.hasOpenIntent("t0"), is(false));
+        assertThat(holder.mMachine.hasOpenIntent("t0"), is(false));
     }
 }
--- a/decisions/src/test/java/org/fuchsialever/decisions/intent/IntentSimulation.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/intent/IntentSimulation.java
@@ -21,27 +21,27 @@
     private static final long LEASE_NANOS = 5 * SECOND;
     private static final long HOP_NANOS = 5_000_000L;
 
-    final List<Effect> effects = new ArrayList<>();
-    final List<Holder> holders = new ArrayList<>();
-    final SplittableRandom random;
-    Journal<TestCommand> journal = Journal.absent();
-    Journal<TestCommand> staleJournal = Journal.absent();
-    boolean staleReads;
+    final List<Effect> mEffects = new ArrayList<>();
+    final List<Holder> mHolders = new ArrayList<>();
+    final SplittableRandom mRandom;
+    Journal<TestCommand> mJournal = Journal.absent();
+    Journal<TestCommand> mStaleJournal = Journal.absent();
+    boolean mStaleReads;
 
     /** Probability that a request to the table or a receiver is lost; the same for a response. */
-    double lossProbability;
+    double mLossProbability;
 
-    private final PriorityQueue<Task> tasks =
+    private final PriorityQueue<Task> mTasks =
             new PriorityQueue<>(Comparator.comparingLong(Task::at).thenComparingLong(Task::order));
-    private final Map<String, Long> highestFencing = new HashMap<>();
-    private long now;
-    private long order;
-    private long guard;
-    private long leaseUntil;
-    private int leaseHolder = -1;
+    private final Map<String, Long> mHighestFencing = new HashMap<>();
+    private long mNow;
+    private long mOrder;
+    private long mGuard;
+    private long mLeaseUntil;
+    private int mLeaseHolder = -1;
 
     IntentSimulation(long seed) {
-        random = new SplittableRandom(seed);
+        mRandom = new SplittableRandom(seed);
     }
 
     /** Step at which a holder can be paused. */
@@ -62,81 +62,82 @@
     private record Task(long at, long order, Runnable run) {}
 
     long now() {
-        return now;
+        return mNow;
     }
 
     Holder leaseHolder() {
-        return holders.get(leaseHolder);
+        return mHolders.get(mLeaseHolder);
     }
 
     void after(long nanos, Runnable run) {
-        tasks.add(new Task(now + nanos, order++, run));
+        mTasks.add(new Task(mNow + nanos, mOrder++, run));
     }
 
     void runFor(long nanos) {
-        long end = now + nanos;
+        long end = mNow + nanos;
         while (true) {
-            Task task = tasks.peek();
-            long timer = holders.stream().mapToLong(Holder::nextTimer).min().orElse(Long.MAX_VALUE);
+            Task task = mTasks.peek();
+            long timer =
+                    mHolders.stream().mapToLong(Holder::nextTimer).min().orElse(Long.MAX_VALUE);
             long next = Math.min(timer, task == null ? Long.MAX_VALUE : task.at);
             if (next > end) {
                 break;
             }
-            now = Math.max(now, next);
-            if (task != null && task.at <= now) {
-                tasks.remove().run.run();
+            mNow = Math.max(mNow, next);
+            if (task != null && task.at <= mNow) {
+                mTasks.remove().run.run();
             } else {
-                holders.forEach(Holder::runTimer);
+                mHolders.forEach(Holder::runTimer);
             }
         }
-        now = end;
+        mNow = end;
     }
 
     Holder addHolder() {
-        Holder holder = new Holder(holders.size());
-        holders.add(holder);
+        Holder holder = new Holder(mHolders.size());
+        mHolders.add(holder);
         return holder;
     }
 
     /** Renews the lease of a running holder, and gives an expired lease to another holder. */
     void keepLease() {
-        boolean holds = leaseHolder >= 0 && now < leaseUntil;
-        if (holds && holders.get(leaseHolder).isRunning()) {
-            leaseUntil = now + LEASE_NANOS;
+        boolean holds = mLeaseHolder >= 0 && mNow < mLeaseUntil;
+        if (holds && mHolders.get(mLeaseHolder).isRunning()) {
+            mLeaseUntil = mNow + LEASE_NANOS;
         } else if (!holds) {
-            List<Holder> able = holders.stream().filter(Holder::isRunning).toList();
+            List<Holder> able = mHolders.stream().filter(Holder::isRunning).toList();
             if (!able.isEmpty()) {
-                Holder next = able.get(random.nextInt(able.size()));
+                Holder next = able.get(mRandom.nextInt(able.size()));
                 // Every other loss is not reported; the holder must learn it from the journal.
-                if (leaseHolder >= 0 && guard % 2 == 1) {
+                if (mLeaseHolder >= 0 && mGuard % 2 == 1) {
                     leaseHolder().deliver(new IntentEvent.LeaseLost<>());
                 }
-                leaseHolder = next.number;
-                leaseUntil = now + LEASE_NANOS;
-                guard++;
-                next.gain(guard);
+                mLeaseHolder = next.mNumber;
+                mLeaseUntil = mNow + LEASE_NANOS;
+                mGuard++;
+                next.gain(mGuard);
             }
         }
         after(SECOND, this::keepLease);
     }
 
     private boolean loses() {
-        return random.nextDouble() < lossProbability;
+        return mRandom.nextDouble() < mLossProbability;
     }
 
     /** An instance with its intent machine. */
     final class Holder {
-        final int number;
-        final IntentMachine<TestCommand> machine;
-        final List<Intent<TestCommand>> completed = new ArrayList<>();
-        Option<Step> pauseAt = Option.none();
-        long pauseNanos;
-        private long pausedUntil;
-        private long fencing;
+        final int mNumber;
+        final IntentMachine<TestCommand> mMachine;
+        final List<Intent<TestCommand>> mCompleted = new ArrayList<>();
+        Option<Step> mPauseAt = Option.none();
+        long mPauseNanos;
+        private long mPausedUntil;
+        private long mFencing;
 
         Holder(int number) {
-            this.number = number;
-            this.machine =
+            mNumber = number;
+            mMachine =
                     new IntentMachine<>(
                             "orders/p",
                             IntentTiming.standard(Duration.ofNanos(RECEIVER_TIMEOUT_NANOS)),
@@ -145,42 +146,42 @@
         }
 
         boolean isRunning() {
-            return now >= pausedUntil;
+            return mNow >= mPausedUntil;
         }
 
         void pause(long nanos) {
-            pausedUntil = Math.max(pausedUntil, now + nanos);
+            mPausedUntil = Math.max(mPausedUntil, mNow + nanos);
         }
 
         void propose(TestCommand command) {
-            machine.propose(command, now, this::perform);
+            mMachine.propose(command, mNow, this::perform);
         }
 
         private boolean mayAct(long under) {
-            return leaseHolder == number && guard == under && now < leaseUntil;
+            return mLeaseHolder == mNumber && mGuard == under && mNow < mLeaseUntil;
         }
 
         private long nextTimer() {
-            long timer = machine.nextTimerNanos();
-            return timer == Long.MAX_VALUE ? timer : Math.max(timer, pausedUntil);
+            long timer = mMachine.nextTimerNanos();
+            return timer == Long.MAX_VALUE ? timer : Math.max(timer, mPausedUntil);
         }
 
         private void runTimer() {
-            if (isRunning() && machine.nextTimerNanos() <= now) {
-                machine.onTimer(now, this::perform);
+            if (isRunning() && mMachine.nextTimerNanos() <= mNow) {
+                mMachine.onTimer(mNow, this::perform);
             }
         }
 
         private void gain(long newFencing) {
-            fencing = newFencing;
+            mFencing = newFencing;
             deliver(new IntentEvent.LeaseAcquired<>(newFencing));
         }
 
         /** Runs a step of this holder, after the pause that is configured for it, if any. */
         private void step(Step step, Runnable run) {
-            if (pauseAt.contains(step)) {
-                pauseAt = Option.none();
-                pause(pauseNanos);
+            if (mPauseAt.contains(step)) {
+                mPauseAt = Option.none();
+                pause(mPauseNanos);
             }
             whenRunning(run);
         }
@@ -189,26 +190,26 @@
             if (isRunning()) {
                 run.run();
             } else {
-                after(pausedUntil - now, () -> whenRunning(run));
+                after(mPausedUntil - mNow, () -> whenRunning(run));
             }
         }
 
         private void deliver(IntentEvent<TestCommand> event) {
-            whenRunning(() -> machine.onEvent(event, now, this::perform));
+            whenRunning(() -> mMachine.onEvent(event, mNow, this::perform));
         }
 
         private void perform(IntentAction<TestCommand> action) {
             if (action instanceof IntentAction.ReadJournal<TestCommand> read) {
-                Journal<TestCommand> seen = staleReads ? staleJournal : journal;
+                Journal<TestCommand> seen = mStaleReads ? mStaleJournal : mJournal;
                 after(
                         HOP_NANOS,
                         () -> deliver(new IntentEvent.JournalRead<>(read.fencing(), seen)));
             } else if (action instanceof IntentAction.WriteJournal<TestCommand> write) {
                 step(Step.WRITE_JOURNAL, () -> after(HOP_NANOS, () -> commit(write)));
             } else if (action instanceof IntentAction.SendCommand<TestCommand> order) {
-                step(Step.CONNECT, () -> after(HOP_NANOS, () -> connected(order, now)));
+                step(Step.CONNECT, () -> after(HOP_NANOS, () -> connected(order, mNow)));
             } else if (action instanceof IntentAction.Completed<TestCommand> done) {
-                completed.add(done.intent());
+                mCompleted.add(done.intent());
             }
         }
 
@@ -223,15 +224,15 @@
         }
 
         private IntentEvent<TestCommand> applied(IntentAction.WriteJournal<TestCommand> write) {
-            if (guard != write.fencing()) {
+            if (mGuard != write.fencing()) {
                 return new IntentEvent.Conflicted<>(write.writer(), Option.none());
             }
-            if (journal.version() != write.expectedVersion()) {
-                return new IntentEvent.Conflicted<>(write.writer(), Option.some(journal));
+            if (mJournal.version() != write.expectedVersion()) {
+                return new IntentEvent.Conflicted<>(write.writer(), Option.some(mJournal));
             }
-            staleJournal = journal;
-            journal = new Journal<>(journal.version() + 1, write.writer(), write.openIntents());
-            return new IntentEvent.Committed<>(write.writer(), journal.version());
+            mStaleJournal = mJournal;
+            mJournal = new Journal<>(mJournal.version() + 1, write.writer(), write.openIntents());
+            return new IntentEvent.Committed<>(write.writer(), mJournal.version());
         }
 
         private void connected(IntentAction.SendCommand<TestCommand> order, long acceptedAt) {
@@ -250,7 +251,7 @@
 
         private void arrive(IntentAction.SendCommand<TestCommand> order, long acceptedAt) {
             CommandResult result = CommandResult.UNKNOWN;
-            if (now - acceptedAt <= RECEIVER_TIMEOUT_NANOS && !loses()) {
+            if (mNow - acceptedAt <= RECEIVER_TIMEOUT_NANOS && !loses()) {
                 result = receive(order);
                 result = loses() ? CommandResult.UNKNOWN : result;
             }
@@ -260,11 +261,11 @@
 
         private CommandResult receive(IntentAction.SendCommand<TestCommand> order) {
             TestCommand command = order.intent().command();
-            long highest = highestFencing.merge(command.receiver(), order.fencing(), Math::max);
+            long highest = mHighestFencing.merge(command.receiver(), order.fencing(), Math::max);
             if (command.fencingEnforced() && order.fencing() < highest) {
                 return CommandResult.STALE_FENCING;
             }
-            effects.add(new Effect(now, number, order.fencing(), order.intent()));
+            mEffects.add(new Effect(mNow, mNumber, order.fencing(), order.intent()));
             return CommandResult.DONE;
         }
 
--- a/decisions/src/test/java/org/fuchsialever/decisions/keys/KeyDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/keys/KeyDutyTest.java
@@ -33,17 +33,17 @@
     private static final String SECRET = "00112233445566778899aabbccddeeff";
     private static final KeyId KEY = new KeyId("a");
 
-    private final KeyDuty duty = newDuty();
-    private final List<KeyAction> actions = new ArrayList<>();
-    private KeyView view = KeyView.NONE;
-    private long now;
+    private final KeyDuty mDuty = newDuty();
+    private final List<KeyAction> mActions = new ArrayList<>();
+    private KeyView mView = KeyView.NONE;
+    private long mNow;
 
     @Test
     void refusesKeyedCallsUntilKeysWereRead() {
-        assertThat(view.usable(), is(false));
+        assertThat(mView.usable(), is(false));
         send(read(row(1, false)));
 
-        assertThat(view.usable(), is(true));
+        assertThat(mView.usable(), is(true));
         assertThat(accepts(), is(true));
     }
 
@@ -53,7 +53,7 @@
         send(read(row(2, true)));
 
         assertThat(accepts(), is(false));
-        assertThat(actions, hasItem(new EndCallsOfKey(KEY)));
+        assertThat(mActions, hasItem(new EndCallsOfKey(KEY)));
     }
 
     @Test
@@ -71,11 +71,11 @@
     @Test
     void storesAndSpreadsAnOperatorsWithdrawalAtOnce() {
         send(read(row(1, false)));
-        actions.clear();
+        mActions.clear();
         send(new KeyEvent.OperatorWithdrawal(KEY));
 
         assertThat(
-                actions,
+                mActions,
                 contains(
                         new EndCallsOfKey(KEY),
                         new BroadcastWithdrawals(Set.of(KEY)),
@@ -87,24 +87,24 @@
         send(read(row(1, false)));
         send(new KeyEvent.OperatorWithdrawal(KEY));
         poll();
-        assertThat(actions, hasItem(new StoreWithdrawal(KEY)));
+        assertThat(mActions, hasItem(new StoreWithdrawal(KEY)));
         send(new KeyEvent.WithdrawalStored(KEY));
         poll();
 
-        assertThat(actions, not(hasItem(new StoreWithdrawal(KEY))));
+        assertThat(mActions, not(hasItem(new StoreWithdrawal(KEY))));
     }
 
     @Test
     void storesAWithdrawalOfAPeerOnlyWhenTheTableLacksItForSomePolls() {
         send(read(row(1, false)));
         send(new KeyEvent.PeerWithdrawals(Set.of(KEY)));
-        assertThat(actions, not(hasItem(new StoreWithdrawal(KEY))));
+        assertThat(mActions, not(hasItem(new StoreWithdrawal(KEY))));
         for (int i = 0; i < 4; i++) {
             poll();
-            assertThat(actions, not(hasItem(new StoreWithdrawal(KEY))));
+            assertThat(mActions, not(hasItem(new StoreWithdrawal(KEY))));
         }
         poll();
-        assertThat(actions, hasItem(new StoreWithdrawal(KEY)));
+        assertThat(mActions, hasItem(new StoreWithdrawal(KEY)));
     }
 
     @Test
@@ -114,7 +114,7 @@
         send(read(row(2, true)));
         for (int i = 0; i < 8; i++) {
             poll();
-            assertThat(actions, not(hasItem(new StoreWithdrawal(KEY))));
+            assertThat(mActions, not(hasItem(new StoreWithdrawal(KEY))));
         }
     }
 
@@ -131,20 +131,20 @@
         send(read(row(1, false)));
         send(new KeyEvent.MembershipChanged(12, 6));
         advance(Duration.ofMillis(4_999));
-        assertThat(view.usable(), is(true));
+        assertThat(mView.usable(), is(true));
         advance(Duration.ofMillis(1));
 
-        assertThat(view.usable(), is(false));
-        assertThat(actions, hasItem(new EndAllKeyedCalls()));
+        assertThat(mView.usable(), is(false));
+        assertThat(mActions, hasItem(new EndAllKeyedCalls()));
     }
 
     @Test
     void wakesAtTheFreshnessBoundEvenBetweenTwoPolls() {
         send(read(row(1, false)));
-        now = TimeUnit.MILLISECONDS.toNanos(4_500);
-        duty.onTimer(now, this::apply);
+        mNow = TimeUnit.MILLISECONDS.toNanos(4_500);
+        mDuty.onTimer(mNow, this::apply);
 
-        assertThat(duty.nextTimerNanos(), is(TimeUnit.SECONDS.toNanos(5)));
+        assertThat(mDuty.nextTimerNanos(), is(TimeUnit.SECONDS.toNanos(5)));
     }
 
     @Test
@@ -152,45 +152,45 @@
         send(read(row(1, false)));
         send(new KeyEvent.MembershipChanged(12, 7));
         advance(Duration.ofHours(1));
-        assertThat(view.usable(), is(true));
+        assertThat(mView.usable(), is(true));
 
         send(new KeyEvent.OperatorWithdrawal(KEY));
         assertThat(accepts(), is(false));
         send(new KeyEvent.MembershipChanged(12, 6));
         advance(Duration.ofSeconds(5));
-        assertThat(view.usable(), is(false));
+        assertThat(mView.usable(), is(false));
     }
 
     @Test
     void countsFreshnessFromTheMomentOfAsking() {
         send(read(row(1, false)));
-        now = TimeUnit.SECONDS.toNanos(6);
+        mNow = TimeUnit.SECONDS.toNanos(6);
         // The read was sent at 0 s and took 6 s, so it may lack later withdrawals.
         send(new KeyEvent.KeysRead(List.of(), 0));
 
-        assertThat(view.usable(), is(false));
+        assertThat(mView.usable(), is(false));
     }
 
     @Test
     void servesAgainWhenTheTableServiceReturns() {
         send(read(row(1, false)));
         advance(Duration.ofSeconds(20));
-        assertThat(view.usable(), is(false));
-        send(new KeyEvent.KeysRead(List.of(), now));
+        assertThat(mView.usable(), is(false));
+        send(new KeyEvent.KeysRead(List.of(), mNow));
 
-        assertThat(view.usable(), is(true));
+        assertThat(mView.usable(), is(true));
     }
 
     @Test
     void startsFromPeersWhenTheTableServiceIsDown() {
         send(new KeyEvent.ReadFailed());
-        assertThat(actions, hasItem(new AskPeers()));
+        assertThat(mActions, hasItem(new AskPeers()));
         send(new KeyEvent.MembershipChanged(9, 9));
         send(peer("p1", "fd-1", row(1, false), Set.of()));
-        assertThat(view.usable(), is(false));
+        assertThat(mView.usable(), is(false));
         send(peer("p2", "fd-2", row(1, false), Set.of(KEY)));
 
-        assertThat(view.usable(), is(true));
+        assertThat(mView.usable(), is(true));
         assertThat(accepts(), is(false));
     }
 
@@ -200,14 +200,14 @@
         send(new KeyEvent.PeersListed(1));
         send(peer("p1", "fd-1", row(1, false), Set.of()));
 
-        assertThat(view.usable(), is(true));
+        assertThat(mView.usable(), is(true));
     }
 
     @Test
     void givesPeersNoKeysBeforeItKnowsThem() {
-        duty.onEvent(new KeyEvent.PeerWithdrawals(Set.of(KEY)), now, actions::add);
+        mDuty.onEvent(new KeyEvent.PeerWithdrawals(Set.of(KEY)), mNow, mActions::add);
 
-        assertThat(actions.stream().anyMatch(PublishKeysForPeers.class::isInstance), is(false));
+        assertThat(mActions.stream().anyMatch(PublishKeysForPeers.class::isInstance), is(false));
     }
 
     @Test
@@ -215,7 +215,7 @@
         send(read(row(7, false)));
         poll();
 
-        assertThat(actions, hasItem(new ReadKeys(7)));
+        assertThat(mActions, hasItem(new ReadKeys(7)));
     }
 
     @Test
@@ -270,33 +270,33 @@
     }
 
     private boolean accepts() {
-        return view.table().check(text(), 0).isRight();
+        return mView.table().check(text(), 0).isRight();
     }
 
     private void poll() {
-        actions.clear();
-        now = duty.nextTimerNanos();
-        duty.onTimer(now, this::apply);
+        mActions.clear();
+        mNow = mDuty.nextTimerNanos();
+        mDuty.onTimer(mNow, this::apply);
     }
 
     private void advance(Duration duration) {
-        long end = now + duration.toNanos();
-        while (duty.nextTimerNanos() <= end) {
-            now = duty.nextTimerNanos();
-            duty.onTimer(now, this::apply);
+        long end = mNow + duration.toNanos();
+        while (mDuty.nextTimerNanos() <= end) {
+            mNow = mDuty.nextTimerNanos();
+            mDuty.onTimer(mNow, this::apply);
         }
-        now = end;
+        mNow = end;
     }
 
     private void send(KeyEvent event) {
-        duty.onEvent(event, now, this::apply);
+        mDuty.onEvent(event, mNow, this::apply);
     }
 
     private void apply(KeyAction action) {
         if (action instanceof PublishKeyTable change) {
-            view = change.view();
+            mView = change.view();
         } else if (!(action instanceof PublishKeysForPeers)) {
-            actions.add(action);
+            mActions.add(action);
         }
     }
 
@@ -306,7 +306,7 @@
     }
 
     private KeyEvent read(KeyRow row) {
-        return new KeyEvent.KeysRead(List.of(row), now);
+        return new KeyEvent.KeysRead(List.of(row), mNow);
     }
 
     private static KeyEvent peer(String name, String domain, KeyRow row, Set<KeyId> withdrawals) {
--- a/decisions/src/test/java/org/fuchsialever/decisions/lease/FakeLeaseTable.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/lease/FakeLeaseTable.java
@@ -7,18 +7,18 @@
 
 /** In-memory table that keeps all earlier states, so that reads can be stale. */
 final class FakeLeaseTable {
-    private final List<Map<String, LeaseRow>> states = new ArrayList<>(List.of(new TreeMap<>()));
+    private final List<Map<String, LeaseRow>> mStates = new ArrayList<>(List.of(new TreeMap<>()));
 
     /** Reads a state that is the given number of commits old. */
     LeaseEvent read(long afterVersion, int commitsBehind) {
-        Map<String, LeaseRow> state = states.get(Math.max(0, states.size() - 1 - commitsBehind));
+        Map<String, LeaseRow> state = mStates.get(Math.max(0, mStates.size() - 1 - commitsBehind));
         return new LeaseEvent.TableRead(
                 afterVersion == 0,
                 state.values().stream().filter(row -> row.version() > afterVersion).toList());
     }
 
     LeaseEvent commit(LeaseCommit commit) {
-        Map<String, LeaseRow> now = states.get(states.size() - 1);
+        Map<String, LeaseRow> now = mStates.get(mStates.size() - 1);
         List<LeaseRow> present = new ArrayList<>();
         boolean holds = true;
         for (Map.Entry<String, Long> condition : commit.conditions().entrySet()) {
@@ -33,24 +33,24 @@
         if (!holds) {
             return new LeaseEvent.Conflicted(commit.writer(), present);
         }
-        long version = states.size();
+        long version = mStates.size();
         Map<String, LeaseRow> next = new TreeMap<>(now);
         commit.deletes().forEach(next::remove);
         commit.puts().forEach(row -> next.put(row.key(), row.writtenBy(commit.writer(), version)));
-        states.add(next);
+        mStates.add(next);
         return new LeaseEvent.Committed(commit.writer(), version);
     }
 
     long versionOf(String key) {
-        LeaseRow row = states.get(states.size() - 1).get(key);
+        LeaseRow row = mStates.get(mStates.size() - 1).get(key);
         return row == null ? 0 : row.version();
     }
 
     int rowCount() {
-        return states.get(states.size() - 1).size();
+        return mStates.get(mStates.size() - 1).size();
     }
 
     long commitCount() {
-        return states.size() - 1;
+        return mStates.size() - 1;
     }
 }
--- a/decisions/src/test/java/org/fuchsialever/decisions/lease/LeaseSimulation.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/lease/LeaseSimulation.java
@@ -21,82 +21,85 @@
     private static final double MAX_DRIFT = 0.01;
     private static final long RESPONSE_TIMEOUT_NANOS = 1_000 * NANOS_PER_MILLI;
 
-    final FakeLeaseTable table = new FakeLeaseTable();
-    final List<Instance> instances = new ArrayList<>();
-    final List<String> violations = new ArrayList<>();
-    private final Random random;
-    private final PriorityQueue<Delivery> network = new PriorityQueue<>();
-    private final Map<String, Long> lastFencing = new TreeMap<>();
-    private final Map<String, String> lastHolder = new TreeMap<>();
-    private final List<String> roles;
-    private long now;
-    private long order;
-    boolean outage;
-    double lossRate;
-    double pauseRate;
-    int staleness;
+    final FakeLeaseTable mTable = new FakeLeaseTable();
+    final List<Instance> mInstances = new ArrayList<>();
+    final List<String> mViolations = new ArrayList<>();
+    private final Random mRandom;
+    private final PriorityQueue<Delivery> mNetwork = new PriorityQueue<>();
+    private final Map<String, Long> mLastFencing = new TreeMap<>();
+    private final Map<String, String> mLastHolder = new TreeMap<>();
+    private final List<String> mRoles;
+    private long mNow;
+    private long mOrder;
+    boolean mOutage;
+    double mLossRate;
+    double mPauseRate;
+    int mStaleness;
 
     LeaseSimulation(long seed, List<String> roles) {
-        this.random = new Random(seed);
-        this.roles = roles;
+        mRandom = new Random(seed);
+        mRoles = roles;
     }
 
     Instance add(String name) {
-        Instance instance = new Instance(name, instances.size());
-        instances.add(instance);
-        roles.forEach(role -> instance.inbox.emit(new LeaseEvent.RoleRequested(role)));
+        Instance instance = new Instance(name, mInstances.size());
+        mInstances.add(instance);
+        mRoles.forEach(role -> instance.mInbox.emit(new LeaseEvent.RoleRequested(role)));
         return instance;
     }
 
     void run(long nanos) {
-        for (long end = now + nanos; now < end; now += STEP_NANOS) {
-            while (!network.isEmpty() && network.peek().at <= now) {
-                network.poll().run.run();
+        for (long end = mNow + nanos; mNow < end; mNow += STEP_NANOS) {
+            while (!mNetwork.isEmpty() && mNetwork.peek().at <= mNow) {
+                mNetwork.poll().run.run();
             }
-            for (Instance instance : instances) {
+            for (Instance instance : mInstances) {
                 instance.step();
             }
-            roles.forEach(this::check);
+            mRoles.forEach(this::check);
         }
     }
 
     /** Returns the instances whose lease on a role is valid now. */
     List<Instance> actingIn(String role) {
-        return instances.stream().filter(instance -> instance.mayAct(role)).toList();
+        return mInstances.stream().filter(instance -> instance.mayAct(role)).toList();
     }
 
     long heldRoles() {
-        return roles.stream().filter(role -> !actingIn(role).isEmpty()).count();
+        return mRoles.stream().filter(role -> !actingIn(role).isEmpty()).count();
     }
 
     private void check(String role) {
         List<Instance> acting = actingIn(role);
         if (acting.size() > 1) {
-            violations.add(now / NANOS_PER_MILLI + " ms: " + acting.size() + " act in " + role);
+            mViolations.add(mNow / NANOS_PER_MILLI + " ms: " + acting.size() + " act in " + role);
         }
         for (Instance instance : acting) {
-            LeaseRow.Role lease = Objects.requireNonNull(instance.held.get(role));
-            if (table.versionOf(lease.key()) != lease.version()) {
-                violations.add(
-                        now / NANOS_PER_MILLI + " ms: the guard row of " + role + " has changed");
+            LeaseRow.Role lease = Objects.requireNonNull(instance.mHeld.get(role));
+            if (mTable.versionOf(lease.key()) != lease.version()) {
+                mViolations.add(
+                        mNow / NANOS_PER_MILLI + " ms: the guard row of " + role + " has changed");
             }
             String holder = lease.holder();
-            long last = lastFencing.getOrDefault(role, 0L);
-            boolean same = holder.equals(lastHolder.put(role, holder));
+            long last = mLastFencing.getOrDefault(role, 0L);
+            boolean same = holder.equals(mLastHolder.put(role, holder));
             if (same ? lease.fencing() < last : lease.fencing() <= last) {
-                violations.add(
-                        now / NANOS_PER_MILLI + " ms: fencing number of " + role + " did not grow");
+                mViolations.add(
+                        mNow / NANOS_PER_MILLI
+                                + " ms: fencing number of "
+                                + role
+                                + " did not grow");
             }
-            lastFencing.put(role, lease.fencing());
+            mLastFencing.put(role, lease.fencing());
         }
     }
 
     private void schedule(long delay, Runnable run) {
-        network.add(new Delivery(now + delay, order++, run));
+        mNetwork.add(new Delivery(mNow + delay, mOrder++, run));
     }
 
     private long latency() {
-        return (1 + random.nextInt(40)) * NANOS_PER_MILLI;
+        return (1 + mRandom.nextInt(40)) * NANOS_PER_MILLI;
     }
 
     private record Delivery(long at, long order, Runnable run) implements Comparable<Delivery> {
@@ -108,86 +111,88 @@
 
     /** One instance with its clock, its duty and the leases that the duty has granted. */
     final class Instance {
-        final String name;
-        final Map<String, LeaseRow.Role> held = new TreeMap<>();
-        private final ManualTimeSource clock = new ManualTimeSource(0);
-        private final DutyStepper stepper = new DutyStepper(clock);
-        private final ActionSink<LeaseEvent> inbox;
-        private final double rate = 1 + (random.nextDouble() * 2 - 1) * MAX_DRIFT;
-        private final List<LeaseEvent> whilePaused = new ArrayList<>();
-        private long validUntil;
-        private long pausedUntil;
-        private boolean dead;
+        final String mName;
+        final Map<String, LeaseRow.Role> mHeld = new TreeMap<>();
+        private final ManualTimeSource mClock = new ManualTimeSource(0);
+        private final DutyStepper mStepper = new DutyStepper(mClock);
+        private final ActionSink<LeaseEvent> mInbox;
+        private final double mRate = 1 + (mRandom.nextDouble() * 2 - 1) * MAX_DRIFT;
+        private final List<LeaseEvent> mWhilePaused = new ArrayList<>();
+        private long mValidUntil;
+        private long mPausedUntil;
+        private boolean mDead;
 
         Instance(String name, int number) {
-            this.name = name;
+            mName = name;
             LeaseDuty duty =
                     new LeaseDuty(
                             new InstanceId(name),
                             "start-" + number,
                             LeaseTiming.standard(),
-                            new SplittableRandom(random.nextLong()));
-            this.inbox = stepper.add(duty, this::execute);
+                            new SplittableRandom(mRandom.nextLong()));
+            mInbox = mStepper.add(duty, this::execute);
         }
 
         void kill() {
-            dead = true;
+            mDead = true;
         }
 
         void pause(long nanos) {
-            pausedUntil = now + nanos;
+            mPausedUntil = mNow + nanos;
         }
 
         /** A paused process may resume at any moment, so a pause does not end its leases. */
         boolean mayAct(String role) {
-            return !dead && held.containsKey(role) && clock.nanoTime() < validUntil;
+            return !mDead && mHeld.containsKey(role) && mClock.nanoTime() < mValidUntil;
         }
 
         private void step() {
-            long delta = (long) (STEP_NANOS * rate);
-            if (dead || now < pausedUntil) {
-                clock.advanceNanos(delta);
+            long delta = (long) (STEP_NANOS * mRate);
+            if (mDead || mNow < mPausedUntil) {
+                mClock.advanceNanos(delta);
                 return;
             }
-            whilePaused.forEach(inbox::emit);
-            whilePaused.clear();
-            stepper.advance(delta);
+            mWhilePaused.forEach(mInbox::emit);
+            mWhilePaused.clear();
+            mStepper.advance(delta);
         }
 
         private void receive(LeaseEvent event) {
-            if (dead || now < pausedUntil) {
-                whilePaused.add(event);
+            if (mDead || mNow < mPausedUntil) {
+                mWhilePaused.add(event);
             } else {
-                inbox.emit(event);
+                mInbox.emit(event);
             }
         }
 
         private void execute(LeaseAction action) {
             if (action instanceof LeaseAction.StartHolding start) {
-                held.put(start.role().role(), start.role());
-                validUntil = start.validUntilNanos();
+                mHeld.put(start.role().role(), start.role());
+                mValidUntil = start.validUntilNanos();
             } else if (action instanceof LeaseAction.ExtendHolding extend) {
-                validUntil = extend.validUntilNanos();
+                mValidUntil = extend.validUntilNanos();
             } else if (action instanceof LeaseAction.StopHolding stop) {
-                held.remove(stop.role());
+                mHeld.remove(stop.role());
             } else if (action instanceof LeaseAction.ReadTable read) {
-                int behind = staleness == 0 ? 0 : random.nextInt(staleness + 1);
-                request(() -> table.read(read.afterVersion(), behind), new LeaseEvent.ReadFailed());
+                int behind = mStaleness == 0 ? 0 : mRandom.nextInt(mStaleness + 1);
+                request(
+                        () -> mTable.read(read.afterVersion(), behind),
+                        new LeaseEvent.ReadFailed());
             } else if (action instanceof LeaseAction.WriteRows write) {
                 request(
-                        () -> table.commit(write.commit()),
+                        () -> mTable.commit(write.commit()),
                         new LeaseEvent.WriteOutcomeUnknown(write.commit().writer()));
             }
-            if (random.nextDouble() < pauseRate) {
-                pause((long) (random.nextDouble() * 12_000) * NANOS_PER_MILLI);
+            if (mRandom.nextDouble() < mPauseRate) {
+                pause((long) (mRandom.nextDouble() * 12_000) * NANOS_PER_MILLI);
             }
         }
 
         /** Sends a request that may be lost, executed late, or executed with its response lost. */
         private void request(Supplier<LeaseEvent> call, LeaseEvent timeout) {
-            boolean requestLost = outage || random.nextDouble() < lossRate;
-            boolean responseLost = random.nextDouble() < lossRate;
-            boolean late = random.nextDouble() < lossRate;
+            boolean requestLost = mOutage || mRandom.nextDouble() < mLossRate;
+            boolean responseLost = mRandom.nextDouble() < mLossRate;
+            boolean late = mRandom.nextDouble() < mLossRate;
             long delay = late ? RESPONSE_TIMEOUT_NANOS + 50 * latency() : latency();
             if (!requestLost) {
                 schedule(
--- a/decisions/src/test/java/org/fuchsialever/decisions/manifest/ManifestTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/manifest/ManifestTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.Test;
 
 class ManifestTest {
-    private final Manifest manifest =
+    private final Manifest mManifest =
             new Manifest(
                     3,
                     List.of(route("short", "/a/"), route("long", "/a/b/")),
@@ -17,20 +17,20 @@
 
     @Test
     void picksTheRouteWithTheLongestPrefix() {
-        assertThat(manifest.route("h", "/a/b/c").map(ForwardRoute::name).get(), is("long"));
-        assertThat(manifest.route("h", "/a/bc").map(ForwardRoute::name).get(), is("short"));
+        assertThat(mManifest.route("h", "/a/b/c").map(ForwardRoute::name).get(), is("long"));
+        assertThat(mManifest.route("h", "/a/bc").map(ForwardRoute::name).get(), is("short"));
     }
 
     @Test
     void knowsNoRouteOfAnotherHostOrPath() {
-        assertThat(manifest.route("other", "/a/b/").isEmpty(), is(true));
-        assertThat(manifest.route("h", "/a").isEmpty(), is(true));
+        assertThat(mManifest.route("other", "/a/b/").isEmpty(), is(true));
+        assertThat(mManifest.route("h", "/a").isEmpty(), is(true));
     }
 
     @Test
     void findsTheTeamOfEachOfItsKeys() {
-        assertThat(manifest.teamOf("k2").get(), is("team"));
-        assertThat(manifest.teamOf("k3").isEmpty(), is(true));
+        assertThat(mManifest.teamOf("k2").get(), is("team"));
+        assertThat(mManifest.teamOf("k3").isEmpty(), is(true));
     }
 
     private static ForwardRoute route(String name, String prefix) {
--- a/decisions/src/test/java/org/fuchsialever/decisions/membership/MembershipDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/membership/MembershipDutyTest.java
@@ -28,13 +28,13 @@
 class MembershipDutyTest {
     private static final long SECOND = 1_000_000_000L;
 
-    private final DutyStepper stepper = new DutyStepper(new ManualTimeSource(0));
-    private final Map<InstanceId, ActionSink<MembershipEvent>> inboxes = new HashMap<>();
-    private final Map<InstanceId, List<Member>> views = new HashMap<>();
-    private final Set<InstanceId> isolated = new HashSet<>();
-    private final Set<InstanceId> unreachable = new HashSet<>();
-    private final List<Integer> sizes = new ArrayList<>();
-    private int sent;
+    private final DutyStepper mStepper = new DutyStepper(new ManualTimeSource(0));
+    private final Map<InstanceId, ActionSink<MembershipEvent>> mInboxes = new HashMap<>();
+    private final Map<InstanceId, List<Member>> mViews = new HashMap<>();
+    private final Set<InstanceId> mIsolated = new HashSet<>();
+    private final Set<InstanceId> mUnreachable = new HashSet<>();
+    private final List<Integer> mSizes = new ArrayList<>();
+    private int mSent;
 
     private static InstanceId id(int number) {
         return new InstanceId("node-" + number);
@@ -54,47 +54,47 @@
         MembershipEvent listed =
                 new MembershipEvent.InstancesListed(
                         IntStream.range(0, count).mapToObj(i -> member(i, 0)).toList());
-        inboxes.values().forEach(inbox -> inbox.emit(listed));
+        mInboxes.values().forEach(inbox -> inbox.emit(listed));
     }
 
     private void startOne(int number) {
         InstanceId self = id(number);
         MembershipDuty duty =
                 new MembershipDuty(member(number, 1), new SplittableRandom(91 + number), 0);
-        inboxes.put(self, stepper.add(duty, action -> perform(self, action)));
+        mInboxes.put(self, mStepper.add(duty, action -> perform(self, action)));
     }
 
     private void perform(InstanceId self, MembershipAction action) {
         if (action instanceof MembershipAction.ViewChanged view) {
-            views.put(self, view.members());
+            mViews.put(self, view.members());
             if (view.isolated()) {
-                isolated.add(self);
+                mIsolated.add(self);
             } else {
-                isolated.remove(self);
+                mIsolated.remove(self);
             }
         } else if (action instanceof MembershipAction.SendHeartbeat send) {
-            sent++;
-            sizes.add(send.heartbeat().changes().size());
-            ActionSink<MembershipEvent> inbox = inboxes.get(send.receiver());
+            mSent++;
+            mSizes.add(send.heartbeat().changes().size());
+            ActionSink<MembershipEvent> inbox = mInboxes.get(send.receiver());
             if (inbox != null
-                    && !unreachable.contains(self)
-                    && !unreachable.contains(send.receiver())) {
+                    && !mUnreachable.contains(self)
+                    && !mUnreachable.contains(send.receiver())) {
                 inbox.emit(new MembershipEvent.HeartbeatReceived(send.heartbeat()));
             }
         }
     }
 
     private void send(int number, MembershipEvent event) {
-        Objects.requireNonNull(inboxes.get(id(number))).emit(event);
+        Objects.requireNonNull(mInboxes.get(id(number))).emit(event);
     }
 
     private List<Member> viewOf(int number) {
-        return Objects.requireNonNull(views.get(id(number)));
+        return Objects.requireNonNull(mViews.get(id(number)));
     }
 
     private List<MemberState> statesOf(int number) {
-        return views.entrySet().stream()
-                .filter(view -> !unreachable.contains(view.getKey()))
+        return mViews.entrySet().stream()
+                .filter(view -> !mUnreachable.contains(view.getKey()))
                 .flatMap(view -> view.getValue().stream())
                 .filter(member -> member.instance().equals(id(number)))
                 .map(Member::state)
@@ -104,26 +104,26 @@
     @Test
     void aDeadInstanceIsFirstSuspectedAndThenRemovedEverywhere() {
         start(12);
-        stepper.advance(10 * SECOND);
-        unreachable.add(id(3));
-        stepper.advance(4 * SECOND);
+        mStepper.advance(10 * SECOND);
+        mUnreachable.add(id(3));
+        mStepper.advance(4 * SECOND);
         assertThat(statesOf(3).size(), equalTo(11));
         assertThat(statesOf(3), everyItem(is(MemberState.SUSPECT)));
-        stepper.advance(10 * SECOND);
+        mStepper.advance(10 * SECOND);
         assertThat(statesOf(3), is(empty()));
     }
 
     @Test
     void anInstanceThatIsCutOffRemovesNobodyAndComesBack() {
         start(12);
-        stepper.advance(10 * SECOND);
-        unreachable.add(id(3));
-        stepper.advance(60 * SECOND);
+        mStepper.advance(10 * SECOND);
+        mUnreachable.add(id(3));
+        mStepper.advance(60 * SECOND);
         assertThat(viewOf(3).size(), equalTo(11));
-        assertThat(isolated, equalTo(Set.of(id(3))));
-        unreachable.clear();
-        stepper.advance(10 * SECOND);
-        assertThat(isolated, is(empty()));
+        assertThat(mIsolated, equalTo(Set.of(id(3))));
+        mUnreachable.clear();
+        mStepper.advance(10 * SECOND);
+        assertThat(mIsolated, is(empty()));
         assertThat(statesOf(3).size(), equalTo(11));
         assertThat(statesOf(3), everyItem(is(MemberState.ALIVE)));
     }
@@ -131,11 +131,11 @@
     @Test
     void aShortSilenceIsRefutedWithAHigherIncarnation() {
         start(12);
-        stepper.advance(10 * SECOND);
-        unreachable.add(id(3));
-        stepper.advance(3 * SECOND);
-        unreachable.clear();
-        stepper.advance(4 * SECOND);
+        mStepper.advance(10 * SECOND);
+        mUnreachable.add(id(3));
+        mStepper.advance(3 * SECOND);
+        mUnreachable.clear();
+        mStepper.advance(4 * SECOND);
         assertThat(statesOf(3).size(), equalTo(11));
         assertThat(statesOf(3), everyItem(is(MemberState.ALIVE)));
         Member known =
@@ -149,9 +149,9 @@
     @Test
     void aLeavingInstanceIsKnownAsLeavingEverywhere() {
         start(50);
-        stepper.advance(5 * SECOND);
+        mStepper.advance(5 * SECOND);
         send(7, new MembershipEvent.LeaveRequested());
-        stepper.advance(6 * SECOND);
+        mStepper.advance(6 * SECOND);
         assertThat(statesOf(7).size(), equalTo(49));
         assertThat(statesOf(7), everyItem(is(MemberState.LEAVING)));
     }
@@ -159,25 +159,25 @@
     @Test
     void anUnlistedInstanceBecomesKnownThroughTheOneThatItContacts() {
         start(12);
-        stepper.advance(3 * SECOND);
+        mStepper.advance(3 * SECOND);
         startOne(12);
         send(12, new MembershipEvent.InstancesListed(List.of(member(0, 0))));
-        stepper.advance(8 * SECOND);
+        mStepper.advance(8 * SECOND);
         assertThat(statesOf(12).size(), equalTo(12));
     }
 
     @Test
     void messagesPerInstanceGrowWithTheLogarithmAndStaySmall() {
         start(200);
-        stepper.advance(10 * SECOND);
+        mStepper.advance(10 * SECOND);
         // After 200 instances start at once, messages must become small again.
-        sizes.clear();
-        sent = 0;
-        stepper.advance(10 * SECOND);
-        assertThat(sizes, everyItem(is(0)));
-        inboxes.values().forEach(inbox -> inbox.emit(new MembershipEvent.LeaveRequested()));
-        stepper.advance(2 * SECOND);
-        assertThat(sent, lessThanOrEqualTo(200 * 12 * 2 * 9));
-        assertThat(sizes, everyItem(lessThanOrEqualTo(ChangeQueue.MAX_CHANGES + 1)));
+        mSizes.clear();
+        mSent = 0;
+        mStepper.advance(10 * SECOND);
+        assertThat(mSizes, everyItem(is(0)));
+        mInboxes.values().forEach(inbox -> inbox.emit(new MembershipEvent.LeaveRequested()));
+        mStepper.advance(2 * SECOND);
+        assertThat(mSent, lessThanOrEqualTo(200 * 12 * 2 * 9));
+        assertThat(mSizes, everyItem(lessThanOrEqualTo(ChangeQueue.MAX_CHANGES + 1)));
     }
 }
--- a/decisions/src/test/java/org/fuchsialever/decisions/orders/OrderDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/orders/OrderDutyTest.java
@@ -18,96 +18,100 @@
 
 /** Guards against lack of capacity after reclaims or refusals, and against unnecessary cost. */
 class OrderDutyTest {
-    private final PoolFixture pool = new PoolFixture(OrderPolicy.PLANNED);
+    private final PoolFixture mPool = new PoolFixture(OrderPolicy.PLANNED);
 
     private void serveDemand(double live) {
-        pool.setDemand(live, 0);
-        pool.runSeconds(5);
-        pool.startedUpstreamsServe();
-        pool.runSeconds(5);
+        mPool.setDemand(live, 0);
+        mPool.runSeconds(5);
+        mPool.startedUpstreamsServe();
+        mPool.runSeconds(5);
     }
 
     @Test
     void ordersEachUpstreamOnceWhileTheListLags() {
         serveDemand(64);
         // 64 slots at 80% of 10 slots need 8 upstreams after the loss of a cheap failure domain.
-        assertThat(pool.count(CapacityKind.CHEAP, State.SERVING), equalTo(12L));
-        pool.runSeconds(60);
-        assertThat(pool.received.size(), equalTo(12));
+        assertThat(mPool.count(CapacityKind.CHEAP, State.SERVING), equalTo(12L));
+        mPool.runSeconds(60);
+        assertThat(mPool.mReceived.size(), equalTo(12));
     }
 
     @Test
     void fallsBackToRegularCapacityWhenCheapCapacityIsUnavailable() {
         PoolFixture.DOMAINS.forEach(
-                domain -> pool.unavailable.add(new CapacityPlacement(CapacityKind.CHEAP, domain)));
+                domain ->
+                        mPool.mUnavailable.add(new CapacityPlacement(CapacityKind.CHEAP, domain)));
         serveDemand(64);
-        assertThat(pool.count(CapacityKind.REGULAR, State.SERVING), equalTo(8L));
+        assertThat(mPool.count(CapacityKind.REGULAR, State.SERVING), equalTo(8L));
     }
 
     @Test
     void asksForRefusedCapacityAgainWithGrowingDelays() {
         PoolFixture.DOMAINS.forEach(
-                domain -> pool.unavailable.add(new CapacityPlacement(CapacityKind.CHEAP, domain)));
+                domain ->
+                        mPool.mUnavailable.add(new CapacityPlacement(CapacityKind.CHEAP, domain)));
         serveDemand(64);
-        int early = pool.refused.size();
+        int early = mPool.mRefused.size();
         assertThat(early, greaterThanOrEqualTo(3));
-        pool.runSeconds(600);
+        mPool.runSeconds(600);
         CapacityPlacement placement = PoolFixture.placement(CapacityKind.CHEAP, "a");
         long rounds =
-                pool.received.stream().filter(order -> order.placement().equals(placement)).count();
+                mPool.mReceived.stream()
+                        .filter(order -> order.placement().equals(placement))
+                        .count();
         assertThat(rounds, lessThanOrEqualTo(40L));
-        pool.unavailable.clear();
-        pool.runSeconds(700);
-        assertThat(pool.count(CapacityKind.CHEAP, State.STARTING), greaterThan(0L));
+        mPool.mUnavailable.clear();
+        mPool.runSeconds(700);
+        assertThat(mPool.count(CapacityKind.CHEAP, State.STARTING), greaterThan(0L));
     }
 
     @Test
     void keepsTheGuaranteedNeedWhenAWholeCheapFailureDomainIsReclaimed() {
         serveDemand(64);
-        pool.reclaim("b");
-        assertThat(pool.count(CapacityKind.CHEAP, State.SERVING), equalTo(8L));
-        pool.runSeconds(2);
-        assertThat(pool.leaving.size(), equalTo(4));
-        pool.startedUpstreamsServe();
-        pool.runSeconds(5);
-        pool.startedUpstreamsServe();
+        mPool.reclaim("b");
+        assertThat(mPool.count(CapacityKind.CHEAP, State.SERVING), equalTo(8L));
+        mPool.runSeconds(2);
+        assertThat(mPool.mLeaving.size(), equalTo(4));
+        mPool.startedUpstreamsServe();
+        mPool.runSeconds(5);
+        mPool.startedUpstreamsServe();
         long serving =
-                pool.count(CapacityKind.CHEAP, State.SERVING)
-                        + pool.count(CapacityKind.REGULAR, State.SERVING);
+                mPool.count(CapacityKind.CHEAP, State.SERVING)
+                        + mPool.count(CapacityKind.REGULAR, State.SERVING);
         assertThat(serving, greaterThanOrEqualTo(12L));
     }
 
     @Test
     void tellsDispatchBeforeItStopsAnUpstreamAndLeavesTimeForRunningRequests() {
         serveDemand(64);
-        pool.setDemand(16, 0);
-        pool.runSeconds(62);
-        assertThat(pool.leaving.isEmpty(), is(false));
+        mPool.setDemand(16, 0);
+        mPool.runSeconds(62);
+        assertThat(mPool.mLeaving.isEmpty(), is(false));
         assertThat(stops(), is(empty()));
-        pool.runSeconds(40);
-        assertThat(new HashSet<>(pool.leaving).containsAll(stops()), is(true));
+        mPool.runSeconds(40);
+        assertThat(new HashSet<>(mPool.mLeaving).containsAll(stops()), is(true));
         assertThat(stops().size(), greaterThan(0));
     }
 
     @Test
     void retainsSpareCapacityUntilItHasCostAsMuchAsARestart() {
         serveDemand(64);
-        pool.setDemand(16, 0);
-        pool.runSeconds(55);
-        assertThat(pool.leaving, is(empty()));
-        pool.setDemand(64, 0);
-        pool.runSeconds(10);
-        assertThat(pool.received.size(), equalTo(12));
+        mPool.setDemand(16, 0);
+        mPool.runSeconds(55);
+        assertThat(mPool.mLeaving, is(empty()));
+        mPool.setDemand(64, 0);
+        mPool.runSeconds(10);
+        assertThat(mPool.mReceived.size(), equalTo(12));
     }
 
     @Test
     void neverUsesTheNameOfAnUpstreamAgain() {
         serveDemand(64);
-        pool.setDemand(0, 0);
-        pool.runSeconds(200);
+        mPool.setDemand(0, 0);
+        mPool.runSeconds(200);
         serveDemand(64);
         List<UpstreamId> names =
-                pool.received.stream()
+                mPool.mReceived.stream()
                         .filter(order -> order.action() == UpstreamCommand.Action.START)
                         .map(UpstreamCommand::upstream)
                         .toList();
@@ -118,15 +122,15 @@
     @Test
     void publishesEveryUpstreamThatThePlatformTakesAway() {
         serveDemand(64);
-        UpstreamId[] gone = pool.upstreams.keySet().stream().limit(2).toArray(UpstreamId[]::new);
-        pool.setState(gone[0], State.LEAVING);
-        pool.setState(gone[1], State.STOPPED);
-        pool.runSeconds(2);
-        assertThat(pool.leaving, hasItems(gone));
+        UpstreamId[] gone = mPool.mUpstreams.keySet().stream().limit(2).toArray(UpstreamId[]::new);
+        mPool.setState(gone[0], State.LEAVING);
+        mPool.setState(gone[1], State.STOPPED);
+        mPool.runSeconds(2);
+        assertThat(mPool.mLeaving, hasItems(gone));
     }
 
     private List<UpstreamId> stops() {
-        return pool.received.stream()
+        return mPool.mReceived.stream()
                 .filter(order -> order.action() == UpstreamCommand.Action.STOP)
                 .map(UpstreamCommand::upstream)
                 .toList();
--- a/decisions/src/test/java/org/fuchsialever/decisions/orders/PoolFixture.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/orders/PoolFixture.java
@@ -31,18 +31,18 @@
             List.of(new FailureDomain("a"), new FailureDomain("b"), new FailureDomain("c"));
     static final long SECOND = 1_000_000_000L;
 
-    final Map<UpstreamId, ObservedUpstream> upstreams = new LinkedHashMap<>();
-    final Set<CapacityPlacement> unavailable = new HashSet<>();
-    final List<UpstreamCommand> received = new ArrayList<>();
-    final List<UpstreamId> leaving = new ArrayList<>();
-    final List<CapacityPlacement> refused = new ArrayList<>();
-    final DutyStepper stepper = new DutyStepper(new ManualTimeSource(0));
-    private final ActionSink<OrderEvent> duty;
-    private long version;
+    final Map<UpstreamId, ObservedUpstream> mUpstreams = new LinkedHashMap<>();
+    final Set<CapacityPlacement> mUnavailable = new HashSet<>();
+    final List<UpstreamCommand> mReceived = new ArrayList<>();
+    final List<UpstreamId> mLeaving = new ArrayList<>();
+    final List<CapacityPlacement> mRefused = new ArrayList<>();
+    final DutyStepper mStepper = new DutyStepper(new ManualTimeSource(0));
+    private final ActionSink<OrderEvent> mDuty;
+    private long mVersion;
 
     PoolFixture(OrderPolicy policy) {
-        duty =
-                stepper.add(
+        mDuty =
+                mStepper.add(
                         new OrderDuty(
                                 POOL,
                                 policy,
@@ -51,8 +51,8 @@
                                 0,
                                 InvariantMonitor.throwing()),
                         this::execute);
-        duty.emit(new OrderEvent.LimitsChanged(limits(2, 20)));
-        duty.emit(new OrderEvent.RoleEvent(new IntentEvent.LeaseAcquired<>(1)));
+        mDuty.emit(new OrderEvent.LimitsChanged(limits(2, 20)));
+        mDuty.emit(new OrderEvent.RoleEvent(new IntentEvent.LeaseAcquired<>(1)));
     }
 
     static PlanLimits limits(int minimum, int maximum) {
@@ -69,22 +69,22 @@
     }
 
     void setDemand(double live, double batch) {
-        duty.emit(new OrderEvent.DemandObserved(demand(live, batch)));
+        mDuty.emit(new OrderEvent.DemandObserved(demand(live, batch)));
     }
 
     void runSeconds(int seconds) {
         for (int i = 0; i < seconds; i++) {
-            stepper.advance(SECOND);
+            mStepper.advance(SECOND);
         }
     }
 
     void setState(UpstreamId id, State state) {
-        upstreams.computeIfPresent(
+        mUpstreams.computeIfPresent(
                 id, (key, known) -> new ObservedUpstream(id, known.placement(), state));
     }
 
     void startedUpstreamsServe() {
-        List.copyOf(upstreams.values()).stream()
+        List.copyOf(mUpstreams.values()).stream()
                 .filter(upstream -> upstream.state() == State.STARTING)
                 .forEach(upstream -> setState(upstream.id(), State.SERVING));
     }
@@ -92,25 +92,25 @@
     /** Simulates the announced reclaim of all cheap upstreams of a failure domain. */
     void reclaim(String domain) {
         CapacityPlacement placement = placement(CapacityKind.CHEAP, domain);
-        unavailable.add(placement);
-        List.copyOf(upstreams.values()).stream()
+        mUnavailable.add(placement);
+        List.copyOf(mUpstreams.values()).stream()
                 .filter(upstream -> upstream.placement().equals(placement))
                 .forEach(upstream -> setState(upstream.id(), State.LEAVING));
     }
 
     long count(CapacityKind kind, State state) {
-        return upstreams.values().stream()
+        return mUpstreams.values().stream()
                 .filter(each -> each.placement().kind() == kind && each.state() == state)
                 .count();
     }
 
     private void execute(OrderAction action) {
         if (action instanceof OrderAction.ListUpstreams) {
-            duty.emit(new OrderEvent.UpstreamsListed(List.copyOf(upstreams.values())));
+            mDuty.emit(new OrderEvent.UpstreamsListed(List.copyOf(mUpstreams.values())));
         } else if (action instanceof OrderAction.PublishLeaving publish) {
-            leaving.add(publish.upstream());
+            mLeaving.add(publish.upstream());
         } else if (action instanceof OrderAction.CapacityRefused refusal) {
-            refused.add(refusal.placement());
+            mRefused.add(refusal.placement());
         } else if (action instanceof OrderAction.RoleAction role) {
             execute(role.action());
         }
@@ -120,7 +120,7 @@
         if (action instanceof IntentAction.ReadJournal<UpstreamCommand> read) {
             emit(new IntentEvent.JournalRead<>(read.fencing(), Journal.absent()));
         } else if (action instanceof IntentAction.WriteJournal<UpstreamCommand> write) {
-            emit(new IntentEvent.Committed<>(write.writer(), ++version));
+            emit(new IntentEvent.Committed<>(write.writer(), ++mVersion));
         } else if (action instanceof IntentAction.SendCommand<UpstreamCommand> order) {
             emit(
                     new IntentEvent.AttemptEnded<>(
@@ -132,21 +132,21 @@
     }
 
     private CommandResult receive(UpstreamCommand command) {
-        received.add(command);
+        mReceived.add(command);
         if (command.action() == UpstreamCommand.Action.STOP) {
             setState(command.upstream(), State.STOPPED);
             return CommandResult.DONE;
         }
-        if (unavailable.contains(command.placement())) {
+        if (mUnavailable.contains(command.placement())) {
             return CommandResult.REFUSED;
         }
-        upstreams.put(
+        mUpstreams.put(
                 command.upstream(),
                 new ObservedUpstream(command.upstream(), command.placement(), State.STARTING));
         return CommandResult.DONE;
     }
 
     private void emit(IntentEvent<UpstreamCommand> event) {
-        duty.emit(new OrderEvent.RoleEvent(event));
+        mDuty.emit(new OrderEvent.RoleEvent(event));
     }
 }
--- a/decisions/src/test/java/org/fuchsialever/decisions/samples/FakeStore.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/samples/FakeStore.java
@@ -10,32 +10,32 @@
 
 /** In-memory table service and object store for one trainer; reads can be stale. */
 final class FakeStore {
-    private final Map<String, List<JudgedSample>> objects = new HashMap<>();
-    private final List<RestoredLog> history = new ArrayList<>();
-    private final TreeMap<Long, BatchRecord> batches = new TreeMap<>();
-    private final Map<Long, Submission> submissions = new HashMap<>();
-    private LogHead head = LogHead.EMPTY;
-    private String headWriter = "";
-    private long headVersion;
-    private long revision;
-    private long guard;
+    private final Map<String, List<JudgedSample>> mObjects = new HashMap<>();
+    private final List<RestoredLog> mHistory = new ArrayList<>();
+    private final TreeMap<Long, BatchRecord> mBatches = new TreeMap<>();
+    private final Map<Long, Submission> mSubmissions = new HashMap<>();
+    private LogHead mHead = LogHead.EMPTY;
+    private String mHeadWriter = "";
+    private long mHeadVersion;
+    private long mRevision;
+    private long mGuard;
 
     FakeStore() {
-        history.add(snapshot());
+        mHistory.add(snapshot());
     }
 
     /** Moves the lease to a new holder; commits under an earlier lease conflict from now on. */
     long takeLease() {
-        guard++;
-        return guard;
+        mGuard++;
+        return mGuard;
     }
 
     void put(String object, List<JudgedSample> samples) {
-        objects.putIfAbsent(object, samples);
+        mObjects.putIfAbsent(object, samples);
     }
 
     List<JudgedSample> body(String object) {
-        return Option.of(objects.get(object)).getOrElseThrow(() -> new AssertionError(object));
+        return Option.of(mObjects.get(object)).getOrElseThrow(() -> new AssertionError(object));
     }
 
     RolloutEvent commit(RolloutAction action, long underGuard) {
@@ -44,47 +44,47 @@
         Option<Submission> submission = commit.submission();
         Option<String> known =
                 submission.flatMap(
-                        added -> Option.of(submissions.get(added.step())).map(Submission::object));
-        boolean headHolds = commit.expectedHeadVersion() == headVersion;
-        if (underGuard != guard || !headHolds || known.isDefined()) {
+                        added -> Option.of(mSubmissions.get(added.step())).map(Submission::object));
+        boolean headHolds = commit.expectedHeadVersion() == mHeadVersion;
+        if (underGuard != mGuard || !headHolds || known.isDefined()) {
             return new RolloutEvent.CommitConflicted(
                     RolloutSimulation.TRAINER,
                     term,
                     commit.writer(),
                     headHolds
                             ? Option.none()
-                            : Option.some(new RolloutEvent.RowWriter(headWriter, headVersion)),
+                            : Option.some(new RolloutEvent.RowWriter(mHeadWriter, mHeadVersion)),
                     known);
         }
-        revision++;
-        headVersion = revision;
-        headWriter = commit.writer();
-        head = commit.head();
-        commit.batches().forEach(batch -> batches.put(batch.number(), batch));
-        batches.headMap(commit.endDeleted()).clear();
-        submission.forEach(added -> submissions.put(added.step(), added));
-        history.add(snapshot());
+        mRevision++;
+        mHeadVersion = mRevision;
+        mHeadWriter = commit.writer();
+        mHead = commit.head();
+        commit.batches().forEach(batch -> mBatches.put(batch.number(), batch));
+        mBatches.headMap(commit.endDeleted()).clear();
+        submission.forEach(added -> mSubmissions.put(added.step(), added));
+        mHistory.add(snapshot());
         return new RolloutEvent.CommitSucceeded(
-                RolloutSimulation.TRAINER, term, commit.writer(), headVersion);
+                RolloutSimulation.TRAINER, term, commit.writer(), mHeadVersion);
     }
 
     /** Returns the state at the given revision or a later one. */
     RestoredLog read(long atLeastVersion, RandomGenerator random) {
-        int newest = history.size() - 1;
+        int newest = mHistory.size() - 1;
         int chosen = random.nextInt(4) == 0 ? random.nextInt(newest + 1) : newest;
-        RestoredLog log = history.get(chosen);
-        return log.headVersion() >= atLeastVersion ? log : history.get(newest);
+        RestoredLog log = mHistory.get(chosen);
+        return log.headVersion() >= atLeastVersion ? log : mHistory.get(newest);
     }
 
     private RestoredLog snapshot() {
         return new RestoredLog(
-                headVersion,
-                head,
-                head.openSteps().stream()
-                        .map(submissions::get)
+                mHeadVersion,
+                mHead,
+                mHead.openSteps().stream()
+                        .map(mSubmissions::get)
                         .map(known -> new RestoredLog.RestoredSubmission(known, 0))
                         .toList(),
-                List.copyOf(batches.values()));
+                List.copyOf(mBatches.values()));
     }
 
     private static HeadCommit commitOf(RolloutAction action) {
--- a/decisions/src/test/java/org/fuchsialever/decisions/samples/RolloutDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/samples/RolloutDutyTest.java
@@ -25,12 +25,12 @@
             while (crashed) {
                 action++;
                 RolloutSimulation simulation = new RolloutSimulation(run, StragglerPolicy.NONE);
-                simulation.crashAtAction = action;
-                simulation.crashBeforeAction = run % 2 == 0;
+                simulation.mCrashAtAction = action;
+                simulation.mCrashBeforeAction = run % 2 == 0;
                 steps.forEach(simulation::submit);
                 simulation.runUntil(9, 120);
                 simulation.assertEverySampleExactlyOnce(steps);
-                crashed = simulation.actionCount >= action;
+                crashed = simulation.mActionCount >= action;
             }
             assertThat("an undisturbed run has more actions", action, greaterThan(30));
         }
@@ -43,7 +43,7 @@
         for (long seed = 0; seed < SEEDS; seed++) {
             SplittableRandom faults = new SplittableRandom(seed);
             RolloutSimulation simulation = new RolloutSimulation(seed, policy(seed));
-            simulation.responseLossPercent = 20;
+            simulation.mResponseLossPercent = 20;
             List<Submission> steps = new ArrayList<>();
             for (long step = 1; step <= 3; step++) {
                 steps.add(RolloutSimulation.submission(step, 4, 5));
@@ -53,8 +53,8 @@
             }
             simulation.runUntil(60, 600);
             simulation.assertEverySampleExactlyOnce(steps);
-            replaced += simulation.counters.getOrDefault(RolloutCounter.REPLACED_STALE, 0);
-            dropped += simulation.counters.getOrDefault(RolloutCounter.DROPPED, 0);
+            replaced += simulation.mCounters.getOrDefault(RolloutCounter.REPLACED_STALE, 0);
+            dropped += simulation.mCounters.getOrDefault(RolloutCounter.DROPPED, 0);
         }
         assertThat("stale samples were replaced", replaced, greaterThan(0));
         assertThat("late and doubled results were dropped", dropped, greaterThan(0));
@@ -86,16 +86,18 @@
         RolloutSimulation simulation = new RolloutSimulation(7, StragglerPolicy.NONE);
         steps.forEach(simulation::submit);
         simulation.runUntil(1, 5);
-        simulation.outage = true;
+        simulation.mOutage = true;
         simulation.runUntil(50, 3_600);
         assertThat(
-                "nothing is delivered before it is fixed", simulation.received.size(), is(not(50)));
+                "nothing is delivered before it is fixed",
+                simulation.mReceived.size(),
+                is(not(50)));
         int retries =
-                simulation.counters.getOrDefault(RolloutCounter.STORE_RETRIED, 0)
-                        + simulation.counters.getOrDefault(RolloutCounter.COMMIT_RETRIED, 0);
-        assertThat(simulation.maxHeld, lessThanOrEqualTo(HELD_LIMIT));
+                simulation.mCounters.getOrDefault(RolloutCounter.STORE_RETRIED, 0)
+                        + simulation.mCounters.getOrDefault(RolloutCounter.COMMIT_RETRIED, 0);
+        assertThat(simulation.mMaxHeld, lessThanOrEqualTo(HELD_LIMIT));
 
-        simulation.outage = false;
+        simulation.mOutage = false;
         simulation.runUntil(50, 60);
 
         simulation.assertEverySampleExactlyOnce(steps);
@@ -115,7 +117,7 @@
             simulation.publishNewWeights();
             simulation.runUntil(16, 60);
             simulation.assertEverySampleExactlyOnce(steps);
-            replaced += simulation.counters.getOrDefault(RolloutCounter.REPLACED_STALE, 0);
+            replaced += simulation.mCounters.getOrDefault(RolloutCounter.REPLACED_STALE, 0);
         }
         assertThat(replaced, greaterThan(0));
     }
@@ -124,14 +126,15 @@
     void recognisesItsOwnCommitAfterALostAnswer() {
         List<Submission> steps = List.of(RolloutSimulation.submission(1, 4, 4));
         RolloutSimulation simulation = new RolloutSimulation(11, StragglerPolicy.NONE);
-        simulation.responseLossPercent = 50;
+        simulation.mResponseLossPercent = 50;
         steps.forEach(simulation::submit);
         simulation.runUntil(16, 60);
 
         simulation.assertEverySampleExactlyOnce(steps);
         assertThat(
-                simulation.counters.getOrDefault(RolloutCounter.COMMIT_RETRIED, 0), greaterThan(0));
-        assertThat(simulation.counters.getOrDefault(RolloutCounter.COMMIT_CONFLICTED, 0), is(0));
+                simulation.mCounters.getOrDefault(RolloutCounter.COMMIT_RETRIED, 0),
+                greaterThan(0));
+        assertThat(simulation.mCounters.getOrDefault(RolloutCounter.COMMIT_CONFLICTED, 0), is(0));
     }
 
     @Test
@@ -141,7 +144,7 @@
         steps.forEach(simulation::submit);
         simulation.runUntil(12, 60);
 
-        List<SampleId> order = List.copyOf(simulation.received.values());
+        List<SampleId> order = List.copyOf(simulation.mReceived.values());
         for (int first = 0; first < order.size(); first += 4) {
             String group = order.get(first).group();
             assertThat(
@@ -161,7 +164,7 @@
             steps.forEach(simulation::submit);
             simulation.runUntil(100, 600);
             simulation.assertEverySampleExactlyOnce(steps);
-            int count = simulation.counters.getOrDefault(RolloutCounter.DUPLICATED, 0);
+            int count = simulation.mCounters.getOrDefault(RolloutCounter.DUPLICATED, 0);
             assertThat(count, lessThanOrEqualTo(4));
             duplicated += count;
         }
@@ -199,10 +202,10 @@
         OUTAGE_WITH_CRASH {
             @Override
             void inject(RolloutSimulation simulation) {
-                simulation.outage = true;
+                simulation.mOutage = true;
                 simulation.runUntil(60, 30);
                 simulation.crashHolder();
-                simulation.outage = false;
+                simulation.mOutage = false;
             }
         };
 
--- a/decisions/src/test/java/org/fuchsialever/decisions/samples/RolloutSimulation.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/samples/RolloutSimulation.java
@@ -28,91 +28,91 @@
     static final int MAX_STALENESS = 1;
     private static final long MILLI_NANOS = 1_000_000;
 
-    final FakeStore store = new FakeStore();
-    final Map<RolloutCounter, Integer> counters = new HashMap<>();
-    final TreeMap<Long, SampleId> received = new TreeMap<>();
-    final StragglerPolicy policy;
-    int responseLossPercent;
-    boolean outage;
-    int actionCount;
-    int crashAtAction = -1;
-    boolean crashBeforeAction;
-    int maxHeld;
-    private final SplittableRandom random;
-    private final PriorityQueue<Task> tasks =
+    final FakeStore mStore = new FakeStore();
+    final Map<RolloutCounter, Integer> mCounters = new HashMap<>();
+    final TreeMap<Long, SampleId> mReceived = new TreeMap<>();
+    final StragglerPolicy mPolicy;
+    int mResponseLossPercent;
+    boolean mOutage;
+    int mActionCount;
+    int mCrashAtAction = -1;
+    boolean mCrashBeforeAction;
+    int mMaxHeld;
+    private final SplittableRandom mRandom;
+    private final PriorityQueue<Task> mTasks =
             new PriorityQueue<>(
                     Comparator.comparingLong(Task::at).thenComparingLong(Task::sequence));
-    private final Map<String, List<TokenRange>> expectedRanges = new HashMap<>();
-    private final List<Submission> pendingSubmissions = new ArrayList<>();
-    private long now;
-    private long sequence;
-    private long version = 1;
-    private long cursor;
-    private long requests;
-    private Instance holder;
+    private final Map<String, List<TokenRange>> mExpectedRanges = new HashMap<>();
+    private final List<Submission> mPendingSubmissions = new ArrayList<>();
+    private long mNow;
+    private long mSequence;
+    private long mVersion = 1;
+    private long mCursor;
+    private long mRequests;
+    private Instance mHolder;
 
     RolloutSimulation(long seed, StragglerPolicy policy) {
-        this.random = new SplittableRandom(seed);
-        this.policy = policy;
-        this.holder = new Instance();
-        holder.acquireLease();
+        mRandom = new SplittableRandom(seed);
+        mPolicy = policy;
+        mHolder = new Instance();
+        mHolder.acquireLease();
     }
 
     /** Submits a step and retries until it is accepted. */
     void submit(Submission submission) {
-        pendingSubmissions.add(submission);
+        mPendingSubmissions.add(submission);
         trySubmit(submission);
     }
 
     void publishNewWeights() {
-        version++;
-        holder.observeVersion();
+        mVersion++;
+        mHolder.observeVersion();
     }
 
     /** Crashes the lease holder with all its state; another instance takes the lease. */
     void crashHolder() {
-        holder.alive = false;
-        holder = new Instance();
-        holder.acquireLease();
+        mHolder.mAlive = false;
+        mHolder = new Instance();
+        mHolder.acquireLease();
         schedule(50 * MILLI_NANOS, this::poll);
     }
 
     /** Moves the lease from a running holder to another instance. */
     void moveLease() {
-        Instance earlier = holder;
+        Instance earlier = mHolder;
         schedule(
-                random.nextLong(200) * MILLI_NANOS,
+                mRandom.nextLong(200) * MILLI_NANOS,
                 () -> earlier.handle(new RolloutEvent.LeaseLost(TRAINER)));
-        holder = new Instance();
-        holder.acquireLease();
+        mHolder = new Instance();
+        mHolder.acquireLease();
     }
 
     /** Lets the holder's lease expire and be renewed before another instance takes it. */
     void loseAndRegainLease() {
-        holder.handle(new RolloutEvent.LeaseLost(TRAINER));
-        holder.handle(new RolloutEvent.LeaseAcquired(TRAINER, holder.guard));
-        holder.observeVersion();
+        mHolder.handle(new RolloutEvent.LeaseLost(TRAINER));
+        mHolder.handle(new RolloutEvent.LeaseAcquired(TRAINER, mHolder.mGuard));
+        mHolder.observeVersion();
     }
 
     /** Advances the clock until the trainer has the given number of samples or the time is over. */
     void runUntil(int samples, long seconds) {
-        long end = now + seconds * 1_000 * MILLI_NANOS;
+        long end = mNow + seconds * 1_000 * MILLI_NANOS;
         poll();
-        while (received.size() < samples && now < end) {
-            long timer = holder.alive ? holder.duty.nextTimerNanos() : Duty.NO_TIMER;
-            Task task = tasks.peek();
+        while (mReceived.size() < samples && mNow < end) {
+            long timer = mHolder.mAlive ? mHolder.mDuty.nextTimerNanos() : Duty.NO_TIMER;
+            Task task = mTasks.peek();
             long next = Math.min(timer, task == null ? Duty.NO_TIMER : task.at);
             if (next == Duty.NO_TIMER || next > end) {
-                now = end;
+                mNow = end;
             } else if (task != null && task.at <= timer) {
-                tasks.remove();
-                now = Math.max(now, task.at);
+                mTasks.remove();
+                mNow = Math.max(mNow, task.at);
                 task.work.run();
             } else {
-                now = Math.max(now, timer);
-                holder.duty.onTimer(now, holder::execute);
+                mNow = Math.max(mNow, timer);
+                mHolder.mDuty.onTimer(mNow, mHolder::execute);
             }
-            maxHeld = Math.max(maxHeld, holder.duty.heldSampleCount());
+            mMaxHeld = Math.max(mMaxHeld, mHolder.mDuty.heldSampleCount());
         }
     }
 
@@ -127,9 +127,9 @@
         }
         Comparator<SampleId> order = Comparator.comparing(SampleId::toString);
         assertThat(
-                received.values().stream().sorted(order).toList(),
+                mReceived.values().stream().sorted(order).toList(),
                 equalTo(expected.stream().sorted(order).toList()));
-        assertThat(received.lastKey(), is((long) expected.size() - 1));
+        assertThat(mReceived.lastKey(), is((long) expected.size() - 1));
     }
 
     static Submission submission(long step, int groups, int samples) {
@@ -150,59 +150,59 @@
     }
 
     private void trySubmit(Submission submission) {
-        if (pendingSubmissions.contains(submission)) {
-            holder.handle(new RolloutEvent.GroupsSubmitted(submission.step(), submission));
+        if (mPendingSubmissions.contains(submission)) {
+            mHolder.handle(new RolloutEvent.GroupsSubmitted(submission.step(), submission));
             schedule(2_000 * MILLI_NANOS, () -> trySubmit(submission));
         }
     }
 
     private void poll() {
-        requests++;
-        holder.handle(
+        mRequests++;
+        mHolder.handle(
                 new RolloutEvent.SamplesRequested(
-                        TRAINER, 1_000_000 + requests, cursor, 16, 500 * MILLI_NANOS));
+                        TRAINER, 1_000_000 + mRequests, mCursor, 16, 500 * MILLI_NANOS));
     }
 
     private void schedule(long delay, Runnable work) {
-        sequence++;
-        tasks.add(new Task(now + delay, sequence, work));
+        mSequence++;
+        mTasks.add(new Task(mNow + delay, mSequence, work));
     }
 
     private void receive(RolloutAction.Deliver delivery, Instance from) {
         long position = delivery.firstPosition();
         for (BatchEntry entry : delivery.entries()) {
-            JudgedSample body = store.body(entry.object()).get(entry.slot());
+            JudgedSample body = mStore.body(entry.object()).get(entry.slot());
             assertThat(body.id(), equalTo(entry.id()));
-            assertThat(body.sample().ranges(), equalTo(expectedRanges.get(body.sample().text())));
+            assertThat(body.sample().ranges(), equalTo(mExpectedRanges.get(body.sample().text())));
             assertThat(
                     body.sample().oldest().number(),
-                    greaterThanOrEqualTo(from.knownVersion - MAX_STALENESS));
-            SampleId earlier = received.putIfAbsent(position, entry.id());
+                    greaterThanOrEqualTo(from.mKnownVersion - MAX_STALENESS));
+            SampleId earlier = mReceived.putIfAbsent(position, entry.id());
             assertThat(earlier == null || earlier.equals(entry.id()), is(true));
             position++;
         }
-        cursor = Math.max(cursor, position);
-        if (random.nextInt(3) == 0) {
-            long acknowledged = cursor;
+        mCursor = Math.max(mCursor, position);
+        if (mRandom.nextInt(3) == 0) {
+            long acknowledged = mCursor;
             schedule(
                     MILLI_NANOS,
                     () ->
-                            holder.handle(
+                            mHolder.handle(
                                     new RolloutEvent.CursorAcknowledged(TRAINER, 0, acknowledged)));
         }
     }
 
     private GeneratedSample generate(RolloutAction.Generate action, long started) {
-        String text = action.sample() + "#" + sequence + "." + expectedRanges.size();
-        int middle = 1 + random.nextInt(20);
+        String text = action.sample() + "#" + mSequence + "." + mExpectedRanges.size();
+        int middle = 1 + mRandom.nextInt(20);
         UpstreamId engine = new UpstreamId("engine-1");
         List<TokenRange> ranges =
-                started == version
-                        ? List.of(new TokenRange(0, 30, new WeightVersion(version), engine))
+                started == mVersion
+                        ? List.of(new TokenRange(0, 30, new WeightVersion(mVersion), engine))
                         : List.of(
                                 new TokenRange(0, middle, new WeightVersion(started), engine),
-                                new TokenRange(middle, 30, new WeightVersion(version), engine));
-        expectedRanges.put(text, ranges);
+                                new TokenRange(middle, 30, new WeightVersion(mVersion), engine));
+        mExpectedRanges.put(text, ranges);
         return new GeneratedSample(text, ranges, 0, 1);
     }
 
@@ -210,10 +210,10 @@
 
     /** One instance. After a crash it handles no events and executes no actions. */
     private final class Instance {
-        private final RolloutDuty duty =
+        private final RolloutDuty mDuty =
                 new RolloutDuty(
                         new RolloutSetup(
-                                "i" + random.nextInt(1_000_000),
+                                "i" + mRandom.nextInt(1_000_000),
                                 new RolloutLimits(
                                         12,
                                         1_000,
@@ -222,44 +222,44 @@
                                         java.time.Duration.ofMillis(50),
                                         java.time.Duration.ofSeconds(1),
                                         8),
-                                policy,
+                                mPolicy,
                                 new LengthPredictor(),
-                                random.split(),
+                                mRandom.split(),
                                 InvariantMonitor.throwing()));
-        private long guard;
-        private long knownVersion;
-        private boolean alive = true;
+        private long mGuard;
+        private long mKnownVersion;
+        private boolean mAlive = true;
 
         void acquireLease() {
-            guard = store.takeLease();
-            handle(new RolloutEvent.LeaseAcquired(TRAINER, guard));
+            mGuard = mStore.takeLease();
+            handle(new RolloutEvent.LeaseAcquired(TRAINER, mGuard));
             observeVersion();
         }
 
         void observeVersion() {
-            knownVersion = version;
-            handle(new RolloutEvent.VersionObserved(TRAINER, new WeightVersion(version)));
+            mKnownVersion = mVersion;
+            handle(new RolloutEvent.VersionObserved(TRAINER, new WeightVersion(mVersion)));
         }
 
         void handle(RolloutEvent event) {
-            if (alive) {
-                duty.onEvent(event, now, this::execute);
+            if (mAlive) {
+                mDuty.onEvent(event, mNow, this::execute);
             }
         }
 
         private void respond(RolloutEvent event, int repeats) {
             for (int i = 0; i < repeats; i++) {
-                schedule(random.nextLong(1, 40) * MILLI_NANOS, () -> handle(event));
+                schedule(mRandom.nextLong(1, 40) * MILLI_NANOS, () -> handle(event));
             }
         }
 
         private void execute(RolloutAction action) {
-            actionCount++;
-            if (actionCount == crashAtAction) {
+            mActionCount++;
+            if (mActionCount == mCrashAtAction) {
                 schedule(0, RolloutSimulation.this::crashHolder);
-                alive = !crashBeforeAction;
+                mAlive = !mCrashBeforeAction;
             }
-            if (!alive) {
+            if (!mAlive) {
                 return;
             }
             if (action instanceof RolloutAction.Restore restore) {
@@ -270,29 +270,31 @@
                                     new RolloutEvent.TrainerRestored(
                                             TRAINER,
                                             restore.term(),
-                                            store.read(restore.atLeastVersion(), random)));
+                                            mStore.read(restore.atLeastVersion(), mRandom)));
                             observeVersion();
                         });
             } else if (action instanceof RolloutAction.Generate generate) {
-                long started = version;
+                long started = mVersion;
                 schedule(
-                        random.nextLong(10, 400) * (random.nextInt(25) == 0 ? 20 : 1) * MILLI_NANOS,
-                        () -> respond(result(generate, started), 1 + random.nextInt(10) / 9));
+                        mRandom.nextLong(10, 400)
+                                * (mRandom.nextInt(25) == 0 ? 20 : 1)
+                                * MILLI_NANOS,
+                        () -> respond(result(generate, started), 1 + mRandom.nextInt(10) / 9));
             } else if (action instanceof RolloutAction.Judge judge) {
                 RolloutEvent event =
-                        random.nextInt(20) == 0
+                        mRandom.nextInt(20) == 0
                                 ? new RolloutEvent.SampleFailed(
                                         TRAINER, judge.term(), judge.attempt())
                                 : new RolloutEvent.SampleJudged(
                                         TRAINER, judge.term(), judge.attempt(), 0.5);
-                respond(event, 1 + random.nextInt(10) / 9);
+                respond(event, 1 + mRandom.nextInt(10) / 9);
             } else {
                 executeStorage(action);
             }
         }
 
         private RolloutEvent result(RolloutAction.Generate action, long started) {
-            return random.nextInt(20) == 0
+            return mRandom.nextInt(20) == 0
                     ? new RolloutEvent.SampleFailed(TRAINER, action.term(), action.attempt())
                     : new RolloutEvent.SampleGenerated(
                             TRAINER, action.term(), action.attempt(), generate(action, started));
@@ -300,47 +302,47 @@
 
         private void executeStorage(RolloutAction action) {
             if (action instanceof RolloutAction.StoreBody body) {
-                schedule(random.nextLong(30) * MILLI_NANOS, () -> storeBody(body));
+                schedule(mRandom.nextLong(30) * MILLI_NANOS, () -> storeBody(body));
             } else if (action instanceof RolloutAction.CommitBatch batch) {
                 schedule(
-                        random.nextLong(30) * MILLI_NANOS,
+                        mRandom.nextLong(30) * MILLI_NANOS,
                         () -> commit(action, batch.term(), batch.commit().writer()));
             } else if (action instanceof RolloutAction.CommitCursor cursorOnly) {
                 schedule(
-                        random.nextLong(30) * MILLI_NANOS,
+                        mRandom.nextLong(30) * MILLI_NANOS,
                         () -> commit(action, cursorOnly.term(), cursorOnly.commit().writer()));
             } else if (action instanceof RolloutAction.Deliver delivery) {
-                if (random.nextInt(100) >= responseLossPercent) {
+                if (mRandom.nextInt(100) >= mResponseLossPercent) {
                     receive(delivery, this);
                 }
                 schedule(MILLI_NANOS, RolloutSimulation.this::poll);
             } else if (action instanceof RolloutAction.Accept accept) {
-                pendingSubmissions.removeIf(submission -> submission.step() == accept.request());
+                mPendingSubmissions.removeIf(submission -> submission.step() == accept.request());
             } else if (action instanceof RolloutAction.Refuse refuse) {
                 if (refuse.request() > 1_000_000) {
                     schedule(50 * MILLI_NANOS, RolloutSimulation.this::poll);
                 }
             } else if (action instanceof RolloutAction.Count count) {
-                counters.merge(count.counter(), count.amount(), Integer::sum);
+                mCounters.merge(count.counter(), count.amount(), Integer::sum);
             }
         }
 
         private void storeBody(RolloutAction.StoreBody body) {
-            boolean lost = random.nextInt(100) < responseLossPercent;
-            if (!outage) {
-                store.put(body.object(), body.samples());
+            boolean lost = mRandom.nextInt(100) < mResponseLossPercent;
+            if (!mOutage) {
+                mStore.put(body.object(), body.samples());
             }
             respond(
-                    outage || lost
+                    mOutage || lost
                             ? new RolloutEvent.StoreFailed(TRAINER, body.term(), body.object())
                             : new RolloutEvent.BatchStored(TRAINER, body.term(), body.object()),
                     1);
         }
 
         private void commit(RolloutAction action, long term, String writer) {
-            boolean lost = outage || random.nextInt(100) < responseLossPercent;
+            boolean lost = mOutage || mRandom.nextInt(100) < mResponseLossPercent;
             RolloutEvent unknown = new RolloutEvent.CommitOutcomeUnknown(TRAINER, term, writer);
-            RolloutEvent result = outage ? unknown : store.commit(action, guard);
+            RolloutEvent result = mOutage ? unknown : mStore.commit(action, mGuard);
             respond(lost ? unknown : result, 1);
         }
     }
--- a/decisions/src/test/java/org/fuchsialever/decisions/samples/SampleChecksTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/samples/SampleChecksTest.java
@@ -22,10 +22,10 @@
     private static final SampleId FIRST = new SampleId(RolloutSimulation.TRAINER, 1, "g0", 0);
     private static final SampleId SECOND = new SampleId(RolloutSimulation.TRAINER, 1, "g0", 1);
 
-    private final List<Invariant> violated = new ArrayList<>();
-    private final List<RolloutAction> actions = new ArrayList<>();
-    private final InvariantMonitor monitor = (invariant, detail) -> violated.add(invariant);
-    private final RolloutDuty duty =
+    private final List<Invariant> mViolated = new ArrayList<>();
+    private final List<RolloutAction> mActions = new ArrayList<>();
+    private final InvariantMonitor mMonitor = (invariant, detail) -> mViolated.add(invariant);
+    private final RolloutDuty mDuty =
             new RolloutDuty(
                     new RolloutSetup(
                             "i1",
@@ -33,7 +33,7 @@
                             StragglerPolicy.NONE,
                             new LengthPredictor(),
                             new SplittableRandom(1),
-                            monitor));
+                            mMonitor));
 
     @Test
     void noticesASampleWhoseTokenRangesHaveAGap() {
@@ -53,8 +53,8 @@
                         generate.attempt(),
                         new GeneratedSample("text", gap, 0, 1)));
 
-        assertThat(violated, contains(Invariant.SAMPLE_NAMES_TRUE_VERSIONS));
-        assertThat(actions.stream().anyMatch(RolloutAction.Judge.class::isInstance), is(false));
+        assertThat(mViolated, contains(Invariant.SAMPLE_NAMES_TRUE_VERSIONS));
+        assertThat(mActions.stream().anyMatch(RolloutAction.Judge.class::isInstance), is(false));
     }
 
     @Test
@@ -63,19 +63,19 @@
 
         restore(new RestoredLog(1, head(2), submissions(), List.of(twice)));
 
-        assertThat(violated, hasItem(Invariant.SAMPLE_EXACTLY_ONCE));
+        assertThat(mViolated, hasItem(Invariant.SAMPLE_EXACTLY_ONCE));
     }
 
     @Test
     void noticesAReplacementByAnotherSample() {
         BatchRecord batch = new BatchRecord(0, 0, List.of(entry(FIRST)));
-        DeliveryLog log = new DeliveryLog(head(1), List.of(batch), monitor);
+        DeliveryLog log = new DeliveryLog(head(1), List.of(batch), mMonitor);
 
         log.withReplacement(batch, 0, entry(FIRST));
-        assertThat(violated.isEmpty(), is(true));
+        assertThat(mViolated.isEmpty(), is(true));
         log.withReplacement(batch, 0, entry(SECOND));
 
-        assertThat(violated, contains(Invariant.SAMPLE_EXACTLY_ONCE));
+        assertThat(mViolated, contains(Invariant.SAMPLE_EXACTLY_ONCE));
     }
 
     private void restore(RestoredLog log) {
@@ -84,11 +84,11 @@
     }
 
     private void send(RolloutEvent event) {
-        duty.onEvent(event, 0, actions::add);
+        mDuty.onEvent(event, 0, mActions::add);
     }
 
     private <T extends RolloutAction> T last(Class<T> type) {
-        return actions.stream()
+        return mActions.stream()
                 .filter(type::isInstance)
                 .map(type::cast)
                 .reduce((earlier, later) -> later)
--- a/decisions/src/test/java/org/fuchsialever/decisions/usage/UsageDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/usage/UsageDutyTest.java
@@ -31,19 +31,19 @@
     private static final UsageSettings SETTINGS =
             new UsageSettings(MINUTE_MILLIS, 3 * MINUTE_MILLIS, 30_000, 2, 1);
 
-    private final List<UsageAction> actions = new ArrayList<>();
-    private final DutyStepper stepper = new DutyStepper(new ManualTimeSource(0));
-    private final ActionSink<UsageEvent> duty =
-            stepper.add(
+    private final List<UsageAction> mActions = new ArrayList<>();
+    private final DutyStepper mStepper = new DutyStepper(new ManualTimeSource(0));
+    private final ActionSink<UsageEvent> mDuty =
+            mStepper.add(
                     new UsageDuty(SELF, new FailureDomain("d1"), SETTINGS, 0, 10 * SECOND),
-                    actions::add);
+                    mActions::add);
 
     @Test
     void handsTotalsOverToAPeerInAnotherFailureDomain() {
         send(
                 new UsageEvent.PeersListed(List.of(peer("near", "d1"), peer("far", "d2"))),
                 used(0, "alba"));
-        stepper.advance(SECOND);
+        mStepper.advance(SECOND);
         UsageAction.SendHandover sent = only(UsageAction.SendHandover.class);
         assertThat(sent.receiver(), equalTo(new InstanceId("far")));
         assertThat(sent.totals(), equalTo(Map.of(key("alba"), CALL)));
@@ -53,7 +53,7 @@
     void writesAHandoverOnceItsOwnerIsSilentAndADoubledOneChangesNothing() {
         UsageEvent.HandoverReceived handover = handover(OTHER, 1, CALL);
         send(handover, handover);
-        stepper.advance(6 * SECOND);
+        mStepper.advance(6 * SECOND);
         UsageAction.WriteRow write = only(UsageAction.WriteRow.class);
         assertThat(write.owner(), equalTo(OTHER));
         assertThat(write.totals().of(WINDOW), equalTo(Map.of(key("alba"), CALL)));
@@ -62,14 +62,14 @@
     @Test
     void forgetsAHandoverWhoseOwnerHasWrittenItsTotals() {
         send(handover(OTHER, 1, CALL), new UsageEvent.HandoverReceived(OTHER, WINDOW, 2, Map.of()));
-        stepper.advance(30 * SECOND);
+        mStepper.advance(30 * SECOND);
         assertThat(all(UsageAction.WriteRow.class), empty());
     }
 
     @Test
     void anOlderHandoverLowersNothing() {
         send(handover(OTHER, 2, CALL.plus(CALL)), handover(OTHER, 1, CALL));
-        stepper.advance(6 * SECOND);
+        mStepper.advance(6 * SECOND);
         UsageAction.WriteRow write = only(UsageAction.WriteRow.class);
         assertThat(write.totals().of(WINDOW), equalTo(Map.of(key("alba"), CALL.plus(CALL))));
     }
@@ -77,13 +77,13 @@
     @Test
     void aLateAnswerToARepeatedWriteDoesNotMarkNewerChangesAsWritten() {
         send(used(0, "alba"));
-        stepper.advance(10 * SECOND);
+        mStepper.advance(10 * SECOND);
         long firstChange = only(UsageAction.WriteRow.class).change();
         send(used(0, "alba"));
-        stepper.advance(20 * SECOND);
+        mStepper.advance(20 * SECOND);
         assertThat(all(UsageAction.WriteRow.class), hasSize(2));
         send(new UsageEvent.RowCommitted(SELF, 5, firstChange));
-        stepper.advance(10 * SECOND);
+        mStepper.advance(10 * SECOND);
         assertThat(all(UsageAction.WriteRow.class), hasSize(3));
     }
 
@@ -101,7 +101,7 @@
     @Test
     void countsAWindowThatBecameTooOldBeforeItWasWritten() {
         send(used(0, "a"), used(4 * MINUTE_MILLIS, "a"));
-        stepper.advance(10 * SECOND);
+        mStepper.advance(10 * SECOND);
         assertThat(
                 all(UsageAction.Lost.class),
                 contains(new UsageAction.Lost(Reason.WINDOW_EXPIRED, 1)));
@@ -118,13 +118,13 @@
 
     private void send(UsageEvent... events) {
         for (UsageEvent event : events) {
-            duty.emit(event);
+            mDuty.emit(event);
         }
-        stepper.runPending();
+        mStepper.runPending();
     }
 
     private <T extends UsageAction> List<T> all(Class<T> type) {
-        return actions.stream().filter(type::isInstance).map(type::cast).toList();
+        return mActions.stream().filter(type::isInstance).map(type::cast).toList();
     }
 
     private <T extends UsageAction> T only(Class<T> type) {
--- a/decisions/src/test/java/org/fuchsialever/decisions/version/VersionDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/version/VersionDutyTest.java
@@ -16,15 +16,15 @@
 class VersionDutyTest {
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
-    private final VersionDuty duty = new VersionDuty();
-    private final List<VersionAction> actions = new ArrayList<>();
-    private long now;
+    private final VersionDuty mDuty = new VersionDuty();
+    private final List<VersionAction> mActions = new ArrayList<>();
+    private long mNow;
 
     @Test
     void ordersNothingWithoutTheRole() {
         fleet(1);
         event(new VersionEvent.VersionAnnounced("m", 2));
-        assertThat(actions, is(empty()));
+        assertThat(mActions, is(empty()));
     }
 
     @Test
@@ -74,10 +74,10 @@
         event(new VersionEvent.VersionAnnounced("m", 2));
         event(new VersionEvent.MinVersionRequested("m", 1));
         event(new VersionEvent.VersionAnnounced("m", 3));
-        assertThat(actions, is(empty()));
+        assertThat(mActions, is(empty()));
         event(new VersionEvent.MinVersionRequested("m", 2));
         event(new VersionEvent.VersionAnnounced("m", 4));
-        assertThat(actions, hasSize(1));
+        assertThat(mActions, hasSize(1));
     }
 
     @Test
@@ -87,7 +87,7 @@
         event(new VersionEvent.VersionAnnounced("m", 2));
         event(new VersionEvent.ReportFailed("e"));
         advance(SECOND);
-        assertThat(actions, hasSize(2));
+        assertThat(mActions, hasSize(2));
     }
 
     private void order() {
@@ -115,22 +115,22 @@
     }
 
     private List<VersionAction.SendOrder> orders() {
-        return actions.stream()
+        return mActions.stream()
                 .filter(VersionAction.SendOrder.class::isInstance)
                 .map(VersionAction.SendOrder.class::cast)
                 .toList();
     }
 
     private void event(VersionEvent event) {
-        duty.onEvent(event, now, actions::add);
+        mDuty.onEvent(event, mNow, mActions::add);
     }
 
     private void advance(long nanos) {
-        long end = now + nanos;
-        while (duty.nextTimerNanos() <= end) {
-            now = Math.max(now, duty.nextTimerNanos());
-            duty.onTimer(now, actions::add);
+        long end = mNow + nanos;
+        while (mDuty.nextTimerNanos() <= end) {
+            mNow = Math.max(mNow, mDuty.nextTimerNanos());
+            mDuty.onTimer(mNow, mActions::add);
         }
-        now = end;
+        mNow = end;
     }
 }
--- a/decisions/src/test/java/org/fuchsialever/decisions/weights/ModelFixture.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/weights/ModelFixture.java
@@ -27,19 +27,19 @@
     private static final int ENGINES = 6;
     private static final long STEP = SECOND / 10;
 
-    final Map<UpstreamId, Engine> engines = new LinkedHashMap<>();
-    final List<LoadCommand> received = new ArrayList<>();
-    final List<UpstreamId> failedLoads = new ArrayList<>();
-    final List<WeightVersion> rolledBack = new ArrayList<>();
-    final DutyStepper stepper = new DutyStepper(new ManualTimeSource(0));
-    int maxLoading;
-    private final ActionSink<WeightEvent> duty;
-    private long latest = 1;
-    private long journalVersion;
+    final Map<UpstreamId, Engine> mEngines = new LinkedHashMap<>();
+    final List<LoadCommand> mReceived = new ArrayList<>();
+    final List<UpstreamId> mFailedLoads = new ArrayList<>();
+    final List<WeightVersion> mRolledBack = new ArrayList<>();
+    final DutyStepper mStepper = new DutyStepper(new ManualTimeSource(0));
+    int mMaxLoading;
+    private final ActionSink<WeightEvent> mDuty;
+    private long mLatest = 1;
+    private long mJournalVersion;
 
     ModelFixture(List<Intent<LoadCommand>> inherited) {
-        duty =
-                stepper.add(
+        mDuty =
+                mStepper.add(
                         new WeightDuty(
                                 "chat",
                                 RollingUpdateLimits.standard(100),
@@ -51,11 +51,11 @@
         List<WeightEvent.Engine> specs = new ArrayList<>();
         for (int i = 0; i < ENGINES; i++) {
             UpstreamId id = new UpstreamId("engine-" + i);
-            engines.put(id, new Engine());
+            mEngines.put(id, new Engine());
             specs.add(new WeightEvent.Engine(id, new FailureDomain("d" + i % 3), i % 2 == 0));
         }
-        duty.emit(new WeightEvent.EnginesChanged(specs));
-        duty.emit(new WeightEvent.RoleEvent(new IntentEvent.LeaseAcquired<>(2)));
+        mDuty.emit(new WeightEvent.EnginesChanged(specs));
+        mDuty.emit(new WeightEvent.RoleEvent(new IntentEvent.LeaseAcquired<>(2)));
         runSeconds(1);
     }
 
@@ -64,41 +64,41 @@
     }
 
     private Engine engine(UpstreamId id) {
-        return Objects.requireNonNull(engines.get(id));
+        return Objects.requireNonNull(mEngines.get(id));
     }
 
     void publish(long version) {
-        latest = version;
+        mLatest = version;
     }
 
     void runSeconds(int seconds) {
         for (long at = 0; at < seconds * SECOND; at += STEP) {
-            engines.forEach(
+            mEngines.forEach(
                     (id, engine) -> {
-                        if (engine.reports) {
-                            duty.emit(
+                        if (engine.mReports) {
+                            mDuty.emit(
                                     new WeightEvent.VersionReported(
-                                            id, new WeightVersion(engine.version), engine.start));
+                                            id, new WeightVersion(engine.mVersion), engine.mStart));
                         }
                     });
-            stepper.advance(STEP);
-            int loading = (int) engines.values().stream().filter(e -> e.loading > 0).count();
-            maxLoading = Math.max(maxLoading, loading);
-            engines.values().forEach(Engine::step);
+            mStepper.advance(STEP);
+            int loading = (int) mEngines.values().stream().filter(e -> e.mLoading > 0).count();
+            mMaxLoading = Math.max(mMaxLoading, loading);
+            mEngines.values().forEach(Engine::step);
         }
     }
 
     List<Long> versions() {
-        return engines.values().stream().map(engine -> engine.version).toList();
+        return mEngines.values().stream().map(engine -> engine.mVersion).toList();
     }
 
     private void execute(WeightAction action, List<Intent<LoadCommand>> inherited) {
         if (action instanceof WeightAction.ReadLatestVersion) {
-            duty.emit(new WeightEvent.LatestVersionRead(new WeightVersion(latest)));
+            mDuty.emit(new WeightEvent.LatestVersionRead(new WeightVersion(mLatest)));
         } else if (action instanceof WeightAction.LoadFailed failed) {
-            failedLoads.add(failed.upstream());
+            mFailedLoads.add(failed.upstream());
         } else if (action instanceof WeightAction.VersionRolledBack version) {
-            rolledBack.add(version.version());
+            mRolledBack.add(version.version());
         } else if (action instanceof WeightAction.RoleAction role) {
             executeRoleAction(role.action(), inherited);
         }
@@ -109,10 +109,10 @@
         if (action instanceof IntentAction.ReadJournal<LoadCommand> read) {
             emit(new IntentEvent.JournalRead<>(read.fencing(), new Journal<>(0, "", inherited)));
         } else if (action instanceof IntentAction.WriteJournal<LoadCommand> write) {
-            emit(new IntentEvent.Committed<>(write.writer(), ++journalVersion));
+            emit(new IntentEvent.Committed<>(write.writer(), ++mJournalVersion));
         } else if (action instanceof IntentAction.SendCommand<LoadCommand> order) {
             LoadCommand command = order.intent().command();
-            received.add(command);
+            mReceived.add(command);
             CommandResult result = engine(command.upstream()).load(command.version().number());
             emit(
                     new IntentEvent.AttemptEnded<>(
@@ -121,42 +121,42 @@
     }
 
     private void emit(IntentEvent<LoadCommand> event) {
-        duty.emit(new WeightEvent.RoleEvent(event));
+        mDuty.emit(new WeightEvent.RoleEvent(event));
     }
 
     /** Simulated engine that loads for one second after it has accepted an order. */
     static final class Engine {
         private static final int LOAD_STEPS = 10;
 
-        long version = 1;
-        String start = "first";
-        boolean reports = true;
-        int failures;
-        boolean ignoresOrders;
-        private int loading;
-        private long next;
+        long mVersion = 1;
+        String mStart = "first";
+        boolean mReports = true;
+        int mFailures;
+        boolean mIgnoresOrders;
+        private int mLoading;
+        private long mNext;
 
         void restart(long oldVersion) {
-            version = oldVersion;
-            start = start + "-again";
-            loading = 0;
+            mVersion = oldVersion;
+            mStart = mStart + "-again";
+            mLoading = 0;
         }
 
         private CommandResult load(long wanted) {
-            if (failures > 0) {
-                failures--;
+            if (mFailures > 0) {
+                mFailures--;
                 return CommandResult.FAILED;
             }
-            if (!ignoresOrders) {
-                next = wanted;
-                loading = LOAD_STEPS;
+            if (!mIgnoresOrders) {
+                mNext = wanted;
+                mLoading = LOAD_STEPS;
             }
             return CommandResult.DONE;
         }
 
         private void step() {
-            if (loading > 0 && --loading == 0) {
-                version = next;
+            if (mLoading > 0 && --mLoading == 0) {
+                mVersion = mNext;
             }
         }
     }
--- a/decisions/src/test/java/org/fuchsialever/decisions/weights/WeightDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/weights/WeightDutyTest.java
@@ -17,83 +17,83 @@
 
 /** Guards against engines that stay on old weights and against the spread of a broken version. */
 class WeightDutyTest {
-    private final ModelFixture model = new ModelFixture(List.of());
+    private final ModelFixture mModel = new ModelFixture(List.of());
 
     @Test
     void bringsAllEnginesToANewVersionAFewAtATime() {
-        model.publish(2);
-        model.runSeconds(15);
-        assertThat(model.versions(), everyItem(equalTo(2L)));
-        assertThat(model.received.size(), equalTo(6));
-        assertThat(model.maxLoading, lessThanOrEqualTo(3));
+        mModel.publish(2);
+        mModel.runSeconds(15);
+        assertThat(mModel.versions(), everyItem(equalTo(2L)));
+        assertThat(mModel.mReceived.size(), equalTo(6));
+        assertThat(mModel.mMaxLoading, lessThanOrEqualTo(3));
     }
 
     @Test
     void failedLoadsOnTwoEnginesAreRetriedAfterADelay() {
-        model.engine(1).failures = 1;
-        model.engine(4).failures = 2;
-        model.publish(2);
-        model.runSeconds(30);
-        assertThat(model.versions(), everyItem(equalTo(2L)));
-        assertThat(model.failedLoads.size(), equalTo(3));
-        assertThat(model.rolledBack, is(empty()));
+        mModel.engine(1).mFailures = 1;
+        mModel.engine(4).mFailures = 2;
+        mModel.publish(2);
+        mModel.runSeconds(30);
+        assertThat(mModel.versions(), everyItem(equalTo(2L)));
+        assertThat(mModel.mFailedLoads.size(), equalTo(3));
+        assertThat(mModel.mRolledBack, is(empty()));
     }
 
     @Test
     void anEngineThatRestartsWithOldWeightsIsOrderedAgain() {
-        model.publish(2);
-        model.runSeconds(15);
-        model.engine(3).restart(1);
-        model.runSeconds(5);
-        assertThat(model.engine(3).version, equalTo(2L));
+        mModel.publish(2);
+        mModel.runSeconds(15);
+        mModel.engine(3).restart(1);
+        mModel.runSeconds(5);
+        assertThat(mModel.engine(3).mVersion, equalTo(2L));
     }
 
     @Test
     void anAcceptedOrderThatIsNotReportedCountsAsFailed() {
-        model.engine(2).ignoresOrders = true;
-        model.publish(2);
-        model.runSeconds(14);
-        assertThat(model.failedLoads, contains(new UpstreamId("engine-2")));
-        model.engine(2).ignoresOrders = false;
-        model.runSeconds(10);
-        assertThat(model.versions(), everyItem(equalTo(2L)));
+        mModel.engine(2).mIgnoresOrders = true;
+        mModel.publish(2);
+        mModel.runSeconds(14);
+        assertThat(mModel.mFailedLoads, contains(new UpstreamId("engine-2")));
+        mModel.engine(2).mIgnoresOrders = false;
+        mModel.runSeconds(10);
+        assertThat(mModel.versions(), everyItem(equalTo(2L)));
     }
 
     @Test
     void aVersionThatFailsOnSeveralEnginesIsRolledBackToTheEarlierOne() {
         for (int i = 1; i < 6; i++) {
-            model.engine(i).failures = 100;
+            mModel.engine(i).mFailures = 100;
         }
-        model.publish(2);
-        model.runSeconds(20);
-        assertThat(model.rolledBack, contains(new WeightVersion(2)));
+        mModel.publish(2);
+        mModel.runSeconds(20);
+        assertThat(mModel.mRolledBack, contains(new WeightVersion(2)));
         for (int i = 0; i < 6; i++) {
-            model.engine(i).failures = 0;
+            mModel.engine(i).mFailures = 0;
         }
-        model.runSeconds(20);
-        assertThat(model.versions(), everyItem(equalTo(1L)));
-        model.publish(3);
-        model.runSeconds(20);
-        assertThat(model.versions(), everyItem(equalTo(3L)));
+        mModel.runSeconds(20);
+        assertThat(mModel.versions(), everyItem(equalTo(1L)));
+        mModel.publish(3);
+        mModel.runSeconds(20);
+        assertThat(mModel.versions(), everyItem(equalTo(3L)));
     }
 
     @Test
     void oneBrokenEngineDoesNotRollBackTheOthers() {
-        model.engine(5).failures = 1_000;
-        model.publish(2);
-        model.runSeconds(60);
-        assertThat(model.versions(), contains(2L, 2L, 2L, 2L, 2L, 1L));
-        assertThat(model.rolledBack, is(empty()));
-        assertThat(model.failedLoads.size(), lessThanOrEqualTo(6));
+        mModel.engine(5).mFailures = 1_000;
+        mModel.publish(2);
+        mModel.runSeconds(60);
+        assertThat(mModel.versions(), contains(2L, 2L, 2L, 2L, 2L, 1L));
+        assertThat(mModel.mRolledBack, is(empty()));
+        assertThat(mModel.mFailedLoads.size(), lessThanOrEqualTo(6));
     }
 
     @Test
     void anEngineWithoutReportsIsNotOrdered() {
-        model.engine(0).reports = false;
-        model.runSeconds(6);
-        model.publish(2);
-        model.runSeconds(20);
-        assertThat(model.versions(), contains(1L, 2L, 2L, 2L, 2L, 2L));
+        mModel.engine(0).mReports = false;
+        mModel.runSeconds(6);
+        mModel.publish(2);
+        mModel.runSeconds(20);
+        assertThat(mModel.versions(), contains(1L, 2L, 2L, 2L, 2L, 2L));
     }
 
     @Test
@@ -104,12 +104,12 @@
         successor.publish(8);
         successor.runSeconds(40);
         List<Long> loaded =
-                successor.received.stream()
+                successor.mReceived.stream()
                         .filter(command -> command.upstream().equals(old.upstream()))
                         .map(command -> command.version().number())
                         .toList();
         assertThat(loaded, contains(7L, 8L));
         assertThat(successor.versions(), everyItem(equalTo(8L)));
-        assertThat(successor.received.size(), greaterThan(6));
+        assertThat(successor.mReceived.size(), greaterThan(6));
     }
 }
--- a/frontend/src/main/java/org/fuchsialever/frontend/CallEndpoint.java
+++ b/frontend/src/main/java/org/fuchsialever/frontend/CallEndpoint.java
@@ -25,12 +25,12 @@
     private static final Set<String> FORWARDED =
             Set.of("content-type", "accept", "accept-language");
 
-    private final Supplier<Option<ConfigSnapshot>> snapshots;
-    private final Supplier<RequestId> requestIds;
-    private final Authenticator authenticator;
-    private final CallPort calls;
-    private final ResponseWriter responseWriter;
-    private final ModelCallReader modelCalls = new ModelCallReader();
+    private final Supplier<Option<ConfigSnapshot>> mSnapshots;
+    private final Supplier<RequestId> mRequestIds;
+    private final Authenticator mAuthenticator;
+    private final CallPort mCalls;
+    private final ResponseWriter mResponseWriter;
+    private final ModelCallReader mModelCalls = new ModelCallReader();
 
     /**
      * Creates the endpoint.
@@ -45,11 +45,11 @@
             Authenticator authenticator,
             CallPort calls,
             ResponseWriter responseWriter) {
-        this.snapshots = snapshots;
-        this.requestIds = requestIds;
-        this.authenticator = authenticator;
-        this.calls = calls;
-        this.responseWriter = responseWriter;
+        mSnapshots = snapshots;
+        mRequestIds = requestIds;
+        mAuthenticator = authenticator;
+        mCalls = calls;
+        mResponseWriter = responseWriter;
     }
 
     @Override
@@ -59,21 +59,21 @@
 
     @Override
     public Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
-        RequestId id = requestIds.get();
+        RequestId id = mRequestIds.get();
         return admit(request, id)
-                .flatMap(call -> calls.call(call).flatMap(result -> respond(response, id, result)))
+                .flatMap(call -> mCalls.call(call).flatMap(result -> respond(response, id, result)))
                 .onErrorResume(
                         RefusedException.class,
                         refused ->
                                 response.hasSentHeaders()
                                         ? Mono.error(refused)
-                                        : responseWriter.refuse(
+                                        : mResponseWriter.refuse(
                                                 response, refused.refusal(), id.value()));
     }
 
     private Mono<Call> admit(HttpServerRequest request, RequestId id) {
         String path = "/" + request.path();
-        Option<ConfigSnapshot> snapshot = snapshots.get();
+        Option<ConfigSnapshot> snapshot = mSnapshots.get();
         if (snapshot.isEmpty()) {
             return refused(RefusalReason.NOT_READY);
         }
@@ -85,7 +85,7 @@
         Route route = found.get();
         HttpHeaders headers = request.requestHeaders();
         Either<RefusalReason, Caller> caller =
-                authenticator.authenticate(Option.of(headers.get("Authorization")), route);
+                mAuthenticator.authenticate(Option.of(headers.get("Authorization")), route);
         if (caller.isLeft()) {
             return refused(caller.getLeft());
         }
@@ -97,7 +97,7 @@
             HttpServerRequest request, RequestId id, Route route, Caller caller, byte[] body) {
         Either<Refusal, CallShape> shape =
                 route.kind() == RouteKind.LIVE
-                        ? modelCalls.read(body)
+                        ? mModelCalls.read(body)
                         : Either.right(CallShape.PLAIN);
         if (shape.isLeft()) {
             return Mono.error(new RefusedException(shape.getLeft()));
@@ -128,13 +128,13 @@
 
     /** Removes unnecessary JSON escapes, which could otherwise hide a secret. */
     private byte[] canonical(Route route, byte[] body) {
-        return route.kind() == RouteKind.LIVE ? modelCalls.canonical(body) : body;
+        return route.kind() == RouteKind.LIVE ? mModelCalls.canonical(body) : body;
     }
 
     private Mono<Void> respond(
             HttpServerResponse response, RequestId id, Either<Refusal, CallResponse> result) {
         if (result.isLeft()) {
-            return responseWriter.refuse(response, result.getLeft(), id.value());
+            return mResponseWriter.refuse(response, result.getLeft(), id.value());
         }
         CallResponse callResponse = result.get();
         response.status(callResponse.status()).header("X-Request-Id", id.value());
@@ -155,7 +155,7 @@
      * cannot mistake a truncated response for a complete one.
      */
     private Flux<byte[]> abortStream(Refusal refusal, String requestId) {
-        responseWriter.count(refusal.reason());
+        mResponseWriter.count(refusal.reason());
         String event = "data: " + ResponseWriter.errorBody(refusal, requestId) + "\n\n";
         return Flux.concat(
                 Flux.just(event.getBytes(StandardCharsets.UTF_8)),
--- a/frontend/src/main/java/org/fuchsialever/frontend/HttpFrontEnd.java
+++ b/frontend/src/main/java/org/fuchsialever/frontend/HttpFrontEnd.java
@@ -18,11 +18,11 @@
     private static final PartLogger LOG = PartLogger.of("front-end");
     private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(5);
 
-    private final List<Endpoint> endpoints;
-    private final DisposableServer server;
-    private final AtomicInteger inProgress = new AtomicInteger();
-    private final Sinks.One<Boolean> idle = Sinks.one();
-    private volatile boolean draining;
+    private final List<Endpoint> mEndpoints;
+    private final DisposableServer mServer;
+    private final AtomicInteger mInProgress = new AtomicInteger();
+    private final Sinks.One<Boolean> mIdle = Sinks.one();
+    private volatile boolean mDraining;
 
     /**
      * Opens the port.
@@ -33,14 +33,14 @@
      * @throws RuntimeException if the port cannot be opened
      */
     public HttpFrontEnd(String address, int port, List<Endpoint> endpoints) {
-        this.endpoints = List.copyOf(endpoints);
-        this.server = HttpServer.create().host(address).port(port).handle(this::dispatch).bindNow();
-        LOG.info("Listening on " + address + ":" + server.port() + ".");
+        mEndpoints = List.copyOf(endpoints);
+        mServer = HttpServer.create().host(address).port(port).handle(this::dispatch).bindNow();
+        LOG.info("Listening on " + address + ":" + mServer.port() + ".");
     }
 
     /** Returns the TCP port. */
     public int port() {
-        return server.port();
+        return mServer.port();
     }
 
     /**
@@ -48,42 +48,42 @@
      * completes when no request is in progress.
      */
     public Mono<Void> drain() {
-        draining = true;
-        server.dispose();
+        mDraining = true;
+        mServer.dispose();
         completeIfIdle();
-        return idle.asMono().then();
+        return mIdle.asMono().then();
     }
 
     @Override
     public void close() {
-        server.disposeNow(CLOSE_TIMEOUT);
+        mServer.disposeNow(CLOSE_TIMEOUT);
     }
 
     private Publisher<Void> dispatch(HttpServerRequest request, HttpServerResponse response) {
-        inProgress.incrementAndGet();
-        if (draining) {
+        mInProgress.incrementAndGet();
+        if (mDraining) {
             response.keepAlive(false);
         }
         return Flux.from(route(request, response)).doFinally(signal -> onRequestEnd());
     }
 
     private void onRequestEnd() {
-        inProgress.decrementAndGet();
-        if (draining) {
+        mInProgress.decrementAndGet();
+        if (mDraining) {
             completeIfIdle();
         }
     }
 
     private void completeIfIdle() {
-        if (inProgress.get() == 0) {
-            idle.tryEmitValue(true);
+        if (mInProgress.get() == 0) {
+            mIdle.tryEmitValue(true);
         }
     }
 
     private Publisher<Void> route(HttpServerRequest request, HttpServerResponse response) {
         String method = request.method().name();
         String path = "/" + request.path();
-        for (Endpoint endpoint : endpoints) {
+        for (Endpoint endpoint : mEndpoints) {
             if (endpoint.accepts(method, path)) {
                 return endpoint.handle(request, response);
             }
--- a/frontend/src/main/java/org/fuchsialever/frontend/ModelCallReader.java
+++ b/frontend/src/main/java/org/fuchsialever/frontend/ModelCallReader.java
@@ -14,12 +14,12 @@
     private static final int PREFIX_CHARACTERS = 256;
     private static final long HASH_SEED = 1_125_899_906_842_597L;
 
-    private final ObjectMapper mapper = new ObjectMapper();
+    private final ObjectMapper mMapper = new ObjectMapper();
 
     Either<Refusal, CallShape> read(byte[] body) {
         JsonNode root;
         try {
-            root = mapper.readTree(body);
+            root = mMapper.readTree(body);
         } catch (IOException e) {
             return malformed("the body is not valid JSON");
         }
@@ -51,7 +51,7 @@
     /** Returns a valid JSON body without unnecessary escapes. */
     byte[] canonical(byte[] body) {
         try {
-            return mapper.writeValueAsBytes(mapper.readTree(body));
+            return mMapper.writeValueAsBytes(mMapper.readTree(body));
         } catch (IOException e) {
             return body;
         }
--- a/frontend/src/main/java/org/fuchsialever/frontend/PresentedSecret.java
+++ b/frontend/src/main/java/org/fuchsialever/frontend/PresentedSecret.java
@@ -18,10 +18,10 @@
     private static final String KEY_PREFIX = "fl_";
     private static final PresentedSecret NONE = new PresentedSecret(List.of());
 
-    private final List<String> secrets;
+    private final List<String> mSecrets;
 
     private PresentedSecret(List<String> secrets) {
-        this.secrets = secrets;
+        mSecrets = secrets;
     }
 
     /** Returns the value for requests without a secret. */
@@ -49,21 +49,21 @@
 
     /** Returns whether a text contains the secret, as it is or percent-encoded. */
     public boolean occursIn(String text) {
-        if (secrets.isEmpty()) {
+        if (mSecrets.isEmpty()) {
             return false;
         }
         String decoded = decoded(text);
-        return secrets.stream().anyMatch(s -> text.contains(s) || decoded.contains(s));
+        return mSecrets.stream().anyMatch(s -> text.contains(s) || decoded.contains(s));
     }
 
     /** Returns whether bytes contain the secret in UTF-8. */
     public boolean occursIn(byte[] bytes) {
-        if (secrets.isEmpty()) {
+        if (mSecrets.isEmpty()) {
             return false;
         }
         // ISO 8859-1 maps each byte to one character, so that any content can be searched.
         String content = new String(bytes, StandardCharsets.ISO_8859_1);
-        return secrets.stream()
+        return mSecrets.stream()
                 .map(s -> s.getBytes(StandardCharsets.UTF_8))
                 .anyMatch(s -> content.contains(new String(s, StandardCharsets.ISO_8859_1)));
     }
@@ -77,7 +77,7 @@
 
     @Override
     public String toString() {
-        return secrets.isEmpty() ? "no secret" : "a secret";
+        return mSecrets.isEmpty() ? "no secret" : "a secret";
     }
 
     private static String decoded(String text) {
--- a/frontend/src/main/java/org/fuchsialever/frontend/RefusedException.java
+++ b/frontend/src/main/java/org/fuchsialever/frontend/RefusedException.java
@@ -4,16 +4,16 @@
 public final class RefusedException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
-    private final transient Refusal refusal;
+    private final transient Refusal mRefusal;
 
     /** Creates an exception without a stack trace, because refusals are frequent under overload. */
     public RefusedException(Refusal refusal) {
         super(refusal.reason().code(), null, false, false);
-        this.refusal = refusal;
+        mRefusal = refusal;
     }
 
     /** Returns the refusal to report to the caller. */
     public Refusal refusal() {
-        return refusal;
+        return mRefusal;
     }
 }
--- a/frontend/src/main/java/org/fuchsialever/frontend/ResponseWriter.java
+++ b/frontend/src/main/java/org/fuchsialever/frontend/ResponseWriter.java
@@ -14,11 +14,11 @@
     private static final String JSON = "application/json";
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    private final MeterRegistry meters;
+    private final MeterRegistry mMeters;
 
     /** Creates a writer whose refusals are counted in the given registry. */
     public ResponseWriter(MeterRegistry meters) {
-        this.meters = meters;
+        mMeters = meters;
         for (RefusalReason reason : RefusalReason.values()) {
             counter(reason);
         }
@@ -61,7 +61,7 @@
     }
 
     private io.micrometer.core.instrument.Counter counter(RefusalReason reason) {
-        return meters.counter("fuchsialever.refusals", "reason", reason.code());
+        return mMeters.counter("fuchsialever.refusals", "reason", reason.code());
     }
 
     private static String message(Refusal refusal) {
--- a/frontend/src/main/java/org/fuchsialever/frontend/rollout/RolloutEndpoint.java
+++ b/frontend/src/main/java/org/fuchsialever/frontend/rollout/RolloutEndpoint.java
@@ -25,34 +25,35 @@
 abstract class RolloutEndpoint implements Endpoint {
     static final String PATH = "/v1/rollouts";
 
-    private final RolloutServices services;
-    private final String method;
+    private final RolloutServices mServices;
+    private final String mMethod;
 
     RolloutEndpoint(RolloutServices services, String method) {
-        this.services = services;
-        this.method = method;
+        mServices = services;
+        mMethod = method;
     }
 
     /** Decodes a request without executing it. */
     abstract Request read(HttpServerRequest request, Admitted admitted);
 
     RolloutPort port() {
-        return services.port();
+        return mServices.port();
     }
 
     SubmissionReader reader() {
-        return services.reader();
+        return mServices.reader();
     }
 
     @Override
     public Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
-        RequestId id = services.requestIds().get();
+        RequestId id = mServices.requestIds().get();
         return Mono.defer(() -> admit(request))
                 .flatMap(admitted -> execute(request, response, admitted, id))
                 .onErrorResume(
                         RefusedException.class,
                         refused ->
-                                services.responseWriter()
+                                mServices
+                                        .responseWriter()
                                         .refuse(response, refused.refusal(), id.value()));
     }
 
@@ -69,10 +70,10 @@
     }
 
     private Mono<Admitted> admit(HttpServerRequest request) {
-        if (!request.method().name().equals(method)) {
+        if (!request.method().name().equals(mMethod)) {
             return refused(RefusalReason.METHOD_NOT_ALLOWED);
         }
-        Option<ConfigSnapshot> snapshot = services.snapshots().get();
+        Option<ConfigSnapshot> snapshot = mServices.snapshots().get();
         if (snapshot.isEmpty()) {
             return refused(RefusalReason.NOT_READY);
         }
@@ -86,7 +87,8 @@
         }
         Route route = found.get();
         Either<RefusalReason, Caller> caller =
-                services.authenticator()
+                mServices
+                        .authenticator()
                         .authenticate(
                                 Option.of(request.requestHeaders().get("Authorization")), route);
         if (caller.isLeft()) {
@@ -112,7 +114,8 @@
                             }
                             return forwarded
                                     ? refused(RefusalReason.TRAINER_HOLDER_UNKNOWN)
-                                    : services.forwarder()
+                                    : mServices
+                                            .forwarder()
                                             .forward(
                                                     elsewhere.get(),
                                                     request,
@@ -127,7 +130,7 @@
             RequestId id,
             Either<Refusal, ObjectNode> result) {
         if (result.isLeft()) {
-            return services.responseWriter().refuse(response, result.getLeft(), id.value());
+            return mServices.responseWriter().refuse(response, result.getLeft(), id.value());
         }
         response.status(read.status()).header("X-Request-Id", id.value());
         return ResponseWriter.json(response, result.get());
--- a/frontend/src/main/java/org/fuchsialever/frontend/rollout/RolloutForwarder.java
+++ b/frontend/src/main/java/org/fuchsialever/frontend/rollout/RolloutForwarder.java
@@ -24,7 +24,7 @@
     private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(75);
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
-    private final HttpClient client =
+    private final HttpClient mClient =
             HttpClient.create()
                     .option(
                             io.netty.channel.ChannelOption.CONNECT_TIMEOUT_MILLIS,
@@ -33,7 +33,7 @@
 
     Mono<Void> forward(
             String holder, HttpServerRequest request, byte[] body, HttpServerResponse response) {
-        return client.headers(
+        return mClient.headers(
                         headers -> {
                             copy(request, headers, HttpHeaderNames.AUTHORIZATION.toString());
                             copy(request, headers, HttpHeaderNames.CONTENT_TYPE.toString());
--- a/frontend/src/main/java/org/fuchsialever/frontend/rollout/RolloutServices.java
+++ b/frontend/src/main/java/org/fuchsialever/frontend/rollout/RolloutServices.java
@@ -11,13 +11,13 @@
 
 /** The services that the endpoints for trainers share. */
 public final class RolloutServices {
-    private final Supplier<Option<ConfigSnapshot>> snapshots;
-    private final Supplier<RequestId> requestIds;
-    private final Authenticator authenticator;
-    private final RolloutPort port;
-    private final ResponseWriter responseWriter;
-    private final SubmissionReader reader = new SubmissionReader();
-    private final RolloutForwarder forwarder = new RolloutForwarder();
+    private final Supplier<Option<ConfigSnapshot>> mSnapshots;
+    private final Supplier<RequestId> mRequestIds;
+    private final Authenticator mAuthenticator;
+    private final RolloutPort mPort;
+    private final ResponseWriter mResponseWriter;
+    private final SubmissionReader mReader = new SubmissionReader();
+    private final RolloutForwarder mForwarder = new RolloutForwarder();
 
     /**
      * Creates the services.
@@ -32,11 +32,11 @@
             Authenticator authenticator,
             RolloutPort port,
             ResponseWriter responseWriter) {
-        this.snapshots = snapshots;
-        this.requestIds = requestIds;
-        this.authenticator = authenticator;
-        this.port = port;
-        this.responseWriter = responseWriter;
+        mSnapshots = snapshots;
+        mRequestIds = requestIds;
+        mAuthenticator = authenticator;
+        mPort = port;
+        mResponseWriter = responseWriter;
     }
 
     /** Returns all endpoints for trainers. */
@@ -46,30 +46,30 @@
     }
 
     Supplier<Option<ConfigSnapshot>> snapshots() {
-        return snapshots;
+        return mSnapshots;
     }
 
     Supplier<RequestId> requestIds() {
-        return requestIds;
+        return mRequestIds;
     }
 
     Authenticator authenticator() {
-        return authenticator;
+        return mAuthenticator;
     }
 
     RolloutPort port() {
-        return port;
+        return mPort;
     }
 
     ResponseWriter responseWriter() {
-        return responseWriter;
+        return mResponseWriter;
     }
 
     SubmissionReader reader() {
-        return reader;
+        return mReader;
     }
 
     RolloutForwarder forwarder() {
-        return forwarder;
+        return mForwarder;
     }
 }
--- a/frontend/src/main/java/org/fuchsialever/frontend/rollout/SubmissionReader.java
+++ b/frontend/src/main/java/org/fuchsialever/frontend/rollout/SubmissionReader.java
@@ -26,7 +26,7 @@
     private static final int MAX_STALENESS = 1_000;
     private static final long MAX_DEADLINE_MILLIS = TimeUnit.DAYS.toMillis(1);
 
-    private final ObjectMapper mapper = new ObjectMapper();
+    private final ObjectMapper mMapper = new ObjectMapper();
 
     /**
      * Reads a submission; the name of its object is empty until it is stored.
@@ -98,7 +98,7 @@
     private JsonNode object(byte[] body) {
         JsonNode root;
         try {
-            root = mapper.readTree(body);
+            root = mMapper.readTree(body);
         } catch (IOException e) {
             throw malformed("the body is not valid JSON");
         }
--- a/frontend/src/test/java/org/fuchsialever/frontend/rollout/SubmissionReaderTest.java
+++ b/frontend/src/test/java/org/fuchsialever/frontend/rollout/SubmissionReaderTest.java
@@ -45,7 +45,7 @@
                     Duration.ofSeconds(1),
                     1_000);
 
-    private final SubmissionReader reader = new SubmissionReader();
+    private final SubmissionReader mReader = new SubmissionReader();
 
     @Test
     void readsACompleteSubmission() {
@@ -104,7 +104,7 @@
     }
 
     private Submission read(String json) {
-        return reader.submission(
+        return mReader.submission(
                 json.getBytes(StandardCharsets.UTF_8), ROUTE, new TeamName("team"));
     }
 }
--- a/kernel/src/main/java/org/fuchsialever/kernel/duty/DutyStepper.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/duty/DutyStepper.java
@@ -11,13 +11,13 @@
  * Events are handled in order of arrival; the clock advances from timer to timer.
  */
 public final class DutyStepper {
-    private final ManualTimeSource time;
-    private final List<Entry<?, ?>> duties = new ArrayList<>();
-    private final Deque<Runnable> pending = new ArrayDeque<>();
+    private final ManualTimeSource mTime;
+    private final List<Entry<?, ?>> mDuties = new ArrayList<>();
+    private final Deque<Runnable> mPending = new ArrayDeque<>();
 
     /** Creates a stepper on the given clock. */
     public DutyStepper(ManualTimeSource time) {
-        this.time = time;
+        mTime = time;
     }
 
     /**
@@ -28,16 +28,16 @@
      */
     public <E, A> ActionSink<E> add(Duty<E, A> duty, ActionSink<A> actions) {
         Entry<E, A> entry = new Entry<>(duty, actions);
-        duties.add(entry);
-        return event -> pending.add(() -> entry.handle(event, time.nanoTime()));
+        mDuties.add(entry);
+        return event -> mPending.add(() -> entry.handle(event, mTime.nanoTime()));
     }
 
     /** Handles all pending events, including those that are sent meanwhile. */
     public void runPending() {
-        Runnable next = pending.poll();
+        Runnable next = mPending.poll();
         while (next != null) {
             next.run();
-            next = pending.poll();
+            next = mPending.poll();
         }
     }
 
@@ -47,23 +47,23 @@
      * @param nanos how far to advance, in nanoseconds
      */
     public void advance(long nanos) {
-        long end = time.nanoTime() + nanos;
+        long end = mTime.nanoTime() + nanos;
         runPending();
         long next = nextTimer();
         while (next <= end) {
-            time.advanceNanos(Math.max(0, next - time.nanoTime()));
-            for (Entry<?, ?> entry : duties) {
-                entry.runTimers(time.nanoTime());
+            mTime.advanceNanos(Math.max(0, next - mTime.nanoTime()));
+            for (Entry<?, ?> entry : mDuties) {
+                entry.runTimers(mTime.nanoTime());
                 runPending();
             }
             next = nextTimer();
         }
-        time.advanceNanos(end - time.nanoTime());
+        mTime.advanceNanos(end - mTime.nanoTime());
     }
 
     private long nextTimer() {
         long next = Duty.NO_TIMER;
-        for (Entry<?, ?> entry : duties) {
+        for (Entry<?, ?> entry : mDuties) {
             next = Math.min(next, entry.duty.nextTimerNanos());
         }
         return next;
--- a/kernel/src/main/java/org/fuchsialever/kernel/duty/DutyThread.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/duty/DutyThread.java
@@ -11,14 +11,14 @@
     private static final long MAX_WAIT_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final long JOIN_TIMEOUT_MILLIS = 5_000;
 
-    private final PartLogger log;
-    private final Duty<E, A> duty;
-    private final Inbox<E> inbox;
-    private final ActionSink<A> actions;
-    private final TimeSource time;
-    private final Thread thread;
-    private final AtomicLong failures = new AtomicLong();
-    private volatile boolean running = true;
+    private final PartLogger mLog;
+    private final Duty<E, A> mDuty;
+    private final Inbox<E> mInbox;
+    private final ActionSink<A> mActions;
+    private final TimeSource mTime;
+    private final Thread mThread;
+    private final AtomicLong mFailures = new AtomicLong();
+    private volatile boolean mRunning = true;
 
     /**
      * Creates the thread without starting it.
@@ -27,49 +27,49 @@
      * @param actions executes the actions of the duty, on this thread
      */
     public DutyThread(Duty<E, A> duty, Inbox<E> inbox, ActionSink<A> actions, TimeSource time) {
-        this.duty = duty;
-        this.inbox = inbox;
-        this.actions = actions;
-        this.time = time;
-        this.log = PartLogger.of(duty.dutyName());
-        this.thread = new Thread(this::run, "duty-" + duty.dutyName());
-        this.thread.setDaemon(true);
+        mDuty = duty;
+        mInbox = inbox;
+        mActions = actions;
+        mTime = time;
+        mLog = PartLogger.of(duty.dutyName());
+        mThread = new Thread(this::run, "duty-" + duty.dutyName());
+        mThread.setDaemon(true);
     }
 
     /** Starts the thread. */
     public void start() {
-        thread.start();
+        mThread.start();
     }
 
     /** Returns the inbox of the duty. */
     public Inbox<E> inbox() {
-        return inbox;
+        return mInbox;
     }
 
     /** Returns the number of exceptions that the duty or its action sink has thrown. */
     public long failureCount() {
-        return failures.get();
+        return mFailures.get();
     }
 
     /** Stops the thread and waits up to 5 s until the event in progress has been handled. */
     @Override
     public void close() throws InterruptedException {
-        running = false;
-        thread.interrupt();
-        if (Thread.currentThread() != thread) {
-            thread.join(JOIN_TIMEOUT_MILLIS);
+        mRunning = false;
+        mThread.interrupt();
+        if (Thread.currentThread() != mThread) {
+            mThread.join(JOIN_TIMEOUT_MILLIS);
         }
     }
 
     private void run() {
-        while (running) {
+        while (mRunning) {
             try {
                 step();
             } catch (InterruptedException e) {
-                log.debug("Thread was interrupted.");
+                mLog.debug("Thread was interrupted.");
             } catch (RuntimeException e) {
-                failures.incrementAndGet();
-                log.error("Unhandled exception while handling an event or a timer.", e);
+                mFailures.incrementAndGet();
+                mLog.error("Unhandled exception while handling an event or a timer.", e);
             }
         }
     }
@@ -87,14 +87,14 @@
     }
 
     private void step() throws InterruptedException {
-        long wait = waitNanos(duty.nextTimerNanos(), time.nanoTime());
-        @Nullable E event = wait > 0 ? inbox.poll(wait) : inbox.poll();
+        long wait = waitNanos(mDuty.nextTimerNanos(), mTime.nanoTime());
+        @Nullable E event = wait > 0 ? mInbox.poll(wait) : mInbox.poll();
         if (event != null) {
-            duty.onEvent(event, time.nanoTime(), actions);
+            mDuty.onEvent(event, mTime.nanoTime(), mActions);
         }
-        long now = time.nanoTime();
-        if (duty.nextTimerNanos() <= now) {
-            duty.onTimer(now, actions);
+        long now = mTime.nanoTime();
+        if (mDuty.nextTimerNanos() <= now) {
+            mDuty.onTimer(now, mActions);
         }
     }
 }
--- a/kernel/src/main/java/org/fuchsialever/kernel/duty/Inbox.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/duty/Inbox.java
@@ -12,9 +12,9 @@
  * event, which a ring buffer with sequence numbers does not support.
  */
 public final class Inbox<E> {
-    private final BlockingQueue<E> ring;
-    private final OverflowPolicy overflow;
-    private final LongAdder overflows = new LongAdder();
+    private final BlockingQueue<E> mRing;
+    private final OverflowPolicy mOverflow;
+    private final LongAdder mOverflows = new LongAdder();
 
     /**
      * Creates an inbox.
@@ -23,8 +23,8 @@
      * @param overflow what happens to an event when it is full
      */
     public Inbox(int capacity, OverflowPolicy overflow) {
-        this.ring = new ArrayBlockingQueue<>(capacity);
-        this.overflow = overflow;
+        mRing = new ArrayBlockingQueue<>(capacity);
+        mOverflow = overflow;
     }
 
     /**
@@ -33,26 +33,26 @@
      * @return whether the event was accepted
      */
     public boolean offer(E event) {
-        return overflow.insert(ring, event, overflows::increment);
+        return mOverflow.insert(mRing, event, mOverflows::increment);
     }
 
     /** Returns the number of queued events. */
     public int size() {
-        return ring.size();
+        return mRing.size();
     }
 
     /** Returns how often the inbox was full when an event arrived. */
     public long overflowCount() {
-        return overflows.sum();
+        return mOverflows.sum();
     }
 
     /** Returns the next event, or null if there is none. */
     public @Nullable E poll() {
-        return ring.poll();
+        return mRing.poll();
     }
 
     /** Waits for the next event; returns null if none arrives within the timeout. */
     @Nullable E poll(long timeoutNanos) throws InterruptedException {
-        return ring.poll(timeoutNanos, TimeUnit.NANOSECONDS);
+        return mRing.poll(timeoutNanos, TimeUnit.NANOSECONDS);
     }
 }
--- a/kernel/src/main/java/org/fuchsialever/kernel/findings/Findings.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/findings/Findings.java
@@ -7,7 +7,7 @@
 
 /** Collects findings so that all of them can be reported together. Used by one thread. */
 public final class Findings {
-    private final List<Finding> entries = new ArrayList<>();
+    private final List<Finding> mEntries = new ArrayList<>();
 
     /** Adds an error; the message is a format string with its arguments. */
     public void error(Location location, String messageKey, String message, Object... arguments) {
@@ -21,27 +21,27 @@
 
     /** Adds all findings of another collection, in their order. */
     public void addAll(Findings other) {
-        entries.addAll(other.entries);
+        mEntries.addAll(other.mEntries);
     }
 
     /** Returns whether there is at least one error. */
     public boolean hasErrors() {
-        return entries.stream().anyMatch(finding -> finding.severity() == Severity.ERROR);
+        return mEntries.stream().anyMatch(finding -> finding.severity() == Severity.ERROR);
     }
 
     /** Returns whether there is no finding at all. */
     public boolean isEmpty() {
-        return entries.isEmpty();
+        return mEntries.isEmpty();
     }
 
     /** Returns the findings in the order in which they were added. */
     public List<Finding> list() {
-        return List.copyOf(entries);
+        return List.copyOf(mEntries);
     }
 
     /** Returns one line for each finding. */
     public String report() {
-        return entries.stream().map(Finding::toString).collect(Collectors.joining("\n"));
+        return mEntries.stream().map(Finding::toString).collect(Collectors.joining("\n"));
     }
 
     private void add(
@@ -52,6 +52,6 @@
             Object[] arguments) {
         String text =
                 arguments.length == 0 ? message : String.format(Locale.ROOT, message, arguments);
-        entries.add(new Finding(severity, location, messageKey, text));
+        mEntries.add(new Finding(severity, location, messageKey, text));
     }
 }
