--- a/kernel/src/main/java/org/fuchsialever/kernel/invariant/CountingInvariantMonitor.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/invariant/CountingInvariantMonitor.java
@@ -12,13 +12,13 @@
 public final class CountingInvariantMonitor implements InvariantMonitor {
     private static final PartLogger LOG = PartLogger.of("invariant");
 
-    private final Map<Invariant, Counter> counters = new EnumMap<>(Invariant.class);
-    private final LongAdder total = new LongAdder();
+    private final Map<Invariant, Counter> mCounters = new EnumMap<>(Invariant.class);
+    private final LongAdder mTotal = new LongAdder();
 
     /** Creates a monitor with one counter for each invariant. */
     public CountingInvariantMonitor(MeterRegistry meters) {
         for (Invariant invariant : Invariant.values()) {
-            counters.put(
+            mCounters.put(
                     invariant,
                     Counter.builder("fuchsialever.invariant.violations")
                             .tag("invariant", invariant.metricName())
@@ -28,13 +28,13 @@
 
     @Override
     public void reportViolation(Invariant invariant, String detail) {
-        total.increment();
-        Option.of(counters.get(invariant)).forEach(Counter::increment);
+        mTotal.increment();
+        Option.of(mCounters.get(invariant)).forEach(Counter::increment);
         LOG.warning("Violated: " + invariant.statement() + " " + detail);
     }
 
     /** Returns the number of violations of all invariants. */
     public long violationCount() {
-        return total.sum();
+        return mTotal.sum();
     }
 }
--- a/kernel/src/main/java/org/fuchsialever/kernel/invariant/Invariant.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/invariant/Invariant.java
@@ -21,15 +21,15 @@
     SHUTDOWN_CUTS_NOTHING("A graceful shutdown cuts no request."),
     CONFIGURATION_MONOTONIC("An accepted configuration never reverts.");
 
-    private final String statement;
+    private final String mStatement;
 
     Invariant(String statement) {
-        this.statement = statement;
+        mStatement = statement;
     }
 
     /** Returns the invariant as a sentence. */
     public String statement() {
-        return statement;
+        return mStatement;
     }
 
     /** Returns the name used in metrics, such as {@code at-most-once}. */
--- a/kernel/src/main/java/org/fuchsialever/kernel/invariant/InvariantViolationException.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/invariant/InvariantViolationException.java
@@ -4,16 +4,16 @@
 public final class InvariantViolationException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
-    private final Invariant invariant;
+    private final Invariant mInvariant;
 
     /** Creates an exception for a violated invariant with a description of the violation. */
     public InvariantViolationException(Invariant invariant, String detail) {
         super(invariant.statement() + " " + detail);
-        this.invariant = invariant;
+        mInvariant = invariant;
     }
 
     /** Returns the violated invariant. */
     public Invariant invariant() {
-        return invariant;
+        return mInvariant;
     }
 }
--- a/kernel/src/main/java/org/fuchsialever/kernel/lifecycle/Closer.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/lifecycle/Closer.java
@@ -9,8 +9,8 @@
 public final class Closer implements AutoCloseable {
     private static final PartLogger LOG = PartLogger.of("closer");
 
-    private final Deque<Entry> entries = new ArrayDeque<>();
-    private boolean closed;
+    private final Deque<Entry> mEntries = new ArrayDeque<>();
+    private boolean mClosed;
 
     /**
      * Adds a resource; it is closed immediately if this closer has already been closed.
@@ -19,9 +19,9 @@
      * @return the resource
      */
     public <T extends AutoCloseable> T register(String name, T resource) {
-        synchronized (entries) {
-            if (!closed) {
-                entries.push(new Entry(name, resource));
+        synchronized (mEntries) {
+            if (!mClosed) {
+                mEntries.push(new Entry(name, resource));
                 return resource;
             }
         }
@@ -49,9 +49,9 @@
     }
 
     private @Nullable Entry next() {
-        synchronized (entries) {
-            closed = true;
-            return entries.poll();
+        synchronized (mEntries) {
+            mClosed = true;
+            return mEntries.poll();
         }
     }
 
--- a/kernel/src/main/java/org/fuchsialever/kernel/log/PartLogger.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/log/PartLogger.java
@@ -6,12 +6,12 @@
 public final class PartLogger {
     private static final String ROOT = "org.fuchsialever.";
 
-    private final System.Logger logger;
-    private final String prefix;
+    private final System.Logger mLogger;
+    private final String mPrefix;
 
     private PartLogger(String part) {
-        this.logger = System.getLogger(ROOT + part);
-        this.prefix = part + ": ";
+        mLogger = System.getLogger(ROOT + part);
+        mPrefix = part + ": ";
     }
 
     /** Returns the logger of a part. */
@@ -21,26 +21,26 @@
 
     /** Logs details for debugging. */
     public void debug(String message) {
-        logger.log(Level.DEBUG, prefix + message);
+        mLogger.log(Level.DEBUG, mPrefix + message);
     }
 
     /** Logs a normal event. */
     public void info(String message) {
-        logger.log(Level.INFO, prefix + message);
+        mLogger.log(Level.INFO, mPrefix + message);
     }
 
     /** Logs a problem that needs no operator. */
     public void warning(String message) {
-        logger.log(Level.WARNING, prefix + message);
+        mLogger.log(Level.WARNING, mPrefix + message);
     }
 
     /** Logs a problem that needs no operator, with its cause. */
     public void warning(String message, Throwable cause) {
-        logger.log(Level.WARNING, prefix + message, cause);
+        mLogger.log(Level.WARNING, mPrefix + message, cause);
     }
 
     /** Logs a problem that needs an operator, with its cause. */
     public void error(String message, Throwable cause) {
-        logger.log(Level.ERROR, prefix + message, cause);
+        mLogger.log(Level.ERROR, mPrefix + message, cause);
     }
 }
--- a/kernel/src/main/java/org/fuchsialever/kernel/plugin/Assembly.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/plugin/Assembly.java
@@ -17,10 +17,10 @@
     private static final String MSG_CYCLE = "component.cycle";
     private static final String MSG_PROVIDED_TWICE = "component.provided-twice";
 
-    private final List<Component> ordered;
+    private final List<Component> mOrdered;
 
     private Assembly(List<Component> ordered) {
-        this.ordered = ordered;
+        mOrdered = ordered;
     }
 
     /**
@@ -59,21 +59,21 @@
 
     /** Lets each component read its settings; problems become findings of the reader. */
     public void configure(SettingsReader settings) {
-        for (Component component : ordered) {
+        for (Component component : mOrdered) {
             component.configure(settings);
         }
     }
 
     /** Installs the components in order. */
     public void install(ComponentContext context) {
-        for (Component component : ordered) {
+        for (Component component : mOrdered) {
             component.install(context);
         }
     }
 
     /** Returns the components in the order of installation. */
     public List<Component> components() {
-        return List.copyOf(ordered);
+        return List.copyOf(mOrdered);
     }
 
     private static void checkProviders(
--- a/kernel/src/main/java/org/fuchsialever/kernel/plugin/ComponentContext.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/plugin/ComponentContext.java
@@ -18,12 +18,12 @@
 
 /** Services, settings and resources that components of one process share. */
 public final class ComponentContext {
-    private final Map<Class<?>, Object> services = new HashMap<>();
-    private final SettingsReader settings;
-    private final Closer closer;
-    private final TimeSource time;
-    private final long randomSeed;
-    private final MeterRegistry meters;
+    private final Map<Class<?>, Object> mServices = new HashMap<>();
+    private final SettingsReader mSettings;
+    private final Closer mCloser;
+    private final TimeSource mTime;
+    private final long mRandomSeed;
+    private final MeterRegistry mMeters;
 
     /**
      * Creates a context.
@@ -37,11 +37,11 @@
             TimeSource time,
             long randomSeed,
             MeterRegistry meters) {
-        this.settings = settings;
-        this.closer = closer;
-        this.time = time;
-        this.randomSeed = randomSeed;
-        this.meters = meters;
+        mSettings = settings;
+        mCloser = closer;
+        mTime = time;
+        mRandomSeed = randomSeed;
+        mMeters = meters;
     }
 
     /**
@@ -51,7 +51,7 @@
      * @throws IllegalStateException if no component provided it
      */
     public <T> T require(Class<T> type) {
-        Object service = services.get(type);
+        Object service = mServices.get(type);
         if (service == null) {
             throw new IllegalStateException("no component provides " + type.getName());
         }
@@ -60,7 +60,7 @@
 
     /** Returns a service, or none if no component provided it. */
     public <T> Option<T> find(Class<T> type) {
-        return Option.of(services.get(type)).map(type::cast);
+        return Option.of(mServices.get(type)).map(type::cast);
     }
 
     /**
@@ -69,34 +69,34 @@
      * @throws IllegalStateException if the type has been provided before
      */
     public <T> void provide(Class<T> type, T service) {
-        if (services.putIfAbsent(type, service) != null) {
+        if (mServices.putIfAbsent(type, service) != null) {
             throw new IllegalStateException(type.getName() + " is provided twice");
         }
     }
 
     /** Returns the settings of the process. */
     public SettingsReader settings() {
-        return settings;
+        return mSettings;
     }
 
     /** Returns the closer that releases the resources of the process. */
     public Closer closer() {
-        return closer;
+        return mCloser;
     }
 
     /** Returns the clock of the process. */
     public TimeSource time() {
-        return time;
+        return mTime;
     }
 
     /** Returns a new random source, seeded from the seed of the process and the purpose. */
     public RandomGenerator random(String purpose) {
-        return new SplittableRandom(randomSeed * 31 + purpose.hashCode());
+        return new SplittableRandom(mRandomSeed * 31 + purpose.hashCode());
     }
 
     /** Returns the registry for all metrics. */
     public MeterRegistry meters() {
-        return meters;
+        return mMeters;
     }
 
     /**
@@ -126,12 +126,12 @@
             OverflowPolicy overflow,
             Function<Inbox<E>, ActionSink<A>> actions) {
         Inbox<E> inbox = new Inbox<>(capacity, overflow);
-        DutyThread<E, A> thread = new DutyThread<>(duty, inbox, actions.apply(inbox), time);
+        DutyThread<E, A> thread = new DutyThread<>(duty, inbox, actions.apply(inbox), mTime);
         String name = duty.dutyName();
-        meters.gauge("fuchsialever.ring.size." + name, inbox, Inbox::size);
-        meters.gauge("fuchsialever.ring.overflows." + name, inbox, Inbox::overflowCount);
-        meters.gauge("fuchsialever.duty.failures." + name, thread, DutyThread::failureCount);
-        closer.register("duty " + name, thread);
+        mMeters.gauge("fuchsialever.ring.size." + name, inbox, Inbox::size);
+        mMeters.gauge("fuchsialever.ring.overflows." + name, inbox, Inbox::overflowCount);
+        mMeters.gauge("fuchsialever.duty.failures." + name, thread, DutyThread::failureCount);
+        mCloser.register("duty " + name, thread);
         thread.start();
         return inbox;
     }
--- a/kernel/src/main/java/org/fuchsialever/kernel/plugin/PluginRegistry.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/plugin/PluginRegistry.java
@@ -16,7 +16,8 @@
     private static final String MSG_DUPLICATE = "plugin.duplicate";
     private static final String MSG_UNKNOWN = "plugin.unknown";
 
-    private final Map<Class<? extends Plugin>, Map<String, Plugin>> plugins = new LinkedHashMap<>();
+    private final Map<Class<? extends Plugin>, Map<String, Plugin>> mPlugins =
+            new LinkedHashMap<>();
 
     private PluginRegistry() {}
 
@@ -51,7 +52,7 @@
     /** Returns all plug-ins of a kind, sorted by name. */
     public <T extends Plugin> List<T> all(Class<T> kind) {
         List<T> result = new ArrayList<>();
-        for (Plugin plugin : plugins.getOrDefault(kind, Map.of()).values()) {
+        for (Plugin plugin : mPlugins.getOrDefault(kind, Map.of()).values()) {
             result.add(kind.cast(plugin));
         }
         return result;
@@ -67,7 +68,7 @@
      */
     public <T extends Plugin> Option<T> select(
             Class<T> kind, String name, Location location, Findings findings) {
-        Map<String, Plugin> named = plugins.getOrDefault(kind, Map.of());
+        Map<String, Plugin> named = mPlugins.getOrDefault(kind, Map.of());
         Plugin plugin = named.get(name);
         if (plugin == null) {
             findings.error(
@@ -82,7 +83,7 @@
     }
 
     private void register(Class<? extends Plugin> kind, Plugin plugin, Findings findings) {
-        Map<String, Plugin> named = plugins.computeIfAbsent(kind, k -> new TreeMap<>());
+        Map<String, Plugin> named = mPlugins.computeIfAbsent(kind, k -> new TreeMap<>());
         Plugin earlier = named.putIfAbsent(plugin.pluginName(), plugin);
         if (earlier != null) {
             findings.error(
--- a/kernel/src/main/java/org/fuchsialever/kernel/settings/IniDocument.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/settings/IniDocument.java
@@ -20,12 +20,12 @@
     private static final String MSG_DUPLICATE_SECTION = "ini.duplicate-section";
     private static final String MSG_NO_SECTION = "ini.key-outside-section";
 
-    private final String file;
-    private final Map<String, Map<String, String>> sections = new LinkedHashMap<>();
-    private final Map<String, Integer> lines = new LinkedHashMap<>();
+    private final String mFile;
+    private final Map<String, Map<String, String>> mSections = new LinkedHashMap<>();
+    private final Map<String, Integer> mLines = new LinkedHashMap<>();
 
     private IniDocument(String file) {
-        this.file = file;
+        mFile = file;
     }
 
     /**
@@ -48,7 +48,7 @@
         // One pass over the nodes: looking up each section by its name in the library takes
         // quadratic time, 10 s for 10,000 sections.
         for (ImmutableNode node : rootOf(configuration).getChildren()) {
-            if (!node.getChildren().isEmpty() || document.lines.containsKey(node.getNodeName())) {
+            if (!node.getChildren().isEmpty() || document.mLines.containsKey(node.getNodeName())) {
                 document.readSection(node);
             }
         }
@@ -57,33 +57,33 @@
 
     /** Returns the names of all sections in the order of the file. */
     public List<String> sections() {
-        return List.copyOf(sections.keySet());
+        return List.copyOf(mSections.keySet());
     }
 
     /**
      * Returns the keys of a section in the order of the file; empty if there is no such section.
      */
     public List<String> keys(String section) {
-        return List.copyOf(sections.getOrDefault(section, Map.of()).keySet());
+        return List.copyOf(mSections.getOrDefault(section, Map.of()).keySet());
     }
 
     /** Returns the value of a key, without surrounding white space. */
     public Option<String> value(String section, String key) {
-        return Option.of(sections.getOrDefault(section, Map.of()).get(key));
+        return Option.of(mSections.getOrDefault(section, Map.of()).get(key));
     }
 
     /** Returns the location of a key, or of its section if the key does not occur. */
     public Location location(String section, String key) {
-        Integer line = lines.get(section + "/" + key);
+        Integer line = mLines.get(section + "/" + key);
         if (line == null) {
-            line = lines.getOrDefault(section, 0);
+            line = mLines.getOrDefault(section, 0);
         }
-        return new Location(file, line, section + "/" + key);
+        return new Location(mFile, line, section + "/" + key);
     }
 
     /** Returns the location of a section. */
     public Location location(String section) {
-        return new Location(file, lines.getOrDefault(section, 0), section);
+        return new Location(mFile, mLines.getOrDefault(section, 0), section);
     }
 
     private static ImmutableNode rootOf(INIConfiguration configuration) {
@@ -96,7 +96,7 @@
             Object value = key.getValue();
             values.put(key.getNodeName(), value == null ? "" : value.toString().strip());
         }
-        sections.put(section.getNodeName(), values);
+        mSections.put(section.getNodeName(), values);
     }
 
     private void indexLines(String text, Findings findings) {
@@ -108,7 +108,7 @@
                 section = line.substring(1, line.length() - 1).strip();
                 indexName(
                         section,
-                        new Location(file, i + 1, section),
+                        new Location(mFile, i + 1, section),
                         MSG_DUPLICATE_SECTION,
                         findings);
             } else if (!line.isEmpty() && !line.startsWith("#") && !line.startsWith(";")) {
@@ -121,11 +121,11 @@
         int separator = line.indexOf('=');
         if (separator <= 0) {
             findings.error(
-                    new Location(file, number, section), MSG_SYNTAX, "expected \"key = value\"");
+                    new Location(mFile, number, section), MSG_SYNTAX, "expected \"key = value\"");
             return;
         }
         String key = line.substring(0, separator).strip();
-        Location location = new Location(file, number, section + "/" + key);
+        Location location = new Location(mFile, number, section + "/" + key);
         if (section.isEmpty()) {
             findings.error(location, MSG_NO_SECTION, "a key must follow a [section] header");
         }
@@ -133,7 +133,7 @@
     }
 
     private void indexName(String name, Location location, String messageKey, Findings findings) {
-        Integer earlier = lines.putIfAbsent(name, location.line());
+        Integer earlier = mLines.putIfAbsent(name, location.line());
         if (earlier != null) {
             findings.error(location, messageKey, "already defined in line %d", earlier);
         }
--- a/kernel/src/main/java/org/fuchsialever/kernel/settings/SettingsReader.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/settings/SettingsReader.java
@@ -26,10 +26,10 @@
     private static final String MSG_UNKNOWN_KEY = "settings.unknown-key";
     private static final String MSG_UNKNOWN_SECTION = "settings.unknown-section";
 
-    private final IniDocument document;
-    private final Findings findings;
-    private final Set<String> knownKeys = new HashSet<>();
-    private final Set<String> knownSections = new HashSet<>();
+    private final IniDocument mDocument;
+    private final Findings mFindings;
+    private final Set<String> mKnownKeys = new HashSet<>();
+    private final Set<String> mKnownSections = new HashSet<>();
 
     /**
      * Creates a reader.
@@ -37,25 +37,25 @@
      * @param findings receives one finding for each problem
      */
     public SettingsReader(IniDocument document, Findings findings) {
-        this.document = document;
-        this.findings = findings;
+        mDocument = document;
+        mFindings = findings;
     }
 
     /** Returns the underlying document. */
     public IniDocument document() {
-        return document;
+        return mDocument;
     }
 
     /** Returns the findings that this reader adds to. */
     public Findings findings() {
-        return findings;
+        return mFindings;
     }
 
     /** Returns a required text; a missing or empty value is an error and yields an empty string. */
     public String requiredText(String section, String key) {
         Option<String> value = raw(section, key);
         if (value.isEmpty() || value.get().isEmpty()) {
-            findings.error(document.location(section, key), MSG_MISSING, "a value is required");
+            mFindings.error(mDocument.location(section, key), MSG_MISSING, "a value is required");
         }
         return value.getOrElse("");
     }
@@ -80,16 +80,16 @@
         try {
             number = Long.parseLong(value.get());
         } catch (NumberFormatException e) {
-            findings.error(
-                    document.location(section, key),
+            mFindings.error(
+                    mDocument.location(section, key),
                     MSG_BAD_NUMBER,
                     "\"%s\" is not a whole number",
                     value.get());
             return defaultValue;
         }
         if (number < min || number > max) {
-            findings.error(
-                    document.location(section, key),
+            mFindings.error(
+                    mDocument.location(section, key),
                     MSG_OUT_OF_RANGE,
                     "%d is out of range; allowed are %d to %d",
                     number,
@@ -108,8 +108,8 @@
         }
         Option<Duration> duration = Quantities.parseDuration(value.get());
         if (duration.isEmpty()) {
-            findings.error(
-                    document.location(section, key),
+            mFindings.error(
+                    mDocument.location(section, key),
                     MSG_BAD_DURATION,
                     "\"%s\" is not a duration; write for example 250 ms, 5 s, 2 min or 1 h",
                     value.get());
@@ -125,8 +125,8 @@
         }
         Option<Long> size = Quantities.parseSize(value.get());
         if (size.isEmpty()) {
-            findings.error(
-                    document.location(section, key),
+            mFindings.error(
+                    mDocument.location(section, key),
                     MSG_BAD_SIZE,
                     "\"%s\" is not a size; write for example 512 B, 64 KB or 1 MB",
                     value.get());
@@ -149,8 +149,8 @@
                 Arrays.stream(type.getEnumConstants())
                         .map(SettingsReader::label)
                         .collect(Collectors.joining(", "));
-        findings.error(
-                document.location(section, key),
+        mFindings.error(
+                mDocument.location(section, key),
                 MSG_BAD_CHOICE,
                 "\"%s\" is not allowed; allowed are %s",
                 value.get(),
@@ -160,24 +160,24 @@
 
     /** Returns the location of a key, for findings of the caller. */
     public Location location(String section, String key) {
-        return document.location(section, key);
+        return mDocument.location(section, key);
     }
 
     /** Adds an error for each section and key that has not been read. */
     public void reportUnknownKeys() {
-        for (String section : document.sections()) {
-            if (!knownSections.contains(section)) {
-                findings.error(
-                        document.location(section),
+        for (String section : mDocument.sections()) {
+            if (!mKnownSections.contains(section)) {
+                mFindings.error(
+                        mDocument.location(section),
                         MSG_UNKNOWN_SECTION,
                         "section [%s] is not known",
                         section);
                 continue;
             }
-            for (String key : document.keys(section)) {
-                if (!knownKeys.contains(section + "/" + key)) {
-                    findings.error(
-                            document.location(section, key),
+            for (String key : mDocument.keys(section)) {
+                if (!mKnownKeys.contains(section + "/" + key)) {
+                    mFindings.error(
+                            mDocument.location(section, key),
                             MSG_UNKNOWN_KEY,
                             "key \"%s\" is not known in section [%s]",
                             key,
@@ -193,9 +193,9 @@
     }
 
     private Option<String> raw(String section, String key) {
-        knownSections.add(section);
-        knownKeys.add(section + "/" + key);
-        return document.value(section, key);
+        mKnownSections.add(section);
+        mKnownKeys.add(section + "/" + key);
+        return mDocument.value(section, key);
     }
 
     private static List<String> split(String text) {
--- a/kernel/src/main/java/org/fuchsialever/kernel/time/ManualTimeSource.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/time/ManualTimeSource.java
@@ -6,8 +6,8 @@
 
 /** A clock for tests that advances only when one of its methods is called. */
 public final class ManualTimeSource implements TimeSource {
-    private final AtomicLong nanos = new AtomicLong();
-    private volatile long wallOriginMillis;
+    private final AtomicLong mNanos = new AtomicLong();
+    private volatile long mWallOriginMillis;
 
     /**
      * Creates a clock at monotonic time zero.
@@ -15,17 +15,17 @@
      * @param wallOriginMillis the initial wall-clock time in milliseconds since the epoch
      */
     public ManualTimeSource(long wallOriginMillis) {
-        this.wallOriginMillis = wallOriginMillis;
+        mWallOriginMillis = wallOriginMillis;
     }
 
     @Override
     public long nanoTime() {
-        return nanos.get();
+        return mNanos.get();
     }
 
     @Override
     public long wallMillis() {
-        return wallOriginMillis + TimeUnit.NANOSECONDS.toMillis(nanos.get());
+        return mWallOriginMillis + TimeUnit.NANOSECONDS.toMillis(mNanos.get());
     }
 
     /** Advances the clock by a number of nanoseconds. */
@@ -33,7 +33,7 @@
         if (delta < 0) {
             throw new IllegalArgumentException("a monotonic clock cannot go back by " + delta);
         }
-        nanos.addAndGet(delta);
+        mNanos.addAndGet(delta);
     }
 
     /** Advances the clock. */
@@ -43,6 +43,6 @@
 
     /** Sets the wall clock forward, or back by a negative number of milliseconds. */
     public void jumpWallMillis(long delta) {
-        wallOriginMillis = wallOriginMillis + delta;
+        mWallOriginMillis = mWallOriginMillis + delta;
     }
 }
--- a/kernel/src/test/java/org/fuchsialever/kernel/plugin/AssemblyTest.java
+++ b/kernel/src/test/java/org/fuchsialever/kernel/plugin/AssemblyTest.java
@@ -13,22 +13,22 @@
 import org.junit.jupiter.api.Test;
 
 class AssemblyTest {
-    private final Findings findings = new Findings();
+    private final Findings mFindings = new Findings();
 
     @Test
     void installsAComponentAfterThoseThatItRequires() {
         Component user = component("user", Set.of(String.class), Set.of());
         Component provider = component("provider", Set.of(), Set.of(String.class));
 
-        Assembly assembly = Assembly.of(List.of(user, provider), findings);
+        Assembly assembly = Assembly.of(List.of(user, provider), mFindings);
 
         assertThat(assembly.components(), contains(provider, user));
-        assertThat(findings.isEmpty(), is(true));
+        assertThat(mFindings.isEmpty(), is(true));
     }
 
     @Test
     void reportsAMissingRequirement() {
-        Assembly.of(List.of(component("user", Set.of(String.class), Set.of())), findings);
+        Assembly.of(List.of(component("user", Set.of(String.class), Set.of())), mFindings);
 
         assertThat(messageKeys(), hasItem("component.missing-requirement"));
     }
@@ -38,7 +38,7 @@
         Component first = component("first", Set.of(String.class), Set.of(Integer.class));
         Component second = component("second", Set.of(Integer.class), Set.of(String.class));
 
-        Assembly.of(List.of(first, second), findings);
+        Assembly.of(List.of(first, second), mFindings);
 
         assertThat(messageKeys(), contains("component.cycle", "component.cycle"));
     }
@@ -60,14 +60,14 @@
                     }
                 };
 
-        PluginRegistry registry = PluginRegistry.of(List.of(provider), findings);
-        registry.select(Component.class, "other", Location.ofKey("components"), findings);
+        PluginRegistry registry = PluginRegistry.of(List.of(provider), mFindings);
+        registry.select(Component.class, "other", Location.ofKey("components"), mFindings);
 
         assertThat(messageKeys(), contains("plugin.duplicate", "plugin.unknown"));
     }
 
     private List<String> messageKeys() {
-        return findings.list().stream().map(Finding::messageKey).toList();
+        return mFindings.list().stream().map(Finding::messageKey).toList();
     }
 
     private static Component component(
--- a/node/src/main/java/org/fuchsialever/node/IdentityComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/IdentityComponent.java
@@ -15,9 +15,9 @@
     private static final String MSG_BAD_NAME = "node.bad-name";
     private static final String SECTION = "node";
 
-    private String name = "";
-    private String region = "";
-    private String domain = "";
+    private String mName = "";
+    private String mRegion = "";
+    private String mDomain = "";
 
     @Override
     public String pluginName() {
@@ -36,16 +36,16 @@
 
     @Override
     public void configure(SettingsReader settings) {
-        name = readName(settings, "name");
-        region = readName(settings, "region");
-        domain = readName(settings, "failure-domain");
+        mName = readName(settings, "name");
+        mRegion = readName(settings, "region");
+        mDomain = readName(settings, "failure-domain");
     }
 
     @Override
     public void install(ComponentContext context) {
         context.provide(
                 NodeIdentity.class,
-                NodeIdentity.startNow(new InstanceId(name), region, new FailureDomain(domain)));
+                NodeIdentity.startNow(new InstanceId(mName), mRegion, new FailureDomain(mDomain)));
         CountingInvariantMonitor monitor = new CountingInvariantMonitor(context.meters());
         context.provide(CountingInvariantMonitor.class, monitor);
         context.provide(InvariantMonitor.class, monitor);
--- a/node/src/main/java/org/fuchsialever/node/NodeMain.java
+++ b/node/src/main/java/org/fuchsialever/node/NodeMain.java
@@ -22,17 +22,17 @@
     private static final int EXIT_USAGE = 2;
 
     @Parameter(names = "--settings", description = "Settings file (INI)", required = true)
-    private String settings = "";
+    private String mSettings = "";
 
     @Parameter(
             names = "--stop-after",
             description = "Stop after this many milliseconds, to try a start; 0 runs on")
-    private long stopAfterMillis;
+    private long mStopAfterMillis;
 
     @Parameter(names = "--help", help = true, description = "Show the options")
-    private boolean help;
+    private boolean mHelp;
 
-    private @Nullable NodeProcess process;
+    private @Nullable NodeProcess mProcess;
 
     private NodeMain() {}
 
@@ -52,7 +52,7 @@
             System.err.println(e.getMessage());
             System.exit(EXIT_USAGE);
         }
-        if (main.help) {
+        if (main.mHelp) {
             parser.usage();
             System.exit(EXIT_OK);
         }
@@ -63,27 +63,27 @@
         LibraryLogs.limitToErrors();
         String text;
         try {
-            text = Files.readString(Path.of(settings));
+            text = Files.readString(Path.of(mSettings));
         } catch (IOException e) {
-            System.err.println(settings + ": cannot be read: " + e);
+            System.err.println(mSettings + ": cannot be read: " + e);
             return EXIT_USAGE;
         }
         // The default action of this signal would end the process.
-        SettingsReload reload = new SettingsReload(settings, text);
+        SettingsReload reload = new SettingsReload(mSettings, text);
         Signal.handle(new Signal("HUP"), signal -> reload.reload());
         // Registered before the start, so that a signal during the start is not missed.
         Runtime.getRuntime().addShutdownHook(new Thread(this::shutDown, "shutdown"));
         synchronized (this) {
-            Either<Findings, NodeProcess> started = NodeProcess.start(settings, text);
+            Either<Findings, NodeProcess> started = NodeProcess.start(mSettings, text);
             if (started.isLeft()) {
                 System.err.println(started.getLeft().report());
                 return EXIT_USAGE;
             }
-            process = started.get();
-            reload.logTo(process.find(TraceLog.class));
+            mProcess = started.get();
+            reload.logTo(mProcess.find(TraceLog.class));
         }
-        if (stopAfterMillis > 0) {
-            boolean never = new CountDownLatch(1).await(stopAfterMillis, TimeUnit.MILLISECONDS);
+        if (mStopAfterMillis > 0) {
+            boolean never = new CountDownLatch(1).await(mStopAfterMillis, TimeUnit.MILLISECONDS);
             return never ? EXIT_FAILURE : EXIT_OK;
         }
         // The hook ends the process.
@@ -96,7 +96,7 @@
      * stop by SIGTERM would otherwise exit with 143, whatever the hook does.
      */
     private synchronized void shutDown() {
-        NodeProcess running = process;
+        NodeProcess running = mProcess;
         if (running == null) {
             return;
         }
--- a/node/src/main/java/org/fuchsialever/node/NodeProcess.java
+++ b/node/src/main/java/org/fuchsialever/node/NodeProcess.java
@@ -42,10 +42,10 @@
                     "samples",
                     "front-end");
 
-    private final ComponentContext context;
+    private final ComponentContext mContext;
 
     private NodeProcess(ComponentContext context) {
-        this.context = context;
+        mContext = context;
     }
 
     /**
@@ -85,17 +85,17 @@
 
     /** Returns a service of the instance. */
     public <T> T service(Class<T> type) {
-        return context.require(type);
+        return mContext.require(type);
     }
 
     /** Returns a service of the instance, or none if none of its components provides it. */
     public <T> Option<T> find(Class<T> type) {
-        return context.find(type);
+        return mContext.find(type);
     }
 
     @Override
     public void close() {
-        context.closer().close();
+        mContext.closer().close();
         LOG.info("Instance has stopped.");
     }
 
--- a/node/src/main/java/org/fuchsialever/node/SettingsReload.java
+++ b/node/src/main/java/org/fuchsialever/node/SettingsReload.java
@@ -20,24 +20,24 @@
 final class SettingsReload {
     private static final PartLogger LOG = PartLogger.of("node");
 
-    private final String file;
-    private final IniDocument inForce;
-    private Option<TraceLog> trace = Option.none();
+    private final String mFile;
+    private final IniDocument mInForce;
+    private Option<TraceLog> mTrace = Option.none();
 
     SettingsReload(String file, String text) {
-        this.file = file;
-        this.inForce = IniDocument.parse(file, text, new Findings());
+        mFile = file;
+        mInForce = IniDocument.parse(file, text, new Findings());
     }
 
     /** Writes what later reloads find to the structured log as well. */
     synchronized void logTo(Option<TraceLog> log) {
-        trace = log;
+        mTrace = log;
     }
 
     /** Reads the file and logs what differs; never fails. */
     synchronized void reload() {
         try {
-            report(Files.readString(Path.of(file)));
+            report(Files.readString(Path.of(mFile)));
         } catch (IOException e) {
             LOG.warning("Settings could not be read again; those in force stay.", e);
             line("unreadable", String.valueOf(e.getMessage()));
@@ -47,13 +47,13 @@
     /** Returns the keys that differ from the settings in force, or none if the text is unusable. */
     synchronized List<String> report(String text) {
         Findings findings = new Findings();
-        IniDocument read = IniDocument.parse(file, text, findings);
+        IniDocument read = IniDocument.parse(mFile, text, findings);
         if (findings.hasErrors()) {
             LOG.warning("Settings cannot be used; those in force stay: " + findings.report());
             line("unusable", findings.report());
             return List.of();
         }
-        List<String> changed = changedKeys(inForce, read);
+        List<String> changed = changedKeys(mInForce, read);
         LOG.info(
                 changed.isEmpty()
                         ? "Settings were read again; nothing has changed."
@@ -63,10 +63,10 @@
     }
 
     private void line(String outcome, String details) {
-        trace.forEach(
+        mTrace.forEach(
                 log ->
                         log.line("node", "reload")
-                                .with("file", file)
+                                .with("file", mFile)
                                 .with("outcome", outcome)
                                 .with("details", details)
                                 .write());
--- a/node/src/main/java/org/fuchsialever/node/audit/AuditActions.java
+++ b/node/src/main/java/org/fuchsialever/node/audit/AuditActions.java
@@ -18,13 +18,13 @@
 final class AuditActions implements ActionSink<AuditAction> {
     private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(5);
 
-    private final TableService tables;
-    private final ObjectStore objects;
-    private final String startPath;
-    private final MeterRegistry meters;
-    private final ActionSink<AuditEvent> duty;
-    private final AtomicLong commits = new AtomicLong();
-    private final CountDownLatch stopped = new CountDownLatch(1);
+    private final TableService mTables;
+    private final ObjectStore mObjects;
+    private final String mStartPath;
+    private final MeterRegistry mMeters;
+    private final ActionSink<AuditEvent> mDuty;
+    private final AtomicLong mCommits = new AtomicLong();
+    private final CountDownLatch mStopped = new CountDownLatch(1);
 
     AuditActions(
             TableService tables,
@@ -32,16 +32,16 @@
             String startPath,
             MeterRegistry meters,
             ActionSink<AuditEvent> duty) {
-        this.tables = tables;
-        this.objects = objects;
-        this.startPath = startPath;
-        this.meters = meters;
-        this.duty = duty;
+        mTables = tables;
+        mObjects = objects;
+        mStartPath = startPath;
+        mMeters = meters;
+        mDuty = duty;
     }
 
     /** Returns a latch that is released when the batch with the end marker is stored. */
     CountDownLatch stopped() {
-        return stopped;
+        return mStopped;
     }
 
     @Override
@@ -51,41 +51,41 @@
         } else if (action instanceof AuditAction.WriteIndex write) {
             writeIndex(write);
         } else if (action instanceof AuditAction.RecordsLost lost) {
-            meters.counter("fuchsialever.audit.lost", "reason", "store-backlog-full")
+            mMeters.counter("fuchsialever.audit.lost", "reason", "store-backlog-full")
                     .increment(lost.count());
         } else if (action instanceof AuditAction.Stopped) {
-            stopped.countDown();
+            mStopped.countDown();
         }
     }
 
     private void store(AuditAction.StoreBatch store) {
         long sequence = store.batch().sequence();
         // The object name contains the start ID, so an existing object is this batch.
-        objects.putIfAbsent(store.objectName(), store.batch().bytes())
+        mObjects.putIfAbsent(store.objectName(), store.batch().bytes())
                 .timeout(RESPONSE_TIMEOUT)
                 .subscribe(
-                        created -> duty.emit(new AuditEvent.BatchStored(sequence)),
+                        created -> mDuty.emit(new AuditEvent.BatchStored(sequence)),
                         failure -> {
                             count("store-failed");
-                            duty.emit(new AuditEvent.BatchFailed(sequence));
+                            mDuty.emit(new AuditEvent.BatchFailed(sequence));
                         });
     }
 
     private void writeIndex(AuditAction.WriteIndex write) {
-        String key = AuditRows.key(write.day(), startPath);
+        String key = AuditRows.key(write.day(), mStartPath);
         Commit commit =
                 new Commit(
-                        startPath + "-audit-" + commits.incrementAndGet(),
+                        mStartPath + "-audit-" + mCommits.incrementAndGet(),
                         List.of(new Commit.Condition(AuditRows.TABLE, key, write.version())),
                         List.of(new Commit.Put(AuditRows.TABLE, key, write.checkpoint().text())),
                         List.of());
-        tables.commit(commit)
+        mTables.commit(commit)
                 .timeout(RESPONSE_TIMEOUT)
                 .subscribe(
-                        result -> duty.emit(indexResult(write.day(), result)),
+                        result -> mDuty.emit(indexResult(write.day(), result)),
                         failure -> {
                             count("index-failed");
-                            duty.emit(new AuditEvent.IndexFailed(write.day()));
+                            mDuty.emit(new AuditEvent.IndexFailed(write.day()));
                         });
     }
 
@@ -99,6 +99,6 @@
     }
 
     private void count(String reason) {
-        meters.counter("fuchsialever.audit.retries", "reason", reason).increment();
+        mMeters.counter("fuchsialever.audit.retries", "reason", reason).increment();
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/audit/AuditComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/audit/AuditComponent.java
@@ -56,7 +56,7 @@
                         context.random("audit").nextLong(INDEX_JITTER_NANOS));
         Inbox<AuditEvent> ring =
                 context.startDuty(duty, RING_CAPACITY, OverflowPolicy.REFUSE, actions);
-        events.inbox = ring;
+        events.mInbox = ring;
         context.closer()
                 .register(
                         "audit records",
@@ -77,10 +77,10 @@
 
     /** Passes events to the ring, which is created after the actions that emit them. */
     private static final class DeferredInbox implements ActionSink<AuditEvent> {
-        private volatile @Nullable Inbox<AuditEvent> inbox;
+        private volatile @Nullable Inbox<AuditEvent> mInbox;
 
         boolean tryEmit(AuditEvent event) {
-            Inbox<AuditEvent> target = inbox;
+            Inbox<AuditEvent> target = mInbox;
             return target != null && target.offer(event);
         }
 
--- a/node/src/main/java/org/fuchsialever/node/audit/AuditLine.java
+++ b/node/src/main/java/org/fuchsialever/node/audit/AuditLine.java
@@ -90,15 +90,15 @@
         }
     };
 
-    private final Class<? extends AuditRecord> type;
+    private final Class<? extends AuditRecord> mType;
 
     AuditLine(Class<? extends AuditRecord> type) {
-        this.type = type;
+        mType = type;
     }
 
     static AuditLine of(AuditRecord record) {
         return Arrays.stream(values())
-                .filter(kind -> kind.type.isInstance(record))
+                .filter(kind -> kind.mType.isInstance(record))
                 .findFirst()
                 .orElseThrow();
     }
--- a/node/src/main/java/org/fuchsialever/node/audit/CallRecords.java
+++ b/node/src/main/java/org/fuchsialever/node/audit/CallRecords.java
@@ -9,16 +9,16 @@
 
 /** Records the end of each call and the reason of a refusal. */
 final class CallRecords implements CallObserver {
-    private final AuditRecorder recorder;
+    private final AuditRecorder mRecorder;
 
     CallRecords(AuditRecorder recorder) {
-        this.recorder = recorder;
+        mRecorder = recorder;
     }
 
     @Override
     public void callFinished(FinishedCall call) {
         for (RefusalReason reason : call.refusal()) {
-            recorder.record(
+            mRecorder.record(
                     new AuditRecord.RequestRefused(
                             call.id(),
                             Option.some(call.caller().team()),
@@ -31,7 +31,7 @@
                 attempts == 0
                         ? Option.none()
                         : Option.some(call.attempts().get(attempts - 1).upstream());
-        recorder.record(
+        mRecorder.record(
                 new AuditRecord.RequestEnded(
                         call.id(),
                         Option.some(call.caller().team()),
--- a/node/src/main/java/org/fuchsialever/node/audit/RingRecorder.java
+++ b/node/src/main/java/org/fuchsialever/node/audit/RingRecorder.java
@@ -10,29 +10,29 @@
 
 /** Offers records to a ring; the number of records dropped at a full ring is itself recorded. */
 final class RingRecorder implements AuditRecorder {
-    private final TimeSource time;
-    private final Counter lost;
-    private final Predicate<AuditEvent> ring;
-    private final AtomicLong unrecordedLosses = new AtomicLong();
+    private final TimeSource mTime;
+    private final Counter mLost;
+    private final Predicate<AuditEvent> mRing;
+    private final AtomicLong mUnrecordedLosses = new AtomicLong();
 
     RingRecorder(TimeSource time, MeterRegistry meters, Predicate<AuditEvent> ring) {
-        this.time = time;
-        this.lost = meters.counter("fuchsialever.audit.lost", "reason", "ring-full");
-        this.ring = ring;
+        mTime = time;
+        mLost = meters.counter("fuchsialever.audit.lost", "reason", "ring-full");
+        mRing = ring;
     }
 
     @Override
     public boolean record(AuditRecord record) {
-        long now = time.wallMillis();
-        long dropped = unrecordedLosses.getAndSet(0);
+        long now = mTime.wallMillis();
+        long dropped = mUnrecordedLosses.getAndSet(0);
         boolean lossRecorded =
                 dropped == 0
-                        || ring.test(
+                        || mRing.test(
                                 new AuditEvent.Recorded(now, new AuditRecord.RecordsLost(dropped)));
-        boolean accepted = lossRecorded && ring.test(new AuditEvent.Recorded(now, record));
-        unrecordedLosses.addAndGet((lossRecorded ? 0 : dropped) + (accepted ? 0 : 1));
+        boolean accepted = lossRecorded && mRing.test(new AuditEvent.Recorded(now, record));
+        mUnrecordedLosses.addAndGet((lossRecorded ? 0 : dropped) + (accepted ? 0 : 1));
         if (!accepted) {
-            lost.increment();
+            mLost.increment();
         }
         return accepted;
     }
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
@@ -37,16 +37,16 @@
 final class BatchActions implements ActionSink<BatchAction> {
     private static final String PART = "batch";
 
-    private final BatchStore store;
-    private final Directory directory;
-    private final ForwardPort forward;
-    private final UpstreamProtocol protocol;
-    private final Inbox<BatchEvent> inbox;
-    private final TimeSource time;
-    private final StoreClock clock;
-    private final TraceLog trace;
-    private final Runnable onDrained;
-    private final Map<ItemKey, RunningCall> runningCalls = new ConcurrentHashMap<>();
+    private final BatchStore mStore;
+    private final Directory mDirectory;
+    private final ForwardPort mForward;
+    private final UpstreamProtocol mProtocol;
+    private final Inbox<BatchEvent> mInbox;
+    private final TimeSource mTime;
+    private final StoreClock mClock;
+    private final TraceLog mTrace;
+    private final Runnable mOnDrained;
+    private final Map<ItemKey, RunningCall> mRunningCalls = new ConcurrentHashMap<>();
 
     BatchActions(
             BatchStore store,
@@ -58,15 +58,15 @@
             StoreClock clock,
             TraceLog trace,
             Runnable onDrained) {
-        this.store = store;
-        this.directory = directory;
-        this.forward = forward;
-        this.protocol = protocol;
-        this.inbox = inbox;
-        this.time = time;
-        this.clock = clock;
-        this.trace = trace;
-        this.onDrained = onDrained;
+        mStore = store;
+        mDirectory = directory;
+        mForward = forward;
+        mProtocol = protocol;
+        mInbox = inbox;
+        mTime = time;
+        mClock = clock;
+        mTrace = trace;
+        mOnDrained = onDrained;
     }
 
     @Override
@@ -78,32 +78,32 @@
         } else if (action instanceof BatchAction.Score score) {
             score(score);
         } else if (action instanceof BatchAction.Stop stop) {
-            RunningCall call = runningCalls.remove(new ItemKey(stop.id(), stop.item()));
+            RunningCall call = mRunningCalls.remove(new ItemKey(stop.id(), stop.item()));
             if (call != null) {
-                forward.cancel(call.number);
+                mForward.cancel(call.number);
             }
         } else if (action instanceof BatchAction.Commit commit) {
             commit(commit);
         } else if (action instanceof BatchAction.Closed closed) {
-            trace.line(PART, "closed")
+            mTrace.line(PART, "closed")
                     .with("id", closed.id())
                     .with("reason", closed.reason())
                     .write();
         } else if (action instanceof BatchAction.Drained) {
-            onDrained.run();
+            mOnDrained.run();
         }
     }
 
     /** Resubmits the calls whose route has other traffic shares in a newer manifest. */
     void reroute(Manifest manifest) {
-        runningCalls.forEach(
+        mRunningCalls.forEach(
                 (key, call) -> {
                     Option<ForwardRoute> route = manifest.route(call.host, call.path);
                     boolean moved =
                             route.isEmpty()
                                     || !route.get().shares().equals(call.forwardCall.shares());
-                    if (moved && runningCalls.remove(key, call)) {
-                        forward.cancel(call.number);
+                    if (moved && mRunningCalls.remove(key, call)) {
+                        mForward.cancel(call.number);
                         resubmit(key, call, route);
                     }
                 });
@@ -121,16 +121,16 @@
     /** Opens a submission that this instance owns. */
     void open(BatchState state, long version, BatchSpec spec, Set<String> listed) {
         Option<ForwardRoute> route =
-                directory.manifest().flatMap(m -> m.route(state.host(), state.path()));
+                mDirectory.manifest().flatMap(m -> m.route(state.host(), state.path()));
         long due = route.map(ForwardRoute::dueAfterMillis).getOrElse(0L);
         long giveUp = route.map(ForwardRoute::abandonAfterMillis).getOrElse(0L);
         // The state was read from the store, so the store's time is normally known.
-        long age = clock.millis().getOrElse(state.submittedMillis()) - state.submittedMillis();
+        long age = mClock.millis().getOrElse(state.submittedMillis()) - state.submittedMillis();
         long giveUpNanos =
                 giveUp <= 0
                         ? Duty.NO_TIMER
-                        : time.nanoTime() + TimeUnit.MILLISECONDS.toNanos(giveUp - age);
-        trace.line(PART, "opened")
+                        : mTime.nanoTime() + TimeUnit.MILLISECONDS.toNanos(giveUp - age);
+        mTrace.line(PART, "opened")
                 .with("id", state.id())
                 .with("model", spec.model())
                 .with("step", spec.step())
@@ -140,7 +140,7 @@
                 .with("ageMillis", age)
                 .with("epoch", state.epoch())
                 .write();
-        inbox.offer(
+        mInbox.offer(
                 new BatchEvent.Opened(
                         new OpenedBatch(
                                 state,
@@ -154,32 +154,32 @@
 
     /** Has the duty watch whether the instance that a submission was assigned to starts it. */
     void watchStart(String id) {
-        inbox.offer(new BatchEvent.Placed(id));
+        mInbox.offer(new BatchEvent.Placed(id));
     }
 
     private void claim(BatchAction.Claim claim) {
         BatchState state = claim.state();
-        trace.line(PART, "claim")
+        mTrace.line(PART, "claim")
                 .with("id", state.id())
                 .with("reason", claim.reason())
                 .with("epoch", state.epoch())
                 .write();
-        store.write(state, claim.version(), state.resultCount(), List.of())
+        mStore.write(state, claim.version(), state.resultCount(), List.of())
                 .flatMap(result -> load(state, result))
                 .subscribe(
                         done -> {},
                         failure ->
-                                inbox.offer(
+                                mInbox.offer(
                                         new BatchEvent.ClaimFailed(
                                                 state.id(), String.valueOf(failure.getMessage()))));
     }
 
     private Mono<Boolean> load(BatchState state, RowChangeResult result) {
         if (!(result instanceof RowChangeResult.Applied applied)) {
-            inbox.offer(new BatchEvent.ClaimFailed(state.id(), "claimed by another instance"));
+            mInbox.offer(new BatchEvent.ClaimFailed(state.id(), "claimed by another instance"));
             return Mono.just(false);
         }
-        return Mono.zip(store.spec(state), store.allResults(state.id()))
+        return Mono.zip(mStore.spec(state), mStore.allResults(state.id()))
                 .map(
                         loaded -> {
                             Set<String> listed = new HashSet<>();
@@ -199,7 +199,7 @@
         ItemKey key = new ItemKey(spec.id(), index);
         Option<ForwardRoute> route = route(state.host(), item.path(), state.path());
         if (route.isEmpty()) {
-            inbox.offer(new BatchEvent.GenerationFailed(spec.id(), index));
+            mInbox.offer(new BatchEvent.GenerationFailed(spec.id(), index));
             return;
         }
         ItemGenerationHandler handler =
@@ -208,15 +208,16 @@
                         state.host(),
                         state.team(),
                         Math.max(1_000, route.get().abandonAfterMillis()),
-                        protocol,
+                        mProtocol,
                         (text, versions) -> {
-                            runningCalls.remove(key);
-                            inbox.offer(new BatchEvent.Generated(spec.id(), index, text, versions));
+                            mRunningCalls.remove(key);
+                            mInbox.offer(
+                                    new BatchEvent.Generated(spec.id(), index, text, versions));
                         },
                         reason -> {
-                            runningCalls.remove(key);
+                            mRunningCalls.remove(key);
                             itemFailed("generation-failed", spec.id(), item.id(), reason);
-                            inbox.offer(new BatchEvent.GenerationFailed(spec.id(), index));
+                            mInbox.offer(new BatchEvent.GenerationFailed(spec.id(), index));
                         });
         ForwardCall forwardCall =
                 new ForwardCall(
@@ -229,14 +230,14 @@
                         spec.minVersion(),
                         item.group(),
                         generate.queueRank(),
-                        time.nanoTime(),
+                        mTime.nanoTime(),
                         Duty.NO_TIMER,
                         Duty.NO_TIMER);
         submit(key, state.host(), item.path(), forwardCall, handler);
     }
 
     private Option<ForwardRoute> route(String host, String path, String otherPath) {
-        return directory
+        return mDirectory
                 .manifest()
                 .flatMap(
                         manifest ->
@@ -252,22 +253,22 @@
         Option<ForwardRoute> route = route(score.call().host(), score.call().path(), "");
         if (route.isEmpty()) {
             itemFailed("scoring-failed", id, itemId, "NO_ROUTE");
-            inbox.offer(new BatchEvent.ScoringFailed(id, index));
+            mInbox.offer(new BatchEvent.ScoringFailed(id, index));
             return;
         }
         ItemScoringHandler handler =
                 new ItemScoringHandler(
                         score.call(),
                         route.get().timeoutMillis(),
-                        protocol,
+                        mProtocol,
                         signature -> {
-                            runningCalls.remove(key);
-                            inbox.offer(new BatchEvent.Scored(id, index, signature));
+                            mRunningCalls.remove(key);
+                            mInbox.offer(new BatchEvent.Scored(id, index, signature));
                         },
                         reason -> {
-                            runningCalls.remove(key);
+                            mRunningCalls.remove(key);
                             itemFailed("scoring-failed", id, itemId, reason);
-                            inbox.offer(new BatchEvent.ScoringFailed(id, index));
+                            mInbox.offer(new BatchEvent.ScoringFailed(id, index));
                         });
         ForwardCall forwardCall =
                 new ForwardCall(
@@ -280,7 +281,7 @@
                         0,
                         "",
                         score.queueRank(),
-                        time.nanoTime(),
+                        mTime.nanoTime(),
                         Duty.NO_TIMER,
                         TimeUnit.MILLISECONDS.toNanos(route.get().targetLatencyMillis()));
         submit(key, score.call().host(), score.call().path(), forwardCall, handler);
@@ -292,17 +293,18 @@
             String path,
             ForwardCall forwardCall,
             ForwardCallHandler handler) {
-        forward.submit(
+        mForward.submit(
                 assigned -> {
                     ForwardCall numbered = forwardCall.withNumber(assigned);
-                    runningCalls.put(key, new RunningCall(assigned, numbered, handler, host, path));
+                    mRunningCalls.put(
+                            key, new RunningCall(assigned, numbered, handler, host, path));
                     return numbered;
                 },
                 handler);
     }
 
     private void itemFailed(String event, String batch, String item, String reason) {
-        trace.line(PART, event)
+        mTrace.line(PART, event)
                 .with("batch", batch)
                 .with("id", item)
                 .with("reason", reason)
@@ -311,17 +313,17 @@
 
     private void commit(BatchAction.Commit commit) {
         BatchState state = commit.state();
-        store.write(state, commit.version(), commit.firstPosition(), commit.results())
+        mStore.write(state, commit.version(), commit.firstPosition(), commit.results())
                 .subscribe(
                         result -> committed(commit, result),
                         failure -> {
-                            trace.line(PART, "commit-failed")
+                            mTrace.line(PART, "commit-failed")
                                     .with("id", state.id())
                                     .with("version", commit.version())
                                     .with("results", commit.results().size())
                                     .with("reason", String.valueOf(failure.getMessage()))
                                     .write();
-                            inbox.offer(
+                            mInbox.offer(
                                     new BatchEvent.CommitFailed(
                                             state.id(), String.valueOf(failure.getMessage())));
                         });
@@ -331,22 +333,22 @@
         BatchState state = commit.state();
         if (result instanceof RowChangeResult.Applied applied) {
             for (int i = 0; i < commit.results().size(); i++) {
-                trace.sampled(PART, "listed")
+                mTrace.sampled(PART, "listed")
                         .with("batch", state.id())
                         .with("id", commit.results().get(i).itemId())
                         .with("position", commit.firstPosition() + i)
                         .with("completed", String.valueOf(commit.results().get(i).completed()))
                         .write();
             }
-            inbox.offer(new BatchEvent.Committed(state.id(), applied.version()));
+            mInbox.offer(new BatchEvent.Committed(state.id(), applied.version()));
         } else if (result instanceof RowChangeResult.Rejected rejected) {
             Option<VersionedState> present = BatchStore.batchState(rejected.currentRows());
-            trace.line(PART, "commit-conflict")
+            mTrace.line(PART, "commit-conflict")
                     .with("id", state.id())
                     .with("version", commit.version())
                     .with("present", present.map(VersionedState::version).getOrElse(0L))
                     .write();
-            inbox.offer(new BatchEvent.Conflicted(state.id(), present));
+            mInbox.offer(new BatchEvent.Conflicted(state.id(), present));
         }
     }
 
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchComponent.java
@@ -37,7 +37,7 @@
 
     private static final long PURGE_INTERVAL_MILLIS = 2_000;
 
-    private Duration retention = DEFAULT_RETENTION;
+    private Duration mRetention = DEFAULT_RETENTION;
 
     @Override
     public String pluginName() {
@@ -46,7 +46,7 @@
 
     @Override
     public void configure(SettingsReader settings) {
-        retention = settings.duration("batch", "retention", DEFAULT_RETENTION);
+        mRetention = settings.duration("batch", "retention", DEFAULT_RETENTION);
     }
 
     @Override
@@ -75,7 +75,7 @@
             TraceLog trace) {
         Leases leases = context.require(Leases.class);
         BatchPurge purge =
-                new BatchPurge(services, directory, leases, clock, retention.toMillis(), trace);
+                new BatchPurge(services, directory, leases, clock, mRetention.toMillis(), trace);
         leases.request(
                 BatchPurge.ROLE,
                 new Leases.LeaseListener() {
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchDrain.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchDrain.java
@@ -5,14 +5,14 @@
 
 /** Signals that all submissions were handed over to other instances during shutdown. */
 public final class BatchDrain {
-    private final CountDownLatch done = new CountDownLatch(1);
+    private final CountDownLatch mDone = new CountDownLatch(1);
 
     void completed() {
-        done.countDown();
+        mDone.countDown();
     }
 
     /** Waits for the handover of all submissions; returns false if the timeout elapsed first. */
     public boolean await(long timeoutMillis) throws InterruptedException {
-        return done.await(timeoutMillis, TimeUnit.MILLISECONDS);
+        return mDone.await(timeoutMillis, TimeUnit.MILLISECONDS);
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchPurge.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchPurge.java
@@ -27,13 +27,13 @@
     /** Below the store's limit of 100 entries per change. */
     private static final int MAX_REMOVALS = 90;
 
-    private final HostedServices services;
-    private final Directory directory;
-    private final Leases leases;
-    private final StoreClock clock;
-    private final long retentionMillis;
-    private final TraceLog trace;
-    private boolean running;
+    private final HostedServices mServices;
+    private final Directory mDirectory;
+    private final Leases mLeases;
+    private final StoreClock mClock;
+    private final long mRetentionMillis;
+    private final TraceLog mTrace;
+    private boolean mRunning;
 
     BatchPurge(
             HostedServices services,
@@ -42,37 +42,40 @@
             StoreClock clock,
             long retentionMillis,
             TraceLog trace) {
-        this.services = services;
-        this.directory = directory;
-        this.leases = leases;
-        this.clock = clock;
-        this.retentionMillis = retentionMillis;
-        this.trace = trace;
+        mServices = services;
+        mDirectory = directory;
+        mLeases = leases;
+        mClock = clock;
+        mRetentionMillis = retentionMillis;
+        mTrace = trace;
     }
 
     /** Removes one expired submission; called periodically in the event loop. */
     void tick() {
-        if (running || leases.held(ROLE).isEmpty()) {
+        if (mRunning || mLeases.held(ROLE).isEmpty()) {
             return;
         }
         Option<VersionedState> expired =
-                clock.millis()
-                        .flatMap(now -> findExpired(directory.batchStates(), now, retentionMillis));
+                mClock.millis()
+                        .flatMap(
+                                now ->
+                                        findExpired(
+                                                mDirectory.batchStates(), now, mRetentionMillis));
         if (expired.isEmpty()) {
             return;
         }
-        running = true;
+        mRunning = true;
         String id = expired.get().state().id();
         remove(expired.get())
-                .doFinally(signal -> running = false)
+                .doFinally(signal -> mRunning = false)
                 .subscribe(
                         done -> {},
                         failure ->
-                                trace.line("batch", "purge-failed")
+                                mTrace.line("batch", "purge-failed")
                                         .with("id", id)
                                         .with("reason", String.valueOf(failure.getMessage()))
                                         .write(),
-                        () -> trace.line("batch", "purged").with("id", id).write());
+                        () -> mTrace.line("batch", "purged").with("id", id).write());
     }
 
     /** Returns a closed submission past its retention period, if there is one. */
@@ -91,7 +94,8 @@
     /** Removes the state row last, so that an interrupted removal is repeated. */
     private Mono<Void> remove(VersionedState row) {
         String id = row.state().id();
-        return services.rows()
+        return mServices
+                .rows()
                 .range(
                         BatchRows.RESULTS,
                         BatchRows.resultKey(id, 0),
@@ -104,7 +108,8 @@
                             }
                             List<RowKey> keys =
                                     page.rows().stream().map(stored -> stored.key()).toList();
-                            return services.rows()
+                            return mServices
+                                    .rows()
                                     .change(new RowChange(Map.of(), Map.of(), keys))
                                     .then(Mono.defer(() -> remove(row)));
                         });
@@ -118,10 +123,11 @@
         return Flux.range(0, row.state().content().copyNumber() + 1)
                 .concatMap(
                         copy ->
-                                services.rows()
+                                mServices
+                                        .rows()
                                         .removeObject(
                                                 BatchStore.objectName(row.state().id(), copy)))
-                .then(services.rows().change(new RowChange(expected, Map.of(), List.of(key))))
+                .then(mServices.rows().change(new RowChange(expected, Map.of(), List.of(key))))
                 .then();
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchService.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchService.java
@@ -45,15 +45,15 @@
     private static final int MAX_RETRIES = 3;
     private static final Duration FIRST_RETRY_BACKOFF = Duration.ofMillis(100);
 
-    private final BatchStore store;
-    private final BatchActions actions;
-    private final BatchWaiters waiters;
-    private final Directory directory;
-    private final EntryProtocol protocol;
-    private final NodeIdentity identity;
-    private final TimeSource time;
-    private final StoreClock clock;
-    private final TraceLog trace;
+    private final BatchStore mStore;
+    private final BatchActions mActions;
+    private final BatchWaiters mWaiters;
+    private final Directory mDirectory;
+    private final EntryProtocol mProtocol;
+    private final NodeIdentity mIdentity;
+    private final TimeSource mTime;
+    private final StoreClock mClock;
+    private final TraceLog mTrace;
 
     BatchService(
             BatchStore store,
@@ -65,15 +65,15 @@
             TimeSource time,
             StoreClock clock,
             TraceLog trace) {
-        this.store = store;
-        this.actions = actions;
-        this.waiters = waiters;
-        this.directory = directory;
-        this.protocol = protocol;
-        this.identity = identity;
-        this.time = time;
-        this.clock = clock;
-        this.trace = trace;
+        mStore = store;
+        mActions = actions;
+        mWaiters = waiters;
+        mDirectory = directory;
+        mProtocol = protocol;
+        mIdentity = identity;
+        mTime = time;
+        mClock = clock;
+        mTrace = trace;
     }
 
     /**
@@ -86,24 +86,24 @@
      * @param body the submission as received
      */
     public Mono<BatchReply> submit(String id, String team, String host, String path, byte[] body) {
-        Option<VersionedState> known = directory.batchState(id);
+        Option<VersionedState> known = mDirectory.batchState(id);
         if (known.exists(row -> row.state().team().equals(team))) {
             return Mono.just(new BatchReply.Accepted());
         }
-        if (directory.stalenessMillis(DirectoryTable.BATCHES) > STORE_UNAVAILABLE_MILLIS) {
+        if (mDirectory.stalenessMillis(DirectoryTable.BATCHES) > STORE_UNAVAILABLE_MILLIS) {
             return Mono.just(notAccepted(id, "store-out-of-contact"));
         }
-        Either<String, BatchSpec> read = protocol.readBatch(id, body);
+        Either<String, BatchSpec> read = mProtocol.readBatch(id, body);
         if (read.isLeft()) {
             return Mono.just(new BatchReply.Malformed(read.getLeft()));
         }
-        Option<Long> now = clock.millis();
+        Option<Long> now = mClock.millis();
         if (now.isEmpty()) {
             return Mono.just(notAccepted(id, "store-clock-unknown"));
         }
         BatchSpec spec = read.get();
         Peer owner = chooseOwner(team, spec);
-        return store.storeSpec(spec, body)
+        return mStore.storeSpec(spec, body)
                 .flatMap(
                         copy -> {
                             if (copy.isEmpty()) {
@@ -134,8 +134,8 @@
 
     /** Places a team's submissions for a model on one instance to reuse engine connections. */
     private Peer chooseOwner(String team, BatchSpec spec) {
-        Peer self = new Peer(identity.instance().value(), identity.startId());
-        List<Peer> candidates = new ArrayList<>(directory.livePeers());
+        Peer self = new Peer(mIdentity.instance().value(), mIdentity.startId());
+        List<Peer> candidates = new ArrayList<>(mDirectory.livePeers());
         if (!candidates.contains(self)) {
             candidates.add(self);
         }
@@ -143,7 +143,7 @@
     }
 
     private Mono<BatchReply> create(BatchState state, BatchSpec spec) {
-        return retried(() -> store.write(state, 0, 0, List.of()))
+        return retried(() -> mStore.write(state, 0, 0, List.of()))
                 .map(result -> created(state, spec, result))
                 .onErrorResume(
                         PlatformException.class,
@@ -156,15 +156,15 @@
 
     private BatchReply created(BatchState state, BatchSpec spec, RowChangeResult result) {
         if (result instanceof RowChangeResult.Applied applied) {
-            trace.line(PART, "accepted")
+            mTrace.line(PART, "accepted")
                     .with("id", state.id())
                     .with("team", state.team())
                     .with("owner", state.owner())
                     .write();
-            if (state.isOwnedBy(identity.instance().value(), identity.startId())) {
-                actions.open(state, applied.version(), spec, Set.of());
+            if (state.isOwnedBy(mIdentity.instance().value(), mIdentity.startId())) {
+                mActions.open(state, applied.version(), spec, Set.of());
             } else {
-                actions.watchStart(state.id());
+                mActions.watchStart(state.id());
             }
             return new BatchReply.Accepted();
         }
@@ -174,14 +174,14 @@
             return new BatchReply.IdentityTaken();
         }
         BatchState kept = present.get().state();
-        boolean own = kept.isOwnedBy(identity.instance().value(), identity.startId());
-        trace.line(PART, "accepted-before")
+        boolean own = kept.isOwnedBy(mIdentity.instance().value(), mIdentity.startId());
+        mTrace.line(PART, "accepted-before")
                 .with("id", state.id())
                 .with("owner", kept.owner())
                 .write();
         if (own && kept.isOpen() && kept.resultCount() == 0) {
             // The first response was lost; opening twice has no effect.
-            actions.open(kept, present.get().version(), spec, Set.of());
+            mActions.open(kept, present.get().version(), spec, Set.of());
         }
         return new BatchReply.Accepted();
     }
@@ -205,16 +205,16 @@
     }
 
     private BatchReply notAccepted(String id, @Nullable String reason) {
-        trace.line(PART, "not-accepted")
+        mTrace.line(PART, "not-accepted")
                 .with("id", id)
                 .with("reason", String.valueOf(reason))
-                .with("storeAgeMillis", directory.stalenessMillis(DirectoryTable.BATCHES))
+                .with("storeAgeMillis", mDirectory.stalenessMillis(DirectoryTable.BATCHES))
                 .write();
         return new BatchReply.NotAccepted(String.valueOf(reason), RETRY_AFTER_MILLIS);
     }
 
     private BatchReply unknown(String id, @Nullable String reason) {
-        trace.line(PART, "effect-unknown")
+        mTrace.line(PART, "effect-unknown")
                 .with("id", id)
                 .with("reason", String.valueOf(reason))
                 .write();
@@ -243,7 +243,7 @@
                                             && state.isOpen()
                                             && after < state.itemCount();
                             return wait
-                                    ? waiters.await(id, after, Duration.ofMillis(waitMillis))
+                                    ? mWaiters.await(id, after, Duration.ofMillis(waitMillis))
                                             .then(
                                                     Mono.defer(
                                                             () ->
@@ -260,19 +260,19 @@
 
     private Mono<BatchReply> page(int total, String id, int after) {
         boolean isFresh =
-                directory.stalenessMillis(DirectoryTable.BATCHES) <= MAX_MIRROR_STALENESS_MILLIS;
-        boolean none = directory.batchState(id).exists(row -> row.state().resultCount() <= after);
+                mDirectory.stalenessMillis(DirectoryTable.BATCHES) <= MAX_MIRROR_STALENESS_MILLIS;
+        boolean none = mDirectory.batchState(id).exists(row -> row.state().resultCount() <= after);
         if (isFresh && none) {
             return Mono.just(new BatchReply.Results(total, List.of(), after));
         }
-        return store.results(id, after)
+        return mStore.results(id, after)
                 .map(results -> new BatchReply.Results(total, results, after + results.size()));
     }
 
     /** Returns the mirrored state, or reads it from the store if it is not mirrored. */
     private Mono<Option<VersionedState>> batchState(String id) {
-        Option<VersionedState> known = directory.batchState(id);
-        return known.isDefined() ? Mono.just(known) : store.batchState(id);
+        Option<VersionedState> known = mDirectory.batchState(id);
+        return known.isDefined() ? Mono.just(known) : mStore.batchState(id);
     }
 
     /** Returns the body of an item that has no result yet. */
@@ -283,7 +283,7 @@
                             if (!found.exists(row -> row.state().team().equals(team))) {
                                 return Mono.<BatchReply>just(new BatchReply.NotFound());
                             }
-                            return store.spec(found.get().state()).map(spec -> body(spec, itemId));
+                            return mStore.spec(found.get().state()).map(spec -> body(spec, itemId));
                         })
                 .onErrorResume(
                         PlatformException.class,
@@ -307,7 +307,7 @@
                             if (!found.exists(row -> row.state().team().equals(team))) {
                                 return Mono.<BatchReply>just(new BatchReply.NotFound());
                             }
-                            return end(found.get(), time.nanoTime());
+                            return end(found.get(), mTime.nanoTime());
                         })
                 .onErrorResume(
                         PlatformException.class,
@@ -323,11 +323,11 @@
         if (state.ended()) {
             return Mono.just(new BatchReply.Ended());
         }
-        return store.write(state.asEnded(), row.version(), state.resultCount(), List.of())
+        return mStore.write(state.asEnded(), row.version(), state.resultCount(), List.of())
                 .flatMap(
                         result -> {
                             if (result instanceof RowChangeResult.Applied) {
-                                trace.line(PART, "ended")
+                                mTrace.line(PART, "ended")
                                         .with("id", state.id())
                                         .with("listed", state.resultCount())
                                         .with("total", state.itemCount())
@@ -338,7 +338,7 @@
                                     BatchStore.batchState(
                                             ((RowChangeResult.Rejected) result).currentRows());
                             boolean timedOut =
-                                    time.nanoTime() - begin > TimeUnit.SECONDS.toNanos(2);
+                                    mTime.nanoTime() - begin > TimeUnit.SECONDS.toNanos(2);
                             if (present.isEmpty()) {
                                 return Mono.<BatchReply>just(new BatchReply.NotFound());
                             }
@@ -350,6 +350,6 @@
 
     /** Returns all results of a submission, for operator commands. */
     public Mono<List<ItemResult>> allResults(String id) {
-        return store.allResults(id);
+        return mStore.allResults(id);
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchStore.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchStore.java
@@ -33,12 +33,12 @@
     /** Bounds the cache of submission contents; each takes about 100 KB. */
     private static final int MAX_CACHED_SPECS = 32;
 
-    private final HostedServices services;
-    private final Cache<String, BatchSpec> specs =
+    private final HostedServices mServices;
+    private final Cache<String, BatchSpec> mSpecs =
             Caffeine.newBuilder().maximumSize(MAX_CACHED_SPECS).executor(Runnable::run).build();
 
     BatchStore(HostedServices services) {
-        this.services = services;
+        mServices = services;
     }
 
     /** Returns the name of the object that holds a copy of a submission's content. */
@@ -67,13 +67,15 @@
     }
 
     private Mono<Boolean> storeCopy(BatchSpec spec, byte[] body, String name) {
-        return services.objects()
+        return mServices
+                .objects()
                 .putIfAbsent(name, body)
                 .flatMap(
                         stored ->
                                 stored
                                         ? Mono.just(true)
-                                        : services.objects()
+                                        : mServices
+                                                .objects()
                                                 .read(name)
                                                 .map(
                                                         present ->
@@ -85,7 +87,7 @@
                 .doOnNext(
                         same -> {
                             if (same) {
-                                specs.put(spec.id(), spec);
+                                mSpecs.put(spec.id(), spec);
                             }
                         });
     }
@@ -93,23 +95,24 @@
     /** Reads the content of a submission. */
     Mono<BatchSpec> spec(BatchState state) {
         String id = state.id();
-        BatchSpec cached = specs.getIfPresent(id);
+        BatchSpec cached = mSpecs.getIfPresent(id);
         if (cached != null) {
             return Mono.just(cached);
         }
-        return services.objects()
+        return mServices
+                .objects()
                 .read(objectName(id, state.content().copyNumber()))
                 .map(
                         bytes -> {
                             Either<String, BatchSpec> spec =
                                     bytes.toEither("the object is missing")
-                                            .flatMap(b -> services.entry().readBatch(id, b));
+                                            .flatMap(b -> mServices.entry().readBatch(id, b));
                             BatchSpec read =
                                     spec.getOrElseThrow(
                                             problem ->
                                                     new PlatformException(
                                                             Effect.NONE, "batch: " + problem));
-                            specs.put(id, read);
+                            mSpecs.put(id, read);
                             return read;
                         });
     }
@@ -129,12 +132,13 @@
             BatchRows.encode(state.id(), position, result, puts);
             position++;
         }
-        return services.rows().change(new RowChange(Map.of(key, version), puts, List.of()));
+        return mServices.rows().change(new RowChange(Map.of(key, version), puts, List.of()));
     }
 
     /** Reads the current state from the store. */
     Mono<Option<VersionedState>> batchState(String id) {
-        return services.rows()
+        return mServices
+                .rows()
                 .range(BatchRows.STATES, id, id + "\u0001", 1)
                 .map(page -> batchState(page.rows()));
     }
@@ -153,7 +157,8 @@
 
     /** Reads one page of results from a position on, at most about 1 MB. */
     Mono<List<ItemResult>> results(String id, int after) {
-        return services.rows()
+        return mServices
+                .rows()
                 .range(
                         BatchRows.RESULTS,
                         BatchRows.resultKey(id, after),
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchWaiters.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchWaiters.java
@@ -14,12 +14,12 @@
 
 /** Callers that wait for the next result of a submission. */
 final class BatchWaiters {
-    private final Scheduler timers;
-    private final Map<String, List<Waiter>> waiting = new HashMap<>();
+    private final Scheduler mTimers;
+    private final Map<String, List<Waiter>> mWaiting = new HashMap<>();
 
     /** Creates an empty set of waiters, whose timeouts run on the given scheduler. */
     BatchWaiters(Scheduler timers) {
-        this.timers = timers;
+        mTimers = timers;
     }
 
     /** Completes when the position has a result, the submission ends or the timeout elapses. */
@@ -27,18 +27,18 @@
         return Mono.<Void>create(
                         sink -> {
                             Waiter waiter = new Waiter(position, sink);
-                            synchronized (waiting) {
-                                waiting.computeIfAbsent(id, key -> new ArrayList<>()).add(waiter);
+                            synchronized (mWaiting) {
+                                mWaiting.computeIfAbsent(id, key -> new ArrayList<>()).add(waiter);
                             }
                             sink.onDispose(() -> remove(id, waiter));
                         })
-                .timeout(timeout, Mono.empty(), timers);
+                .timeout(timeout, Mono.empty(), mTimers);
     }
 
     /** Completes the waits that the changed states satisfy. */
     void onStatesChanged(List<VersionedState> states) {
         List<Waiter> due = new ArrayList<>();
-        synchronized (waiting) {
+        synchronized (mWaiting) {
             for (VersionedState row : states) {
                 collect(row.state(), due);
             }
@@ -47,7 +47,7 @@
     }
 
     private void collect(BatchState state, List<Waiter> due) {
-        List<Waiter> list = waiting.getOrDefault(state.id(), List.of());
+        List<Waiter> list = mWaiting.getOrDefault(state.id(), List.of());
         for (Iterator<Waiter> all = list.iterator(); all.hasNext(); ) {
             Waiter waiter = all.next();
             if (state.resultCount() > waiter.position || state.ended()) {
@@ -58,12 +58,12 @@
     }
 
     private void remove(String id, Waiter waiter) {
-        synchronized (waiting) {
-            List<Waiter> list = waiting.get(id);
+        synchronized (mWaiting) {
+            List<Waiter> list = mWaiting.get(id);
             if (list != null) {
                 list.remove(waiter);
                 if (list.isEmpty()) {
-                    waiting.remove(id);
+                    mWaiting.remove(id);
                 }
             }
         }
--- a/node/src/main/java/org/fuchsialever/node/batch/ItemGenerationHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/ItemGenerationHandler.java
@@ -26,17 +26,17 @@
     /** An engine at a quarter of its usual speed sends an event every 0.2 s. */
     private static final Duration NEXT_BYTE_TIMEOUT = Duration.ofMillis(1_500);
 
-    private final BatchItem item;
-    private final String host;
-    private final String team;
-    private final long giveUpMillis;
-    private final UpstreamProtocol protocol;
-    private final BiConsumer<String, List<Long>> onText;
-    private final Consumer<String> onFailure;
-    private final List<String> events = new ArrayList<>();
-    private final List<Long> versions = new ArrayList<>();
-    private long lastEvent = -1;
-    private int currentAttempt;
+    private final BatchItem mItem;
+    private final String mHost;
+    private final String mTeam;
+    private final long mGiveUpMillis;
+    private final UpstreamProtocol mProtocol;
+    private final BiConsumer<String, List<Long>> mOnText;
+    private final Consumer<String> mOnFailure;
+    private final List<String> mEvents = new ArrayList<>();
+    private final List<Long> mVersions = new ArrayList<>();
+    private long mLastEvent = -1;
+    private int mCurrentAttempt;
 
     ItemGenerationHandler(
             BatchItem item,
@@ -46,18 +46,18 @@
             UpstreamProtocol protocol,
             BiConsumer<String, List<Long>> onText,
             Consumer<String> onFailure) {
-        this.item = item;
-        this.host = host;
-        this.team = team;
-        this.giveUpMillis = giveUpMillis;
-        this.protocol = protocol;
-        this.onText = onText;
-        this.onFailure = onFailure;
+        mItem = item;
+        mHost = host;
+        mTeam = team;
+        mGiveUpMillis = giveUpMillis;
+        mProtocol = protocol;
+        mOnText = onText;
+        mOnFailure = onFailure;
     }
 
     @Override
     public String requestId() {
-        return item.id();
+        return mItem.id();
     }
 
     @Override
@@ -71,91 +71,91 @@
                 upstream.host(),
                 upstream.port(),
                 "POST",
-                item.path(),
-                protocol.itemHeaders(
-                        item,
-                        host,
+                mItem.path(),
+                mProtocol.itemHeaders(
+                        mItem,
+                        mHost,
                         upstream,
-                        team,
-                        Math.min(remainingMillis, giveUpMillis),
-                        lastEvent < 0 ? "" : Long.toString(lastEvent)),
-                item.body(),
-                protocol.responseMatcher(item.id()),
+                        mTeam,
+                        Math.min(remainingMillis, mGiveUpMillis),
+                        mLastEvent < 0 ? "" : Long.toString(mLastEvent)),
+                mItem.body(),
+                mProtocol.responseMatcher(mItem.id()),
                 FIRST_BYTE_TIMEOUT,
                 NEXT_BYTE_TIMEOUT);
     }
 
     @Override
     public synchronized AttemptReader reader(int attempt) {
-        currentAttempt = attempt;
+        mCurrentAttempt = attempt;
         return new Reader(attempt);
     }
 
     @Override
     public synchronized void deliver(int attempt) {
-        onText.accept(String.join("\n", events), List.copyOf(versions));
+        mOnText.accept(String.join("\n", mEvents), List.copyOf(mVersions));
     }
 
     @Override
     public void refuse(ForwardRefusal reason, long retryAfterMillis) {
-        onFailure.accept(reason.name());
+        mOnFailure.accept(reason.name());
     }
 
     private synchronized boolean append(int attempt, ServerSentEvent event, long version) {
         // A superseded attempt may still receive events until its connection is closed.
-        if (attempt != currentAttempt) {
+        if (attempt != mCurrentAttempt) {
             return false;
         }
         if (!event.id().matches("[0-9]{1,18}")) {
             return false;
         }
         long number = Long.parseLong(event.id());
-        if (lastEvent >= 0 && number <= lastEvent) {
+        if (mLastEvent >= 0 && number <= mLastEvent) {
             return true;
         }
-        if (lastEvent >= 0 && number != lastEvent + 1) {
+        if (mLastEvent >= 0 && number != mLastEvent + 1) {
             return false;
         }
-        lastEvent = number;
-        events.add(event.data());
-        if (version > 0 && !versions.contains(version)) {
-            versions.add(version);
+        mLastEvent = number;
+        mEvents.add(event.data());
+        if (version > 0 && !mVersions.contains(version)) {
+            mVersions.add(version);
         }
         return true;
     }
 
     /** Reads the events of one attempt. */
     private final class Reader extends AttemptReader {
-        private final int attempt;
-        private final ServerSentEventParser assembler =
-                new ServerSentEventParser(protocol.versionFieldName());
-        private long version;
-        private boolean invalid;
+        private final int mAttempt;
+        private final ServerSentEventParser mAssembler =
+                new ServerSentEventParser(mProtocol.versionFieldName());
+        private long mVersion;
+        private boolean mInvalid;
 
         Reader(int attempt) {
-            super(protocol);
-            this.attempt = attempt;
+            super(mProtocol);
+            mAttempt = attempt;
         }
 
         @Override
         protected void handleHead(UpstreamResponseHead head, HttpHeaders headers) {
-            version = head.version();
+            mVersion = head.version();
         }
 
         @Override
         protected void handleContent(byte[] bytes) {
-            if (!isSuccess() || invalid) {
+            if (!isSuccess() || mInvalid) {
                 return;
             }
-            for (ServerSentEvent event : assembler.feed(bytes)) {
-                version = event.version() > 0 ? event.version() : version;
-                invalid |= !append(attempt, event, version);
+            for (ServerSentEvent event : mAssembler.feed(bytes)) {
+                mVersion = event.version() > 0 ? event.version() : mVersion;
+                mInvalid |= !append(mAttempt, event, mVersion);
             }
         }
 
         @Override
         protected AttemptOutcome finalOutcome(AttemptOutcome outcome) {
-            boolean malformed = invalid || assembler.hasIncompleteEvent();
+            boolean malformed = mInvalid || mAssembler.hasIncompleteEvent();
             if (outcome == AttemptOutcome.ANSWERED && (malformed || !isSuccess())) {
                 return isSuccess() ? AttemptOutcome.MALFORMED : AttemptOutcome.REJECTED;
             }
@@ -164,7 +164,7 @@
 
         @Override
         protected long version() {
-            return version;
+            return mVersion;
         }
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/batch/ItemScoringHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/ItemScoringHandler.java
@@ -15,12 +15,12 @@
 
 /** Scores the text of an item. */
 final class ItemScoringHandler implements ForwardCallHandler {
-    private final ScoringCall call;
-    private final long timeoutMillis;
-    private final UpstreamProtocol protocol;
-    private final Consumer<String> onScore;
-    private final Consumer<String> onFailure;
-    private volatile String score = "";
+    private final ScoringCall mCall;
+    private final long mTimeoutMillis;
+    private final UpstreamProtocol mProtocol;
+    private final Consumer<String> mOnScore;
+    private final Consumer<String> mOnFailure;
+    private volatile String mScore = "";
 
     ItemScoringHandler(
             ScoringCall call,
@@ -28,16 +28,16 @@
             UpstreamProtocol protocol,
             Consumer<String> onScore,
             Consumer<String> onFailure) {
-        this.call = call;
-        this.timeoutMillis = timeoutMillis;
-        this.protocol = protocol;
-        this.onScore = onScore;
-        this.onFailure = onFailure;
+        mCall = call;
+        mTimeoutMillis = timeoutMillis;
+        mProtocol = protocol;
+        mOnScore = onScore;
+        mOnFailure = onFailure;
     }
 
     @Override
     public String requestId() {
-        return call.id();
+        return mCall.id();
     }
 
     @Override
@@ -47,22 +47,22 @@
 
     @Override
     public ExchangeRequest request(FleetUpstream upstream, long remainingMillis) {
-        Duration timeout = Duration.ofMillis(timeoutMillis);
+        Duration timeout = Duration.ofMillis(mTimeoutMillis);
         return new ExchangeRequest(
                 upstream.host(),
                 upstream.port(),
                 "POST",
-                call.path(),
-                protocol.scoringHeaders(call, upstream, timeoutMillis),
-                call.body(),
-                protocol.responseMatcher(call.id()),
+                mCall.path(),
+                mProtocol.scoringHeaders(mCall, upstream, mTimeoutMillis),
+                mCall.body(),
+                mProtocol.responseMatcher(mCall.id()),
                 timeout,
                 timeout);
     }
 
     @Override
     public AttemptReader reader(int attempt) {
-        return new AttemptReader(protocol) {
+        return new AttemptReader(mProtocol) {
             @Override
             protected void handleHead(UpstreamResponseHead head, HttpHeaders headers) {}
 
@@ -78,7 +78,7 @@
                 if (!isSuccess()) {
                     return AttemptOutcome.REJECTED;
                 }
-                score = head.signature();
+                mScore = head.signature();
                 return outcome;
             }
         };
@@ -86,15 +86,15 @@
 
     @Override
     public void deliver(int attempt) {
-        if (score.isEmpty()) {
-            onFailure.accept("REJECTED");
+        if (mScore.isEmpty()) {
+            mOnFailure.accept("REJECTED");
         } else {
-            onScore.accept(score);
+            mOnScore.accept(mScore);
         }
     }
 
     @Override
     public void refuse(ForwardRefusal reason, long retryAfterMillis) {
-        onFailure.accept(reason.name());
+        mOnFailure.accept(reason.name());
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/claims/ClaimGate.java
+++ b/node/src/main/java/org/fuchsialever/node/claims/ClaimGate.java
@@ -16,23 +16,23 @@
 public final class ClaimGate implements CallPort {
     private static final int MAX_KEY_LENGTH = 256;
 
-    private final CallPort calls;
-    private volatile @Nullable ClaimedCalls claimedCalls;
+    private final CallPort mCalls;
+    private volatile @Nullable ClaimedCalls mClaimedCalls;
 
     /** Creates a gate in front of the port that executes calls. */
     public ClaimGate(CallPort calls) {
-        this.calls = calls;
+        mCalls = calls;
     }
 
     /** Makes claims available. */
     void enableClaims(ClaimedCalls newClaimed) {
-        claimedCalls = newClaimed;
+        mClaimedCalls = newClaimed;
     }
 
     @Override
     public Mono<Either<Refusal, CallResponse>> call(Call call) {
         if (call.route().repeatable() || call.idempotencyKey().isEmpty()) {
-            return calls.call(call);
+            return mCalls.call(call);
         }
         String key = call.idempotencyKey().get();
         if (key.isBlank() || key.length() > MAX_KEY_LENGTH) {
@@ -41,10 +41,10 @@
                             RefusalReason.MALFORMED_BODY,
                             "an Idempotency-Key has 1 to " + MAX_KEY_LENGTH + " characters"));
         }
-        ClaimedCalls available = claimedCalls;
+        ClaimedCalls available = mClaimedCalls;
         return available == null
                 ? refused(Refusal.of(RefusalReason.CLAIM_UNAVAILABLE))
-                : available.call(call, key, calls);
+                : available.call(call, key, mCalls);
     }
 
     private static Mono<Either<Refusal, CallResponse>> refused(Refusal refusal) {
--- a/node/src/main/java/org/fuchsialever/node/claims/ClaimedCalls.java
+++ b/node/src/main/java/org/fuchsialever/node/claims/ClaimedCalls.java
@@ -30,11 +30,11 @@
 
     private static final Duration RETRY_DELAY = Duration.ofMillis(50);
 
-    private final Platform platform;
-    private final OutcomeStore outcomes;
-    private final Duration writeTimeout;
-    private final TimeSource time;
-    private final Scheduler timers;
+    private final Platform mPlatform;
+    private final OutcomeStore mOutcomes;
+    private final Duration mWriteTimeout;
+    private final TimeSource mTime;
+    private final Scheduler mTimers;
 
     ClaimedCalls(
             Platform platform,
@@ -42,17 +42,17 @@
             Duration writeTimeout,
             TimeSource time,
             Scheduler timers) {
-        this.platform = platform;
-        this.outcomes = outcomes;
-        this.writeTimeout = writeTimeout;
-        this.time = time;
-        this.timers = timers;
+        mPlatform = platform;
+        mOutcomes = outcomes;
+        mWriteTimeout = writeTimeout;
+        mTime = time;
+        mTimers = timers;
     }
 
     Mono<Either<Refusal, CallResponse>> call(Call call, String key, CallPort calls) {
         return Mono.defer(
                 () -> {
-                    long deadline = time.wallMillis() + call.route().deadline().toMillis();
+                    long deadline = mTime.wallMillis() + call.route().deadline().toMillis();
                     Claim claim =
                             new Claim(ClaimCodec.requestDigest(call), deadline, Option.none());
                     ClaimMachine machine = new ClaimMachine(claim, "claim-" + UUID.randomUUID());
@@ -72,8 +72,8 @@
             HeldClaim held = new HeldClaim(request.rowKey, run.version(), request.claim);
             return request.calls
                     .call(request.call)
-                    .doOnCancel(() -> outcomes.callerDisconnected(held).subscribe())
-                    .flatMap(result -> outcomes.storeOutcome(held, result));
+                    .doOnCancel(() -> mOutcomes.callerDisconnected(held).subscribe())
+                    .flatMap(result -> mOutcomes.storeOutcome(held, result));
         }
         if (action instanceof ClaimAction.Replay replay) {
             return replay(ClaimCodec.decodeOutcome(replay.outcome()));
@@ -91,9 +91,10 @@
                                         TABLE, request.rowKey, ClaimCodec.encode(write.claim()))),
                         List.of());
         Mono<ClaimAction> next =
-                platform.tables()
+                mPlatform
+                        .tables()
                         .commit(commit)
-                        .timeout(writeTimeout, timers)
+                        .timeout(mWriteTimeout, mTimers)
                         .map(result -> writeResult(request, result))
                         .onErrorResume(
                                 failure ->
@@ -102,7 +103,7 @@
                                                         effectUnknown(failure))));
         return write.earlierWrites() == 0
                 ? next
-                : Mono.delay(RETRY_DELAY.multipliedBy(write.earlierWrites()), timers).then(next);
+                : Mono.delay(RETRY_DELAY.multipliedBy(write.earlierWrites()), mTimers).then(next);
     }
 
     private ClaimAction writeResult(Request request, CommitResult result) {
@@ -112,17 +113,18 @@
         List<Row> rows = ((CommitResult.Conflict) result).rows();
         Option<ObservedClaim> current =
                 rows.isEmpty() ? Option.none() : Option.some(ClaimCodec.decode(rows.get(0)));
-        return request.machine.conflict(current, time.wallMillis());
+        return request.machine.conflict(current, mTime.wallMillis());
     }
 
     private Mono<ClaimAction> readBack(Request request) {
-        return platform.tables()
+        return mPlatform
+                .tables()
                 .read(TABLE, request.rowKey)
-                .timeout(writeTimeout, timers)
+                .timeout(mWriteTimeout, mTimers)
                 .map(
                         row ->
                                 request.machine.readBack(
-                                        row.map(ClaimCodec::decode), time.wallMillis()))
+                                        row.map(ClaimCodec::decode), mTime.wallMillis()))
                 .onErrorResume(failure -> Mono.just(request.machine.readFailed()));
     }
 
@@ -139,9 +141,10 @@
         if (outcome.objectName().isEmpty()) {
             return refused(notStored);
         }
-        return platform.objects()
+        return mPlatform
+                .objects()
                 .read(outcome.objectName().get())
-                .timeout(writeTimeout, timers)
+                .timeout(mWriteTimeout, mTimers)
                 .map(
                         body ->
                                 body.isDefined()
--- a/node/src/main/java/org/fuchsialever/node/claims/ClaimsComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/claims/ClaimsComponent.java
@@ -16,7 +16,7 @@
     private static final long DEFAULT_MAX_OBJECT_BYTES = 1_024 * 1_024;
     private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(1);
 
-    private OutcomeStore.Limits limits =
+    private OutcomeStore.Limits mLimits =
             new OutcomeStore.Limits(
                     (int) DEFAULT_MAX_ROW_BYTES, (int) DEFAULT_MAX_OBJECT_BYTES, DEFAULT_TIMEOUT);
 
@@ -37,7 +37,7 @@
 
     @Override
     public void configure(SettingsReader settings) {
-        limits =
+        mLimits =
                 new OutcomeStore.Limits(
                         (int) settings.size(SECTION, "claim-row-body", DEFAULT_MAX_ROW_BYTES),
                         (int) settings.size(SECTION, "claim-object-body", DEFAULT_MAX_OBJECT_BYTES),
@@ -48,10 +48,10 @@
     public void install(ComponentContext context) {
         Platform platform = context.require(Platform.class);
         Scheduler timers = Schedulers.parallel();
-        OutcomeStore outcomes = new OutcomeStore(platform, limits, timers, context.meters());
+        OutcomeStore outcomes = new OutcomeStore(platform, mLimits, timers, context.meters());
         context.require(ClaimGate.class)
                 .enableClaims(
                         new ClaimedCalls(
-                                platform, outcomes, limits.timeout(), context.time(), timers));
+                                platform, outcomes, mLimits.timeout(), context.time(), timers));
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/claims/OutcomeStore.java
+++ b/node/src/main/java/org/fuchsialever/node/claims/OutcomeStore.java
@@ -28,16 +28,16 @@
     private static final int MAX_RETRIES = 3;
     private static final Duration RETRY_DELAY = Duration.ofMillis(50);
 
-    private final Platform platform;
-    private final Limits limits;
-    private final Scheduler timers;
-    private final Counter lost;
+    private final Platform mPlatform;
+    private final Limits mLimits;
+    private final Scheduler mTimers;
+    private final Counter mLost;
 
     OutcomeStore(Platform platform, Limits limits, Scheduler timers, MeterRegistry meters) {
-        this.platform = platform;
-        this.limits = limits;
-        this.timers = timers;
-        this.lost = meters.counter("fuchsialever.claims.outcomes.lost");
+        mPlatform = platform;
+        mLimits = limits;
+        mTimers = timers;
+        mLost = meters.counter("fuchsialever.claims.outcomes.lost");
     }
 
     /**
@@ -67,7 +67,7 @@
     private Flux<byte[]> body(HeldClaim held, CallResponse response) {
         return Flux.defer(
                 () -> {
-                    BodyCopy copy = new BodyCopy(limits.maxObjectBytes());
+                    BodyCopy copy = new BodyCopy(mLimits.maxObjectBytes());
                     return response.body()
                             .doOnNext(copy::add)
                             .concatWith(
@@ -83,19 +83,20 @@
     }
 
     private Mono<Void> storeResponse(HeldClaim held, CallResponse response, BodyCopy copy) {
-        byte[] bytes = copy.bytes.toByteArray();
-        if (copy.complete && bytes.length > limits.maxRowBytes()) {
+        byte[] bytes = copy.mBytes.toByteArray();
+        if (copy.mComplete && bytes.length > mLimits.maxRowBytes()) {
             String name = "claims/" + UUID.randomUUID();
-            return platform.objects()
+            return mPlatform
+                    .objects()
                     .putIfAbsent(name, bytes)
-                    .timeout(limits.timeout(), timers)
+                    .timeout(mLimits.timeout(), mTimers)
                     .map(stored -> Option.some(name))
                     .onErrorReturn(Option.none())
                     .flatMap(
                             object ->
                                     completeClaim(held, outcome(response, Option.none(), object)));
         }
-        Option<byte[]> body = copy.complete ? Option.some(bytes) : Option.none();
+        Option<byte[]> body = copy.mComplete ? Option.some(bytes) : Option.none();
         return completeClaim(held, outcome(response, body, Option.none()));
     }
 
@@ -138,13 +139,13 @@
                                         ClaimedCalls.TABLE, held.rowKey(), held.rowVersion())),
                         puts,
                         deletes);
-        return Mono.defer(() -> platform.tables().commit(commit))
-                .timeout(limits.timeout(), timers)
-                .retryWhen(Retry.backoff(MAX_RETRIES, RETRY_DELAY).scheduler(timers))
+        return Mono.defer(() -> mPlatform.tables().commit(commit))
+                .timeout(mLimits.timeout(), mTimers)
+                .retryWhen(Retry.backoff(MAX_RETRIES, RETRY_DELAY).scheduler(mTimers))
                 .then()
                 .onErrorResume(
                         failure -> {
-                            lost.increment();
+                            mLost.increment();
                             LOG.warning(
                                     "The outcome of a claimed call could not be stored.", failure);
                             return Mono.empty();
@@ -162,20 +163,20 @@
 
     /** A copy of a body, discarded when the body exceeds the limit. */
     private static final class BodyCopy {
-        private final int maxBytes;
-        private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        private boolean complete = true;
+        private final int mMaxBytes;
+        private final ByteArrayOutputStream mBytes = new ByteArrayOutputStream();
+        private boolean mComplete = true;
 
         private BodyCopy(int limit) {
-            this.maxBytes = limit;
+            mMaxBytes = limit;
         }
 
         private void add(byte[] chunk) {
-            if (complete && bytes.size() + chunk.length <= maxBytes) {
-                bytes.writeBytes(chunk);
+            if (mComplete && mBytes.size() + chunk.length <= mMaxBytes) {
+                mBytes.writeBytes(chunk);
             } else {
-                complete = false;
-                bytes.reset();
+                mComplete = false;
+                mBytes.reset();
             }
         }
     }
--- a/node/src/main/java/org/fuchsialever/node/config/ConfigActions.java
+++ b/node/src/main/java/org/fuchsialever/node/config/ConfigActions.java
@@ -24,14 +24,14 @@
 
     private static final PartLogger LOG = PartLogger.of("config");
 
-    private final TableService tables;
-    private final PeerStateClient peers;
-    private final ConfigHolder holder;
-    private final String writerPrefix;
-    private final MeterRegistry meters;
-    private final AtomicLong confirmations = new AtomicLong();
-    private volatile @Nullable Inbox<ConfigEvent> inbox;
-    private volatile Option<String> servedText = Option.none();
+    private final TableService mTables;
+    private final PeerStateClient mPeers;
+    private final ConfigHolder mHolder;
+    private final String mWriterPrefix;
+    private final MeterRegistry mMeters;
+    private final AtomicLong mConfirmations = new AtomicLong();
+    private volatile @Nullable Inbox<ConfigEvent> mInbox;
+    private volatile Option<String> mServedText = Option.none();
 
     ConfigActions(
             TableService tables,
@@ -39,28 +39,28 @@
             ConfigHolder holder,
             String writerPrefix,
             MeterRegistry meters) {
-        this.tables = tables;
-        this.peers = peers;
-        this.holder = holder;
-        this.writerPrefix = writerPrefix;
-        this.meters = meters;
+        mTables = tables;
+        mPeers = peers;
+        mHolder = holder;
+        mWriterPrefix = writerPrefix;
+        mMeters = meters;
         meters.counter("fuchsialever.config.refused");
         meters.counter("fuchsialever.config.read-failures");
     }
 
     void connect(Inbox<ConfigEvent> events) {
-        inbox = events;
+        mInbox = events;
     }
 
     /** Returns the snapshot in force for peers that ask for it; none while it may be stale. */
     Option<String> servedText() {
-        return holder.status().freshness().isServable() ? servedText : Option.none();
+        return mHolder.status().freshness().isServable() ? mServedText : Option.none();
     }
 
     @Override
     public void emit(ConfigAction action) {
         if (action instanceof ConfigAction.ReadVersion) {
-            offerResult(tables.read(ConfigRows.TABLE, ConfigRows.CURRENT).map(this::versionRead));
+            offerResult(mTables.read(ConfigRows.TABLE, ConfigRows.CURRENT).map(this::versionRead));
         } else if (action instanceof ConfigAction.ConfirmVersion proof) {
             confirmVersion(proof);
         } else if (action instanceof ConfigAction.ReadSnapshot read) {
@@ -68,27 +68,27 @@
         } else if (action instanceof ConfigAction.AskPeers) {
             askPeers();
         } else if (action instanceof ConfigAction.PublishSnapshot publish) {
-            servedText = Option.some(publish.text());
-            holder.publish(publish.snapshot());
+            mServedText = Option.some(publish.text());
+            mHolder.publish(publish.snapshot());
             LOG.info("Version " + publish.snapshot().version() + " is in force.");
         } else if (action instanceof ConfigAction.RaiseAlarm alarm) {
             reportRefusedVersion(alarm);
         } else if (action instanceof ConfigAction.PublishStatus change) {
-            holder.publishStatus(change.status());
+            mHolder.publishStatus(change.status());
         }
     }
 
     private void confirmVersion(ConfigAction.ConfirmVersion proof) {
         Commit unchanged =
                 new Commit(
-                        writerPrefix + "-proof-" + confirmations.incrementAndGet(),
+                        mWriterPrefix + "-proof-" + mConfirmations.incrementAndGet(),
                         List.of(
                                 new Commit.Condition(
                                         ConfigRows.TABLE, ConfigRows.CURRENT, proof.rowVersion())),
                         List.of(),
                         List.of());
         offerResult(
-                tables.commit(unchanged)
+                mTables.commit(unchanged)
                         .map(
                                 result ->
                                         result instanceof CommitResult.Conflict conflict
@@ -114,7 +114,7 @@
 
     private void readSnapshot(long version) {
         offerResult(
-                tables.read(ConfigRows.TABLE, ConfigRows.snapshotKey(version))
+                mTables.read(ConfigRows.TABLE, ConfigRows.snapshotKey(version))
                         .map(
                                 row ->
                                         row.isEmpty()
@@ -124,7 +124,7 @@
     }
 
     private void askPeers() {
-        peers.askAll(
+        mPeers.askAll(
                 PEER_STATE_PATH,
                 peerCount -> offer(new ConfigEvent.PeersListed(peerCount)),
                 (peer, text) ->
@@ -132,7 +132,7 @@
     }
 
     private void reportRefusedVersion(ConfigAction.RaiseAlarm alarm) {
-        meters.counter("fuchsialever.config.refused").increment();
+        mMeters.counter("fuchsialever.config.refused").increment();
         LOG.warning(
                 "Version "
                         + alarm.version()
@@ -147,12 +147,12 @@
     }
 
     private ConfigEvent readFailed() {
-        meters.counter("fuchsialever.config.read-failures").increment();
+        mMeters.counter("fuchsialever.config.read-failures").increment();
         return new ConfigEvent.ReadFailed();
     }
 
     private void offer(ConfigEvent event) {
-        Inbox<ConfigEvent> events = inbox;
+        Inbox<ConfigEvent> events = mInbox;
         if (events != null) {
             events.offer(event);
         }
--- a/node/src/main/java/org/fuchsialever/node/config/ConfigComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/config/ConfigComponent.java
@@ -25,7 +25,7 @@
     private static final int RING_CAPACITY = 1_024;
     private static final Duration DEFAULT_POLL_INTERVAL = Duration.ofSeconds(1);
 
-    private Duration pollInterval = DEFAULT_POLL_INTERVAL;
+    private Duration mPollInterval = DEFAULT_POLL_INTERVAL;
 
     @Override
     public String pluginName() {
@@ -44,8 +44,8 @@
 
     @Override
     public void configure(SettingsReader settings) {
-        pollInterval = settings.duration(SECTION, POLL_INTERVAL, DEFAULT_POLL_INTERVAL);
-        if (pollInterval.isZero()) {
+        mPollInterval = settings.duration(SECTION, POLL_INTERVAL, DEFAULT_POLL_INTERVAL);
+        if (mPollInterval.isZero()) {
             settings.findings()
                     .error(
                             settings.location(SECTION, POLL_INTERVAL),
@@ -76,7 +76,7 @@
                                 actions::servedText));
         Inbox<ConfigEvent> inbox =
                 context.startDuty(
-                        new ConfigDuty(pollInterval, context.time().nanoTime(), invariants),
+                        new ConfigDuty(mPollInterval, context.time().nanoTime(), invariants),
                         RING_CAPACITY,
                         OverflowPolicy.REFUSE,
                         actions);
--- a/node/src/main/java/org/fuchsialever/node/config/ConfigHolder.java
+++ b/node/src/main/java/org/fuchsialever/node/config/ConfigHolder.java
@@ -12,19 +12,19 @@
 
 /** Holds the configuration in force on this instance and its status. */
 public final class ConfigHolder {
-    private final List<Consumer<ConfigSnapshot>> listeners = new CopyOnWriteArrayList<>();
-    private final InvariantMonitor invariants;
-    private volatile @Nullable ConfigSnapshot current;
-    private volatile @Nullable ConfigStatus status;
+    private final List<Consumer<ConfigSnapshot>> mListeners = new CopyOnWriteArrayList<>();
+    private final InvariantMonitor mInvariants;
+    private volatile @Nullable ConfigSnapshot mCurrent;
+    private volatile @Nullable ConfigStatus mStatus;
 
     /** Creates a holder without a configuration. */
     public ConfigHolder(InvariantMonitor invariants) {
-        this.invariants = invariants;
+        mInvariants = invariants;
     }
 
     /** Returns the configuration, or none before the first one is published. */
     public Option<ConfigSnapshot> current() {
-        return Option.of(current);
+        return Option.of(mCurrent);
     }
 
     /**
@@ -32,8 +32,8 @@
      * counts as the latest, because its source has no versions.
      */
     public ConfigStatus status() {
-        ConfigStatus reported = status;
-        ConfigSnapshot snapshot = current;
+        ConfigStatus reported = mStatus;
+        ConfigSnapshot snapshot = mCurrent;
         if (reported != null || snapshot == null) {
             return reported == null ? ConfigStatus.NONE : reported;
         }
@@ -43,25 +43,25 @@
 
     /** Sets the status of the configuration. */
     public void publishStatus(ConfigStatus newStatus) {
-        status = newStatus;
+        mStatus = newStatus;
     }
 
     /** Adds a listener, which is called immediately if there is a configuration. */
     public synchronized void addListener(Consumer<ConfigSnapshot> listener) {
-        listeners.add(listener);
+        mListeners.add(listener);
         current().forEach(listener);
     }
 
     /** Puts a snapshot in force; one older than the current one is a violation and is ignored. */
     public synchronized void publish(ConfigSnapshot snapshot) {
-        ConfigSnapshot previous = current;
+        ConfigSnapshot previous = mCurrent;
         if (previous != null && snapshot.version() < previous.version()) {
-            invariants.reportViolation(
+            mInvariants.reportViolation(
                     Invariant.CONFIGURATION_MONOTONIC,
                     "version " + snapshot.version() + " after " + previous.version());
             return;
         }
-        current = snapshot;
-        listeners.forEach(listener -> listener.accept(snapshot));
+        mCurrent = snapshot;
+        mListeners.forEach(listener -> listener.accept(snapshot));
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/config/TableFilesComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/config/TableFilesComponent.java
@@ -17,7 +17,7 @@
     private static final String MSG_UNREADABLE = "tables.unreadable";
     private static final String SECTION = "tables";
 
-    private Option<ConfigSnapshot> snapshot = Option.none();
+    private Option<ConfigSnapshot> mSnapshot = Option.none();
 
     @Override
     public String pluginName() {
@@ -41,7 +41,7 @@
         Option<String> routesText = readFile(settings, "routes", routes);
         Option<String> poolsText = readFile(settings, "pools", pools);
         if (routesText.isDefined() && poolsText.isDefined()) {
-            snapshot =
+            mSnapshot =
                     TableParser.parse(
                             1,
                             routes,
@@ -55,7 +55,7 @@
     @Override
     public void install(ComponentContext context) {
         ConfigHolder holder = new ConfigHolder(context.require(InvariantMonitor.class));
-        snapshot.forEach(holder::publish);
+        mSnapshot.forEach(holder::publish);
         context.provide(ConfigHolder.class, holder);
     }
 
--- a/node/src/main/java/org/fuchsialever/node/directory/Directory.java
+++ b/node/src/main/java/org/fuchsialever/node/directory/Directory.java
@@ -21,50 +21,50 @@
     /** Three heartbeat intervals of 0.7 s; the interval at which rows are read is added. */
     private static final long MAX_HEARTBEAT_AGE_MILLIS = 2_100;
 
-    private final TimeSource time;
-    private final StoreClock clock;
-    private final List<DirectoryListener> listeners = new CopyOnWriteArrayList<>();
-    private final Map<String, FleetUpstream> upstreams = new HashMap<>();
-    private final Map<String, VersionedState> batchStates = new ConcurrentHashMap<>();
-    private final Map<String, Long> announcedVersions = new ConcurrentHashMap<>();
-    private final EnumMap<DirectoryTable, Long> currentAtNanos =
+    private final TimeSource mTime;
+    private final StoreClock mClock;
+    private final List<DirectoryListener> mListeners = new CopyOnWriteArrayList<>();
+    private final Map<String, FleetUpstream> mUpstreams = new HashMap<>();
+    private final Map<String, VersionedState> mBatchStates = new ConcurrentHashMap<>();
+    private final Map<String, Long> mAnnouncedVersions = new ConcurrentHashMap<>();
+    private final EnumMap<DirectoryTable, Long> mCurrentAtNanos =
             new EnumMap<>(DirectoryTable.class);
-    private final Map<String, Presence> presences = new HashMap<>();
-    private volatile Option<Manifest> manifest = Option.none();
-    private volatile List<FleetUpstream> upstreamList = List.of();
+    private final Map<String, Presence> mPresences = new HashMap<>();
+    private volatile Option<Manifest> mManifest = Option.none();
+    private volatile List<FleetUpstream> mUpstreamList = List.of();
 
     Directory(TimeSource time, StoreClock clock) {
-        this.time = time;
-        this.clock = clock;
+        mTime = time;
+        mClock = clock;
     }
 
     /** Adds a listener and calls it with the current state. */
     public synchronized void addListener(DirectoryListener listener) {
-        listeners.add(listener);
-        manifest.forEach(listener::onManifestChanged);
-        listener.onUpstreamsChanged(upstreamList);
-        announcedVersions.forEach(listener::onVersionNamed);
-        listener.onBatchStatesChanged(List.copyOf(batchStates.values()), List.of());
+        mListeners.add(listener);
+        mManifest.forEach(listener::onManifestChanged);
+        listener.onUpstreamsChanged(mUpstreamList);
+        mAnnouncedVersions.forEach(listener::onVersionNamed);
+        listener.onBatchStatesChanged(List.copyOf(mBatchStates.values()), List.of());
     }
 
     /** Returns the manifest in force, or none before the first one was read. */
     public Option<Manifest> manifest() {
-        return manifest;
+        return mManifest;
     }
 
     /** Returns the upstreams. */
     public List<FleetUpstream> upstreams() {
-        return upstreamList;
+        return mUpstreamList;
     }
 
     /** Returns the state of a submission, or none if it is not mirrored. */
     public Option<VersionedState> batchState(String id) {
-        return Option.of(batchStates.get(id));
+        return Option.of(mBatchStates.get(id));
     }
 
     /** Returns all submissions. */
     public List<VersionedState> batchStates() {
-        return List.copyOf(batchStates.values());
+        return List.copyOf(mBatchStates.values());
     }
 
     /**
@@ -73,51 +73,51 @@
      * @return {@link Long#MAX_VALUE} if it never was
      */
     public long stalenessMillis(DirectoryTable table) {
-        synchronized (currentAtNanos) {
-            Long at = currentAtNanos.get(table);
+        synchronized (mCurrentAtNanos) {
+            Long at = mCurrentAtNanos.get(table);
             return at == null
                     ? Long.MAX_VALUE
-                    : TimeUnit.NANOSECONDS.toMillis(time.nanoTime() - at);
+                    : TimeUnit.NANOSECONDS.toMillis(mTime.nanoTime() - at);
         }
     }
 
     void markCurrent(DirectoryTable table) {
-        synchronized (currentAtNanos) {
-            currentAtNanos.put(table, time.nanoTime());
+        synchronized (mCurrentAtNanos) {
+            mCurrentAtNanos.put(table, mTime.nanoTime());
         }
     }
 
     synchronized boolean replaceManifest(Manifest newer) {
-        if (manifest.isDefined() && manifest.get().version() >= newer.version()) {
+        if (mManifest.isDefined() && mManifest.get().version() >= newer.version()) {
             return false;
         }
-        manifest = Option.some(newer);
-        listeners.forEach(listener -> listener.onManifestChanged(newer));
+        mManifest = Option.some(newer);
+        mListeners.forEach(listener -> listener.onManifestChanged(newer));
         return true;
     }
 
     synchronized void updateVersion(String model, long version) {
-        if (announcedVersions.merge(model, version, Math::max) == version) {
-            listeners.forEach(listener -> listener.onVersionNamed(model, version));
+        if (mAnnouncedVersions.merge(model, version, Math::max) == version) {
+            mListeners.forEach(listener -> listener.onVersionNamed(model, version));
         }
     }
 
     synchronized void changeUpstreams(List<FleetUpstream> listed, List<String> removed) {
-        removed.forEach(upstreams::remove);
-        listed.forEach(upstream -> upstreams.put(upstream.id(), upstream));
-        upstreamList = new ArrayList<>(upstreams.values());
-        listeners.forEach(listener -> listener.onUpstreamsChanged(upstreamList));
+        removed.forEach(mUpstreams::remove);
+        listed.forEach(upstream -> mUpstreams.put(upstream.id(), upstream));
+        mUpstreamList = new ArrayList<>(mUpstreams.values());
+        mListeners.forEach(listener -> listener.onUpstreamsChanged(mUpstreamList));
     }
 
     synchronized void changeBatchStates(List<VersionedState> changed, List<String> removed) {
-        changed.forEach(row -> batchStates.put(row.state().id(), row));
-        removed.forEach(batchStates::remove);
-        listeners.forEach(listener -> listener.onBatchStatesChanged(changed, removed));
+        changed.forEach(row -> mBatchStates.put(row.state().id(), row));
+        removed.forEach(mBatchStates::remove);
+        mListeners.forEach(listener -> listener.onBatchStatesChanged(changed, removed));
     }
 
     synchronized void changePresences(List<Presence> changed, List<String> removed) {
-        removed.forEach(presences::remove);
-        changed.forEach(presence -> presences.put(presence.instance(), presence));
+        removed.forEach(mPresences::remove);
+        changed.forEach(presence -> mPresences.put(presence.instance(), presence));
     }
 
     /** Returns the instances with a recent heartbeat that are not shutting down. */
@@ -125,10 +125,10 @@
         List<Peer> live = new ArrayList<>();
         long maxAgeMillis =
                 MAX_HEARTBEAT_AGE_MILLIS
-                        + DirectoryTable.INSTANCES.intervalMillis(presences.size());
-        for (Presence presence : presences.values()) {
+                        + DirectoryTable.INSTANCES.intervalMillis(mPresences.size());
+        for (Presence presence : mPresences.values()) {
             long writtenMillis = presence.storeMillis();
-            boolean isRecent = clock.millis().exists(now -> now - writtenMillis < maxAgeMillis);
+            boolean isRecent = mClock.millis().exists(now -> now - writtenMillis < maxAgeMillis);
             if (!presence.leaving() && isRecent) {
                 live.add(new Peer(presence.instance(), presence.start()));
             }
@@ -137,6 +137,6 @@
     }
 
     synchronized void notifyBatchTableAvailability(boolean available) {
-        listeners.forEach(listener -> listener.onBatchTableAvailability(available));
+        mListeners.forEach(listener -> listener.onBatchTableAvailability(available));
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/directory/DirectoryActions.java
+++ b/node/src/main/java/org/fuchsialever/node/directory/DirectoryActions.java
@@ -29,12 +29,12 @@
     /** How long the store may hold a feed read; 1.5 s later it counts as unreachable. */
     private static final Duration FEED_WAIT = Duration.ofMillis(1_000);
 
-    private final HostedServices services;
-    private final Directory directory;
-    private final StoreClock clock;
-    private final TraceLog trace;
-    private final MeterRegistry meters;
-    private final ActionSink<DirectoryEvent> duty;
+    private final HostedServices mServices;
+    private final Directory mDirectory;
+    private final StoreClock mClock;
+    private final TraceLog mTrace;
+    private final MeterRegistry mMeters;
+    private final ActionSink<DirectoryEvent> mDuty;
 
     DirectoryActions(
             HostedServices services,
@@ -43,12 +43,12 @@
             TraceLog trace,
             MeterRegistry meters,
             ActionSink<DirectoryEvent> duty) {
-        this.services = services;
-        this.directory = directory;
-        this.clock = clock;
-        this.trace = trace;
-        this.meters = meters;
-        this.duty = duty;
+        mServices = services;
+        mDirectory = directory;
+        mClock = clock;
+        mTrace = trace;
+        mMeters = meters;
+        mDuty = duty;
     }
 
     @Override
@@ -60,31 +60,31 @@
         } else if (action instanceof DirectoryAction.Changed changed) {
             apply(changed.table(), changed.rows());
         } else if (action instanceof DirectoryAction.UpToDate current) {
-            directory.markCurrent(current.table());
+            mDirectory.markCurrent(current.table());
             if (current.table() == DirectoryTable.BATCHES) {
-                directory.notifyBatchTableAvailability(true);
+                mDirectory.notifyBatchTableAvailability(true);
             }
         } else if (action instanceof DirectoryAction.StoreUnreachable lost) {
-            trace.line(PART, "store-lost")
+            mTrace.line(PART, "store-lost")
                     .with("table", lost.table().name())
                     .with("reason", lost.reason())
-                    .with("ageMillis", directory.stalenessMillis(lost.table()))
+                    .with("ageMillis", mDirectory.stalenessMillis(lost.table()))
                     .write();
             if (lost.table() == DirectoryTable.BATCHES) {
-                directory.notifyBatchTableAvailability(false);
+                mDirectory.notifyBatchTableAvailability(false);
             }
         } else if (action instanceof DirectoryAction.StoreReachable regained) {
-            trace.line(PART, "store-regained").with("table", regained.table().name()).write();
+            mTrace.line(PART, "store-regained").with("table", regained.table().name()).write();
         }
     }
 
     private void readRange(DirectoryTable table) {
-        String name = services.directory().tableName(table);
+        String name = mServices.directory().tableName(table);
         readPages(name, "", new ArrayList<>(), -1)
                 .subscribe(
                         page -> {
-                            clock.observe(page.storeClockMillis());
-                            duty.emit(
+                            mClock.observe(page.storeClockMillis());
+                            mDuty.emit(
                                     new DirectoryEvent.TableRead(
                                             table, toMirrorRows(page.rows()), page.version()));
                         },
@@ -94,7 +94,8 @@
     /** Reads all pages; changes since the first one are read through the feed. */
     private Mono<RowPage> readPages(
             String table, String from, List<StoredRow> found, long firstVersion) {
-        return services.rows()
+        return mServices
+                .rows()
                 .range(table, from, "", PAGE_ROWS)
                 .flatMap(
                         page -> {
@@ -111,12 +112,13 @@
     }
 
     private void readFeed(DirectoryTable table, long after) {
-        services.rows()
-                .changes(services.directory().tableName(table), after, FEED_WAIT)
+        mServices
+                .rows()
+                .changes(mServices.directory().tableName(table), after, FEED_WAIT)
                 .subscribe(
                         page -> {
-                            clock.observe(page.storeClockMillis());
-                            duty.emit(
+                            mClock.observe(page.storeClockMillis());
+                            mDuty.emit(
                                     new DirectoryEvent.FeedRead(
                                             table, toMirrorRows(page.rows()), page.version()));
                         },
@@ -125,10 +127,10 @@
 
     private void reportFailure(DirectoryTable table, Throwable failure) {
         if (failure instanceof HistoryLostException) {
-            trace.line(PART, "history-lost").with("table", table.name()).write();
-            duty.emit(new DirectoryEvent.HistoryLost(table));
+            mTrace.line(PART, "history-lost").with("table", table.name()).write();
+            mDuty.emit(new DirectoryEvent.HistoryLost(table));
         } else {
-            duty.emit(new DirectoryEvent.ReadFailed(table, String.valueOf(failure.getMessage())));
+            mDuty.emit(new DirectoryEvent.ReadFailed(table, String.valueOf(failure.getMessage())));
         }
     }
 
@@ -155,19 +157,19 @@
             return;
         }
         Either<String, Declaration> read =
-                services.directory().readDeclaration(row.key(), row.value());
+                mServices.directory().readDeclaration(row.key(), row.value());
         if (read.isLeft()) {
             reportUnreadable(DirectoryTable.DECLARATIONS, row, read.getLeft());
         } else if (read.get() instanceof Declaration.ManifestDeclared declared) {
-            boolean newer = directory.replaceManifest(declared.manifest());
-            trace.line(PART, newer ? "manifest-in-force" : "manifest-ignored")
+            boolean newer = mDirectory.replaceManifest(declared.manifest());
+            mTrace.line(PART, newer ? "manifest-in-force" : "manifest-ignored")
                     .with("version", declared.manifest().version())
                     .with("routes", declared.manifest().routeCount())
                     .with("keys", declared.manifest().keyCount())
                     .write();
         } else if (read.get() instanceof Declaration.VersionAnnounced version) {
-            directory.updateVersion(version.model(), version.version());
-            trace.line(PART, "version-named")
+            mDirectory.updateVersion(version.model(), version.version());
+            mTrace.line(PART, "version-named")
                     .with("model", version.model())
                     .with("version", version.version())
                     .write();
@@ -180,17 +182,17 @@
         for (MirrorRow row : rows) {
             if (row.removed()) {
                 removed.add(row.key());
-                trace.line(PART, "upstream-gone").with("upstream", row.key()).write();
+                mTrace.line(PART, "upstream-gone").with("upstream", row.key()).write();
                 continue;
             }
             Either<String, FleetUpstream> read =
-                    services.directory().readUpstream(row.key(), row.value());
+                    mServices.directory().readUpstream(row.key(), row.value());
             if (read.isLeft()) {
                 removed.add(row.key());
                 reportUnreadable(DirectoryTable.UPSTREAMS, row, read.getLeft());
             } else {
                 listed.add(read.get());
-                trace.sampled(PART, "upstream")
+                mTrace.sampled(PART, "upstream")
                         .with("upstream", row.key())
                         .with("service", read.get().service())
                         .with("serving", String.valueOf(read.get().serving()))
@@ -198,7 +200,7 @@
                         .write();
             }
         }
-        directory.changeUpstreams(listed, removed);
+        mDirectory.changeUpstreams(listed, removed);
     }
 
     private void applyBatchStates(List<MirrorRow> rows) {
@@ -213,7 +215,7 @@
                     .peek(state -> changed.add(new VersionedState(state, row.version())))
                     .peekLeft(problem -> reportUnreadable(DirectoryTable.BATCHES, row, problem));
         }
-        directory.changeBatchStates(changed, removed);
+        mDirectory.changeBatchStates(changed, removed);
     }
 
     private void applyPresences(List<MirrorRow> rows) {
@@ -228,12 +230,12 @@
                     .peek(changed::add)
                     .peekLeft(problem -> reportUnreadable(DirectoryTable.INSTANCES, row, problem));
         }
-        directory.changePresences(changed, removed);
+        mDirectory.changePresences(changed, removed);
     }
 
     private void reportUnreadable(DirectoryTable table, MirrorRow row, String problem) {
-        meters.counter("fuchsialever.directory.unreadable", "table", table.name()).increment();
-        trace.line(PART, "row-unreadable")
+        mMeters.counter("fuchsialever.directory.unreadable", "table", table.name()).increment();
+        mTrace.line(PART, "row-unreadable")
                 .with("table", table.name())
                 .with("key", row.key())
                 .with("problem", problem)
--- a/node/src/main/java/org/fuchsialever/node/directory/StoreClock.java
+++ b/node/src/main/java/org/fuchsialever/node/directory/StoreClock.java
@@ -9,26 +9,26 @@
  * and may jump, so ages of rows are measured by this clock.
  */
 public final class StoreClock {
-    private final TimeSource time;
-    private Option<Long> offsetMillis = Option.none();
+    private final TimeSource mTime;
+    private Option<Long> mOffsetMillis = Option.none();
 
     StoreClock(TimeSource time) {
-        this.time = time;
+        mTime = time;
     }
 
     /** Records the time in a response; the response with the least delay sets the offset. */
     synchronized void observe(long storeMillis) {
         long offset = storeMillis - localMillis();
-        offsetMillis =
-                Option.some(offsetMillis.fold(() -> offset, known -> Math.max(known, offset)));
+        mOffsetMillis =
+                Option.some(mOffsetMillis.fold(() -> offset, known -> Math.max(known, offset)));
     }
 
     /** Returns the time of the store in milliseconds, or none before its first response. */
     public synchronized Option<Long> millis() {
-        return offsetMillis.map(offset -> offset + localMillis());
+        return mOffsetMillis.map(offset -> offset + localMillis());
     }
 
     private long localMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(time.nanoTime());
+        return TimeUnit.NANOSECONDS.toMillis(mTime.nanoTime());
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/dispatch/Attempt.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/Attempt.java
@@ -20,21 +20,21 @@
  * monitor of the exchange's sink.
  */
 final class Attempt extends BaseSubscriber<UpstreamResponsePart> {
-    private final int number;
-    private final UpstreamCall call;
-    private final ExchangeServices services;
-    private final CallExchange exchange;
-    private final Object lock;
-    private final long startedAtNanos;
-    private final Disposable.Swap timer = Disposables.swap();
-    private long firstByteNanos = -1;
-    private boolean awaitingPart;
-    private boolean timeoutScheduled;
-    private long requestedAtNanos;
-    private long requestCount;
-    private int promptTokens;
-    private int generatedTokens;
-    private boolean ended;
+    private final int mNumber;
+    private final UpstreamCall mCall;
+    private final ExchangeServices mServices;
+    private final CallExchange mExchange;
+    private final Object mLock;
+    private final long mStartedAtNanos;
+    private final Disposable.Swap mTimer = Disposables.swap();
+    private long mFirstByteNanos = -1;
+    private boolean mAwaitingPart;
+    private boolean mTimeoutScheduled;
+    private long mRequestedAtNanos;
+    private long mRequestCount;
+    private int mPromptTokens;
+    private int mGeneratedTokens;
+    private boolean mEnded;
 
     Attempt(
             int number,
@@ -42,43 +42,43 @@
             ExchangeServices services,
             CallExchange exchange,
             Object lock) {
-        this.number = number;
-        this.call = call;
-        this.services = services;
-        this.exchange = exchange;
-        this.lock = lock;
-        this.startedAtNanos = services.time().nanoTime();
+        mNumber = number;
+        mCall = call;
+        mServices = services;
+        mExchange = exchange;
+        mLock = lock;
+        mStartedAtNanos = services.time().nanoTime();
     }
 
     int number() {
-        return number;
+        return mNumber;
     }
 
     UpstreamId upstreamId() {
-        return call.upstream().id();
+        return mCall.upstream().id();
     }
 
     int promptTokens() {
-        return promptTokens;
+        return mPromptTokens;
     }
 
     int generatedTokens() {
-        return generatedTokens;
+        return mGeneratedTokens;
     }
 
     void start() {
-        services.client().send(call).subscribe(this);
+        mServices.client().send(mCall).subscribe(this);
     }
 
     /** Requests the next part unless a request is outstanding. */
     void requestNext() {
-        synchronized (lock) {
-            if (awaitingPart || ended) {
+        synchronized (mLock) {
+            if (mAwaitingPart || mEnded) {
                 return;
             }
-            awaitingPart = true;
-            requestCount++;
-            requestedAtNanos = services.time().nanoTime();
+            mAwaitingPart = true;
+            mRequestCount++;
+            mRequestedAtNanos = mServices.time().nanoTime();
             scheduleTimeout(timeoutNanos());
         }
         request(1);
@@ -86,13 +86,13 @@
 
     /** Aborts the attempt: closes its connection and cancels the request at an engine. */
     void abort() {
-        synchronized (lock) {
-            ended = true;
-            timer.dispose();
+        synchronized (mLock) {
+            mEnded = true;
+            mTimer.dispose();
         }
         cancel();
-        if (call.kind() == UpstreamKind.ENGINE) {
-            services.client().cancel(call.upstream(), call.id()).subscribe();
+        if (mCall.kind() == UpstreamKind.ENGINE) {
+            mServices.client().cancel(mCall.upstream(), mCall.id()).subscribe();
         }
     }
 
@@ -103,19 +103,19 @@
 
     @Override
     protected void hookOnNext(UpstreamResponsePart part) {
-        synchronized (lock) {
-            awaitingPart = false;
-            if (firstByteNanos < 0) {
-                firstByteNanos = services.time().nanoTime() - startedAtNanos;
+        synchronized (mLock) {
+            mAwaitingPart = false;
+            if (mFirstByteNanos < 0) {
+                mFirstByteNanos = mServices.time().nanoTime() - mStartedAtNanos;
                 // The first-byte timeout may be longer than the progress timeout.
-                timer.update(Disposables.disposed());
-                timeoutScheduled = false;
+                mTimer.update(Disposables.disposed());
+                mTimeoutScheduled = false;
             }
             if (part instanceof UpstreamResponsePart.EngineEvent event) {
-                generatedTokens += event.chunk().isDefined() ? 1 : 0;
-                promptTokens = Math.max(promptTokens, event.promptTokens());
+                mGeneratedTokens += event.chunk().isDefined() ? 1 : 0;
+                mPromptTokens = Math.max(mPromptTokens, event.promptTokens());
             }
-            exchange.handlePart(this, part);
+            mExchange.handlePart(this, part);
         }
     }
 
@@ -134,69 +134,73 @@
 
     /** Reports the end of the attempt; later calls have no effect. */
     void end(AttemptResult result) {
-        synchronized (lock) {
-            if (ended) {
+        synchronized (mLock) {
+            if (mEnded) {
                 return;
             }
-            ended = true;
-            timer.dispose();
-            long total = services.time().nanoTime() - startedAtNanos;
-            exchange.attemptEnded(
+            mEnded = true;
+            mTimer.dispose();
+            long total = mServices.time().nanoTime() - mStartedAtNanos;
+            mExchange.attemptEnded(
                     this,
                     new AttemptReport(
-                            result, promptTokens, generatedTokens, firstByteNanos, total));
+                            result, mPromptTokens, mGeneratedTokens, mFirstByteNanos, total));
         }
     }
 
     private long timeoutNanos() {
-        boolean engine = call.kind() == UpstreamKind.ENGINE;
-        if (firstByteNanos < 0) {
+        boolean engine = mCall.kind() == UpstreamKind.ENGINE;
+        if (mFirstByteNanos < 0) {
             return (engine
-                            ? services.timeouts().engineFirstByte()
-                            : services.timeouts().plainFirstByte())
+                            ? mServices.timeouts().engineFirstByte()
+                            : mServices.timeouts().plainFirstByte())
                     .toNanos();
         }
-        return (engine ? services.timeouts().engineProgress() : services.timeouts().plainProgress())
+        return (engine
+                        ? mServices.timeouts().engineProgress()
+                        : mServices.timeouts().plainProgress())
                 .toNanos();
     }
 
     /** One timer serves many parts: if it fires early, it is rescheduled for the remaining time. */
     private void scheduleTimeout(long delayNanos) {
-        if (!timeoutScheduled) {
-            timeoutScheduled = true;
-            timer.update(
-                    services.timers()
+        if (!mTimeoutScheduled) {
+            mTimeoutScheduled = true;
+            mTimer.update(
+                    mServices
+                            .timers()
                             .schedule(this::checkTimeout, delayNanos, TimeUnit.NANOSECONDS));
         }
     }
 
     private void checkTimeout() {
-        synchronized (lock) {
-            timeoutScheduled = false;
-            if (ended || !awaitingPart) {
+        synchronized (mLock) {
+            mTimeoutScheduled = false;
+            if (mEnded || !mAwaitingPart) {
                 return;
             }
-            long remainingNanos = requestedAtNanos + timeoutNanos() - services.time().nanoTime();
+            long remainingNanos = mRequestedAtNanos + timeoutNanos() - mServices.time().nanoTime();
             if (remainingNanos > 0) {
                 scheduleTimeout(remainingNanos);
                 return;
             }
         }
-        long request = requestCount;
-        services.client()
-                .probe(call.upstream(), call.kind())
+        long request = mRequestCount;
+        mServices
+                .client()
+                .probe(mCall.upstream(), mCall.kind())
                 .subscribe(alive -> handleProbeResult(request, alive));
     }
 
     private void handleProbeResult(long request, boolean alive) {
-        services.meters().probeEnded(alive);
-        services.ring().report(new DispatchEvent.UpstreamProbed(call.upstream().id(), alive));
-        synchronized (lock) {
-            if (ended) {
+        mServices.meters().probeEnded(alive);
+        mServices.ring().report(new DispatchEvent.UpstreamProbed(mCall.upstream().id(), alive));
+        synchronized (mLock) {
+            if (mEnded) {
                 return;
             }
-            if (!awaitingPart || request != requestCount) {
-                if (awaitingPart) {
+            if (!mAwaitingPart || request != mRequestCount) {
+                if (mAwaitingPart) {
                     scheduleTimeout(timeoutNanos());
                 }
                 return;
--- a/node/src/main/java/org/fuchsialever/node/dispatch/AttemptLog.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/AttemptLog.java
@@ -11,29 +11,29 @@
 
 /** Usage of the attempts of one call, in order. Guarded by the monitor of the call. */
 final class AttemptLog {
-    private final List<Entry> entries = new ArrayList<>();
+    private final List<Entry> mEntries = new ArrayList<>();
 
     /** Records the end of an attempt; an attempt that did not run has no usage. */
     void addEnded(UpstreamId upstream, AttemptReport report) {
         if (report.result().outcome() != Outcome.NOT_RUN) {
             UsageCounts used = new UsageCounts(1, report.promptTokens(), report.generatedTokens());
-            entries.add(new Entry(upstream, report.result(), used));
+            mEntries.add(new Entry(upstream, report.result(), used));
         }
     }
 
     /** Records an attempt that this instance cancelled. */
     void addCancelled(UpstreamId upstream, int promptTokens, int generatedTokens) {
         UsageCounts used = new UsageCounts(1, promptTokens, generatedTokens);
-        entries.add(new Entry(upstream, AttemptResult.CANCELLED, used));
+        mEntries.add(new Entry(upstream, AttemptResult.CANCELLED, used));
     }
 
     /** Returns the attempts with the usage class that decides who is charged for each. */
     List<FinishedCall.Attempt> attempts() {
         List<FinishedCall.Attempt> attempts = new ArrayList<>();
-        for (int i = 0; i < entries.size(); i++) {
-            Entry entry = entries.get(i);
+        for (int i = 0; i < mEntries.size(); i++) {
+            Entry entry = mEntries.get(i);
             UsageClass usageClass =
-                    i < entries.size() - 1 ? UsageClass.RETRIED : classOfLast(entry.result);
+                    i < mEntries.size() - 1 ? UsageClass.RETRIED : classOfLast(entry.result);
             attempts.add(new FinishedCall.Attempt(entry.upstream, usageClass, entry.used));
         }
         return attempts;
--- a/node/src/main/java/org/fuchsialever/node/dispatch/CallDispatcher.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/CallDispatcher.java
@@ -37,15 +37,15 @@
     private static final List<HeaderField> JSON =
             List.of(new HeaderField("content-type", "application/json"));
 
-    private final Map<RequestId, RunningCall> running = new ConcurrentHashMap<>();
-    private final AtomicInteger admittedCount = new AtomicInteger();
-    private final Sinks.One<Boolean> drained = Sinks.one();
-    private final List<Consumer<DispatchAction.PublishShares>> shareListeners =
+    private final Map<RequestId, RunningCall> mRunning = new ConcurrentHashMap<>();
+    private final AtomicInteger mAdmittedCount = new AtomicInteger();
+    private final Sinks.One<Boolean> mDrained = Sinks.one();
+    private final List<Consumer<DispatchAction.PublishShares>> mShareListeners =
             new CopyOnWriteArrayList<>();
-    private final List<CallObserver> observers = new CopyOnWriteArrayList<>();
-    private final int maxCalls;
-    private final RunningCalls keyRegistrations;
-    private final ExchangeServices services;
+    private final List<CallObserver> mObservers = new CopyOnWriteArrayList<>();
+    private final int mMaxCalls;
+    private final RunningCalls mKeyRegistrations;
+    private final ExchangeServices mServices;
 
     /**
      * Creates a dispatcher.
@@ -55,36 +55,37 @@
      * @param services services that all exchanges share
      */
     CallDispatcher(int maxCalls, RunningCalls keyRegistrations, ExchangeServices services) {
-        this.maxCalls = maxCalls;
-        this.keyRegistrations = keyRegistrations;
-        this.services = services;
+        mMaxCalls = maxCalls;
+        mKeyRegistrations = keyRegistrations;
+        mServices = services;
     }
 
     /** Adds a listener for the shares of this instance; called on the thread of the duty. */
     void addShareListener(Consumer<DispatchAction.PublishShares> listener) {
-        shareListeners.add(listener);
+        mShareListeners.add(listener);
     }
 
     /** Adds an observer of finished calls; called on the thread of the duty. */
     void addCallObserver(CallObserver observer) {
-        observers.add(observer);
+        mObservers.add(observer);
     }
 
     /** Refuses queued and new calls; completes when no call is queued or running. */
     Mono<Void> drain() {
-        services.ring().send(new DispatchEvent.DrainStarted());
-        return drained.asMono().then();
+        mServices.ring().send(new DispatchEvent.DrainStarted());
+        return mDrained.asMono().then();
     }
 
     /** Returns the number of calls that are queued or running. */
     int callsInProgress() {
-        return admittedCount.get();
+        return mAdmittedCount.get();
     }
 
     @Override
     public Mono<Either<Refusal, CallResponse>> call(Call call) {
         if (!call.route().allows(call.caller().team())) {
-            services.invariants()
+            mServices
+                    .invariants()
                     .reportViolation(
                             Invariant.REQUEST_RUNS_FOR_ITS_TEAM,
                             "request "
@@ -117,32 +118,32 @@
         if (result.isRight()) {
             return Mono.just(result.get());
         }
-        services.meters().generationRefused(result.getLeft().reason());
+        mServices.meters().generationRefused(result.getLeft().reason());
         return Mono.error(new RefusedException(result.getLeft()));
     }
 
     @Override
     public void emit(DispatchAction action) {
         if (action instanceof DispatchAction.StartAttempt start) {
-            RunningCall call = running.get(start.request());
+            RunningCall call = mRunning.get(start.request());
             if (call != null) {
-                call.exchange.startAttempt(start.attempt(), start.upstream());
+                call.mExchange.startAttempt(start.attempt(), start.upstream());
             }
         } else if (action instanceof DispatchAction.CancelAttempt cancel) {
-            RunningCall call = running.get(cancel.request());
+            RunningCall call = mRunning.get(cancel.request());
             if (call != null) {
-                call.exchange.cancelAttempt(cancel.attempt());
+                call.mExchange.cancelAttempt(cancel.attempt());
             }
         } else if (action instanceof DispatchAction.PublishShares published) {
-            shareListeners.forEach(listener -> listener.accept(published));
+            mShareListeners.forEach(listener -> listener.accept(published));
         } else if (action instanceof DispatchAction.Retry retry) {
-            services.meters().retried(retry.reason());
+            mServices.meters().retried(retry.reason());
         } else if (action instanceof DispatchAction.Refuse refuse) {
             remove(refuse.request()).forEach(exchange -> refuse(exchange, refuse));
         } else if (action instanceof DispatchAction.Finish finish) {
             remove(finish.request()).forEach(exchange -> finish(exchange, finish));
         } else if (action instanceof DispatchAction.Drained) {
-            drained.tryEmitValue(true);
+            mDrained.tryEmitValue(true);
         }
     }
 
@@ -158,23 +159,23 @@
     }
 
     private void notifyObservers(FinishedCall call) {
-        observers.forEach(observer -> observer.callFinished(call));
+        mObservers.forEach(observer -> observer.callFinished(call));
     }
 
     private <T> Mono<Either<Refusal, T>> submit(
             CallSpec spec, ResponseSink sink, Mono<Either<Refusal, T>> response) {
-        if (admittedCount.incrementAndGet() > maxCalls) {
-            admittedCount.decrementAndGet();
+        if (mAdmittedCount.incrementAndGet() > mMaxCalls) {
+            mAdmittedCount.decrementAndGet();
             return Mono.just(Either.left(Refusal.of(RefusalReason.QUEUE_FULL)));
         }
-        CallExchange exchange = new CallExchange(spec, sink, services);
+        CallExchange exchange = new CallExchange(spec, sink, mServices);
         RunningCall call = new RunningCall(exchange);
-        running.put(exchange.id(), call);
+        mRunning.put(exchange.id(), call);
         spec.key()
                 .forEach(
                         key ->
                                 call.setRegistration(
-                                        keyRegistrations.register(key, exchange::withdraw)));
+                                        mKeyRegistrations.register(key, exchange::withdraw)));
         if (!exchange.enqueue()) {
             remove(exchange.id());
         }
@@ -182,13 +183,13 @@
     }
 
     private Option<CallExchange> remove(RequestId id) {
-        RunningCall call = running.remove(id);
+        RunningCall call = mRunning.remove(id);
         if (call == null) {
             return Option.none();
         }
-        admittedCount.decrementAndGet();
+        mAdmittedCount.decrementAndGet();
         call.end();
-        return Option.some(call.exchange);
+        return Option.some(call.mExchange);
     }
 
     private CallSpec specOf(Call call) {
@@ -203,7 +204,7 @@
                         call.shape().prefixHash(),
                         engine && call.route().repeatable(),
                         0,
-                        services.time().nanoTime() + call.route().deadline().toNanos());
+                        mServices.time().nanoTime() + call.route().deadline().toNanos());
         int priority = call.route().priority().engineValue();
         return new CallSpec(
                 request,
@@ -233,7 +234,7 @@
                         0,
                         true,
                         generation.urgency(),
-                        services.time().nanoTime() + generation.route().deadline().toNanos());
+                        mServices.time().nanoTime() + generation.route().deadline().toNanos());
         int priority = generation.route().priority().engineValue() + generation.urgency();
         byte[] body = EngineRequests.body(generation);
         return new CallSpec(
@@ -253,25 +254,25 @@
 
     /** A call in progress and its key registration; either may be set or ended first. */
     private static final class RunningCall {
-        private final CallExchange exchange;
-        private AutoCloseable registration = () -> {};
-        private boolean ended;
+        private final CallExchange mExchange;
+        private AutoCloseable mRegistration = () -> {};
+        private boolean mEnded;
 
         private RunningCall(CallExchange exchange) {
-            this.exchange = exchange;
+            mExchange = exchange;
         }
 
         private synchronized void setRegistration(AutoCloseable newRegistration) {
-            registration = newRegistration;
-            if (ended) {
+            mRegistration = newRegistration;
+            if (mEnded) {
                 end();
             }
         }
 
         private synchronized void end() {
-            ended = true;
+            mEnded = true;
             try {
-                registration.close();
+                mRegistration.close();
             } catch (Exception e) {
                 throw new IllegalStateException("closing a key registration failed", e);
             }
--- a/node/src/main/java/org/fuchsialever/node/dispatch/CallExchange.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/CallExchange.java
@@ -25,32 +25,32 @@
 final class CallExchange implements ResponseSink.Source {
     private static final long PROGRESS_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
-    private final CallSpec spec;
-    private final ResponseSink sink;
-    private final ExchangeServices services;
-    private final TokenStreamAssembler tokenStream = new TokenStreamAssembler();
-    private @Nullable Attempt currentAttempt;
-    private final AttemptLog attemptLog = new AttemptLog();
-    private int totalPromptTokens;
-    private int totalGeneratedTokens;
-    private int resumedFrom;
-    private long progressReportedNanos;
-    private boolean progressReported;
-    private boolean enqueued;
-    private boolean headSent;
-    private boolean completed;
-    private int attemptsThatMayHaveRun;
-    private boolean finished;
+    private final CallSpec mSpec;
+    private final ResponseSink mSink;
+    private final ExchangeServices mServices;
+    private final TokenStreamAssembler mTokenStream = new TokenStreamAssembler();
+    private @Nullable Attempt mCurrentAttempt;
+    private final AttemptLog mAttemptLog = new AttemptLog();
+    private int mTotalPromptTokens;
+    private int mTotalGeneratedTokens;
+    private int mResumedFrom;
+    private long mProgressReportedNanos;
+    private boolean mProgressReported;
+    private boolean mEnqueued;
+    private boolean mHeadSent;
+    private boolean mCompleted;
+    private int mAttemptsThatMayHaveRun;
+    private boolean mFinished;
 
     CallExchange(CallSpec spec, ResponseSink sink, ExchangeServices services) {
-        this.spec = spec;
-        this.sink = sink;
-        this.services = services;
+        mSpec = spec;
+        mSink = sink;
+        mServices = services;
         sink.connect(this);
     }
 
     RequestId id() {
-        return spec.request().id();
+        return mSpec.request().id();
     }
 
     /**
@@ -59,12 +59,12 @@
      * @return whether the call was sent to the duty
      */
     boolean enqueue() {
-        synchronized (sink) {
-            if (finished) {
+        synchronized (mSink) {
+            if (mFinished) {
                 return false;
             }
-            enqueued = true;
-            services.ring().send(new DispatchEvent.RequestArrived(spec.request()));
+            mEnqueued = true;
+            mServices.ring().send(new DispatchEvent.RequestArrived(mSpec.request()));
             return true;
         }
     }
@@ -75,37 +75,37 @@
      */
     void startAttempt(int number, UpstreamSpec upstream) {
         Attempt attempt;
-        synchronized (sink) {
-            if (finished) {
+        synchronized (mSink) {
+            if (mFinished) {
                 return;
             }
-            if (attemptsThatMayHaveRun > 0 && !mayRepeat()) {
+            if (mAttemptsThatMayHaveRun > 0 && !mayRepeat()) {
                 rejectRepeat(number);
                 return;
             }
-            attemptsThatMayHaveRun++;
-            resumedFrom = tokenStream.begin(number, upstream.id());
+            mAttemptsThatMayHaveRun++;
+            mResumedFrom = mTokenStream.begin(number, upstream.id());
             attempt =
                     new Attempt(
                             number,
-                            spec.requestBuilder().build(number, upstream, resumedFrom),
-                            services,
+                            mSpec.requestBuilder().build(number, upstream, mResumedFrom),
+                            mServices,
                             this,
-                            sink);
-            currentAttempt = attempt;
+                            mSink);
+            mCurrentAttempt = attempt;
         }
         attempt.start();
     }
 
     void cancelAttempt(int number) {
         Attempt attempt;
-        synchronized (sink) {
-            attempt = currentAttempt;
+        synchronized (mSink) {
+            attempt = mCurrentAttempt;
             if (attempt == null || attempt.number() != number) {
                 return;
             }
-            currentAttempt = null;
-            attemptLog.addCancelled(
+            mCurrentAttempt = null;
+            mAttemptLog.addCancelled(
                     attempt.upstreamId(), attempt.promptTokens(), attempt.generatedTokens());
         }
         attempt.abort();
@@ -113,12 +113,12 @@
 
     /** Returns the record of the finished call, for usage and audit. */
     FinishedCall finishedCall(Outcome outcome, Option<RefusalReason> refusal) {
-        synchronized (sink) {
+        synchronized (mSink) {
             return new FinishedCall(
                     id(),
-                    new Caller(spec.request().team(), spec.key()),
-                    spec.request().route().name(),
-                    attemptLog.attempts(),
+                    new Caller(mSpec.request().team(), mSpec.key()),
+                    mSpec.request().route().name(),
+                    mAttemptLog.attempts(),
                     outcome,
                     refusal);
         }
@@ -126,43 +126,44 @@
 
     /** Completes the response after its last part was written. */
     void finish() {
-        synchronized (sink) {
-            if (!finished) {
-                finished = true;
-                services.invariants()
+        synchronized (mSink) {
+            if (!mFinished) {
+                mFinished = true;
+                mServices
+                        .invariants()
                         .check(
                                 Invariant.ANSWER_WHOLE_AND_OWN,
-                                completed,
+                                mCompleted,
                                 () -> "request " + id() + " ended without a completed attempt");
-                sink.finish(
+                mSink.finish(
                         new ResponseSink.Summary(
-                                tokenStream.ranges(), totalPromptTokens, totalGeneratedTokens));
+                                mTokenStream.ranges(), mTotalPromptTokens, mTotalGeneratedTokens));
             }
         }
     }
 
     void refuse(Refusal refusal) {
-        synchronized (sink) {
-            if (!finished) {
-                finished = true;
-                sink.refuse(correctNotRun(refusal));
+        synchronized (mSink) {
+            if (!mFinished) {
+                mFinished = true;
+                mSink.refuse(correctNotRun(refusal));
             }
         }
     }
 
     /** Refuses the call because its key was withdrawn; the duty cancels a running attempt. */
     void withdraw() {
-        synchronized (sink) {
-            if (finished) {
+        synchronized (mSink) {
+            if (mFinished) {
                 return;
             }
             refuse(
                     Refusal.of(
-                            enqueued
+                            mEnqueued
                                     ? RefusalReason.KEY_WITHDRAWN_DURING_CALL
                                     : RefusalReason.KEY_WITHDRAWN));
-            if (enqueued) {
-                services.ring().send(new DispatchEvent.RequestCancelled(id()));
+            if (mEnqueued) {
+                mServices.ring().send(new DispatchEvent.RequestCancelled(id()));
             }
         }
     }
@@ -170,8 +171,8 @@
     @Override
     public void requestMore() {
         Attempt attempt;
-        synchronized (sink) {
-            attempt = currentAttempt;
+        synchronized (mSink) {
+            attempt = mCurrentAttempt;
         }
         if (attempt != null) {
             attempt.requestNext();
@@ -180,76 +181,78 @@
 
     @Override
     public void callerDisconnected() {
-        synchronized (sink) {
-            if (finished) {
+        synchronized (mSink) {
+            if (mFinished) {
                 return;
             }
-            finished = true;
-            services.ring().send(new DispatchEvent.RequestCancelled(id()));
+            mFinished = true;
+            mServices.ring().send(new DispatchEvent.RequestCancelled(id()));
         }
     }
 
     /** Handles a part of an attempt; called with the monitor of the sink held. */
     void handlePart(Attempt attempt, UpstreamResponsePart part) {
-        if (attempt != currentAttempt || finished) {
-            services.meters().latePart();
+        if (attempt != mCurrentAttempt || mFinished) {
+            mServices.meters().latePart();
             return;
         }
         if (part instanceof UpstreamResponsePart.Head head) {
-            if (!headSent) {
-                headSent = true;
-                sink.writeHead(head);
+            if (!mHeadSent) {
+                mHeadSent = true;
+                mSink.writeHead(head);
             }
         } else if (part instanceof UpstreamResponsePart.Content content) {
-            sink.writeContent(content.bytes());
+            mSink.writeContent(content.bytes());
         } else if (part instanceof UpstreamResponsePart.EngineEvent event
                 && !handleEvent(attempt, event)) {
             attempt.end(AttemptResult.MALFORMED_ANSWER);
             attempt.abort();
             return;
         }
-        if (sink.hasDemand()) {
+        if (mSink.hasDemand()) {
             attempt.requestNext();
         }
     }
 
     /** Reports the end of an attempt; called with the monitor of the sink held. */
     void attemptEnded(Attempt attempt, AttemptReport report) {
-        services.meters().attemptEnded(report.result());
-        if (attempt != currentAttempt) {
+        mServices.meters().attemptEnded(report.result());
+        if (attempt != mCurrentAttempt) {
             return;
         }
-        currentAttempt = null;
-        completed = report.result() == AttemptResult.COMPLETED;
+        mCurrentAttempt = null;
+        mCompleted = report.result() == AttemptResult.COMPLETED;
         if (report.result().outcome() == Outcome.NOT_RUN) {
-            attemptsThatMayHaveRun--;
+            mAttemptsThatMayHaveRun--;
         }
-        attemptLog.addEnded(attempt.upstreamId(), report);
-        totalPromptTokens += report.promptTokens();
-        totalGeneratedTokens += report.generatedTokens();
-        services.ring().send(new DispatchEvent.AttemptEnded(id(), attempt.number(), report));
+        mAttemptLog.addEnded(attempt.upstreamId(), report);
+        mTotalPromptTokens += report.promptTokens();
+        mTotalGeneratedTokens += report.generatedTokens();
+        mServices.ring().send(new DispatchEvent.AttemptEnded(id(), attempt.number(), report));
     }
 
     /** A resumable request may always be repeated; for all others the route decides. */
     private boolean mayRepeat() {
-        return spec.request().resumable() || spec.request().route().repeatable();
+        return mSpec.request().resumable() || mSpec.request().route().repeatable();
     }
 
     private void rejectRepeat(int number) {
-        services.invariants()
+        mServices
+                .invariants()
                 .reportViolation(
                         Invariant.AT_MOST_ONCE, "attempt " + number + " of request " + id());
         AttemptReport report = new AttemptReport(AttemptResult.CONNECTION_LOST, 0, 0, -1, 0);
-        services.ring().send(new DispatchEvent.AttemptEnded(id(), number, report));
+        mServices.ring().send(new DispatchEvent.AttemptEnded(id(), number, report));
     }
 
     /** Replaces a refusal that says "not run" although an attempt may have run. */
     private Refusal correctNotRun(Refusal refusal) {
         boolean saysNotRun = refusal.reason().outcome() == Outcome.NOT_RUN;
-        if (!saysNotRun || attemptsThatMayHaveRun == 0) {
+        if (!saysNotRun || mAttemptsThatMayHaveRun == 0) {
             return refusal;
         }
-        services.invariants()
+        mServices
+                .invariants()
                 .reportViolation(
                         Invariant.NOT_RUN_IS_TRUE,
                         "refusal " + refusal.reason().code() + " of request " + id());
@@ -260,40 +263,41 @@
     private boolean handleEvent(Attempt attempt, UpstreamResponsePart.EngineEvent event) {
         if (event.chunk().isEmpty()) {
             // Each attempt repeats the opening events that carry no token.
-            if (tokenStream.nextToken() == 0 || event.completionTokens() >= 0) {
-                sink.writeEvent(withTotals(event));
+            if (mTokenStream.nextToken() == 0 || event.completionTokens() >= 0) {
+                mSink.writeEvent(withTotals(event));
             }
             return true;
         }
-        ChunkVerdict verdict = tokenStream.accept(attempt.number(), event.chunk().get());
+        ChunkVerdict verdict = mTokenStream.accept(attempt.number(), event.chunk().get());
         if (verdict == ChunkVerdict.DELIVER) {
-            sink.writeEvent(withTotals(event));
+            mSink.writeEvent(withTotals(event));
             reportProgress(attempt);
         } else {
-            services.meters().chunkDropped(verdict);
+            mServices.meters().chunkDropped(verdict);
         }
         return !verdict.endsAttempt();
     }
 
     /** Sets the total of all attempts, because an engine counts only the tokens of its attempt. */
     private UpstreamResponsePart.EngineEvent withTotals(UpstreamResponsePart.EngineEvent event) {
-        if (resumedFrom > 0
+        if (mResumedFrom > 0
                 && event.completionTokens() >= 0
                 && event.document().get("usage") instanceof ObjectNode usage) {
-            usage.put("completion_tokens", tokenStream.nextToken());
+            usage.put("completion_tokens", mTokenStream.nextToken());
         }
         return event;
     }
 
     private void reportProgress(Attempt attempt) {
-        long now = services.time().nanoTime();
-        if (!progressReported || now - progressReportedNanos >= PROGRESS_INTERVAL_NANOS) {
-            progressReported = true;
-            progressReportedNanos = now;
-            services.ring()
+        long now = mServices.time().nanoTime();
+        if (!mProgressReported || now - mProgressReportedNanos >= PROGRESS_INTERVAL_NANOS) {
+            mProgressReported = true;
+            mProgressReportedNanos = now;
+            mServices
+                    .ring()
                     .report(
                             new DispatchEvent.AttemptProgressed(
-                                    id(), attempt.number(), tokenStream.nextToken()));
+                                    id(), attempt.number(), mTokenStream.nextToken()));
         }
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/dispatch/CallObservers.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/CallObservers.java
@@ -5,15 +5,15 @@
 
 /** Forwards each finished call to all registered observers. */
 public final class CallObservers implements CallObserver {
-    private final List<CallObserver> observers = new CopyOnWriteArrayList<>();
+    private final List<CallObserver> mObservers = new CopyOnWriteArrayList<>();
 
     /** Adds an observer. */
     public void add(CallObserver observer) {
-        observers.add(observer);
+        mObservers.add(observer);
     }
 
     @Override
     public void callFinished(FinishedCall call) {
-        observers.forEach(observer -> observer.callFinished(call));
+        mObservers.forEach(observer -> observer.callFinished(call));
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/dispatch/CollectingResponseSink.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/CollectingResponseSink.java
@@ -16,36 +16,36 @@
  * @param <T> the type of the assembled response
  */
 final class CollectingResponseSink<T> extends ResponseSink {
-    private final Sinks.One<Either<Refusal, T>> response = Sinks.one();
-    private final Assembler<T> assembler;
-    private final StringBuilder text = new StringBuilder();
-    private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-    private UpstreamResponsePart.@Nullable Head head;
-    private @Nullable ObjectNode lastEvent;
+    private final Sinks.One<Either<Refusal, T>> mResponse = Sinks.one();
+    private final Assembler<T> mAssembler;
+    private final StringBuilder mText = new StringBuilder();
+    private final ByteArrayOutputStream mBytes = new ByteArrayOutputStream();
+    private UpstreamResponsePart.@Nullable Head mHead;
+    private @Nullable ObjectNode mLastEvent;
 
     CollectingResponseSink(Assembler<T> assembler) {
-        this.assembler = assembler;
+        mAssembler = assembler;
     }
 
     /** Returns the response; cancelling it means that the caller disconnected. */
     Mono<Either<Refusal, T>> response() {
-        return response.asMono().doOnCancel(() -> source().callerDisconnected());
+        return mResponse.asMono().doOnCancel(() -> source().callerDisconnected());
     }
 
     @Override
     synchronized void writeHead(UpstreamResponsePart.Head newHead) {
-        head = newHead;
+        mHead = newHead;
     }
 
     @Override
     synchronized void writeContent(byte[] content) {
-        bytes.writeBytes(content);
+        mBytes.writeBytes(content);
     }
 
     @Override
     synchronized void writeEvent(UpstreamResponsePart.EngineEvent event) {
-        event.chunk().forEach(chunk -> text.append(chunk.text()));
-        lastEvent = event.document();
+        event.chunk().forEach(chunk -> mText.append(chunk.text()));
+        mLastEvent = event.document();
     }
 
     @Override
@@ -55,20 +55,20 @@
 
     @Override
     synchronized void finish(Summary summary) {
-        UpstreamResponsePart.Head received = head;
-        ObjectNode document = lastEvent;
+        UpstreamResponsePart.Head received = mHead;
+        ObjectNode document = mLastEvent;
         if (received == null) {
             refuse(Refusal.of(RefusalReason.ANSWER_LOST));
         } else if (document == null) {
-            response.tryEmitValue(assembler.fromContent(received, bytes.toByteArray()));
+            mResponse.tryEmitValue(mAssembler.fromContent(received, mBytes.toByteArray()));
         } else {
-            response.tryEmitValue(assembler.fromStream(document, text.toString(), summary));
+            mResponse.tryEmitValue(mAssembler.fromStream(document, mText.toString(), summary));
         }
     }
 
     @Override
     synchronized void refuse(Refusal refusal) {
-        response.tryEmitValue(Either.left(refusal));
+        mResponse.tryEmitValue(Either.left(refusal));
     }
 
     /** Assembles the buffered parts. */
--- a/node/src/main/java/org/fuchsialever/node/dispatch/DispatchComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/DispatchComponent.java
@@ -28,9 +28,9 @@
     private static final int DEFAULT_MAX_CALLS = 4_096;
     private static final int MAX_CAPACITY = 1_000_000;
 
-    private int queueCapacity;
-    private int maxCalls;
-    private UpstreamTimeouts timeouts = UpstreamTimeouts.DEFAULTS;
+    private int mQueueCapacity;
+    private int mMaxCalls;
+    private UpstreamTimeouts mTimeouts = UpstreamTimeouts.DEFAULTS;
 
     @Override
     public String pluginName() {
@@ -55,13 +55,14 @@
 
     @Override
     public void configure(SettingsReader settings) {
-        queueCapacity =
+        mQueueCapacity =
                 (int)
                         settings.integer(
                                 SECTION, "queue-capacity", DEFAULT_QUEUE_CAPACITY, 1, MAX_CAPACITY);
-        maxCalls = (int) settings.integer(SECTION, "max-calls", DEFAULT_MAX_CALLS, 1, MAX_CAPACITY);
+        mMaxCalls =
+                (int) settings.integer(SECTION, "max-calls", DEFAULT_MAX_CALLS, 1, MAX_CAPACITY);
         UpstreamTimeouts defaults = UpstreamTimeouts.DEFAULTS;
-        timeouts =
+        mTimeouts =
                 new UpstreamTimeouts(
                         settings.duration(SECTION, "engine-first-byte", defaults.engineFirstByte()),
                         settings.duration(SECTION, "engine-progress", defaults.engineProgress()),
@@ -79,17 +80,17 @@
                                 "upstream connections",
                                 new HttpUpstreamClient(
                                         context.require(InvariantMonitor.class),
-                                        timeouts.probe(),
+                                        mTimeouts.probe(),
                                         timers));
         ExchangeMeters meters = new ExchangeMeters(context.meters());
         DispatchRing ring = new DispatchRing(meters);
         CallDispatcher dispatcher =
                 new CallDispatcher(
-                        maxCalls,
+                        mMaxCalls,
                         context.require(RunningCalls.class),
                         new ExchangeServices(
                                 client,
-                                timeouts,
+                                mTimeouts,
                                 timers,
                                 context.time(),
                                 meters,
@@ -98,7 +99,7 @@
         Inbox<DispatchEvent> inbox =
                 context.startDuty(
                         dispatchDuty(context),
-                        DispatchRing.capacity(maxCalls),
+                        DispatchRing.capacity(mMaxCalls),
                         OverflowPolicy.REFUSE,
                         dispatcher);
         ring.connect(inbox);
@@ -116,7 +117,7 @@
         NodeIdentity identity = context.require(NodeIdentity.class);
         return new DispatchDuty(
                 DispatchSettings.standard(identity.instance(), identity.failureDomain())
-                        .withQueueCapacity(queueCapacity),
+                        .withQueueCapacity(mQueueCapacity),
                 context.random("dispatch"),
                 context.require(InvariantMonitor.class));
     }
--- a/node/src/main/java/org/fuchsialever/node/dispatch/DispatchRing.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/DispatchRing.java
@@ -25,11 +25,11 @@
     /** Capacity for configuration changes and for reports that pass the size check concurrently. */
     private static final int RESERVED_EVENTS = 256;
 
-    private final ExchangeMeters meters;
-    private volatile @Nullable Inbox<DispatchEvent> inbox;
+    private final ExchangeMeters mMeters;
+    private volatile @Nullable Inbox<DispatchEvent> mInbox;
 
     DispatchRing(ExchangeMeters meters) {
-        this.meters = meters;
+        mMeters = meters;
     }
 
     /** Returns the ring capacity that a number of concurrent calls requires. */
@@ -38,23 +38,23 @@
     }
 
     void connect(Inbox<DispatchEvent> ring) {
-        inbox = ring;
+        mInbox = ring;
     }
 
     /** Sends an event that must not be lost. */
     void send(DispatchEvent event) {
-        Inbox<DispatchEvent> ring = inbox;
+        Inbox<DispatchEvent> ring = mInbox;
         if (ring == null || !ring.offer(event)) {
-            meters.eventLost();
+            mMeters.eventLost();
             LOG.warning("Ring is full; an event of type " + event.getClass() + " was lost.");
         }
     }
 
     /** Sends a report, or drops and counts it if the ring is busy. */
     void report(DispatchEvent event) {
-        Inbox<DispatchEvent> ring = inbox;
+        Inbox<DispatchEvent> ring = mInbox;
         if (ring == null || ring.size() >= MAX_QUEUED_REPORTS || !ring.offer(event)) {
-            meters.reportDropped();
+            mMeters.reportDropped();
         }
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/dispatch/ExchangeMeters.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/ExchangeMeters.java
@@ -11,74 +11,74 @@
 
 /** Counters of attempts, retries, refusals, probes and dropped events. */
 final class ExchangeMeters {
-    private final Map<ChunkVerdict, Counter> verdicts = new EnumMap<>(ChunkVerdict.class);
-    private final Map<RetryReason, Counter> retries = new EnumMap<>(RetryReason.class);
-    private final Map<AttemptResult, Counter> attempts = new EnumMap<>(AttemptResult.class);
-    private final Map<RefusalReason, Counter> refusals = new EnumMap<>(RefusalReason.class);
-    private final Counter lateParts;
-    private final Counter droppedReports;
-    private final Counter lostEvents;
-    private final Counter aliveProbes;
-    private final Counter deadProbes;
+    private final Map<ChunkVerdict, Counter> mVerdicts = new EnumMap<>(ChunkVerdict.class);
+    private final Map<RetryReason, Counter> mRetries = new EnumMap<>(RetryReason.class);
+    private final Map<AttemptResult, Counter> mAttempts = new EnumMap<>(AttemptResult.class);
+    private final Map<RefusalReason, Counter> mRefusals = new EnumMap<>(RefusalReason.class);
+    private final Counter mLateParts;
+    private final Counter mDroppedReports;
+    private final Counter mLostEvents;
+    private final Counter mAliveProbes;
+    private final Counter mDeadProbes;
 
     ExchangeMeters(MeterRegistry meters) {
         for (ChunkVerdict verdict : ChunkVerdict.values()) {
             if (verdict != ChunkVerdict.DELIVER) {
-                verdicts.put(
+                mVerdicts.put(
                         verdict,
                         meters.counter("fuchsialever.tokens.dropped", "reason", verdict.code()));
             }
         }
         for (RetryReason reason : RetryReason.values()) {
-            retries.put(reason, meters.counter("fuchsialever.retries", "reason", reason.code()));
+            mRetries.put(reason, meters.counter("fuchsialever.retries", "reason", reason.code()));
         }
         for (AttemptResult result : AttemptResult.values()) {
             String name = result.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
-            attempts.put(result, meters.counter("fuchsialever.attempts", "result", name));
+            mAttempts.put(result, meters.counter("fuchsialever.attempts", "result", name));
         }
         for (RefusalReason reason : RefusalReason.values()) {
-            refusals.put(
+            mRefusals.put(
                     reason,
                     meters.counter("fuchsialever.generation.refusals", "reason", reason.code()));
         }
-        lateParts = meters.counter("fuchsialever.late.parts");
-        droppedReports = meters.counter("fuchsialever.dispatch.reports.dropped");
-        lostEvents = meters.counter("fuchsialever.dispatch.events.lost");
-        aliveProbes = meters.counter("fuchsialever.probes", "upstream", "alive");
-        deadProbes = meters.counter("fuchsialever.probes", "upstream", "dead");
+        mLateParts = meters.counter("fuchsialever.late.parts");
+        mDroppedReports = meters.counter("fuchsialever.dispatch.reports.dropped");
+        mLostEvents = meters.counter("fuchsialever.dispatch.events.lost");
+        mAliveProbes = meters.counter("fuchsialever.probes", "upstream", "alive");
+        mDeadProbes = meters.counter("fuchsialever.probes", "upstream", "dead");
     }
 
     void chunkDropped(ChunkVerdict verdict) {
-        increment(verdicts.get(verdict));
+        increment(mVerdicts.get(verdict));
     }
 
     void retried(RetryReason reason) {
-        increment(retries.get(reason));
+        increment(mRetries.get(reason));
     }
 
     void attemptEnded(AttemptResult result) {
-        increment(attempts.get(result));
+        increment(mAttempts.get(result));
     }
 
     /** Counts a refused generation; the front end counts refused calls. */
     void generationRefused(RefusalReason reason) {
-        increment(refusals.get(reason));
+        increment(mRefusals.get(reason));
     }
 
     void latePart() {
-        lateParts.increment();
+        mLateParts.increment();
     }
 
     void reportDropped() {
-        droppedReports.increment();
+        mDroppedReports.increment();
     }
 
     void eventLost() {
-        lostEvents.increment();
+        mLostEvents.increment();
     }
 
     void probeEnded(boolean alive) {
-        (alive ? aliveProbes : deadProbes).increment();
+        (alive ? mAliveProbes : mDeadProbes).increment();
     }
 
     private static void increment(@org.jspecify.annotations.Nullable Counter counter) {
--- a/node/src/main/java/org/fuchsialever/node/dispatch/ResponseSink.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/ResponseSink.java
@@ -10,15 +10,15 @@
  * of the exchange and its attempts.
  */
 abstract class ResponseSink {
-    private Source source = Source.NONE;
+    private Source mSource = Source.NONE;
 
     /** Sets the exchange that writes to this sink. */
     final synchronized void connect(Source newSource) {
-        source = newSource;
+        mSource = newSource;
     }
 
     final Source source() {
-        return source;
+        return mSource;
     }
 
     /** Writes the response head; called once. */
--- a/node/src/main/java/org/fuchsialever/node/dispatch/StreamingResponseSink.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/StreamingResponseSink.java
@@ -16,29 +16,29 @@
 final class StreamingResponseSink extends ResponseSink {
     private static final byte[] END_OF_STREAM = "data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8);
 
-    private final Sinks.One<Either<Refusal, CallResponse>> response = Sinks.one();
-    private @Nullable FluxSink<byte[]> body;
-    private @Nullable Refusal refusal;
-    private boolean responded;
-    private boolean isEventStream;
-    private boolean finished;
+    private final Sinks.One<Either<Refusal, CallResponse>> mResponse = Sinks.one();
+    private @Nullable FluxSink<byte[]> mBody;
+    private @Nullable Refusal mRefusal;
+    private boolean mResponded;
+    private boolean mIsEventStream;
+    private boolean mFinished;
 
     /** Returns the response; cancelling it, or its body, means that the caller disconnected. */
     Mono<Either<Refusal, CallResponse>> response() {
-        return response.asMono().doOnCancel(() -> source().callerDisconnected());
+        return mResponse.asMono().doOnCancel(() -> source().callerDisconnected());
     }
 
     @Override
     synchronized void writeHead(UpstreamResponsePart.Head head) {
-        responded = true;
+        mResponded = true;
         Flux<byte[]> content = Flux.create(this::attach);
-        response.tryEmitValue(
+        mResponse.tryEmitValue(
                 Either.right(new CallResponse(head.status(), head.headers(), content)));
     }
 
     @Override
     synchronized void writeContent(byte[] bytes) {
-        FluxSink<byte[]> sink = body;
+        FluxSink<byte[]> sink = mBody;
         if (sink != null) {
             sink.next(bytes);
         }
@@ -46,21 +46,21 @@
 
     @Override
     synchronized void writeEvent(UpstreamResponsePart.EngineEvent event) {
-        isEventStream = true;
+        mIsEventStream = true;
         String text = "data: " + event.document() + "\n\n";
         writeContent(text.getBytes(StandardCharsets.UTF_8));
     }
 
     @Override
     synchronized boolean hasDemand() {
-        FluxSink<byte[]> sink = body;
-        return !responded || (sink != null && sink.requestedFromDownstream() > 0);
+        FluxSink<byte[]> sink = mBody;
+        return !mResponded || (sink != null && sink.requestedFromDownstream() > 0);
     }
 
     @Override
     synchronized void finish(Summary summary) {
-        finished = true;
-        FluxSink<byte[]> sink = body;
+        mFinished = true;
+        FluxSink<byte[]> sink = mBody;
         if (sink != null) {
             complete(sink);
         }
@@ -68,24 +68,24 @@
 
     @Override
     synchronized void refuse(Refusal newRefusal) {
-        if (!responded) {
-            responded = true;
-            response.tryEmitValue(Either.left(newRefusal));
+        if (!mResponded) {
+            mResponded = true;
+            mResponse.tryEmitValue(Either.left(newRefusal));
             return;
         }
-        refusal = newRefusal;
-        FluxSink<byte[]> sink = body;
+        mRefusal = newRefusal;
+        FluxSink<byte[]> sink = mBody;
         if (sink != null) {
             sink.error(new RefusedException(newRefusal));
         }
     }
 
     private synchronized void attach(FluxSink<byte[]> sink) {
-        body = sink;
-        Refusal earlierRefusal = refusal;
+        mBody = sink;
+        Refusal earlierRefusal = mRefusal;
         if (earlierRefusal != null) {
             sink.error(new RefusedException(earlierRefusal));
-        } else if (finished) {
+        } else if (mFinished) {
             complete(sink);
         } else {
             sink.onRequest(demand -> source().requestMore());
@@ -94,7 +94,7 @@
     }
 
     private void complete(FluxSink<byte[]> sink) {
-        if (isEventStream) {
+        if (mIsEventStream) {
             sink.next(END_OF_STREAM);
         }
         sink.complete();
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryComponent.java
@@ -32,12 +32,12 @@
     /** An instance whose mirrored tables are staler than this reports that it is not ready. */
     private static final long MAX_STALENESS_MILLIS = 3_000;
 
-    private String host = "";
-    private int port;
-    private int readinessPort;
-    private int metricsPort;
-    private Duration linger = DEFAULT_LINGER;
-    private Duration drainDeadline = DEFAULT_DRAIN_DEADLINE;
+    private String mHost = "";
+    private int mPort;
+    private int mReadinessPort;
+    private int mMetricsPort;
+    private Duration mLinger = DEFAULT_LINGER;
+    private Duration mDrainDeadline = DEFAULT_DRAIN_DEADLINE;
 
     @Override
     public String pluginName() {
@@ -64,12 +64,12 @@
 
     @Override
     public void configure(SettingsReader settings) {
-        host = settings.requiredText(SECTION, "address");
-        port = port(settings, "listen");
-        readinessPort = port(settings, "readiness-listen");
-        metricsPort = (int) settings.integer(SECTION, "metrics-port", 0, 0, MAX_PORT);
-        linger = settings.duration(SECTION, "linger", DEFAULT_LINGER);
-        drainDeadline = settings.duration(SECTION, "drain-deadline", DEFAULT_DRAIN_DEADLINE);
+        mHost = settings.requiredText(SECTION, "address");
+        mPort = port(settings, "listen");
+        mReadinessPort = port(settings, "readiness-listen");
+        mMetricsPort = (int) settings.integer(SECTION, "metrics-port", 0, 0, MAX_PORT);
+        mLinger = settings.duration(SECTION, "linger", DEFAULT_LINGER);
+        mDrainDeadline = settings.duration(SECTION, "drain-deadline", DEFAULT_DRAIN_DEADLINE);
     }
 
     /** Reads the port of an address such as {@code 10.1.0.31:8368}; 0 means any free one. */
@@ -108,10 +108,10 @@
                         context.time());
         openMetrics(context, loops);
         EntryServer readiness =
-                open(context, loops, handler, refusals, drain, directory, readinessPort);
-        EntryServer entry = open(context, loops, handler, refusals, drain, directory, port);
+                open(context, loops, handler, refusals, drain, directory, mReadinessPort);
+        EntryServer entry = open(context, loops, handler, refusals, drain, directory, mPort);
         trace.line("entry", "listening")
-                .with("address", host)
+                .with("address", mHost)
                 .with("port", entry.port())
                 .with("readinessPort", readiness.port())
                 .write();
@@ -122,8 +122,8 @@
                                 drain,
                                 context.require(BatchDrain.class),
                                 entry::inProgress,
-                                linger,
-                                drainDeadline,
+                                mLinger,
+                                mDrainDeadline,
                                 trace));
     }
 
@@ -137,7 +137,7 @@
             int openedPort) {
         EntryServer server =
                 new EntryServer(
-                        host,
+                        mHost,
                         openedPort,
                         loops,
                         handler,
@@ -157,13 +157,13 @@
     }
 
     private void openMetrics(ComponentContext context, LoopResources loops) {
-        if (metricsPort > 0 && context.meters() instanceof PrometheusMeterRegistry prometheus) {
+        if (mMetricsPort > 0 && context.meters() instanceof PrometheusMeterRegistry prometheus) {
             context.closer()
                     .register(
                             "metrics",
                             HttpServer.create()
-                                            .host(host)
-                                            .port(metricsPort)
+                                            .host(mHost)
+                                            .port(mMetricsPort)
                                             .runOn(loops)
                                             .handle(
                                                     (request, response) ->
