--- a/node/src/main/java/org/fuchsialever/node/entry/EntryDrain.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryDrain.java
@@ -15,13 +15,13 @@
 final class EntryDrain implements AutoCloseable {
     private static final long CHECK_INTERVAL_MILLIS = 50;
 
-    private final DrainSignal phases;
-    private final BatchDrain batches;
-    private final IntSupplier inProgress;
-    private final Duration linger;
-    private final Duration deadline;
-    private final TraceLog trace;
-    private final CountDownLatch never = new CountDownLatch(1);
+    private final DrainSignal mPhases;
+    private final BatchDrain mBatches;
+    private final IntSupplier mInProgress;
+    private final Duration mLinger;
+    private final Duration mDeadline;
+    private final TraceLog mTrace;
+    private final CountDownLatch mNever = new CountDownLatch(1);
 
     EntryDrain(
             DrainSignal phases,
@@ -30,27 +30,27 @@
             Duration linger,
             Duration deadline,
             TraceLog trace) {
-        this.phases = phases;
-        this.batches = batches;
-        this.inProgress = inProgress;
-        this.linger = linger;
-        this.deadline = deadline;
-        this.trace = trace;
+        mPhases = phases;
+        mBatches = batches;
+        mInProgress = inProgress;
+        mLinger = linger;
+        mDeadline = deadline;
+        mTrace = trace;
     }
 
     @Override
     public void close() throws InterruptedException {
         long startNanos = System.nanoTime();
-        phases.start();
-        trace.line("entry", "draining").with("inProgress", inProgress.getAsInt()).write();
+        mPhases.start();
+        mTrace.line("entry", "draining").with("inProgress", mInProgress.getAsInt()).write();
         // Calls keep arriving until the load balancer has noticed.
-        pause(linger.toMillis());
-        while (inProgress.getAsInt() > 0 && remainingMillis(startNanos) > 0) {
+        pause(mLinger.toMillis());
+        while (mInProgress.getAsInt() > 0 && remainingMillis(startNanos) > 0) {
             pause(CHECK_INTERVAL_MILLIS);
         }
-        boolean handedOver = batches.await(Math.max(1, remainingMillis(startNanos)));
-        trace.line("entry", "drained")
-                .with("inProgress", inProgress.getAsInt())
+        boolean handedOver = mBatches.await(Math.max(1, remainingMillis(startNanos)));
+        mTrace.line("entry", "drained")
+                .with("inProgress", mInProgress.getAsInt())
                 .with("handedOver", String.valueOf(handedOver))
                 .with("millis", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos))
                 .write();
@@ -58,13 +58,13 @@
 
     private void pause(long millis) throws InterruptedException {
         // Nothing counts the latch down, so this waits for the full time.
-        boolean ended = never.await(millis, TimeUnit.MILLISECONDS);
+        boolean ended = mNever.await(millis, TimeUnit.MILLISECONDS);
         if (ended) {
-            trace.line("entry", "drain-wait-ended").write();
+            mTrace.line("entry", "drain-wait-ended").write();
         }
     }
 
     private long remainingMillis(long startNanos) {
-        return deadline.toMillis() - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        return mDeadline.toMillis() - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryHandler.java
@@ -30,14 +30,14 @@
     /** The store responds to the first read within this time unless it is unreachable. */
     private static final long NO_MANIFEST_RETRY_MILLIS = 300;
 
-    private final Directory directory;
-    private final ForwardPort forward;
-    private final BatchService batches;
-    private final EntryProtocol protocol;
-    private final UpstreamProtocol upstreams;
-    private final Refusals refusals;
-    private final DrainSignal drain;
-    private final TimeSource time;
+    private final Directory mDirectory;
+    private final ForwardPort mForward;
+    private final BatchService mBatches;
+    private final EntryProtocol mProtocol;
+    private final UpstreamProtocol mUpstreams;
+    private final Refusals mRefusals;
+    private final DrainSignal mDrain;
+    private final TimeSource mTime;
 
     EntryHandler(
             Directory directory,
@@ -48,25 +48,25 @@
             Refusals refusals,
             DrainSignal drain,
             TimeSource time) {
-        this.directory = directory;
-        this.forward = forward;
-        this.batches = batches;
-        this.protocol = protocol;
-        this.upstreams = upstreams;
-        this.refusals = refusals;
-        this.drain = drain;
-        this.time = time;
+        mDirectory = directory;
+        mForward = forward;
+        mBatches = batches;
+        mProtocol = protocol;
+        mUpstreams = upstreams;
+        mRefusals = refusals;
+        mDrain = drain;
+        mTime = time;
     }
 
     /** Checks the head of a request; returns its refusal, or its route, team and manifest. */
     Either<EntryResponse, AcceptedRequest> check(EntryRequest head) {
         String id = head.requestId();
-        if (directory.manifest().isEmpty()) {
+        if (mDirectory.manifest().isEmpty()) {
             return Either.left(
-                    refusals.refusal(
+                    mRefusals.refusal(
                             id, EntryRefusal.NO_MANIFEST, "starting", NO_MANIFEST_RETRY_MILLIS));
         }
-        Manifest manifest = directory.manifest().get();
+        Manifest manifest = mDirectory.manifest().get();
         if (head.kind() != EntryRequest.Kind.CALL) {
             return team(manifest, head)
                     .map(team -> new AcceptedRequest(head, Option.none(), team, manifest));
@@ -74,7 +74,7 @@
         Option<ForwardRoute> route = manifest.route(head.host(), head.path());
         if (route.isEmpty()) {
             return Either.left(
-                    refusals.refusal(
+                    mRefusals.refusal(
                             id,
                             EntryRefusal.NO_ROUTE,
                             head.host() + head.path() + " version " + manifest.version()));
@@ -93,7 +93,7 @@
                 .flatMap(manifest::teamOf)
                 .toEither(
                         () ->
-                                refusals.refusal(
+                                mRefusals.refusal(
                                         head.requestId(),
                                         EntryRefusal.UNKNOWN_KEY,
                                         "version " + manifest.version()));
@@ -106,17 +106,17 @@
         return switch (head.kind()) {
             case READINESS -> Mono.empty();
             case READ_RESULTS ->
-                    batches.results(
+                    mBatches.results(
                                     head.batchId(),
                                     accepted.team(),
                                     head.fromPosition(),
                                     head.waitMillis())
                             .map(reply -> batchResponse(head, reply));
             case READ_ITEM ->
-                    batches.itemBody(head.batchId(), accepted.team(), head.itemId())
+                    mBatches.itemBody(head.batchId(), accepted.team(), head.itemId())
                             .map(reply -> batchResponse(head, reply));
             case END_BATCH ->
-                    batches.end(head.batchId(), accepted.team())
+                    mBatches.end(head.batchId(), accepted.team())
                             .map(reply -> batchResponse(head, reply));
             case CALL -> call(accepted, method, uri, headers, body);
         };
@@ -131,7 +131,7 @@
         }
         EntryCall call =
                 new EntryCall(head.requestId(), route, accepted.team(), method, uri, headers, body);
-        long now = time.nanoTime();
+        long now = mTime.nanoTime();
         long timeoutMillis =
                 Math.min(
                         head.deadlineMillis().getOrElse(route.timeoutMillis()),
@@ -139,10 +139,10 @@
         return Mono.create(
                 sink -> {
                     long number =
-                            forward.submit(
+                            mForward.submit(
                                     assigned -> forwardCall(assigned, route, now, timeoutMillis),
-                                    new LiveCallHandler(call, upstreams, refusals, sink));
-                    sink.onCancel(() -> forward.cancel(number));
+                                    new LiveCallHandler(call, mUpstreams, mRefusals, sink));
+                    sink.onCancel(() -> mForward.cancel(number));
                 });
     }
 
@@ -171,17 +171,17 @@
     private Mono<EntryResponse> submit(AcceptedRequest accepted, String method, byte[] body) {
         EntryRequest head = accepted.head();
         if (!method.equals("POST") || head.requestId().isEmpty()) {
-            return Mono.just(refusals.refusal(head.requestId(), EntryRefusal.METHOD, method));
+            return Mono.just(mRefusals.refusal(head.requestId(), EntryRefusal.METHOD, method));
         }
-        if (drain.isStarted()) {
+        if (mDrain.isStarted()) {
             return Mono.just(
-                    refusals.refusal(
+                    mRefusals.refusal(
                             head.requestId(),
                             EntryRefusal.NOT_RUN,
                             "shutting down",
                             DRAIN_RETRY_MILLIS));
         }
-        return batches.submit(head.requestId(), accepted.team(), head.host(), head.path(), body)
+        return mBatches.submit(head.requestId(), accepted.team(), head.host(), head.path(), body)
                 .map(reply -> batchResponse(head, reply));
     }
 
@@ -197,31 +197,31 @@
             return response(
                     head,
                     200,
-                    protocol.writeResults(results.total(), results.results(), results.next()),
+                    mProtocol.writeResults(results.total(), results.results(), results.next()),
                     "application/json");
         }
         if (reply instanceof BatchReply.ItemBody item) {
             return response(head, 200, item.body(), "application/octet-stream");
         }
         if (reply instanceof BatchReply.Malformed malformed) {
-            return refusals.refusal(id, EntryRefusal.MALFORMED, malformed.problem());
+            return mRefusals.refusal(id, EntryRefusal.MALFORMED, malformed.problem());
         }
         if (reply instanceof BatchReply.IdentityTaken) {
-            return refusals.refusal(id, EntryRefusal.IDENTITY_TAKEN, head.path());
+            return mRefusals.refusal(id, EntryRefusal.IDENTITY_TAKEN, head.path());
         }
         if (reply instanceof BatchReply.NotAccepted refused) {
-            return refusals.refusal(
+            return mRefusals.refusal(
                     id, EntryRefusal.NOT_RUN, refused.reason(), refused.retryAfterMillis());
         }
         if (reply instanceof BatchReply.EffectUnknown unknown) {
-            return refusals.refusal(id, EntryRefusal.LATE, unknown.reason());
+            return mRefusals.refusal(id, EntryRefusal.LATE, unknown.reason());
         }
-        return refusals.refusal(id, EntryRefusal.NO_SUBJECT, head.path());
+        return mRefusals.refusal(id, EntryRefusal.NO_SUBJECT, head.path());
     }
 
     private EntryResponse response(EntryRequest head, int status, byte[] body, String type) {
         HttpHeaders headers = new DefaultHttpHeaders();
-        headers.add(refusals.headers(head.requestId()));
+        headers.add(mRefusals.headers(head.requestId()));
         headers.set("Content-Type", type);
         return new EntryResponse.Complete(status, headers, body);
     }
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryRefusal.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryRefusal.java
@@ -25,14 +25,14 @@
     /** The deadline of the call has passed; it may have run. */
     LATE(504);
 
-    private final int status;
+    private final int mStatus;
 
     EntryRefusal(int status) {
-        this.status = status;
+        mStatus = status;
     }
 
     /** Returns the HTTP status. */
     int status() {
-        return status;
+        return mStatus;
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
@@ -30,13 +30,13 @@
     private static final int OK_STATUS = 200;
     private static final int UNAVAILABLE_STATUS = 503;
 
-    private final EntryHandler handler;
-    private final EntryProtocol protocol;
-    private final Refusals refusals;
-    private final BooleanSupplier ready;
-    private final DrainSignal drain;
-    private final DisposableServer server;
-    private final AtomicInteger inProgress = new AtomicInteger();
+    private final EntryHandler mHandler;
+    private final EntryProtocol mProtocol;
+    private final Refusals mRefusals;
+    private final BooleanSupplier mReady;
+    private final DrainSignal mDrain;
+    private final DisposableServer mServer;
+    private final AtomicInteger mInProgress = new AtomicInteger();
 
     /**
      * Opens a port.
@@ -53,12 +53,12 @@
             Refusals refusals,
             BooleanSupplier ready,
             DrainSignal drain) {
-        this.handler = handler;
-        this.protocol = protocol;
-        this.refusals = refusals;
-        this.ready = ready;
-        this.drain = drain;
-        this.server =
+        mHandler = handler;
+        mProtocol = protocol;
+        mRefusals = refusals;
+        mReady = ready;
+        mDrain = drain;
+        mServer =
                 HttpServer.create()
                         .host(host)
                         .port(port)
@@ -71,37 +71,37 @@
 
     /** Returns the TCP port. */
     int port() {
-        return server.port();
+        return mServer.port();
     }
 
     /** Returns the number of requests that wait for their response. */
     int inProgress() {
-        return inProgress.get();
+        return mInProgress.get();
     }
 
     @Override
     public void close() {
-        server.disposeNow(CLOSE_TIMEOUT);
+        mServer.disposeNow(CLOSE_TIMEOUT);
     }
 
     private Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
         String method = request.method().name();
-        EntryRequest head = protocol.readRequest(method, request.uri(), request.requestHeaders());
+        EntryRequest head = mProtocol.readRequest(method, request.uri(), request.requestHeaders());
         if (head.kind() == EntryRequest.Kind.READINESS) {
-            boolean isReady = ready.getAsBoolean();
+            boolean isReady = mReady.getAsBoolean();
             return response.status(isReady ? OK_STATUS : UNAVAILABLE_STATUS)
                     .header(HttpHeaderNames.CONTENT_LENGTH, "0")
                     .send();
         }
-        inProgress.incrementAndGet();
-        Either<EntryResponse, EntryHandler.AcceptedRequest> checked = handler.check(head);
+        mInProgress.incrementAndGet();
+        Either<EntryResponse, EntryHandler.AcceptedRequest> checked = mHandler.check(head);
         Mono<EntryResponse> result =
                 checked.isLeft()
                         ? Mono.just(checked.getLeft())
                         : body(request, checked.get())
                                 .flatMap(
                                         body ->
-                                                handler.handle(
+                                                mHandler.handle(
                                                         checked.get(),
                                                         method,
                                                         request.uri(),
@@ -111,12 +111,12 @@
                                         BodyTooLargeException.class,
                                         tooLarge ->
                                                 Mono.just(
-                                                        refusals.refusal(
+                                                        mRefusals.refusal(
                                                                 head.requestId(),
                                                                 EntryRefusal.BODY_TOO_LARGE,
                                                                 head.path())));
         return result.flatMap(entryResponse -> write(response, entryResponse))
-                .doFinally(signal -> inProgress.decrementAndGet());
+                .doFinally(signal -> mInProgress.decrementAndGet());
     }
 
     private static Mono<byte[]> body(
@@ -138,7 +138,7 @@
     private Mono<Void> write(HttpServerResponse response, EntryResponse entryResponse) {
         response.status(entryResponse.status());
         response.headers(entryResponse.headers());
-        if (drain.isStarted()) {
+        if (mDrain.isStarted()) {
             response.keepAlive(false);
         }
         if (entryResponse instanceof EntryResponse.Complete complete) {
--- a/node/src/main/java/org/fuchsialever/node/entry/LiveCallHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/LiveCallHandler.java
@@ -33,50 +33,50 @@
     /** Statuses that tell the caller that the call was not run. */
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
-    private final EntryCall call;
-    private final UpstreamProtocol protocol;
-    private final Refusals refusals;
-    private final MonoSink<EntryResponse> sink;
-    private final Map<Integer, Reader> readers = new ConcurrentHashMap<>();
-    private Sinks.@Nullable Many<byte[]> stream;
-    private String lastEventId;
-    private int streamedAttempt;
+    private final EntryCall mCall;
+    private final UpstreamProtocol mProtocol;
+    private final Refusals mRefusals;
+    private final MonoSink<EntryResponse> mSink;
+    private final Map<Integer, Reader> mReaders = new ConcurrentHashMap<>();
+    private Sinks.@Nullable Many<byte[]> mStream;
+    private String mLastEventId;
+    private int mStreamedAttempt;
 
     LiveCallHandler(
             EntryCall call,
             UpstreamProtocol protocol,
             Refusals refusals,
             MonoSink<EntryResponse> sink) {
-        this.call = call;
-        this.protocol = protocol;
-        this.refusals = refusals;
-        this.sink = sink;
-        this.lastEventId = "";
+        mCall = call;
+        mProtocol = protocol;
+        mRefusals = refusals;
+        mSink = sink;
+        mLastEventId = "";
     }
 
     @Override
     public String requestId() {
-        return call.requestId();
+        return mCall.requestId();
     }
 
     @Override
     public String meteredTeam() {
-        return call.team();
+        return mCall.team();
     }
 
     @Override
     public synchronized ExchangeRequest request(FleetUpstream upstream, long remainingMillis) {
         Duration timeout = Duration.ofMillis(Math.min(remainingMillis, MAX_ATTEMPT_MILLIS) + 100);
-        boolean resumes = call.route().kind().isStreamed() && call.route().resumable();
+        boolean resumes = mCall.route().kind().isStreamed() && mCall.route().resumable();
         return new ExchangeRequest(
                 upstream.host(),
                 upstream.port(),
-                call.method(),
-                call.uri(),
-                protocol.forwardHeaders(
-                        call.headers(), upstream, call.team(), remainingMillis, lastEventId),
-                call.body(),
-                protocol.responseMatcher(call.requestId()),
+                mCall.method(),
+                mCall.uri(),
+                mProtocol.forwardHeaders(
+                        mCall.headers(), upstream, mCall.team(), remainingMillis, mLastEventId),
+                mCall.body(),
+                mProtocol.responseMatcher(mCall.requestId()),
                 timeout,
                 resumes ? RESUMABLE_IDLE_TIMEOUT : timeout);
     }
@@ -84,46 +84,46 @@
     @Override
     public AttemptReader reader(int attempt) {
         Reader reader = new Reader(attempt);
-        readers.put(attempt, reader);
+        mReaders.put(attempt, reader);
         return reader;
     }
 
     @Override
     public synchronized void deliver(int attempt) {
-        Sinks.Many<byte[]> open = stream;
+        Sinks.Many<byte[]> open = mStream;
         if (open != null) {
             open.tryEmitComplete();
             return;
         }
-        Reader reader = readers.get(attempt);
+        Reader reader = mReaders.get(attempt);
         UpstreamResponseHead head = reader == null ? null : reader.head();
         if (reader == null || head == null || NOT_RUN_STATUSES.contains(head.status())) {
             // The upstream ran the call, so the status must not tell the caller otherwise.
-            sink.success(refusals.responseLost(call.requestId()));
+            mSink.success(mRefusals.responseLost(mCall.requestId()));
             return;
         }
-        sink.success(
+        mSink.success(
                 new EntryResponse.Complete(
-                        head.status(), reader.responseHeaders(), reader.body.toByteArray()));
+                        head.status(), reader.responseHeaders(), reader.mBody.toByteArray()));
     }
 
     @Override
     public synchronized void refuse(ForwardRefusal reason, long retryAfterMillis) {
-        Sinks.Many<byte[]> open = stream;
+        Sinks.Many<byte[]> open = mStream;
         if (open != null) {
             open.tryEmitError(new StreamBrokenException(reason.name()));
             return;
         }
-        sink.success(refusals.refusal(call.requestId(), reason, retryAfterMillis));
+        mSink.success(mRefusals.refusal(mCall.requestId(), reason, retryAfterMillis));
     }
 
     private synchronized void startStream(Reader reader) {
-        streamedAttempt = reader.attempt;
-        if (stream == null) {
+        mStreamedAttempt = reader.mAttempt;
+        if (mStream == null) {
             Sinks.Many<byte[]> opened = Sinks.many().unicast().onBackpressureBuffer();
-            stream = opened;
+            mStream = opened;
             UpstreamResponseHead head = reader.head();
-            sink.success(
+            mSink.success(
                     new EntryResponse.Streamed(
                             head == null ? 0 : head.status(),
                             reader.responseHeaders(),
@@ -132,24 +132,24 @@
     }
 
     private synchronized void emit(int attempt, ServerSentEvent event) {
-        Sinks.Many<byte[]> open = stream;
-        if (attempt == streamedAttempt && open != null) {
-            lastEventId = event.id().isEmpty() ? lastEventId : event.id();
+        Sinks.Many<byte[]> open = mStream;
+        if (attempt == mStreamedAttempt && open != null) {
+            mLastEventId = event.id().isEmpty() ? mLastEventId : event.id();
             open.tryEmitNext(event.raw());
         }
     }
 
     /** Reads the response of one attempt. */
     private final class Reader extends AttemptReader {
-        private final int attempt;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-        private final ServerSentEventParser assembler =
-                new ServerSentEventParser(protocol.versionFieldName());
-        private @Nullable HttpHeaders headers;
+        private final int mAttempt;
+        private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+        private final ServerSentEventParser mAssembler =
+                new ServerSentEventParser(mProtocol.versionFieldName());
+        private @Nullable HttpHeaders mHeaders;
 
         Reader(int attempt) {
-            super(protocol);
-            this.attempt = attempt;
+            super(mProtocol);
+            mAttempt = attempt;
         }
 
         @Nullable UpstreamResponseHead head() {
@@ -157,26 +157,26 @@
         }
 
         HttpHeaders responseHeaders() {
-            HttpHeaders received = headers;
+            HttpHeaders received = mHeaders;
             return received == null
-                    ? refusals.headers(call.requestId())
-                    : protocol.responseHeaders(received);
+                    ? mRefusals.headers(mCall.requestId())
+                    : mProtocol.responseHeaders(received);
         }
 
         @Override
         protected void handleHead(UpstreamResponseHead head, HttpHeaders received) {
-            headers = received;
-            if (call.route().kind().isStreamed() && isSuccess()) {
+            mHeaders = received;
+            if (mCall.route().kind().isStreamed() && isSuccess()) {
                 startStream(this);
             }
         }
 
         @Override
         protected void handleContent(byte[] bytes) {
-            if (streamedAttempt == attempt && isSuccess()) {
-                assembler.feed(bytes).forEach(event -> emit(attempt, event));
+            if (mStreamedAttempt == mAttempt && isSuccess()) {
+                mAssembler.feed(bytes).forEach(event -> emit(mAttempt, event));
             } else {
-                body.writeBytes(bytes);
+                mBody.writeBytes(bytes);
             }
         }
 
@@ -184,7 +184,7 @@
         protected AttemptOutcome finalOutcome(AttemptOutcome outcome) {
             UpstreamResponseHead head = response();
             boolean truncated =
-                    outcome == AttemptOutcome.ANSWERED && assembler.hasIncompleteEvent();
+                    outcome == AttemptOutcome.ANSWERED && mAssembler.hasIncompleteEvent();
             boolean hasNotRunStatus =
                     outcome == AttemptOutcome.ANSWERED
                             && head != null
--- a/node/src/main/java/org/fuchsialever/node/entry/Refusals.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/Refusals.java
@@ -10,14 +10,14 @@
 final class Refusals {
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
-    private final EntryProtocol protocol;
-    private final TraceLog trace;
-    private final MeterRegistry meters;
+    private final EntryProtocol mProtocol;
+    private final TraceLog mTrace;
+    private final MeterRegistry mMeters;
 
     Refusals(EntryProtocol protocol, TraceLog trace, MeterRegistry meters) {
-        this.protocol = protocol;
-        this.trace = trace;
-        this.meters = meters;
+        mProtocol = protocol;
+        mTrace = trace;
+        mMeters = meters;
     }
 
     /** Returns a refusal that a retry does not change. */
@@ -28,8 +28,8 @@
     /** Returns a refusal; the retry time is left out if it is 0. */
     EntryResponse refusal(
             String requestId, EntryRefusal reason, String detail, long retryAfterMillis) {
-        meters.counter("fuchsialever.entry.refusals", "reason", reason.name()).increment();
-        trace.line("entry", "refused")
+        mMeters.counter("fuchsialever.entry.refusals", "reason", reason.name()).increment();
+        mTrace.line("entry", "refused")
                 .with("id", requestId)
                 .with("reason", reason.name())
                 .with("detail", detail)
@@ -40,7 +40,7 @@
             headers.set("Retry-After", Double.toString(retryAfterMillis / MILLIS_PER_SECOND));
         }
         return new EntryResponse.Complete(
-                reason.status(), headers, protocol.writeRefusal(reason.name() + ": " + detail));
+                reason.status(), headers, mProtocol.writeRefusal(reason.name() + ": " + detail));
     }
 
     /** Returns the refusal of a call that no upstream has responded to. */
@@ -61,6 +61,6 @@
 
     /** Returns the header fields that name a request. */
     HttpHeaders headers(String requestId) {
-        return protocol.responseHeaders(requestId);
+        return mProtocol.responseHeaders(requestId);
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/exchange/MembershipReporter.java
+++ b/node/src/main/java/org/fuchsialever/node/exchange/MembershipReporter.java
@@ -11,18 +11,18 @@
  * has to the other instances.
  */
 final class MembershipReporter {
-    private final PeerMessages peers;
-    private final KeyFeed keys;
-    private final ConfigHolder config;
+    private final PeerMessages mPeers;
+    private final KeyFeed mKeys;
+    private final ConfigHolder mConfig;
 
     MembershipReporter(PeerMessages peers, KeyFeed keys, ConfigHolder config) {
-        this.peers = peers;
-        this.keys = keys;
-        this.config = config;
+        mPeers = peers;
+        mKeys = keys;
+        mConfig = config;
     }
 
     void report() {
-        List<Member> members = peers.members();
+        List<Member> members = mPeers.members();
         int listed = 0;
         int reachable = 0;
         for (Member member : members) {
@@ -30,8 +30,8 @@
             reachable += member.state().isListed() && member.state().isReachable() ? 1 : 0;
         }
         // Both counts include this instance.
-        keys.onMembershipChanged(listed + 1, reachable + 1);
-        long configVersion = config.current().map(snapshot -> snapshot.version()).getOrElse(0L);
-        peers.announceVersions(configVersion, keys.keyVersion());
+        mKeys.onMembershipChanged(listed + 1, reachable + 1);
+        long configVersion = mConfig.current().map(snapshot -> snapshot.version()).getOrElse(0L);
+        mPeers.announceVersions(configVersion, mKeys.keyVersion());
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/exchange/ShareExchange.java
+++ b/node/src/main/java/org/fuchsialever/node/exchange/ShareExchange.java
@@ -22,14 +22,14 @@
 final class ShareExchange {
     private static final int MAX_RECEIVERS = 32;
 
-    private final PeerMessages peers;
-    private final DispatchFeed dispatch;
-    private final FailureDomain domain;
+    private final PeerMessages mPeers;
+    private final DispatchFeed mDispatch;
+    private final FailureDomain mDomain;
 
     ShareExchange(PeerMessages peers, DispatchFeed dispatch, FailureDomain domain) {
-        this.peers = peers;
-        this.dispatch = dispatch;
-        this.domain = domain;
+        mPeers = peers;
+        mDispatch = dispatch;
+        mDomain = domain;
     }
 
     /** Sends the cost and demand of each team on this instance. */
@@ -41,11 +41,11 @@
                             published.pool(), cost.team(), cost.cost(), cost.demand()));
         }
         PeerMessage.ShareCounters message = new PeerMessage.ShareCounters(shares);
-        List<Member> members = peers.members();
+        List<Member> members = mPeers.members();
         for (Member member : members) {
-            boolean exchanges = members.size() <= MAX_RECEIVERS || member.domain().equals(domain);
+            boolean exchanges = members.size() <= MAX_RECEIVERS || member.domain().equals(mDomain);
             if (exchanges && member.state().isListed()) {
-                peers.send(member.instance(), message);
+                mPeers.send(member.instance(), message);
             }
         }
     }
@@ -59,7 +59,7 @@
         }
         byPool.forEach(
                 (pool, costs) ->
-                        dispatch.report(
+                        mDispatch.report(
                                 new DispatchEvent.SharesReceived(sender.value(), pool, costs)));
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/forward/AttemptReader.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/AttemptReader.java
@@ -16,20 +16,20 @@
     private static final int MIN_SERVER_ERROR_STATUS = 500;
     private static final int UNPROCESSABLE_STATUS = 422;
 
-    private final UpstreamProtocol protocol;
-    private @Nullable UpstreamResponseHead response;
-    private boolean encoded;
+    private final UpstreamProtocol mProtocol;
+    private @Nullable UpstreamResponseHead mResponse;
+    private boolean mEncoded;
 
     /** Creates a reader. */
     protected AttemptReader(UpstreamProtocol protocol) {
-        this.protocol = protocol;
+        mProtocol = protocol;
     }
 
     final void onHead(int status, HttpHeaders headers) {
-        UpstreamResponseHead read = protocol.readResponseHead(status, headers);
-        response = read;
+        UpstreamResponseHead read = mProtocol.readResponseHead(status, headers);
+        mResponse = read;
         // Requests accept no content encoding, so an encoded body is not the upstream's.
-        encoded = headers.contains("Content-Encoding");
+        mEncoded = headers.contains("Content-Encoding");
         handleHead(read, headers);
     }
 
@@ -39,23 +39,23 @@
 
     final AttemptReport onEnd(ExchangeOutcome end) {
         AttemptOutcome outcome = outcome(end);
-        Option<LoadHint> load = Option.of(response).flatMap(UpstreamResponseHead::load);
+        Option<LoadHint> load = Option.of(mResponse).flatMap(UpstreamResponseHead::load);
         AttemptOutcome result = finalOutcome(outcome);
         return new AttemptReport(result, load, version());
     }
 
     /** Returns the head of the response, or null before it has arrived. */
     protected final @Nullable UpstreamResponseHead response() {
-        return response;
+        return mResponse;
     }
 
     /** Returns whether the response has a success status, is signed and is not encoded. */
     protected final boolean isSuccess() {
-        UpstreamResponseHead head = response;
+        UpstreamResponseHead head = mResponse;
         return head != null
                 && head.status() < MIN_FAILURE_STATUS
                 && !head.signature().isEmpty()
-                && !encoded;
+                && !mEncoded;
     }
 
     /** Handles the head of the response. */
@@ -69,7 +69,7 @@
 
     /** Returns the newest weight version that the response stated, 0 if it stated none. */
     protected long version() {
-        return response == null ? 0 : response.version();
+        return mResponse == null ? 0 : mResponse.version();
     }
 
     private AttemptOutcome outcome(ExchangeOutcome end) {
@@ -84,7 +84,7 @@
     }
 
     private AttemptOutcome complete() {
-        UpstreamResponseHead head = response;
+        UpstreamResponseHead head = mResponse;
         if (head == null) {
             return AttemptOutcome.MALFORMED;
         }
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
@@ -31,15 +31,16 @@
     /** Limit of calls in flight; each has one pending event in the ring. */
     private static final int MAX_CALLS = 4_000;
 
-    private final ExchangeClient client;
-    private final Inbox<ForwardEvent> inbox;
-    private final TimeSource time;
-    private final TraceLog trace;
-    private final MeterRegistry meters;
-    private final AtomicLong lastNumber = new AtomicLong();
-    private final Map<Long, ForwardCallHandler> handlers = new ConcurrentHashMap<>();
-    private final Map<AttemptKey, Exchange> exchanges = new ConcurrentHashMap<>();
-    private final CopyOnWriteArrayList<UsageListener> usageListeners = new CopyOnWriteArrayList<>();
+    private final ExchangeClient mClient;
+    private final Inbox<ForwardEvent> mInbox;
+    private final TimeSource mTime;
+    private final TraceLog mTrace;
+    private final MeterRegistry mMeters;
+    private final AtomicLong mLastNumber = new AtomicLong();
+    private final Map<Long, ForwardCallHandler> mHandlers = new ConcurrentHashMap<>();
+    private final Map<AttemptKey, Exchange> mExchanges = new ConcurrentHashMap<>();
+    private final CopyOnWriteArrayList<UsageListener> mUsageListeners =
+            new CopyOnWriteArrayList<>();
 
     ForwardRunner(
             ExchangeClient client,
@@ -47,26 +48,26 @@
             TimeSource time,
             TraceLog trace,
             MeterRegistry meters) {
-        this.client = client;
-        this.inbox = inbox;
-        this.time = time;
-        this.trace = trace;
-        this.meters = meters;
+        mClient = client;
+        mInbox = inbox;
+        mTime = time;
+        mTrace = trace;
+        mMeters = meters;
     }
 
     void addUsageListener(UsageListener listener) {
-        usageListeners.add(listener);
+        mUsageListeners.add(listener);
     }
 
     @Override
     public long submit(LongFunction<ForwardCall> callFactory, ForwardCallHandler handler) {
-        long number = lastNumber.incrementAndGet();
-        handlers.put(number, handler);
+        long number = mLastNumber.incrementAndGet();
+        mHandlers.put(number, handler);
         boolean accepted =
-                handlers.size() <= MAX_CALLS
-                        && inbox.offer(new ForwardEvent.Arrived(callFactory.apply(number)));
+                mHandlers.size() <= MAX_CALLS
+                        && mInbox.offer(new ForwardEvent.Arrived(callFactory.apply(number)));
         if (!accepted) {
-            handlers.remove(number);
+            mHandlers.remove(number);
             refuse(handler, ForwardRefusal.OVERLOADED, 1_000);
         }
         return number;
@@ -74,16 +75,16 @@
 
     @Override
     public void cancel(long number) {
-        ForwardCallHandler handler = handlers.remove(number);
+        ForwardCallHandler handler = mHandlers.remove(number);
         if (handler != null) {
-            trace.sampled(PART, "withdrawn").with("id", handler.requestId()).write();
-            inbox.offer(new ForwardEvent.Cancelled(number));
+            mTrace.sampled(PART, "withdrawn").with("id", handler.requestId()).write();
+            mInbox.offer(new ForwardEvent.Cancelled(number));
         }
     }
 
     @Override
     public int inProgress() {
-        return handlers.size();
+        return mHandlers.size();
     }
 
     @Override
@@ -91,17 +92,17 @@
         if (action instanceof ForwardAction.Start start) {
             start(start);
         } else if (action instanceof ForwardAction.Cancel cancel) {
-            Exchange exchange = exchanges.get(new AttemptKey(cancel.number(), cancel.attempt()));
+            Exchange exchange = mExchanges.get(new AttemptKey(cancel.number(), cancel.attempt()));
             if (exchange != null) {
                 exchange.cancel();
             }
         } else if (action instanceof ForwardAction.Deliver deliver) {
-            ForwardCallHandler handler = handlers.remove(deliver.number());
+            ForwardCallHandler handler = mHandlers.remove(deliver.number());
             if (handler != null) {
                 handler.deliver(deliver.attempt());
             }
         } else if (action instanceof ForwardAction.Refuse refuse) {
-            ForwardCallHandler handler = handlers.remove(refuse.number());
+            ForwardCallHandler handler = mHandlers.remove(refuse.number());
             if (handler != null) {
                 refuse(handler, refuse.reason(), refuse.retryAfterMillis());
             }
@@ -109,8 +110,8 @@
     }
 
     private void refuse(ForwardCallHandler handler, ForwardRefusal reason, long retryAfterMillis) {
-        meters.counter("fuchsialever.forward.refusals", "reason", reason.name()).increment();
-        trace.line(PART, "refused")
+        mMeters.counter("fuchsialever.forward.refusals", "reason", reason.name()).increment();
+        mTrace.line(PART, "refused")
                 .with("id", handler.requestId())
                 .with("reason", reason.name())
                 .with("notRun", String.valueOf(reason.isNotRun()))
@@ -122,24 +123,24 @@
     private void start(ForwardAction.Start start) {
         ForwardCall call = start.call();
         AttemptKey key = new AttemptKey(call.number(), start.attempt());
-        ForwardCallHandler handler = handlers.get(call.number());
+        ForwardCallHandler handler = mHandlers.get(call.number());
         if (handler == null) {
             // Cancelled while the duty decided; the event of the cancellation is in the ring.
-            inbox.offer(
+            mInbox.offer(
                     new ForwardEvent.AttemptEnded(
                             key.number,
                             key.attempt,
                             AttemptReport.of(AttemptOutcome.NOT_CONNECTED)));
             return;
         }
-        long now = time.nanoTime();
+        long now = mTime.nanoTime();
         long remaining =
                 call.deadlineNanos() == Duty.NO_TIMER
                         ? Long.MAX_VALUE
                         : TimeUnit.NANOSECONDS.toMillis(call.deadlineNanos() - now);
-        meters.counter("fuchsialever.forward.attempts", "reason", start.reason().name())
+        mMeters.counter("fuchsialever.forward.attempts", "reason", start.reason().name())
                 .increment();
-        trace.sampled(PART, "attempt")
+        mTrace.sampled(PART, "attempt")
                 .with("id", handler.requestId())
                 .with("attempt", start.attempt())
                 .with("reason", start.reason().name())
@@ -148,10 +149,10 @@
                 .with("waitedMillis", TimeUnit.NANOSECONDS.toMillis(now - call.arrivedNanos()))
                 .write();
         Attempt attempt = new Attempt(key, handler, handler.reader(start.attempt()), start, now);
-        Exchange exchange = client.send(handler.request(start.upstream(), remaining), attempt);
-        exchanges.put(key, exchange);
-        if (attempt.ended) {
-            exchanges.remove(key);
+        Exchange exchange = mClient.send(handler.request(start.upstream(), remaining), attempt);
+        mExchanges.put(key, exchange);
+        if (attempt.mEnded) {
+            mExchanges.remove(key);
         }
     }
 
@@ -159,13 +160,13 @@
 
     /** Passes a response to the reader, in the event loop, and its end to the duty. */
     private final class Attempt implements ExchangeListener {
-        private final AttemptKey key;
-        private final ForwardCallHandler handler;
-        private final AttemptReader reader;
-        private final ForwardAction.Start start;
-        private final long startNanos;
-        private final long wallMillis = time.wallMillis();
-        private volatile boolean ended;
+        private final AttemptKey mKey;
+        private final ForwardCallHandler mHandler;
+        private final AttemptReader mReader;
+        private final ForwardAction.Start mStart;
+        private final long mStartNanos;
+        private final long mWallMillis = mTime.wallMillis();
+        private volatile boolean mEnded;
 
         Attempt(
                 AttemptKey key,
@@ -173,45 +174,45 @@
                 AttemptReader reader,
                 ForwardAction.Start start,
                 long startNanos) {
-            this.key = key;
-            this.handler = handler;
-            this.reader = reader;
-            this.start = start;
-            this.startNanos = startNanos;
+            mKey = key;
+            mHandler = handler;
+            mReader = reader;
+            mStart = start;
+            mStartNanos = startNanos;
         }
 
         @Override
         public void onHead(int status, HttpHeaders headers) {
-            reader.onHead(status, headers);
+            mReader.onHead(status, headers);
         }
 
         @Override
         public void onContent(byte[] bytes) {
-            reader.onContent(bytes);
+            mReader.onContent(bytes);
         }
 
         @Override
         public void onEnd(ExchangeOutcome end) {
-            AttemptReport report = reader.onEnd(end);
-            ended = true;
-            exchanges.remove(key);
-            long elapsedNanos = time.nanoTime() - startNanos;
+            AttemptReport report = mReader.onEnd(end);
+            mEnded = true;
+            mExchanges.remove(mKey);
+            long elapsedNanos = mTime.nanoTime() - mStartNanos;
             String outcome = report.outcome().name();
-            String kind = start.call().kind().name();
-            meters.timer("fuchsialever.forward.attempt", "kind", kind, "outcome", outcome)
+            String kind = mStart.call().kind().name();
+            mMeters.timer("fuchsialever.forward.attempt", "kind", kind, "outcome", outcome)
                     .record(elapsedNanos, TimeUnit.NANOSECONDS);
-            trace.sampled(PART, "attempt-ended")
-                    .with("id", handler.requestId())
-                    .with("attempt", key.attempt)
-                    .with("upstream", start.upstream().id())
+            mTrace.sampled(PART, "attempt-ended")
+                    .with("id", mHandler.requestId())
+                    .with("attempt", mKey.attempt)
+                    .with("upstream", mStart.upstream().id())
                     .with("outcome", outcome)
                     .with("millis", TimeUnit.NANOSECONDS.toMillis(elapsedNanos))
                     .write();
-            if (report.outcome().mayHaveRun() && !handler.meteredTeam().isEmpty()) {
-                usageListeners.forEach(
-                        listener -> listener.onCallStarted(handler.meteredTeam(), wallMillis));
+            if (report.outcome().mayHaveRun() && !mHandler.meteredTeam().isEmpty()) {
+                mUsageListeners.forEach(
+                        listener -> listener.onCallStarted(mHandler.meteredTeam(), mWallMillis));
             }
-            inbox.offer(new ForwardEvent.AttemptEnded(key.number, key.attempt, report));
+            mInbox.offer(new ForwardEvent.AttemptEnded(mKey.number, mKey.attempt, report));
         }
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/forward/ServerSentEventParser.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ServerSentEventParser.java
@@ -7,43 +7,43 @@
 
 /** Parses a stream of server-sent events; an incomplete event stays buffered. */
 public final class ServerSentEventParser {
-    private final String versionField;
-    private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
-    private int lineLength;
+    private final String mVersionField;
+    private final ByteArrayOutputStream mPending = new ByteArrayOutputStream();
+    private int mLineLength;
 
     /** Creates a parser; the argument names the event field with the weight version. */
     public ServerSentEventParser(String versionField) {
-        this.versionField = versionField;
+        mVersionField = versionField;
     }
 
     /** Adds bytes and returns the events that they complete. */
     public List<ServerSentEvent> feed(byte[] bytes) {
         List<ServerSentEvent> events = new ArrayList<>();
         for (byte next : bytes) {
-            pending.write(next);
+            mPending.write(next);
             if (next == '\r') {
                 continue;
             }
             if (next != '\n') {
-                lineLength++;
+                mLineLength++;
                 continue;
             }
-            if (lineLength == 0) {
+            if (mLineLength == 0) {
                 complete(events);
             }
-            lineLength = 0;
+            mLineLength = 0;
         }
         return events;
     }
 
     /** Returns whether bytes of an incomplete event are buffered. */
     public boolean hasIncompleteEvent() {
-        return pending.size() > 0;
+        return mPending.size() > 0;
     }
 
     private void complete(List<ServerSentEvent> events) {
-        byte[] raw = pending.toByteArray();
-        pending.reset();
+        byte[] raw = mPending.toByteArray();
+        mPending.reset();
         String id = "";
         long version = 0;
         StringBuilder data = new StringBuilder();
@@ -61,7 +61,7 @@
                 hasData = true;
             } else if (name.equals("id")) {
                 id = value;
-            } else if (name.equals(versionField) && value.strip().matches("[0-9]{1,18}")) {
+            } else if (name.equals(mVersionField) && value.strip().matches("[0-9]{1,18}")) {
                 version = Long.parseLong(value.strip());
             }
         }
--- a/node/src/main/java/org/fuchsialever/node/hosted/DrainSignal.java
+++ b/node/src/main/java/org/fuchsialever/node/hosted/DrainSignal.java
@@ -5,24 +5,24 @@
 
 /** Tells components that the process is shutting down, before anything is closed. */
 public final class DrainSignal {
-    private final List<Runnable> listeners = new ArrayList<>();
-    private volatile boolean started;
+    private final List<Runnable> mListeners = new ArrayList<>();
+    private volatile boolean mStarted;
 
     /** Adds a listener that is called when the shutdown starts; it must not block. */
     public synchronized void onStart(Runnable listener) {
-        listeners.add(listener);
+        mListeners.add(listener);
     }
 
     /** Returns whether the process is shutting down. */
     public boolean isStarted() {
-        return started;
+        return mStarted;
     }
 
     /** Starts the shutdown; a second call does nothing. */
     public synchronized void start() {
-        if (!started) {
-            started = true;
-            listeners.forEach(Runnable::run);
+        if (!mStarted) {
+            mStarted = true;
+            mListeners.forEach(Runnable::run);
         }
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/hosted/HostedComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/hosted/HostedComponent.java
@@ -16,7 +16,7 @@
 public final class HostedComponent implements Component {
     private static final String SECTION = "platform";
 
-    private Option<HostedPlatform> platform = Option.none();
+    private Option<HostedPlatform> mPlatform = Option.none();
 
     @Override
     public String pluginName() {
@@ -38,13 +38,13 @@
     public void configure(SettingsReader settings) {
         // Duplicate names were reported when the components were discovered.
         PluginRegistry registry = PluginRegistry.discover(new Findings());
-        platform =
+        mPlatform =
                 registry.select(
                         HostedPlatform.class,
                         settings.requiredText(SECTION, "adapter"),
                         settings.location(SECTION, "adapter"),
                         settings.findings());
-        platform.forEach(selected -> selected.configure(settings));
+        mPlatform.forEach(selected -> selected.configure(settings));
     }
 
     @Override
@@ -54,7 +54,7 @@
         context.closer().register("event loop", () -> loops.dispose());
         context.provide(LoopResources.class, loops);
         context.provide(DrainSignal.class, new DrainSignal());
-        platform.forEach(
+        mPlatform.forEach(
                 selected -> {
                     HostedServices services = selected.open(context, loops);
                     context.provide(HostedServices.class, services);
--- a/node/src/main/java/org/fuchsialever/node/http/Drain.java
+++ b/node/src/main/java/org/fuchsialever/node/http/Drain.java
@@ -10,35 +10,35 @@
 
 /** Waits for running calls to end before the resources that they use are closed. */
 final class Drain implements AutoCloseable {
-    private final HttpFrontEnd frontEnd;
-    private final CallDrain calls;
-    private final Duration deadline;
-    private final InvariantMonitor invariants;
-    private volatile boolean started;
+    private final HttpFrontEnd mFrontEnd;
+    private final CallDrain mCalls;
+    private final Duration mDeadline;
+    private final InvariantMonitor mInvariants;
+    private volatile boolean mStarted;
 
     Drain(HttpFrontEnd frontEnd, CallDrain calls, Duration deadline, InvariantMonitor invariants) {
-        this.frontEnd = frontEnd;
-        this.calls = calls;
-        this.deadline = deadline;
-        this.invariants = invariants;
+        mFrontEnd = frontEnd;
+        mCalls = calls;
+        mDeadline = deadline;
+        mInvariants = invariants;
     }
 
     boolean isStarted() {
-        return started;
+        return mStarted;
     }
 
     /** Waits until no call is in progress, at most until the deadline. */
     @Override
     public void close() {
-        started = true;
-        Mono.when(frontEnd.drain(), calls.drain())
-                .timeout(deadline)
+        mStarted = true;
+        Mono.when(mFrontEnd.drain(), mCalls.drain())
+                .timeout(mDeadline)
                 .onErrorResume(
                         TimeoutException.class,
                         timeout -> {
-                            invariants.reportViolation(
+                            mInvariants.reportViolation(
                                     Invariant.SHUTDOWN_CUTS_NOTHING,
-                                    "calls are still in progress after " + deadline);
+                                    "calls are still in progress after " + mDeadline);
                             return Mono.empty();
                         })
                 .block();
--- a/node/src/main/java/org/fuchsialever/node/http/FrontEndComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/http/FrontEndComponent.java
@@ -27,9 +27,9 @@
     private static final int MAX_PORT = 65_535;
     private static final Duration DEFAULT_DRAIN_DEADLINE = Duration.ofSeconds(30);
 
-    private String address = "";
-    private int port;
-    private Duration drainDeadline = DEFAULT_DRAIN_DEADLINE;
+    private String mAddress = "";
+    private int mPort;
+    private Duration mDrainDeadline = DEFAULT_DRAIN_DEADLINE;
 
     @Override
     public String pluginName() {
@@ -56,9 +56,9 @@
 
     @Override
     public void configure(SettingsReader settings) {
-        address = settings.requiredText(SECTION, "http-address");
-        port = (int) settings.integer(SECTION, "http-port", 0, 0, MAX_PORT);
-        drainDeadline = settings.duration("limits", "drain-deadline", DEFAULT_DRAIN_DEADLINE);
+        mAddress = settings.requiredText(SECTION, "http-address");
+        mPort = (int) settings.integer(SECTION, "http-port", 0, 0, MAX_PORT);
+        mDrainDeadline = settings.duration("limits", "drain-deadline", DEFAULT_DRAIN_DEADLINE);
     }
 
     @Override
@@ -72,13 +72,13 @@
         }
         endpoints.addAll(context.require(Endpoints.class).all());
         endpoints.add(callEndpoint(context));
-        HttpFrontEnd frontEnd = new HttpFrontEnd(address, port, endpoints);
+        HttpFrontEnd frontEnd = new HttpFrontEnd(mAddress, mPort, endpoints);
         context.closer().register("front end", frontEnd);
         Drain drain =
                 new Drain(
                         frontEnd,
                         context.require(CallDrain.class),
-                        drainDeadline,
+                        mDrainDeadline,
                         context.require(InvariantMonitor.class));
         readiness.addCondition("not draining", () -> !drain.isStarted());
         context.closer().register("calls in progress", drain);
--- a/node/src/main/java/org/fuchsialever/node/http/HealthEndpoint.java
+++ b/node/src/main/java/org/fuchsialever/node/http/HealthEndpoint.java
@@ -11,22 +11,22 @@
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
 
-    private final String path;
-    private final BooleanSupplier healthy;
+    private final String mPath;
+    private final BooleanSupplier mHealthy;
 
     HealthEndpoint(String path, BooleanSupplier healthy) {
-        this.path = path;
-        this.healthy = healthy;
+        mPath = path;
+        mHealthy = healthy;
     }
 
     @Override
     public boolean accepts(String method, String requestPath) {
-        return method.equals("GET") && requestPath.equals(path);
+        return method.equals("GET") && requestPath.equals(mPath);
     }
 
     @Override
     public Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
-        boolean ok = healthy.getAsBoolean();
+        boolean ok = mHealthy.getAsBoolean();
         return response.status(ok ? OK : UNAVAILABLE)
                 .sendString(Mono.just(ok ? "ok\n" : "unavailable\n"))
                 .then();
--- a/node/src/main/java/org/fuchsialever/node/http/MetricsEndpoint.java
+++ b/node/src/main/java/org/fuchsialever/node/http/MetricsEndpoint.java
@@ -8,10 +8,10 @@
 
 /** Responds with all metrics in the Prometheus text format. */
 final class MetricsEndpoint implements Endpoint {
-    private final PrometheusMeterRegistry meters;
+    private final PrometheusMeterRegistry mMeters;
 
     MetricsEndpoint(PrometheusMeterRegistry meters) {
-        this.meters = meters;
+        mMeters = meters;
     }
 
     @Override
@@ -22,7 +22,7 @@
     @Override
     public Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
         return response.header("Content-Type", "text/plain; version=0.0.4")
-                .sendString(Mono.fromSupplier(meters::scrape))
+                .sendString(Mono.fromSupplier(mMeters::scrape))
                 .then();
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/http/Readiness.java
+++ b/node/src/main/java/org/fuchsialever/node/http/Readiness.java
@@ -7,11 +7,11 @@
 
 /** Conditions that must all hold before the load balancer may send calls to this instance. */
 public final class Readiness {
-    private final Map<String, BooleanSupplier> conditions = new ConcurrentSkipListMap<>();
+    private final Map<String, BooleanSupplier> mConditions = new ConcurrentSkipListMap<>();
 
     /** Adds a condition under a name that is shown to operators. */
     public void addCondition(String name, BooleanSupplier condition) {
-        conditions.put(name, condition);
+        mConditions.put(name, condition);
     }
 
     /** Returns whether all conditions hold. */
@@ -21,7 +21,7 @@
 
     /** Returns the names of the conditions that do not hold. */
     public List<String> unmetConditions() {
-        return conditions.entrySet().stream()
+        return mConditions.entrySet().stream()
                 .filter(entry -> !entry.getValue().getAsBoolean())
                 .map(Map.Entry::getKey)
                 .toList();
--- a/node/src/main/java/org/fuchsialever/node/intent/EventPort.java
+++ b/node/src/main/java/org/fuchsialever/node/intent/EventPort.java
@@ -13,30 +13,30 @@
 public final class EventPort<E> implements Consumer<E> {
     private static final Duration RETRY_DELAY = Duration.ofMillis(50);
 
-    private final Timers timers;
-    private volatile @Nullable Inbox<E> inbox;
+    private final Timers mTimers;
+    private volatile @Nullable Inbox<E> mInbox;
 
     /** Creates a port without an inbox; events are retained until there is one. */
     public EventPort(Timers timers) {
-        this.timers = timers;
+        mTimers = timers;
     }
 
     /** Sets the inbox. */
     public void connect(Inbox<E> duty) {
-        inbox = duty;
+        mInbox = duty;
     }
 
     @Override
     public void accept(E event) {
-        Inbox<E> duty = inbox;
+        Inbox<E> duty = mInbox;
         if (duty == null || !duty.offer(event)) {
-            timers.after(RETRY_DELAY).subscribe(done -> {}, failure -> {}, () -> accept(event));
+            mTimers.after(RETRY_DELAY).subscribe(done -> {}, failure -> {}, () -> accept(event));
         }
     }
 
     /** Offers an event once; for events that may be lost because a newer one follows soon. */
     public void offerOnce(E event) {
-        Inbox<E> duty = inbox;
+        Inbox<E> duty = mInbox;
         if (duty != null) {
             duty.offer(event);
         }
--- a/node/src/main/java/org/fuchsialever/node/intent/JournalRows.java
+++ b/node/src/main/java/org/fuchsialever/node/intent/JournalRows.java
@@ -14,17 +14,17 @@
 
     private static final int INTENT_FIELD_COUNT = 2;
 
-    private final CommandCodec<C> codec;
+    private final CommandCodec<C> mCodec;
 
     JournalRows(CommandCodec<C> codec) {
-        this.codec = codec;
+        mCodec = codec;
     }
 
     String encode(List<Intent<C>> openIntents) {
         StringBuilder text = new StringBuilder();
         for (Intent<C> intent : openIntents) {
             text.append(intent.id()).append(' ').append(intent.fencing());
-            codec.encode(intent.command()).forEach(field -> text.append(' ').append(field));
+            mCodec.encode(intent.command()).forEach(field -> text.append(' ').append(field));
             text.append('\n');
         }
         return text.toString();
@@ -38,7 +38,7 @@
             if (fields.size() <= INTENT_FIELD_COUNT || !fields.get(1).matches("[0-9]{1,18}")) {
                 return Option.none();
             }
-            Option<C> command = codec.decode(fields.subList(INTENT_FIELD_COUNT, fields.size()));
+            Option<C> command = mCodec.decode(fields.subList(INTENT_FIELD_COUNT, fields.size()));
             if (command.isEmpty()) {
                 return Option.none();
             }
--- a/node/src/main/java/org/fuchsialever/node/intent/RoleIntents.java
+++ b/node/src/main/java/org/fuchsialever/node/intent/RoleIntents.java
@@ -27,15 +27,15 @@
     private static final PartLogger LOG = PartLogger.of("intent");
     private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(2);
 
-    private final String role;
-    private final JournalRows<C> rows;
-    private final TableService tables;
-    private final Leases leases;
-    private final CommandSender<C> sender;
-    private final InvariantMonitor invariants;
-    private final MeterRegistry meters;
-    private final Consumer<IntentEvent<C>> events;
-    private volatile Option<HeldLease> lease = Option.none();
+    private final String mRole;
+    private final JournalRows<C> mRows;
+    private final TableService mTables;
+    private final Leases mLeases;
+    private final CommandSender<C> mSender;
+    private final InvariantMonitor mInvariants;
+    private final MeterRegistry mMeters;
+    private final Consumer<IntentEvent<C>> mEvents;
+    private volatile Option<HeldLease> mLease = Option.none();
 
     /**
      * Creates the executor of one role.
@@ -52,26 +52,26 @@
             IntentServices services,
             CommandSender<C> sender,
             Consumer<IntentEvent<C>> events) {
-        this.role = role;
-        this.rows = new JournalRows<>(codec);
-        this.tables = services.tables();
-        this.leases = services.leases();
-        this.invariants = services.invariants();
-        this.meters = services.meters();
-        this.sender = sender;
-        this.events = events;
+        mRole = role;
+        mRows = new JournalRows<>(codec);
+        mTables = services.tables();
+        mLeases = services.leases();
+        mInvariants = services.invariants();
+        mMeters = services.meters();
+        mSender = sender;
+        mEvents = events;
     }
 
     @Override
     public void onAcquired(HeldLease acquired) {
-        lease = Option.some(acquired);
-        events.accept(new IntentEvent.LeaseAcquired<>(acquired.fencing()));
+        mLease = Option.some(acquired);
+        mEvents.accept(new IntentEvent.LeaseAcquired<>(acquired.fencing()));
     }
 
     @Override
     public void onLost(String lostRole) {
-        lease = Option.none();
-        events.accept(new IntentEvent.LeaseLost<>());
+        mLease = Option.none();
+        mEvents.accept(new IntentEvent.LeaseLost<>());
     }
 
     /** Executes one action; does not block. */
@@ -86,13 +86,13 @@
     }
 
     private void readJournal(long fencing) {
-        tables.read(JournalRows.TABLE, role)
+        mTables.read(JournalRows.TABLE, mRole)
                 .timeout(RESPONSE_TIMEOUT)
                 .subscribe(
-                        row -> events.accept(journalRead(fencing, row)),
+                        row -> mEvents.accept(journalRead(fencing, row)),
                         failure -> {
                             count("read-failed");
-                            events.accept(new IntentEvent.ReadFailed<>(fencing));
+                            mEvents.accept(new IntentEvent.ReadFailed<>(fencing));
                         });
     }
 
@@ -105,9 +105,9 @@
     }
 
     private void writeJournal(IntentAction.WriteJournal<C> write) {
-        Option<HeldLease> held = lease.filter(current -> current.fencing() == write.fencing());
+        Option<HeldLease> held = mLease.filter(current -> current.fencing() == write.fencing());
         if (held.isEmpty()) {
-            events.accept(new IntentEvent.Conflicted<>(write.writer(), Option.none()));
+            mEvents.accept(new IntentEvent.Conflicted<>(write.writer(), Option.none()));
             return;
         }
         HeldLease guard = held.get();
@@ -118,18 +118,20 @@
                                 new Commit.Condition(
                                         guard.guardTable(), guard.guardKey(), guard.guardVersion()),
                                 new Commit.Condition(
-                                        JournalRows.TABLE, role, write.expectedVersion())),
+                                        JournalRows.TABLE, mRole, write.expectedVersion())),
                         List.of(
                                 new Commit.Put(
-                                        JournalRows.TABLE, role, rows.encode(write.openIntents()))),
+                                        JournalRows.TABLE,
+                                        mRole,
+                                        mRows.encode(write.openIntents()))),
                         List.of());
-        tables.commit(commit)
+        mTables.commit(commit)
                 .timeout(RESPONSE_TIMEOUT)
                 .subscribe(
-                        result -> events.accept(writeResult(write.writer(), guard, result)),
+                        result -> mEvents.accept(writeResult(write.writer(), guard, result)),
                         failure -> {
                             count("write-unanswered");
-                            events.accept(new IntentEvent.WriteOutcomeUnknown<>(write.writer()));
+                            mEvents.accept(new IntentEvent.WriteOutcomeUnknown<>(write.writer()));
                         });
     }
 
@@ -152,30 +154,31 @@
     }
 
     private Option<Journal<C>> decode(Row row) {
-        return rows.decode(row)
+        return mRows.decode(row)
                 .onEmpty(
                         () -> {
                             count("row-malformed");
-                            LOG.warning("The journal of role " + role + " is malformed.");
+                            LOG.warning("The journal of role " + mRole + " is malformed.");
                         });
     }
 
     private void sendCommand(IntentAction.SendCommand<C> order) {
-        Option<HeldLease> held = lease.filter(current -> current.fencing() == order.fencing());
+        Option<HeldLease> held = mLease.filter(current -> current.fencing() == order.fencing());
         if (held.isEmpty()) {
             attemptEnded(order, CommandResult.NOT_SENT);
             return;
         }
         HeldLease guard = held.get();
-        sender.send(order, () -> leases.isValid(guard))
+        mSender.send(order, () -> mLeases.isValid(guard))
                 .onErrorReturn(CommandResult.UNKNOWN)
                 .defaultIfEmpty(CommandResult.UNKNOWN)
                 .subscribe(
                         result -> {
                             // Another holder has sent commands, so this one must not hold the role.
-                            invariants.check(
+                            mInvariants.check(
                                     Invariant.ONE_ORDERING_HOLDER,
-                                    result != CommandResult.STALE_FENCING || !leases.isValid(guard),
+                                    result != CommandResult.STALE_FENCING
+                                            || !mLeases.isValid(guard),
                                     () ->
                                             order.intent().id()
                                                     + " was refused for a higher fencing token");
@@ -185,16 +188,16 @@
 
     private void attemptEnded(IntentAction.SendCommand<C> order, CommandResult result) {
         count("attempt-" + result.name().toLowerCase(Locale.ROOT).replace('_', '-'));
-        events.accept(
+        mEvents.accept(
                 new IntentEvent.AttemptEnded<>(
                         order.fencing(), order.intent().id(), order.attempt(), result));
     }
 
     private void count(String reason) {
         Counter.builder("fuchsialever.intent.results")
-                .tag("role", role)
+                .tag("role", mRole)
                 .tag("reason", reason)
-                .register(meters)
+                .register(mMeters)
                 .increment();
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/keys/KeyActions.java
+++ b/node/src/main/java/org/fuchsialever/node/keys/KeyActions.java
@@ -27,15 +27,15 @@
 
     private static final PartLogger LOG = PartLogger.of("keys");
 
-    private final TableService tables;
-    private final PeerStateClient peers;
-    private final KeyViews views;
-    private final WithdrawalWriter writer;
-    private final TimeSource time;
-    private final MeterRegistry meters;
-    private final List<Consumer<Set<KeyId>>> listeners = new CopyOnWriteArrayList<>();
-    private volatile @Nullable Inbox<KeyEvent> inbox;
-    private volatile Option<String> peerState = Option.none();
+    private final TableService mTables;
+    private final PeerStateClient mPeers;
+    private final KeyViews mViews;
+    private final WithdrawalWriter mWriter;
+    private final TimeSource mTime;
+    private final MeterRegistry mMeters;
+    private final List<Consumer<Set<KeyId>>> mListeners = new CopyOnWriteArrayList<>();
+    private volatile @Nullable Inbox<KeyEvent> mInbox;
+    private volatile Option<String> mPeerState = Option.none();
 
     KeyActions(
             TableService tables,
@@ -44,28 +44,28 @@
             String writerPrefix,
             TimeSource time,
             MeterRegistry meters) {
-        this.tables = tables;
-        this.peers = peers;
-        this.views = views;
-        this.writer = new WithdrawalWriter(tables, writerPrefix);
-        this.time = time;
-        this.meters = meters;
+        mTables = tables;
+        mPeers = peers;
+        mViews = views;
+        mWriter = new WithdrawalWriter(tables, writerPrefix);
+        mTime = time;
+        mMeters = meters;
         meters.counter("fuchsialever.keys.read-failures");
         meters.counter("fuchsialever.keys.damaged-rows");
         meters.counter("fuchsialever.keys.calls-ended");
     }
 
     void connect(Inbox<KeyEvent> events) {
-        inbox = events;
+        mInbox = events;
     }
 
     void addListener(Consumer<Set<KeyId>> listener) {
-        listeners.add(listener);
+        mListeners.add(listener);
     }
 
     /** Returns the key state sent to peers that ask for it, or none before keys were read. */
     Option<String> peerState() {
-        return peerState;
+        return mPeerState;
     }
 
     @Override
@@ -75,28 +75,28 @@
         } else if (action instanceof KeyAction.AskPeers) {
             askPeers();
         } else if (action instanceof KeyAction.PublishKeyTable publish) {
-            views.publish(publish.view());
+            mViews.publish(publish.view());
         } else if (action instanceof KeyAction.PublishKeysForPeers publish) {
-            peerState = Option.some(KeyStateJson.encode(publish));
+            mPeerState = Option.some(KeyStateJson.encode(publish));
         } else if (action instanceof KeyAction.EndCallsOfKey end) {
             recordEndedCalls(
-                    "of key " + end.key() + ", which was withdrawn", views.endCalls(end.key()));
+                    "of key " + end.key() + ", which was withdrawn", mViews.endCalls(end.key()));
         } else if (action instanceof KeyAction.EndAllKeyedCalls) {
-            recordEndedCalls("of all keys, because the keys are out of date", views.endAllCalls());
+            recordEndedCalls("of all keys, because the keys are out of date", mViews.endAllCalls());
         } else if (action instanceof KeyAction.BroadcastWithdrawals broadcast) {
-            listeners.forEach(listener -> listener.accept(broadcast.keys()));
+            mListeners.forEach(listener -> listener.accept(broadcast.keys()));
         } else if (action instanceof KeyAction.StoreWithdrawal store) {
             store(store.key());
         }
     }
 
     private void readKeys(long afterVersion) {
-        long sentNanos = time.nanoTime();
-        tables.scan(KeyRows.TABLE, "", afterVersion)
+        long sentNanos = mTime.nanoTime();
+        mTables.scan(KeyRows.TABLE, "", afterVersion)
                 .subscribe(
                         rows -> offer(new KeyEvent.KeysRead(decodeRows(rows), sentNanos)),
                         failure -> {
-                            meters.counter("fuchsialever.keys.read-failures").increment();
+                            mMeters.counter("fuchsialever.keys.read-failures").increment();
                             offer(new KeyEvent.ReadFailed());
                         });
     }
@@ -106,7 +106,7 @@
         for (Row row : rows) {
             Either<String, KeyRow> key = KeyRows.decode(row);
             if (key.isLeft()) {
-                meters.counter("fuchsialever.keys.damaged-rows").increment();
+                mMeters.counter("fuchsialever.keys.damaged-rows").increment();
                 LOG.warning("Row of key \"" + row.key() + "\" is ignored: " + key.getLeft());
             } else {
                 readable.add(key.get());
@@ -116,14 +116,14 @@
     }
 
     private void askPeers() {
-        peers.askAll(
+        mPeers.askAll(
                 PEER_STATE_PATH,
                 peerCount -> offer(new KeyEvent.PeersListed(peerCount)),
                 (peer, text) -> KeyStateJson.decode(peer, text).forEach(this::offer));
     }
 
     private void store(KeyId key) {
-        writer.store(key)
+        mWriter.store(key)
                 .subscribe(
                         stored -> {
                             if (stored) {
@@ -140,13 +140,13 @@
 
     private void recordEndedCalls(String which, int count) {
         if (count > 0) {
-            meters.counter("fuchsialever.keys.calls-ended").increment(count);
+            mMeters.counter("fuchsialever.keys.calls-ended").increment(count);
             LOG.info("Ended " + count + " calls " + which + ".");
         }
     }
 
     private void offer(KeyEvent event) {
-        Inbox<KeyEvent> events = inbox;
+        Inbox<KeyEvent> events = mInbox;
         if (events != null) {
             events.offer(event);
         }
--- a/node/src/main/java/org/fuchsialever/node/keys/KeyAuthenticator.java
+++ b/node/src/main/java/org/fuchsialever/node/keys/KeyAuthenticator.java
@@ -17,12 +17,12 @@
 final class KeyAuthenticator implements Authenticator {
     private static final String SCHEME = "bearer ";
 
-    private final Supplier<KeyView> views;
-    private final TimeSource time;
+    private final Supplier<KeyView> mViews;
+    private final TimeSource mTime;
 
     KeyAuthenticator(Supplier<KeyView> views, TimeSource time) {
-        this.views = views;
-        this.time = time;
+        mViews = views;
+        mTime = time;
     }
 
     @Override
@@ -46,9 +46,9 @@
     }
 
     private Either<RefusalReason, KeyRecord> check(String presentedKey) {
-        KeyView view = views.get();
+        KeyView view = mViews.get();
         return view.usable()
-                ? view.table().check(presentedKey, time.wallMillis())
+                ? view.table().check(presentedKey, mTime.wallMillis())
                 : Either.left(RefusalReason.KEYS_STALE);
     }
 
--- a/node/src/main/java/org/fuchsialever/node/keys/KeyViews.java
+++ b/node/src/main/java/org/fuchsialever/node/keys/KeyViews.java
@@ -12,31 +12,34 @@
 
 /** Holds the current key view and the running calls that a withdrawal ends. */
 final class KeyViews implements RunningCalls {
-    private final Map<KeyId, Collection<Registration>> running = new ConcurrentHashMap<>();
-    private final Collection<Confirmation> confirmations = new CopyOnWriteArrayList<>();
-    private volatile KeyView current = KeyView.NONE;
+    private final Map<KeyId, Collection<Registration>> mRunning = new ConcurrentHashMap<>();
+    private final Collection<Confirmation> mConfirmations = new CopyOnWriteArrayList<>();
+    private volatile KeyView mCurrent = KeyView.NONE;
 
     KeyView current() {
-        return current;
+        return mCurrent;
     }
 
     void publish(KeyView view) {
-        current = view;
+        mCurrent = view;
         confirm();
     }
 
     /** Returns a signal that completes when this instance refuses the key as withdrawn. */
     Mono<Void> whenWithdrawn(KeyId key) {
         Confirmation confirmation = new Confirmation(key, Sinks.empty());
-        confirmations.add(confirmation);
+        mConfirmations.add(confirmation);
         confirm();
-        return confirmation.signal.asMono().doFinally(signal -> confirmations.remove(confirmation));
+        return confirmation
+                .signal
+                .asMono()
+                .doFinally(signal -> mConfirmations.remove(confirmation));
     }
 
     @Override
     public AutoCloseable register(KeyId key, Runnable end) {
         Registration registration = new Registration(key, end);
-        running.compute(
+        mRunning.compute(
                 key,
                 (id, registered) -> {
                     Collection<Registration> calls =
@@ -45,7 +48,7 @@
                     return calls;
                 });
         // Read after registering: earlier changes are seen here, later ones find the registration.
-        KeyView view = current;
+        KeyView view = mCurrent;
         if (!view.usable() || view.table().isWithdrawn(key)) {
             registration.end();
         }
@@ -54,7 +57,7 @@
 
     /** Ends the calls of a key and returns their number. */
     int endCalls(KeyId key) {
-        Collection<Registration> calls = running.remove(key);
+        Collection<Registration> calls = mRunning.remove(key);
         int ended = 0;
         for (Registration call : calls == null ? List.<Registration>of() : calls) {
             ended += call.end() ? 1 : 0;
@@ -64,20 +67,20 @@
 
     /** Ends the calls of all keys and returns their number. */
     int endAllCalls() {
-        return List.copyOf(running.keySet()).stream().mapToInt(this::endCalls).sum();
+        return List.copyOf(mRunning.keySet()).stream().mapToInt(this::endCalls).sum();
     }
 
     private void confirm() {
-        for (Confirmation confirmation : confirmations) {
-            if (current.table().isWithdrawn(confirmation.key)) {
+        for (Confirmation confirmation : mConfirmations) {
+            if (mCurrent.table().isWithdrawn(confirmation.key)) {
                 confirmation.signal.tryEmitEmpty();
             }
         }
     }
 
     private void remove(Registration registration) {
-        running.computeIfPresent(
-                registration.key,
+        mRunning.computeIfPresent(
+                registration.mKey,
                 (id, calls) -> {
                     calls.remove(registration);
                     return calls.isEmpty() ? null : calls;
@@ -87,13 +90,13 @@
     private record Confirmation(KeyId key, Sinks.Empty<Void> signal) {}
 
     private final class Registration implements AutoCloseable {
-        private final KeyId key;
-        private final Runnable end;
-        private boolean ended;
+        private final KeyId mKey;
+        private final Runnable mEnd;
+        private boolean mEnded;
 
         Registration(KeyId key, Runnable end) {
-            this.key = key;
-            this.end = end;
+            mKey = key;
+            mEnd = end;
         }
 
         boolean end() {
@@ -101,7 +104,7 @@
                 return false;
             }
             remove(this);
-            end.run();
+            mEnd.run();
             return true;
         }
 
@@ -113,8 +116,8 @@
         }
 
         private synchronized boolean markEnded() {
-            boolean first = !ended;
-            ended = true;
+            boolean first = !mEnded;
+            mEnded = true;
             return first;
         }
     }
--- a/node/src/main/java/org/fuchsialever/node/keys/KeysComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/keys/KeysComponent.java
@@ -31,8 +31,8 @@
     private static final Duration DEFAULT_POLL_INTERVAL = Duration.ofSeconds(1);
     private static final Duration DEFAULT_FRESHNESS_BOUND = Duration.ofSeconds(5);
 
-    private Duration pollInterval = DEFAULT_POLL_INTERVAL;
-    private Duration freshnessBound = DEFAULT_FRESHNESS_BOUND;
+    private Duration mPollInterval = DEFAULT_POLL_INTERVAL;
+    private Duration mFreshnessBound = DEFAULT_FRESHNESS_BOUND;
 
     @Override
     public String pluginName() {
@@ -57,9 +57,9 @@
 
     @Override
     public void configure(SettingsReader settings) {
-        pollInterval = settings.duration(SECTION, POLL_INTERVAL, DEFAULT_POLL_INTERVAL);
-        freshnessBound = settings.duration(SECTION, FRESHNESS_BOUND, DEFAULT_FRESHNESS_BOUND);
-        if (pollInterval.isZero() || freshnessBound.compareTo(pollInterval) <= 0) {
+        mPollInterval = settings.duration(SECTION, POLL_INTERVAL, DEFAULT_POLL_INTERVAL);
+        mFreshnessBound = settings.duration(SECTION, FRESHNESS_BOUND, DEFAULT_FRESHNESS_BOUND);
+        if (mPollInterval.isZero() || mFreshnessBound.compareTo(mPollInterval) <= 0) {
             settings.findings()
                     .error(
                             settings.location(SECTION, FRESHNESS_BOUND),
@@ -86,8 +86,8 @@
         Inbox<KeyEvent> inbox =
                 context.startDuty(
                         new KeyDuty(
-                                pollInterval,
-                                freshnessBound,
+                                mPollInterval,
+                                mFreshnessBound,
                                 context.time().nanoTime(),
                                 context.require(InvariantMonitor.class)),
                         RING_CAPACITY,
--- a/node/src/main/java/org/fuchsialever/node/keys/StatusEndpoint.java
+++ b/node/src/main/java/org/fuchsialever/node/keys/StatusEndpoint.java
@@ -20,17 +20,17 @@
     private static final String PATH = "/operator/status";
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    private final NodeIdentity identity;
-    private final ConfigHolder config;
-    private final KeyViews views;
-    private final Readiness readiness;
+    private final NodeIdentity mIdentity;
+    private final ConfigHolder mConfig;
+    private final KeyViews mViews;
+    private final Readiness mReadiness;
 
     StatusEndpoint(
             NodeIdentity identity, ConfigHolder config, KeyViews views, Readiness readiness) {
-        this.identity = identity;
-        this.config = config;
-        this.views = views;
-        this.readiness = readiness;
+        mIdentity = identity;
+        mConfig = config;
+        mViews = views;
+        mReadiness = readiness;
     }
 
     @Override
@@ -40,19 +40,19 @@
 
     @Override
     public Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
-        ConfigStatus status = config.status();
-        KeyView view = views.current();
+        ConfigStatus status = mConfig.status();
+        KeyView view = mViews.current();
         ObjectNode body = MAPPER.createObjectNode();
-        body.put("instance", identity.instance().value())
-                .put("start", identity.startId())
+        body.put("instance", mIdentity.instance().value())
+                .put("start", mIdentity.startId())
                 .put("config_version", status.served())
                 .put("config_highest_seen", status.highestSeen())
                 .put("config_freshness", SettingsReader.label(status.freshness()))
                 .put("key_version", view.version())
                 .put("keys_usable", view.usable())
-                .put("ready", readiness.isReady());
+                .put("ready", mReadiness.isReady());
         ArrayNode unmet = body.putArray("unmet");
-        readiness.unmetConditions().forEach(unmet::add);
+        mReadiness.unmetConditions().forEach(unmet::add);
         return ResponseWriter.json(response, body);
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/keys/WithdrawalEndpoint.java
+++ b/node/src/main/java/org/fuchsialever/node/keys/WithdrawalEndpoint.java
@@ -28,9 +28,9 @@
     private static final Duration CONFIRMATION_TIMEOUT = Duration.ofSeconds(2);
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    private final InstanceId instance;
-    private final KeyViews views;
-    private final Predicate<KeyId> withdraw;
+    private final InstanceId mInstance;
+    private final KeyViews mViews;
+    private final Predicate<KeyId> mWithdraw;
 
     /**
      * Creates the endpoint.
@@ -39,9 +39,9 @@
      * @param withdraw passes a withdrawal to the key duty; false if its ring is full
      */
     WithdrawalEndpoint(InstanceId instance, KeyViews views, Predicate<KeyId> withdraw) {
-        this.instance = instance;
-        this.views = views;
-        this.withdraw = withdraw;
+        mInstance = instance;
+        mViews = views;
+        mWithdraw = withdraw;
     }
 
     @Override
@@ -62,10 +62,10 @@
     }
 
     private Mono<Void> withdraw(HttpServerResponse response, KeyId key) {
-        if (!withdraw.test(key)) {
+        if (!mWithdraw.test(key)) {
             return respond(response, UNAVAILABLE, key.value());
         }
-        return views.whenWithdrawn(key)
+        return mViews.whenWithdrawn(key)
                 .thenReturn(OK)
                 .timeout(CONFIRMATION_TIMEOUT)
                 .onErrorReturn(UNAVAILABLE)
@@ -74,7 +74,7 @@
 
     private Mono<Void> respond(HttpServerResponse response, int status, String key) {
         ObjectNode body = MAPPER.createObjectNode();
-        body.put("instance", instance.value()).put("key", key).put("withdrawn", status == OK);
+        body.put("instance", mInstance.value()).put("key", key).put("withdrawn", status == OK);
         return ResponseWriter.json(response.status(status), body);
     }
 
--- a/node/src/main/java/org/fuchsialever/node/keys/WithdrawalWriter.java
+++ b/node/src/main/java/org/fuchsialever/node/keys/WithdrawalWriter.java
@@ -17,9 +17,9 @@
  * the caller retries until the result is true.
  */
 public final class WithdrawalWriter {
-    private final TableService tables;
-    private final String writerPrefix;
-    private final AtomicLong sequence = new AtomicLong();
+    private final TableService mTables;
+    private final String mWriterPrefix;
+    private final AtomicLong mSequence = new AtomicLong();
 
     /**
      * Creates a writer.
@@ -28,8 +28,8 @@
      * @param writerPrefix prefix of the writer IDs of commits; unique among all writers
      */
     public WithdrawalWriter(TableService tables, String writerPrefix) {
-        this.tables = tables;
-        this.writerPrefix = writerPrefix;
+        mTables = tables;
+        mWriterPrefix = writerPrefix;
     }
 
     /**
@@ -38,7 +38,7 @@
      * @return whether the row is withdrawn; false if another writer changed the row meanwhile
      */
     public Mono<Boolean> store(KeyId key) {
-        return tables.read(KeyRows.TABLE, key.value()).flatMap(row -> store(key, row));
+        return mTables.read(KeyRows.TABLE, key.value()).flatMap(row -> store(key, row));
     }
 
     private Mono<Boolean> store(KeyId key, Option<Row> row) {
@@ -51,7 +51,7 @@
                 current.map(KeyRecord::asWithdrawn).getOrElse(KeyRecord.tombstone(key));
         Commit commit =
                 new Commit(
-                        writerPrefix + "-withdrawal-" + sequence.incrementAndGet(),
+                        mWriterPrefix + "-withdrawal-" + mSequence.incrementAndGet(),
                         List.of(
                                 new Commit.Condition(
                                         KeyRows.TABLE,
@@ -59,7 +59,7 @@
                                         row.map(Row::version).getOrElse(0L))),
                         List.of(new Commit.Put(KeyRows.TABLE, key.value(), withdrawn.encode())),
                         List.of());
-        return tables.commit(commit).map(WithdrawalWriter::isWithdrawn);
+        return mTables.commit(commit).map(WithdrawalWriter::isWithdrawn);
     }
 
     private static boolean isWithdrawn(CommitResult result) {
--- a/node/src/main/java/org/fuchsialever/node/lease/LeaseComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/lease/LeaseComponent.java
@@ -18,7 +18,7 @@
     /** Roles are requested at the start; later at most one read and one write are in flight. */
     private static final int RING_CAPACITY = 1_024;
 
-    private LeaseTiming timing = LeaseTiming.standard();
+    private LeaseTiming mTiming = LeaseTiming.standard();
 
     @Override
     public String pluginName() {
@@ -28,7 +28,7 @@
     @Override
     public void configure(SettingsReader settings) {
         LeaseTiming standard = LeaseTiming.standard();
-        timing =
+        mTiming =
                 new LeaseTiming(
                         nanos(settings, "duration", standard.duration()),
                         nanos(settings, "renewal", standard.renewalInterval()),
@@ -57,7 +57,7 @@
                         context.require(TableService.class), context.time(), context.meters());
         LeaseDuty duty =
                 new LeaseDuty(
-                        identity.instance(), identity.startId(), timing, context.random("lease"));
+                        identity.instance(), identity.startId(), mTiming, context.random("lease"));
         Inbox<LeaseEvent> inbox =
                 context.startDuty(duty, RING_CAPACITY, OverflowPolicy.REFUSE, service);
         service.connect(event -> offer(inbox, event));
--- a/node/src/main/java/org/fuchsialever/node/lease/LeaseService.java
+++ b/node/src/main/java/org/fuchsialever/node/lease/LeaseService.java
@@ -26,47 +26,47 @@
     /** Half of the renewal interval, so that a lost response leaves time for a retry. */
     private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(1);
 
-    private final TableService tables;
-    private final TimeSource time;
-    private final MeterRegistry meters;
-    private final Map<String, LeaseListener> listeners = new ConcurrentHashMap<>();
+    private final TableService mTables;
+    private final TimeSource mTime;
+    private final MeterRegistry mMeters;
+    private final Map<String, LeaseListener> mListeners = new ConcurrentHashMap<>();
 
     /** Written by the duty thread only; one object, so that readers see a consistent state. */
-    private volatile Holding holding = new Holding(Map.of(), Long.MIN_VALUE);
+    private volatile Holding mHolding = new Holding(Map.of(), Long.MIN_VALUE);
 
-    private volatile ActionSink<LeaseEvent> duty =
+    private volatile ActionSink<LeaseEvent> mDuty =
             event -> {
                 throw new IllegalStateException("the lease duty has not been connected");
             };
 
     LeaseService(TableService tables, TimeSource time, MeterRegistry meters) {
-        this.tables = tables;
-        this.time = time;
-        this.meters = meters;
+        mTables = tables;
+        mTime = time;
+        mMeters = meters;
     }
 
     /** Sets the sink for events of the duty; it is called from several threads. */
     void connect(ActionSink<LeaseEvent> events) {
-        duty = events;
+        mDuty = events;
     }
 
     @Override
     public void request(String role, LeaseListener listener) {
-        listeners.put(role, listener);
-        duty.emit(new LeaseEvent.RoleRequested(role));
+        mListeners.put(role, listener);
+        mDuty.emit(new LeaseEvent.RoleRequested(role));
     }
 
     @Override
     public void release(String role) {
-        duty.emit(new LeaseEvent.RoleReleased(role));
+        mDuty.emit(new LeaseEvent.RoleReleased(role));
     }
 
     @Override
     public Option<HeldLease> held(String role) {
-        Holding current = holding;
+        Holding current = mHolding;
         // The clock is read last: a pause before this line cannot make an expired lease look valid.
         return Option.of(current.leases.get(role))
-                .filter(lease -> time.nanoTime() < current.validUntil);
+                .filter(lease -> mTime.nanoTime() < current.validUntil);
     }
 
     @Override
@@ -78,7 +78,7 @@
         } else if (action instanceof LeaseAction.StartHolding start) {
             start(start);
         } else if (action instanceof LeaseAction.ExtendHolding extend) {
-            holding = new Holding(holding.leases, extend.validUntilNanos());
+            mHolding = new Holding(mHolding.leases, extend.validUntilNanos());
         } else if (action instanceof LeaseAction.StopHolding stop) {
             stop(stop.role());
         }
@@ -88,42 +88,42 @@
         LeaseRow.Role row = start.role();
         HeldLease lease =
                 new HeldLease(row.role(), row.fencing(), LeaseRows.TABLE, row.key(), row.version());
-        Map<String, HeldLease> leases = new TreeMap<>(holding.leases);
+        Map<String, HeldLease> leases = new TreeMap<>(mHolding.leases);
         leases.put(row.role(), lease);
-        holding = new Holding(leases, start.validUntilNanos());
+        mHolding = new Holding(leases, start.validUntilNanos());
         LOG.info("Holding " + row.role() + " with fencing token " + row.fencing() + ".");
-        Option.of(listeners.get(row.role())).forEach(listener -> listener.onAcquired(lease));
+        Option.of(mListeners.get(row.role())).forEach(listener -> listener.onAcquired(lease));
     }
 
     private void stop(String role) {
-        Map<String, HeldLease> leases = new TreeMap<>(holding.leases);
+        Map<String, HeldLease> leases = new TreeMap<>(mHolding.leases);
         leases.remove(role);
-        holding = new Holding(leases, holding.validUntil);
+        mHolding = new Holding(leases, mHolding.validUntil);
         LOG.info("No longer holding " + role + ".");
-        Option.of(listeners.get(role)).forEach(listener -> listener.onLost(role));
+        Option.of(mListeners.get(role)).forEach(listener -> listener.onLost(role));
     }
 
     private void read(long afterVersion) {
-        tables.scan(LeaseRows.TABLE, "", afterVersion)
+        mTables.scan(LeaseRows.TABLE, "", afterVersion)
                 .timeout(RESPONSE_TIMEOUT)
                 .subscribe(
                         rows ->
-                                duty.emit(
+                                mDuty.emit(
                                         new LeaseEvent.TableRead(afterVersion == 0, decode(rows))),
                         failure -> {
                             count("read-failed");
-                            duty.emit(new LeaseEvent.ReadFailed());
+                            mDuty.emit(new LeaseEvent.ReadFailed());
                         });
     }
 
     private void write(LeaseCommit commit) {
-        tables.commit(LeaseRows.encode(commit))
+        mTables.commit(LeaseRows.encode(commit))
                 .timeout(RESPONSE_TIMEOUT)
                 .subscribe(
-                        result -> duty.emit(toEvent(commit, result)),
+                        result -> mDuty.emit(toEvent(commit, result)),
                         failure -> {
                             count("commit-unanswered");
-                            duty.emit(new LeaseEvent.WriteOutcomeUnknown(commit.writer()));
+                            mDuty.emit(new LeaseEvent.WriteOutcomeUnknown(commit.writer()));
                         });
     }
 
@@ -147,7 +147,7 @@
     private void count(String reason) {
         Counter.builder("fuchsialever.lease.retries")
                 .tag("reason", reason)
-                .register(meters)
+                .register(mMeters)
                 .increment();
     }
 
--- a/node/src/main/java/org/fuchsialever/node/metering/MeteringComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/metering/MeteringComponent.java
@@ -19,7 +19,7 @@
 
     private static final String SECTION = "metering";
 
-    private Duration window = DEFAULT_WINDOW;
+    private Duration mWindow = DEFAULT_WINDOW;
 
     @Override
     public String pluginName() {
@@ -44,7 +44,7 @@
 
     @Override
     public void configure(SettingsReader settings) {
-        window = settings.duration(SECTION, "window", DEFAULT_WINDOW);
+        mWindow = settings.duration(SECTION, "window", DEFAULT_WINDOW);
     }
 
     @Override
@@ -53,7 +53,7 @@
         NodeIdentity identity = context.require(NodeIdentity.class);
         Leases leases = context.require(Leases.class);
         TraceLog trace = context.require(TraceLog.class);
-        WindowCounts counts = new WindowCounts(window.toMillis());
+        WindowCounts counts = new WindowCounts(mWindow.toMillis());
         context.require(UsageListeners.class).add(counts::add);
         MeteringRows rows =
                 new MeteringRows(
@@ -65,7 +65,7 @@
                         services.fencedCalls(),
                         leases,
                         context.time(),
-                        window.toMillis(),
+                        mWindow.toMillis(),
                         trace,
                         context.meters());
         context.closer().register("metering", loop);
--- a/node/src/main/java/org/fuchsialever/node/metering/MeteringRows.java
+++ b/node/src/main/java/org/fuchsialever/node/metering/MeteringRows.java
@@ -27,23 +27,23 @@
     private static final int MAX_ROWS = 500;
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    private final RowStore rows;
-    private final String process;
+    private final RowStore mRows;
+    private final String mProcess;
 
     MeteringRows(RowStore rows, String process) {
-        this.rows = rows;
-        this.process = process;
+        mRows = rows;
+        mProcess = process;
     }
 
     /** Writes the counts of this process. */
     Mono<RowChangeResult> write(long window, Map<String, Long> counts) {
-        RowKey key = new RowKey(COUNTS, window + "/" + process);
-        return rows.change(new RowChange(Map.of(), Map.of(key, encode(counts)), List.of()));
+        RowKey key = new RowKey(COUNTS, window + "/" + mProcess);
+        return mRows.change(new RowChange(Map.of(), Map.of(key, encode(counts)), List.of()));
     }
 
     /** Returns the sum of the counts of all processes. */
     Mono<Map<String, Long>> sum(long window) {
-        return rows.range(COUNTS, window + "/", window + "/~", MAX_ROWS)
+        return mRows.range(COUNTS, window + "/", window + "/~", MAX_ROWS)
                 .map(
                         page -> {
                             Map<String, Long> sum = new TreeMap<>();
@@ -58,7 +58,7 @@
     /** Closes a window unless it is closed already; returns the counts of the closed window. */
     Mono<Map<String, Long>> close(long window, Map<String, Long> counts) {
         RowKey key = new RowKey(REPORTS, Long.toString(window));
-        return rows.change(new RowChange(Map.of(key, 0L), Map.of(key, encode(counts)), List.of()))
+        return mRows.change(new RowChange(Map.of(key, 0L), Map.of(key, encode(counts)), List.of()))
                 .map(
                         result -> {
                             if (result instanceof RowChangeResult.Rejected rejected
@@ -71,7 +71,7 @@
 
     /** Returns the last closed window from the given one on, or -1. */
     Mono<Long> lastClosed(long fromWindow) {
-        return rows.range(REPORTS, Long.toString(fromWindow), "", MAX_ROWS)
+        return mRows.range(REPORTS, Long.toString(fromWindow), "", MAX_ROWS)
                 .map(
                         page ->
                                 page.rows().stream()
--- a/node/src/main/java/org/fuchsialever/node/metering/UsageReporter.java
+++ b/node/src/main/java/org/fuchsialever/node/metering/UsageReporter.java
@@ -33,20 +33,20 @@
     /** Windows that are still reported after an outage; older ones are overdue and skipped. */
     private static final long MAX_BACKLOG_WINDOWS = 20;
 
-    private final WindowCounts counts;
-    private final MeteringRows rows;
-    private final FencedCalls duties;
-    private final Leases leases;
-    private final TimeSource time;
-    private final long windowMillis;
-    private final TraceLog trace;
-    private final MeterRegistry meters;
-    private final long firstWindow;
-    private @Nullable Future<?> timer;
-    private boolean reporting;
-    private long nextWindow = -1;
-    private long actingFencing = -1;
-    private long rejectedFencing = -1;
+    private final WindowCounts mCounts;
+    private final MeteringRows mRows;
+    private final FencedCalls mDuties;
+    private final Leases mLeases;
+    private final TimeSource mTime;
+    private final long mWindowMillis;
+    private final TraceLog mTrace;
+    private final MeterRegistry mMeters;
+    private final long mFirstWindow;
+    private @Nullable Future<?> mTimer;
+    private boolean mReporting;
+    private long mNextWindow = -1;
+    private long mActingFencing = -1;
+    private long mRejectedFencing = -1;
 
     UsageReporter(
             WindowCounts counts,
@@ -57,20 +57,20 @@
             long windowMillis,
             TraceLog trace,
             MeterRegistry meters) {
-        this.counts = counts;
-        this.rows = rows;
-        this.duties = duties;
-        this.leases = leases;
-        this.time = time;
-        this.windowMillis = windowMillis;
-        this.trace = trace;
-        this.meters = meters;
-        this.firstWindow = counts.windowOf(time.wallMillis());
+        mCounts = counts;
+        mRows = rows;
+        mDuties = duties;
+        mLeases = leases;
+        mTime = time;
+        mWindowMillis = windowMillis;
+        mTrace = trace;
+        mMeters = meters;
+        mFirstWindow = counts.windowOf(time.wallMillis());
     }
 
     void start(EventLoop loop) {
-        leases.request(ROLE, new RoleListener());
-        timer =
+        mLeases.request(ROLE, new RoleListener());
+        mTimer =
                 loop.scheduleAtFixedRate(
                         this::tick, INTERVAL_MILLIS, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -78,12 +78,12 @@
     /** Writes the counts at once and releases the role. */
     void drain() {
         flush();
-        leases.release(ROLE);
+        mLeases.release(ROLE);
     }
 
     @Override
     public void close() {
-        Future<?> running = timer;
+        Future<?> running = mTimer;
         if (running != null) {
             running.cancel(false);
         }
@@ -92,45 +92,45 @@
 
     private void tick() {
         flush();
-        Option<HeldLease> lease = leases.held(ROLE);
-        if (lease.isEmpty() || reporting || lease.get().fencing() == rejectedFencing) {
+        Option<HeldLease> lease = mLeases.held(ROLE);
+        if (lease.isEmpty() || mReporting || lease.get().fencing() == mRejectedFencing) {
             return;
         }
-        reporting = true;
+        mReporting = true;
         report(lease.get().fencing())
-                .doFinally(signal -> reporting = false)
+                .doFinally(signal -> mReporting = false)
                 .subscribe(
                         done -> {},
                         failure ->
-                                trace.line(PART, "report-failed")
-                                        .with("window", nextWindow)
+                                mTrace.line(PART, "report-failed")
+                                        .with("window", mNextWindow)
                                         .with("reason", String.valueOf(failure.getMessage()))
                                         .write());
     }
 
     private void flush() {
-        for (Map.Entry<Long, Map<String, Long>> window : counts.takeChanged().entrySet()) {
-            rows.write(window.getKey(), window.getValue())
+        for (Map.Entry<Long, Map<String, Long>> window : mCounts.takeChanged().entrySet()) {
+            mRows.write(window.getKey(), window.getValue())
                     .subscribe(
                             written -> {},
                             failure -> {
-                                meters.counter("fuchsialever.metering.retries", "reason", "write")
+                                mMeters.counter("fuchsialever.metering.retries", "reason", "write")
                                         .increment();
-                                counts.markChanged(window.getKey());
+                                mCounts.markChanged(window.getKey());
                             });
         }
-        counts.removeBefore(counts.windowOf(time.wallMillis()) - MAX_BACKLOG_WINDOWS);
+        mCounts.removeBefore(mCounts.windowOf(mTime.wallMillis()) - MAX_BACKLOG_WINDOWS);
     }
 
     private Mono<Void> report(long fencing) {
-        if (actingFencing != fencing) {
-            long from = counts.windowOf(time.wallMillis()) - MAX_BACKLOG_WINDOWS;
-            return rows.lastClosed(from)
+        if (mActingFencing != fencing) {
+            long from = mCounts.windowOf(mTime.wallMillis()) - MAX_BACKLOG_WINDOWS;
+            return mRows.lastClosed(from)
                     .flatMap(
                             last -> {
                                 // The last closed window may not have been reported.
-                                nextWindow = last >= 0 ? last : Math.max(from, firstWindow);
-                                actingFencing = fencing;
+                                mNextWindow = last >= 0 ? last : Math.max(from, mFirstWindow);
+                                mActingFencing = fencing;
                                 return reportEnded(fencing);
                             });
         }
@@ -138,16 +138,16 @@
     }
 
     private Mono<Void> reportEnded(long fencing) {
-        long window = nextWindow;
-        long endMillis = (window + 1) * windowMillis;
-        if (time.wallMillis() < endMillis + SETTLE_MILLIS) {
+        long window = mNextWindow;
+        long endMillis = (window + 1) * mWindowMillis;
+        if (mTime.wallMillis() < endMillis + SETTLE_MILLIS) {
             return Mono.empty();
         }
-        return rows.sum(window)
-                .flatMap(sum -> rows.close(window, sum))
+        return mRows.sum(window)
+                .flatMap(sum -> mRows.close(window, sum))
                 .flatMap(
                         closedCounts ->
-                                duties.reportUsage(window, closedCounts, fencing)
+                                mDuties.reportUsage(window, closedCounts, fencing)
                                         .flatMap(
                                                 result ->
                                                         handleResult(
@@ -159,19 +159,19 @@
 
     private Mono<Void> handleResult(
             long window, Map<String, Long> closedCounts, long fencing, FencedCalls.Result result) {
-        trace.line(PART, "reported")
+        mTrace.line(PART, "reported")
                 .with("window", window)
                 .with("counts", closedCounts.toString())
                 .with("fencing", fencing)
                 .with("answer", result.name())
                 .write();
-        meters.counter("fuchsialever.metering.reports", "answer", result.name()).increment();
+        mMeters.counter("fuchsialever.metering.reports", "answer", result.name()).increment();
         switch (result) {
             case ACCEPTED -> {
-                nextWindow = window + 1;
+                mNextWindow = window + 1;
                 return reportEnded(fencing);
             }
-            case FENCED -> rejectedFencing = fencing;
+            case FENCED -> mRejectedFencing = fencing;
             case BUSY -> {}
         }
         return Mono.empty();
@@ -181,12 +181,12 @@
     private final class RoleListener implements Leases.LeaseListener {
         @Override
         public void onAcquired(HeldLease lease) {
-            trace.line(PART, "role-gained").with("fencing", lease.fencing()).write();
+            mTrace.line(PART, "role-gained").with("fencing", lease.fencing()).write();
         }
 
         @Override
         public void onLost(String role) {
-            trace.line(PART, "role-lost").write();
+            mTrace.line(PART, "role-lost").write();
         }
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/orders/OrderActions.java
+++ b/node/src/main/java/org/fuchsialever/node/orders/OrderActions.java
@@ -29,13 +29,13 @@
 
 /** Executes the actions of the order duty of one pool. */
 final class OrderActions implements ActionSink<OrderAction> {
-    private final PoolName pool;
-    private final OrderingService ordering;
-    private final DispatchFeed dispatch;
-    private final LeavingUpstreamPublisher peers;
-    private final MeterRegistry meters;
-    private final RoleIntents<UpstreamCommand> intents;
-    private final Consumer<OrderEvent> events;
+    private final PoolName mPool;
+    private final OrderingService mOrdering;
+    private final DispatchFeed mDispatch;
+    private final LeavingUpstreamPublisher mPeers;
+    private final MeterRegistry mMeters;
+    private final RoleIntents<UpstreamCommand> mIntents;
+    private final Consumer<OrderEvent> mEvents;
 
     OrderActions(
             PoolName pool,
@@ -44,13 +44,13 @@
             DispatchFeed dispatch,
             LeavingUpstreamPublisher peers,
             Consumer<OrderEvent> events) {
-        this.pool = pool;
-        this.ordering = ordering;
-        this.dispatch = dispatch;
-        this.peers = peers;
-        this.meters = services.meters();
-        this.events = events;
-        this.intents =
+        mPool = pool;
+        mOrdering = ordering;
+        mDispatch = dispatch;
+        mPeers = peers;
+        mMeters = services.meters();
+        mEvents = events;
+        mIntents =
                 new RoleIntents<>(
                         OrderDuty.roleOf(pool),
                         new UpstreamCommandCodec(),
@@ -64,21 +64,22 @@
     }
 
     RoleIntents<UpstreamCommand> intents() {
-        return intents;
+        return mIntents;
     }
 
     @Override
     public void emit(OrderAction action) {
         if (action instanceof OrderAction.RoleAction role) {
-            intents.execute(role.action());
+            mIntents.execute(role.action());
         } else if (action instanceof OrderAction.ListUpstreams) {
-            ordering.list()
+            mOrdering
+                    .list()
                     .subscribe(
-                            list -> events.accept(new OrderEvent.UpstreamsListed(observed(list))),
+                            list -> mEvents.accept(new OrderEvent.UpstreamsListed(observed(list))),
                             failure -> count("list-failed"));
         } else if (action instanceof OrderAction.PublishLeaving leaving) {
-            dispatch.report(new DispatchEvent.UpstreamLeaving(leaving.upstream()));
-            peers.publish(Set.of(leaving.upstream()));
+            mDispatch.report(new DispatchEvent.UpstreamLeaving(leaving.upstream()));
+            mPeers.publish(Set.of(leaving.upstream()));
         } else if (action instanceof OrderAction.CapacityRefused refusal) {
             count("capacity-refused-" + SettingsReader.label(refusal.placement().kind()));
         }
@@ -86,7 +87,7 @@
 
     private List<ObservedUpstream> observed(List<OrderedUpstream> list) {
         return list.stream()
-                .filter(upstream -> upstream.pool().equals(pool))
+                .filter(upstream -> upstream.pool().equals(mPool))
                 .map(OrderActions::observed)
                 .toList();
     }
@@ -127,7 +128,7 @@
     }
 
     private void count(String reason) {
-        meters.counter("fuchsialever.orders.refusals", "pool", pool.value(), "reason", reason)
+        mMeters.counter("fuchsialever.orders.refusals", "pool", mPool.value(), "reason", reason)
                 .increment();
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/orders/OrdersComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/orders/OrdersComponent.java
@@ -35,11 +35,11 @@
     private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(10);
     private static final double PERCENT = 100;
 
-    private OrderPolicy policy = OrderPolicy.PLANNED;
-    private Duration receiverTimeout = REQUEST_TIMEOUT;
-    private double cheapPrice;
-    private double startCost;
-    private FailureDomain ownDomain = new FailureDomain("none");
+    private OrderPolicy mPolicy = OrderPolicy.PLANNED;
+    private Duration mReceiverTimeout = REQUEST_TIMEOUT;
+    private double mCheapPrice;
+    private double mStartCost;
+    private FailureDomain mOwnDomain = new FailureDomain("none");
 
     @Override
     public String pluginName() {
@@ -66,16 +66,16 @@
 
     @Override
     public void configure(SettingsReader settings) {
-        policy = settings.choice(SECTION, "policy", OrderPolicy.class, OrderPolicy.PLANNED);
-        receiverTimeout = settings.duration(SECTION, "receiver-request-timeout", REQUEST_TIMEOUT);
-        cheapPrice = settings.integer(SECTION, "cheap-price-percent", 35, 1, 100) / PERCENT;
-        startCost = settings.duration(SECTION, "start-cost", Duration.ofMinutes(3)).toSeconds();
+        mPolicy = settings.choice(SECTION, "policy", OrderPolicy.class, OrderPolicy.PLANNED);
+        mReceiverTimeout = settings.duration(SECTION, "receiver-request-timeout", REQUEST_TIMEOUT);
+        mCheapPrice = settings.integer(SECTION, "cheap-price-percent", 35, 1, 100) / PERCENT;
+        mStartCost = settings.duration(SECTION, "start-cost", Duration.ofMinutes(3)).toSeconds();
     }
 
     @Override
     public void install(ComponentContext context) {
         Platform platform = context.require(Platform.class);
-        ownDomain = context.require(NodeIdentity.class).failureDomain();
+        mOwnDomain = context.require(NodeIdentity.class).failureDomain();
         IntentServices services =
                 new IntentServices(
                         platform.tables(),
@@ -114,8 +114,8 @@
         OrderDuty duty =
                 new OrderDuty(
                         pool,
-                        policy,
-                        IntentTiming.standard(receiverTimeout),
+                        mPolicy,
+                        IntentTiming.standard(mReceiverTimeout),
                         context.random("orders-" + pool),
                         context.time().nanoTime(),
                         services.invariants());
@@ -136,9 +136,9 @@
                         pool.minimum(),
                         pool.maximum(),
                         slots,
-                        domains.isEmpty() ? List.of(ownDomain) : domains,
+                        domains.isEmpty() ? List.of(mOwnDomain) : domains,
                         1,
-                        cheapPrice,
-                        startCost));
+                        mCheapPrice,
+                        mStartCost));
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/peers/PeerService.java
+++ b/node/src/main/java/org/fuchsialever/node/peers/PeerService.java
@@ -34,39 +34,40 @@
     private static final int RING_CAPACITY = 1_024;
     private static final Duration LIST_TIMEOUT = Duration.ofSeconds(2);
 
-    private final InstanceId self;
-    private final InstanceList instances;
-    private final MeterRegistry meters;
-    private final PeerTransport transport;
-    private final PeerRotation rotation;
-    private final Map<Class<?>, List<Handler<PeerMessage>>> handlers = new ConcurrentHashMap<>();
-    private volatile MembershipAction.ViewChanged view =
+    private final InstanceId mSelf;
+    private final InstanceList mInstances;
+    private final MeterRegistry mMeters;
+    private final PeerTransport mTransport;
+    private final PeerRotation mRotation;
+    private final Map<Class<?>, List<Handler<PeerMessage>>> mHandlers = new ConcurrentHashMap<>();
+    private volatile MembershipAction.ViewChanged mView =
             new MembershipAction.ViewChanged(List.of(), false);
 
     /**
      * Events that arrive before the inbox is known are counted and dropped; the duty reads the list
      * of instances again within 1 s.
      */
-    private volatile ActionSink<MembershipEvent> duty = event -> count("not-started");
+    private volatile ActionSink<MembershipEvent> mDuty = event -> count("not-started");
 
     /** Creates a service; its transport listens only after {@link #listen}. */
     PeerService(ComponentContext context, NodeIdentity identity, InstanceList instances) {
-        this.self = identity.instance();
-        this.instances = instances;
-        this.meters = context.meters();
-        this.rotation = new PeerRotation(identity.region(), context.random("gossip"));
-        this.transport =
+        mSelf = identity.instance();
+        mInstances = instances;
+        mMeters = context.meters();
+        mRotation = new PeerRotation(identity.region(), context.random("gossip"));
+        mTransport =
                 context.closer()
                         .register(
                                 "peer transport",
                                 new PeerTransport(
-                                        self,
+                                        mSelf,
                                         PeerTransportLimits.defaults(),
                                         this::onMessage,
-                                        meters,
+                                        mMeters,
                                         context.random("peer-transport")));
         Member member =
-                new Member(self, identity.region(), identity.failureDomain(), 1, MemberState.ALIVE);
+                new Member(
+                        mSelf, identity.region(), identity.failureDomain(), 1, MemberState.ALIVE);
         Inbox<MembershipEvent> inbox =
                 context.startDuty(
                         new MembershipDuty(
@@ -74,20 +75,20 @@
                         RING_CAPACITY,
                         OverflowPolicy.DROP_OLDEST,
                         this);
-        duty = inbox::offer;
+        mDuty = inbox::offer;
     }
 
     /** Starts listening and returns the bound port; port 0 selects a free one. */
     int listen(String address, int port) {
-        return transport.listen(address, port);
+        return mTransport.listen(address, port);
     }
 
     @Override
     public boolean send(InstanceId receiver, PeerMessage message) {
         boolean known =
-                view.members().stream().anyMatch(member -> member.instance().equals(receiver));
+                mView.members().stream().anyMatch(member -> member.instance().equals(receiver));
         if (known) {
-            transport.send(receiver, message);
+            mTransport.send(receiver, message);
         } else {
             count("unknown-receiver");
         }
@@ -96,55 +97,56 @@
 
     @Override
     public void broadcast(PeerMessage message) {
-        view.members().forEach(member -> transport.send(member.instance(), message));
+        mView.members().forEach(member -> mTransport.send(member.instance(), message));
     }
 
     @Override
     public void gossip(PeerMessage message) {
         List<InstanceId> chosen;
-        synchronized (rotation) {
-            chosen = rotation.next(view.members());
+        synchronized (mRotation) {
+            chosen = mRotation.next(mView.members());
         }
-        chosen.forEach(receiver -> transport.send(receiver, message));
+        chosen.forEach(receiver -> mTransport.send(receiver, message));
     }
 
     @Override
     public <M extends PeerMessage> void subscribe(Class<M> type, Handler<M> handler) {
-        handlers.computeIfAbsent(type, key -> new CopyOnWriteArrayList<>())
+        mHandlers
+                .computeIfAbsent(type, key -> new CopyOnWriteArrayList<>())
                 .add((sender, message) -> handler.onMessage(sender, type.cast(message)));
     }
 
     @Override
     public List<Member> members() {
-        return view.members();
+        return mView.members();
     }
 
     @Override
     public boolean isIsolated() {
-        return view.isolated();
+        return mView.isolated();
     }
 
     @Override
     public void announceVersions(long configVersion, long keyVersion) {
-        duty.emit(new MembershipEvent.VersionsChanged(configVersion, keyVersion));
+        mDuty.emit(new MembershipEvent.VersionsChanged(configVersion, keyVersion));
     }
 
     @Override
     public void leave() {
-        duty.emit(new MembershipEvent.LeaveRequested());
+        mDuty.emit(new MembershipEvent.LeaveRequested());
     }
 
     @Override
     public void emit(MembershipAction action) {
         if (action instanceof MembershipAction.SendHeartbeat send) {
-            transport.send(send.receiver(), send.heartbeat());
+            mTransport.send(send.receiver(), send.heartbeat());
         } else if (action instanceof MembershipAction.ViewChanged changed) {
-            if (changed.isolated() && !view.isolated()) {
+            if (changed.isolated() && !mView.isolated()) {
                 LOG.warning("More than half of the contacted peers do not respond.");
             }
-            view = changed;
+            mView = changed;
         } else if (action instanceof MembershipAction.ReadInstances) {
-            instances
+            mInstances
                     .list()
                     .timeout(LIST_TIMEOUT)
                     .subscribe(this::onInstancesListed, failure -> count("instance-list-failed"));
@@ -154,14 +156,14 @@
     private void onInstancesListed(List<ListedInstance> list) {
         Map<InstanceId, InetSocketAddress> addresses = new HashMap<>();
         for (ListedInstance listed : list) {
-            if (!listed.instance().equals(self)) {
+            if (!listed.instance().equals(mSelf)) {
                 addresses.put(
                         listed.instance(),
                         new InetSocketAddress(listed.address(), listed.peerPort()));
             }
         }
-        transport.updateAddresses(addresses);
-        duty.emit(
+        mTransport.updateAddresses(addresses);
+        mDuty.emit(
                 new MembershipEvent.InstancesListed(
                         list.stream().map(PeerService::member).toList()));
     }
@@ -181,9 +183,9 @@
                 count("wrong-sender");
                 return;
             }
-            duty.emit(new MembershipEvent.HeartbeatReceived(heartbeat));
+            mDuty.emit(new MembershipEvent.HeartbeatReceived(heartbeat));
         }
-        for (Handler<PeerMessage> handler : handlers.getOrDefault(message.getClass(), List.of())) {
+        for (Handler<PeerMessage> handler : mHandlers.getOrDefault(message.getClass(), List.of())) {
             try {
                 handler.onMessage(sender, message);
             } catch (RuntimeException e) {
@@ -196,7 +198,7 @@
     private void count(String reason) {
         Counter.builder("fuchsialever.peers.refusals")
                 .tag("reason", reason)
-                .register(meters)
+                .register(mMeters)
                 .increment();
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/peers/PeersComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/peers/PeersComponent.java
@@ -13,8 +13,8 @@
     private static final String DEFAULT_ADDRESS = "127.0.0.1";
     private static final int MAX_PORT = 65_535;
 
-    private String address = DEFAULT_ADDRESS;
-    private int port;
+    private String mAddress = DEFAULT_ADDRESS;
+    private int mPort;
 
     @Override
     public String pluginName() {
@@ -33,8 +33,8 @@
 
     @Override
     public void configure(SettingsReader settings) {
-        address = settings.text(SECTION, "peer-address", DEFAULT_ADDRESS);
-        port = (int) settings.integer(SECTION, "peer-port", 0, 0, MAX_PORT);
+        mAddress = settings.text(SECTION, "peer-address", DEFAULT_ADDRESS);
+        mPort = (int) settings.integer(SECTION, "peer-port", 0, 0, MAX_PORT);
     }
 
     @Override
@@ -44,7 +44,7 @@
                         context,
                         context.require(NodeIdentity.class),
                         context.require(Platform.class).instances());
-        service.listen(address, port);
+        service.listen(mAddress, mPort);
         context.provide(PeerMessages.class, service);
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/peerstate/PeerStateClient.java
+++ b/node/src/main/java/org/fuchsialever/node/peerstate/PeerStateClient.java
@@ -21,9 +21,9 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(2);
 
-    private final InstanceList instances;
-    private final InstanceId self;
-    private final HttpClient client;
+    private final InstanceList mInstances;
+    private final InstanceId mSelf;
+    private final HttpClient mClient;
 
     /**
      * Creates a client.
@@ -32,9 +32,9 @@
      * @param self this instance, which is left out
      */
     public PeerStateClient(InstanceList instances, InstanceId self) {
-        this.instances = instances;
-        this.self = self;
-        this.client =
+        mInstances = instances;
+        mSelf = self;
+        mClient =
                 HttpClient.newConnection()
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
     }
@@ -48,7 +48,7 @@
      */
     public void askAll(
             String path, IntConsumer onList, BiConsumer<ListedInstance, String> onResponse) {
-        instances
+        mInstances
                 .list()
                 .map(this::peers)
                 .doOnNext(peers -> onList.accept(peers.size()))
@@ -66,12 +66,12 @@
     }
 
     private List<ListedInstance> peers(List<ListedInstance> listed) {
-        return listed.stream().filter(peer -> !peer.instance().equals(self)).toList();
+        return listed.stream().filter(peer -> !peer.instance().equals(mSelf)).toList();
     }
 
     private Mono<String> fetchState(ListedInstance peer, String path) {
         String host = peer.address().contains(":") ? "[" + peer.address() + "]" : peer.address();
-        return client.get()
+        return mClient.get()
                 .uri("http://" + host + ":" + peer.httpPort() + path)
                 .responseSingle(
                         (response, content) ->
--- a/node/src/main/java/org/fuchsialever/node/peerstate/PeerStateEndpoint.java
+++ b/node/src/main/java/org/fuchsialever/node/peerstate/PeerStateEndpoint.java
@@ -20,9 +20,9 @@
     private static final int FORBIDDEN = 403;
     private static final int UNAVAILABLE = 503;
 
-    private final String path;
-    private final InstanceList instances;
-    private final Supplier<Option<String>> state;
+    private final String mPath;
+    private final InstanceList mInstances;
+    private final Supplier<Option<String>> mState;
 
     /**
      * Creates the endpoint.
@@ -32,14 +32,14 @@
      * @param state returns the response body, or none if this instance has no state yet
      */
     public PeerStateEndpoint(String path, InstanceList instances, Supplier<Option<String>> state) {
-        this.path = path;
-        this.instances = instances;
-        this.state = state;
+        mPath = path;
+        mInstances = instances;
+        mState = state;
     }
 
     @Override
     public boolean accepts(String method, String requestPath) {
-        return method.equals("GET") && requestPath.equals(path);
+        return method.equals("GET") && requestPath.equals(mPath);
     }
 
     @Override
@@ -49,7 +49,7 @@
                 remote == null || remote.getAddress() == null
                         ? ""
                         : remote.getAddress().getHostAddress();
-        return instances
+        return mInstances
                 .list()
                 .map(listed -> isListed(listed, address) ? OK : FORBIDDEN)
                 .onErrorReturn(UNAVAILABLE)
@@ -57,7 +57,7 @@
     }
 
     private Mono<Void> respond(int status, HttpServerResponse response) {
-        Option<String> body = state.get();
+        Option<String> body = mState.get();
         if (status != OK || body.isEmpty()) {
             return response.status(status == OK ? UNAVAILABLE : status).send();
         }
--- a/node/src/main/java/org/fuchsialever/node/platform/PlatformComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/platform/PlatformComponent.java
@@ -16,7 +16,7 @@
     private static final String SECTION = "platform";
     private static final String DEFAULT_ADAPTER = "http";
 
-    private Option<PlatformAdapter> adapter = Option.none();
+    private Option<PlatformAdapter> mAdapter = Option.none();
 
     @Override
     public String pluginName() {
@@ -37,18 +37,18 @@
     public void configure(SettingsReader settings) {
         // Duplicate names were reported when the components were discovered.
         PluginRegistry registry = PluginRegistry.discover(new Findings());
-        adapter =
+        mAdapter =
                 registry.select(
                         PlatformAdapter.class,
                         settings.text(SECTION, "adapter", DEFAULT_ADAPTER),
                         settings.location(SECTION, "adapter"),
                         settings.findings());
-        adapter.forEach(selected -> selected.configure(settings));
+        mAdapter.forEach(selected -> selected.configure(settings));
     }
 
     @Override
     public void install(ComponentContext context) {
-        adapter.forEach(
+        mAdapter.forEach(
                 selected -> {
                     Platform platform = selected.open(context);
                     context.provide(Platform.class, platform);
--- a/node/src/main/java/org/fuchsialever/node/samples/CommitSender.java
+++ b/node/src/main/java/org/fuchsialever/node/samples/CommitSender.java
@@ -18,16 +18,16 @@
 final class CommitSender {
     private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
-    private final TableService tables;
-    private final Leases leases;
-    private final String holder;
-    private final TimeSource time;
+    private final TableService mTables;
+    private final Leases mLeases;
+    private final String mHolder;
+    private final TimeSource mTime;
 
     CommitSender(TableService tables, Leases leases, String holder, TimeSource time) {
-        this.tables = tables;
-        this.leases = leases;
-        this.holder = holder;
-        this.time = time;
+        mTables = tables;
+        mLeases = leases;
+        mHolder = holder;
+        mTime = time;
     }
 
     void send(
@@ -37,7 +37,7 @@
             String team,
             Consumer<RolloutEvent> listener) {
         Option<HeldLease> lease =
-                leases.held(RolloutRows.role(trainer)).filter(held -> held.fencing() == term);
+                mLeases.held(RolloutRows.role(trainer)).filter(held -> held.fencing() == term);
         RolloutEvent unknown =
                 new RolloutEvent.CommitOutcomeUnknown(trainer, term, commit.writer());
         if (lease.isEmpty()) {
@@ -46,14 +46,14 @@
         }
         Mono.defer(
                         () ->
-                                tables.commit(
+                                mTables.commit(
                                         RolloutRows.encode(
                                                 trainer,
                                                 commit,
                                                 lease.get(),
-                                                holder,
+                                                mHolder,
                                                 team,
-                                                time.wallMillis())))
+                                                mTime.wallMillis())))
                 .timeout(TIMEOUT)
                 .map(result -> eventOf(trainer, term, commit, result))
                 .onErrorReturn(unknown)
--- a/node/src/main/java/org/fuchsialever/node/samples/PendingRequests.java
+++ b/node/src/main/java/org/fuchsialever/node/samples/PendingRequests.java
@@ -16,9 +16,9 @@
 
 /** Requests of trainers that wait for a response action of the duty. */
 final class PendingRequests {
-    private final Map<Long, MonoSink<Either<Refusal, RolloutAction>>> waiting =
+    private final Map<Long, MonoSink<Either<Refusal, RolloutAction>>> mWaiting =
             new ConcurrentHashMap<>();
-    private final AtomicLong sequence = new AtomicLong();
+    private final AtomicLong mSequence = new AtomicLong();
 
     /**
      * Sends an event with a new request number and waits for the response.
@@ -26,7 +26,7 @@
      * @param offer sends the event; returns false if the ring is full
      */
     Mono<Either<Refusal, RolloutAction>> send(LongPredicate offer, Duration timeout) {
-        return Mono.defer(() -> send(sequence.incrementAndGet(), offer))
+        return Mono.defer(() -> send(mSequence.incrementAndGet(), offer))
                 .timeout(timeout)
                 .onErrorReturn(
                         TimeoutException.class,
@@ -44,17 +44,17 @@
     private Mono<Either<Refusal, RolloutAction>> send(long request, LongPredicate offer) {
         return Mono.<Either<Refusal, RolloutAction>>create(
                         sink -> {
-                            waiting.put(request, sink);
+                            mWaiting.put(request, sink);
                             if (!offer.test(request)) {
                                 complete(
                                         request, Either.left(Refusal.of(RefusalReason.QUEUE_FULL)));
                             }
                         })
-                .doFinally(signal -> waiting.remove(request));
+                .doFinally(signal -> mWaiting.remove(request));
     }
 
     private void complete(long request, Either<Refusal, RolloutAction> result) {
-        MonoSink<Either<Refusal, RolloutAction>> sink = waiting.remove(request);
+        MonoSink<Either<Refusal, RolloutAction>> sink = mWaiting.remove(request);
         if (sink != null) {
             sink.success(result);
         }
--- a/node/src/main/java/org/fuchsialever/node/samples/RolloutExecutor.java
+++ b/node/src/main/java/org/fuchsialever/node/samples/RolloutExecutor.java
@@ -32,39 +32,39 @@
     private static final Duration JUDGE_TIMEOUT = Duration.ofSeconds(30);
     private static final Duration STORE_TIMEOUT = Duration.ofSeconds(10);
 
-    private final RolloutDependencies dependencies;
-    private final Map<AttemptKey, Disposable> running = new ConcurrentHashMap<>();
-    private final Map<TrainerName, Submission> newestSubmissions = new ConcurrentHashMap<>();
-    private final Map<TrainerName, String> teams = new ConcurrentHashMap<>();
-    private volatile @Nullable Inbox<RolloutEvent> inbox;
+    private final RolloutDependencies mDependencies;
+    private final Map<AttemptKey, Disposable> mRunning = new ConcurrentHashMap<>();
+    private final Map<TrainerName, Submission> mNewestSubmissions = new ConcurrentHashMap<>();
+    private final Map<TrainerName, String> mTeams = new ConcurrentHashMap<>();
+    private volatile @Nullable Inbox<RolloutEvent> mInbox;
 
     RolloutExecutor(RolloutDependencies dependencies) {
-        this.dependencies = dependencies;
+        mDependencies = dependencies;
     }
 
     void connect(Inbox<RolloutEvent> newInbox) {
-        inbox = newInbox;
+        mInbox = newInbox;
     }
 
     /** Sends an event to the duty; returns false if its ring is full. */
     boolean offer(RolloutEvent event) {
-        Inbox<RolloutEvent> target = inbox;
+        Inbox<RolloutEvent> target = mInbox;
         boolean offered = target != null && target.offer(event);
         if (!offered) {
-            dependencies.metrics().failure("ring-full");
+            mDependencies.metrics().failure("ring-full");
         }
         return offered;
     }
 
     /** Returns whether a trainer belongs to a team or to none. */
     boolean belongsTo(TrainerName trainer, TeamName team) {
-        String owner = teams.getOrDefault(trainer, "");
+        String owner = mTeams.getOrDefault(trainer, "");
         return owner.isEmpty() || owner.equals(team.value());
     }
 
     /** Reads the newest version of each model that trainers use from the weight store. */
     void observeVersions() {
-        newestSubmissions.forEach(
+        mNewestSubmissions.forEach(
                 (trainer, submission) -> observeVersion(trainer, submission.model()));
     }
 
@@ -92,15 +92,15 @@
     private void respond(RolloutAction action) {
         if (action instanceof RolloutAction.Deliver delivery) {
             if (!delivery.entries().isEmpty()) {
-                dependencies.metrics().delivered(delivery);
+                mDependencies.metrics().delivered(delivery);
             }
-            dependencies.pending().respond(delivery.request(), delivery);
+            mDependencies.pending().respond(delivery.request(), delivery);
         } else if (action instanceof RolloutAction.Accept accept) {
-            dependencies.pending().respond(accept.request(), accept);
+            mDependencies.pending().respond(accept.request(), accept);
         } else if (action instanceof RolloutAction.Refuse refuse) {
-            dependencies.pending().refuse(refuse.request(), refuse.reason());
+            mDependencies.pending().refuse(refuse.request(), refuse.reason());
         } else if (action instanceof RolloutAction.Count count) {
-            dependencies.metrics().count(count.trainer(), count.counter(), count.amount());
+            mDependencies.metrics().count(count.trainer(), count.counter(), count.amount());
         }
     }
 
@@ -114,11 +114,11 @@
             offer(failed);
             return;
         }
-        long started = dependencies.time().wallMillis();
+        long started = mDependencies.time().wallMillis();
         GenerationRequest request =
                 new GenerationRequest(
                         new RequestId(
-                                dependencies.writer()
+                                mDependencies.writer()
                                         + "-s"
                                         + action.term()
                                         + "-"
@@ -129,17 +129,17 @@
                         action.maxTokens(),
                         action.urgency());
         Disposable generation =
-                Mono.defer(() -> dependencies.generation().generate(request))
+                Mono.defer(() -> mDependencies.generation().generate(request))
                         .map(result -> generated(action, result, started))
-                        .doOnError(failure -> dependencies.metrics().failure("generate"))
+                        .doOnError(failure -> mDependencies.metrics().failure("generate"))
                         .onErrorReturn(failed)
                         .defaultIfEmpty(failed)
-                        .doFinally(signal -> running.remove(key))
+                        .doFinally(signal -> mRunning.remove(key))
                         .subscribe(this::offer);
         if (!generation.isDisposed()) {
-            running.put(key, generation);
+            mRunning.put(key, generation);
             if (generation.isDisposed()) {
-                running.remove(key);
+                mRunning.remove(key);
             }
         }
     }
@@ -154,18 +154,18 @@
                         result.text(),
                         result.ranges(),
                         startedMillis,
-                        dependencies.time().wallMillis()));
+                        mDependencies.time().wallMillis()));
     }
 
     private Option<Route> routeNamed(RouteName name) {
-        return dependencies
+        return mDependencies
                 .config()
                 .current()
                 .flatMap(snapshot -> Option.of(snapshot.routes().get(name)));
     }
 
     private void cancel(AttemptKey key) {
-        Disposable generation = running.remove(key);
+        Disposable generation = mRunning.remove(key);
         if (generation != null) {
             generation.dispose();
         }
@@ -177,7 +177,7 @@
                 new RolloutEvent.SampleFailed(trainer, action.term(), action.attempt());
         Mono.defer(
                         () ->
-                                dependencies
+                                mDependencies
                                         .judge()
                                         .judge(
                                                 action.sample().toString(),
@@ -188,7 +188,7 @@
                         score ->
                                 new RolloutEvent.SampleJudged(
                                         trainer, action.term(), action.attempt(), score))
-                .doOnError(failure -> dependencies.metrics().failure("judge"))
+                .doOnError(failure -> mDependencies.metrics().failure("judge"))
                 .onErrorReturn(failed)
                 .defaultIfEmpty(failed)
                 .subscribe(this::offer);
@@ -199,10 +199,10 @@
                 new RolloutEvent.BatchStored(action.trainer(), action.term(), action.object());
         RolloutEvent failed =
                 new RolloutEvent.StoreFailed(action.trainer(), action.term(), action.object());
-        Mono.defer(() -> dependencies.objects().store(action.object(), action.samples()))
+        Mono.defer(() -> mDependencies.objects().store(action.object(), action.samples()))
                 .timeout(STORE_TIMEOUT)
                 .map(created -> stored)
-                .doOnError(failure -> dependencies.metrics().failure("store"))
+                .doOnError(failure -> mDependencies.metrics().failure("store"))
                 .onErrorReturn(failed)
                 .defaultIfEmpty(failed)
                 .subscribe(this::offer);
@@ -212,13 +212,13 @@
         commit.submission()
                 .forEach(
                         submission -> {
-                            newestSubmissions.put(trainer, submission);
-                            teams.put(trainer, submission.team().value());
+                            mNewestSubmissions.put(trainer, submission);
+                            mTeams.put(trainer, submission.team().value());
                             observeVersion(trainer, submission.model());
                         });
-        dependencies
+        mDependencies
                 .commits()
-                .send(trainer, term, commit, teams.getOrDefault(trainer, ""), this::offer);
+                .send(trainer, term, commit, mTeams.getOrDefault(trainer, ""), this::offer);
     }
 
     private void restore(RolloutAction.Restore action) {
@@ -226,7 +226,7 @@
         Mono.delay(Duration.ofNanos(action.delayNanos()))
                 .flatMap(
                         tick ->
-                                dependencies
+                                mDependencies
                                         .restorer()
                                         .restore(
                                                 trainer,
@@ -234,35 +234,35 @@
                                                 () -> isHolding(trainer, action.term())))
                 .subscribe(
                         restored -> handleRestored(trainer, action.term(), restored),
-                        failure -> dependencies.metrics().failure("restore"));
+                        failure -> mDependencies.metrics().failure("restore"));
     }
 
     private void handleRestored(TrainerName trainer, long term, RolloutRestorer.Restored restored) {
-        teams.put(trainer, restored.team());
+        mTeams.put(trainer, restored.team());
         offer(new RolloutEvent.TrainerRestored(trainer, term, restored.log()));
         restored.log().submissions().stream()
                 .reduce((first, second) -> second)
                 .ifPresent(
                         last -> {
-                            newestSubmissions.put(trainer, last.submission());
+                            mNewestSubmissions.put(trainer, last.submission());
                             observeVersion(trainer, last.submission().model());
                         });
     }
 
     private boolean isHolding(TrainerName trainer, long term) {
-        return dependencies
+        return mDependencies
                 .leases()
                 .held(RolloutRows.role(trainer))
                 .exists(lease -> lease.fencing() == term);
     }
 
     private void observeVersion(TrainerName trainer, String model) {
-        dependencies
+        mDependencies
                 .weights()
                 .latest(model)
                 .subscribe(
                         version -> offer(new RolloutEvent.VersionObserved(trainer, version)),
-                        failure -> dependencies.metrics().failure("weights"));
+                        failure -> mDependencies.metrics().failure("weights"));
     }
 
     private record AttemptKey(TrainerName trainer, long term, long attempt) {}
--- a/node/src/main/java/org/fuchsialever/node/samples/RolloutMetrics.java
+++ b/node/src/main/java/org/fuchsialever/node/samples/RolloutMetrics.java
@@ -10,14 +10,14 @@
 final class RolloutMetrics {
     private static final String TAG = "trainer";
 
-    private final MeterRegistry meters;
+    private final MeterRegistry mMeters;
 
     RolloutMetrics(MeterRegistry meters) {
-        this.meters = meters;
+        mMeters = meters;
     }
 
     void count(TrainerName trainer, RolloutCounter counter, int amount) {
-        meters.counter(
+        mMeters.counter(
                         "fuchsialever.rollout.events",
                         TAG,
                         trainer.value(),
@@ -29,12 +29,12 @@
     /** Records the trainer's idle time and the maximum staleness of the delivered samples. */
     void delivered(RolloutAction.Deliver delivery) {
         String trainer = delivery.trainer().value();
-        meters.timer("fuchsialever.trainer.idle", TAG, trainer)
+        mMeters.timer("fuchsialever.trainer.idle", TAG, trainer)
                 .record(delivery.idleNanos(), TimeUnit.NANOSECONDS);
-        meters.summary("fuchsialever.sample.staleness", TAG, trainer).record(delivery.staleness());
+        mMeters.summary("fuchsialever.sample.staleness", TAG, trainer).record(delivery.staleness());
     }
 
     void failure(String stage) {
-        meters.counter("fuchsialever.rollout.failures", "stage", stage).increment();
+        mMeters.counter("fuchsialever.rollout.failures", "stage", stage).increment();
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/samples/RolloutRestorer.java
+++ b/node/src/main/java/org/fuchsialever/node/samples/RolloutRestorer.java
@@ -24,12 +24,12 @@
     private static final Duration INITIAL_RETRY_DELAY = Duration.ofMillis(200);
     private static final Duration MAX_RETRY_DELAY = Duration.ofSeconds(5);
 
-    private final Platform platform;
-    private final TimeSource time;
+    private final Platform mPlatform;
+    private final TimeSource mTime;
 
     RolloutRestorer(Platform platform, TimeSource time) {
-        this.platform = platform;
-        this.time = time;
+        mPlatform = platform;
+        mTime = time;
     }
 
     /**
@@ -47,7 +47,8 @@
     }
 
     private Mono<Restored> readOnce(TrainerName trainer, long minVersion) {
-        return platform.tables()
+        return mPlatform
+                .tables()
                 .read(RolloutRows.DELIVERIES, RolloutRows.cursorKey(trainer))
                 .flatMap(row -> readRest(trainer, row, minVersion));
     }
@@ -84,7 +85,8 @@
     }
 
     private Mono<RestoredLog.RestoredSubmission> submission(TrainerName trainer, long step) {
-        return platform.tables()
+        return mPlatform
+                .tables()
                 .read(RolloutRows.GROUPS, RolloutRows.stepKey(trainer, step))
                 .flatMap(
                         row ->
@@ -95,8 +97,9 @@
 
     private Mono<RestoredLog.RestoredSubmission> object(String value) {
         RolloutRows.StepRow row = RolloutRows.read(value, RolloutRows.StepRow.class);
-        long age = Math.max(0, time.wallMillis() - row.acceptedMillis());
-        return platform.objects()
+        long age = Math.max(0, mTime.wallMillis() - row.acceptedMillis());
+        return mPlatform
+                .objects()
                 .read(row.object())
                 .flatMap(
                         content ->
@@ -110,7 +113,8 @@
     }
 
     private Mono<BatchRecord> batch(TrainerName trainer, long number) {
-        return platform.tables()
+        return mPlatform
+                .tables()
                 .read(RolloutRows.DELIVERIES, RolloutRows.batchKey(trainer, number))
                 .flatMap(
                         row ->
--- a/node/src/main/java/org/fuchsialever/node/samples/RolloutService.java
+++ b/node/src/main/java/org/fuchsialever/node/samples/RolloutService.java
@@ -30,14 +30,14 @@
     private static final Duration LEASE_RETRY_DELAY = Duration.ofMillis(200);
     private static final int MAX_LEASE_RETRIES = 15;
 
-    private final Platform platform;
-    private final Leases leases;
-    private final RolloutExecutor executor;
-    private final PendingRequests pending;
-    private final SampleObjects objects;
-    private final String ownAddress;
-    private final int maxTrainers;
-    private final Set<TrainerName> requestedLeases = ConcurrentHashMap.newKeySet();
+    private final Platform mPlatform;
+    private final Leases mLeases;
+    private final RolloutExecutor mExecutor;
+    private final PendingRequests mPending;
+    private final SampleObjects mObjects;
+    private final String mOwnAddress;
+    private final int mMaxTrainers;
+    private final Set<TrainerName> mRequestedLeases = ConcurrentHashMap.newKeySet();
 
     RolloutService(
             Platform platform,
@@ -45,13 +45,13 @@
             RolloutExecutor.RolloutDependencies dependencies,
             String ownAddress,
             int maxTrainers) {
-        this.platform = platform;
-        this.executor = executor;
-        this.leases = dependencies.leases();
-        this.pending = dependencies.pending();
-        this.objects = dependencies.objects();
-        this.ownAddress = ownAddress;
-        this.maxTrainers = maxTrainers;
+        mPlatform = platform;
+        mExecutor = executor;
+        mLeases = dependencies.leases();
+        mPending = dependencies.pending();
+        mObjects = dependencies.objects();
+        mOwnAddress = ownAddress;
+        mMaxTrainers = maxTrainers;
     }
 
     @Override
@@ -67,18 +67,19 @@
 
     @Override
     public Mono<Either<Refusal, Integer>> submit(Submission submission) {
-        if (!executor.belongsTo(submission.trainer(), submission.team())) {
+        if (!mExecutor.belongsTo(submission.trainer(), submission.team())) {
             return refuse(RefusalReason.TEAM_NOT_ALLOWED);
         }
         Submission stored = RolloutRows.withObjectName(submission);
-        return platform.objects()
+        return mPlatform
+                .objects()
                 .putIfAbsent(stored.object(), RolloutRows.write(stored))
                 .timeout(RESPONSE_TIMEOUT)
                 .flatMap(
                         created ->
-                                pending.send(
+                                mPending.send(
                                         request ->
-                                                executor.offer(
+                                                mExecutor.offer(
                                                         new RolloutEvent.GroupsSubmitted(
                                                                 request, stored)),
                                         RESPONSE_TIMEOUT))
@@ -93,12 +94,12 @@
     @Override
     public Mono<Either<Refusal, SamplePage>> samples(
             TeamName team, TrainerName trainer, long cursor, int limit, Duration wait) {
-        if (!executor.belongsTo(trainer, team)) {
+        if (!mExecutor.belongsTo(trainer, team)) {
             return refuse(RefusalReason.TEAM_NOT_ALLOWED);
         }
-        return pending.send(
+        return mPending.send(
                         request ->
-                                executor.offer(
+                                mExecutor.offer(
                                         new RolloutEvent.SamplesRequested(
                                                 trainer, request, cursor, limit, wait.toNanos())),
                         wait.plus(RESPONSE_TIMEOUT))
@@ -112,12 +113,12 @@
     @Override
     public Mono<Either<Refusal, Long>> acknowledge(
             TeamName team, TrainerName trainer, long cursor) {
-        if (!executor.belongsTo(trainer, team)) {
+        if (!mExecutor.belongsTo(trainer, team)) {
             return refuse(RefusalReason.TEAM_NOT_ALLOWED);
         }
-        return pending.send(
+        return mPending.send(
                         request ->
-                                executor.offer(
+                                mExecutor.offer(
                                         new RolloutEvent.CursorAcknowledged(
                                                 trainer, request, cursor)),
                         RESPONSE_TIMEOUT)
@@ -132,22 +133,23 @@
         Either<Refusal, SamplePage> unavailable =
                 Either.left(Refusal.of(RefusalReason.ROLLOUT_NOT_CONFIRMED));
         String role = RolloutRows.role(delivery.trainer());
-        return objects.bodies(delivery.entries())
+        return mObjects.bodies(delivery.entries())
                 .timeout(RESPONSE_TIMEOUT)
                 .map(bodies -> new SamplePage(delivery.firstPosition(), bodies))
                 .map(
                         page ->
-                                leases.held(role).isDefined()
+                                mLeases.held(role).isDefined()
                                         ? Either.<Refusal, SamplePage>right(page)
                                         : unavailable)
                 .onErrorReturn(unavailable);
     }
 
     private Mono<Option<String>> locate(TrainerName trainer, boolean create) {
-        if (leases.held(RolloutRows.role(trainer)).isDefined()) {
+        if (mLeases.held(RolloutRows.role(trainer)).isDefined()) {
             return Mono.just(Option.none());
         }
-        return platform.tables()
+        return mPlatform
+                .tables()
                 .read(RolloutRows.DELIVERIES, RolloutRows.cursorKey(trainer))
                 .flatMap(
                         row -> {
@@ -165,17 +167,17 @@
                                 found ->
                                         RolloutRows.read(found.value(), RolloutRows.HeadRow.class)
                                                 .holder())
-                        .filter(address -> !address.equals(ownAddress));
+                        .filter(address -> !address.equals(mOwnAddress));
         return holder.isDefined() ? Mono.just(holder) : Mono.error(new HolderUnknownException());
     }
 
     /** Requests the lease, so that this instance takes over if the current holder dies. */
     private void requestLease(TrainerName trainer) {
-        if (requestedLeases.size() >= maxTrainers && !requestedLeases.contains(trainer)) {
+        if (mRequestedLeases.size() >= mMaxTrainers && !mRequestedLeases.contains(trainer)) {
             throw refused(RefusalReason.QUEUE_FULL);
         }
-        if (requestedLeases.add(trainer)) {
-            leases.request(RolloutRows.role(trainer), new TrainerLease(trainer));
+        if (mRequestedLeases.add(trainer)) {
+            mLeases.request(RolloutRows.role(trainer), new TrainerLease(trainer));
         }
     }
 
@@ -194,20 +196,20 @@
 
     /** Reports changes of one trainer's lease to the duty. */
     private final class TrainerLease implements Leases.LeaseListener {
-        private final TrainerName trainer;
+        private final TrainerName mTrainer;
 
         TrainerLease(TrainerName trainer) {
-            this.trainer = trainer;
+            mTrainer = trainer;
         }
 
         @Override
         public void onAcquired(HeldLease lease) {
-            executor.offer(new RolloutEvent.LeaseAcquired(trainer, lease.fencing()));
+            mExecutor.offer(new RolloutEvent.LeaseAcquired(mTrainer, lease.fencing()));
         }
 
         @Override
         public void onLost(String role) {
-            executor.offer(new RolloutEvent.LeaseLost(trainer));
+            mExecutor.offer(new RolloutEvent.LeaseLost(mTrainer));
         }
     }
 
--- a/node/src/main/java/org/fuchsialever/node/samples/SampleObjects.java
+++ b/node/src/main/java/org/fuchsialever/node/samples/SampleObjects.java
@@ -15,8 +15,8 @@
     private static final int MAX_CACHED_OBJECTS = 32;
     private static final int PARALLEL_READS = 8;
 
-    private final ObjectStore objects;
-    private final Map<String, List<JudgedSample>> cache =
+    private final ObjectStore mObjects;
+    private final Map<String, List<JudgedSample>> mCache =
             new LinkedHashMap<>(16, 0.75f, true) {
                 private static final long serialVersionUID = 1L;
 
@@ -27,12 +27,12 @@
             };
 
     SampleObjects(ObjectStore objects) {
-        this.objects = objects;
+        mObjects = objects;
     }
 
     /** Stores samples; an existing object was stored by a previous attempt. */
     Mono<Boolean> store(String name, List<JudgedSample> samples) {
-        return objects.putIfAbsent(name, RolloutRows.write(samples))
+        return mObjects.putIfAbsent(name, RolloutRows.write(samples))
                 .doOnNext(stored -> addToCache(name, samples));
     }
 
@@ -60,13 +60,13 @@
     }
 
     private Mono<List<JudgedSample>> read(String name) {
-        synchronized (cache) {
-            List<JudgedSample> samples = cache.get(name);
+        synchronized (mCache) {
+            List<JudgedSample> samples = mCache.get(name);
             if (samples != null) {
                 return Mono.just(samples);
             }
         }
-        return objects.read(name)
+        return mObjects.read(name)
                 .map(
                         content ->
                                 RolloutRows.readSamples(
@@ -78,8 +78,8 @@
     }
 
     private void addToCache(String name, List<JudgedSample> samples) {
-        synchronized (cache) {
-            cache.put(name, samples);
+        synchronized (mCache) {
+            mCache.put(name, samples);
         }
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/samples/SamplesComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/samples/SamplesComponent.java
@@ -40,12 +40,12 @@
     private static final int EVENTS_PER_SAMPLE = 4;
     private static final Duration DEFAULT_VERSION_INTERVAL = Duration.ofSeconds(10);
 
-    private String address = "";
-    private int port;
-    private int maxHeldSamples;
-    private int maxTrainers;
-    private Duration versionInterval = DEFAULT_VERSION_INTERVAL;
-    private StragglerPolicy policy = StragglerPolicy.NONE;
+    private String mAddress = "";
+    private int mPort;
+    private int mMaxHeldSamples;
+    private int mMaxTrainers;
+    private Duration mVersionInterval = DEFAULT_VERSION_INTERVAL;
+    private StragglerPolicy mPolicy = StragglerPolicy.NONE;
 
     @Override
     public String pluginName() {
@@ -72,9 +72,9 @@
 
     @Override
     public void configure(SettingsReader settings) {
-        address = settings.text("node", "http-address", "");
-        port = (int) settings.integer("node", "http-port", 0, 0, MAX_PORT);
-        maxHeldSamples =
+        mAddress = settings.text("node", "http-address", "");
+        mPort = (int) settings.integer("node", "http-port", 0, 0, MAX_PORT);
+        mMaxHeldSamples =
                 (int)
                         settings.integer(
                                 SECTION,
@@ -82,12 +82,12 @@
                                 RolloutLimits.DEFAULTS.maxHeldSamples(),
                                 1,
                                 MAX_HELD_SAMPLES);
-        maxTrainers =
+        mMaxTrainers =
                 (int)
                         settings.integer(
                                 SECTION, "max-trainers", DEFAULT_MAX_TRAINERS, 1, MAX_TRAINERS);
-        versionInterval = settings.duration(SECTION, "version-interval", DEFAULT_VERSION_INTERVAL);
-        policy =
+        mVersionInterval = settings.duration(SECTION, "version-interval", DEFAULT_VERSION_INTERVAL);
+        mPolicy =
                 settings.choice(
                         SECTION,
                         "straggler-policy",
@@ -98,19 +98,19 @@
     @Override
     public void install(ComponentContext context) {
         String startId = context.require(NodeIdentity.class).startId();
-        String ownAddress = address + ":" + port;
+        String ownAddress = mAddress + ":" + mPort;
         RolloutExecutor.RolloutDependencies dependencies =
                 dependencies(context, startId, ownAddress);
         RolloutExecutor executor = new RolloutExecutor(dependencies);
         Inbox<RolloutEvent> inbox =
                 context.startDuty(
                         new RolloutDuty(setup(context, startId)),
-                        maxHeldSamples * EVENTS_PER_SAMPLE + RESERVED_EVENTS,
+                        mMaxHeldSamples * EVENTS_PER_SAMPLE + RESERVED_EVENTS,
                         OverflowPolicy.REFUSE,
                         executor);
         executor.connect(inbox);
         Disposable versions =
-                Flux.interval(versionInterval)
+                Flux.interval(mVersionInterval)
                         .onBackpressureDrop()
                         .subscribe(tick -> executor.observeVersions());
         context.closer().register("weight versions of trainers", versions::dispose);
@@ -120,7 +120,7 @@
                         executor,
                         dependencies,
                         ownAddress,
-                        maxTrainers);
+                        mMaxTrainers);
         context.provide(RolloutPort.class, service);
         addEndpoints(context, service, startId);
     }
@@ -130,14 +130,14 @@
         return new RolloutSetup(
                 startId,
                 new RolloutLimits(
-                        maxHeldSamples,
+                        mMaxHeldSamples,
                         defaults.maxOpenSamples(),
                         defaults.maxBatchSamples(),
                         defaults.maxBatchDelay(),
                         defaults.initialRetryDelay(),
                         defaults.maxRetryDelay(),
                         defaults.maxOpenPolls()),
-                policy,
+                mPolicy,
                 new LengthPredictor(),
                 context.random("rollouts"),
                 context.require(InvariantMonitor.class));
--- a/node/src/main/java/org/fuchsialever/node/trace/TraceLog.java
+++ b/node/src/main/java/org/fuchsialever/node/trace/TraceLog.java
@@ -27,14 +27,14 @@
     private static final long FLUSH_MILLIS = 100;
     private static final long JOIN_TIMEOUT_MILLIS = 500;
 
-    private final BlockingQueue<String> ring = new ArrayBlockingQueue<>(RING_LINES);
-    private final PrintStream output;
-    private final Counter dropped;
-    private final Counter sampledOut;
-    private final AtomicLong second = new AtomicLong();
-    private final AtomicLong inSecond = new AtomicLong();
-    private final Thread writer;
-    private volatile boolean running = true;
+    private final BlockingQueue<String> mRing = new ArrayBlockingQueue<>(RING_LINES);
+    private final PrintStream mOutput;
+    private final Counter mDropped;
+    private final Counter mSampledOut;
+    private final AtomicLong mSecond = new AtomicLong();
+    private final AtomicLong mInSecond = new AtomicLong();
+    private final Thread mWriter;
+    private volatile boolean mRunning = true;
 
     /**
      * Creates a log and starts its thread.
@@ -43,12 +43,12 @@
      * @param meters the registry for the counters of lines that were not written
      */
     public TraceLog(PrintStream output, MeterRegistry meters) {
-        this.output = output;
-        this.dropped = meters.counter("fuchsialever.trace.dropped", "reason", "ring-full");
-        this.sampledOut = meters.counter("fuchsialever.trace.dropped", "reason", "rate");
-        this.writer = new Thread(this::run, "duty-trace");
-        this.writer.setDaemon(true);
-        this.writer.start();
+        mOutput = output;
+        mDropped = meters.counter("fuchsialever.trace.dropped", "reason", "ring-full");
+        mSampledOut = meters.counter("fuchsialever.trace.dropped", "reason", "rate");
+        mWriter = new Thread(this::run, "duty-trace");
+        mWriter.setDaemon(true);
+        mWriter.start();
     }
 
     /** Begins a line that is always written while the ring has room. */
@@ -64,20 +64,20 @@
     /** Writes the pending lines and stops the thread. */
     @Override
     public void close() throws InterruptedException {
-        running = false;
-        writer.join(JOIN_TIMEOUT_MILLIS);
+        mRunning = false;
+        mWriter.join(JOIN_TIMEOUT_MILLIS);
     }
 
     private void run() {
         StringBuilder lines = new StringBuilder();
-        while (running || !ring.isEmpty()) {
+        while (mRunning || !mRing.isEmpty()) {
             try {
-                String first = ring.poll(FLUSH_MILLIS * 10, TimeUnit.MILLISECONDS);
+                String first = mRing.poll(FLUSH_MILLIS * 10, TimeUnit.MILLISECONDS);
                 if (first != null) {
                     write(lines, first);
                 }
             } catch (InterruptedException e) {
-                running = false;
+                mRunning = false;
             }
         }
     }
@@ -86,56 +86,56 @@
         lines.setLength(0);
         lines.append(first);
         int count = 1;
-        String next = ring.poll();
+        String next = mRing.poll();
         while (next != null) {
             lines.append(next);
             count++;
-            next = count < MAX_LINES_PER_WRITE ? ring.poll() : null;
+            next = count < MAX_LINES_PER_WRITE ? mRing.poll() : null;
         }
         byte[] bytes = lines.toString().getBytes(StandardCharsets.UTF_8);
-        output.write(bytes, 0, bytes.length);
-        output.flush();
+        mOutput.write(bytes, 0, bytes.length);
+        mOutput.flush();
     }
 
     private boolean isOverRate() {
         long now = System.nanoTime() / TimeUnit.SECONDS.toNanos(1);
-        if (second.getAndSet(now) != now) {
-            inSecond.set(0);
+        if (mSecond.getAndSet(now) != now) {
+            mInSecond.set(0);
         }
-        return inSecond.incrementAndGet() > MAX_SAMPLED_PER_SECOND;
+        return mInSecond.incrementAndGet() > MAX_SAMPLED_PER_SECOND;
     }
 
     /** A line under construction. */
     public final class Line {
-        private final StringBuilder text = new StringBuilder(160);
-        private final boolean sampled;
+        private final StringBuilder mText = new StringBuilder(160);
+        private final boolean mSampled;
 
         private Line(String part, String event, boolean sampled) {
-            this.sampled = sampled;
-            text.append("{\"at\":").append(System.currentTimeMillis());
+            mSampled = sampled;
+            mText.append("{\"at\":").append(System.currentTimeMillis());
             with("part", part).with("event", event);
         }
 
         /** Adds a text. */
         public Line with(String name, String value) {
-            text.append(",\"").append(name).append("\":\"");
-            JsonStringEncoder.getInstance().quoteAsString(value, text);
-            text.append('"');
+            mText.append(",\"").append(name).append("\":\"");
+            JsonStringEncoder.getInstance().quoteAsString(value, mText);
+            mText.append('"');
             return this;
         }
 
         /** Adds a number. */
         public Line with(String name, long value) {
-            text.append(",\"").append(name).append("\":").append(value);
+            mText.append(",\"").append(name).append("\":").append(value);
             return this;
         }
 
         /** Passes the line to the writer thread; never blocks. */
         public void write() {
-            if (sampled && isOverRate()) {
-                sampledOut.increment();
-            } else if (!ring.offer(text.append("}\n").toString())) {
-                dropped.increment();
+            if (mSampled && isOverRate()) {
+                mSampledOut.increment();
+            } else if (!mRing.offer(mText.append("}\n").toString())) {
+                mDropped.increment();
             }
         }
     }
--- a/node/src/main/java/org/fuchsialever/node/upstream/EngineResponseReader.java
+++ b/node/src/main/java/org/fuchsialever/node/upstream/EngineResponseReader.java
@@ -81,15 +81,15 @@
 
     /** The events of one stream. A stream that ends without its end marker is a lost connection. */
     private static final class Stream {
-        private final EventStreamParser parser = new EventStreamParser(MAX_EVENT_BYTES);
-        private boolean ended;
+        private final EventStreamParser mParser = new EventStreamParser(MAX_EVENT_BYTES);
+        private boolean mEnded;
 
         Flux<UpstreamResponsePart> events(Flux<byte[]> content) {
             return content.flatMapIterable(this::parse, 1).concatWith(Flux.defer(this::end));
         }
 
         private Flux<UpstreamResponsePart> end() {
-            return ended
+            return mEnded
                     ? Flux.empty()
                     : Flux.error(
                             new UpstreamException(
@@ -99,10 +99,10 @@
 
         private List<UpstreamResponsePart> parse(byte[] bytes) {
             List<UpstreamResponsePart> parts = new ArrayList<>();
-            for (String data : parser.feed(bytes)) {
+            for (String data : mParser.feed(bytes)) {
                 if (data.equals(END_OF_STREAM)) {
-                    ended = true;
-                } else if (!ended) {
+                    mEnded = true;
+                } else if (!mEnded) {
                     parts.add(event(data));
                 }
             }
--- a/node/src/main/java/org/fuchsialever/node/upstream/EventStreamParser.java
+++ b/node/src/main/java/org/fuchsialever/node/upstream/EventStreamParser.java
@@ -13,11 +13,11 @@
 final class EventStreamParser {
     private static final String DATA = "data:";
 
-    private final int maxEventBytes;
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
-    private final StringBuilder data = new StringBuilder();
-    private boolean hasData;
-    private boolean afterCarriageReturn;
+    private final int mMaxEventBytes;
+    private final ByteArrayOutputStream mLine = new ByteArrayOutputStream();
+    private final StringBuilder mData = new StringBuilder();
+    private boolean mHasData;
+    private boolean mAfterCarriageReturn;
 
     /**
      * Creates a parser.
@@ -25,7 +25,7 @@
      * @param maxEventBytes maximum size of an event in bytes
      */
     EventStreamParser(int maxEventBytes) {
-        this.maxEventBytes = maxEventBytes;
+        mMaxEventBytes = maxEventBytes;
     }
 
     /**
@@ -37,19 +37,19 @@
     List<String> feed(byte[] bytes) {
         List<String> events = new ArrayList<>();
         for (byte next : bytes) {
-            boolean lineFeedOfPair = next == '\n' && afterCarriageReturn;
-            afterCarriageReturn = next == '\r';
+            boolean lineFeedOfPair = next == '\n' && mAfterCarriageReturn;
+            mAfterCarriageReturn = next == '\r';
             if (lineFeedOfPair) {
                 continue;
             }
             if (next == '\n' || next == '\r') {
                 endLine(events);
             } else {
-                line.write(next);
-                if (line.size() + data.length() > maxEventBytes) {
+                mLine.write(next);
+                if (mLine.size() + mData.length() > mMaxEventBytes) {
                     throw new UpstreamException(
                             AttemptResult.MALFORMED_ANSWER,
-                            "an event is larger than " + maxEventBytes + " bytes");
+                            "an event is larger than " + mMaxEventBytes + " bytes");
                 }
             }
         }
@@ -57,21 +57,21 @@
     }
 
     private void endLine(List<String> events) {
-        String text = line.toString(StandardCharsets.UTF_8);
-        line.reset();
+        String text = mLine.toString(StandardCharsets.UTF_8);
+        mLine.reset();
         if (text.isEmpty()) {
-            if (hasData) {
-                events.add(data.toString());
+            if (mHasData) {
+                events.add(mData.toString());
             }
-            data.setLength(0);
-            hasData = false;
+            mData.setLength(0);
+            mHasData = false;
         } else if (text.startsWith(DATA)) {
-            if (hasData) {
-                data.append('\n');
+            if (mHasData) {
+                mData.append('\n');
             }
-            hasData = true;
+            mHasData = true;
             String value = text.substring(DATA.length());
-            data.append(value.startsWith(" ") ? value.substring(1) : value);
+            mData.append(value.startsWith(" ") ? value.substring(1) : value);
         }
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/upstream/HttpUpstreamClient.java
+++ b/node/src/main/java/org/fuchsialever/node/upstream/HttpUpstreamClient.java
@@ -36,12 +36,12 @@
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int MIN_SERVER_ERROR = 500;
 
-    private final InvariantMonitor invariants;
-    private final Duration probeTimeout;
-    private final Scheduler timers;
-    private final ConnectionProvider connections;
-    private final HttpClient client;
-    private final HttpClient unpooledClient;
+    private final InvariantMonitor mInvariants;
+    private final Duration mProbeTimeout;
+    private final Scheduler mTimers;
+    private final ConnectionProvider mConnections;
+    private final HttpClient mClient;
+    private final HttpClient mUnpooledClient;
 
     /**
      * Creates a client with a connection pool of its own.
@@ -52,10 +52,10 @@
      */
     public HttpUpstreamClient(
             InvariantMonitor invariants, Duration probeTimeout, Scheduler timers) {
-        this.invariants = invariants;
-        this.probeTimeout = probeTimeout;
-        this.timers = timers;
-        this.connections =
+        mInvariants = invariants;
+        mProbeTimeout = probeTimeout;
+        mTimers = timers;
+        mConnections =
                 ConnectionProvider.builder("upstreams")
                         .maxConnections(MAX_CONNECTIONS)
                         .pendingAcquireMaxCount(MAX_CONNECTIONS)
@@ -63,11 +63,11 @@
                         .build();
         // By default Reactor Netty sends a request again if a pooled connection turns out to be
         // closed, but a request that may not be repeated must not be sent twice.
-        this.client =
-                HttpClient.create(connections)
+        mClient =
+                HttpClient.create(mConnections)
                         .disableRetry(true)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
-        this.unpooledClient =
+        mUnpooledClient =
                 HttpClient.newConnection()
                         .disableRetry(true)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
@@ -76,7 +76,7 @@
     @Override
     public Flux<UpstreamResponsePart> send(UpstreamCall call) {
         boolean containsSecret = call.containsSecret();
-        invariants.check(
+        mInvariants.check(
                 Invariant.KEY_HIDDEN_FROM_UPSTREAMS,
                 !containsSecret,
                 () -> "request " + call.id() + " to " + call.upstream().id());
@@ -88,7 +88,7 @@
         AtomicBoolean written = new AtomicBoolean();
         // doOnRequest runs on an open connection before the first byte is written, so a request
         // that fails while the flag is unset cannot have reached the upstream.
-        return client.doOnRequest((request, connection) -> written.set(true))
+        return mClient.doOnRequest((request, connection) -> written.set(true))
                 .headers(headers -> addHeaders(headers, call))
                 .request(HttpMethod.valueOf(call.method()))
                 .uri(baseUri(call.upstream()) + call.uri())
@@ -101,11 +101,11 @@
 
     @Override
     public Mono<Void> cancel(UpstreamSpec upstream, RequestId id) {
-        return unpooledClient
+        return mUnpooledClient
                 .delete()
                 .uri(baseUri(upstream) + "/v1/requests/" + id.value())
                 .response()
-                .timeout(CANCEL_TIMEOUT, timers)
+                .timeout(CANCEL_TIMEOUT, mTimers)
                 .onErrorResume(failure -> Mono.empty())
                 .then();
     }
@@ -114,7 +114,7 @@
     public Mono<Boolean> probe(UpstreamSpec upstream, UpstreamKind kind) {
         Mono<Boolean> alive =
                 kind == UpstreamKind.ENGINE
-                        ? unpooledClient
+                        ? mUnpooledClient
                                 .get()
                                 .uri(baseUri(upstream) + "/engine/load")
                                 .response()
@@ -125,12 +125,12 @@
                                 .connect()
                                 .doOnNext(connection -> connection.dispose())
                                 .map(connection -> true);
-        return alive.timeout(probeTimeout, timers).onErrorReturn(false).defaultIfEmpty(false);
+        return alive.timeout(mProbeTimeout, mTimers).onErrorReturn(false).defaultIfEmpty(false);
     }
 
     @Override
     public void close() {
-        connections.dispose();
+        mConnections.dispose();
     }
 
     private static Flux<UpstreamResponsePart> parts(
--- a/node/src/main/java/org/fuchsialever/node/upstream/UpstreamException.java
+++ b/node/src/main/java/org/fuchsialever/node/upstream/UpstreamException.java
@@ -6,22 +6,22 @@
 public final class UpstreamException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
-    private final AttemptResult result;
+    private final AttemptResult mResult;
 
     /** Creates an exception for an attempt that ended with the given result. */
     public UpstreamException(AttemptResult result, String message, Throwable cause) {
         super(message, cause);
-        this.result = result;
+        mResult = result;
     }
 
     /** Creates an exception for an attempt that ended with the given result. */
     public UpstreamException(AttemptResult result, String message) {
         super(message);
-        this.result = result;
+        mResult = result;
     }
 
     /** Returns the result of the attempt. */
     public AttemptResult result() {
-        return result;
+        return mResult;
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/usage/ReportJson.java
+++ b/node/src/main/java/org/fuchsialever/node/usage/ReportJson.java
@@ -11,11 +11,11 @@
 
 /** Encodes usage reports as JSON. */
 final class ReportJson implements WindowReport.Encoder {
-    private final ObjectMapper mapper = new ObjectMapper();
+    private final ObjectMapper mMapper = new ObjectMapper();
 
     @Override
     public String encode(WindowReport report) {
-        ObjectNode root = mapper.createObjectNode();
+        ObjectNode root = mMapper.createObjectNode();
         root.put("window", report.window().label());
         root.set("totals", lines(report.totals()));
         ArrayNode corrections = root.putArray("corrections");
@@ -27,14 +27,14 @@
                             correction.set("totals", lines(totals));
                         });
         try {
-            return mapper.writeValueAsString(root);
+            return mMapper.writeValueAsString(root);
         } catch (JsonProcessingException e) {
             throw new IllegalStateException("a usage report cannot be encoded", e);
         }
     }
 
     private ArrayNode lines(Map<UsageKey, UsageCounts> totals) {
-        ArrayNode lines = mapper.createArrayNode();
+        ArrayNode lines = mMapper.createArrayNode();
         totals.forEach(
                 (key, used) -> {
                     ObjectNode line = lines.addObject();
--- a/node/src/main/java/org/fuchsialever/node/usage/UsageActions.java
+++ b/node/src/main/java/org/fuchsialever/node/usage/UsageActions.java
@@ -23,13 +23,13 @@
     /** Below the commit interval, so that a write ends before the next commit is due. */
     private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(5);
 
-    private final TableService tables;
-    private final PeerMessages peers;
-    private final String writer;
-    private final MeterRegistry meters;
-    private final ActionSink<UsageEvent> duty;
-    private final AtomicLong commits = new AtomicLong();
-    private final CountDownLatch stopped = new CountDownLatch(1);
+    private final TableService mTables;
+    private final PeerMessages mPeers;
+    private final String mWriter;
+    private final MeterRegistry mMeters;
+    private final ActionSink<UsageEvent> mDuty;
+    private final AtomicLong mCommits = new AtomicLong();
+    private final CountDownLatch mStopped = new CountDownLatch(1);
 
     UsageActions(
             TableService tables,
@@ -37,16 +37,16 @@
             String writer,
             MeterRegistry meters,
             ActionSink<UsageEvent> duty) {
-        this.tables = tables;
-        this.peers = peers;
-        this.writer = writer;
-        this.meters = meters;
-        this.duty = duty;
+        mTables = tables;
+        mPeers = peers;
+        mWriter = writer;
+        mMeters = meters;
+        mDuty = duty;
     }
 
     /** Returns a latch that is released when a stopping instance has written all its totals. */
     CountDownLatch stopped() {
-        return stopped;
+        return mStopped;
     }
 
     @Override
@@ -54,20 +54,20 @@
         if (action instanceof UsageAction.WriteRow write) {
             writeRow(write);
         } else if (action instanceof UsageAction.SendHandover handover) {
-            peers.send(handover.receiver(), HandoverMessages.encode(handover));
+            mPeers.send(handover.receiver(), HandoverMessages.encode(handover));
         } else if (action instanceof UsageAction.ListPeers) {
-            duty.emit(new UsageEvent.PeersListed(peersTakingCalls()));
+            mDuty.emit(new UsageEvent.PeersListed(peersTakingCalls()));
         } else if (action instanceof UsageAction.Lost lost) {
             LOG.warning("Usage was lost: " + lost.reason().code() + ", " + lost.count() + ".");
-            meters.counter("fuchsialever.usage.lost", "reason", lost.reason().code())
+            mMeters.counter("fuchsialever.usage.lost", "reason", lost.reason().code())
                     .increment(lost.count());
         } else if (action instanceof UsageAction.Stopped) {
-            stopped.countDown();
+            mStopped.countDown();
         }
     }
 
     private List<UsageEvent.Peer> peersTakingCalls() {
-        return peers.members().stream()
+        return mPeers.members().stream()
                 .filter(member -> member.state().takesWork())
                 .map(member -> new UsageEvent.Peer(member.instance(), member.domain()))
                 .toList();
@@ -77,20 +77,20 @@
         String key = UsageRows.totalsKey(write.owner());
         Commit commit =
                 new Commit(
-                        writer + "-usage-" + commits.incrementAndGet(),
+                        mWriter + "-usage-" + mCommits.incrementAndGet(),
                         List.of(new Commit.Condition(UsageRows.TABLE, key, write.version())),
                         List.of(
                                 new Commit.Put(
                                         UsageRows.TABLE, key, UsageRows.encode(write.totals()))),
                         List.of());
-        tables.commit(commit)
+        mTables.commit(commit)
                 .timeout(RESPONSE_TIMEOUT)
                 .map(result -> writeResult(write, result))
                 .subscribe(
-                        duty::emit,
+                        mDuty::emit,
                         failure -> {
                             count("commit-failed");
-                            duty.emit(new UsageEvent.RowFailed(write.owner()));
+                            mDuty.emit(new UsageEvent.RowFailed(write.owner()));
                         });
     }
 
@@ -112,6 +112,6 @@
     }
 
     private void count(String reason) {
-        meters.counter("fuchsialever.usage.retries", "reason", reason).increment();
+        mMeters.counter("fuchsialever.usage.retries", "reason", reason).increment();
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/usage/UsageComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/usage/UsageComponent.java
@@ -39,8 +39,8 @@
     private static final long STOP_TIMEOUT_SECONDS = 5;
     private static final Duration DEFAULT_REQUEST_TIMEOUT = Duration.ofSeconds(10);
 
-    private UsageSettings usage = UsageSettings.standard();
-    private Duration requestTimeout = DEFAULT_REQUEST_TIMEOUT;
+    private UsageSettings mUsage = UsageSettings.standard();
+    private Duration mRequestTimeout = DEFAULT_REQUEST_TIMEOUT;
 
     @Override
     public String pluginName() {
@@ -66,10 +66,10 @@
 
     @Override
     public void configure(SettingsReader settings) {
-        long window = millis(settings, "window", usage.windowMillis());
-        long retention = millis(settings, "retention", usage.retentionMillis());
-        long closeDelay = millis(settings, "close-delay", usage.closeDelayMillis());
-        requestTimeout =
+        long window = millis(settings, "window", mUsage.windowMillis());
+        long retention = millis(settings, "retention", mUsage.retentionMillis());
+        long closeDelay = millis(settings, "close-delay", mUsage.closeDelayMillis());
+        mRequestTimeout =
                 settings.duration(SECTION, "receiver-request-timeout", DEFAULT_REQUEST_TIMEOUT);
         // Window labels have a resolution of one second.
         if (window < 1 || window % TimeUnit.SECONDS.toMillis(1) != 0 || retention < 2 * window) {
@@ -81,9 +81,9 @@
                                     + " windows");
             return;
         }
-        usage =
+        mUsage =
                 new UsageSettings(
-                        window, retention, closeDelay, usage.maxTotals(), usage.maxHandovers());
+                        window, retention, closeDelay, mUsage.maxTotals(), mUsage.maxHandovers());
     }
 
     @Override
@@ -105,8 +105,9 @@
                         events);
         long now = context.time().nanoTime();
         WindowCloser duty =
-                new WindowCloser(usage, requestTimeout, new ReportJson(), invariants, now);
-        events.inbox = context.startDuty(duty, CLOSER_RING_CAPACITY, OverflowPolicy.REFUSE, closer);
+                new WindowCloser(mUsage, mRequestTimeout, new ReportJson(), invariants, now);
+        events.mInbox =
+                context.startDuty(duty, CLOSER_RING_CAPACITY, OverflowPolicy.REFUSE, closer);
         closer.start();
     }
 
@@ -120,12 +121,12 @@
                 new UsageDuty(
                         new StartId(identity.instance(), identity.startId()),
                         identity.failureDomain(),
-                        usage,
+                        mUsage,
                         context.time().nanoTime(),
                         context.random("usage").nextLong(UsageSettings.COMMIT_INTERVAL_NANOS));
         Inbox<UsageEvent> ring =
                 context.startDuty(duty, RING_CAPACITY, OverflowPolicy.REFUSE, actions);
-        events.inbox = ring;
+        events.mInbox = ring;
         context.closer().register("usage totals", () -> stop(ring, actions));
         peers.subscribe(
                 UsageHandover.class,
@@ -172,11 +173,11 @@
 
     /** Passes events to a ring that is created after its producers. */
     private static final class DeferredInbox<E> implements ActionSink<E> {
-        private volatile @Nullable Inbox<E> inbox;
+        private volatile @Nullable Inbox<E> mInbox;
 
         @Override
         public void emit(E event) {
-            Inbox<E> target = inbox;
+            Inbox<E> target = mInbox;
             if (target == null || !target.offer(event)) {
                 LOG.warning("Ring is full; an event of type " + event.getClass() + " was lost.");
             }
--- a/node/src/main/java/org/fuchsialever/node/usage/WindowCloserActions.java
+++ b/node/src/main/java/org/fuchsialever/node/usage/WindowCloserActions.java
@@ -41,16 +41,16 @@
     private static final PartLogger LOG = PartLogger.of("window-closer");
     private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(5);
 
-    private final TableService tables;
-    private final UsageReportService reports;
-    private final Leases leases;
-    private final AuditRecorder audit;
-    private final TimeSource time;
-    private final String writer;
-    private final MeterRegistry meters;
-    private final ActionSink<WindowCloserEvent> duty;
-    private final AtomicLong commits = new AtomicLong();
-    private final Map<StartId, Long> totalsVersions = new ConcurrentHashMap<>();
+    private final TableService mTables;
+    private final UsageReportService mReports;
+    private final Leases mLeases;
+    private final AuditRecorder mAudit;
+    private final TimeSource mTime;
+    private final String mWriter;
+    private final MeterRegistry mMeters;
+    private final ActionSink<WindowCloserEvent> mDuty;
+    private final AtomicLong mCommits = new AtomicLong();
+    private final Map<StartId, Long> mTotalsVersions = new ConcurrentHashMap<>();
 
     WindowCloserActions(
             TableService tables,
@@ -61,26 +61,26 @@
             String writer,
             MeterRegistry meters,
             ActionSink<WindowCloserEvent> duty) {
-        this.tables = tables;
-        this.reports = reports;
-        this.leases = leases;
-        this.audit = audit;
-        this.time = time;
-        this.writer = writer;
-        this.meters = meters;
-        this.duty = duty;
+        mTables = tables;
+        mReports = reports;
+        mLeases = leases;
+        mAudit = audit;
+        mTime = time;
+        mWriter = writer;
+        mMeters = meters;
+        mDuty = duty;
     }
 
     /** Requests the leases of all roles. */
     void start() {
         for (int number = 0; number < WindowCloser.ROLE_COUNT; number++) {
-            leases.request(WindowCloser.role(number), this);
+            mLeases.request(WindowCloser.role(number), this);
         }
     }
 
     @Override
     public void onAcquired(HeldLease lease) {
-        duty.emit(
+        mDuty.emit(
                 new WindowCloserEvent.LeaseAcquired(
                         new WindowLease(
                                 lease.role(),
@@ -92,7 +92,7 @@
 
     @Override
     public void onLost(String role) {
-        duty.emit(new WindowCloserEvent.LeaseLost(role));
+        mDuty.emit(new WindowCloserEvent.LeaseLost(role));
     }
 
     @Override
@@ -112,41 +112,41 @@
 
     private void readRows() {
         Mono.zip(
-                        tables.scan(UsageRows.TABLE, UsageRows.TOTALS_PREFIX, 0),
+                        mTables.scan(UsageRows.TABLE, UsageRows.TOTALS_PREFIX, 0),
                         scanDays(UsageRows.WINDOW_PREFIX),
                         scanDays(UsageRows.INCLUDED_PREFIX),
                         scanDays(UsageRows.REPORTED_PREFIX))
                 .timeout(RESPONSE_TIMEOUT)
                 .map(rows -> rowsRead(rows.getT1(), rows.getT2(), rows.getT3(), rows.getT4()))
                 .subscribe(
-                        duty::emit,
+                        mDuty::emit,
                         failure -> {
                             count("read-failed");
-                            duty.emit(new WindowCloserEvent.ReadFailed());
+                            mDuty.emit(new WindowCloserEvent.ReadFailed());
                         });
     }
 
     private Mono<List<Row>> scanDays(String prefix) {
-        long now = time.wallMillis();
+        long now = mTime.wallMillis();
         TreeSet<String> days = new TreeSet<>();
         for (long back = 0; back <= WindowCloser.CLOSED_WINDOW_LOOKBACK.toDays(); back++) {
             days.add(new WindowId(now - Duration.ofDays(back).toMillis()).day());
         }
         return Flux.fromIterable(days)
-                .concatMap(day -> tables.scan(UsageRows.TABLE, prefix + day, 0))
+                .concatMap(day -> mTables.scan(UsageRows.TABLE, prefix + day, 0))
                 .flatMapIterable(rows -> rows)
                 .collectList();
     }
 
     private WindowCloserEvent rowsRead(
             List<Row> totals, List<Row> windows, List<Row> included, List<Row> reported) {
-        totalsVersions.clear();
+        mTotalsVersions.clear();
         for (Row row : totals) {
             Try.of(() -> UsageRows.start(row))
-                    .forEach(start -> totalsVersions.put(start, row.version()));
+                    .forEach(start -> mTotalsVersions.put(start, row.version()));
         }
         return new WindowCloserEvent.RowsRead(
-                time.wallMillis(),
+                mTime.wallMillis(),
                 decode(totals, UsageRows::start, row -> UsageRows.decodeTotals(row.value())),
                 decode(windows, UsageRows::window, row -> UsageRows.decodeWindow(row.value())),
                 decode(included, UsageRows::window, UsageRows::decodeIncluded),
@@ -186,14 +186,14 @@
                             puts.add(
                                     new Commit.Put(UsageRows.TABLE, row, UsageRows.encode(totals)));
                         });
-        tables.commit(new Commit(nextWriterId(), conditions, puts, List.of()))
+        mTables.commit(new Commit(nextWriterId(), conditions, puts, List.of()))
                 .timeout(RESPONSE_TIMEOUT)
                 .map(result -> closeResult(close, key, result))
                 .subscribe(
-                        duty::emit,
+                        mDuty::emit,
                         failure -> {
                             count("fix-unanswered");
-                            duty.emit(new WindowCloserEvent.CloseFailed(close.window()));
+                            mDuty.emit(new WindowCloserEvent.CloseFailed(close.window()));
                         });
     }
 
@@ -225,28 +225,28 @@
                         lease.guardTable(),
                         lease.guardKey(),
                         lease.guardVersion());
-        reports.report(
+        mReports.report(
                         send.window().label(),
                         send.report().getBytes(StandardCharsets.UTF_8),
-                        () -> leases.isValid(held))
+                        () -> mLeases.isValid(held))
                 .subscribe(
                         accepted -> onReportResponse(send, accepted),
                         failure -> {
                             count("report-failed");
-                            duty.emit(new WindowCloserEvent.ReportFailed(send.window()));
+                            mDuty.emit(new WindowCloserEvent.ReportFailed(send.window()));
                         });
     }
 
     private void onReportResponse(WindowCloserAction.SendReport send, boolean accepted) {
         if (accepted) {
-            audit.record(
+            mAudit.record(
                     new AuditRecord.UsageReported(
                             send.window().label(),
                             AuditChain.hash(send.report()),
                             send.lease().fencing()));
-            duty.emit(new WindowCloserEvent.ReportAccepted(send.window()));
+            mDuty.emit(new WindowCloserEvent.ReportAccepted(send.window()));
         } else {
-            duty.emit(new WindowCloserEvent.ReportRefused(send.window()));
+            mDuty.emit(new WindowCloserEvent.ReportRefused(send.window()));
         }
     }
 
@@ -258,13 +258,13 @@
                         List.of(new Commit.Condition(UsageRows.TABLE, key, 0)),
                         List.of(new Commit.Put(UsageRows.TABLE, key, "accepted")),
                         List.of());
-        tables.commit(commit)
+        mTables.commit(commit)
                 .timeout(RESPONSE_TIMEOUT)
                 .subscribe(result -> {}, failure -> count("mark-unanswered"));
     }
 
     private void deleteTotals(StartId start) {
-        Long version = totalsVersions.get(start);
+        Long version = mTotalsVersions.get(start);
         if (version != null) {
             String key = UsageRows.totalsKey(start);
             Commit commit =
@@ -273,17 +273,17 @@
                             List.of(new Commit.Condition(UsageRows.TABLE, key, version)),
                             List.of(),
                             List.of(new Commit.Delete(UsageRows.TABLE, key)));
-            tables.commit(commit)
+            mTables.commit(commit)
                     .timeout(RESPONSE_TIMEOUT)
                     .subscribe(result -> {}, failure -> count("delete-unanswered"));
         }
     }
 
     private String nextWriterId() {
-        return writer + "-closer-" + commits.incrementAndGet();
+        return mWriter + "-closer-" + mCommits.incrementAndGet();
     }
 
     private void count(String reason) {
-        meters.counter("fuchsialever.usage.retries", "reason", reason).increment();
+        mMeters.counter("fuchsialever.usage.retries", "reason", reason).increment();
     }
 }
