--- a/node/src/main/java/org/fuchsialever/node/version/VersionActions.java
+++ b/node/src/main/java/org/fuchsialever/node/version/VersionActions.java
@@ -19,11 +19,11 @@
 final class VersionActions implements ActionSink<VersionAction> {
     private static final String PART = "versions";
 
-    private final UpstreamOrders orders;
-    private final Leases leases;
-    private final Inbox<VersionEvent> inbox;
-    private final TraceLog trace;
-    private final MeterRegistry meters;
+    private final UpstreamOrders mOrders;
+    private final Leases mLeases;
+    private final Inbox<VersionEvent> mInbox;
+    private final TraceLog mTrace;
+    private final MeterRegistry mMeters;
 
     VersionActions(
             UpstreamOrders orders,
@@ -31,11 +31,11 @@
             Inbox<VersionEvent> inbox,
             TraceLog trace,
             MeterRegistry meters) {
-        this.orders = orders;
-        this.leases = leases;
-        this.inbox = inbox;
-        this.trace = trace;
-        this.meters = meters;
+        mOrders = orders;
+        mLeases = leases;
+        mInbox = inbox;
+        mTrace = trace;
+        mMeters = meters;
     }
 
     @Override
@@ -49,21 +49,21 @@
 
     private void report(VersionAction.ReadReport read) {
         String id = read.upstream().id();
-        orders.report(read.upstream())
+        mOrders.report(read.upstream())
                 .subscribe(
                         report ->
-                                inbox.offer(
+                                mInbox.offer(
                                         new VersionEvent.Reported(
                                                 id,
                                                 report.sequence(),
                                                 report.versions(),
                                                 report.busy())),
                         failure -> {
-                            trace.line(PART, "report-failed")
+                            mTrace.line(PART, "report-failed")
                                     .with("upstream", id)
                                     .with("reason", String.valueOf(failure.getMessage()))
                                     .write();
-                            inbox.offer(new VersionEvent.ReportFailed(id));
+                            mInbox.offer(new VersionEvent.ReportFailed(id));
                         });
     }
 
@@ -72,15 +72,15 @@
         String id = order.upstream().id();
         // The lease may have ended since the duty decided.
         boolean mayAct =
-                leases.held(VersionComponent.ROLE)
+                mLeases.held(VersionComponent.ROLE)
                         .map(HeldLease::fencing)
                         .exists(fencing -> fencing == send.fencing());
         if (!mayAct) {
-            trace.line(PART, "order-withheld").with("upstream", id).write();
-            inbox.offer(new VersionEvent.OrderEnded(id, OrderResult.REFUSED));
+            mTrace.line(PART, "order-withheld").with("upstream", id).write();
+            mInbox.offer(new VersionEvent.OrderEnded(id, OrderResult.REFUSED));
             return;
         }
-        orders.load(order, send.fencing(), send.sequence())
+        mOrders.load(order, send.fencing(), send.sequence())
                 .onErrorResume(
                         PlatformException.class,
                         failure ->
@@ -90,9 +90,9 @@
                                                 : OrderResult.MAY_BE_LOADING))
                 .subscribe(
                         result -> {
-                            meters.counter("fuchsialever.versions.orders", "answer", result.name())
+                            mMeters.counter("fuchsialever.versions.orders", "answer", result.name())
                                     .increment();
-                            trace.line(PART, "order")
+                            mTrace.line(PART, "order")
                                     .with("upstream", id)
                                     .with("model", order.model())
                                     .with("version", order.version())
@@ -100,14 +100,14 @@
                                     .with("sequence", send.sequence())
                                     .with("answer", result.name())
                                     .write();
-                            inbox.offer(new VersionEvent.OrderEnded(id, result));
+                            mInbox.offer(new VersionEvent.OrderEnded(id, result));
                         },
                         failure -> {
-                            trace.line(PART, "order-failed")
+                            mTrace.line(PART, "order-failed")
                                     .with("upstream", id)
                                     .with("reason", String.valueOf(failure.getMessage()))
                                     .write();
-                            inbox.offer(new VersionEvent.OrderEnded(id, OrderResult.REFUSED));
+                            mInbox.offer(new VersionEvent.OrderEnded(id, OrderResult.REFUSED));
                         });
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/version/VersionComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/version/VersionComponent.java
@@ -90,18 +90,18 @@
 
     private static DirectoryListener listener(Inbox<VersionEvent> inbox) {
         return new DirectoryListener() {
-            private Option<Manifest> manifest = Option.none();
-            private List<FleetUpstream> upstreams = List.of();
+            private Option<Manifest> mManifest = Option.none();
+            private List<FleetUpstream> mUpstreams = List.of();
 
             @Override
             public void onManifestChanged(Manifest newer) {
-                manifest = Option.some(newer);
+                mManifest = Option.some(newer);
                 publish();
             }
 
             @Override
             public void onUpstreamsChanged(List<FleetUpstream> listed) {
-                upstreams = listed;
+                mUpstreams = listed;
                 publish();
             }
 
@@ -124,12 +124,12 @@
 
             private void publish() {
                 Map<String, List<String>> models = new HashMap<>();
-                for (ServiceSpec service : manifest.map(Manifest::services).getOrElse(List.of())) {
+                for (ServiceSpec service : mManifest.map(Manifest::services).getOrElse(List.of())) {
                     if (!service.models().isEmpty()) {
                         models.put(service.name(), service.models());
                     }
                 }
-                inbox.offer(new VersionEvent.FleetChanged(models, upstreams));
+                inbox.offer(new VersionEvent.FleetChanged(models, mUpstreams));
             }
         };
     }
--- a/node/src/main/java/org/fuchsialever/node/watch/LoadReportListeners.java
+++ b/node/src/main/java/org/fuchsialever/node/watch/LoadReportListeners.java
@@ -7,15 +7,15 @@
 
 /** Forwards load reports to other components of this instance. */
 public final class LoadReportListeners {
-    private final List<Listener> listeners = new CopyOnWriteArrayList<>();
+    private final List<Listener> mListeners = new CopyOnWriteArrayList<>();
 
     /** Adds a listener; it is called on an event loop thread and must not block. */
     public void add(Listener listener) {
-        listeners.add(listener);
+        mListeners.add(listener);
     }
 
     void notifyListeners(UpstreamId upstream, LoadReport report) {
-        listeners.forEach(listener -> listener.onLoadReport(upstream, report));
+        mListeners.forEach(listener -> listener.onLoadReport(upstream, report));
     }
 
     /** Receives load reports. */
--- a/node/src/main/java/org/fuchsialever/node/watch/UpstreamWatchComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/watch/UpstreamWatchComponent.java
@@ -18,7 +18,7 @@
     private static final int RING_CAPACITY = 16_384;
     private static final Duration DEFAULT_INTERVAL = Duration.ofSeconds(1);
 
-    private Duration interval = DEFAULT_INTERVAL;
+    private Duration mInterval = DEFAULT_INTERVAL;
 
     @Override
     public String pluginName() {
@@ -37,7 +37,7 @@
 
     @Override
     public void configure(SettingsReader settings) {
-        interval = settings.duration("upstream-watch", "interval", DEFAULT_INTERVAL);
+        mInterval = settings.duration("upstream-watch", "interval", DEFAULT_INTERVAL);
     }
 
     @Override
@@ -56,7 +56,7 @@
                                         port));
         port.connect(
                 context.startDuty(
-                        new WatchDuty(interval), RING_CAPACITY, OverflowPolicy.REFUSE, actions));
+                        new WatchDuty(mInterval), RING_CAPACITY, OverflowPolicy.REFUSE, actions));
         context.require(ConfigHolder.class)
                 .addListener(
                         snapshot ->
--- a/node/src/main/java/org/fuchsialever/node/watch/WatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/watch/WatchActions.java
@@ -26,20 +26,20 @@
     private static final int MAX_CONNECTIONS = 1_024;
     private static final int OK = 200;
 
-    private final ConnectionProvider connections =
+    private final ConnectionProvider mConnections =
             ConnectionProvider.builder("upstream-watch")
                     .maxConnections(MAX_CONNECTIONS)
                     .pendingAcquireMaxCount(MAX_CONNECTIONS)
                     .build();
-    private final HttpClient client =
-            HttpClient.create(connections)
+    private final HttpClient mClient =
+            HttpClient.create(mConnections)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
-    private final TimeSource time;
-    private final MeterRegistry meters;
-    private final DispatchFeed dispatch;
-    private final LoadReportListeners listeners;
-    private final EventPort<WatchDuty.Event> events;
-    private final Map<UpstreamId, String> startIds = new ConcurrentHashMap<>();
+    private final TimeSource mTime;
+    private final MeterRegistry mMeters;
+    private final DispatchFeed mDispatch;
+    private final LoadReportListeners mListeners;
+    private final EventPort<WatchDuty.Event> mEvents;
+    private final Map<UpstreamId, String> mStartIds = new ConcurrentHashMap<>();
 
     WatchActions(
             TimeSource time,
@@ -47,11 +47,11 @@
             DispatchFeed dispatch,
             LoadReportListeners listeners,
             EventPort<WatchDuty.Event> events) {
-        this.time = time;
-        this.meters = meters;
-        this.dispatch = dispatch;
-        this.listeners = listeners;
-        this.events = events;
+        mTime = time;
+        mMeters = meters;
+        mDispatch = dispatch;
+        mListeners = listeners;
+        mEvents = events;
     }
 
     @Override
@@ -61,13 +61,13 @@
                 .onErrorReturn(poll.cacheSequence())
                 .subscribe(
                         sequence ->
-                                events.accept(
+                                mEvents.accept(
                                         new WatchDuty.Event.PollEnded(poll.spec().id(), sequence)));
     }
 
     @Override
     public void close() {
-        connections.dispose();
+        mConnections.dispose();
     }
 
     /** Returns whether the upstream restarted since its previous report. */
@@ -77,17 +77,17 @@
                         body ->
                                 handleLoadReport(
                                         spec,
-                                        EngineReportParser.parseLoad(body, time.wallMillis())))
+                                        EngineReportParser.parseLoad(body, mTime.wallMillis())))
                 .doOnError(failure -> count("load-not-read"));
     }
 
     private boolean handleLoadReport(UpstreamSpec spec, LoadReport report) {
-        dispatch.report(new DispatchEvent.LoadReported(spec.id(), report));
+        mDispatch.report(new DispatchEvent.LoadReported(spec.id(), report));
         if (report.leaving()) {
-            dispatch.report(new DispatchEvent.UpstreamLeaving(spec.id()));
+            mDispatch.report(new DispatchEvent.UpstreamLeaving(spec.id()));
         }
-        listeners.notifyListeners(spec.id(), report);
-        return !report.startId().equals(startIds.put(spec.id(), report.startId()));
+        mListeners.notifyListeners(spec.id(), report);
+        return !report.startId().equals(mStartIds.put(spec.id(), report.startId()));
     }
 
     /** Returns the sequence number of the last cache event; an engine restart resets it. */
@@ -109,7 +109,7 @@
             UpstreamSpec spec, long after, List<EngineReportParser.CacheEvent> events) {
         long last = after;
         for (EngineReportParser.CacheEvent event : events) {
-            dispatch.report(
+            mDispatch.report(
                     new DispatchEvent.CacheReported(spec.id(), event.prefix(), event.stored()));
             last = Math.max(last, event.sequence());
         }
@@ -118,7 +118,7 @@
 
     private Mono<byte[]> read(UpstreamSpec spec, String path) {
         String host = spec.address().contains(":") ? "[" + spec.address() + "]" : spec.address();
-        return client.get()
+        return mClient.get()
                 .uri("http://" + host + ":" + spec.port() + path)
                 .responseSingle(
                         (response, content) ->
@@ -132,6 +132,6 @@
     }
 
     private void count(String reason) {
-        meters.counter("fuchsialever.watch.failures", "reason", reason).increment();
+        mMeters.counter("fuchsialever.watch.failures", "reason", reason).increment();
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/watch/WatchDuty.java
+++ b/node/src/main/java/org/fuchsialever/node/watch/WatchDuty.java
@@ -12,11 +12,11 @@
 
 /** Polls each upstream at a fixed interval, with at most one poll in flight for each. */
 final class WatchDuty implements Duty<WatchDuty.Event, WatchDuty.Poll> {
-    private final long intervalNanos;
-    private final Map<UpstreamId, PolledUpstream> upstreams = new HashMap<>();
+    private final long mIntervalNanos;
+    private final Map<UpstreamId, PolledUpstream> mUpstreams = new HashMap<>();
 
     WatchDuty(Duration interval) {
-        intervalNanos = interval.toNanos();
+        mIntervalNanos = interval.toNanos();
     }
 
     @Override
@@ -29,22 +29,22 @@
         if (event instanceof Event.UpstreamsChanged changed) {
             updateTargets(changed.upstreams(), nowNanos);
         } else if (event instanceof Event.PollEnded ended) {
-            PolledUpstream upstream = upstreams.get(ended.upstream());
+            PolledUpstream upstream = mUpstreams.get(ended.upstream());
             if (upstream != null) {
-                upstream.polling = false;
-                upstream.cacheSequence = ended.cacheSequence();
+                upstream.mPolling = false;
+                upstream.mCacheSequence = ended.cacheSequence();
             }
         }
     }
 
     @Override
     public void onTimer(long nowNanos, ActionSink<Poll> actions) {
-        for (PolledUpstream upstream : upstreams.values()) {
-            if (upstream.nextPollAt <= nowNanos) {
-                upstream.nextPollAt = nowNanos + intervalNanos;
-                if (!upstream.polling) {
-                    upstream.polling = true;
-                    actions.emit(new Poll(upstream.spec, upstream.kind, upstream.cacheSequence));
+        for (PolledUpstream upstream : mUpstreams.values()) {
+            if (upstream.mNextPollAt <= nowNanos) {
+                upstream.mNextPollAt = nowNanos + mIntervalNanos;
+                if (!upstream.mPolling) {
+                    upstream.mPolling = true;
+                    actions.emit(new Poll(upstream.mSpec, upstream.mKind, upstream.mCacheSequence));
                 }
             }
         }
@@ -52,25 +52,25 @@
 
     @Override
     public long nextTimerNanos() {
-        return upstreams.values().stream().mapToLong(w -> w.nextPollAt).min().orElse(NO_TIMER);
+        return mUpstreams.values().stream().mapToLong(w -> w.mNextPollAt).min().orElse(NO_TIMER);
     }
 
     private void updateTargets(List<Target> targets, long now) {
-        Map<UpstreamId, PolledUpstream> previous = new HashMap<>(upstreams);
-        upstreams.clear();
+        Map<UpstreamId, PolledUpstream> previous = new HashMap<>(mUpstreams);
+        mUpstreams.clear();
         int index = 0;
         for (Target target : targets) {
             UpstreamId id = target.spec.id();
             PolledUpstream known = previous.get(id);
             PolledUpstream next = new PolledUpstream(target);
             // Spreads the first polls over one interval.
-            next.nextPollAt = now + intervalNanos * index++ / targets.size();
+            next.mNextPollAt = now + mIntervalNanos * index++ / targets.size();
             if (known != null) {
-                next.nextPollAt = known.nextPollAt;
-                next.cacheSequence = known.cacheSequence;
-                next.polling = known.polling;
+                next.mNextPollAt = known.mNextPollAt;
+                next.mCacheSequence = known.mCacheSequence;
+                next.mPolling = known.mPolling;
             }
-            upstreams.put(id, next);
+            mUpstreams.put(id, next);
         }
     }
 
@@ -91,15 +91,15 @@
     record Poll(UpstreamSpec spec, UpstreamKind kind, long cacheSequence) {}
 
     private static final class PolledUpstream {
-        private final UpstreamSpec spec;
-        private final UpstreamKind kind;
-        private long nextPollAt;
-        private long cacheSequence;
-        private boolean polling;
+        private final UpstreamSpec mSpec;
+        private final UpstreamKind mKind;
+        private long mNextPollAt;
+        private long mCacheSequence;
+        private boolean mPolling;
 
         PolledUpstream(Target target) {
-            spec = target.spec;
-            kind = target.kind;
+            mSpec = target.spec;
+            mKind = target.kind;
         }
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/weights/EngineOrderClient.java
+++ b/node/src/main/java/org/fuchsialever/node/weights/EngineOrderClient.java
@@ -26,7 +26,7 @@
     /** Covers the load itself: an engine responds only after it has loaded the version. */
     private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(30);
 
-    private final HttpClient client =
+    private final HttpClient mClient =
             HttpClient.newConnection()
                     .disableRetry(true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
@@ -39,7 +39,7 @@
         return Mono.defer(
                 () -> {
                     AtomicReference<WriteState> state = new AtomicReference<>(WriteState.WAITING);
-                    return client.headers(headers -> headers.set("Content-Length", body.length))
+                    return mClient.headers(headers -> headers.set("Content-Length", body.length))
                             .post()
                             .uri(uri(engine))
                             .send(
--- a/node/src/main/java/org/fuchsialever/node/weights/WeightActions.java
+++ b/node/src/main/java/org/fuchsialever/node/weights/WeightActions.java
@@ -24,24 +24,24 @@
 final class WeightActions implements ActionSink<WeightAction> {
     private static final PartLogger LOG = PartLogger.of("weights");
 
-    private final String model;
-    private final WeightStore store;
-    private final EngineOrderClient orders = new EngineOrderClient();
-    private final MeterRegistry meters;
-    private final EventPort<WeightEvent> events;
-    private final RoleIntents<LoadCommand> intents;
-    private volatile Map<UpstreamId, UpstreamSpec> engines = Map.of();
+    private final String mModel;
+    private final WeightStore mStore;
+    private final EngineOrderClient mOrders = new EngineOrderClient();
+    private final MeterRegistry mMeters;
+    private final EventPort<WeightEvent> mEvents;
+    private final RoleIntents<LoadCommand> mIntents;
+    private volatile Map<UpstreamId, UpstreamSpec> mEngines = Map.of();
 
     WeightActions(
             String model,
             WeightStore store,
             IntentServices services,
             EventPort<WeightEvent> events) {
-        this.model = model;
-        this.store = store;
-        this.meters = services.meters();
-        this.events = events;
-        this.intents =
+        mModel = model;
+        mStore = store;
+        mMeters = services.meters();
+        mEvents = events;
+        mIntents =
                 new RoleIntents<>(
                         WeightDuty.roleOf(model),
                         new LoadCommandCodec(),
@@ -51,22 +51,23 @@
     }
 
     RoleIntents<LoadCommand> intents() {
-        return intents;
+        return mIntents;
     }
 
     /** Replaces the known engines; engines that are not listed receive no orders. */
     void setEngines(Map<UpstreamId, UpstreamSpec> newEngines) {
-        engines = Map.copyOf(newEngines);
+        mEngines = Map.copyOf(newEngines);
     }
 
     @Override
     public void emit(WeightAction action) {
         if (action instanceof WeightAction.RoleAction role) {
-            intents.execute(role.action());
+            mIntents.execute(role.action());
         } else if (action instanceof WeightAction.ReadLatestVersion) {
-            store.latest(model)
+            mStore.latest(mModel)
                     .subscribe(
-                            version -> events.offerOnce(new WeightEvent.LatestVersionRead(version)),
+                            version ->
+                                    mEvents.offerOnce(new WeightEvent.LatestVersionRead(version)),
                             failure -> count("latest-not-read"));
         } else if (action instanceof WeightAction.LoadFailed failed) {
             count("load-failed");
@@ -89,13 +90,13 @@
 
     private Mono<CommandResult> send(
             IntentAction.SendCommand<LoadCommand> command, BooleanSupplier stillHolding) {
-        return Option.of(engines.get(command.intent().command().upstream()))
-                .map(engine -> orders.send(engine, command, stillHolding))
+        return Option.of(mEngines.get(command.intent().command().upstream()))
+                .map(engine -> mOrders.send(engine, command, stillHolding))
                 .getOrElse(Mono.just(CommandResult.NOT_SENT));
     }
 
     private void count(String reason) {
-        meters.counter("fuchsialever.weights.retries", "model", model, "reason", reason)
+        mMeters.counter("fuchsialever.weights.retries", "model", mModel, "reason", reason)
                 .increment();
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/weights/WeightsComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/weights/WeightsComponent.java
@@ -34,8 +34,8 @@
     private static final int RING_CAPACITY = 32_768;
     private static final int MAX_LOADS_PER_SECOND = 100_000;
 
-    private Duration receiverTimeout = Duration.ofSeconds(10);
-    private long loadsPerSecond;
+    private Duration mReceiverTimeout = Duration.ofSeconds(10);
+    private long mLoadsPerSecond;
 
     @Override
     public String pluginName() {
@@ -59,9 +59,10 @@
 
     @Override
     public void configure(SettingsReader settings) {
-        receiverTimeout =
+        mReceiverTimeout =
                 settings.duration(SECTION, "receiver-request-timeout", Duration.ofSeconds(10));
-        loadsPerSecond = settings.integer(SECTION, "loads-per-second", 10, 1, MAX_LOADS_PER_SECOND);
+        mLoadsPerSecond =
+                settings.integer(SECTION, "loads-per-second", 10, 1, MAX_LOADS_PER_SECOND);
     }
 
     @Override
@@ -105,8 +106,8 @@
         WeightDuty duty =
                 new WeightDuty(
                         model,
-                        RollingUpdateLimits.standard(loadsPerSecond),
-                        IntentTiming.standard(receiverTimeout),
+                        RollingUpdateLimits.standard(mLoadsPerSecond),
+                        IntentTiming.standard(mReceiverTimeout),
                         context.random("weights-" + model),
                         context.time().nanoTime(),
                         services.invariants());
--- a/node/src/test/java/org/fuchsialever/node/LiveCallTest.java
+++ b/node/src/test/java/org/fuchsialever/node/LiveCallTest.java
@@ -25,17 +25,17 @@
 class LiveCallTest {
     private static final int TOKENS = 20;
 
-    @TempDir Path folder;
+    @TempDir Path mFolder;
 
-    private EngineStandIn engine;
-    private NodeProcess node;
-    private final HttpClient client = HttpClient.newHttpClient();
+    private EngineStandIn mEngine;
+    private NodeProcess mNode;
+    private final HttpClient mClient = HttpClient.newHttpClient();
 
     @BeforeEach
     void startEngineAndInstance() throws IOException {
-        engine = new EngineStandIn("engine-start-1", Duration.ofMillis(1));
-        Path routes = folder.resolve("routes.ini");
-        Path pools = folder.resolve("pools.ini");
+        mEngine = new EngineStandIn("engine-start-1", Duration.ofMillis(1));
+        Path routes = mFolder.resolve("routes.ini");
+        Path pools = mFolder.resolve("pools.ini");
         Files.writeString(
                 routes,
                 """
@@ -57,7 +57,7 @@
                 port = %d
                 failure-domain = fd-1
                 """
-                        .formatted(engine.port()));
+                        .formatted(mEngine.port()));
         String settings =
                 """
                 [node]
@@ -72,15 +72,15 @@
                 pools = %s
                 """
                         .formatted(routes, pools);
-        node =
+        mNode =
                 NodeProcess.start("node.ini", settings)
                         .getOrElseThrow(findings -> new AssertionError(findings.report()));
     }
 
     @AfterEach
     void stopEngineAndInstance() {
-        node.close();
-        engine.close();
+        mNode.close();
+        mEngine.close();
     }
 
     @Test
@@ -125,12 +125,12 @@
     }
 
     private HttpResponse<String> post(String path, String body) throws Exception {
-        int port = node.service(HttpFrontEnd.class).port();
+        int port = mNode.service(HttpFrontEnd.class).port();
         HttpRequest request =
                 HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
                         .header("Content-Type", "application/json")
                         .POST(HttpRequest.BodyPublishers.ofString(body))
                         .build();
-        return client.send(request, HttpResponse.BodyHandlers.ofString());
+        return mClient.send(request, HttpResponse.BodyHandlers.ofString());
     }
 }
--- a/node/src/test/java/org/fuchsialever/node/SettingsReloadTest.java
+++ b/node/src/test/java/org/fuchsialever/node/SettingsReloadTest.java
@@ -8,18 +8,18 @@
 import org.junit.jupiter.api.Test;
 
 class SettingsReloadTest {
-    private final SettingsReload reload =
+    private final SettingsReload mReload =
             new SettingsReload("node.ini", "[node]\nname = a\nregion = r\n");
 
     @Test
     void namesTheKeysThatHaveChanged() {
         assertThat(
-                reload.report("[node]\nname = b\n[entry]\nlinger = 1 s\n"),
+                mReload.report("[node]\nname = b\n[entry]\nlinger = 1 s\n"),
                 is(List.of("node/name", "entry/linger", "node/region")));
     }
 
     @Test
     void keepsTheSettingsInForceWhenTheFileCannotBeUsed() {
-        assertThat(reload.report("[node]\nno separator\n"), is(empty()));
+        assertThat(mReload.report("[node]\nno separator\n"), is(empty()));
     }
 }
--- a/node/src/test/java/org/fuchsialever/node/audit/RingRecorderTest.java
+++ b/node/src/test/java/org/fuchsialever/node/audit/RingRecorderTest.java
@@ -14,23 +14,23 @@
 
 /** Guards against records that are dropped at a full ring and not counted in the audit log. */
 class RingRecorderTest {
-    private final List<AuditEvent> ring = new ArrayList<>();
-    private boolean full;
-    private final RingRecorder recorder =
+    private final List<AuditEvent> mRing = new ArrayList<>();
+    private boolean mFull;
+    private final RingRecorder mRecorder =
             new RingRecorder(
                     new ManualTimeSource(5),
                     new SimpleMeterRegistry(),
-                    event -> !full && ring.add(event));
+                    event -> !mFull && mRing.add(event));
 
     @Test
     void recordsHowManyRecordsFoundTheRingFull() {
-        full = true;
-        assertThat(recorder.record(new AuditRecord.ConfigurationChanged(1)), is(false));
-        assertThat(recorder.record(new AuditRecord.ConfigurationChanged(2)), is(false));
-        full = false;
-        assertThat(recorder.record(new AuditRecord.ConfigurationChanged(3)), is(true));
+        mFull = true;
+        assertThat(mRecorder.record(new AuditRecord.ConfigurationChanged(1)), is(false));
+        assertThat(mRecorder.record(new AuditRecord.ConfigurationChanged(2)), is(false));
+        mFull = false;
+        assertThat(mRecorder.record(new AuditRecord.ConfigurationChanged(3)), is(true));
         assertThat(
-                ring,
+                mRing,
                 contains(
                         new AuditEvent.Recorded(5, new AuditRecord.RecordsLost(2)),
                         new AuditEvent.Recorded(5, new AuditRecord.ConfigurationChanged(3))));
--- a/node/src/test/java/org/fuchsialever/node/calls/CallFixture.java
+++ b/node/src/test/java/org/fuchsialever/node/calls/CallFixture.java
@@ -21,39 +21,39 @@
     /** The text of a response of six tokens. */
     protected static final String ALL_TOKENS = "w0 w1 w2 w3 w4 w5 ";
 
-    @TempDir Path folder;
+    @TempDir Path mFolder;
 
-    protected ScriptedUpstream firstEngine;
-    protected ScriptedUpstream secondEngine;
-    protected ScriptedUpstream plainService;
-    protected NodeProcess node;
-    private final HttpClient client = HttpClient.newHttpClient();
+    protected ScriptedUpstream mFirstEngine;
+    protected ScriptedUpstream mSecondEngine;
+    protected ScriptedUpstream mPlainService;
+    protected NodeProcess mNode;
+    private final HttpClient mClient = HttpClient.newHttpClient();
 
     @BeforeEach
     void startAll() throws IOException {
-        firstEngine = new ScriptedUpstream();
-        secondEngine = new ScriptedUpstream();
-        plainService = new ScriptedUpstream();
-        node =
+        mFirstEngine = new ScriptedUpstream();
+        mSecondEngine = new ScriptedUpstream();
+        mPlainService = new ScriptedUpstream();
+        mNode =
                 NodeProcess.start("node.ini", settings())
                         .getOrElseThrow(findings -> new AssertionError(findings.report()));
     }
 
     @AfterEach
     void stopAll() throws IOException {
-        long violations = node.service(CountingInvariantMonitor.class).violationCount();
-        firstEngine.close();
-        secondEngine.close();
-        plainService.close();
-        node.close();
+        long violations = mNode.service(CountingInvariantMonitor.class).violationCount();
+        mFirstEngine.close();
+        mSecondEngine.close();
+        mPlainService.close();
+        mNode.close();
         if (violations > 0) {
             throw new AssertionError("invariants were violated");
         }
     }
 
     protected String settings() throws IOException {
-        Path routes = folder.resolve("routes.ini");
-        Path pools = folder.resolve("pools.ini");
+        Path routes = mFolder.resolve("routes.ini");
+        Path pools = mFolder.resolve("pools.ini");
         Files.writeString(
                 routes,
                 """
@@ -93,7 +93,8 @@
                 port = %d
                 failure-domain = fd-1
                 """
-                        .formatted(firstEngine.port(), secondEngine.port(), plainService.port()));
+                        .formatted(
+                                mFirstEngine.port(), mSecondEngine.port(), mPlainService.port()));
         return """
         [node]
         name = node-1
@@ -118,7 +119,7 @@
     }
 
     protected int port() {
-        return node.service(HttpFrontEnd.class).port();
+        return mNode.service(HttpFrontEnd.class).port();
     }
 
     protected HttpResponse<String> postCompletion(boolean stream) throws Exception {
@@ -137,7 +138,7 @@
         if (headers.length > 0) {
             request.headers(headers);
         }
-        return client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+        return mClient.send(request.build(), HttpResponse.BodyHandlers.ofString());
     }
 
     protected static String concatenatedText(String events) {
@@ -151,7 +152,7 @@
 
     /** Makes the second engine send all tokens from the one that the request resumes from. */
     protected void scriptSecondEngineToComplete() {
-        secondEngine.then(
+        mSecondEngine.then(
                 (request, response) -> {
                     Matcher resumed =
                             Pattern.compile("\"resume_from\":(\\d+)").matcher(request.body());
--- a/node/src/test/java/org/fuchsialever/node/calls/ClaimedCallSocketTest.java
+++ b/node/src/test/java/org/fuchsialever/node/calls/ClaimedCallSocketTest.java
@@ -15,51 +15,51 @@
 class ClaimedCallSocketTest extends CallFixture {
     private static final String[] KEY = {"Idempotency-Key", "booking-1"};
 
-    private final TableServiceStandIn tables = new TableServiceStandIn();
+    private final TableServiceStandIn mTables = new TableServiceStandIn();
 
     @Override
     protected String settings() throws IOException {
         return super.settings()
                         .replace("identity, table-files", "identity, platform, claims, table-files")
                 + "[platform]\ntable-service = "
-                + tables.url()
+                + mTables.url()
                 + "\n";
     }
 
     @AfterEach
     void stopTables() {
-        tables.close();
+        mTables.close();
     }
 
     @Test
     void runsARepeatedRequestOnceAndReturnsTheSameResponse() throws Exception {
-        plainService.then((request, response) -> response.send(201, "booked"));
+        mPlainService.then((request, response) -> response.send(201, "booked"));
 
         assertThat(post("/book", "{}", KEY).body(), is("booked"));
         assertThat(post("/book", "{}", KEY).body(), is("booked"));
         assertThat(post("/book", "{}", KEY).statusCode(), is(201));
-        assertThat(plainService.requests(), hasSize(1));
+        assertThat(mPlainService.requests(), hasSize(1));
     }
 
     @Test
     void saysNotRunWhenTheTableServiceIsDown() throws Exception {
-        tables.faults().set(FaultMode.DOWN);
+        mTables.faults().set(FaultMode.DOWN);
 
         String response = post("/book", "{}", KEY).body();
 
         assertThat(response, containsString("\"code\":\"claim-unavailable\""));
         assertThat(response, containsString("\"not_run\":true"));
-        assertThat(plainService.requests(), hasSize(0));
+        assertThat(mPlainService.requests(), hasSize(0));
     }
 
     @Test
     void repeatsAnUnknownOutcomeInsteadOfRunningAgain() throws Exception {
-        plainService
+        mPlainService
                 .then((request, response) -> response.disconnect())
                 .then((request, response) -> response.send(200, "booked twice"));
 
         assertThat(post("/book", "{}", KEY).body(), containsString("answer-lost"));
         assertThat(post("/book", "{}", KEY).body(), containsString("answer-lost"));
-        assertThat(plainService.requests(), hasSize(1));
+        assertThat(mPlainService.requests(), hasSize(1));
     }
 }
--- a/node/src/test/java/org/fuchsialever/node/calls/DrainTest.java
+++ b/node/src/test/java/org/fuchsialever/node/calls/DrainTest.java
@@ -25,7 +25,7 @@
 
     @Test
     void cancelsTheWorkOfACallerThatLeaves() throws Exception {
-        firstEngine.then(
+        mFirstEngine.then(
                 (request, response) -> {
                     response.beginStream();
                     response.tokens("a", 0, 1, 1);
@@ -35,14 +35,14 @@
             readUntil(reader(caller), "w0");
         }
 
-        String id = firstEngine.requests().get(0).headers().get("X-Request-Id");
-        assertThat(firstEngine.awaitCancellation(), is("/v1/requests/" + id));
+        String id = mFirstEngine.requests().get(0).headers().get("X-Request-Id");
+        assertThat(mFirstEngine.awaitCancellation(), is("/v1/requests/" + id));
     }
 
     @Test
     void finishesARunningStreamAndRefusesNewRequestsWhileDraining() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
-        firstEngine.then(
+        mFirstEngine.then(
                 (request, response) -> {
                     response.beginStream();
                     response.tokens("a", 0, 1, 1);
@@ -50,34 +50,34 @@
                     response.tokens("a", 1, 2, 1);
                     response.done();
                 });
-        plainService.then((request, response) -> response.send(200, "booked"));
+        mPlainService.then((request, response) -> response.send(200, "booked"));
         try (Socket streaming = send("/v1/completions", CALL);
                 Socket persistent = send("/book", "{}")) {
             BufferedReader stream = reader(streaming);
             BufferedReader other = reader(persistent);
             readUntil(stream, "w0");
             readUntil(other, "booked");
-            assertThat(node.service(Readiness.class).isReady(), is(true));
+            assertThat(mNode.service(Readiness.class).isReady(), is(true));
 
-            node.service(HttpFrontEnd.class).drain();
-            node.service(CallDrain.class).drain();
+            mNode.service(HttpFrontEnd.class).drain();
+            mNode.service(CallDrain.class).drain();
             write(persistent, "/book", "{}");
             String refusal = readUntil(other, "not_run");
             release.countDown();
             String remainder = readUntil(stream, "[DONE]");
-            node.close();
+            mNode.close();
 
             assertThat(refusal, containsString("connection: close"));
             assertThat(refusal, containsString("\"code\":\"draining\""));
             assertThat(remainder, containsString("w1"));
             assertThat(remainder, endsWith("[DONE]"));
-            assertThat(node.service(Readiness.class).isReady(), is(false));
+            assertThat(mNode.service(Readiness.class).isReady(), is(false));
         }
     }
 
     @Test
     void exitsWithZeroOnSigterm() throws Exception {
-        Path settings = folder.resolve("node.ini");
+        Path settings = mFolder.resolve("node.ini");
         Files.writeString(settings, settings());
         Process process =
                 new ProcessBuilder(
--- a/node/src/test/java/org/fuchsialever/node/calls/PlainCallTest.java
+++ b/node/src/test/java/org/fuchsialever/node/calls/PlainCallTest.java
@@ -15,7 +15,7 @@
 
     @Test
     void reportsAnUnknownOutcomeWhenTheConnectionBreaksBeforeTheFirstByte() throws Exception {
-        plainService.then((request, response) -> response.disconnect());
+        mPlainService.then((request, response) -> response.disconnect());
 
         HttpResponse<String> response = post("/book", "{}");
 
@@ -24,19 +24,19 @@
 
     @Test
     void abortsTheResponseWhenTheConnectionBreaksAfterTheFirstByte() {
-        plainService.then(
+        mPlainService.then(
                 (request, response) -> {
                     response.sendRaw("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart");
                     response.disconnect();
                 });
 
         assertThrows(IOException.class, () -> post("/book", "{}"));
-        assertThat(plainService.requests(), hasSize(1));
+        assertThat(mPlainService.requests(), hasSize(1));
     }
 
     @Test
     void doesNotSendAgainOnADeadReusedConnection() throws Exception {
-        plainService
+        mPlainService
                 .then((request, response) -> response.send(200, "booked"))
                 .then((request, response) -> response.disconnect())
                 .then((request, response) -> response.send(200, "booked twice"));
@@ -47,7 +47,7 @@
 
     @Test
     void saysNotRunWhenNoConnectionOpens() throws Exception {
-        plainService.close();
+        mPlainService.close();
 
         HttpResponse<String> response = post("/book", "{}");
 
@@ -58,14 +58,14 @@
     @Test
     void retriesAServiceThatSaysNotRun() throws Exception {
         String notRun = "HTTP/1.1 503 x\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n";
-        plainService
+        mPlainService
                 .then((request, response) -> response.sendRaw(notRun))
                 .then((request, response) -> response.sendRaw(notRun))
                 .then((request, response) -> response.sendRaw(notRun))
                 .then((request, response) -> response.sendRaw(notRun));
 
         assertThat(post("/book", "{}").body(), containsString("\"not_run\":true"));
-        assertThat(plainService.requests(), hasSize(4));
+        assertThat(mPlainService.requests(), hasSize(4));
     }
 
     @Test
@@ -80,14 +80,14 @@
                 post("/v1/completions", "{\"prompt\":\"\\u0030" + secret.substring(1) + "\"}", key)
                         .body(),
                 containsString("malformed-body"));
-        assertThat(plainService.requests(), hasSize(0));
-        assertThat(firstEngine.requests(), hasSize(0));
+        assertThat(mPlainService.requests(), hasSize(0));
+        assertThat(mFirstEngine.requests(), hasSize(0));
     }
 
     private void assertLostAfterOneRun(HttpResponse<String> response, int requests) {
         assertThat(response.statusCode(), is(502));
         assertThat(response.body(), containsString("\"code\":\"answer-lost\""));
         assertThat(response.body(), containsString("\"not_run\":false"));
-        assertThat(plainService.requests(), hasSize(requests));
+        assertThat(mPlainService.requests(), hasSize(requests));
     }
 }
--- a/node/src/test/java/org/fuchsialever/node/calls/ResumedCallTest.java
+++ b/node/src/test/java/org/fuchsialever/node/calls/ResumedCallTest.java
@@ -25,7 +25,7 @@
 class ResumedCallTest extends CallFixture {
     @Test
     void resumesAStreamWhoseEngineDies() throws Exception {
-        firstEngine.then(
+        mFirstEngine.then(
                 (request, response) -> {
                     response.beginStream();
                     response.tokens("a", 0, 3, 1);
@@ -41,12 +41,12 @@
         // A broken connection may lose tokens that the engine has sent.
         int delivered = response.body().split("\"start\":\"a\"", -1).length - 1;
         String resumed = delivered == 0 ? "" : "\"resume_from\":" + delivered;
-        assertThat(secondEngine.requests().get(0).body(), containsString(resumed));
+        assertThat(mSecondEngine.requests().get(0).body(), containsString(resumed));
     }
 
     @Test
     void takesAStreamWithoutItsEndMarkerForALostConnection() throws Exception {
-        firstEngine.then(
+        mFirstEngine.then(
                 (request, response) -> {
                     response.beginStream();
                     response.tokens("a", 0, 3, 1);
@@ -59,7 +59,7 @@
 
     @Test
     void continuesFromTheLastCertainTokenWhenAVersionIsMissing() throws Exception {
-        firstEngine.then(
+        mFirstEngine.then(
                 (request, response) -> {
                     response.beginStream();
                     response.tokens("a", 0, 2, 1);
@@ -78,7 +78,7 @@
 
     @Test
     void resumesACallThatRequestedNoStream() throws Exception {
-        firstEngine.then(
+        mFirstEngine.then(
                 (request, response) -> {
                     response.beginStream();
                     response.tokens("a", 0, 3, 1);
@@ -90,13 +90,13 @@
 
         assertThat(response.statusCode(), is(200));
         assertThat(concatenatedText(response.body()), is(ALL_TOKENS));
-        assertThat(firstEngine.requests().get(0).body(), containsString("\"stream\":true"));
+        assertThat(mFirstEngine.requests().get(0).body(), containsString("\"stream\":true"));
         assertThat(response.body(), containsString("{\"from\":0,\"to\":3,\"weight_version\":1}"));
     }
 
     @Test
     void asksAnotherEngineWhenOneDoesNotAdmitARequest() throws Exception {
-        firstEngine.then(
+        mFirstEngine.then(
                 (request, response) ->
                         response.send(429, "{\"error\":{\"code\":\"not_admitted\"}}"));
         scriptSecondEngineToComplete();
@@ -106,7 +106,7 @@
 
     @Test
     void sendsItsOwnPriorityAndTheIdOfTheRequest() throws Exception {
-        firstEngine.then(
+        mFirstEngine.then(
                 (request, response) -> {
                     response.beginStream();
                     response.tokens("a", 0, 1, 1);
@@ -115,7 +115,7 @@
 
         HttpResponse<String> response = postCompletion(true);
 
-        ScriptedUpstream.Request request = firstEngine.requests().get(0);
+        ScriptedUpstream.Request request = mFirstEngine.requests().get(0);
         assertThat(request.body(), containsString("\"priority\":100"));
         assertThat(
                 request.headers().get("X-Request-Id"),
@@ -124,7 +124,7 @@
 
     @Test
     void generatesASampleWithTheRangesOfBothEngines() throws Exception {
-        firstEngine.then(
+        mFirstEngine.then(
                 (request, response) -> {
                     response.beginStream();
                     response.tokens("a", 0, 2, 4);
@@ -132,7 +132,7 @@
                     response.endStream();
                 });
         scriptSecondEngineToComplete();
-        ConfigSnapshot config = node.service(ConfigHolder.class).current().get();
+        ConfigSnapshot config = mNode.service(ConfigHolder.class).current().get();
         GenerationRequest request =
                 new GenerationRequest(
                         new RequestId("sample-1"),
@@ -143,7 +143,7 @@
                         2);
 
         Generation generation =
-                node.service(GenerationPort.class)
+                mNode.service(GenerationPort.class)
                         .generate(request)
                         .blockOptional(Duration.ofSeconds(30))
                         .orElseThrow();
--- a/node/src/test/java/org/fuchsialever/node/calls/ScriptedUpstream.java
+++ b/node/src/test/java/org/fuchsialever/node/calls/ScriptedUpstream.java
@@ -25,34 +25,34 @@
 final class ScriptedUpstream implements AutoCloseable {
     private static final long TIMEOUT_SECONDS = 30;
 
-    private final ServerSocket server;
-    private final Queue<Step> script = new ConcurrentLinkedQueue<>();
-    private final List<Request> requests = new CopyOnWriteArrayList<>();
-    private final LinkedBlockingQueue<String> cancellations = new LinkedBlockingQueue<>();
-    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
-    private final CountDownLatch closed = new CountDownLatch(1);
+    private final ServerSocket mServer;
+    private final Queue<Step> mScript = new ConcurrentLinkedQueue<>();
+    private final List<Request> mRequests = new CopyOnWriteArrayList<>();
+    private final LinkedBlockingQueue<String> mCancellations = new LinkedBlockingQueue<>();
+    private final List<Socket> mSockets = new CopyOnWriteArrayList<>();
+    private final CountDownLatch mClosed = new CountDownLatch(1);
 
     ScriptedUpstream() throws IOException {
-        server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        mServer = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
         start(this::accept);
     }
 
     int port() {
-        return server.getLocalPort();
+        return mServer.getLocalPort();
     }
 
     ScriptedUpstream then(Step step) {
-        script.add(step);
+        mScript.add(step);
         return this;
     }
 
     List<Request> requests() {
-        return requests;
+        return mRequests;
     }
 
     /** Returns the path of the next cancellation, or fails if none arrives. */
     String awaitCancellation() throws InterruptedException {
-        String path = cancellations.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        String path = mCancellations.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
         if (path == null) {
             throw new AssertionError("no cancellation arrived");
         }
@@ -61,9 +61,9 @@
 
     @Override
     public void close() throws IOException {
-        closed.countDown();
-        server.close();
-        for (Socket socket : sockets) {
+        mClosed.countDown();
+        mServer.close();
+        for (Socket socket : mSockets) {
             socket.close();
         }
     }
@@ -71,8 +71,8 @@
     private void accept() {
         try {
             while (true) {
-                Socket socket = server.accept();
-                sockets.add(socket);
+                Socket socket = mServer.accept();
+                mSockets.add(socket);
                 start(() -> serve(socket));
             }
         } catch (IOException e) {
@@ -85,7 +85,7 @@
             InputStream in = socket.getInputStream();
             Request request = Request.read(in);
             while (request != null) {
-                respond(request, new Response(socket, closed));
+                respond(request, new Response(socket, mClosed));
                 request = Request.read(in);
             }
         } catch (IOException | InterruptedException e) {
@@ -98,11 +98,11 @@
         if (request.path().equals("/engine/load")) {
             response.send(200, "{}");
         } else if (request.method().equals("DELETE")) {
-            cancellations.add(request.path());
+            mCancellations.add(request.path());
             response.send(200, "{}");
         } else {
-            requests.add(request);
-            Step step = script.poll();
+            mRequests.add(request);
+            Step step = mScript.poll();
             if (step == null) {
                 response.send(500, "{\"error\":{\"code\":\"unexpected\"}}");
             } else {
--- a/node/src/test/java/org/fuchsialever/node/calls/SilentCallTest.java
+++ b/node/src/test/java/org/fuchsialever/node/calls/SilentCallTest.java
@@ -18,7 +18,7 @@
 
     @Test
     void resumesAStreamOnASilentConnectionAndCancelsItsWork() throws Exception {
-        firstEngine.then(
+        mFirstEngine.then(
                 (request, response) -> {
                     response.beginStream();
                     response.tokens("a", 0, 3, 1);
@@ -29,17 +29,17 @@
         HttpResponse<String> response = postCompletion(true);
 
         assertThat(concatenatedText(response.body()), is(ALL_TOKENS));
-        String id = firstEngine.requests().get(0).headers().get("X-Request-Id");
-        assertThat(firstEngine.awaitCancellation(), is("/v1/requests/" + id));
+        String id = mFirstEngine.requests().get(0).headers().get("X-Request-Id");
+        assertThat(mFirstEngine.awaitCancellation(), is("/v1/requests/" + id));
     }
 
     @Test
     void reportsAnUnknownOutcomeOfASilentService() throws Exception {
-        plainService.then((request, response) -> response.staySilent());
+        mPlainService.then((request, response) -> response.staySilent());
 
         HttpResponse<String> response = post("/book", "{}");
 
         assertThat(response.body(), containsString("\"not_run\":false"));
-        assertThat(plainService.requests(), hasSize(1));
+        assertThat(mPlainService.requests(), hasSize(1));
     }
 }
--- a/node/src/test/java/org/fuchsialever/node/claims/ClaimedCallsTest.java
+++ b/node/src/test/java/org/fuchsialever/node/claims/ClaimedCallsTest.java
@@ -45,44 +45,44 @@
 class ClaimedCallsTest {
     private static final int ROW_BYTES = 16;
 
-    private final TableServiceFake tables = new TableServiceFake();
-    private final Map<String, byte[]> objects = new HashMap<>();
-    private final ManualTimeSource time = new ManualTimeSource(0);
-    private int executionCount;
-    private Either<Refusal, CallResponse> result = response("booked");
+    private final TableServiceFake mTables = new TableServiceFake();
+    private final Map<String, byte[]> mObjects = new HashMap<>();
+    private final ManualTimeSource mTime = new ManualTimeSource(0);
+    private int mExecutionCount;
+    private Either<Refusal, CallResponse> mResult = response("booked");
 
     @Test
     void answersASecondCallOnAnotherInstanceWithTheStoredOutcome() {
         assertThat(call("body"), is("200 booked"));
         assertThat(call("body"), is("200 booked"));
-        assertThat(executionCount, is(1));
+        assertThat(mExecutionCount, is(1));
     }
 
     @Test
     void keepsALargerAnswerInTheObjectStore() {
-        result = response("an answer that is too long for the row");
+        mResult = response("an answer that is too long for the row");
 
         assertThat(call("body"), is(call("body")));
-        assertThat(objects.size(), is(1));
-        assertThat(executionCount, is(1));
+        assertThat(mObjects.size(), is(1));
+        assertThat(mExecutionCount, is(1));
     }
 
     @Test
     void doesNotRunACallAgainWhoseAnswerWasTooLargeToKeep() {
-        result = response("x".repeat(200));
+        mResult = response("x".repeat(200));
         call("body");
 
         assertThat(call("body"), is("answer-lost"));
-        assertThat(executionCount, is(1));
+        assertThat(mExecutionCount, is(1));
     }
 
     @Test
     void runsOnceWhenTheAnswerToTheClaimIsLost() {
-        tables.responsesToLose = 1;
+        mTables.mResponsesToLose = 1;
 
         assertThat(call("body"), is("200 booked"));
         assertThat(call("body"), is("200 booked"));
-        assertThat(executionCount, is(1));
+        assertThat(mExecutionCount, is(1));
     }
 
     @Test
@@ -90,26 +90,26 @@
         call("body");
 
         assertThat(call("other"), is("claim-mismatch"));
-        assertThat(executionCount, is(1));
+        assertThat(mExecutionCount, is(1));
     }
 
     @Test
     void refusesAsNotRunWhenTheTableServiceIsNotReached() {
-        tables.down = true;
+        mTables.mDown = true;
 
         assertThat(call("body"), is("claim-unavailable"));
-        assertThat(executionCount, is(0));
+        assertThat(mExecutionCount, is(0));
     }
 
     @Test
     void reportsACallInProgressUntilItsDeadlineAndAsUnknownAfterIt() {
-        result = Either.right(new CallResponse(200, List.of(), Flux.<byte[]>never()));
+        mResult = Either.right(new CallResponse(200, List.of(), Flux.<byte[]>never()));
         claimedCalls().call(call(bytes("body")), "key", port()).subscribe(Either::isRight);
 
         assertThat(call("body"), is("claim-in-progress"));
-        time.advance(Duration.ofMinutes(1));
+        mTime.advance(Duration.ofMinutes(1));
         assertThat(call("body"), is("answer-lost"));
-        assertThat(executionCount, is(1));
+        assertThat(mExecutionCount, is(1));
     }
 
     @Test
@@ -119,33 +119,33 @@
                         call(bytes("body")),
                         "key",
                         call -> {
-                            executionCount++;
+                            mExecutionCount++;
                             return Mono.never();
                         })
                 .subscribe(Either::isRight)
                 .dispose();
 
         assertThat(call("body"), is("answer-lost"));
-        assertThat(executionCount, is(1));
+        assertThat(mExecutionCount, is(1));
     }
 
     @Test
     void givesTheClaimBackWhenTheCallWasNotRun() {
-        result = Either.left(Refusal.of(RefusalReason.QUEUE_FULL));
+        mResult = Either.left(Refusal.of(RefusalReason.QUEUE_FULL));
         assertThat(call("body"), is("queue-full"));
-        result = response("booked");
+        mResult = response("booked");
 
         assertThat(call("body"), is("200 booked"));
     }
 
     @Test
     void repeatsARefusalWhoseCallMayHaveRun() {
-        result = Either.left(Refusal.of(RefusalReason.ANSWER_LOST));
+        mResult = Either.left(Refusal.of(RefusalReason.ANSWER_LOST));
         call("body");
-        result = response("booked");
+        mResult = response("booked");
 
         assertThat(call("body"), is("answer-lost"));
-        assertThat(executionCount, is(1));
+        assertThat(mExecutionCount, is(1));
     }
 
     @Test
@@ -154,7 +154,7 @@
                 new ClaimGate(port()).call(call(bytes("body"))).blockOptional().orElseThrow();
 
         assertThat(refused.getLeft().reason(), is(RefusalReason.CLAIM_UNAVAILABLE));
-        assertThat(executionCount, is(0));
+        assertThat(mExecutionCount, is(0));
     }
 
     /** Makes a call on a new instance, which shares only the platform with the earlier ones. */
@@ -168,8 +168,8 @@
 
     private org.fuchsialever.frontend.CallPort port() {
         return call -> {
-            executionCount++;
-            return Mono.just(result);
+            mExecutionCount++;
+            return Mono.just(mResult);
         };
     }
 
@@ -181,7 +181,7 @@
                 new OutcomeStore(
                         platform(), limits, Schedulers.parallel(), new SimpleMeterRegistry()),
                 limits.timeout(),
-                time,
+                mTime,
                 Schedulers.parallel());
     }
 
@@ -190,17 +190,17 @@
                 new ObjectStore() {
                     @Override
                     public Mono<Boolean> putIfAbsent(String name, byte[] content) {
-                        return Mono.just(objects.putIfAbsent(name, content) == null);
+                        return Mono.just(mObjects.putIfAbsent(name, content) == null);
                     }
 
                     @Override
                     public Mono<Option<byte[]>> read(String name) {
-                        return Mono.just(Option.of(objects.get(name)));
+                        return Mono.just(Option.of(mObjects.get(name)));
                     }
 
                     @Override
                     public Mono<List<String>> list(String prefix) {
-                        return Mono.just(List.copyOf(objects.keySet()));
+                        return Mono.just(List.copyOf(mObjects.keySet()));
                     }
                 };
         OrderingService ordering =
@@ -220,7 +220,7 @@
         InstanceList instances = Mono::empty;
         WeightStore weights = model -> Mono.empty();
         JudgeService judge = (sample, prompt, text) -> Mono.empty();
-        return new Platform(tables, store, ordering, usage, instances, weights, judge);
+        return new Platform(mTables, store, ordering, usage, instances, weights, judge);
     }
 
     private static Mono<String> text(Either<Refusal, CallResponse> result) {
--- a/node/src/test/java/org/fuchsialever/node/claims/TableServiceFake.java
+++ b/node/src/test/java/org/fuchsialever/node/claims/TableServiceFake.java
@@ -14,14 +14,14 @@
 
 /** An in-memory table service that can lose responses and be unreachable. */
 final class TableServiceFake implements TableService {
-    final Map<String, Row> rows = new HashMap<>();
-    int responsesToLose;
-    boolean down;
-    private long version;
+    final Map<String, Row> mRows = new HashMap<>();
+    int mResponsesToLose;
+    boolean mDown;
+    private long mVersion;
 
     @Override
     public Mono<Option<Row>> read(String table, String key) {
-        return Mono.fromSupplier(() -> Option.of(rows.get(key)));
+        return Mono.fromSupplier(() -> Option.of(mRows.get(key)));
     }
 
     @Override
@@ -35,12 +35,12 @@
     }
 
     private CommitResult apply(Commit commit) {
-        if (down) {
+        if (mDown) {
             throw new PlatformException(PlatformException.Effect.NONE, "unreachable");
         }
         List<Row> conflicts = new ArrayList<>();
         for (Commit.Condition condition : commit.conditions()) {
-            Row row = rows.get(condition.key());
+            Row row = mRows.get(condition.key());
             if ((row == null ? 0 : row.version()) != condition.version()) {
                 if (row != null) {
                     conflicts.add(row);
@@ -48,17 +48,17 @@
                 return new CommitResult.Conflict(conflicts);
             }
         }
-        version++;
+        mVersion++;
         for (Commit.Put put : commit.puts()) {
-            rows.put(
+            mRows.put(
                     put.key(),
-                    new Row(put.table(), put.key(), version, put.value(), commit.writer()));
+                    new Row(put.table(), put.key(), mVersion, put.value(), commit.writer()));
         }
-        commit.deletes().forEach(delete -> rows.remove(delete.key()));
-        if (responsesToLose > 0) {
-            responsesToLose--;
+        commit.deletes().forEach(delete -> mRows.remove(delete.key()));
+        if (mResponsesToLose > 0) {
+            mResponsesToLose--;
             throw new PlatformException(PlatformException.Effect.UNKNOWN, "response lost");
         }
-        return new CommitResult.Committed(version);
+        return new CommitResult.Committed(mVersion);
     }
 }
--- a/node/src/test/java/org/fuchsialever/node/config/ConfigHolderTest.java
+++ b/node/src/test/java/org/fuchsialever/node/config/ConfigHolderTest.java
@@ -15,19 +15,19 @@
 
 /** Guards against a configuration that reverts to an earlier version. */
 class ConfigHolderTest {
-    private final List<Invariant> violated = new ArrayList<>();
-    private final ConfigHolder holder =
-            new ConfigHolder((invariant, detail) -> violated.add(invariant));
+    private final List<Invariant> mViolated = new ArrayList<>();
+    private final ConfigHolder mHolder =
+            new ConfigHolder((invariant, detail) -> mViolated.add(invariant));
 
     @Test
     void reportsAndIgnoresAnEarlierVersion() {
-        holder.publish(snapshot(2));
-        assertThat(violated, empty());
+        mHolder.publish(snapshot(2));
+        assertThat(mViolated, empty());
 
-        holder.publish(snapshot(1));
+        mHolder.publish(snapshot(1));
 
-        assertThat(violated, contains(Invariant.CONFIGURATION_MONOTONIC));
-        assertThat(holder.current().map(ConfigSnapshot::version), is(Option.some(2L)));
+        assertThat(mViolated, contains(Invariant.CONFIGURATION_MONOTONIC));
+        assertThat(mHolder.current().map(ConfigSnapshot::version), is(Option.some(2L)));
     }
 
     private static ConfigSnapshot snapshot(long version) {
--- a/node/src/test/java/org/fuchsialever/node/dispatch/CallDispatcherTest.java
+++ b/node/src/test/java/org/fuchsialever/node/dispatch/CallDispatcherTest.java
@@ -68,51 +68,51 @@
                     Fencing.IGNORED,
                     UpstreamState.SERVING);
 
-    private final ManualTimeSource time = new ManualTimeSource(0);
-    private final ManualScheduler timers = new ManualScheduler(time);
-    private final ManualUpstreams upstreams = new ManualUpstreams();
-    private final SimpleMeterRegistry meters = new SimpleMeterRegistry();
-    private final ExchangeMeters exchangeMeters = new ExchangeMeters(meters);
-    private final DispatchRing ring = new DispatchRing(exchangeMeters);
-    private final Inbox<DispatchEvent> inbox =
+    private final ManualTimeSource mTime = new ManualTimeSource(0);
+    private final ManualScheduler mTimers = new ManualScheduler(mTime);
+    private final ManualUpstreams mUpstreams = new ManualUpstreams();
+    private final SimpleMeterRegistry mMeters = new SimpleMeterRegistry();
+    private final ExchangeMeters mExchangeMeters = new ExchangeMeters(mMeters);
+    private final DispatchRing mRing = new DispatchRing(mExchangeMeters);
+    private final Inbox<DispatchEvent> mInbox =
             new Inbox<>(DispatchRing.capacity(MAX_CALLS), OverflowPolicy.REFUSE);
-    private final List<Invariant> violated = new ArrayList<>();
-    private final List<Runnable> withdrawals = new ArrayList<>();
-    private final CallDispatcher dispatcher =
+    private final List<Invariant> mViolated = new ArrayList<>();
+    private final List<Runnable> mWithdrawals = new ArrayList<>();
+    private final CallDispatcher mDispatcher =
             new CallDispatcher(
                     MAX_CALLS,
                     (key, end) -> {
-                        withdrawals.add(end);
+                        mWithdrawals.add(end);
                         return () -> {};
                     },
                     new ExchangeServices(
-                            upstreams,
+                            mUpstreams,
                             UpstreamTimeouts.DEFAULTS,
-                            timers,
-                            time,
-                            exchangeMeters,
-                            (invariant, detail) -> violated.add(invariant),
-                            ring));
-    private final Body body = new Body();
+                            mTimers,
+                            mTime,
+                            mExchangeMeters,
+                            (invariant, detail) -> mViolated.add(invariant),
+                            mRing));
+    private final Body mBody = new Body();
 
     CallDispatcherTest() {
-        ring.connect(inbox);
+        mRing.connect(mInbox);
     }
 
     @Test
     void endsAnAttemptOnASilentConnectionAfterAProbe() {
         stream();
-        body.request(10);
-        upstreams.token(0, 0);
+        mBody.request(10);
+        mUpstreams.token(0, 0);
         events();
 
-        timers.advance(Duration.ofMillis(1_999));
-        assertThat(upstreams.probes, is(0));
-        timers.advance(Duration.ofMillis(1));
+        mTimers.advance(Duration.ofMillis(1_999));
+        assertThat(mUpstreams.mProbes, is(0));
+        mTimers.advance(Duration.ofMillis(1));
 
-        assertThat(upstreams.probes, is(1));
-        assertThat(upstreams.cancelled, contains(ID));
-        assertThat(upstreams.streams.get(0).isCancelled(), is(true));
+        assertThat(mUpstreams.mProbes, is(1));
+        assertThat(mUpstreams.mCancelled, contains(ID));
+        assertThat(mUpstreams.mStreams.get(0).isCancelled(), is(true));
         DispatchEvent.AttemptEnded ended = ends().get(0);
         assertThat(ended.report().result(), is(AttemptResult.SILENT));
         assertThat(ended.report().generatedTokens(), is(1));
@@ -121,10 +121,10 @@
 
     @Test
     void endsAnAttemptWhoseFirstByteDoesNotArrive() {
-        dispatcher.call(call(ID)).subscribe(Either::isRight);
-        dispatcher.emit(new DispatchAction.StartAttempt(ID, 1, ENGINE, 0));
+        mDispatcher.call(call(ID)).subscribe(Either::isRight);
+        mDispatcher.emit(new DispatchAction.StartAttempt(ID, 1, ENGINE, 0));
 
-        timers.advance(UpstreamTimeouts.DEFAULTS.engineFirstByte());
+        mTimers.advance(UpstreamTimeouts.DEFAULTS.engineFirstByte());
 
         DispatchEvent.AttemptEnded ended = ends().get(0);
         assertThat(ended.report().result(), is(AttemptResult.SILENT));
@@ -134,105 +134,105 @@
     @Test
     void sendsNoSecondAttemptOfACallThatMayNotBeRepeated() {
         RequestId once = new RequestId("once");
-        dispatcher.call(call(once, false)).subscribe(Either::isRight);
-        dispatcher.emit(new DispatchAction.StartAttempt(once, 1, ENGINE, 0));
-        upstreams.streams.get(0).error(lost());
-        dispatcher.emit(new DispatchAction.StartAttempt(once, 2, ENGINE, 0));
+        mDispatcher.call(call(once, false)).subscribe(Either::isRight);
+        mDispatcher.emit(new DispatchAction.StartAttempt(once, 1, ENGINE, 0));
+        mUpstreams.mStreams.get(0).error(lost());
+        mDispatcher.emit(new DispatchAction.StartAttempt(once, 2, ENGINE, 0));
 
-        assertThat(upstreams.streams, hasSize(1));
-        assertThat(violated, contains(Invariant.AT_MOST_ONCE));
+        assertThat(mUpstreams.mStreams, hasSize(1));
+        assertThat(mViolated, contains(Invariant.AT_MOST_ONCE));
         assertThat(ends().get(1).report().result(), is(AttemptResult.CONNECTION_LOST));
     }
 
     @Test
     void noticesAFalseNotRun() {
         stream();
-        upstreams.streams.get(0).error(lost());
+        mUpstreams.mStreams.get(0).error(lost());
 
-        dispatcher.emit(
+        mDispatcher.emit(
                 new DispatchAction.Refuse(ID, RefusalReason.RETRY_BUDGET_SPENT, Duration.ZERO));
 
-        assertThat(violated, contains(Invariant.NOT_RUN_IS_TRUE));
-        assertThat(body.refusals, contains(RefusalReason.ANSWER_LOST));
+        assertThat(mViolated, contains(Invariant.NOT_RUN_IS_TRUE));
+        assertThat(mBody.mRefusals, contains(RefusalReason.ANSWER_LOST));
     }
 
     @Test
     void noticesAnEndWithoutACompletedAttempt() {
         stream();
-        body.request(10);
-        upstreams.token(0, 0);
+        mBody.request(10);
+        mUpstreams.token(0, 0);
 
-        dispatcher.emit(new DispatchAction.Finish(ID, Outcome.COMPLETED));
+        mDispatcher.emit(new DispatchAction.Finish(ID, Outcome.COMPLETED));
 
-        assertThat(violated, contains(Invariant.ANSWER_WHOLE_AND_OWN));
+        assertThat(mViolated, contains(Invariant.ANSWER_WHOLE_AND_OWN));
     }
 
     @Test
     void keepsAnAttemptWhoseTokensArriveInTime() {
         stream();
-        body.request(100);
+        mBody.request(100);
         for (int i = 0; i < 20; i++) {
-            upstreams.token(0, i);
-            timers.advance(Duration.ofMillis(1_900));
+            mUpstreams.token(0, i);
+            mTimers.advance(Duration.ofMillis(1_900));
         }
 
-        assertThat(upstreams.probes, is(0));
+        assertThat(mUpstreams.mProbes, is(0));
     }
 
     @Test
     void doesNotMistakeASlowCallerForASilentUpstream() {
         stream();
-        body.request(1);
-        upstreams.token(0, 0);
-        upstreams.token(0, 1);
+        mBody.request(1);
+        mUpstreams.token(0, 0);
+        mUpstreams.token(0, 1);
 
-        timers.advance(Duration.ofMinutes(5));
+        mTimers.advance(Duration.ofMinutes(5));
 
-        assertThat(upstreams.probes, is(0));
-        assertThat(body.received, hasSize(1));
+        assertThat(mUpstreams.mProbes, is(0));
+        assertThat(mBody.mReceived, hasSize(1));
     }
 
     @Test
     void requestsNoMoreFromTheUpstreamThanTheCallerRequests() {
         stream();
-        body.request(2);
-        upstreams.token(0, 0);
-        upstreams.token(0, 1);
+        mBody.request(2);
+        mUpstreams.token(0, 0);
+        mUpstreams.token(0, 1);
 
-        assertThat(upstreams.streams.get(0).requestedFromDownstream(), is(0L));
-        body.request(1);
-        assertThat(upstreams.streams.get(0).requestedFromDownstream(), is(1L));
+        assertThat(mUpstreams.mStreams.get(0).requestedFromDownstream(), is(0L));
+        mBody.request(1);
+        assertThat(mUpstreams.mStreams.get(0).requestedFromDownstream(), is(1L));
     }
 
     @Test
     void dropsAndCountsPartsOfAnEarlierAttempt() {
         stream();
-        body.request(10);
-        upstreams.token(0, 0);
-        dispatcher.emit(new DispatchAction.StartAttempt(ID, 2, ENGINE, 0));
-        upstreams.token(0, 1);
-        upstreams.head(1);
-        upstreams.token(1, 0);
-        upstreams.token(1, 1);
-
-        assertThat(body.received, hasSize(2));
-        assertThat(meters.counter("fuchsialever.late.parts").count(), is(1.0));
+        mBody.request(10);
+        mUpstreams.token(0, 0);
+        mDispatcher.emit(new DispatchAction.StartAttempt(ID, 2, ENGINE, 0));
+        mUpstreams.token(0, 1);
+        mUpstreams.head(1);
+        mUpstreams.token(1, 0);
+        mUpstreams.token(1, 1);
+
+        assertThat(mBody.mReceived, hasSize(2));
+        assertThat(mMeters.counter("fuchsialever.late.parts").count(), is(1.0));
         assertThat(
-                meters.counter("fuchsialever.tokens.dropped", "reason", "duplicate").count(),
+                mMeters.counter("fuchsialever.tokens.dropped", "reason", "duplicate").count(),
                 is(1.0));
         assertThat(
-                new String(upstreams.calls.get(1).body(), StandardCharsets.UTF_8),
+                new String(mUpstreams.mCalls.get(1).body(), StandardCharsets.UTF_8),
                 containsString("\"resume_from\":1"));
     }
 
     @Test
     void reportsProgressAtMostFourTimesASecond() {
         stream();
-        body.request(1_000);
+        mBody.request(1_000);
         events();
         for (int i = 0; i < 100; i++) {
-            upstreams.token(0, i);
-            timers.advance(Duration.ofMillis(10));
+            mUpstreams.token(0, i);
+            mTimers.advance(Duration.ofMillis(10));
         }
 
         assertThat(
@@ -246,71 +246,75 @@
         for (int i = 0; i < MAX_CALLS + 1; i++) {
             RequestId id = new RequestId("r-" + i);
             ids.add(id);
-            dispatcher.call(call(id)).subscribe(Either::isRight);
+            mDispatcher.call(call(id)).subscribe(Either::isRight);
         }
         for (RequestId id : ids) {
-            dispatcher.emit(new DispatchAction.StartAttempt(id, 1, ENGINE, 0));
+            mDispatcher.emit(new DispatchAction.StartAttempt(id, 1, ENGINE, 0));
         }
         for (int i = 0; i < 10_000; i++) {
-            ring.report(new DispatchEvent.UpstreamProbed(ENGINE.id(), true));
+            mRing.report(new DispatchEvent.UpstreamProbed(ENGINE.id(), true));
         }
         for (int i = 0; i < MAX_CALLS; i++) {
-            upstreams.streams.get(i).complete();
+            mUpstreams.mStreams.get(i).complete();
         }
-        withdrawals.forEach(Runnable::run);
+        mWithdrawals.forEach(Runnable::run);
 
         List<DispatchEvent> events = events();
-        assertThat(upstreams.streams, hasSize(MAX_CALLS));
+        assertThat(mUpstreams.mStreams, hasSize(MAX_CALLS));
         assertThat(
                 events.stream().filter(DispatchEvent.AttemptEnded.class::isInstance).count(),
                 is((long) MAX_CALLS));
         assertThat(
                 events.stream().filter(DispatchEvent.RequestCancelled.class::isInstance).count(),
                 is((long) MAX_CALLS));
-        assertThat(meters.counter("fuchsialever.dispatch.events.lost").count(), is(0.0));
-        assertThat(inbox.overflowCount(), is(0L));
+        assertThat(mMeters.counter("fuchsialever.dispatch.events.lost").count(), is(0.0));
+        assertThat(mInbox.overflowCount(), is(0L));
     }
 
     /** Guards against a call that the front end admits for a team that may not use the route. */
     @Test
     void noticesAndRefusesACallOfATeamThatItsRouteDoesNotList() {
         Either<Refusal, CallResponse> result =
-                dispatcher.call(call(ID, true, Access.KEYED)).blockOptional().orElseThrow();
+                mDispatcher.call(call(ID, true, Access.KEYED)).blockOptional().orElseThrow();
 
         assertThat(result.getLeft().reason(), is(RefusalReason.TEAM_NOT_ALLOWED));
-        assertThat(violated, contains(Invariant.REQUEST_RUNS_FOR_ITS_TEAM));
+        assertThat(mViolated, contains(Invariant.REQUEST_RUNS_FOR_ITS_TEAM));
         assertThat(events(), hasSize(0));
     }
 
     @Test
     void endsARunningStreamWhoseKeyIsWithdrawn() {
         stream();
-        body.request(10);
-        upstreams.token(0, 0);
+        mBody.request(10);
+        mUpstreams.token(0, 0);
         events();
 
-        withdrawals.get(0).run();
-        dispatcher.emit(new DispatchAction.CancelAttempt(ID, 1));
-        dispatcher.emit(new DispatchAction.Finish(ID, Outcome.UNKNOWN));
+        mWithdrawals.get(0).run();
+        mDispatcher.emit(new DispatchAction.CancelAttempt(ID, 1));
+        mDispatcher.emit(new DispatchAction.Finish(ID, Outcome.UNKNOWN));
 
-        assertThat(body.refusals, contains(RefusalReason.KEY_WITHDRAWN_DURING_CALL));
+        assertThat(mBody.mRefusals, contains(RefusalReason.KEY_WITHDRAWN_DURING_CALL));
         assertThat(events(), contains(new DispatchEvent.RequestCancelled(ID)));
-        assertThat(upstreams.cancelled, contains(ID));
-        assertThat(dispatcher.callsInProgress(), is(0));
+        assertThat(mUpstreams.mCancelled, contains(ID));
+        assertThat(mDispatcher.callsInProgress(), is(0));
     }
 
     private void stream() {
-        dispatcher.call(call(ID)).map(Either::get).flatMapMany(CallResponse::body).subscribe(body);
-        dispatcher.emit(new DispatchAction.StartAttempt(ID, 1, ENGINE, 0));
-        upstreams.head(0);
+        mDispatcher
+                .call(call(ID))
+                .map(Either::get)
+                .flatMapMany(CallResponse::body)
+                .subscribe(mBody);
+        mDispatcher.emit(new DispatchAction.StartAttempt(ID, 1, ENGINE, 0));
+        mUpstreams.head(0);
     }
 
     private List<DispatchEvent> events() {
         List<DispatchEvent> events = new ArrayList<>();
-        DispatchEvent event = inbox.poll();
+        DispatchEvent event = mInbox.poll();
         while (event != null) {
             events.add(event);
-            event = inbox.poll();
+            event = mInbox.poll();
         }
         return events;
     }
@@ -362,22 +366,22 @@
 
     /** A response body subscriber that requests only as many parts as the test tells it to. */
     private static final class Body extends BaseSubscriber<byte[]> {
-        private final List<byte[]> received = new ArrayList<>();
-        private final List<RefusalReason> refusals = new ArrayList<>();
+        private final List<byte[]> mReceived = new ArrayList<>();
+        private final List<RefusalReason> mRefusals = new ArrayList<>();
 
         @Override
         protected void hookOnSubscribe(Subscription subscription) {}
 
         @Override
         protected void hookOnNext(byte[] bytes) {
-            received.add(bytes);
+            mReceived.add(bytes);
         }
 
         @Override
         protected void hookOnError(Throwable failure) {
             if (failure instanceof RefusedException refused) {
                 Refusal refusal = refused.refusal();
-                refusals.add(refusal.reason());
+                mRefusals.add(refusal.reason());
             }
         }
     }
@@ -385,9 +389,9 @@
     @Test
     void forwardsAResponseThatIsNotAStream() {
         stream();
-        body.request(2);
-        upstreams.streams.get(0).next(new UpstreamResponsePart.Content(new byte[] {1}));
+        mBody.request(2);
+        mUpstreams.mStreams.get(0).next(new UpstreamResponsePart.Content(new byte[] {1}));
 
-        assertThat(body.received, hasSize(1));
+        assertThat(mBody.mReceived, hasSize(1));
     }
 }
--- a/node/src/test/java/org/fuchsialever/node/dispatch/ManualScheduler.java
+++ b/node/src/test/java/org/fuchsialever/node/dispatch/ManualScheduler.java
@@ -12,23 +12,23 @@
 
 /** Runs delayed tasks when a manual clock reaches their time. */
 final class ManualScheduler implements Scheduler {
-    private final ManualTimeSource time;
-    private final List<Task> tasks = new ArrayList<>();
+    private final ManualTimeSource mTime;
+    private final List<Task> mTasks = new ArrayList<>();
 
     ManualScheduler(ManualTimeSource time) {
-        this.time = time;
+        mTime = time;
     }
 
     void advance(Duration delta) {
-        long end = time.nanoTime() + delta.toNanos();
+        long end = mTime.nanoTime() + delta.toNanos();
         Task next = nextUntil(end);
         while (next != null) {
-            tasks.remove(next);
-            time.advanceNanos(next.atNanos - time.nanoTime());
+            mTasks.remove(next);
+            mTime.advanceNanos(next.atNanos - mTime.nanoTime());
             next.action.run();
             next = nextUntil(end);
         }
-        time.advanceNanos(end - time.nanoTime());
+        mTime.advanceNanos(end - mTime.nanoTime());
     }
 
     @Override
@@ -39,9 +39,9 @@
 
     @Override
     public Disposable schedule(Runnable action, long delay, TimeUnit unit) {
-        Task task = new Task(action, time.nanoTime() + unit.toNanos(delay));
-        tasks.add(task);
-        return () -> tasks.remove(task);
+        Task task = new Task(action, mTime.nanoTime() + unit.toNanos(delay));
+        mTasks.add(task);
+        return () -> mTasks.remove(task);
     }
 
     @Override
@@ -50,7 +50,7 @@
     }
 
     private @org.jspecify.annotations.Nullable Task nextUntil(long end) {
-        return tasks.stream()
+        return mTasks.stream()
                 .filter(task -> task.atNanos <= end)
                 .min(Comparator.comparingLong(Task::atNanos))
                 .orElse(null);
--- a/node/src/test/java/org/fuchsialever/node/dispatch/ManualUpstreams.java
+++ b/node/src/test/java/org/fuchsialever/node/dispatch/ManualUpstreams.java
@@ -18,37 +18,37 @@
 
 /** Upstreams whose responses a test emits explicitly. */
 final class ManualUpstreams implements UpstreamClient {
-    final List<FluxSink<UpstreamResponsePart>> streams = new ArrayList<>();
-    final List<UpstreamCall> calls = new ArrayList<>();
-    final List<RequestId> cancelled = new ArrayList<>();
-    int probes;
+    final List<FluxSink<UpstreamResponsePart>> mStreams = new ArrayList<>();
+    final List<UpstreamCall> mCalls = new ArrayList<>();
+    final List<RequestId> mCancelled = new ArrayList<>();
+    int mProbes;
 
     @Override
     public Flux<UpstreamResponsePart> send(UpstreamCall call) {
-        calls.add(call);
-        return Flux.create(streams::add);
+        mCalls.add(call);
+        return Flux.create(mStreams::add);
     }
 
     @Override
     public Mono<Void> cancel(UpstreamSpec upstream, RequestId id) {
-        return Mono.fromRunnable(() -> cancelled.add(id));
+        return Mono.fromRunnable(() -> mCancelled.add(id));
     }
 
     @Override
     public Mono<Boolean> probe(UpstreamSpec upstream, UpstreamKind kind) {
         return Mono.fromSupplier(
                 () -> {
-                    probes++;
+                    mProbes++;
                     return true;
                 });
     }
 
     void head(int stream) {
-        streams.get(stream).next(new UpstreamResponsePart.Head(200, List.of()));
+        mStreams.get(stream).next(new UpstreamResponsePart.Head(200, List.of()));
     }
 
     void token(int stream, int index) {
-        streams.get(stream)
+        mStreams.get(stream)
                 .next(
                         new UpstreamResponsePart.EngineEvent(
                                 new ObjectMapper().createObjectNode().put("token", index),
--- a/node/src/test/java/org/fuchsialever/node/exchange/ExchangeNodeTest.java
+++ b/node/src/test/java/org/fuchsialever/node/exchange/ExchangeNodeTest.java
@@ -41,18 +41,18 @@
     private static final String SECRET = "00112233445566778899aabbccddeeff";
     private static final KeyId KEY = new KeyId("a");
 
-    private final Closer closer = new Closer();
-    private final HttpClient client = HttpClient.newHttpClient();
-    private TableServiceStandIn tables;
-    private InstanceListStandIn instances;
+    private final Closer mCloser = new Closer();
+    private final HttpClient mClient = HttpClient.newHttpClient();
+    private TableServiceStandIn mTables;
+    private InstanceListStandIn mInstances;
 
     @BeforeEach
     void startStandIns() {
-        tables = closer.register("tables", new TableServiceStandIn());
-        instances = closer.register("instances", new InstanceListStandIn(Duration.ZERO));
+        mTables = mCloser.register("tables", new TableServiceStandIn());
+        mInstances = mCloser.register("instances", new InstanceListStandIn(Duration.ZERO));
         KeyRecord key =
                 new KeyRecord(KEY, new TeamName("alba"), KeyHash.of("5a17", SECRET), 0, false);
-        tables.put(KeyRows.TABLE, KEY.value(), key.encode());
+        mTables.put(KeyRows.TABLE, KEY.value(), key.encode());
         String routes = "[team alba]\n[route r]\npath = /r\nkind = plain\npool = p\nteams = alba\n";
         String pools =
                 """
@@ -64,16 +64,16 @@
                 port = 9
                 failure-domain = fd-1
                 """;
-        tables.put(
+        mTables.put(
                 ConfigRows.TABLE,
                 ConfigRows.snapshotKey(1),
                 new SnapshotText(1, routes, pools).encode());
-        tables.put(ConfigRows.TABLE, ConfigRows.CURRENT, "1");
+        mTables.put(ConfigRows.TABLE, ConfigRows.CURRENT, "1");
     }
 
     @AfterEach
     void stopAll() {
-        closer.close();
+        mCloser.close();
     }
 
     /** Guards against withdrawals that are delayed until the table service is available again. */
@@ -85,7 +85,7 @@
         awaitMember(second, "n1");
         CountDownLatch ended = new CountDownLatch(1);
         second.service(RunningCalls.class).register(KEY, ended::countDown);
-        tables.faults().set(FaultMode.DOWN);
+        mTables.faults().set(FaultMode.DOWN);
 
         post(first, "/operator/withdrawals", "{\"key\":\"a\"}");
 
@@ -109,7 +109,7 @@
     private NodeProcess startReady(String name) throws Exception {
         int httpPort = FreePorts.next();
         int peerPort = FreePorts.next();
-        instances.put(
+        mInstances.put(
                 new ListedInstanceEntry(
                         name, "127.0.0.1", httpPort, peerPort, "r1", "fd-1", false));
         String settings =
@@ -128,11 +128,11 @@
                 table-service = %s
                 instance-list = %s
                 """
-                        .formatted(name, httpPort, peerPort, tables.url(), instances.url());
+                        .formatted(name, httpPort, peerPort, mTables.url(), mInstances.url());
         NodeProcess node =
                 NodeProcess.start("node.ini", settings)
                         .getOrElseThrow(findings -> new AssertionError(findings.report()));
-        closer.register(name, node);
+        mCloser.register(name, node);
         awaitStatus(node, "\"ready\":true");
         return node;
     }
@@ -143,7 +143,7 @@
         String body = "";
         while (!body.contains(expected) && System.nanoTime() < end) {
             HttpRequest request = HttpRequest.newBuilder(uri(node, "/operator/status")).build();
-            body = client.send(request, HttpResponse.BodyHandlers.ofString()).body();
+            body = mClient.send(request, HttpResponse.BodyHandlers.ofString()).body();
         }
         assertThat(body, containsString(expected));
     }
@@ -154,7 +154,7 @@
                         .header("Authorization", "Bearer fl_a_" + SECRET)
                         .POST(HttpRequest.BodyPublishers.ofString(body))
                         .build();
-        return client.send(request, HttpResponse.BodyHandlers.ofString());
+        return mClient.send(request, HttpResponse.BodyHandlers.ofString());
     }
 
     private static URI uri(NodeProcess node, String path) {
--- a/node/src/test/java/org/fuchsialever/node/exchange/ShareExchangeTest.java
+++ b/node/src/test/java/org/fuchsialever/node/exchange/ShareExchangeTest.java
@@ -26,15 +26,15 @@
     private static final DispatchEvent.TeamCost COST =
             new DispatchEvent.TeamCost(new TeamName("alba"), 12.5, 3);
 
-    private final List<InstanceId> receivers = new ArrayList<>();
-    private final List<PeerMessage> sent = new ArrayList<>();
-    private final List<DispatchEvent> reported = new ArrayList<>();
+    private final List<InstanceId> mReceivers = new ArrayList<>();
+    private final List<PeerMessage> mSent = new ArrayList<>();
+    private final List<DispatchEvent> mReported = new ArrayList<>();
 
     @Test
     void sendsSharesToAllMembersOfASmallGroup() {
         exchange(11).publish(new DispatchAction.PublishShares(new PoolName("p"), List.of(COST)));
 
-        assertThat(receivers, hasSize(11));
+        assertThat(mReceivers, hasSize(11));
     }
 
     /** Guards against message counts that grow with the square of the number of instances. */
@@ -42,7 +42,7 @@
     void sendsSharesOnlyWithinItsFailureDomainInALargeGroup() {
         exchange(400).publish(new DispatchAction.PublishShares(new PoolName("p"), List.of(COST)));
 
-        assertThat(receivers, hasSize(10));
+        assertThat(mReceivers, hasSize(10));
     }
 
     @Test
@@ -50,10 +50,10 @@
         ShareExchange exchange = exchange(3);
         exchange.publish(new DispatchAction.PublishShares(new PoolName("p"), List.of(COST)));
 
-        exchange.receive(new InstanceId("n7"), (PeerMessage.ShareCounters) sent.get(0));
+        exchange.receive(new InstanceId("n7"), (PeerMessage.ShareCounters) mSent.get(0));
 
         assertThat(
-                reported,
+                mReported,
                 contains(new DispatchEvent.SharesReceived("n7", new PoolName("p"), List.of(COST))));
     }
 
@@ -64,7 +64,7 @@
     private final class RecordingFeed implements DispatchFeed {
         @Override
         public void report(DispatchEvent event) {
-            reported.add(event);
+            mReported.add(event);
         }
 
         @Override
@@ -76,11 +76,11 @@
 
     private final class RecordingPeers implements PeerMessages {
         private static final int DOMAINS = 40;
-        private final List<Member> members = new ArrayList<>();
+        private final List<Member> mMembers = new ArrayList<>();
 
         private RecordingPeers(int count) {
             for (int i = 0; i < count; i++) {
-                members.add(
+                mMembers.add(
                         new Member(
                                 new InstanceId("n" + i),
                                 "r1",
@@ -92,8 +92,8 @@
 
         @Override
         public boolean send(InstanceId receiver, PeerMessage message) {
-            receivers.add(receiver);
-            sent.add(message);
+            mReceivers.add(receiver);
+            mSent.add(message);
             return true;
         }
 
@@ -108,7 +108,7 @@
 
         @Override
         public List<Member> members() {
-            return members;
+            return mMembers;
         }
 
         @Override
--- a/node/src/test/java/org/fuchsialever/node/hosted/HostedBatchesTest.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/HostedBatchesTest.java
@@ -46,10 +46,10 @@
     @Test
     void keepsASubmissionWhoseAcceptanceWasNotAnswered() {
         try (HostedFixture fixture = HostedFixture.running()) {
-            fixture.store.setMode(StoreStandIn.Mode.DROPS_RESPONSES);
+            fixture.mStore.setMode(StoreStandIn.Mode.DROPS_RESPONSES);
             // The submission is stored, but the response to the write is lost.
             assertThat(fixture.submit("n1", "b1", "x1").status(), is(504));
-            fixture.store.setMode(StoreStandIn.Mode.UP);
+            fixture.mStore.setMode(StoreStandIn.Mode.UP);
             fixture.results("n1", "b1", 1);
             assertThat(fixture.submit("n1", "b1", "x1").status(), is(202));
         }
@@ -59,7 +59,7 @@
     @Test
     void keepsASubmissionUnderAnotherNameWhileItsFirstObjectIsOutOfReach() {
         try (HostedFixture fixture = HostedFixture.running()) {
-            fixture.store.refuseObject("batch-b1");
+            fixture.mStore.refuseObject("batch-b1");
             assertThat(fixture.submit("n1", "b1", "x1").status(), is(202));
             fixture.start("n2");
             fixture.awaitServing("n2");
@@ -72,10 +72,10 @@
     @Test
     void refusesAnotherSubmissionUnderTheSameIdentity() {
         try (HostedFixture fixture = HostedFixture.running()) {
-            fixture.store.setMode(StoreStandIn.Mode.DROPS_RESPONSES);
+            fixture.mStore.setMode(StoreStandIn.Mode.DROPS_RESPONSES);
             assertThat(fixture.submit("n1", "b1", "x1").status(), is(504));
-            fixture.store.remove("batches", "b1");
-            fixture.store.setMode(StoreStandIn.Mode.UP);
+            fixture.mStore.remove("batches", "b1");
+            fixture.mStore.setMode(StoreStandIn.Mode.UP);
             // The content of the first one is still stored, so another one must not replace it.
             fixture.eventually(() -> fixture.submit("n1", "b1", "x2").status() == 409);
             assertThat(fixture.upstream("e1").executionCount("x2"), is(0));
@@ -133,9 +133,9 @@
     @Test
     void refusesASubmissionAsNotRunWhileTheStoreRefusesCalls() {
         try (HostedFixture fixture = HostedFixture.running()) {
-            fixture.store.setMode(StoreStandIn.Mode.BUSY);
+            fixture.mStore.setMode(StoreStandIn.Mode.BUSY);
             assertThat(fixture.submit("n1", "b1", "x1").status(), is(503));
-            fixture.store.setMode(StoreStandIn.Mode.UP);
+            fixture.mStore.setMode(StoreStandIn.Mode.UP);
             assertThat(
                     fixture.call("n1", "GET", "/api/lots/b1?after=0", "q1", KEY, "").status(),
                     is(404));
@@ -165,15 +165,15 @@
             fixture.upstream("e1").setBehaviour(Behaviour.UNRESPONSIVE);
             fixture.submit("n1", "b1", "x1");
             fixture.eventually(() -> fixture.upstream("e1").executionCount("x1") == 1);
-            fixture.store.remove("op", "config");
+            fixture.mStore.remove("op", "config");
             fixture.start("n2");
             fixture.stop("n1");
             fixture.eventually(
                     () ->
-                            !String.valueOf(fixture.store.read("batches", "b1"))
+                            !String.valueOf(fixture.mStore.read("batches", "b1"))
                                     .contains("\"owner\":\"n1\""));
             fixture.upstream("e1").setBehaviour(Behaviour.HEALTHY);
-            fixture.store.write("op", "config", ManifestText.of(3, KEY));
+            fixture.mStore.write("op", "config", ManifestText.of(3, KEY));
             fixture.awaitServing("n2");
             JsonNode page = fixture.results("n2", "b1", 1);
             assertThat(
@@ -185,7 +185,7 @@
     @Test
     void movesEnginesToTheVersionThatATrainerNames() {
         try (HostedFixture fixture = HostedFixture.running()) {
-            fixture.store.write("op", "version/m", "{\"model\":\"m\",\"version\":2}");
+            fixture.mStore.write("op", "version/m", "{\"model\":\"m\",\"version\":2}");
             fixture.eventually(() -> fixture.upstream("e1").version("m") == 2);
         }
     }
@@ -195,14 +195,14 @@
         try (HostedFixture fixture = HostedFixture.running()) {
             fixture.eventually(
                     () ->
-                            fixture.store.usageReports().stream()
+                            fixture.mStore.usageReports().stream()
                                     .anyMatch(report -> report.contains("\"team\":")));
             long windows =
-                    fixture.store.usageReports().stream()
+                    fixture.mStore.usageReports().stream()
                             .map(report -> report.replaceAll(",.*", ""))
                             .distinct()
                             .count();
-            assertThat(windows, is((long) fixture.store.usageReports().size()));
+            assertThat(windows, is((long) fixture.mStore.usageReports().size()));
         }
     }
 }
--- a/node/src/test/java/org/fuchsialever/node/hosted/HostedCallsTest.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/HostedCallsTest.java
@@ -104,7 +104,7 @@
     @Test
     void takesANewManifestAndStopsAWithdrawnKey() {
         try (HostedFixture fixture = HostedFixture.running()) {
-            fixture.store.write("op", "config", ManifestText.of(3, "key-2"));
+            fixture.mStore.write("op", "config", ManifestText.of(3, "key-2"));
             fixture.eventually(
                     () -> fixture.call("n1", "GET", "/safe/x", "r1", KEY, "").status() == 401);
             assertThat(fixture.call("n1", "GET", "/safe/x", "r2", "key-2", "").status(), is(200));
@@ -114,8 +114,8 @@
     @Test
     void neverGoesBackToAnOlderManifest() {
         try (HostedFixture fixture = HostedFixture.running()) {
-            fixture.store.write("op", "config", ManifestText.of(1, "key-0"));
-            fixture.store.write("servers", "p9", "garbage");
+            fixture.mStore.write("op", "config", ManifestText.of(1, "key-0"));
+            fixture.mStore.write("servers", "p9", "garbage");
             // The unreadable entry is read after the manifest and must not stop the feed either.
             fixture.upstream("p2", "plain");
             fixture.upstream("p1").setBehaviour(Behaviour.REFUSES_CALLS);
@@ -128,11 +128,11 @@
     @Test
     void servesOnWhileTheStoreIsSilentAndLearnsWhatItMissed() {
         try (HostedFixture fixture = HostedFixture.running()) {
-            fixture.store.setMode(StoreStandIn.Mode.UNRESPONSIVE);
+            fixture.mStore.setMode(StoreStandIn.Mode.UNRESPONSIVE);
             assertThat(fixture.call("n1", "GET", "/safe/x", "r1", KEY, "").status(), is(200));
-            fixture.store.write("op", "config", ManifestText.of(3, "key-2"));
-            fixture.store.discardHistory();
-            fixture.store.setMode(StoreStandIn.Mode.UP);
+            fixture.mStore.write("op", "config", ManifestText.of(3, "key-2"));
+            fixture.mStore.discardHistory();
+            fixture.mStore.setMode(StoreStandIn.Mode.UP);
             fixture.eventually(
                     () -> fixture.call("n1", "GET", "/safe/x", "r2", "key-2", "").status() == 200);
         }
@@ -142,7 +142,7 @@
     void sendsNothingToAnUpstreamThatIsLeaving() {
         try (HostedFixture fixture = HostedFixture.running()) {
             UpstreamStandIn second = fixture.upstream("p2", "plain");
-            fixture.upstream("p1").register(fixture.store, "draining");
+            fixture.upstream("p1").register(fixture.mStore, "draining");
             fixture.eventually(
                     () -> {
                         fixture.call("n1", "GET", "/safe/x", "r1", KEY, "");
--- a/node/src/test/java/org/fuchsialever/node/hosted/HostedFixture.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/HostedFixture.java
@@ -29,22 +29,22 @@
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    final StoreStandIn store;
-    private final Closer closer = new Closer();
-    private final CallerStandIn caller;
-    private final Map<String, UpstreamStandIn> upstreams = new HashMap<>();
-    private final Map<String, Integer> ports = new HashMap<>();
-    private final Map<String, NodeProcess> nodes = new HashMap<>();
+    final StoreStandIn mStore;
+    private final Closer mCloser = new Closer();
+    private final CallerStandIn mCaller;
+    private final Map<String, UpstreamStandIn> mUpstreams = new HashMap<>();
+    private final Map<String, Integer> mPorts = new HashMap<>();
+    private final Map<String, NodeProcess> mNodes = new HashMap<>();
 
     HostedFixture() {
-        store = closer.register("store", new StoreStandIn());
-        caller = closer.register("caller", CallerStandIn.withNewConnections(TIMEOUT));
+        mStore = mCloser.register("store", new StoreStandIn());
+        mCaller = mCloser.register("caller", CallerStandIn.withNewConnections(TIMEOUT));
     }
 
     /** Returns a fixture with a manifest, one plain upstream, one engine and one instance. */
     static HostedFixture running() {
         HostedFixture fixture = new HostedFixture();
-        fixture.store.write("op", "config", ManifestText.of(2, KEY));
+        fixture.mStore.write("op", "config", ManifestText.of(2, KEY));
         fixture.upstream("p1", "plain");
         fixture.upstream("e1", "engines");
         fixture.start("n1");
@@ -54,14 +54,14 @@
 
     UpstreamStandIn upstream(String id, String service) {
         Map<String, Long> versions = service.equals("engines") ? Map.of("m", 1L) : Map.of();
-        UpstreamStandIn upstream = closer.register(id, new UpstreamStandIn(id, service, versions));
-        upstream.register(store, "ready");
-        upstreams.put(id, upstream);
+        UpstreamStandIn upstream = mCloser.register(id, new UpstreamStandIn(id, service, versions));
+        upstream.register(mStore, "ready");
+        mUpstreams.put(id, upstream);
         return upstream;
     }
 
     UpstreamStandIn upstream(String id) {
-        UpstreamStandIn found = upstreams.get(id);
+        UpstreamStandIn found = mUpstreams.get(id);
         if (found == null) {
             throw new IllegalArgumentException(id);
         }
@@ -70,13 +70,13 @@
 
     void start(String name) {
         int port = freePort();
-        ports.put(name, port);
-        String settings = InstanceSettings.of(name, store.address(), port);
-        nodes.put(name, closer.register(name, NodeProcess.start(name + ".ini", settings).get()));
+        mPorts.put(name, port);
+        String settings = InstanceSettings.of(name, mStore.address(), port);
+        mNodes.put(name, mCloser.register(name, NodeProcess.start(name + ".ini", settings).get()));
     }
 
     void stop(String name) {
-        NodeProcess node = nodes.get(name);
+        NodeProcess node = mNodes.get(name);
         if (node != null) {
             node.close();
         }
@@ -93,7 +93,7 @@
 
     CallerStandIn.Response call(
             String node, String method, String path, String requestId, String key, String body) {
-        return caller.call("127.0.0.1:" + ports.get(node), method, path, requestId, key, body)
+        return mCaller.call("127.0.0.1:" + mPorts.get(node), method, path, requestId, key, body)
                 .blockOptional(TIMEOUT)
                 .orElseThrow();
     }
@@ -133,6 +133,6 @@
 
     @Override
     public void close() {
-        closer.close();
+        mCloser.close();
     }
 }
--- a/node/src/test/java/org/fuchsialever/node/intent/RoleIntentsTest.java
+++ b/node/src/test/java/org/fuchsialever/node/intent/RoleIntentsTest.java
@@ -33,12 +33,12 @@
     private static final String ROLE = "orders/p";
     private static final long SECOND = 1_000_000_000L;
 
-    private final FakeTableService tables = new FakeTableService();
-    private final List<Invariant> violated = new ArrayList<>();
-    private final List<String> sent = new ArrayList<>();
-    private boolean leaseValid = true;
-    private CommandResult result = CommandResult.DONE;
-    private long now;
+    private final FakeTableService mTables = new FakeTableService();
+    private final List<Invariant> mViolated = new ArrayList<>();
+    private final List<String> mSent = new ArrayList<>();
+    private boolean mLeaseValid = true;
+    private CommandResult mResult = CommandResult.DONE;
+    private long mNow;
 
     private record Text(String target) implements IntentCommand {
         @Override
@@ -66,37 +66,37 @@
 
     /** One instance, whose intent machine the test calls directly. */
     private final class Instance implements Leases {
-        private final IntentMachine<Text> machine =
+        private final IntentMachine<Text> mMachine =
                 new IntentMachine<>(
                         ROLE,
                         IntentTiming.standard(Duration.ofSeconds(10)),
                         new SplittableRandom(1),
                         InvariantMonitor.throwing());
-        private final RoleIntents<Text> intents =
+        private final RoleIntents<Text> mIntents =
                 new RoleIntents<>(
                         ROLE,
                         new TextCodec(),
                         new IntentServices(
-                                tables,
+                                mTables,
                                 this,
-                                (invariant, detail) -> violated.add(invariant),
+                                (invariant, detail) -> mViolated.add(invariant),
                                 new SimpleMeterRegistry()),
                         (order, stillHolding) -> {
                             if (!stillHolding.getAsBoolean()) {
                                 return Mono.just(CommandResult.NOT_SENT);
                             }
-                            sent.add(order.intent().command().target());
-                            return Mono.just(result);
+                            mSent.add(order.intent().command().target());
+                            return Mono.just(mResult);
                         },
-                        event -> machine.onEvent(event, now, this::execute));
+                        event -> mMachine.onEvent(event, mNow, this::execute));
 
         private void execute(IntentAction<Text> action) {
-            intents.execute(action);
+            mIntents.execute(action);
         }
 
         private void acquireLease(long fencing) {
             long version = rowVersion("leases", "role/" + ROLE);
-            tables.commit(
+            mTables.commit(
                             new Commit(
                                     "lease-" + fencing,
                                     List.of(),
@@ -104,7 +104,7 @@
                                     List.of()))
                     .block();
             assertThat(rowVersion("leases", "role/" + ROLE) > version, is(true));
-            intents.onAcquired(
+            mIntents.onAcquired(
                     new HeldLease(
                             ROLE,
                             fencing,
@@ -115,9 +115,9 @@
 
         private void advance(int seconds) {
             for (int i = 0; i < seconds * 10; i++) {
-                now += SECOND / 10;
-                if (machine.nextTimerNanos() <= now) {
-                    machine.onTimer(now, this::execute);
+                mNow += SECOND / 10;
+                if (mMachine.nextTimerNanos() <= mNow) {
+                    mMachine.onTimer(mNow, this::execute);
                 }
             }
         }
@@ -135,7 +135,7 @@
 
         @Override
         public boolean isValid(HeldLease lease) {
-            return leaseValid;
+            return mLeaseValid;
         }
     }
 
@@ -144,7 +144,7 @@
     }
 
     private Option<Row> row(String table, String key) {
-        Option<Row> row = tables.read(table, key).block();
+        Option<Row> row = mTables.read(table, key).block();
         return row == null ? Option.none() : row;
     }
 
@@ -156,31 +156,31 @@
     void carriesAnIntentOutOnceAndEmptiesTheJournal() {
         Instance instance = new Instance();
         instance.acquireLease(1);
-        instance.machine.propose(new Text("a"), now, instance::execute);
+        instance.mMachine.propose(new Text("a"), mNow, instance::execute);
         instance.advance(2);
-        assertThat(sent, contains("a"));
+        assertThat(mSent, contains("a"));
         assertThat(journal(), equalTo(""));
     }
 
     @Test
     void aLostAnswerToEachWriteNeitherRepeatsNorLosesTheIntent() {
         for (Fault fault : List.of(Fault.LOSE_ANSWER, Fault.LOSE_REQUEST, Fault.DOWN)) {
-            sent.clear();
+            mSent.clear();
             Instance instance = new Instance();
             // The first change is the write of the lease row.
-            tables.faults().addToNextChange(Fault.NONE);
-            tables.faults().addToNextChange(fault);
+            mTables.faults().addToNextChange(Fault.NONE);
+            mTables.faults().addToNextChange(fault);
             instance.acquireLease(10 + fault.ordinal());
             instance.advance(2);
-            tables.faults().addToNextChange(fault);
-            tables.faults().addToNextChange(fault);
-            instance.machine.propose(new Text("a"), now, instance::execute);
+            mTables.faults().addToNextChange(fault);
+            mTables.faults().addToNextChange(fault);
+            instance.mMachine.propose(new Text("a"), mNow, instance::execute);
             instance.advance(3);
-            tables.faults().addToNextChange(fault);
+            mTables.faults().addToNextChange(fault);
             instance.advance(3);
-            instance.machine.propose(new Text("b"), now, instance::execute);
+            instance.mMachine.propose(new Text("b"), mNow, instance::execute);
             instance.advance(3);
-            assertThat(fault.name(), sent, contains("a", "b"));
+            assertThat(fault.name(), mSent, contains("a", "b"));
             assertThat(fault.name(), journal(), equalTo(""));
         }
     }
@@ -192,11 +192,11 @@
         Instance second = new Instance();
         second.acquireLease(2);
         first.advance(1);
-        first.machine.propose(new Text("a"), now, first::execute);
+        first.mMachine.propose(new Text("a"), mNow, first::execute);
         first.advance(2);
-        assertThat(sent, is(empty()));
+        assertThat(mSent, is(empty()));
         assertThat(journal(), equalTo(""));
-        assertThat(first.machine.isReady(), is(false));
+        assertThat(first.mMachine.isReady(), is(false));
     }
 
     @Test
@@ -204,21 +204,21 @@
         Instance first = new Instance();
         first.acquireLease(1);
         first.advance(1);
-        leaseValid = false;
-        first.machine.propose(new Text("a"), now, first::execute);
+        mLeaseValid = false;
+        first.mMachine.propose(new Text("a"), mNow, first::execute);
         first.advance(1);
-        assertThat(sent, is(empty()));
-        leaseValid = true;
+        assertThat(mSent, is(empty()));
+        mLeaseValid = true;
         Instance second = new Instance();
         second.acquireLease(2);
         second.advance(2);
-        assertThat(sent, contains("a"));
+        assertThat(mSent, contains("a"));
         assertThat(journal(), equalTo(""));
     }
 
     @Test
     void aMalformedJournalIsNotTakenOver() {
-        tables.commit(
+        mTables.commit(
                         new Commit(
                                 "operator",
                                 List.of(),
@@ -228,7 +228,7 @@
         Instance instance = new Instance();
         instance.acquireLease(1);
         instance.advance(5);
-        assertThat(instance.machine.isReady(), is(false));
+        assertThat(instance.mMachine.isReady(), is(false));
         assertThat(journal(), equalTo("nonsense\n"));
     }
 
@@ -236,13 +236,13 @@
     void aHigherFencingNumberAtAReceiverWhileHoldingIsAViolation() {
         Instance instance = new Instance();
         instance.acquireLease(1);
-        result = CommandResult.STALE_FENCING;
-        instance.machine.propose(new Text("a"), now, instance::execute);
+        mResult = CommandResult.STALE_FENCING;
+        instance.mMachine.propose(new Text("a"), mNow, instance::execute);
         instance.advance(1);
-        assertThat(violated.contains(Invariant.ONE_ORDERING_HOLDER), is(true));
-        violated.clear();
-        leaseValid = false;
+        assertThat(mViolated.contains(Invariant.ONE_ORDERING_HOLDER), is(true));
+        mViolated.clear();
+        mLeaseValid = false;
         instance.advance(5);
-        assertThat(violated, is(empty()));
+        assertThat(mViolated, is(empty()));
     }
 }
--- a/node/src/test/java/org/fuchsialever/node/keys/KeyViewsTest.java
+++ b/node/src/test/java/org/fuchsialever/node/keys/KeyViewsTest.java
@@ -17,66 +17,66 @@
     private static final KeyId KEY = new KeyId("a");
     private static final KeyId OTHER = new KeyId("b");
 
-    private final KeyViews views = new KeyViews();
-    private final AtomicInteger ended = new AtomicInteger();
+    private final KeyViews mViews = new KeyViews();
+    private final AtomicInteger mEnded = new AtomicInteger();
 
     @BeforeEach
     void publishUsableView() {
-        views.publish(view(Set.of(), true));
+        mViews.publish(view(Set.of(), true));
     }
 
     @Test
     void endsEachRunningCallOfAKeyOnce() {
-        views.register(KEY, ended::incrementAndGet);
-        views.register(KEY, ended::incrementAndGet);
-        views.register(OTHER, ended::incrementAndGet);
+        mViews.register(KEY, mEnded::incrementAndGet);
+        mViews.register(KEY, mEnded::incrementAndGet);
+        mViews.register(OTHER, mEnded::incrementAndGet);
 
-        assertThat(views.endCalls(KEY), is(2));
-        assertThat(views.endCalls(KEY), is(0));
-        assertThat(ended.get(), is(2));
+        assertThat(mViews.endCalls(KEY), is(2));
+        assertThat(mViews.endCalls(KEY), is(0));
+        assertThat(mEnded.get(), is(2));
     }
 
     @Test
     void endsNoCallThatIsOver() throws Exception {
-        AutoCloseable registration = views.register(KEY, ended::incrementAndGet);
+        AutoCloseable registration = mViews.register(KEY, mEnded::incrementAndGet);
         registration.close();
         registration.close();
 
-        assertThat(views.endCalls(KEY), is(0));
+        assertThat(mViews.endCalls(KEY), is(0));
     }
 
     @Test
     void endsACallThatIsRegisteredAfterTheWithdrawalOfItsKey() {
-        views.publish(view(Set.of(KEY), true));
-        views.register(KEY, ended::incrementAndGet);
+        mViews.publish(view(Set.of(KEY), true));
+        mViews.register(KEY, mEnded::incrementAndGet);
 
-        assertThat(ended.get(), is(1));
+        assertThat(mEnded.get(), is(1));
     }
 
     @Test
     void endsACallThatIsRegisteredWhileWithdrawalsCannotBeLearnt() {
-        views.publish(view(Set.of(), false));
-        views.register(KEY, ended::incrementAndGet);
+        mViews.publish(view(Set.of(), false));
+        mViews.register(KEY, mEnded::incrementAndGet);
 
-        assertThat(ended.get(), is(1));
+        assertThat(mEnded.get(), is(1));
     }
 
     @Test
     void endsCallsOfAllKeysTogether() {
-        views.register(KEY, ended::incrementAndGet);
-        views.register(OTHER, ended::incrementAndGet);
+        mViews.register(KEY, mEnded::incrementAndGet);
+        mViews.register(OTHER, mEnded::incrementAndGet);
 
-        assertThat(views.endAllCalls(), is(2));
+        assertThat(mViews.endAllCalls(), is(2));
     }
 
     @Test
     void confirmsAWithdrawalOnlyWhenItIsInForce() {
-        views.whenWithdrawn(KEY).subscribe(done -> {}, e -> {}, ended::incrementAndGet);
-        views.publish(view(Set.of(OTHER), true));
-        assertThat(ended.get(), is(0));
-        views.publish(view(Set.of(KEY), true));
+        mViews.whenWithdrawn(KEY).subscribe(done -> {}, e -> {}, mEnded::incrementAndGet);
+        mViews.publish(view(Set.of(OTHER), true));
+        assertThat(mEnded.get(), is(0));
+        mViews.publish(view(Set.of(KEY), true));
 
-        assertThat(ended.get(), is(1));
+        assertThat(mEnded.get(), is(1));
     }
 
     private static KeyView view(Set<KeyId> withdrawals, boolean usable) {
--- a/node/src/test/java/org/fuchsialever/node/keys/KeysNodeTest.java
+++ b/node/src/test/java/org/fuchsialever/node/keys/KeysNodeTest.java
@@ -38,28 +38,28 @@
     private static final String SECRET = "00112233445566778899aabbccddeeff";
     private static final KeyId KEY = new KeyId("a");
 
-    private final Closer closer = new Closer();
-    private final HttpClient client = HttpClient.newHttpClient();
-    private TableServiceStandIn tables;
-    private InstanceListStandIn instances;
-    private EngineStandIn engine;
+    private final Closer mCloser = new Closer();
+    private final HttpClient mClient = HttpClient.newHttpClient();
+    private TableServiceStandIn mTables;
+    private InstanceListStandIn mInstances;
+    private EngineStandIn mEngine;
 
     @BeforeEach
     void startStandIns() {
-        tables = closer.register("tables", new TableServiceStandIn());
-        instances = closer.register("instances", new InstanceListStandIn(Duration.ZERO));
-        engine =
-                closer.register(
+        mTables = mCloser.register("tables", new TableServiceStandIn());
+        mInstances = mCloser.register("instances", new InstanceListStandIn(Duration.ZERO));
+        mEngine =
+                mCloser.register(
                         "engine", new EngineStandIn("engine-start-1", Duration.ofMillis(1)));
         KeyRecord key =
                 new KeyRecord(KEY, new TeamName("alba"), KeyHash.of("5a17", SECRET), 0, false);
-        tables.put(KeyRows.TABLE, KEY.value(), key.encode());
+        mTables.put(KeyRows.TABLE, KEY.value(), key.encode());
         apply(1, "");
     }
 
     @AfterEach
     void stopAll() {
-        closer.close();
+        mCloser.close();
     }
 
     @Test
@@ -113,7 +113,7 @@
     @Test
     void startsFromAPeerWhileTheTableServiceIsDown() throws Exception {
         NodeProcess first = startReady("n1");
-        instances.put(
+        mInstances.put(
                 new ListedInstanceEntry(
                         "n1",
                         "127.0.0.1",
@@ -122,7 +122,7 @@
                         "r1",
                         "fd-1",
                         false));
-        tables.faults().set(FaultMode.DOWN);
+        mTables.faults().set(FaultMode.DOWN);
 
         NodeProcess second = start("n2");
         awaitStatus(second, "\"config_version\":1");
@@ -150,11 +150,11 @@
                 table-service = %s
                 instance-list = %s
                 """
-                        .formatted(name, tables.url(), instances.url());
+                        .formatted(name, mTables.url(), mInstances.url());
         NodeProcess node =
                 NodeProcess.start("node.ini", settings)
                         .getOrElseThrow(findings -> new AssertionError(findings.report()));
-        return closer.register(name, node);
+        return mCloser.register(name, node);
     }
 
     /** Polls the status until it contains the expected text or the timeout ends the test. */
@@ -163,7 +163,7 @@
         String body = "";
         while (!body.contains(expected) && System.nanoTime() < end) {
             HttpRequest request = HttpRequest.newBuilder(uri(node, "/operator/status")).build();
-            body = client.send(request, HttpResponse.BodyHandlers.ofString()).body();
+            body = mClient.send(request, HttpResponse.BodyHandlers.ofString()).body();
         }
         assertThat(body, containsString(expected));
     }
@@ -189,12 +189,12 @@
                 port = %d
                 failure-domain = fd-1
                 """
-                        .formatted(engine.port());
-        tables.put(
+                        .formatted(mEngine.port());
+        mTables.put(
                 ConfigRows.TABLE,
                 ConfigRows.snapshotKey(version),
                 new SnapshotText(version, routes + extraRoutes, pools).encode());
-        tables.put(ConfigRows.TABLE, ConfigRows.CURRENT, Long.toString(version));
+        mTables.put(ConfigRows.TABLE, ConfigRows.CURRENT, Long.toString(version));
     }
 
     private HttpResponse<String> call(NodeProcess node, String key) throws Exception {
@@ -209,7 +209,7 @@
                         .header("Authorization", "Bearer " + key)
                         .POST(HttpRequest.BodyPublishers.ofString(body))
                         .build();
-        return client.send(request, HttpResponse.BodyHandlers.ofString());
+        return mClient.send(request, HttpResponse.BodyHandlers.ofString());
     }
 
     private static URI uri(NodeProcess node, String path) {
--- a/node/src/test/java/org/fuchsialever/node/keys/WithdrawalWriterTest.java
+++ b/node/src/test/java/org/fuchsialever/node/keys/WithdrawalWriterTest.java
@@ -21,8 +21,8 @@
     private static final KeyRecord GRANTED =
             new KeyRecord(KEY, new TeamName("alba"), KeyHash.of("5a17", "secret"), 0, false);
 
-    private final FakeTableService tables = new FakeTableService();
-    private final WithdrawalWriter writer = new WithdrawalWriter(tables, "test");
+    private final FakeTableService mTables = new FakeTableService();
+    private final WithdrawalWriter mWriter = new WithdrawalWriter(mTables, "test");
 
     @Test
     void marksAGrantedKey() {
@@ -42,37 +42,40 @@
     @Test
     void reportsNoSuccessWhenAStaleReadMakesTheCommitConflict() {
         put(GRANTED, 0);
-        tables.beginStaleReads();
+        mTables.beginStaleReads();
         put(GRANTED, 1);
 
         assertThat(store(), is(false));
-        tables.endStaleReads();
+        mTables.endStaleReads();
         assertThat(store(), is(true));
     }
 
     @Test
     void findsItsWithdrawalAfterALostAnswer() {
         put(GRANTED, 0);
-        tables.faults().addToNextChange(Fault.LOSE_ANSWER);
+        mTables.faults().addToNextChange(Fault.LOSE_ANSWER);
 
         assertThrows(PlatformException.class, this::store);
         assertThat(store(), is(true));
-        assertThat(tables.revision(), is(2L));
+        assertThat(mTables.revision(), is(2L));
     }
 
     private boolean store() {
-        return writer.store(KEY).blockOptional().orElseThrow();
+        return mWriter.store(KEY).blockOptional().orElseThrow();
     }
 
     private KeyRecord stored() {
         return KeyRows.decode(
-                        tables.read(KeyRows.TABLE, KEY.value()).blockOptional().orElseThrow().get())
+                        mTables.read(KeyRows.TABLE, KEY.value())
+                                .blockOptional()
+                                .orElseThrow()
+                                .get())
                 .get()
                 .key();
     }
 
     private void put(KeyRecord key, long version) {
-        tables.commit(
+        mTables.commit(
                         new Commit(
                                 "operator",
                                 List.of(new Commit.Condition(KeyRows.TABLE, KEY.value(), version)),
--- a/node/src/test/java/org/fuchsialever/node/lease/LeaseServiceTest.java
+++ b/node/src/test/java/org/fuchsialever/node/lease/LeaseServiceTest.java
@@ -31,21 +31,21 @@
     private static final long SECOND = 1_000_000_000L;
     private static final String ROLE = "trainer/alba";
 
-    private final MemoryTable table = new MemoryTable();
-    private final ManualTimeSource clock = new ManualTimeSource(0);
-    private final DutyStepper stepper = new DutyStepper(clock);
-    private final List<String> changes = new ArrayList<>();
-    private final LeaseService leases = service("node-1");
+    private final MemoryTable mTable = new MemoryTable();
+    private final ManualTimeSource mClock = new ManualTimeSource(0);
+    private final DutyStepper mStepper = new DutyStepper(mClock);
+    private final List<String> mChanges = new ArrayList<>();
+    private final LeaseService mLeases = service("node-1");
 
     private LeaseService service(String name) {
-        LeaseService service = new LeaseService(table, clock, new SimpleMeterRegistry());
+        LeaseService service = new LeaseService(mTable, mClock, new SimpleMeterRegistry());
         LeaseDuty duty =
                 new LeaseDuty(
                         new InstanceId(name),
                         "start-of-" + name,
                         LeaseTiming.standard(),
                         new SplittableRandom(7));
-        service.connect(stepper.add(duty, service));
+        service.connect(mStepper.add(duty, service));
         service.request(ROLE, new Recorder(name));
         return service;
     }
@@ -53,97 +53,97 @@
     @Test
     void oneOfTwoInstancesHoldsTheRoleAndRenewsIt() {
         LeaseService other = service("node-2");
-        stepper.advance(20 * SECOND);
-        assertThat(leases.held(ROLE).isDefined() != other.held(ROLE).isDefined(), is(true));
-        assertThat(changes.size(), equalTo(1));
+        mStepper.advance(20 * SECOND);
+        assertThat(mLeases.held(ROLE).isDefined() != other.held(ROLE).isDefined(), is(true));
+        assertThat(mChanges.size(), equalTo(1));
     }
 
     @Test
     void aHeldLeaseNamesTheGuardRowAsItIsInTheTable() {
-        stepper.advance(20 * SECOND);
-        HeldLease lease = leases.held(ROLE).get();
-        Row guard = Objects.requireNonNull(table.rows.get(lease.guardKey()));
+        mStepper.advance(20 * SECOND);
+        HeldLease lease = mLeases.held(ROLE).get();
+        Row guard = Objects.requireNonNull(mTable.mRows.get(lease.guardKey()));
         assertThat(guard.version(), equalTo(lease.guardVersion()));
-        assertThat(leases.isValid(lease), is(true));
+        assertThat(mLeases.isValid(lease), is(true));
     }
 
     @Test
     void anExpiredLeaseIsNotHeldEvenBeforeTheDutyHasRunAgain() {
-        stepper.advance(20 * SECOND);
-        HeldLease lease = leases.held(ROLE).get();
-        clock.advanceNanos(6 * SECOND);
-        assertThat(leases.isValid(lease), is(false));
+        mStepper.advance(20 * SECOND);
+        HeldLease lease = mLeases.held(ROLE).get();
+        mClock.advanceNanos(6 * SECOND);
+        assertThat(mLeases.isValid(lease), is(false));
     }
 
     @Test
     void anOutageOfTheTableEndsTheRightToActAndItsEndRestoresIt() {
-        stepper.advance(5 * SECOND);
-        table.down = true;
-        stepper.advance(10 * SECOND);
-        assertThat(leases.held(ROLE).isEmpty(), is(true));
-        table.down = false;
-        stepper.advance(10 * SECOND);
-        assertThat(changes, contains("node-1 +1", "node-1 -", "node-1 +1"));
+        mStepper.advance(5 * SECOND);
+        mTable.mDown = true;
+        mStepper.advance(10 * SECOND);
+        assertThat(mLeases.held(ROLE).isEmpty(), is(true));
+        mTable.mDown = false;
+        mStepper.advance(10 * SECOND);
+        assertThat(mChanges, contains("node-1 +1", "node-1 -", "node-1 +1"));
     }
 
     @Test
     void aReleasedRoleGoesToAnotherInstanceWithTheNextFencingNumber() {
-        stepper.advance(5 * SECOND);
+        mStepper.advance(5 * SECOND);
         LeaseService other = service("node-2");
-        leases.release(ROLE);
-        stepper.advance(5 * SECOND);
-        assertThat(leases.held(ROLE).isEmpty(), is(true));
+        mLeases.release(ROLE);
+        mStepper.advance(5 * SECOND);
+        assertThat(mLeases.held(ROLE).isEmpty(), is(true));
         assertThat(other.held(ROLE).get().fencing(), equalTo(2L));
     }
 
     private final class Recorder implements Leases.LeaseListener {
-        private final String name;
+        private final String mName;
 
         Recorder(String name) {
-            this.name = name;
+            mName = name;
         }
 
         @Override
         public void onAcquired(HeldLease lease) {
-            changes.add(name + " +" + lease.fencing());
+            mChanges.add(mName + " +" + lease.fencing());
         }
 
         @Override
         public void onLost(String role) {
-            changes.add(name + " -");
+            mChanges.add(mName + " -");
         }
     }
 
     /** Table in memory that responds at once. */
     private static final class MemoryTable implements TableService {
-        private final Map<String, Row> rows = new TreeMap<>();
-        private long revision;
-        private boolean down;
+        private final Map<String, Row> mRows = new TreeMap<>();
+        private long mRevision;
+        private boolean mDown;
 
         @Override
         public Mono<Option<Row>> read(String table, String key) {
-            return Mono.just(Option.of(rows.get(key)));
+            return Mono.just(Option.of(mRows.get(key)));
         }
 
         @Override
         public Mono<List<Row>> scan(String table, String prefix, long afterVersion) {
-            return down
+            return mDown
                     ? failure(PlatformException.Effect.NONE)
                     : Mono.just(
-                            rows.values().stream()
+                            mRows.values().stream()
                                     .filter(row -> row.version() > afterVersion)
                                     .toList());
         }
 
         @Override
         public Mono<CommitResult> commit(Commit commit) {
-            if (down) {
+            if (mDown) {
                 return failure(PlatformException.Effect.UNKNOWN);
             }
             List<Row> conflicts = new ArrayList<>();
             boolean holds = true;
             for (Commit.Condition condition : commit.conditions()) {
-                Option<Row> row = Option.of(rows.get(condition.key()));
+                Option<Row> row = Option.of(mRows.get(condition.key()));
                 if (row.map(Row::version).getOrElse(0L) != condition.version()) {
                     holds = false;
                     row.forEach(conflicts::add);
@@ -152,14 +152,14 @@
             if (!holds) {
                 return Mono.just(new CommitResult.Conflict(conflicts));
             }
-            revision++;
-            commit.deletes().forEach(delete -> rows.remove(delete.key()));
+            mRevision++;
+            commit.deletes().forEach(delete -> mRows.remove(delete.key()));
             for (Commit.Put put : commit.puts()) {
-                rows.put(
+                mRows.put(
                         put.key(),
-                        new Row(put.table(), put.key(), revision, put.value(), commit.writer()));
+                        new Row(put.table(), put.key(), mRevision, put.value(), commit.writer()));
             }
-            return Mono.just(new CommitResult.Committed(revision));
+            return Mono.just(new CommitResult.Committed(mRevision));
         }
 
         private static <T> Mono<T> failure(PlatformException.Effect effect) {
--- a/node/src/test/java/org/fuchsialever/node/peers/PeerServiceTest.java
+++ b/node/src/test/java/org/fuchsialever/node/peers/PeerServiceTest.java
@@ -36,12 +36,12 @@
 class PeerServiceTest {
     private static final String LOOPBACK = "127.0.0.1";
 
-    private final Closer closer = new Closer();
-    private final List<ListedInstance> listed = new CopyOnWriteArrayList<>();
+    private final Closer mCloser = new Closer();
+    private final List<ListedInstance> mListed = new CopyOnWriteArrayList<>();
 
     @AfterEach
     void close() {
-        closer.close();
+        mCloser.close();
     }
 
     private PeerService start(String name) {
@@ -50,15 +50,15 @@
                 new SettingsReader(IniDocument.parse("node.ini", "", findings), findings);
         ComponentContext context =
                 new ComponentContext(
-                        settings, closer, SystemTimeSource.INSTANCE, 5, new SimpleMeterRegistry());
+                        settings, mCloser, SystemTimeSource.INSTANCE, 5, new SimpleMeterRegistry());
         FailureDomain domain = new FailureDomain("fd-1");
         PeerService service =
                 new PeerService(
                         context,
                         NodeIdentity.startNow(new InstanceId(name), "region-1", domain),
-                        () -> Mono.fromSupplier(() -> List.copyOf(listed)));
+                        () -> Mono.fromSupplier(() -> List.copyOf(mListed)));
         int port = service.listen(LOOPBACK, 0);
-        listed.add(
+        mListed.add(
                 new ListedInstance(
                         new InstanceId(name), LOOPBACK, 0, port, "region-1", domain, false));
         return service;
--- a/node/src/test/java/org/fuchsialever/node/samples/FakeLeases.java
+++ b/node/src/test/java/org/fuchsialever/node/samples/FakeLeases.java
@@ -10,70 +10,71 @@
 
 /** Leases of one role; the first instance to request it holds it until it is moved. */
 final class FakeLeases {
-    private final FakePlatform platform;
-    private final List<Member> members = new ArrayList<>();
-    private @Nullable Member holder;
-    private @Nullable HeldLease lease;
-    private long fencing;
+    private final FakePlatform mPlatform;
+    private final List<Member> mMembers = new ArrayList<>();
+    private @Nullable Member mHolder;
+    private @Nullable HeldLease mLease;
+    private long mFencing;
 
     FakeLeases(FakePlatform platform) {
-        this.platform = platform;
+        mPlatform = platform;
     }
 
     Leases member() {
         Member member = new Member();
-        members.add(member);
+        mMembers.add(member);
         return member;
     }
 
     /** Moves the lease to the other instance that requested it. */
     synchronized void moveFrom(Leases previous) {
-        for (Member member : members) {
-            if (member != previous && member.listener != null) {
+        for (Member member : mMembers) {
+            if (member != previous && member.mListener != null) {
                 grant(member);
             }
         }
     }
 
     synchronized boolean isHeldBy(Leases member) {
-        return holder == member;
+        return mHolder == member;
     }
 
     private void grant(Member member) {
-        Member previous = holder;
-        if (previous != null && previous.listener != null) {
-            previous.listener.onLost(member.role);
+        Member previous = mHolder;
+        if (previous != null && previous.mListener != null) {
+            previous.mListener.onLost(member.mRole);
         }
-        fencing++;
-        holder = member;
+        mFencing++;
+        mHolder = member;
         HeldLease acquired =
-                new HeldLease(member.role, fencing, "leases", member.role, putGuard(member.role));
-        lease = acquired;
-        if (member.listener != null) {
-            member.listener.onAcquired(acquired);
+                new HeldLease(
+                        member.mRole, mFencing, "leases", member.mRole, putGuard(member.mRole));
+        mLease = acquired;
+        if (member.mListener != null) {
+            member.mListener.onAcquired(acquired);
         }
     }
 
     private long putGuard(String role) {
         Commit commit =
                 new Commit(
-                        "lease-" + fencing,
+                        "lease-" + mFencing,
                         List.of(),
                         List.of(new Commit.Put("leases", role, "")),
                         List.of());
-        return platform.writeNow(commit);
+        return mPlatform.writeNow(commit);
     }
 
     private final class Member implements Leases {
-        private String role = "";
-        private @Nullable LeaseListener listener;
+        private String mRole = "";
+        private @Nullable LeaseListener mListener;
 
         @Override
         public void request(String requestedRole, LeaseListener target) {
             synchronized (FakeLeases.this) {
-                role = requestedRole;
-                listener = target;
-                if (holder == null) {
+                mRole = requestedRole;
+                mListener = target;
+                if (mHolder == null) {
                     grant(this);
                 }
             }
@@ -85,8 +86,8 @@
         @Override
         public Option<HeldLease> held(String requestedRole) {
             synchronized (FakeLeases.this) {
-                return holder == this && requestedRole.equals(role)
-                        ? Option.of(lease)
+                return mHolder == this && requestedRole.equals(mRole)
+                        ? Option.of(mLease)
                         : Option.none();
             }
         }
--- a/node/src/test/java/org/fuchsialever/node/samples/FakePlatform.java
+++ b/node/src/test/java/org/fuchsialever/node/samples/FakePlatform.java
@@ -21,10 +21,10 @@
 
 /** In-memory tables and objects; drops the response to every third commit. */
 final class FakePlatform implements TableService, ObjectStore {
-    private final Map<String, Row> rows = new TreeMap<>();
-    private final Map<String, byte[]> objects = new ConcurrentSkipListMap<>();
-    private long revision;
-    private int commits;
+    private final Map<String, Row> mRows = new TreeMap<>();
+    private final Map<String, byte[]> mObjects = new ConcurrentSkipListMap<>();
+    private long mRevision;
+    private int mCommits;
 
     Platform platform() {
         return new Platform(
@@ -49,13 +49,13 @@
 
     @Override
     public synchronized Mono<Option<Row>> read(String table, String key) {
-        return Mono.just(Option.of(rows.get(table + " " + key)));
+        return Mono.just(Option.of(mRows.get(table + " " + key)));
     }
 
     @Override
     public synchronized Mono<List<Row>> scan(String table, String prefix, long afterVersion) {
         return Mono.just(
-                rows.values().stream()
+                mRows.values().stream()
                         .filter(row -> row.table().equals(table) && row.key().startsWith(prefix))
                         .filter(row -> row.version() > afterVersion)
                         .toList());
@@ -68,16 +68,16 @@
 
     /** Writes rows without dropping the response; returns their version. */
     synchronized long writeNow(Commit commit) {
-        commits = 0;
+        mCommits = 0;
         apply(commit);
-        return revision;
+        return mRevision;
     }
 
     private synchronized CommitResult apply(Commit commit) {
         List<Row> conflicts = new ArrayList<>();
         boolean conditionsHold = true;
         for (Commit.Condition condition : commit.conditions()) {
-            Row row = rows.get(condition.table() + " " + condition.key());
+            Row row = mRows.get(condition.table() + " " + condition.key());
             if ((row == null ? 0 : row.version()) != condition.version()) {
                 conditionsHold = false;
                 Option.of(row).forEach(conflicts::add);
@@ -86,33 +86,33 @@
         if (!conditionsHold) {
             return new CommitResult.Conflict(conflicts);
         }
-        revision++;
+        mRevision++;
         for (Commit.Put put : commit.puts()) {
-            rows.put(
+            mRows.put(
                     put.table() + " " + put.key(),
-                    new Row(put.table(), put.key(), revision, put.value(), commit.writer()));
+                    new Row(put.table(), put.key(), mRevision, put.value(), commit.writer()));
         }
-        commit.deletes().forEach(deleted -> rows.remove(deleted.table() + " " + deleted.key()));
-        commits++;
-        if (commits % 3 == 0) {
+        commit.deletes().forEach(deleted -> mRows.remove(deleted.table() + " " + deleted.key()));
+        mCommits++;
+        if (mCommits % 3 == 0) {
             throw new PlatformException(
                     PlatformException.Effect.UNKNOWN, "the response was dropped");
         }
-        return new CommitResult.Committed(revision);
+        return new CommitResult.Committed(mRevision);
     }
 
     @Override
     public Mono<Boolean> putIfAbsent(String name, byte[] content) {
-        return Mono.fromSupplier(() -> objects.putIfAbsent(name, content) == null);
+        return Mono.fromSupplier(() -> mObjects.putIfAbsent(name, content) == null);
     }
 
     @Override
     public Mono<Option<byte[]>> read(String name) {
-        return Mono.fromSupplier(() -> Option.of(objects.get(name)));
+        return Mono.fromSupplier(() -> Option.of(mObjects.get(name)));
     }
 
     @Override
     public Mono<List<String>> list(String prefix) {
-        return Mono.just(objects.keySet().stream().filter(n -> n.startsWith(prefix)).toList());
+        return Mono.just(mObjects.keySet().stream().filter(n -> n.startsWith(prefix)).toList());
     }
 }
--- a/node/src/test/java/org/fuchsialever/node/samples/PendingRequestsTest.java
+++ b/node/src/test/java/org/fuchsialever/node/samples/PendingRequestsTest.java
@@ -16,27 +16,27 @@
 
 /** Guards against refusals that say "not run" although a commit may have taken effect. */
 class PendingRequestsTest {
-    private final PendingRequests pending = new PendingRequests();
-    private final List<Either<Refusal, RolloutAction>> results = new ArrayList<>();
+    private final PendingRequests mPending = new PendingRequests();
+    private final List<Either<Refusal, RolloutAction>> mResults = new ArrayList<>();
 
     @Test
     void leavesTheOutcomeOpenWhenTheLeaseIsLost() {
         send(true);
 
-        pending.refuse(1, RolloutRefusal.NOT_HOLDER);
+        mPending.refuse(1, RolloutRefusal.NOT_HOLDER);
 
-        assertThat(results.get(0).getLeft().reason().outcome(), is(Outcome.UNKNOWN));
+        assertThat(mResults.get(0).getLeft().reason().outcome(), is(Outcome.UNKNOWN));
     }
 
     @Test
     void saysNotRunWhenTheRingIsFull() {
         send(false);
 
-        assertThat(results.get(0).getLeft().reason(), is(RefusalReason.QUEUE_FULL));
-        assertThat(results.get(0).getLeft().reason().outcome(), is(Outcome.NOT_RUN));
+        assertThat(mResults.get(0).getLeft().reason(), is(RefusalReason.QUEUE_FULL));
+        assertThat(mResults.get(0).getLeft().reason().outcome(), is(Outcome.NOT_RUN));
     }
 
     private void send(boolean offered) {
-        pending.send(request -> offered, Duration.ofMinutes(1)).subscribe(results::add);
+        mPending.send(request -> offered, Duration.ofMinutes(1)).subscribe(mResults::add);
     }
 }
--- a/node/src/test/java/org/fuchsialever/node/samples/RolloutsThroughSocketsTest.java
+++ b/node/src/test/java/org/fuchsialever/node/samples/RolloutsThroughSocketsTest.java
@@ -40,19 +40,19 @@
             "[{\"group\":\"a\",\"prompt\":\"p\",\"samples\":3,\"max_tokens\":9},"
                     + "{\"group\":\"b\",\"prompt\":\"late\",\"samples\":2,\"max_tokens\":9}]";
 
-    @TempDir Path folder;
+    @TempDir Path mFolder;
 
-    private final FakePlatform platform = new FakePlatform();
-    private final FakeLeases leases = new FakeLeases(platform);
-    private final HttpClient client = HttpClient.newHttpClient();
-    private final ObjectMapper mapper = new ObjectMapper();
-    private final Set<String> unresponsivePrompts = ConcurrentHashMap.newKeySet();
-    private final List<TestInstance> instances = new ArrayList<>();
+    private final FakePlatform mPlatform = new FakePlatform();
+    private final FakeLeases mLeases = new FakeLeases(mPlatform);
+    private final HttpClient mClient = HttpClient.newHttpClient();
+    private final ObjectMapper mMapper = new ObjectMapper();
+    private final Set<String> mUnresponsivePrompts = ConcurrentHashMap.newKeySet();
+    private final List<TestInstance> mInstances = new ArrayList<>();
 
     @BeforeEach
     void startTwoInstances() throws Exception {
         Files.writeString(
-                folder.resolve("routes.ini"),
+                mFolder.resolve("routes.ini"),
                 """
                 [route rollouts]
                 path = /v1/rollouts
@@ -67,7 +67,7 @@
                 weight = 1
                 """);
         Files.writeString(
-                folder.resolve("pools.ini"),
+                mFolder.resolve("pools.ini"),
                 """
                 [pool small]
                 kind = engine
@@ -76,20 +76,21 @@
                 """);
         GenerationPort engine = this::generate;
         for (String name : List.of("node-1", "node-2")) {
-            instances.add(
-                    new TestInstance(name, folder, platform.platform(), leases.member(), engine));
+            mInstances.add(
+                    new TestInstance(
+                            name, mFolder, mPlatform.platform(), mLeases.member(), engine));
         }
     }
 
     @AfterEach
     void stopInstances() {
-        instances.forEach(TestInstance::close);
+        mInstances.forEach(TestInstance::close);
     }
 
     @Test
     void servesATrainerThroughTheInstanceWithoutTheLease() throws Exception {
         assertThat(submit(0, 1, GROUPS).statusCode(), is(202));
-        assertThat(leases.isHeldBy(instances.get(0).leases), is(true));
+        assertThat(mLeases.isHeldBy(mInstances.get(0).mLeases), is(true));
 
         TreeMap<Long, String> received = poll(1, 0, 5);
 
@@ -100,11 +101,11 @@
         assertThat(
                 post(1, "/v1/rollouts/alba/ack", "{\"cursor\":6}").body(),
                 containsString("\"code\":\"cursor-beyond-end\""));
-        assertThat(instances.get(0).violations() + instances.get(1).violations(), is(0L));
+        assertThat(mInstances.get(0).violations() + mInstances.get(1).violations(), is(0L));
         assertThat(
-                instances
+                mInstances
                                 .get(0)
-                                .meters
+                                .mMeters
                                 .timer("fuchsialever.trainer.idle", "trainer", "alba")
                                 .count()
                         > 0,
@@ -113,12 +114,12 @@
 
     @Test
     void continuesOnTheOtherInstanceWhenTheLeaseMoves() throws Exception {
-        unresponsivePrompts.add("late");
+        mUnresponsivePrompts.add("late");
         submit(0, 1, GROUPS);
         TreeMap<Long, String> received = poll(1, 0, 3);
-        instances.get(0).close();
-        unresponsivePrompts.clear();
-        leases.moveFrom(instances.get(0).leases);
+        mInstances.get(0).close();
+        mUnresponsivePrompts.clear();
+        mLeases.moveFrom(mInstances.get(0).mLeases);
 
         received.putAll(poll(1, 3, 2));
 
@@ -154,7 +155,7 @@
     }
 
     private Mono<Generation> generate(GenerationRequest request) {
-        if (unresponsivePrompts.contains(request.prompt())) {
+        if (mUnresponsivePrompts.contains(request.prompt())) {
             return Mono.never();
         }
         TokenRange range = new TokenRange(0, 4, new WeightVersion(7), new UpstreamId("engine-1"));
@@ -171,7 +172,7 @@
                     get(instance, "samples?wait_ms=2000&cursor=" + cursor, "Bearer team-1");
             tries++;
             assertThat(response.body(), tries, lessThan(MAX_TRIES));
-            JsonNode page = mapper.readTree(response.body());
+            JsonNode page = mMapper.readTree(response.body());
             for (JsonNode sample : page.path("samples")) {
                 assertThat(sample.path("position").asLong(), is(cursor));
                 assertThat(
@@ -215,10 +216,10 @@
 
     private HttpRequest.Builder request(int instance, String path) {
         return HttpRequest.newBuilder(
-                URI.create("http://127.0.0.1:" + instances.get(instance).port + path));
+                URI.create("http://127.0.0.1:" + mInstances.get(instance).mPort + path));
     }
 
     private HttpResponse<String> send(HttpRequest.Builder request) throws Exception {
-        return client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+        return mClient.send(request.build(), HttpResponse.BodyHandlers.ofString());
     }
 }
--- a/node/src/test/java/org/fuchsialever/node/samples/TestInstance.java
+++ b/node/src/test/java/org/fuchsialever/node/samples/TestInstance.java
@@ -37,17 +37,17 @@
 
 /** An instance whose component {@code samples} uses fake dependencies. */
 final class TestInstance implements AutoCloseable {
-    final int port;
-    final Leases leases;
-    final MeterRegistry meters = new SimpleMeterRegistry();
-    private final Closer closer = new Closer();
-    private final CountingInvariantMonitor invariants;
+    final int mPort;
+    final Leases mLeases;
+    final MeterRegistry mMeters = new SimpleMeterRegistry();
+    private final Closer mCloser = new Closer();
+    private final CountingInvariantMonitor mInvariants;
 
     TestInstance(
             String name, Path tables, Platform platform, Leases leases, GenerationPort generation)
             throws IOException {
-        this.leases = leases;
-        port = FreePorts.next();
+        mLeases = leases;
+        mPort = FreePorts.next();
         String settingsText =
                 """
                 [node]
@@ -64,7 +64,7 @@
                 """
                         .formatted(
                                 name,
-                                port,
+                                mPort,
                                 tables.resolve("routes.ini"),
                                 tables.resolve("pools.ini"));
         Findings findings = new Findings();
@@ -86,18 +86,18 @@
             throw new AssertionError(findings.report());
         }
         ComponentContext context =
-                new ComponentContext(settings, closer, SystemTimeSource.INSTANCE, 1, meters);
+                new ComponentContext(settings, mCloser, SystemTimeSource.INSTANCE, 1, mMeters);
         assembly.install(context);
-        invariants = context.require(CountingInvariantMonitor.class);
+        mInvariants = context.require(CountingInvariantMonitor.class);
     }
 
     long violations() {
-        return invariants.violationCount();
+        return mInvariants.violationCount();
     }
 
     @Override
     public void close() {
-        closer.close();
+        mCloser.close();
     }
 
     private record Fakes(Platform platform, Leases leases, GenerationPort generation)
--- a/node/src/test/java/org/fuchsialever/node/upstream/HttpUpstreamClientTest.java
+++ b/node/src/test/java/org/fuchsialever/node/upstream/HttpUpstreamClientTest.java
@@ -31,10 +31,10 @@
     private static final String SECRET = "0123456789abcdef0123456789abcdef";
     private static final String KEY = "fl_k1_" + SECRET;
 
-    private final List<Invariant> violated = new ArrayList<>();
-    private final HttpUpstreamClient client =
+    private final List<Invariant> mViolated = new ArrayList<>();
+    private final HttpUpstreamClient mClient =
             new HttpUpstreamClient(
-                    (invariant, detail) -> violated.add(invariant),
+                    (invariant, detail) -> mViolated.add(invariant),
                     Duration.ofSeconds(1),
                     Schedulers.immediate());
 
@@ -46,19 +46,19 @@
                         call("/v1", "Bearer " + KEY, ""),
                         call("/v1", "value", "{\"key\": \"" + KEY + "\"}"));
         for (UpstreamCall call : calls) {
-            Flux<UpstreamResponsePart> parts = client.send(call);
+            Flux<UpstreamResponsePart> parts = mClient.send(call);
             List<Throwable> failures = new ArrayList<>();
             parts.subscribe(part -> {}, failures::add);
             assertThat(failures.size(), is(1));
         }
         Invariant hidden = Invariant.KEY_HIDDEN_FROM_UPSTREAMS;
-        assertThat(violated, contains(hidden, hidden, hidden));
+        assertThat(mViolated, contains(hidden, hidden, hidden));
     }
 
     @Test
     void reportsNoViolationForARequestWithoutTheKey() {
-        client.send(call("/v1", "value", "{}"));
-        assertThat(violated, empty());
+        mClient.send(call("/v1", "value", "{}"));
+        assertThat(mViolated, empty());
     }
 
     private static UpstreamCall call(String uri, String header, String body) {
--- a/node/src/test/java/org/fuchsialever/node/usage/AccountingNodeTest.java
+++ b/node/src/test/java/org/fuchsialever/node/usage/AccountingNodeTest.java
@@ -36,15 +36,17 @@
 
 /** Guards against the loss of usage and audit records in a graceful shutdown. */
 class AccountingNodeTest {
-    private final Closer closer = new Closer();
-    private final TableServiceStandIn tables = closer.register("tables", new TableServiceStandIn());
-    private final ObjectStoreStandIn objects = closer.register("objects", new ObjectStoreStandIn());
-    private final InstanceListStandIn instances =
-            closer.register("instances", new InstanceListStandIn(Duration.ZERO));
+    private final Closer mCloser = new Closer();
+    private final TableServiceStandIn mTables =
+            mCloser.register("tables", new TableServiceStandIn());
+    private final ObjectStoreStandIn mObjects =
+            mCloser.register("objects", new ObjectStoreStandIn());
+    private final InstanceListStandIn mInstances =
+            mCloser.register("instances", new InstanceListStandIn(Duration.ZERO));
 
     @AfterEach
     void stopAll() {
-        closer.close();
+        mCloser.close();
     }
 
     @Test
@@ -53,12 +55,12 @@
         node.service(CallObservers.class).callFinished(call());
         node.close();
 
-        Map<String, String> totals = tables.values(UsageRows.TABLE, "totals/n1/");
+        Map<String, String> totals = mTables.values(UsageRows.TABLE, "totals/n1/");
         assertThat(totals.values(), hasSize(1));
         String lines = totals.values().iterator().next();
         assertThat(lines, containsString(" alba chat retried 1 10 3\n"));
         assertThat(lines, containsString(" alba chat completed 1 10 100\n"));
-        String batch = text(objects.names().get(0));
+        String batch = text(mObjects.names().get(0));
         assertThat(batch, containsString("\"kind\":\"request_ended\""));
         assertThat(batch, containsString("\"upstream\":\"engine-2\",\"attempts\":2,\"key\":\"a\""));
         assertThat(batch, not(containsString("prompt")));
@@ -67,23 +69,23 @@
 
     private List<?> verify() {
         Map<String, AuditCheckpoint> index = new TreeMap<>();
-        tables.values("audit", "")
+        mTables.values("audit", "")
                 .forEach(
                         (key, value) ->
                                 index.put(
                                         key.substring(key.indexOf('/') + 1),
                                         AuditCheckpoint.parse(value).get()));
         Map<String, SortedMap<Long, byte[]>> batches = new TreeMap<>();
-        for (String name : objects.names()) {
+        for (String name : mObjects.names()) {
             String[] parts = name.split("/");
             batches.computeIfAbsent(parts[2] + "/" + parts[3], start -> new TreeMap<>())
-                    .put(Long.parseLong(parts[4]), objects.object(name).get());
+                    .put(Long.parseLong(parts[4]), mObjects.object(name).get());
         }
         return AuditVerifier.verify(index, Map.of(), batches);
     }
 
     private String text(String name) {
-        return new String(objects.object(name).get(), StandardCharsets.UTF_8);
+        return new String(mObjects.object(name).get(), StandardCharsets.UTF_8);
     }
 
     private static FinishedCall call() {
@@ -117,8 +119,8 @@
                 object-store = %s
                 instance-list = %s
                 """
-                        .formatted(tables.url(), objects.url(), instances.url());
-        return closer.register(
+                        .formatted(mTables.url(), mObjects.url(), mInstances.url());
+        return mCloser.register(
                 "node",
                 NodeProcess.start("node.ini", settings)
                         .getOrElseThrow(findings -> new AssertionError(findings.report())));
--- a/node/src/test/java/org/fuchsialever/node/usage/PausableDuty.java
+++ b/node/src/test/java/org/fuchsialever/node/usage/PausableDuty.java
@@ -7,53 +7,53 @@
 
 /** Wraps a duty that a test can pause or stop for good. A paused duty gets its events on resume. */
 final class PausableDuty<E, A> implements Duty<E, A> {
-    private final Duty<E, A> duty;
-    private final Deque<E> waiting = new ArrayDeque<>();
-    private boolean paused;
-    private boolean dead;
+    private final Duty<E, A> mDuty;
+    private final Deque<E> mWaiting = new ArrayDeque<>();
+    private boolean mPaused;
+    private boolean mDead;
 
     PausableDuty(Duty<E, A> duty) {
-        this.duty = duty;
+        mDuty = duty;
     }
 
     void pause(boolean isPaused) {
-        paused = isPaused;
+        mPaused = isPaused;
     }
 
     void kill() {
-        dead = true;
+        mDead = true;
     }
 
     @Override
     public String dutyName() {
-        return duty.dutyName();
+        return mDuty.dutyName();
     }
 
     @Override
     public void onEvent(E event, long nowNanos, ActionSink<A> actions) {
-        waiting.add(event);
+        mWaiting.add(event);
         drain(nowNanos, actions);
     }
 
     @Override
     public void onTimer(long nowNanos, ActionSink<A> actions) {
         drain(nowNanos, actions);
-        if (duty.nextTimerNanos() <= nowNanos) {
-            duty.onTimer(nowNanos, actions);
+        if (mDuty.nextTimerNanos() <= nowNanos) {
+            mDuty.onTimer(nowNanos, actions);
         }
     }
 
     @Override
     public long nextTimerNanos() {
-        if (paused || dead) {
+        if (mPaused || mDead) {
             return NO_TIMER;
         }
-        return waiting.isEmpty() ? duty.nextTimerNanos() : 0;
+        return mWaiting.isEmpty() ? mDuty.nextTimerNanos() : 0;
     }
 
     private void drain(long nowNanos, ActionSink<A> actions) {
-        while (!paused && !dead && !waiting.isEmpty()) {
-            duty.onEvent(waiting.remove(), nowNanos, actions);
+        while (!mPaused && !mDead && !mWaiting.isEmpty()) {
+            mDuty.onEvent(mWaiting.remove(), nowNanos, actions);
         }
     }
 }
--- a/node/src/test/java/org/fuchsialever/node/usage/RandomisedRun.java
+++ b/node/src/test/java/org/fuchsialever/node/usage/RandomisedRun.java
@@ -16,64 +16,64 @@
     private static final Duration FAULT_FREE_END_BEFORE_CRASH = Duration.ofSeconds(10);
     private static final Duration MAX_REQUEST_DURATION = Duration.ofMillis(9_500);
 
-    private final UsageSimulation simulation;
-    private final SplittableRandom random;
-    private final Duration lossBound;
-    private long nextCrashNanos = CRASH_INTERVAL.toNanos();
-    private boolean down;
-    private boolean stale;
+    private final UsageSimulation mSimulation;
+    private final SplittableRandom mRandom;
+    private final Duration mLossBound;
+    private long mNextCrashNanos = CRASH_INTERVAL.toNanos();
+    private boolean mDown;
+    private boolean mStale;
 
     RandomisedRun(UsageSimulation simulation, Duration lossBound) {
-        this.simulation = simulation;
-        this.random = simulation.random;
-        this.lossBound = lossBound;
+        mSimulation = simulation;
+        mRandom = simulation.mRandom;
+        mLossBound = lossBound;
     }
 
     void run(Duration duration) {
-        simulation.table.faults().setDelays(Duration.ofMillis(20), Duration.ofMillis(20));
-        simulation.receiver.delay =
-                () -> Duration.ofMillis(random.nextLong(MAX_REQUEST_DURATION.toMillis()));
-        simulation.receiver.losesResponse = () -> random.nextInt(4) == 0;
+        mSimulation.mTable.faults().setDelays(Duration.ofMillis(20), Duration.ofMillis(20));
+        mSimulation.mReceiver.mDelay =
+                () -> Duration.ofMillis(mRandom.nextLong(MAX_REQUEST_DURATION.toMillis()));
+        mSimulation.mReceiver.mLosesResponse = () -> mRandom.nextInt(4) == 0;
         reassignRoles(WindowCloser.ROLE_COUNT);
-        long end = simulation.clock.nanoTime() + duration.toNanos();
-        while (simulation.clock.nanoTime() < end) {
+        long end = mSimulation.mClock.nanoTime() + duration.toNanos();
+        while (mSimulation.mClock.nanoTime() < end) {
             recordUsageAndInjectFaults();
-            simulation.advance(STEP);
+            mSimulation.advance(STEP);
         }
         clearFaults();
-        simulation.advance(Duration.ofSeconds(180));
+        mSimulation.advance(Duration.ofSeconds(180));
     }
 
     private void recordUsageAndInjectFaults() {
         for (SimulatedInstance instance : runningInstances()) {
-            UsageClass usageClass = UsageClass.values()[random.nextInt(5)];
-            String team = "team-" + random.nextInt(3);
+            UsageClass usageClass = UsageClass.values()[mRandom.nextInt(5)];
+            String team = "team-" + mRandom.nextInt(3);
             instance.recordUsage(
                     UsageSimulation.key(team, usageClass),
-                    new UsageCounts(1, random.nextInt(50), random.nextInt(500)));
+                    new UsageCounts(1, mRandom.nextInt(50), mRandom.nextInt(500)));
         }
         if (isFaultFreePeriod()) {
             clearFaults();
             return;
         }
-        if (random.nextInt(4) == 0) {
-            simulation.table.faults().addToNextChange(randomLoss());
+        if (mRandom.nextInt(4) == 0) {
+            mSimulation.mTable.faults().addToNextChange(randomLoss());
         }
-        if (random.nextInt(60) == 0) {
-            setDown(!down);
+        if (mRandom.nextInt(60) == 0) {
+            setDown(!mDown);
         }
-        if (random.nextInt(20) == 0) {
-            setStale(!stale);
+        if (mRandom.nextInt(20) == 0) {
+            setStale(!mStale);
         }
-        if (random.nextInt(20) == 0) {
+        if (mRandom.nextInt(20) == 0) {
             SimulatedInstance instance = randomInstance(runningInstances());
-            instance.tables.unreachable = !instance.tables.unreachable;
+            instance.mTables.mUnreachable = !instance.mTables.mUnreachable;
         }
-        if (!down && random.nextInt(20) == 0) {
-            reassignRoles(1 + random.nextInt(WindowCloser.ROLE_COUNT));
+        if (!mDown && mRandom.nextInt(20) == 0) {
+            reassignRoles(1 + mRandom.nextInt(WindowCloser.ROLE_COUNT));
         }
-        if (simulation.clock.nanoTime() >= nextCrashNanos) {
-            nextCrashNanos = simulation.clock.nanoTime() + CRASH_INTERVAL.toNanos();
+        if (mSimulation.mClock.nanoTime() >= mNextCrashNanos) {
+            mNextCrashNanos = mSimulation.mClock.nanoTime() + CRASH_INTERVAL.toNanos();
             replaceRandomInstance();
         }
     }
@@ -84,64 +84,64 @@
      * each crash.
      */
     private boolean isFaultFreePeriod() {
-        long left = nextCrashNanos - simulation.clock.nanoTime();
+        long left = mNextCrashNanos - mSimulation.mClock.nanoTime();
         return left > FAULT_FREE_END_BEFORE_CRASH.toNanos()
                 && left < FAULT_FREE_START_BEFORE_CRASH.toNanos();
     }
 
     private Fault randomLoss() {
-        return random.nextBoolean() ? Fault.LOSE_ANSWER : Fault.LOSE_REQUEST;
+        return mRandom.nextBoolean() ? Fault.LOSE_ANSWER : Fault.LOSE_REQUEST;
     }
 
     /** Crashes a random instance and starts a successor under the same name. */
     private void replaceRandomInstance() {
         setDown(false);
         SimulatedInstance victim = randomInstance(runningInstances());
-        victim.kill(lossBound);
-        simulation.addInstance(simulation.instances.indexOf(victim) % 6);
+        victim.kill(mLossBound);
+        mSimulation.addInstance(mSimulation.mInstances.indexOf(victim) % 6);
         reassignRoles(WindowCloser.ROLE_COUNT);
     }
 
     private void reassignRoles(int count) {
         Duration none = Duration.ZERO;
-        simulation.table.faults().setDelays(none, none);
+        mSimulation.mTable.faults().setDelays(none, none);
         for (int i = 0; i < count; i++) {
-            simulation.assignRole(
-                    random.nextInt(WindowCloser.ROLE_COUNT), randomInstance(runningInstances()));
+            mSimulation.assignRole(
+                    mRandom.nextInt(WindowCloser.ROLE_COUNT), randomInstance(runningInstances()));
         }
         if (count == WindowCloser.ROLE_COUNT) {
             for (int i = 0; i < WindowCloser.ROLE_COUNT; i++) {
-                simulation.assignRole(i, randomInstance(runningInstances()));
+                mSimulation.assignRole(i, randomInstance(runningInstances()));
             }
         }
-        simulation.table.faults().setDelays(Duration.ofMillis(20), Duration.ofMillis(20));
+        mSimulation.mTable.faults().setDelays(Duration.ofMillis(20), Duration.ofMillis(20));
     }
 
     private void clearFaults() {
         setDown(false);
         setStale(false);
-        runningInstances().forEach(instance -> instance.tables.unreachable = false);
+        runningInstances().forEach(instance -> instance.mTables.mUnreachable = false);
     }
 
     private void setDown(boolean isDown) {
-        down = isDown;
-        simulation.table.faults().setDown(isDown);
+        mDown = isDown;
+        mSimulation.mTable.faults().setDown(isDown);
     }
 
     private void setStale(boolean isStale) {
-        stale = isStale;
+        mStale = isStale;
         if (isStale) {
-            simulation.table.beginStaleReads();
+            mSimulation.mTable.beginStaleReads();
         } else {
-            simulation.table.endStaleReads();
+            mSimulation.mTable.endStaleReads();
         }
     }
 
     private List<SimulatedInstance> runningInstances() {
-        return simulation.instances.stream().filter(instance -> instance.running).toList();
+        return mSimulation.mInstances.stream().filter(instance -> instance.mRunning).toList();
     }
 
     private SimulatedInstance randomInstance(List<SimulatedInstance> candidates) {
-        return candidates.get(random.nextInt(candidates.size()));
+        return candidates.get(mRandom.nextInt(candidates.size()));
     }
 }
--- a/node/src/test/java/org/fuchsialever/node/usage/SimulatedInstance.java
+++ b/node/src/test/java/org/fuchsialever/node/usage/SimulatedInstance.java
@@ -27,42 +27,42 @@
 
 /** One instance of a {@link UsageSimulation}, with the production duties and actions. */
 final class SimulatedInstance implements PeerMessages {
-    final SimulatedTables tables;
-    final SimulatedLeases leases = new SimulatedLeases();
-    final SimpleMeterRegistry meters = new SimpleMeterRegistry();
-    final StartId start;
-    boolean running = true;
-
-    private final UsageSimulation simulation;
-    private final FailureDomain domain;
-    private final PausableDuty<UsageEvent, UsageAction> usage;
-    private final PausableDuty<WindowCloserEvent, WindowCloserAction> closer;
-    private final ActionSink<UsageEvent> usageEvents;
-    private final Deque<Recorded> recent = new ArrayDeque<>();
+    final SimulatedTables mTables;
+    final SimulatedLeases mLeases = new SimulatedLeases();
+    final SimpleMeterRegistry mMeters = new SimpleMeterRegistry();
+    final StartId mStart;
+    boolean mRunning = true;
+
+    private final UsageSimulation mSimulation;
+    private final FailureDomain mDomain;
+    private final PausableDuty<UsageEvent, UsageAction> mUsage;
+    private final PausableDuty<WindowCloserEvent, WindowCloserAction> mCloser;
+    private final ActionSink<UsageEvent> mUsageEvents;
+    private final Deque<Recorded> mRecent = new ArrayDeque<>();
 
     SimulatedInstance(UsageSimulation simulation, StartId start, FailureDomain domain) {
-        this.simulation = simulation;
-        this.start = start;
-        this.domain = domain;
-        this.tables = new SimulatedTables(simulation.table, simulation.timers);
-        long now = simulation.clock.nanoTime();
-        usage =
+        mSimulation = simulation;
+        mStart = start;
+        mDomain = domain;
+        mTables = new SimulatedTables(simulation.mTable, simulation.mTimers);
+        long now = simulation.mClock.nanoTime();
+        mUsage =
                 new PausableDuty<>(
                         new UsageDuty(
                                 start,
                                 domain,
-                                simulation.settings,
+                                simulation.mSettings,
                                 now,
                                 1 + simulation.randomCommitPhase()));
         DeferredSink<UsageEvent> usageSink = new DeferredSink<>();
-        usageEvents =
-                simulation.stepper.add(
-                        usage, new UsageActions(tables, this, start.label(), meters, usageSink));
-        usageSink.target = Option.some(usageEvents);
-        closer =
+        mUsageEvents =
+                simulation.mStepper.add(
+                        mUsage, new UsageActions(mTables, this, start.label(), mMeters, usageSink));
+        usageSink.mTarget = Option.some(mUsageEvents);
+        mCloser =
                 new PausableDuty<>(
                         new WindowCloser(
-                                simulation.settings,
+                                simulation.mSettings,
                                 UsageSimulation.REQUEST_TIMEOUT,
                                 new ReportJson(),
                                 InvariantMonitor.throwing(),
@@ -70,75 +70,75 @@
         DeferredSink<WindowCloserEvent> closerSink = new DeferredSink<>();
         WindowCloserActions closerActions =
                 new WindowCloserActions(
-                        tables,
-                        simulation.receiver.serviceFor(window -> () -> fencing(window)),
-                        leases,
+                        mTables,
+                        simulation.mReceiver.serviceFor(window -> () -> fencing(window)),
+                        mLeases,
                         record -> true,
-                        simulation.clock,
+                        simulation.mClock,
                         start.label(),
-                        meters,
+                        mMeters,
                         closerSink);
-        closerSink.target = Option.some(simulation.stepper.add(closer, closerActions));
+        closerSink.mTarget = Option.some(simulation.mStepper.add(mCloser, closerActions));
         closerActions.start();
     }
 
     /** Records usage at the current time. */
     void recordUsage(UsageKey key, UsageCounts counts) {
-        usageEvents.emit(new UsageEvent.Used(simulation.clock.wallMillis(), key, counts));
-        simulation.consumed = simulation.consumed.plus(counts);
-        recent.add(new Recorded(simulation.clock.nanoTime(), counts));
+        mUsageEvents.emit(new UsageEvent.Used(mSimulation.mClock.wallMillis(), key, counts));
+        mSimulation.mConsumed = mSimulation.mConsumed.plus(counts);
+        mRecent.add(new Recorded(mSimulation.mClock.nanoTime(), counts));
     }
 
     void receive(PeerMessage.UsageHandover message) {
-        if (running) {
-            usageEvents.emit(HandoverMessages.decode(message).get());
+        if (mRunning) {
+            mUsageEvents.emit(HandoverMessages.decode(message).get());
         }
     }
 
     void pause(boolean paused) {
-        usage.pause(paused);
-        closer.pause(paused);
+        mUsage.pause(paused);
+        mCloser.pause(paused);
     }
 
     /** Crashes the instance; usage recorded within the given time before may be lost. */
     void kill(Duration lossBound) {
-        running = false;
-        usage.kill();
-        closer.kill();
-        tables.unreachable = true;
-        long since = simulation.clock.nanoTime() - lossBound.toNanos();
-        recent.stream()
+        mRunning = false;
+        mUsage.kill();
+        mCloser.kill();
+        mTables.mUnreachable = true;
+        long since = mSimulation.mClock.nanoTime() - lossBound.toNanos();
+        mRecent.stream()
                 .filter(entry -> entry.nanos >= since)
                 .forEach(
                         entry ->
-                                simulation.possibleLoss =
-                                        simulation.possibleLoss.plus(entry.counts));
+                                mSimulation.mPossibleLoss =
+                                        mSimulation.mPossibleLoss.plus(entry.counts));
     }
 
     private long fencing(String window) {
         long number =
                 WindowId.parse(window).startMillis()
-                        / simulation.settings.windowMillis()
+                        / mSimulation.mSettings.windowMillis()
                         % WindowCloser.ROLE_COUNT;
-        return leases.held(WindowCloser.role((int) number)).get().fencing();
+        return mLeases.held(WindowCloser.role((int) number)).get().fencing();
     }
 
     @Override
     public boolean send(InstanceId receiver, PeerMessage message) {
-        simulation.deliver(receiver, (PeerMessage.UsageHandover) message);
+        mSimulation.deliver(receiver, (PeerMessage.UsageHandover) message);
         return true;
     }
 
     @Override
     public List<Member> members() {
-        return simulation.instances.stream()
-                .filter(other -> other != this && other.running)
+        return mSimulation.mInstances.stream()
+                .filter(other -> other != this && other.mRunning)
                 .map(SimulatedInstance::member)
                 .toList();
     }
 
     private Member member() {
-        return new Member(start.instance(), "r1", domain, 1, MemberState.ALIVE);
+        return new Member(mStart.instance(), "r1", mDomain, 1, MemberState.ALIVE);
     }
 
     @Override
@@ -174,11 +174,11 @@
     private record Recorded(long nanos, UsageCounts counts) {}
 
     private static final class DeferredSink<E> implements ActionSink<E> {
-        private Option<ActionSink<E>> target = Option.none();
+        private Option<ActionSink<E>> mTarget = Option.none();
 
         @Override
         public void emit(E event) {
-            target.forEach(sink -> sink.emit(event));
+            mTarget.forEach(sink -> sink.emit(event));
         }
     }
 }
--- a/node/src/test/java/org/fuchsialever/node/usage/SimulatedLeases.java
+++ b/node/src/test/java/org/fuchsialever/node/usage/SimulatedLeases.java
@@ -17,39 +17,39 @@
  */
 final class SimulatedLeases implements Leases {
     private static final String TABLE = "leases";
-    private final Map<String, HeldLease> held = new TreeMap<>();
-    private final Map<String, LeaseListener> listeners = new TreeMap<>();
+    private final Map<String, HeldLease> mHeld = new TreeMap<>();
+    private final Map<String, LeaseListener> mListeners = new TreeMap<>();
 
     @Override
     public void request(String role, LeaseListener listener) {
-        listeners.put(role, listener);
+        mListeners.put(role, listener);
     }
 
     @Override
     public void release(String role) {
-        held.remove(role);
+        mHeld.remove(role);
     }
 
     @Override
     public Option<HeldLease> held(String role) {
-        return Option.of(held.get(role));
+        return Option.of(mHeld.get(role));
     }
 
     /** Assigns a role to this instance; the lease of the previous holder is no longer valid. */
     void assignRole(
             Option<SimulatedLeases> previous, String role, long fencing, TableService table) {
-        previous.forEach(other -> other.held.remove(role));
+        previous.forEach(other -> other.mHeld.remove(role));
         // An instance that acquires a role again has been notified of the loss before.
         previous.filter(other -> other == this).forEach(other -> other.lose(role));
         long guard = writeGuard(role, fencing, table);
         HeldLease lease = new HeldLease(role, fencing, TABLE, role, guard);
-        held.put(role, lease);
-        Option.of(listeners.get(role)).forEach(listener -> listener.onAcquired(lease));
+        mHeld.put(role, lease);
+        Option.of(mListeners.get(role)).forEach(listener -> listener.onAcquired(lease));
         previous.filter(other -> other != this).forEach(other -> other.lose(role));
     }
 
     private void lose(String role) {
-        Option.of(listeners.get(role)).forEach(listener -> listener.onLost(role));
+        Option.of(mListeners.get(role)).forEach(listener -> listener.onLost(role));
     }
 
     /** Retries the write until it is known to have taken effect; returns the version of the row. */
--- a/node/src/test/java/org/fuchsialever/node/usage/SimulatedReceiver.java
+++ b/node/src/test/java/org/fuchsialever/node/usage/SimulatedReceiver.java
@@ -20,21 +20,21 @@
  * request timeout after its sender checked its lease, as if the sender had been paused in between.
  */
 final class SimulatedReceiver {
-    final Map<String, String> reports = new TreeMap<>();
-    final List<String> violations = new ArrayList<>();
-    boolean down;
+    final Map<String, String> mReports = new TreeMap<>();
+    final List<String> mViolations = new ArrayList<>();
+    boolean mDown;
 
     /** Supplies the delay between the check of the lease and the effect. */
-    Supplier<Duration> delay = () -> Duration.ZERO;
+    Supplier<Duration> mDelay = () -> Duration.ZERO;
 
     /** Supplies whether the response to a request is lost. */
-    Supplier<Boolean> losesResponse = () -> false;
+    Supplier<Boolean> mLosesResponse = () -> false;
 
-    private final Map<String, Long> highestFencing = new TreeMap<>();
-    private final Timers timers;
+    private final Map<String, Long> mHighestFencing = new TreeMap<>();
+    private final Timers mTimers;
 
     SimulatedReceiver(Timers timers) {
-        this.timers = timers;
+        mTimers = timers;
     }
 
     /** Returns the service as used by an instance with the given fencing tokens, by window. */
@@ -42,26 +42,27 @@
         return (window, report, stillHolding) ->
                 Mono.defer(
                         () -> {
-                            if (down || !stillHolding.getAsBoolean()) {
+                            if (mDown || !stillHolding.getAsBoolean()) {
                                 return failure(Effect.NONE);
                             }
                             long token = fencing.apply(window).getAsLong();
-                            return timers.after(delay.get())
+                            return mTimers.after(mDelay.get())
                                     .then(Mono.defer(() -> accept(window, report, token)));
                         });
     }
 
     private Mono<Boolean> accept(String window, byte[] report, long token) {
-        if (token < highestFencing.getOrDefault(window, 0L)) {
-            violations.add(window + " arrived from a previous holder after its successor's report");
+        if (token < mHighestFencing.getOrDefault(window, 0L)) {
+            mViolations.add(
+                    window + " arrived from a previous holder after its successor's report");
         }
-        highestFencing.put(window, token);
+        mHighestFencing.put(window, token);
         String text = new String(report, StandardCharsets.UTF_8);
-        String first = reports.putIfAbsent(window, text);
+        String first = mReports.putIfAbsent(window, text);
         if (first != null && !first.equals(text)) {
-            violations.add(window + " was reported with different counts");
+            mViolations.add(window + " was reported with different counts");
         }
-        return losesResponse.get() ? failure(Effect.UNKNOWN) : Mono.just(true);
+        return mLosesResponse.get() ? failure(Effect.UNKNOWN) : Mono.just(true);
     }
 
     private static Mono<Boolean> failure(Effect effect) {
--- a/node/src/test/java/org/fuchsialever/node/usage/SimulatedTables.java
+++ b/node/src/test/java/org/fuchsialever/node/usage/SimulatedTables.java
@@ -14,46 +14,46 @@
 
 /** The table service as one instance reaches it, with faults that only this instance sees. */
 final class SimulatedTables implements TableService {
-    boolean unreachable;
-    boolean losesNextCloseResponse;
-    Duration nextCloseDelay = Duration.ZERO;
+    boolean mUnreachable;
+    boolean mLosesNextCloseResponse;
+    Duration mNextCloseDelay = Duration.ZERO;
 
-    private final TableService shared;
-    private final Timers timers;
+    private final TableService mShared;
+    private final Timers mTimers;
 
     SimulatedTables(TableService shared, Timers timers) {
-        this.shared = shared;
-        this.timers = timers;
+        mShared = shared;
+        mTimers = timers;
     }
 
     @Override
     public Mono<Option<Row>> read(String table, String key) {
-        return unreachable ? failure(Effect.NONE) : shared.read(table, key);
+        return mUnreachable ? failure(Effect.NONE) : mShared.read(table, key);
     }
 
     @Override
     public Mono<List<Row>> scan(String table, String prefix, long afterVersion) {
-        return unreachable ? failure(Effect.NONE) : shared.scan(table, prefix, afterVersion);
+        return mUnreachable ? failure(Effect.NONE) : mShared.scan(table, prefix, afterVersion);
     }
 
     @Override
     public Mono<CommitResult> commit(Commit commit) {
-        if (unreachable) {
+        if (mUnreachable) {
             return failure(Effect.NONE);
         }
         boolean closesWindow =
                 commit.puts().stream()
                         .anyMatch(put -> put.key().startsWith(UsageRows.WINDOW_PREFIX));
         if (!closesWindow) {
-            return shared.commit(commit);
+            return mShared.commit(commit);
         }
-        Duration delay = nextCloseDelay;
-        nextCloseDelay = Duration.ZERO;
-        if (losesNextCloseResponse) {
-            losesNextCloseResponse = false;
-            return shared.commit(commit).then(failure(Effect.UNKNOWN));
+        Duration delay = mNextCloseDelay;
+        mNextCloseDelay = Duration.ZERO;
+        if (mLosesNextCloseResponse) {
+            mLosesNextCloseResponse = false;
+            return mShared.commit(commit).then(failure(Effect.UNKNOWN));
         }
-        return timers.after(delay).then(shared.commit(commit));
+        return mTimers.after(delay).then(mShared.commit(commit));
     }
 
     private static <T> Mono<T> failure(Effect effect) {
--- a/node/src/test/java/org/fuchsialever/node/usage/UsageReportTest.java
+++ b/node/src/test/java/org/fuchsialever/node/usage/UsageReportTest.java
@@ -29,19 +29,19 @@
     private static final Duration UNTIL_REPORTED = Duration.ofSeconds(70);
     private static final Duration LOSS_BOUND = Duration.ofMillis(1_100);
 
-    private final UsageSimulation simulation =
+    private final UsageSimulation mSimulation =
             new UsageSimulation(UsageSimulation.shortWindows(), 3, 1);
-    private final SimulatedInstance first = simulation.instances.get(0);
-    private final SimulatedInstance second = simulation.instances.get(1);
-    private final SimulatedInstance third = simulation.instances.get(2);
+    private final SimulatedInstance mFirst = mSimulation.mInstances.get(0);
+    private final SimulatedInstance mSecond = mSimulation.mInstances.get(1);
+    private final SimulatedInstance mThird = mSimulation.mInstances.get(2);
 
     @Test
     void reportsWhatAllInstancesCountedAndWhoPays() {
-        simulation.assignAllRolesTo(first);
-        first.recordUsage(KEY, CALL);
-        second.recordUsage(KEY, CALL);
-        third.recordUsage(UsageSimulation.key("alba", UsageClass.RETRIED), CALL);
-        simulation.advance(UNTIL_REPORTED);
+        mSimulation.assignAllRolesTo(mFirst);
+        mFirst.recordUsage(KEY, CALL);
+        mSecond.recordUsage(KEY, CALL);
+        mThird.recordUsage(UsageSimulation.key("alba", UsageClass.RETRIED), CALL);
+        mSimulation.advance(UNTIL_REPORTED);
         JsonNode totals = onlyReport().get("totals");
         assertThat(totals.size(), equalTo(2));
         assertThat(totals.get(0).get("charged_generated_tokens").asLong(), equalTo(200L));
@@ -51,120 +51,121 @@
 
     @Test
     void writesTheLastHandoverOfAnInstanceThatDied() {
-        simulation.assignAllRolesTo(first);
-        simulation.table.faults().setDown(true);
-        second.recordUsage(KEY, CALL);
-        simulation.advance(Duration.ofSeconds(2));
-        second.kill(Duration.ZERO);
-        simulation.table.faults().setDown(false);
-        simulation.advance(UNTIL_REPORTED);
-        assertThat(simulation.reported(), equalTo(CALL));
+        mSimulation.assignAllRolesTo(mFirst);
+        mSimulation.mTable.faults().setDown(true);
+        mSecond.recordUsage(KEY, CALL);
+        mSimulation.advance(Duration.ofSeconds(2));
+        mSecond.kill(Duration.ZERO);
+        mSimulation.mTable.faults().setDown(false);
+        mSimulation.advance(UNTIL_REPORTED);
+        assertThat(mSimulation.reported(), equalTo(CALL));
     }
 
     @Test
     void losesOnlyWhatWasCountedAfterTheLastHandover() {
-        simulation.assignAllRolesTo(first);
-        simulation.table.faults().setDown(true);
-        second.recordUsage(KEY, CALL);
-        simulation.advance(Duration.ofSeconds(2));
-        second.recordUsage(KEY, CALL);
-        second.kill(LOSS_BOUND);
-        simulation.table.faults().setDown(false);
-        simulation.advance(UNTIL_REPORTED);
-        assertThat(simulation.reported(), equalTo(CALL));
-        assertThat(simulation.possibleLoss, equalTo(CALL));
+        mSimulation.assignAllRolesTo(mFirst);
+        mSimulation.mTable.faults().setDown(true);
+        mSecond.recordUsage(KEY, CALL);
+        mSimulation.advance(Duration.ofSeconds(2));
+        mSecond.recordUsage(KEY, CALL);
+        mSecond.kill(LOSS_BOUND);
+        mSimulation.mTable.faults().setDown(false);
+        mSimulation.advance(UNTIL_REPORTED);
+        assertThat(mSimulation.reported(), equalTo(CALL));
+        assertThat(mSimulation.mPossibleLoss, equalTo(CALL));
     }
 
     @Test
     void reportsALateContributionAsACorrectionOfItsWindow() {
-        simulation.assignAllRolesTo(first);
-        first.recordUsage(KEY, CALL);
-        second.recordUsage(KEY, CALL);
-        second.tables.unreachable = true;
-        simulation.advance(UNTIL_REPORTED);
-        String early = simulation.receiver.reports.keySet().iterator().next();
-        assertThat(simulation.reported(), equalTo(CALL));
-        second.tables.unreachable = false;
-        simulation.advance(UNTIL_REPORTED);
-        assertThat(simulation.receiver.reports, aMapWithSize(2));
-        JsonNode later = simulation.json(List.copyOf(simulation.receiver.reports.values()).get(1));
+        mSimulation.assignAllRolesTo(mFirst);
+        mFirst.recordUsage(KEY, CALL);
+        mSecond.recordUsage(KEY, CALL);
+        mSecond.mTables.mUnreachable = true;
+        mSimulation.advance(UNTIL_REPORTED);
+        String early = mSimulation.mReceiver.mReports.keySet().iterator().next();
+        assertThat(mSimulation.reported(), equalTo(CALL));
+        mSecond.mTables.mUnreachable = false;
+        mSimulation.advance(UNTIL_REPORTED);
+        assertThat(mSimulation.mReceiver.mReports, aMapWithSize(2));
+        JsonNode later =
+                mSimulation.json(List.copyOf(mSimulation.mReceiver.mReports.values()).get(1));
         assertThat(later.get("totals").size(), equalTo(0));
         assertThat(later.get("corrections").get(0).get("window").asText(), equalTo(early));
-        assertThat(simulation.reported(), equalTo(CALL.plus(CALL)));
+        assertThat(mSimulation.reported(), equalTo(CALL.plus(CALL)));
     }
 
     @Test
     void reportsTheFixedFiguresWhenTheAnswerOfTheFixingCommitWasLost() {
-        simulation.assignAllRolesTo(first);
-        first.tables.losesNextCloseResponse = true;
-        first.recordUsage(KEY, CALL);
-        simulation.advance(UNTIL_REPORTED);
-        assertThat(first.tables.losesNextCloseResponse, is(false));
-        assertThat(simulation.receiver.reports, aMapWithSize(1));
-        assertThat(simulation.reported(), equalTo(CALL));
+        mSimulation.assignAllRolesTo(mFirst);
+        mFirst.mTables.mLosesNextCloseResponse = true;
+        mFirst.recordUsage(KEY, CALL);
+        mSimulation.advance(UNTIL_REPORTED);
+        assertThat(mFirst.mTables.mLosesNextCloseResponse, is(false));
+        assertThat(mSimulation.mReceiver.mReports, aMapWithSize(1));
+        assertThat(mSimulation.reported(), equalTo(CALL));
     }
 
     @Test
     void aSuccessorReportsTheFixedFiguresOnlyAfterTheRequestTimeout() {
-        simulation.assignAllRolesTo(first);
-        simulation.receiver.down = true;
-        first.recordUsage(KEY, CALL);
-        simulation.advance(UNTIL_REPORTED);
+        mSimulation.assignAllRolesTo(mFirst);
+        mSimulation.mReceiver.mDown = true;
+        mFirst.recordUsage(KEY, CALL);
+        mSimulation.advance(UNTIL_REPORTED);
         assertThat(closedWindowCount(), equalTo(1));
-        second.recordUsage(KEY, CALL);
-        simulation.advance(Duration.ofSeconds(11));
-        simulation.assignAllRolesTo(third);
-        simulation.receiver.down = false;
-        simulation.advance(UsageSimulation.REQUEST_TIMEOUT.minusMillis(100));
-        assertThat(simulation.receiver.reports, aMapWithSize(0));
-        simulation.advance(Duration.ofSeconds(6));
-        assertThat(simulation.reported(), equalTo(CALL));
+        mSecond.recordUsage(KEY, CALL);
+        mSimulation.advance(Duration.ofSeconds(11));
+        mSimulation.assignAllRolesTo(mThird);
+        mSimulation.mReceiver.mDown = false;
+        mSimulation.advance(UsageSimulation.REQUEST_TIMEOUT.minusMillis(100));
+        assertThat(mSimulation.mReceiver.mReports, aMapWithSize(0));
+        mSimulation.advance(Duration.ofSeconds(6));
+        assertThat(mSimulation.reported(), equalTo(CALL));
     }
 
     @Test
     void aPausedHolderCannotFixAWindowAfterItsLeaseMoved() {
-        simulation.assignAllRolesTo(first);
-        first.tables.nextCloseDelay = Duration.ofSeconds(60);
-        first.recordUsage(KEY, CALL);
-        simulation.advance(Duration.ofSeconds(54));
-        first.pause(true);
-        simulation.assignAllRolesTo(second);
+        mSimulation.assignAllRolesTo(mFirst);
+        mFirst.mTables.mNextCloseDelay = Duration.ofSeconds(60);
+        mFirst.recordUsage(KEY, CALL);
+        mSimulation.advance(Duration.ofSeconds(54));
+        mFirst.pause(true);
+        mSimulation.assignAllRolesTo(mSecond);
         // The successor reads more usage than the holder had read when it was paused.
-        third.recordUsage(KEY, CALL);
-        simulation.advance(Duration.ofSeconds(120));
-        first.pause(false);
-        simulation.advance(UNTIL_REPORTED);
-        assertThat(simulation.reported(), equalTo(CALL.plus(CALL)));
-        assertThat(simulation.receiver.violations, empty());
+        mThird.recordUsage(KEY, CALL);
+        mSimulation.advance(Duration.ofSeconds(120));
+        mFirst.pause(false);
+        mSimulation.advance(UNTIL_REPORTED);
+        assertThat(mSimulation.reported(), equalTo(CALL.plus(CALL)));
+        assertThat(mSimulation.mReceiver.mViolations, empty());
     }
 
     @Test
     void twoClosersThatBothFixAWindowReportTheSameBytes() {
-        simulation.assignAllRolesTo(first);
-        first.tables.nextCloseDelay = Duration.ofSeconds(1);
-        first.recordUsage(KEY, CALL);
-        simulation.advance(Duration.ofSeconds(56));
-        simulation.assignAllRolesTo(second);
-        simulation.advance(UNTIL_REPORTED);
+        mSimulation.assignAllRolesTo(mFirst);
+        mFirst.mTables.mNextCloseDelay = Duration.ofSeconds(1);
+        mFirst.recordUsage(KEY, CALL);
+        mSimulation.advance(Duration.ofSeconds(56));
+        mSimulation.assignAllRolesTo(mSecond);
+        mSimulation.advance(UNTIL_REPORTED);
         assertThat(closedWindowCount(), equalTo(1));
-        assertThat(simulation.receiver.reports, aMapWithSize(1));
-        assertThat(simulation.receiver.violations, empty());
+        assertThat(mSimulation.mReceiver.mReports, aMapWithSize(1));
+        assertThat(mSimulation.mReceiver.mViolations, empty());
     }
 
     @Test
     void keepsAllUsageWhileTheTableServiceIsDownForAnHour() {
         UsageSimulation large = new UsageSimulation(UsageSettings.standard(), 3, 2);
-        large.assignAllRolesTo(large.instances.get(0));
-        large.table.faults().setDown(true);
+        large.assignAllRolesTo(large.mInstances.get(0));
+        large.mTable.faults().setDown(true);
         for (int minute = 0; minute < 60; minute++) {
-            large.instances.forEach(instance -> instance.recordUsage(KEY, CALL));
+            large.mInstances.forEach(instance -> instance.recordUsage(KEY, CALL));
             large.advance(Duration.ofMinutes(1));
         }
-        large.table.faults().setDown(false);
+        large.mTable.faults().setDown(false);
         large.advance(Duration.ofMinutes(10));
-        assertThat(large.reported(), equalTo(large.consumed));
-        for (SimulatedInstance instance : large.instances) {
-            assertThat(instance.meters.find("fuchsialever.usage.lost").counters().size(), is(0));
+        assertThat(large.reported(), equalTo(large.mConsumed));
+        for (SimulatedInstance instance : large.mInstances) {
+            assertThat(instance.mMeters.find("fuchsialever.usage.lost").counters().size(), is(0));
         }
     }
 
@@ -173,28 +174,32 @@
     void losesAndDoublesNothingBeyondTheBoundInARandomisedRun(long seed) {
         UsageSimulation random = new UsageSimulation(UsageSimulation.shortWindows(), 6, seed);
         new RandomisedRun(random, LOSS_BOUND).run(Duration.ofMinutes(8));
-        assertThat(random.receiver.violations, empty());
-        long missing = random.consumed.requests() - random.reported().requests();
-        assertThat(random.consumed.requests(), greaterThan(1_000L));
-        assertThat(random.receiver.reports.size(), greaterThan(10));
+        assertThat(random.mReceiver.mViolations, empty());
+        long missing = random.mConsumed.requests() - random.reported().requests();
+        assertThat(random.mConsumed.requests(), greaterThan(1_000L));
+        assertThat(random.mReceiver.mReports.size(), greaterThan(10));
         assertThat(
                 missing,
                 both(greaterThanOrEqualTo(0L))
-                        .and(lessThanOrEqualTo(random.possibleLoss.requests())));
-        long tokens = random.consumed.generatedTokens() - random.reported().generatedTokens();
+                        .and(lessThanOrEqualTo(random.mPossibleLoss.requests())));
+        long tokens = random.mConsumed.generatedTokens() - random.reported().generatedTokens();
         assertThat(
                 tokens,
                 both(greaterThanOrEqualTo(0L))
-                        .and(lessThanOrEqualTo(random.possibleLoss.generatedTokens())));
+                        .and(lessThanOrEqualTo(random.mPossibleLoss.generatedTokens())));
     }
 
     private JsonNode onlyReport() {
-        assertThat(simulation.receiver.reports, aMapWithSize(1));
-        return simulation.json(simulation.receiver.reports.values().iterator().next());
+        assertThat(mSimulation.mReceiver.mReports, aMapWithSize(1));
+        return mSimulation.json(mSimulation.mReceiver.mReports.values().iterator().next());
     }
 
     private int closedWindowCount() {
-        return Option.of(simulation.table.scan(UsageRows.TABLE, UsageRows.WINDOW_PREFIX, 0).block())
+        return Option.of(
+                        mSimulation
+                                .mTable
+                                .scan(UsageRows.TABLE, UsageRows.WINDOW_PREFIX, 0)
+                                .block())
                 .map(List::size)
                 .getOrElse(0);
     }
