--- a/node/src/test/java/org/fuchsialever/node/usage/UsageSimulation.java
+++ b/node/src/test/java/org/fuchsialever/node/usage/UsageSimulation.java
@@ -36,25 +36,25 @@
     private static final Duration STEP = Duration.ofMillis(100);
     private static final int DOMAIN_COUNT = 3;
 
-    final ManualTimeSource clock = new ManualTimeSource(WALL_ORIGIN);
-    final VirtualTimers timers = new VirtualTimers(clock);
-    final DutyStepper stepper = new DutyStepper(clock);
-    final FakeTableService table = new FakeTableService(timers);
-    final FakeObjectStore objects = new FakeObjectStore();
-    final SimulatedReceiver receiver = new SimulatedReceiver(timers);
-    final List<SimulatedInstance> instances = new ArrayList<>();
-    final UsageSettings settings;
-    final SplittableRandom random;
-    UsageCounts consumed = UsageCounts.ZERO;
-    UsageCounts possibleLoss = UsageCounts.ZERO;
-
-    private final Map<String, SimulatedInstance> holders = new TreeMap<>();
-    private final ObjectMapper mapper = new ObjectMapper();
-    private long fencing;
+    final ManualTimeSource mClock = new ManualTimeSource(WALL_ORIGIN);
+    final VirtualTimers mTimers = new VirtualTimers(mClock);
+    final DutyStepper mStepper = new DutyStepper(mClock);
+    final FakeTableService mTable = new FakeTableService(mTimers);
+    final FakeObjectStore mObjects = new FakeObjectStore();
+    final SimulatedReceiver mReceiver = new SimulatedReceiver(mTimers);
+    final List<SimulatedInstance> mInstances = new ArrayList<>();
+    final UsageSettings mSettings;
+    final SplittableRandom mRandom;
+    UsageCounts mConsumed = UsageCounts.ZERO;
+    UsageCounts mPossibleLoss = UsageCounts.ZERO;
+
+    private final Map<String, SimulatedInstance> mHolders = new TreeMap<>();
+    private final ObjectMapper mMapper = new ObjectMapper();
+    private long mFencing;
 
     UsageSimulation(UsageSettings settings, int size, long seed) {
-        this.settings = settings;
-        this.random = new SplittableRandom(seed);
+        mSettings = settings;
+        mRandom = new SplittableRandom(seed);
         for (int i = 0; i < size; i++) {
             addInstance(i);
         }
@@ -73,9 +73,9 @@
         SimulatedInstance instance =
                 new SimulatedInstance(
                         this,
-                        new StartId(new InstanceId("node-" + number), "s" + instances.size()),
+                        new StartId(new InstanceId("node-" + number), "s" + mInstances.size()),
                         new FailureDomain("d" + number % DOMAIN_COUNT));
-        instances.add(instance);
+        mInstances.add(instance);
         return instance;
     }
 
@@ -88,37 +88,38 @@
 
     void assignRole(int number, SimulatedInstance holder) {
         String role = WindowCloser.role(number);
-        Option<SimulatedInstance> previous = Option.of(holders.put(role, holder));
-        holder.leases.assignRole(previous.map(instance -> instance.leases), role, ++fencing, table);
+        Option<SimulatedInstance> previous = Option.of(mHolders.put(role, holder));
+        holder.mLeases.assignRole(
+                previous.map(instance -> instance.mLeases), role, ++mFencing, mTable);
     }
 
     Option<SimulatedInstance> holder(int number) {
-        return Option.of(holders.get(WindowCloser.role(number)));
+        return Option.of(mHolders.get(WindowCloser.role(number)));
     }
 
     void advance(Duration duration) {
         for (long left = duration.toMillis(); left > 0; left -= STEP.toMillis()) {
-            stepper.advance(STEP.toNanos());
-            timers.runDue();
-            stepper.runPending();
+            mStepper.advance(STEP.toNanos());
+            mTimers.runDue();
+            mStepper.runPending();
         }
     }
 
     long randomCommitPhase() {
-        return random.nextLong(UsageSettings.COMMIT_INTERVAL_NANOS);
+        return mRandom.nextLong(UsageSettings.COMMIT_INTERVAL_NANOS);
     }
 
     /** Delivers a message after up to 100 ms, and every fourth one twice. */
     void deliver(InstanceId receiver, PeerMessage.UsageHandover message) {
-        int copies = random.nextInt(4) == 0 ? 2 : 1;
+        int copies = mRandom.nextInt(4) == 0 ? 2 : 1;
         for (int i = 0; i < copies; i++) {
-            timers.after(Duration.ofMillis(1 + random.nextInt(100)))
+            mTimers.after(Duration.ofMillis(1 + mRandom.nextInt(100)))
                     .subscribe(
                             done -> {},
                             failure -> {},
                             () ->
-                                    instances.stream()
-                                            .filter(to -> to.start.instance().equals(receiver))
+                                    mInstances.stream()
+                                            .filter(to -> to.mStart.instance().equals(receiver))
                                             .forEach(to -> to.receive(message)));
         }
     }
@@ -126,7 +127,7 @@
     /** Returns the sum of all reported windows and corrections. */
     UsageCounts reported() {
         UsageCounts sum = UsageCounts.ZERO;
-        for (String text : receiver.reports.values()) {
+        for (String text : mReceiver.mReports.values()) {
             JsonNode report = json(text);
             sum = sum.plus(sum(report.get("totals")));
             for (JsonNode correction : report.get("corrections")) {
@@ -138,7 +139,7 @@
 
     JsonNode json(String text) {
         try {
-            return mapper.readTree(text);
+            return mMapper.readTree(text);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/node/src/test/java/org/fuchsialever/node/weights/EngineOrderClientTest.java
+++ b/node/src/test/java/org/fuchsialever/node/weights/EngineOrderClientTest.java
@@ -28,12 +28,12 @@
     private static final UpstreamId ID = new UpstreamId("engine-0");
     private static final Duration TIMEOUT = Duration.ofSeconds(60);
 
-    private final EngineStandIn engine = new EngineStandIn("start-1", Duration.ofMillis(1));
-    private final EngineOrderClient orders = new EngineOrderClient();
+    private final EngineStandIn mEngine = new EngineStandIn("start-1", Duration.ofMillis(1));
+    private final EngineOrderClient mOrders = new EngineOrderClient();
 
     @AfterEach
     void stop() {
-        engine.close();
+        mEngine.close();
     }
 
     private CommandResult send(long fencing, long version, BooleanSupplier stillHolding) {
@@ -42,7 +42,7 @@
                         ID,
                         new PoolName("p"),
                         "127.0.0.1",
-                        engine.port(),
+                        mEngine.port(),
                         new FailureDomain("a"),
                         CapacityKind.REGULAR,
                         4,
@@ -50,7 +50,7 @@
                         UpstreamState.SERVING);
         LoadCommand command = new LoadCommand(ID, new WeightVersion(version), true);
         CommandResult result =
-                orders.send(
+                mOrders.send(
                                 spec,
                                 new IntentAction.SendCommand<>(
                                         fencing, 1, new Intent<>("i", fencing, command)),
@@ -62,31 +62,31 @@
     @Test
     void anAcceptedOrderIsLoaded() {
         assertThat(send(3, 7, () -> true), is(CommandResult.DONE));
-        assertThat(engine.weightVersion(), equalTo(7L));
+        assertThat(mEngine.weightVersion(), equalTo(7L));
     }
 
     @Test
     void anOldFencingNumberIsRecognisedAsSuch() {
         send(5, 7, () -> true);
         assertThat(send(4, 6, () -> true), is(CommandResult.STALE_FENCING));
-        assertThat(engine.weightVersion(), equalTo(7L));
+        assertThat(mEngine.weightVersion(), equalTo(7L));
     }
 
     @Test
     void nothingIsWrittenAfterTheLeaseHasEnded() {
         assertThat(send(3, 7, () -> false), is(CommandResult.NOT_SENT));
-        assertThat(engine.orders(), is(empty()));
+        assertThat(mEngine.orders(), is(empty()));
     }
 
     @Test
     void aFailedLoadIsReportedAsFailed() {
-        engine.failVersionLoads(1);
+        mEngine.failVersionLoads(1);
         assertThat(send(3, 7, () -> true), is(CommandResult.FAILED));
     }
 
     @Test
     void anOrderToAnUnreachableEngineIsReportedAsNotSent() {
-        engine.close();
+        mEngine.close();
         assertThat(send(3, 7, () -> true), is(CommandResult.NOT_SENT));
     }
 }
--- a/services/src/main/java/org/fuchsialever/services/CommitRetrier.java
+++ b/services/src/main/java/org/fuchsialever/services/CommitRetrier.java
@@ -20,13 +20,13 @@
  * deleted.
  */
 public final class CommitRetrier {
-    private final TableService tables;
-    private final RetryBackoff backoff;
-    private final Timers timers;
-    private final RandomGenerator random;
-    private final Counter retries;
-    private final Counter recovered;
-    private final Counter unresolved;
+    private final TableService mTables;
+    private final RetryBackoff mBackoff;
+    private final Timers mTimers;
+    private final RandomGenerator mRandom;
+    private final Counter mRetries;
+    private final Counter mRecovered;
+    private final Counter mUnresolved;
 
     /**
      * Creates a retrier.
@@ -40,13 +40,13 @@
             Timers timers,
             RandomGenerator random,
             MeterRegistry meters) {
-        this.tables = tables;
-        this.backoff = backoff;
-        this.timers = timers;
-        this.random = random;
-        this.retries = meters.counter("fuchsialever.commit.retries");
-        this.recovered = meters.counter("fuchsialever.commit.recovered");
-        this.unresolved = meters.counter("fuchsialever.commit.unresolved");
+        mTables = tables;
+        mBackoff = backoff;
+        mTimers = timers;
+        mRandom = random;
+        mRetries = meters.counter("fuchsialever.commit.retries");
+        mRecovered = meters.counter("fuchsialever.commit.recovered");
+        mUnresolved = meters.counter("fuchsialever.commit.unresolved");
     }
 
     /**
@@ -84,16 +84,16 @@
     }
 
     private Mono<CommitResult> attempt(Progress progress) {
-        return tables.commit(progress.commit)
+        return mTables.commit(progress.commit)
                 .map(result -> resolve(progress, result))
                 .onErrorResume(PlatformException.class, failure -> retryOrFail(progress, failure));
     }
 
     private Mono<CommitResult> retryOrFail(Progress progress, PlatformException failure) {
         boolean unknown = progress.mayHaveTakenEffect || failure.effect() == Effect.UNKNOWN;
-        if (progress.attempts >= backoff.maxAttempts()) {
+        if (progress.attempts >= mBackoff.maxAttempts()) {
             if (unknown) {
-                unresolved.increment();
+                mUnresolved.increment();
             }
             return Mono.error(
                     new PlatformException(
@@ -101,16 +101,16 @@
                             "commit failed in " + progress.attempts + " attempts",
                             failure));
         }
-        retries.increment();
+        mRetries.increment();
         Progress next =
                 new Progress(progress.commit, progress.marker, progress.attempts + 1, unknown);
-        return timers.after(delayAfter(progress.attempts)).then(Mono.defer(() -> attempt(next)));
+        return mTimers.after(delayAfter(progress.attempts)).then(Mono.defer(() -> attempt(next)));
     }
 
     private Duration delayAfter(int failures) {
         // Commits end on different threads, and the random source is not thread-safe.
-        synchronized (random) {
-            return backoff.delay(failures, random);
+        synchronized (mRandom) {
+            return mBackoff.delay(failures, mRandom);
         }
     }
 
@@ -122,7 +122,7 @@
         if (own.isEmpty()) {
             return result;
         }
-        recovered.increment();
+        mRecovered.increment();
         return new CommitResult.Committed(own.get().version());
     }
 
--- a/services/src/main/java/org/fuchsialever/services/PlatformException.java
+++ b/services/src/main/java/org/fuchsialever/services/PlatformException.java
@@ -4,23 +4,23 @@
 public final class PlatformException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
-    private final Effect effect;
+    private final Effect mEffect;
 
     /** Creates an exception without a cause. */
     public PlatformException(Effect effect, String message) {
         super(message);
-        this.effect = effect;
+        mEffect = effect;
     }
 
     /** Creates an exception with its cause. */
     public PlatformException(Effect effect, String message, Throwable cause) {
         super(message, cause);
-        this.effect = effect;
+        mEffect = effect;
     }
 
     /** Returns whether the requested change may have taken effect. */
     public Effect effect() {
-        return effect;
+        return mEffect;
     }
 
     /** What is known about a change whose call failed. */
--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeChannel.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeChannel.java
@@ -35,46 +35,45 @@
 
     private static final int MIN_FINAL_STATUS = 200;
 
-    private final Channel channel;
-    private final String address;
-    private final Consumer<ExchangeChannel> onFree;
-    private final Consumer<ExchangeChannel> onClosed;
-    private ExchangeClient.@Nullable RunningExchange exchange;
-    private @Nullable ChannelFuture written;
-    private boolean skipping;
-    private boolean keepAlive = true;
-    private boolean finished;
-    private boolean failed;
-    private long idleNanos = DEFAULT_IDLE_NANOS;
-    private long freeSince;
+    private final Channel mChannel;
+    private final String mAddress;
+    private final Consumer<ExchangeChannel> mOnFree;
+    private final Consumer<ExchangeChannel> mOnClosed;
+    private ExchangeClient.@Nullable RunningExchange mExchange;
+    private @Nullable ChannelFuture mWritten;
+    private boolean mSkipping;
+    private boolean mKeepAlive = true;
+    private boolean mFinished;
+    private boolean mFailed;
+    private long mIdleNanos = DEFAULT_IDLE_NANOS;
+    private long mFreeSince;
 
     ExchangeChannel(
             Channel channel, Consumer<ExchangeChannel> onFree, Consumer<ExchangeChannel> onClosed) {
-        this.channel = channel;
-        this.onFree = onFree;
-        this.onClosed = onClosed;
+        mChannel = channel;
+        mOnFree = onFree;
+        mOnClosed = onClosed;
         java.net.InetSocketAddress remote = (java.net.InetSocketAddress) channel.remoteAddress();
-        this.address =
-                ExchangeClient.address(remote.getAddress().getHostAddress(), remote.getPort());
+        mAddress = ExchangeClient.address(remote.getAddress().getHostAddress(), remote.getPort());
     }
 
     String address() {
-        return address;
+        return mAddress;
     }
 
     boolean isUsable(long now) {
-        return channel.isActive() && !failed && now - freeSince < idleNanos;
+        return mChannel.isActive() && !mFailed && now - mFreeSince < mIdleNanos;
     }
 
     void close() {
-        failed = true;
-        channel.close();
+        mFailed = true;
+        mChannel.close();
     }
 
     void start(ExchangeClient.RunningExchange next) {
-        exchange = next;
-        skipping = false;
-        finished = false;
+        mExchange = next;
+        mSkipping = false;
+        mFinished = false;
         next.attach(this);
         ExchangeRequest request = next.request();
         DefaultFullHttpRequest message =
@@ -86,7 +85,7 @@
                         request.headers(),
                         EmptyHttpHeaders.INSTANCE);
         message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
-        written = channel.writeAndFlush(message);
+        mWritten = mChannel.writeAndFlush(message);
     }
 
     @Override
@@ -102,17 +101,17 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        if (finished && !failed) {
-            finished = false;
-            freeSince = System.nanoTime();
-            onFree.accept(this);
+        if (mFinished && !mFailed) {
+            mFinished = false;
+            mFreeSince = System.nanoTime();
+            mOnFree.accept(this);
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        failed = true;
-        onClosed.accept(this);
+        mFailed = true;
+        mOnClosed.accept(this);
         end(ExchangeOutcome.LOST);
     }
 
@@ -128,10 +127,10 @@
             close();
             return;
         }
-        ExchangeClient.RunningExchange current = exchange;
+        ExchangeClient.RunningExchange current = mExchange;
         if (current == null || current.isEnded()) {
             // Unexpected bytes: they could be mistaken for the response to the next request.
-            onClosed.accept(this);
+            mOnClosed.accept(this);
             close();
             return;
         }
@@ -145,36 +144,36 @@
 
     private void head(ExchangeClient.RunningExchange current, HttpResponse response) {
         int status = response.status().code();
-        skipping =
+        mSkipping =
                 status < MIN_FINAL_STATUS
                         || !current.request()
                                 .responseMatcher()
                                 .test(new ExchangeRequest.ResponseHead(status, response.headers()));
-        if (skipping) {
+        if (mSkipping) {
             return;
         }
-        keepAlive = HttpUtil.isKeepAlive(response);
+        mKeepAlive = HttpUtil.isKeepAlive(response);
         String limit = response.headers().get("Keep-Alive", "");
         Matcher matcher = KEEP_ALIVE_TIMEOUT.matcher(limit);
         if (matcher.find()) {
-            idleNanos =
+            mIdleNanos =
                     TimeUnit.SECONDS.toNanos(Long.parseLong(matcher.group(1))) - IDLE_MARGIN_NANOS;
         }
         current.head(status, response.headers());
     }
 
     private void content(ExchangeClient.RunningExchange current, HttpContent content) {
-        if (!skipping && content.content().isReadable()) {
+        if (!mSkipping && content.content().isReadable()) {
             current.content(ByteBufUtil.getBytes(content.content()));
         }
-        if (!(content instanceof LastHttpContent) || skipping) {
+        if (!(content instanceof LastHttpContent) || mSkipping) {
             return;
         }
-        exchange = null;
-        ChannelFuture request = written;
-        boolean reusable = keepAlive && request != null && request.isDone() && channel.isActive();
+        mExchange = null;
+        ChannelFuture request = mWritten;
+        boolean reusable = mKeepAlive && request != null && request.isDone() && mChannel.isActive();
         if (reusable) {
-            finished = true;
+            mFinished = true;
         } else {
             close();
         }
@@ -182,8 +181,8 @@
     }
 
     private void end(ExchangeOutcome outcome) {
-        ExchangeClient.RunningExchange current = exchange;
-        exchange = null;
+        ExchangeClient.RunningExchange current = mExchange;
+        mExchange = null;
         if (current != null) {
             current.end(outcome);
         }
--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeClient.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeClient.java
@@ -34,11 +34,11 @@
     private static final int MAX_CHUNK_BYTES = 16 * 1_024;
     private static final int MAX_IDLE_PER_ADDRESS = 16;
 
-    private final EventLoop loop;
-    private final Bootstrap bootstrap;
-    private final Map<String, Deque<ExchangeChannel>> idleChannels = new HashMap<>();
-    private final MeterRegistry meters;
-    private boolean closed;
+    private final EventLoop mLoop;
+    private final Bootstrap mBootstrap;
+    private final Map<String, Deque<ExchangeChannel>> mIdleChannels = new HashMap<>();
+    private final MeterRegistry mMeters;
+    private boolean mClosed;
 
     /**
      * Creates a client that runs in one event loop.
@@ -47,11 +47,11 @@
      */
     public ExchangeClient(LoopResources loops, MeterRegistry meters) {
         EventLoopGroup group = loops.onClient(true);
-        this.loop = group.next();
-        this.meters = meters;
-        this.bootstrap =
+        mLoop = group.next();
+        mMeters = meters;
+        mBootstrap =
                 new Bootstrap()
-                        .group(loop)
+                        .group(mLoop)
                         .channel(loops.onChannelClass(SocketChannel.class, group))
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
@@ -64,29 +64,29 @@
                                 });
         if (group.getClass().getName().contains("Epoll")
                 || loops.onChannelClass(SocketChannel.class, group).getName().contains("Epoll")) {
-            bootstrap.option(EpollChannelOption.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MILLIS);
+            mBootstrap.option(EpollChannelOption.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MILLIS);
         }
     }
 
     /** Returns the event loop in which listeners are called. */
     public EventLoop loop() {
-        return loop;
+        return mLoop;
     }
 
     /** Sends a request; the listener is called in the event loop. */
     public Exchange send(ExchangeRequest request, ExchangeListener listener) {
         RunningExchange exchange = new RunningExchange(request, listener);
-        loop.execute(() -> begin(exchange));
-        return () -> loop.execute(exchange::cancel);
+        mLoop.execute(() -> begin(exchange));
+        return () -> mLoop.execute(exchange::cancel);
     }
 
     @Override
     public void close() {
-        loop.execute(
+        mLoop.execute(
                 () -> {
-                    closed = true;
-                    idleChannels.values().forEach(list -> list.forEach(ExchangeChannel::close));
-                    idleChannels.clear();
+                    mClosed = true;
+                    mIdleChannels.values().forEach(list -> list.forEach(ExchangeChannel::close));
+                    mIdleChannels.clear();
                 });
     }
 
@@ -100,8 +100,8 @@
             channel.start(exchange);
             return;
         }
-        meters.counter("fuchsialever.upstream.connections").increment();
-        bootstrap
+        mMeters.counter("fuchsialever.upstream.connections").increment();
+        mBootstrap
                 .connect(request.host(), request.port())
                 .addListener(
                         (io.netty.channel.ChannelFuture connected) -> {
@@ -122,7 +122,7 @@
     }
 
     private @Nullable ExchangeChannel takeIdle(ExchangeRequest request) {
-        Deque<ExchangeChannel> list = idleChannels.get(address(request.host(), request.port()));
+        Deque<ExchangeChannel> list = mIdleChannels.get(address(request.host(), request.port()));
         if (list == null) {
             return null;
         }
@@ -136,8 +136,8 @@
 
     private void addIdle(ExchangeChannel channel) {
         Deque<ExchangeChannel> list =
-                idleChannels.computeIfAbsent(channel.address(), address -> new ArrayDeque<>());
-        if (closed || list.size() >= MAX_IDLE_PER_ADDRESS) {
+                mIdleChannels.computeIfAbsent(channel.address(), address -> new ArrayDeque<>());
+        if (mClosed || list.size() >= MAX_IDLE_PER_ADDRESS) {
             channel.close();
         } else {
             list.addLast(channel);
@@ -145,9 +145,9 @@
     }
 
     private void removeIdle(ExchangeChannel channel) {
-        Deque<ExchangeChannel> list = idleChannels.get(channel.address());
+        Deque<ExchangeChannel> list = mIdleChannels.get(channel.address());
         if (list != null && list.remove(channel) && list.isEmpty()) {
-            idleChannels.remove(channel.address());
+            mIdleChannels.remove(channel.address());
         }
     }
 
@@ -162,45 +162,45 @@
 
     /** One request and the state of its response. Used in the event loop only. */
     final class RunningExchange {
-        private final ExchangeRequest request;
-        private final ExchangeListener listener;
-        private @Nullable ExchangeChannel channel;
-        private io.netty.util.concurrent.@Nullable Future<?> timer;
-        private boolean ended;
+        private final ExchangeRequest mRequest;
+        private final ExchangeListener mListener;
+        private @Nullable ExchangeChannel mChannel;
+        private io.netty.util.concurrent.@Nullable Future<?> mTimer;
+        private boolean mEnded;
 
         RunningExchange(ExchangeRequest request, ExchangeListener listener) {
-            this.request = request;
-            this.listener = listener;
+            mRequest = request;
+            mListener = listener;
         }
 
         ExchangeRequest request() {
-            return request;
+            return mRequest;
         }
 
         boolean isEnded() {
-            return ended;
+            return mEnded;
         }
 
         void attach(ExchangeChannel usedChannel) {
-            channel = usedChannel;
-            startTimer(request.firstByteTimeout().toNanos());
+            mChannel = usedChannel;
+            startTimer(mRequest.firstByteTimeout().toNanos());
         }
 
         void head(int status, io.netty.handler.codec.http.HttpHeaders headers) {
-            startTimer(request.idleTimeout().toNanos());
-            listener.onHead(status, headers);
+            startTimer(mRequest.idleTimeout().toNanos());
+            mListener.onHead(status, headers);
         }
 
         void content(byte[] bytes) {
-            startTimer(request.idleTimeout().toNanos());
-            listener.onContent(bytes);
+            startTimer(mRequest.idleTimeout().toNanos());
+            mListener.onContent(bytes);
         }
 
         void end(ExchangeOutcome outcome) {
-            if (!ended) {
-                ended = true;
+            if (!mEnded) {
+                mEnded = true;
                 stopTimer();
-                listener.onEnd(outcome);
+                mListener.onEnd(outcome);
             }
         }
 
@@ -209,24 +209,26 @@
         }
 
         private void abort(ExchangeOutcome outcome) {
-            if (ended) {
+            if (mEnded) {
                 return;
             }
             end(outcome);
-            if (channel != null) {
-                channel.close();
+            if (mChannel != null) {
+                mChannel.close();
             }
         }
 
         private void startTimer(long nanos) {
             stopTimer();
-            timer = loop.schedule(() -> abort(ExchangeOutcome.SILENT), nanos, TimeUnit.NANOSECONDS);
+            mTimer =
+                    mLoop.schedule(
+                            () -> abort(ExchangeOutcome.SILENT), nanos, TimeUnit.NANOSECONDS);
         }
 
         private void stopTimer() {
-            if (timer != null) {
-                timer.cancel(false);
-                timer = null;
+            if (mTimer != null) {
+                mTimer.cancel(false);
+                mTimer = null;
             }
         }
     }
--- a/services/src/main/java/org/fuchsialever/services/fake/FakeObjectStore.java
+++ b/services/src/main/java/org/fuchsialever/services/fake/FakeObjectStore.java
@@ -10,14 +10,14 @@
 
 /** An object store in memory. Used by one thread. */
 public final class FakeObjectStore implements ObjectStore {
-    private final Faults faults;
-    private final Map<String, byte[]> objects = new TreeMap<>();
-    private Map<String, byte[]> replica = Map.of();
-    private boolean staleReads;
+    private final Faults mFaults;
+    private final Map<String, byte[]> mObjects = new TreeMap<>();
+    private Map<String, byte[]> mReplica = Map.of();
+    private boolean mStaleReads;
 
     /** Creates an empty store whose delays use the given timers. */
     public FakeObjectStore(Timers timers) {
-        this.faults = new Faults(timers);
+        mFaults = new Faults(timers);
     }
 
     /** Creates an empty store that responds immediately. */
@@ -27,35 +27,35 @@
 
     /** Returns the fault injection and call counts of this store. */
     public Faults faults() {
-        return faults;
+        return mFaults;
     }
 
     /** Makes reads and lists return the current state until {@link #endStaleReads}. */
     public void beginStaleReads() {
-        replica = new TreeMap<>(objects);
-        staleReads = true;
+        mReplica = new TreeMap<>(mObjects);
+        mStaleReads = true;
     }
 
     /** Makes reads and lists return the latest state again. */
     public void endStaleReads() {
-        staleReads = false;
+        mStaleReads = false;
     }
 
     @Override
     public Mono<Boolean> putIfAbsent(String name, byte[] content) {
-        return faults.change(
-                Mono.fromSupplier(() -> objects.putIfAbsent(name, content.clone()) == null));
+        return mFaults.change(
+                Mono.fromSupplier(() -> mObjects.putIfAbsent(name, content.clone()) == null));
     }
 
     @Override
     public Mono<Option<byte[]>> read(String name) {
-        return faults.read(
+        return mFaults.read(
                 Mono.fromSupplier(() -> Option.of(visible().get(name)).map(byte[]::clone)));
     }
 
     @Override
     public Mono<List<String>> list(String prefix) {
-        return faults.read(
+        return mFaults.read(
                 Mono.fromSupplier(
                         () ->
                                 visible().keySet().stream()
@@ -64,6 +64,6 @@
     }
 
     private Map<String, byte[]> visible() {
-        return staleReads ? replica : objects;
+        return mStaleReads ? mReplica : mObjects;
     }
 }
--- a/services/src/main/java/org/fuchsialever/services/fake/FakeTableService.java
+++ b/services/src/main/java/org/fuchsialever/services/fake/FakeTableService.java
@@ -14,15 +14,15 @@
 
 /** A table service in memory. Used by one thread. */
 public final class FakeTableService implements TableService {
-    private final Faults faults;
-    private final Map<RowId, Row> rows = new TreeMap<>();
-    private Map<RowId, Row> replica = Map.of();
-    private boolean staleReads;
-    private long revision;
+    private final Faults mFaults;
+    private final Map<RowId, Row> mRows = new TreeMap<>();
+    private Map<RowId, Row> mReplica = Map.of();
+    private boolean mStaleReads;
+    private long mRevision;
 
     /** Creates an empty service whose delays use the given timers. */
     public FakeTableService(Timers timers) {
-        this.faults = new Faults(timers);
+        mFaults = new Faults(timers);
     }
 
     /** Creates an empty service that responds immediately. */
@@ -32,34 +32,34 @@
 
     /** Returns the fault injection and call counts of this service. */
     public Faults faults() {
-        return faults;
+        return mFaults;
     }
 
     /** Makes reads and scans return the current state until {@link #endStaleReads}. */
     public void beginStaleReads() {
-        replica = new TreeMap<>(rows);
-        staleReads = true;
+        mReplica = new TreeMap<>(mRows);
+        mStaleReads = true;
     }
 
     /** Makes reads and scans return the latest state again. */
     public void endStaleReads() {
-        staleReads = false;
+        mStaleReads = false;
     }
 
     /** Returns the revision of the last commit. */
     public long revision() {
-        return revision;
+        return mRevision;
     }
 
     @Override
     public Mono<Option<Row>> read(String table, String key) {
-        return faults.read(
+        return mFaults.read(
                 Mono.fromSupplier(() -> Option.of(visible().get(new RowId(table, key)))));
     }
 
     @Override
     public Mono<List<Row>> scan(String table, String prefix, long afterVersion) {
-        return faults.read(
+        return mFaults.read(
                 Mono.fromSupplier(
                         () ->
                                 visible().values().stream()
@@ -71,18 +71,18 @@
 
     @Override
     public Mono<CommitResult> commit(Commit commit) {
-        return faults.change(Mono.fromSupplier(() -> apply(commit)));
+        return mFaults.change(Mono.fromSupplier(() -> apply(commit)));
     }
 
     private Map<RowId, Row> visible() {
-        return staleReads ? replica : rows;
+        return mStaleReads ? mReplica : mRows;
     }
 
     private CommitResult apply(Commit commit) {
         boolean holds = true;
         List<Row> conflicts = new ArrayList<>();
         for (Commit.Condition condition : commit.conditions()) {
-            Option<Row> row = Option.of(rows.get(new RowId(condition.table(), condition.key())));
+            Option<Row> row = Option.of(mRows.get(new RowId(condition.table(), condition.key())));
             if (row.map(Row::version).getOrElse(0L) != condition.version()) {
                 holds = false;
                 row.forEach(conflicts::add);
@@ -91,16 +91,16 @@
         if (!holds) {
             return new CommitResult.Conflict(conflicts);
         }
-        revision++;
+        mRevision++;
         for (Commit.Delete delete : commit.deletes()) {
-            rows.remove(new RowId(delete.table(), delete.key()));
+            mRows.remove(new RowId(delete.table(), delete.key()));
         }
         for (Commit.Put put : commit.puts()) {
-            rows.put(
+            mRows.put(
                     new RowId(put.table(), put.key()),
-                    new Row(put.table(), put.key(), revision, put.value(), commit.writer()));
+                    new Row(put.table(), put.key(), mRevision, put.value(), commit.writer()));
         }
-        return new CommitResult.Committed(revision);
+        return new CommitResult.Committed(mRevision);
     }
 
     private record RowId(String table, String key) implements Comparable<RowId> {
--- a/services/src/main/java/org/fuchsialever/services/fake/Faults.java
+++ b/services/src/main/java/org/fuchsialever/services/fake/Faults.java
@@ -8,26 +8,26 @@
 
 /** Fault injection and call counts of a fake. Used by one thread. */
 public final class Faults {
-    private final Timers timers;
-    private final Deque<Fault> nextChanges = new ArrayDeque<>();
-    private boolean down;
-    private Duration requestDelay = Duration.ZERO;
-    private Duration responseDelay = Duration.ZERO;
-    private long reads;
-    private long writes;
+    private final Timers mTimers;
+    private final Deque<Fault> mNextChanges = new ArrayDeque<>();
+    private boolean mDown;
+    private Duration mRequestDelay = Duration.ZERO;
+    private Duration mResponseDelay = Duration.ZERO;
+    private long mReads;
+    private long mWrites;
 
     Faults(Timers timers) {
-        this.timers = timers;
+        mTimers = timers;
     }
 
     /** Sets whether every call fails without an effect. */
     public void setDown(boolean isDown) {
-        down = isDown;
+        mDown = isDown;
     }
 
     /** Queues a fault; each change takes the first queued fault, if there is one. */
     public void addToNextChange(Fault fault) {
-        nextChanges.add(fault);
+        mNextChanges.add(fault);
     }
 
     /**
@@ -37,45 +37,45 @@
      * @param beforeResponse time between the execution of a call and its response
      */
     public void setDelays(Duration beforeEffect, Duration beforeResponse) {
-        requestDelay = beforeEffect;
-        responseDelay = beforeResponse;
+        mRequestDelay = beforeEffect;
+        mResponseDelay = beforeResponse;
     }
 
     /** Returns the number of reads, including failed ones. */
     public long readCount() {
-        return reads;
+        return mReads;
     }
 
     /** Returns the number of changes, including failed ones. */
     public long writeCount() {
-        return writes;
+        return mWrites;
     }
 
     <T> Mono<T> read(Mono<T> read) {
         return Mono.defer(
                 () -> {
-                    reads++;
-                    return delayed(down ? Fault.DOWN.inject(read) : read);
+                    mReads++;
+                    return delayed(mDown ? Fault.DOWN.inject(read) : read);
                 });
     }
 
     <T> Mono<T> change(Mono<T> change) {
         return Mono.defer(
                 () -> {
-                    writes++;
-                    Fault next = nextChanges.isEmpty() ? Fault.NONE : nextChanges.remove();
-                    return delayed((down ? Fault.DOWN : next).inject(change));
+                    mWrites++;
+                    Fault next = mNextChanges.isEmpty() ? Fault.NONE : mNextChanges.remove();
+                    return delayed((mDown ? Fault.DOWN : next).inject(change));
                 });
     }
 
     private <T> Mono<T> delayed(Mono<T> call) {
-        if (requestDelay.isZero() && responseDelay.isZero()) {
+        if (mRequestDelay.isZero() && mResponseDelay.isZero()) {
             return call;
         }
-        Duration before = requestDelay;
-        Duration after = responseDelay;
-        return timers.after(before)
+        Duration before = mRequestDelay;
+        Duration after = mResponseDelay;
+        return mTimers.after(before)
                 .then(call)
-                .flatMap(result -> timers.after(after).thenReturn(result));
+                .flatMap(result -> mTimers.after(after).thenReturn(result));
     }
 }
--- a/services/src/main/java/org/fuchsialever/services/fake/VirtualTimers.java
+++ b/services/src/main/java/org/fuchsialever/services/fake/VirtualTimers.java
@@ -13,15 +13,15 @@
  * order in which they were started.
  */
 public final class VirtualTimers implements Timers {
-    private final ManualTimeSource time;
-    private final PriorityQueue<Timer> timers =
+    private final ManualTimeSource mTime;
+    private final PriorityQueue<Timer> mTimers =
             new PriorityQueue<>(
                     Comparator.comparingLong(Timer::dueNanos).thenComparingLong(Timer::sequence));
-    private long sequence;
+    private long mSequence;
 
     /** Creates timers on the given clock. */
     public VirtualTimers(ManualTimeSource time) {
-        this.time = time;
+        mTime = time;
     }
 
     @Override
@@ -32,33 +32,33 @@
                         return Mono.empty();
                     }
                     Sinks.Empty<Void> signal = Sinks.empty();
-                    timers.add(new Timer(time.nanoTime() + delay.toNanos(), sequence++, signal));
+                    mTimers.add(new Timer(mTime.nanoTime() + delay.toNanos(), mSequence++, signal));
                     return signal.asMono();
                 });
     }
 
     /** Returns the monotonic time in nanoseconds of the next timer, or {@link Long#MAX_VALUE}. */
     public long nextDueNanos() {
-        Timer next = timers.peek();
+        Timer next = mTimers.peek();
         return next == null ? Long.MAX_VALUE : next.dueNanos;
     }
 
     /** Fires all timers that are due. */
     public void runDue() {
-        while (nextDueNanos() <= time.nanoTime()) {
-            timers.remove().signal.tryEmitEmpty();
+        while (nextDueNanos() <= mTime.nanoTime()) {
+            mTimers.remove().signal.tryEmitEmpty();
         }
     }
 
     /** Advances the clock from timer to timer and fires each one when it is due. */
     public void advance(Duration duration) {
-        long end = time.nanoTime() + duration.toNanos();
+        long end = mTime.nanoTime() + duration.toNanos();
         runDue();
         while (nextDueNanos() <= end) {
-            time.advanceNanos(nextDueNanos() - time.nanoTime());
+            mTime.advanceNanos(nextDueNanos() - mTime.nanoTime());
             runDue();
         }
-        time.advanceNanos(end - time.nanoTime());
+        mTime.advanceNanos(end - mTime.nanoTime());
     }
 
     private record Timer(long dueNanos, long sequence, Sinks.Empty<Void> signal) {}
--- a/services/src/main/java/org/fuchsialever/services/http/CallFailure.java
+++ b/services/src/main/java/org/fuchsialever/services/http/CallFailure.java
@@ -20,15 +20,15 @@
     /** The connection was lost after the request was written. */
     CONNECTION_LOST(Effect.UNKNOWN);
 
-    private final Effect effectOfChange;
+    private final Effect mEffectOfChange;
 
     CallFailure(Effect effectOfChange) {
-        this.effectOfChange = effectOfChange;
+        mEffectOfChange = effectOfChange;
     }
 
     /** Returns whether a change may have taken effect if its call failed in this way. */
     Effect effectOfChange() {
-        return effectOfChange;
+        return mEffectOfChange;
     }
 
     /** Returns the tag used in metrics. */
--- a/services/src/main/java/org/fuchsialever/services/http/HttpInstanceList.java
+++ b/services/src/main/java/org/fuchsialever/services/http/HttpInstanceList.java
@@ -13,15 +13,15 @@
 final class HttpInstanceList implements InstanceList {
     private static final int OK = 200;
 
-    private final InterfaceClient client;
+    private final InterfaceClient mClient;
 
     HttpInstanceList(InterfaceClient client) {
-        this.client = client;
+        mClient = client;
     }
 
     @Override
     public Mono<List<ListedInstance>> list() {
-        return client.read(
+        return mClient.read(
                 "/instances",
                 response -> {
                     if (response.status() != OK) {
--- a/services/src/main/java/org/fuchsialever/services/http/HttpJudgeService.java
+++ b/services/src/main/java/org/fuchsialever/services/http/HttpJudgeService.java
@@ -11,17 +11,17 @@
 final class HttpJudgeService implements JudgeService {
     private static final int OK = 200;
 
-    private final InterfaceClient client;
+    private final InterfaceClient mClient;
 
     HttpJudgeService(InterfaceClient client) {
-        this.client = client;
+        mClient = client;
     }
 
     @Override
     public Mono<Double> judge(String sample, String prompt, String text) {
         ObjectNode body = InterfaceResponse.MAPPER.createObjectNode();
         body.put("sample", sample).put("prompt", prompt).put("text", text);
-        return client.change(
+        return mClient.change(
                 HttpMethod.POST,
                 "/judge",
                 body.toString().getBytes(StandardCharsets.UTF_8),
--- a/services/src/main/java/org/fuchsialever/services/http/HttpObjectStore.java
+++ b/services/src/main/java/org/fuchsialever/services/http/HttpObjectStore.java
@@ -15,16 +15,16 @@
     private static final int NOT_FOUND = 404;
     private static final int EXISTS = 412;
 
-    private final InterfaceClient client;
+    private final InterfaceClient mClient;
 
     /** Creates a store; the client must send {@code If-None-Match: *} with each change. */
     HttpObjectStore(InterfaceClient client) {
-        this.client = client;
+        mClient = client;
     }
 
     @Override
     public Mono<Boolean> putIfAbsent(String name, byte[] content) {
-        return client.change(
+        return mClient.change(
                 HttpMethod.PUT,
                 "/objects/" + InterfaceClient.encode(name),
                 content,
@@ -38,7 +38,7 @@
 
     @Override
     public Mono<Option<byte[]>> read(String name) {
-        return client.read(
+        return mClient.read(
                 "/objects/" + InterfaceClient.encode(name),
                 response -> {
                     if (response.status() == NOT_FOUND) {
@@ -53,7 +53,7 @@
 
     @Override
     public Mono<List<String>> list(String prefix) {
-        return client.read(
+        return mClient.read(
                 "/objects?prefix=" + InterfaceClient.encode(prefix),
                 response -> {
                     if (response.status() != OK) {
--- a/services/src/main/java/org/fuchsialever/services/http/HttpOrderingService.java
+++ b/services/src/main/java/org/fuchsialever/services/http/HttpOrderingService.java
@@ -27,10 +27,10 @@
     private static final int UNAVAILABLE = 503;
     private static final String NO_CAPACITY = "capacity_unavailable";
 
-    private final InterfaceClient client;
+    private final InterfaceClient mClient;
 
     HttpOrderingService(InterfaceClient client) {
-        this.client = client;
+        mClient = client;
     }
 
     @Override
@@ -42,7 +42,7 @@
                 .put("pool", order.pool().value())
                 .put("failure_domain", order.domain().value())
                 .put("kind", SettingsReader.label(order.kind()));
-        return client.changeWhile(
+        return mClient.changeWhile(
                 stillHolding,
                 HttpMethod.POST,
                 "/orders",
@@ -52,7 +52,7 @@
 
     @Override
     public Mono<List<OrderedUpstream>> list() {
-        return client.read(
+        return mClient.read(
                 "/upstreams",
                 response -> {
                     if (response.status() != OK) {
--- a/services/src/main/java/org/fuchsialever/services/http/HttpPlatformAdapter.java
+++ b/services/src/main/java/org/fuchsialever/services/http/HttpPlatformAdapter.java
@@ -33,9 +33,9 @@
     private static final Duration DEFAULT_CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration DEFAULT_REQUEST_TIMEOUT = Duration.ofSeconds(2);
 
-    private final Map<String, String> urls = new HashMap<>();
-    private Duration connectTimeout = DEFAULT_CONNECT_TIMEOUT;
-    private Duration requestTimeout = DEFAULT_REQUEST_TIMEOUT;
+    private final Map<String, String> mUrls = new HashMap<>();
+    private Duration mConnectTimeout = DEFAULT_CONNECT_TIMEOUT;
+    private Duration mRequestTimeout = DEFAULT_REQUEST_TIMEOUT;
 
     @Override
     public String pluginName() {
@@ -48,8 +48,8 @@
         for (String key : OPTIONAL_SERVICES) {
             readUrl(settings, key, settings.text(SECTION, key, ""));
         }
-        connectTimeout = timeout(settings, "connect-timeout", DEFAULT_CONNECT_TIMEOUT);
-        requestTimeout = timeout(settings, "request-timeout", DEFAULT_REQUEST_TIMEOUT);
+        mConnectTimeout = timeout(settings, "connect-timeout", DEFAULT_CONNECT_TIMEOUT);
+        mRequestTimeout = timeout(settings, "request-timeout", DEFAULT_REQUEST_TIMEOUT);
     }
 
     @Override
@@ -88,11 +88,11 @@
             UnaryOperator<HttpClient> forChanges) {
         return new InterfaceClient(
                 key,
-                urls.getOrDefault(key, ""),
+                mUrls.getOrDefault(key, ""),
                 pooled,
                 forChanges.apply(pooled),
                 unpooled,
-                requestTimeout,
+                mRequestTimeout,
                 context.meters());
     }
 
@@ -101,7 +101,7 @@
     private HttpClient configured(HttpClient client) {
         return client.disableRetry(true)
                 .headers(headers -> headers.set("Content-Type", "application/json"))
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis());
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) mConnectTimeout.toMillis());
     }
 
     private void readUrl(SettingsReader settings, String key, String url) {
@@ -113,7 +113,7 @@
                             "\"%s\" is not a base URL; write for example http://10.0.0.1:9100",
                             url);
         }
-        urls.put(key, url.endsWith("/") ? url.substring(0, url.length() - 1) : url);
+        mUrls.put(key, url.endsWith("/") ? url.substring(0, url.length() - 1) : url);
     }
 
     private static Duration timeout(SettingsReader settings, String key, Duration defaultValue) {
--- a/services/src/main/java/org/fuchsialever/services/http/HttpTableService.java
+++ b/services/src/main/java/org/fuchsialever/services/http/HttpTableService.java
@@ -20,17 +20,17 @@
     private static final int NOT_FOUND = 404;
     private static final int CONFLICT = 409;
 
-    private final InterfaceClient client;
+    private final InterfaceClient mClient;
 
     HttpTableService(InterfaceClient client) {
-        this.client = client;
+        mClient = client;
     }
 
     @Override
     public Mono<Option<Row>> read(String table, String key) {
         String path =
                 "/tables/" + InterfaceClient.encode(table) + "/rows/" + InterfaceClient.encode(key);
-        return client.read(
+        return mClient.read(
                 path,
                 response -> {
                     if (response.status() == NOT_FOUND) {
@@ -52,7 +52,7 @@
                         + InterfaceClient.encode(prefix)
                         + "&after="
                         + afterVersion;
-        return client.read(
+        return mClient.read(
                 path,
                 response -> {
                     if (response.status() != OK) {
@@ -65,7 +65,7 @@
     @Override
     public Mono<CommitResult> commit(Commit commit) {
         byte[] body = body(commit).toString().getBytes(StandardCharsets.UTF_8);
-        return client.change(HttpMethod.POST, "/tables/commit", body, HttpTableService::result);
+        return mClient.change(HttpMethod.POST, "/tables/commit", body, HttpTableService::result);
     }
 
     private static CommitResult result(InterfaceResponse response) {
--- a/services/src/main/java/org/fuchsialever/services/http/HttpUsageReportService.java
+++ b/services/src/main/java/org/fuchsialever/services/http/HttpUsageReportService.java
@@ -11,15 +11,15 @@
     private static final int CREATED = 201;
     private static final int CONFLICT = 409;
 
-    private final InterfaceClient client;
+    private final InterfaceClient mClient;
 
     HttpUsageReportService(InterfaceClient client) {
-        this.client = client;
+        mClient = client;
     }
 
     @Override
     public Mono<Boolean> report(String window, byte[] report, BooleanSupplier stillHolding) {
-        return client.changeWhile(
+        return mClient.changeWhile(
                 stillHolding,
                 HttpMethod.PUT,
                 "/usage-reports/" + InterfaceClient.encode(window),
--- a/services/src/main/java/org/fuchsialever/services/http/HttpWeightStore.java
+++ b/services/src/main/java/org/fuchsialever/services/http/HttpWeightStore.java
@@ -8,15 +8,15 @@
 final class HttpWeightStore implements WeightStore {
     private static final int OK = 200;
 
-    private final InterfaceClient client;
+    private final InterfaceClient mClient;
 
     HttpWeightStore(InterfaceClient client) {
-        this.client = client;
+        mClient = client;
     }
 
     @Override
     public Mono<WeightVersion> latest(String model) {
-        return client.read(
+        return mClient.read(
                 "/weights/" + InterfaceClient.encode(model),
                 response -> {
                     if (response.status() != OK) {
--- a/services/src/main/java/org/fuchsialever/services/http/InterfaceClient.java
+++ b/services/src/main/java/org/fuchsialever/services/http/InterfaceClient.java
@@ -20,13 +20,13 @@
 
 /** Client of one interface of the platform: sends requests and classifies failures. */
 final class InterfaceClient {
-    private final String service;
-    private final String baseUrl;
-    private final HttpClient readClient;
-    private final HttpClient changeClient;
-    private final HttpClient newConnectionClient;
-    private final Duration timeout;
-    private final MeterRegistry meters;
+    private final String mService;
+    private final String mBaseUrl;
+    private final HttpClient mReadClient;
+    private final HttpClient mChangeClient;
+    private final HttpClient mNewConnectionClient;
+    private final Duration mTimeout;
+    private final MeterRegistry mMeters;
 
     /**
      * Creates a client.
@@ -46,13 +46,13 @@
             HttpClient newConnectionClient,
             Duration timeout,
             MeterRegistry meters) {
-        this.service = service;
-        this.baseUrl = baseUrl;
-        this.readClient = readClient;
-        this.changeClient = changeClient;
-        this.newConnectionClient = newConnectionClient;
-        this.timeout = timeout;
-        this.meters = meters;
+        mService = service;
+        mBaseUrl = baseUrl;
+        mReadClient = readClient;
+        mChangeClient = changeClient;
+        mNewConnectionClient = newConnectionClient;
+        mTimeout = timeout;
+        mMeters = meters;
         for (CallFailure failure : CallFailure.values()) {
             counter(failure);
         }
@@ -65,15 +65,15 @@
 
     /** Sends a read; a failure has effect {@code NONE}. */
     <T> Mono<T> read(String path, Function<InterfaceResponse, T> reader) {
-        if (baseUrl.isEmpty()) {
+        if (mBaseUrl.isEmpty()) {
             return notConfigured();
         }
-        return readClient
+        return mReadClient
                 .get()
-                .uri(baseUrl + path)
+                .uri(mBaseUrl + path)
                 .responseSingle(InterfaceClient::readResponse)
                 .map(reader)
-                .timeout(timeout)
+                .timeout(mTimeout)
                 .onErrorMap(
                         failure -> toPlatformException(classify(failure), Effect.NONE, failure));
     }
@@ -81,7 +81,7 @@
     /** Sends a change over a pooled connection. */
     <T> Mono<T> change(
             HttpMethod method, String path, byte[] body, Function<InterfaceResponse, T> reader) {
-        return change(changeClient, method, path, body, () -> true, reader);
+        return change(mChangeClient, method, path, body, () -> true, reader);
     }
 
     /**
@@ -94,7 +94,7 @@
             String path,
             byte[] body,
             Function<InterfaceResponse, T> reader) {
-        return change(newConnectionClient, method, path, body, condition, reader);
+        return change(mNewConnectionClient, method, path, body, condition, reader);
     }
 
     private <T> Mono<T> change(
@@ -104,7 +104,7 @@
             byte[] body,
             BooleanSupplier condition,
             Function<InterfaceResponse, T> reader) {
-        if (baseUrl.isEmpty()) {
+        if (mBaseUrl.isEmpty()) {
             return notConfigured();
         }
         return Mono.defer(
@@ -112,7 +112,7 @@
                     WriteGate gate = new WriteGate(condition);
                     return client.headers(headers -> headers.set("Content-Length", body.length))
                             .request(method)
-                            .uri(baseUrl + path)
+                            .uri(mBaseUrl + path)
                             .send(
                                     (request, outbound) ->
                                             gate.open()
@@ -120,7 +120,7 @@
                                                     : Mono.error(new GateClosedException()))
                             .responseSingle(InterfaceClient::readResponse)
                             .map(reader)
-                            .timeout(timeout)
+                            .timeout(mTimeout)
                             .onErrorMap(failure -> changeFailure(gate, failure));
                 });
     }
@@ -134,7 +134,7 @@
             CallFailure kind, Effect effect, Throwable cause) {
         counter(kind).increment();
         return new PlatformException(
-                effect, service + ": " + kind.metricName() + ": " + cause, cause);
+                effect, mService + ": " + kind.metricName() + ": " + cause, cause);
     }
 
     private <T> Mono<T> notConfigured() {
@@ -147,10 +147,10 @@
     }
 
     private Counter counter(CallFailure failure) {
-        return meters.counter(
+        return mMeters.counter(
                 "fuchsialever.platform.failures",
                 "service",
-                service,
+                mService,
                 "reason",
                 failure.metricName());
     }
@@ -181,27 +181,27 @@
      * closes the gate, so that a request that was reported as not written is not written later.
      */
     private static final class WriteGate {
-        private final BooleanSupplier condition;
-        private State state = State.WAITING;
+        private final BooleanSupplier mCondition;
+        private State mState = State.WAITING;
 
         WriteGate(BooleanSupplier condition) {
-            this.condition = condition;
+            mCondition = condition;
         }
 
         boolean open() {
-            return decide(condition.getAsBoolean() ? State.WRITING : State.NOT_HOLDING)
+            return decide(mCondition.getAsBoolean() ? State.WRITING : State.NOT_HOLDING)
                     == State.WRITING;
         }
 
         Optional<CallFailure> failureBeforeWriting() {
-            return Optional.ofNullable(decide(State.ABANDONED).failure);
+            return Optional.ofNullable(decide(State.ABANDONED).mFailure);
         }
 
         private synchronized State decide(State next) {
-            if (state == State.WAITING) {
-                state = next;
+            if (mState == State.WAITING) {
+                mState = next;
             }
-            return state;
+            return mState;
         }
 
         private enum State {
@@ -210,10 +210,10 @@
             NOT_HOLDING(CallFailure.NOT_HOLDING),
             ABANDONED(CallFailure.NOT_WRITTEN);
 
-            private final @Nullable CallFailure failure;
+            private final @Nullable CallFailure mFailure;
 
             State(@Nullable CallFailure failure) {
-                this.failure = failure;
+                mFailure = failure;
             }
         }
     }
--- a/services/src/main/java/org/fuchsialever/services/http/UnexpectedResponseException.java
+++ b/services/src/main/java/org/fuchsialever/services/http/UnexpectedResponseException.java
@@ -4,15 +4,15 @@
 final class UnexpectedResponseException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
-    private final boolean refused;
+    private final boolean mRefused;
 
     UnexpectedResponseException(String message, boolean refused) {
         super(message);
-        this.refused = refused;
+        mRefused = refused;
     }
 
     /** Returns whether the response means that the request was refused without an effect. */
     boolean refused() {
-        return refused;
+        return mRefused;
     }
 }
--- a/services/src/test/java/org/fuchsialever/services/CommitRetrierTest.java
+++ b/services/src/test/java/org/fuchsialever/services/CommitRetrierTest.java
@@ -25,107 +25,107 @@
             new RetryBackoff(Duration.ofMillis(100), Duration.ofSeconds(1), 4);
     private static final Commit.Put MARKER = new Commit.Put("batches", "7", "a");
 
-    private final ManualTimeSource time = new ManualTimeSource(0);
-    private final VirtualTimers timers = new VirtualTimers(time);
-    private final FakeTableService tables = new FakeTableService(timers);
-    private final SimpleMeterRegistry meters = new SimpleMeterRegistry();
-    private final CommitRetrier retrier =
-            new CommitRetrier(tables, BACKOFF, timers, new SplittableRandom(5), meters);
-    private final List<Object> outcomes = new ArrayList<>();
+    private final ManualTimeSource mTime = new ManualTimeSource(0);
+    private final VirtualTimers mTimers = new VirtualTimers(mTime);
+    private final FakeTableService mTables = new FakeTableService(mTimers);
+    private final SimpleMeterRegistry mMeters = new SimpleMeterRegistry();
+    private final CommitRetrier mRetrier =
+            new CommitRetrier(mTables, BACKOFF, mTimers, new SplittableRandom(5), mMeters);
+    private final List<Object> mOutcomes = new ArrayList<>();
 
     @Test
     void findsItsOwnWriteAfterALostResponseAndWritesItOnce() {
-        tables.faults().addToNextChange(Fault.LOSE_ANSWER);
+        mTables.faults().addToNextChange(Fault.LOSE_ANSWER);
 
         run(put("a", 0));
 
-        assertThat(outcomes, is(List.of(new CommitResult.Committed(1))));
-        assertThat(tables.revision(), is(1L));
-        assertThat(meters.counter("fuchsialever.commit.recovered").count(), is(1.0));
+        assertThat(mOutcomes, is(List.of(new CommitResult.Committed(1))));
+        assertThat(mTables.revision(), is(1L));
+        assertThat(mMeters.counter("fuchsialever.commit.recovered").count(), is(1.0));
     }
 
     @Test
     void writesAfterALostRequest() {
-        tables.faults().addToNextChange(Fault.LOSE_REQUEST);
+        mTables.faults().addToNextChange(Fault.LOSE_REQUEST);
 
         run(put("a", 0));
 
-        assertThat(outcomes, is(List.of(new CommitResult.Committed(1))));
+        assertThat(mOutcomes, is(List.of(new CommitResult.Committed(1))));
     }
 
     @Test
     void findsItsOwnWriteAfterTwoLostResponses() {
-        tables.faults().addToNextChange(Fault.LOSE_ANSWER);
-        tables.faults().addToNextChange(Fault.LOSE_ANSWER);
+        mTables.faults().addToNextChange(Fault.LOSE_ANSWER);
+        mTables.faults().addToNextChange(Fault.LOSE_ANSWER);
 
         run(put("a", 0));
 
-        assertThat(outcomes, is(List.of(new CommitResult.Committed(1))));
-        assertThat(tables.revision(), is(1L));
+        assertThat(mOutcomes, is(List.of(new CommitResult.Committed(1))));
+        assertThat(mTables.revision(), is(1L));
     }
 
     @Test
     void reportsAConflictWhenAnotherWriterWasFirst() {
-        tables.commit(put("other", 0)).block();
-        tables.faults().addToNextChange(Fault.LOSE_REQUEST);
+        mTables.commit(put("other", 0)).block();
+        mTables.faults().addToNextChange(Fault.LOSE_REQUEST);
 
         run(put("a", 0));
 
-        assertThat(outcomes.get(0), instanceOf(CommitResult.Conflict.class));
+        assertThat(mOutcomes.get(0), instanceOf(CommitResult.Conflict.class));
     }
 
     @Test
     void doesNotTakeAnEarlierCommitOfTheSameWriterForARetry() {
         // Without a lost response, a conflict is a conflict even if the row has the same writer.
-        tables.commit(put("a", 0)).block();
+        mTables.commit(put("a", 0)).block();
 
         run(put("a", 0));
 
-        assertThat(outcomes.get(0), instanceOf(CommitResult.Conflict.class));
+        assertThat(mOutcomes.get(0), instanceOf(CommitResult.Conflict.class));
     }
 
     @Test
     void findsItsMarkerWhenAnotherWriterHasOverwrittenTheRow() {
-        tables.faults().addToNextChange(Fault.LOSE_ANSWER);
-        retrier.commitWithMarker(marked(), MARKER).subscribe(outcomes::add, outcomes::add);
-        tables.commit(put("other", 1)).block();
+        mTables.faults().addToNextChange(Fault.LOSE_ANSWER);
+        mRetrier.commitWithMarker(marked(), MARKER).subscribe(mOutcomes::add, mOutcomes::add);
+        mTables.commit(put("other", 1)).block();
 
-        timers.advance(Duration.ofSeconds(10));
+        mTimers.advance(Duration.ofSeconds(10));
 
-        assertThat(outcomes, is(List.of(new CommitResult.Committed(1))));
+        assertThat(mOutcomes, is(List.of(new CommitResult.Committed(1))));
     }
 
     @Test
     void reportsAConflictWhenItsMarkerIsAbsent() {
-        tables.faults().addToNextChange(Fault.LOSE_REQUEST);
-        retrier.commitWithMarker(marked(), MARKER).subscribe(outcomes::add, outcomes::add);
-        tables.commit(put("other", 0)).block();
+        mTables.faults().addToNextChange(Fault.LOSE_REQUEST);
+        mRetrier.commitWithMarker(marked(), MARKER).subscribe(mOutcomes::add, mOutcomes::add);
+        mTables.commit(put("other", 0)).block();
 
-        timers.advance(Duration.ofSeconds(10));
+        mTimers.advance(Duration.ofSeconds(10));
 
-        assertThat(outcomes.get(0), instanceOf(CommitResult.Conflict.class));
+        assertThat(mOutcomes.get(0), instanceOf(CommitResult.Conflict.class));
     }
 
     @Test
     void failsWithUnknownEffectWhenALostResponseCannotBeResolved() {
-        tables.faults().addToNextChange(Fault.LOSE_ANSWER);
-        retrier.commit(put("a", 0)).subscribe(outcomes::add, outcomes::add);
-        tables.faults().setDown(true);
+        mTables.faults().addToNextChange(Fault.LOSE_ANSWER);
+        mRetrier.commit(put("a", 0)).subscribe(mOutcomes::add, mOutcomes::add);
+        mTables.faults().setDown(true);
 
-        timers.advance(Duration.ofSeconds(10));
+        mTimers.advance(Duration.ofSeconds(10));
 
-        assertThat(((PlatformException) outcomes.get(0)).effect(), is(Effect.UNKNOWN));
-        assertThat(tables.faults().writeCount(), is(4L));
+        assertThat(((PlatformException) mOutcomes.get(0)).effect(), is(Effect.UNKNOWN));
+        assertThat(mTables.faults().writeCount(), is(4L));
     }
 
     @Test
     void failsWithoutEffectWhenNoAttemptReachedTheService() {
-        tables.faults().setDown(true);
+        mTables.faults().setDown(true);
 
         run(put("a", 0));
 
-        assertThat(((PlatformException) outcomes.get(0)).effect(), is(Effect.NONE));
-        assertThat(tables.revision(), is(0L));
+        assertThat(((PlatformException) mOutcomes.get(0)).effect(), is(Effect.NONE));
+        assertThat(mTables.revision(), is(0L));
     }
 
     @Test
@@ -133,7 +133,7 @@
         Commit unconditional =
                 new Commit("a", List.of(), List.of(new Commit.Put("t", "k", "a")), List.of());
 
-        assertThrows(IllegalArgumentException.class, () -> retrier.commit(unconditional));
+        assertThrows(IllegalArgumentException.class, () -> mRetrier.commit(unconditional));
     }
 
     @Test
@@ -148,8 +148,8 @@
     }
 
     private void run(Commit commit) {
-        retrier.commit(commit).subscribe(outcomes::add, outcomes::add);
-        timers.advance(Duration.ofSeconds(10));
+        mRetrier.commit(commit).subscribe(mOutcomes::add, mOutcomes::add);
+        mTimers.advance(Duration.ofSeconds(10));
     }
 
     private static Commit put(String writer, long version) {
--- a/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
+++ b/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
@@ -18,13 +18,13 @@
 class ExchangeClientTest {
     private static final long TEST_TIMEOUT_SECONDS = 30;
 
-    private final LoopResources loops = LoopResources.create("exchange-test", 1, true);
-    private final ExchangeClient client = new ExchangeClient(loops, new SimpleMeterRegistry());
+    private final LoopResources mLoops = LoopResources.create("exchange-test", 1, true);
+    private final ExchangeClient mClient = new ExchangeClient(mLoops, new SimpleMeterRegistry());
 
     @AfterEach
     void release() {
-        client.close();
-        loops.dispose();
+        mClient.close();
+        mLoops.dispose();
     }
 
     @Test
@@ -112,7 +112,7 @@
                         head -> id.equals(head.headers().get("Id")),
                         Duration.ofMillis(2_000),
                         Duration.ofMillis(2_000));
-        client.send(
+        mClient.send(
                 request,
                 new ExchangeListener() {
                     @Override
--- a/services/src/test/java/org/fuchsialever/services/exchange/ScriptedServer.java
+++ b/services/src/test/java/org/fuchsialever/services/exchange/ScriptedServer.java
@@ -19,35 +19,35 @@
     /** Suffix of a response after which the connection is reset. */
     static final String RESET = "<reset>";
 
-    private final ServerSocket socket;
-    private final Iterator<String> responses;
-    private final AtomicInteger connections = new AtomicInteger();
+    private final ServerSocket mSocket;
+    private final Iterator<String> mResponses;
+    private final AtomicInteger mConnections = new AtomicInteger();
 
     ScriptedServer(String... responses) throws IOException {
-        this.socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        this.responses = List.of(responses).iterator();
+        mSocket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        mResponses = List.of(responses).iterator();
         Thread thread = new Thread(this::accept, "scripted-server");
         thread.setDaemon(true);
         thread.start();
     }
 
     int port() {
-        return socket.getLocalPort();
+        return mSocket.getLocalPort();
     }
 
     int connections() {
-        return connections.get();
+        return mConnections.get();
     }
 
     @Override
     public void close() throws IOException {
-        socket.close();
+        mSocket.close();
     }
 
     private void accept() {
-        while (!socket.isClosed()) {
-            try (Socket connection = socket.accept()) {
-                connections.incrementAndGet();
+        while (!mSocket.isClosed()) {
+            try (Socket connection = mSocket.accept()) {
+                mConnections.incrementAndGet();
                 serve(connection);
             } catch (IOException e) {
                 // The client closed the connection or the test has ended; the next one is accepted.
@@ -63,8 +63,8 @@
                                 connection.getInputStream(), StandardCharsets.US_ASCII));
         String line = reader.readLine();
         while (line != null) {
-            if (line.isEmpty() && responses.hasNext()) {
-                String response = responses.next();
+            if (line.isEmpty() && mResponses.hasNext()) {
+                String response = mResponses.next();
                 boolean reset = response.endsWith(RESET);
                 String bytes = response.replace(CLOSE, "").replace(RESET, "");
                 connection.getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
--- a/services/src/test/java/org/fuchsialever/services/fake/FakeTableServiceTest.java
+++ b/services/src/test/java/org/fuchsialever/services/fake/FakeTableServiceTest.java
@@ -12,31 +12,31 @@
 
 /** Guards against faults that the fake does not inject, which would let other tests pass. */
 class FakeTableServiceTest {
-    private final VirtualTimers timers = new VirtualTimers(new ManualTimeSource(0));
-    private final FakeTableService tables = new FakeTableService(timers);
+    private final VirtualTimers mTimers = new VirtualTimers(new ManualTimeSource(0));
+    private final FakeTableService mTables = new FakeTableService(mTimers);
 
     @Test
     void showsStaleRowsToReadsButChecksCommitsAgainstTheLatest() {
-        tables.commit(put(0)).block();
-        tables.beginStaleReads();
-        tables.commit(put(1)).block();
-
-        assertThat(tables.read("t", "k").blockOptional().orElseThrow().get().version(), is(1L));
-        assertThat(tables.scan("t", "", 1).blockOptional().orElseThrow().size(), is(0));
-        tables.endStaleReads();
-        assertThat(tables.scan("t", "", 1).blockOptional().orElseThrow().size(), is(1));
+        mTables.commit(put(0)).block();
+        mTables.beginStaleReads();
+        mTables.commit(put(1)).block();
+
+        assertThat(mTables.read("t", "k").blockOptional().orElseThrow().get().version(), is(1L));
+        assertThat(mTables.scan("t", "", 1).blockOptional().orElseThrow().size(), is(0));
+        mTables.endStaleReads();
+        assertThat(mTables.scan("t", "", 1).blockOptional().orElseThrow().size(), is(1));
     }
 
     @Test
     void takesEffectBeforeASlowResponse() {
-        tables.faults().setDelays(Duration.ofSeconds(1), Duration.ofSeconds(1));
+        mTables.faults().setDelays(Duration.ofSeconds(1), Duration.ofSeconds(1));
         List<Object> responses = new ArrayList<>();
-        tables.commit(put(0)).subscribe(responses::add);
+        mTables.commit(put(0)).subscribe(responses::add);
 
-        timers.advance(Duration.ofMillis(1_500));
-        assertThat(tables.revision(), is(1L));
+        mTimers.advance(Duration.ofMillis(1_500));
+        assertThat(mTables.revision(), is(1L));
         assertThat(responses.size(), is(0));
-        timers.advance(Duration.ofMillis(500));
+        mTimers.advance(Duration.ofMillis(500));
         assertThat(responses.size(), is(1));
     }
 
--- a/services/src/test/java/org/fuchsialever/services/http/HttpPlatformAdapterTest.java
+++ b/services/src/test/java/org/fuchsialever/services/http/HttpPlatformAdapterTest.java
@@ -60,13 +60,13 @@
                     new FailureDomain("fd-1"),
                     CapacityKind.CHEAP);
 
-    private final Closer closer = new Closer();
-    private final SimpleMeterRegistry meters = new SimpleMeterRegistry();
-    private final Findings findings = new Findings();
+    private final Closer mCloser = new Closer();
+    private final SimpleMeterRegistry mMeters = new SimpleMeterRegistry();
+    private final Findings mFindings = new Findings();
 
     @AfterEach
     void closeConnections() {
-        closer.close();
+        mCloser.close();
     }
 
     @Test
@@ -77,7 +77,7 @@
 
         assertThat(result, is(new CommitResult.Committed(7)));
         assertThat(
-                server.requests,
+                server.mRequests,
                 contains(
                         "POST /tables/commit {\"writer\":\"w1\",\"conditions\":[{\"table\":"
                                 + "\"config\",\"key\":\"current\",\"version\":3}],\"puts\":"
@@ -112,7 +112,7 @@
                         .isEmpty(),
                 is(true));
         assertThat(
-                server.requests.get(0), startsWith("GET /tables/config/rows/snapshot%2F1%20%25"));
+                server.mRequests.get(0), startsWith("GET /tables/config/rows/snapshot%2F1%20%25"));
     }
 
     @Test
@@ -122,7 +122,7 @@
         PlatformException failure = failure(platform(server.url()).tables().commit(COMMIT));
 
         assertThat(failure.effect(), is(Effect.UNKNOWN));
-        assertThat(server.requests.size(), is(1));
+        assertThat(server.mRequests.size(), is(1));
         assertThat(failures("table-service", "connection-lost"), is(1.0));
     }
 
@@ -176,7 +176,7 @@
                 failure(platform(server.url()).ordering().send(ORDER, () -> false));
 
         assertThat(failure.effect(), is(Effect.NONE));
-        assertThat(server.requests, is(empty()));
+        assertThat(server.mRequests, is(empty()));
         assertThat(failures("ordering", "not-holding"), is(1.0));
     }
 
@@ -202,9 +202,9 @@
             assertThat(result, is(UpstreamOrderResult.ACCEPTED));
         }
 
-        assertThat(server.connections.get(), is(3));
+        assertThat(server.mConnections.get(), is(3));
         assertThat(
-                server.requests.get(0),
+                server.mRequests.get(0),
                 is(
                         "POST /orders {\"order\":\"o-1\",\"action\":\"start\",\"upstream\":\"e-1\","
                                 + "\"pool\":\"small\",\"failure_domain\":\"fd-1\","
@@ -246,7 +246,7 @@
         platformOf("table-service = 127.0.0.1:99\nrequest-timeout = 0 ms");
 
         assertThat(
-                findings.list().stream().map(Finding::messageKey).toList(),
+                mFindings.list().stream().map(Finding::messageKey).toList(),
                 contains("platform.bad-url", "platform.bad-timeout"));
     }
 
@@ -259,13 +259,13 @@
     }
 
     private double failures(String service, String reason) {
-        return meters.counter(
+        return mMeters.counter(
                         "fuchsialever.platform.failures", "service", service, "reason", reason)
                 .count();
     }
 
     private PlatformServer server(int status, String responseBody) {
-        return closer.register("server", new PlatformServer(status, responseBody));
+        return mCloser.register("server", new PlatformServer(status, responseBody));
     }
 
     private Platform platform(String url) {
@@ -275,12 +275,12 @@
     }
 
     private Platform platformOf(String lines) {
-        IniDocument document = IniDocument.parse("node.ini", "[platform]\n" + lines, findings);
-        SettingsReader settings = new SettingsReader(document, findings);
+        IniDocument document = IniDocument.parse("node.ini", "[platform]\n" + lines, mFindings);
+        SettingsReader settings = new SettingsReader(document, mFindings);
         HttpPlatformAdapter adapter = new HttpPlatformAdapter();
         adapter.configure(settings);
         return adapter.open(
-                new ComponentContext(settings, closer, SystemTimeSource.INSTANCE, 1, meters));
+                new ComponentContext(settings, mCloser, SystemTimeSource.INSTANCE, 1, mMeters));
     }
 
     private static PlatformException failure(Mono<?> call) {
--- a/services/src/test/java/org/fuchsialever/services/http/PlatformServer.java
+++ b/services/src/test/java/org/fuchsialever/services/http/PlatformServer.java
@@ -21,33 +21,33 @@
     /** Status that makes the server never respond. */
     static final int SILENT = -2;
 
-    final List<String> requests = new CopyOnWriteArrayList<>();
-    final AtomicInteger connections = new AtomicInteger();
-    private final int status;
-    private final String responseBody;
-    private final DisposableServer server;
+    final List<String> mRequests = new CopyOnWriteArrayList<>();
+    final AtomicInteger mConnections = new AtomicInteger();
+    private final int mStatus;
+    private final String mResponseBody;
+    private final DisposableServer mServer;
 
     PlatformServer(int status, String responseBody) {
-        this.status = status;
-        this.responseBody = responseBody;
-        this.server =
+        mStatus = status;
+        mResponseBody = responseBody;
+        mServer =
                 HttpServer.create()
                         .host("127.0.0.1")
                         .port(0)
                         // Counts connections; doOnConnection is called for each request.
                         .doOnChannelInit(
-                                (observer, channel, address) -> connections.incrementAndGet())
+                                (observer, channel, address) -> mConnections.incrementAndGet())
                         .handle(this::handle)
                         .bindNow();
     }
 
     String url() {
-        return "http://127.0.0.1:" + server.port();
+        return "http://127.0.0.1:" + mServer.port();
     }
 
     @Override
     public void close() {
-        server.disposeNow();
+        mServer.disposeNow();
     }
 
     private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
@@ -57,21 +57,21 @@
                 .defaultIfEmpty("")
                 .flatMap(
                         body -> {
-                            requests.add(request.method() + " " + request.uri() + " " + body);
+                            mRequests.add(request.method() + " " + request.uri() + " " + body);
                             return respond(response);
                         });
     }
 
     private Mono<Void> respond(HttpServerResponse response) {
-        if (status == SILENT) {
+        if (mStatus == SILENT) {
             return Mono.never();
         }
-        if (status == DROP) {
+        if (mStatus == DROP) {
             response.withConnection(Connection::dispose);
             return Mono.never();
         }
-        return response.status(HttpResponseStatus.valueOf(status))
-                .sendByteArray(Mono.just(responseBody.getBytes(StandardCharsets.UTF_8)))
+        return response.status(HttpResponseStatus.valueOf(mStatus))
+                .sendByteArray(Mono.just(mResponseBody.getBytes(StandardCharsets.UTF_8)))
                 .then();
     }
 }
--- a/soak/src/test/java/org/fuchsialever/soak/Caller.java
+++ b/soak/src/test/java/org/fuchsialever/soak/Caller.java
@@ -13,16 +13,16 @@
     /** Stands for a connection that ended without an answer. */
     private static final CallerStandIn.Response NONE = new CallerStandIn.Response(0, Map.of(), "");
 
-    private final CallerStandIn caller = CallerStandIn.withPersistentConnections(PATIENCE);
+    private final CallerStandIn mCaller = CallerStandIn.withPersistentConnections(PATIENCE);
 
     Mono<CallerStandIn.Response> call(
             InstanceProgram instance, String method, String path, String id, String body) {
-        return caller.call(instance.entryLink().address(), method, path, id, SoakWorld.KEY, body)
+        return mCaller.call(instance.entryLink().address(), method, path, id, SoakWorld.KEY, body)
                 .onErrorReturn(NONE);
     }
 
     @Override
     public void close() {
-        caller.close();
+        mCaller.close();
     }
 }
--- a/soak/src/test/java/org/fuchsialever/soak/InstanceProcessTest.java
+++ b/soak/src/test/java/org/fuchsialever/soak/InstanceProcessTest.java
@@ -20,18 +20,18 @@
     /** Bounds a wait that does not end because of a fault; no test depends on its length. */
     private static final Duration PATIENCE = Duration.ofSeconds(60);
 
-    @TempDir Path directory;
+    @TempDir Path mDirectory;
 
     /** Guards against a reload that ends the process or leaves no trace for on-call engineers. */
     @Test
     void logsAReloadAndServesOn() throws IOException {
-        try (SoakWorld world = new SoakWorld(directory);
+        try (SoakWorld world = new SoakWorld(mDirectory);
                 Caller caller = new Caller()) {
             InstanceProgram instance = world.instances().get(0);
             eventually(() -> call(caller, instance, "/safe/x", "c1") == 200);
             Files.writeString(
-                    directory.resolve("n1.ini"),
-                    Files.readString(directory.resolve("n1.ini")) + "\nlinger = 1 s\n");
+                    mDirectory.resolve("n1.ini"),
+                    Files.readString(mDirectory.resolve("n1.ini")) + "\nlinger = 1 s\n");
             instance.reload();
             eventually(() -> log().contains("\"event\":\"reload\""));
             assertThat(log().contains("\"outcome\":\"changed\""), is(true));
@@ -42,7 +42,7 @@
     /** Guards against a call that is lost because its instance was told to stop. */
     @Test
     void answersACallThatRunsWhenItIsToldToStop() throws IOException {
-        try (SoakWorld world = new SoakWorld(directory);
+        try (SoakWorld world = new SoakWorld(mDirectory);
                 Caller caller = new Caller()) {
             InstanceProgram instance = world.instances().get(0);
             eventually(() -> call(caller, instance, "/safe/x", "c1") == 200);
@@ -72,7 +72,7 @@
     }
 
     private String log() throws IOException {
-        return Files.readString(directory.resolve("n1-1.log"));
+        return Files.readString(mDirectory.resolve("n1-1.log"));
     }
 
     private static void eventually(Callable<Boolean> condition) {
--- a/soak/src/test/java/org/fuchsialever/soak/InstanceProgram.java
+++ b/soak/src/test/java/org/fuchsialever/soak/InstanceProgram.java
@@ -24,88 +24,88 @@
                     "-XX:TieredStopAtLevel=1",
                     "-XX:MaxDirectMemorySize=48m");
 
-    private final String name;
-    private final Path directory;
-    private final int port;
-    private final LoopbackProxy storeLink;
-    private final LoopbackProxy entryLink;
-    private Process process;
-    private int starts;
-    private boolean paused;
-    private boolean closed;
-    private int pauses;
+    private final String mName;
+    private final Path mDirectory;
+    private final int mPort;
+    private final LoopbackProxy mStoreLink;
+    private final LoopbackProxy mEntryLink;
+    private Process mProcess;
+    private int mStarts;
+    private boolean mPaused;
+    private boolean mClosed;
+    private int mPauses;
 
     InstanceProgram(String name, int storePort, Path directory, EventLoopGroup group)
             throws IOException {
-        this.name = name;
-        this.directory = directory;
-        this.port = FreePorts.next();
-        this.storeLink = new LoopbackProxy(group, storePort);
-        this.entryLink = new LoopbackProxy(group, port);
-        Files.writeString(settings(), InstanceSettings.of(name, storeLink.address(), port));
-        this.process = launch();
+        mName = name;
+        mDirectory = directory;
+        mPort = FreePorts.next();
+        mStoreLink = new LoopbackProxy(group, storePort);
+        mEntryLink = new LoopbackProxy(group, mPort);
+        Files.writeString(settings(), InstanceSettings.of(name, mStoreLink.address(), mPort));
+        mProcess = launch();
         // A soak that is interrupted leaves no process behind.
         Runtime.getRuntime().addShutdownHook(new Thread(this::kill, "end-" + name));
     }
 
     String name() {
-        return name;
+        return mName;
     }
 
     LoopbackProxy storeLink() {
-        return storeLink;
+        return mStoreLink;
     }
 
     LoopbackProxy entryLink() {
-        return entryLink;
+        return mEntryLink;
     }
 
     synchronized boolean isRunning() {
-        return process.isAlive() && !paused;
+        return mProcess.isAlive() && !mPaused;
     }
 
     /** Starts the process again if it has ended. */
     synchronized void startAgain() {
-        if (!closed && !process.isAlive()) {
-            process = launch();
+        if (!mClosed && !mProcess.isAlive()) {
+            mProcess = launch();
         }
     }
 
     synchronized void kill() {
-        pauses++;
-        paused = false;
-        process.destroyForcibly();
+        mPauses++;
+        mPaused = false;
+        mProcess.destroyForcibly();
     }
 
     /** Tells the process to stop, records how long that takes and starts it again. */
     synchronized void terminate(SoakRecord record) {
-        Process ending = process;
-        int pausesBefore = pauses;
+        Process ending = mProcess;
+        int pausesBefore = mPauses;
         long begin = System.nanoTime();
         boolean running = isRunning();
         ending.destroy();
-        record.terminated(name, begin);
+        record.terminated(mName, begin);
         ending.onExit()
                 .thenAccept(
                         ended -> {
                             boolean calm = running && pausesBefore == pauses();
-                            record.ended(name, System.nanoTime() - begin, calm);
+                            record.ended(mName, System.nanoTime() - begin, calm);
                             startAgain();
                         });
     }
 
     private synchronized int pauses() {
-        return pauses;
+        return mPauses;
     }
 
     synchronized void pause() throws IOException {
-        pauses++;
-        paused = true;
+        mPauses++;
+        mPaused = true;
         signal("STOP");
     }
 
     synchronized void resume() throws IOException {
-        paused = false;
+        mPaused = false;
         signal("CONT");
     }
 
@@ -115,13 +115,13 @@
 
     /** Signals the present process only; its identity is not used again before it is reaped. */
     private void signal(String signal) throws IOException {
-        if (process.isAlive()) {
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start();
+        if (mProcess.isAlive()) {
+            new ProcessBuilder("kill", "-" + signal, Long.toString(mProcess.pid())).start();
         }
     }
 
     private Process launch() {
-        starts++;
+        mStarts++;
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(OPTIONS);
@@ -135,27 +135,27 @@
         try {
             return new ProcessBuilder(command)
                     .redirectErrorStream(true)
-                    .redirectOutput(directory.resolve(name + "-" + starts + ".log").toFile())
+                    .redirectOutput(mDirectory.resolve(mName + "-" + mStarts + ".log").toFile())
                     .start();
         } catch (IOException e) {
-            throw new UncheckedIOException(name + " cannot be started", e);
+            throw new UncheckedIOException(mName + " cannot be started", e);
         }
     }
 
     private Path settings() {
-        return directory.resolve(name + ".ini");
+        return mDirectory.resolve(mName + ".ini");
     }
 
     @Override
     public void close() {
         Process last;
         synchronized (this) {
-            closed = true;
+            mClosed = true;
             kill();
-            last = process;
+            last = mProcess;
         }
         last.onExit().join();
-        entryLink.close();
-        storeLink.close();
+        mEntryLink.close();
+        mStoreLink.close();
     }
 }
--- a/soak/src/test/java/org/fuchsialever/soak/LiveCallers.java
+++ b/soak/src/test/java/org/fuchsialever/soak/LiveCallers.java
@@ -5,30 +5,31 @@
 
 /** Sends safe and unsafe calls to the instances in turn. */
 final class LiveCallers {
-    private final SoakWorld world;
-    private final Caller caller;
-    private final SplittableRandom random;
-    private final AtomicInteger underWay = new AtomicInteger();
-    private int sent;
+    private final SoakWorld mWorld;
+    private final Caller mCaller;
+    private final SplittableRandom mRandom;
+    private final AtomicInteger mUnderWay = new AtomicInteger();
+    private int mSent;
 
     LiveCallers(SoakWorld world, Caller caller, SplittableRandom random) {
-        this.world = world;
-        this.caller = caller;
-        this.random = random;
+        mWorld = world;
+        mCaller = caller;
+        mRandom = random;
     }
 
     /** Sends one call. */
     void send() {
-        boolean safe = random.nextBoolean();
-        InstanceProgram instance = world.instances().get(random.nextInt(world.instances().size()));
-        String id = (safe ? "safe-" : "unsafe-") + sent++;
+        boolean safe = mRandom.nextBoolean();
+        InstanceProgram instance =
+                mWorld.instances().get(mRandom.nextInt(mWorld.instances().size()));
+        String id = (safe ? "safe-" : "unsafe-") + mSent++;
         long begin = System.nanoTime();
-        underWay.incrementAndGet();
-        caller.call(instance, safe ? "GET" : "POST", safe ? "/safe/x" : "/unsafe/x", id, "")
-                .doFinally(signal -> underWay.decrementAndGet())
+        mUnderWay.incrementAndGet();
+        mCaller.call(instance, safe ? "GET" : "POST", safe ? "/safe/x" : "/unsafe/x", id, "")
+                .doFinally(signal -> mUnderWay.decrementAndGet())
                 .subscribe(
                         answer ->
-                                world.record()
+                                mWorld.record()
                                         .liveCall(
                                                 new SoakRecord.LiveCall(
                                                         id,
@@ -43,6 +44,6 @@
     }
 
     boolean isIdle() {
-        return underWay.get() == 0;
+        return mUnderWay.get() == 0;
     }
 }
--- a/soak/src/test/java/org/fuchsialever/soak/LoopbackProxy.java
+++ b/soak/src/test/java/org/fuchsialever/soak/LoopbackProxy.java
@@ -23,16 +23,16 @@
 final class LoopbackProxy implements AutoCloseable {
     private static final String LOOPBACK = "127.0.0.1";
 
-    private final EventLoopGroup group;
-    private final int targetPort;
-    private final Channel server;
-    private final Set<Channel> open = ConcurrentHashMap.newKeySet();
-    private volatile LinkState state = LinkState.SOUND;
+    private final EventLoopGroup mGroup;
+    private final int mTargetPort;
+    private final Channel mServer;
+    private final Set<Channel> mOpen = ConcurrentHashMap.newKeySet();
+    private volatile LinkState mState = LinkState.SOUND;
 
     LoopbackProxy(EventLoopGroup group, int targetPort) {
-        this.group = group;
-        this.targetPort = targetPort;
-        this.server =
+        mGroup = group;
+        mTargetPort = targetPort;
+        mServer =
                 new ServerBootstrap()
                         .group(group)
                         .channel(NioServerSocketChannel.class)
@@ -50,7 +50,7 @@
     }
 
     int port() {
-        return ((InetSocketAddress) server.localAddress()).getPort();
+        return ((InetSocketAddress) mServer.localAddress()).getPort();
     }
 
     String address() {
@@ -59,14 +59,14 @@
 
     /** Changes how bytes are treated from now on; a state that resets breaks what is open. */
     void behave(LinkState newState) {
-        state = newState;
+        mState = newState;
         if (newState.resets()) {
-            open.forEach(LoopbackProxy::reset);
+            mOpen.forEach(LoopbackProxy::reset);
         }
     }
 
     private void accept(SocketChannel caller) {
-        if (state.resets()) {
+        if (mState.resets()) {
             reset(caller);
             return;
         }
@@ -76,7 +76,7 @@
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.AUTO_READ, false)
                         .handler(new ChannelInboundHandlerAdapter())
-                        .connect(LOOPBACK, targetPort);
+                        .connect(LOOPBACK, mTargetPort);
         connecting.addListener(
                 done -> {
                     if (!done.isSuccess()) {
@@ -90,7 +90,7 @@
     }
 
     private void join(Channel from, Channel to, boolean requests) {
-        open.add(from);
+        mOpen.add(from);
         from.pipeline().addLast(new Pump(to, requests));
         from.config().setAutoRead(true);
     }
@@ -109,49 +109,49 @@
 
     @Override
     public void close() {
-        server.close().syncUninterruptibly();
-        open.forEach(LoopbackProxy::reset);
+        mServer.close().syncUninterruptibly();
+        mOpen.forEach(LoopbackProxy::reset);
     }
 
     /** Passes the bytes of one direction on. */
     private final class Pump extends ChannelInboundHandlerAdapter {
-        private final Channel to;
-        private final boolean requests;
-        private boolean silent;
-        private long dueNanos = System.nanoTime();
+        private final Channel mTo;
+        private final boolean mRequests;
+        private boolean mSilent;
+        private long mDueNanos = System.nanoTime();
 
         Pump(Channel to, boolean requests) {
-            this.to = to;
-            this.requests = requests;
+            mTo = to;
+            mRequests = requests;
         }
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            LinkState now = state;
-            silent |= requests ? !now.passesRequests() : !now.passesAnswers();
-            if (silent) {
+            LinkState now = mState;
+            mSilent |= mRequests ? !now.passesRequests() : !now.passesAnswers();
+            if (mSilent) {
                 ReferenceCountUtil.release(message);
             } else {
-                later(context, now.delayMillis(), () -> to.writeAndFlush(message));
+                later(context, now.delayMillis(), () -> mTo.writeAndFlush(message));
             }
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            open.remove(context.channel());
-            if (!silent) {
-                later(context, 0, to::close);
+            mOpen.remove(context.channel());
+            if (!mSilent) {
+                later(context, 0, mTo::close);
             }
         }
 
         /** Keeps the order of bytes when a delay ends. */
         private void later(ChannelHandlerContext context, long delayMillis, Runnable step) {
             long now = System.nanoTime();
-            dueNanos = Math.max(dueNanos, now + TimeUnit.MILLISECONDS.toNanos(delayMillis));
-            if (dueNanos <= now) {
+            mDueNanos = Math.max(mDueNanos, now + TimeUnit.MILLISECONDS.toNanos(delayMillis));
+            if (mDueNanos <= now) {
                 step.run();
             } else {
-                context.executor().schedule(step, dueNanos - now, TimeUnit.NANOSECONDS);
+                context.executor().schedule(step, mDueNanos - now, TimeUnit.NANOSECONDS);
             }
         }
 
@@ -159,7 +159,7 @@
         public void exceptionCaught(ChannelHandlerContext context, @Nullable Throwable cause) {
             // The other side resets its connection: this one is reset as well.
             reset(context.channel());
-            reset(to);
+            reset(mTo);
         }
     }
 }
--- a/soak/src/test/java/org/fuchsialever/soak/PromiseTest.java
+++ b/soak/src/test/java/org/fuchsialever/soak/PromiseTest.java
@@ -21,7 +21,7 @@
     private static final String UNSAFE = "unsafe-1";
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
-    private final SoakRecord record = new SoakRecord();
+    private final SoakRecord mRecord = new SoakRecord();
 
     @Test
     void findsNothingInAGenuineCall() {
@@ -31,8 +31,8 @@
 
     @Test
     void findsNothingInASubmissionThatIsListedWhole() {
-        record.submission(new SoakRecord.Submission("b", Set.of("x"), true, false));
-        record.results("n1", "b", 0, page(UpstreamStandIn.text("x").replace("\n", "\\n")));
+        mRecord.submission(new SoakRecord.Submission("b", Set.of("x"), true, false));
+        mRecord.results("n1", "b", 0, page(UpstreamStandIn.text("x").replace("\n", "\\n")));
         assertThat(findings(Map.of("x", 1)), is(empty()));
     }
 
@@ -75,7 +75,7 @@
                         seen(UNSAFE, Map.of("Tenant", "other")),
                         seen("forged", Map.of("Tenant", "team")));
         List<String> findings =
-                Promise.checkAll(new Evidence(record, Map.of(), calls, List.of(), List.of()));
+                Promise.checkAll(new Evidence(mRecord, Map.of(), calls, List.of(), List.of()));
         String promise = Promise.UPSTREAMS_SEE_WHAT_WAS_ASKED.name();
         assertThat(
                 findings, contains(startsWith(promise), startsWith(promise), startsWith(promise)));
@@ -83,48 +83,48 @@
 
     @Test
     void noticesAnItemOfARefusedSubmissionThatRan() {
-        record.submission(new SoakRecord.Submission("b", Set.of("x"), false, true));
+        mRecord.submission(new SoakRecord.Submission("b", Set.of("x"), false, true));
         finds(Promise.REFUSED_SUBMISSIONS_DO_NOT_RUN, Map.of("x", 1));
     }
 
     @Test
     void noticesAnAcceptedSubmissionWithoutItsResults() {
-        record.submission(new SoakRecord.Submission("b", Set.of("x"), true, false));
+        mRecord.submission(new SoakRecord.Submission("b", Set.of("x"), true, false));
         finds(Promise.ACCEPTED_SUBMISSIONS_ARE_LISTED_WHOLE, Map.of());
     }
 
     @Test
     void noticesATextThatIsNotWhole() {
-        record.submission(new SoakRecord.Submission("b", Set.of("x"), true, false));
-        record.results("n1", "b", 0, page("x-1\\nx-2"));
+        mRecord.submission(new SoakRecord.Submission("b", Set.of("x"), true, false));
+        mRecord.results("n1", "b", 0, page("x-1\\nx-2"));
         finds(Promise.ACCEPTED_SUBMISSIONS_ARE_LISTED_WHOLE, Map.of());
     }
 
     @Test
     void noticesAPositionThatChanges() {
-        record.results("n1", "b", 0, page("first"));
-        record.results("n2", "b", 0, page("second"));
+        mRecord.results("n1", "b", 0, page("first"));
+        mRecord.results("n2", "b", 0, page("second"));
         assertThat(findings(Map.of()), contains(startsWith("RESULTS_STAY")));
     }
 
     @Test
     void noticesAProcessThatDoesNotEndInTime() {
-        record.ended("n1", 9 * SECOND, true);
+        mRecord.ended("n1", 9 * SECOND, true);
         finds(Promise.PROCESSES_END_IN_TIME, Map.of());
     }
 
     @Test
     void noticesACallThatAStoppingInstanceCut() {
         call(UNSAFE, 0, "", "");
-        record.terminated("n1", SECOND / 2);
+        mRecord.terminated("n1", SECOND / 2);
         finds(Promise.STOPPING_INSTANCES_ANSWER_WHAT_RUNS, Map.of(UNSAFE, 1));
     }
 
     @Test
     void excusesAStoppingInstanceThatWasDisturbed() {
         call(UNSAFE, 0, "", "");
-        record.terminated("n1", SECOND / 2);
-        record.disturbed(-SECOND, 0);
+        mRecord.terminated("n1", SECOND / 2);
+        mRecord.disturbed(-SECOND, 0);
         assertThat(findings(Map.of(UNSAFE, 1)), is(empty()));
     }
 
@@ -133,7 +133,7 @@
         List<AcceptedOrder> orders =
                 List.of(new AcceptedOrder("n1", 4), new AcceptedOrder("n2", 4));
         List<String> findings =
-                Promise.checkAll(new Evidence(record, Map.of(), List.of(), orders, List.of()));
+                Promise.checkAll(new Evidence(mRecord, Map.of(), List.of(), orders, List.of()));
         assertThat(findings, contains(startsWith(Promise.ORDERS_HAVE_ONE_HOLDER.name())));
     }
 
@@ -144,13 +144,13 @@
                         "{\"window\":7,\"counts\":{\"team\":1}}",
                         "{\"window\":7,\"counts\":{\"team\":2}}");
         List<String> findings =
-                Promise.checkAll(new Evidence(record, Map.of(), List.of(), List.of(), reports));
+                Promise.checkAll(new Evidence(mRecord, Map.of(), List.of(), List.of(), reports));
         assertThat(findings, contains(startsWith(Promise.USAGE_IS_REPORTED_ONCE.name())));
     }
 
     private void call(String id, int status, String stamp, String body) {
         boolean safe = id.startsWith("safe-");
-        record.liveCall(new SoakRecord.LiveCall(id, "n1", safe, 0, SECOND, status, stamp, body));
+        mRecord.liveCall(new SoakRecord.LiveCall(id, "n1", safe, 0, SECOND, status, stamp, body));
     }
 
     private static ReceivedCall seen(String id, Map<String, String> headers) {
@@ -169,6 +169,6 @@
     }
 
     private List<String> findings(Map<String, Integer> runs) {
-        return Promise.checkAll(new Evidence(record, runs, List.of(), List.of(), List.of()));
+        return Promise.checkAll(new Evidence(mRecord, runs, List.of(), List.of(), List.of()));
     }
 }
--- a/soak/src/test/java/org/fuchsialever/soak/SoakFault.java
+++ b/soak/src/test/java/org/fuchsialever/soak/SoakFault.java
@@ -134,15 +134,15 @@
         }
     };
 
-    private final boolean planned;
+    private final boolean mPlanned;
 
     SoakFault(boolean planned) {
-        this.planned = planned;
+        mPlanned = planned;
     }
 
     /** Returns whether operators do this on purpose, so that no caller may notice it. */
     boolean isPlanned() {
-        return planned;
+        return mPlanned;
     }
 
     /**
--- a/soak/src/test/java/org/fuchsialever/soak/SoakRecord.java
+++ b/soak/src/test/java/org/fuchsialever/soak/SoakRecord.java
@@ -10,13 +10,13 @@
 
 /** What callers saw, and what was done to the processes. Written by several threads. */
 final class SoakRecord {
-    private final List<LiveCall> liveCalls = new ArrayList<>();
-    private final Map<String, Submission> submissions = new HashMap<>();
-    private final Map<String, String> listed = new HashMap<>();
-    private final List<Exit> exits = new ArrayList<>();
-    private final List<Span> disturbances = new ArrayList<>();
-    private final List<Termination> terminations = new ArrayList<>();
-    private final List<String> violations = new ArrayList<>();
+    private final List<LiveCall> mLiveCalls = new ArrayList<>();
+    private final Map<String, Submission> mSubmissions = new HashMap<>();
+    private final Map<String, String> mListed = new HashMap<>();
+    private final List<Exit> mExits = new ArrayList<>();
+    private final List<Span> mDisturbances = new ArrayList<>();
+    private final List<Termination> mTerminations = new ArrayList<>();
+    private final List<String> mViolations = new ArrayList<>();
 
     /**
      * A live call that has ended; status 0 stands for a connection that ended without an answer.
@@ -44,23 +44,23 @@
     record Span(long fromNanos, long toNanos) {}
 
     synchronized void liveCall(LiveCall call) {
-        liveCalls.add(call);
+        mLiveCalls.add(call);
     }
 
     synchronized List<LiveCall> liveCalls() {
-        return List.copyOf(liveCalls);
+        return List.copyOf(mLiveCalls);
     }
 
     synchronized void submission(Submission submission) {
-        submissions.put(submission.id(), submission);
+        mSubmissions.put(submission.id(), submission);
     }
 
     synchronized List<Submission> submissions() {
-        return List.copyOf(submissions.values());
+        return List.copyOf(mSubmissions.values());
     }
 
     synchronized boolean isAccepted(String id) {
-        Submission submission = submissions.get(id);
+        Submission submission = mSubmissions.get(id);
         return submission != null && submission.accepted();
     }
 
@@ -70,9 +70,9 @@
         for (JsonNode result : page.path("results")) {
             String key = batch + "/" + position;
             String content = result.toString();
-            String before = listed.putIfAbsent(key, content);
+            String before = mListed.putIfAbsent(key, content);
             if (before != null && !before.equals(content)) {
-                violations.add(
+                mViolations.add(
                         "position " + key + " at " + instance + ": " + before + " then " + content);
             }
             position++;
@@ -82,53 +82,53 @@
     /** Returns the results of a submission in the order of their positions. */
     synchronized List<JsonNode> listedResults(String batch) {
         List<JsonNode> results = new ArrayList<>();
-        String content = listed.get(batch + "/0");
+        String content = mListed.get(batch + "/0");
         while (content != null) {
             results.add(Trainer.json(content));
-            content = listed.get(batch + "/" + results.size());
+            content = mListed.get(batch + "/" + results.size());
         }
         return results;
     }
 
     synchronized void violation(String text) {
-        violations.add(text);
+        mViolations.add(text);
     }
 
     synchronized List<String> violations() {
-        return List.copyOf(violations);
+        return List.copyOf(mViolations);
     }
 
     synchronized void terminated(String instance, long atNanos) {
-        terminations.add(new Termination(instance, atNanos));
+        mTerminations.add(new Termination(instance, atNanos));
     }
 
     synchronized List<Termination> terminations() {
-        return List.copyOf(terminations);
+        return List.copyOf(mTerminations);
     }
 
     synchronized void ended(String instance, long tookNanos, boolean calm) {
-        exits.add(new Exit(instance, tookNanos, calm));
+        mExits.add(new Exit(instance, tookNanos, calm));
     }
 
     synchronized List<Exit> exits() {
-        return List.copyOf(exits);
+        return List.copyOf(mExits);
     }
 
     synchronized void disturbed(long fromNanos, long toNanos) {
-        disturbances.add(new Span(fromNanos, toNanos));
+        mDisturbances.add(new Span(fromNanos, toNanos));
     }
 
     /** Returns whether no unplanned disturbance touched a span of time. */
     synchronized boolean isCalm(long fromNanos, long toNanos) {
-        return disturbances.stream()
+        return mDisturbances.stream()
                 .noneMatch(span -> span.fromNanos <= toNanos && span.toNanos >= fromNanos);
     }
 
     /** Returns the identities of all requests that callers have asked for. */
     synchronized Set<String> asked() {
         Set<String> asked = new HashSet<>(Set.of(SoakRun.PROBE));
-        liveCalls.forEach(call -> asked.add(call.id()));
-        for (Submission submission : submissions.values()) {
+        mLiveCalls.forEach(call -> asked.add(call.id()));
+        for (Submission submission : mSubmissions.values()) {
             for (String item : submission.items()) {
                 asked.add(item);
                 asked.add("s-" + item);
--- a/soak/src/test/java/org/fuchsialever/soak/SoakRun.java
+++ b/soak/src/test/java/org/fuchsialever/soak/SoakRun.java
@@ -38,20 +38,20 @@
     private static final int SUBMISSION_INTERVAL_MILLIS = 500;
     private static final int READ_INTERVAL_MILLIS = 50;
 
-    private final long seed;
-    private final Path directory;
+    private final long mSeed;
+    private final Path mDirectory;
 
     SoakRun(long seed, Path directory) {
-        this.seed = seed;
-        this.directory = directory;
+        mSeed = seed;
+        mDirectory = directory;
     }
 
     /** Returns the promises that were broken. */
     List<String> findings() throws IOException {
-        SplittableRandom random = new SplittableRandom(seed);
+        SplittableRandom random = new SplittableRandom(mSeed);
         ScheduledExecutorService callers = Executors.newSingleThreadScheduledExecutor();
         ScheduledExecutorService faults = Executors.newSingleThreadScheduledExecutor();
-        try (SoakWorld world = new SoakWorld(directory.resolve("seed-" + seed));
+        try (SoakWorld world = new SoakWorld(mDirectory.resolve("seed-" + mSeed));
                 Caller caller = new Caller()) {
             LiveCallers live = new LiveCallers(world, caller, random.split());
             Trainer trainer = new Trainer(world, caller, random.split());
@@ -100,7 +100,7 @@
         long begin = System.nanoTime();
         try {
             SoakFault.Healing healing = entry.fault().begin(world, random);
-            LOG.log(Level.INFO, "seed {0}: {1}", seed, entry);
+            LOG.log(Level.INFO, "seed {0}: {1}", mSeed, entry);
             faults.schedule(
                     () -> heal(world, entry, healing, begin), entry.lengthMillis(), MILLISECONDS);
         } catch (IOException e) {
--- a/soak/src/test/java/org/fuchsialever/soak/SoakWorld.java
+++ b/soak/src/test/java/org/fuchsialever/soak/SoakWorld.java
@@ -27,96 +27,96 @@
     private static final Map<String, String> SERVICES =
             Map.of("p1", "plain", "p2", "plain", "e1", "engines", "e2", "engines");
 
-    private final Closer closer = new Closer();
-    private final StoreStandIn store;
-    private final SoakRecord record = new SoakRecord();
-    private final List<InstanceProgram> instances = new ArrayList<>();
-    private final Map<String, UpstreamStandIn> upstreams = new TreeMap<>();
-    private final Map<String, LoopbackProxy> upstreamLinks = new LinkedHashMap<>();
-    private final AtomicLong manifestVersion = new AtomicLong(1);
-    private final AtomicLong weightVersion = new AtomicLong(1);
+    private final Closer mCloser = new Closer();
+    private final StoreStandIn mStore;
+    private final SoakRecord mRecord = new SoakRecord();
+    private final List<InstanceProgram> mInstances = new ArrayList<>();
+    private final Map<String, UpstreamStandIn> mUpstreams = new TreeMap<>();
+    private final Map<String, LoopbackProxy> mUpstreamLinks = new LinkedHashMap<>();
+    private final AtomicLong mManifestVersion = new AtomicLong(1);
+    private final AtomicLong mWeightVersion = new AtomicLong(1);
 
     SoakWorld(Path directory) throws IOException {
         Files.createDirectories(directory);
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        closer.register("links", () -> group.shutdownGracefully().syncUninterruptibly());
-        store = closer.register("store", new StoreStandIn());
+        mCloser.register("links", () -> group.shutdownGracefully().syncUninterruptibly());
+        mStore = mCloser.register("store", new StoreStandIn());
         changeManifest();
         for (Map.Entry<String, String> entry : new TreeMap<>(SERVICES).entrySet()) {
             String id = entry.getKey();
             Map<String, Long> versions =
                     entry.getValue().equals("engines") ? Map.of(MODEL, 1L) : Map.of();
             UpstreamStandIn upstream =
-                    closer.register(id, new UpstreamStandIn(id, entry.getValue(), versions));
+                    mCloser.register(id, new UpstreamStandIn(id, entry.getValue(), versions));
             int port = Integer.parseInt(upstream.address().split(":", -1)[1]);
-            upstreams.put(id, upstream);
-            upstreamLinks.put(id, closer.register(id + "-link", new LoopbackProxy(group, port)));
+            mUpstreams.put(id, upstream);
+            mUpstreamLinks.put(id, mCloser.register(id + "-link", new LoopbackProxy(group, port)));
             register(id, "ready");
         }
-        int storePort = Integer.parseInt(store.address().split(":", -1)[1]);
+        int storePort = Integer.parseInt(mStore.address().split(":", -1)[1]);
         for (int i = 1; i <= INSTANCES; i++) {
             String name = "n" + i;
-            instances.add(
-                    closer.register(name, new InstanceProgram(name, storePort, directory, group)));
+            mInstances.add(
+                    mCloser.register(name, new InstanceProgram(name, storePort, directory, group)));
         }
     }
 
     SoakRecord record() {
-        return record;
+        return mRecord;
     }
 
     StoreStandIn store() {
-        return store;
+        return mStore;
     }
 
     List<InstanceProgram> instances() {
-        return instances;
+        return mInstances;
     }
 
     Map<String, UpstreamStandIn> upstreams() {
-        return upstreams;
+        return mUpstreams;
     }
 
     Map<String, LoopbackProxy> upstreamLinks() {
-        return upstreamLinks;
+        return mUpstreamLinks;
     }
 
     /** Writes the entry of an upstream. */
     void register(String id, String state) {
-        UpstreamStandIn upstream = upstreams.get(id);
-        LoopbackProxy link = upstreamLinks.get(id);
+        UpstreamStandIn upstream = mUpstreams.get(id);
+        LoopbackProxy link = mUpstreamLinks.get(id);
         if (upstream != null && link != null) {
-            upstream.register(store, state, link.address());
+            upstream.register(mStore, state, link.address());
         }
     }
 
     /** Writes a newer manifest. */
     void changeManifest() {
-        store.write("op", "config", ManifestText.of(manifestVersion.incrementAndGet(), KEY));
+        mStore.write("op", "config", ManifestText.of(mManifestVersion.incrementAndGet(), KEY));
     }
 
     /** Names a newer weight version, as a trainer does. */
     void nameWeightVersion() {
-        long version = weightVersion.incrementAndGet();
-        store.write(
+        long version = mWeightVersion.incrementAndGet();
+        mStore.write(
                 "op",
                 "version/" + MODEL,
                 "{\"model\":\"" + MODEL + "\",\"version\":" + version + "}");
     }
 
     long weightVersion() {
-        return weightVersion.get();
+        return mWeightVersion.get();
     }
 
     /** Ends all disturbances and starts all processes that are down. */
     void heal() throws IOException {
-        store.setMode(StoreStandIn.Mode.UP);
-        upstreamLinks.values().forEach(link -> link.behave(LinkState.SOUND));
-        for (Map.Entry<String, UpstreamStandIn> upstream : upstreams.entrySet()) {
+        mStore.setMode(StoreStandIn.Mode.UP);
+        mUpstreamLinks.values().forEach(link -> link.behave(LinkState.SOUND));
+        for (Map.Entry<String, UpstreamStandIn> upstream : mUpstreams.entrySet()) {
             upstream.getValue().setBehaviour(UpstreamStandIn.Behaviour.HEALTHY);
             register(upstream.getKey(), "ready");
         }
-        for (InstanceProgram instance : instances) {
+        for (InstanceProgram instance : mInstances) {
             instance.entryLink().behave(LinkState.SOUND);
             instance.storeLink().behave(LinkState.SOUND);
             instance.resume();
@@ -126,6 +126,6 @@
 
     @Override
     public void close() {
-        closer.close();
+        mCloser.close();
     }
 }
--- a/soak/src/test/java/org/fuchsialever/soak/Trainer.java
+++ b/soak/src/test/java/org/fuchsialever/soak/Trainer.java
@@ -20,35 +20,35 @@
     private static final int MOST_ATTEMPTS = 4;
     private static final Duration PAUSE = Duration.ofMillis(300);
 
-    private final SoakWorld world;
-    private final Caller caller;
-    private final SplittableRandom random;
-    private final AtomicInteger underWay = new AtomicInteger();
-    private int submitted;
+    private final SoakWorld mWorld;
+    private final Caller mCaller;
+    private final SplittableRandom mRandom;
+    private final AtomicInteger mUnderWay = new AtomicInteger();
+    private int mSubmitted;
 
     Trainer(SoakWorld world, Caller caller, SplittableRandom random) {
-        this.world = world;
-        this.caller = caller;
-        this.random = random;
+        mWorld = world;
+        mCaller = caller;
+        mRandom = random;
     }
 
     /** Submits one submission. */
     void submit() {
-        String id = "b" + submitted++;
+        String id = "b" + mSubmitted++;
         Set<String> items = new LinkedHashSet<>();
         for (int item = 0; item < ITEMS; item++) {
             items.add(id + "-" + item);
         }
-        underWay.incrementAndGet();
+        mUnderWay.incrementAndGet();
         attempt(id, items, SubmissionText.of(List.copyOf(items)), 0, true)
-                .doFinally(signal -> underWay.decrementAndGet())
-                .subscribe(world.record()::submission);
+                .doFinally(signal -> mUnderWay.decrementAndGet())
+                .subscribe(mWorld.record()::submission);
     }
 
     private Mono<SoakRecord.Submission> attempt(
             String id, Set<String> items, String text, int attempt, boolean onlyRefused) {
-        InstanceProgram instance = instance(random.nextInt(world.instances().size()));
-        return caller.call(instance, "POST", "/rollout/" + id, id, text)
+        InstanceProgram instance = instance(mRandom.nextInt(mWorld.instances().size()));
+        return mCaller.call(instance, "POST", "/rollout/" + id, id, text)
                 .flatMap(
                         answer -> {
                             boolean refused = answer.status() == 503 || answer.status() == 429;
@@ -74,39 +74,39 @@
     }
 
     private InstanceProgram instance(int index) {
-        return world.instances().get(index);
+        return mWorld.instances().get(index);
     }
 
     /** Reads a submission from its start at an instance and notes what is listed. */
     Mono<CallerStandIn.Response> read(InstanceProgram instance, String id) {
-        boolean accepted = world.record().isAccepted(id);
-        return caller.call(instance, "GET", "/api/lots/" + id + "?after=0", "read-" + id, "")
+        boolean accepted = mWorld.record().isAccepted(id);
+        return mCaller.call(instance, "GET", "/api/lots/" + id + "?after=0", "read-" + id, "")
                 .doOnNext(answer -> noteResults(instance, id, accepted, answer));
     }
 
     private void noteResults(
             InstanceProgram instance, String id, boolean accepted, CallerStandIn.Response answer) {
         if (accepted && (answer.status() == 404 || answer.status() == 410)) {
-            world.record().violation(id + " is accepted but unknown at " + instance.name());
+            mWorld.record().violation(id + " is accepted but unknown at " + instance.name());
         } else if (answer.status() == 200) {
-            world.record().results(instance.name(), id, 0, json(answer.body()));
+            mWorld.record().results(instance.name(), id, 0, json(answer.body()));
         }
     }
 
     /** Reads one of the accepted submissions at any instance. */
     void readAny() {
-        List<SoakRecord.Submission> known = world.record().submissions();
+        List<SoakRecord.Submission> known = mWorld.record().submissions();
         if (!known.isEmpty()) {
-            underWay.incrementAndGet();
-            String id = known.get(random.nextInt(known.size())).id();
-            read(instance(random.nextInt(world.instances().size())), id)
-                    .doFinally(signal -> underWay.decrementAndGet())
+            mUnderWay.incrementAndGet();
+            String id = known.get(mRandom.nextInt(known.size())).id();
+            read(instance(mRandom.nextInt(mWorld.instances().size())), id)
+                    .doFinally(signal -> mUnderWay.decrementAndGet())
                     .subscribe();
         }
     }
 
     boolean isIdle() {
-        return underWay.get() == 0;
+        return mUnderWay.get() == 0;
     }
 
     static JsonNode json(String text) {
--- a/standins/src/main/java/org/fuchsialever/standins/EngineCompletion.java
+++ b/standins/src/main/java/org/fuchsialever/standins/EngineCompletion.java
@@ -8,65 +8,65 @@
 
 /** The completion generated for one request: its tokens and their timing. */
 final class EngineCompletion {
-    private final EngineOptions options;
-    private final boolean chat;
-    private final String prompt;
-    private final int firstIndex;
-    private final int endIndex;
+    private final EngineOptions mOptions;
+    private final boolean mChat;
+    private final String mPrompt;
+    private final int mFirstIndex;
+    private final int mEndIndex;
 
     private EngineCompletion(
             EngineOptions options, boolean chat, String prompt, int first, int end) {
-        this.options = options;
-        this.chat = chat;
-        this.prompt = prompt;
-        this.firstIndex = first;
-        this.endIndex = end;
+        mOptions = options;
+        mChat = chat;
+        mPrompt = prompt;
+        mFirstIndex = first;
+        mEndIndex = end;
     }
 
     static EngineCompletion of(
             JsonNode call, boolean chat, EngineOptions options, int defaultTokens) {
         String prompt = chat ? joinMessages(call) : call.path("prompt").asText();
         int limit = call.path("max_tokens").asInt(defaultTokens);
-        int end = Math.min(limit, options.responseLength.applyAsInt(prompt));
+        int end = Math.min(limit, options.mResponseLength.applyAsInt(prompt));
         int first = Math.min(end, call.path("resume_from").asInt());
         return new EngineCompletion(options, chat, prompt, first, end);
     }
 
     String prompt() {
-        return prompt;
+        return mPrompt;
     }
 
     int firstIndex() {
-        return firstIndex;
+        return mFirstIndex;
     }
 
     int tokenCount() {
-        return endIndex - firstIndex;
+        return mEndIndex - mFirstIndex;
     }
 
     /** Emits the index of each token at the time at which it is generated. */
     Flux<Integer> tokenIndexes(boolean cached) {
         Duration delay = timeToFirstToken(cached);
-        if (options.tokenInterval.isZero()) {
-            Flux<Integer> tokens = Flux.range(firstIndex, tokenCount());
+        if (mOptions.mTokenInterval.isZero()) {
+            Flux<Integer> tokens = Flux.range(mFirstIndex, tokenCount());
             return delay.isZero() ? tokens : Mono.delay(delay).thenMany(tokens);
         }
-        return Flux.interval(delay.plus(options.tokenInterval), options.tokenInterval)
+        return Flux.interval(delay.plus(mOptions.mTokenInterval), mOptions.mTokenInterval)
                 .onBackpressureBuffer()
                 .take(tokenCount())
-                .map(tick -> firstIndex + tick.intValue());
+                .map(tick -> mFirstIndex + tick.intValue());
     }
 
     Duration totalTime(boolean cached) {
-        return timeToFirstToken(cached).plus(options.tokenInterval.multipliedBy(tokenCount()));
+        return timeToFirstToken(cached).plus(mOptions.mTokenInterval.multipliedBy(tokenCount()));
     }
 
     ObjectNode chunk(int index) {
         ObjectNode chunk = Json.object();
-        boolean last = index == endIndex - 1;
+        boolean last = index == mEndIndex - 1;
         ObjectNode choice = chunk.putArray("choices").addObject().put("index", 0);
-        String text = EngineStandIn.tokenText(prompt, index);
-        if (chat) {
+        String text = EngineStandIn.tokenText(mPrompt, index);
+        if (mChat) {
             choice.putObject("delta").put("content", text);
         } else {
             choice.put("text", text);
@@ -80,12 +80,12 @@
 
     ObjectNode toDocument() {
         StringBuilder text = new StringBuilder();
-        for (int index = firstIndex; index < endIndex; index++) {
-            text.append(EngineStandIn.tokenText(prompt, index));
+        for (int index = mFirstIndex; index < mEndIndex; index++) {
+            text.append(EngineStandIn.tokenText(mPrompt, index));
         }
         ObjectNode body = Json.object();
         ObjectNode choice = body.putArray("choices").addObject().put("index", 0);
-        if (chat) {
+        if (mChat) {
             choice.putObject("message").put("role", "assistant").put("content", text.toString());
         } else {
             choice.put("text", text.toString());
@@ -96,11 +96,11 @@
     }
 
     private Duration timeToFirstToken(boolean cached) {
-        return cached ? options.cachedTimeToFirstToken : options.timeToFirstToken;
+        return cached ? mOptions.mCachedTimeToFirstToken : mOptions.mTimeToFirstToken;
     }
 
     private void addUsage(ObjectNode body) {
-        int promptTokens = Math.max(1, prompt.split("\\s+").length);
+        int promptTokens = Math.max(1, mPrompt.split("\\s+").length);
         body.putObject("usage")
                 .put("prompt_tokens", promptTokens)
                 .put("completion_tokens", tokenCount());
--- a/standins/src/main/java/org/fuchsialever/standins/EngineSlots.java
+++ b/standins/src/main/java/org/fuchsialever/standins/EngineSlots.java
@@ -16,35 +16,35 @@
  * come first, requests of equal priority in the order of arrival.
  */
 final class EngineSlots {
-    private final int slots;
-    private final int queueCapacity;
-    private final long lagNanos;
-    private final TimeSource time;
-    private final PriorityQueue<Ticket> waiting =
+    private final int mSlots;
+    private final int mQueueCapacity;
+    private final long mLagNanos;
+    private final TimeSource mTime;
+    private final PriorityQueue<Ticket> mWaiting =
             new PriorityQueue<>(
-                    Comparator.comparingInt((Ticket ticket) -> -ticket.priority)
-                            .thenComparingLong(ticket -> ticket.sequence));
-    private final Map<String, Ticket> tickets = new HashMap<>();
-    private final Deque<Load> history = new ArrayDeque<>();
-    private long sequence;
-    private int running;
+                    Comparator.comparingInt((Ticket ticket) -> -ticket.mPriority)
+                            .thenComparingLong(ticket -> ticket.mSequence));
+    private final Map<String, Ticket> mTickets = new HashMap<>();
+    private final Deque<Load> mHistory = new ArrayDeque<>();
+    private long mSequence;
+    private int mRunning;
 
     EngineSlots(int slots, int queue, long lagNanos, TimeSource time) {
-        this.time = time;
-        this.slots = slots;
-        this.queueCapacity = queue;
-        this.lagNanos = lagNanos;
-        history.add(new Load(0, 0, time.nanoTime()));
+        mTime = time;
+        mSlots = slots;
+        mQueueCapacity = queue;
+        mLagNanos = lagNanos;
+        mHistory.add(new Load(0, 0, time.nanoTime()));
     }
 
     /** Requests a slot; returns null if all slots are taken and the queue is full. */
     synchronized @Nullable Ticket request(String id, int priority) {
-        if (running >= slots && waiting.size() >= queueCapacity) {
+        if (mRunning >= mSlots && mWaiting.size() >= mQueueCapacity) {
             return null;
         }
-        Ticket ticket = new Ticket(id, priority, sequence++);
-        tickets.put(id, ticket);
-        waiting.add(ticket);
+        Ticket ticket = new Ticket(id, priority, mSequence++);
+        mTickets.put(id, ticket);
+        mWaiting.add(ticket);
         grantSlots();
         return ticket;
     }
@@ -53,20 +53,20 @@
     boolean cancel(String id) {
         Ticket ticket;
         synchronized (this) {
-            ticket = tickets.get(id);
+            ticket = mTickets.get(id);
         }
         if (ticket == null) {
             return false;
         }
-        ticket.cancelled.tryEmitEmpty();
+        ticket.mCancelled.tryEmitEmpty();
         return true;
     }
 
     /** Returns the load at the current time minus the lag. */
     synchronized Load load() {
-        long asOf = time.nanoTime() - lagNanos;
-        Load reported = history.getFirst();
-        for (Load load : history) {
+        long asOf = mTime.nanoTime() - mLagNanos;
+        Load reported = mHistory.getFirst();
+        for (Load load : mHistory) {
             if (load.sinceNanos - asOf <= 0) {
                 reported = load;
             }
@@ -75,46 +75,46 @@
     }
 
     synchronized int running() {
-        return running;
+        return mRunning;
     }
 
     synchronized int waiting() {
-        return waiting.size();
+        return mWaiting.size();
     }
 
     private synchronized void release(Ticket ticket) {
-        if (ticket.released) {
+        if (ticket.mReleased) {
             return;
         }
-        ticket.released = true;
-        tickets.remove(ticket.id, ticket);
-        if (ticket.running) {
-            running--;
+        ticket.mReleased = true;
+        mTickets.remove(ticket.mId, ticket);
+        if (ticket.mRunning) {
+            mRunning--;
         } else {
-            waiting.remove(ticket);
+            mWaiting.remove(ticket);
         }
         grantSlots();
     }
 
     private void grantSlots() {
-        while (running < slots && !waiting.isEmpty()) {
-            Ticket next = waiting.remove();
-            next.running = true;
-            running++;
-            next.granted.tryEmitEmpty();
+        while (mRunning < mSlots && !mWaiting.isEmpty()) {
+            Ticket next = mWaiting.remove();
+            next.mRunning = true;
+            mRunning++;
+            next.mGranted.tryEmitEmpty();
         }
-        long now = time.nanoTime();
-        history.addLast(new Load(running, waiting.size(), now));
-        while (history.size() > 1 && isOutdated(now)) {
-            history.removeFirst();
+        long now = mTime.nanoTime();
+        mHistory.addLast(new Load(mRunning, mWaiting.size(), now));
+        while (mHistory.size() > 1 && isOutdated(now)) {
+            mHistory.removeFirst();
         }
     }
 
     /** Returns whether the second entry is older than the lag, so that the first is not needed. */
     private boolean isOutdated(long now) {
-        Load first = history.removeFirst();
-        boolean outdated = history.getFirst().sinceNanos - (now - lagNanos) <= 0;
-        history.addFirst(first);
+        Load first = mHistory.removeFirst();
+        boolean outdated = mHistory.getFirst().sinceNanos - (now - mLagNanos) <= 0;
+        mHistory.addFirst(first);
         return outdated;
     }
 
@@ -123,28 +123,28 @@
 
     /** A request that waits in the queue or holds a slot. */
     final class Ticket {
-        private final String id;
-        private final int priority;
-        private final long sequence;
-        private final Sinks.Empty<Void> granted = Sinks.empty();
-        private final Sinks.Empty<Void> cancelled = Sinks.empty();
-        private boolean running;
-        private boolean released;
+        private final String mId;
+        private final int mPriority;
+        private final long mSequence;
+        private final Sinks.Empty<Void> mGranted = Sinks.empty();
+        private final Sinks.Empty<Void> mCancelled = Sinks.empty();
+        private boolean mRunning;
+        private boolean mReleased;
 
         private Ticket(String id, int priority, long sequence) {
-            this.id = id;
-            this.priority = priority;
-            this.sequence = sequence;
+            mId = id;
+            mPriority = priority;
+            mSequence = sequence;
         }
 
         /** Completes when the request is granted a slot. */
         Mono<Void> granted() {
-            return granted.asMono();
+            return mGranted.asMono();
         }
 
         /** Completes when the request is cancelled. */
         Mono<Void> cancelled() {
-            return cancelled.asMono();
+            return mCancelled.asMono();
         }
 
         /** Releases the slot or leaves the queue; further calls have no effect. */
--- a/standins/src/main/java/org/fuchsialever/standins/EngineStandIn.java
+++ b/standins/src/main/java/org/fuchsialever/standins/EngineStandIn.java
@@ -18,21 +18,21 @@
 public final class EngineStandIn extends StandInServer {
     private static final int DEFAULT_MAX_TOKENS = 16;
 
-    private final EngineOptions options;
-    private final EngineSlots slots;
-    private final PrefixCache cache;
-    private final AtomicLong weightVersion;
-    private final AtomicLong highestFencing = new AtomicLong();
-    private final AtomicInteger versionLoadFailuresLeft = new AtomicInteger();
-    private final AtomicLong generatedTokens = new AtomicLong();
-    private final AtomicLong cacheHits = new AtomicLong();
-    private final AtomicLong anonymousRequestCount = new AtomicLong();
-    private final List<EngineOrder> orders = new CopyOnWriteArrayList<>();
-    private final List<String> startedRequests = new CopyOnWriteArrayList<>();
-    private final List<String> cancelledRequests = new CopyOnWriteArrayList<>();
-    private volatile String startId;
-    private volatile boolean leaving;
-    private volatile boolean versionReported = true;
+    private final EngineOptions mOptions;
+    private final EngineSlots mSlots;
+    private final PrefixCache mCache;
+    private final AtomicLong mWeightVersion;
+    private final AtomicLong mHighestFencing = new AtomicLong();
+    private final AtomicInteger mVersionLoadFailuresLeft = new AtomicInteger();
+    private final AtomicLong mGeneratedTokens = new AtomicLong();
+    private final AtomicLong mCacheHits = new AtomicLong();
+    private final AtomicLong mAnonymousRequestCount = new AtomicLong();
+    private final List<EngineOrder> mOrders = new CopyOnWriteArrayList<>();
+    private final List<String> mStartedRequests = new CopyOnWriteArrayList<>();
+    private final List<String> mCancelledRequests = new CopyOnWriteArrayList<>();
+    private volatile String mStartId;
+    private volatile boolean mLeaving;
+    private volatile boolean mVersionReported = true;
 
     /**
      * Starts an engine with default options on a free loopback port.
@@ -46,16 +46,16 @@
 
     /** Starts an engine on a free loopback port. */
     public EngineStandIn(EngineOptions options) {
-        this.options = options;
-        this.startId = options.startId;
-        this.weightVersion = new AtomicLong(options.weightVersion);
-        this.slots =
+        mOptions = options;
+        mStartId = options.mStartId;
+        mWeightVersion = new AtomicLong(options.mWeightVersion);
+        mSlots =
                 new EngineSlots(
-                        options.slots,
-                        options.queueCapacity,
-                        options.loadReportLag.toNanos(),
-                        options.timeSource);
-        this.cache = new PrefixCache(options.cacheEntries, options.cacheEventDropInterval);
+                        options.mSlots,
+                        options.mQueueCapacity,
+                        options.mLoadReportLag.toNanos(),
+                        options.mTimeSource);
+        mCache = new PrefixCache(options.mCacheEntries, options.mCacheEventDropInterval);
         on("generate", "POST", "/v1/completions", request -> generate(request, false));
         on("generate", "POST", "/v1/chat/completions", request -> generate(request, true));
         on("cancel", "DELETE", "/v1/requests/([^/]+)", request -> Mono.just(cancel(request)));
@@ -87,85 +87,85 @@
 
     /** Switches to a weight version immediately, also for running requests. */
     public void loadVersion(long version) {
-        weightVersion.set(version);
+        mWeightVersion.set(version);
     }
 
     /** Returns the weight version in use. */
     public long weightVersion() {
-        return weightVersion.get();
+        return mWeightVersion.get();
     }
 
     /** Makes the next {@code count} orders to load a version fail with status 500. */
     public void failVersionLoads(int count) {
-        versionLoadFailuresLeft.set(count);
+        mVersionLoadFailuresLeft.set(count);
     }
 
     /** Reports the engine as leaving and admits no more requests. */
     public void leave() {
-        leaving = true;
+        mLeaving = true;
     }
 
     /** Sets whether responses include the weight version. */
     public void setVersionReported(boolean reported) {
-        versionReported = reported;
+        mVersionReported = reported;
     }
 
     /** Restarts the engine: closes all connections and clears the cache. */
     public void restart(String newStartId, long version) {
-        startId = newStartId;
-        weightVersion.set(version);
-        leaving = false;
-        cache.clear();
+        mStartId = newStartId;
+        mWeightVersion.set(version);
+        mLeaving = false;
+        mCache.clear();
         closeConnections();
     }
 
     /** Returns the number of requests that hold a slot. */
     public int running() {
-        return slots.running();
+        return mSlots.running();
     }
 
     /** Returns the number of requests that wait for a slot. */
     public int waiting() {
-        return slots.waiting();
+        return mSlots.waiting();
     }
 
     /** Returns the number of tokens generated, in streams and in complete responses. */
     public long generatedTokens() {
-        return generatedTokens.get();
+        return mGeneratedTokens.get();
     }
 
     /** Returns the number of prefix cache hits. */
     public long cacheHits() {
-        return cacheHits.get();
+        return mCacheHits.get();
     }
 
     /** Returns the IDs of requests in the order in which they were granted a slot. */
     public List<String> startedRequests() {
-        return List.copyOf(startedRequests);
+        return List.copyOf(mStartedRequests);
     }
 
     /** Returns the IDs of requests that were cancelled or whose caller disconnected. */
     public List<String> cancelledRequests() {
-        return List.copyOf(cancelledRequests);
+        return List.copyOf(mCancelledRequests);
     }
 
     /** Returns the executed orders, including repeated ones. */
     public List<EngineOrder> orders() {
-        return List.copyOf(orders);
+        return List.copyOf(mOrders);
     }
 
     private Mono<StandInResponse> generate(StandInRequest request, boolean chat) {
         JsonNode call = request.json();
         String id = request.header("X-Request-Id");
         String requestId =
-                id.isEmpty() ? "anonymous-" + anonymousRequestCount.incrementAndGet() : id;
+                id.isEmpty() ? "anonymous-" + mAnonymousRequestCount.incrementAndGet() : id;
         EngineSlots.Ticket ticket =
-                leaving ? null : slots.request(requestId, call.path("priority").asInt());
+                mLeaving ? null : mSlots.request(requestId, call.path("priority").asInt());
         if (ticket == null) {
-            return Mono.just(StandInResponse.error(leaving ? 503 : 429, "not_admitted"));
+            return Mono.just(StandInResponse.error(mLeaving ? 503 : 429, "not_admitted"));
         }
-        EngineCompletion completion = EngineCompletion.of(call, chat, options, DEFAULT_MAX_TOKENS);
-        Mono<Void> slot = ticket.granted().doOnSuccess(done -> startedRequests.add(requestId));
+        EngineCompletion completion = EngineCompletion.of(call, chat, mOptions, DEFAULT_MAX_TOKENS);
+        Mono<Void> slot = ticket.granted().doOnSuccess(done -> mStartedRequests.add(requestId));
         if (call.path("stream").asBoolean(false)) {
             return Mono.just(
                     StandInResponse.events(
@@ -183,7 +183,7 @@
     }
 
     private void onCallerDisconnected(String requestId, EngineSlots.Ticket ticket) {
-        cancelledRequests.add(requestId);
+        mCancelledRequests.add(requestId);
         ticket.release();
     }
 
@@ -195,14 +195,14 @@
     }
 
     private StandInResponse completeResponse(EngineCompletion completion) {
-        generatedTokens.addAndGet(completion.tokenCount());
+        mGeneratedTokens.addAndGet(completion.tokenCount());
         ObjectNode body = completion.toDocument();
         addEngineFields(body, completion.firstIndex());
         return StandInResponse.json(200, body);
     }
 
     private ObjectNode chunk(EngineCompletion completion, int index) {
-        generatedTokens.incrementAndGet();
+        mGeneratedTokens.incrementAndGet();
         ObjectNode chunk = completion.chunk(index);
         addEngineFields(chunk, index);
         return chunk;
@@ -210,45 +210,45 @@
 
     private void addEngineFields(ObjectNode body, int tokenIndex) {
         ObjectNode engine = body.putObject("engine");
-        engine.put("start", startId);
-        if (versionReported) {
-            engine.put("weight_version", weightVersion.get());
+        engine.put("start", mStartId);
+        if (mVersionReported) {
+            engine.put("weight_version", mWeightVersion.get());
         }
         engine.put("token_index", tokenIndex);
     }
 
     private boolean useCache(EngineCompletion completion) {
-        boolean hit = cache.use(completion.prompt());
+        boolean hit = mCache.use(completion.prompt());
         if (hit) {
-            cacheHits.incrementAndGet();
+            mCacheHits.incrementAndGet();
         }
         return hit;
     }
 
     private StandInResponse cancel(StandInRequest request) {
         String id = request.pathArguments().get(0);
-        if (!slots.cancel(id)) {
+        if (!mSlots.cancel(id)) {
             return StandInResponse.error(404, "unknown_request");
         }
-        cancelledRequests.add(id);
+        mCancelledRequests.add(id);
         return StandInResponse.json(200, Json.object());
     }
 
     private StandInResponse load() {
-        EngineSlots.Load load = slots.load();
+        EngineSlots.Load load = mSlots.load();
         ObjectNode body = Json.object();
         body.put("running", load.runningCount()).put("waiting", load.waitingCount());
-        body.put("slots", options.slots).put("weight_version", weightVersion.get());
-        body.put("engine_start", startId).put("leaving", leaving);
+        body.put("slots", mOptions.mSlots).put("weight_version", mWeightVersion.get());
+        body.put("engine_start", mStartId).put("leaving", mLeaving);
         body.put(
                 "reported_at_millis",
-                options.timeSource.wallMillis() - options.loadReportLag.toMillis());
+                mOptions.mTimeSource.wallMillis() - mOptions.mLoadReportLag.toMillis());
         return StandInResponse.json(200, body);
     }
 
     private StandInResponse cacheEvents(StandInRequest request) {
         long after = Long.parseLong(request.query("after", "0"));
-        return StandInResponse.json(200, cache.eventsAfter(after));
+        return StandInResponse.json(200, mCache.eventsAfter(after));
     }
 
     private Mono<StandInResponse> order(StandInRequest request) {
@@ -258,18 +258,18 @@
                         body.path("order").asText(),
                         body.path("fencing").asLong(),
                         body.path("version").asLong());
-        long highest = highestFencing.accumulateAndGet(order.fencing(), Math::max);
-        if (options.enforceFencing && order.fencing() < highest) {
+        long highest = mHighestFencing.accumulateAndGet(order.fencing(), Math::max);
+        if (mOptions.mEnforceFencing && order.fencing() < highest) {
             return Mono.just(StandInResponse.error(409, "stale_fencing"));
         }
-        if (versionLoadFailuresLeft.getAndUpdate(left -> Math.max(0, left - 1)) > 0) {
+        if (mVersionLoadFailuresLeft.getAndUpdate(left -> Math.max(0, left - 1)) > 0) {
             return Mono.just(StandInResponse.error(500, "load_failed"));
         }
-        orders.add(order);
-        return Mono.delay(options.versionLoadTime)
+        mOrders.add(order);
+        return Mono.delay(mOptions.mVersionLoadTime)
                 .map(
                         done -> {
-                            weightVersion.set(order.version());
+                            mWeightVersion.set(order.version());
                             return StandInResponse.json(200, Json.object());
                         });
     }
--- a/standins/src/main/java/org/fuchsialever/standins/FaultControl.java
+++ b/standins/src/main/java/org/fuchsialever/standins/FaultControl.java
@@ -7,11 +7,11 @@
 public final class FaultControl {
     private static final int UNLIMITED = Integer.MAX_VALUE;
 
-    private final StandInServer server;
-    private Fault current = new Fault(FaultMode.NONE, Duration.ZERO, UNLIMITED);
+    private final StandInServer mServer;
+    private Fault mCurrent = new Fault(FaultMode.NONE, Duration.ZERO, UNLIMITED);
 
     FaultControl(StandInServer server) {
-        this.server = server;
+        mServer = server;
     }
 
     /** Sets a fault until another one is set, and returns when it is active. */
@@ -33,7 +33,7 @@
 
     /** Returns the active fault. */
     public synchronized FaultMode mode() {
-        return current.mode;
+        return mCurrent.mode;
     }
 
     Mono<Void> activate(FaultMode mode, Duration duration, int count) {
@@ -45,7 +45,7 @@
                     if (mode == FaultMode.DOWN && !duration.isZero()) {
                         Mono.delay(duration).then(Mono.defer(() -> end(fault))).subscribe();
                     }
-                    return mode.activate(server, limit);
+                    return mode.activate(mServer, limit);
                 });
     }
 
@@ -55,17 +55,19 @@
     }
 
     private synchronized void replace(Fault fault) {
-        current = fault;
+        mCurrent = fault;
     }
 
     private synchronized Fault next() {
-        Fault fault = current;
-        current = fault.afterOneRequest();
+        Fault fault = mCurrent;
+        mCurrent = fault.afterOneRequest();
         return fault;
     }
 
     private synchronized Mono<Void> end(Fault fault) {
-        return current == fault ? activate(FaultMode.NONE, Duration.ZERO, UNLIMITED) : Mono.empty();
+        return mCurrent == fault
+                ? activate(FaultMode.NONE, Duration.ZERO, UNLIMITED)
+                : Mono.empty();
     }
 
     private record Fault(FaultMode mode, Duration duration, int count) {
--- a/standins/src/main/java/org/fuchsialever/standins/InstanceListStandIn.java
+++ b/standins/src/main/java/org/fuchsialever/standins/InstanceListStandIn.java
@@ -10,9 +10,9 @@
 
 /** The platform's list of instances, which shows changes with a delay. */
 public final class InstanceListStandIn extends StandInServer {
-    private final Map<String, ListedInstanceEntry> actual = new ConcurrentSkipListMap<>();
-    private final Duration lag;
-    private volatile Map<String, ListedInstanceEntry> published = Map.of();
+    private final Map<String, ListedInstanceEntry> mActual = new ConcurrentSkipListMap<>();
+    private final Duration mLag;
+    private volatile Map<String, ListedInstanceEntry> mPublished = Map.of();
 
     /**
      * Starts an empty list.
@@ -20,36 +20,36 @@
      * @param lag the delay after which a change becomes visible
      */
     public InstanceListStandIn(Duration lag) {
-        this.lag = lag;
+        mLag = lag;
         on("instances", "GET", "/instances", request -> Mono.just(list()));
         open();
     }
 
     /** Adds or replaces an instance. */
     public void put(ListedInstanceEntry instance) {
-        actual.put(instance.name(), instance);
+        mActual.put(instance.name(), instance);
         publish();
     }
 
     /** Removes an instance. */
     public void remove(String name) {
-        actual.remove(name);
+        mActual.remove(name);
         publish();
     }
 
     private void publish() {
-        Map<String, ListedInstanceEntry> copy = new TreeMap<>(actual);
-        if (lag.isZero()) {
-            published = copy;
+        Map<String, ListedInstanceEntry> copy = new TreeMap<>(mActual);
+        if (mLag.isZero()) {
+            mPublished = copy;
         } else {
-            Mono.delay(lag).subscribe(done -> published = copy);
+            Mono.delay(mLag).subscribe(done -> mPublished = copy);
         }
     }
 
     private StandInResponse list() {
         ObjectNode body = Json.object();
         ArrayNode instances = body.putArray("instances");
-        for (ListedInstanceEntry instance : published.values()) {
+        for (ListedInstanceEntry instance : mPublished.values()) {
             instances
                     .addObject()
                     .put("name", instance.name())
--- a/standins/src/main/java/org/fuchsialever/standins/JudgeStandIn.java
+++ b/standins/src/main/java/org/fuchsialever/standins/JudgeStandIn.java
@@ -10,8 +10,8 @@
 public final class JudgeStandIn extends StandInServer {
     private static final int SCORE_STEPS = 1_000;
 
-    private final Duration judgingTime;
-    private final List<String> judged = new CopyOnWriteArrayList<>();
+    private final Duration mJudgingTime;
+    private final List<String> mJudged = new CopyOnWriteArrayList<>();
 
     /**
      * Starts a judge.
@@ -19,7 +19,7 @@
      * @param time how long judging a sample takes
      */
     public JudgeStandIn(Duration time) {
-        this.judgingTime = time;
+        mJudgingTime = time;
         on("judge", "POST", "/judge", this::judge);
         open();
     }
@@ -32,16 +32,16 @@
 
     /** Returns the IDs of the judged samples, including repeated ones. */
     public List<String> judged() {
-        return List.copyOf(judged);
+        return List.copyOf(mJudged);
     }
 
     private Mono<StandInResponse> judge(StandInRequest request) {
         JsonNode body = request.json();
-        judged.add(body.path("sample").asText());
+        mJudged.add(body.path("sample").asText());
         double score = score(body.path("prompt").asText(), body.path("text").asText());
         StandInResponse response = StandInResponse.json(200, Json.object().put("score", score));
-        return judgingTime.isZero()
+        return mJudgingTime.isZero()
                 ? Mono.just(response)
-                : Mono.delay(judgingTime).thenReturn(response);
+                : Mono.delay(mJudgingTime).thenReturn(response);
     }
 }
--- a/standins/src/main/java/org/fuchsialever/standins/ObjectStoreStandIn.java
+++ b/standins/src/main/java/org/fuchsialever/standins/ObjectStoreStandIn.java
@@ -12,7 +12,7 @@
 public final class ObjectStoreStandIn extends StandInServer {
     private static final int PRECONDITION_FAILED = 412;
 
-    private final Map<String, byte[]> objects = new ConcurrentSkipListMap<>();
+    private final Map<String, byte[]> mObjects = new ConcurrentSkipListMap<>();
 
     /** Starts an empty object store. */
     public ObjectStoreStandIn() {
@@ -24,26 +24,26 @@
 
     /** Returns the names of all objects, sorted. */
     public List<String> names() {
-        return List.copyOf(objects.keySet());
+        return List.copyOf(mObjects.keySet());
     }
 
     /** Returns an object. */
     public Option<byte[]> object(String name) {
-        return Option.of(objects.get(name)).map(byte[]::clone);
+        return Option.of(mObjects.get(name)).map(byte[]::clone);
     }
 
     private StandInResponse put(StandInRequest request) {
         String name = request.pathArguments().get(0);
         if (!request.header("If-None-Match").equals("*")) {
-            objects.put(name, request.body());
-        } else if (objects.putIfAbsent(name, request.body()) != null) {
+            mObjects.put(name, request.body());
+        } else if (mObjects.putIfAbsent(name, request.body()) != null) {
             return StandInResponse.error(PRECONDITION_FAILED, "object_exists");
         }
         return StandInResponse.json(201, Json.object());
     }
 
     private StandInResponse read(StandInRequest request) {
-        byte[] object = objects.get(request.pathArguments().get(0));
+        byte[] object = mObjects.get(request.pathArguments().get(0));
         return object == null
                 ? StandInResponse.error(404, "no_such_object")
                 : StandInResponse.bytes(200, "application/octet-stream", object);
@@ -53,7 +53,7 @@
         String prefix = request.query("prefix", "");
         ObjectNode body = Json.object();
         ArrayNode names = body.putArray("names");
-        objects.keySet().stream().filter(name -> name.startsWith(prefix)).forEach(names::add);
+        mObjects.keySet().stream().filter(name -> name.startsWith(prefix)).forEach(names::add);
         return StandInResponse.json(200, body);
     }
 }
--- a/standins/src/main/java/org/fuchsialever/standins/OrderingStandIn.java
+++ b/standins/src/main/java/org/fuchsialever/standins/OrderingStandIn.java
@@ -23,12 +23,12 @@
     private static final int CONFLICT = 409;
     private static final int UNAVAILABLE = 503;
 
-    private final long requestTimeoutNanos;
-    private final Duration startTime;
-    private final UpstreamStarter starter;
-    private final Map<String, Upstream> upstreams = new LinkedHashMap<>();
-    private final Set<String> unavailable = new HashSet<>();
-    private final List<ReceivedOrder> received = new ArrayList<>();
+    private final long mRequestTimeoutNanos;
+    private final Duration mStartTime;
+    private final UpstreamStarter mStarter;
+    private final Map<String, Upstream> mUpstreams = new LinkedHashMap<>();
+    private final Set<String> mUnavailable = new HashSet<>();
+    private final List<ReceivedOrder> mReceived = new ArrayList<>();
 
     /**
      * Starts an ordering interface.
@@ -38,9 +38,9 @@
      * @param starter starts the upstreams
      */
     public OrderingStandIn(Duration requestTimeout, Duration startTime, UpstreamStarter starter) {
-        this.requestTimeoutNanos = requestTimeout.toNanos();
-        this.startTime = startTime;
-        this.starter = starter;
+        mRequestTimeoutNanos = requestTimeout.toNanos();
+        mStartTime = startTime;
+        mStarter = starter;
         on("order", "POST", "/orders", request -> Mono.just(order(request)));
         on("upstreams", "GET", "/upstreams", request -> Mono.just(list()));
         open();
@@ -48,13 +48,13 @@
 
     /** Returns all orders in the order of their arrival, including repeated ones. */
     public synchronized List<ReceivedOrder> received() {
-        return List.copyOf(received);
+        return List.copyOf(mReceived);
     }
 
     /** Returns the state of an upstream: starting, serving, leaving or stopped. */
     public synchronized String stateOf(String upstream) {
-        Upstream known = upstreams.get(upstream);
-        return known == null ? "unknown" : known.state;
+        Upstream known = mUpstreams.get(upstream);
+        return known == null ? "unknown" : known.mState;
     }
 
     /** Adds an upstream that is already serving. */
@@ -64,16 +64,16 @@
                 new ReceivedOrder(
                         "initial", "start", upstream, pool, failureDomain, kind, "", ACCEPTED, 0);
         Upstream added = new Upstream(order, "serving");
-        added.port = port;
-        upstreams.put(upstream, added);
+        added.mPort = port;
+        mUpstreams.put(upstream, added);
     }
 
     /** Sets whether capacity of a kind is available in a failure domain. */
     public synchronized void setAvailable(String failureDomain, String kind, boolean available) {
         if (available) {
-            unavailable.remove(failureDomain + "/" + kind);
+            mUnavailable.remove(failureDomain + "/" + kind);
         } else {
-            unavailable.add(failureDomain + "/" + kind);
+            mUnavailable.add(failureDomain + "/" + kind);
         }
     }
 
@@ -81,12 +81,12 @@
     public synchronized void reclaim(String failureDomain, Duration notice) {
         setAvailable(failureDomain, "cheap", false);
         long at = System.currentTimeMillis() + notice.toMillis();
-        for (Upstream upstream : upstreams.values()) {
-            if (upstream.order.failureDomain().equals(failureDomain)
-                    && upstream.order.kind().equals("cheap")
-                    && !upstream.state.equals("stopped")) {
-                upstream.state = "leaving";
-                upstream.reclaimAtMillis = at;
+        for (Upstream upstream : mUpstreams.values()) {
+            if (upstream.mOrder.failureDomain().equals(failureDomain)
+                    && upstream.mOrder.kind().equals("cheap")
+                    && !upstream.mState.equals("stopped")) {
+                upstream.mState = "leaving";
+                upstream.mReclaimAtMillis = at;
                 Mono.delay(notice).subscribe(done -> setState(upstream, "stopped"));
             }
         }
@@ -97,7 +97,7 @@
         channel.pipeline()
                 .addLast(
                         RequestDeadlineHandler.NAME,
-                        new RequestDeadlineHandler(requestTimeoutNanos));
+                        new RequestDeadlineHandler(mRequestTimeoutNanos));
     }
 
     @Override
@@ -108,7 +108,7 @@
     private synchronized StandInResponse order(StandInRequest request) {
         ReceivedOrder order = readOrder(request, 0);
         int status = statusOf(order);
-        received.add(readOrder(request, status));
+        mReceived.add(readOrder(request, status));
         if (status == ACCEPTED) {
             execute(order);
             return StandInResponse.json(status, Json.object().put("order", order.orderId()));
@@ -118,58 +118,58 @@
     }
 
     private int statusOf(ReceivedOrder order) {
-        Upstream known = upstreams.get(order.upstream());
+        Upstream known = mUpstreams.get(order.upstream());
         if (!order.action().equals("start")) {
             return ACCEPTED;
         }
         if (known != null) {
-            return known.order.orderId().equals(order.orderId()) ? ACCEPTED : CONFLICT;
+            return known.mOrder.orderId().equals(order.orderId()) ? ACCEPTED : CONFLICT;
         }
-        return unavailable.contains(order.failureDomain() + "/" + order.kind())
+        return mUnavailable.contains(order.failureDomain() + "/" + order.kind())
                 ? UNAVAILABLE
                 : ACCEPTED;
     }
 
     private void execute(ReceivedOrder order) {
-        Upstream known = upstreams.get(order.upstream());
+        Upstream known = mUpstreams.get(order.upstream());
         if (order.action().equals("stop")) {
             if (known != null) {
-                known.state = "stopped";
+                known.mState = "stopped";
             }
         } else if (known == null) {
             Upstream added = new Upstream(order, "starting");
-            upstreams.put(order.upstream(), added);
-            Mono.delay(startTime)
+            mUpstreams.put(order.upstream(), added);
+            Mono.delay(mStartTime)
                     .publishOn(Schedulers.boundedElastic())
-                    .map(done -> starter.start(order.upstream(), order.pool()))
+                    .map(done -> mStarter.start(order.upstream(), order.pool()))
                     .subscribe(port -> onStarted(added, port));
         }
     }
 
     private synchronized void onStarted(Upstream upstream, int port) {
-        upstream.port = port;
-        if (upstream.state.equals("starting")) {
-            upstream.state = "serving";
+        upstream.mPort = port;
+        if (upstream.mState.equals("starting")) {
+            upstream.mState = "serving";
         }
     }
 
     private synchronized void setState(Upstream upstream, String state) {
-        upstream.state = state;
+        upstream.mState = state;
     }
 
     private synchronized StandInResponse list() {
         ObjectNode body = Json.object();
         ArrayNode list = body.putArray("upstreams");
-        for (Upstream upstream : upstreams.values()) {
+        for (Upstream upstream : mUpstreams.values()) {
             list.addObject()
-                    .put("upstream", upstream.order.upstream())
-                    .put("pool", upstream.order.pool())
-                    .put("failure_domain", upstream.order.failureDomain())
-                    .put("kind", upstream.order.kind())
+                    .put("upstream", upstream.mOrder.upstream())
+                    .put("pool", upstream.mOrder.pool())
+                    .put("failure_domain", upstream.mOrder.failureDomain())
+                    .put("kind", upstream.mOrder.kind())
                     .put("host", HOST)
-                    .put("port", upstream.port)
-                    .put("state", upstream.state)
-                    .put("reclaim_at_millis", upstream.reclaimAtMillis);
+                    .put("port", upstream.mPort)
+                    .put("state", upstream.mState)
+                    .put("reclaim_at_millis", upstream.mReclaimAtMillis);
         }
         return StandInResponse.json(200, body);
     }
@@ -190,14 +190,14 @@
     }
 
     private static final class Upstream {
-        private final ReceivedOrder order;
-        private String state;
-        private int port;
-        private long reclaimAtMillis;
+        private final ReceivedOrder mOrder;
+        private String mState;
+        private int mPort;
+        private long mReclaimAtMillis;
 
         private Upstream(ReceivedOrder order, String state) {
-            this.order = order;
-            this.state = state;
+            mOrder = order;
+            mState = state;
         }
     }
 }
--- a/standins/src/main/java/org/fuchsialever/standins/PlainServiceStandIn.java
+++ b/standins/src/main/java/org/fuchsialever/standins/PlainServiceStandIn.java
@@ -14,11 +14,11 @@
 public final class PlainServiceStandIn extends StandInServer {
     private static final int BUSY = 503;
 
-    private final Duration executionTime;
-    private final Map<String, AtomicInteger> executionsById = new ConcurrentHashMap<>();
-    private final Map<String, AtomicInteger> executionsByPath = new ConcurrentHashMap<>();
-    private final List<Map<String, String>> headers = new CopyOnWriteArrayList<>();
-    private final AtomicInteger refusalsLeft = new AtomicInteger();
+    private final Duration mExecutionTime;
+    private final Map<String, AtomicInteger> mExecutionsById = new ConcurrentHashMap<>();
+    private final Map<String, AtomicInteger> mExecutionsByPath = new ConcurrentHashMap<>();
+    private final List<Map<String, String>> mHeaders = new CopyOnWriteArrayList<>();
+    private final AtomicInteger mRefusalsLeft = new AtomicInteger();
 
     /**
      * Starts a service.
@@ -26,7 +26,7 @@
      * @param executionTime how long the execution of a request takes
      */
     public PlainServiceStandIn(Duration executionTime) {
-        this.executionTime = executionTime;
+        mExecutionTime = executionTime;
         on(
                 "runs",
                 "GET",
@@ -40,45 +40,45 @@
 
     /** Refuses the next {@code count} requests with status 503 and {@code X-Not-Run: true}. */
     public void refuseNext(int count) {
-        refusalsLeft.set(count);
+        mRefusalsLeft.set(count);
     }
 
     /** Returns how often the request with this {@code X-Request-Id} was executed. */
     public int executionCount(String requestId) {
-        return count(executionsById, requestId);
+        return count(mExecutionsById, requestId);
     }
 
     /** Returns how often requests for a path were executed. */
     public int executionCountForPath(String path) {
-        return count(executionsByPath, path);
+        return count(mExecutionsByPath, path);
     }
 
     /** Returns the numbers of executions by {@code X-Request-Id}. */
     public Map<String, Integer> executionCounts() {
         Map<String, Integer> runs = new TreeMap<>();
-        executionsById.forEach((id, count) -> runs.put(id, count.get()));
+        mExecutionsById.forEach((id, count) -> runs.put(id, count.get()));
         return runs;
     }
 
     /** Returns the header fields of all requests, with names in lower case. */
     public List<Map<String, String>> receivedHeaders() {
-        return List.copyOf(headers);
+        return List.copyOf(mHeaders);
     }
 
     private Mono<StandInResponse> run(StandInRequest request) {
         Map<String, String> fields = new TreeMap<>();
         request.headers().forEach(field -> fields.put(lower(field.getKey()), field.getValue()));
-        headers.add(fields);
-        if (refusalsLeft.getAndUpdate(left -> Math.max(0, left - 1)) > 0) {
+        mHeaders.add(fields);
+        if (mRefusalsLeft.getAndUpdate(left -> Math.max(0, left - 1)) > 0) {
             return Mono.just(StandInResponse.error(BUSY, "busy").with("X-Not-Run", "true"));
         }
-        increment(executionsById, request.header("X-Request-Id"));
-        increment(executionsByPath, request.path());
+        increment(mExecutionsById, request.header("X-Request-Id"));
+        increment(mExecutionsByPath, request.path());
         String type = request.headers().get("Content-Type", "application/octet-stream");
         StandInResponse response = StandInResponse.bytes(200, type, request.body());
-        return executionTime.isZero()
+        return mExecutionTime.isZero()
                 ? Mono.just(response)
-                : Mono.delay(executionTime).thenReturn(response);
+                : Mono.delay(mExecutionTime).thenReturn(response);
     }
 
     private ObjectNode counts() {
@@ -86,7 +86,7 @@
         ObjectNode runs = body.putObject("runs");
         executionCounts().forEach(runs::put);
         ObjectNode paths = body.putObject("paths");
-        executionsByPath.forEach((path, count) -> paths.put(path, count.get()));
+        mExecutionsByPath.forEach((path, count) -> paths.put(path, count.get()));
         return body;
     }
 
--- a/standins/src/main/java/org/fuchsialever/standins/PrefixCache.java
+++ b/standins/src/main/java/org/fuchsialever/standins/PrefixCache.java
@@ -11,15 +11,15 @@
 final class PrefixCache {
     private static final int PREFIX_LENGTH = 64;
 
-    private final int maxEntries;
-    private final int eventDropInterval;
-    private final LinkedHashSet<String> prefixes = new LinkedHashSet<>();
-    private final List<Event> events = new ArrayList<>();
-    private long sequence;
+    private final int mMaxEntries;
+    private final int mEventDropInterval;
+    private final LinkedHashSet<String> mPrefixes = new LinkedHashSet<>();
+    private final List<Event> mEvents = new ArrayList<>();
+    private long mSequence;
 
     PrefixCache(int entries, int gapEvery) {
-        this.maxEntries = entries;
-        this.eventDropInterval = gapEvery;
+        mMaxEntries = entries;
+        mEventDropInterval = gapEvery;
     }
 
     /** Returns the part of a prompt by which it is cached: its first 64 characters. */
@@ -29,17 +29,17 @@
 
     /** Uses the prefix of a prompt; returns whether it was in the cache. */
     synchronized boolean use(String prompt) {
-        if (maxEntries == 0) {
+        if (mMaxEntries == 0) {
             return false;
         }
         String prefix = prefixOf(prompt);
-        boolean hit = prefixes.remove(prefix);
-        prefixes.add(prefix);
+        boolean hit = mPrefixes.remove(prefix);
+        mPrefixes.add(prefix);
         if (!hit) {
             record(prefix, true);
         }
-        if (prefixes.size() > maxEntries) {
-            Iterator<String> oldest = prefixes.iterator();
+        if (mPrefixes.size() > mMaxEntries) {
+            Iterator<String> oldest = mPrefixes.iterator();
             record(oldest.next(), false);
             oldest.remove();
         }
@@ -47,14 +47,14 @@
     }
 
     synchronized void clear() {
-        prefixes.clear();
-        events.clear();
+        mPrefixes.clear();
+        mEvents.clear();
     }
 
     synchronized ObjectNode eventsAfter(long after) {
         ObjectNode body = Json.object();
         ArrayNode list = body.putArray("events");
-        for (Event event : events) {
+        for (Event event : mEvents) {
             if (event.sequence > after) {
                 list.addObject()
                         .put("seq", event.sequence)
@@ -66,9 +66,9 @@
     }
 
     private void record(String prefix, boolean stored) {
-        sequence++;
-        if (eventDropInterval == 0 || sequence % eventDropInterval != 0) {
-            events.add(new Event(sequence, prefix, stored));
+        mSequence++;
+        if (mEventDropInterval == 0 || mSequence % mEventDropInterval != 0) {
+            mEvents.add(new Event(mSequence, prefix, stored));
         }
     }
 
--- a/standins/src/main/java/org/fuchsialever/standins/RequestDeadlineHandler.java
+++ b/standins/src/main/java/org/fuchsialever/standins/RequestDeadlineHandler.java
@@ -13,17 +13,17 @@
 final class RequestDeadlineHandler extends ChannelInboundHandlerAdapter {
     static final String NAME = "stand-in-request-deadline";
 
-    private final long timeoutNanos;
-    private @Nullable ScheduledFuture<?> deadline;
-    private @Nullable ChannelHandlerContext context;
+    private final long mTimeoutNanos;
+    private @Nullable ScheduledFuture<?> mDeadline;
+    private @Nullable ChannelHandlerContext mContext;
 
     RequestDeadlineHandler(long timeoutNanos) {
-        this.timeoutNanos = timeoutNanos;
+        mTimeoutNanos = timeoutNanos;
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext added) {
-        context = added;
+        mContext = added;
         restart();
     }
 
@@ -41,20 +41,20 @@
     /** Restarts the timeout for the next request; must be called on the event loop. */
     void restart() {
         cancel();
-        ChannelHandlerContext current = context;
+        ChannelHandlerContext current = mContext;
         if (current != null) {
-            deadline =
+            mDeadline =
                     current.executor()
                             .schedule(
                                     () -> current.channel().close(),
-                                    timeoutNanos,
+                                    mTimeoutNanos,
                                     TimeUnit.NANOSECONDS);
         }
     }
 
     private void cancel() {
-        if (deadline != null) {
-            deadline.cancel(false);
+        if (mDeadline != null) {
+            mDeadline.cancel(false);
         }
     }
 }
--- a/standins/src/main/java/org/fuchsialever/standins/SilenceHandler.java
+++ b/standins/src/main/java/org/fuchsialever/standins/SilenceHandler.java
@@ -9,15 +9,15 @@
 final class SilenceHandler extends ChannelDuplexHandler {
     static final String NAME = "stand-in-silence";
 
-    private volatile boolean silent;
+    private volatile boolean mSilent;
 
     void silence() {
-        silent = true;
+        mSilent = true;
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
-        if (silent) {
+        if (mSilent) {
             ReferenceCountUtil.release(message);
             return;
         }
@@ -27,7 +27,7 @@
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise)
             throws Exception {
-        if (silent) {
+        if (mSilent) {
             ReferenceCountUtil.release(message);
             promise.setSuccess();
             return;
--- a/standins/src/main/java/org/fuchsialever/standins/StandInEnvironment.java
+++ b/standins/src/main/java/org/fuchsialever/standins/StandInEnvironment.java
@@ -12,9 +12,9 @@
 
 /** A set of stand-ins that were started together and are closed together. */
 public final class StandInEnvironment implements AutoCloseable {
-    private final Closer closer = new Closer();
-    private final Map<String, StandInServer> servers = new LinkedHashMap<>();
-    private final Map<String, EngineStandIn> orderedEngines = new ConcurrentHashMap<>();
+    private final Closer mCloser = new Closer();
+    private final Map<String, StandInServer> mServers = new LinkedHashMap<>();
+    private final Map<String, EngineStandIn> mOrderedEngines = new ConcurrentHashMap<>();
 
     private StandInEnvironment() {}
 
@@ -41,7 +41,7 @@
      * @throws IllegalArgumentException if there is none with this name and type
      */
     public <T extends StandInServer> T find(String name, Class<T> type) {
-        StandInServer server = servers.get(name);
+        StandInServer server = mServers.get(name);
         if (!type.isInstance(server)) {
             throw new IllegalArgumentException("no " + type.getSimpleName() + " named " + name);
         }
@@ -50,7 +50,7 @@
 
     /** Returns an engine by its name, including engines started by an order. */
     public EngineStandIn engine(String name) {
-        EngineStandIn started = orderedEngines.get(name);
+        EngineStandIn started = mOrderedEngines.get(name);
         return started != null ? started : find(name, EngineStandIn.class);
     }
 
@@ -96,7 +96,7 @@
 
     /** Returns all stand-ins by name, in the order in which they were added. */
     public Map<String, StandInServer> servers() {
-        return new LinkedHashMap<>(servers);
+        return new LinkedHashMap<>(mServers);
     }
 
     /**
@@ -114,7 +114,7 @@
                         "instance-list",
                         "weight-store",
                         "judge")) {
-            StandInServer server = servers.get(name);
+            StandInServer server = mServers.get(name);
             if (server != null) {
                 text.append(name).append(" = ").append(server.url()).append('\n');
             }
@@ -124,25 +124,25 @@
 
     @Override
     public void close() {
-        closer.close();
+        mCloser.close();
     }
 
     private void add(String name, StandInServer server) {
-        closer.register(name, server);
-        if (servers.putIfAbsent(name, server) != null) {
+        mCloser.register(name, server);
+        if (mServers.putIfAbsent(name, server) != null) {
             throw new IllegalArgumentException("two stand-ins are named " + name);
         }
     }
 
     private int startOrdered(String name, EngineOptions options) {
-        EngineStandIn engine = closer.register(name, new EngineStandIn(options));
-        orderedEngines.put(name, engine);
+        EngineStandIn engine = mCloser.register(name, new EngineStandIn(options));
+        mOrderedEngines.put(name, engine);
         return engine.port();
     }
 
     /** Builds an environment; each method that adds a stand-in returns this builder. */
     public static final class Builder {
-        private final List<Entry> entries = new ArrayList<>();
+        private final List<Entry> mEntries = new ArrayList<>();
 
         private Builder() {}
 
@@ -205,7 +205,7 @@
         public StandInEnvironment start() {
             StandInEnvironment environment = new StandInEnvironment();
             try {
-                entries.forEach(
+                mEntries.forEach(
                         entry -> environment.add(entry.name, entry.starter.start(environment)));
             } catch (RuntimeException e) {
                 environment.close();
@@ -215,7 +215,7 @@
         }
 
         private Builder add(String name, Starter starter) {
-            entries.add(new Entry(name, starter));
+            mEntries.add(new Entry(name, starter));
             return this;
         }
 
--- a/standins/src/main/java/org/fuchsialever/standins/StandInServer.java
+++ b/standins/src/main/java/org/fuchsialever/standins/StandInServer.java
@@ -39,14 +39,14 @@
 
     private static final String CONTROL_PREFIX = "/stand-in/";
 
-    private final List<Route> routes = new ArrayList<>();
-    private final Map<String, AtomicLong> calls = new ConcurrentHashMap<>();
-    private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
-    private final FaultControl faults = new FaultControl(this);
-    private final AtomicLong requestsWithCredentials = new AtomicLong();
-    private volatile @Nullable DisposableServer server;
-    private volatile int port;
-    private volatile boolean closed;
+    private final List<Route> mRoutes = new ArrayList<>();
+    private final Map<String, AtomicLong> mCalls = new ConcurrentHashMap<>();
+    private final ChannelGroup mChannels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final FaultControl mFaults = new FaultControl(this);
+    private final AtomicLong mRequestsWithCredentials = new AtomicLong();
+    private volatile @Nullable DisposableServer mServer;
+    private volatile int mPort;
+    private volatile boolean mClosed;
 
     /** Creates a server that does not listen yet. */
     protected StandInServer() {
@@ -60,29 +60,29 @@
 
     /** Returns the TCP port, which stays the same while the stand-in is down. */
     public final int port() {
-        return port;
+        return mPort;
     }
 
     /** Returns the address for clients, such as {@code http://127.0.0.1:4711}. */
     public final String url() {
-        return "http://" + HOST + ":" + port;
+        return "http://" + HOST + ":" + mPort;
     }
 
     /** Returns the fault control. */
     public final FaultControl faults() {
-        return faults;
+        return mFaults;
     }
 
     /** Returns how often an operation was called, including calls affected by a fault. */
     public final long calls(String operation) {
-        AtomicLong count = calls.get(operation);
+        AtomicLong count = mCalls.get(operation);
         return count == null ? 0 : count.get();
     }
 
     /** Returns the calls by operation. */
     public final Map<String, Long> callCounts() {
         Map<String, Long> counts = new TreeMap<>();
-        calls.forEach((operation, count) -> counts.put(operation, count.get()));
+        mCalls.forEach((operation, count) -> counts.put(operation, count.get()));
         return counts;
     }
 
@@ -91,12 +91,12 @@
      * caller's key in the URI, another header field or the body.
      */
     public final long requestsWithCredentials() {
-        return requestsWithCredentials.get();
+        return mRequestsWithCredentials.get();
     }
 
     @Override
     public void close() {
-        closed = true;
+        mClosed = true;
         stopListening().block();
     }
 
@@ -106,7 +106,7 @@
             String method,
             String pathPattern,
             Function<StandInRequest, Mono<StandInResponse>> handler) {
-        routes.add(new Route(operation, method, Pattern.compile(pathPattern), handler));
+        mRoutes.add(new Route(operation, method, Pattern.compile(pathPattern), handler));
     }
 
     /** Binds a free port; called at the end of each stand-in's constructor. */
@@ -124,19 +124,19 @@
         return Mono.defer(
                 () -> {
                     // A fault that ends after close() must not reopen the stand-in.
-                    if (server != null || closed) {
+                    if (mServer != null || mClosed) {
                         return Mono.empty();
                     }
                     return HttpServer.create()
                             .host(HOST)
-                            .port(port)
+                            .port(mPort)
                             .doOnChannelInit((observer, channel, address) -> prepare(channel))
                             .handle(this::serve)
                             .bind()
                             .doOnNext(
                                     bound -> {
-                                        server = bound;
-                                        port = bound.port();
+                                        mServer = bound;
+                                        mPort = bound.port();
                                     })
                             .then();
                 });
@@ -145,8 +145,8 @@
     final Mono<Void> stopListening() {
         return Mono.defer(
                 () -> {
-                    DisposableServer bound = server;
-                    server = null;
+                    DisposableServer bound = mServer;
+                    mServer = null;
                     if (bound != null) {
                         bound.dispose();
                     }
@@ -156,12 +156,12 @@
     }
 
     final void closeConnections() {
-        channels.close();
+        mChannels.close();
     }
 
     final void silence(int count) {
         int remaining = count;
-        for (Channel channel : channels) {
+        for (Channel channel : mChannels) {
             if (remaining-- <= 0) {
                 return;
             }
@@ -170,7 +170,7 @@
     }
 
     private void prepare(Channel channel) {
-        channels.add(channel);
+        mChannels.add(channel);
         channel.pipeline().addFirst(SilenceHandler.NAME, new SilenceHandler());
         onConnection(channel);
     }
@@ -188,7 +188,7 @@
         Channel channel = channelOf(httpResponse);
         onRequestComplete(channel);
         String path = request.uri().split("\\?", 2)[0];
-        for (Route route : routes) {
+        for (Route route : mRoutes) {
             Matcher matcher = route.path.matcher(path);
             if (route.method.equals(request.method().name()) && matcher.matches()) {
                 return serve(route, readRequest(request, body, matcher, channel), httpResponse);
@@ -200,10 +200,10 @@
     private Mono<Void> serve(Route route, StandInRequest request, HttpServerResponse httpResponse) {
         if (!request.uri().startsWith(CONTROL_PREFIX)) {
             if (request.hasCredentials()) {
-                requestsWithCredentials.incrementAndGet();
+                mRequestsWithCredentials.incrementAndGet();
             }
-            calls.computeIfAbsent(route.operation, name -> new AtomicLong()).incrementAndGet();
-            return faults.serve(new Exchange(route, request, httpResponse));
+            mCalls.computeIfAbsent(route.operation, name -> new AtomicLong()).incrementAndGet();
+            return mFaults.serve(new Exchange(route, request, httpResponse));
         }
         if (!route.operation.equals("faults")) {
             return route.handler.apply(request).flatMap(response -> send(httpResponse, response));
@@ -234,7 +234,7 @@
     }
 
     private Mono<Void> activate(JsonNode body) {
-        return faults.activate(
+        return mFaults.activate(
                 FaultMode.of(body.path("mode").asText()),
                 Duration.ofMillis(body.path("millis").asLong()),
                 body.path("count").asInt());
--- a/standins/src/main/java/org/fuchsialever/standins/TableRows.java
+++ b/standins/src/main/java/org/fuchsialever/standins/TableRows.java
@@ -12,19 +12,19 @@
 
 /** The rows of all tables with their global revision. Not thread-safe. */
 final class TableRows {
-    private final Map<String, NavigableMap<String, Row>> tables = new TreeMap<>();
-    private long revision;
+    private final Map<String, NavigableMap<String, Row>> mTables = new TreeMap<>();
+    private long mRevision;
 
     /** Returns a copy that later commits do not change. */
     TableRows copy() {
         TableRows copy = new TableRows();
-        tables.forEach((name, rows) -> copy.tables.put(name, new TreeMap<>(rows)));
-        copy.revision = revision;
+        mTables.forEach((name, rows) -> copy.mTables.put(name, new TreeMap<>(rows)));
+        copy.mRevision = mRevision;
         return copy;
     }
 
     long revision() {
-        return revision;
+        return mRevision;
     }
 
     /** Returns the rows that do not satisfy the conditions; a missing row has version 0. */
@@ -44,7 +44,7 @@
 
     /** Applies a commit whose conditions hold; returns the new revision. */
     long apply(JsonNode commit) {
-        revision++;
+        mRevision++;
         for (JsonNode delete : commit.path("deletes")) {
             rows(delete.path("table").asText()).remove(delete.path("key").asText());
         }
@@ -52,19 +52,19 @@
         for (JsonNode put : commit.path("puts")) {
             String table = put.path("table").asText();
             String key = put.path("key").asText();
-            Row row = new Row(table, key, revision, put.path("value").asText(), writer);
+            Row row = new Row(table, key, mRevision, put.path("value").asText(), writer);
             rows(table).put(key, row);
         }
-        return revision;
+        return mRevision;
     }
 
     @Nullable Row find(String table, String key) {
-        return tables.getOrDefault(table, new TreeMap<>()).get(key);
+        return mTables.getOrDefault(table, new TreeMap<>()).get(key);
     }
 
     List<Row> scan(String table, String prefix, long after) {
         List<Row> found = new ArrayList<>();
-        NavigableMap<String, Row> rows = tables.getOrDefault(table, new TreeMap<>());
+        NavigableMap<String, Row> rows = mTables.getOrDefault(table, new TreeMap<>());
         for (Row row : rows.tailMap(prefix, true).values()) {
             if (!row.key.startsWith(prefix)) {
                 break;
@@ -77,7 +77,7 @@
     }
 
     private NavigableMap<String, Row> rows(String table) {
-        return tables.computeIfAbsent(table, name -> new TreeMap<>());
+        return mTables.computeIfAbsent(table, name -> new TreeMap<>());
     }
 
     static ArrayNode toJson(List<Row> rows, ArrayNode target) {
--- a/standins/src/main/java/org/fuchsialever/standins/TableServiceStandIn.java
+++ b/standins/src/main/java/org/fuchsialever/standins/TableServiceStandIn.java
@@ -13,8 +13,8 @@
 public final class TableServiceStandIn extends StandInServer {
     private static final int CONFLICT = 409;
 
-    private final TableRows rows = new TableRows();
-    private @Nullable TableRows staleRows;
+    private final TableRows mRows = new TableRows();
+    private @Nullable TableRows mStaleRows;
 
     /** Starts an empty table service. */
     public TableServiceStandIn() {
@@ -29,28 +29,28 @@
      * Makes reads return the present state of the rows until {@link #serveCurrentReads} is called.
      */
     public synchronized void serveStaleReads() {
-        staleRows = rows.copy();
+        mStaleRows = mRows.copy();
     }
 
     /** Makes reads return the current rows again. */
     public synchronized void serveCurrentReads() {
-        staleRows = null;
+        mStaleRows = null;
     }
 
     /** Returns the revision of the last commit. */
     public synchronized long revision() {
-        return rows.revision();
+        return mRows.revision();
     }
 
     /** Returns the current value of a row. */
     public synchronized Option<String> value(String table, String key) {
-        return Option.of(rows.find(table, key)).map(TableRows.Row::value);
+        return Option.of(mRows.find(table, key)).map(TableRows.Row::value);
     }
 
     /** Returns the current values of the rows whose keys begin with a prefix. */
     public synchronized Map<String, String> values(String table, String prefix) {
         Map<String, String> values = new TreeMap<>();
-        rows.scan(table, prefix, 0).forEach(row -> values.put(row.key(), row.value()));
+        mRows.scan(table, prefix, 0).forEach(row -> values.put(row.key(), row.value()));
         return values;
     }
 
@@ -58,17 +58,17 @@
     public synchronized long put(String table, String key, String value) {
         ObjectNode commit = Json.object().put("writer", "stand-in");
         commit.putArray("puts").addObject().put("table", table).put("key", key).put("value", value);
-        return rows.apply(commit);
+        return mRows.apply(commit);
     }
 
     private synchronized StandInResponse commit(JsonNode commit) {
-        List<TableRows.Row> conflicts = rows.conflicts(commit.path("conditions"));
+        List<TableRows.Row> conflicts = mRows.conflicts(commit.path("conditions"));
         ObjectNode body = Json.object();
         if (!conflicts.isEmpty()) {
             TableRows.toJson(conflicts, body.putArray("conflicts"));
             return StandInResponse.json(CONFLICT, body);
         }
-        return StandInResponse.json(200, body.put("version", rows.apply(commit)));
+        return StandInResponse.json(200, body.put("version", mRows.apply(commit)));
     }
 
     private synchronized StandInResponse read(StandInRequest request) {
@@ -99,6 +99,6 @@
     }
 
     private TableRows readableRows() {
-        return staleRows == null ? rows : staleRows;
+        return mStaleRows == null ? mRows : mStaleRows;
     }
 }
--- a/standins/src/main/java/org/fuchsialever/standins/TrainerRecord.java
+++ b/standins/src/main/java/org/fuchsialever/standins/TrainerRecord.java
@@ -10,17 +10,17 @@
 
 /** Samples that a trainer received, checked against the delivery guarantees. Thread-safe. */
 public final class TrainerRecord {
-    private final long maxStaleness;
-    private final Set<String> sampleIds = new HashSet<>();
-    private final Map<Long, Integer> samplesByStep = new HashMap<>();
-    private final List<String> duplicates = new ArrayList<>();
-    private final List<String> gaps = new ArrayList<>();
-    private final List<String> stale = new ArrayList<>();
-    private final List<String> withBrokenRanges = new ArrayList<>();
-    private long lastPosition = -1;
-    private long repeatedSampleCount;
-    private long newestVersion;
-    private long tokens;
+    private final long mMaxStaleness;
+    private final Set<String> mSampleIds = new HashSet<>();
+    private final Map<Long, Integer> mSamplesByStep = new HashMap<>();
+    private final List<String> mDuplicates = new ArrayList<>();
+    private final List<String> mGaps = new ArrayList<>();
+    private final List<String> mStale = new ArrayList<>();
+    private final List<String> mWithBrokenRanges = new ArrayList<>();
+    private long mLastPosition = -1;
+    private long mRepeatedSampleCount;
+    private long mNewestVersion;
+    private long mTokens;
 
     /**
      * Creates an empty record.
@@ -28,7 +28,7 @@
      * @param maxStaleness the staleness bound in weight versions
      */
     public TrainerRecord(long maxStaleness) {
-        this.maxStaleness = maxStaleness;
+        mMaxStaleness = maxStaleness;
     }
 
     /**
@@ -40,74 +40,74 @@
      */
     public synchronized boolean receive(JsonNode sample) {
         long position = sample.path("position").asLong();
-        if (position <= lastPosition) {
-            repeatedSampleCount++;
+        if (position <= mLastPosition) {
+            mRepeatedSampleCount++;
             return false;
         }
-        if (position != lastPosition + 1) {
-            gaps.add((lastPosition + 1) + " to " + (position - 1));
+        if (position != mLastPosition + 1) {
+            mGaps.add((mLastPosition + 1) + " to " + (position - 1));
         }
-        lastPosition = position;
+        mLastPosition = position;
         long step = sample.path("step").asLong();
         String sampleId =
                 step + "/" + sample.path("group").asText() + "/" + sample.path("index").asText();
         checkRanges(sampleId, sample.path("ranges"));
-        if (!sampleIds.add(sampleId)) {
-            duplicates.add(sampleId);
+        if (!mSampleIds.add(sampleId)) {
+            mDuplicates.add(sampleId);
             return false;
         }
-        samplesByStep.merge(step, 1, Integer::sum);
+        mSamplesByStep.merge(step, 1, Integer::sum);
         return true;
     }
 
     /** Sets the newest weight version that the trainer has produced. */
     public synchronized void newestVersion(long version) {
-        newestVersion = Math.max(newestVersion, version);
+        mNewestVersion = Math.max(mNewestVersion, version);
     }
 
     /** Returns the newest weight version that the trainer has produced. */
     public synchronized long newestVersion() {
-        return newestVersion;
+        return mNewestVersion;
     }
 
     /** Returns the number of distinct samples of a step. */
     public synchronized int samplesOf(long step) {
-        return samplesByStep.getOrDefault(step, 0);
+        return mSamplesByStep.getOrDefault(step, 0);
     }
 
     /** Returns the number of distinct samples. */
     public synchronized int samples() {
-        return sampleIds.size();
+        return mSampleIds.size();
     }
 
     /** Returns the number of tokens in all received samples, including duplicates. */
     public synchronized long tokens() {
-        return tokens;
+        return mTokens;
     }
 
     /** Returns the samples that were delivered at more than one position. */
     public synchronized List<String> duplicates() {
-        return List.copyOf(duplicates);
+        return List.copyOf(mDuplicates);
     }
 
     /** Returns the ranges of positions that were skipped. */
     public synchronized List<String> gaps() {
-        return List.copyOf(gaps);
+        return List.copyOf(mGaps);
     }
 
     /** Returns the samples that were older than the staleness bound when they arrived. */
     public synchronized List<String> staleSamples() {
-        return List.copyOf(stale);
+        return List.copyOf(mStale);
     }
 
     /** Returns the samples whose token ranges are not contiguous from token 0. */
     public synchronized List<String> samplesWithBrokenRanges() {
-        return List.copyOf(withBrokenRanges);
+        return List.copyOf(mWithBrokenRanges);
     }
 
     /** Returns the number of samples sent again at positions that were already received. */
     public synchronized long repeatedSampleCount() {
-        return repeatedSampleCount;
+        return mRepeatedSampleCount;
     }
 
     private void checkRanges(String sampleId, JsonNode ranges) {
@@ -116,16 +116,16 @@
         for (JsonNode range : ranges) {
             oldest = Math.min(oldest, range.path("weight_version").asLong());
             if (range.path("from").asLong() != next) {
-                withBrokenRanges.add(sampleId);
+                mWithBrokenRanges.add(sampleId);
                 return;
             }
             next = range.path("to").asLong();
         }
-        tokens += next;
+        mTokens += next;
         if (ranges.isEmpty()) {
-            withBrokenRanges.add(sampleId);
-        } else if (newestVersion - oldest > maxStaleness) {
-            stale.add(sampleId);
+            mWithBrokenRanges.add(sampleId);
+        } else if (mNewestVersion - oldest > mMaxStaleness) {
+            mStale.add(sampleId);
         }
     }
 }
