--- a/standins/src/main/java/org/fuchsialever/standins/TrainerStandIn.java
+++ b/standins/src/main/java/org/fuchsialever/standins/TrainerStandIn.java
@@ -28,18 +28,18 @@
     private static final int ACCEPTED = 202;
     private static final int OK = 200;
 
-    private final TrainerOptions options;
-    private final Supplier<String> baseUrl;
-    private final LongConsumer onVersion;
-    private final TrainerRecord record;
-    private final ConnectionProvider connections = ConnectionProvider.create("trainer", 4);
-    private final HttpClient client = HttpClient.create(connections);
-    private final Map<String, AtomicLong> responseCounts = new ConcurrentHashMap<>();
-    private final Disposable.Composite running = Disposables.composite();
-    private volatile long cursor;
-    private volatile long trainingEndNanos;
-    private volatile long idleNanos;
-    private volatile long trainingNanos;
+    private final TrainerOptions mOptions;
+    private final Supplier<String> mBaseUrl;
+    private final LongConsumer mOnVersion;
+    private final TrainerRecord mRecord;
+    private final ConnectionProvider mConnections = ConnectionProvider.create("trainer", 4);
+    private final HttpClient mClient = HttpClient.create(mConnections);
+    private final Map<String, AtomicLong> mResponseCounts = new ConcurrentHashMap<>();
+    private final Disposable.Composite mRunning = Disposables.composite();
+    private volatile long mCursor;
+    private volatile long mTrainingEndNanos;
+    private volatile long mIdleNanos;
+    private volatile long mTrainingNanos;
 
     /**
      * Creates a trainer that does nothing yet.
@@ -50,20 +50,20 @@
      */
     public TrainerStandIn(
             TrainerOptions options, Supplier<String> baseUrl, LongConsumer onVersion) {
-        this.options = options;
-        this.baseUrl = baseUrl;
-        this.onVersion = onVersion;
-        this.record = new TrainerRecord(options.maxStaleness);
+        mOptions = options;
+        mBaseUrl = baseUrl;
+        mOnVersion = onVersion;
+        mRecord = new TrainerRecord(options.mMaxStaleness);
     }
 
     /** Returns the record of received samples. */
     public TrainerRecord record() {
-        return record;
+        return mRecord;
     }
 
     /** Returns the highest cursor that was acknowledged or is being acknowledged. */
     public long cursor() {
-        return cursor;
+        return mCursor;
     }
 
     /**
@@ -72,19 +72,19 @@
      */
     public Map<String, Long> responseCounts() {
         Map<String, Long> counts = new TreeMap<>();
-        responseCounts.forEach((name, count) -> counts.put(name, count.get()));
+        mResponseCounts.forEach((name, count) -> counts.put(name, count.get()));
         return counts;
     }
 
     /** Returns how long the trainer was idle because it waited for samples. */
     public Duration idleTime() {
-        return Duration.ofNanos(idleNanos);
+        return Duration.ofNanos(mIdleNanos);
     }
 
     /** Returns the idle share of the total time, from 0 to 1. */
     public double idleShare() {
-        long total = idleNanos + trainingNanos;
-        return total == 0 ? 0 : (double) idleNanos / total;
+        long total = mIdleNanos + mTrainingNanos;
+        return total == 0 ? 0 : (double) mIdleNanos / total;
     }
 
     /**
@@ -98,7 +98,7 @@
     public Mono<Void> run(long firstStep, int steps) {
         return Mono.defer(
                 () -> {
-                    trainingEndNanos = System.nanoTime();
+                    mTrainingEndNanos = System.nanoTime();
                     long last = firstStep + steps - 1;
                     Mono<Void> flow = Mono.empty();
                     for (long step = firstStep; step <= last; step++) {
@@ -111,7 +111,7 @@
 
     /** Runs steps in the background until the trainer is closed. */
     public void start(long firstStep, int steps) {
-        running.add(run(firstStep, steps).subscribe());
+        mRunning.add(run(firstStep, steps).subscribe());
     }
 
     /** Submits one step; completes when it is accepted. */
@@ -123,20 +123,20 @@
     public Mono<Void> collect() {
         String uri =
                 "/v1/rollouts/%s/samples?cursor=%d&wait_ms=%d"
-                        .formatted(options.trainer, cursor, options.longPoll.toMillis());
+                        .formatted(mOptions.mTrainer, mCursor, mOptions.mLongPoll.toMillis());
         return send("collect", HttpMethod.GET, uri, Json.object(), OK).flatMap(this::receive);
     }
 
     @Override
     public void close() {
-        running.dispose();
-        connections.dispose();
+        mRunning.dispose();
+        mConnections.dispose();
     }
 
     private Mono<Void> runStep(long step, long first, long last) {
         Mono<Void> submissions = Mono.empty();
-        long from = step == first ? first : step + options.stepsAhead;
-        for (long next = from; next <= Math.min(last, step + options.stepsAhead); next++) {
+        long from = step == first ? first : step + mOptions.mStepsAhead;
+        for (long next = from; next <= Math.min(last, step + mOptions.mStepsAhead); next++) {
             long submitted = next;
             submissions = submissions.then(Mono.defer(() -> submit(submitted)));
         }
@@ -146,52 +146,52 @@
     }
 
     private Mono<Void> collectStep(long step) {
-        int expected = options.groups * options.samples;
-        return Mono.defer(() -> record.samplesOf(step) < expected ? collect() : Mono.<Void>empty())
-                .repeat(() -> record.samplesOf(step) < expected)
+        int expected = mOptions.mGroups * mOptions.mSamples;
+        return Mono.defer(() -> mRecord.samplesOf(step) < expected ? collect() : Mono.<Void>empty())
+                .repeat(() -> mRecord.samplesOf(step) < expected)
                 .then();
     }
 
     private Mono<Void> train(long step) {
         long now = System.nanoTime();
-        idleNanos += Math.max(0, now - trainingEndNanos);
-        trainingNanos += options.trainingTime.toNanos();
-        trainingEndNanos = now + options.trainingTime.toNanos();
-        return Mono.delay(options.trainingTime)
+        mIdleNanos += Math.max(0, now - mTrainingEndNanos);
+        mTrainingNanos += mOptions.mTrainingTime.toNanos();
+        mTrainingEndNanos = now + mOptions.mTrainingTime.toNanos();
+        return Mono.delay(mOptions.mTrainingTime)
                 .doOnNext(
                         done -> {
-                            long version = record.newestVersion() + 1;
-                            record.newestVersion(version);
-                            onVersion.accept(version);
+                            long version = mRecord.newestVersion() + 1;
+                            mRecord.newestVersion(version);
+                            mOnVersion.accept(version);
                         })
                 .then();
     }
 
     private Mono<Void> receive(JsonNode page) {
-        page.path("samples").forEach(record::receive);
-        long next = page.path("cursor").asLong(cursor);
-        if (next == cursor) {
+        page.path("samples").forEach(mRecord::receive);
+        long next = page.path("cursor").asLong(mCursor);
+        if (next == mCursor) {
             return Mono.empty();
         }
-        cursor = next;
+        mCursor = next;
         ObjectNode body = Json.object().put("cursor", next);
-        String uri = "/v1/rollouts/" + options.trainer + "/ack";
+        String uri = "/v1/rollouts/" + mOptions.mTrainer + "/ack";
         return send("acknowledge", HttpMethod.POST, uri, body, OK).then();
     }
 
     private ObjectNode submission(long step) {
         ObjectNode body = Json.object();
-        body.put("trainer", options.trainer).put("step", step).put("model", options.model);
-        body.put("max_staleness", options.maxStaleness);
-        body.put("deadline_ms", options.deadline.toMillis());
+        body.put("trainer", mOptions.mTrainer).put("step", step).put("model", mOptions.mModel);
+        body.put("max_staleness", mOptions.mMaxStaleness);
+        body.put("deadline_ms", mOptions.mDeadline.toMillis());
         ArrayNode groups = body.putArray("groups");
-        for (int group = 0; group < options.groups; group++) {
-            String prompt = "@%s-%d-%d continue".formatted(options.trainer, step, group);
+        for (int group = 0; group < mOptions.mGroups; group++) {
+            String prompt = "@%s-%d-%d continue".formatted(mOptions.mTrainer, step, group);
             groups.addObject()
                     .put("group", "g" + group)
                     .put("prompt", prompt)
-                    .put("samples", options.samples)
-                    .put("max_tokens", options.maxTokens);
+                    .put("samples", mOptions.mSamples)
+                    .put("max_tokens", mOptions.mMaxTokens);
         }
         return body;
     }
@@ -204,21 +204,21 @@
                 .doOnError(
                         failure -> !(failure instanceof UnexpectedStatusException),
                         failure -> count(name + " failed"))
-                .retryWhen(Retry.fixedDelay(Long.MAX_VALUE, options.retryDelay));
+                .retryWhen(Retry.fixedDelay(Long.MAX_VALUE, mOptions.mRetryDelay));
     }
 
     private Mono<JsonNode> exchange(
             String name, HttpMethod method, String uri, byte[] content, int expected) {
-        return client.headers(
+        return mClient.headers(
                         headers -> {
                             headers.set("Content-Type", "application/json");
                             headers.set("Content-Length", content.length);
-                            if (!options.key.isEmpty()) {
-                                headers.set("Authorization", "Bearer " + options.key);
+                            if (!mOptions.mKey.isEmpty()) {
+                                headers.set("Authorization", "Bearer " + mOptions.mKey);
                             }
                         })
                 .request(method)
-                .uri(baseUrl.get() + uri)
+                .uri(mBaseUrl.get() + uri)
                 .send(ByteBufFlux.fromInbound(Mono.just(content)))
                 .responseSingle(
                         (response, body) -> {
@@ -237,7 +237,7 @@
     }
 
     private void count(String name) {
-        responseCounts.computeIfAbsent(name, key -> new AtomicLong()).incrementAndGet();
+        mResponseCounts.computeIfAbsent(name, key -> new AtomicLong()).incrementAndGet();
     }
 
     private static final class UnexpectedStatusException extends RuntimeException {
--- a/standins/src/main/java/org/fuchsialever/standins/UsageStandIn.java
+++ b/standins/src/main/java/org/fuchsialever/standins/UsageStandIn.java
@@ -13,8 +13,8 @@
 public final class UsageStandIn extends StandInServer {
     private static final int CONFLICT = 409;
 
-    private final Map<String, byte[]> reports = new ConcurrentSkipListMap<>();
-    private final List<String> conflictingWindows = new CopyOnWriteArrayList<>();
+    private final Map<String, byte[]> mReports = new ConcurrentSkipListMap<>();
+    private final List<String> mConflictingWindows = new CopyOnWriteArrayList<>();
 
     /** Starts a usage interface without reports. */
     public UsageStandIn() {
@@ -25,25 +25,25 @@
     /** Returns the reports by window. */
     public Map<String, String> reports() {
         Map<String, String> texts = new TreeMap<>();
-        reports.forEach((window, body) -> texts.put(window, text(body)));
+        mReports.forEach((window, body) -> texts.put(window, text(body)));
         return texts;
     }
 
     /** Returns the windows for which a second, different report was sent. */
     public List<String> conflictingWindows() {
-        return List.copyOf(conflictingWindows);
+        return List.copyOf(mConflictingWindows);
     }
 
     private StandInResponse put(StandInRequest request) {
         String window = request.pathArguments().get(0);
-        byte[] earlier = reports.putIfAbsent(window, request.body());
+        byte[] earlier = mReports.putIfAbsent(window, request.body());
         if (earlier == null) {
             return StandInResponse.json(201, Json.object());
         }
         if (Arrays.equals(earlier, request.body())) {
             return StandInResponse.json(200, Json.object());
         }
-        conflictingWindows.add(window);
+        mConflictingWindows.add(window);
         return StandInResponse.error(CONFLICT, "different_report");
     }
 
--- a/standins/src/main/java/org/fuchsialever/standins/WeightStoreStandIn.java
+++ b/standins/src/main/java/org/fuchsialever/standins/WeightStoreStandIn.java
@@ -14,12 +14,12 @@
 public final class WeightStoreStandIn extends StandInServer {
     private static final int TOO_MANY_REQUESTS = 429;
 
-    private final Map<String, ConcurrentSkipListSet<Long>> versions = new ConcurrentHashMap<>();
-    private final TimeSource time;
-    private final long windowNanos;
-    private final int requestLimit;
-    private long windowStart;
-    private int requestsInWindow;
+    private final Map<String, ConcurrentSkipListSet<Long>> mVersions = new ConcurrentHashMap<>();
+    private final TimeSource mTime;
+    private final long mWindowNanos;
+    private final int mRequestLimit;
+    private long mWindowStart;
+    private int mRequestsInWindow;
 
     /**
      * Starts a store without versions.
@@ -29,10 +29,10 @@
      * @param limit the maximum number of requests in a window
      */
     public WeightStoreStandIn(TimeSource time, Duration window, int limit) {
-        this.time = time;
-        this.windowNanos = window.toNanos();
-        this.requestLimit = limit;
-        this.windowStart = time.nanoTime();
+        mTime = time;
+        mWindowNanos = window.toNanos();
+        mRequestLimit = limit;
+        mWindowStart = time.nanoTime();
         on("weights", "GET", "/weights/([^/]+)", request -> Mono.just(list(request)));
         on("publish", "POST", "/stand-in/weights/([^/]+)/(\\d+)", r -> Mono.just(publish(r)));
         open();
@@ -40,7 +40,7 @@
 
     /** Adds a version of a model. */
     public void publish(String model, long version) {
-        versions.computeIfAbsent(model, name -> new ConcurrentSkipListSet<>()).add(version);
+        mVersions.computeIfAbsent(model, name -> new ConcurrentSkipListSet<>()).add(version);
     }
 
     private StandInResponse publish(StandInRequest request) {
@@ -53,7 +53,7 @@
             return StandInResponse.error(TOO_MANY_REQUESTS, "rate_limit");
         }
         TreeSet<Long> known = new TreeSet<>();
-        ConcurrentSkipListSet<Long> published = versions.get(request.pathArguments().get(0));
+        ConcurrentSkipListSet<Long> published = mVersions.get(request.pathArguments().get(0));
         if (published == null) {
             return StandInResponse.error(404, "no_such_model");
         }
@@ -65,11 +65,11 @@
     }
 
     private synchronized boolean admit() {
-        long now = time.nanoTime();
-        if (now - windowStart >= windowNanos) {
-            windowStart = now;
-            requestsInWindow = 0;
+        long now = mTime.nanoTime();
+        if (now - mWindowStart >= mWindowNanos) {
+            mWindowStart = now;
+            mRequestsInWindow = 0;
         }
-        return ++requestsInWindow <= requestLimit;
+        return ++mRequestsInWindow <= mRequestLimit;
     }
 }
--- a/standins/src/test/java/org/fuchsialever/standins/EngineSlotsTest.java
+++ b/standins/src/test/java/org/fuchsialever/standins/EngineSlotsTest.java
@@ -15,12 +15,12 @@
 
 /** Guards against an engine stand-in whose queueing would hide faults in dispatching. */
 class EngineSlotsTest {
-    private final ManualTimeSource time = new ManualTimeSource(0);
-    private final List<String> started = new ArrayList<>();
+    private final ManualTimeSource mTime = new ManualTimeSource(0);
+    private final List<String> mStarted = new ArrayList<>();
 
     @Test
     void startsTheHighestPriorityFirstAndThenByArrival() {
-        EngineSlots slots = new EngineSlots(1, 10, 0, time);
+        EngineSlots slots = new EngineSlots(1, 10, 0, mTime);
         EngineSlots.Ticket running = request(slots, "running", 0);
         EngineSlots.Ticket low = request(slots, "low", 0);
         EngineSlots.Ticket firstHigh = request(slots, "first-high", 5);
@@ -31,13 +31,13 @@
         secondHigh.release();
         low.release();
 
-        assertThat(started, contains("running", "first-high", "second-high", "low"));
+        assertThat(mStarted, contains("running", "first-high", "second-high", "low"));
         assertThat(slots.running(), is(0));
     }
 
     @Test
     void admitsNoMoreThanItsQueueHolds() {
-        EngineSlots slots = new EngineSlots(1, 1, 0, time);
+        EngineSlots slots = new EngineSlots(1, 1, 0, mTime);
         EngineSlots.Ticket running = request(slots, "running", 0);
         request(slots, "waiting", 0);
 
@@ -48,7 +48,7 @@
 
     @Test
     void givesASlotBackOnlyOnce() {
-        EngineSlots slots = new EngineSlots(2, 0, 0, time);
+        EngineSlots slots = new EngineSlots(2, 0, 0, mTime);
         EngineSlots.Ticket first = request(slots, "first", 0);
         request(slots, "second", 0);
 
@@ -60,22 +60,22 @@
 
     @Test
     void reportsTheLoadAsItWasBeforeTheLag() {
-        EngineSlots slots = new EngineSlots(4, 0, Duration.ofMillis(100).toNanos(), time);
-        time.advance(Duration.ofMillis(200));
+        EngineSlots slots = new EngineSlots(4, 0, Duration.ofMillis(100).toNanos(), mTime);
+        mTime.advance(Duration.ofMillis(200));
         request(slots, "first", 0);
-        time.advance(Duration.ofMillis(60));
+        mTime.advance(Duration.ofMillis(60));
         request(slots, "second", 0);
 
         assertThat(slots.load().runningCount(), is(0));
-        time.advance(Duration.ofMillis(60));
+        mTime.advance(Duration.ofMillis(60));
         assertThat(slots.load().runningCount(), is(1));
-        time.advance(Duration.ofMillis(60));
+        mTime.advance(Duration.ofMillis(60));
         assertThat(slots.load().runningCount(), is(2));
     }
 
     private EngineSlots.Ticket request(EngineSlots slots, String id, int priority) {
         EngineSlots.Ticket ticket = Objects.requireNonNull(slots.request(id, priority));
-        ticket.granted().doOnSuccess(done -> started.add(id)).subscribe();
+        ticket.granted().doOnSuccess(done -> mStarted.add(id)).subscribe();
         return ticket;
     }
 }
--- a/standins/src/test/java/org/fuchsialever/standins/EngineStandInTest.java
+++ b/standins/src/test/java/org/fuchsialever/standins/EngineStandInTest.java
@@ -18,8 +18,8 @@
 class EngineStandInTest {
     private static final String COMPLETIONS = "/v1/completions";
 
-    private final TestClient client = new TestClient();
-    private EngineStandIn engine =
+    private final TestClient mClient = new TestClient();
+    private EngineStandIn mEngine =
             new EngineStandIn(
                     new EngineOptions()
                             .tokenInterval(Duration.ZERO)
@@ -29,14 +29,14 @@
 
     @AfterEach
     void stop() {
-        engine.close();
+        mEngine.close();
     }
 
     @Test
     void resumesAtTheTokenThatTheCallerLacks() throws Exception {
         TestClient.Response response =
-                client.post(
-                        engine,
+                mClient.post(
+                        mEngine,
                         COMPLETIONS,
                         "{'prompt':'@a p','stream':true,'max_tokens':5,'resume_from':3}");
 
@@ -50,13 +50,13 @@
     @Test
     void statesVersionAndStartOnEachChunkUntilToldNotTo() throws Exception {
         String call = "{'prompt':'p','stream':true,'max_tokens':2}";
-        for (JsonNode chunk : chunks(client.post(engine, COMPLETIONS, call).body())) {
+        for (JsonNode chunk : chunks(mClient.post(mEngine, COMPLETIONS, call).body())) {
             assertThat(chunk.at("/engine/weight_version").asInt(), is(7));
             assertThat(chunk.at("/engine/start").asText(), is("engine-start-1"));
         }
-        engine.setVersionReported(false);
+        mEngine.setVersionReported(false);
         assertThat(
-                client.post(engine, COMPLETIONS, call).body(),
+                mClient.post(mEngine, COMPLETIONS, call).body(),
                 not(containsString("weight_version")));
     }
 
@@ -64,58 +64,60 @@
     void refusesAnOrderWithAnOldFencingNumber() throws Exception {
         assertThat(order("o-1", 5, 8), is(200));
         assertThat(order("o-2", 4, 9), is(409));
-        assertThat(engine.weightVersion(), is(8L));
-        assertThat(engine.orders(), contains(new EngineOrder("o-1", 5, 8)));
+        assertThat(mEngine.weightVersion(), is(8L));
+        assertThat(mEngine.orders(), contains(new EngineOrder("o-1", 5, 8)));
     }
 
     @Test
     void carriesOutAnOldOrderIfItIgnoresFencing() throws Exception {
-        engine.close();
-        engine = new EngineStandIn(new EngineOptions().enforceFencing(false));
+        mEngine.close();
+        mEngine = new EngineStandIn(new EngineOptions().enforceFencing(false));
         assertThat(order("o-1", 5, 8), is(200));
         assertThat(order("o-2", 4, 9), is(200));
-        assertThat(engine.weightVersion(), is(9L));
+        assertThat(mEngine.weightVersion(), is(9L));
     }
 
     @Test
     void saysNotAdmittedWhenItLeaves() throws Exception {
-        engine.leave();
-        TestClient.Response response = client.post(engine, COMPLETIONS, "{'prompt':'p'}");
+        mEngine.leave();
+        TestClient.Response response = mClient.post(mEngine, COMPLETIONS, "{'prompt':'p'}");
         assertThat(response.status(), is(503));
         assertThat(response.json().at("/error/code").asText(), is("not_admitted"));
-        assertThat(client.get(engine, "/engine/load").json().path("leaving").asBoolean(), is(true));
+        assertThat(
+                mClient.get(mEngine, "/engine/load").json().path("leaving").asBoolean(), is(true));
     }
 
     @Test
     void losesEverySecondCacheEvent() throws Exception {
-        client.post(engine, COMPLETIONS, "{'prompt':'first'}");
-        client.post(engine, COMPLETIONS, "{'prompt':'first'}");
-        client.post(engine, COMPLETIONS, "{'prompt':'second'}");
+        mClient.post(mEngine, COMPLETIONS, "{'prompt':'first'}");
+        mClient.post(mEngine, COMPLETIONS, "{'prompt':'first'}");
+        mClient.post(mEngine, COMPLETIONS, "{'prompt':'second'}");
 
-        JsonNode events = client.get(engine, "/engine/cache-events?after=0").json().path("events");
-        assertThat(engine.cacheHits(), is(1L));
+        JsonNode events =
+                mClient.get(mEngine, "/engine/cache-events?after=0").json().path("events");
+        assertThat(mEngine.cacheHits(), is(1L));
         assertThat(events.findValuesAsText("seq"), contains("1", "3"));
         assertThat(events.findValuesAsText("stored"), contains("true", "false"));
     }
 
     @Test
     void endsARunningStreamThatIsCancelled() throws Exception {
-        engine.close();
-        engine = new EngineStandIn("engine-start-1", Duration.ofMillis(1));
+        mEngine.close();
+        mEngine = new EngineStandIn("engine-start-1", Duration.ofMillis(1));
         String call = "{'prompt':'p','stream':true,'max_tokens':1000000000}".replace('\'', '"');
-        try (BufferedReader stream = client.open(engine, COMPLETIONS, call, "r-1")) {
+        try (BufferedReader stream = mClient.open(mEngine, COMPLETIONS, call, "r-1")) {
             stream.readLine();
-            assertThat(client.call(engine, "DELETE", "/v1/requests/r-1", "").status(), is(200));
+            assertThat(mClient.call(mEngine, "DELETE", "/v1/requests/r-1", "").status(), is(200));
             // The stream of so many tokens ends within the test only if it is cancelled.
             assertThat(stream.lines().filter(line -> line.contains("[DONE]")).count(), is(0L));
         }
-        assertThat(engine.running(), is(0));
-        assertThat(engine.cancelledRequests(), contains("r-1"));
+        assertThat(mEngine.running(), is(0));
+        assertThat(mEngine.cancelledRequests(), contains("r-1"));
     }
 
     private int order(String order, int fencing, int version) throws Exception {
-        return client.post(
-                        engine,
+        return mClient.post(
+                        mEngine,
                         "/engine/orders",
                         "{'order':'%s','fencing':%d,'action':'load_version','version':%d}"
                                 .formatted(order, fencing, version))
--- a/standins/src/test/java/org/fuchsialever/standins/FaultControlTest.java
+++ b/standins/src/test/java/org/fuchsialever/standins/FaultControlTest.java
@@ -18,42 +18,42 @@
             "{'writer':'w','puts':[{'table':'t','key':'k','value':'v'}]}";
     private static final String READ = "GET /tables/t/rows/k HTTP/1.1\r\nHost: x\r\n\r\n";
 
-    private final TestClient client = new TestClient();
-    private final TableServiceStandIn tables = new TableServiceStandIn();
+    private final TestClient mClient = new TestClient();
+    private final TableServiceStandIn mTables = new TableServiceStandIn();
 
     @AfterEach
     void stop() {
-        tables.close();
+        mTables.close();
     }
 
     @Test
     void losesOneAnswerAfterTheChangeTookEffect() throws Exception {
-        tables.faults().set(FaultMode.LOSE_ANSWER, Duration.ZERO, 1);
+        mTables.faults().set(FaultMode.LOSE_ANSWER, Duration.ZERO, 1);
 
-        assertThrows(IOException.class, () -> client.post(tables, "/tables/commit", COMMIT));
-        assertThat(tables.value("t", "k").get(), is("v"));
-        assertThat(tables.revision(), is(1L));
-        assertThat(client.post(tables, "/tables/commit", COMMIT).status(), is(200));
+        assertThrows(IOException.class, () -> mClient.post(mTables, "/tables/commit", COMMIT));
+        assertThat(mTables.value("t", "k").get(), is("v"));
+        assertThat(mTables.revision(), is(1L));
+        assertThat(mClient.post(mTables, "/tables/commit", COMMIT).status(), is(200));
     }
 
     @Test
     void failsWithoutRunningTheRequest() throws Exception {
-        client.post(tables, "/stand-in/faults", "{'mode':'fail','count':1}");
+        mClient.post(mTables, "/stand-in/faults", "{'mode':'fail','count':1}");
 
-        assertThat(client.post(tables, "/tables/commit", COMMIT).status(), is(500));
-        assertThat(tables.revision(), is(0L));
-        assertThat(tables.calls("commit"), is(1L));
+        assertThat(mClient.post(mTables, "/tables/commit", COMMIT).status(), is(500));
+        assertThat(mTables.revision(), is(0L));
+        assertThat(mTables.calls("commit"), is(1L));
     }
 
     @Test
     void silencesOnlyTheConnectionsThatAreOpen() throws Exception {
-        tables.put("t", "k", "v");
+        mTables.put("t", "k", "v");
         try (Socket before = connect();
                 Socket after = new Socket()) {
             write(before, READ);
             assertThat(readResponse(before), startsWith("HTTP/1.1 200"));
 
-            tables.faults().set(FaultMode.SILENT);
+            mTables.faults().set(FaultMode.SILENT);
             write(before, READ);
             after.connect(before.getRemoteSocketAddress());
             write(after, READ);
@@ -68,33 +68,33 @@
 
     @Test
     void refusesConnectionsWhileDownAndKeepsItsPort() throws Exception {
-        int port = tables.port();
-        tables.faults().set(FaultMode.DOWN);
-        assertThrows(IOException.class, () -> client.get(tables, "/tables/t/rows"));
+        int port = mTables.port();
+        mTables.faults().set(FaultMode.DOWN);
+        assertThrows(IOException.class, () -> mClient.get(mTables, "/tables/t/rows"));
 
-        tables.faults().set(FaultMode.NONE);
-        assertThat(tables.port(), is(port));
-        assertThat(client.get(tables, "/tables/t/rows").status(), is(200));
+        mTables.faults().set(FaultMode.NONE);
+        assertThat(mTables.port(), is(port));
+        assertThat(mClient.get(mTables, "/tables/t/rows").status(), is(200));
     }
 
     @Test
     void staysClosedWhenAFaultEndsAfterwards() {
-        tables.faults().set(FaultMode.DOWN);
-        tables.close();
-        tables.faults().set(FaultMode.NONE);
+        mTables.faults().set(FaultMode.DOWN);
+        mTables.close();
+        mTables.faults().set(FaultMode.NONE);
 
-        assertThrows(IOException.class, () -> client.get(tables, "/tables/t/rows"));
+        assertThrows(IOException.class, () -> mClient.get(mTables, "/tables/t/rows"));
     }
 
     @Test
     void refusesToGoDownOverHttpWithoutAnEnd() throws Exception {
-        assertThat(client.post(tables, "/stand-in/faults", "{'mode':'down'}").status(), is(400));
-        assertThat(client.post(tables, "/stand-in/faults", "{'mode':'other'}").status(), is(400));
-        assertThat(tables.faults().mode(), is(FaultMode.NONE));
+        assertThat(mClient.post(mTables, "/stand-in/faults", "{'mode':'down'}").status(), is(400));
+        assertThat(mClient.post(mTables, "/stand-in/faults", "{'mode':'other'}").status(), is(400));
+        assertThat(mTables.faults().mode(), is(FaultMode.NONE));
     }
 
     private Socket connect() throws IOException {
-        return new Socket(StandInServer.HOST, tables.port());
+        return new Socket(StandInServer.HOST, mTables.port());
     }
 
     private static void write(Socket socket, String text) throws IOException {
--- a/standins/src/test/java/org/fuchsialever/standins/PlatformStandInsTest.java
+++ b/standins/src/test/java/org/fuchsialever/standins/PlatformStandInsTest.java
@@ -16,28 +16,28 @@
 
 /** Guards against platform stand-ins that accept what the real platform would refuse. */
 class PlatformStandInsTest {
-    private final TestClient client = new TestClient();
-    private final ManualTimeSource time = new ManualTimeSource(0);
-    private final StandInEnvironment environment =
+    private final TestClient mClient = new TestClient();
+    private final ManualTimeSource mTime = new ManualTimeSource(0);
+    private final StandInEnvironment mEnvironment =
             StandInEnvironment.builder()
                     .tableService()
                     .objectStore()
                     .usage()
-                    .weightStore(time, Duration.ofSeconds(1), 1)
+                    .weightStore(mTime, Duration.ofSeconds(1), 1)
                     .ordering(Duration.ofMinutes(1), Duration.ZERO)
                     .start();
 
     @AfterEach
     void stop() {
-        environment.close();
+        mEnvironment.close();
     }
 
     @Test
     void conflictsNameTheRowAndChangeNothing() throws Exception {
-        TableServiceStandIn tables = environment.tableService();
+        TableServiceStandIn tables = mEnvironment.tableService();
         long version = tables.put("t", "a/b", "first");
         TestClient.Response response =
-                client.post(
+                mClient.post(
                         tables,
                         "/tables/commit",
                         "{'writer':'w','conditions':[{'table':'t','key':'a/b','version':0}],"
@@ -52,53 +52,53 @@
 
     @Test
     void readsAreStaleWhileHeldButConditionsAreNot() throws Exception {
-        TableServiceStandIn tables = environment.tableService();
+        TableServiceStandIn tables = mEnvironment.tableService();
         long old = tables.put("t", "a/b", "old");
         tables.serveStaleReads();
         long current = tables.put("t", "a/b", "new");
 
-        JsonNode row = client.get(tables, "/tables/t/rows/a%2Fb").json();
+        JsonNode row = mClient.get(tables, "/tables/t/rows/a%2Fb").json();
         assertThat(row.path("value").asText(), is("old"));
         assertThat(conditional(tables, old), is(409));
         assertThat(conditional(tables, current), is(200));
         tables.serveCurrentReads();
-        JsonNode rows = client.get(tables, "/tables/t/rows?prefix=a&after=" + old).json();
+        JsonNode rows = mClient.get(tables, "/tables/t/rows?prefix=a&after=" + old).json();
         assertThat(rows.path("rows").findValuesAsText("value"), contains("new"));
     }
 
     @Test
     void anObjectThatExistsIsNotReplaced() throws Exception {
-        ObjectStoreStandIn store = environment.objectStore();
+        ObjectStoreStandIn store = mEnvironment.objectStore();
         assertThat(putOnce(store, "first"), is(201));
         assertThat(putOnce(store, "second"), is(412));
-        assertThat(client.get(store, "/objects/a/1").body(), is("first"));
-        JsonNode names = client.get(store, "/objects?prefix=a/").json().path("names");
+        assertThat(mClient.get(store, "/objects/a/1").body(), is("first"));
+        JsonNode names = mClient.get(store, "/objects?prefix=a/").json().path("names");
         assertThat(names.get(0).asText(), is("a/1"));
     }
 
     @Test
     void aSecondReportWithOtherFiguresIsAContradiction() throws Exception {
-        UsageStandIn usage = environment.usage();
-        assertThat(client.call(usage, "PUT", "/usage-reports/w1", "a").status(), is(201));
-        assertThat(client.call(usage, "PUT", "/usage-reports/w1", "a").status(), is(200));
+        UsageStandIn usage = mEnvironment.usage();
+        assertThat(mClient.call(usage, "PUT", "/usage-reports/w1", "a").status(), is(201));
+        assertThat(mClient.call(usage, "PUT", "/usage-reports/w1", "a").status(), is(200));
         assertThat(usage.conflictingWindows(), is(empty()));
-        assertThat(client.call(usage, "PUT", "/usage-reports/w1", "b").status(), is(409));
+        assertThat(mClient.call(usage, "PUT", "/usage-reports/w1", "b").status(), is(409));
         assertThat(usage.conflictingWindows(), contains("w1"));
     }
 
     @Test
     void theWeightStoreLimitsTheRequestsOfAWindow() throws Exception {
-        WeightStoreStandIn store = environment.weightStore();
+        WeightStoreStandIn store = mEnvironment.weightStore();
         store.publish("small", 3);
-        assertThat(client.get(store, "/weights/small").json().path("latest").asInt(), is(3));
-        assertThat(client.get(store, "/weights/small").status(), is(429));
-        time.advance(Duration.ofSeconds(1));
-        assertThat(client.get(store, "/weights/small").status(), is(200));
+        assertThat(mClient.get(store, "/weights/small").json().path("latest").asInt(), is(3));
+        assertThat(mClient.get(store, "/weights/small").status(), is(429));
+        mTime.advance(Duration.ofSeconds(1));
+        assertThat(mClient.get(store, "/weights/small").status(), is(200));
     }
 
     @Test
     void aNameIsUsedOnceAndARepeatedOrderIsAccepted() throws Exception {
-        OrderingStandIn ordering = environment.ordering();
+        OrderingStandIn ordering = mEnvironment.ordering();
         assertThat(order(ordering, "o-1", "start"), is(202));
         assertThat(order(ordering, "o-1", "start"), is(202));
         assertThat(order(ordering, "o-2", "stop"), is(202));
@@ -127,15 +127,15 @@
         String body =
                 "{\"order\":\"%s\",\"action\":\"%s\",\"upstream\":\"u-1\",\"pool\":\"p\"}"
                         .formatted(order, action);
-        return client.call(ordering, "POST", "/orders", body, "User-Agent", "node-1").status();
+        return mClient.call(ordering, "POST", "/orders", body, "User-Agent", "node-1").status();
     }
 
     private int putOnce(ObjectStoreStandIn store, String body) throws Exception {
-        return client.call(store, "PUT", "/objects/a/1", body, "If-None-Match", "*").status();
+        return mClient.call(store, "PUT", "/objects/a/1", body, "If-None-Match", "*").status();
     }
 
     private int conditional(TableServiceStandIn tables, long version) throws Exception {
-        return client.post(
+        return mClient.post(
                         tables,
                         "/tables/commit",
                         "{'writer':'w','conditions':[{'table':'t','key':'a/b','version':%d}]}"
--- a/standins/src/test/java/org/fuchsialever/standins/TestClient.java
+++ b/standins/src/test/java/org/fuchsialever/standins/TestClient.java
@@ -12,7 +12,7 @@
 
 /** Calls stand-ins over HTTP. */
 final class TestClient {
-    private final HttpClient client =
+    private final HttpClient mClient =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
     Response call(StandInServer server, String method, String path, String body, String... headers)
@@ -24,7 +24,7 @@
             request.headers(headers);
         }
         HttpResponse<String> response =
-                client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+                mClient.send(request.build(), HttpResponse.BodyHandlers.ofString());
         return new Response(response.statusCode(), response.body());
     }
 
@@ -37,7 +37,7 @@
                         .build();
         return new BufferedReader(
                 new InputStreamReader(
-                        client.send(request, HttpResponse.BodyHandlers.ofInputStream()).body(),
+                        mClient.send(request, HttpResponse.BodyHandlers.ofInputStream()).body(),
                         StandardCharsets.UTF_8));
     }
 
--- a/standins/src/test/java/org/fuchsialever/standins/TrainerStandInTest.java
+++ b/standins/src/test/java/org/fuchsialever/standins/TrainerStandInTest.java
@@ -18,52 +18,52 @@
 
 /** Guards against a trainer that does not detect lost, duplicate or stale samples. */
 class TrainerStandInTest {
-    private final RolloutService service = new RolloutService();
-    private final List<Long> versions = new ArrayList<>();
-    private final TrainerStandIn trainer =
+    private final RolloutService mService = new RolloutService();
+    private final List<Long> mVersions = new ArrayList<>();
+    private final TrainerStandIn mTrainer =
             new TrainerStandIn(
                     new TrainerOptions()
                             .step(2, 3, 4)
                             .trainingTime(Duration.ofMillis(1))
                             .retryDelay(Duration.ofMillis(1)),
-                    service::url,
-                    versions::add);
+                    mService::url,
+                    mVersions::add);
 
     @AfterEach
     void stop() {
-        trainer.close();
-        service.close();
+        mTrainer.close();
+        mService.close();
     }
 
     @Test
     void trainsOnEveryStepAndAcknowledgesAllItReceived() {
-        trainer.run(1, 3).block();
-
-        assertThat(service.steps, contains(1L, 2L, 3L));
-        assertThat(trainer.record().samples(), is(18));
-        assertThat(versions, contains(1L, 2L, 3L));
-        assertThat(trainer.record().gaps(), is(empty()));
-        assertThat(trainer.record().duplicates(), is(empty()));
-        assertThat(trainer.record().samplesWithBrokenRanges(), is(empty()));
-        assertThat(service.acknowledged, is(18L));
+        mTrainer.run(1, 3).block();
+
+        assertThat(mService.mSteps, contains(1L, 2L, 3L));
+        assertThat(mTrainer.record().samples(), is(18));
+        assertThat(mVersions, contains(1L, 2L, 3L));
+        assertThat(mTrainer.record().gaps(), is(empty()));
+        assertThat(mTrainer.record().duplicates(), is(empty()));
+        assertThat(mTrainer.record().samplesWithBrokenRanges(), is(empty()));
+        assertThat(mService.mAcknowledged, is(18L));
     }
 
     /** The service refuses a group whose name is not a JSON string. */
     @Test
     void namesItsGroupsInText() {
-        trainer.submit(1).block();
+        mTrainer.submit(1).block();
 
-        assertThat(service.samples.get(0).path("group").isTextual(), is(true));
+        assertThat(mService.mSamples.get(0).path("group").isTextual(), is(true));
     }
 
     @Test
     void repeatsASubmissionWhoseAnswerWasLost() {
-        service.faults().set(FaultMode.LOSE_ANSWER, Duration.ZERO, 1);
-        trainer.submit(1).block();
+        mService.faults().set(FaultMode.LOSE_ANSWER, Duration.ZERO, 1);
+        mTrainer.submit(1).block();
 
-        assertThat(service.steps, contains(1L, 1L));
-        assertThat(trainer.responseCounts(), hasEntry("submit failed", 1L));
-        assertThat(trainer.responseCounts(), hasEntry("submit 202", 1L));
+        assertThat(mService.mSteps, contains(1L, 1L));
+        assertThat(mTrainer.responseCounts(), hasEntry("submit failed", 1L));
+        assertThat(mTrainer.responseCounts(), hasEntry("submit 202", 1L));
     }
 
     @Test
@@ -118,9 +118,9 @@
     private static final class RolloutService extends StandInServer {
         private static final int PAGE_SIZE = 4;
 
-        private final List<Long> steps = new ArrayList<>();
-        private final List<ObjectNode> samples = new ArrayList<>();
-        private long acknowledged;
+        private final List<Long> mSteps = new ArrayList<>();
+        private final List<ObjectNode> mSamples = new ArrayList<>();
+        private long mAcknowledged;
 
         private RolloutService() {
             on("submit", "POST", "/v1/rollouts", request -> Mono.just(submit(request.json())));
@@ -131,11 +131,11 @@
 
         private synchronized StandInResponse submit(JsonNode body) {
             long step = body.path("step").asLong();
-            steps.add(step);
+            mSteps.add(step);
             for (JsonNode group : body.path("groups")) {
                 for (int i = 0; i < group.path("samples").asInt(); i++) {
-                    ObjectNode sample = sample(samples.size(), i, step - 1);
-                    samples.add(sample.put("step", step).set("group", group.path("group")));
+                    ObjectNode sample = sample(mSamples.size(), i, step - 1);
+                    mSamples.add(sample.put("step", step).set("group", group.path("group")));
                 }
             }
             return StandInResponse.json(202, Json.object().put("accepted", true));
@@ -143,14 +143,14 @@
 
         private synchronized StandInResponse collect(StandInRequest request) {
             int cursor = Integer.parseInt(request.query("cursor", "0"));
-            int end = Math.min(samples.size(), cursor + PAGE_SIZE);
+            int end = Math.min(mSamples.size(), cursor + PAGE_SIZE);
             ObjectNode body = Json.object();
-            body.putArray("samples").addAll(samples.subList(cursor, end));
+            body.putArray("samples").addAll(mSamples.subList(cursor, end));
             return StandInResponse.json(200, body.put("cursor", end));
         }
 
         private synchronized StandInResponse acknowledge(JsonNode body) {
-            acknowledged = Math.max(acknowledged, body.path("cursor").asLong());
+            mAcknowledged = Math.max(mAcknowledged, body.path("cursor").asLong());
             return StandInResponse.json(200, Json.object());
         }
     }
--- a/wire/src/main/java/org/fuchsialever/wire/MessageKind.java
+++ b/wire/src/main/java/org/fuchsialever/wire/MessageKind.java
@@ -149,12 +149,12 @@
         }
     };
 
-    private final ContentCase content;
-    private final Class<? extends PeerMessage> type;
+    private final ContentCase mContent;
+    private final Class<? extends PeerMessage> mType;
 
     MessageKind(ContentCase content, Class<? extends PeerMessage> type) {
-        this.content = content;
-        this.type = type;
+        mContent = content;
+        mType = type;
     }
 
     abstract void encode(PeerMessage message, Envelope.Builder envelope);
@@ -167,11 +167,11 @@
     abstract PeerMessage decode(Envelope envelope);
 
     boolean isOf(PeerMessage message) {
-        return type.isInstance(message);
+        return mType.isInstance(message);
     }
 
     boolean isOf(ContentCase other) {
-        return content == other;
+        return mContent == other;
     }
 
     private static PeerProtocol.MemberReport encodeMember(Member member) {
--- a/wire/src/main/java/org/fuchsialever/wire/PeerConnectionHandler.java
+++ b/wire/src/main/java/org/fuchsialever/wire/PeerConnectionHandler.java
@@ -11,9 +11,9 @@
 
 /** Handler of a connection: first exchanges instance names, then passes frames to the transport. */
 final class PeerConnectionHandler extends SimpleChannelInboundHandler<ByteBuf> {
-    private final PeerTransport transport;
-    private final @Nullable InstanceId dialed;
-    private @Nullable PeerLink link;
+    private final PeerTransport mTransport;
+    private final @Nullable InstanceId mDialed;
+    private @Nullable PeerLink mLink;
 
     /**
      * Creates a handler.
@@ -21,32 +21,32 @@
      * @param dialed the instance that was dialed, null for an accepted connection
      */
     PeerConnectionHandler(PeerTransport transport, @Nullable InstanceId dialed) {
-        this.transport = transport;
-        this.dialed = dialed;
+        mTransport = transport;
+        mDialed = dialed;
     }
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
-        context.writeAndFlush(Unpooled.wrappedBuffer(transport.hello()));
+        context.writeAndFlush(Unpooled.wrappedBuffer(mTransport.hello()));
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, ByteBuf content) {
         byte[] frame = ByteBufUtil.getBytes(content);
-        PeerLink current = link;
+        PeerLink current = mLink;
         if (current == null) {
-            link = transport.handleHello(context.channel(), frame, dialed);
-            if (link == null) {
+            mLink = mTransport.handleHello(context.channel(), frame, mDialed);
+            if (mLink == null) {
                 context.close();
             }
         } else {
-            transport.handleFrame(current, frame);
+            mTransport.handleFrame(current, frame);
         }
     }
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        PeerLink current = link;
+        PeerLink current = mLink;
         if (current != null && context.channel().isWritable()) {
             current.flush();
         }
@@ -54,22 +54,22 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        PeerLink current = link;
+        PeerLink current = mLink;
         boolean silent = current == null || current.isAwaitingAnswer();
         if (event instanceof IdleStateEvent && silent) {
-            transport.count("silent");
+            mTransport.count("silent");
             context.close();
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        transport.handleDisconnect(context.channel(), link, dialed);
+        mTransport.handleDisconnect(context.channel(), mLink, mDialed);
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        transport.count("connection-failed");
+        mTransport.count("connection-failed");
         context.close();
     }
 }
--- a/wire/src/main/java/org/fuchsialever/wire/PeerLink.java
+++ b/wire/src/main/java/org/fuchsialever/wire/PeerLink.java
@@ -14,38 +14,38 @@
  * transport.
  */
 final class PeerLink {
-    private final InstanceId peer;
-    private final Inbox<byte[]> queue;
-    private final AtomicBoolean flushScheduled = new AtomicBoolean();
-    private @Nullable InetSocketAddress address;
-    private @Nullable Channel channel;
-    private InstanceId dialer;
-    private boolean dialing;
-    private int failures;
-    private boolean awaitingAnswer;
+    private final InstanceId mPeer;
+    private final Inbox<byte[]> mQueue;
+    private final AtomicBoolean mFlushScheduled = new AtomicBoolean();
+    private @Nullable InetSocketAddress mAddress;
+    private @Nullable Channel mChannel;
+    private InstanceId mDialer;
+    private boolean mDialing;
+    private int mFailures;
+    private boolean mAwaitingAnswer;
 
     PeerLink(InstanceId peer, int queuedFrames) {
-        this.peer = peer;
-        this.dialer = peer;
-        this.queue = new Inbox<>(queuedFrames, OverflowPolicy.DROP_OLDEST);
+        mPeer = peer;
+        mDialer = peer;
+        mQueue = new Inbox<>(queuedFrames, OverflowPolicy.DROP_OLDEST);
     }
 
     InstanceId peer() {
-        return peer;
+        return mPeer;
     }
 
     /** Adds a frame and returns whether a flush has to be scheduled; called on any thread. */
     boolean enqueue(byte[] frame) {
-        queue.offer(frame);
-        return flushScheduled.compareAndSet(false, true);
+        mQueue.offer(frame);
+        return mFlushScheduled.compareAndSet(false, true);
     }
 
     long droppedCount() {
-        return queue.overflowCount();
+        return mQueue.overflowCount();
     }
 
     void address(InetSocketAddress newAddress) {
-        address = newAddress;
+        mAddress = newAddress;
     }
 
     /**
@@ -55,11 +55,11 @@
      *     connection, another attempt or nothing to send, or if the address is unknown
      */
     @Nullable InetSocketAddress startDialing() {
-        if (dialing || channel != null || address == null || queue.size() == 0) {
+        if (mDialing || mChannel != null || mAddress == null || mQueue.size() == 0) {
             return null;
         }
-        dialing = true;
-        return address;
+        mDialing = true;
+        return mAddress;
     }
 
     /**
@@ -68,16 +68,16 @@
      * @return the number of consecutive failures
      */
     int dialFailed() {
-        failures++;
-        return failures;
+        mFailures++;
+        return mFailures;
     }
 
     void endRetryDelay() {
-        dialing = false;
+        mDialing = false;
     }
 
     boolean isConnected() {
-        return channel != null;
+        return mChannel != null;
     }
 
     /**
@@ -87,19 +87,19 @@
      * @return whether the connection is used; the caller closes it otherwise
      */
     boolean attach(Channel newChannel, InstanceId openedBy, InstanceId self) {
-        InstanceId preferred = peer.compareTo(self) < 0 ? peer : self;
-        Channel current = channel;
+        InstanceId preferred = mPeer.compareTo(self) < 0 ? mPeer : self;
+        Channel current = mChannel;
         if (current != null
                 && current.isActive()
-                && !dialer.equals(openedBy)
-                && dialer.equals(preferred)) {
+                && !mDialer.equals(openedBy)
+                && mDialer.equals(preferred)) {
             return false;
         }
-        channel = newChannel;
-        dialer = openedBy;
-        dialing = false;
-        failures = 0;
-        awaitingAnswer = false;
+        mChannel = newChannel;
+        mDialer = openedBy;
+        mDialing = false;
+        mFailures = 0;
+        mAwaitingAnswer = false;
         if (current != null) {
             current.close();
         }
@@ -108,23 +108,23 @@
 
     /** Removes a closed connection; returns whether it was the one in use. */
     boolean detach(Channel closedChannel) {
-        if (channel != closedChannel) {
+        if (mChannel != closedChannel) {
             return false;
         }
-        channel = null;
+        mChannel = null;
         return true;
     }
 
     /** Writes queued frames as long as the connection is writable. */
     void flush() {
-        flushScheduled.set(false);
-        Channel current = channel;
+        mFlushScheduled.set(false);
+        Channel current = mChannel;
         if (current == null) {
             return;
         }
         boolean written = false;
         while (current.isWritable()) {
-            byte[] frame = queue.poll();
+            byte[] frame = mQueue.poll();
             if (frame == null) {
                 break;
             }
@@ -132,20 +132,20 @@
             written = true;
         }
         if (written) {
-            awaitingAnswer = true;
+            mAwaitingAnswer = true;
             current.flush();
         }
     }
 
     void frameReceived() {
-        awaitingAnswer = false;
+        mAwaitingAnswer = false;
     }
 
     boolean isAwaitingAnswer() {
-        return awaitingAnswer;
+        return mAwaitingAnswer;
     }
 
     void clearAddress() {
-        address = null;
+        mAddress = null;
     }
 }
--- a/wire/src/main/java/org/fuchsialever/wire/PeerTransport.java
+++ b/wire/src/main/java/org/fuchsialever/wire/PeerTransport.java
@@ -39,15 +39,15 @@
     private static final long SHUTDOWN_QUIET_PERIOD_MILLIS = 0;
     private static final long SHUTDOWN_TIMEOUT_MILLIS = 2_000;
 
-    private final InstanceId self;
-    private final PeerTransportLimits limits;
-    private final Receiver receiver;
-    private final MeterRegistry meters;
-    private final RandomGenerator random;
-    private final EventLoopGroup group;
-    private final EventLoop loop;
-    private final byte[] hello;
-    private final Map<InstanceId, PeerLink> links = new ConcurrentHashMap<>();
+    private final InstanceId mSelf;
+    private final PeerTransportLimits mLimits;
+    private final Receiver mReceiver;
+    private final MeterRegistry mMeters;
+    private final RandomGenerator mRandom;
+    private final EventLoopGroup mGroup;
+    private final EventLoop mLoop;
+    private final byte[] mHello;
+    private final Map<InstanceId, PeerLink> mLinks = new ConcurrentHashMap<>();
 
     /**
      * Creates a transport that neither listens nor connects yet.
@@ -62,18 +62,18 @@
             Receiver receiver,
             MeterRegistry meters,
             RandomGenerator random) {
-        this.self = self;
-        this.limits = limits;
-        this.receiver = receiver;
-        this.meters = meters;
-        this.random = random;
-        this.hello = PeerCodec.encodeHello(self);
-        this.group =
+        mSelf = self;
+        mLimits = limits;
+        mReceiver = receiver;
+        mMeters = meters;
+        mRandom = random;
+        mHello = PeerCodec.encodeHello(self);
+        mGroup =
                 new MultiThreadIoEventLoopGroup(
                         1,
                         new DefaultThreadFactory("peer-transport", true),
                         NioIoHandler.newFactory());
-        this.loop = group.next();
+        mLoop = mGroup.next();
         FunctionCounter.builder("fuchsialever.peers.overflows", this, PeerTransport::overflowCount)
                 .register(meters);
     }
@@ -88,7 +88,7 @@
     public int listen(String address, int port) {
         Channel server =
                 new ServerBootstrap()
-                        .group(group)
+                        .group(mGroup)
                         .channel(NioServerSocketChannel.class)
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childHandler(initializer(null))
@@ -101,11 +101,11 @@
     /** Replaces the known addresses. Unconnected links to other instances are removed. */
     public void updateAddresses(Map<InstanceId, InetSocketAddress> addresses) {
         Map<InstanceId, InetSocketAddress> copy = Map.copyOf(addresses);
-        loop.execute(
+        mLoop.execute(
                 () -> {
                     copy.forEach((peer, address) -> link(peer).address(address));
-                    links.values().removeIf(link -> releaseIfUnlisted(link, copy));
-                    links.values().forEach(this::dial);
+                    mLinks.values().removeIf(link -> releaseIfUnlisted(link, copy));
+                    mLinks.values().forEach(this::dial);
                 });
     }
 
@@ -115,13 +115,13 @@
      */
     public void send(InstanceId peer, PeerMessage message) {
         byte[] frame = PeerCodec.encode(message);
-        if (frame.length > limits.maxFrameBytes()) {
+        if (frame.length > mLimits.maxFrameBytes()) {
             count("too-large");
             return;
         }
         PeerLink link = link(peer);
         if (link.enqueue(frame)) {
-            loop.execute(
+            mLoop.execute(
                     () -> {
                         link.flush();
                         dial(link);
@@ -131,13 +131,13 @@
 
     /** Returns the number of frames that were dropped because a queue was full. */
     public long overflowCount() {
-        return links.values().stream().mapToLong(PeerLink::droppedCount).sum();
+        return mLinks.values().stream().mapToLong(PeerLink::droppedCount).sum();
     }
 
     /** Closes all connections and waits until the event loop has stopped, at most 2 s. */
     @Override
     public void close() {
-        group.shutdownGracefully(
+        mGroup.shutdownGracefully(
                         SHUTDOWN_QUIET_PERIOD_MILLIS,
                         SHUTDOWN_TIMEOUT_MILLIS,
                         TimeUnit.MILLISECONDS)
@@ -145,13 +145,13 @@
     }
 
     byte[] hello() {
-        return hello;
+        return mHello;
     }
 
     void count(String reason) {
         Counter.builder("fuchsialever.peers.failures")
                 .tag("reason", reason)
-                .register(meters)
+                .register(mMeters)
                 .increment();
     }
 
@@ -161,12 +161,12 @@
         if (name == null) {
             return null;
         }
-        if (name.equals(self) || dialed != null && !dialed.equals(name)) {
+        if (name.equals(mSelf) || dialed != null && !dialed.equals(name)) {
             count("wrong-instance");
             return null;
         }
         PeerLink link = link(name);
-        if (!link.attach(channel, dialed == null ? name : self, self)) {
+        if (!link.attach(channel, dialed == null ? name : mSelf, mSelf)) {
             return null;
         }
         link.flush();
@@ -177,7 +177,7 @@
         link.frameReceived();
         PeerCodec.decode(frame)
                 .peekLeft(this::count)
-                .peek(message -> receiver.onMessage(link.peer(), message));
+                .peek(message -> mReceiver.onMessage(link.peer(), message));
     }
 
     void handleDisconnect(Channel channel, @Nullable PeerLink link, @Nullable InstanceId dialed) {
@@ -189,7 +189,7 @@
     }
 
     private PeerLink link(InstanceId peer) {
-        return links.computeIfAbsent(peer, name -> new PeerLink(name, limits.maxQueuedFrames()));
+        return mLinks.computeIfAbsent(peer, name -> new PeerLink(name, mLimits.maxQueuedFrames()));
     }
 
     /**
@@ -209,16 +209,16 @@
 
     private void dial(PeerLink link) {
         InetSocketAddress address = link.startDialing();
-        if (address == null || loop.isShuttingDown()) {
+        if (address == null || mLoop.isShuttingDown()) {
             return;
         }
         new Bootstrap()
-                .group(group)
+                .group(mGroup)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(
                         ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                        (int) limits.connectTimeout().toMillis())
+                        (int) mLimits.connectTimeout().toMillis())
                 .handler(initializer(link.peer()))
                 .connect(address)
                 .addListener(
@@ -234,15 +234,15 @@
         int doublings = Math.min(link.dialFailed() - 1, MAX_DOUBLINGS);
         long delay =
                 Math.min(
-                        limits.maxRetryDelay().toMillis(),
-                        limits.initialRetryDelay().toMillis() << doublings);
-        if (!loop.isShuttingDown()) {
-            loop.schedule(
+                        mLimits.maxRetryDelay().toMillis(),
+                        mLimits.initialRetryDelay().toMillis() << doublings);
+        if (!mLoop.isShuttingDown()) {
+            mLoop.schedule(
                     () -> {
                         link.endRetryDelay();
                         dial(link);
                     },
-                    delay / 2 + random.nextLong(delay / 2 + 1),
+                    delay / 2 + mRandom.nextLong(delay / 2 + 1),
                     TimeUnit.MILLISECONDS);
         }
     }
@@ -254,12 +254,12 @@
                 channel.pipeline()
                         .addLast(
                                 new IdleStateHandler(
-                                        limits.responseTimeout().toMillis(),
+                                        mLimits.responseTimeout().toMillis(),
                                         0,
                                         0,
                                         TimeUnit.MILLISECONDS),
                                 new LengthFieldBasedFrameDecoder(
-                                        limits.maxFrameBytes(), 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+                                        mLimits.maxFrameBytes(), 0, LENGTH_BYTES, 0, LENGTH_BYTES),
                                 new LengthFieldPrepender(LENGTH_BYTES),
                                 new PeerConnectionHandler(PeerTransport.this, dialed));
             }
--- a/wire/src/test/java/org/fuchsialever/wire/PeerTransportTest.java
+++ b/wire/src/test/java/org/fuchsialever/wire/PeerTransportTest.java
@@ -32,15 +32,15 @@
     private static final String LOOPBACK = "127.0.0.1";
     private static final int MAX_QUEUED_FRAMES = 4;
 
-    private final Closer closer = new Closer();
+    private final Closer mCloser = new Closer();
 
     @AfterEach
     void closeTransports() {
-        closer.close();
+        mCloser.close();
     }
 
     private Peer peer(String name, int port) {
-        return closer.register(name, new Peer(name, port));
+        return mCloser.register(name, new Peer(name, port));
     }
 
     @Test
@@ -48,11 +48,11 @@
         Peer a = peer("node-a", 0);
         Peer b = peer("node-b", 0);
         a.knows(b);
-        a.transport.send(b.name, notice(1));
-        assertThat(b.received.take(), equalTo(notice(1)));
+        a.mTransport.send(b.mName, notice(1));
+        assertThat(b.mReceived.take(), equalTo(notice(1)));
         // b does not know the address of a, so it uses the existing connection.
-        b.transport.send(a.name, notice(2));
-        assertThat(a.received.take(), equalTo(notice(2)));
+        b.mTransport.send(a.mName, notice(2));
+        assertThat(a.mReceived.take(), equalTo(notice(2)));
     }
 
     @Test
@@ -61,8 +61,8 @@
         Peer b = peer("node-b", 0);
         a.knows(b);
         b.knows(a);
-        a.transport.send(b.name, notice(1));
-        b.transport.send(a.name, notice(2));
+        a.mTransport.send(b.mName, notice(1));
+        b.mTransport.send(a.mName, notice(2));
         // One of the two connections is closed, and messages sent on it may be lost.
         a.sendUntilReceivedBy(b);
         b.sendUntilReceivedBy(a);
@@ -73,11 +73,11 @@
         Peer a = peer("node-a", 0);
         Peer b = peer("node-b", 0);
         for (int i = 0; i < 10; i++) {
-            a.transport.send(b.name, notice(i));
+            a.mTransport.send(b.mName, notice(i));
         }
-        assertThat(a.transport.overflowCount(), equalTo(10L - MAX_QUEUED_FRAMES));
+        assertThat(a.mTransport.overflowCount(), equalTo(10L - MAX_QUEUED_FRAMES));
         a.knows(b);
-        assertThat(b.received.take(), equalTo(notice(10 - MAX_QUEUED_FRAMES)));
+        assertThat(b.mReceived.take(), equalTo(notice(10 - MAX_QUEUED_FRAMES)));
     }
 
     @Test
@@ -86,23 +86,23 @@
         Peer b = peer("node-b", 0);
         try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK))) {
             InstanceId silentName = new InstanceId("node-silent");
-            a.transport.updateAddresses(
+            a.mTransport.updateAddresses(
                     Map.of(
                             silentName,
                             new InetSocketAddress(LOOPBACK, silent.getLocalPort()),
-                            b.name,
-                            new InetSocketAddress(LOOPBACK, b.port)));
+                            b.mName,
+                            new InetSocketAddress(LOOPBACK, b.mPort)));
             PeerMessage large =
                     new PeerMessage.KeyWithdrawals(
                             IntStream.range(0, 1_000)
                                     .mapToObj(i -> new KeyId("key-" + i))
                                     .collect(Collectors.toSet()));
             for (int i = 0; i < 1_000; i++) {
-                a.transport.send(silentName, large);
+                a.mTransport.send(silentName, large);
             }
-            assertThat(a.transport.overflowCount(), greaterThan(0L));
-            a.transport.send(b.name, notice(1));
-            assertThat(b.received.take(), equalTo(notice(1)));
+            assertThat(a.mTransport.overflowCount(), greaterThan(0L));
+            a.mTransport.send(b.mName, notice(1));
+            assertThat(b.mReceived.take(), equalTo(notice(1)));
         }
     }
 
@@ -111,24 +111,24 @@
         Peer a = peer("node-a", 0);
         Peer b = new Peer("node-b", 0);
         a.knows(b);
-        a.transport.send(b.name, notice(1));
-        assertThat(b.received.take(), equalTo(notice(1)));
+        a.mTransport.send(b.mName, notice(1));
+        assertThat(b.mReceived.take(), equalTo(notice(1)));
         b.close();
-        Peer restarted = peer("node-b", b.port);
+        Peer restarted = peer("node-b", b.mPort);
         a.sendUntilReceivedBy(restarted);
     }
 
     @Test
     void aMessageAboveTheFrameLimitIsNotSentAndCounted() {
         Peer a = peer("node-a", 0);
-        a.transport.send(
+        a.mTransport.send(
                 new InstanceId("node-b"),
                 new PeerMessage.KeyWithdrawals(
                         IntStream.range(0, 100_000)
                                 .mapToObj(i -> new KeyId("key-" + i))
                                 .collect(Collectors.toSet())));
         double counted =
-                a.meters
+                a.mMeters
                         .get("fuchsialever.peers.failures")
                         .tag("reason", "too-large")
                         .counter()
@@ -141,14 +141,14 @@
     }
 
     private static final class Peer implements AutoCloseable {
-        private final InstanceId name;
-        private final SimpleMeterRegistry meters = new SimpleMeterRegistry();
-        private final BlockingQueue<PeerMessage> received = new LinkedBlockingQueue<>();
-        private final PeerTransport transport;
-        private final int port;
+        private final InstanceId mName;
+        private final SimpleMeterRegistry mMeters = new SimpleMeterRegistry();
+        private final BlockingQueue<PeerMessage> mReceived = new LinkedBlockingQueue<>();
+        private final PeerTransport mTransport;
+        private final int mPort;
 
         Peer(String name, int port) {
-            this.name = new InstanceId(name);
+            mName = new InstanceId(name);
             PeerTransportLimits limits =
                     new PeerTransportLimits(
                             64 * 1024,
@@ -157,33 +157,33 @@
                             Duration.ofSeconds(10),
                             Duration.ofMillis(5),
                             Duration.ofMillis(50));
-            this.transport =
+            mTransport =
                     new PeerTransport(
-                            this.name,
+                            mName,
                             limits,
-                            (sender, message) -> received.add(message),
-                            meters,
+                            (sender, message) -> mReceived.add(message),
+                            mMeters,
                             new SplittableRandom(3));
-            this.port = transport.listen(LOOPBACK, port);
+            mPort = mTransport.listen(LOOPBACK, port);
         }
 
         /** Sends until a message arrives; the timeout of the class fails the test if none does. */
         void sendUntilReceivedBy(Peer other) throws InterruptedException {
             boolean arrived = false;
             while (!arrived) {
-                transport.send(other.name, notice(1));
-                arrived = other.received.poll(10, TimeUnit.MILLISECONDS) != null;
+                mTransport.send(other.mName, notice(1));
+                arrived = other.mReceived.poll(10, TimeUnit.MILLISECONDS) != null;
             }
         }
 
         void knows(Peer other) {
-            transport.updateAddresses(
-                    Map.of(other.name, new InetSocketAddress(LOOPBACK, other.port)));
+            mTransport.updateAddresses(
+                    Map.of(other.mName, new InetSocketAddress(LOOPBACK, other.mPort)));
         }
 
         @Override
         public void close() {
-            transport.close();
+            mTransport.close();
         }
     }
 }
