Bound responses without end and judge streams by their events

Cause: an idle timeout that any byte restarted kept a stalled stream alive for as long as an upstream sent a byte now and then; an event, a body or a report without end grew until memory ran out; bytes left over after a response stayed in the decoder of a pooled connection and were prepended to the next response; a caller that reads slowly had an unbounded queue. A decoder of our own, on Netty's, knows about left-over bytes, and such a connection is not lent again.

--- a/node/src/main/java/org/fuchsialever/node/batch/ItemGenerationHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/ItemGenerationHandler.java
@@ -14,6 +14,7 @@
 import org.fuchsialever.node.forward.ForwardCallHandler;
 import org.fuchsialever.node.forward.ServerSentEvent;
 import org.fuchsialever.node.forward.ServerSentEventParser;
+import org.fuchsialever.services.exchange.ContentVerdict;
 import org.fuchsialever.services.exchange.ExchangeRequest;
 import org.fuchsialever.services.hosted.UpstreamProtocol;
 import org.fuchsialever.services.hosted.UpstreamResponseHead;
@@ -143,14 +144,19 @@
         }
 
         @Override
-        protected void handleContent(byte[] bytes) {
-            if (!isSuccess() || mInvalid) {
-                return;
+        protected ContentVerdict handleContent(byte[] bytes) {
+            if (!isSuccess()) {
+                return ContentVerdict.NO_PROGRESS;
             }
-            for (ServerSentEvent event : mAssembler.feed(bytes)) {
+            List<ServerSentEvent> events = mAssembler.feed(bytes);
+            for (ServerSentEvent event : events) {
                 mVersion = event.version() > 0 ? event.version() : mVersion;
                 mInvalid |= !append(mAttempt, event, mVersion);
             }
+            if (mInvalid || mAssembler.isOverlong()) {
+                return ContentVerdict.INVALID;
+            }
+            return events.isEmpty() ? ContentVerdict.NO_PROGRESS : ContentVerdict.PROGRESS;
         }
 
         @Override
--- a/node/src/main/java/org/fuchsialever/node/batch/ItemScoringHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/ItemScoringHandler.java
@@ -9,6 +9,7 @@
 import org.fuchsialever.decisions.forward.ForwardRefusal;
 import org.fuchsialever.node.forward.AttemptReader;
 import org.fuchsialever.node.forward.ForwardCallHandler;
+import org.fuchsialever.services.exchange.ContentVerdict;
 import org.fuchsialever.services.exchange.ExchangeRequest;
 import org.fuchsialever.services.hosted.UpstreamProtocol;
 import org.fuchsialever.services.hosted.UpstreamResponseHead;
@@ -67,7 +68,9 @@
             protected void handleHead(UpstreamResponseHead head, HttpHeaders headers) {}
 
             @Override
-            protected void handleContent(byte[] bytes) {}
+            protected ContentVerdict handleContent(byte[] bytes) {
+                return ContentVerdict.PROGRESS;
+            }
 
             @Override
             protected AttemptOutcome finalOutcome(AttemptOutcome outcome) {
--- a/node/src/main/java/org/fuchsialever/node/entry/LiveCallHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/LiveCallHandler.java
@@ -3,8 +3,10 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.forward.AttemptOutcome;
@@ -13,6 +15,7 @@
 import org.fuchsialever.node.forward.ForwardCallHandler;
 import org.fuchsialever.node.forward.ServerSentEvent;
 import org.fuchsialever.node.forward.ServerSentEventParser;
+import org.fuchsialever.services.exchange.ContentVerdict;
 import org.fuchsialever.services.exchange.ExchangeRequest;
 import org.fuchsialever.services.hosted.UpstreamProtocol;
 import org.fuchsialever.services.hosted.UpstreamResponseHead;
@@ -28,6 +31,9 @@
     /** Below the 2 s after which callers time out, so that the stream resumes elsewhere first. */
     private static final Duration RESUMABLE_IDLE_TIMEOUT = Duration.ofMillis(1_200);
 
+    /** Events kept for a caller that reads slower than the upstream sends. */
+    private static final int MAX_UNREAD_EVENTS = 1_024;
+
     private static final int MIN_FAILURE_STATUS = 300;
 
     /** Statuses that tell the caller that the call was not run. */
@@ -120,7 +126,11 @@
     private synchronized void startStream(Reader reader) {
         mStreamedAttempt = reader.mAttempt;
         if (mStream == null) {
-            Sinks.Many<byte[]> opened = Sinks.many().unicast().onBackpressureBuffer();
+            Sinks.Many<byte[]> opened =
+                    Sinks.many()
+                            .unicast()
+                            .onBackpressureBuffer(
+                                    new ArrayBlockingQueue<>(MAX_UNREAD_EVENTS), () -> {});
             mStream = opened;
             UpstreamResponseHead head = reader.head();
             mSink.success(
@@ -135,7 +145,9 @@
         Sinks.Many<byte[]> open = mStream;
         if (attempt == mStreamedAttempt && open != null) {
             mLastEventId = event.id().isEmpty() ? mLastEventId : event.id();
-            open.tryEmitNext(event.raw());
+            if (open.tryEmitNext(event.raw()).isFailure()) {
+                open.tryEmitError(new StreamBrokenException("CALLER_TOO_SLOW"));
+            }
         }
     }
 
@@ -172,12 +184,27 @@
         }
 
         @Override
-        protected void handleContent(byte[] bytes) {
-            if (mStreamedAttempt == mAttempt && isSuccess()) {
-                mAssembler.feed(bytes).forEach(event -> emit(mAttempt, event));
-            } else {
+        protected ContentVerdict handleContent(byte[] bytes) {
+            if (!isStreaming()) {
                 mBody.writeBytes(bytes);
+                return ContentVerdict.PROGRESS;
             }
+            List<ServerSentEvent> events = mAssembler.feed(bytes);
+            events.forEach(event -> emit(mAttempt, event));
+            if (mAssembler.isOverlong()) {
+                return ContentVerdict.INVALID;
+            }
+            return events.isEmpty() ? ContentVerdict.NO_PROGRESS : ContentVerdict.PROGRESS;
+        }
+
+        /** A stream is passed on as it arrives, so only its single events are bounded. */
+        @Override
+        protected long maxContentBytes() {
+            return isStreaming() ? Long.MAX_VALUE : super.maxContentBytes();
+        }
+
+        private boolean isStreaming() {
+            return mStreamedAttempt == mAttempt && isSuccess();
         }
 
         @Override
--- a/node/src/main/java/org/fuchsialever/node/forward/AttemptReader.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/AttemptReader.java
@@ -5,6 +5,7 @@
 import org.fuchsialever.decisions.fleet.LoadHint;
 import org.fuchsialever.decisions.forward.AttemptOutcome;
 import org.fuchsialever.decisions.forward.AttemptReport;
+import org.fuchsialever.services.exchange.ContentVerdict;
 import org.fuchsialever.services.exchange.ExchangeOutcome;
 import org.fuchsialever.services.hosted.UpstreamProtocol;
 import org.fuchsialever.services.hosted.UpstreamResponseHead;
@@ -16,9 +17,13 @@
     private static final int MIN_SERVER_ERROR_STATUS = 500;
     private static final int UNPROCESSABLE_STATUS = 422;
 
+    /** Maximum size of a response that is not streamed, in bytes. */
+    private static final long MAX_CONTENT_BYTES = 4L * 1_024 * 1_024;
+
     private final UpstreamProtocol mProtocol;
     private @Nullable UpstreamResponseHead mResponse;
     private boolean mEncoded;
+    private long mContentBytes;
 
     /** Creates a reader. */
     protected AttemptReader(UpstreamProtocol protocol) {
@@ -33,8 +38,9 @@
         handleHead(read, headers);
     }
 
-    final void onContent(byte[] bytes) {
-        handleContent(bytes);
+    final ContentVerdict onContent(byte[] bytes) {
+        mContentBytes += bytes.length;
+        return mContentBytes > maxContentBytes() ? ContentVerdict.INVALID : handleContent(bytes);
     }
 
     final AttemptReport onEnd(ExchangeOutcome end) {
@@ -61,8 +67,13 @@
     /** Handles the head of the response. */
     protected abstract void handleHead(UpstreamResponseHead head, HttpHeaders headers);
 
-    /** Handles a part of the body. */
-    protected abstract void handleContent(byte[] bytes);
+    /** Handles a part of the body and returns whether the response has progressed. */
+    protected abstract ContentVerdict handleContent(byte[] bytes);
+
+    /** Returns the maximum size of the body in bytes; a larger one ends the attempt. */
+    protected long maxContentBytes() {
+        return MAX_CONTENT_BYTES;
+    }
 
     /** Returns the outcome of the ended attempt, which may be worse than the given one. */
     protected abstract AttemptOutcome finalOutcome(AttemptOutcome outcome);
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
@@ -19,6 +19,7 @@
 import org.fuchsialever.kernel.duty.Inbox;
 import org.fuchsialever.kernel.time.TimeSource;
 import org.fuchsialever.node.trace.TraceLog;
+import org.fuchsialever.services.exchange.ContentVerdict;
 import org.fuchsialever.services.exchange.Exchange;
 import org.fuchsialever.services.exchange.ExchangeClient;
 import org.fuchsialever.services.exchange.ExchangeListener;
@@ -187,8 +188,8 @@
         }
 
         @Override
-        public void onContent(byte[] bytes) {
-            mReader.onContent(bytes);
+        public ContentVerdict onContent(byte[] bytes) {
+            return mReader.onContent(bytes);
         }
 
         @Override
--- a/node/src/main/java/org/fuchsialever/node/forward/ServerSentEventParser.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ServerSentEventParser.java
@@ -7,6 +7,9 @@
 
 /** Parses a stream of server-sent events; an incomplete event stays buffered. */
 public final class ServerSentEventParser {
+    /** Maximum size of an event in bytes, far above the tokens of one step of an engine. */
+    private static final int MAX_EVENT_BYTES = 256 * 1_024;
+
     private final String mVersionField;
     private final ByteArrayOutputStream mPending = new ByteArrayOutputStream();
     private int mLineLength;
@@ -20,6 +23,9 @@
     public List<ServerSentEvent> feed(byte[] bytes) {
         List<ServerSentEvent> events = new ArrayList<>();
         for (byte next : bytes) {
+            if (isOverlong()) {
+                return events;
+            }
             mPending.write(next);
             if (next == '\r') {
                 continue;
@@ -36,6 +42,11 @@
         return events;
     }
 
+    /** Returns whether the current event exceeds the maximum size; no bytes are read after it. */
+    public boolean isOverlong() {
+        return mPending.size() >= MAX_EVENT_BYTES;
+    }
+
     /** Returns whether bytes of an incomplete event are buffered. */
     public boolean hasIncompleteEvent() {
         return mPending.size() > 0;
--- a/node/src/test/java/org/fuchsialever/node/hosted/HostedBatchesTest.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/HostedBatchesTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.is;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
 import org.fuchsialever.platform.ManifestText;
 import org.fuchsialever.platform.StoreStandIn;
 import org.fuchsialever.platform.UpstreamStandIn;
@@ -94,6 +95,23 @@
         }
     }
 
+    /** Bytes that complete no event keep no stream alive, and an event without end is dropped. */
+    @Test
+    void goesOnWithATextElsewhereWhenItsEngineSendsBytesButNoEvents() {
+        for (Behaviour trouble : List.of(Behaviour.STALLS_STREAMS, Behaviour.FLOODS_STREAMS)) {
+            try (HostedFixture fixture = HostedFixture.running()) {
+                fixture.upstream("e1").setBehaviour(trouble);
+                fixture.submit("n1", "b1", "x1");
+                fixture.eventually(() -> fixture.upstream("e1").executionCount("x1") > 0);
+                fixture.upstream("e2", "engines");
+                JsonNode page = fixture.results("n1", "b1", 1);
+                assertThat(
+                        page.path("results").path(0).path("message").asText(),
+                        is(UpstreamStandIn.text("x1")));
+            }
+        }
+    }
+
     @Test
     void givesTheBodyOfAnItemAndEndsASubmission() {
         try (HostedFixture fixture = HostedFixture.running()) {
--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeChannel.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeChannel.java
@@ -36,6 +36,7 @@
     private static final int MIN_FINAL_STATUS = 200;
 
     private final Channel mChannel;
+    private final ExchangeDecoder mDecoder;
     private final String mAddress;
     private final Consumer<ExchangeChannel> mOnFree;
     private final Consumer<ExchangeChannel> mOnClosed;
@@ -51,6 +52,7 @@
     ExchangeChannel(
             Channel channel, Consumer<ExchangeChannel> onFree, Consumer<ExchangeChannel> onClosed) {
         mChannel = channel;
+        mDecoder = channel.pipeline().get(ExchangeDecoder.class);
         mOnFree = onFree;
         mOnClosed = onClosed;
         java.net.InetSocketAddress remote = (java.net.InetSocketAddress) channel.remoteAddress();
@@ -62,7 +64,10 @@
     }
 
     boolean isUsable(long now) {
-        return mChannel.isActive() && !mFailed && now - mFreeSince < mIdleNanos;
+        return mChannel.isActive()
+                && !mFailed
+                && !mDecoder.hasUnreadBytes()
+                && now - mFreeSince < mIdleNanos;
     }
 
     void close() {
@@ -76,6 +81,7 @@
         mFinished = false;
         next.attach(this);
         ExchangeRequest request = next.request();
+        mDecoder.expectResponseTo(HttpMethod.valueOf(request.method()));
         DefaultFullHttpRequest message =
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1,
@@ -166,7 +172,7 @@
         if (!mSkipping && content.content().isReadable()) {
             current.content(ByteBufUtil.getBytes(content.content()));
         }
-        if (!(content instanceof LastHttpContent) || mSkipping) {
+        if (!(content instanceof LastHttpContent) || mSkipping || current.isEnded()) {
             return;
         }
         mExchange = null;
--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeClient.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeClient.java
@@ -9,7 +9,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -29,9 +29,6 @@
     /** Closes connections to dead machines; longer than the delays of a slow link. */
     private static final int TCP_USER_TIMEOUT_MILLIS = 3_000;
 
-    private static final int MAX_INITIAL_LINE_BYTES = 8 * 1_024;
-    private static final int MAX_HEADER_BYTES = 64 * 1_024;
-    private static final int MAX_CHUNK_BYTES = 16 * 1_024;
     private static final int MAX_IDLE_PER_ADDRESS = 16;
 
     private final EventLoop mLoop;
@@ -59,7 +56,10 @@
                                 new ChannelInitializer<Channel>() {
                                     @Override
                                     protected void initChannel(Channel channel) {
-                                        channel.pipeline().addLast(codec());
+                                        channel.pipeline()
+                                                .addLast(
+                                                        new ExchangeDecoder(),
+                                                        new HttpRequestEncoder());
                                     }
                                 });
         if (group.getClass().getName().contains("Epoll")
@@ -155,11 +155,6 @@
         return host + ":" + port;
     }
 
-    private static HttpClientCodec codec() {
-        return new HttpClientCodec(
-                MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, false, false);
-    }
-
     /** One request and the state of its response. Used in the event loop only. */
     final class RunningExchange {
         private final ExchangeRequest mRequest;
@@ -192,8 +187,12 @@
         }
 
         void content(byte[] bytes) {
-            startTimer(mRequest.idleTimeout().toNanos());
-            mListener.onContent(bytes);
+            ContentVerdict verdict = mListener.onContent(bytes);
+            if (verdict.endsExchange()) {
+                abort(ExchangeOutcome.MALFORMED);
+            } else if (verdict.restartsIdleTimeout() && !mEnded) {
+                startTimer(mRequest.idleTimeout().toNanos());
+            }
         }
 
         void end(ExchangeOutcome outcome) {
--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeListener.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeListener.java
@@ -8,8 +8,12 @@
     /** Handles the head of the response. */
     void onHead(int status, HttpHeaders headers);
 
-    /** Handles a part of the body. */
-    void onContent(byte[] bytes);
+    /**
+     * Handles a part of the body.
+     *
+     * @return whether it is progress; bytes alone do not keep a stalled response alive
+     */
+    ContentVerdict onContent(byte[] bytes);
 
     /** Handles the end of the exchange; called once, as the last call. */
     void onEnd(ExchangeOutcome outcome);
--- a/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
+++ b/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
@@ -91,6 +91,83 @@
         }
     }
 
+    @Test
+    void neverLendsAConnectionWithBytesThatBelongToNoResponse() throws Exception {
+        try (ScriptedServer server =
+                new ScriptedServer(response("1", "one") + "HTTP/1.", response("2", "two"))) {
+            assertThat(send(server, "1"), is("COMPLETE one"));
+            assertThat(send(server, "2"), is("COMPLETE two"));
+            assertThat(server.connections(), is(2));
+        }
+    }
+
+    @Test
+    void skipsALateCopyOfAnEarlierResponseThatArrivesInPlaceOfTheNext() throws Exception {
+        try (ScriptedServer server =
+                new ScriptedServer(
+                        response("1", "one"),
+                        response("1", "one") + response("1", "one") + response("2", "two"))) {
+            assertThat(send(server, "1"), is("COMPLETE one"));
+            assertThat(send(server, "2"), is("COMPLETE two"));
+        }
+    }
+
+    @Test
+    void waitsForNoBodyOfAResponseToAHeadRequest() throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\n";
+        try (ScriptedServer server = new ScriptedServer(head)) {
+            assertThat(send(server, "HEAD", "1", ContentVerdict.PROGRESS), is("COMPLETE "));
+        }
+    }
+
+    @Test
+    void endsAStalledResponseAlthoughASingleByteArrivesNowAndThen() throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n";
+        try (ScriptedServer server = new ScriptedServer(head + ScriptedServer.DRIP)) {
+            String end = send(server, "GET", "1", ContentVerdict.NO_PROGRESS);
+            assertThat(end.split(" ")[0], is("SILENT"));
+        }
+    }
+
+    @Test
+    void endsAResponseWhoseBodyIsInvalidWithoutReadingItToItsEnd() throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n";
+        try (ScriptedServer server = new ScriptedServer(head + ScriptedServer.FLOOD)) {
+            String end = send(server, "GET", "1", ContentVerdict.INVALID);
+            assertThat(end.split(" ")[0], is("MALFORMED"));
+        }
+    }
+
+    @Test
+    void boundsHeadsWithoutEnd() throws Exception {
+        for (String begin :
+                new String[] {
+                    "", "HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\nId: ", "HTTP/1.1 200 OK\r\nId: 1\r\n"
+                }) {
+            try (ScriptedServer server = new ScriptedServer(begin + ScriptedServer.FLOOD)) {
+                assertThat(begin, send(server, "1"), is("MALFORMED "));
+            }
+        }
+    }
+
+    @Test
+    void boundsTrailersAndChunkExtensionsWithoutEnd() throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        for (String begin : new String[] {"5;x=", "0\r\nTrailer: "}) {
+            try (ScriptedServer server = new ScriptedServer(head + begin + ScriptedServer.FLOOD)) {
+                assertThat(begin, send(server, "1").split(" ")[0], is("MALFORMED"));
+            }
+        }
+    }
+
+    @Test
+    void endsAnExchangeThatReceivesOtherResponsesWithoutEnd() throws Exception {
+        String foreign = "HTTP/1.1 200 OK\r\nId: 7\r\n\r\n";
+        try (ScriptedServer server = new ScriptedServer(foreign + ScriptedServer.FLOOD)) {
+            assertThat(send(server, "1"), is("SILENT "));
+        }
+    }
+
     @Test
     void reportsThatNothingWasSentWhenNoConnectionIsOpened() throws Exception {
         ScriptedServer server = new ScriptedServer();
@@ -99,13 +176,18 @@
     }
 
     private String send(ScriptedServer server, String id) throws Exception {
+        return send(server, "GET", id, ContentVerdict.PROGRESS);
+    }
+
+    private String send(ScriptedServer server, String method, String id, ContentVerdict verdict)
+            throws Exception {
         CompletableFuture<String> result = new CompletableFuture<>();
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         ExchangeRequest request =
                 new ExchangeRequest(
                         "127.0.0.1",
                         server.port(),
-                        "GET",
+                        method,
                         "/",
                         new DefaultHttpHeaders().set("Host", "h"),
                         new byte[0],
@@ -119,8 +201,9 @@
                     public void onHead(int status, HttpHeaders headers) {}
 
                     @Override
-                    public void onContent(byte[] bytes) {
+                    public ContentVerdict onContent(byte[] bytes) {
                         body.writeBytes(bytes);
+                        return verdict;
                     }
 
                     @Override
--- a/services/src/test/java/org/fuchsialever/services/exchange/ScriptedServer.java
+++ b/services/src/test/java/org/fuchsialever/services/exchange/ScriptedServer.java
@@ -9,7 +9,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Iterator;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** Responds to the requests of all connections with given bytes, one after the other. */
 final class ScriptedServer implements AutoCloseable {
@@ -19,9 +22,19 @@
     /** Suffix of a response after which the connection is reset. */
     static final String RESET = "<reset>";
 
+    /** Suffix of a response after which the same byte is sent again and again, with pauses. */
+    static final String DRIP = "<drip>";
+
+    /** Suffix of a response after which bytes are sent without end or pause. */
+    static final String FLOOD = "<flood>";
+
+    private static final long DRIP_INTERVAL_MILLIS = 100;
+    private static final int FLOOD_BLOCK_BYTES = 8_192;
+
     private final ServerSocket mSocket;
     private final Iterator<String> mResponses;
     private final AtomicInteger mConnections = new AtomicInteger();
+    private final AtomicLong mSentBytes = new AtomicLong();
 
     ScriptedServer(String... responses) throws IOException {
         mSocket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -39,6 +52,11 @@
         return mConnections.get();
     }
 
+    /** Returns the number of bytes that were sent without end. */
+    long floodedBytes() {
+        return mSentBytes.get();
+    }
+
     @Override
     public void close() throws IOException {
         mSocket.close();
@@ -56,6 +74,25 @@
         }
     }
 
+    /** Ends with an exception when the client has closed the connection. */
+    private void sendWithoutEnd(Socket connection, boolean drip) throws IOException {
+        byte[] block = "x".repeat(drip ? 1 : FLOOD_BLOCK_BYTES).getBytes(StandardCharsets.US_ASCII);
+        CountDownLatch never = new CountDownLatch(1);
+        while (!mSocket.isClosed()) {
+            connection.getOutputStream().write(block);
+            connection.getOutputStream().flush();
+            mSentBytes.addAndGet(block.length);
+            try {
+                if (drip && never.await(DRIP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)) {
+                    return;
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+
     private void serve(Socket connection) throws IOException {
         BufferedReader reader =
                 new BufferedReader(
@@ -66,7 +103,7 @@
             if (line.isEmpty() && mResponses.hasNext()) {
                 String response = mResponses.next();
                 boolean reset = response.endsWith(RESET);
-                String bytes = response.replace(CLOSE, "").replace(RESET, "");
+                String bytes = response.replaceAll("<[a-z]+>$", "");
                 connection.getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
                 connection.getOutputStream().flush();
                 if (reset) {
@@ -75,6 +112,9 @@
                 if (reset || response.endsWith(CLOSE)) {
                     return;
                 }
+                if (response.endsWith(DRIP) || response.endsWith(FLOOD)) {
+                    sendWithoutEnd(connection, response.endsWith(DRIP));
+                }
             }
             line = reader.readLine();
         }
