--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchAction.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchAction.java
@@ -12,13 +12,33 @@
     record Claim(BatchState state, long version, String reason) implements BatchAction {}
 
     /** Generates the text of an item. */
-    record Generate(BatchSpec spec, BatchState state, int item, long queueRank)
+    record Generate(
+            BatchSpec spec, BatchState state, int item, long queueRank, PartialText beginning)
             implements BatchAction {}
 
     /** Scores the text of an item. */
     record Score(BatchSpec spec, int item, ScoringCall call, long queueRank)
             implements BatchAction {}
 
+    /**
+     * Stores the latest events of texts that are about to be stopped, so that the next run of the
+     * item, in a later submission or at another instance, continues after them.
+     *
+     * @param id ID of the submission
+     * @param model the model that generates the texts
+     * @param reported segments that no commit has stored
+     * @param open the texts whose latest events have not been reported
+     */
+    record KeepTexts(String id, String model, List<TextSegment> reported, List<OpenText> open)
+            implements BatchAction {
+
+        /** Copies the lists. */
+        public KeepTexts {
+            reported = List.copyOf(reported);
+            open = List.copyOf(open);
+        }
+    }
+
     /** Cancels the generation or scoring of an item. */
     record Stop(String id, int item) implements BatchAction {}
 
@@ -29,8 +49,14 @@
      * @param version the version that the state row must have, else the commit conflicts
      * @param firstPosition the position of the first result
      * @param results the results, in the order of their positions
+     * @param texts changes of the stored texts of unfinished items
      */
-    record Commit(BatchState state, long version, int firstPosition, List<ItemResult> results)
+    record Commit(
+            BatchState state,
+            long version,
+            int firstPosition,
+            List<ItemResult> results,
+            TextChanges texts)
             implements BatchAction {}
 
     /** This instance no longer runs the submission. */
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
@@ -148,7 +148,7 @@
             mObserved.put(id, new ObservedState(row.state(), row.version(), now, previous == null));
             OwnedBatch batch = mOwned.get(id);
             if (batch != null && row.state().ended()) {
-                close(batch, "ended", actions);
+                closeEnded(batch, row.state(), actions);
             }
         }
         for (String id : changed.removed()) {
@@ -226,7 +226,12 @@
     }
 
     private void ownedEvent(BatchEvent event, long now, ActionSink<BatchAction> actions) {
-        if (event instanceof BatchEvent.Generated done) {
+        if (event instanceof BatchEvent.Progressed part) {
+            OwnedBatch batch = mOwned.get(part.id());
+            if (batch != null) {
+                batch.progressed(part.item(), part.firstEvent(), part.events(), part.versions());
+            }
+        } else if (event instanceof BatchEvent.Generated done) {
             OwnedBatch batch = mOwned.get(done.id());
             if (batch != null) {
                 batch.generated(done.item(), done.text(), done.versions(), actions);
@@ -305,7 +310,7 @@
         if (current == null) {
             close(batch, "removed", actions);
         } else if (current.state().ended()) {
-            close(batch, "ended", actions);
+            closeEnded(batch, current.state(), actions);
         } else if (current.state().epoch() != batch.state().epoch()) {
             close(batch, "taken-over", actions);
         } else if (batch.wasCommitApplied(current.state())) {
@@ -319,6 +324,14 @@
         }
     }
 
+    /** The trainer may submit the items without a result again, so their texts are kept. */
+    private void closeEnded(OwnedBatch batch, BatchState current, ActionSink<BatchAction> actions) {
+        if (current.epoch() == batch.state().epoch()) {
+            batch.keepTexts(actions);
+        }
+        close(batch, "ended", actions);
+    }
+
     private void close(OwnedBatch batch, String reason, ActionSink<BatchAction> actions) {
         batch.stopAll(actions);
         mOwned.remove(batch.id());
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchItem.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchItem.java
@@ -12,6 +12,8 @@
  * @param headers additional header fields of the upstream request
  * @param body body of the upstream request
  * @param maxTokenCount tokens of its prompt plus the maximum that it may generate
+ * @param expectedTokens the trainer's estimate of the tokens that it generates, often far off; 0 if
+ *     there is none
  * @param scoringCall the call that scores its text, none if it is not scored
  */
 public record BatchItem(
@@ -21,6 +23,7 @@
         Map<String, String> headers,
         byte[] body,
         long maxTokenCount,
+        long expectedTokens,
         Option<ScoringCall> scoringCall) {
 
     /** Copies the map. */
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/OwnedBatch.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/OwnedBatch.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -26,9 +27,12 @@
     private final long mDueMicros;
     private final long mGiveUpNanos;
     private final boolean mSingleVersion;
+    private final Map<String, PartialText> mStoredTexts;
+    private final OwnedTexts mOwnedTexts;
     private final Set<Integer> mUnfinished = new HashSet<>();
     private final Map<Integer, GeneratedText> mTexts = new HashMap<>();
     private final Deque<ItemResult> mFinishedResults = new ArrayDeque<>();
+    private final Map<Integer, Long> mRanks = new HashMap<>();
     private BatchState mState;
     private long mVersion;
     private BatchAction.@Nullable Commit mPendingCommit;
@@ -44,6 +48,8 @@
         mGiveUpNanos = opened.abandonAtNanos();
         mSingleVersion = opened.singleVersion();
         mLastCommitNanos = now;
+        mStoredTexts = opened.storedTexts();
+        mOwnedTexts = new OwnedTexts(mSpec.id(), mState.epoch());
         for (int item = 0; item < mSpec.items().size(); item++) {
             if (!opened.finishedItems().contains(mSpec.items().get(item).id())) {
                 mUnfinished.add(item);
@@ -79,17 +85,51 @@
         return mReleasing;
     }
 
-    /** Starts generation of all items without a result. */
+    /** Starts generation of all items without a result, the longest expected ones first. */
     void start(ActionSink<BatchAction> actions) {
-        for (int item = 0; item < mSpec.items().size(); item++) {
-            if (mUnfinished.contains(item)) {
-                generate(item, actions);
+        List<Integer> order =
+                mUnfinished.stream()
+                        .sorted(
+                                Comparator.comparing((Integer item) -> !hasStoredText(item))
+                                        .thenComparing(
+                                                item -> -mSpec.items().get(item).expectedTokens())
+                                        .thenComparing(item -> item))
+                        .toList();
+        for (int rank = 0; rank < order.size(); rank++) {
+            int item = order.get(rank);
+            mRanks.put(item, mDueMicros + rank);
+            PartialText stored = storedText(item);
+            if (stored.isAllowed(mSpec.minVersion()) && !mSingleVersion) {
+                generate(item, stored, actions);
+            } else {
+                mOwnedTexts.discard(stored);
+                generate(item, PartialText.NONE, actions);
             }
         }
     }
 
-    private void generate(int item, ActionSink<BatchAction> actions) {
-        actions.emit(new BatchAction.Generate(mSpec, mState, item, mDueMicros + item));
+    private boolean hasStoredText(int item) {
+        return !storedText(item).isEmpty();
+    }
+
+    private PartialText storedText(int item) {
+        return mStoredTexts.getOrDefault(mSpec.items().get(item).id(), PartialText.NONE);
+    }
+
+    private void generate(int item, PartialText beginning, ActionSink<BatchAction> actions) {
+        mOwnedTexts.begin(mSpec.items().get(item).id(), beginning);
+        actions.emit(new BatchAction.Generate(mSpec, mState, item, queueRank(item), beginning));
+    }
+
+    private long queueRank(int item) {
+        return mRanks.getOrDefault(item, mDueMicros + item);
+    }
+
+    /** Adds events of a text that is being generated; they are stored with the next commit. */
+    void progressed(int item, long firstEvent, List<String> events, List<Long> versions) {
+        if (mUnfinished.contains(item) && !mTexts.containsKey(item) && !mSingleVersion) {
+            mOwnedTexts.add(mSpec.items().get(item).id(), firstEvent, events, versions);
+        }
     }
 
     void generated(int item, String text, List<Long> versions, ActionSink<BatchAction> actions) {
@@ -99,7 +139,7 @@
         boolean tooOld = versions.stream().anyMatch(used -> used < mSpec.minVersion());
         boolean mixed = mSingleVersion && versions.size() > 1;
         if (versions.isEmpty() || tooOld || mixed) {
-            generate(item, actions);
+            generate(item, PartialText.NONE, actions);
             return;
         }
         mTexts.put(item, new GeneratedText(text, versions));
@@ -107,7 +147,7 @@
         if (subject.scoringCall().isDefined()) {
             actions.emit(
                     new BatchAction.Score(
-                            mSpec, item, subject.scoringCall().get(), mDueMicros + item));
+                            mSpec, item, subject.scoringCall().get(), queueRank(item)));
         } else {
             scored(item, "");
         }
@@ -116,6 +156,7 @@
     void scored(int item, String score) {
         GeneratedText text = mTexts.remove(item);
         if (text != null && mUnfinished.remove(item)) {
+            mOwnedTexts.drop(mSpec.items().get(item).id());
             mFinishedResults.add(
                     new ItemResult(
                             mSpec.items().get(item).id(), true, text.text, text.versions, score));
@@ -125,6 +166,7 @@
     void failed(int item) {
         mTexts.remove(item);
         if (mUnfinished.remove(item)) {
+            mOwnedTexts.drop(mSpec.items().get(item).id());
             mFinishedResults.add(ItemResult.abandoned(mSpec.items().get(item).id()));
         }
     }
@@ -155,7 +197,9 @@
         if (mReleasing && mFinishedResults.isEmpty()) {
             next = next.withOwner("", "");
         }
-        mPendingCommit = new BatchAction.Commit(next, mVersion, mState.resultCount(), results);
+        TextChanges texts = mOwnedTexts.take(MAX_CHARACTERS_PER_COMMIT - characters);
+        mPendingCommit =
+                new BatchAction.Commit(next, mVersion, mState.resultCount(), results, texts);
         mLastCommitNanos = now;
         mRetryAtNanos = Long.MAX_VALUE;
         actions.emit(mPendingCommit);
@@ -189,7 +233,8 @@
                             unanswered.state(),
                             newVersion,
                             unanswered.firstPosition(),
-                            unanswered.results());
+                            unanswered.results(),
+                            unanswered.texts());
             mLastCommitNanos = now;
             actions.emit(mPendingCommit);
         }
@@ -211,9 +256,29 @@
 
     void release(ActionSink<BatchAction> actions) {
         mReleasing = true;
+        keepTexts(actions);
         stopAll(actions);
     }
 
+    /** Stores the latest events of all texts that are being generated. */
+    void keepTexts(ActionSink<BatchAction> actions) {
+        if (mSpec.model().isEmpty() || mSingleVersion) {
+            return;
+        }
+        List<TextSegment> reported = new ArrayList<>();
+        if (mPendingCommit != null) {
+            reported.addAll(mPendingCommit.texts().saved());
+        }
+        reported.addAll(mOwnedTexts.unsaved());
+        List<OpenText> open = new ArrayList<>();
+        for (int item : mUnfinished) {
+            if (!mTexts.containsKey(item)) {
+                open.add(mOwnedTexts.open(item, mSpec.items().get(item).id()));
+            }
+        }
+        actions.emit(new BatchAction.KeepTexts(id(), mSpec.model(), reported, open));
+    }
+
     void stopAll(ActionSink<BatchAction> actions) {
         mUnfinished.forEach(item -> actions.emit(new BatchAction.Stop(id(), item)));
         mUnfinished.clear();
--- a/decisions/src/main/java/org/fuchsialever/decisions/fleet/Fleet.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/fleet/Fleet.java
@@ -70,6 +70,8 @@
      * @param allowed further conditions on the upstream
      * @param maxUtilization load per slot from which on an upstream gets no call
      * @param loadStep load per slot is rounded down to multiples of this; 0 for no rounding
+     * @param paceWeight load per slot by which an upstream may exceed one that takes twice the time
+     *     for each event; 0 to disregard the pace
      * @param preferred name of an upstream that has the prompt cached, empty if there is none
      * @param now monotonic time in nanoseconds
      */
@@ -78,8 +80,10 @@
             Predicate<UpstreamState> allowed,
             double maxUtilization,
             double loadStep,
+            double paceWeight,
             String preferred,
             long now) {
+        long bestPace = paceWeight > 0 ? bestPaceNanos(service, allowed, now) : 0;
         UpstreamState best = null;
         double bestCost = Double.MAX_VALUE;
         for (UpstreamState state : ofService(service)) {
@@ -90,6 +94,7 @@
             double cost = loadStep > 0 ? Math.floor(utilization / loadStep) : utilization;
             cost -= state.spec().id().equals(preferred) ? AFFINITY_BONUS : 0;
             cost += state.isSlow(now) ? SLOW_PENALTY : 0;
+            cost += bestPace > 0 ? paceWeight * excessPace(state, bestPace, now) : 0;
             boolean better =
                     best == null
                             || cost < bestCost
@@ -102,6 +107,30 @@
         return Option.of(best);
     }
 
+    /**
+     * Returns the shortest time for each event of a stream among the upstreams of a service.
+     *
+     * @return the time in nanoseconds, 0 if none is known
+     */
+    public long bestPaceNanos(String service, Predicate<UpstreamState> allowed, long now) {
+        long best = 0;
+        for (UpstreamState state : ofService(service)) {
+            long pace = state.paceNanos(now);
+            if (pace > 0
+                    && (best == 0 || pace < best)
+                    && state.isAvailable(now)
+                    && allowed.test(state)) {
+                best = pace;
+            }
+        }
+        return best;
+    }
+
+    private static double excessPace(UpstreamState state, long bestPace, long now) {
+        long pace = state.paceNanos(now);
+        return pace == 0 ? 0 : Math.max(0, (double) pace / bestPace - 1);
+    }
+
     private boolean isMoreRecentlyUsed(UpstreamState state, UpstreamState other) {
         return state.lastUsed() == other.lastUsed()
                 ? mRandom.nextBoolean()
--- a/decisions/src/main/java/org/fuchsialever/decisions/fleet/UpstreamState.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/fleet/UpstreamState.java
@@ -27,6 +27,9 @@
 
     private static final int MAX_DOUBLINGS = 5;
 
+    /** A measured pace is used this long, so that an upstream that was slow is tried again. */
+    private static final long PACE_LIFETIME_NANOS = TimeUnit.SECONDS.toNanos(10);
+
     private FleetUpstream mSpec;
     private final Map<String, Long> mObservedVersions = new HashMap<>();
     private int mInFlight;
@@ -35,6 +38,8 @@
     private long mSuspendedUntil = Long.MIN_VALUE;
     private long mSlowUntil = Long.MIN_VALUE;
     private long mLastUsed = Long.MIN_VALUE;
+    private long mPaceNanos;
+    private long mPaceUntil = Long.MIN_VALUE;
     private int mFailures;
     private int mRefusals;
     private boolean mListed = true;
@@ -53,6 +58,7 @@
     public void update(FleetUpstream newer) {
         if (newer.startedMillis() != mSpec.startedMillis()) {
             mObservedVersions.clear();
+            mPaceUntil = Long.MIN_VALUE;
             mFailures = 0;
             mSuspendedUntil = Long.MIN_VALUE;
         }
@@ -131,6 +137,18 @@
         return now < mSlowUntil;
     }
 
+    /** Records the time that it took for each event of a stream, on average. */
+    public void observePace(long nanosPerEvent, long now) {
+        long known = paceNanos(now);
+        mPaceNanos = known == 0 ? nanosPerEvent : (known + nanosPerEvent) / 2;
+        mPaceUntil = now + PACE_LIFETIME_NANOS;
+    }
+
+    /** Returns the time for each event of a stream in nanoseconds, 0 if it is not known. */
+    public long paceNanos(long now) {
+        return now < mPaceUntil ? mPaceNanos : 0;
+    }
+
     /** Records that a call has ended, with the reported load and the verdict on the upstream. */
     public void callEnded(Option<LoadHint> hint, boolean failed, boolean refused, long now) {
         mInFlight--;
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardAction.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardAction.java
@@ -11,6 +11,8 @@
         FIRST,
         /** The previous attempt failed. */
         RETRY,
+        /** The previous attempt was cancelled because its upstream is slower than another one. */
+        MOVE,
         /** The previous attempt is slow and still running. */
         HEDGE
     }
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallKind.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallKind.java
@@ -26,6 +26,16 @@
             return 0;
         }
 
+        @Override
+        double paceWeight() {
+            return 2.0;
+        }
+
+        @Override
+        boolean movesWhileRunning() {
+            return true;
+        }
+
         @Override
         boolean waitsForSlot() {
             return true;
@@ -52,6 +62,16 @@
         return 0.5;
     }
 
+    /** Returns the weight of the upstream's pace, in load per slot. */
+    double paceWeight() {
+        return 0;
+    }
+
+    /** Returns whether a running call goes on elsewhere after the last event it has received. */
+    boolean movesWhileRunning() {
+        return false;
+    }
+
     /** Returns whether a call is queued until an upstream has a free slot, not refused. */
     abstract boolean waitsForSlot();
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallState.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallState.java
@@ -17,6 +17,7 @@
     private int mFailures;
     private boolean mMayHaveRun;
     private boolean mQueued;
+    private int mMoves;
 
     ForwardCallState(ForwardCall call, String service) {
         mCall = call;
@@ -83,6 +84,14 @@
         mTried.clear();
     }
 
+    int moves() {
+        return mMoves;
+    }
+
+    void countMove() {
+        mMoves++;
+    }
+
     boolean mayHaveRun() {
         return mMayHaveRun || isRunning();
     }
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
@@ -32,6 +32,12 @@
     /** Delay before an item is retried after an upstream responded with a server error. */
     private static final long FAILURE_RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+    /** A running call moves if its upstream takes this many times as long for an event. */
+    private static final double MIN_MOVE_RATIO = 1.8;
+
+    /** Bounds how often a call moves, because each move reads the prompt again. */
+    private static final int MAX_MOVES = 3;
+
     private static final int MAX_AFFINITIES = 4_096;
 
     private final Fleet mFleet;
@@ -72,6 +78,8 @@
             arrived(arrived.call(), nowNanos, actions);
         } else if (event instanceof ForwardEvent.AttemptEnded ended) {
             attemptEnded(ended, nowNanos, actions);
+        } else if (event instanceof ForwardEvent.Progressed progressed) {
+            progressed(progressed, nowNanos, actions);
         } else if (event instanceof ForwardEvent.Cancelled cancelled) {
             cancelled(cancelled.number(), actions);
             drainQueue(nowNanos, actions);
@@ -139,21 +147,21 @@
 
     private Option<UpstreamState> choose(ForwardCallState state, long now) {
         ForwardCall call = state.call();
-        Predicate<UpstreamState> suitable =
-                upstream ->
-                        call.model().isEmpty()
-                                || upstream.versionOf(call.model()) >= call.minVersion();
+        Predicate<UpstreamState> suitable = suitable(call);
         Predicate<UpstreamState> untried =
                 upstream -> suitable.test(upstream) && !state.wasTried(upstream);
         String preferred =
                 call.affinity().isEmpty() ? "" : mAffinities.getOrDefault(call.affinity(), "");
         double maxUtilization = call.kind().maxUtilization();
         double loadStep = call.kind().loadStep();
+        double paceWeight = call.kind().paceWeight();
+        String service = state.service();
         Option<UpstreamState> choice =
-                mFleet.choose(state.service(), untried, maxUtilization, loadStep, preferred, now);
+                mFleet.choose(
+                        service, untried, maxUtilization, loadStep, paceWeight, preferred, now);
         if (choice.isEmpty() && call.kind().waitsForSlot()) {
             return mFleet.choose(
-                    state.service(), suitable, maxUtilization, loadStep, preferred, now);
+                    service, suitable, maxUtilization, loadStep, paceWeight, preferred, now);
         }
         // A live call is sent to an ejected upstream rather than refused.
         return choice.orElse(
@@ -163,6 +171,38 @@
                                 : mFleet.chooseSuspended(state.service(), untried));
     }
 
+    private static Predicate<UpstreamState> suitable(ForwardCall call) {
+        return upstream ->
+                call.model().isEmpty() || upstream.versionOf(call.model()) >= call.minVersion();
+    }
+
+    /** Records the pace of the upstream and moves the call if another one is much faster. */
+    private void progressed(
+            ForwardEvent.Progressed event, long now, ActionSink<ForwardAction> actions) {
+        UpstreamState upstream = mAttempts.get(new AttemptKey(event.number(), event.attempt()));
+        ForwardCallState state = mCalls.get(event.number());
+        if (upstream == null || state == null) {
+            return;
+        }
+        upstream.observePace(event.nanosPerEvent(), now);
+        ForwardCall call = state.call();
+        boolean mayMove =
+                call.kind().movesWhileRunning()
+                        && state.moves() < MAX_MOVES
+                        && state.runningAttempts().size() == 1;
+        if (!mayMove) {
+            return;
+        }
+        Predicate<UpstreamState> hasFreeSlot =
+                other -> other.utilization(now) < call.kind().maxUtilization();
+        long best = mFleet.bestPaceNanos(state.service(), suitable(call).and(hasFreeSlot), now);
+        if (best > 0 && upstream.paceNanos(now) >= best * MIN_MOVE_RATIO) {
+            state.countMove();
+            // The call starts elsewhere when the end of the cancelled attempt is reported.
+            actions.emit(new ForwardAction.Cancel(event.number(), event.attempt()));
+        }
+    }
+
     private void start(
             ForwardCallState state,
             UpstreamState upstream,
@@ -236,7 +276,11 @@
                             TimerKind.RETRY));
             return;
         }
-        startOrQueue(state, ForwardAction.StartReason.RETRY, now, actions);
+        ForwardAction.StartReason reason =
+                outcome == AttemptOutcome.CANCELLED
+                        ? ForwardAction.StartReason.MOVE
+                        : ForwardAction.StartReason.RETRY;
+        startOrQueue(state, reason, now, actions);
     }
 
     private void giveUp(
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardEvent.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardEvent.java
@@ -21,6 +21,15 @@
     /** The caller no longer waits for the call. */
     record Cancelled(long number) implements ForwardEvent {}
 
+    /**
+     * An attempt has received events of a stream.
+     *
+     * @param number number of the call
+     * @param attempt number of the attempt
+     * @param nanosPerEvent the time for each event since the last report
+     */
+    record Progressed(long number, int attempt, long nanosPerEvent) implements ForwardEvent {}
+
     /** An attempt has ended; emitted exactly once per started attempt. */
     record AttemptEnded(long number, int attempt, AttemptReport report) implements ForwardEvent {}
 }
--- a/decisions/src/test/java/org/fuchsialever/decisions/batch/BatchDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/batch/BatchDutyTest.java
@@ -49,6 +49,69 @@
         assertThat(all(BatchAction.Score.class), is(empty()));
     }
 
+    @Test
+    void startsTheItemsThatAreExpectedToBeLongestFirst() {
+        open(Set.of());
+        List<BatchAction.Generate> starts = all(BatchAction.Generate.class);
+        assertThat(starts.stream().map(BatchAction.Generate::item).toList(), is(List.of(1, 0)));
+        assertThat(starts.get(0).queueRank() < starts.get(1).queueRank(), is(true));
+    }
+
+    @Test
+    void storesTheEventsOfARunningItemWithTheNextCommitAndRemovesThemOnceItIsListed() {
+        open(Set.of());
+        event(new BatchEvent.Progressed(ID, 0, 1, List.of("a", "b"), List.of(5L)));
+        advance(SECOND);
+        TextSegment saved = last(BatchAction.Commit.class).texts().saved().get(0);
+        assertThat(saved.key(), is(new TextKey("x0", 1)));
+        assertThat(saved.events(), is(List.of("a", "b")));
+        event(new BatchEvent.Committed(ID, 11));
+        list(0);
+        assertThat(
+                last(BatchAction.Commit.class).texts().removed(),
+                is(List.of(new TextKey("x0", 1))));
+    }
+
+    @Test
+    void continuesAStoredTextOnlyIfItsVersionsAreStillAllowed() {
+        open(Set.of(), Map.of("x0", stored("x0", 5), "x1", stored("x1", 4)));
+        for (BatchAction.Generate start : all(BatchAction.Generate.class)) {
+            assertThat(start.beginning().lastEvent(), is(start.item() == 0 ? 2L : -1L));
+        }
+        advance(SECOND);
+        assertThat(
+                last(BatchAction.Commit.class).texts().removed(),
+                is(List.of(new TextKey("x1", 1))));
+    }
+
+    @Test
+    void linksFurtherEventsToTheStoredTextThatTheyContinue() {
+        open(Set.of(), Map.of("x0", stored("x0", 5)));
+        event(new BatchEvent.Progressed(ID, 0, 3, List.of("c"), List.of(5L)));
+        event(new BatchEvent.Progressed(ID, 0, 9, List.of("gap"), List.of(5L)));
+        advance(SECOND);
+        List<TextSegment> saved = last(BatchAction.Commit.class).texts().saved();
+        assertThat(saved, hasSize(1));
+        assertThat(saved.get(0).continues(), is("former"));
+    }
+
+    @Test
+    void keepsTheTextsOfUnfinishedItemsWhenTheTrainerEndsTheSubmission() {
+        open(Set.of());
+        event(new BatchEvent.Progressed(ID, 0, 1, List.of("a"), List.of(5L)));
+        states(state("i1", "s1").asEnded(), 20);
+        BatchAction.KeepTexts kept = last(BatchAction.KeepTexts.class);
+        assertThat(kept.reported(), hasSize(1));
+        assertThat(kept.open(), hasSize(2));
+    }
+
+    @Test
+    void keepsNoTextsOfASubmissionThatAnotherInstanceOwned() {
+        open(Set.of());
+        states(state("i1", "s1").withOwner("i2", "s2").asEnded(), 20);
+        assertThat(all(BatchAction.KeepTexts.class), is(empty()));
+    }
+
     @Test
     void repeatsAnUnansweredCommitUnchangedBeforeItListsMore() {
         open(Set.of());
@@ -256,11 +319,29 @@
     }
 
     private void open(Set<String> listed) {
+        open(listed, Map.of());
+    }
+
+    private void open(Set<String> listed, Map<String, PartialText> stored) {
         BatchState state = state("i1", "s1");
         event(
                 new BatchEvent.Opened(
                         new OpenedBatch(
-                                state, 10, spec(), listed, 7_500, mNow + 40 * SECOND, false)));
+                                state,
+                                10,
+                                spec(),
+                                listed,
+                                7_500,
+                                mNow + 40 * SECOND,
+                                false,
+                                stored)));
+    }
+
+    private static PartialText stored(String item, long version) {
+        return new PartialText(
+                List.of(
+                        new TextSegment(
+                                item, 1, "former", "", List.of("a", "b"), List.of(version))));
     }
 
     private void list(int item) {
@@ -299,10 +380,10 @@
     }
 
     private static BatchSpec spec() {
-        return new BatchSpec(ID, "m", 7, 5, 1, List.of(item("x0"), item("x1")));
+        return new BatchSpec(ID, "m", 7, 5, 1, List.of(item("x0", 5), item("x1", 9)));
     }
 
-    private static BatchItem item(String id) {
+    private static BatchItem item(String id, long expectedTokens) {
         return new BatchItem(
                 id,
                 "g",
@@ -310,6 +391,7 @@
                 Map.of(),
                 new byte[0],
                 10,
+                expectedTokens,
                 Option.some(new ScoringCall("score-" + id, "h", "/s/" + id, new byte[0])));
     }
 }
--- a/decisions/src/test/java/org/fuchsialever/decisions/forward/ForwardDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/forward/ForwardDutyTest.java
@@ -192,6 +192,69 @@
         assertThat(mActions.get(mActions.size() - 1), is(instanceOf(ForwardAction.Deliver.class)));
     }
 
+    @Test
+    void movesARunningItemToAnUpstreamThatIsMuchFaster() {
+        fleet(engine("a", 1), engine("b", 1));
+        arrive(item(1, 1, 0));
+        arrive(item(2, 1, 1));
+        String slow = starts().get(0).upstream().id();
+        event(new ForwardEvent.Progressed(2, 1, 40 * MILLI));
+        event(new ForwardEvent.Progressed(1, 1, 60 * MILLI));
+        assertThat(cancellations(), hasSize(0));
+        event(new ForwardEvent.Progressed(1, 1, 200 * MILLI));
+        assertThat(cancellations(), hasSize(1));
+        // The attempt elsewhere waits until the first one has ended.
+        assertThat(starts(), hasSize(2));
+        end(1, 1, AttemptOutcome.CANCELLED);
+        assertThat(lastStart().reason(), is(ForwardAction.StartReason.MOVE));
+        assertThat(lastStart().upstream().id(), is(not(slow)));
+    }
+
+    @Test
+    void movesNoItemWhileTheFasterUpstreamHasNoFreeSlot() {
+        fleet(engine("a", 1), engine("b", 1));
+        for (int number = 1; number <= 4; number++) {
+            arrive(item(number, 1, number));
+        }
+        event(new ForwardEvent.Progressed(2, 1, 40 * MILLI));
+        event(new ForwardEvent.Progressed(1, 1, 400 * MILLI));
+        assertThat(cancellations(), hasSize(0));
+    }
+
+    @Test
+    void movesAnItemOnlyAFewTimes() {
+        fleet(engine("a", 1), engine("b", 1));
+        arrive(item(1, 1, 0));
+        arrive(item(2, 1, 1));
+        for (int attempt = 1; attempt <= 9; attempt++) {
+            event(new ForwardEvent.Progressed(2, 1, 10 * MILLI));
+            event(new ForwardEvent.Progressed(1, attempt, 90_000 * MILLI));
+            end(1, attempt, AttemptOutcome.CANCELLED);
+        }
+        assertThat(cancellations().size() <= 3, is(true));
+    }
+
+    @Test
+    void sendsItemsToFasterUpstreamsBeforeSlowerOnesOfTheSameLoad() {
+        fleet(engine("a", 1), engine("b", 1));
+        arrive(item(1, 1, 0));
+        arrive(item(2, 1, 1));
+        String first = starts().get(0).upstream().id();
+        event(new ForwardEvent.Progressed(1, 1, 39 * MILLI));
+        event(new ForwardEvent.Progressed(2, 1, 52 * MILLI));
+        end(1, 1, AttemptOutcome.ANSWERED);
+        end(2, 1, AttemptOutcome.ANSWERED);
+        arrive(item(3, 1, 2));
+        assertThat(lastStart().upstream().id(), is(first));
+    }
+
+    private List<ForwardAction.Cancel> cancellations() {
+        return mActions.stream()
+                .filter(ForwardAction.Cancel.class::isInstance)
+                .map(ForwardAction.Cancel.class::cast)
+                .toList();
+    }
+
     private void fleet(FleetUpstream... upstreams) {
         event(new ForwardEvent.FleetChanged(List.of(upstreams)));
     }
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
@@ -1,6 +1,8 @@
 package org.fuchsialever.node.batch;
 
 import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +17,9 @@
 import org.fuchsialever.decisions.batch.BatchSpec;
 import org.fuchsialever.decisions.batch.BatchState;
 import org.fuchsialever.decisions.batch.ItemResult;
+import org.fuchsialever.decisions.batch.OpenText;
+import org.fuchsialever.decisions.batch.PartialText;
+import org.fuchsialever.decisions.batch.TextSegment;
 import org.fuchsialever.decisions.forward.ForwardCall;
 import org.fuchsialever.decisions.forward.ForwardCallKind;
 import org.fuchsialever.decisions.forward.ForwardRefusal;
@@ -29,14 +34,20 @@
 import org.fuchsialever.node.forward.ForwardCallHandler;
 import org.fuchsialever.node.forward.ForwardPort;
 import org.fuchsialever.node.trace.TraceLog;
+import org.fuchsialever.services.PlatformException;
 import org.fuchsialever.services.hosted.UpstreamProtocol;
 import org.fuchsialever.services.rows.RowChangeResult;
+import org.fuchsialever.services.rows.RowKey;
+import org.fuchsialever.services.rows.StoredRow;
 import reactor.core.publisher.Mono;
 
 /** Executes the actions of the batch duty: upstream calls and writes to the store. */
 final class BatchActions implements ActionSink<BatchAction> {
     private static final String PART = "batch";
 
+    /** Keeps a change below the store's limit of 1 MB: a segment has at most 40,000 characters. */
+    private static final int MAX_KEPT_PER_CHANGE = 10;
+
     private final BatchStore mStore;
     private final Directory mDirectory;
     private final ForwardPort mForward;
@@ -82,6 +93,8 @@
             if (call != null) {
                 mForward.cancel(call.number);
             }
+        } else if (action instanceof BatchAction.KeepTexts keep) {
+            keepTexts(keep);
         } else if (action instanceof BatchAction.Commit commit) {
             commit(commit);
         } else if (action instanceof BatchAction.Closed closed) {
@@ -118,8 +131,110 @@
         submit(key, call.host, call.path, moved, call.handler);
     }
 
-    /** Opens a submission that this instance owns. */
+    private void keepTexts(BatchAction.KeepTexts keep) {
+        List<TextSegment> segments = new ArrayList<>(keep.reported());
+        for (OpenText open : keep.open()) {
+            RunningCall call = mRunningCalls.get(new ItemKey(keep.id(), open.item()));
+            if (call != null && call.handler instanceof ItemGenerationHandler handler) {
+                handler.takeUnreported()
+                        .forEach(
+                                part ->
+                                        segments.add(
+                                                new TextSegment(
+                                                        open.itemId(),
+                                                        part.firstEvent(),
+                                                        open.run(),
+                                                        open.continues(),
+                                                        part.events(),
+                                                        part.versions())));
+            }
+        }
+        for (int from = 0; from < segments.size(); from += MAX_KEPT_PER_CHANGE) {
+            int to = Math.min(segments.size(), from + MAX_KEPT_PER_CHANGE);
+            keepTexts(keep.id(), keep.model(), segments.subList(from, to), true);
+        }
+    }
+
+    private void keepTexts(
+            String id, String model, List<TextSegment> segments, boolean firstAttempt) {
+        if (segments.isEmpty()) {
+            return;
+        }
+        mStore.keepTexts(model, segments)
+                .subscribe(
+                        result -> {
+                            boolean applied = result instanceof RowChangeResult.Applied;
+                            mTrace.line(PART, applied ? "texts-kept" : "texts-not-kept")
+                                    .with("id", id)
+                                    .with("segments", segments.size())
+                                    .write();
+                            if (result instanceof RowChangeResult.Rejected rejected
+                                    && firstAttempt) {
+                                keepTexts(id, model, without(segments, model, rejected), false);
+                            }
+                        },
+                        failure ->
+                                mTrace.line(PART, "texts-not-kept")
+                                        .with("id", id)
+                                        .with("segments", segments.size())
+                                        .with("reason", String.valueOf(failure.getMessage()))
+                                        .write());
+    }
+
+    /** Leaves out the items of which another run has stored a segment. */
+    private static List<TextSegment> without(
+            List<TextSegment> segments, String model, RowChangeResult.Rejected rejected) {
+        Set<RowKey> present = new HashSet<>();
+        for (StoredRow row : rejected.currentRows()) {
+            if (!row.removed()) {
+                present.add(row.key());
+            }
+        }
+        Set<String> items = new HashSet<>();
+        for (TextSegment segment : segments) {
+            if (present.contains(BatchRows.textKey(model, segment.key()))) {
+                items.add(segment.itemId());
+            }
+        }
+        return segments.stream().filter(segment -> !items.contains(segment.itemId())).toList();
+    }
+
+    /** Opens a submission that this instance owns, with the stored texts of its items. */
     void open(BatchState state, long version, BatchSpec spec, Set<String> listed) {
+        if (spec.model().isEmpty()) {
+            opened(state, version, spec, listed, Map.of());
+            return;
+        }
+        mStore.texts(spec.model())
+                .onErrorResume(
+                        PlatformException.class,
+                        failure -> {
+                            // Without them the items are generated from the start.
+                            mTrace.line(PART, "texts-unknown")
+                                    .with("id", state.id())
+                                    .with("reason", String.valueOf(failure.getMessage()))
+                                    .write();
+                            return Mono.just(Map.of());
+                        })
+                .subscribe(
+                        texts -> {
+                            Map<String, PartialText> stored = new HashMap<>();
+                            for (BatchItem item : spec.items()) {
+                                PartialText text = texts.get(item.id());
+                                if (text != null && !listed.contains(item.id())) {
+                                    stored.put(item.id(), text);
+                                }
+                            }
+                            opened(state, version, spec, listed, stored);
+                        });
+    }
+
+    private void opened(
+            BatchState state,
+            long version,
+            BatchSpec spec,
+            Set<String> listed,
+            Map<String, PartialText> texts) {
         Option<ForwardRoute> route =
                 mDirectory.manifest().flatMap(m -> m.route(state.host(), state.path()));
         long due = route.map(ForwardRoute::dueAfterMillis).getOrElse(0L);
@@ -137,6 +252,7 @@
                 .with("minVersion", spec.minVersion())
                 .with("items", spec.items().size())
                 .with("listed", listed.size())
+                .with("texts", texts.size())
                 .with("ageMillis", age)
                 .with("epoch", state.epoch())
                 .write();
@@ -149,7 +265,8 @@
                                 listed,
                                 state.submittedMillis() + due,
                                 giveUpNanos,
-                                route.exists(ForwardRoute::singleVersion))));
+                                route.exists(ForwardRoute::singleVersion),
+                                texts)));
     }
 
     /** Has the duty watch whether the instance that a submission was assigned to starts it. */
@@ -209,6 +326,16 @@
                         state.team(),
                         Math.max(1_000, route.get().abandonAfterMillis()),
                         mProtocol,
+                        generate.beginning(),
+                        mTime,
+                        part ->
+                                mInbox.offer(
+                                        new BatchEvent.Progressed(
+                                                spec.id(),
+                                                index,
+                                                part.firstEvent(),
+                                                part.events(),
+                                                part.versions())),
                         (text, versions) -> {
                             mRunningCalls.remove(key);
                             mInbox.offer(
@@ -313,7 +440,12 @@
 
     private void commit(BatchAction.Commit commit) {
         BatchState state = commit.state();
-        mStore.write(state, commit.version(), commit.firstPosition(), commit.results())
+        mStore.write(
+                        state,
+                        commit.version(),
+                        commit.firstPosition(),
+                        commit.results(),
+                        commit.texts())
                 .subscribe(
                         result -> committed(commit, result),
                         failure -> {
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchComponent.java
@@ -70,12 +70,14 @@
     private void startPurge(
             ComponentContext context,
             HostedServices services,
+            BatchStore store,
             Directory directory,
             StoreClock clock,
             TraceLog trace) {
         Leases leases = context.require(Leases.class);
         BatchPurge purge =
-                new BatchPurge(services, directory, leases, clock, mRetention.toMillis(), trace);
+                new BatchPurge(
+                        services, store, directory, leases, clock, mRetention.toMillis(), trace);
         leases.request(
                 BatchPurge.ROLE,
                 new Leases.LeaseListener() {
@@ -108,7 +110,7 @@
         NodeIdentity identity = context.require(NodeIdentity.class);
         TraceLog trace = context.require(TraceLog.class);
         StoreClock clock = context.require(StoreClock.class);
-        BatchStore store = new BatchStore(services);
+        BatchStore store = new BatchStore(services, clock);
         BatchDrain drain = new BatchDrain();
         BatchActions[] created = new BatchActions[1];
         Inbox<BatchEvent> inbox =
@@ -150,7 +152,7 @@
                         clock,
                         trace));
         context.provide(BatchDrain.class, drain);
-        startPurge(context, services, directory, clock, trace);
+        startPurge(context, services, store, directory, clock, trace);
         context.require(DrainSignal.class).onStart(() -> inbox.offer(new BatchEvent.Draining()));
         directory.addListener(listener(actions, waiters, directory, inbox));
     }
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchPurge.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchPurge.java
@@ -13,6 +13,7 @@
 import org.fuchsialever.services.hosted.HostedServices;
 import org.fuchsialever.services.rows.RowChange;
 import org.fuchsialever.services.rows.RowKey;
+import org.fuchsialever.services.rows.StoredRow;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
@@ -24,25 +25,32 @@
     /** Allows for clock differences of trainers that read until the end of the retention. */
     private static final long MARGIN_MILLIS = 30_000;
 
+    /** Stored texts are few, because those of listed items are removed at once. */
+    private static final int TICKS_PER_TEXT_PURGE = 15;
+
     /** Below the store's limit of 100 entries per change. */
     private static final int MAX_REMOVALS = 90;
 
     private final HostedServices mServices;
+    private final BatchStore mStore;
     private final Directory mDirectory;
     private final Leases mLeases;
     private final StoreClock mClock;
     private final long mRetentionMillis;
     private final TraceLog mTrace;
     private boolean mRunning;
+    private int mTicks;
 
     BatchPurge(
             HostedServices services,
+            BatchStore store,
             Directory directory,
             Leases leases,
             StoreClock clock,
             long retentionMillis,
             TraceLog trace) {
         mServices = services;
+        mStore = store;
         mDirectory = directory;
         mLeases = leases;
         mClock = clock;
@@ -55,6 +63,10 @@
         if (mRunning || mLeases.held(ROLE).isEmpty()) {
             return;
         }
+        mTicks++;
+        if (mTicks % TICKS_PER_TEXT_PURGE == 0) {
+            mClock.millis().forEach(this::purgeTexts);
+        }
         Option<VersionedState> expired =
                 mClock.millis()
                         .flatMap(
@@ -78,6 +90,35 @@
                         () -> mTrace.line("batch", "purged").with("id", id).write());
     }
 
+    /** Removes texts whose items no trainer has submitted again within the retention period. */
+    private void purgeTexts(long nowMillis) {
+        mStore.textRows("", "")
+                .flatMap(
+                        rows -> {
+                            List<RowKey> old =
+                                    rows.stream()
+                                            .filter(row -> isOld(row, nowMillis))
+                                            .map(StoredRow::key)
+                                            .limit(MAX_REMOVALS)
+                                            .toList();
+                            return old.isEmpty()
+                                    ? Mono.empty()
+                                    : mServices
+                                            .rows()
+                                            .change(new RowChange(Map.of(), Map.of(), old));
+                        })
+                .subscribe(
+                        done -> {},
+                        failure ->
+                                mTrace.line("batch", "text-purge-failed")
+                                        .with("reason", String.valueOf(failure.getMessage()))
+                                        .write());
+    }
+
+    private boolean isOld(StoredRow row, long nowMillis) {
+        return nowMillis - BatchRows.textStoredMillis(row.value()) > mRetentionMillis;
+    }
+
     /** Returns a closed submission past its retention period, if there is one. */
     static Option<VersionedState> findExpired(
             List<VersionedState> states, long nowMillis, long retentionMillis) {
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchRows.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchRows.java
@@ -11,10 +11,13 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import org.fuchsialever.decisions.batch.BatchContent;
 import org.fuchsialever.decisions.batch.BatchState;
 import org.fuchsialever.decisions.batch.ItemResult;
+import org.fuchsialever.decisions.batch.TextKey;
+import org.fuchsialever.decisions.batch.TextSegment;
 import org.fuchsialever.services.rows.RowKey;
 import org.fuchsialever.services.rows.StoredRow;
 
@@ -26,6 +29,9 @@
     /** Table of the results; the key is the submission's ID, a slash and the position. */
     public static final String RESULTS = "results";
 
+    /** Table of the stored texts of unfinished items; see {@link #textKey}. */
+    public static final String TEXTS = "texts";
+
     /** Below the store's limit of 64 KiB per row. */
     private static final int MAX_ROW_BYTES = 60_000;
 
@@ -49,6 +55,74 @@
         return id + "/~";
     }
 
+    /** Returns the key of a stored segment; texts of a model are next to each other. */
+    static RowKey textKey(String model, TextKey key) {
+        return new RowKey(
+                TEXTS,
+                String.format(Locale.ROOT, "%s/%s/%06d", model, key.itemId(), key.firstEvent()));
+    }
+
+    /** Returns the key before all stored segments of a model. */
+    static String textsStartKey(String model) {
+        return model + "/";
+    }
+
+    /** Returns the key after all stored segments of a model. */
+    static String textsEndKey(String model) {
+        return model + "0";
+    }
+
+    /** Encodes a segment with the time at which it is stored, by the clock of the store. */
+    static byte[] encode(TextSegment segment, long storeMillis) {
+        ObjectNode node =
+                MAPPER.createObjectNode()
+                        .put("item", segment.itemId())
+                        .put("first", segment.firstEvent())
+                        .put("run", segment.run())
+                        .put("continues", segment.continues())
+                        .put("at", storeMillis);
+        ArrayNode events = node.putArray("events");
+        segment.events().forEach(events::add);
+        ArrayNode versions = node.putArray("versions");
+        segment.versions().forEach(versions::add);
+        return bytes(node);
+    }
+
+    /** Decodes a segment, or returns what is wrong with the row. */
+    static Either<String, TextSegment> decodeText(byte[] value) {
+        try {
+            JsonNode node = MAPPER.readTree(value);
+            if (node == null || !node.path("item").isTextual() || !node.path("events").isArray()) {
+                return Either.left("not a segment of a text");
+            }
+            List<String> events = new ArrayList<>();
+            node.path("events").forEach(event -> events.add(event.asText()));
+            List<Long> versions = new ArrayList<>();
+            node.path("versions").forEach(version -> versions.add(version.asLong()));
+            return Either.right(
+                    new TextSegment(
+                            node.path("item").asText(),
+                            node.path("first").asLong(),
+                            node.path("run").asText(),
+                            node.path("continues").asText(),
+                            events,
+                            versions));
+        } catch (IOException e) {
+            return Either.left("not JSON: " + e.getMessage());
+        }
+    }
+
+    /** Returns when a segment was stored, in milliseconds of the store's clock; 0 if unreadable. */
+    static long textStoredMillis(byte[] value) {
+        try {
+            JsonNode node = MAPPER.readTree(value);
+            return node == null ? 0 : node.path("at").asLong();
+        } catch (IOException e) {
+            // An unreadable row counts as old, so that it is removed.
+            return 0;
+        }
+    }
+
     /** Encodes the state of a submission. */
     public static byte[] encode(BatchState state) {
         ObjectNode node =
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchStore.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchStore.java
@@ -13,6 +13,10 @@
 import org.fuchsialever.decisions.batch.BatchSpec;
 import org.fuchsialever.decisions.batch.BatchState;
 import org.fuchsialever.decisions.batch.ItemResult;
+import org.fuchsialever.decisions.batch.PartialText;
+import org.fuchsialever.decisions.batch.TextChanges;
+import org.fuchsialever.decisions.batch.TextSegment;
+import org.fuchsialever.node.directory.StoreClock;
 import org.fuchsialever.services.PlatformException;
 import org.fuchsialever.services.PlatformException.Effect;
 import org.fuchsialever.services.hosted.HostedServices;
@@ -34,11 +38,13 @@
     private static final int MAX_CACHED_SPECS = 32;
 
     private final HostedServices mServices;
+    private final StoreClock mClock;
     private final Cache<String, BatchSpec> mSpecs =
             Caffeine.newBuilder().maximumSize(MAX_CACHED_SPECS).executor(Runnable::run).build();
 
-    BatchStore(HostedServices services) {
+    BatchStore(HostedServices services, StoreClock clock) {
         mServices = services;
+        mClock = clock;
     }
 
     /** Returns the name of the object that holds a copy of a submission's content. */
@@ -124,15 +130,88 @@
      */
     Mono<RowChangeResult> write(
             BatchState state, long version, int firstPosition, List<ItemResult> results) {
+        return write(state, version, firstPosition, results, TextChanges.NONE);
+    }
+
+    /** Writes like the other method, with changes of the stored texts of unfinished items. */
+    Mono<RowChangeResult> write(
+            BatchState state,
+            long version,
+            int firstPosition,
+            List<ItemResult> results,
+            TextChanges texts) {
         RowKey key = BatchRows.stateKey(state.id());
         Map<RowKey, byte[]> puts = new HashMap<>();
         puts.put(key, BatchRows.encode(state));
+        String model = state.content().model();
+        for (TextSegment segment : texts.saved()) {
+            puts.put(
+                    BatchRows.textKey(model, segment.key()),
+                    BatchRows.encode(segment, mClock.millis().getOrElse(0L)));
+        }
+        List<RowKey> removals =
+                texts.removed().stream().map(text -> BatchRows.textKey(model, text)).toList();
         int position = firstPosition;
         for (ItemResult result : results) {
             BatchRows.encode(state.id(), position, result, puts);
             position++;
         }
-        return mServices.rows().change(new RowChange(Map.of(key, version), puts, List.of()));
+        return mServices.rows().change(new RowChange(Map.of(key, version), puts, removals));
+    }
+
+    /** Stores segments of texts, unless one of them is already stored by another run. */
+    Mono<RowChangeResult> keepTexts(String model, List<TextSegment> segments) {
+        Map<RowKey, Long> absent = new HashMap<>();
+        Map<RowKey, byte[]> puts = new HashMap<>();
+        for (TextSegment segment : segments) {
+            RowKey key = BatchRows.textKey(model, segment.key());
+            absent.put(key, 0L);
+            puts.put(key, BatchRows.encode(segment, mClock.millis().getOrElse(0L)));
+        }
+        return mServices.rows().change(new RowChange(absent, puts, List.of()));
+    }
+
+    /** Reads the stored beginnings of the texts of a model, by the ID of the item. */
+    Mono<Map<String, PartialText>> texts(String model) {
+        return textRows(BatchRows.textsStartKey(model), BatchRows.textsEndKey(model))
+                .map(
+                        rows -> {
+                            Map<String, List<TextSegment>> byItem = new HashMap<>();
+                            for (StoredRow row : rows) {
+                                BatchRows.decodeText(row.value())
+                                        .forEach(
+                                                segment ->
+                                                        byItem.computeIfAbsent(
+                                                                        segment.itemId(),
+                                                                        item -> new ArrayList<>())
+                                                                .add(segment));
+                            }
+                            Map<String, PartialText> texts = new HashMap<>();
+                            byItem.forEach(
+                                    (item, stored) -> texts.put(item, PartialText.join(stored)));
+                            return texts;
+                        });
+    }
+
+    /** Reads all rows of stored texts between two keys. */
+    Mono<List<StoredRow>> textRows(String from, String to) {
+        return textRows(from, to, new ArrayList<>());
+    }
+
+    private Mono<List<StoredRow>> textRows(String from, String to, List<StoredRow> found) {
+        return mServices
+                .rows()
+                .range(BatchRows.TEXTS, from, to, PAGE_ROWS)
+                .flatMap(
+                        page -> {
+                            found.addAll(page.rows());
+                            return page.hasMore() && !page.rows().isEmpty()
+                                    ? textRows(
+                                            found.get(found.size() - 1).key().key() + "\u0001",
+                                            to,
+                                            found)
+                                    : Mono.just(found);
+                        });
     }
 
     /** Reads the current state from the store. */
--- a/node/src/main/java/org/fuchsialever/node/batch/ItemGenerationHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/ItemGenerationHandler.java
@@ -1,15 +1,19 @@
 package org.fuchsialever.node.batch;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.fuchsialever.decisions.batch.BatchItem;
+import org.fuchsialever.decisions.batch.PartialText;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.forward.AttemptOutcome;
 import org.fuchsialever.decisions.forward.ForwardRefusal;
+import org.fuchsialever.kernel.time.TimeSource;
 import org.fuchsialever.node.forward.AttemptReader;
 import org.fuchsialever.node.forward.ForwardCallHandler;
 import org.fuchsialever.node.forward.ServerSentEvent;
@@ -25,19 +29,35 @@
     private static final Duration FIRST_BYTE_TIMEOUT = Duration.ofMillis(4_000);
 
     /** An engine at a quarter of its usual speed sends an event every 0.2 s. */
-    private static final Duration NEXT_BYTE_TIMEOUT = Duration.ofMillis(1_500);
+    private static final Duration NEXT_EVENT_TIMEOUT = Duration.ofMillis(1_500);
+
+    /** The timeout doubles with each silent attempt, so that a slow but sound run completes. */
+    private static final int MAX_DOUBLINGS = 2;
+
+    /** Interval at which further events are reported; a lost instance loses no more than these. */
+    private static final long REPORT_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** A larger report would not fit into a row of the store. */
+    private static final int MAX_REPORT_CHARACTERS = 30_000;
 
     private final BatchItem mItem;
     private final String mHost;
     private final String mTeam;
     private final long mGiveUpMillis;
     private final UpstreamProtocol mProtocol;
+    private final TimeSource mTime;
+    private final Consumer<TextProgress> mOnProgress;
     private final BiConsumer<String, List<Long>> mOnText;
     private final Consumer<String> mOnFailure;
     private final List<String> mEvents = new ArrayList<>();
     private final List<Long> mVersions = new ArrayList<>();
+    private final List<Long> mUnreportedVersions = new ArrayList<>();
     private long mLastEvent = -1;
+    private int mReportedEvents;
+    private int mUnreportedCharacters;
+    private long mUnreportedSinceNanos;
     private int mCurrentAttempt;
+    private int mSilentAttempts;
 
     ItemGenerationHandler(
             BatchItem item,
@@ -45,6 +65,9 @@
             String team,
             long giveUpMillis,
             UpstreamProtocol protocol,
+            PartialText beginning,
+            TimeSource time,
+            Consumer<TextProgress> onProgress,
             BiConsumer<String, List<Long>> onText,
             Consumer<String> onFailure) {
         mItem = item;
@@ -52,6 +75,12 @@
         mTeam = team;
         mGiveUpMillis = giveUpMillis;
         mProtocol = protocol;
+        mTime = time;
+        mOnProgress = onProgress;
+        mEvents.addAll(beginning.events());
+        mVersions.addAll(beginning.versions());
+        mLastEvent = beginning.lastEvent();
+        mReportedEvents = mEvents.size();
         mOnText = onText;
         mOnFailure = onFailure;
     }
@@ -83,7 +112,7 @@
                 mItem.body(),
                 mProtocol.responseMatcher(mItem.id()),
                 FIRST_BYTE_TIMEOUT,
-                NEXT_BYTE_TIMEOUT);
+                NEXT_EVENT_TIMEOUT.multipliedBy(1L << Math.min(mSilentAttempts, MAX_DOUBLINGS)));
     }
 
     @Override
@@ -118,13 +147,45 @@
             return false;
         }
         mLastEvent = number;
+        if (mEvents.size() == mReportedEvents) {
+            mUnreportedSinceNanos = mTime.nanoTime();
+        }
         mEvents.add(event.data());
-        if (version > 0 && !mVersions.contains(version)) {
-            mVersions.add(version);
+        addVersion(mVersions, version);
+        addVersion(mUnreportedVersions, version);
+        mUnreportedCharacters += event.data().length();
+        if (mTime.nanoTime() - mUnreportedSinceNanos >= REPORT_INTERVAL_NANOS
+                || mUnreportedCharacters >= MAX_REPORT_CHARACTERS) {
+            takeUnreported().forEach(mOnProgress);
         }
         return true;
     }
 
+    private synchronized void countSilence(AttemptOutcome outcome) {
+        mSilentAttempts += outcome == AttemptOutcome.SILENT ? 1 : 0;
+    }
+
+    private static void addVersion(List<Long> versions, long version) {
+        if (version > 0 && !versions.contains(version)) {
+            versions.add(version);
+        }
+    }
+
+    /** Returns the events since the last report and counts them as reported. */
+    synchronized Option<TextProgress> takeUnreported() {
+        int count = mEvents.size() - mReportedEvents;
+        if (count == 0) {
+            return Option.none();
+        }
+        List<String> events = List.copyOf(mEvents.subList(mReportedEvents, mEvents.size()));
+        TextProgress progress =
+                new TextProgress(mLastEvent - count + 1, events, List.copyOf(mUnreportedVersions));
+        mReportedEvents = mEvents.size();
+        mUnreportedCharacters = 0;
+        mUnreportedVersions.clear();
+        return Option.some(progress);
+    }
+
     /** Reads the events of one attempt. */
     private final class Reader extends AttemptReader {
         private final int mAttempt;
@@ -132,6 +193,7 @@
                 new ServerSentEventParser(mProtocol.versionFieldName());
         private long mVersion;
         private boolean mInvalid;
+        private int mEventCount;
 
         Reader(int attempt) {
             super(mProtocol);
@@ -149,6 +211,7 @@
                 return ContentVerdict.NO_PROGRESS;
             }
             List<ServerSentEvent> events = mAssembler.feed(bytes);
+            mEventCount += events.size();
             for (ServerSentEvent event : events) {
                 mVersion = event.version() > 0 ? event.version() : mVersion;
                 mInvalid |= !append(mAttempt, event, mVersion);
@@ -159,8 +222,14 @@
             return events.isEmpty() ? ContentVerdict.NO_PROGRESS : ContentVerdict.PROGRESS;
         }
 
+        @Override
+        protected int eventCount() {
+            return mEventCount;
+        }
+
         @Override
         protected AttemptOutcome finalOutcome(AttemptOutcome outcome) {
+            countSilence(outcome);
             boolean malformed = mInvalid || mAssembler.hasIncompleteEvent();
             if (outcome == AttemptOutcome.ANSWERED && (malformed || !isSuccess())) {
                 return isSuccess() ? AttemptOutcome.MALFORMED : AttemptOutcome.REJECTED;
--- a/node/src/main/java/org/fuchsialever/node/forward/AttemptReader.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/AttemptReader.java
@@ -78,6 +78,11 @@
     /** Returns the outcome of the ended attempt, which may be worse than the given one. */
     protected abstract AttemptOutcome finalOutcome(AttemptOutcome outcome);
 
+    /** Returns the number of events read so far; 0 for a response that is not a stream. */
+    protected int eventCount() {
+        return 0;
+    }
+
     /** Returns the newest weight version that the response stated, 0 if it stated none. */
     protected long version() {
         return mResponse == null ? 0 : mResponse.version();
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
@@ -32,6 +32,12 @@
     /** Limit of calls in flight; each has one pending event in the ring. */
     private static final int MAX_CALLS = 4_000;
 
+    /** Interval at which the pace of a stream is reported. */
+    private static final long PACE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    /** Fewer events would make the pace depend on single pauses. */
+    private static final int MIN_PACE_EVENTS = 3;
+
     private final ExchangeClient mClient;
     private final Inbox<ForwardEvent> mInbox;
     private final TimeSource mTime;
@@ -167,6 +173,8 @@
         private final ForwardAction.Start mStart;
         private final long mStartNanos;
         private final long mWallMillis = mTime.wallMillis();
+        private long mPaceSinceNanos;
+        private int mPaceSinceEvents;
         private volatile boolean mEnded;
 
         Attempt(
@@ -189,7 +197,30 @@
 
         @Override
         public ContentVerdict onContent(byte[] bytes) {
-            return mReader.onContent(bytes);
+            ContentVerdict verdict = mReader.onContent(bytes);
+            reportPace();
+            return verdict;
+        }
+
+        private void reportPace() {
+            int events = mReader.eventCount();
+            if (events == 0) {
+                return;
+            }
+            long now = mTime.nanoTime();
+            if (mPaceSinceNanos == 0) {
+                mPaceSinceNanos = now;
+                mPaceSinceEvents = events;
+                return;
+            }
+            long elapsed = now - mPaceSinceNanos;
+            int received = events - mPaceSinceEvents;
+            if (elapsed >= PACE_INTERVAL_NANOS && received >= MIN_PACE_EVENTS) {
+                mPaceSinceNanos = now;
+                mPaceSinceEvents = events;
+                mInbox.offer(
+                        new ForwardEvent.Progressed(mKey.number, mKey.attempt, elapsed / received));
+            }
         }
 
         @Override
--- a/node/src/test/java/org/fuchsialever/node/hosted/HostedBatchesTest.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/HostedBatchesTest.java
@@ -177,6 +177,27 @@
         }
     }
 
+    @Test
+    void goesOnAfterTheLastEventOfAnItemThatRanWhenItsInstanceWasToldToStop() {
+        try (HostedFixture fixture = HostedFixture.running()) {
+            fixture.upstream("e1").setBehaviour(Behaviour.STREAMS_SLOWLY);
+            fixture.submit("n1", "b1", "x1");
+            fixture.eventually(() -> fixture.upstream("e1").executionCount("x1") == 1);
+            fixture.start("n2");
+            fixture.awaitServing("n2");
+            fixture.stop("n1");
+            JsonNode page = fixture.results("n2", "b1", 1);
+            assertThat(
+                    page.path("results").path(0).path("message").asText(),
+                    is(UpstreamStandIn.text("x1")));
+            List<UpstreamStandIn.ReceivedCall> runs =
+                    fixture.upstream("e1").calls().stream()
+                            .filter(call -> call.requestId().equals("x1"))
+                            .toList();
+            assertThat(runs.get(runs.size() - 1).headers().containsKey("Last-Event-Id"), is(true));
+        }
+    }
+
     @Test
     void givesUpNothingOfAnEarlierSubmissionWhileItKnowsNoManifest() {
         try (HostedFixture fixture = HostedFixture.running()) {
