Send long items to the fastest engines and leave those to them

Change: an item is expected to be long if its estimate is over twice the median of its submission or it was stopped before; for these the measured pace of an engine outweighs its load, others go by load alone. A long item moves for a gain of a fifth.

--- a/benchmarks/src/main/java/org/fuchsialever/benchmarks/stragglers/SimulatedSample.java
+++ b/benchmarks/src/main/java/org/fuchsialever/benchmarks/stragglers/SimulatedSample.java
@@ -4,7 +4,7 @@
 final class SimulatedSample {
     final int mNumber;
     final String mPrompt;
-    final double length;
+    final double mLength;
     final long mStartedMillis;
     int mEngine;
     double mLeft;
@@ -12,7 +12,7 @@
     SimulatedSample(int number, String prompt, double length, long startedMillis, int engine) {
         mNumber = number;
         mPrompt = prompt;
-        this.length = length;
+        mLength = length;
         mLeft = length;
         mStartedMillis = startedMillis;
         mEngine = engine;
--- a/benchmarks/src/main/java/org/fuchsialever/benchmarks/stragglers/SimulatedStep.java
+++ b/benchmarks/src/main/java/org/fuchsialever/benchmarks/stragglers/SimulatedStep.java
@@ -130,7 +130,7 @@
         }
         for (SimulatedSample sample : List.copyOf(mRunning)) {
             if (sample.mLeft <= 0 && mFinished.add(sample.mNumber)) {
-                mPredictor.observe(sample.mPrompt, (int) sample.length);
+                mPredictor.observe(sample.mPrompt, (int) sample.mLength);
                 double elapsed = mNow - sample.mStartedMillis;
                 mTypicalMillis =
                         mTypicalMillis == 0 ? elapsed : 0.95 * mTypicalMillis + 0.05 * elapsed;
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchAction.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchAction.java
@@ -11,9 +11,23 @@
      */
     record Claim(BatchState state, long version, String reason) implements BatchAction {}
 
-    /** Generates the text of an item. */
+    /**
+     * Generates the text of an item.
+     *
+     * @param spec the submission
+     * @param state its state
+     * @param item index of the item
+     * @param queueRank smaller values run first
+     * @param expectedLong whether the text is probably much longer than most of the submission
+     * @param beginning the stored beginning of the text
+     */
     record Generate(
-            BatchSpec spec, BatchState state, int item, long queueRank, PartialText beginning)
+            BatchSpec spec,
+            BatchState state,
+            int item,
+            long queueRank,
+            boolean expectedLong,
+            PartialText beginning)
             implements BatchAction {}
 
     /** Scores the text of an item. */
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/OwnedBatch.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/OwnedBatch.java
@@ -20,10 +20,16 @@
     /** Keeps a commit below the store's limit of 1 MB per request after text encoding. */
     private static final int MAX_CHARACTERS_PER_COMMIT = 400_000;
 
+    /**
+     * Estimates are often far off, so a text counts as long only at this multiple of the median.
+     */
+    private static final int MIN_LONG_RATIO = 2;
+
     /** Items of one submission share a due time; a finer unit leaves room to order them. */
     private static final long MICROS_PER_MILLI = 1_000;
 
     private final BatchSpec mSpec;
+    private final long mMedianTokens;
     private final long mDueMicros;
     private final long mGiveUpNanos;
     private final boolean mSingleVersion;
@@ -44,6 +50,7 @@
         mSpec = opened.spec();
         mState = opened.state();
         mVersion = opened.version();
+        mMedianTokens = medianTokens(mSpec.items());
         mDueMicros = opened.dueAtMillis() * MICROS_PER_MILLI;
         mGiveUpNanos = opened.abandonAtNanos();
         mSingleVersion = opened.singleVersion();
@@ -118,7 +125,25 @@
 
     private void generate(int item, PartialText beginning, ActionSink<BatchAction> actions) {
         mOwnedTexts.begin(mSpec.items().get(item).id(), beginning);
-        actions.emit(new BatchAction.Generate(mSpec, mState, item, queueRank(item), beginning));
+        actions.emit(
+                new BatchAction.Generate(
+                        mSpec, mState, item, queueRank(item), isExpectedLong(item), beginning));
+    }
+
+    /** An item that was stopped before it ended has turned out to be long. */
+    private boolean isExpectedLong(int item) {
+        return hasStoredText(item)
+                || mSpec.items().get(item).expectedTokens() > mMedianTokens * MIN_LONG_RATIO;
+    }
+
+    private static long medianTokens(List<BatchItem> items) {
+        long[] known =
+                items.stream()
+                        .mapToLong(BatchItem::expectedTokens)
+                        .filter(tokens -> tokens > 0)
+                        .sorted()
+                        .toArray();
+        return known.length == 0 ? Long.MAX_VALUE / MIN_LONG_RATIO : known[known.length / 2];
     }
 
     private long queueRank(int item) {
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCall.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCall.java
@@ -16,6 +16,8 @@
  * @param minVersion the oldest weight version allowed
  * @param affinity calls with equal affinity share a prompt; empty for none
  * @param queueRank smaller values leave the queue first
+ * @param expectedLong whether it probably takes much longer than most, so that the pace of its
+ *     upstream matters more than the load
  * @param arrivedNanos when it arrived, in monotonic nanoseconds
  * @param deadlineNanos when it must have ended, in monotonic nanoseconds; {@code NO_TIMER} for no
  *     limit
@@ -32,6 +34,7 @@
         long minVersion,
         String affinity,
         long queueRank,
+        boolean expectedLong,
         long arrivedNanos,
         long deadlineNanos,
         long hedgeAfterNanos) {
@@ -53,6 +56,7 @@
                 minVersion,
                 affinity,
                 queueRank,
+                expectedLong,
                 arrivedNanos,
                 deadlineNanos,
                 hedgeAfterNanos);
@@ -70,6 +74,7 @@
                 minVersion,
                 affinity,
                 queueRank,
+                expectedLong,
                 arrivedNanos,
                 deadlineNanos,
                 hedgeAfterNanos);
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallKind.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallKind.java
@@ -27,8 +27,8 @@
         }
 
         @Override
-        double paceWeight() {
-            return 2.0;
+        double paceWeight(boolean expectedLong) {
+            return expectedLong ? 10.0 : 0;
         }
 
         @Override
@@ -62,8 +62,13 @@
         return 0.5;
     }
 
-    /** Returns the weight of the upstream's pace, in load per slot. */
-    double paceWeight() {
+    /**
+     * Returns the weight of the upstream's pace, in load per slot. Short items leave the slots of
+     * the fastest upstreams to long ones.
+     *
+     * @param expectedLong whether the call probably takes much longer than most
+     */
+    double paceWeight(boolean expectedLong) {
         return 0;
     }
 
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallState.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallState.java
@@ -18,6 +18,7 @@
     private boolean mMayHaveRun;
     private boolean mQueued;
     private int mMoves;
+    private long mFirstStartNanos;
 
     ForwardCallState(ForwardCall call, String service) {
         mCall = call;
@@ -48,7 +49,10 @@
         return mTried.contains(upstream.spec().id());
     }
 
-    int start(UpstreamState upstream) {
+    int start(UpstreamState upstream, long now) {
+        if (mAttempts == 0) {
+            mFirstStartNanos = now;
+        }
         mAttempts++;
         mSent++;
         mTried.add(upstream.spec().id());
@@ -56,6 +60,10 @@
         return mAttempts;
     }
 
+    long firstStartNanos() {
+        return mFirstStartNanos;
+    }
+
     int attempts() {
         return mAttempts;
     }
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
@@ -35,6 +35,12 @@
     /** A running call moves if its upstream takes this many times as long for an event. */
     private static final double MIN_MOVE_RATIO = 1.8;
 
+    /** The same for a call that is long, which gains more. */
+    private static final double MIN_MOVE_RATIO_OF_LONG_CALL = 1.2;
+
+    /** A call that has run for this long counts as long, whatever was expected. */
+    private static final long LONG_RUN_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     /** Bounds how often a call moves, because each move reads the prompt again. */
     private static final int MAX_MOVES = 3;
 
@@ -154,7 +160,7 @@
                 call.affinity().isEmpty() ? "" : mAffinities.getOrDefault(call.affinity(), "");
         double maxUtilization = call.kind().maxUtilization();
         double loadStep = call.kind().loadStep();
-        double paceWeight = call.kind().paceWeight();
+        double paceWeight = call.kind().paceWeight(call.expectedLong());
         String service = state.service();
         Option<UpstreamState> choice =
                 mFleet.choose(
@@ -171,6 +177,12 @@
                                 : mFleet.chooseSuspended(state.service(), untried));
     }
 
+    private static double minMoveRatio(ForwardCallState state, long now) {
+        boolean isLong =
+                state.call().expectedLong() || now - state.firstStartNanos() >= LONG_RUN_NANOS;
+        return isLong ? MIN_MOVE_RATIO_OF_LONG_CALL : MIN_MOVE_RATIO;
+    }
+
     private static Predicate<UpstreamState> suitable(ForwardCall call) {
         return upstream ->
                 call.model().isEmpty() || upstream.versionOf(call.model()) >= call.minVersion();
@@ -196,7 +208,7 @@
         Predicate<UpstreamState> hasFreeSlot =
                 other -> other.utilization(now) < call.kind().maxUtilization();
         long best = mFleet.bestPaceNanos(state.service(), suitable(call).and(hasFreeSlot), now);
-        if (best > 0 && upstream.paceNanos(now) >= best * MIN_MOVE_RATIO) {
+        if (best > 0 && upstream.paceNanos(now) >= best * minMoveRatio(state, now)) {
             state.countMove();
             // The call starts elsewhere when the end of the cancelled attempt is reported.
             actions.emit(new ForwardAction.Cancel(event.number(), event.attempt()));
@@ -212,7 +224,7 @@
         ForwardCall call = state.call();
         dequeue(state);
         int load = upstream.load(now);
-        int attempt = state.start(upstream);
+        int attempt = state.start(upstream, now);
         upstream.callStarted(now);
         mAttempts.put(new AttemptKey(call.number(), attempt), upstream);
         if (!call.affinity().isEmpty()) {
--- a/decisions/src/test/java/org/fuchsialever/decisions/batch/BatchDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/batch/BatchDutyTest.java
@@ -55,6 +55,7 @@
         List<BatchAction.Generate> starts = all(BatchAction.Generate.class);
         assertThat(starts.stream().map(BatchAction.Generate::item).toList(), is(List.of(1, 0)));
         assertThat(starts.get(0).queueRank() < starts.get(1).queueRank(), is(true));
+        assertThat(starts.get(0).expectedLong(), is(false));
     }
 
     @Test
--- a/decisions/src/test/java/org/fuchsialever/decisions/forward/ForwardDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/forward/ForwardDutyTest.java
@@ -235,17 +235,50 @@
     }
 
     @Test
-    void sendsItemsToFasterUpstreamsBeforeSlowerOnesOfTheSameLoad() {
+    void sendsLongItemsToTheFastestUpstreamWhileItHasAFreeSlot() {
+        String fast = measuredPaces();
+        arrive(longItem(3));
+        assertThat(lastStart().upstream().id(), is(fast));
+        arrive(longItem(4));
+        assertThat(lastStart().upstream().id(), is(fast));
+        arrive(longItem(5));
+        assertThat(lastStart().upstream().id(), is(not(fast)));
+    }
+
+    @Test
+    void leavesTheFastestUpstreamToLongItems() {
+        String fast = measuredPaces();
+        arrive(longItem(3));
+        arrive(item(4, 1, 4));
+        assertThat(lastStart().upstream().id(), is(not(fast)));
+    }
+
+    @Test
+    void movesALongItemForASmallerGain() {
+        String fast = measuredPaces();
+        arrive(longItem(3));
+        arrive(longItem(4));
+        arrive(longItem(5));
+        event(new ForwardEvent.Progressed(5, 1, 52 * MILLI));
+        assertThat(cancellations(), hasSize(0));
+        end(3, 1, AttemptOutcome.ANSWERED);
+        event(new ForwardEvent.Progressed(5, 1, 52 * MILLI));
+        assertThat(cancellations(), hasSize(1));
+        end(5, 1, AttemptOutcome.CANCELLED);
+        assertThat(lastStart().upstream().id(), is(fast));
+    }
+
+    /** Returns the name of an upstream that needs less time for an event than the other one. */
+    private String measuredPaces() {
         fleet(engine("a", 1), engine("b", 1));
         arrive(item(1, 1, 0));
         arrive(item(2, 1, 1));
-        String first = starts().get(0).upstream().id();
+        String fast = starts().get(0).upstream().id();
         event(new ForwardEvent.Progressed(1, 1, 39 * MILLI));
         event(new ForwardEvent.Progressed(2, 1, 52 * MILLI));
         end(1, 1, AttemptOutcome.ANSWERED);
         end(2, 1, AttemptOutcome.ANSWERED);
-        arrive(item(3, 1, 2));
-        assertThat(lastStart().upstream().id(), is(first));
+        return fast;
     }
 
     private List<ForwardAction.Cancel> cancellations() {
@@ -304,11 +337,30 @@
                 0,
                 "",
                 0,
+                false,
                 0,
                 800 * MILLI,
                 75 * MILLI);
     }
 
+    private static ForwardCall longItem(long number) {
+        ForwardCall call = item(number, 1, number);
+        return new ForwardCall(
+                number,
+                call.kind(),
+                call.shares(),
+                call.idempotent(),
+                call.maxAttempts(),
+                call.model(),
+                call.minVersion(),
+                call.affinity(),
+                call.queueRank(),
+                true,
+                0,
+                Duty.NO_TIMER,
+                Duty.NO_TIMER);
+    }
+
     private static ForwardCall item(long number, long minVersion, long urgency) {
         return new ForwardCall(
                 number,
@@ -320,6 +372,7 @@
                 minVersion,
                 "group",
                 urgency,
+                false,
                 0,
                 Duty.NO_TIMER,
                 Duty.NO_TIMER);
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
@@ -357,6 +357,7 @@
                         spec.minVersion(),
                         item.group(),
                         generate.queueRank(),
+                        generate.expectedLong(),
                         mTime.nanoTime(),
                         Duty.NO_TIMER,
                         Duty.NO_TIMER);
@@ -408,6 +409,7 @@
                         0,
                         "",
                         score.queueRank(),
+                        false,
                         mTime.nanoTime(),
                         Duty.NO_TIMER,
                         TimeUnit.MILLISECONDS.toNanos(route.get().targetLatencyMillis()));
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryHandler.java
@@ -163,6 +163,7 @@
                 0,
                 "",
                 route.priority(),
+                false,
                 now,
                 now + TimeUnit.MILLISECONDS.toNanos(timeoutMillis),
                 hedgeAfter);
