Let a working set of twelve instances hold duties and write heartbeats

Cause: every instance wrote a heartbeat each 0.7 s and read those of all others, so the rows read grew with the square of the fleet; every instance polled the leases and competed for roles. Change: heartbeats are the renewals of twelve slots, each a conditional write; an instance that holds one is a member, owns submissions, competes for roles and reads the tables as often as before. The others read less often, keep no lease session and step in when members are lost, weaker machines later.

--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
@@ -33,6 +33,9 @@
 
     private static final int MAX_DELAYED_RANKS = 4;
 
+    /** Instances outside the working set spread their claims over this many further delays. */
+    private static final int OUTSIDE_PLACES = 16;
+
     /** Items continue for this long after shutdown has begun; most of them finish within it. */
     private static final long DRAIN_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(2_400);
 
@@ -202,8 +205,13 @@
     }
 
     private long claimDelay(String id) {
-        List<Peer> ranked = Peer.ranked(mPeers, id);
-        int rank = Math.max(0, ranked.indexOf(new Peer(mInstance, mStartId)));
+        Peer self = new Peer(mInstance, mStartId);
+        if (mPeers.size() > MAX_DELAYED_RANKS && !mPeers.contains(self)) {
+            // The members of the working set come first, then other instances one by one.
+            int place = Math.floorMod((mInstance + id).hashCode(), OUTSIDE_PLACES);
+            return (MAX_DELAYED_RANKS + 1 + place) * CLAIM_DELAY_PER_RANK_NANOS;
+        }
+        int rank = Math.max(0, Peer.ranked(mPeers, id).indexOf(self));
         return Math.min(rank, MAX_DELAYED_RANKS) * CLAIM_DELAY_PER_RANK_NANOS;
     }
 
--- a/decisions/src/main/java/org/fuchsialever/decisions/directory/DirectoryDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/directory/DirectoryDuty.java
@@ -31,6 +31,7 @@
     private final RandomGenerator mRandom;
     private final Map<DirectoryTable, Mirror> mMirrors = new EnumMap<>(DirectoryTable.class);
     private long mNewestVersion;
+    private boolean mMember;
 
     /** Creates a duty that starts to read all tables on its first timer. */
     public DirectoryDuty(RandomGenerator random) {
@@ -47,6 +48,15 @@
 
     @Override
     public void onEvent(DirectoryEvent event, long nowNanos, ActionSink<DirectoryAction> actions) {
+        if (event instanceof DirectoryEvent.MembershipChanged changed) {
+            mMember = changed.member();
+        } else if (event instanceof DirectoryEvent.ReadEnded ended) {
+            readEnded(ended, nowNanos, actions);
+        }
+    }
+
+    private void readEnded(
+            DirectoryEvent.ReadEnded event, long nowNanos, ActionSink<DirectoryAction> actions) {
         Mirror mirror = mirror(event.table());
         if (event instanceof DirectoryEvent.TableRead read) {
             rangeRead(mirror, read, nowNanos, actions);
@@ -163,9 +173,8 @@
     }
 
     private void scheduleRead(Mirror mirror, long now, ActionSink<DirectoryAction> actions) {
-        int instances = mirror(DirectoryTable.INSTANCES).mVersions.size();
         long last = mirror.mFollowing ? mirror.mFeedReadAt : mirror.mFullReadAt;
-        long next = last + mirror.mTable.intervalNanos(instances);
+        long next = last + mirror.mTable.intervalNanos(mMember);
         if (next <= now) {
             read(mirror, now, actions);
         } else {
--- a/decisions/src/main/java/org/fuchsialever/decisions/lease/LeaseDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/lease/LeaseDuty.java
@@ -48,6 +48,7 @@
     private long mNextRenewal;
     private long mNextRead = Long.MIN_VALUE;
     private boolean mReading;
+    private boolean mActive = true;
     private long mLastRead = Long.MIN_VALUE;
     private long mReads;
     private long mReadBackoff = MIN_RETRY_DELAY_NANOS;
@@ -86,6 +87,8 @@
         } else if (event instanceof LeaseEvent.RoleReleased release) {
             mWantedRoles.remove(release.role());
             release(release.role(), "", actions);
+        } else if (event instanceof LeaseEvent.ParticipationChanged changed) {
+            participationChanged(changed.active(), actions);
         } else if (event instanceof LeaseEvent.TableRead read) {
             tableRead(read, nowNanos);
         } else if (event instanceof LeaseEvent.ReadFailed) {
@@ -114,6 +117,19 @@
         return mPending == null ? next : Math.min(next, mPending.mRetryAt);
     }
 
+    private void participationChanged(boolean active, ActionSink<LeaseAction> actions) {
+        mActive = active;
+        if (!active) {
+            for (String role : List.copyOf(mHeldRoles.keySet())) {
+                release(role, "", actions);
+            }
+        }
+    }
+
+    private boolean isIdle() {
+        return !mActive && mHeldRoles.isEmpty() && mPendingReleases.isEmpty() && mPending == null;
+    }
+
     private void stopIfExpired(long now, ActionSink<LeaseAction> actions) {
         if (mLeasesValid && now >= mValidUntil) {
             mLeasesValid = false;
@@ -137,6 +153,9 @@
     /** Starts whatever is due, in order of priority, and sets the timer for the rest. */
     private void evaluate(long now, ActionSink<LeaseAction> actions) {
         mNextEvaluation = NO_TIMER;
+        if (isIdle()) {
+            return;
+        }
         if (!mReading && now >= mNextRead) {
             boolean full = !mView.isScanned() || mReads % READS_PER_FULL_READ == 0;
             mReads++;
@@ -148,7 +167,7 @@
         if (mPending == null) {
             writeOwnSession(now, actions);
         }
-        if (mPending == null) {
+        if (mPending == null && mActive) {
             endSessionOrBid(now, actions);
         }
         if (mPending == null && mSessionVersion > 0) {
@@ -165,7 +184,7 @@
         if (!mRenewOnly) {
             mPlan.rolesToHandOver(mHeldRoles.keySet(), now)
                     .forEach((role, next) -> release(role, next, actions));
-            Set<String> takeable = new TreeSet<>(mWantedRoles);
+            Set<String> takeable = mActive ? new TreeSet<>(mWantedRoles) : new TreeSet<>();
             takeable.removeAll(mPendingReleases.keySet());
             takes = mPlan.rolesToTake(takeable, mHeldRoles.keySet(), now, this::scheduleEvaluation);
         }
--- a/decisions/src/main/java/org/fuchsialever/decisions/lease/LeaseEvent.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/lease/LeaseEvent.java
@@ -8,6 +8,13 @@
     /** This instance competes for a role from now on. */
     record RoleRequested(String role) implements LeaseEvent {}
 
+    /**
+     * This instance competes for roles from now on, or releases all and competes for none.
+     *
+     * @param active whether it competes
+     */
+    record ParticipationChanged(boolean active) implements LeaseEvent {}
+
     /** This instance releases a role and no longer competes for it. */
     record RoleReleased(String role) implements LeaseEvent {}
 
--- a/kernel/src/main/java/org/fuchsialever/kernel/settings/SettingsReader.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/settings/SettingsReader.java
@@ -100,6 +100,34 @@
         return number;
     }
 
+    /** Returns a decimal number within bounds (both inclusive). */
+    public double decimal(String section, String key, double defaultValue, double min, double max) {
+        Option<String> value = raw(section, key);
+        if (value.isEmpty()) {
+            return defaultValue;
+        }
+        if (!value.get().matches("-?[0-9]{1,15}(\\.[0-9]{1,15})?")) {
+            mFindings.error(
+                    mDocument.location(section, key),
+                    MSG_BAD_NUMBER,
+                    "\"%s\" is not a decimal number",
+                    value.get());
+            return defaultValue;
+        }
+        double number = Double.parseDouble(value.get());
+        if (number < min || number > max) {
+            mFindings.error(
+                    mDocument.location(section, key),
+                    MSG_OUT_OF_RANGE,
+                    "%s is out of range; allowed are %s to %s",
+                    number,
+                    min,
+                    max);
+            return defaultValue;
+        }
+        return number;
+    }
+
     /** Returns a duration such as {@code 250 ms}, {@code 5 s}, {@code 2 min} or {@code 1 h}. */
     public Duration duration(String section, String key, Duration defaultValue) {
         Option<String> value = raw(section, key);
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchService.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchService.java
@@ -136,7 +136,7 @@
     private Peer chooseOwner(String team, BatchSpec spec) {
         Peer self = new Peer(mIdentity.instance().value(), mIdentity.startId());
         List<Peer> candidates = new ArrayList<>(mDirectory.livePeers());
-        if (!candidates.contains(self)) {
+        if (candidates.isEmpty()) {
             candidates.add(self);
         }
         return Peer.ranked(candidates, team + "/" + spec.model()).get(0);
--- a/node/src/main/java/org/fuchsialever/node/directory/Directory.java
+++ b/node/src/main/java/org/fuchsialever/node/directory/Directory.java
@@ -29,7 +29,8 @@
     private final Map<String, Long> mAnnouncedVersions = new ConcurrentHashMap<>();
     private final EnumMap<DirectoryTable, Long> mCurrentAtNanos =
             new EnumMap<>(DirectoryTable.class);
-    private final Map<String, Presence> mPresences = new HashMap<>();
+    private final Map<Integer, Presence> mPresences = new HashMap<>();
+    private volatile boolean mMember;
     private volatile Option<Manifest> mManifest = Option.none();
     private volatile List<FleetUpstream> mUpstreamList = List.of();
 
@@ -115,22 +116,31 @@
         mListeners.forEach(listener -> listener.onBatchStatesChanged(changed, removed));
     }
 
-    synchronized void changePresences(List<Presence> changed, List<String> removed) {
+    synchronized void changePresences(List<VersionedPresence> changed, List<Integer> removed) {
         removed.forEach(mPresences::remove);
-        changed.forEach(presence -> mPresences.put(presence.instance(), presence));
+        changed.forEach(row -> mPresences.put(row.presence().slot(), row.presence()));
+        mListeners.forEach(listener -> listener.onPresencesChanged(changed, removed));
     }
 
-    /** Returns the instances with a recent heartbeat that are not shutting down. */
+    synchronized void notifyPresencesCurrent() {
+        mListeners.forEach(DirectoryListener::onPresencesCurrent);
+    }
+
+    void setMember(boolean member) {
+        mMember = member;
+    }
+
+    /** Returns the members of the working set that are alive and not shutting down. */
     public synchronized List<Peer> livePeers() {
         List<Peer> live = new ArrayList<>();
         long maxAgeMillis =
-                MAX_HEARTBEAT_AGE_MILLIS
-                        + DirectoryTable.INSTANCES.intervalMillis(mPresences.size());
+                MAX_HEARTBEAT_AGE_MILLIS + DirectoryTable.INSTANCES.intervalMillis(mMember);
         for (Presence presence : mPresences.values()) {
             long writtenMillis = presence.storeMillis();
             boolean isRecent = mClock.millis().exists(now -> now - writtenMillis < maxAgeMillis);
-            if (!presence.leaving() && isRecent) {
-                live.add(new Peer(presence.instance(), presence.start()));
+            Peer peer = new Peer(presence.instance(), presence.start());
+            if (!presence.leaving() && isRecent && !live.contains(peer)) {
+                live.add(peer);
             }
         }
         return live;
@@ -139,4 +149,7 @@
     synchronized void notifyBatchTableAvailability(boolean available) {
         mListeners.forEach(listener -> listener.onBatchTableAvailability(available));
     }
+
+    /** A slot with the version of its row. */
+    public record VersionedPresence(Presence presence, long version) {}
 }
--- a/node/src/main/java/org/fuchsialever/node/directory/DirectoryActions.java
+++ b/node/src/main/java/org/fuchsialever/node/directory/DirectoryActions.java
@@ -13,6 +13,7 @@
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.kernel.duty.ActionSink;
 import org.fuchsialever.node.batch.BatchRows;
+import org.fuchsialever.node.directory.Directory.VersionedPresence;
 import org.fuchsialever.node.trace.TraceLog;
 import org.fuchsialever.services.hosted.Declaration;
 import org.fuchsialever.services.hosted.HostedServices;
@@ -63,6 +64,8 @@
             mDirectory.markCurrent(current.table());
             if (current.table() == DirectoryTable.BATCHES) {
                 mDirectory.notifyBatchTableAvailability(true);
+            } else if (current.table() == DirectoryTable.INSTANCES) {
+                mDirectory.notifyPresencesCurrent();
             }
         } else if (action instanceof DirectoryAction.StoreUnreachable lost) {
             mTrace.line(PART, "store-lost")
@@ -219,15 +222,15 @@
     }
 
     private void applyPresences(List<MirrorRow> rows) {
-        List<Presence> changed = new ArrayList<>();
-        List<String> removed = new ArrayList<>();
+        List<VersionedPresence> changed = new ArrayList<>();
+        List<Integer> removed = new ArrayList<>();
         for (MirrorRow row : rows) {
             if (row.removed()) {
-                removed.add(row.key());
+                Presence.slotOf(row.key()).forEach(removed::add);
                 continue;
             }
             Presence.decode(row.key(), row.value())
-                    .peek(changed::add)
+                    .peek(presence -> changed.add(new VersionedPresence(presence, row.version())))
                     .peekLeft(problem -> reportUnreadable(DirectoryTable.INSTANCES, row, problem));
         }
         mDirectory.changePresences(changed, removed);
--- a/node/src/main/java/org/fuchsialever/node/directory/DirectoryComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/directory/DirectoryComponent.java
@@ -27,26 +27,33 @@
 
     @Override
     public Set<Class<?>> provides() {
-        return Set.of(Directory.class, StoreClock.class);
+        return Set.of(Directory.class, ReadPace.class, StoreClock.class);
     }
 
     @Override
     public void install(ComponentContext context) {
         StoreClock clock = new StoreClock(context.time());
         Directory directory = new Directory(context.time(), clock);
-        context.startDutyWith(
-                new DirectoryDuty(context.random("directory")),
-                RING_CAPACITY,
-                OverflowPolicy.REFUSE,
-                inbox ->
-                        new DirectoryActions(
-                                context.require(HostedServices.class),
-                                directory,
-                                clock,
-                                context.require(TraceLog.class),
-                                context.meters(),
-                                event -> offer(inbox, event)));
+        Inbox<DirectoryEvent> duty =
+                context.startDutyWith(
+                        new DirectoryDuty(context.random("directory")),
+                        RING_CAPACITY,
+                        OverflowPolicy.REFUSE,
+                        inbox ->
+                                new DirectoryActions(
+                                        context.require(HostedServices.class),
+                                        directory,
+                                        clock,
+                                        context.require(TraceLog.class),
+                                        context.meters(),
+                                        event -> offer(inbox, event)));
         context.provide(Directory.class, directory);
+        context.provide(
+                ReadPace.class,
+                member -> {
+                    directory.setMember(member);
+                    offer(duty, new DirectoryEvent.MembershipChanged(member));
+                });
         context.provide(StoreClock.class, clock);
     }
 
--- a/node/src/main/java/org/fuchsialever/node/directory/DirectoryListener.java
+++ b/node/src/main/java/org/fuchsialever/node/directory/DirectoryListener.java
@@ -22,4 +22,11 @@
 
     /** The table of submissions has been read, or can no longer be read. */
     default void onBatchTableAvailability(boolean available) {}
+
+    /** Slots of the working set were written or removed. */
+    default void onPresencesChanged(
+            List<Directory.VersionedPresence> changed, List<Integer> removed) {}
+
+    /** All changes of the slots of the working set have been read. */
+    default void onPresencesCurrent() {}
 }
--- a/node/src/main/java/org/fuchsialever/node/directory/Presence.java
+++ b/node/src/main/java/org/fuchsialever/node/directory/Presence.java
@@ -4,24 +4,38 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.io.IOException;
+import java.util.Locale;
 
 /**
- * A heartbeat of an instance.
+ * A slot of the working set, which its member renews as a heartbeat.
  *
+ * @param slot number of the slot
  * @param instance name of the instance
  * @param start start ID of its process
  * @param storeMillis when it was written, by the clock of the store, in milliseconds
  * @param leaving whether the instance is shutting down
  */
-public record Presence(String instance, String start, long storeMillis, boolean leaving) {
+public record Presence(int slot, String instance, String start, long storeMillis, boolean leaving) {
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
+    /** Returns the key of the row of a slot. */
+    public static String key(int slot) {
+        return String.format(Locale.ROOT, "%03d", slot);
+    }
+
+    /** Returns the slot whose row has this key, or none for another row. */
+    static Option<Integer> slotOf(String key) {
+        return key.matches("[0-9]{1,3}") ? Option.some(Integer.parseInt(key)) : Option.none();
+    }
+
     /** Encodes the value of the row. */
     public byte[] encode() {
         try {
             return MAPPER.writeValueAsBytes(
                     MAPPER.createObjectNode()
+                            .put("instance", instance)
                             .put("start", start)
                             .put("at", storeMillis)
                             .put("leaving", leaving));
@@ -31,15 +45,16 @@
     }
 
     /** Decodes a row, or returns what is wrong with it. */
-    static Either<String, Presence> decode(String instance, byte[] value) {
+    public static Either<String, Presence> decode(String key, byte[] value) {
         try {
             JsonNode node = MAPPER.readTree(value);
-            if (node == null || !node.path("start").isTextual()) {
-                return Either.left("not a heartbeat");
+            if (node == null || slotOf(key).isEmpty() || !node.path("instance").isTextual()) {
+                return Either.left("not a slot");
             }
             return Either.right(
                     new Presence(
-                            instance,
+                            Integer.parseInt(key),
+                            node.path("instance").asText(),
                             node.path("start").asText(),
                             node.path("at").asLong(),
                             node.path("leaving").asBoolean()));
--- a/node/src/main/java/org/fuchsialever/node/hosted/HostedComponents.java
+++ b/node/src/main/java/org/fuchsialever/node/hosted/HostedComponents.java
@@ -7,12 +7,12 @@
 import org.fuchsialever.kernel.plugin.PluginProvider;
 import org.fuchsialever.node.batch.BatchComponent;
 import org.fuchsialever.node.directory.DirectoryComponent;
-import org.fuchsialever.node.directory.PresenceComponent;
 import org.fuchsialever.node.entry.EntryComponent;
 import org.fuchsialever.node.forward.ForwardComponent;
 import org.fuchsialever.node.metering.MeteringComponent;
 import org.fuchsialever.node.trace.TraceComponent;
 import org.fuchsialever.node.version.VersionComponent;
+import org.fuchsialever.node.workingset.WorkingSetComponent;
 
 /** Registers the components of an instance on a hosting platform. */
 public final class HostedComponents implements PluginProvider {
@@ -28,7 +28,7 @@
                 new HostedComponent(),
                 new TraceComponent(),
                 new DirectoryComponent(),
-                new PresenceComponent(),
+                new WorkingSetComponent(),
                 new ForwardComponent(),
                 new BatchComponent(),
                 new VersionComponent(),
--- a/node/src/main/java/org/fuchsialever/node/lease/LeaseComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/lease/LeaseComponent.java
@@ -46,7 +46,7 @@
 
     @Override
     public Set<Class<?>> provides() {
-        return Set.of(Leases.class);
+        return Set.of(Leases.class, LeaseParticipation.class);
     }
 
     @Override
@@ -62,6 +62,9 @@
                 context.startDuty(duty, RING_CAPACITY, OverflowPolicy.REFUSE, service);
         service.connect(event -> offer(inbox, event));
         context.provide(Leases.class, service);
+        context.provide(
+                LeaseParticipation.class,
+                active -> offer(inbox, new LeaseEvent.ParticipationChanged(active)));
     }
 
     private static void offer(Inbox<LeaseEvent> inbox, LeaseEvent event) {
