Check the lease again before a usage report or an order is sent

Cause: a usage report was sent after up to three calls to the store without another look at the lease, so with a slow store a former holder could act beside the next one, with a lower token where the platform does not check it; a lease that ended during a call to the platform was not considered at all. Sums of a window left out the processes beyond one page of 500 rows. Change: reports and orders leave only under a lease that is valid for the time limit of the call, 1 s. Periods of leases follow from the bound in the settings; an instance that starts bids for no role during two lease durations.

--- a/decisions/src/main/java/org/fuchsialever/decisions/lease/LeasePlan.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/lease/LeasePlan.java
@@ -36,6 +36,9 @@
     private static final long BID_LIFETIME_NANOS = 5_000 * NANOS_PER_MILLI;
     private static final int MIN_IMBALANCE = 2;
 
+    /** An instance places its first bid after this many lease durations. */
+    private static final int FIRST_BID_LEASES = 2;
+
     private final String mInstance;
     private final String mOwnPrefix;
     private final LeaseTiming mTiming;
@@ -152,6 +155,10 @@
         if (!mView.isScanned()) {
             return null;
         }
+        if (mNextBid == Long.MIN_VALUE) {
+            // A holder that restarts must not get the role back while its last act is recent.
+            mNextBid = now + FIRST_BID_LEASES * mTiming.duration();
+        }
         if (now < mNextBid) {
             timer.atLatest(mNextBid);
             return null;
--- a/node/src/main/java/org/fuchsialever/node/lease/LeaseComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/lease/LeaseComponent.java
@@ -27,7 +27,8 @@
 
     @Override
     public void configure(SettingsReader settings) {
-        LeaseTiming standard = LeaseTiming.standard();
+        long bound = settings.duration("leases", "takeover-bound", Duration.ZERO).toNanos();
+        LeaseTiming standard = bound > 0 ? LeaseTiming.within(bound) : LeaseTiming.standard();
         mTiming =
                 new LeaseTiming(
                         nanos(settings, "duration", standard.duration()),
--- a/node/src/main/java/org/fuchsialever/node/lease/LeaseService.java
+++ b/node/src/main/java/org/fuchsialever/node/lease/LeaseService.java
@@ -69,6 +69,13 @@
                 .filter(lease -> mTime.nanoTime() < current.validUntil);
     }
 
+    @Override
+    public Option<HeldLease> heldFor(String role, Duration time) {
+        Holding current = mHolding;
+        return Option.of(current.leases.get(role))
+                .filter(lease -> mTime.nanoTime() + time.toNanos() < current.validUntil);
+    }
+
     @Override
     public void emit(LeaseAction action) {
         if (action instanceof LeaseAction.ReadTable read) {
--- a/node/src/main/java/org/fuchsialever/node/lease/Leases.java
+++ b/node/src/main/java/org/fuchsialever/node/lease/Leases.java
@@ -1,6 +1,7 @@
 package org.fuchsialever.node.lease;
 
 import io.vavr.control.Option;
+import java.time.Duration;
 
 /** Roles that one instance at a time may hold. */
 public interface Leases {
@@ -17,6 +18,12 @@
     /** Returns the lease of a role if this instance holds it and it is valid now. */
     Option<HeldLease> held(String role);
 
+    /**
+     * Returns the lease of a role if it is valid for at least the given time, so that a call that
+     * takes no longer ends before another instance can act in the role.
+     */
+    Option<HeldLease> heldFor(String role, Duration time);
+
     /**
      * Returns whether a lease is valid now. Call this directly before an order is written, where
      * {@code Invariant.ONE_ORDERING_HOLDER} is checked; a role that was lost and acquired again
--- a/node/src/main/java/org/fuchsialever/node/metering/MeteringRows.java
+++ b/node/src/main/java/org/fuchsialever/node/metering/MeteringRows.java
@@ -25,6 +25,10 @@
     private static final String REPORTS = "usage-reports";
 
     private static final int MAX_ROWS = 500;
+
+    /** Below the store's limit of 100 entries per change. */
+    private static final int MAX_REMOVALS = 90;
+
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final RowStore mRows;
@@ -43,15 +47,36 @@
 
     /** Returns the sum of the counts of all processes. */
     Mono<Map<String, Long>> sum(long window) {
-        return mRows.range(COUNTS, window + "/", window + "/~", MAX_ROWS)
-                .map(
+        return sum(window, window + "/", new TreeMap<>());
+    }
+
+    private Mono<Map<String, Long>> sum(long window, String from, Map<String, Long> sum) {
+        return mRows.range(COUNTS, from, window + "/~", MAX_ROWS)
+                .flatMap(
                         page -> {
-                            Map<String, Long> sum = new TreeMap<>();
                             for (StoredRow row : page.rows()) {
                                 decode(row.value())
                                         .forEach((team, n) -> sum.merge(team, n, Long::sum));
                             }
-                            return sum;
+                            if (!page.hasMore() || page.rows().isEmpty()) {
+                                return Mono.just(sum);
+                            }
+                            StoredRow last = page.rows().get(page.rows().size() - 1);
+                            return sum(window, last.key().key() + "\u0001", sum);
+                        });
+    }
+
+    /** Removes the counts of a window that is reported; the closed window stays. */
+    Mono<Void> removeCounts(long window) {
+        return mRows.range(COUNTS, window + "/", window + "/~", MAX_REMOVALS)
+                .flatMap(
+                        page -> {
+                            if (page.rows().isEmpty()) {
+                                return Mono.empty();
+                            }
+                            List<RowKey> keys = page.rows().stream().map(StoredRow::key).toList();
+                            return mRows.change(new RowChange(Map.of(), Map.of(), keys))
+                                    .then(Mono.defer(() -> removeCounts(window)));
                         });
     }
 
--- a/node/src/main/java/org/fuchsialever/node/metering/UsageReporter.java
+++ b/node/src/main/java/org/fuchsialever/node/metering/UsageReporter.java
@@ -10,6 +10,7 @@
 import org.fuchsialever.node.lease.HeldLease;
 import org.fuchsialever.node.lease.Leases;
 import org.fuchsialever.node.trace.TraceLog;
+import org.fuchsialever.services.PlatformException;
 import org.fuchsialever.services.hosted.FencedCalls;
 import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Mono;
@@ -90,7 +91,8 @@
         flush();
     }
 
-    private void tick() {
+    /** Writes new counts and reports the windows that have ended; called each second. */
+    void tick() {
         flush();
         Option<HeldLease> lease = mLeases.held(ROLE);
         if (lease.isEmpty() || mReporting || lease.get().fencing() == mRejectedFencing) {
@@ -145,16 +147,23 @@
         }
         return mRows.sum(window)
                 .flatMap(sum -> mRows.close(window, sum))
-                .flatMap(
-                        closedCounts ->
-                                mDuties.reportUsage(window, closedCounts, fencing)
-                                        .flatMap(
-                                                result ->
-                                                        handleResult(
-                                                                window,
-                                                                closedCounts,
-                                                                fencing,
-                                                                result)));
+                .flatMap(closedCounts -> send(window, closedCounts, fencing));
+    }
+
+    /** The store may have taken longer than the lease was valid, so it is checked again. */
+    private Mono<Void> send(long window, Map<String, Long> closedCounts, long fencing) {
+        boolean mayAct =
+                mLeases.heldFor(ROLE, FencedCalls.TIME_LIMIT)
+                        .exists(lease -> lease.fencing() == fencing);
+        if (!mayAct) {
+            mTrace.line(PART, "report-withheld")
+                    .with("window", window)
+                    .with("fencing", fencing)
+                    .write();
+            return Mono.empty();
+        }
+        return mDuties.reportUsage(window, closedCounts, fencing)
+                .flatMap(result -> handleResult(window, closedCounts, fencing, result));
     }
 
     private Mono<Void> handleResult(
@@ -169,7 +178,17 @@
         switch (result) {
             case ACCEPTED -> {
                 mNextWindow = window + 1;
-                return reportEnded(fencing);
+                return mRows.removeCounts(window - MAX_BACKLOG_WINDOWS)
+                        .onErrorResume(
+                                PlatformException.class,
+                                failure -> {
+                                    mTrace.line(PART, "counts-not-removed")
+                                            .with("window", window - MAX_BACKLOG_WINDOWS)
+                                            .with("reason", String.valueOf(failure.getMessage()))
+                                            .write();
+                                    return Mono.empty();
+                                })
+                        .then(Mono.defer(() -> reportEnded(fencing)));
             }
             case FENCED -> mRejectedFencing = fencing;
             case BUSY -> {}
--- a/node/src/main/java/org/fuchsialever/node/version/VersionActions.java
+++ b/node/src/main/java/org/fuchsialever/node/version/VersionActions.java
@@ -72,7 +72,7 @@
         String id = order.upstream().id();
         // The lease may have ended since the duty decided.
         boolean mayAct =
-                mLeases.held(VersionComponent.ROLE)
+                mLeases.heldFor(VersionComponent.ROLE, UpstreamOrders.TIME_LIMIT)
                         .map(HeldLease::fencing)
                         .exists(fencing -> fencing == send.fencing());
         if (!mayAct) {
--- a/node/src/test/java/org/fuchsialever/node/intent/RoleIntentsTest.java
+++ b/node/src/test/java/org/fuchsialever/node/intent/RoleIntentsTest.java
@@ -128,6 +128,11 @@
         @Override
         public void release(String role) {}
 
+        @Override
+        public Option<HeldLease> heldFor(String role, Duration time) {
+            return held(role);
+        }
+
         @Override
         public Option<HeldLease> held(String role) {
             return Option.none();
--- a/node/src/test/java/org/fuchsialever/node/samples/FakeLeases.java
+++ b/node/src/test/java/org/fuchsialever/node/samples/FakeLeases.java
@@ -1,6 +1,7 @@
 package org.fuchsialever.node.samples;
 
 import io.vavr.control.Option;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.fuchsialever.node.lease.HeldLease;
@@ -83,6 +84,11 @@
         @Override
         public void release(String released) {}
 
+        @Override
+        public Option<HeldLease> heldFor(String role, Duration time) {
+            return held(role);
+        }
+
         @Override
         public Option<HeldLease> held(String requestedRole) {
             synchronized (FakeLeases.this) {
--- a/node/src/test/java/org/fuchsialever/node/usage/SimulatedLeases.java
+++ b/node/src/test/java/org/fuchsialever/node/usage/SimulatedLeases.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Option;
 import io.vavr.control.Try;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -30,6 +31,11 @@
         mHeld.remove(role);
     }
 
+    @Override
+    public Option<HeldLease> heldFor(String role, Duration time) {
+        return held(role);
+    }
+
     @Override
     public Option<HeldLease> held(String role) {
         return Option.of(mHeld.get(role));
--- a/services/src/main/java/org/fuchsialever/services/hosted/FencedCalls.java
+++ b/services/src/main/java/org/fuchsialever/services/hosted/FencedCalls.java
@@ -1,10 +1,13 @@
 package org.fuchsialever.services.hosted;
 
+import java.time.Duration;
 import java.util.Map;
 import reactor.core.publisher.Mono;
 
 /** Calls to the platform that carry a fencing token, so that only the holder of a role succeeds. */
 public interface FencedCalls {
+    /** A call without a response by then has failed; its effect is unknown. */
+    Duration TIME_LIMIT = Duration.ofSeconds(1);
 
     /**
      * Reports the calls of a usage window.
--- a/services/src/main/java/org/fuchsialever/services/hosted/UpstreamOrders.java
+++ b/services/src/main/java/org/fuchsialever/services/hosted/UpstreamOrders.java
@@ -1,5 +1,6 @@
 package org.fuchsialever.services.hosted;
 
+import java.time.Duration;
 import java.util.Map;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.version.VersionEvent.OrderResult;
@@ -8,6 +9,8 @@
 
 /** Sends orders to upstreams and reads their reports. */
 public interface UpstreamOrders {
+    /** An order or report without a response by then has failed. */
+    Duration TIME_LIMIT = Duration.ofSeconds(1);
 
     /** Reads the state of an upstream; fails if the upstream does not report it. */
     Mono<Report> report(FleetUpstream upstream);
