Move a running item only for a gain that is worth a connection

Change: an item moves if it probably ends at least 750 ms earlier elsewhere; what remains is taken to be as much as it has run, or 4 s if it is expected to be long.

--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
@@ -32,14 +32,11 @@
     /** Delay before an item is retried after an upstream responded with a server error. */
     private static final long FAILURE_RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
-    /** A running call moves if its upstream takes this many times as long for an event. */
-    private static final double MIN_MOVE_RATIO = 1.8;
+    /** A running call moves if it probably ends earlier elsewhere by at least this time. */
+    private static final long MIN_MOVE_GAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(750);
 
-    /** The same for a call that is long, which gains more. */
-    private static final double MIN_MOVE_RATIO_OF_LONG_CALL = 1.2;
-
-    /** A call that has run for this long counts as long, whatever was expected. */
-    private static final long LONG_RUN_NANOS = TimeUnit.SECONDS.toNanos(2);
+    /** The least remaining time that is assumed for a call that is expected to be long. */
+    private static final long LONG_REMAINDER_NANOS = TimeUnit.SECONDS.toNanos(4);
 
     /** Bounds how often a call moves, because each move reads the prompt again. */
     private static final int MAX_MOVES = 3;
@@ -177,10 +174,13 @@
                                 : mFleet.chooseSuspended(state.service(), untried));
     }
 
-    private static double minMoveRatio(ForwardCallState state, long now) {
-        boolean isLong =
-                state.call().expectedLong() || now - state.firstStartNanos() >= LONG_RUN_NANOS;
-        return isLong ? MIN_MOVE_RATIO_OF_LONG_CALL : MIN_MOVE_RATIO;
+    /** Lengths vary so much that a call which has run for long has as much before it. */
+    private static double moveGainNanos(
+            ForwardCallState state, long pace, long bestPace, long now) {
+        long elapsed = now - state.firstStartNanos();
+        long remainder =
+                state.call().expectedLong() ? Math.max(elapsed, LONG_REMAINDER_NANOS) : elapsed;
+        return remainder * (1 - (double) bestPace / pace);
     }
 
     private static Predicate<UpstreamState> suitable(ForwardCall call) {
@@ -208,7 +208,8 @@
         Predicate<UpstreamState> hasFreeSlot =
                 other -> other.utilization(now) < call.kind().maxUtilization();
         long best = mFleet.bestPaceNanos(state.service(), suitable(call).and(hasFreeSlot), now);
-        if (best > 0 && upstream.paceNanos(now) >= best * minMoveRatio(state, now)) {
+        if (best > 0
+                && moveGainNanos(state, upstream.paceNanos(now), best, now) > MIN_MOVE_GAIN_NANOS) {
             state.countMove();
             // The call starts elsewhere when the end of the cancelled attempt is reported.
             actions.emit(new ForwardAction.Cancel(event.number(), event.attempt()));
