Start a moved item at once at the engine that was chosen for it

Change: the duty chooses the engine first and starts the item there in the same step as it cancels the first attempt; the end of that attempt starts nothing.

--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallState.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallState.java
@@ -17,6 +17,7 @@
     private int mFailures;
     private boolean mMayHaveRun;
     private boolean mQueued;
+    private final Set<Integer> mSuperseded = new HashSet<>();
     private int mMoves;
     private long mFirstStartNanos;
 
@@ -68,7 +69,8 @@
         return mAttempts;
     }
 
-    void end(int attempt, AttemptOutcome outcome) {
+    /** Records the end of an attempt; returns whether the call had gone on elsewhere before. */
+    boolean end(int attempt, AttemptOutcome outcome) {
         mRunning.remove(attempt);
         mMayHaveRun |= outcome.mayHaveRun();
         if (outcome == AttemptOutcome.NOT_CONNECTED) {
@@ -77,6 +79,7 @@
         if (outcome == AttemptOutcome.FAILED) {
             mFailures++;
         }
+        return mSuperseded.remove(attempt);
     }
 
     /** Returns whether the call may be sent to another upstream. */
@@ -96,8 +99,11 @@
         return mMoves;
     }
 
-    void countMove() {
+    /** Records that the call goes on elsewhere, whatever the outcome of this attempt. */
+    void supersede(int attempt) {
         mMoves++;
+        mRunning.remove(attempt);
+        mSuperseded.add(attempt);
     }
 
     boolean mayHaveRun() {
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
@@ -176,11 +176,14 @@
 
     /** Lengths vary so much that a call which has run for long has as much before it. */
     private static double moveGainNanos(
-            ForwardCallState state, long pace, long bestPace, long now) {
+            ForwardCallState state, UpstreamState from, UpstreamState to, long now) {
+        if (to.paceNanos(now) == 0) {
+            return 0;
+        }
         long elapsed = now - state.firstStartNanos();
         long remainder =
                 state.call().expectedLong() ? Math.max(elapsed, LONG_REMAINDER_NANOS) : elapsed;
-        return remainder * (1 - (double) bestPace / pace);
+        return remainder * (1 - (double) to.paceNanos(now) / from.paceNanos(now));
     }
 
     private static Predicate<UpstreamState> suitable(ForwardCall call) {
@@ -205,15 +208,26 @@
         if (!mayMove) {
             return;
         }
-        Predicate<UpstreamState> hasFreeSlot =
-                other -> other.utilization(now) < call.kind().maxUtilization();
-        long best = mFleet.bestPaceNanos(state.service(), suitable(call).and(hasFreeSlot), now);
-        if (best > 0
-                && moveGainNanos(state, upstream.paceNanos(now), best, now) > MIN_MOVE_GAIN_NANOS) {
-            state.countMove();
-            // The call starts elsewhere when the end of the cancelled attempt is reported.
-            actions.emit(new ForwardAction.Cancel(event.number(), event.attempt()));
-        }
+        Predicate<UpstreamState> worthwhile =
+                other ->
+                        other != upstream
+                                && moveGainNanos(state, upstream, other, now) > MIN_MOVE_GAIN_NANOS;
+        Option<UpstreamState> target =
+                mFleet.choose(
+                        state.service(),
+                        suitable(call).and(worthwhile),
+                        call.kind().maxUtilization(),
+                        call.kind().loadStep(),
+                        call.kind().paceWeight(true),
+                        "",
+                        now);
+        target.forEach(
+                chosen -> {
+                    state.supersede(event.attempt());
+                    actions.emit(new ForwardAction.Cancel(event.number(), event.attempt()));
+                    // Started at once, because another call may take the free slot meanwhile.
+                    start(state, chosen, ForwardAction.StartReason.MOVE, now, actions);
+                });
     }
 
     private void start(
@@ -252,8 +266,10 @@
             if (report.version() > 0) {
                 upstream.observeVersion(state.call().model(), report.version());
             }
-            state.end(event.attempt(), outcome);
-            afterAttempt(state, event.attempt(), outcome, now, actions);
+            boolean superseded = state.end(event.attempt(), outcome);
+            if (!superseded) {
+                afterAttempt(state, event.attempt(), outcome, now, actions);
+            }
         }
         drainQueue(now, actions);
     }
@@ -289,11 +305,7 @@
                             TimerKind.RETRY));
             return;
         }
-        ForwardAction.StartReason reason =
-                outcome == AttemptOutcome.CANCELLED
-                        ? ForwardAction.StartReason.MOVE
-                        : ForwardAction.StartReason.RETRY;
-        startOrQueue(state, reason, now, actions);
+        startOrQueue(state, ForwardAction.StartReason.RETRY, now, actions);
     }
 
     private void giveUp(
