--- a/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
+++ b/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
@@ -150,6 +150,35 @@
         }
     }
 
+    @Test
+    void refusesAResponseWithTwoLengths() throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\n";
+        try (ScriptedServer server = new ScriptedServer(head + "abcde")) {
+            assertThat(send(server, "1"), is("MALFORMED "));
+        }
+    }
+
+    @Test
+    void skipsInterimResponsesHoweverManyArrive() throws Exception {
+        String interim = "HTTP/1.1 103 Early Hints\r\nId: 1\r\n\r\n".repeat(1_000);
+        try (ScriptedServer server = new ScriptedServer(interim + response("1", "one"))) {
+            assertThat(send(server, "1"), is("COMPLETE one"));
+        }
+    }
+
+    @Test
+    void waitsForNoBodyOfAResponseThatCanHaveNone() throws Exception {
+        for (String status : new String[] {"204 No Content", "304 Not Modified"}) {
+            String head = "HTTP/1.1 " + status + "\r\nId: 1\r\nContent-Length: 9\r\n\r\n";
+            try (ScriptedServer server =
+                    new ScriptedServer(head + "surprise!", response("2", "two"))) {
+                assertThat(send(server, "1"), is("COMPLETE "));
+                assertThat(send(server, "2"), is("COMPLETE two"));
+                assertThat(status, server.connections(), is(2));
+            }
+        }
+    }
+
     @Test
     void boundsTrailersAndChunkExtensionsWithoutEnd() throws Exception {
         String head = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
