Run the large steps of a model at two instances in turn

Change: submissions of more than 200 items alternate between the two best-ranked members; smaller ones stay at one, which keeps its connections. The choice is a function of its own.

--- a/node/src/main/java/org/fuchsialever/node/batch/BatchService.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchService.java
@@ -15,6 +15,7 @@
 import org.fuchsialever.decisions.batch.BatchState;
 import org.fuchsialever.decisions.batch.ItemResult;
 import org.fuchsialever.decisions.batch.Peer;
+import org.fuchsialever.decisions.batch.Placement;
 import org.fuchsialever.decisions.directory.DirectoryTable;
 import org.fuchsialever.kernel.time.TimeSource;
 import org.fuchsialever.node.NodeIdentity;
@@ -132,14 +133,13 @@
                         failure -> Mono.just(notAccepted(id, failure.getMessage())));
     }
 
-    /** Places a team's submissions for a model on one instance to reuse engine connections. */
     private Peer chooseOwner(String team, BatchSpec spec) {
         Peer self = new Peer(mIdentity.instance().value(), mIdentity.startId());
         List<Peer> candidates = new ArrayList<>(mDirectory.livePeers());
         if (candidates.isEmpty()) {
             candidates.add(self);
         }
-        return Peer.ranked(candidates, team + "/" + spec.model()).get(0);
+        return Placement.owner(candidates, team, spec);
     }
 
     private Mono<BatchReply> create(BatchState state, BatchSpec spec) {
