--- a/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
@@ -37,18 +37,14 @@
 import org.fuchsialever.services.PlatformException;
 import org.fuchsialever.services.hosted.UpstreamProtocol;
 import org.fuchsialever.services.rows.RowChangeResult;
-import org.fuchsialever.services.rows.RowKey;
-import org.fuchsialever.services.rows.StoredRow;
 import reactor.core.publisher.Mono;
 
 /** Executes the actions of the batch duty: upstream calls and writes to the store. */
 final class BatchActions implements ActionSink<BatchAction> {
     private static final String PART = "batch";
 
-    /** Keeps a change below the store's limit of 1 MB: a segment has at most 40,000 characters. */
-    private static final int MAX_KEPT_PER_CHANGE = 10;
-
     private final BatchStore mStore;
+    private final TextKeeper mTextKeeper;
     private final Directory mDirectory;
     private final ForwardPort mForward;
     private final UpstreamProtocol mProtocol;
@@ -70,6 +66,7 @@
             TraceLog trace,
             Runnable onDrained) {
         mStore = store;
+        mTextKeeper = new TextKeeper(store, trace);
         mDirectory = directory;
         mForward = forward;
         mProtocol = protocol;
@@ -149,54 +146,7 @@
                                                         part.versions())));
             }
         }
-        for (int from = 0; from < segments.size(); from += MAX_KEPT_PER_CHANGE) {
-            int to = Math.min(segments.size(), from + MAX_KEPT_PER_CHANGE);
-            keepTexts(keep.id(), keep.model(), segments.subList(from, to), true);
-        }
-    }
-
-    private void keepTexts(
-            String id, String model, List<TextSegment> segments, boolean firstAttempt) {
-        if (segments.isEmpty()) {
-            return;
-        }
-        mStore.keepTexts(model, segments)
-                .subscribe(
-                        result -> {
-                            boolean applied = result instanceof RowChangeResult.Applied;
-                            mTrace.line(PART, applied ? "texts-kept" : "texts-not-kept")
-                                    .with("id", id)
-                                    .with("segments", segments.size())
-                                    .write();
-                            if (result instanceof RowChangeResult.Rejected rejected
-                                    && firstAttempt) {
-                                keepTexts(id, model, without(segments, model, rejected), false);
-                            }
-                        },
-                        failure ->
-                                mTrace.line(PART, "texts-not-kept")
-                                        .with("id", id)
-                                        .with("segments", segments.size())
-                                        .with("reason", String.valueOf(failure.getMessage()))
-                                        .write());
-    }
-
-    /** Leaves out the items of which another run has stored a segment. */
-    private static List<TextSegment> without(
-            List<TextSegment> segments, String model, RowChangeResult.Rejected rejected) {
-        Set<RowKey> present = new HashSet<>();
-        for (StoredRow row : rejected.currentRows()) {
-            if (!row.removed()) {
-                present.add(row.key());
-            }
-        }
-        Set<String> items = new HashSet<>();
-        for (TextSegment segment : segments) {
-            if (present.contains(BatchRows.textKey(model, segment.key()))) {
-                items.add(segment.itemId());
-            }
-        }
-        return segments.stream().filter(segment -> !items.contains(segment.itemId())).toList();
+        mTextKeeper.keep(keep.id(), keep.model(), segments);
     }
 
     /** Opens a submission that this instance owns, with the stored texts of its items. */
