Keep the events of a stopped text that its owner has not read

Cause: when a trainer ends a step, the owner stored the events that it knew and took from the run those that the run had not reported. A report that still waited in the ring belonged to neither, so its events were left out; where it was the first one, the later events were stored as the beginning of the text, and the next run went on after them. Related path: a report did not name its run, so one of a stopped run could be stored for the next run of the item.

Change: KeepTexts names the event after those that the owner knows, and the run returns all events from there on, in parts that fit into a row. Reports name their run, and names of runs differ between two openings of a submission by one process.

--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchAction.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchAction.java
@@ -17,6 +17,7 @@
      * @param spec the submission
      * @param state its state
      * @param item index of the item
+     * @param run identifies this run of the item
      * @param queueRank smaller values run first
      * @param expectedLong whether the text is probably much longer than most of the submission
      * @param beginning the stored beginning of the text
@@ -25,6 +26,7 @@
             BatchSpec spec,
             BatchState state,
             int item,
+            String run,
             long queueRank,
             boolean expectedLong,
             PartialText beginning)
@@ -41,7 +43,7 @@
      * @param id ID of the submission
      * @param model the model that generates the texts
      * @param reported segments that no commit has stored
-     * @param open the texts whose latest events have not been reported
+     * @param open the texts that are being generated, whose later events only their runs know
      */
     record KeepTexts(String id, String model, List<TextSegment> reported, List<OpenText> open)
             implements BatchAction {
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
@@ -51,6 +51,7 @@
     private final Set<String> mPlaced = new HashSet<>();
     private List<Peer> mPeers = List.of();
     private long mReachableSince = Long.MAX_VALUE;
+    private int mOpenings;
     private boolean mStoreReachable;
     private boolean mDraining;
     private long mReleaseAt = NO_TIMER;
@@ -223,7 +224,7 @@
         if (mOwned.containsKey(id) || endedMeanwhile) {
             return;
         }
-        OwnedBatch batch = new OwnedBatch(opened, now);
+        OwnedBatch batch = new OwnedBatch(opened, mOpenings++, now);
         mOwned.put(id, batch);
         if (mDraining && mReleaseAt == NO_TIMER) {
             batch.release(actions);
@@ -237,7 +238,7 @@
         if (event instanceof BatchEvent.Progressed part) {
             OwnedBatch batch = mOwned.get(part.id());
             if (batch != null) {
-                batch.progressed(part.item(), part.firstEvent(), part.events(), part.versions());
+                batch.progressed(part);
             }
         } else if (event instanceof BatchEvent.Generated done) {
             OwnedBatch batch = mOwned.get(done.id());
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchEvent.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchEvent.java
@@ -37,12 +37,18 @@
      *
      * @param id ID of the submission
      * @param item index of the item
+     * @param run the run that generated them
      * @param firstEvent number of the first of them
      * @param events the data of the events
      * @param versions the weight versions that generated them
      */
     record Progressed(
-            String id, int item, long firstEvent, List<String> events, List<Long> versions)
+            String id,
+            int item,
+            String run,
+            long firstEvent,
+            List<String> events,
+            List<Long> versions)
             implements BatchEvent {}
 
     /** The text of an item was generated. */
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/OwnedBatch.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/OwnedBatch.java
@@ -46,7 +46,12 @@
     private long mLastCommitNanos;
     private long mRetryAtNanos = Long.MAX_VALUE;
 
-    OwnedBatch(BatchEvent.OpenedBatch opened, long now) {
+    /**
+     * Creates the state of a submission.
+     *
+     * @param opening how many submissions this process had opened before
+     */
+    OwnedBatch(BatchEvent.OpenedBatch opened, int opening, long now) {
         mSpec = opened.spec();
         mState = opened.state();
         mVersion = opened.version();
@@ -56,7 +61,7 @@
         mSingleVersion = opened.singleVersion();
         mLastCommitNanos = now;
         mStoredTexts = opened.storedTexts();
-        mOwnedTexts = new OwnedTexts(mSpec.id(), mState.epoch());
+        mOwnedTexts = new OwnedTexts(mSpec.id(), mState.epoch(), opening);
         for (int item = 0; item < mSpec.items().size(); item++) {
             if (!opened.finishedItems().contains(mSpec.items().get(item).id())) {
                 mUnfinished.add(item);
@@ -124,10 +129,16 @@
     }
 
     private void generate(int item, PartialText beginning, ActionSink<BatchAction> actions) {
-        mOwnedTexts.begin(mSpec.items().get(item).id(), beginning);
+        String run = mOwnedTexts.begin(mSpec.items().get(item).id(), beginning);
         actions.emit(
                 new BatchAction.Generate(
-                        mSpec, mState, item, queueRank(item), isExpectedLong(item), beginning));
+                        mSpec,
+                        mState,
+                        item,
+                        run,
+                        queueRank(item),
+                        isExpectedLong(item),
+                        beginning));
     }
 
     /** An item that was stopped before it ended has turned out to be long. */
@@ -151,9 +162,15 @@
     }
 
     /** Adds events of a text that is being generated; they are stored with the next commit. */
-    void progressed(int item, long firstEvent, List<String> events, List<Long> versions) {
+    void progressed(BatchEvent.Progressed part) {
+        int item = part.item();
         if (mUnfinished.contains(item) && !mTexts.containsKey(item) && !mSingleVersion) {
-            mOwnedTexts.add(mSpec.items().get(item).id(), firstEvent, events, versions);
+            mOwnedTexts.add(
+                    mSpec.items().get(item).id(),
+                    part.run(),
+                    part.firstEvent(),
+                    part.events(),
+                    part.versions());
         }
     }
 
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/OwnedTexts.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/OwnedTexts.java
@@ -21,16 +21,22 @@
     private final Deque<TextKey> mRemovable = new ArrayDeque<>();
     private int mRuns;
 
-    /** Creates the texts of a submission; the ID and epoch make the names of runs unique. */
-    OwnedTexts(String id, long epoch) {
-        mRunPrefix = id + "/" + epoch + "/";
+    /**
+     * Creates the texts of a submission. The arguments make the names of runs unique.
+     *
+     * @param epoch differs between the instances and processes that own the submission in turn
+     * @param opening differs when a process opens the submission again under the same epoch
+     */
+    OwnedTexts(String id, long epoch, int opening) {
+        mRunPrefix = id + "/" + epoch + "/" + opening + "/";
     }
 
-    /** Begins a run of an item after its stored beginning, which may be empty. */
-    void begin(String itemId, PartialText beginning) {
+    /** Begins a run of an item after its stored beginning, which may be empty; returns its name. */
+    String begin(String itemId, PartialText beginning) {
         drop(itemId);
         StoredText text = new StoredText(mRunPrefix + mRuns++, beginning);
         mTexts.put(itemId, text);
+        return text.mRun;
     }
 
     /** Makes the stored segments of an item removable that no run of it uses. */
@@ -38,11 +44,13 @@
         unused.segments().forEach(segment -> mRemovable.add(segment.key()));
     }
 
-    /** Adds events that the current run of an item has generated. */
-    void add(String itemId, long firstEvent, List<String> events, List<Long> versions) {
+    /** Adds events of a run, unless it is no longer the current run of the item. */
+    void add(String itemId, String run, long firstEvent, List<String> events, List<Long> versions) {
         StoredText text = mTexts.get(itemId);
-        boolean continues = text != null && (text.mNext < 0 || text.mNext == firstEvent);
-        if (text == null || !continues || events.isEmpty()) {
+        if (text == null || !text.mRun.equals(run) || events.isEmpty()) {
+            return;
+        }
+        if (text.mNext != OpenText.FROM_FIRST && text.mNext != firstEvent) {
             return;
         }
         TextSegment segment =
@@ -87,12 +95,12 @@
         return List.copyOf(mUnsaved);
     }
 
-    /** Returns the run of an item, without any event if none was reported yet. */
+    /** Returns the run of an item and the event that follows those added so far. */
     OpenText open(int item, String itemId) {
         StoredText text = mTexts.get(itemId);
         return text == null
-                ? new OpenText(item, itemId, "", "")
-                : new OpenText(item, itemId, text.mRun, text.mLastRun);
+                ? new OpenText(item, itemId, "", "", OpenText.FROM_FIRST)
+                : new OpenText(item, itemId, text.mRun, text.mLastRun, text.mNext);
     }
 
     private static final class StoredText {
@@ -104,7 +112,7 @@
         StoredText(String run, PartialText beginning) {
             mRun = run;
             mLastRun = beginning.lastRun();
-            mNext = beginning.isEmpty() ? -1 : beginning.lastEvent() + 1;
+            mNext = beginning.isEmpty() ? OpenText.FROM_FIRST : beginning.lastEvent() + 1;
             beginning.segments().forEach(segment -> mKeys.add(segment.key()));
         }
 
--- a/decisions/src/test/java/org/fuchsialever/decisions/batch/BatchDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/batch/BatchDutyTest.java
@@ -61,7 +61,7 @@
     @Test
     void storesTheEventsOfARunningItemWithTheNextCommitAndRemovesThemOnceItIsListed() {
         open(Set.of());
-        event(new BatchEvent.Progressed(ID, 0, 1, List.of("a", "b"), List.of(5L)));
+        progress(0, 1, List.of("a", "b"), List.of(5L));
         advance(SECOND);
         TextSegment saved = last(BatchAction.Commit.class).texts().saved().get(0);
         assertThat(saved.key(), is(new TextKey("x0", 1)));
@@ -88,8 +88,8 @@
     @Test
     void linksFurtherEventsToTheStoredTextThatTheyContinue() {
         open(Set.of(), Map.of("x0", stored("x0", 5)));
-        event(new BatchEvent.Progressed(ID, 0, 3, List.of("c"), List.of(5L)));
-        event(new BatchEvent.Progressed(ID, 0, 9, List.of("gap"), List.of(5L)));
+        progress(0, 3, List.of("c"), List.of(5L));
+        progress(0, 9, List.of("gap"), List.of(5L));
         advance(SECOND);
         List<TextSegment> saved = last(BatchAction.Commit.class).texts().saved();
         assertThat(saved, hasSize(1));
@@ -99,13 +99,40 @@
     @Test
     void keepsTheTextsOfUnfinishedItemsWhenTheTrainerEndsTheSubmission() {
         open(Set.of());
-        event(new BatchEvent.Progressed(ID, 0, 1, List.of("a"), List.of(5L)));
+        progress(0, 1, List.of("a"), List.of(5L));
         states(state("i1", "s1").asEnded(), 20);
         BatchAction.KeepTexts kept = last(BatchAction.KeepTexts.class);
         assertThat(kept.reported(), hasSize(1));
         assertThat(kept.open(), hasSize(2));
     }
 
+    /** Guards against stored texts that begin in the middle: a run knows more than its owner. */
+    @Test
+    void namesTheEventFromWhichOnARunMustKeepItsText() {
+        open(Set.of(), Map.of("x1", stored("x1", 5)));
+        states(state("i1", "s1").asEnded(), 20);
+        List<OpenText> open = last(BatchAction.KeepTexts.class).open();
+        assertThat(
+                open,
+                containsInAnyOrder(
+                        new OpenText(0, "x0", run(0), "", OpenText.FROM_FIRST),
+                        new OpenText(1, "x1", run(1), "former", 3)));
+    }
+
+    /** Guards against stored texts that begin in the middle: reports of a run that was stopped. */
+    @Test
+    void ignoresLateReportsOfARunThatIsNoLongerTheCurrentOne() {
+        open(Set.of());
+        String stopped = run(0);
+        list(1);
+        BatchState newer = state("i1", "s1").withResultCount(2);
+        event(new BatchEvent.Conflicted(ID, Option.some(new VersionedState(newer, 15))));
+        open(Set.of());
+        event(new BatchEvent.Progressed(ID, 0, stopped, 50, List.of("late"), List.of(5L)));
+        advance(SECOND);
+        assertThat(last(BatchAction.Commit.class).texts().saved(), is(empty()));
+    }
+
     @Test
     void keepsNoTextsOfASubmissionThatAnotherInstanceOwned() {
         open(Set.of());
@@ -345,6 +372,19 @@
                                 item, 1, "former", "", List.of("a", "b"), List.of(version))));
     }
 
+    private void progress(int item, long first, List<String> events, List<Long> versions) {
+        event(new BatchEvent.Progressed(ID, item, run(item), first, events, versions));
+    }
+
+    /** Returns the current run of an item. */
+    private String run(int item) {
+        List<BatchAction.Generate> runs =
+                all(BatchAction.Generate.class).stream()
+                        .filter(start -> start.item() == item)
+                        .toList();
+        return runs.get(runs.size() - 1).run();
+    }
+
     private void list(int item) {
         event(new BatchEvent.Generated(ID, item, "text" + item, List.of(5L)));
         event(new BatchEvent.Scored(ID, item, "signature"));
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
@@ -133,22 +133,30 @@
         for (OpenText open : keep.open()) {
             RunningCall call = mRunningCalls.get(new ItemKey(keep.id(), open.item()));
             if (call != null && call.handler instanceof ItemGenerationHandler handler) {
-                handler.takeUnreported()
-                        .forEach(
-                                part ->
-                                        segments.add(
-                                                new TextSegment(
-                                                        open.itemId(),
-                                                        part.firstEvent(),
-                                                        open.run(),
-                                                        open.continues(),
-                                                        part.events(),
-                                                        part.versions())));
+                segments.addAll(segments(open, handler.eventsFrom(open.nextEvent())));
             }
         }
         mTextKeeper.keep(keep.id(), keep.model(), segments);
     }
 
+    /** Links the events that only a run knows to those that the owner knows. */
+    static List<TextSegment> segments(OpenText open, List<TextProgress> parts) {
+        List<TextSegment> segments = new ArrayList<>();
+        String continues = open.continues();
+        for (TextProgress part : parts) {
+            segments.add(
+                    new TextSegment(
+                            open.itemId(),
+                            part.firstEvent(),
+                            open.run(),
+                            continues,
+                            part.events(),
+                            part.versions()));
+            continues = open.run();
+        }
+        return segments;
+    }
+
     /** Opens a submission that this instance owns, with the stored texts of its items. */
     void open(BatchState state, long version, BatchSpec spec, Set<String> listed) {
         if (spec.model().isEmpty()) {
@@ -283,6 +291,7 @@
                                         new BatchEvent.Progressed(
                                                 spec.id(),
                                                 index,
+                                                generate.run(),
                                                 part.firstEvent(),
                                                 part.events(),
                                                 part.versions())),
--- a/node/src/main/java/org/fuchsialever/node/batch/ItemGenerationHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/ItemGenerationHandler.java
@@ -1,14 +1,16 @@
 package org.fuchsialever.node.batch;
 
 import io.netty.handler.codec.http.HttpHeaders;
-import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.fuchsialever.decisions.batch.BatchItem;
+import org.fuchsialever.decisions.batch.OpenText;
 import org.fuchsialever.decisions.batch.PartialText;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.forward.AttemptOutcome;
@@ -49,10 +51,10 @@
     private final Consumer<TextProgress> mOnProgress;
     private final BiConsumer<String, List<Long>> mOnText;
     private final Consumer<String> mOnFailure;
+    private final PartialText mBeginning;
     private final List<String> mEvents = new ArrayList<>();
-    private final List<Long> mVersions = new ArrayList<>();
-    private final List<Long> mUnreportedVersions = new ArrayList<>();
-    private long mLastEvent = -1;
+    private final List<Long> mEventVersions = new ArrayList<>();
+    private long mLastEvent;
     private int mReportedEvents;
     private int mUnreportedCharacters;
     private long mUnreportedSinceNanos;
@@ -77,10 +79,8 @@
         mProtocol = protocol;
         mTime = time;
         mOnProgress = onProgress;
-        mEvents.addAll(beginning.events());
-        mVersions.addAll(beginning.versions());
+        mBeginning = beginning;
         mLastEvent = beginning.lastEvent();
-        mReportedEvents = mEvents.size();
         mOnText = onText;
         mOnFailure = onFailure;
     }
@@ -123,7 +123,11 @@
 
     @Override
     public synchronized void deliver(int attempt) {
-        mOnText.accept(String.join("\n", mEvents), List.copyOf(mVersions));
+        List<String> events = new ArrayList<>(mBeginning.events());
+        events.addAll(mEvents);
+        Set<Long> versions = new LinkedHashSet<>(mBeginning.versions());
+        versions.addAll(versions(0, mEvents.size()));
+        mOnText.accept(String.join("\n", events), List.copyOf(versions));
     }
 
     @Override
@@ -151,12 +155,13 @@
             mUnreportedSinceNanos = mTime.nanoTime();
         }
         mEvents.add(event.data());
-        addVersion(mVersions, version);
-        addVersion(mUnreportedVersions, version);
+        mEventVersions.add(version);
         mUnreportedCharacters += event.data().length();
         if (mTime.nanoTime() - mUnreportedSinceNanos >= REPORT_INTERVAL_NANOS
                 || mUnreportedCharacters >= MAX_REPORT_CHARACTERS) {
-            takeUnreported().forEach(mOnProgress);
+            mOnProgress.accept(progress(mReportedEvents, mEvents.size()));
+            mReportedEvents = mEvents.size();
+            mUnreportedCharacters = 0;
         }
         return true;
     }
@@ -165,25 +170,45 @@
         mSilentAttempts += outcome == AttemptOutcome.SILENT ? 1 : 0;
     }
 
-    private static void addVersion(List<Long> versions, long version) {
-        if (version > 0 && !versions.contains(version)) {
-            versions.add(version);
+    /**
+     * Returns the generated events from a number on, in parts that each fit into a row of the
+     * store. Reports that are still on their way to the owner do not count, since it may end the
+     * submission before it reads them.
+     *
+     * @param nextEvent number of the first event, {@link OpenText#FROM_FIRST} for all
+     */
+    synchronized List<TextProgress> eventsFrom(long nextEvent) {
+        long firstEvent = mLastEvent - mEvents.size() + 1;
+        long skipped = nextEvent == OpenText.FROM_FIRST ? 0 : nextEvent - firstEvent;
+        if (skipped < 0 || skipped >= mEvents.size()) {
+            return List.of();
         }
+        List<TextProgress> parts = new ArrayList<>();
+        int from = (int) skipped;
+        int characters = 0;
+        for (int event = from; event < mEvents.size(); event++) {
+            characters += mEvents.get(event).length();
+            if (characters >= MAX_REPORT_CHARACTERS || event == mEvents.size() - 1) {
+                parts.add(progress(from, event + 1));
+                from = event + 1;
+                characters = 0;
+            }
+        }
+        return parts;
     }
 
-    /** Returns the events since the last report and counts them as reported. */
-    synchronized Option<TextProgress> takeUnreported() {
-        int count = mEvents.size() - mReportedEvents;
-        if (count == 0) {
-            return Option.none();
-        }
-        List<String> events = List.copyOf(mEvents.subList(mReportedEvents, mEvents.size()));
-        TextProgress progress =
-                new TextProgress(mLastEvent - count + 1, events, List.copyOf(mUnreportedVersions));
-        mReportedEvents = mEvents.size();
-        mUnreportedCharacters = 0;
-        mUnreportedVersions.clear();
-        return Option.some(progress);
+    private TextProgress progress(int from, int to) {
+        return new TextProgress(
+                mLastEvent - mEvents.size() + 1 + from,
+                List.copyOf(mEvents.subList(from, to)),
+                versions(from, to));
+    }
+
+    private List<Long> versions(int from, int to) {
+        return mEventVersions.subList(from, to).stream()
+                .filter(version -> version > 0)
+                .distinct()
+                .toList();
     }
 
     /** Reads the events of one attempt. */
--- a/node/src/main/java/org/fuchsialever/node/forward/AttemptReader.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/AttemptReader.java
@@ -30,7 +30,8 @@
         mProtocol = protocol;
     }
 
-    final void onHead(int status, HttpHeaders headers) {
+    /** Reads the head of the response. */
+    public final void onHead(int status, HttpHeaders headers) {
         UpstreamResponseHead read = mProtocol.readResponseHead(status, headers);
         mResponse = read;
         // Requests accept no content encoding, so an encoded body is not the upstream's.
@@ -38,12 +39,14 @@
         handleHead(read, headers);
     }
 
-    final ContentVerdict onContent(byte[] bytes) {
+    /** Reads a part of the body and returns whether the response has progressed. */
+    public final ContentVerdict onContent(byte[] bytes) {
         mContentBytes += bytes.length;
         return mContentBytes > maxContentBytes() ? ContentVerdict.INVALID : handleContent(bytes);
     }
 
-    final AttemptReport onEnd(ExchangeOutcome end) {
+    /** Reads the end of the response and returns the result of the attempt. */
+    public final AttemptReport onEnd(ExchangeOutcome end) {
         AttemptOutcome outcome = outcome(end);
         Option<LoadHint> load = Option.of(mResponse).flatMap(UpstreamResponseHead::load);
         AttemptOutcome result = finalOutcome(outcome);
