Let the items of a large step wait for room instead of giving them up

Cause: ForwardRunner refused calls beyond 4,000 in progress, items included, and BatchActions took each refusal for a failure of the item. Live calls beside a large step were refused for the same reason.

The limit of 4,000 holds for live calls alone.

--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
@@ -95,6 +95,7 @@
         } else {
             ownedEvent(event, nowNanos, actions);
         }
+        ItemWindow.startWaiting(mOwned.values(), actions);
         scheduleCheck(nowNanos);
     }
 
@@ -104,6 +105,7 @@
             if (nowNanos >= batch.giveUpNanos()) {
                 batch.abandonUnfinished(actions);
             }
+            batch.repeatDeferred(actions);
             if (batch.retryAtNanos() <= nowNanos) {
                 batch.repeatCommit(nowNanos, actions);
             } else if (batch.hasFinishedResults()
@@ -118,6 +120,7 @@
             mReleaseAt = NO_TIMER;
             releaseAll(nowNanos, actions);
         }
+        ItemWindow.startWaiting(mOwned.values(), actions);
         mNextCheck = NO_TIMER;
         scheduleCheck(nowNanos);
     }
@@ -230,7 +233,7 @@
             batch.release(actions);
             batch.commit(now, actions);
         } else {
-            batch.start(actions);
+            batch.queueItems();
         }
     }
 
@@ -246,6 +249,11 @@
                 batch.generated(done.item(), done.text(), done.versions(), actions);
                 commitFinished(batch, now, actions);
             }
+        } else if (event instanceof BatchEvent.Deferred deferred) {
+            OwnedBatch batch = mOwned.get(deferred.id());
+            if (batch != null) {
+                batch.deferred(deferred.item());
+            }
         } else if (event instanceof BatchEvent.GenerationFailed failed) {
             itemFailed(failed.id(), failed.item(), now, actions);
         } else if (event instanceof BatchEvent.ScoringFailed failed) {
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchEvent.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchEvent.java
@@ -54,6 +54,12 @@
     /** The text of an item was generated. */
     record Generated(String id, int item, String text, List<Long> versions) implements BatchEvent {}
 
+    /**
+     * The generation or scoring of an item was not begun, because this instance has too many calls
+     * in progress; it is repeated.
+     */
+    record Deferred(String id, int item) implements BatchEvent {}
+
     /** The text of an item cannot be generated. */
     record GenerationFailed(String id, int item) implements BatchEvent {}
 
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/OwnedBatch.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/OwnedBatch.java
@@ -36,6 +36,9 @@
     private final Map<String, PartialText> mStoredTexts;
     private final OwnedTexts mOwnedTexts;
     private final Set<Integer> mUnfinished = new HashSet<>();
+    private final Deque<Integer> mWaiting = new ArrayDeque<>();
+    private final Set<Integer> mInProgress = new HashSet<>();
+    private final Set<Integer> mDeferred = new HashSet<>();
     private final Map<Integer, GeneratedText> mTexts = new HashMap<>();
     private final Deque<ItemResult> mFinishedResults = new ArrayDeque<>();
     private final Map<Integer, Long> mRanks = new HashMap<>();
@@ -97,8 +100,8 @@
         return mReleasing;
     }
 
-    /** Starts generation of all items without a result, the longest expected ones first. */
-    void start(ActionSink<BatchAction> actions) {
+    /** Orders the items without a result for their start, the longest expected ones first. */
+    void queueItems() {
         List<Integer> order =
                 mUnfinished.stream()
                         .sorted(
@@ -110,12 +113,48 @@
         for (int rank = 0; rank < order.size(); rank++) {
             int item = order.get(rank);
             mRanks.put(item, mDueMicros + rank);
-            PartialText stored = storedText(item);
-            if (stored.isAllowed(mSpec.minVersion()) && !mSingleVersion) {
-                generate(item, stored, actions);
-            } else {
-                mOwnedTexts.discard(stored);
-                generate(item, PartialText.NONE, actions);
+            mWaiting.add(item);
+        }
+    }
+
+    boolean hasWaitingItems() {
+        return !mWaiting.isEmpty();
+    }
+
+    /** Returns the number of items that are being generated or scored. */
+    int itemsInProgress() {
+        return mInProgress.size();
+    }
+
+    /** Starts the generation of the next waiting item. */
+    void startNext(ActionSink<BatchAction> actions) {
+        int item = mWaiting.remove();
+        PartialText stored = storedText(item);
+        mInProgress.add(item);
+        if (stored.isAllowed(mSpec.minVersion()) && !mSingleVersion) {
+            generate(item, stored, actions);
+        } else {
+            mOwnedTexts.discard(stored);
+            generate(item, PartialText.NONE, actions);
+        }
+    }
+
+    /** Notes that an item could not be passed on; nothing of it has run since. */
+    void deferred(int item) {
+        if (mUnfinished.contains(item)) {
+            mDeferred.add(item);
+        }
+    }
+
+    /** Repeats what was deferred: the scoring of a complete text, else the generation. */
+    void repeatDeferred(ActionSink<BatchAction> actions) {
+        for (int item : List.copyOf(mDeferred)) {
+            mDeferred.remove(item);
+            if (mTexts.containsKey(item)) {
+                score(item, actions);
+            } else if (mUnfinished.contains(item)) {
+                mInProgress.remove(item);
+                mWaiting.addFirst(item);
             }
         }
     }
@@ -185,6 +224,10 @@
             return;
         }
         mTexts.put(item, new GeneratedText(text, versions));
+        score(item, actions);
+    }
+
+    private void score(int item, ActionSink<BatchAction> actions) {
         BatchItem subject = mSpec.items().get(item);
         if (subject.scoringCall().isDefined()) {
             actions.emit(
@@ -198,6 +241,7 @@
     void scored(int item, String score) {
         GeneratedText text = mTexts.remove(item);
         if (text != null && mUnfinished.remove(item)) {
+            mInProgress.remove(item);
             mOwnedTexts.drop(mSpec.items().get(item).id());
             mFinishedResults.add(
                     new ItemResult(
@@ -208,6 +252,7 @@
     void failed(int item) {
         mTexts.remove(item);
         if (mUnfinished.remove(item)) {
+            mInProgress.remove(item);
             mOwnedTexts.drop(mSpec.items().get(item).id());
             mFinishedResults.add(ItemResult.abandoned(mSpec.items().get(item).id()));
         }
@@ -215,6 +260,7 @@
 
     /** Stops all items without a result and lists them as abandoned. */
     void abandonUnfinished(ActionSink<BatchAction> actions) {
+        mWaiting.clear();
         for (int item : List.copyOf(mUnfinished)) {
             actions.emit(new BatchAction.Stop(id(), item));
             failed(item);
@@ -324,6 +370,9 @@
     void stopAll(ActionSink<BatchAction> actions) {
         mUnfinished.forEach(item -> actions.emit(new BatchAction.Stop(id(), item)));
         mUnfinished.clear();
+        mWaiting.clear();
+        mInProgress.clear();
+        mDeferred.clear();
         mTexts.clear();
     }
 
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallKind.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallKind.java
@@ -4,6 +4,11 @@
 public enum ForwardCallKind {
     /** A call of a caller who waits for the response. */
     LIVE {
+        @Override
+        public int maxInProgress() {
+            return 4_000;
+        }
+
         @Override
         double maxUtilization() {
             return 3.0;
@@ -54,6 +59,15 @@
         }
     };
 
+    /**
+     * Returns the number of calls in progress from which on an instance refuses further ones.
+     * Items and their scoring are bounded by the owner of their submission, which keeps those that
+     * it has not begun.
+     */
+    public int maxInProgress() {
+        return Integer.MAX_VALUE;
+    }
+
     /** Returns the load per slot from which on an upstream gets no call of this kind. */
     abstract double maxUtilization();
 
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
@@ -302,8 +302,7 @@
                         },
                         reason -> {
                             mRunningCalls.remove(key);
-                            itemFailed("generation-failed", spec.id(), item.id(), reason);
-                            mInbox.offer(new BatchEvent.GenerationFailed(spec.id(), index));
+                            generationEnded(spec.id(), item.id(), index, reason);
                         });
         ForwardCall forwardCall =
                 new ForwardCall(
@@ -354,8 +353,7 @@
                         },
                         reason -> {
                             mRunningCalls.remove(key);
-                            itemFailed("scoring-failed", id, itemId, reason);
-                            mInbox.offer(new BatchEvent.ScoringFailed(id, index));
+                            scoringEnded(id, itemId, index, reason);
                         });
         ForwardCall forwardCall =
                 new ForwardCall(
@@ -391,6 +389,29 @@
                 handler);
     }
 
+    private void generationEnded(String id, String itemId, int index, ForwardRefusal reason) {
+        if (reason == ForwardRefusal.OVERLOADED) {
+            defer(id, itemId, index);
+        } else {
+            itemFailed("generation-failed", id, itemId, reason.name());
+            mInbox.offer(new BatchEvent.GenerationFailed(id, index));
+        }
+    }
+
+    private void scoringEnded(String id, String itemId, int index, ForwardRefusal reason) {
+        if (reason == ForwardRefusal.OVERLOADED) {
+            defer(id, itemId, index);
+        } else {
+            itemFailed("scoring-failed", id, itemId, reason.name());
+            mInbox.offer(new BatchEvent.ScoringFailed(id, index));
+        }
+    }
+
+    private void defer(String id, String itemId, int index) {
+        itemFailed("item-deferred", id, itemId, ForwardRefusal.OVERLOADED.name());
+        mInbox.offer(new BatchEvent.Deferred(id, index));
+    }
+
     private void itemFailed(String event, String batch, String item, String reason) {
         mTrace.line(PART, event)
                 .with("batch", batch)
--- a/node/src/main/java/org/fuchsialever/node/batch/ItemGenerationHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/ItemGenerationHandler.java
@@ -50,7 +50,7 @@
     private final TimeSource mTime;
     private final Consumer<TextProgress> mOnProgress;
     private final BiConsumer<String, List<Long>> mOnText;
-    private final Consumer<String> mOnFailure;
+    private final Consumer<ForwardRefusal> mOnFailure;
     private final PartialText mBeginning;
     private final List<String> mEvents = new ArrayList<>();
     private final List<Long> mEventVersions = new ArrayList<>();
@@ -71,7 +71,7 @@
             TimeSource time,
             Consumer<TextProgress> onProgress,
             BiConsumer<String, List<Long>> onText,
-            Consumer<String> onFailure) {
+            Consumer<ForwardRefusal> onFailure) {
         mItem = item;
         mHost = host;
         mTeam = team;
@@ -132,7 +132,7 @@
 
     @Override
     public void refuse(ForwardRefusal reason, long retryAfterMillis) {
-        mOnFailure.accept(reason.name());
+        mOnFailure.accept(reason);
     }
 
     private synchronized boolean append(int attempt, ServerSentEvent event, long version) {
--- a/node/src/main/java/org/fuchsialever/node/batch/ItemScoringHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/ItemScoringHandler.java
@@ -20,7 +20,7 @@
     private final long mTimeoutMillis;
     private final UpstreamProtocol mProtocol;
     private final Consumer<String> mOnScore;
-    private final Consumer<String> mOnFailure;
+    private final Consumer<ForwardRefusal> mOnFailure;
     private volatile String mScore = "";
 
     ItemScoringHandler(
@@ -28,7 +28,7 @@
             long timeoutMillis,
             UpstreamProtocol protocol,
             Consumer<String> onScore,
-            Consumer<String> onFailure) {
+            Consumer<ForwardRefusal> onFailure) {
         mCall = call;
         mTimeoutMillis = timeoutMillis;
         mProtocol = protocol;
@@ -90,7 +90,7 @@
     @Override
     public void deliver(int attempt) {
         if (mScore.isEmpty()) {
-            mOnFailure.accept("REJECTED");
+            mOnFailure.accept(ForwardRefusal.EXHAUSTED);
         } else {
             mOnScore.accept(mScore);
         }
@@ -98,6 +98,6 @@
 
     @Override
     public void refuse(ForwardRefusal reason, long retryAfterMillis) {
-        mOnFailure.accept(reason.name());
+        mOnFailure.accept(reason);
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardComponent.java
@@ -16,7 +16,7 @@
 
 /** Provides the forwarding of calls and items to upstreams. */
 public final class ForwardComponent implements Component {
-    /** Four times the limit of calls in flight, so that no end of an attempt is refused. */
+    /** Twice the live calls and items in progress, so that no end of an attempt is refused. */
     private static final int RING_CAPACITY = 16_384;
 
     @Override
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
@@ -2,16 +2,20 @@
 
 import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.EnumMap;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongFunction;
 import org.fuchsialever.decisions.forward.AttemptOutcome;
 import org.fuchsialever.decisions.forward.AttemptReport;
 import org.fuchsialever.decisions.forward.ForwardAction;
 import org.fuchsialever.decisions.forward.ForwardCall;
+import org.fuchsialever.decisions.forward.ForwardCallKind;
 import org.fuchsialever.decisions.forward.ForwardEvent;
 import org.fuchsialever.decisions.forward.ForwardRefusal;
 import org.fuchsialever.kernel.duty.ActionSink;
@@ -24,14 +28,12 @@
 import org.fuchsialever.services.exchange.ExchangeClient;
 import org.fuchsialever.services.exchange.ExchangeListener;
 import org.fuchsialever.services.exchange.ExchangeOutcome;
+import org.jspecify.annotations.Nullable;
 
 /** Executes the actions of the forward duty: sends attempts and reports outcomes. */
 final class ForwardRunner implements ActionSink<ForwardAction>, ForwardPort {
     private static final String PART = "forward";
 
-    /** Limit of calls in flight; each has one pending event in the ring. */
-    private static final int MAX_CALLS = 4_000;
-
     /** Interval at which the pace of a stream is reported. */
     private static final long PACE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
@@ -44,7 +46,9 @@
     private final TraceLog mTrace;
     private final MeterRegistry mMeters;
     private final AtomicLong mLastNumber = new AtomicLong();
-    private final Map<Long, ForwardCallHandler> mHandlers = new ConcurrentHashMap<>();
+    private final Map<Long, AcceptedCall> mAccepted = new ConcurrentHashMap<>();
+    private final Map<ForwardCallKind, AtomicInteger> mInProgress =
+            new EnumMap<>(ForwardCallKind.class);
     private final Map<AttemptKey, Exchange> mExchanges = new ConcurrentHashMap<>();
     private final CopyOnWriteArrayList<UsageListener> mUsageListeners =
             new CopyOnWriteArrayList<>();
@@ -60,6 +64,9 @@
         mTime = time;
         mTrace = trace;
         mMeters = meters;
+        for (ForwardCallKind kind : ForwardCallKind.values()) {
+            mInProgress.put(kind, new AtomicInteger());
+        }
     }
 
     void addUsageListener(UsageListener listener) {
@@ -69,20 +76,36 @@
     @Override
     public long submit(LongFunction<ForwardCall> callFactory, ForwardCallHandler handler) {
         long number = mLastNumber.incrementAndGet();
-        mHandlers.put(number, handler);
+        ForwardCall call = callFactory.apply(number);
+        AtomicInteger inProgress = inProgress(call.kind());
+        mAccepted.put(number, new AcceptedCall(call.kind(), handler));
         boolean accepted =
-                mHandlers.size() <= MAX_CALLS
-                        && mInbox.offer(new ForwardEvent.Arrived(callFactory.apply(number)));
+                inProgress.incrementAndGet() <= call.kind().maxInProgress()
+                        && mInbox.offer(new ForwardEvent.Arrived(call));
         if (!accepted) {
-            mHandlers.remove(number);
+            remove(number);
             refuse(handler, ForwardRefusal.OVERLOADED, 1_000);
         }
         return number;
     }
 
+    private AtomicInteger inProgress(ForwardCallKind kind) {
+        return Objects.requireNonNull(mInProgress.get(kind));
+    }
+
+    /** Ends the tracking of a call and returns its handler, or null if it has ended before. */
+    private @Nullable ForwardCallHandler remove(long number) {
+        AcceptedCall call = mAccepted.remove(number);
+        if (call == null) {
+            return null;
+        }
+        inProgress(call.kind).decrementAndGet();
+        return call.handler;
+    }
+
     @Override
     public void cancel(long number) {
-        ForwardCallHandler handler = mHandlers.remove(number);
+        ForwardCallHandler handler = remove(number);
         if (handler != null) {
             mTrace.sampled(PART, "withdrawn").with("id", handler.requestId()).write();
             mInbox.offer(new ForwardEvent.Cancelled(number));
@@ -91,7 +114,7 @@
 
     @Override
     public int inProgress() {
-        return mHandlers.size();
+        return mAccepted.size();
     }
 
     @Override
@@ -104,12 +127,12 @@
                 exchange.cancel();
             }
         } else if (action instanceof ForwardAction.Deliver deliver) {
-            ForwardCallHandler handler = mHandlers.remove(deliver.number());
+            ForwardCallHandler handler = remove(deliver.number());
             if (handler != null) {
                 handler.deliver(deliver.attempt());
             }
         } else if (action instanceof ForwardAction.Refuse refuse) {
-            ForwardCallHandler handler = mHandlers.remove(refuse.number());
+            ForwardCallHandler handler = remove(refuse.number());
             if (handler != null) {
                 refuse(handler, refuse.reason(), refuse.retryAfterMillis());
             }
@@ -130,8 +153,8 @@
     private void start(ForwardAction.Start start) {
         ForwardCall call = start.call();
         AttemptKey key = new AttemptKey(call.number(), start.attempt());
-        ForwardCallHandler handler = mHandlers.get(call.number());
-        if (handler == null) {
+        AcceptedCall accepted = mAccepted.get(call.number());
+        if (accepted == null) {
             // Cancelled while the duty decided; the event of the cancellation is in the ring.
             mInbox.offer(
                     new ForwardEvent.AttemptEnded(
@@ -140,6 +163,7 @@
                             AttemptReport.of(AttemptOutcome.NOT_CONNECTED)));
             return;
         }
+        ForwardCallHandler handler = accepted.handler;
         long now = mTime.nanoTime();
         long remaining =
                 call.deadlineNanos() == Duty.NO_TIMER
@@ -163,6 +187,8 @@
         }
     }
 
+    private record AcceptedCall(ForwardCallKind kind, ForwardCallHandler handler) {}
+
     private record AttemptKey(long number, int attempt) {}
 
     /** Passes a response to the reader, in the event loop, and its end to the duty. */
