End an item that an upstream rejects

Cause: ForwardDuty delivered a rejected attempt like a whole text. A text without weight versions was generated again without a count or a pause; one whose run had begun elsewhere would have been listed with the events so far. Other statuses from 300 to 499 took the same path.

Change: a rejection ends an item or its scoring (ForwardRefusal.REJECTED); other failures of this class count as failed attempts up to maxAttempts. Whether a kind of call is given an upstream's failure is a property of ForwardCallKind.

--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallKind.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallKind.java
@@ -9,6 +9,11 @@
             return 4_000;
         }
 
+        @Override
+        boolean takesFailures() {
+            return true;
+        }
+
         @Override
         double maxUtilization() {
             return 3.0;
@@ -91,6 +96,11 @@
         return false;
     }
 
+    /** Returns whether the caller is given an upstream's response that reports a failure. */
+    boolean takesFailures() {
+        return false;
+    }
+
     /** Returns whether a call is queued until an upstream has a free slot, not refused. */
     abstract boolean waitsForSlot();
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
@@ -280,10 +280,15 @@
             AttemptOutcome outcome,
             long now,
             ActionSink<ForwardAction> actions) {
-        boolean usable = outcome == AttemptOutcome.ANSWERED || outcome == AttemptOutcome.REJECTED;
-        if (usable) {
+        boolean rejected = outcome == AttemptOutcome.REJECTED;
+        if (outcome == AttemptOutcome.ANSWERED || rejected && state.call().kind().takesFailures()) {
             finish(state, actions);
             actions.emit(new ForwardAction.Deliver(state.call().number(), attempt));
+        } else if (rejected) {
+            finish(state, actions);
+            actions.emit(
+                    new ForwardAction.Refuse(
+                            state.call().number(), ForwardRefusal.REJECTED, 0));
         } else if (state.mayBeSentAgain()) {
             retry(state, outcome, now, actions);
         } else if (!state.isRunning()) {
@@ -315,9 +320,9 @@
             ActionSink<ForwardAction> actions) {
         long number = state.call().number();
         finish(state, actions);
-        if (state.call().kind() == ForwardCallKind.LIVE && outcome.hasResponse()) {
+        if (state.call().kind().takesFailures() && outcome.hasResponse()) {
             actions.emit(new ForwardAction.Deliver(number, attempt));
-        } else if (state.call().kind() != ForwardCallKind.LIVE) {
+        } else if (!state.call().kind().takesFailures()) {
             actions.emit(new ForwardAction.Refuse(number, ForwardRefusal.EXHAUSTED, 0));
         } else if (state.mayHaveRun()) {
             actions.emit(new ForwardAction.Refuse(number, ForwardRefusal.ANSWER_LOST, 0));
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardRefusal.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardRefusal.java
@@ -14,6 +14,8 @@
     LATE(false),
     /** The response of an upstream was lost or malformed; the call may have run. */
     ANSWER_LOST(false),
+    /** An upstream reported that the call can never succeed. */
+    REJECTED(false),
     /** The call has failed as often as its route allows. */
     EXHAUSTED(false);
 
--- a/decisions/src/test/java/org/fuchsialever/decisions/forward/ForwardDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/forward/ForwardDutyTest.java
@@ -165,6 +165,25 @@
         assertThat(starts(), hasSize(4));
     }
 
+    /** Guards against items that are sent again without end. */
+    @Test
+    void endsAnItemThatAnUpstreamRejects() {
+        fleet(engine("e", 5));
+        arrive(item(1, 5, 10));
+        end(1, 1, AttemptOutcome.REJECTED);
+        assertThat(lastRefusal(), is(ForwardRefusal.REJECTED));
+        mDuty.onTimer(900 * MILLI, mActions::add);
+        assertThat(starts(), hasSize(1));
+    }
+
+    @Test
+    void passesARejectionOnToALiveCaller() {
+        fleet(plain("a"));
+        arrive(live(1, true, 2));
+        end(1, 1, AttemptOutcome.REJECTED);
+        assertThat(mActions.contains(new ForwardAction.Deliver(1, 1)), is(true));
+    }
+
     @Test
     void sendsItemsOfAGroupToTheUpstreamThatHasTheirPromptCached() {
         fleet(engine("e1", 5), engine("e2", 5), engine("e3", 5));
--- a/node/src/main/java/org/fuchsialever/node/batch/ItemGenerationHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/ItemGenerationHandler.java
@@ -255,11 +255,14 @@
         @Override
         protected AttemptOutcome finalOutcome(AttemptOutcome outcome) {
             countSilence(outcome);
-            boolean malformed = mInvalid || mAssembler.hasIncompleteEvent();
-            if (outcome == AttemptOutcome.ANSWERED && (malformed || !isSuccess())) {
-                return isSuccess() ? AttemptOutcome.MALFORMED : AttemptOutcome.REJECTED;
+            if (outcome != AttemptOutcome.ANSWERED) {
+                return outcome;
             }
-            return outcome;
+            // Statuses of this class that do not reject the item count as failed attempts.
+            boolean malformed = mInvalid || mAssembler.hasIncompleteEvent();
+            return !isSuccess()
+                    ? AttemptOutcome.FAILED
+                    : malformed ? AttemptOutcome.MALFORMED : AttemptOutcome.ANSWERED;
         }
 
         @Override
--- a/node/src/main/java/org/fuchsialever/node/batch/ItemScoringHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/ItemScoringHandler.java
@@ -79,7 +79,7 @@
                     return outcome;
                 }
                 if (!isSuccess()) {
-                    return AttemptOutcome.REJECTED;
+                    return AttemptOutcome.FAILED;
                 }
                 mScore = head.signature();
                 return outcome;
@@ -89,11 +89,7 @@
 
     @Override
     public void deliver(int attempt) {
-        if (mScore.isEmpty()) {
-            mOnFailure.accept(ForwardRefusal.EXHAUSTED);
-        } else {
-            mOnScore.accept(mScore);
-        }
+        mOnScore.accept(mScore);
     }
 
     @Override
--- a/node/src/test/java/org/fuchsialever/node/hosted/HostedBatchesTest.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/HostedBatchesTest.java
@@ -95,6 +95,31 @@
         }
     }
 
+    /** Guards against items that are sent again without end and never listed. */
+    @Test
+    void listsAnItemAsFailedThatAnUpstreamRejectsAndSendsItOnce() {
+        try (HostedFixture fixture = HostedFixture.running()) {
+            fixture.upstream("e1").setBehaviour(Behaviour.REJECTS_CALLS);
+            fixture.submit("n1", "b1", "x1");
+            JsonNode page = fixture.results("n1", "b1", 1);
+            assertThat(page.path("results").path(0).path("state").asText(), is("errored"));
+            assertThat(fixture.upstream("e1").executionCount("x1"), is(1));
+        }
+    }
+
+    /** Guards against texts that are listed as whole though their run was rejected halfway. */
+    @Test
+    void listsNoTextOfAnItemThatIsRejectedAfterItHadBegun() {
+        try (HostedFixture fixture = HostedFixture.running()) {
+            fixture.upstream("e1").setBehaviour(Behaviour.FAILS_RESUMED_STREAMS);
+            fixture.submit("n1", "b1", "x1");
+            JsonNode page = fixture.results("n1", "b1", 1);
+            assertThat(page.path("results").path(0).path("state").asText(), is("errored"));
+            // The run that broke off and as many failures as the route allows.
+            assertThat(fixture.upstream("e1").executionCount("x1"), is(4));
+        }
+    }
+
     /** Bytes that complete no event keep no stream alive, and an event without end is dropped. */
     @Test
     void goesOnWithATextElsewhereWhenItsEngineSendsBytesButNoEvents() {
