Frame streams so that one that broke off does not look whole

Cause: copying the header fields of a response replaced the framing that the server had set, so that the end of the connection ended the body. Second cause: a resumable stream that broke off and was then answered with a failure was completed without a look at the outcome.

Change: streams are sent in chunks, and the last chunk follows only a whole stream. A stream that is not continued closes its connection.

--- a/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
@@ -148,6 +148,10 @@
                     ? response.send()
                     : response.sendByteArray(Mono.just(complete.body())).then();
         }
+        // The header fields above replace the framing that the server had chosen. Without chunks
+        // the
+        // end of the connection would end the body, and a stream that breaks off would look whole.
+        response.chunkedTransfer(true);
         Flux<byte[]> body = ((EntryResponse.Streamed) entryResponse).body();
         // Each event is flushed on its own, so that it reaches the caller without delay.
         return response.send(body.map(Unpooled::wrappedBuffer), event -> true).then();
--- a/node/src/main/java/org/fuchsialever/node/entry/LiveCallHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/LiveCallHandler.java
@@ -97,11 +97,16 @@
     @Override
     public synchronized void deliver(int attempt) {
         Sinks.Many<byte[]> open = mStream;
+        Reader reader = mReaders.get(attempt);
         if (open != null) {
-            open.tryEmitComplete();
+            // An upstream that was to go on with the stream may have answered with a failure.
+            if (reader != null && reader.isStreaming()) {
+                open.tryEmitComplete();
+            } else {
+                open.tryEmitError(new StreamBrokenException("NOT_CONTINUED"));
+            }
             return;
         }
-        Reader reader = mReaders.get(attempt);
         UpstreamResponseHead head = reader == null ? null : reader.head();
         if (reader == null || head == null || NOT_RUN_STATUSES.contains(head.status())) {
             // The upstream ran the call, so the status must not tell the caller otherwise.
--- a/node/src/test/java/org/fuchsialever/node/hosted/HostedFixture.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/HostedFixture.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.Callable;
 import org.fuchsialever.kernel.lifecycle.Closer;
 import org.fuchsialever.node.NodeProcess;
@@ -98,6 +99,11 @@
                 .orElseThrow();
     }
 
+    /** Sends a call whose response is a stream of events. */
+    RawCall stream(String node, String path, String requestId) {
+        return RawCall.stream(Objects.requireNonNull(mPorts.get(node)), path, requestId, KEY);
+    }
+
     /** Submits items with the given IDs. */
     CallerStandIn.Response submit(String node, String batch, String... items) {
         return call(node, "POST", "/rollout/" + batch, batch, KEY, submission(items));
