End calls to an impossible address and read rows of other writers safely

Report of another operator: an odd row among those of the workers. Here the process went on and followed the list, but a call that was sent to a port above 65535 ended only at its deadline, and an item never.

Cause: the exception ended the task in the event loop and nobody told the listener.

Change: such rows are unreadable and named in the log; whatever a reader throws concerns one row; a request that can't be sent ends as not connected.

--- a/node/src/main/java/org/fuchsialever/node/directory/DirectoryActions.java
+++ b/node/src/main/java/org/fuchsialever/node/directory/DirectoryActions.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Supplier;
 import org.fuchsialever.decisions.batch.BatchEvent.VersionedState;
 import org.fuchsialever.decisions.directory.DirectoryAction;
 import org.fuchsialever.decisions.directory.DirectoryEvent;
@@ -160,7 +161,7 @@
             return;
         }
         Either<String, Declaration> read =
-                mServices.directory().readDeclaration(row.key(), row.value());
+                read(() -> mServices.directory().readDeclaration(row.key(), row.value()));
         if (read.isLeft()) {
             reportUnreadable(DirectoryTable.DECLARATIONS, row, read.getLeft());
         } else if (read.get() instanceof Declaration.ManifestDeclared declared) {
@@ -189,7 +190,7 @@
                 continue;
             }
             Either<String, FleetUpstream> read =
-                    mServices.directory().readUpstream(row.key(), row.value());
+                    read(() -> mServices.directory().readUpstream(row.key(), row.value()));
             if (read.isLeft()) {
                 removed.add(row.key());
                 reportUnreadable(DirectoryTable.UPSTREAMS, row, read.getLeft());
@@ -214,7 +215,7 @@
                 removed.add(row.key());
                 continue;
             }
-            BatchRows.decodeState(row.value())
+            read(() -> BatchRows.decodeState(row.value()))
                     .peek(state -> changed.add(new VersionedState(state, row.version())))
                     .peekLeft(problem -> reportUnreadable(DirectoryTable.BATCHES, row, problem));
         }
@@ -229,13 +230,22 @@
                 Presence.slotOf(row.key()).forEach(removed::add);
                 continue;
             }
-            Presence.decode(row.key(), row.value())
+            read(() -> Presence.decode(row.key(), row.value()))
                     .peek(presence -> changed.add(new VersionedPresence(presence, row.version())))
                     .peekLeft(problem -> reportUnreadable(DirectoryTable.INSTANCES, row, problem));
         }
         mDirectory.changePresences(changed, removed);
     }
 
+    /** Any program may write rows; one that its reader fails on must not end the feed. */
+    private static <T> Either<String, T> read(Supplier<Either<String, T>> reader) {
+        try {
+            return reader.get();
+        } catch (RuntimeException e) {
+            return Either.left("cannot be decoded: " + e);
+        }
+    }
+
     private void reportUnreadable(DirectoryTable table, MirrorRow row, String problem) {
         mMeters.counter("fuchsialever.directory.unreadable", "table", table.name()).increment();
         mTrace.line(PART, "row-unreadable")
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
@@ -28,6 +28,7 @@
 import org.fuchsialever.services.exchange.ExchangeClient;
 import org.fuchsialever.services.exchange.ExchangeListener;
 import org.fuchsialever.services.exchange.ExchangeOutcome;
+import org.fuchsialever.services.exchange.ExchangeRequest;
 import org.jspecify.annotations.Nullable;
 
 /** Executes the actions of the forward duty: sends attempts and reports outcomes. */
@@ -180,7 +181,19 @@
                 .with("waitedMillis", TimeUnit.NANOSECONDS.toMillis(now - call.arrivedNanos()))
                 .write();
         Attempt attempt = new Attempt(key, handler, handler.reader(start.attempt()), start, now);
-        Exchange exchange = mClient.send(handler.request(start.upstream(), remaining), attempt);
+        ExchangeRequest request;
+        try {
+            request = handler.request(start.upstream(), remaining);
+        } catch (RuntimeException e) {
+            mTrace.line(PART, "request-invalid")
+                    .with("id", handler.requestId())
+                    .with("upstream", start.upstream().id())
+                    .with("reason", e.toString())
+                    .write();
+            attempt.onEnd(ExchangeOutcome.NOT_CONNECTED);
+            return;
+        }
+        Exchange exchange = mClient.send(request, attempt);
         mExchanges.put(key, exchange);
         if (attempt.mEnded) {
             mExchanges.remove(key);
--- a/node/src/test/java/org/fuchsialever/node/hosted/HostedCallsTest.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/HostedCallsTest.java
@@ -125,6 +125,37 @@
         }
     }
 
+    /** Guards against an odd row after which an instance ends or no longer follows the table. */
+    @Test
+    void followsTheListOfUpstreamsBesideRowsOfAnotherWriter() {
+        try (HostedFixture fixture = HostedFixture.running()) {
+            String depth = "[".repeat(5_000);
+            fixture.mStore.write("servers", "o1", "{\"address\":" + depth);
+            fixture.mStore.write("servers", "o2", oddRow("127.0.0.1:99999", "8"));
+            fixture.mStore.write("servers", "o3", oddRow("no-such-host.invalid:80", "8"));
+            fixture.mStore.write("servers", "o4", oddRow("127.0.0.1:1", "9".repeat(40)));
+            fixture.mStore.write("servers", "o 5\u00e4", oddRow("127.0.0.1:1", "8"));
+            fixture.upstream("p2", "plain");
+            fixture.upstream("p1").register(fixture.mStore, "draining");
+            for (int call = 0; call < 20; call++) {
+                fixture.call("n1", "GET", "/safe/x", "r" + call, KEY, "");
+            }
+            fixture.eventually(
+                    () -> {
+                        fixture.call("n1", "GET", "/safe/x", "last", KEY, "");
+                        return fixture.upstream("p2").executionCount("last") > 0;
+                    });
+        }
+    }
+
+    private static String oddRow(String address, String slots) {
+        return "{\"service\":\"plain\",\"address\":\""
+                + address
+                + "\",\"zone\":\"z\",\"slots\":"
+                + slots
+                + ",\"state\":\"ready\",\"seq\":1,\"born\":1}";
+    }
+
     @Test
     void servesOnWhileTheStoreIsSilentAndLearnsWhatItMissed() {
         try (HostedFixture fixture = HostedFixture.running()) {
--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeClient.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeClient.java
@@ -15,6 +15,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.fuchsialever.kernel.log.PartLogger;
 import org.jspecify.annotations.Nullable;
 import reactor.netty.resources.LoopResources;
 
@@ -31,6 +32,8 @@
 
     private static final int MAX_IDLE_PER_ADDRESS = 16;
 
+    private static final PartLogger LOG = PartLogger.of("exchange");
+
     private final EventLoop mLoop;
     private final Bootstrap mBootstrap;
     private final Map<String, Deque<ExchangeChannel>> mIdleChannels = new HashMap<>();
@@ -76,7 +79,7 @@
     /** Sends a request; the listener is called in the event loop. */
     public Exchange send(ExchangeRequest request, ExchangeListener listener) {
         RunningExchange exchange = new RunningExchange(request, listener);
-        mLoop.execute(() -> begin(exchange));
+        mLoop.execute(() -> guarded(exchange, () -> begin(exchange)));
         return () -> mLoop.execute(exchange::cancel);
     }
 
@@ -109,18 +112,30 @@
                                 exchange.end(ExchangeOutcome.NOT_CONNECTED);
                                 return;
                             }
-                            ExchangeChannel opened =
-                                    new ExchangeChannel(
-                                            connected.channel(), this::addIdle, this::removeIdle);
-                            connected.channel().pipeline().addLast(opened);
-                            if (exchange.isEnded()) {
-                                opened.close();
-                            } else {
-                                opened.start(exchange);
-                            }
+                            guarded(exchange, () -> connected(exchange, connected.channel()));
                         });
     }
 
+    private void connected(RunningExchange exchange, Channel channel) {
+        ExchangeChannel opened = new ExchangeChannel(channel, this::addIdle, this::removeIdle);
+        channel.pipeline().addLast(opened);
+        if (exchange.isEnded()) {
+            opened.close();
+        } else {
+            opened.start(exchange);
+        }
+    }
+
+    /** Ends an exchange whose request cannot be sent, for example to an impossible address. */
+    private void guarded(RunningExchange exchange, Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            LOG.warning("Request to " + exchange.address() + " cannot be sent.", e);
+            exchange.abort(ExchangeOutcome.NOT_CONNECTED);
+        }
+    }
+
     private @Nullable ExchangeChannel takeIdle(ExchangeRequest request) {
         Deque<ExchangeChannel> list = mIdleChannels.get(address(request.host(), request.port()));
         if (list == null) {
@@ -176,6 +191,10 @@
             return mEnded;
         }
 
+        String address() {
+            return ExchangeClient.address(mRequest.host(), mRequest.port());
+        }
+
         void attach(ExchangeChannel usedChannel) {
             mChannel = usedChannel;
             startTimer(mRequest.firstByteTimeout().toNanos());
--- a/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
+++ b/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
@@ -58,6 +58,25 @@
         }
     }
 
+    /** Guards against attempts without an end: an exception is thrown in the event loop. */
+    @Test
+    void endsARequestToAnImpossibleAddress() throws Exception {
+        assertThat(send(99_999, "GET", "1", ContentVerdict.PROGRESS), is("NOT_CONNECTED "));
+    }
+
+    /** Guards against responses that are passed on as whole though their head was cut. */
+    @Test
+    void doesNotAcceptAHeadThatIsCutAnywhereAsAResponse() throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\n";
+        for (int length = 1; length < head.length(); length++) {
+            String cut = head.substring(0, length);
+            try (ScriptedServer server = new ScriptedServer(cut + ScriptedServer.CLOSE)) {
+                String outcome = send(server, "1");
+                assertThat(cut, outcome.startsWith("COMPLETE"), is(false));
+            }
+        }
+    }
+
     @Test
     void doesNotAcceptATruncatedBodyAsComplete() throws Exception {
         String head = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\n";
@@ -210,12 +229,17 @@
 
     private String send(ScriptedServer server, String method, String id, ContentVerdict verdict)
             throws Exception {
+        return send(server.port(), method, id, verdict);
+    }
+
+    private String send(int port, String method, String id, ContentVerdict verdict)
+            throws Exception {
         CompletableFuture<String> result = new CompletableFuture<>();
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         ExchangeRequest request =
                 new ExchangeRequest(
                         "127.0.0.1",
-                        server.port(),
+                        port,
                         method,
                         "/",
                         new DefaultHttpHeaders().set("Host", "h"),
