Send no late calls to an upstream that announces its leaving

Change: the adapter decodes the field; the head of a response tells the forward duty at once. An upstream that is leaving gets no new work while others have room, calls that nobody else can run until leaving-period is over, counted from their arrival, and nothing after that, until a later start under its ID.

The soak has the disturbance UPSTREAM_ANNOUNCES_LEAVING and the promise LEAVING_UPSTREAMS_GET_NO_LATE_CALLS; PromiseTest breaks it on purpose.

Evidence: HostedCallsTest.leavesAnUpstreamThatAnnouncesItsLeavingThoughTheStoreIsSilent and refusesCallsOnlyOnceTheTimeOfTheLastLeavingUpstreamIsOver failed on the code before. The soak was not run for this commit.

--- a/decisions/src/main/java/org/fuchsialever/decisions/fleet/Fleet.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/fleet/Fleet.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -21,6 +22,7 @@
 
     private final Map<String, UpstreamState> mStates = new HashMap<>();
     private final Map<String, List<UpstreamState>> mByService = new HashMap<>();
+    private final LeavingUpstreams mLeaving = new LeavingUpstreams();
     private final RandomGenerator mRandom;
 
     /** Creates an empty fleet. */
@@ -46,12 +48,29 @@
         mStates.values().removeIf(UpstreamState::isRemovable);
         mByService.clear();
         for (UpstreamState state : mStates.values()) {
+            state.setLeaving(mLeaving.sinceNanos(state.spec()));
             mByService
                     .computeIfAbsent(state.spec().service(), service -> new ArrayList<>())
                     .add(state);
         }
     }
 
+    /**
+     * Records that an upstream has announced in a response that it is leaving.
+     *
+     * @param responder the upstream, as it was described when the call was sent
+     * @param sinceNanos when the head of the response was received, in monotonic nanoseconds
+     * @return whether this was not known before
+     */
+    public boolean markLeaving(FleetUpstream responder, long sinceNanos) {
+        boolean added = mLeaving.add(responder.id(), responder.startedMillis(), sinceNanos);
+        UpstreamState state = mStates.get(responder.id());
+        if (added && state != null) {
+            state.setLeaving(mLeaving.sinceNanos(state.spec()));
+        }
+        return added;
+    }
+
     /** Returns the upstreams of a service; empty for an unknown one. */
     public List<UpstreamState> ofService(String service) {
         return mByService.getOrDefault(service, List.of());
@@ -137,6 +156,26 @@
                 : state.lastUsed() > other.lastUsed();
     }
 
+    /**
+     * Returns the least loaded of the upstreams that are leaving and still serve, for calls without
+     * another choice.
+     *
+     * @param sentNanos when the caller sent the call at the latest, in monotonic nanoseconds
+     * @param leavingNanos how long after its announcement an upstream may get calls
+     */
+    public Option<UpstreamState> chooseLeaving(
+            String service,
+            Predicate<UpstreamState> allowed,
+            long sentNanos,
+            long leavingNanos,
+            long now) {
+        return Option.ofOptional(
+                ofService(service).stream()
+                        .filter(state -> state.servesWhileLeaving(sentNanos, leavingNanos, now))
+                        .filter(allowed)
+                        .min(Comparator.comparingDouble(state -> state.utilization(now))));
+    }
+
     /** Returns the ejected upstream whose ejection ends first, for calls without another choice. */
     public Option<UpstreamState> chooseSuspended(String service, Predicate<UpstreamState> allowed) {
         UpstreamState earliest = null;
--- a/decisions/src/main/java/org/fuchsialever/decisions/fleet/UpstreamState.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/fleet/UpstreamState.java
@@ -43,6 +43,7 @@
     private int mFailures;
     private int mRefusals;
     private boolean mListed = true;
+    private Option<Long> mLeavingSince = Option.none();
 
     /** Creates the state of an upstream that has just been listed. */
     public UpstreamState(FleetUpstream spec) {
@@ -71,9 +72,22 @@
         mListed = false;
     }
 
-    /** Returns whether the upstream is listed and accepts new calls. */
+    /** Sets since when the upstream is leaving by its own responses, none if it is not. */
+    void setLeaving(Option<Long> sinceNanos) {
+        mLeavingSince = sinceNanos;
+    }
+
+    /** Returns whether the upstream is listed, accepts new calls and has not said it is leaving. */
     public boolean isServing() {
-        return mListed && mSpec.serving();
+        return mListed && mSpec.serving() && mLeavingSince.isEmpty();
+    }
+
+    /** Returns whether a call may go to the upstream although it has said that it is leaving. */
+    boolean servesWhileLeaving(long sentNanos, long leavingNanos, long now) {
+        return mListed
+                && mSpec.serving()
+                && now >= mSuspendedUntil
+                && mLeavingSince.exists(since -> sentNanos - since <= leavingNanos);
     }
 
     /** Returns whether the upstream is unlisted and runs no call of this instance any more. */
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardAction.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardAction.java
@@ -36,6 +36,9 @@
     /** Passes the response of an attempt to the caller. */
     record Deliver(long number, int attempt) implements ForwardAction {}
 
+    /** Notes that an upstream is leaving by its own responses and gets no new work. */
+    record NoteLeaving(FleetUpstream upstream) implements ForwardAction {}
+
     /**
      * Ends a call without a response of an upstream.
      *
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallKind.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallKind.java
@@ -9,6 +9,11 @@
             return 4_000;
         }
 
+        @Override
+        long latestSentNanos(ForwardCall call, long now) {
+            return call.arrivedNanos();
+        }
+
         @Override
         boolean takesFailures() {
             return true;
@@ -65,9 +70,9 @@
     };
 
     /**
-     * Returns the number of calls in progress from which on an instance refuses further ones.
-     * Items and their scoring are bounded by the owner of their submission, which keeps those that
-     * it has not begun.
+     * Returns the number of calls in progress from which on an instance refuses further ones. Items
+     * and their scoring are bounded by the owner of their submission, which keeps those that it has
+     * not begun.
      */
     public int maxInProgress() {
         return Integer.MAX_VALUE;
@@ -96,6 +101,14 @@
         return false;
     }
 
+    /**
+     * Returns when the caller sent a call at the latest, in monotonic nanoseconds. The items of a
+     * submission and their scoring count as sent when an upstream is chosen.
+     */
+    long latestSentNanos(ForwardCall call, long now) {
+        return now;
+    }
+
     /** Returns whether the caller is given an upstream's response that reports a failure. */
     boolean takesFailures() {
         return false;
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
@@ -45,6 +45,7 @@
 
     private final Fleet mFleet;
     private final RandomGenerator mRandom;
+    private final long mLeavingNanos;
     private final Map<Long, ForwardCallState> mCalls = new HashMap<>();
     private final Map<AttemptKey, UpstreamState> mAttempts = new HashMap<>();
     private final PriorityQueue<Timer> mTimers =
@@ -64,9 +65,15 @@
             };
     private long mQueueTimer = NO_TIMER;
 
-    /** Creates a duty without upstreams; they arrive with the first change of the fleet. */
-    public ForwardDuty(RandomGenerator random) {
+    /**
+     * Creates a duty without upstreams; they arrive with the first change of the fleet.
+     *
+     * @param leavingNanos how long after it has announced that it is leaving an upstream may get
+     *     calls that no other upstream can run
+     */
+    public ForwardDuty(RandomGenerator random, long leavingNanos) {
         mRandom = random;
+        mLeavingNanos = leavingNanos;
         mFleet = new Fleet(random);
     }
 
@@ -86,6 +93,10 @@
         } else if (event instanceof ForwardEvent.Cancelled cancelled) {
             cancelled(cancelled.number(), actions);
             drainQueue(nowNanos, actions);
+        } else if (event instanceof ForwardEvent.LeavingAnnounced announced) {
+            if (mFleet.markLeaving(announced.upstream(), announced.sinceNanos())) {
+                actions.emit(new ForwardAction.NoteLeaving(announced.upstream()));
+            }
         } else if (event instanceof ForwardEvent.FleetChanged changed) {
             mFleet.update(changed.upstreams());
             drainQueue(nowNanos, actions);
@@ -164,14 +175,32 @@
                         service, untried, maxUtilization, loadStep, paceWeight, preferred, now);
         if (choice.isEmpty() && call.kind().waitsForSlot()) {
             return mFleet.choose(
-                    service, suitable, maxUtilization, loadStep, paceWeight, preferred, now);
+                            service, suitable, maxUtilization, loadStep, paceWeight, preferred, now)
+                    .orElse(() -> chooseLeavingForQueued(call, service, now));
+        }
+        // A live call is sent to a leaving or an ejected upstream rather than refused.
+        long sent = call.kind().latestSentNanos(call, now);
+        return choice.orElse(() -> mFleet.chooseLeaving(service, untried, sent, mLeavingNanos, now))
+                .orElse(() -> mFleet.chooseSuspended(service, untried));
+    }
+
+    /** A queued call waits for a slot at an upstream that stays, if there is any. */
+    private Option<UpstreamState> chooseLeavingForQueued(
+            ForwardCall call, String service, long now) {
+        Predicate<UpstreamState> suitable = suitable(call);
+        boolean canWait =
+                mFleet.ofService(service).stream()
+                        .anyMatch(upstream -> upstream.isServing() && suitable.test(upstream));
+        if (canWait) {
+            return Option.none();
         }
-        // A live call is sent to an ejected upstream rather than refused.
-        return choice.orElse(
-                () ->
-                        call.kind().waitsForSlot()
-                                ? Option.none()
-                                : mFleet.chooseSuspended(state.service(), untried));
+        long sent = call.kind().latestSentNanos(call, now);
+        return mFleet.chooseLeaving(
+                service,
+                suitable.and(upstream -> upstream.utilization(now) < call.kind().maxUtilization()),
+                sent,
+                mLeavingNanos,
+                now);
     }
 
     /** Lengths vary so much that a call which has run for long has as much before it. */
@@ -287,8 +316,7 @@
         } else if (rejected) {
             finish(state, actions);
             actions.emit(
-                    new ForwardAction.Refuse(
-                            state.call().number(), ForwardRefusal.REJECTED, 0));
+                    new ForwardAction.Refuse(state.call().number(), ForwardRefusal.REJECTED, 0));
         } else if (state.mayBeSentAgain()) {
             retry(state, outcome, now, actions);
         } else if (!state.isRunning()) {
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardEvent.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardEvent.java
@@ -30,6 +30,14 @@
      */
     record Progressed(long number, int attempt, long nanosPerEvent) implements ForwardEvent {}
 
+    /**
+     * An upstream has announced in the head of a response that it is leaving.
+     *
+     * @param upstream the upstream, as it was described when the call was sent
+     * @param sinceNanos when the head was received, in monotonic nanoseconds
+     */
+    record LeavingAnnounced(FleetUpstream upstream, long sinceNanos) implements ForwardEvent {}
+
     /** An attempt has ended; emitted exactly once per started attempt. */
     record AttemptEnded(long number, int attempt, AttemptReport report) implements ForwardEvent {}
 }
--- a/kernel/src/main/java/org/fuchsialever/kernel/settings/SettingsReader.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/settings/SettingsReader.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.fuchsialever.kernel.findings.Findings;
@@ -17,6 +18,7 @@
  * default.
  */
 public final class SettingsReader {
+    private static final String VARIABLE_PREFIX = "fuchsialever_";
     private static final String MSG_MISSING = "settings.missing";
     private static final String MSG_BAD_NUMBER = "settings.bad-number";
     private static final String MSG_OUT_OF_RANGE = "settings.out-of-range";
@@ -28,6 +30,7 @@
 
     private final IniDocument mDocument;
     private final Findings mFindings;
+    private final Map<String, String> mEnvironment;
     private final Set<String> mKnownKeys = new HashSet<>();
     private final Set<String> mKnownSections = new HashSet<>();
 
@@ -37,8 +40,22 @@
      * @param findings receives one finding for each problem
      */
     public SettingsReader(IniDocument document, Findings findings) {
+        this(document, findings, Map.of());
+    }
+
+    /**
+     * Creates a reader with values from the environment, which go before those of the document. The
+     * variable of the key {@code leaving-period} in the section {@code forward} is {@code
+     * FUCHSIALEVER_FORWARD_LEAVING_PERIOD}.
+     *
+     * @param findings receives one finding for each problem
+     * @param environment the environment variables by name
+     */
+    public SettingsReader(
+            IniDocument document, Findings findings, Map<String, String> environment) {
         mDocument = document;
         mFindings = findings;
+        mEnvironment = Map.copyOf(environment);
     }
 
     /** Returns the underlying document. */
@@ -223,7 +240,13 @@
     private Option<String> raw(String section, String key) {
         mKnownSections.add(section);
         mKnownKeys.add(section + "/" + key);
-        return mDocument.value(section, key);
+        return Option.of(mEnvironment.get(variable(section, key)))
+                .map(String::strip)
+                .orElse(() -> mDocument.value(section, key));
+    }
+
+    private static String variable(String section, String key) {
+        return (VARIABLE_PREFIX + section + "_" + key).toUpperCase(Locale.ROOT).replace('-', '_');
     }
 
     private static List<String> split(String text) {
--- a/node/src/main/java/org/fuchsialever/node/NodeProcess.java
+++ b/node/src/main/java/org/fuchsialever/node/NodeProcess.java
@@ -58,7 +58,8 @@
     public static Either<Findings, NodeProcess> start(String file, String text) {
         Findings findings = new Findings();
         SettingsReader settings =
-                new SettingsReader(IniDocument.parse(file, text, findings), findings);
+                new SettingsReader(
+                        IniDocument.parse(file, text, findings), findings, System.getenv());
         Assembly assembly = Assembly.of(selectComponents(settings, findings), findings);
         assembly.configure(settings);
         settings.reportUnknownKeys();
--- a/node/src/main/java/org/fuchsialever/node/forward/AttemptReader.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/AttemptReader.java
@@ -30,13 +30,14 @@
         mProtocol = protocol;
     }
 
-    /** Reads the head of the response. */
-    public final void onHead(int status, HttpHeaders headers) {
+    /** Reads the head of the response and returns it. */
+    public final UpstreamResponseHead onHead(int status, HttpHeaders headers) {
         UpstreamResponseHead read = mProtocol.readResponseHead(status, headers);
         mResponse = read;
         // Requests accept no content encoding, so an encoded body is not the upstream's.
         mEncoded = headers.contains("Content-Encoding");
         handleHead(read, headers);
+        return read;
     }
 
     /** Reads a part of the body and returns whether the response has progressed. */
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardComponent.java
@@ -1,5 +1,6 @@
 package org.fuchsialever.node.forward;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Set;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
@@ -9,6 +10,7 @@
 import org.fuchsialever.kernel.duty.OverflowPolicy;
 import org.fuchsialever.kernel.plugin.Component;
 import org.fuchsialever.kernel.plugin.ComponentContext;
+import org.fuchsialever.kernel.settings.SettingsReader;
 import org.fuchsialever.node.directory.Directory;
 import org.fuchsialever.node.directory.DirectoryListener;
 import org.fuchsialever.node.trace.TraceLog;
@@ -19,6 +21,16 @@
     /** Twice the live calls and items in progress, so that no end of an attempt is refused. */
     private static final int RING_CAPACITY = 16_384;
 
+    /** Upstreams serve at least this long after they have announced that they are leaving. */
+    private static final Duration DEFAULT_LEAVING_PERIOD = Duration.ofSeconds(2);
+
+    private Duration mLeavingPeriod = DEFAULT_LEAVING_PERIOD;
+
+    @Override
+    public void configure(SettingsReader settings) {
+        mLeavingPeriod = settings.duration("forward", "leaving-period", DEFAULT_LEAVING_PERIOD);
+    }
+
     @Override
     public String pluginName() {
         return "forward";
@@ -39,7 +51,7 @@
         ForwardRunner[] created = new ForwardRunner[1];
         Inbox<ForwardEvent> inbox =
                 context.startDutyWith(
-                        new ForwardDuty(context.random("forward")),
+                        new ForwardDuty(context.random("forward"), mLeavingPeriod.toNanos()),
                         RING_CAPACITY,
                         OverflowPolicy.REFUSE,
                         ring -> {
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
@@ -132,6 +132,11 @@
             if (handler != null) {
                 handler.deliver(deliver.attempt());
             }
+        } else if (action instanceof ForwardAction.NoteLeaving leaving) {
+            mTrace.line(PART, "upstream-leaving")
+                    .with("upstream", leaving.upstream().id())
+                    .with("service", leaving.upstream().service())
+                    .write();
         } else if (action instanceof ForwardAction.Refuse refuse) {
             ForwardCallHandler handler = remove(refuse.number());
             if (handler != null) {
@@ -231,7 +236,11 @@
 
         @Override
         public void onHead(int status, HttpHeaders headers) {
-            mReader.onHead(status, headers);
+            // Learned here and not at the end, which a stream may reach much later.
+            if (mReader.onHead(status, headers).leaving()) {
+                mInbox.offer(
+                        new ForwardEvent.LeavingAnnounced(mStart.upstream(), mTime.nanoTime()));
+            }
         }
 
         @Override
--- a/node/src/test/java/org/fuchsialever/node/batch/UpstreamProtocolStub.java
+++ b/node/src/test/java/org/fuchsialever/node/batch/UpstreamProtocolStub.java
@@ -49,7 +49,7 @@
 
     @Override
     public UpstreamResponseHead readResponseHead(int status, HttpHeaders headers) {
-        return new UpstreamResponseHead(status, false, false, "signature", Option.none(), 7);
+        return new UpstreamResponseHead(status, false, false, "signature", Option.none(), 7, false);
     }
 
     @Override
--- a/node/src/test/java/org/fuchsialever/node/hosted/HostedCallsTest.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/HostedCallsTest.java
@@ -8,6 +8,7 @@
 import static org.hamcrest.Matchers.not;
 
 import org.fuchsialever.platform.CallerStandIn.Response;
+import org.fuchsialever.platform.InstanceSettings;
 import org.fuchsialever.platform.ManifestText;
 import org.fuchsialever.platform.StoreStandIn;
 import org.fuchsialever.platform.UpstreamStandIn;
@@ -169,6 +170,58 @@
         }
     }
 
+    /** Guards against calls to an upstream that is gone before the list of upstreams shows it. */
+    @Test
+    void leavesAnUpstreamThatAnnouncesItsLeavingThoughTheStoreIsSilent() {
+        try (HostedFixture fixture = HostedFixture.running()) {
+            UpstreamStandIn second = fixture.upstream("p2", "plain");
+            fixture.upstream("p1").setBehaviour(Behaviour.REFUSES_CALLS);
+            fixture.eventually(
+                    () -> fixture.call("n1", "GET", "/safe/x", "r1", KEY, "").status() == 200);
+            // The upstream that was used last is chosen again among equals.
+            fixture.upstream("p1").setBehaviour(Behaviour.HEALTHY);
+            fixture.mStore.setMode(StoreStandIn.Mode.UNRESPONSIVE);
+            second.setBehaviour(Behaviour.ANNOUNCES_LEAVING);
+            fixture.eventually(
+                    () ->
+                            fixture.call("n1", "GET", "/safe/x", "r2", KEY, "")
+                                    .headers()
+                                    .containsKey("Server-Leaving"));
+            // The first upstream had refused calls and has room again.
+            fixture.eventually(
+                    () -> {
+                        fixture.call("n1", "GET", "/safe/x", "r3", KEY, "");
+                        return fixture.upstream("p1").executionCount("r3") > 0;
+                    });
+            for (int call = 0; call < 20; call++) {
+                assertThat(
+                        fixture.call("n1", "GET", "/safe/x", "later", KEY, "").status(), is(200));
+            }
+            assertThat(second.executionCount("later"), is(0));
+        }
+    }
+
+    /** Guards against refusals while the only upstream serves, and against calls after that. */
+    @Test
+    void refusesCallsOnlyOnceTheTimeOfTheLastLeavingUpstreamIsOver() {
+        try (HostedFixture fixture = HostedFixture.running()) {
+            UpstreamStandIn only = fixture.upstream("p1");
+            only.setBehaviour(Behaviour.ANNOUNCES_LEAVING);
+            assertThat(fixture.call("n1", "GET", "/safe/x", "r1", KEY, "").status(), is(200));
+            long announcedNanos = System.nanoTime();
+            fixture.eventually(
+                    () -> fixture.call("n1", "GET", "/safe/x", "r2", KEY, "").status() == 503);
+            assertThat(only.executionCount("r2") > 0, is(true));
+            for (int call = 0; call < 5; call++) {
+                fixture.call("n1", "GET", "/safe/x", "later", KEY, "");
+            }
+            assertThat(only.executionCount("later"), is(0));
+            assertThat(
+                    System.nanoTime() - announcedNanos > InstanceSettings.LEAVING_PERIOD.toNanos(),
+                    is(true));
+        }
+    }
+
     @Test
     void sendsNothingToAnUpstreamThatIsLeaving() {
         try (HostedFixture fixture = HostedFixture.running()) {
--- a/services/src/main/java/org/fuchsialever/services/hosted/UpstreamResponseHead.java
+++ b/services/src/main/java/org/fuchsialever/services/hosted/UpstreamResponseHead.java
@@ -11,6 +11,7 @@
  * @param signature the upstream's signature of the response, empty if there is none
  * @param load the load that the upstream reports
  * @param version the weight version at the start of the response, 0 if there is none
+ * @param leaving whether the upstream announces that it is leaving
  */
 public record UpstreamResponseHead(
         int status,
@@ -18,4 +19,5 @@
         boolean misdirected,
         String signature,
         Option<LoadHint> load,
-        long version) {}
+        long version,
+        boolean leaving) {}
--- a/soak/src/test/java/org/fuchsialever/soak/LiveCallers.java
+++ b/soak/src/test/java/org/fuchsialever/soak/LiveCallers.java
@@ -2,6 +2,7 @@
 
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.fuchsialever.platform.UpstreamStandIn;
 
 /** Sends safe and unsafe calls to the instances in turn. */
 final class LiveCallers {
@@ -40,7 +41,11 @@
                                                         answer.status(),
                                                         answer.headers()
                                                                 .getOrDefault("Response-Stamp", ""),
-                                                        answer.body())));
+                                                        answer.body(),
+                                                        answer.headers()
+                                                                .getOrDefault(
+                                                                        UpstreamStandIn.LIFETIME,
+                                                                        ""))));
     }
 
     boolean isIdle() {
--- a/soak/src/test/java/org/fuchsialever/soak/Promise.java
+++ b/soak/src/test/java/org/fuchsialever/soak/Promise.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import org.fuchsialever.platform.InstanceSettings;
 import org.fuchsialever.platform.UpstreamStandIn;
 
 /** A promise to callers and upstreams, with the check that it was kept. */
@@ -153,6 +154,34 @@
             }
         }
     },
+    /**
+     * An upstream that is leaving gets no call that was sent after its time, from one that knew.
+     */
+    LEAVING_UPSTREAMS_GET_NO_LATE_CALLS {
+        @Override
+        void check(Evidence evidence, List<String> findings) {
+            SoakRecord record = evidence.record();
+            for (SoakRecord.LiveCall notice : record.liveCalls()) {
+                if (notice.leavingUpstream().isEmpty()) {
+                    continue;
+                }
+                long end = notice.endedNanos() + InstanceSettings.LEAVING_PERIOD.toNanos();
+                for (SoakRecord.LiveCall call : record.liveCalls()) {
+                    boolean late =
+                            call.instance().equals(notice.instance())
+                                    && call.sentNanos() > end
+                                    && evidence.receivers()
+                                            .getOrDefault(call.id(), Set.of())
+                                            .contains(notice.leavingUpstream());
+                    if (late
+                            && record.ranThrough(
+                                    call.instance(), notice.sentNanos(), call.endedNanos())) {
+                        findings.add(call + " came after " + notice);
+                    }
+                }
+            }
+        }
+    },
     /** Two holders never order an upstream under the same number. */
     ORDERS_HAVE_ONE_HOLDER {
         @Override
--- a/soak/src/test/java/org/fuchsialever/soak/PromiseTest.java
+++ b/soak/src/test/java/org/fuchsialever/soak/PromiseTest.java
@@ -75,7 +75,7 @@
                         seen(UNSAFE, Map.of("Tenant", "other")),
                         seen("forged", Map.of("Tenant", "team")));
         List<String> findings =
-                Promise.checkAll(new Evidence(mRecord, Map.of(), calls, List.of(), List.of()));
+                Promise.checkAll(evidence(Map.of(), Map.of(), calls, List.of(), List.of()));
         String promise = Promise.UPSTREAMS_SEE_WHAT_WAS_ASKED.name();
         assertThat(
                 findings, contains(startsWith(promise), startsWith(promise), startsWith(promise)));
@@ -133,7 +133,7 @@
         List<AcceptedOrder> orders =
                 List.of(new AcceptedOrder("n1", 4), new AcceptedOrder("n2", 4));
         List<String> findings =
-                Promise.checkAll(new Evidence(mRecord, Map.of(), List.of(), orders, List.of()));
+                Promise.checkAll(evidence(Map.of(), Map.of(), List.of(), orders, List.of()));
         assertThat(findings, contains(startsWith(Promise.ORDERS_HAVE_ONE_HOLDER.name())));
     }
 
@@ -144,13 +144,62 @@
                         "{\"window\":7,\"counts\":{\"team\":1}}",
                         "{\"window\":7,\"counts\":{\"team\":2}}");
         List<String> findings =
-                Promise.checkAll(new Evidence(mRecord, Map.of(), List.of(), List.of(), reports));
+                Promise.checkAll(evidence(Map.of(), Map.of(), List.of(), List.of(), reports));
         assertThat(findings, contains(startsWith(Promise.USAGE_IS_REPORTED_ONCE.name())));
     }
 
+    @Test
+    void noticesALateCallToAnUpstreamThatIsLeaving() {
+        answer("safe-1", 0, "p1/1");
+        answer("safe-2", SECOND, "");
+        answer("safe-3", 3 * SECOND, "");
+        String promise = Promise.LEAVING_UPSTREAMS_GET_NO_LATE_CALLS.name();
+        assertThat(leavingFindings("safe-2"), is(empty()));
+        assertThat(leavingFindings("safe-3"), contains(startsWith(promise)));
+    }
+
+    @Test
+    void excusesALateCallOfAnInstanceThatWasKilledMeanwhile() {
+        long now = System.nanoTime();
+        answer("safe-1", now, "p1/1");
+        mRecord.interrupted("n1");
+        answer("safe-3", now + 3 * SECOND, "");
+        assertThat(leavingFindings("safe-3"), is(empty()));
+    }
+
+    private List<String> leavingFindings(String received) {
+        Map<String, Set<String>> receivers = Map.of(received, Set.of("p1/1"));
+        return Promise.checkAll(evidence(Map.of(), receivers, List.of(), List.of(), List.of()));
+    }
+
     private void call(String id, int status, String stamp, String body) {
         boolean safe = id.startsWith("safe-");
-        mRecord.liveCall(new SoakRecord.LiveCall(id, "n1", safe, 0, SECOND, status, stamp, body));
+        mRecord.liveCall(
+                new SoakRecord.LiveCall(id, "n1", safe, 0, SECOND, status, stamp, body, ""));
+    }
+
+    /** Records a whole answer that ended a second after its call was sent. */
+    private void answer(String id, long sentNanos, String leavingUpstream) {
+        mRecord.liveCall(
+                new SoakRecord.LiveCall(
+                        id,
+                        "n1",
+                        true,
+                        sentNanos,
+                        sentNanos + SECOND,
+                        200,
+                        "stamp-" + id,
+                        "body of " + id,
+                        leavingUpstream));
+    }
+
+    private Evidence evidence(
+            Map<String, Integer> runs,
+            Map<String, Set<String>> receivers,
+            List<ReceivedCall> calls,
+            List<AcceptedOrder> orders,
+            List<String> reports) {
+        return new Evidence(mRecord, runs, receivers, calls, orders, reports);
     }
 
     private static ReceivedCall seen(String id, Map<String, String> headers) {
@@ -169,6 +218,6 @@
     }
 
     private List<String> findings(Map<String, Integer> runs) {
-        return Promise.checkAll(new Evidence(mRecord, runs, List.of(), List.of(), List.of()));
+        return Promise.checkAll(evidence(runs, Map.of(), List.of(), List.of(), List.of()));
     }
 }
--- a/soak/src/test/java/org/fuchsialever/soak/SoakFault.java
+++ b/soak/src/test/java/org/fuchsialever/soak/SoakFault.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.fuchsialever.platform.StoreStandIn;
 import org.fuchsialever.platform.UpstreamStandIn;
@@ -14,6 +15,7 @@
         @Override
         Healing begin(SoakWorld world, RandomGenerator random) {
             InstanceProgram instance = any(world.instances(), random);
+            world.record().interrupted(instance.name());
             instance.kill();
             return instance::startAgain;
         }
@@ -22,7 +24,9 @@
     TERMINATE(true) {
         @Override
         Healing begin(SoakWorld world, RandomGenerator random) {
-            any(world.instances(), random).terminate(world.record());
+            InstanceProgram instance = any(world.instances(), random);
+            world.record().interrupted(instance.name());
+            instance.terminate(world.record());
             return () -> {};
         }
     },
@@ -31,6 +35,7 @@
         @Override
         Healing begin(SoakWorld world, RandomGenerator random) throws IOException {
             InstanceProgram instance = any(world.instances(), random);
+            world.record().interrupted(instance.name());
             instance.pause();
             return instance::resume;
         }
@@ -47,7 +52,10 @@
     KILL_ALL(false) {
         @Override
         Healing begin(SoakWorld world, RandomGenerator random) {
-            world.instances().forEach(InstanceProgram::kill);
+            for (InstanceProgram instance : world.instances()) {
+                world.record().interrupted(instance.name());
+                instance.kill();
+            }
             return () -> {
                 for (InstanceProgram instance : world.instances()) {
                     instance.startAgain();
@@ -101,6 +109,10 @@
             List<UpstreamStandIn.Behaviour> behaviours =
                     new ArrayList<>(List.of(UpstreamStandIn.Behaviour.values()));
             behaviours.remove(UpstreamStandIn.Behaviour.HEALTHY);
+            // Callers and trainers are told of these failures, so nothing mends them.
+            behaviours.remove(UpstreamStandIn.Behaviour.REJECTS_CALLS);
+            behaviours.remove(UpstreamStandIn.Behaviour.FAILS_RESUMED_STREAMS);
+            behaviours.remove(UpstreamStandIn.Behaviour.ANNOUNCES_LEAVING);
             if (!upstream.isEngine()) {
                 behaviours.remove(UpstreamStandIn.Behaviour.INTERRUPTS_STREAMS);
             }
@@ -117,6 +129,19 @@
             return () -> world.register(id, "ready");
         }
     },
+    /** An upstream announces in its responses that it is leaving, and starts again. */
+    UPSTREAM_ANNOUNCES_LEAVING(true) {
+        @Override
+        Healing begin(SoakWorld world, RandomGenerator random) {
+            Map.Entry<String, UpstreamStandIn> chosen =
+                    any(List.copyOf(world.upstreams().entrySet()), random);
+            chosen.getValue().setBehaviour(UpstreamStandIn.Behaviour.ANNOUNCES_LEAVING);
+            return () -> {
+                chosen.getValue().startAgain();
+                world.register(chosen.getKey(), "ready");
+            };
+        }
+    },
     /** The manifest changes. */
     MANIFEST(true) {
         @Override
--- a/soak/src/test/java/org/fuchsialever/soak/SoakRecord.java
+++ b/soak/src/test/java/org/fuchsialever/soak/SoakRecord.java
@@ -16,10 +16,12 @@
     private final List<Exit> mExits = new ArrayList<>();
     private final List<Span> mDisturbances = new ArrayList<>();
     private final List<Termination> mTerminations = new ArrayList<>();
+    private final List<Interruption> mInterruptions = new ArrayList<>();
     private final List<String> mViolations = new ArrayList<>();
 
     /**
-     * A live call that has ended; status 0 stands for a connection that ended without an answer.
+     * A live call that has ended; the upstream is empty unless its response said that it is
+     * leaving, and status 0 stands for a connection that ended without an answer.
      */
     record LiveCall(
             String id,
@@ -29,7 +31,8 @@
             long endedNanos,
             int status,
             String stamp,
-            String body) {}
+            String body,
+            String leavingUpstream) {}
 
     /** A submission and what its trainer was told. */
     record Submission(String id, Set<String> items, boolean accepted, boolean refused) {}
@@ -40,6 +43,9 @@
     /** When an instance was told to stop. */
     record Termination(String instance, long atNanos) {}
 
+    /** The kill, stop or pause of an instance. */
+    record Interruption(String instance, long atNanos) {}
+
     /** A disturbance that is not planned work. */
     record Span(long fromNanos, long toNanos) {}
 
@@ -106,6 +112,20 @@
         return List.copyOf(mTerminations);
     }
 
+    synchronized void interrupted(String instance) {
+        mInterruptions.add(new Interruption(instance, System.nanoTime()));
+    }
+
+    /** Returns whether an instance ran without a kill, stop or pause in a span of time. */
+    synchronized boolean ranThrough(String instance, long fromNanos, long toNanos) {
+        return mInterruptions.stream()
+                .noneMatch(
+                        interruption ->
+                                interruption.instance.equals(instance)
+                                        && interruption.atNanos >= fromNanos
+                                        && interruption.atNanos <= toNanos);
+    }
+
     synchronized void ended(String instance, long tookNanos, boolean calm) {
         mExits.add(new Exit(instance, tookNanos, calm));
     }
