Log the connection of each attempt and responses that belong to no waiting request

attempt-ended names the connection and how many requests it had carried. response-skipped, response-unnamed and bytes-while-idle are written for each unexpected response, and counted in fuchsialever.upstream.unexpected.responses. Whether a response belongs to a request is now one of three verdicts (ResponseMatch) instead of a boolean.

--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardComponent.java
@@ -65,6 +65,9 @@
                             return created[0];
                         });
         ForwardRunner runner = created[0];
+        context.require(HostedServices.class)
+                .exchange()
+                .setIdleBytesListener(runner::noteIdleBytes);
         context.provide(ForwardPort.class, runner);
         context.provide(UsageListeners.class, runner::addUsageListener);
         context.require(Directory.class)
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
@@ -23,12 +23,14 @@
 import org.fuchsialever.kernel.duty.Inbox;
 import org.fuchsialever.kernel.time.TimeSource;
 import org.fuchsialever.node.trace.TraceLog;
+import org.fuchsialever.services.exchange.ConnectionUse;
 import org.fuchsialever.services.exchange.ContentVerdict;
 import org.fuchsialever.services.exchange.Exchange;
 import org.fuchsialever.services.exchange.ExchangeClient;
 import org.fuchsialever.services.exchange.ExchangeListener;
 import org.fuchsialever.services.exchange.ExchangeOutcome;
 import org.fuchsialever.services.exchange.ExchangeRequest;
+import org.fuchsialever.services.exchange.ResponseMatch;
 import org.jspecify.annotations.Nullable;
 
 /** Executes the actions of the forward duty: sends attempts and reports outcomes. */
@@ -41,6 +43,9 @@
     /** Fewer events would make the pace depend on single pauses. */
     private static final int MIN_PACE_EVENTS = 3;
 
+    /** The connection of an attempt that got none. */
+    private static final ConnectionUse NO_CONNECTION = new ConnectionUse(0, 0);
+
     private final ExchangeClient mClient;
     private final Inbox<ForwardEvent> mInbox;
     private final TimeSource mTime;
@@ -70,6 +75,15 @@
         }
     }
 
+    /** Notes bytes that arrived on a connection on which no request waited. */
+    void noteIdleBytes(String address, ConnectionUse use) {
+        mTrace.line(PART, "bytes-while-idle")
+                .with("address", address)
+                .with("connection", use.connection())
+                .with("exchanges", use.earlierExchanges())
+                .write();
+    }
+
     void addUsageListener(UsageListener listener) {
         mUsageListeners.add(listener);
     }
@@ -219,6 +233,7 @@
         private final long mWallMillis = mTime.wallMillis();
         private long mPaceSinceNanos;
         private int mPaceSinceEvents;
+        private ConnectionUse mUse = NO_CONNECTION;
         private volatile boolean mEnded;
 
         Attempt(
@@ -234,6 +249,25 @@
             mStartNanos = startNanos;
         }
 
+        @Override
+        public void onConnection(ConnectionUse use) {
+            mUse = use;
+        }
+
+        @Override
+        public void onResponse(int status, ResponseMatch match) {
+            if (match != ResponseMatch.NAMED) {
+                mTrace.line(PART, match.isOwn() ? "response-unnamed" : "response-skipped")
+                        .with("id", mHandler.requestId())
+                        .with("attempt", mKey.attempt)
+                        .with("upstream", mStart.upstream().id())
+                        .with("connection", mUse.connection())
+                        .with("earlier", mUse.earlierExchanges())
+                        .with("status", status)
+                        .write();
+            }
+        }
+
         @Override
         public void onHead(int status, HttpHeaders headers) {
             // Learned here and not at the end, which a stream may reach much later.
@@ -287,6 +321,8 @@
                     .with("upstream", mStart.upstream().id())
                     .with("outcome", outcome)
                     .with("millis", TimeUnit.NANOSECONDS.toMillis(elapsedNanos))
+                    .with("connection", mUse.connection())
+                    .with("earlier", mUse.earlierExchanges())
                     .write();
             if (report.outcome().mayHaveRun() && !mHandler.meteredTeam().isEmpty()) {
                 mUsageListeners.forEach(
--- a/node/src/test/java/org/fuchsialever/node/batch/UpstreamProtocolStub.java
+++ b/node/src/test/java/org/fuchsialever/node/batch/UpstreamProtocolStub.java
@@ -3,11 +3,12 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.vavr.control.Option;
-import java.util.function.Predicate;
+import java.util.function.Function;
 import org.fuchsialever.decisions.batch.BatchItem;
 import org.fuchsialever.decisions.batch.ScoringCall;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.services.exchange.ExchangeRequest;
+import org.fuchsialever.services.exchange.ResponseMatch;
 import org.fuchsialever.services.hosted.UpstreamProtocol;
 import org.fuchsialever.services.hosted.UpstreamResponseHead;
 
@@ -43,8 +44,8 @@
     }
 
     @Override
-    public Predicate<ExchangeRequest.ResponseHead> responseMatcher(String requestId) {
-        return head -> true;
+    public Function<ExchangeRequest.ResponseHead, ResponseMatch> responseMatcher(String requestId) {
+        return head -> ResponseMatch.NAMED;
     }
 
     @Override
--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeChannel.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeChannel.java
@@ -36,12 +36,15 @@
     private static final int MIN_FINAL_STATUS = 200;
 
     private final Channel mChannel;
+    private final long mNumber;
     private final ExchangeDecoder mDecoder;
     private final String mAddress;
     private final Consumer<ExchangeChannel> mOnFree;
     private final Consumer<ExchangeChannel> mOnClosed;
+    private final IdleBytesListener mOnIdleBytes;
     private ExchangeClient.@Nullable RunningExchange mExchange;
     private @Nullable ChannelFuture mWritten;
+    private int mExchanges;
     private boolean mSkipping;
     private boolean mKeepAlive = true;
     private boolean mFinished;
@@ -50,11 +53,17 @@
     private long mFreeSince;
 
     ExchangeChannel(
-            Channel channel, Consumer<ExchangeChannel> onFree, Consumer<ExchangeChannel> onClosed) {
+            Channel channel,
+            long number,
+            Consumer<ExchangeChannel> onFree,
+            Consumer<ExchangeChannel> onClosed,
+            IdleBytesListener onIdleBytes) {
         mChannel = channel;
+        mNumber = number;
         mDecoder = channel.pipeline().get(ExchangeDecoder.class);
         mOnFree = onFree;
         mOnClosed = onClosed;
+        mOnIdleBytes = onIdleBytes;
         java.net.InetSocketAddress remote = (java.net.InetSocketAddress) channel.remoteAddress();
         mAddress = ExchangeClient.address(remote.getAddress().getHostAddress(), remote.getPort());
     }
@@ -70,6 +79,10 @@
                 && now - mFreeSince < mIdleNanos;
     }
 
+    private ConnectionUse use() {
+        return new ConnectionUse(mNumber, mExchanges);
+    }
+
     void close() {
         mFailed = true;
         mChannel.close();
@@ -79,7 +92,8 @@
         mExchange = next;
         mSkipping = false;
         mFinished = false;
-        next.attach(this);
+        next.attach(this, use());
+        mExchanges++;
         ExchangeRequest request = next.request();
         mDecoder.expectResponseTo(HttpMethod.valueOf(request.method()));
         DefaultFullHttpRequest message =
@@ -136,6 +150,9 @@
         ExchangeClient.RunningExchange current = mExchange;
         if (current == null || current.isEnded()) {
             // Unexpected bytes: they could be mistaken for the response to the next request.
+            if (!mFailed) {
+                mOnIdleBytes.onIdleBytes(mAddress, use());
+            }
             mOnClosed.accept(this);
             close();
             return;
@@ -150,14 +167,19 @@
 
     private void head(ExchangeClient.RunningExchange current, HttpResponse response) {
         int status = response.status().code();
-        mSkipping =
-                status < MIN_FINAL_STATUS
-                        || !current.request()
-                                .responseMatcher()
-                                .test(new ExchangeRequest.ResponseHead(status, response.headers()));
-        if (mSkipping) {
+        mSkipping = true;
+        if (status < MIN_FINAL_STATUS) {
             return;
         }
+        ResponseMatch match =
+                current.request()
+                        .responseMatcher()
+                        .apply(new ExchangeRequest.ResponseHead(status, response.headers()));
+        current.response(status, match);
+        if (!match.isOwn()) {
+            return;
+        }
+        mSkipping = false;
         mKeepAlive = HttpUtil.isKeepAlive(response);
         String limit = response.headers().get("Keep-Alive", "");
         Matcher matcher = KEEP_ALIVE_TIMEOUT.matcher(limit);
--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeClient.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeClient.java
@@ -32,12 +32,16 @@
 
     private static final int MAX_IDLE_PER_ADDRESS = 16;
 
+    private static final String UNEXPECTED_RESPONSES = "fuchsialever.upstream.unexpected.responses";
+
     private static final PartLogger LOG = PartLogger.of("exchange");
 
     private final EventLoop mLoop;
     private final Bootstrap mBootstrap;
     private final Map<String, Deque<ExchangeChannel>> mIdleChannels = new HashMap<>();
     private final MeterRegistry mMeters;
+    private volatile IdleBytesListener mIdleBytesListener = (address, use) -> {};
+    private long mLastConnection;
     private boolean mClosed;
 
     /**
@@ -71,6 +75,11 @@
         }
     }
 
+    /** Sets what learns of bytes on idle connections. */
+    public void setIdleBytesListener(IdleBytesListener listener) {
+        mIdleBytesListener = listener;
+    }
+
     /** Returns the event loop in which listeners are called. */
     public EventLoop loop() {
         return mLoop;
@@ -117,7 +126,14 @@
     }
 
     private void connected(RunningExchange exchange, Channel channel) {
-        ExchangeChannel opened = new ExchangeChannel(channel, this::addIdle, this::removeIdle);
+        mLastConnection++;
+        ExchangeChannel opened =
+                new ExchangeChannel(
+                        channel,
+                        mLastConnection,
+                        this::addIdle,
+                        this::removeIdle,
+                        this::countIdleBytes);
         channel.pipeline().addLast(opened);
         if (exchange.isEnded()) {
             opened.close();
@@ -166,6 +182,11 @@
         }
     }
 
+    private void countIdleBytes(String address, ConnectionUse use) {
+        mMeters.counter(UNEXPECTED_RESPONSES, "while", "idle").increment();
+        mIdleBytesListener.onIdleBytes(address, use);
+    }
+
     static String address(String host, int port) {
         return host + ":" + port;
     }
@@ -195,11 +216,19 @@
             return ExchangeClient.address(mRequest.host(), mRequest.port());
         }
 
-        void attach(ExchangeChannel usedChannel) {
+        void attach(ExchangeChannel usedChannel, ConnectionUse use) {
             mChannel = usedChannel;
+            mListener.onConnection(use);
             startTimer(mRequest.firstByteTimeout().toNanos());
         }
 
+        void response(int status, ResponseMatch match) {
+            if (!match.isOwn()) {
+                mMeters.counter(UNEXPECTED_RESPONSES, "while", "waiting").increment();
+            }
+            mListener.onResponse(status, match);
+        }
+
         void head(int status, io.netty.handler.codec.http.HttpHeaders headers) {
             startTimer(mRequest.idleTimeout().toNanos());
             mListener.onHead(status, headers);
--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeListener.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeListener.java
@@ -5,6 +5,12 @@
 /** Receives a response. Called in the event loop; must not block. */
 public interface ExchangeListener {
 
+    /** Handles the choice of the connection; called once, before the request is sent. */
+    default void onConnection(ConnectionUse use) {}
+
+    /** Handles the arrival of a final response on the connection, also of one that is skipped. */
+    default void onResponse(int status, ResponseMatch match) {}
+
     /** Handles the head of the response. */
     void onHead(int status, HttpHeaders headers);
 
--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeRequest.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeRequest.java
@@ -2,7 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
-import java.util.function.Predicate;
+import java.util.function.Function;
 
 /**
  * A request to one address.
@@ -12,7 +12,7 @@
  * @param headers header fields; the client adds the length of the body
  * @param body the body, may be empty
  * @param responseMatcher whether a response with the given head belongs to this request; other
- *     responses are skipped
+ *     final responses are skipped
  * @param firstByteTimeout the maximum wait for the head of the response
  * @param idleTimeout the maximum wait between parts of the response
  */
@@ -23,7 +23,7 @@
         String uri,
         HttpHeaders headers,
         byte[] body,
-        Predicate<ResponseHead> responseMatcher,
+        Function<ResponseHead, ResponseMatch> responseMatcher,
         Duration firstByteTimeout,
         Duration idleTimeout) {
 
--- a/services/src/main/java/org/fuchsialever/services/hosted/UpstreamProtocol.java
+++ b/services/src/main/java/org/fuchsialever/services/hosted/UpstreamProtocol.java
@@ -1,11 +1,12 @@
 package org.fuchsialever.services.hosted;
 
 import io.netty.handler.codec.http.HttpHeaders;
-import java.util.function.Predicate;
+import java.util.function.Function;
 import org.fuchsialever.decisions.batch.BatchItem;
 import org.fuchsialever.decisions.batch.ScoringCall;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.services.exchange.ExchangeRequest;
+import org.fuchsialever.services.exchange.ResponseMatch;
 
 /** The protocol between instances and upstreams. */
 public interface UpstreamProtocol {
@@ -47,7 +48,7 @@
     HttpHeaders scoringHeaders(ScoringCall call, FleetUpstream upstream, long remainingMillis);
 
     /** Returns a test of whether a response belongs to the request with the given ID. */
-    Predicate<ExchangeRequest.ResponseHead> responseMatcher(String requestId);
+    Function<ExchangeRequest.ResponseHead, ResponseMatch> responseMatcher(String requestId);
 
     /** Decodes the head of a response. */
     UpstreamResponseHead readResponseHead(int status, HttpHeaders headers);
--- a/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
+++ b/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
@@ -244,7 +244,10 @@
                         "/",
                         new DefaultHttpHeaders().set("Host", "h"),
                         new byte[0],
-                        head -> id.equals(head.headers().get("Id")),
+                        head ->
+                                id.equals(head.headers().get("Id"))
+                                        ? ResponseMatch.NAMED
+                                        : ResponseMatch.FOREIGN,
                         Duration.ofMillis(2_000),
                         Duration.ofMillis(2_000));
         mClient.send(
