Send two requests with one ID on two connections

Cause: a response is matched by its request ID alone, but the ID names the item, not the run. An item or scoring call that is sent again after a failure, after its weights became too old, or in a later submission may get the connection of its earlier run, and an upstream that answers twice sends the copy there.

Change: a connection remembers what it has carried and never carries an ID twice, so that whatever arrives with an ID on a connection is the response to the one request that was sent there. Other idle connections to the address, or a new one, take the request.

--- a/node/src/main/java/org/fuchsialever/node/batch/ItemGenerationHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/ItemGenerationHandler.java
@@ -110,6 +110,7 @@
                         Math.min(remainingMillis, mGiveUpMillis),
                         mLastEvent < 0 ? "" : Long.toString(mLastEvent)),
                 mItem.body(),
+                mItem.id(),
                 mProtocol.responseMatcher(mItem.id()),
                 FIRST_BYTE_TIMEOUT,
                 NEXT_EVENT_TIMEOUT.multipliedBy(1L << Math.min(mSilentAttempts, MAX_DOUBLINGS)));
--- a/node/src/main/java/org/fuchsialever/node/batch/ItemScoringHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/ItemScoringHandler.java
@@ -56,6 +56,7 @@
                 mCall.path(),
                 mProtocol.scoringHeaders(mCall, upstream, mTimeoutMillis),
                 mCall.body(),
+                mCall.id(),
                 mProtocol.responseMatcher(mCall.id()),
                 timeout,
                 timeout);
--- a/node/src/main/java/org/fuchsialever/node/entry/LiveCallHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/LiveCallHandler.java
@@ -82,6 +82,7 @@
                 mProtocol.forwardHeaders(
                         mCall.headers(), upstream, mCall.team(), remainingMillis, mLastEventId),
                 mCall.body(),
+                mCall.requestId(),
                 mProtocol.responseMatcher(mCall.requestId()),
                 timeout,
                 resumes ? RESUMABLE_IDLE_TIMEOUT : timeout);
--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeChannel.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeChannel.java
@@ -42,9 +42,9 @@
     private final Consumer<ExchangeChannel> mOnFree;
     private final Consumer<ExchangeChannel> mOnClosed;
     private final IdleBytesListener mOnIdleBytes;
+    private final CarriedRequests mCarried = new CarriedRequests();
     private ExchangeClient.@Nullable RunningExchange mExchange;
     private @Nullable ChannelFuture mWritten;
-    private int mExchanges;
     private boolean mSkipping;
     private boolean mKeepAlive = true;
     private boolean mFinished;
@@ -72,6 +72,11 @@
         return mAddress;
     }
 
+    /** Returns whether a response to a request with the ID cannot be one to an earlier request. */
+    boolean mayCarry(String id) {
+        return mCarried.mayAdd(id);
+    }
+
     boolean isUsable(long now) {
         return mChannel.isActive()
                 && !mFailed
@@ -80,7 +85,7 @@
     }
 
     private ConnectionUse use() {
-        return new ConnectionUse(mNumber, mExchanges);
+        return new ConnectionUse(mNumber, mCarried.count());
     }
 
     void close() {
@@ -93,8 +98,8 @@
         mSkipping = false;
         mFinished = false;
         next.attach(this, use());
-        mExchanges++;
         ExchangeRequest request = next.request();
+        mCarried.add(request.id());
         mDecoder.expectResponseTo(HttpMethod.valueOf(request.method()));
         DefaultFullHttpRequest message =
                 new DefaultFullHttpRequest(
@@ -199,7 +204,12 @@
         }
         mExchange = null;
         ChannelFuture request = mWritten;
-        boolean reusable = mKeepAlive && request != null && request.isDone() && mChannel.isActive();
+        boolean reusable =
+                mKeepAlive
+                        && mCarried.mayContinue()
+                        && request != null
+                        && request.isDone()
+                        && mChannel.isActive();
         if (reusable) {
             mFinished = true;
         } else {
--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeClient.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeClient.java
@@ -13,6 +13,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.fuchsialever.kernel.log.PartLogger;
@@ -22,7 +23,9 @@
 /**
  * Sends requests over pooled connections, one at a time on each. Reactor Netty's client hands the
  * next response on a connection to the request that waits there, even if it belongs to an earlier
- * one, so this client uses Netty's codec directly and skips such responses.
+ * one, so this client uses Netty's codec directly and skips such responses. A connection carries
+ * each request ID once, because a response to an earlier request with the ID could not be told
+ * apart.
  */
 public final class ExchangeClient implements AutoCloseable {
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
@@ -152,17 +155,24 @@
         }
     }
 
+    /** Takes the channel that became idle last, as it is the least likely to be closed soon. */
     private @Nullable ExchangeChannel takeIdle(ExchangeRequest request) {
         Deque<ExchangeChannel> list = mIdleChannels.get(address(request.host(), request.port()));
         if (list == null) {
             return null;
         }
-        ExchangeChannel channel = list.pollLast();
-        while (channel != null && !channel.isUsable(System.nanoTime())) {
-            channel.close();
-            channel = list.pollLast();
+        Iterator<ExchangeChannel> newestFirst = list.descendingIterator();
+        while (newestFirst.hasNext()) {
+            ExchangeChannel channel = newestFirst.next();
+            if (!channel.isUsable(System.nanoTime())) {
+                newestFirst.remove();
+                channel.close();
+            } else if (channel.mayCarry(request.id())) {
+                newestFirst.remove();
+                return channel;
+            }
         }
-        return channel;
+        return null;
     }
 
     private void addIdle(ExchangeChannel channel) {
--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeRequest.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeRequest.java
@@ -11,6 +11,7 @@
  * @param uri path and query
  * @param headers header fields; the client adds the length of the body
  * @param body the body, may be empty
+ * @param id the ID that responses name, empty if the request has none
  * @param responseMatcher whether a response with the given head belongs to this request; other
  *     final responses are skipped
  * @param firstByteTimeout the maximum wait for the head of the response
@@ -23,6 +24,7 @@
         String uri,
         HttpHeaders headers,
         byte[] body,
+        String id,
         Function<ResponseHead, ResponseMatch> responseMatcher,
         Duration firstByteTimeout,
         Duration idleTimeout) {
--- a/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
+++ b/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
@@ -131,6 +131,35 @@
         }
     }
 
+    /** Guards against a copy of the first response to a request that is sent again. */
+    @Test
+    void takesNoCopyOfTheFirstResponseWhenARequestIsSentAgain() throws Exception {
+        try (ScriptedServer server =
+                new ScriptedServer(
+                        response("1", "first"),
+                        ScriptedServer.AGAIN + response("1", "second"),
+                        ScriptedServer.AGAIN + response("2", "two"))) {
+            assertThat(send(server, "1"), is("COMPLETE first"));
+            assertThat(send(server, "1"), is("COMPLETE second"));
+            assertThat(send(server, "2"), is("COMPLETE two"));
+            assertThat(server.connections(), is(2));
+        }
+    }
+
+    @Test
+    void replacesAConnectionThatHasCarriedAsManyRequestsAsItMay() throws Exception {
+        String[] responses = new String[CarriedRequests.MAX_REQUESTS + 1];
+        for (int id = 0; id < responses.length; id++) {
+            responses[id] = response(Integer.toString(id), "body");
+        }
+        try (ScriptedServer server = new ScriptedServer(responses)) {
+            for (int id = 0; id < responses.length; id++) {
+                assertThat(send(server, Integer.toString(id)), is("COMPLETE body"));
+            }
+            assertThat(server.connections(), is(2));
+        }
+    }
+
     @Test
     void waitsForNoBodyOfAResponseToAHeadRequest() throws Exception {
         String head = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\n";
@@ -244,6 +273,7 @@
                         "/",
                         new DefaultHttpHeaders().set("Host", "h"),
                         new byte[0],
+                        id,
                         head ->
                                 id.equals(head.headers().get("Id"))
                                         ? ResponseMatch.NAMED
--- a/services/src/test/java/org/fuchsialever/services/exchange/ScriptedServer.java
+++ b/services/src/test/java/org/fuchsialever/services/exchange/ScriptedServer.java
@@ -28,6 +28,9 @@
     /** Suffix of a response after which bytes are sent without end or pause. */
     static final String FLOOD = "<flood>";
 
+    /** Prefix of a response before which the previous one of the connection is sent again. */
+    static final String AGAIN = "<again>";
+
     private static final long DRIP_INTERVAL_MILLIS = 100;
     private static final int FLOOD_BLOCK_BYTES = 8_192;
 
@@ -39,9 +42,7 @@
     ScriptedServer(String... responses) throws IOException {
         mSocket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         mResponses = List.of(responses).iterator();
-        Thread thread = new Thread(this::accept, "scripted-server");
-        thread.setDaemon(true);
-        thread.start();
+        start("scripted-server", this::accept);
     }
 
     int port() {
@@ -64,16 +65,36 @@
 
     private void accept() {
         while (!mSocket.isClosed()) {
-            try (Socket connection = mSocket.accept()) {
+            try {
+                Socket connection = mSocket.accept();
                 mConnections.incrementAndGet();
-                serve(connection);
+                start("scripted-connection", () -> serveUntilClosed(connection));
             } catch (IOException e) {
-                // The client closed the connection or the test has ended; the next one is accepted.
-                continue;
+                // The test has ended.
+                return;
             }
         }
     }
 
+    private static void start(String name, Runnable task) {
+        Thread thread = new Thread(task, name);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void serveUntilClosed(Socket connection) {
+        try (connection) {
+            serve(connection);
+        } catch (IOException e) {
+            // The client closed the connection or the test has ended.
+            return;
+        }
+    }
+
+    private synchronized String nextResponse() {
+        return mResponses.hasNext() ? mResponses.next() : "";
+    }
+
     /** Ends with an exception when the client has closed the connection. */
     private void sendWithoutEnd(Socket connection, boolean drip) throws IOException {
         byte[] block = "x".repeat(drip ? 1 : FLOOD_BLOCK_BYTES).getBytes(StandardCharsets.US_ASCII);
@@ -98,12 +119,15 @@
                 new BufferedReader(
                         new InputStreamReader(
                                 connection.getInputStream(), StandardCharsets.US_ASCII));
+        String previous = "";
         String line = reader.readLine();
         while (line != null) {
-            if (line.isEmpty() && mResponses.hasNext()) {
-                String response = mResponses.next();
+            if (line.isEmpty()) {
+                String response = nextResponse();
                 boolean reset = response.endsWith(RESET);
-                String bytes = response.replaceAll("<[a-z]+>$", "");
+                String own = response.replaceAll("^<[a-z]+>|<[a-z]+>$", "");
+                String bytes = response.startsWith(AGAIN) ? previous + own : own;
+                previous = own;
                 connection.getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
                 connection.getOutputStream().flush();
                 if (reset) {
