Lend no connection on which a response named no request

A response of 300 or more without a request ID is taken for that of the waiting request, as an upstream may refuse before it has read the ID. If the upstream sends it a second time, late, the next request on the connection got it: a live caller a refusal that was another's, and a request that ran was counted as refused.

ExchangeClientTest.takesNoCopyOfAResponseThatNamesNoRequest failed before ('COMPLETE full' for 'COMPLETE two') and passes now.

--- a/services/src/main/java/org/fuchsialever/services/exchange/CarriedRequests.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/CarriedRequests.java
@@ -14,11 +14,18 @@
     /** Hash codes, since callers choose the length of IDs; a collision costs a connection. */
     private final Set<Integer> mIds = new HashSet<>();
 
+    private boolean mAmbiguous;
+
     /** Adds a request that is sent on the connection. */
     void add(String id) {
         mIds.add(id.hashCode());
     }
 
+    /** Notes how the response to the newest request was matched. */
+    void noteResponse(ResponseMatch match) {
+        mAmbiguous |= !match.identifiesRequest();
+    }
+
     /** Returns whether no earlier request of the connection can have the ID. */
     boolean mayAdd(String id) {
         return !mIds.contains(id.hashCode());
@@ -26,7 +33,7 @@
 
     /** Returns whether the connection may carry further requests. */
     boolean mayContinue() {
-        return mIds.size() < MAX_REQUESTS;
+        return !mAmbiguous && mIds.size() < MAX_REQUESTS;
     }
 
     /** Returns the number of requests. */
--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeChannel.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeChannel.java
@@ -185,6 +185,7 @@
             return;
         }
         mSkipping = false;
+        mCarried.noteResponse(match);
         mKeepAlive = HttpUtil.isKeepAlive(response);
         String limit = response.headers().get("Keep-Alive", "");
         Matcher matcher = KEEP_ALIVE_TIMEOUT.matcher(limit);
--- a/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
+++ b/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
@@ -17,6 +17,9 @@
 
 class ExchangeClientTest {
     private static final long TEST_TIMEOUT_SECONDS = 30;
+    private static final int REFUSED = 503;
+    private static final String UNNAMED_REFUSAL =
+            "HTTP/1.1 503 Full\r\nContent-Length: 4\r\n\r\nfull";
 
     private final LoopResources mLoops = LoopResources.create("exchange-test", 1, true);
     private final ExchangeClient mClient = new ExchangeClient(mLoops, new SimpleMeterRegistry());
@@ -146,6 +149,16 @@
         }
     }
 
+    /** Guards against a refusal without an ID that arrives a second time, for another request. */
+    @Test
+    void takesNoCopyOfAResponseThatNamesNoRequest() throws Exception {
+        try (ScriptedServer server =
+                new ScriptedServer(UNNAMED_REFUSAL, ScriptedServer.AGAIN + response("2", "two"))) {
+            assertThat(send(server, "1"), is("COMPLETE full"));
+            assertThat(send(server, "2"), is("COMPLETE two"));
+        }
+    }
+
     @Test
     void replacesAConnectionThatHasCarriedAsManyRequestsAsItMay() throws Exception {
         String[] responses = new String[CarriedRequests.MAX_REQUESTS + 1];
@@ -274,10 +287,7 @@
                         new DefaultHttpHeaders().set("Host", "h"),
                         new byte[0],
                         id,
-                        head ->
-                                id.equals(head.headers().get("Id"))
-                                        ? ResponseMatch.NAMED
-                                        : ResponseMatch.FOREIGN,
+                        head -> match(id, head),
                         Duration.ofMillis(2_000),
                         Duration.ofMillis(2_000));
         mClient.send(
@@ -300,6 +310,14 @@
         return result.get(TEST_TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
+    private static ResponseMatch match(String id, ExchangeRequest.ResponseHead head) {
+        String named = head.headers().get("Id");
+        if (named == null) {
+            return head.status() == REFUSED ? ResponseMatch.UNNAMED : ResponseMatch.FOREIGN;
+        }
+        return id.equals(named) ? ResponseMatch.NAMED : ResponseMatch.FOREIGN;
+    }
+
     private static String response(String id, String body) {
         return "HTTP/1.1 200 OK\r\nId: "
                 + id
