Accept no response that is joined from a copy and the next one

A live caller got the status of one response with the body and signature of another.

Cause: Netty's decoder takes heads line by line. A connection was lent again although the decoder had read whole lines of a copy, since only bytes that it had not read counted; and a head that goes on with another status line was accepted.

Change: the decoder knows whether it is between two messages, and a connection in the middle of one is not lent. A head with a status line in its reason, a field name or a value is malformed.

--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeChannel.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeChannel.java
@@ -80,7 +80,7 @@
     boolean isUsable(long now) {
         return mChannel.isActive()
                 && !mFailed
-                && !mDecoder.hasUnreadBytes()
+                && !mDecoder.hasIncompleteMessage()
                 && now - mFreeSince < mIdleNanos;
     }
 
@@ -147,7 +147,8 @@
     }
 
     private void read(HttpObject part) {
-        if (part.decoderResult().isFailure()) {
+        boolean joined = part instanceof HttpResponse head && ExchangeDecoder.isJoined(head);
+        if (part.decoderResult().isFailure() || joined) {
             end(ExchangeOutcome.MALFORMED);
             close();
             return;
--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeDecoder.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeDecoder.java
@@ -1,9 +1,16 @@
 package org.fuchsialever.services.exchange;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
 
 /**
  * Decodes responses with bounded heads and knows whether bytes are left over after a response.
@@ -14,7 +21,11 @@
     private static final int MAX_HEADER_BYTES = 64 * 1_024;
     private static final int MAX_CHUNK_BYTES = 16 * 1_024;
 
+    /** The beginning of another response in a part of a head, which is then joined from two. */
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [0-9]{3}");
+
     private boolean mBodyOmitted;
+    private boolean mInMessage;
 
     ExchangeDecoder() {
         super(
@@ -31,8 +42,34 @@
     }
 
     /** Returns whether bytes have arrived that belong to no complete message. */
-    boolean hasUnreadBytes() {
-        return actualReadableBytes() > 0;
+    boolean hasIncompleteMessage() {
+        return mInMessage || actualReadableBytes() > 0;
+    }
+
+    /** Returns whether a response was cut off in its head, and the next one follows in it. */
+    static boolean isJoined(HttpResponse response) {
+        if (containsStatusLine(response.status().reasonPhrase())) {
+            return true;
+        }
+        for (Map.Entry<String, String> field : response.headers()) {
+            if (field.getKey().contains("HTTP/") || containsStatusLine(field.getValue())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean containsStatusLine(String text) {
+        return STATUS_LINE.matcher(text).find();
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
+            throws Exception {
+        int before = buffer.readableBytes();
+        super.decode(context, buffer, out);
+        boolean ended = !out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent;
+        mInMessage = !ended && (mInMessage || buffer.readableBytes() < before);
     }
 
     @Override
--- a/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
+++ b/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
@@ -17,10 +17,12 @@
 
 class ExchangeClientTest {
     private static final long TEST_TIMEOUT_SECONDS = 30;
+    private static final int OK = 200;
     private static final int REFUSED = 503;
     private static final String UNNAMED_REFUSAL =
             "HTTP/1.1 503 Full\r\nContent-Length: 4\r\n\r\nfull";
 
+    private volatile int mStatus;
     private final LoopResources mLoops = LoopResources.create("exchange-test", 1, true);
     private final ExchangeClient mClient = new ExchangeClient(mLoops, new SimpleMeterRegistry());
 
@@ -159,6 +161,36 @@
         }
     }
 
+    /** Guards against a status of an earlier response over the body of the next one. */
+    @Test
+    void neverLendsAConnectionThatIsInTheMiddleOfAHead() throws Exception {
+        String begun = "HTTP/1.1 503 Full\r\n";
+        try (ScriptedServer server =
+                new ScriptedServer(response("1", "one") + begun, response("2", "two"))) {
+            assertThat(send(server, "1"), is("COMPLETE one"));
+            assertThat(send(server, "2"), is("COMPLETE two"));
+            assertThat(server.connections(), is(2));
+        }
+    }
+
+    /** Guards against a head that is cut off and completed by the head of the next response. */
+    @Test
+    void acceptsNoResponseThatIsJoinedFromACopyAndTheNextOne() throws Exception {
+        String copy =
+                "HTTP/1.1 503 Service Unavailable\r\nLoad: 1,2,3\r\nId: 1\r\n"
+                        + "Content-Length: 4\r\n\r\nfull";
+        for (int cut = 1; cut < copy.length(); cut++) {
+            try (ScriptedServer server =
+                    new ScriptedServer(
+                            response("1", "one"), copy.substring(0, cut) + response("2", "two"))) {
+                assertThat(send(server, "1"), is("COMPLETE one"));
+                String result = send(server, "2");
+                boolean own = result.equals("COMPLETE two") && mStatus == OK;
+                assertThat(cut + " " + result, own || !result.startsWith("COMPLETE"));
+            }
+        }
+    }
+
     @Test
     void replacesAConnectionThatHasCarriedAsManyRequestsAsItMay() throws Exception {
         String[] responses = new String[CarriedRequests.MAX_REQUESTS + 1];
@@ -294,7 +326,9 @@
                 request,
                 new ExchangeListener() {
                     @Override
-                    public void onHead(int status, HttpHeaders headers) {}
+                    public void onHead(int status, HttpHeaders headers) {
+                        mStatus = status;
+                    }
 
                     @Override
                     public ContentVerdict onContent(byte[] bytes) {
