--- a/decisions/src/test/java/org/fuchsialever/decisions/batch/BatchDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/batch/BatchDutyTest.java
@@ -40,6 +40,18 @@
                 is(List.of(new ItemResult("x0", true, "text", List.of(5L), "signature"))));
     }
 
+    /** Guards against a text with the score of another one: two runs of an item may both end. */
+    @Test
+    void listsNoTextWithTheScoreOfTheTextOfAnotherRun() {
+        open(Set.of());
+        event(new BatchEvent.Generated(ID, 0, "text", List.of(5L)));
+        event(new BatchEvent.Generated(ID, 0, "text of another run", List.of(5L)));
+        event(new BatchEvent.Scored(ID, 0, "signature"));
+        assertThat(
+                last(BatchAction.Commit.class).results(),
+                is(List.of(new ItemResult("x0", true, "text", List.of(5L), "signature"))));
+    }
+
     @Test
     void generatesAgainWhenAVersionIsTooOldOrUnknown() {
         open(Set.of());
--- a/node/src/test/java/org/fuchsialever/node/forward/ForwardRunnerTest.java
+++ b/node/src/test/java/org/fuchsialever/node/forward/ForwardRunnerTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.LongFunction;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.forward.ForwardCall;
 import org.fuchsialever.decisions.forward.ForwardCallKind;
@@ -54,23 +55,54 @@
         }
     }
 
+    /** Guards against items that run twice at a time: a manifest may move one that is submitted. */
+    @Test
+    void startsNoCallThatIsWithdrawnWhileItIsSubmitted() throws Exception {
+        LoopResources loops = LoopResources.create("forward-test", 1, true);
+        SimpleMeterRegistry meters = new SimpleMeterRegistry();
+        PrintStream output =
+                new PrintStream(new ByteArrayOutputStream(), false, StandardCharsets.UTF_8);
+        try (ExchangeClient client = new ExchangeClient(loops, meters);
+                TraceLog trace = new TraceLog(output, meters)) {
+            Inbox<ForwardEvent> inbox = new Inbox<>(RING_CAPACITY, OverflowPolicy.REFUSE);
+            ForwardRunner runner =
+                    new ForwardRunner(client, inbox, new ManualTimeSource(0), trace, meters);
+            submit(
+                    runner,
+                    number -> {
+                        runner.cancel(number);
+                        return call(number, ForwardCallKind.ITEM);
+                    });
+            assertThat(runner.inProgress(), is(0));
+        } finally {
+            loops.dispose();
+        }
+    }
+
+    private static ForwardCall call(long number, ForwardCallKind kind) {
+        return new ForwardCall(
+                number,
+                kind,
+                List.of(new ServiceShare("s", 1)),
+                true,
+                1,
+                "",
+                0,
+                "",
+                0,
+                false,
+                0,
+                Duty.NO_TIMER,
+                Duty.NO_TIMER);
+    }
+
     private void submit(ForwardRunner runner, ForwardCallKind kind) {
+        submit(runner, number -> call(number, kind));
+    }
+
+    private void submit(ForwardRunner runner, LongFunction<ForwardCall> callFactory) {
         runner.submit(
-                number ->
-                        new ForwardCall(
-                                number,
-                                kind,
-                                List.of(new ServiceShare("s", 1)),
-                                true,
-                                1,
-                                "",
-                                0,
-                                "",
-                                0,
-                                false,
-                                0,
-                                Duty.NO_TIMER,
-                                Duty.NO_TIMER),
+                callFactory,
                 new ForwardCallHandler() {
                     @Override
                     public String requestId() {
--- a/node/src/test/java/org/fuchsialever/node/hosted/HostedFixture.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/HostedFixture.java
@@ -76,6 +76,11 @@
         mNodes.put(name, mCloser.register(name, NodeProcess.start(name + ".ini", settings).get()));
     }
 
+    /** Returns the port on which an instance accepts calls. */
+    int port(String name) {
+        return Objects.requireNonNull(mPorts.get(name));
+    }
+
     void stop(String name) {
         NodeProcess node = mNodes.get(name);
         if (node != null) {
--- a/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
+++ b/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
@@ -191,6 +191,50 @@
         }
     }
 
+    /** Guards against a cut copy, with chunks or a long body, that takes a part of the next one. */
+    @Test
+    void acceptsNoResponseOfWhichACutCopyHasTakenAPart() throws Exception {
+        String chunked =
+                "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + "5\r\nabcde\r\n3\r\nfgh\r\n0\r\n\r\n";
+        String framed = response("1", "a long body that was cut somewhere on its way to us ".repeat(3));
+        for (String copy : new String[] {chunked, framed}) {
+            for (int cut = 1; cut < copy.length(); cut++) {
+                try (ScriptedServer server =
+                        new ScriptedServer(
+                                response("1", "one"),
+                                copy.substring(0, cut)
+                                        + response("2", "two\r\n\r\n")
+                                        + ScriptedServer.CLOSE)) {
+                    assertThat(send(server, "1"), is("COMPLETE one"));
+                    String result = send(server, "2");
+                    boolean own = result.equals("COMPLETE two\r\n\r\n") && mStatus == OK;
+                    assertThat(cut + " " + result, own || !result.startsWith("COMPLETE"));
+                }
+            }
+        }
+    }
+
+    @Test
+    void skipsACopyOfTheResponseToAHeadRequest() throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\n";
+        try (ScriptedServer server =
+                new ScriptedServer(head, ScriptedServer.AGAIN + response("2", "two"))) {
+            assertThat(send(server, "HEAD", "1", ContentVerdict.PROGRESS), is("COMPLETE "));
+            assertThat(send(server, "2"), is("COMPLETE two"));
+        }
+    }
+
+    @Test
+    void skipsACopyWithABodyWhileItWaitsForTheResponseToAHeadRequest() throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 9\r\n\r\n";
+        try (ScriptedServer server =
+                new ScriptedServer(response("1", "one"), ScriptedServer.AGAIN + head)) {
+            assertThat(send(server, "1"), is("COMPLETE one"));
+            assertThat(send(server, "HEAD", "2", ContentVerdict.PROGRESS), is("COMPLETE "));
+        }
+    }
+
     @Test
     void replacesAConnectionThatHasCarriedAsManyRequestsAsItMay() throws Exception {
         String[] responses = new String[CarriedRequests.MAX_REQUESTS + 1];
