--- a/node/src/test/java/org/fuchsialever/node/hosted/EntryConnectionsTest.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/EntryConnectionsTest.java
@@ -11,6 +11,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import org.fuchsialever.platform.ManifestText;
 import org.junit.jupiter.api.Test;
@@ -77,7 +78,9 @@
                 caller.shutdownOutput();
                 assertThat(response(caller), not(startsWith("HTTP/1.1 2")));
             }
-            assertThat(fixture.call("n1", "POST", "/unsafe/x", "r2", HostedFixture.KEY, "").status(), is(200));
+            assertThat(
+                    fixture.call("n1", "POST", "/unsafe/x", "r2", HostedFixture.KEY, "").status(),
+                    is(200));
             assertThat(fixture.upstream("p1").executionCount("torn"), is(0));
         }
     }
@@ -85,6 +88,15 @@
     /** Guards against runs that go on for a caller who has left in the middle of a stream. */
     @Test
     void endsTheRunOfAStreamWhoseCallerLeaves() throws Exception {
+        assertThat(isRunEndedOnceTheCallerLeaves(0), is(true));
+    }
+
+    @Test
+    void endsTheRunOfAStreamWhoseCallerLeavesAtItsNextEvents() throws Exception {
+        assertThat(isRunEndedOnceTheCallerLeaves(10), is(true));
+    }
+
+    private static boolean isRunEndedOnceTheCallerLeaves(int furtherEvents) throws Exception {
         try (HostedFixture fixture = new HostedFixture();
                 ServerSocket engine = new ServerSocket(0, 9, InetAddress.getLoopbackAddress())) {
             fixture.mStore.write("op", "config", ManifestText.of(2, HostedFixture.KEY));
@@ -98,26 +110,44 @@
                             + "\"born\":1,\"models\":[{\"name\":\"m\",\"version\":1}]}");
             fixture.start("n1");
             fixture.awaitServing("n1");
-            try (Socket caller = connect(fixture)) {
-                write(
-                        caller,
-                        head("POST", "/stream/x", "s1", 0)
-                                .replace("Content-Length", "Model: m\r\nContent-Length"));
-                Socket run = acceptRun(engine);
+            Socket caller = connect(fixture);
+            write(
+                    caller,
+                    head("POST", "/stream/x", "s1", 0)
+                            .replace("Content-Length", "Model: m\r\nContent-Length"));
+            try (Socket run = acceptRun(engine)) {
                 write(
                         run,
                         "HTTP/1.1 200 OK\r\nRequest-Id: s1\r\nResponse-Stamp: s\r\n"
-                                + "Transfer-Encoding: chunked\r\n\r\n11\r\nid: 1\ndata: one\n\n\r\n");
+                                + "Transfer-Encoding: chunked\r\n\r\n"
+                                + event(1));
                 assertThat(head(caller), startsWith("HTTP/1.1 200"));
                 caller.setSoLinger(true, 0);
                 caller.close();
-                run.setSoTimeout(LEAVE_MILLIS);
-                // Ends with a timeout if the instance keeps the connection.
-                assertThat(run.getInputStream().read(), is(-1));
+                return isClosed(run, furtherEvents);
             }
         }
     }
 
+    private static boolean isClosed(Socket run, int furtherEvents) throws IOException {
+        run.setSoTimeout(LEAVE_MILLIS / (furtherEvents + 1));
+        for (int number = 2; number <= furtherEvents + 2; number++) {
+            try {
+                return run.getInputStream().read() < 0;
+            } catch (SocketTimeoutException e) {
+                if (number < furtherEvents + 2) {
+                    write(run, event(number));
+                }
+            }
+        }
+        return false;
+    }
+
+    private static String event(int number) {
+        String text = "id: " + number + "\ndata: d\n\n";
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
     /** Other connections are those of reports. */
     private static Socket acceptRun(ServerSocket engine) throws IOException {
         engine.setSoTimeout(WAIT_MILLIS);
--- a/node/src/test/java/org/fuchsialever/node/hosted/MovedItemsTest.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/MovedItemsTest.java
@@ -69,7 +69,8 @@
         for (String event : events) {
             String[] parts = event.split("/");
             if (!parts[0].equals(former[0]) && !parts[1].equals(former[2])) {
-                joints.add(result.path("id").asText() + " " + String.join("/", former) + " " + event);
+                joints.add(
+                        result.path("id").asText() + " " + String.join("/", former) + " " + event);
             }
             former = parts;
         }
@@ -90,8 +91,7 @@
                         .replaceFirst("\"service\":\"engines\"", "\"service\":\"" + service + "\"");
     }
 
-    private void register(
-            HostedFixture fixture, String id, String service, ServerSocket server) {
+    private void register(HostedFixture fixture, String id, String service, ServerSocket server) {
         fixture.mStore.write(
                 "servers",
                 id,
--- a/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
+++ b/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
@@ -197,7 +197,8 @@
         String chunked =
                 "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
                         + "5\r\nabcde\r\n3\r\nfgh\r\n0\r\n\r\n";
-        String framed = response("1", "a long body that was cut somewhere on its way to us ".repeat(3));
+        String framed =
+                response("1", "a long body that was cut somewhere on its way to us ".repeat(3));
         for (String copy : new String[] {chunked, framed}) {
             for (int cut = 1; cut < copy.length(); cut++) {
                 try (ScriptedServer server =
