Take no event of the run before when a manifest moves a running item

Cause: a manifest with other services for a route cancels the calls of running items and submits them again with the same handler. Attempts count from 1 again in the new call, so the number of the attempt does not tell a late event of the run before, whose connection closes a moment later, from one of the new run.

Change: the handler compares the reader of the attempt and not its number. A call whose outcome is already on its way is not submitted again. A line 'rerouted' names each item that moves.

--- a/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
@@ -112,8 +112,11 @@
                     boolean moved =
                             route.isEmpty()
                                     || !route.get().shares().equals(call.forwardCall.shares());
-                    if (moved && mRunningCalls.remove(key, call)) {
-                        mForward.cancel(call.number);
+                    boolean withdrawn =
+                            moved
+                                    && mRunningCalls.remove(key, call)
+                                    && mForward.cancel(call.number);
+                    if (withdrawn) {
                         resubmit(key, call, route);
                     }
                 });
@@ -124,6 +127,11 @@
             call.handler.refuse(ForwardRefusal.NO_UPSTREAM, 0);
             return;
         }
+        mTrace.line(PART, "rerouted")
+                .with("id", key.batch)
+                .with("item", call.handler.requestId())
+                .with("call", call.number)
+                .write();
         ForwardCall moved = call.forwardCall.withShares(route.get().shares());
         submit(key, call.host, call.path, moved, call.handler);
     }
--- a/node/src/main/java/org/fuchsialever/node/batch/ItemGenerationHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/ItemGenerationHandler.java
@@ -24,6 +24,7 @@
 import org.fuchsialever.services.exchange.ExchangeRequest;
 import org.fuchsialever.services.hosted.UpstreamProtocol;
 import org.fuchsialever.services.hosted.UpstreamResponseHead;
+import org.jspecify.annotations.Nullable;
 
 /** Generates the text of an item; a further attempt resumes after the last event received. */
 final class ItemGenerationHandler implements ForwardCallHandler {
@@ -58,7 +59,7 @@
     private int mReportedEvents;
     private int mUnreportedCharacters;
     private long mUnreportedSinceNanos;
-    private int mCurrentAttempt;
+    private @Nullable Reader mCurrentReader;
     private int mSilentAttempts;
 
     ItemGenerationHandler(
@@ -118,8 +119,9 @@
 
     @Override
     public synchronized AttemptReader reader(int attempt) {
-        mCurrentAttempt = attempt;
-        return new Reader(attempt);
+        Reader reader = new Reader();
+        mCurrentReader = reader;
+        return reader;
     }
 
     @Override
@@ -136,9 +138,9 @@
         mOnFailure.accept(reason);
     }
 
-    private synchronized boolean append(int attempt, ServerSentEvent event, long version) {
+    private synchronized boolean append(Reader reader, ServerSentEvent event, long version) {
         // A superseded attempt may still receive events until its connection is closed.
-        if (attempt != mCurrentAttempt) {
+        if (reader != mCurrentReader) {
             return false;
         }
         if (!event.id().matches("[0-9]{1,18}")) {
@@ -214,16 +216,14 @@
 
     /** Reads the events of one attempt. */
     private final class Reader extends AttemptReader {
-        private final int mAttempt;
         private final ServerSentEventParser mAssembler =
                 new ServerSentEventParser(mProtocol.versionFieldName());
         private long mVersion;
         private boolean mInvalid;
         private int mEventCount;
 
-        Reader(int attempt) {
+        Reader() {
             super(mProtocol);
-            mAttempt = attempt;
         }
 
         @Override
@@ -240,7 +240,7 @@
             mEventCount += events.size();
             for (ServerSentEvent event : events) {
                 mVersion = event.version() > 0 ? event.version() : mVersion;
-                mInvalid |= !append(mAttempt, event, mVersion);
+                mInvalid |= !append(this, event, mVersion);
             }
             if (mInvalid || mAssembler.isOverlong()) {
                 return ContentVerdict.INVALID;
