List no text with the score of another run's text

A second text of an item replaced the first one while that was being scored, and was listed with its score (MIXED: the scoring call came before the last event of the text was made). Two texts can arise when a call ends while it is moved to another service. The first text stays.

--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/OwnedBatch.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/OwnedBatch.java
@@ -214,7 +214,7 @@
     }
 
     void generated(int item, String text, List<Long> versions, ActionSink<BatchAction> actions) {
-        if (!mUnfinished.contains(item)) {
+        if (!mUnfinished.contains(item) || mTexts.containsKey(item)) {
             return;
         }
         boolean tooOld = versions.stream().anyMatch(used -> used < mSpec.minVersion());
