End a body as lost when its request cannot be written, and keep HEAD apart

A body without a length that was cut by a reset passed for whole while the request was still being written: a failed write closes the channel without an exception, and the decoder takes the close for the end of the body. The write now ends the exchange first.

A response to HEAD ends with its head whatever length it states, so neither can a copy of it be read as far as it reaches on a connection with other requests, nor a copy of another response while one to HEAD is awaited. HEAD has a connection of its own; before, the next attempt was lost.

--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeChannel.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeChannel.java
@@ -110,7 +110,16 @@
                         request.headers(),
                         EmptyHttpHeaders.INSTANCE);
         message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
-        mWritten = mChannel.writeAndFlush(message);
+        mWritten =
+                mChannel.writeAndFlush(message)
+                        .addListener(
+                                written -> {
+                                    // The decoder takes the close for the end of a body.
+                                    if (!written.isSuccess()) {
+                                        end(ExchangeOutcome.LOST);
+                                        close();
+                                    }
+                                });
     }
 
     @Override
@@ -209,6 +218,7 @@
         boolean reusable =
                 mKeepAlive
                         && mCarried.mayContinue()
+                        && mDecoder.framesAlike()
                         && request != null
                         && request.isDone()
                         && mChannel.isActive();
--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeClient.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeClient.java
@@ -9,6 +9,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -158,7 +159,8 @@
     /** Takes the channel that became idle last, as it is the least likely to be closed soon. */
     private @Nullable ExchangeChannel takeIdle(ExchangeRequest request) {
         Deque<ExchangeChannel> list = mIdleChannels.get(address(request.host(), request.port()));
-        if (list == null) {
+        // Responses to HEAD end with their head, whatever they say, and those to others do not.
+        if (list == null || request.method().equals(HttpMethod.HEAD.name())) {
             return null;
         }
         Iterator<ExchangeChannel> newestFirst = list.descendingIterator();
--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeDecoder.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeDecoder.java
@@ -41,6 +41,11 @@
         mBodyOmitted = method.equals(HttpMethod.HEAD);
     }
 
+    /** Returns whether a copy of the response would be read as far as it reaches. */
+    boolean framesAlike() {
+        return !mBodyOmitted;
+    }
+
     /** Returns whether bytes have arrived that belong to no complete message. */
     boolean hasIncompleteMessage() {
         return mInMessage || actualReadableBytes() > 0;
