End the run of a stream whose caller has left

A stream's call was withdrawn only if its caller left before the head of the response. The body's cancellation, and a caller who reads too slowly, now withdraw it too (GONE).

--- a/node/src/main/java/org/fuchsialever/node/entry/EntryHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryHandler.java
@@ -138,11 +138,15 @@
                         route.timeoutMillis());
         return Mono.create(
                 sink -> {
+                    LiveCallHandler handler =
+                            new LiveCallHandler(call, mUpstreams, mRefusals, sink);
                     long number =
                             mForward.submit(
                                     assigned -> forwardCall(assigned, route, now, timeoutMillis),
-                                    new LiveCallHandler(call, mUpstreams, mRefusals, sink));
+                                    handler);
                     sink.onCancel(() -> mForward.cancel(number));
+                    // The sink knows nothing of a caller who leaves after the head of a stream.
+                    handler.streamLeft().thenRun(() -> mForward.cancel(number));
                 });
     }
 
--- a/node/src/main/java/org/fuchsialever/node/entry/LiveCallHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/LiveCallHandler.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.forward.AttemptOutcome;
@@ -44,6 +45,7 @@
     private final Refusals mRefusals;
     private final MonoSink<EntryResponse> mSink;
     private final Map<Integer, Reader> mReaders = new ConcurrentHashMap<>();
+    private final CompletableFuture<Void> mStreamLeft = new CompletableFuture<>();
     private Sinks.@Nullable Many<byte[]> mStream;
     private String mLastEventId;
     private int mStreamedAttempt;
@@ -60,6 +62,11 @@
         mLastEventId = "";
     }
 
+    /** Returns what completes when nobody reads the stream of the response any more. */
+    CompletableFuture<Void> streamLeft() {
+        return mStreamLeft;
+    }
+
     @Override
     public String requestId() {
         return mCall.requestId();
@@ -143,7 +150,7 @@
                     new EntryResponse.Streamed(
                             head == null ? 0 : head.status(),
                             reader.responseHeaders(),
-                            opened.asFlux()));
+                            opened.asFlux().doOnCancel(() -> mStreamLeft.complete(null))));
         }
     }
 
@@ -153,6 +160,7 @@
             mLastEventId = event.id().isEmpty() ? mLastEventId : event.id();
             if (open.tryEmitNext(event.raw()).isFailure()) {
                 open.tryEmitError(new StreamBrokenException("CALLER_TOO_SLOW"));
+                mStreamLeft.complete(null);
             }
         }
     }
