Answer or refuse each call that arrives while an instance stops

Cause: EntryDrain waited for a moment without calls, at most 6.5 s, then for the handover of submissions, and closed whatever ran by then. Calls were taken and passed on until the end, so those of the last moments were cut without an answer, also ones that may not be repeated. With a store that does not answer, the handover alone took the time. The times did not follow the grace period, and they ran from the end of the start if the signal came while the instance started.

Change: StopPlan and StopStep decide, from the signal and the setting [entry] grace. A call whose time does not fit into the rest of the grace is refused as not run before it is passed on; one that fits is waited for. When nothing runs any more, or the last eighth of the grace begins (at most 1 s before its end), the instance takes nothing more, closes connections without a request in the event loop and answers what still runs: 503 if its body has not arrived, else 502.

--- a/node/src/main/java/org/fuchsialever/node/NodeMain.java
+++ b/node/src/main/java/org/fuchsialever/node/NodeMain.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.fuchsialever.kernel.findings.Findings;
+import org.fuchsialever.kernel.lifecycle.StopRequest;
 import org.fuchsialever.kernel.log.LibraryLogs;
 import org.fuchsialever.node.trace.TraceLog;
 import org.jspecify.annotations.Nullable;
@@ -32,6 +33,7 @@
     @Parameter(names = "--help", help = true, description = "Show the options")
     private boolean mHelp;
 
+    private final StopRequest mStop = new StopRequest();
     private @Nullable NodeProcess mProcess;
 
     private NodeMain() {}
@@ -72,9 +74,9 @@
         SettingsReload reload = new SettingsReload(mSettings, text);
         Signal.handle(new Signal("HUP"), signal -> reload.reload());
         // Registered before the start, so that a signal during the start is not missed.
-        Runtime.getRuntime().addShutdownHook(new Thread(this::shutDown, "shutdown"));
+        Runtime.getRuntime().addShutdownHook(new Thread(this::stop, "shutdown"));
         synchronized (this) {
-            Either<Findings, NodeProcess> started = NodeProcess.start(mSettings, text);
+            Either<Findings, NodeProcess> started = NodeProcess.start(mSettings, text, mStop);
             if (started.isLeft()) {
                 System.err.println(started.getLeft().report());
                 return EXIT_USAGE;
@@ -91,6 +93,12 @@
         return EXIT_FAILURE;
     }
 
+    private void stop() {
+        // The time until the process is killed runs from the signal, also while it starts.
+        mStop.stop(System.nanoTime());
+        shutDown();
+    }
+
     /**
      * Closes the instance, once it has started, and ends the process. A process that is told to
      * stop by SIGTERM would otherwise exit with 143, whatever the hook does.
--- a/node/src/main/java/org/fuchsialever/node/NodeProcess.java
+++ b/node/src/main/java/org/fuchsialever/node/NodeProcess.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.fuchsialever.kernel.findings.Findings;
 import org.fuchsialever.kernel.lifecycle.Closer;
+import org.fuchsialever.kernel.lifecycle.StopRequest;
 import org.fuchsialever.kernel.log.PartLogger;
 import org.fuchsialever.kernel.plugin.Assembly;
 import org.fuchsialever.kernel.plugin.Component;
@@ -56,6 +57,15 @@
      * @return the running instance, or all findings if the settings cannot be used
      */
     public static Either<Findings, NodeProcess> start(String file, String text) {
+        return start(file, text, new StopRequest());
+    }
+
+    /**
+     * Starts an instance that may be told to stop before it has started.
+     *
+     * @param stop is told when the process has to stop
+     */
+    public static Either<Findings, NodeProcess> start(String file, String text, StopRequest stop) {
         Findings findings = new Findings();
         SettingsReader settings =
                 new SettingsReader(
@@ -74,6 +84,7 @@
                         SystemTimeSource.INSTANCE,
                         System.nanoTime(),
                         new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
+        context.provide(StopRequest.class, stop);
         try {
             assembly.install(context);
         } catch (RuntimeException e) {
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryComponent.java
@@ -27,7 +27,7 @@
     /** The load balancer notices a draining instance within two checks, one per second. */
     private static final Duration DEFAULT_LINGER = Duration.ofMillis(2_600);
 
-    private static final Duration DEFAULT_DRAIN_DEADLINE = Duration.ofMillis(6_500);
+    private static final Duration DEFAULT_GRACE = Duration.ofSeconds(8);
 
     /** An instance whose mirrored tables are staler than this reports that it is not ready. */
     private static final long MAX_STALENESS_MILLIS = 3_000;
@@ -36,8 +36,7 @@
     private int mPort;
     private int mReadinessPort;
     private int mMetricsPort;
-    private Duration mLinger = DEFAULT_LINGER;
-    private Duration mDrainDeadline = DEFAULT_DRAIN_DEADLINE;
+    private StopTimes mStopTimes = new StopTimes(DEFAULT_LINGER, DEFAULT_GRACE);
 
     @Override
     public String pluginName() {
@@ -68,8 +67,10 @@
         mPort = port(settings, "listen");
         mReadinessPort = port(settings, "readiness-listen");
         mMetricsPort = (int) settings.integer(SECTION, "metrics-port", 0, 0, MAX_PORT);
-        mLinger = settings.duration(SECTION, "linger", DEFAULT_LINGER);
-        mDrainDeadline = settings.duration(SECTION, "drain-deadline", DEFAULT_DRAIN_DEADLINE);
+        mStopTimes =
+                new StopTimes(
+                        settings.duration(SECTION, "linger", DEFAULT_LINGER),
+                        settings.duration(SECTION, "grace", DEFAULT_GRACE));
     }
 
     /** Reads the port of an address such as {@code 10.1.0.31:8368}; 0 means any free one. */
@@ -105,6 +106,7 @@
                         services.upstreams(),
                         refusals,
                         drain,
+                        mStopTimes,
                         context.time());
         openMetrics(context, loops);
         EntryServer readiness =
@@ -121,9 +123,9 @@
                         new EntryDrain(
                                 drain,
                                 context.require(BatchDrain.class),
-                                entry::inProgress,
-                                mLinger,
-                                mDrainDeadline,
+                                entry,
+                                mStopTimes,
+                                context.time(),
                                 trace));
     }
 
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryHandler.java
@@ -25,7 +25,9 @@
 /** Checks requests against the manifest, then forwards them or serves them itself. */
 final class EntryHandler {
     /** Short, because another instance can serve the retry at once. */
-    private static final long DRAIN_RETRY_MILLIS = 50;
+    static final long DRAIN_RETRY_MILLIS = 50;
+
+    static final String SHUTTING_DOWN = "shutting down";
 
     /** The store responds to the first read within this time unless it is unreachable. */
     private static final long NO_MANIFEST_RETRY_MILLIS = 300;
@@ -37,6 +39,7 @@
     private final UpstreamProtocol mUpstreams;
     private final Refusals mRefusals;
     private final DrainSignal mDrain;
+    private final StopTimes mStopTimes;
     private final TimeSource mTime;
 
     EntryHandler(
@@ -47,6 +50,7 @@
             UpstreamProtocol upstreams,
             Refusals refusals,
             DrainSignal drain,
+            StopTimes stopTimes,
             TimeSource time) {
         mDirectory = directory;
         mForward = forward;
@@ -55,6 +59,7 @@
         mUpstreams = upstreams;
         mRefusals = refusals;
         mDrain = drain;
+        mStopTimes = stopTimes;
         mTime = time;
     }
 
@@ -110,7 +115,7 @@
                                     head.batchId(),
                                     accepted.team(),
                                     head.fromPosition(),
-                                    head.waitMillis())
+                                    mDrain.isStarted() ? 0 : head.waitMillis())
                             .map(reply -> batchResponse(head, reply));
             case READ_ITEM ->
                     mBatches.itemBody(head.batchId(), accepted.team(), head.itemId())
@@ -136,6 +141,11 @@
                 Math.min(
                         head.deadlineMillis().getOrElse(route.timeoutMillis()),
                         route.timeoutMillis());
+        boolean refused =
+                mDrain.since().map(mStopTimes::plan).exists(plan -> !plan.fits(now, timeoutMillis));
+        if (refused) {
+            return Mono.just(shuttingDown(head));
+        }
         return Mono.create(
                 sink -> {
                     long number =
@@ -175,17 +185,18 @@
             return Mono.just(mRefusals.refusal(head.requestId(), EntryRefusal.METHOD, method));
         }
         if (mDrain.isStarted()) {
-            return Mono.just(
-                    mRefusals.refusal(
-                            head.requestId(),
-                            EntryRefusal.NOT_RUN,
-                            "shutting down",
-                            DRAIN_RETRY_MILLIS));
+            return Mono.just(shuttingDown(head));
         }
         return mBatches.submit(head.requestId(), accepted.team(), head.host(), head.path(), body)
                 .map(reply -> batchResponse(head, reply));
     }
 
+    /** Returns the refusal of a request that nothing was done for, because the instance stops. */
+    EntryResponse shuttingDown(EntryRequest head) {
+        return mRefusals.refusal(
+                head.requestId(), EntryRefusal.NOT_RUN, SHUTTING_DOWN, DRAIN_RETRY_MILLIS);
+    }
+
     private EntryResponse batchResponse(EntryRequest head, BatchReply reply) {
         String id = head.requestId().isEmpty() ? head.batchId() : head.requestId();
         if (reply instanceof BatchReply.Accepted) {
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
@@ -5,7 +5,8 @@
 import io.vavr.control.Either;
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 import org.fuchsialever.node.hosted.DrainSignal;
 import org.fuchsialever.services.hosted.EntryProtocol;
@@ -36,7 +37,9 @@
     private final BooleanSupplier mReady;
     private final DrainSignal mDrain;
     private final DisposableServer mServer;
-    private final AtomicInteger mInProgress = new AtomicInteger();
+    private final Set<OpenRequest> mInProgress = ConcurrentHashMap.newKeySet();
+    private final EntryConnections mConnections = new EntryConnections();
+    private volatile boolean mRefusesNew;
 
     /**
      * Opens a port.
@@ -65,6 +68,7 @@
                         .runOn(loops)
                         .idleTimeout(IDLE_TIMEOUT)
                         .httpRequestDecoder(spec -> spec.maxHeaderSize(MAX_HEADER_BYTES))
+                        .doOnChannelInit((observer, channel, address) -> mConnections.add(channel))
                         .handle(this::handle)
                         .bindNow();
     }
@@ -76,7 +80,26 @@
 
     /** Returns the number of requests that wait for their response. */
     int inProgress() {
-        return mInProgress.get();
+        return mInProgress.size();
+    }
+
+    /** Returns the number of open connections. */
+    int connections() {
+        return mConnections.count();
+    }
+
+    /** Refuses all further requests, opens no more connections and closes those without one. */
+    void refuseNew() {
+        mRefusesNew = true;
+        mServer.dispose();
+        mConnections.closeIdle();
+    }
+
+    /** Answers the requests that wait for their response, and returns how many there are. */
+    int answerRunning() {
+        int running = mInProgress.size();
+        mInProgress.forEach(OpenRequest::end);
+        return running;
     }
 
     @Override
@@ -93,30 +116,47 @@
                     .header(HttpHeaderNames.CONTENT_LENGTH, "0")
                     .send();
         }
-        mInProgress.incrementAndGet();
+        OpenRequest open = new OpenRequest(head, mRefusals);
+        mInProgress.add(open);
+        request.withConnection(connection -> mConnections.setBusy(connection.channel(), true));
+        return open.orEnd(respond(open, head, method, request))
+                .flatMap(entryResponse -> write(response, entryResponse))
+                .doFinally(
+                        signal -> {
+                            mInProgress.remove(open);
+                            request.withConnection(
+                                    connection ->
+                                            mConnections.setBusy(connection.channel(), false));
+                        });
+    }
+
+    private Mono<EntryResponse> respond(
+            OpenRequest open, EntryRequest head, String method, HttpServerRequest request) {
+        if (mRefusesNew) {
+            return Mono.just(mHandler.shuttingDown(head));
+        }
         Either<EntryResponse, EntryHandler.AcceptedRequest> checked = mHandler.check(head);
-        Mono<EntryResponse> result =
-                checked.isLeft()
-                        ? Mono.just(checked.getLeft())
-                        : body(request, checked.get())
-                                .flatMap(
-                                        body ->
-                                                mHandler.handle(
-                                                        checked.get(),
-                                                        method,
-                                                        request.uri(),
-                                                        request.requestHeaders(),
-                                                        body))
-                                .onErrorResume(
-                                        BodyTooLargeException.class,
-                                        tooLarge ->
-                                                Mono.just(
-                                                        mRefusals.refusal(
-                                                                head.requestId(),
-                                                                EntryRefusal.BODY_TOO_LARGE,
-                                                                head.path())));
-        return result.flatMap(entryResponse -> write(response, entryResponse))
-                .doFinally(signal -> mInProgress.decrementAndGet());
+        return checked.isLeft()
+                ? Mono.just(checked.getLeft())
+                : body(request, checked.get())
+                        .flatMap(
+                                body -> {
+                                    open.passedOn();
+                                    return mHandler.handle(
+                                            checked.get(),
+                                            method,
+                                            request.uri(),
+                                            request.requestHeaders(),
+                                            body);
+                                })
+                        .onErrorResume(
+                                BodyTooLargeException.class,
+                                tooLarge ->
+                                        Mono.just(
+                                                mRefusals.refusal(
+                                                        head.requestId(),
+                                                        EntryRefusal.BODY_TOO_LARGE,
+                                                        head.path())));
     }
 
     private static Mono<byte[]> body(
--- a/node/src/main/java/org/fuchsialever/node/hosted/HostedComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/hosted/HostedComponent.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Option;
 import java.util.Set;
 import org.fuchsialever.kernel.findings.Findings;
+import org.fuchsialever.kernel.lifecycle.StopRequest;
 import org.fuchsialever.kernel.plugin.Component;
 import org.fuchsialever.kernel.plugin.ComponentContext;
 import org.fuchsialever.kernel.plugin.PluginRegistry;
@@ -53,7 +54,9 @@
         LoopResources loops = LoopResources.create("http", 1, true);
         context.closer().register("event loop", () -> loops.dispose());
         context.provide(LoopResources.class, loops);
-        context.provide(DrainSignal.class, new DrainSignal());
+        context.provide(
+                DrainSignal.class,
+                new DrainSignal(context.find(StopRequest.class).getOrElse(StopRequest::new)));
         mPlatform.forEach(
                 selected -> {
                     HostedServices services = selected.open(context, loops);
--- a/node/src/test/java/org/fuchsialever/node/hosted/HostedFixture.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/HostedFixture.java
@@ -11,7 +11,9 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import org.fuchsialever.kernel.lifecycle.Closer;
+import org.fuchsialever.kernel.lifecycle.StopRequest;
 import org.fuchsialever.node.NodeProcess;
 import org.fuchsialever.platform.CallerStandIn;
 import org.fuchsialever.platform.FreePorts;
@@ -70,10 +72,29 @@
     }
 
     void start(String name) {
+        start(name, "", new StopRequest());
+    }
+
+    /** Starts an instance with more lines in the section of its entry. */
+    void start(String name, String entrySettings, StopRequest stop) {
         int port = freePort();
         mPorts.put(name, port);
-        String settings = InstanceSettings.of(name, mStore.address(), port);
-        mNodes.put(name, mCloser.register(name, NodeProcess.start(name + ".ini", settings).get()));
+        String settings =
+                InstanceSettings.of(name, mStore.address(), port)
+                        .replace("[entry]", "[entry]\n" + entrySettings);
+        mNodes.put(
+                name,
+                mCloser.register(name, NodeProcess.start(name + ".ini", settings, stop).get()));
+    }
+
+    /** Returns the TCP port of an instance. */
+    int port(String name) {
+        return Objects.requireNonNull(mPorts.get(name));
+    }
+
+    /** Begins to stop an instance; completes when it has stopped. */
+    CompletableFuture<Void> stopLater(String name) {
+        return CompletableFuture.runAsync(() -> stop(name));
     }
 
     void stop(String name) {
