Bound the memory of the unfinished responses of all upstreams together

Cause: each response of an upstream had a bound (4 MiB for a body, 256 KiB for an event), all of them together had none, and the bodies of failed attempts were kept until their call ended.

Change: ResponseMemory counts what the readers of all attempts hold. Above an eighth of the heap ([forward] response-memory) the response that holds most is given up as malformed, so calls to other upstreams go on. A reader releases its bytes when its attempt ends without a response to deliver.

--- a/node/src/main/java/org/fuchsialever/node/batch/ItemGenerationHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/ItemGenerationHandler.java
@@ -214,7 +214,7 @@
     /** Reads the events of one attempt. */
     private final class Reader extends AttemptReader {
         private final int mAttempt;
-        private final ServerSentEventParser mAssembler =
+        private ServerSentEventParser mAssembler =
                 new ServerSentEventParser(mProtocol.versionFieldName());
         private long mVersion;
         private boolean mInvalid;
@@ -252,6 +252,16 @@
             return mEventCount;
         }
 
+        @Override
+        protected long heldBytes() {
+            return mAssembler.bufferedBytes();
+        }
+
+        @Override
+        protected void discard() {
+            mAssembler = new ServerSentEventParser(mProtocol.versionFieldName());
+        }
+
         @Override
         protected AttemptOutcome finalOutcome(AttemptOutcome outcome) {
             countSilence(outcome);
--- a/node/src/main/java/org/fuchsialever/node/entry/LiveCallHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/LiveCallHandler.java
@@ -159,8 +159,8 @@
     /** Reads the response of one attempt. */
     private final class Reader extends AttemptReader {
         private final int mAttempt;
-        private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
-        private final ServerSentEventParser mAssembler =
+        private ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+        private ServerSentEventParser mAssembler =
                 new ServerSentEventParser(mProtocol.versionFieldName());
         private @Nullable HttpHeaders mHeaders;
 
@@ -208,6 +208,17 @@
             return isStreaming() ? Long.MAX_VALUE : super.maxContentBytes();
         }
 
+        @Override
+        protected long heldBytes() {
+            return (long) mBody.size() + mAssembler.bufferedBytes();
+        }
+
+        @Override
+        protected void discard() {
+            mBody = new ByteArrayOutputStream(0);
+            mAssembler = new ServerSentEventParser(mProtocol.versionFieldName());
+        }
+
         private boolean isStreaming() {
             return mStreamedAttempt == mAttempt && isSuccess();
         }
--- a/node/src/main/java/org/fuchsialever/node/forward/AttemptReader.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/AttemptReader.java
@@ -23,6 +23,7 @@
     private final UpstreamProtocol mProtocol;
     private @Nullable UpstreamResponseHead mResponse;
     private boolean mEncoded;
+    private boolean mGivenUp;
     private long mContentBytes;
 
     /** Creates a reader. */
@@ -43,7 +44,20 @@
     /** Reads a part of the body and returns whether the response has progressed. */
     public final ContentVerdict onContent(byte[] bytes) {
         mContentBytes += bytes.length;
-        return mContentBytes > maxContentBytes() ? ContentVerdict.INVALID : handleContent(bytes);
+        return mGivenUp || mContentBytes > maxContentBytes()
+                ? ContentVerdict.INVALID
+                : handleContent(bytes);
+    }
+
+    /** Releases the memory of the response; the attempt ends as malformed. */
+    final void giveUp() {
+        mGivenUp = true;
+        discard();
+        handleGivenUp();
+    }
+
+    final boolean isGivenUp() {
+        return mGivenUp;
     }
 
     /** Reads the end of the response and returns the result of the attempt. */
@@ -51,6 +65,9 @@
         AttemptOutcome outcome = outcome(end);
         Option<LoadHint> load = Option.of(mResponse).flatMap(UpstreamResponseHead::load);
         AttemptOutcome result = finalOutcome(outcome);
+        if (!result.hasResponse()) {
+            discard();
+        }
         return new AttemptReport(result, load, version());
     }
 
@@ -79,6 +96,17 @@
         return MAX_CONTENT_BYTES;
     }
 
+    /** Returns the number of bytes of the unfinished response that are kept in memory. */
+    protected long heldBytes() {
+        return 0;
+    }
+
+    /** Releases the bytes that are kept, because the response will not be delivered. */
+    protected void discard() {}
+
+    /** Ends what the response has begun before it was given up. */
+    protected void handleGivenUp() {}
+
     /** Returns the outcome of the ended attempt, which may be worse than the given one. */
     protected abstract AttemptOutcome finalOutcome(AttemptOutcome outcome);
 
@@ -99,7 +127,7 @@
             case LOST -> AttemptOutcome.LOST;
             case SILENT -> AttemptOutcome.SILENT;
             case MALFORMED -> AttemptOutcome.MALFORMED;
-            case CANCELLED -> AttemptOutcome.CANCELLED;
+            case CANCELLED -> mGivenUp ? AttemptOutcome.MALFORMED : AttemptOutcome.CANCELLED;
         };
     }
 
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardComponent.java
@@ -24,11 +24,22 @@
     /** Upstreams serve at least this long after they have announced that they are leaving. */
     private static final Duration DEFAULT_LEAVING_PERIOD = Duration.ofSeconds(2);
 
+    /**
+     * Buffers grow by doubling and are copied once, so the bytes take up to three times as much.
+     */
+    private static final long HEAP_FRACTION = 8;
+
+    private long mMaxResponseBytes = defaultMaxResponseBytes();
     private Duration mLeavingPeriod = DEFAULT_LEAVING_PERIOD;
 
     @Override
     public void configure(SettingsReader settings) {
         mLeavingPeriod = settings.duration("forward", "leaving-period", DEFAULT_LEAVING_PERIOD);
+        mMaxResponseBytes = settings.size("forward", "response-memory", defaultMaxResponseBytes());
+    }
+
+    private static long defaultMaxResponseBytes() {
+        return Runtime.getRuntime().maxMemory() / HEAP_FRACTION;
     }
 
     @Override
@@ -61,7 +72,8 @@
                                             ring,
                                             context.time(),
                                             context.require(TraceLog.class),
-                                            context.meters());
+                                            context.meters(),
+                                            new ResponseMemory(mMaxResponseBytes));
                             return created[0];
                         });
         ForwardRunner runner = created[0];
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
@@ -46,6 +46,7 @@
     private final TimeSource mTime;
     private final TraceLog mTrace;
     private final MeterRegistry mMeters;
+    private final ResponseMemory mMemory;
     private final AtomicLong mLastNumber = new AtomicLong();
     private final Map<Long, AcceptedCall> mAccepted = new ConcurrentHashMap<>();
     private final Map<ForwardCallKind, AtomicInteger> mInProgress =
@@ -59,12 +60,14 @@
             Inbox<ForwardEvent> inbox,
             TimeSource time,
             TraceLog trace,
-            MeterRegistry meters) {
+            MeterRegistry meters,
+            ResponseMemory memory) {
         mClient = client;
         mInbox = inbox;
         mTime = time;
         mTrace = trace;
         mMeters = meters;
+        mMemory = memory;
         for (ForwardCallKind kind : ForwardCallKind.values()) {
             mInProgress.put(kind, new AtomicInteger());
         }
@@ -217,6 +220,7 @@
         private final ForwardAction.Start mStart;
         private final long mStartNanos;
         private final long mWallMillis = mTime.wallMillis();
+        private final ResponseMemory.Account mHeld = mMemory.open(this::giveUp);
         private long mPaceSinceNanos;
         private int mPaceSinceEvents;
         private volatile boolean mEnded;
@@ -247,7 +251,23 @@
         public ContentVerdict onContent(byte[] bytes) {
             ContentVerdict verdict = mReader.onContent(bytes);
             reportPace();
-            return verdict;
+            mHeld.hold(mReader.heldBytes());
+            return mReader.isGivenUp() ? ContentVerdict.INVALID : verdict;
+        }
+
+        private void giveUp() {
+            mMeters.counter("fuchsialever.forward.given-up").increment();
+            mTrace.line(PART, "response-given-up")
+                    .with("id", mHandler.requestId())
+                    .with("attempt", mKey.attempt)
+                    .with("upstream", mStart.upstream().id())
+                    .with("reason", "RESPONSE_MEMORY")
+                    .write();
+            mReader.giveUp();
+            Exchange exchange = mExchanges.get(mKey);
+            if (exchange != null) {
+                exchange.cancel();
+            }
         }
 
         private void reportPace() {
@@ -274,6 +294,7 @@
         @Override
         public void onEnd(ExchangeOutcome end) {
             AttemptReport report = mReader.onEnd(end);
+            mHeld.close();
             mEnded = true;
             mExchanges.remove(mKey);
             long elapsedNanos = mTime.nanoTime() - mStartNanos;
--- a/node/src/main/java/org/fuchsialever/node/forward/ServerSentEventParser.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ServerSentEventParser.java
@@ -8,7 +8,7 @@
 /** Parses a stream of server-sent events; an incomplete event stays buffered. */
 public final class ServerSentEventParser {
     /** Maximum size of an event in bytes, far above the tokens of one step of an engine. */
-    private static final int MAX_EVENT_BYTES = 256 * 1_024;
+    public static final int MAX_EVENT_BYTES = 256 * 1_024;
 
     private final String mVersionField;
     private final ByteArrayOutputStream mPending = new ByteArrayOutputStream();
@@ -47,6 +47,11 @@
         return mPending.size() >= MAX_EVENT_BYTES;
     }
 
+    /** Returns the number of bytes that are buffered. */
+    public int bufferedBytes() {
+        return mPending.size();
+    }
+
     /** Returns whether bytes of an incomplete event are buffered. */
     public boolean hasIncompleteEvent() {
         return mPending.size() > 0;
--- a/node/src/test/java/org/fuchsialever/node/forward/ForwardRunnerTest.java
+++ b/node/src/test/java/org/fuchsialever/node/forward/ForwardRunnerTest.java
@@ -42,7 +42,13 @@
                 TraceLog trace = new TraceLog(output, meters)) {
             Inbox<ForwardEvent> inbox = new Inbox<>(RING_CAPACITY, OverflowPolicy.REFUSE);
             ForwardRunner runner =
-                    new ForwardRunner(client, inbox, new ManualTimeSource(0), trace, meters);
+                    new ForwardRunner(
+                            client,
+                            inbox,
+                            new ManualTimeSource(0),
+                            trace,
+                            meters,
+                            new ResponseMemory(1));
             for (int item = 0; item < ITEMS; item++) {
                 submit(runner, ForwardCallKind.ITEM);
             }
