Bound the unread events of a stream in bytes and end streams nobody reads

Cause: the queue for a caller who reads slowly was bounded in events (1,024, and 128 more in Reactor Netty, copied to direct memory), not in bytes. A stream whose caller was too slow or had left was read to its end, because the sink of a call drops its cancellation when the response begins.

Evidence: on the unchanged code, with 8 callers who do not read and an upstream that sends events of 16 KB, all 200 calls to the healthy upstream failed (answersAllOtherCallsWhileAnUpstreamFloodsStreamsThatNobodyReads), and the connection to an upstream was still open 25 s after the caller of its stream had left (stopsReadingAStreamWhoseCallerHasLeft).

Change: at most 1 MiB of unread events for a stream, counted as memory of responses too; WriteGate holds events back while the connection to the caller is above its high-water mark; a stream that is cancelled or broken off cancels its call, which closes the connection to the upstream.

--- a/node/src/main/java/org/fuchsialever/node/entry/EntryHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryHandler.java
@@ -138,10 +138,16 @@
                         route.timeoutMillis());
         return Mono.create(
                 sink -> {
+                    LiveCallHandler handler =
+                            new LiveCallHandler(
+                                    call, mUpstreams, mRefusals, mForward::cancel, sink);
                     long number =
                             mForward.submit(
-                                    assigned -> forwardCall(assigned, route, now, timeoutMillis),
-                                    new LiveCallHandler(call, mUpstreams, mRefusals, sink));
+                                    assigned -> {
+                                        handler.assignNumber(assigned);
+                                        return forwardCall(assigned, route, now, timeoutMillis);
+                                    },
+                                    handler);
                     sink.onCancel(() -> mForward.cancel(number));
                 });
     }
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
@@ -1,6 +1,7 @@
 package org.fuchsialever.node.entry;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.vavr.control.Either;
 import java.io.ByteArrayOutputStream;
@@ -152,7 +153,10 @@
         // the
         // end of the connection would end the body, and a stream that breaks off would look whole.
         response.chunkedTransfer(true);
-        Flux<byte[]> body = ((EntryResponse.Streamed) entryResponse).body();
+        Flux<byte[]> events = ((EntryResponse.Streamed) entryResponse).body();
+        Channel[] channel = new Channel[1];
+        response.withConnection(connection -> channel[0] = connection.channel());
+        Flux<byte[]> body = WriteGate.throttle(channel[0], events);
         // Each event is flushed on its own, so that it reaches the caller without delay.
         return response.send(body.map(Unpooled::wrappedBuffer), event -> true).then();
     }
--- a/node/src/main/java/org/fuchsialever/node/entry/LiveCallHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/LiveCallHandler.java
@@ -5,9 +5,12 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongConsumer;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.forward.AttemptOutcome;
 import org.fuchsialever.decisions.forward.ForwardRefusal;
@@ -34,6 +37,9 @@
     /** Events kept for a caller that reads slower than the upstream sends. */
     private static final int MAX_UNREAD_EVENTS = 1_024;
 
+    /** Bytes of these events; a few of the largest ones. */
+    private static final long MAX_UNREAD_BYTES = 4L * ServerSentEventParser.MAX_EVENT_BYTES;
+
     private static final int MIN_FAILURE_STATUS = 300;
 
     /** Statuses that tell the caller that the call was not run. */
@@ -42,8 +48,12 @@
     private final EntryCall mCall;
     private final UpstreamProtocol mProtocol;
     private final Refusals mRefusals;
+    private final LongConsumer mOnAbandoned;
     private final MonoSink<EntryResponse> mSink;
     private final Map<Integer, Reader> mReaders = new ConcurrentHashMap<>();
+    private final Queue<byte[]> mUnread = new ArrayBlockingQueue<>(MAX_UNREAD_EVENTS);
+    private final AtomicLong mUnreadBytes = new AtomicLong();
+    private volatile long mNumber;
     private Sinks.@Nullable Many<byte[]> mStream;
     private String mLastEventId;
     private int mStreamedAttempt;
@@ -52,14 +62,21 @@
             EntryCall call,
             UpstreamProtocol protocol,
             Refusals refusals,
+            LongConsumer onAbandoned,
             MonoSink<EntryResponse> sink) {
         mCall = call;
         mProtocol = protocol;
         mRefusals = refusals;
+        mOnAbandoned = onAbandoned;
         mSink = sink;
         mLastEventId = "";
     }
 
+    /** Sets the number of the call, with which it is abandoned when nobody reads its stream. */
+    void assignNumber(long number) {
+        mNumber = number;
+    }
+
     @Override
     public String requestId() {
         return mCall.requestId();
@@ -132,17 +149,16 @@
         mStreamedAttempt = reader.mAttempt;
         if (mStream == null) {
             Sinks.Many<byte[]> opened =
-                    Sinks.many()
-                            .unicast()
-                            .onBackpressureBuffer(
-                                    new ArrayBlockingQueue<>(MAX_UNREAD_EVENTS), () -> {});
+                    Sinks.many().unicast().onBackpressureBuffer(mUnread, () -> {});
             mStream = opened;
             UpstreamResponseHead head = reader.head();
             mSink.success(
                     new EntryResponse.Streamed(
                             head == null ? 0 : head.status(),
                             reader.responseHeaders(),
-                            opened.asFlux()));
+                            opened.asFlux()
+                                    .doOnNext(event -> mUnreadBytes.addAndGet(-event.length))
+                                    .doOnCancel(() -> mOnAbandoned.accept(mNumber))));
         }
     }
 
@@ -150,12 +166,27 @@
         Sinks.Many<byte[]> open = mStream;
         if (attempt == mStreamedAttempt && open != null) {
             mLastEventId = event.id().isEmpty() ? mLastEventId : event.id();
-            if (open.tryEmitNext(event.raw()).isFailure()) {
-                open.tryEmitError(new StreamBrokenException("CALLER_TOO_SLOW"));
+            long unread = mUnreadBytes.addAndGet(event.raw().length);
+            if (unread > MAX_UNREAD_BYTES || open.tryEmitNext(event.raw()).isFailure()) {
+                breakOff(open, "CALLER_TOO_SLOW");
             }
         }
     }
 
+    private synchronized void breakOffStreamOf(int attempt) {
+        Sinks.Many<byte[]> open = mStream;
+        if (attempt == mStreamedAttempt && open != null) {
+            breakOff(open, "RESPONSE_MEMORY");
+        }
+    }
+
+    /** Ends a stream without waiting for its caller to read what is kept, and its attempts. */
+    private void breakOff(Sinks.Many<byte[]> open, String reason) {
+        mUnread.clear();
+        open.tryEmitError(new StreamBrokenException(reason));
+        mOnAbandoned.accept(mNumber);
+    }
+
     /** Reads the response of one attempt. */
     private final class Reader extends AttemptReader {
         private final int mAttempt;
@@ -210,7 +241,8 @@
 
         @Override
         protected long heldBytes() {
-            return (long) mBody.size() + mAssembler.bufferedBytes();
+            long unread = isStreaming() ? mUnreadBytes.get() : 0;
+            return mBody.size() + mAssembler.bufferedBytes() + Math.max(0, unread);
         }
 
         @Override
@@ -219,6 +251,11 @@
             mAssembler = new ServerSentEventParser(mProtocol.versionFieldName());
         }
 
+        @Override
+        protected void handleGivenUp() {
+            breakOffStreamOf(mAttempt);
+        }
+
         private boolean isStreaming() {
             return mStreamedAttempt == mAttempt && isSuccess();
         }
--- a/soak/src/test/java/org/fuchsialever/soak/FloodedInstanceTest.java
+++ b/soak/src/test/java/org/fuchsialever/soak/FloodedInstanceTest.java
@@ -29,6 +29,7 @@
 import org.fuchsialever.platform.StoreStandIn;
 import org.fuchsialever.platform.UpstreamStandIn;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -63,10 +64,14 @@
     /** Longer than a flood takes, so that no call ends by its time limit before its bound. */
     private static final int TIMEOUT_MILLIS = 50_000;
 
+    /** Shorter than the time limit of the call, at which it would end anyway. */
+    private static final Duration UNTIL_CLOSED = Duration.ofMillis(TIMEOUT_MILLIS / 2);
+
     private static final String MANIFEST =
             ManifestText.of(2, SoakWorld.KEY)
                     .replace("\"timeoutMs\":3000", "\"timeoutMs\":" + TIMEOUT_MILLIS);
 
+    private static final int SLOW_CALLERS = 8;
     private static final int RECEIVE_BUFFER_BYTES = 4_096;
     private static final int HEALTHY_CALLS = 200;
     private static final int SLOTS = 64;
@@ -97,6 +102,32 @@
         assertHealthy();
     }
 
+    /** Guards against events that pile up for callers who do not read them. */
+    @Test
+    void answersAllOtherCallsWhileAnUpstreamFloodsStreamsThatNobodyReads() throws IOException {
+        FloodingUpstream upstream =
+                mCloser.register("flood", new FloodingUpstream("f1", Flood.STREAM));
+        Process process = start(upstream);
+        for (int n = 0; n < SLOW_CALLERS; n++) {
+            callWithoutReading("s" + n);
+        }
+        eventually(() -> upstream.settledResponses() >= SLOW_CALLERS || !process.isAlive());
+        assertHealthy();
+    }
+
+    /** Guards against streams that are read until their time is over, though nobody takes them. */
+    @Test
+    void stopsReadingAStreamWhoseCallerHasLeft() throws Exception {
+        FloodingUpstream upstream =
+                mCloser.register("flood", new FloodingUpstream("f1", Flood.ONE_EVENT));
+        start(upstream);
+        Socket caller = callWithoutReading("s1");
+        // The first byte of the response shows that the stream has begun.
+        assertThat(caller.getInputStream().read(), is((int) 'H'));
+        caller.close();
+        assertThat(upstream.awaitClosedByPeer(1, UNTIL_CLOSED), is(true));
+    }
+
     private Socket callWithoutReading(String id) throws IOException {
         Socket caller = mCloser.register(id, new Socket());
         caller.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
