Bound the text of an item over all its attempts

Cause: an attempt ended after 4 MiB, but the next one went on after the last event, so a text grew with each attempt. 64 such texts fill the heap.

Change: a text has at most 1 MB, as a page of results has, and as many events as its item may have tokens. Beyond that it is dropped and generated again from its first event, and no longer stored, so that no stored text mixes two runs. Characters above 64 for each token count as memory of responses.

--- a/node/src/main/java/org/fuchsialever/node/batch/ItemGenerationHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/ItemGenerationHandler.java
@@ -42,6 +42,12 @@
     /** A larger report would not fit into a row of the store. */
     private static final int MAX_REPORT_CHARACTERS = 30_000;
 
+    /** Far above the characters of a token; a text with more is probably none. */
+    private static final long TOKEN_CHARACTERS = 64;
+
+    /** A page of results, which holds at least one whole text, has at most 1 MB. */
+    private static final long MAX_TEXT_CHARACTERS = 1_000_000;
+
     private final BatchItem mItem;
     private final String mHost;
     private final String mTeam;
@@ -51,10 +57,13 @@
     private final Consumer<TextProgress> mOnProgress;
     private final BiConsumer<String, List<Long>> mOnText;
     private final Consumer<ForwardRefusal> mOnFailure;
-    private final PartialText mBeginning;
+    private PartialText mBeginning;
     private final List<String> mEvents = new ArrayList<>();
     private final List<Long> mEventVersions = new ArrayList<>();
     private long mLastEvent;
+    private long mTextCharacters;
+    private long mTextEvents;
+    private boolean mStartedOver;
     private int mReportedEvents;
     private int mUnreportedCharacters;
     private long mUnreportedSinceNanos;
@@ -81,6 +90,8 @@
         mOnProgress = onProgress;
         mBeginning = beginning;
         mLastEvent = beginning.lastEvent();
+        mTextCharacters = beginning.events().stream().mapToLong(event -> event.length() + 1).sum();
+        mTextEvents = beginning.events().size();
         mOnText = onText;
         mOnFailure = onFailure;
     }
@@ -150,6 +161,14 @@
         if (mLastEvent >= 0 && number != mLastEvent + 1) {
             return false;
         }
+        mTextCharacters += event.data().length() + 1;
+        mTextEvents++;
+        // An event contains at least one token.
+        boolean tooManyEvents = mItem.maxTokenCount() > 0 && mTextEvents > mItem.maxTokenCount();
+        if (tooManyEvents || mTextCharacters > MAX_TEXT_CHARACTERS) {
+            startOver();
+            return false;
+        }
         mLastEvent = number;
         if (mEvents.size() == mReportedEvents) {
             mUnreportedSinceNanos = mTime.nanoTime();
@@ -157,6 +176,9 @@
         mEvents.add(event.data());
         mEventVersions.add(version);
         mUnreportedCharacters += event.data().length();
+        if (mStartedOver) {
+            return true;
+        }
         if (mTime.nanoTime() - mUnreportedSinceNanos >= REPORT_INTERVAL_NANOS
                 || mUnreportedCharacters >= MAX_REPORT_CHARACTERS) {
             mOnProgress.accept(progress(mReportedEvents, mEvents.size()));
@@ -166,6 +188,30 @@
         return true;
     }
 
+    /** Drops a text that is no text of this item. Its stored beginning is not continued. */
+    private void startOver() {
+        mStartedOver = true;
+        mBeginning = PartialText.NONE;
+        mEvents.clear();
+        mEventVersions.clear();
+        mTextCharacters = 0;
+        mTextEvents = 0;
+        mReportedEvents = 0;
+        mUnreportedCharacters = 0;
+        mLastEvent = PartialText.NONE.lastEvent();
+    }
+
+    private synchronized void startOverIn(int attempt) {
+        if (attempt == mCurrentAttempt && excessCharacters() > 0) {
+            startOver();
+        }
+    }
+
+    /** Texts of a plausible length do not count as memory that an upstream takes. */
+    private synchronized long excessCharacters() {
+        return Math.max(0, mTextCharacters - TOKEN_CHARACTERS * mItem.maxTokenCount());
+    }
+
     private synchronized void countSilence(AttemptOutcome outcome) {
         mSilentAttempts += outcome == AttemptOutcome.SILENT ? 1 : 0;
     }
@@ -180,7 +226,7 @@
     synchronized List<TextProgress> eventsFrom(long nextEvent) {
         long firstEvent = mLastEvent - mEvents.size() + 1;
         long skipped = nextEvent == OpenText.FROM_FIRST ? 0 : nextEvent - firstEvent;
-        if (skipped < 0 || skipped >= mEvents.size()) {
+        if (mStartedOver || skipped < 0 || skipped >= mEvents.size()) {
             return List.of();
         }
         List<TextProgress> parts = new ArrayList<>();
@@ -254,7 +300,12 @@
 
         @Override
         protected long heldBytes() {
-            return mAssembler.bufferedBytes();
+            return mAssembler.bufferedBytes() + excessCharacters();
+        }
+
+        @Override
+        protected void handleGivenUp() {
+            startOverIn(mAttempt);
         }
 
         @Override
