End a scoring call at its time limit whatever arrives of its body

Cause: each part of the body restarted the idle timeout, and the call has no deadline, so a body that drips kept the item for up to 4 MiB of single bytes. The score is in the head.

--- a/node/src/main/java/org/fuchsialever/node/batch/ItemScoringHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/ItemScoringHandler.java
@@ -69,7 +69,8 @@
 
             @Override
             protected ContentVerdict handleContent(byte[] bytes) {
-                return ContentVerdict.PROGRESS;
+                // The score is in the head, so the body keeps nothing alive.
+                return ContentVerdict.NO_PROGRESS;
             }
 
             @Override
