Bound the bytes of responses that belong to another request

Cause: responses to other requests and interim responses were skipped until the time limit of the call, up to 120 s of reading at full speed in the event loop that serves all callers.

Evidence: boundsTheBytesOfOtherResponsesAndNotOnlyTheirTime fails on the unchanged code, where the exchange ends as SILENT at its time limit. endsAnExchangeThatReceivesOtherResponsesWithoutEnd expected SILENT; it now expects MALFORMED, which comes at a bound in bytes and before the limit.

--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeChannel.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeChannel.java
@@ -128,7 +128,8 @@
     }
 
     private void read(HttpObject part) {
-        if (part.decoderResult().isFailure()) {
+        boolean endlessElse = mSkipping && mDecoder.hasReceivedTooMuchElse();
+        if (part.decoderResult().isFailure() || endlessElse) {
             end(ExchangeOutcome.MALFORMED);
             close();
             return;
--- a/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
+++ b/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
@@ -212,7 +212,29 @@
     void endsAnExchangeThatReceivesOtherResponsesWithoutEnd() throws Exception {
         String foreign = "HTTP/1.1 200 OK\r\nId: 7\r\n\r\n";
         try (ScriptedServer server = new ScriptedServer(foreign + ScriptedServer.FLOOD)) {
-            assertThat(send(server, "1"), is("SILENT "));
+            assertThat(send(server, "1"), is("MALFORMED "));
+        }
+    }
+
+    /** Guards against an event loop that reads other responses until the time limit of a call. */
+    @Test
+    void boundsTheBytesOfOtherResponsesAndNotOnlyTheirTime() throws Exception {
+        String interim = "HTTP/1.1 103 Early Hints\r\nId: 1\r\n\r\n".repeat(150_000);
+        String copies = response("7", "x".repeat(1_000)).repeat(5_000);
+        for (String endless : new String[] {interim, copies}) {
+            try (ScriptedServer server = new ScriptedServer(endless)) {
+                assertThat(send(server, "1"), is("MALFORMED "));
+            }
+        }
+    }
+
+    @Test
+    void skipsALateCopyOfALongResponse() throws Exception {
+        String late = response("1", "x".repeat(3_000_000));
+        try (ScriptedServer server =
+                new ScriptedServer(response("1", "one"), late + response("2", "two"))) {
+            assertThat(send(server, "1"), is("COMPLETE one"));
+            assertThat(send(server, "2"), is("COMPLETE two"));
         }
     }
 
