--- /dev/null
+++ b/services/src/main/java/org/fuchsialever/services/body/package-info.java
@@ -0,0 +1,5 @@
+/** Bounded reading of response bodies. */
+@NullMarked
+package org.fuchsialever.services.body;
+
+import org.jspecify.annotations.NullMarked;
