Bound the responses that our own interfaces collect

Cause: the clients of the interfaces, of engine orders, of watched upstreams and of peers, and the sink of a response that is not streamed, collected bodies without a bound in bytes.

Change: these clients read through BodyMemory; a collected response has at most 4 MiB and ends its attempt as malformed beyond that.

--- a/node/src/main/java/org/fuchsialever/node/dispatch/CallExchange.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/CallExchange.java
@@ -209,7 +209,10 @@
             attempt.abort();
             return;
         }
-        if (mSink.hasDemand()) {
+        if (mSink.isTooLarge()) {
+            attempt.end(AttemptResult.MALFORMED_ANSWER);
+            attempt.abort();
+        } else if (mSink.hasDemand()) {
             attempt.requestNext();
         }
     }
--- a/node/src/main/java/org/fuchsialever/node/dispatch/CollectingResponseSink.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/CollectingResponseSink.java
@@ -16,6 +16,9 @@
  * @param <T> the type of the assembled response
  */
 final class CollectingResponseSink<T> extends ResponseSink {
+    /** Maximum size of a response that is not streamed, in bytes. */
+    private static final long MAX_RESPONSE_BYTES = 4L * 1_024 * 1_024;
+
     private final Sinks.One<Either<Refusal, T>> mResponse = Sinks.one();
     private final Assembler<T> mAssembler;
     private final StringBuilder mText = new StringBuilder();
@@ -48,6 +51,11 @@
         mLastEvent = event.document();
     }
 
+    @Override
+    synchronized boolean isTooLarge() {
+        return (long) mBytes.size() + mText.length() > MAX_RESPONSE_BYTES;
+    }
+
     @Override
     boolean hasDemand() {
         return true;
--- a/node/src/main/java/org/fuchsialever/node/dispatch/ResponseSink.java
+++ b/node/src/main/java/org/fuchsialever/node/dispatch/ResponseSink.java
@@ -30,6 +30,11 @@
     /** Writes a stream event; its token, if it has one, is the next token of the response. */
     abstract void writeEvent(UpstreamResponsePart.EngineEvent event);
 
+    /** Returns whether the response exceeds what is kept in memory; its attempt ends. */
+    boolean isTooLarge() {
+        return false;
+    }
+
     /** Returns whether the next part may be requested from the upstream. */
     abstract boolean hasDemand();
 
--- a/node/src/main/java/org/fuchsialever/node/peerstate/PeerStateClient.java
+++ b/node/src/main/java/org/fuchsialever/node/peerstate/PeerStateClient.java
@@ -1,6 +1,7 @@
 package org.fuchsialever.node.peerstate;
 
 import io.netty.channel.ChannelOption;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.function.BiConsumer;
@@ -9,6 +10,7 @@
 import org.fuchsialever.kernel.log.PartLogger;
 import org.fuchsialever.services.InstanceList;
 import org.fuchsialever.services.ListedInstance;
+import org.fuchsialever.services.body.BodyMemory;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
@@ -21,6 +23,10 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(2);
 
+    /** States have no stated size, so only the memory of all bodies bounds them. */
+    private static final int MAX_STATE_BYTES = Integer.MAX_VALUE;
+
+    private final BodyMemory mMemory = BodyMemory.ofHeap();
     private final InstanceList mInstances;
     private final InstanceId mSelf;
     private final HttpClient mClient;
@@ -73,9 +79,13 @@
         String host = peer.address().contains(":") ? "[" + peer.address() + "]" : peer.address();
         return mClient.get()
                 .uri("http://" + host + ":" + peer.httpPort() + path)
-                .responseSingle(
+                .response(
                         (response, content) ->
-                                response.status().code() == OK ? content.asString() : Mono.empty())
+                                response.status().code() == OK
+                                        ? mMemory.read(content.asByteArray(), MAX_STATE_BYTES)
+                                        : Mono.empty())
+                .next()
+                .map(body -> new String(body, StandardCharsets.UTF_8))
                 .timeout(REQUEST_TIMEOUT)
                 .onErrorResume(
                         failure -> {
--- a/node/src/main/java/org/fuchsialever/node/watch/WatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/watch/WatchActions.java
@@ -15,6 +15,7 @@
 import org.fuchsialever.kernel.time.TimeSource;
 import org.fuchsialever.node.dispatch.DispatchFeed;
 import org.fuchsialever.node.intent.EventPort;
+import org.fuchsialever.services.body.BodyMemory;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
@@ -26,6 +27,11 @@
     private static final int MAX_CONNECTIONS = 1_024;
     private static final int OK = 200;
 
+    /** Reports take a few KB, lists of cache events some hundred. */
+    private static final int MAX_REPORT_BYTES = 1_024 * 1_024;
+
+    private final BodyMemory mMemory = BodyMemory.ofHeap();
+
     private final ConnectionProvider mConnections =
             ConnectionProvider.builder("upstream-watch")
                     .maxConnections(MAX_CONNECTIONS)
@@ -120,14 +126,15 @@
         String host = spec.address().contains(":") ? "[" + spec.address() + "]" : spec.address();
         return mClient.get()
                 .uri("http://" + host + ":" + spec.port() + path)
-                .responseSingle(
+                .response(
                         (response, content) ->
                                 response.status().code() == OK
-                                        ? content.asByteArray()
+                                        ? mMemory.read(content.asByteArray(), MAX_REPORT_BYTES)
                                         : Mono.error(
                                                 new IllegalArgumentException(
                                                         "unexpected status "
                                                                 + response.status().code())))
+                .next()
                 .timeout(RESPONSE_TIMEOUT);
     }
 
--- a/node/src/main/java/org/fuchsialever/node/weights/EngineOrderClient.java
+++ b/node/src/main/java/org/fuchsialever/node/weights/EngineOrderClient.java
@@ -12,6 +12,7 @@
 import org.fuchsialever.decisions.intent.CommandResult;
 import org.fuchsialever.decisions.intent.IntentAction;
 import org.fuchsialever.decisions.weights.LoadCommand;
+import org.fuchsialever.services.body.BodyMemory;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
 
@@ -26,6 +27,10 @@
     /** Covers the load itself: an engine responds only after it has loaded the version. */
     private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(30);
 
+    /** A response is a status and an error code. */
+    private static final int MAX_RESPONSE_BYTES = 64 * 1_024;
+
+    private final BodyMemory mMemory = BodyMemory.ofHeap();
     private final HttpClient mClient =
             HttpClient.newConnection()
                     .disableRetry(true)
@@ -50,16 +55,16 @@
                                                             new IOException(
                                                                     "order not written: lease lost"
                                                                         + " or request timed out")))
-                            .responseSingle(
+                            .response(
                                     (response, content) ->
-                                            content.asString(StandardCharsets.UTF_8)
-                                                    .defaultIfEmpty("")
+                                            mMemory.read(content.asByteArray(), MAX_RESPONSE_BYTES)
                                                     .map(
-                                                            text ->
+                                                            received ->
                                                                     result(
                                                                             response.status()
                                                                                     .code(),
-                                                                            text)))
+                                                                            received)))
+                            .single()
                             .timeout(RESPONSE_TIMEOUT)
                             .onErrorResume(failure -> Mono.just(resultWithoutResponse(state)));
                 });
@@ -78,7 +83,8 @@
                 : CommandResult.UNKNOWN;
     }
 
-    private static CommandResult result(int status, String text) {
+    private static CommandResult result(int status, byte[] body) {
+        String text = new String(body, StandardCharsets.UTF_8);
         if (status == OK) {
             return CommandResult.DONE;
         }
--- a/node/src/test/java/org/fuchsialever/node/dispatch/CallDispatcherTest.java
+++ b/node/src/test/java/org/fuchsialever/node/dispatch/CallDispatcherTest.java
@@ -338,7 +338,15 @@
         return call(id, repeatable, Access.OPEN);
     }
 
+    private static Call collected(RequestId id) {
+        return call(id, true, Access.OPEN, false);
+    }
+
     private static Call call(RequestId id, boolean repeatable, Access access) {
+        return call(id, repeatable, access, true);
+    }
+
+    private static Call call(RequestId id, boolean repeatable, Access access, boolean streamed) {
         Route route =
                 new Route(
                         new RouteName("chat"),
@@ -359,7 +367,7 @@
                 "/v1/completions",
                 List.of(),
                 "{\"prompt\":\"p\"}".getBytes(StandardCharsets.UTF_8),
-                new CallShape(true, 1, 8, 0),
+                new CallShape(streamed, 1, 8, 0),
                 Option.none(),
                 PresentedSecret.none());
     }
@@ -386,6 +394,20 @@
         }
     }
 
+    /** Guards against a response that grows until memory runs out. */
+    @Test
+    void endsAnAttemptWhoseCollectedResponseHasNoEnd() {
+        mDispatcher.call(collected(ID)).subscribe(Either::isRight);
+        mDispatcher.emit(new DispatchAction.StartAttempt(ID, 1, ENGINE, 0));
+        mUpstreams.head(0);
+        byte[] part = new byte[1_024 * 1_024];
+        for (int n = 0; n < 8 && !mUpstreams.mStreams.get(0).isCancelled(); n++) {
+            mUpstreams.mStreams.get(0).next(new UpstreamResponsePart.Content(part));
+        }
+        assertThat(mUpstreams.mStreams.get(0).isCancelled(), is(true));
+        assertThat(ends().get(0).report().result(), is(AttemptResult.MALFORMED_ANSWER));
+    }
+
     @Test
     void forwardsAResponseThatIsNotAStream() {
         stream();
--- a/node/src/test/java/org/fuchsialever/node/weights/EngineOrderClientTest.java
+++ b/node/src/test/java/org/fuchsialever/node/weights/EngineOrderClientTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 import java.time.Duration;
 import java.util.function.BooleanSupplier;
@@ -19,6 +20,8 @@
 import org.fuchsialever.decisions.model.UpstreamId;
 import org.fuchsialever.decisions.model.WeightVersion;
 import org.fuchsialever.decisions.weights.LoadCommand;
+import org.fuchsialever.platform.FloodingUpstream;
+import org.fuchsialever.platform.FloodingUpstream.Flood;
 import org.fuchsialever.standins.EngineStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -28,6 +31,9 @@
     private static final UpstreamId ID = new UpstreamId("engine-0");
     private static final Duration TIMEOUT = Duration.ofSeconds(60);
 
+    /** The largest response that is read, and what the buffers of two sockets may hold. */
+    private static final long MAX_SENT_BYTES = 64L * 1_024 * 1_024;
+
     private final EngineStandIn mEngine = new EngineStandIn("start-1", Duration.ofMillis(1));
     private final EngineOrderClient mOrders = new EngineOrderClient();
 
@@ -37,12 +43,16 @@
     }
 
     private CommandResult send(long fencing, long version, BooleanSupplier stillHolding) {
+        return send(mEngine.port(), fencing, version, stillHolding);
+    }
+
+    private CommandResult send(int port, long fencing, long version, BooleanSupplier stillHolding) {
         UpstreamSpec spec =
                 new UpstreamSpec(
                         ID,
                         new PoolName("p"),
                         "127.0.0.1",
-                        mEngine.port(),
+                        port,
                         new FailureDomain("a"),
                         CapacityKind.REGULAR,
                         4,
@@ -84,6 +94,16 @@
         assertThat(send(3, 7, () -> true), is(CommandResult.FAILED));
     }
 
+    /** Guards against a response that grows until memory runs out or the time limit passes. */
+    @Test
+    void aResponseWithoutEndIsNotReadToItsTimeLimit() throws Exception {
+        try (FloodingUpstream engine = new FloodingUpstream("e", Flood.BODY)) {
+            assertThat(send(engine.port(), 3, 7, () -> true), is(CommandResult.UNKNOWN));
+            assertThat(engine.awaitClosedByPeer(1, TIMEOUT), is(true));
+            assertThat(engine.sentBytes(), lessThan(MAX_SENT_BYTES));
+        }
+    }
+
     @Test
     void anOrderToAnUnreachableEngineIsReportedAsNotSent() {
         mEngine.close();
--- a/services/src/main/java/org/fuchsialever/services/http/HttpPlatformAdapter.java
+++ b/services/src/main/java/org/fuchsialever/services/http/HttpPlatformAdapter.java
@@ -12,6 +12,7 @@
 import org.fuchsialever.kernel.settings.SettingsReader;
 import org.fuchsialever.services.Platform;
 import org.fuchsialever.services.PlatformAdapter;
+import org.fuchsialever.services.body.BodyMemory;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
 
@@ -33,6 +34,7 @@
     private static final Duration DEFAULT_CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration DEFAULT_REQUEST_TIMEOUT = Duration.ofSeconds(2);
 
+    private final BodyMemory mMemory = BodyMemory.ofHeap();
     private final Map<String, String> mUrls = new HashMap<>();
     private Duration mConnectTimeout = DEFAULT_CONNECT_TIMEOUT;
     private Duration mRequestTimeout = DEFAULT_REQUEST_TIMEOUT;
@@ -93,6 +95,7 @@
                 forChanges.apply(pooled),
                 unpooled,
                 mRequestTimeout,
+                mMemory,
                 context.meters());
     }
 
--- a/services/src/main/java/org/fuchsialever/services/http/InterfaceClient.java
+++ b/services/src/main/java/org/fuchsialever/services/http/InterfaceClient.java
@@ -12,20 +12,25 @@
 import java.util.function.Function;
 import org.fuchsialever.services.PlatformException;
 import org.fuchsialever.services.PlatformException.Effect;
+import org.fuchsialever.services.body.BodyMemory;
 import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Mono;
-import reactor.netty.ByteBufMono;
+import reactor.netty.ByteBufFlux;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
 
 /** Client of one interface of the platform: sends requests and classifies failures. */
 final class InterfaceClient {
+    /** Objects have no stated size, so only the memory of all bodies bounds them. */
+    private static final int MAX_RESPONSE_BYTES = Integer.MAX_VALUE;
+
     private final String mService;
     private final String mBaseUrl;
     private final HttpClient mReadClient;
     private final HttpClient mChangeClient;
     private final HttpClient mNewConnectionClient;
     private final Duration mTimeout;
+    private final BodyMemory mMemory;
     private final MeterRegistry mMeters;
 
     /**
@@ -37,6 +42,7 @@
      * @param changeClient sends changes and reuses connections
      * @param newConnectionClient opens a connection for each request
      * @param timeout limit of a whole call
+     * @param memory bounds the incomplete bodies of all interfaces
      */
     InterfaceClient(
             String service,
@@ -45,6 +51,7 @@
             HttpClient changeClient,
             HttpClient newConnectionClient,
             Duration timeout,
+            BodyMemory memory,
             MeterRegistry meters) {
         mService = service;
         mBaseUrl = baseUrl;
@@ -52,6 +59,7 @@
         mChangeClient = changeClient;
         mNewConnectionClient = newConnectionClient;
         mTimeout = timeout;
+        mMemory = memory;
         mMeters = meters;
         for (CallFailure failure : CallFailure.values()) {
             counter(failure);
@@ -71,7 +79,8 @@
         return mReadClient
                 .get()
                 .uri(mBaseUrl + path)
-                .responseSingle(InterfaceClient::readResponse)
+                .response(this::readResponse)
+                .single()
                 .map(reader)
                 .timeout(mTimeout)
                 .onErrorMap(
@@ -118,7 +127,8 @@
                                             gate.open()
                                                     ? outbound.sendByteArray(Mono.just(body))
                                                     : Mono.error(new GateClosedException()))
-                            .responseSingle(InterfaceClient::readResponse)
+                            .response(this::readResponse)
+                            .single()
                             .map(reader)
                             .timeout(mTimeout)
                             .onErrorMap(failure -> changeFailure(gate, failure));
@@ -155,11 +165,9 @@
                 failure.metricName());
     }
 
-    private static Mono<InterfaceResponse> readResponse(
-            HttpClientResponse response, ByteBufMono content) {
+    private Mono<InterfaceResponse> readResponse(HttpClientResponse response, ByteBufFlux content) {
         int status = response.status().code();
-        return content.asByteArray()
-                .defaultIfEmpty(new byte[0])
+        return mMemory.read(content.asByteArray(), MAX_RESPONSE_BYTES)
                 .map(body -> new InterfaceResponse(status, body));
     }
 
