--- a/node/src/main/java/org/fuchsialever/node/entry/EntryHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryHandler.java
@@ -149,14 +149,16 @@
         return Mono.create(
                 sink -> {
                     LiveCallHandler handler =
-                            new LiveCallHandler(call, mUpstreams, mRefusals, sink);
+                            new LiveCallHandler(
+                                    call, mUpstreams, mRefusals, mForward::cancel, sink);
                     long number =
                             mForward.submit(
-                                    assigned -> forwardCall(assigned, route, now, timeoutMillis),
+                                    assigned -> {
+                                        handler.assignNumber(assigned);
+                                        return forwardCall(assigned, route, now, timeoutMillis);
+                                    },
                                     handler);
                     sink.onCancel(() -> mForward.cancel(number));
-                    // The sink knows nothing of a caller who leaves after the head of a stream.
-                    handler.streamLeft().thenRun(() -> mForward.cancel(number));
                 });
     }
 
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
@@ -52,6 +52,7 @@
     private final TimeSource mTime;
     private final TraceLog mTrace;
     private final MeterRegistry mMeters;
+    private final ResponseMemory mMemory;
     private final AtomicLong mLastNumber = new AtomicLong();
     private final Map<Long, AcceptedCall> mAccepted = new ConcurrentHashMap<>();
     private final Set<Long> mBeingSubmitted = ConcurrentHashMap.newKeySet();
@@ -66,12 +67,14 @@
             Inbox<ForwardEvent> inbox,
             TimeSource time,
             TraceLog trace,
-            MeterRegistry meters) {
+            MeterRegistry meters,
+            ResponseMemory memory) {
         mClient = client;
         mInbox = inbox;
         mTime = time;
         mTrace = trace;
         mMeters = meters;
+        mMemory = memory;
         for (ForwardCallKind kind : ForwardCallKind.values()) {
             mInProgress.put(kind, new AtomicInteger());
         }
@@ -244,6 +247,7 @@
         private final ForwardAction.Start mStart;
         private final long mStartNanos;
         private final long mWallMillis = mTime.wallMillis();
+        private final ResponseMemory.Account mHeld = mMemory.open(this::giveUp);
         private long mPaceSinceNanos;
         private int mPaceSinceEvents;
         private ConnectionUse mUse = NO_CONNECTION;
@@ -294,7 +298,23 @@
         public ContentVerdict onContent(byte[] bytes) {
             ContentVerdict verdict = mReader.onContent(bytes);
             reportPace();
-            return verdict;
+            mHeld.hold(mReader.heldBytes());
+            return mReader.isGivenUp() ? ContentVerdict.INVALID : verdict;
+        }
+
+        private void giveUp() {
+            mMeters.counter("fuchsialever.forward.given-up").increment();
+            mTrace.line(PART, "response-given-up")
+                    .with("id", mHandler.requestId())
+                    .with("attempt", mKey.attempt)
+                    .with("upstream", mStart.upstream().id())
+                    .with("reason", "RESPONSE_MEMORY")
+                    .write();
+            mReader.giveUp();
+            Exchange exchange = mExchanges.get(mKey);
+            if (exchange != null) {
+                exchange.cancel();
+            }
         }
 
         private void reportPace() {
@@ -321,6 +341,7 @@
         @Override
         public void onEnd(ExchangeOutcome end) {
             AttemptReport report = mReader.onEnd(end);
+            mHeld.close();
             mEnded = true;
             mExchanges.remove(mKey);
             long elapsedNanos = mTime.nanoTime() - mStartNanos;
--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeChannel.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeChannel.java
@@ -157,7 +157,8 @@
 
     private void read(HttpObject part) {
         boolean joined = part instanceof HttpResponse head && ExchangeDecoder.isJoined(head);
-        if (part.decoderResult().isFailure() || joined) {
+        boolean endlessElse = mSkipping && mDecoder.hasReceivedTooMuchElse();
+        if (part.decoderResult().isFailure() || joined || endlessElse) {
             end(ExchangeOutcome.MALFORMED);
             close();
             return;
