End the process when an error ends the thread of a duty

Cause: DutyThread.run caught RuntimeException only. Change: ProcessEnd is the handler of uncaught throwables of all duty threads and of the writer of the trace log: a line on standard error and exit status 3, without shutdown hooks, which may need the lost duty. An exception in one event is logged and counted as before and the duty goes on.

--- a/kernel/src/main/java/org/fuchsialever/kernel/duty/DutyThread.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/duty/DutyThread.java
@@ -6,7 +6,10 @@
 import org.fuchsialever.kernel.time.TimeSource;
 import org.jspecify.annotations.Nullable;
 
-/** Runs one duty on a thread of its own. The thread waits on the inbox until the next timer. */
+/**
+ * Runs one duty on a thread of its own. The thread waits on the inbox until the next timer. It
+ * survives exceptions of the duty, but not errors.
+ */
 public final class DutyThread<E, A> implements AutoCloseable {
     private static final long MAX_WAIT_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final long JOIN_TIMEOUT_MILLIS = 5_000;
@@ -19,14 +22,21 @@
     private final Thread mThread;
     private final AtomicLong mFailures = new AtomicLong();
     private volatile boolean mRunning = true;
+    private volatile long mLastStepNanos;
 
     /**
      * Creates the thread without starting it.
      *
      * @param inbox the events of the duty
      * @param actions executes the actions of the duty, on this thread
+     * @param onEnd handles an error that ends the thread
      */
-    public DutyThread(Duty<E, A> duty, Inbox<E> inbox, ActionSink<A> actions, TimeSource time) {
+    public DutyThread(
+            Duty<E, A> duty,
+            Inbox<E> inbox,
+            ActionSink<A> actions,
+            TimeSource time,
+            Thread.UncaughtExceptionHandler onEnd) {
         mDuty = duty;
         mInbox = inbox;
         mActions = actions;
@@ -34,6 +44,8 @@
         mLog = PartLogger.of(duty.dutyName());
         mThread = new Thread(this::run, "duty-" + duty.dutyName());
         mThread.setDaemon(true);
+        mThread.setUncaughtExceptionHandler(onEnd);
+        mLastStepNanos = time.nanoTime();
     }
 
     /** Starts the thread. */
@@ -51,6 +63,11 @@
         return mFailures.get();
     }
 
+    /** Returns for how long the duty has not run, 0 after it was stopped. It idles at most 1 s. */
+    public long silenceNanos() {
+        return mRunning ? mTime.nanoTime() - mLastStepNanos : 0;
+    }
+
     /** Stops the thread and waits up to 5 s until the event in progress has been handled. */
     @Override
     public void close() throws InterruptedException {
@@ -87,6 +104,7 @@
     }
 
     private void step() throws InterruptedException {
+        mLastStepNanos = mTime.nanoTime();
         long wait = waitNanos(mDuty.nextTimerNanos(), mTime.nanoTime());
         @Nullable E event = wait > 0 ? mInbox.poll(wait) : mInbox.poll();
         if (event != null) {
--- a/kernel/src/main/java/org/fuchsialever/kernel/plugin/ComponentContext.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/plugin/ComponentContext.java
@@ -3,8 +3,10 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.vavr.control.Option;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.fuchsialever.kernel.duty.ActionSink;
@@ -12,6 +14,7 @@
 import org.fuchsialever.kernel.duty.DutyThread;
 import org.fuchsialever.kernel.duty.Inbox;
 import org.fuchsialever.kernel.duty.OverflowPolicy;
+import org.fuchsialever.kernel.duty.ProcessEnd;
 import org.fuchsialever.kernel.lifecycle.Closer;
 import org.fuchsialever.kernel.settings.SettingsReader;
 import org.fuchsialever.kernel.time.TimeSource;
@@ -24,6 +27,7 @@
     private final TimeSource mTime;
     private final long mRandomSeed;
     private final MeterRegistry mMeters;
+    private final List<DutyThread<?, ?>> mDuties = new CopyOnWriteArrayList<>();
 
     /**
      * Creates a context.
@@ -99,6 +103,11 @@
         return mMeters;
     }
 
+    /** Returns the longest time for which one of the duties has not run. */
+    public long longestSilenceNanos() {
+        return mDuties.stream().mapToLong(DutyThread::silenceNanos).max().orElse(0);
+    }
+
     /**
      * Starts a duty on a thread of its own and registers the thread with the closer.
      *
@@ -126,7 +135,9 @@
             OverflowPolicy overflow,
             Function<Inbox<E>, ActionSink<A>> actions) {
         Inbox<E> inbox = new Inbox<>(capacity, overflow);
-        DutyThread<E, A> thread = new DutyThread<>(duty, inbox, actions.apply(inbox), mTime);
+        DutyThread<E, A> thread =
+                new DutyThread<>(duty, inbox, actions.apply(inbox), mTime, ProcessEnd.HALT);
+        mDuties.add(thread);
         String name = duty.dutyName();
         mMeters.gauge("fuchsialever.ring.size." + name, inbox, Inbox::size);
         mMeters.gauge("fuchsialever.ring.overflows." + name, inbox, Inbox::overflowCount);
--- a/node/src/main/java/org/fuchsialever/node/trace/TraceLog.java
+++ b/node/src/main/java/org/fuchsialever/node/trace/TraceLog.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.fuchsialever.kernel.duty.ProcessEnd;
 
 /**
  * Writes one JSON object per line. Lines go through a bounded ring to a thread of their own; a line
@@ -48,6 +49,7 @@
         mSampledOut = meters.counter("fuchsialever.trace.dropped", "reason", "rate");
         mWriter = new Thread(this::run, "duty-trace");
         mWriter.setDaemon(true);
+        mWriter.setUncaughtExceptionHandler(ProcessEnd.HALT);
         mWriter.start();
     }
 
