Hand large bodies to an upstream's connection in slices

Cause: ExchangeChannel gave the whole body to the transport, which copies it to memory outside the heap at once. A body of 32 MiB, a second attempt or some upstreams that read slowly exceeded MaxDirectMemorySize (48 MB). Evidence: LargeRequestTest on: the copy of a body of 32 MiB was made whole before the upstream had read more than 1 KB of it (expected below 8 MiB; both counters of direct memory together showed 67 MB). Change: RequestWriter hands over bodies above 32 KiB in slices while the connection is writable.

--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeChannel.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeChannel.java
@@ -1,20 +1,14 @@
 package org.fuchsialever.services.exchange;
 
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.concurrent.TimeUnit;
@@ -41,7 +35,7 @@
     private final Consumer<ExchangeChannel> mOnFree;
     private final Consumer<ExchangeChannel> mOnClosed;
     private ExchangeClient.@Nullable RunningExchange mExchange;
-    private @Nullable ChannelFuture mWritten;
+    private @Nullable RequestWriter mWriter;
     private boolean mSkipping;
     private boolean mKeepAlive = true;
     private boolean mFinished;
@@ -82,16 +76,7 @@
         next.attach(this);
         ExchangeRequest request = next.request();
         mDecoder.expectResponseTo(HttpMethod.valueOf(request.method()));
-        DefaultFullHttpRequest message =
-                new DefaultFullHttpRequest(
-                        HttpVersion.HTTP_1_1,
-                        HttpMethod.valueOf(request.method()),
-                        request.uri(),
-                        Unpooled.wrappedBuffer(request.body()),
-                        request.headers(),
-                        EmptyHttpHeaders.INSTANCE);
-        message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
-        mWritten = mChannel.writeAndFlush(message);
+        mWriter = RequestWriter.start(mChannel, request);
     }
 
     @Override
@@ -114,6 +99,13 @@
         }
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (mWriter != null && mChannel.isWritable()) {
+            mWriter.writeMore();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         mFailed = true;
@@ -176,8 +168,9 @@
             return;
         }
         mExchange = null;
-        ChannelFuture request = mWritten;
-        boolean reusable = mKeepAlive && request != null && request.isDone() && mChannel.isActive();
+        RequestWriter request = mWriter;
+        boolean reusable =
+                mKeepAlive && request != null && request.written().isDone() && mChannel.isActive();
         if (reusable) {
             mFinished = true;
         } else {
