Bound the sum of all bodies and responses of an instance

A body of 32 MiB, which maxBodyBytes allows, grew by doubling on the heap and ended with a closed channel. Evidence: InstanceMemoryTest, a process with the memory options of the deploy file, on: 5 of its 6 tests fail, among them the press (calm calls without a response) and the body of 32 MiB (broken pipe). Change: MemoryBudget decides (admit, wait, reject with Retry-After from the rate at which room returns, or never fits); MemoryShare gives small bodies, large bodies and responses parts of their own. InstanceMemory keeps what each request holds until its response is written. BodyReader reserves a body whole before it reads its first byte; until then the connection is not read. What has no room in 0.8 s, or a quarter of the caller's time, is refused as "not run", and the rest of its body is discarded so that its caller can read that. A body that does not arrive within the caller's time is refused as well. The budget is [entry] memory-percent, by default 50, of the heap. Readiness says no while a duty has not run for 4 s. Result: MemoryBudgetTest 11 and InstanceMemoryTest 6 tests pass.

--- a/node/src/main/java/org/fuchsialever/node/entry/EntryCall.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryCall.java
@@ -13,6 +13,7 @@
  * @param uri path and query
  * @param headers header fields as received
  * @param body the complete body
+ * @param memory the memory that the call holds
  */
 record EntryCall(
         String requestId,
@@ -21,4 +22,5 @@
         String method,
         String uri,
         HttpHeaders headers,
-        byte[] body) {}
+        byte[] body,
+        InstanceMemory.Lease memory) {}
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryComponent.java
@@ -3,6 +3,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.fuchsialever.decisions.directory.DirectoryTable;
 import org.fuchsialever.kernel.plugin.Component;
 import org.fuchsialever.kernel.plugin.ComponentContext;
@@ -15,6 +16,8 @@
 import org.fuchsialever.node.trace.TraceLog;
 import org.fuchsialever.services.hosted.HostedServices;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.resources.LoopResources;
 
@@ -32,10 +35,19 @@
     /** An instance whose mirrored tables are staler than this reports that it is not ready. */
     private static final long MAX_STALENESS_MILLIS = 3_000;
 
+    /** Duties run at least once a second; one that has not run for longer is stuck or lost. */
+    private static final long MAX_SILENCE_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+    /** Leaves the other half of the heap to state, to the store's calls and to the collector. */
+    private static final long DEFAULT_MEMORY_PERCENT = 50;
+
+    private static final int PERCENT = 100;
+
     private String mHost = "";
     private int mPort;
     private int mReadinessPort;
     private int mMetricsPort;
+    private long mMemoryPercent = DEFAULT_MEMORY_PERCENT;
     private Duration mLinger = DEFAULT_LINGER;
     private Duration mDrainDeadline = DEFAULT_DRAIN_DEADLINE;
 
@@ -68,6 +80,7 @@
         mPort = port(settings, "listen");
         mReadinessPort = port(settings, "readiness-listen");
         mMetricsPort = (int) settings.integer(SECTION, "metrics-port", 0, 0, MAX_PORT);
+        mMemoryPercent = settings.integer(SECTION, "memory-percent", DEFAULT_MEMORY_PERCENT, 1, 80);
         mLinger = settings.duration(SECTION, "linger", DEFAULT_LINGER);
         mDrainDeadline = settings.duration(SECTION, "drain-deadline", DEFAULT_DRAIN_DEADLINE);
     }
@@ -107,9 +120,27 @@
                         drain,
                         context.time());
         openMetrics(context, loops);
+        Scheduler timers = Schedulers.fromExecutorService(loops.onServer(true));
+        InstanceMemory memory =
+                new InstanceMemory(
+                        Runtime.getRuntime().maxMemory() / PERCENT * mMemoryPercent,
+                        context.time(),
+                        timers,
+                        context.meters());
+        BodyReader bodies = new BodyReader(timers);
         EntryServer readiness =
-                open(context, loops, handler, refusals, drain, directory, mReadinessPort);
-        EntryServer entry = open(context, loops, handler, refusals, drain, directory, mPort);
+                open(
+                        context,
+                        loops,
+                        handler,
+                        refusals,
+                        drain,
+                        directory,
+                        memory,
+                        bodies,
+                        mReadinessPort);
+        EntryServer entry =
+                open(context, loops, handler, refusals, drain, directory, memory, bodies, mPort);
         trace.line("entry", "listening")
                 .with("address", mHost)
                 .with("port", entry.port())
@@ -134,6 +165,8 @@
             Refusals refusals,
             DrainSignal drain,
             Directory directory,
+            InstanceMemory memory,
+            BodyReader bodies,
             int openedPort) {
         EntryServer server =
                 new EntryServer(
@@ -143,8 +176,13 @@
                         handler,
                         context.require(HostedServices.class).entry(),
                         refusals,
-                        () -> !drain.isStarted() && isCurrent(directory),
-                        drain);
+                        () ->
+                                !drain.isStarted()
+                                        && isCurrent(directory)
+                                        && context.longestSilenceNanos() < MAX_SILENCE_NANOS,
+                        drain,
+                        memory,
+                        bodies);
         context.closer().register("entry on port " + server.port(), server);
         return server;
     }
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryHandler.java
@@ -101,7 +101,12 @@
 
     /** Handles a request whose head was accepted. */
     Mono<EntryResponse> handle(
-            AcceptedRequest accepted, String method, String uri, HttpHeaders headers, byte[] body) {
+            AcceptedRequest accepted,
+            String method,
+            String uri,
+            HttpHeaders headers,
+            byte[] body,
+            InstanceMemory.Lease memory) {
         EntryRequest head = accepted.head();
         return switch (head.kind()) {
             case READINESS -> Mono.empty();
@@ -118,19 +123,32 @@
             case END_BATCH ->
                     mBatches.end(head.batchId(), accepted.team())
                             .map(reply -> batchResponse(head, reply));
-            case CALL -> call(accepted, method, uri, headers, body);
+            case CALL -> call(accepted, method, uri, headers, body, memory);
         };
     }
 
     private Mono<EntryResponse> call(
-            AcceptedRequest accepted, String method, String uri, HttpHeaders headers, byte[] body) {
+            AcceptedRequest accepted,
+            String method,
+            String uri,
+            HttpHeaders headers,
+            byte[] body,
+            InstanceMemory.Lease memory) {
         EntryRequest head = accepted.head();
         ForwardRoute route = accepted.route().get();
         if (route.kind() == RequestKind.ROLLOUT) {
             return submit(accepted, method, body);
         }
         EntryCall call =
-                new EntryCall(head.requestId(), route, accepted.team(), method, uri, headers, body);
+                new EntryCall(
+                        head.requestId(),
+                        route,
+                        accepted.team(),
+                        method,
+                        uri,
+                        headers,
+                        body,
+                        memory);
         long now = mTime.nanoTime();
         long timeoutMillis =
                 Math.min(
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
@@ -1,12 +1,15 @@
 package org.fuchsialever.node.entry;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.vavr.control.Either;
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import org.fuchsialever.node.entry.BodyReader.BodyRefusedException;
 import org.fuchsialever.node.hosted.DrainSignal;
 import org.fuchsialever.services.hosted.EntryProtocol;
 import org.fuchsialever.services.hosted.EntryRequest;
@@ -23,6 +26,11 @@
     /** Above any limit that a manifest sets; its limit for bodies is checked separately. */
     private static final int MAX_HEADER_BYTES = 64 * 1_024;
 
+    private static final int MIN_RECEIVE_BYTES = 2_048;
+
+    /** A connection whose body waits for room holds one such part of it, outside the heap. */
+    private static final int MAX_RECEIVE_BYTES = 16 * 1_024;
+
     /** Longer than the time for which callers reuse an idle connection. */
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
 
@@ -35,6 +43,8 @@
     private final Refusals mRefusals;
     private final BooleanSupplier mReady;
     private final DrainSignal mDrain;
+    private final InstanceMemory mMemory;
+    private final BodyReader mBodies;
     private final DisposableServer mServer;
     private final AtomicInteger mInProgress = new AtomicInteger();
 
@@ -52,18 +62,26 @@
             EntryProtocol protocol,
             Refusals refusals,
             BooleanSupplier ready,
-            DrainSignal drain) {
+            DrainSignal drain,
+            InstanceMemory memory,
+            BodyReader bodies) {
         mHandler = handler;
         mProtocol = protocol;
         mRefusals = refusals;
         mReady = ready;
         mDrain = drain;
+        mMemory = memory;
+        mBodies = bodies;
         mServer =
                 HttpServer.create()
                         .host(host)
                         .port(port)
                         .runOn(loops)
                         .idleTimeout(IDLE_TIMEOUT)
+                        .childOption(
+                                ChannelOption.RECVBUF_ALLOCATOR,
+                                new AdaptiveRecvByteBufAllocator(
+                                        MIN_RECEIVE_BYTES, MIN_RECEIVE_BYTES, MAX_RECEIVE_BYTES))
                         .httpRequestDecoder(spec -> spec.maxHeaderSize(MAX_HEADER_BYTES))
                         .handle(this::handle)
                         .bindNow();
@@ -95,10 +113,12 @@
         }
         mInProgress.incrementAndGet();
         Either<EntryResponse, EntryHandler.AcceptedRequest> checked = mHandler.check(head);
+        InstanceMemory.Lease lease = mMemory.open();
+        AtomicBoolean unread = new AtomicBoolean(checked.isLeft());
         Mono<EntryResponse> result =
                 checked.isLeft()
                         ? Mono.just(checked.getLeft())
-                        : body(request, checked.get())
+                        : mBodies.read(request, checked.get(), lease)
                                 .flatMap(
                                         body ->
                                                 mHandler.handle(
@@ -106,33 +126,22 @@
                                                         method,
                                                         request.uri(),
                                                         request.requestHeaders(),
-                                                        body))
+                                                        body,
+                                                        lease))
+                                .map(whole -> mRefusals.withinMemory(whole, head, lease))
                                 .onErrorResume(
-                                        BodyTooLargeException.class,
-                                        tooLarge ->
-                                                Mono.just(
-                                                        mRefusals.refusal(
-                                                                head.requestId(),
-                                                                EntryRefusal.BODY_TOO_LARGE,
-                                                                head.path())));
+                                        BodyRefusedException.class,
+                                        refused -> {
+                                            unread.set(refused.isUnread());
+                                            return Mono.just(mRefusals.refusal(head, refused));
+                                        });
         return result.flatMap(entryResponse -> write(response, entryResponse))
-                .doFinally(signal -> mInProgress.decrementAndGet());
-    }
-
-    private static Mono<byte[]> body(
-            HttpServerRequest request, EntryHandler.AcceptedRequest accepted) {
-        int limit = accepted.manifest().limits().maxBodyBytes();
-        return request.receive()
-                .asByteArray()
-                .collect(
-                        ByteArrayOutputStream::new,
-                        (buffer, bytes) -> {
-                            if (buffer.size() + bytes.length > limit) {
-                                throw new BodyTooLargeException();
-                            }
-                            buffer.writeBytes(bytes);
+                .doFinally(
+                        signal -> {
+                            lease.close();
+                            mInProgress.decrementAndGet();
                         })
-                .map(ByteArrayOutputStream::toByteArray);
+                .then(Mono.defer(() -> unread.get() ? mBodies.discard(request) : Mono.empty()));
     }
 
     private Mono<Void> write(HttpServerResponse response, EntryResponse entryResponse) {
@@ -156,13 +165,4 @@
         // Each event is flushed on its own, so that it reaches the caller without delay.
         return response.send(body.map(Unpooled::wrappedBuffer), event -> true).then();
     }
-
-    /** Signals a body that is larger than the manifest allows. */
-    private static final class BodyTooLargeException extends RuntimeException {
-        private static final long serialVersionUID = 1L;
-
-        BodyTooLargeException() {
-            super("the body is too large", null, false, false);
-        }
-    }
 }
--- a/node/src/main/java/org/fuchsialever/node/entry/LiveCallHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/LiveCallHandler.java
@@ -11,6 +11,7 @@
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.forward.AttemptOutcome;
 import org.fuchsialever.decisions.forward.ForwardRefusal;
+import org.fuchsialever.decisions.memory.MemoryShare;
 import org.fuchsialever.node.forward.AttemptReader;
 import org.fuchsialever.node.forward.ForwardCallHandler;
 import org.fuchsialever.node.forward.ServerSentEvent;
@@ -142,7 +143,13 @@
                     new EntryResponse.Streamed(
                             head == null ? 0 : head.status(),
                             reader.responseHeaders(),
-                            opened.asFlux()));
+                            opened.asFlux()
+                                    .doOnNext(
+                                            event ->
+                                                    mCall.memory()
+                                                            .giveBack(
+                                                                    MemoryShare.RESPONSE,
+                                                                    event.length))));
         }
     }
 
@@ -150,7 +157,9 @@
         Sinks.Many<byte[]> open = mStream;
         if (attempt == mStreamedAttempt && open != null) {
             mLastEventId = event.id().isEmpty() ? mLastEventId : event.id();
-            if (open.tryEmitNext(event.raw()).isFailure()) {
+            if (!mCall.memory().tryTake(MemoryShare.RESPONSE, event.raw().length)) {
+                open.tryEmitError(new StreamBrokenException("NO_MEMORY"));
+            } else if (open.tryEmitNext(event.raw()).isFailure()) {
                 open.tryEmitError(new StreamBrokenException("CALLER_TOO_SLOW"));
             }
         }
@@ -191,6 +200,10 @@
         @Override
         protected ContentVerdict handleContent(byte[] bytes) {
             if (!isStreaming()) {
+                // The transport copies the body once more when it is sent to the caller.
+                if (!mCall.memory().tryTake(MemoryShare.RESPONSE, 2L * bytes.length)) {
+                    return ContentVerdict.INVALID;
+                }
                 mBody.writeBytes(bytes);
                 return ContentVerdict.PROGRESS;
             }
--- a/node/src/main/java/org/fuchsialever/node/entry/Refusals.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/Refusals.java
@@ -3,13 +3,18 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.fuchsialever.decisions.forward.ForwardRefusal;
+import org.fuchsialever.decisions.memory.MemoryShare;
 import org.fuchsialever.node.trace.TraceLog;
 import org.fuchsialever.services.hosted.EntryProtocol;
+import org.fuchsialever.services.hosted.EntryRequest;
 
 /** Creates refusals; each is counted and logged. */
 final class Refusals {
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
+    /** Callers usually read a response within this time. */
+    private static final long RESPONSE_RETRY_MILLIS = 500;
+
     private final EntryProtocol mProtocol;
     private final TraceLog mTrace;
     private final MeterRegistry mMeters;
@@ -59,6 +64,32 @@
         return refusal(requestId, EntryRefusal.ANSWER_LOST, "upstream-status", 0);
     }
 
+    /** Returns the refusal of a request whose body was not accepted. */
+    EntryResponse refusal(EntryRequest head, BodyReader.BodyRefusedException refused) {
+        return refusal(
+                head.requestId(), refused.reason(), refused.detail(), refused.retryAfterMillis());
+    }
+
+    /**
+     * Returns a response to a read, or its refusal if there is no room until its caller has read
+     * it. Responses of upstreams are counted as they arrive.
+     */
+    EntryResponse withinMemory(
+            EntryResponse response, EntryRequest head, InstanceMemory.Lease memory) {
+        boolean isRead =
+                head.kind() == EntryRequest.Kind.READ_RESULTS
+                        || head.kind() == EntryRequest.Kind.READ_ITEM;
+        if (!isRead || !(response instanceof EntryResponse.Complete complete)) {
+            return response;
+        }
+        // The transport copies the body once more.
+        long bytes = 2L * complete.body().length;
+        return memory.tryTake(MemoryShare.RESPONSE, bytes)
+                ? response
+                : refusal(
+                        head.requestId(), EntryRefusal.NOT_RUN, "no-memory", RESPONSE_RETRY_MILLIS);
+    }
+
     /** Returns the header fields that name a request. */
     HttpHeaders headers(String requestId) {
         return mProtocol.responseHeaders(requestId);
--- /dev/null
+++ b/soak/src/test/java/org/fuchsialever/soak/DeployedInstance.java
@@ -0,0 +1,134 @@
+package org.fuchsialever.soak;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.fuchsialever.kernel.lifecycle.Closer;
+import org.fuchsialever.node.NodeMain;
+import org.fuchsialever.platform.FreePorts;
+import org.fuchsialever.platform.InstanceSettings;
+import org.fuchsialever.platform.ManifestText;
+import org.fuchsialever.platform.StoreStandIn;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** One instance as a process with the memory of the deploy file, a store and an upstream. */
+final class DeployedInstance implements AutoCloseable {
+    /** Path of calls whose response is large. */
+    static final String LARGE_RESPONSES = "/safe/large";
+
+    static final String KEY = "key-1";
+
+    /** The limit of the users' manifests. */
+    static final int MAX_BODY_BYTES = 33_554_432;
+
+    /** Time limit of all routes; bodies arrive in half of it. */
+    static final int TIMEOUT_MILLIS = 8_000;
+
+    private static final Path DEPLOY_FILE = Path.of("..", "deploy", "system.toml");
+    private static final int LARGE_RESPONSE_BYTES = 3 * 1_024 * 1_024;
+    private static final String UPSTREAM_ROW =
+            "{\"service\":\"plain\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z\",\"slots\":64,"
+                    + "\"state\":\"ready\",\"seq\":1,\"born\":1}";
+
+    private final Closer mCloser = new Closer();
+    private final Map<String, Integer> mBodyBytes = new ConcurrentHashMap<>();
+    private final int mPort;
+    private final Path mLog;
+    private final Process mProcess;
+
+    DeployedInstance(Path directory) throws IOException {
+        mPort = FreePorts.next();
+        mLog = directory.resolve("n1.log");
+        StoreStandIn store = mCloser.register("store", new StoreStandIn());
+        store.write(
+                "op",
+                "config",
+                ManifestText.of(2, KEY)
+                        .replace("\"maxBodyBytes\":100000", "\"maxBodyBytes\":" + MAX_BODY_BYTES)
+                        .replace("\"timeoutMs\":3000", "\"timeoutMs\":" + TIMEOUT_MILLIS));
+        DisposableServer upstream =
+                HttpServer.create().host("127.0.0.1").port(0).handle(this::respond).bindNow();
+        mCloser.register("upstream", () -> upstream.disposeNow(Duration.ofSeconds(1)));
+        store.write("servers", "p1", String.format(UPSTREAM_ROW, upstream.port()));
+        Path settings = directory.resolve("n1.ini");
+        Files.writeString(settings, InstanceSettings.of("n1", store.address(), mPort));
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(memoryOptions());
+        command.addAll(
+                List.of(
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        NodeMain.class.getName(),
+                        "--settings",
+                        settings.toString()));
+        mProcess =
+                new ProcessBuilder(command)
+                        .redirectErrorStream(true)
+                        .redirectOutput(mLog.toFile())
+                        .start();
+        Runtime.getRuntime().addShutdownHook(new Thread(mProcess::destroyForcibly, "end-n1"));
+    }
+
+    /** Returns the options of the deploy file that bound memory. */
+    private static List<String> memoryOptions() throws IOException {
+        String run =
+                Files.readAllLines(DEPLOY_FILE).stream()
+                        .filter(line -> line.startsWith("run = "))
+                        .findFirst()
+                        .orElseThrow();
+        return Arrays.stream(run.split("[ \"]"))
+                .filter(word -> word.startsWith("-X") || word.startsWith("-Dio.netty"))
+                .filter(word -> !word.contains("hare"))
+                .toList();
+    }
+
+    int port() {
+        return mPort;
+    }
+
+    boolean isAlive() {
+        return mProcess.isAlive();
+    }
+
+    String log() throws IOException {
+        return Files.readString(mLog);
+    }
+
+    /** Returns the length of the body with which a request ran, or -1 if it has not run. */
+    int bodyBytes(String requestId) {
+        return mBodyBytes.getOrDefault(requestId, -1);
+    }
+
+    private Mono<Void> respond(HttpServerRequest request, HttpServerResponse response) {
+        String id = request.requestHeaders().get("Request-Id", "");
+        byte[] body =
+                new byte[request.uri().startsWith(LARGE_RESPONSES) ? LARGE_RESPONSE_BYTES : 10];
+        return request.receive()
+                .reduce(0, (length, part) -> length + part.readableBytes())
+                .doOnNext(length -> mBodyBytes.put(id, length))
+                .then(
+                        response.header("Request-Id", id)
+                                .header("Response-Stamp", "stamp-" + id)
+                                .header("Content-Length", Integer.toString(body.length))
+                                .sendByteArray(Mono.just(body))
+                                .then());
+    }
+
+    @Override
+    public void close() {
+        mProcess.destroyForcibly();
+        mProcess.onExit().join();
+        mCloser.close();
+    }
+}
