--- a/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
@@ -1,14 +1,15 @@
 package org.fuchsialever.node.entry;
 
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.vavr.control.Either;
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
+import org.fuchsialever.node.entry.BodyReader.BodyRefusedException;
 import org.fuchsialever.node.hosted.DrainSignal;
 import org.fuchsialever.services.hosted.EntryProtocol;
 import org.fuchsialever.services.hosted.EntryRequest;
@@ -25,6 +26,11 @@
     /** Above any limit that a manifest sets; its limit for bodies is checked separately. */
     private static final int MAX_HEADER_BYTES = 64 * 1_024;
 
+    private static final int MIN_RECEIVE_BYTES = 2_048;
+
+    /** A connection whose body waits for room holds one such part of it, outside the heap. */
+    private static final int MAX_RECEIVE_BYTES = 16 * 1_024;
+
     /** Longer than the time for which callers reuse an idle connection. */
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
 
@@ -37,6 +43,8 @@
     private final Refusals mRefusals;
     private final BooleanSupplier mReady;
     private final DrainSignal mDrain;
+    private final InstanceMemory mMemory;
+    private final BodyReader mBodies;
     private final DisposableServer mServer;
     private final Set<OpenRequest> mInProgress = ConcurrentHashMap.newKeySet();
     private final EntryConnections mConnections = new EntryConnections();
@@ -56,18 +64,26 @@
             EntryProtocol protocol,
             Refusals refusals,
             BooleanSupplier ready,
-            DrainSignal drain) {
+            DrainSignal drain,
+            InstanceMemory memory,
+            BodyReader bodies) {
         mHandler = handler;
         mProtocol = protocol;
         mRefusals = refusals;
         mReady = ready;
         mDrain = drain;
+        mMemory = memory;
+        mBodies = bodies;
         mServer =
                 HttpServer.create()
                         .host(host)
                         .port(port)
                         .runOn(loops)
                         .idleTimeout(IDLE_TIMEOUT)
+                        .childOption(
+                                ChannelOption.RECVBUF_ALLOCATOR,
+                                new AdaptiveRecvByteBufAllocator(
+                                        MIN_RECEIVE_BYTES, MIN_RECEIVE_BYTES, MAX_RECEIVE_BYTES))
                         .httpRequestDecoder(spec -> spec.maxHeaderSize(MAX_HEADER_BYTES))
                         .doOnChannelInit((observer, channel, address) -> mConnections.add(channel))
                         .handle(this::handle)
@@ -120,26 +136,36 @@
         OpenRequest open = new OpenRequest(head, mRefusals);
         mInProgress.add(open);
         request.withConnection(connection -> mConnections.setBusy(connection.channel(), true));
-        return open.orEnd(respond(open, head, method, request))
-                .flatMap(entryResponse -> write(response, entryResponse))
+        InstanceMemory.Lease lease = mMemory.open();
+        AtomicBoolean unread = new AtomicBoolean();
+        return open.orEnd(respond(open, head, method, request, lease, unread))
+                .flatMap(entryResponse -> write(response, entryResponse, lease))
                 .doFinally(
                         signal -> {
+                            lease.close();
                             mInProgress.remove(open);
                             request.withConnection(
                                     connection ->
                                             mConnections.setBusy(connection.channel(), false));
-                        });
+                        })
+                .then(Mono.defer(() -> unread.get() ? mBodies.discard(request) : Mono.empty()));
     }
 
     private Mono<EntryResponse> respond(
-            OpenRequest open, EntryRequest head, String method, HttpServerRequest request) {
+            OpenRequest open,
+            EntryRequest head,
+            String method,
+            HttpServerRequest request,
+            InstanceMemory.Lease lease,
+            AtomicBoolean unread) {
         if (mRefusesNew) {
             return Mono.just(mHandler.shuttingDown(head));
         }
         Either<EntryResponse, EntryHandler.AcceptedRequest> checked = mHandler.check(head);
+        unread.set(checked.isLeft());
         return checked.isLeft()
                 ? Mono.just(checked.getLeft())
-                : body(request, checked.get())
+                : mBodies.read(request, checked.get(), lease)
                         .flatMap(
                                 body -> {
                                     open.passedOn();
@@ -148,35 +174,20 @@
                                             method,
                                             request.uri(),
                                             request.requestHeaders(),
-                                            body);
+                                            body,
+                                            lease);
                                 })
+                        .map(whole -> mRefusals.withinMemory(whole, head, lease))
                         .onErrorResume(
-                                BodyTooLargeException.class,
-                                tooLarge ->
-                                        Mono.just(
-                                                mRefusals.refusal(
-                                                        head.requestId(),
-                                                        EntryRefusal.BODY_TOO_LARGE,
-                                                        head.path())));
-    }
-
-    private static Mono<byte[]> body(
-            HttpServerRequest request, EntryHandler.AcceptedRequest accepted) {
-        int limit = accepted.manifest().limits().maxBodyBytes();
-        return request.receive()
-                .asByteArray()
-                .collect(
-                        ByteArrayOutputStream::new,
-                        (buffer, bytes) -> {
-                            if (buffer.size() + bytes.length > limit) {
-                                throw new BodyTooLargeException();
-                            }
-                            buffer.writeBytes(bytes);
-                        })
-                .map(ByteArrayOutputStream::toByteArray);
+                                BodyRefusedException.class,
+                                refused -> {
+                                    unread.set(refused.isUnread());
+                                    return Mono.just(mRefusals.refusal(head, refused));
+                                });
     }
 
-    private Mono<Void> write(HttpServerResponse response, EntryResponse entryResponse) {
+    private Mono<Void> write(
+            HttpServerResponse response, EntryResponse entryResponse, InstanceMemory.Lease lease) {
         response.status(entryResponse.status());
         response.headers(entryResponse.headers());
         if (mDrain.isStarted()) {
@@ -193,20 +204,7 @@
         // the
         // end of the connection would end the body, and a stream that breaks off would look whole.
         response.chunkedTransfer(true);
-        Flux<byte[]> events = ((EntryResponse.Streamed) entryResponse).body();
-        Channel[] channel = new Channel[1];
-        response.withConnection(connection -> channel[0] = connection.channel());
-        Flux<byte[]> body = WriteGate.throttle(channel[0], events);
-        // Each event is flushed on its own, so that it reaches the caller without delay.
-        return response.send(body.map(Unpooled::wrappedBuffer), event -> true).then();
-    }
-
-    /** Signals a body that is larger than the manifest allows. */
-    private static final class BodyTooLargeException extends RuntimeException {
-        private static final long serialVersionUID = 1L;
-
-        BodyTooLargeException() {
-            super("the body is too large", null, false, false);
-        }
+        Flux<byte[]> body = ((EntryResponse.Streamed) entryResponse).body();
+        return EventWriter.write(response, body, lease);
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/entry/LiveCallHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/LiveCallHandler.java
@@ -14,6 +14,7 @@
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.forward.AttemptOutcome;
 import org.fuchsialever.decisions.forward.ForwardRefusal;
+import org.fuchsialever.decisions.memory.MemoryShare;
 import org.fuchsialever.node.forward.AttemptReader;
 import org.fuchsialever.node.forward.ForwardCallHandler;
 import org.fuchsialever.node.forward.ServerSentEvent;
@@ -168,7 +169,9 @@
         if (attempt == mStreamedAttempt && open != null) {
             mLastEventId = event.id().isEmpty() ? mLastEventId : event.id();
             long unread = mUnreadBytes.addAndGet(event.raw().length);
-            if (unread > MAX_UNREAD_BYTES || open.tryEmitNext(event.raw()).isFailure()) {
+            if (!mCall.memory().tryTake(MemoryShare.RESPONSE, event.raw().length)) {
+                breakOff(open, "NO_MEMORY");
+            } else if (unread > MAX_UNREAD_BYTES || open.tryEmitNext(event.raw()).isFailure()) {
                 breakOff(open, "CALLER_TOO_SLOW");
             }
         }
@@ -223,6 +226,11 @@
         @Override
         protected ContentVerdict handleContent(byte[] bytes) {
             if (!isStreaming()) {
+                // The transport copies the body once more when it is sent to the caller.
+                if (!mCall.memory().tryTake(MemoryShare.RESPONSE, 2L * bytes.length)) {
+                    mRefusals.noteNoRoom(mCall.requestId(), mBody.size());
+                    return ContentVerdict.INVALID;
+                }
                 mBody.writeBytes(bytes);
                 return ContentVerdict.PROGRESS;
             }
--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeChannel.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeChannel.java
@@ -1,20 +1,14 @@
 package org.fuchsialever.services.exchange;
 
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.concurrent.TimeUnit;
@@ -44,7 +38,7 @@
     private final IdleBytesListener mOnIdleBytes;
     private final CarriedRequests mCarried = new CarriedRequests();
     private ExchangeClient.@Nullable RunningExchange mExchange;
-    private @Nullable ChannelFuture mWritten;
+    private @Nullable RequestWriter mWriter;
     private boolean mSkipping;
     private boolean mKeepAlive = true;
     private boolean mFinished;
@@ -101,25 +95,7 @@
         ExchangeRequest request = next.request();
         mCarried.add(request.id());
         mDecoder.expectResponseTo(HttpMethod.valueOf(request.method()));
-        DefaultFullHttpRequest message =
-                new DefaultFullHttpRequest(
-                        HttpVersion.HTTP_1_1,
-                        HttpMethod.valueOf(request.method()),
-                        request.uri(),
-                        Unpooled.wrappedBuffer(request.body()),
-                        request.headers(),
-                        EmptyHttpHeaders.INSTANCE);
-        message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
-        mWritten =
-                mChannel.writeAndFlush(message)
-                        .addListener(
-                                written -> {
-                                    // The decoder takes the close for the end of a body.
-                                    if (!written.isSuccess()) {
-                                        end(ExchangeOutcome.LOST);
-                                        close();
-                                    }
-                                });
+        mWriter = RequestWriter.start(mChannel, request, this::writeFailed);
     }
 
     @Override
@@ -142,6 +118,13 @@
         }
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (mWriter != null && mChannel.isWritable()) {
+            mWriter.writeMore();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         mFailed = true;
@@ -181,6 +164,12 @@
         }
     }
 
+    /** Ends the exchange first, because the decoder takes the close for the end of a body. */
+    private void writeFailed() {
+        end(ExchangeOutcome.LOST);
+        close();
+    }
+
     private void head(ExchangeClient.RunningExchange current, HttpResponse response) {
         int status = response.status().code();
         mSkipping = true;
@@ -215,13 +204,13 @@
             return;
         }
         mExchange = null;
-        ChannelFuture request = mWritten;
+        RequestWriter request = mWriter;
         boolean reusable =
                 mKeepAlive
                         && mCarried.mayContinue()
                         && mDecoder.framesAlike()
                         && request != null
-                        && request.isDone()
+                        && request.written().isDone()
                         && mChannel.isActive();
         if (reusable) {
             mFinished = true;
