Compare what callers got with what upstreams sent, byte by byte

ANSWERS_ARE_GENUINE compared a body that was the same for each run of a call, looked at status 200 only and knew no streams; results of submissions were compared with a text that followed from the item alone, and versions and scores were not tied to it.

Change: a signed answer of any status must be the whole response of one recorded run of that call, with its status, signature and bytes; a resumed stream must be the joined events of its runs from the first to the last, one of them ended. ANSWERED_CALLS_ARE_OVER is new. Bodies of items are read back and compared; the bodies of requests are compared at the upstreams.

Trainers end submissions and submit unlisted items again under the same IDs, some with a newer least version. The links have two threads, and a run no longer prints a stack trace for each broken connection.

REFUSED_SUBMISSIONS_DO_NOT_RUN leaves out items that another submission has as well, since those may run for it; it is as strict as before for all others. Errored items were a finding without exception before, which was right only while no upstream failed.

--- a/soak/src/test/java/org/fuchsialever/soak/Caller.java
+++ b/soak/src/test/java/org/fuchsialever/soak/Caller.java
@@ -17,7 +17,18 @@
 
     Mono<CallerStandIn.Response> call(
             InstanceProgram instance, String method, String path, String id, String body) {
-        return mCaller.call(instance.entryLink().address(), method, path, id, SoakWorld.KEY, body)
+        return call(instance, method, path, id, body, Map.of());
+    }
+
+    Mono<CallerStandIn.Response> call(
+            InstanceProgram instance,
+            String method,
+            String path,
+            String id,
+            String body,
+            Map<String, String> fields) {
+        String address = instance.entryLink().address();
+        return mCaller.call(address, method, path, id, SoakWorld.KEY, body, fields)
                 .onErrorReturn(NONE);
     }
 
--- a/soak/src/test/java/org/fuchsialever/soak/Evidence.java
+++ b/soak/src/test/java/org/fuchsialever/soak/Evidence.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.fuchsialever.platform.SentAnswer;
 import org.fuchsialever.platform.UpstreamStandIn;
 
 /**
@@ -16,6 +17,7 @@
  * @param receivers the lifetimes of upstreams that received each request
  * @param upstreamCalls what arrived at the upstreams
  * @param orders the orders that upstreams accepted
+ * @param sentAnswers what upstreams sent for each request
  * @param usageReports the reports of usage as they arrived
  */
 record Evidence(
@@ -24,12 +26,19 @@
         Map<String, Set<String>> receivers,
         List<UpstreamStandIn.ReceivedCall> upstreamCalls,
         List<UpstreamStandIn.AcceptedOrder> orders,
+        Map<String, List<SentAnswer>> sentAnswers,
         List<String> usageReports) {
 
+    /** Returns what upstreams sent for a request. */
+    List<SentAnswer> sent(String requestId) {
+        return sentAnswers.getOrDefault(requestId, List.of());
+    }
+
     /** Gathers the evidence of a run. */
     static Evidence of(SoakWorld world) {
         Map<String, Integer> runs = new HashMap<>();
         Map<String, Set<String>> receivers = new HashMap<>();
+        Map<String, List<SentAnswer>> answers = new HashMap<>();
         List<UpstreamStandIn.ReceivedCall> calls = new ArrayList<>();
         List<UpstreamStandIn.AcceptedOrder> orders = new ArrayList<>();
         for (UpstreamStandIn upstream : world.upstreams().values()) {
@@ -40,10 +49,19 @@
                                     receivers
                                             .computeIfAbsent(id, call -> new HashSet<>())
                                             .addAll(lifetimes));
+            for (SentAnswer answer : upstream.sentAnswers()) {
+                answers.computeIfAbsent(answer.requestId(), id -> new ArrayList<>()).add(answer);
+            }
             calls.addAll(upstream.calls());
             orders.addAll(upstream.acceptedOrders());
         }
         return new Evidence(
-                world.record(), runs, receivers, calls, orders, world.store().usageReports());
+                world.record(),
+                runs,
+                receivers,
+                calls,
+                orders,
+                answers,
+                world.store().usageReports());
     }
 }
--- a/soak/src/test/java/org/fuchsialever/soak/FaultSoakTest.java
+++ b/soak/src/test/java/org/fuchsialever/soak/FaultSoakTest.java
@@ -11,21 +11,30 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import org.junit.jupiter.api.Test;
 
 /** Runs the seeds of a run by hand, or in CI the seeds that have failed before and one more. */
 class FaultSoakTest {
     private static final String SEEDS_IN_CI = "1";
 
+    /** Callers count broken connections as outcomes, so nobody needs their stack traces. */
+    private static final Logger CONNECTION_LOG = Logger.getLogger("reactor.netty");
+
     @Test
     void keepsItsPromisesUnderRandomFaults() throws Exception {
+        CONNECTION_LOG.setLevel(Level.OFF);
         Path directory = Path.of(System.getProperty("soak.directory", "target/runs"));
         ExecutorService threads =
                 Executors.newFixedThreadPool(Integer.getInteger("soak.parallel", 2));
         try {
             Map<Long, Future<List<String>>> runs = new LinkedHashMap<>();
-            for (long seed : seeds(System.getProperty("soak.seeds", ""))) {
-                runs.put(seed, threads.submit(() -> new SoakRun(seed, directory).findings()));
+            String chosen = System.getProperty("soak.seeds", "");
+            SoakScale scale = chosen.isBlank() ? SoakScale.SHORT : SoakScale.LONG;
+            for (long seed : seeds(chosen)) {
+                runs.put(
+                        seed, threads.submit(() -> new SoakRun(seed, directory, scale).findings()));
             }
             List<String> broken = new ArrayList<>();
             for (Map.Entry<Long, Future<List<String>>> run : runs.entrySet()) {
--- a/soak/src/test/java/org/fuchsialever/soak/Promise.java
+++ b/soak/src/test/java/org/fuchsialever/soak/Promise.java
@@ -10,24 +10,42 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import org.fuchsialever.platform.InstanceSettings;
+import org.fuchsialever.platform.SentAnswer;
 import org.fuchsialever.platform.UpstreamStandIn;
 
 /** A promise to callers and upstreams, with the check that it was kept. */
 enum Promise {
-    /** A success is the whole answer of an upstream to this call. */
+    /** What bears a signature is, byte for byte, the whole answer of an upstream to this call. */
     ANSWERS_ARE_GENUINE {
         @Override
         void check(Evidence evidence, List<String> findings) {
             for (SoakRecord.LiveCall call : evidence.record().liveCalls()) {
+                boolean signed = call.status() == OK || !call.stamp().isEmpty();
                 boolean genuine =
-                        call.body().equals("body of " + call.id())
-                                && call.stamp().equals("stamp-" + call.id());
-                if (call.status() == OK && !genuine) {
+                        evidence.sent(call.id()).stream()
+                                .anyMatch(answer -> isAnswer(call, answer, evidence));
+                if (signed && !genuine) {
                     findings.add(call + " is not the answer of an upstream");
                 }
             }
         }
     },
+    /** Nothing is sent to upstreams for a call that has been answered. */
+    ANSWERED_CALLS_ARE_OVER {
+        @Override
+        void check(Evidence evidence, List<String> findings) {
+            Map<String, SoakRecord.LiveCall> answered = new HashMap<>();
+            evidence.record().liveCalls().stream()
+                    .filter(call -> call.status() != 0)
+                    .forEach(call -> answered.put(call.id(), call));
+            for (UpstreamStandIn.ReceivedCall late : evidence.upstreamCalls()) {
+                SoakRecord.LiveCall call = answered.get(late.requestId());
+                if (call != null && late.arrivedNanos() > call.endedNanos() + LINK_NANOS) {
+                    findings.add(call + " was sent again after its answer");
+                }
+            }
+        }
+    },
     /** An unsafe call runs once at most. */
     UNSAFE_CALLS_RUN_ONCE {
         @Override
@@ -35,7 +53,10 @@
             evidence.runs()
                     .forEach(
                             (id, runs) -> {
-                                if (id.startsWith("unsafe-") && runs > 1) {
+                                boolean once =
+                                        LiveRoute.UNSAFE.carries(id)
+                                                || LiveRoute.STREAM.carries(id);
+                                if (once && runs > 1) {
                                     findings.add(id + " ran " + runs + " times");
                                 }
                             });
@@ -47,7 +68,7 @@
         void check(Evidence evidence, List<String> findings) {
             Map<String, Integer> runs = evidence.runs();
             for (SoakRecord.LiveCall call : evidence.record().liveCalls()) {
-                if (!call.safe()
+                if (!call.route().isRepeatable()
                         && NOT_RUN.contains(call.status())
                         && runs.containsKey(call.id())) {
                     findings.add(call + " has run");
@@ -73,7 +94,10 @@
             evidence.runs()
                     .forEach(
                             (id, runs) -> {
-                                if (id.startsWith("safe-") && runs > MOST_ATTEMPTS) {
+                                boolean live =
+                                        LiveRoute.SAFE.carries(id)
+                                                || LiveRoute.RESUMABLE.carries(id);
+                                if (live && runs > MOST_ATTEMPTS) {
                                     findings.add(id + " ran " + runs + " times");
                                 }
                             });
@@ -83,11 +107,11 @@
     UPSTREAMS_SEE_WHAT_WAS_ASKED {
         @Override
         void check(Evidence evidence, List<String> findings) {
-            Set<String> asked = evidence.record().asked();
+            Map<String, String> asked = evidence.record().asked();
             for (UpstreamStandIn.ReceivedCall call : evidence.upstreamCalls()) {
                 boolean scoring = call.requestId().startsWith("s-");
                 String team = call.headers().getOrDefault("Tenant", "");
-                if (!asked.contains(call.requestId())
+                if (!call.body().equals(asked.get(call.requestId()))
                         || call.headers().containsKey("Authorization")
                         || !scoring && !team.equals(SoakWorld.TEAM)) {
                     findings.add("an upstream got " + call);
@@ -100,22 +124,33 @@
         @Override
         void check(Evidence evidence, List<String> findings) {
             Map<String, Integer> runs = evidence.runs();
+            Set<String> submittedElsewhere = new HashSet<>();
+            for (SoakRecord.Submission submission : evidence.record().submissions()) {
+                if (!submission.refused()) {
+                    submittedElsewhere.addAll(submission.items());
+                }
+            }
             for (SoakRecord.Submission submission : evidence.record().submissions()) {
                 for (String item : submission.items()) {
-                    if (submission.refused() && runs.containsKey(item)) {
+                    if (submission.refused()
+                            && runs.containsKey(item)
+                            && !submittedElsewhere.contains(item)) {
                         findings.add(item + " has run although its submission was refused");
                     }
                 }
             }
         }
     },
-    /** Each item of an accepted submission is listed once, with its whole text and its score. */
+    /**
+     * Each item of an accepted submission is listed once, with the whole text that upstreams made,
+     * its versions and the score of this text, or errored for one of the reasons that allow it.
+     */
     ACCEPTED_SUBMISSIONS_ARE_LISTED_WHOLE {
         @Override
         void check(Evidence evidence, List<String> findings) {
             for (SoakRecord.Submission submission : evidence.record().submissions()) {
                 if (submission.accepted()) {
-                    checkListed(evidence.record(), submission, findings);
+                    new ItemCheck(evidence, submission, findings).run();
                 }
             }
         }
@@ -220,6 +255,9 @@
     /** The platform ends a process that has not ended this long after SIGTERM. */
     private static final long GRACE_NANOS = TimeUnit.SECONDS.toNanos(8);
 
+    /** Bytes that were on their way when the answer was read have arrived after this time. */
+    private static final long LINK_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     /** An instance counts as undisturbed this long after a disturbance. */
     private static final long CONTACT_NANOS = TimeUnit.SECONDS.toNanos(4);
 
@@ -238,23 +276,34 @@
         return all;
     }
 
-    private static void checkListed(
-            SoakRecord record, SoakRecord.Submission submission, List<String> findings) {
-        List<JsonNode> results = record.listedResults(submission.id());
-        Set<String> items = new HashSet<>();
-        for (JsonNode result : results) {
-            String item = result.path("id").asText();
-            boolean whole =
-                    result.path("state").asText().equals("completed")
-                            && result.path("message").asText().equals(UpstreamStandIn.text(item))
-                            && result.path("score").asText().equals("stamp-s-" + item)
-                            && result.path("versions").size() > 0;
-            if (!whole || !items.add(item) || !submission.items().contains(item)) {
-                findings.add(submission.id() + " lists " + result);
-            }
+    private static boolean isAnswer(
+            SoakRecord.LiveCall call, SentAnswer answer, Evidence evidence) {
+        if (answer.status() != call.status() || !answer.stamp().equals(call.stamp())) {
+            return false;
         }
-        if (results.size() != submission.items().size()) {
-            findings.add(submission.id() + " lists " + results.size() + " items");
+        return call.route() == LiveRoute.RESUMABLE && call.status() == OK
+                ? isJoined(call.body(), 1, answer, evidence.sent(call.id()))
+                : answer.isWhole() && answer.body().equals(call.body());
+    }
+
+    /**
+     * Returns whether a stream consists of the events of runs from a number on, whole and joined.
+     */
+    private static boolean isJoined(
+            String stream, int number, SentAnswer first, List<SentAnswer> runs) {
+        if (number > UpstreamStandIn.EVENT_COUNT) {
+            return stream.isEmpty() && runs.stream().anyMatch(SentAnswer::isWhole);
         }
+        List<SentAnswer> candidates = number == 1 ? List.of(first) : runs;
+        return candidates.stream()
+                .flatMap(run -> run.events().stream())
+                .filter(event -> event.number() == number && stream.startsWith(event.raw()))
+                .anyMatch(
+                        event ->
+                                isJoined(
+                                        stream.substring(event.raw().length()),
+                                        number + 1,
+                                        first,
+                                        runs));
     }
 }
--- a/soak/src/test/java/org/fuchsialever/soak/SoakRecord.java
+++ b/soak/src/test/java/org/fuchsialever/soak/SoakRecord.java
@@ -10,9 +10,15 @@
 
 /** What callers saw, and what was done to the processes. Written by several threads. */
 final class SoakRecord {
+    private static final int OK = 200;
+    private static final int SHOWN_CHARACTERS = 160;
+
     private final List<LiveCall> mLiveCalls = new ArrayList<>();
     private final Map<String, Submission> mSubmissions = new HashMap<>();
     private final Map<String, String> mListed = new HashMap<>();
+    private final Map<String, Integer> mListedCounts = new HashMap<>();
+    private final Map<String, Long> mFirstListed = new HashMap<>();
+    private final Set<String> mEnded = new HashSet<>();
     private final List<Exit> mExits = new ArrayList<>();
     private final List<Span> mDisturbances = new ArrayList<>();
     private final List<Termination> mTerminations = new ArrayList<>();
@@ -26,16 +32,44 @@
     record LiveCall(
             String id,
             String instance,
-            boolean safe,
+            LiveRoute route,
+            String sentBody,
             long sentNanos,
             long endedNanos,
             int status,
             String stamp,
             String body,
-            String leavingUpstream) {}
+            String leavingUpstream) {
+
+        @Override
+        public String toString() {
+            return id
+                    + " at "
+                    + instance
+                    + " "
+                    + status
+                    + " "
+                    + stamp
+                    + " ("
+                    + body.length()
+                    + ") "
+                    + body.substring(0, Math.min(body.length(), SHOWN_CHARACTERS));
+        }
+    }
 
-    /** A submission and what its trainer was told. */
-    record Submission(String id, Set<String> items, boolean accepted, boolean refused) {}
+    /** A submission with the body of each item, and what its trainer was told. */
+    record Submission(
+            String id,
+            Map<String, String> bodies,
+            long minVersion,
+            long sentNanos,
+            boolean accepted,
+            boolean refused) {
+
+        Set<String> items() {
+            return bodies.keySet();
+        }
+    }
 
     /** The end of a process that was told to stop; calm if nothing else was done to it. */
     record Exit(String instance, long tookNanos, boolean calm) {}
@@ -77,6 +111,7 @@
             String key = batch + "/" + position;
             String content = result.toString();
             String before = mListed.putIfAbsent(key, content);
+            mFirstListed.putIfAbsent(batch + " " + result.path("id").asText(), System.nanoTime());
             if (before != null && !before.equals(content)) {
                 mViolations.add(
                         "position " + key + " at " + instance + ": " + before + " then " + content);
@@ -96,6 +131,37 @@
         return results;
     }
 
+    /** Returns how many positions of a submission are known from the first on. */
+    synchronized int listedCount(String batch) {
+        int count = mListedCounts.getOrDefault(batch, 0);
+        while (mListed.containsKey(batch + "/" + count)) {
+            count++;
+        }
+        mListedCounts.put(batch, count);
+        return count;
+    }
+
+    /** Returns when a result was first seen, 0 if it was not. */
+    synchronized long firstListedNanos(String batch, String item) {
+        return mFirstListed.getOrDefault(batch + " " + item, 0L);
+    }
+
+    /** Notes that a trainer ends a submission; what it has not listed may be left out. */
+    synchronized void ended(String batch) {
+        mEnded.add(batch);
+    }
+
+    synchronized boolean isEnded(String batch) {
+        return mEnded.contains(batch);
+    }
+
+    /** Notes the body of an item as an instance returned it. */
+    synchronized void itemBody(Submission submission, String item, int status, String body) {
+        if (status == OK && !body.equals(submission.bodies().get(item))) {
+            mViolations.add("the body of " + item + " was read back as " + body);
+        }
+    }
+
     synchronized void violation(String text) {
         mViolations.add(text);
     }
@@ -144,15 +210,18 @@
                 .noneMatch(span -> span.fromNanos <= toNanos && span.toNanos >= fromNanos);
     }
 
-    /** Returns the identities of all requests that callers have asked for. */
-    synchronized Set<String> asked() {
-        Set<String> asked = new HashSet<>(Set.of(SoakRun.PROBE));
-        mLiveCalls.forEach(call -> asked.add(call.id()));
+    /** Returns the bodies of all requests that callers have asked for, by the request's ID. */
+    synchronized Map<String, String> asked() {
+        Map<String, String> asked = new HashMap<>(Map.of(SoakRun.PROBE, ""));
+        mLiveCalls.forEach(call -> asked.put(call.id(), call.sentBody()));
         for (Submission submission : mSubmissions.values()) {
-            for (String item : submission.items()) {
-                asked.add(item);
-                asked.add("s-" + item);
-            }
+            submission
+                    .bodies()
+                    .forEach(
+                            (item, body) -> {
+                                asked.put(item, body);
+                                asked.put("s-" + item, "");
+                            });
         }
         return asked;
     }
--- a/soak/src/test/java/org/fuchsialever/soak/SoakRun.java
+++ b/soak/src/test/java/org/fuchsialever/soak/SoakRun.java
@@ -40,8 +40,10 @@
 
     private final long mSeed;
     private final Path mDirectory;
+    private final SoakScale mScale;
 
-    SoakRun(long seed, Path directory) {
+    SoakRun(long seed, Path directory, SoakScale scale) {
+        mScale = scale;
         mSeed = seed;
         mDirectory = directory;
     }
@@ -53,8 +55,8 @@
         ScheduledExecutorService faults = Executors.newSingleThreadScheduledExecutor();
         try (SoakWorld world = new SoakWorld(mDirectory.resolve("seed-" + mSeed));
                 Caller caller = new Caller()) {
-            LiveCallers live = new LiveCallers(world, caller, random.split());
-            Trainer trainer = new Trainer(world, caller, random.split());
+            LiveCallers live = new LiveCallers(world, caller, random.split(), mScale);
+            Trainer trainer = new Trainer(world, caller, random.split(), mScale);
             awaitServing(world, caller, START);
             repeat(callers, live::send, CALL_INTERVAL_MILLIS);
             repeat(callers, trainer::submit, SUBMISSION_INTERVAL_MILLIS);
@@ -141,13 +143,15 @@
     private static void awaitResults(SoakWorld world, Trainer trainer) {
         for (SoakRecord.Submission submission : world.record().submissions()) {
             for (InstanceProgram instance : world.instances()) {
-                if (submission.accepted()) {
+                if (submission.accepted() && !world.record().isEnded(submission.id())) {
                     within(
                             LONGEST_SUBMISSION,
                             () -> {
-                                trainer.read(instance, submission.id()).block();
-                                return world.record().listedResults(submission.id()).size()
-                                        == submission.items().size();
+                                int listed =
+                                        trainer.readAll(instance, submission.id(), 0)
+                                                .blockOptional()
+                                                .orElse(0);
+                                return listed == submission.items().size();
                             });
                 }
             }
--- a/soak/src/test/java/org/fuchsialever/soak/SoakWorld.java
+++ b/soak/src/test/java/org/fuchsialever/soak/SoakWorld.java
@@ -4,6 +4,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -22,11 +23,17 @@
     static final String KEY = "key-1";
     static final String TEAM = "team";
     static final String MODEL = "m";
+    static final int MAX_BODY_BYTES = 2_000_000;
 
     private static final int INSTANCES = 3;
+
+    /** Both connections of a link have the same thread. */
+    private static final int LINK_THREADS = 2;
+
     private static final Map<String, String> SERVICES =
             Map.of("p1", "plain", "p2", "plain", "e1", "engines", "e2", "engines");
 
+    private final Path mDirectory;
     private final Closer mCloser = new Closer();
     private final StoreStandIn mStore;
     private final SoakRecord mRecord = new SoakRecord();
@@ -38,7 +45,9 @@
 
     SoakWorld(Path directory) throws IOException {
         Files.createDirectories(directory);
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        mDirectory = directory;
+        EventLoopGroup group =
+                new MultiThreadIoEventLoopGroup(LINK_THREADS, NioIoHandler.newFactory());
         mCloser.register("links", () -> group.shutdownGracefully().syncUninterruptibly());
         mStore = mCloser.register("store", new StoreStandIn());
         changeManifest();
@@ -48,6 +57,7 @@
                     entry.getValue().equals("engines") ? Map.of(MODEL, 1L) : Map.of();
             UpstreamStandIn upstream =
                     mCloser.register(id, new UpstreamStandIn(id, entry.getValue(), versions));
+            upstream.numberRuns();
             int port = Integer.parseInt(upstream.address().split(":", -1)[1]);
             mUpstreams.put(id, upstream);
             mUpstreamLinks.put(id, mCloser.register(id + "-link", new LoopbackProxy(group, port)));
@@ -92,7 +102,10 @@
 
     /** Writes a newer manifest. */
     void changeManifest() {
-        mStore.write("op", "config", ManifestText.of(mManifestVersion.incrementAndGet(), KEY));
+        mStore.write(
+                "op",
+                "config",
+                ManifestText.of(mManifestVersion.incrementAndGet(), KEY, MAX_BODY_BYTES));
     }
 
     /** Names a newer weight version, as a trainer does. */
@@ -124,8 +137,20 @@
         }
     }
 
+    /** Writes what stuttering upstreams sent, beside the logs of the instances. */
+    private void writeCopies() {
+        List<String> copies = new ArrayList<>();
+        mUpstreams.values().forEach(upstream -> copies.addAll(upstream.copies()));
+        try {
+            Files.write(mDirectory.resolve("copies.log"), copies);
+        } catch (IOException e) {
+            throw new UncheckedIOException("the copies cannot be written", e);
+        }
+    }
+
     @Override
     public void close() {
+        writeCopies();
         mCloser.close();
     }
 }
