Add stuttering upstreams to the disturbances of the soak

Upstreams that answer twice broke rule MIXED for the users; no disturbance of the soak did that.

Change: UPSTREAM_STUTTERS lets one upstream stutter, UPSTREAMS_STUTTER all of them, in one of the five ways each.

--- a/soak/src/test/java/org/fuchsialever/soak/SoakFault.java
+++ b/soak/src/test/java/org/fuchsialever/soak/SoakFault.java
@@ -116,10 +116,25 @@
             if (!upstream.isEngine()) {
                 behaviours.remove(UpstreamStandIn.Behaviour.INTERRUPTS_STREAMS);
             }
+            behaviours.removeIf(behaviour -> STUTTERING.contains(behaviour));
             upstream.setBehaviour(any(behaviours, random));
             return () -> upstream.setBehaviour(UpstreamStandIn.Behaviour.HEALTHY);
         }
     },
+    /** An upstream succeeds or fails, and sends each response twice. */
+    UPSTREAM_STUTTERS(false) {
+        @Override
+        Healing begin(SoakWorld world, RandomGenerator random) {
+            return stutter(List.of(any(List.copyOf(world.upstreams().values()), random)), random);
+        }
+    },
+    /** All upstreams succeed or fail, and send each response twice. */
+    UPSTREAMS_STUTTER(false) {
+        @Override
+        Healing begin(SoakWorld world, RandomGenerator random) {
+            return stutter(List.copyOf(world.upstreams().values()), random);
+        }
+    },
     /** An upstream leaves and comes back. */
     UPSTREAM_LEAVES(true) {
         @Override
@@ -159,6 +174,14 @@
         }
     };
 
+    private static final List<UpstreamStandIn.Behaviour> STUTTERING =
+            List.of(
+                    UpstreamStandIn.Behaviour.STUTTERS_AT_ONCE,
+                    UpstreamStandIn.Behaviour.STUTTERS_LATE,
+                    UpstreamStandIn.Behaviour.STUTTERS_BEFORE_NEXT,
+                    UpstreamStandIn.Behaviour.STUTTERS_IN_PARTS,
+                    UpstreamStandIn.Behaviour.STUTTERS_CUT_SHORT);
+
     private final boolean mPlanned;
 
     SoakFault(boolean planned) {
@@ -181,6 +204,13 @@
         return choices.get(random.nextInt(choices.size()));
     }
 
+    private static Healing stutter(List<UpstreamStandIn> upstreams, RandomGenerator random) {
+        upstreams.forEach(upstream -> upstream.setBehaviour(any(STUTTERING, random)));
+        return () ->
+                upstreams.forEach(
+                        upstream -> upstream.setBehaviour(UpstreamStandIn.Behaviour.HEALTHY));
+    }
+
     private static Healing disturb(LoopbackProxy link, RandomGenerator random) {
         List<LinkState> states = new ArrayList<>(List.of(LinkState.values()));
         states.remove(LinkState.SOUND);
