--- a/soak/src/test/java/org/fuchsialever/soak/SoakWorld.java
+++ b/soak/src/test/java/org/fuchsialever/soak/SoakWorld.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicLong;
 import org.fuchsialever.kernel.lifecycle.Closer;
@@ -43,7 +44,17 @@
     private final AtomicLong mManifestVersion = new AtomicLong(1);
     private final AtomicLong mWeightVersion = new AtomicLong(1);
 
+    /** Starts a few instances before two upstreams of each service. */
     SoakWorld(Path directory) throws IOException {
+        this(directory, INSTANCES, SERVICES);
+    }
+
+    /**
+     * Starts instances before upstreams.
+     *
+     * @param services the service of each upstream, by the upstream's ID
+     */
+    SoakWorld(Path directory, int instances, Map<String, String> services) throws IOException {
         Files.createDirectories(directory);
         mDirectory = directory;
         EventLoopGroup group =
@@ -51,7 +62,7 @@
         mCloser.register("links", () -> group.shutdownGracefully().syncUninterruptibly());
         mStore = mCloser.register("store", new StoreStandIn());
         changeManifest();
-        for (Map.Entry<String, String> entry : new TreeMap<>(SERVICES).entrySet()) {
+        for (Map.Entry<String, String> entry : new TreeMap<>(services).entrySet()) {
             String id = entry.getKey();
             Map<String, Long> versions =
                     entry.getValue().equals("engines") ? Map.of(MODEL, 1L) : Map.of();
@@ -64,7 +75,7 @@
             register(id, "ready");
         }
         int storePort = Integer.parseInt(mStore.address().split(":", -1)[1]);
-        for (int i = 1; i <= INSTANCES; i++) {
+        for (int i = 1; i <= instances; i++) {
             String name = "n" + i;
             mInstances.add(
                     mCloser.register(name, new InstanceProgram(name, storePort, directory, group)));
@@ -87,6 +98,10 @@
         return mUpstreams;
     }
 
+    UpstreamStandIn upstream(String id) {
+        return Objects.requireNonNull(mUpstreams.get(id), id);
+    }
+
     Map<String, LoopbackProxy> upstreamLinks() {
         return mUpstreamLinks;
     }
