Allow requests under way until the time limit of their call

Cause: ANSWERED_CALLS_ARE_OVER allowed a second after the answer.

Change: 3 s, the time limit of every route.

--- a/soak/src/test/java/org/fuchsialever/soak/Promise.java
+++ b/soak/src/test/java/org/fuchsialever/soak/Promise.java
@@ -255,8 +255,8 @@
     /** The platform ends a process that has not ended this long after SIGTERM. */
     private static final long GRACE_NANOS = TimeUnit.SECONDS.toNanos(8);
 
-    /** Bytes that were on their way when the answer was read have arrived after this time. */
-    private static final long LINK_NANOS = TimeUnit.SECONDS.toNanos(1);
+    /** A request that was under way when its call was answered has arrived after the time limit. */
+    private static final long LINK_NANOS = TimeUnit.SECONDS.toNanos(3);
 
     /** An instance counts as undisturbed this long after a disturbance. */
     private static final long CONTACT_NANOS = TimeUnit.SECONDS.toNanos(4);
--- a/soak/src/test/java/org/fuchsialever/soak/PromiseTest.java
+++ b/soak/src/test/java/org/fuchsialever/soak/PromiseTest.java
@@ -95,7 +95,7 @@
     @Test
     void noticesACallThatIsSentAgainAfterItsAnswer() {
         call(UNSAFE, 504, "", "");
-        ReceivedCall late = new ReceivedCall(UNSAFE, Map.of("Tenant", "team"), "", 3 * SECOND);
+        ReceivedCall late = new ReceivedCall(UNSAFE, Map.of("Tenant", "team"), "", 5 * SECOND);
         List<String> findings =
                 Promise.checkAll(evidence(Map.of(), Map.of(), List.of(late), List.of(), List.of()));
         assertThat(findings, contains(startsWith(Promise.ANSWERED_CALLS_ARE_OVER.name())));
