Close a connection behind its queued answer and count its requests

Cause: the change before marked a connection as idle on the thread that ended the response, while the bytes were still in the queue of the event loop. A close that had been queued earlier then went first. Besides, the mark of an answer from the event loop, such as a 404, went to a connection that the request had already forgotten.

Change: the end of a response is noted in the event loop, behind its bytes, for the connection that the request began on. Requests are counted, because the next one may begin before the end of the last one is noted.

--- a/node/src/main/java/org/fuchsialever/node/entry/EntryConnections.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryConnections.java
@@ -11,7 +11,7 @@
 
 /** The open connections of callers. */
 final class EntryConnections {
-    private static final AttributeKey<Boolean> BUSY = AttributeKey.valueOf("entry-busy");
+    private static final AttributeKey<Integer> REQUESTS = AttributeKey.valueOf("entry-requests");
 
     private final ChannelGroup mOpen = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private volatile boolean mClosing;
@@ -24,14 +24,33 @@
         }
     }
 
-    /** Notes whether a request waits for its response, in the event loop. */
-    void setBusy(Channel channel, boolean busy) {
-        channel.attr(BUSY).set(busy);
-        if (!busy && mClosing) {
+    /** Notes that a request waits for its response, in the event loop. */
+    void begin(Channel channel) {
+        channel.attr(REQUESTS).set(requests(channel) + 1);
+    }
+
+    /** Notes that the response of a request was handed to the event loop, on any thread. */
+    void end(Channel channel) {
+        // Behind the bytes of the response, which may still be in the queue of the event loop.
+        if (channel.eventLoop().inEventLoop()) {
+            endInLoop(channel);
+        } else {
+            channel.eventLoop().execute(() -> endInLoop(channel));
+        }
+    }
+
+    private void endInLoop(Channel channel) {
+        channel.attr(REQUESTS).set(requests(channel) - 1);
+        if (mClosing) {
             closeIfIdle(channel);
         }
     }
 
+    private static int requests(Channel channel) {
+        Integer noted = channel.attr(REQUESTS).get();
+        return noted == null ? 0 : noted;
+    }
+
     /** Returns the number of open connections. */
     int count() {
         return mOpen.size();
@@ -46,7 +65,7 @@
 
     private static void closeIfIdle(Channel channel) {
         ChannelHandlerContext first = channel.pipeline().firstContext();
-        if (first == null || Boolean.TRUE.equals(channel.attr(BUSY).get())) {
+        if (first == null || requests(channel) > 0) {
             return;
         }
         // Closed behind the bytes that a slow caller has not taken yet.
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
@@ -1,6 +1,7 @@
 package org.fuchsialever.node.entry;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.vavr.control.Either;
 import java.io.ByteArrayOutputStream;
@@ -118,18 +119,24 @@
         }
         OpenRequest open = new OpenRequest(head, mRefusals);
         mInProgress.add(open);
-        request.withConnection(connection -> mConnections.setBusy(connection.channel(), true));
+        // Asked for now, because the request forgets its connection when its response ends.
+        Channel channel = channel(request);
+        mConnections.begin(channel);
         return open.orEnd(respond(open, head, method, request))
                 .flatMap(entryResponse -> write(response, entryResponse))
                 .doFinally(
                         signal -> {
                             mInProgress.remove(open);
-                            request.withConnection(
-                                    connection ->
-                                            mConnections.setBusy(connection.channel(), false));
+                            mConnections.end(channel);
                         });
     }
 
+    private static Channel channel(HttpServerRequest request) {
+        Channel[] found = new Channel[1];
+        request.withConnection(connection -> found[0] = connection.channel());
+        return found[0];
+    }
+
     private Mono<EntryResponse> respond(
             OpenRequest open, EntryRequest head, String method, HttpServerRequest request) {
         if (mRefusesNew) {
--- a/soak/src/test/java/org/fuchsialever/soak/PlannedStopTest.java
+++ b/soak/src/test/java/org/fuchsialever/soak/PlannedStopTest.java
@@ -2,11 +2,13 @@
 
 import static org.awaitility.Awaitility.await;
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
@@ -89,6 +91,27 @@
         }
     }
 
+    /** Guards against kept connections that are cut by the end of the process. */
+    @Test
+    void closesConnectionsThatAreKeptWithoutARequestBeforeItEnds() throws IOException {
+        try (SoakWorld world = new SoakWorld(mDirectory);
+                SlowUpstream upstream = new SlowUpstream("p9", RUN_TIME);
+                Caller caller = new Caller()) {
+            InstanceProgram instance = onlyUpstream(world, caller, upstream);
+            // Answered in the event loop, unlike a call that was passed on.
+            assertThat(
+                    caller.call(instance, "GET", "/none/x", "none", "")
+                            .map(CallerStandIn.Response::status)
+                            .block(),
+                    is(404));
+            instance.terminate(world.record());
+            eventually(() -> !world.record().exits().isEmpty());
+            String log = Files.readString(mDirectory.resolve("n1-1.log"));
+            assertThat(log, containsString("\"event\":\"drained\",\"inProgress\":0"));
+            assertThat(log, containsString("\"connections\":0"));
+        }
+    }
+
     /** Has one slow upstream serve all calls and waits until the instance knows that. */
     private static InstanceProgram onlyUpstream(
             SoakWorld world, Caller caller, SlowUpstream upstream) {
