--- a/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
@@ -1,6 +1,7 @@
 package org.fuchsialever.node.entry;
 
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.vavr.control.Either;
@@ -135,7 +136,9 @@
         }
         OpenRequest open = new OpenRequest(head, mRefusals);
         mInProgress.add(open);
-        request.withConnection(connection -> mConnections.setBusy(connection.channel(), true));
+        // Asked for now, because the request forgets its connection when its response ends.
+        Channel channel = channel(request);
+        mConnections.begin(channel);
         InstanceMemory.Lease lease = mMemory.open();
         AtomicBoolean unread = new AtomicBoolean();
         return open.orEnd(respond(open, head, method, request, lease, unread))
@@ -144,13 +147,17 @@
                         signal -> {
                             lease.close();
                             mInProgress.remove(open);
-                            request.withConnection(
-                                    connection ->
-                                            mConnections.setBusy(connection.channel(), false));
+                            mConnections.end(channel);
                         })
                 .then(Mono.defer(() -> unread.get() ? mBodies.discard(request) : Mono.empty()));
     }
 
+    private static Channel channel(HttpServerRequest request) {
+        Channel[] found = new Channel[1];
+        request.withConnection(connection -> found[0] = connection.channel());
+        return found[0];
+    }
+
     private Mono<EntryResponse> respond(
             OpenRequest open,
             EntryRequest head,
