Log when the text of an item is dropped

An engineer on call could not tell from the log why an item was generated again from its first event. The line names the bound that the text exceeded.

--- a/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
@@ -295,6 +295,7 @@
                                                 part.firstEvent(),
                                                 part.events(),
                                                 part.versions())),
+                        reason -> itemFailed("text-dropped", spec.id(), item.id(), reason),
                         (text, versions) -> {
                             mRunningCalls.remove(key);
                             mInbox.offer(
--- a/node/src/main/java/org/fuchsialever/node/batch/ItemGenerationHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/ItemGenerationHandler.java
@@ -55,6 +55,7 @@
     private final UpstreamProtocol mProtocol;
     private final TimeSource mTime;
     private final Consumer<TextProgress> mOnProgress;
+    private final Consumer<String> mOnDropped;
     private final BiConsumer<String, List<Long>> mOnText;
     private final Consumer<ForwardRefusal> mOnFailure;
     private PartialText mBeginning;
@@ -79,6 +80,7 @@
             PartialText beginning,
             TimeSource time,
             Consumer<TextProgress> onProgress,
+            Consumer<String> onDropped,
             BiConsumer<String, List<Long>> onText,
             Consumer<ForwardRefusal> onFailure) {
         mItem = item;
@@ -88,6 +90,7 @@
         mProtocol = protocol;
         mTime = time;
         mOnProgress = onProgress;
+        mOnDropped = onDropped;
         mBeginning = beginning;
         mLastEvent = beginning.lastEvent();
         mTextCharacters = beginning.events().stream().mapToLong(event -> event.length() + 1).sum();
@@ -166,7 +169,7 @@
         // An event contains at least one token.
         boolean tooManyEvents = mItem.maxTokenCount() > 0 && mTextEvents > mItem.maxTokenCount();
         if (tooManyEvents || mTextCharacters > MAX_TEXT_CHARACTERS) {
-            startOver();
+            startOver(tooManyEvents ? "TOO_MANY_EVENTS" : "TOO_LONG");
             return false;
         }
         mLastEvent = number;
@@ -189,7 +192,8 @@
     }
 
     /** Drops a text that is no text of this item. Its stored beginning is not continued. */
-    private void startOver() {
+    private void startOver(String reason) {
+        mOnDropped.accept(reason);
         mStartedOver = true;
         mBeginning = PartialText.NONE;
         mEvents.clear();
@@ -203,7 +207,7 @@
 
     private synchronized void startOverIn(int attempt) {
         if (attempt == mCurrentAttempt && excessCharacters() > 0) {
-            startOver();
+            startOver("RESPONSE_MEMORY");
         }
     }
 
--- a/node/src/test/java/org/fuchsialever/node/batch/EndlessTextsTest.java
+++ b/node/src/test/java/org/fuchsialever/node/batch/EndlessTextsTest.java
@@ -28,6 +28,7 @@
 
     private final List<TextProgress> mReports = new ArrayList<>();
     private final List<String> mTexts = new ArrayList<>();
+    private final List<String> mDropped = new ArrayList<>();
 
     /** Guards against a text that grows until memory runs out. */
     @Test
@@ -39,6 +40,7 @@
         }
         assertThat(feed(reader, MAX_TOKENS + 1, "junk"), is(ContentVerdict.INVALID));
         assertThat(reader.onEnd(ExchangeOutcome.MALFORMED).outcome(), is(AttemptOutcome.MALFORMED));
+        assertThat(mDropped, is(List.of("TOO_MANY_EVENTS")));
         completeTextAtNextEngine(run);
         assertThat(mTexts, is(List.of("one\ntwo")));
     }
@@ -92,6 +94,7 @@
                 beginning,
                 new ManualTimeSource(0),
                 mReports::add,
+                mDropped::add,
                 (text, versions) -> mTexts.add(text),
                 reason -> {});
     }
--- a/node/src/test/java/org/fuchsialever/node/batch/StoppedTextsTest.java
+++ b/node/src/test/java/org/fuchsialever/node/batch/StoppedTextsTest.java
@@ -102,6 +102,7 @@
                 beginning,
                 mTime,
                 mReports::add,
+                reason -> {},
                 (text, versions) -> {},
                 reason -> {});
     }
