Return the room of an event when it has been written

Cause: the room of an event was returned when the server's writer took it, so that what the writer held was outside the budget, and each request set a timer for the wait for room. Evidence: by reading. Change: EventWriter hands over the next event when the connection has taken the one before, and returns its room then. A response that finds no room is logged (response-not-held). A request that does not wait for room sets no timer for it.

--- a/node/src/main/java/org/fuchsialever/node/entry/BodyReader.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/BodyReader.java
@@ -60,18 +60,22 @@
         Duration timeout = Duration.ofMillis(timeoutMillis(accepted));
         Duration patience = timeout.dividedBy(PATIENCE_DIVISOR);
         Body body = new Body(accepted, lease, first, limit, factor);
-        return lease.admit(
-                        (long) first * factor,
-                        patience.compareTo(MAX_PATIENCE) < 0 ? patience : MAX_PATIENCE)
-                .flatMap(
-                        verdict ->
-                                switch (verdict.outcome()) {
-                                    case ADMITTED -> receive(request, body);
-                                    case NEVER_FITS -> Mono.error(tooLarge(accepted, true));
-                                    case WAITING, REJECTED ->
-                                            Mono.error(noRoom(verdict.retryAfterMillis(), true));
-                                })
-                .timeout(timeout, Mono.error(BodyReader::late), mTimers);
+        Mono<byte[]> read =
+                lease.admit(
+                                (long) first * factor,
+                                patience.compareTo(MAX_PATIENCE) < 0 ? patience : MAX_PATIENCE)
+                        .flatMap(
+                                verdict ->
+                                        switch (verdict.outcome()) {
+                                            case ADMITTED -> receive(request, body);
+                                            case NEVER_FITS -> Mono.error(tooLarge(accepted, true));
+                                            case WAITING, REJECTED ->
+                                                    Mono.error(
+                                                            noRoom(
+                                                                    verdict.retryAfterMillis(),
+                                                                    true));
+                                        });
+        return first == 0 ? read : read.timeout(timeout, Mono.error(BodyReader::late), mTimers);
     }
 
     /** Reads the rest of a body without keeping it, so that its caller can read the refusal. */
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
@@ -1,6 +1,5 @@
 package org.fuchsialever.node.entry;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -135,7 +134,7 @@
                                             unread.set(refused.isUnread());
                                             return Mono.just(mRefusals.refusal(head, refused));
                                         });
-        return result.flatMap(entryResponse -> write(response, entryResponse))
+        return result.flatMap(entryResponse -> write(response, entryResponse, lease))
                 .doFinally(
                         signal -> {
                             lease.close();
@@ -144,7 +143,8 @@
                 .then(Mono.defer(() -> unread.get() ? mBodies.discard(request) : Mono.empty()));
     }
 
-    private Mono<Void> write(HttpServerResponse response, EntryResponse entryResponse) {
+    private Mono<Void> write(
+            HttpServerResponse response, EntryResponse entryResponse, InstanceMemory.Lease lease) {
         response.status(entryResponse.status());
         response.headers(entryResponse.headers());
         if (mDrain.isStarted()) {
@@ -162,7 +162,6 @@
         // end of the connection would end the body, and a stream that breaks off would look whole.
         response.chunkedTransfer(true);
         Flux<byte[]> body = ((EntryResponse.Streamed) entryResponse).body();
-        // Each event is flushed on its own, so that it reaches the caller without delay.
-        return response.send(body.map(Unpooled::wrappedBuffer), event -> true).then();
+        return EventWriter.write(response, body, lease);
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/entry/InstanceMemory.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/InstanceMemory.java
@@ -16,11 +16,14 @@
 import org.fuchsialever.decisions.memory.MemoryShare;
 import org.fuchsialever.kernel.time.TimeSource;
 import reactor.core.publisher.Mono;
-import reactor.core.publisher.MonoSink;
+import reactor.core.publisher.Sinks;
 import reactor.core.scheduler.Scheduler;
 
 /** The memory budget of the instance, and the callers that wait for room. */
 final class InstanceMemory {
+    private static final BodyVerdict ADMITTED =
+            new BodyVerdict(Outcome.ADMITTED, MemoryShare.LARGE_BODY, 0);
+
     private final MemoryBudget mBudget;
     private final TimeSource mTime;
     private final Scheduler mTimers;
@@ -57,11 +60,9 @@
         return mBudget.usedBytes(share);
     }
 
-    private void resume(List<Waiting> admitted) {
-        admitted.forEach(
-                one ->
-                        one.sink.success(
-                                new BodyVerdict(Outcome.ADMITTED, MemoryShare.LARGE_BODY, 0)));
+    private static void resume(List<Waiting> admitted) {
+        // A caller that has left meanwhile returns its room when its request is closed.
+        admitted.forEach(one -> one.sink.tryEmitValue(ADMITTED));
     }
 
     /** Takes the waits of the given tickets; their room is reserved. */
@@ -80,7 +81,7 @@
         return admitted;
     }
 
-    private record Waiting(Lease lease, long bytes, MonoSink<BodyVerdict> sink) {}
+    private record Waiting(Lease lease, long bytes, Sinks.One<BodyVerdict> sink) {}
 
     /** The memory that one request holds, until it is closed. */
     final class Lease implements AutoCloseable {
@@ -91,18 +92,7 @@
 
         /** Asks for the room of a body; waits for it if it probably comes in time. */
         Mono<BodyVerdict> admit(long bytes, Duration patience) {
-            return Mono.<BodyVerdict>create(sink -> request(bytes, patience, sink))
-                    .timeout(patience, Mono.fromSupplier(() -> outwaited(bytes)), mTimers)
-                    .doOnNext(
-                            verdict ->
-                                    mMeters.counter(
-                                                    "fuchsialever.memory.bodies",
-                                                    "outcome",
-                                                    verdict.outcome().name())
-                                            .increment());
-        }
-
-        private void request(long bytes, Duration patience, MonoSink<BodyVerdict> sink) {
+            Sinks.One<BodyVerdict> sink = Sinks.one();
             BodyVerdict verdict;
             long ticket;
             synchronized (InstanceMemory.this) {
@@ -114,11 +104,18 @@
                     add(verdict.share(), bytes);
                 }
             }
-            if (verdict.outcome() == Outcome.WAITING) {
-                sink.onDispose(() -> withdraw(ticket));
-            } else {
-                sink.success(verdict);
-            }
+            count(verdict);
+            return verdict.outcome() == Outcome.WAITING
+                    ? sink.asMono()
+                            .doOnCancel(() -> withdraw(ticket))
+                            .timeout(patience, Mono.fromSupplier(() -> outwaited(bytes)), mTimers)
+                            .doOnNext(this::count)
+                    : Mono.just(verdict);
+        }
+
+        private void count(BodyVerdict verdict) {
+            mMeters.counter("fuchsialever.memory.bodies", "outcome", verdict.outcome().name())
+                    .increment();
         }
 
         private void withdraw(long ticket) {
--- a/node/src/main/java/org/fuchsialever/node/entry/LiveCallHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/LiveCallHandler.java
@@ -143,13 +143,7 @@
                     new EntryResponse.Streamed(
                             head == null ? 0 : head.status(),
                             reader.responseHeaders(),
-                            opened.asFlux()
-                                    .doOnNext(
-                                            event ->
-                                                    mCall.memory()
-                                                            .giveBack(
-                                                                    MemoryShare.RESPONSE,
-                                                                    event.length))));
+                            opened.asFlux()));
         }
     }
 
@@ -202,6 +196,7 @@
             if (!isStreaming()) {
                 // The transport copies the body once more when it is sent to the caller.
                 if (!mCall.memory().tryTake(MemoryShare.RESPONSE, 2L * bytes.length)) {
+                    mRefusals.noteNoRoom(mCall.requestId(), mBody.size());
                     return ContentVerdict.INVALID;
                 }
                 mBody.writeBytes(bytes);
--- a/node/src/main/java/org/fuchsialever/node/entry/Refusals.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/Refusals.java
@@ -90,6 +90,14 @@
                         head.requestId(), EntryRefusal.NOT_RUN, "no-memory", RESPONSE_RETRY_MILLIS);
     }
 
+    /** Logs that a response was given up because there was no room for the rest of it. */
+    void noteNoRoom(String requestId, int heldBytes) {
+        mTrace.line("entry", "response-not-held")
+                .with("id", requestId)
+                .with("heldBytes", heldBytes)
+                .write();
+    }
+
     /** Returns the header fields that name a request. */
     HttpHeaders headers(String requestId) {
         return mProtocol.responseHeaders(requestId);
--- a/soak/src/test/java/org/fuchsialever/soak/DeployedInstance.java
+++ b/soak/src/test/java/org/fuchsialever/soak/DeployedInstance.java
@@ -1,5 +1,7 @@
 package org.fuchsialever.soak;
 
+import static java.nio.charset.StandardCharsets.US_ASCII;
+
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -15,6 +17,7 @@
 import org.fuchsialever.platform.InstanceSettings;
 import org.fuchsialever.platform.ManifestText;
 import org.fuchsialever.platform.StoreStandIn;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
@@ -26,6 +29,9 @@
     /** Path of calls whose response is large. */
     static final String LARGE_RESPONSES = "/safe/large";
 
+    /** Path of calls whose response is a stream of large events. */
+    static final String LARGE_EVENTS = "/stream/large";
+
     static final String KEY = "key-1";
 
     /** The limit of the users' manifests. */
@@ -36,9 +42,11 @@
 
     private static final Path DEPLOY_FILE = Path.of("..", "deploy", "system.toml");
     private static final int LARGE_RESPONSE_BYTES = 3 * 1_024 * 1_024;
+    private static final int LARGE_EVENT_BYTES = 100_000;
+    private static final int LARGE_EVENTS_COUNT = 200;
     private static final String UPSTREAM_ROW =
-            "{\"service\":\"plain\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z\",\"slots\":64,"
-                    + "\"state\":\"ready\",\"seq\":1,\"born\":1}";
+            "{\"service\":\"%s\",\"models\":[{\"name\":\"m\",\"version\":1}],\"address\":\"127.0.0.1:%d\",\"zone\":\"z\",\"slots\":64,"
+                + "\"state\":\"ready\",\"seq\":1,\"born\":1}";
 
     private final Closer mCloser = new Closer();
     private final Map<String, Integer> mBodyBytes = new ConcurrentHashMap<>();
@@ -59,7 +67,8 @@
         DisposableServer upstream =
                 HttpServer.create().host("127.0.0.1").port(0).handle(this::respond).bindNow();
         mCloser.register("upstream", () -> upstream.disposeNow(Duration.ofSeconds(1)));
-        store.write("servers", "p1", String.format(UPSTREAM_ROW, upstream.port()));
+        store.write("servers", "p1", String.format(UPSTREAM_ROW, "plain", upstream.port()));
+        store.write("servers", "e1", String.format(UPSTREAM_ROW, "engines", upstream.port()));
         Path settings = directory.resolve("n1.ini");
         Files.writeString(settings, InstanceSettings.of("n1", store.address(), mPort));
         List<String> command = new ArrayList<>();
@@ -112,6 +121,15 @@
 
     private Mono<Void> respond(HttpServerRequest request, HttpServerResponse response) {
         String id = request.requestHeaders().get("Request-Id", "");
+        if (request.uri().startsWith(LARGE_EVENTS)) {
+            byte[] event = ("data: " + "x".repeat(LARGE_EVENT_BYTES) + "\n\n").getBytes(US_ASCII);
+            return response.header("Request-Id", id)
+                    .header("Response-Stamp", "stamp-" + id)
+                    .header("Content-Type", "text/event-stream")
+                    .header("Weight-Versions", "1")
+                    .sendByteArray(Flux.range(0, LARGE_EVENTS_COUNT).map(number -> event))
+                    .then();
+        }
         byte[] body =
                 new byte[request.uri().startsWith(LARGE_RESPONSES) ? LARGE_RESPONSE_BYTES : 10];
         return request.receive()
--- a/soak/src/test/java/org/fuchsialever/soak/InstanceMemoryTest.java
+++ b/soak/src/test/java/org/fuchsialever/soak/InstanceMemoryTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.oneOf;
 
 import java.io.IOException;
 import java.nio.file.Path;
@@ -18,7 +19,9 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
 import org.fuchsialever.kernel.lifecycle.Closer;
+import org.fuchsialever.platform.SubmissionText;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -59,7 +62,8 @@
             third.head("POST", "/unsafe/x", "r3", 10).body(10);
             assertThat(third.status(), is(200));
             // Callers that send on before they read the refusal can read it, too.
-            second.body(LARGE_BYTES);
+            second.body(LARGE_BYTES).head("GET", "/safe/x", "r4", 0);
+            assertThat(second.response(), containsString(" 200 "));
             assertThat(instance.bodyBytes("r2"), is(-1));
             assertThat(instance.log(), containsString("no-memory"));
         }
@@ -153,6 +157,69 @@
         }
     }
 
+    /** Guards against events that pile up, also outside the heap, for callers who do not read. */
+    @Test
+    void servesSmallCallsBesideCallersWhoDoNotReadTheirStreams() throws IOException {
+        try (DeployedInstance instance = serving();
+                Closer closer = new Closer()) {
+            List<RawCaller> slow = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                RawCaller caller = closer.register("caller", new RawCaller(instance));
+                slow.add(
+                        caller.head(
+                                "POST",
+                                DeployedInstance.LARGE_EVENTS,
+                                "slow" + i,
+                                "Model: m\r\nContent-Length: 0"));
+            }
+            for (int i = 0; i < 60; i++) {
+                assertThat(slow.get(i).status(), is(greaterThan(0)));
+                try (RawCaller calm = new RawCaller(instance)) {
+                    calm.head("GET", "/safe/x", "calm" + i, 0);
+                    assertThat(calm.status(), is(200));
+                }
+            }
+            assertThat(instance.log(), not(containsString("OutOfMemory")));
+        }
+    }
+
+    /** Guards against submissions whose parsed form exceeds the memory of the instance. */
+    @Test
+    void servesOnWhateverTheSizeOfASubmissionIs() throws IOException {
+        try (DeployedInstance instance = serving()) {
+            for (int items : new int[] {1_000, 4_096, 16_000, 32_000, 64_000}) {
+                List<String> ids =
+                        IntStream.range(0, items)
+                                .mapToObj(item -> "b" + items + "-" + item)
+                                .toList();
+                String submission = SubmissionText.of(ids);
+                try (RawCaller trainer = new RawCaller(instance)) {
+                    trainer.head("POST", "/rollout/b" + items, "b" + items, submission.length());
+                    trainer.text(submission);
+                    int status = trainer.status();
+                    assertThat(items + " items", status, is(oneOf(202, 413, 503)));
+                    assertThat(items > 4_096 || status == 202, is(true));
+                }
+                awaitCall(instance);
+            }
+            assertThat(instance.log(), not(containsString("OutOfMemory")));
+        }
+    }
+
+    /** Guards against an interim response to a caller whose body is refused. */
+    @Test
+    void asksNoCallerForABodyThatHasNoRoom() throws IOException {
+        try (DeployedInstance instance = serving();
+                RawCaller first = new RawCaller(instance);
+                RawCaller second = new RawCaller(instance)) {
+            String framing = "Expect: 100-continue\r\nContent-Length: " + LARGE_BYTES;
+            first.head("POST", "/unsafe/x", "r1", framing);
+            assertThat(first.status(), is(100));
+            second.head("POST", "/unsafe/x", "r2", framing);
+            assertThat(second.status(), is(503));
+        }
+    }
+
     private DeployedInstance serving() throws IOException {
         DeployedInstance instance = new DeployedInstance(mDirectory);
         awaitCall(instance);
