--- a/services/src/test/java/org/fuchsialever/services/exchange/LargeRequestTest.java
+++ b/services/src/test/java/org/fuchsialever/services/exchange/LargeRequestTest.java
@@ -93,7 +93,8 @@
                         "/x",
                         new DefaultHttpHeaders(),
                         body,
-                        head -> true,
+                        "1",
+                        head -> ResponseMatch.NAMED,
                         timeout,
                         timeout),
                 new ExchangeListener() {
