--- a/soak/src/test/java/org/fuchsialever/soak/FaultSoakTest.java
+++ b/soak/src/test/java/org/fuchsialever/soak/FaultSoakTest.java
@@ -17,7 +17,11 @@
 
 /** Runs the seeds of a run by hand, or in CI the seeds that have failed before and one more. */
 class FaultSoakTest {
-    private static final String SEEDS_IN_CI = "1";
+    /**
+     * 4: a copy of a failure that named no request was the answer of the next call, or let an
+     * unsafe call run twice; 18: such copies counted as failed attempts of an item.
+     */
+    private static final String SEEDS_IN_CI = "1,4,18";
 
     /** Callers count broken connections as outcomes, so nobody needs their stack traces. */
     private static final Logger CONNECTION_LOG = Logger.getLogger("reactor.netty");
