--- a/node/src/test/java/org/fuchsialever/node/batch/ReroutedTextsTest.java
+++ b/node/src/test/java/org/fuchsialever/node/batch/ReroutedTextsTest.java
@@ -18,7 +18,7 @@
 /** What an item's text is made of after its run was submitted again for a moved route. */
 class ReroutedTextsTest {
     private static final BatchItem ITEM =
-            new BatchItem("x", "g", "/p", Map.of(), new byte[0], 1, 0, Option.none());
+            new BatchItem("x", "g", "/p", Map.of(), new byte[0], 30, 0, Option.none());
 
     private final List<String> mTexts = new ArrayList<>();
 
@@ -35,6 +35,7 @@
                         PartialText.NONE,
                         new ManualTimeSource(0),
                         part -> {},
+                        reason -> {},
                         (text, versions) -> mTexts.add(text),
                         reason -> {});
         AttemptReader before = reader(run);
--- a/node/src/test/java/org/fuchsialever/node/forward/ForwardRunnerTest.java
+++ b/node/src/test/java/org/fuchsialever/node/forward/ForwardRunnerTest.java
@@ -72,7 +72,13 @@
                 TraceLog trace = new TraceLog(output, meters)) {
             Inbox<ForwardEvent> inbox = new Inbox<>(RING_CAPACITY, OverflowPolicy.REFUSE);
             ForwardRunner runner =
-                    new ForwardRunner(client, inbox, new ManualTimeSource(0), trace, meters);
+                    new ForwardRunner(
+                            client,
+                            inbox,
+                            new ManualTimeSource(0),
+                            trace,
+                            meters,
+                            new ResponseMemory(1));
             submit(
                     runner,
                     number -> {
--- a/node/src/test/java/org/fuchsialever/node/hosted/HostedFixture.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/HostedFixture.java
@@ -97,11 +97,6 @@
         return CompletableFuture.runAsync(() -> stop(name));
     }
 
-    /** Returns the port on which an instance accepts calls. */
-    int port(String name) {
-        return Objects.requireNonNull(mPorts.get(name));
-    }
-
     void stop(String name) {
         NodeProcess node = mNodes.get(name);
         if (node != null) {
