--- a/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
@@ -207,9 +207,8 @@
                     ? response.send()
                     : response.sendByteArray(Mono.just(complete.body())).then();
         }
-        // The header fields above replace the framing that the server had chosen. Without chunks
-        // the
-        // end of the connection would end the body, and a stream that breaks off would look whole.
+        // The header fields above replace the server's framing. Without chunks the end of the
+        // connection would end the body, and a stream that breaks off would look whole.
         response.chunkedTransfer(true);
         Flux<byte[]> body = ((EntryResponse.Streamed) entryResponse).body();
         return EventWriter.write(response, body, lease);
