--- a/node/src/test/java/org/fuchsialever/node/forward/ForwardRunnerTest.java
+++ b/node/src/test/java/org/fuchsialever/node/forward/ForwardRunnerTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.LongFunction;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.forward.ForwardCall;
@@ -35,35 +36,33 @@
     /** Guards against accepted items that are given up, and live calls refused, without a run. */
     @Test
     void takesALiveCallBesideTheItemsOfALargeStep() throws Exception {
-        LoopResources loops = LoopResources.create("forward-test", 1, true);
-        SimpleMeterRegistry meters = new SimpleMeterRegistry();
-        PrintStream output =
-                new PrintStream(new ByteArrayOutputStream(), false, StandardCharsets.UTF_8);
-        try (ExchangeClient client = new ExchangeClient(loops, meters);
-                TraceLog trace = new TraceLog(output, meters)) {
-            Inbox<ForwardEvent> inbox = new Inbox<>(RING_CAPACITY, OverflowPolicy.REFUSE);
-            ForwardRunner runner =
-                    new ForwardRunner(
-                            client,
-                            inbox,
-                            new ManualTimeSource(0),
-                            trace,
-                            meters,
-                            new ResponseMemory(1));
-            for (int item = 0; item < ITEMS; item++) {
-                submit(runner, ForwardCallKind.ITEM);
-            }
-            submit(runner, ForwardCallKind.LIVE);
-            assertThat(mRefusals, is(List.of()));
-            assertThat(runner.inProgress(), is(ITEMS + 1));
-        } finally {
-            loops.dispose();
-        }
+        withRunner(
+                runner -> {
+                    for (int item = 0; item < ITEMS; item++) {
+                        submit(runner, ForwardCallKind.ITEM);
+                    }
+                    submit(runner, ForwardCallKind.LIVE);
+                    assertThat(mRefusals, is(List.of()));
+                    assertThat(runner.inProgress(), is(ITEMS + 1));
+                });
     }
 
     /** Guards against items that run twice at a time: a manifest may move one that is submitted. */
     @Test
     void startsNoCallThatIsWithdrawnWhileItIsSubmitted() throws Exception {
+        withRunner(
+                runner -> {
+                    submit(
+                            runner,
+                            number -> {
+                                runner.cancel(number);
+                                return call(number, ForwardCallKind.ITEM);
+                            });
+                    assertThat(runner.inProgress(), is(0));
+                });
+    }
+
+    private static void withRunner(Consumer<ForwardRunner> check) throws Exception {
         LoopResources loops = LoopResources.create("forward-test", 1, true);
         SimpleMeterRegistry meters = new SimpleMeterRegistry();
         PrintStream output =
@@ -71,21 +70,14 @@
         try (ExchangeClient client = new ExchangeClient(loops, meters);
                 TraceLog trace = new TraceLog(output, meters)) {
             Inbox<ForwardEvent> inbox = new Inbox<>(RING_CAPACITY, OverflowPolicy.REFUSE);
-            ForwardRunner runner =
+            check.accept(
                     new ForwardRunner(
                             client,
                             inbox,
                             new ManualTimeSource(0),
                             trace,
                             meters,
-                            new ResponseMemory(1));
-            submit(
-                    runner,
-                    number -> {
-                        runner.cancel(number);
-                        return call(number, ForwardCallKind.ITEM);
-                    });
-            assertThat(runner.inProgress(), is(0));
+                            new ResponseMemory(1)));
         } finally {
             loops.dispose();
         }
