--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallState.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallState.java
@@ -16,7 +16,6 @@
     private int mSent;
     private int mFailures;
     private boolean mMayHaveRun;
-    private boolean mQueued;
     private final Set<Integer> mSuperseded = new HashSet<>();
     private int mMoves;
     private long mFirstStartNanos;
@@ -109,12 +108,4 @@
     boolean mayHaveRun() {
         return mMayHaveRun || isRunning();
     }
-
-    boolean isQueued() {
-        return mQueued;
-    }
-
-    void setQueued(boolean value) {
-        mQueued = value;
-    }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
@@ -1,18 +1,12 @@
 package org.fuchsialever.decisions.forward;
 
 import io.vavr.control.Option;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
-import java.util.Set;
-import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.fuchsialever.decisions.fleet.Fleet;
 import org.fuchsialever.decisions.fleet.UpstreamState;
@@ -28,44 +22,20 @@
     /** Retry hint for refused callers: most live calls finish within this time. */
     private static final long RETRY_AFTER_MILLIS = 100;
 
-    /** Interval at which queued calls are reconsidered; the end of an ejection emits no event. */
-    private static final long QUEUE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
-
     /** Delay before an item is retried after an upstream responded with a server error. */
     private static final long FAILURE_RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
-    /** A running call moves if it probably ends earlier elsewhere by at least this time. */
-    private static final long MIN_MOVE_GAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(750);
-
-    /** The least remaining time that is assumed for a call that is expected to be long. */
-    private static final long LONG_REMAINDER_NANOS = TimeUnit.SECONDS.toNanos(4);
-
     /** Bounds how often a call moves, because each move reads the prompt again. */
     private static final int MAX_MOVES = 3;
 
-    private static final int MAX_AFFINITIES = 4_096;
-
     private final Fleet mFleet;
     private final RandomGenerator mRandom;
-    private final long mLeavingNanos;
+    private final UpstreamChoice mChoice;
     private final Map<Long, ForwardCallState> mCalls = new HashMap<>();
     private final Map<AttemptKey, UpstreamState> mAttempts = new HashMap<>();
     private final PriorityQueue<Timer> mTimers =
             new PriorityQueue<>(Comparator.comparingLong(Timer::at));
-    private final TreeSet<ForwardCall> mQueue =
-            new TreeSet<>(
-                    Comparator.comparingLong(ForwardCall::queueRank)
-                            .thenComparingLong(ForwardCall::number));
-    private final Map<String, String> mAffinities =
-            new LinkedHashMap<>() {
-                private static final long serialVersionUID = 1L;
-
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
-                    return size() > MAX_AFFINITIES;
-                }
-            };
-    private long mQueueTimer = NO_TIMER;
+    private final CallQueue mQueue = new CallQueue();
 
     /**
      * Creates a duty without upstreams; they arrive with the first change of the fleet.
@@ -75,8 +45,8 @@
      */
     public ForwardDuty(RandomGenerator random, long leavingNanos) {
         mRandom = random;
-        mLeavingNanos = leavingNanos;
         mFleet = new Fleet(random);
+        mChoice = new UpstreamChoice(mFleet, leavingNanos);
     }
 
     @Override
@@ -113,8 +83,7 @@
             fire(timer, nowNanos, actions);
             timer = mTimers.peek();
         }
-        if (mQueueTimer <= nowNanos) {
-            mQueueTimer = NO_TIMER;
+        if (mQueue.nextTimerNanos() <= nowNanos) {
             drainQueue(nowNanos, actions);
         }
     }
@@ -122,7 +91,7 @@
     @Override
     public long nextTimerNanos() {
         Timer timer = mTimers.peek();
-        return Math.min(mQueueTimer, timer == null ? NO_TIMER : timer.at);
+        return Math.min(mQueue.nextTimerNanos(), timer == null ? NO_TIMER : timer.at);
     }
 
     private void arrived(ForwardCall call, long now, ActionSink<ForwardAction> actions) {
@@ -151,7 +120,7 @@
             ForwardAction.StartReason reason,
             long now,
             ActionSink<ForwardAction> actions) {
-        Option<UpstreamState> upstream = choose(state, now);
+        Option<UpstreamState> upstream = mChoice.next(state, now);
         if (upstream.isDefined()) {
             start(state, upstream.get(), reason, now, actions);
         } else if (state.call().kind().waitsForSlot()) {
@@ -161,66 +130,6 @@
         }
     }
 
-    private Option<UpstreamState> choose(ForwardCallState state, long now) {
-        ForwardCall call = state.call();
-        Predicate<UpstreamState> suitable = suitable(call);
-        Predicate<UpstreamState> untried =
-                upstream -> suitable.test(upstream) && !state.wasTried(upstream);
-        String preferred =
-                call.affinity().isEmpty() ? "" : mAffinities.getOrDefault(call.affinity(), "");
-        double maxUtilization = call.kind().maxUtilization();
-        double loadStep = call.kind().loadStep();
-        double paceWeight = call.kind().paceWeight(call.expectedLong());
-        String service = state.service();
-        Option<UpstreamState> choice =
-                mFleet.choose(
-                        service, untried, maxUtilization, loadStep, paceWeight, preferred, now);
-        if (choice.isEmpty() && call.kind().waitsForSlot()) {
-            return mFleet.choose(
-                            service, suitable, maxUtilization, loadStep, paceWeight, preferred, now)
-                    .orElse(() -> chooseLeavingForQueued(call, service, now));
-        }
-        // A live call is sent to a leaving or an ejected upstream rather than refused.
-        long sent = call.kind().latestSentNanos(call, now);
-        return choice.orElse(() -> mFleet.chooseLeaving(service, untried, sent, mLeavingNanos, now))
-                .orElse(() -> mFleet.chooseSuspended(service, untried));
-    }
-
-    /** A queued call waits for a slot at an upstream that stays, if there is any. */
-    private Option<UpstreamState> chooseLeavingForQueued(
-            ForwardCall call, String service, long now) {
-        Predicate<UpstreamState> suitable = suitable(call);
-        for (UpstreamState upstream : mFleet.ofService(service)) {
-            if (upstream.isServing() && suitable.test(upstream)) {
-                return Option.none();
-            }
-        }
-        long sent = call.kind().latestSentNanos(call, now);
-        return mFleet.chooseLeaving(
-                service,
-                suitable.and(upstream -> upstream.utilization(now) < call.kind().maxUtilization()),
-                sent,
-                mLeavingNanos,
-                now);
-    }
-
-    /** Lengths vary so much that a call which has run for long has as much before it. */
-    private static double moveGainNanos(
-            ForwardCallState state, UpstreamState from, UpstreamState to, long now) {
-        if (to.paceNanos(now) == 0) {
-            return 0;
-        }
-        long elapsed = now - state.firstStartNanos();
-        long remainder =
-                state.call().expectedLong() ? Math.max(elapsed, LONG_REMAINDER_NANOS) : elapsed;
-        return remainder * (1 - (double) to.paceNanos(now) / from.paceNanos(now));
-    }
-
-    private static Predicate<UpstreamState> suitable(ForwardCall call) {
-        return upstream ->
-                call.model().isEmpty() || upstream.versionOf(call.model()) >= call.minVersion();
-    }
-
     /** Records the pace of the upstream and moves the call if another one is much faster. */
     private void progressed(
             ForwardEvent.Progressed event, long now, ActionSink<ForwardAction> actions) {
@@ -238,26 +147,15 @@
         if (!mayMove) {
             return;
         }
-        Predicate<UpstreamState> worthwhile =
-                other ->
-                        other != upstream
-                                && moveGainNanos(state, upstream, other, now) > MIN_MOVE_GAIN_NANOS;
-        Option<UpstreamState> target =
-                mFleet.choose(
-                        state.service(),
-                        suitable(call).and(worthwhile),
-                        call.kind().maxUtilization(),
-                        call.kind().loadStep(),
-                        call.kind().paceWeight(true),
-                        "",
-                        now);
-        target.forEach(
-                chosen -> {
-                    state.supersede(event.attempt());
-                    actions.emit(new ForwardAction.Cancel(event.number(), event.attempt()));
-                    // Started at once, because another call may take the free slot meanwhile.
-                    start(state, chosen, ForwardAction.StartReason.MOVE, now, actions);
-                });
+        mChoice.moveTarget(state, upstream, now)
+                .forEach(
+                        chosen -> {
+                            state.supersede(event.attempt());
+                            actions.emit(new ForwardAction.Cancel(event.number(), event.attempt()));
+                            // Started at once, because another call may take the free slot
+                            // meanwhile.
+                            start(state, chosen, ForwardAction.StartReason.MOVE, now, actions);
+                        });
     }
 
     private void start(
@@ -267,14 +165,12 @@
             long now,
             ActionSink<ForwardAction> actions) {
         ForwardCall call = state.call();
-        dequeue(state);
+        mQueue.remove(state);
         int load = upstream.load(now);
         int attempt = state.start(upstream, now);
         upstream.callStarted(now);
         mAttempts.put(new AttemptKey(call.number(), attempt), upstream);
-        if (!call.affinity().isEmpty()) {
-            mAffinities.put(call.affinity(), upstream.spec().id());
-        }
+        mChoice.noteStart(call, upstream);
         boolean maySendAgain = call.idempotent() && call.hedgeAfterNanos() != NO_TIMER;
         if (maySendAgain && state.mayBeSentAgain()) {
             mTimers.add(new Timer(now + call.hedgeAfterNanos(), call.number(), TimerKind.HEDGE));
@@ -410,7 +306,7 @@
     private void finish(ForwardCallState state, ActionSink<ForwardAction> actions) {
         long number = state.call().number();
         mCalls.remove(number);
-        dequeue(state);
+        mQueue.remove(state);
         for (int attempt : state.runningAttempts()) {
             actions.emit(new ForwardAction.Cancel(number, attempt));
         }
@@ -421,57 +317,25 @@
         if (state.isRunning()) {
             return;
         }
-        mQueue.add(state.call());
-        state.setQueued(true);
-        mQueueTimer = Math.min(mQueueTimer, now + QUEUE_INTERVAL_NANOS);
-    }
-
-    private void dequeue(ForwardCallState state) {
-        if (state.isQueued()) {
-            mQueue.remove(state.call());
-            state.setQueued(false);
-        }
+        mQueue.add(state, now);
     }
 
     private void drainQueue(long now, ActionSink<ForwardAction> actions) {
-        if (mQueue.isEmpty()) {
-            return;
-        }
-        // A large step queues thousands of calls, of which the first one without room tells all.
-        Set<Requirement> withoutRoom = new HashSet<>();
-        for (ForwardCall call : new ArrayList<>(mQueue)) {
-            ForwardCallState state = mCalls.get(call.number());
-            if (state == null || !state.isQueued()) {
-                continue;
-            }
-            Requirement requirement = Requirement.of(state);
-            if (withoutRoom.contains(requirement)) {
-                continue;
-            }
-            Option<UpstreamState> upstream = choose(state, now);
-            if (upstream.isEmpty()) {
-                withoutRoom.add(requirement);
-                continue;
-            }
-            ForwardAction.StartReason reason =
-                    state.attempts() == 0
-                            ? ForwardAction.StartReason.FIRST
-                            : ForwardAction.StartReason.RETRY;
-            start(state, upstream.get(), reason, now, actions);
-        }
-        if (!mQueue.isEmpty()) {
-            mQueueTimer = Math.min(mQueueTimer, now + QUEUE_INTERVAL_NANOS);
-        }
+        mQueue.drain(state -> startQueued(state, now, actions), now);
     }
 
-    /** What decides whether an upstream has room for a queued call. */
-    private record Requirement(
-            ForwardCallKind kind, String service, String model, long minVersion) {
-
-        static Requirement of(ForwardCallState state) {
-            ForwardCall call = state.call();
-            return new Requirement(call.kind(), state.service(), call.model(), call.minVersion());
-        }
+    private boolean startQueued(
+            ForwardCallState state, long now, ActionSink<ForwardAction> actions) {
+        Option<UpstreamState> upstream = mChoice.next(state, now);
+        upstream.forEach(
+                chosen -> {
+                    ForwardAction.StartReason reason =
+                            state.attempts() == 0
+                                    ? ForwardAction.StartReason.FIRST
+                                    : ForwardAction.StartReason.RETRY;
+                    start(state, chosen, reason, now, actions);
+                });
+        return upstream.isDefined();
     }
 
     private record AttemptKey(long number, int attempt) {}
