Give calls the traits that sharing and placement go by

A call names its team, its rank and the length that its sender expects, so that the queue and the choice of upstreams can decide by them; nothing reads them yet.

--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCall.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCall.java
@@ -15,6 +15,7 @@
  * @param model the model that must serve it, empty for a plain service
  * @param minVersion the oldest weight version allowed
  * @param affinity calls with equal affinity share a prompt; empty for none
+ * @param traits who asks for it, its rank and its expected length
  * @param queueRank smaller values leave the queue first
  * @param expectedLong whether it probably takes much longer than most, so that the pace of its
  *     upstream matters more than the load
@@ -33,6 +34,7 @@
         String model,
         long minVersion,
         String affinity,
+        CallTraits traits,
         long queueRank,
         boolean expectedLong,
         long arrivedNanos,
@@ -55,6 +57,7 @@
                 model,
                 minVersion,
                 affinity,
+                traits,
                 queueRank,
                 expectedLong,
                 arrivedNanos,
@@ -73,6 +76,7 @@
                 model,
                 minVersion,
                 affinity,
+                traits,
                 queueRank,
                 expectedLong,
                 arrivedNanos,
--- a/decisions/src/test/java/org/fuchsialever/decisions/forward/ForwardDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/forward/ForwardDutyTest.java
@@ -362,6 +362,7 @@
                 call.model(),
                 call.minVersion(),
                 call.affinity(),
+                CallTraits.UNKNOWN,
                 call.queueRank(),
                 true,
                 0,
--- a/decisions/src/test/java/org/fuchsialever/decisions/forward/LeavingUpstreamsTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/forward/LeavingUpstreamsTest.java
@@ -138,6 +138,7 @@
                 call.model(),
                 call.minVersion(),
                 call.affinity(),
+                CallTraits.UNKNOWN,
                 call.queueRank(),
                 false,
                 arrivedNanos,
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
@@ -20,6 +20,7 @@
 import org.fuchsialever.decisions.batch.OpenText;
 import org.fuchsialever.decisions.batch.PartialText;
 import org.fuchsialever.decisions.batch.TextSegment;
+import org.fuchsialever.decisions.forward.CallTraits;
 import org.fuchsialever.decisions.forward.ForwardCall;
 import org.fuchsialever.decisions.forward.ForwardCallKind;
 import org.fuchsialever.decisions.forward.ForwardRefusal;
@@ -323,6 +324,7 @@
                         spec.model(),
                         spec.minVersion(),
                         item.group(),
+                        new CallTraits(state.team(), route.get().priority(), item.expectedTokens()),
                         generate.queueRank(),
                         generate.expectedLong(),
                         mTime.nanoTime(),
@@ -374,6 +376,7 @@
                         "",
                         0,
                         "",
+                        new CallTraits("", route.get().priority(), 0),
                         score.queueRank(),
                         false,
                         mTime.nanoTime(),
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryHandler.java
@@ -5,6 +5,7 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.util.concurrent.TimeUnit;
+import org.fuchsialever.decisions.forward.CallTraits;
 import org.fuchsialever.decisions.forward.ForwardCall;
 import org.fuchsialever.decisions.forward.ForwardCallKind;
 import org.fuchsialever.decisions.manifest.ForwardRoute;
@@ -173,7 +174,12 @@
                             mForward.submit(
                                     assigned -> {
                                         handler.assignNumber(assigned);
-                                        return forwardCall(assigned, route, now, timeoutMillis);
+                                        return forwardCall(
+                                                assigned,
+                                                route,
+                                                accepted.team(),
+                                                now,
+                                                timeoutMillis);
                                     },
                                     handler);
                     sink.onCancel(() -> mForward.cancel(number));
@@ -181,7 +187,7 @@
     }
 
     private static ForwardCall forwardCall(
-            long number, ForwardRoute route, long now, long timeoutMillis) {
+            long number, ForwardRoute route, String team, long now, long timeoutMillis) {
         long hedgeAfter =
                 route.kind().isStreamed()
                         ? Duty.NO_TIMER
@@ -196,6 +202,7 @@
                 "",
                 0,
                 "",
+                new CallTraits(team, route.priority(), 0),
                 route.priority(),
                 false,
                 now,
--- a/node/src/test/java/org/fuchsialever/node/forward/ForwardRunnerTest.java
+++ b/node/src/test/java/org/fuchsialever/node/forward/ForwardRunnerTest.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
+import org.fuchsialever.decisions.forward.CallTraits;
 import org.fuchsialever.decisions.forward.ForwardCall;
 import org.fuchsialever.decisions.forward.ForwardCallKind;
 import org.fuchsialever.decisions.forward.ForwardEvent;
@@ -93,6 +94,7 @@
                 "",
                 0,
                 "",
+                CallTraits.UNKNOWN,
                 0,
                 false,
                 0,
