Accept no response whose status is none

Callers got a response with status 600, 999 or 1000 as an answer; after 000 and 099 each call waited for its time limit, because Netty takes any number for a status and one below 200 for an interim response. ExchangeDecoder rejects what is not exactly three digits from 100 to 599: the attempt ends as malformed and its connection is closed, for live calls, items, streams and scoring calls alike. Reports, orders, calls to the store and our own interface check the number that their client shows.

--- a/node/src/main/java/org/fuchsialever/node/upstream/HttpUpstreamClient.java
+++ b/node/src/main/java/org/fuchsialever/node/upstream/HttpUpstreamClient.java
@@ -16,6 +16,7 @@
 import org.fuchsialever.frontend.HeaderField;
 import org.fuchsialever.kernel.invariant.Invariant;
 import org.fuchsialever.kernel.invariant.InvariantMonitor;
+import org.fuchsialever.services.exchange.ResponseStatus;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
@@ -93,7 +94,12 @@
                 .request(HttpMethod.valueOf(call.method()))
                 .uri(baseUri(call.upstream()) + call.uri())
                 .send(ByteBufFlux.from(Mono.just(Unpooled.wrappedBuffer(call.body()))))
-                .response((response, content) -> parts(call.kind(), response, content))
+                .response(
+                        (response, content) ->
+                                ResponseStatus.valid(response.status().code())
+                                        .onErrorMap(HttpUpstreamClient::malformed)
+                                        .flatMapMany(
+                                                status -> parts(call.kind(), response, content)))
                 .onErrorMap(
                         failure -> !(failure instanceof UpstreamException),
                         failure -> toUpstreamException(failure, written.get()));
@@ -118,7 +124,8 @@
                                 .get()
                                 .uri(baseUri(upstream) + "/engine/load")
                                 .response()
-                                .map(response -> response.status().code() < MIN_SERVER_ERROR)
+                                .flatMap(response -> ResponseStatus.valid(response.status().code()))
+                                .map(status -> status < MIN_SERVER_ERROR)
                         : TcpClient.newConnection()
                                 .host(upstream.address())
                                 .port(upstream.port())
@@ -133,6 +140,11 @@
         mConnections.dispose();
     }
 
+    private static UpstreamException malformed(Throwable cause) {
+        return new UpstreamException(
+                AttemptResult.MALFORMED_ANSWER, "malformed response: " + cause.getMessage(), cause);
+    }
+
     private static Flux<UpstreamResponsePart> parts(
             UpstreamKind kind, HttpClientResponse response, ByteBufFlux content) {
         int status = response.status().code();
--- a/node/src/main/java/org/fuchsialever/node/weights/EngineOrderClient.java
+++ b/node/src/main/java/org/fuchsialever/node/weights/EngineOrderClient.java
@@ -13,7 +13,9 @@
 import org.fuchsialever.decisions.intent.IntentAction;
 import org.fuchsialever.decisions.weights.LoadCommand;
 import org.fuchsialever.services.body.BodyMemory;
+import org.fuchsialever.services.exchange.ResponseStatus;
 import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufFlux;
 import reactor.netty.http.client.HttpClient;
 
 /** Sends load orders to engines, each over its own connection. */
@@ -57,13 +59,8 @@
                                                                         + " or request timed out")))
                             .response(
                                     (response, content) ->
-                                            mMemory.read(content.asByteArray(), MAX_RESPONSE_BYTES)
-                                                    .map(
-                                                            received ->
-                                                                    result(
-                                                                            response.status()
-                                                                                    .code(),
-                                                                            received)))
+                                            ResponseStatus.valid(response.status().code())
+                                                    .flatMap(status -> result(status, content)))
                             .single()
                             .timeout(RESPONSE_TIMEOUT)
                             .onErrorResume(failure -> Mono.just(resultWithoutResponse(state)));
@@ -83,8 +80,12 @@
                 : CommandResult.UNKNOWN;
     }
 
-    private static CommandResult result(int status, byte[] body) {
-        String text = new String(body, StandardCharsets.UTF_8);
+    private Mono<CommandResult> result(int status, ByteBufFlux content) {
+        return mMemory.read(content.asByteArray(), MAX_RESPONSE_BYTES)
+                .map(body -> result(status, new String(body, StandardCharsets.UTF_8)));
+    }
+
+    private static CommandResult result(int status, String text) {
         if (status == OK) {
             return CommandResult.DONE;
         }
--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeDecoder.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeDecoder.java
@@ -97,6 +97,15 @@
         mInMessage = !ended && (mInMessage || buffer.readableBytes() < before);
     }
 
+    /** Rejects what is no status; Netty takes any number for one. */
+    @Override
+    protected HttpMessage createMessage(String[] statusLine) {
+        if (!ResponseStatus.isValid(statusLine[1])) {
+            throw new IllegalArgumentException("\"" + statusLine[1] + "\" is not a status");
+        }
+        return super.createMessage(statusLine);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return mBodyOmitted || super.isContentAlwaysEmpty(message);
--- a/services/src/main/java/org/fuchsialever/services/http/InterfaceClient.java
+++ b/services/src/main/java/org/fuchsialever/services/http/InterfaceClient.java
@@ -13,6 +13,7 @@
 import org.fuchsialever.services.PlatformException;
 import org.fuchsialever.services.PlatformException.Effect;
 import org.fuchsialever.services.body.BodyMemory;
+import org.fuchsialever.services.exchange.ResponseStatus;
 import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
@@ -166,9 +167,11 @@
     }
 
     private Mono<InterfaceResponse> readResponse(HttpClientResponse response, ByteBufFlux content) {
-        int status = response.status().code();
-        return mMemory.read(content.asByteArray(), MAX_RESPONSE_BYTES)
-                .map(body -> new InterfaceResponse(status, body));
+        return ResponseStatus.valid(response.status().code())
+                .flatMap(
+                        status ->
+                                mMemory.read(content.asByteArray(), MAX_RESPONSE_BYTES)
+                                        .map(body -> new InterfaceResponse(status, body)));
     }
 
     private static CallFailure classify(Throwable failure) {
--- a/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
+++ b/services/src/test/java/org/fuchsialever/services/exchange/ExchangeClientTest.java
@@ -109,6 +109,36 @@
         }
     }
 
+    /** Guards against statuses that are none, which a caller would get with the body. */
+    @Test
+    void acceptsNoResponseWhoseStatusIsNotOneOfHttp() throws Exception {
+        for (String status :
+                new String[] {
+                    "000",
+                    "099",
+                    "600",
+                    "999",
+                    "1000",
+                    "0200",
+                    "200200",
+                    "+200",
+                    "-200",
+                    "20",
+                    "2",
+                    "2x0",
+                    "0x200",
+                    "\u0662\u0660\u0660",
+                    "200,"
+                }) {
+            String head = "HTTP/1.1 " + status + " OK\r\nId: 1\r\nContent-Length: 3\r\n\r\nall";
+            try (ScriptedServer server = new ScriptedServer(head, response("2", "two"))) {
+                assertThat(status, send(server, "1"), is("MALFORMED "));
+                assertThat(status, send(server, "2"), is("COMPLETE two"));
+                assertThat(status, server.connections(), is(2));
+            }
+        }
+    }
+
     @Test
     void endsAnExchangeOnASilentConnection() throws Exception {
         try (ScriptedServer server = new ScriptedServer("")) {
