--- a/cli/src/main/java/org/fuchsialever/cli/demo/DemoDeployment.java
+++ b/cli/src/main/java/org/fuchsialever/cli/demo/DemoDeployment.java
@@ -29,6 +29,11 @@
     static final int ENGINES = 6;
     static final int DESKS = 4;
     static final int MEDIAN_TOKENS = 16;
+
+    /** Commands wait for a busy machine, on which the whole deployment runs beside them. */
+    private static final String OPERATOR_TIMEOUTS =
+            "connect-timeout = 20 s\nrequest-timeout = 20 s\n";
+
     private static final int DOMAINS = 3;
     private static final int INSTANCES = 3;
     private static final int SLOTS = 16;
@@ -59,7 +64,8 @@
 
     /** Starts the instances, applies both tables and waits until all instances are ready. */
     void start() throws IOException, InterruptedException {
-        Files.writeString(mFolder.resolve("platform.ini"), mWorld.platformSection());
+        Files.writeString(
+                mFolder.resolve("platform.ini"), mWorld.platformSection() + OPERATOR_TIMEOUTS);
         Files.writeString(mFolder.resolve("routes.ini"), mFiles.keyedRoutes());
         Files.writeString(mFolder.resolve("pools.ini"), mFiles.pools());
         for (int i = 1; i <= INSTANCES; i++) {
