Let other parts add to the expected time of completion

Placement by failure domain needs a say in the choice of an upstream without knowing how times are estimated. ChoiceSurcharge is that hook; UpstreamChoice takes it and gets NONE until a part supplies one. No choice changes yet.

--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
@@ -8,6 +8,7 @@
 import java.util.PriorityQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.fuchsialever.decisions.fleet.ChoiceSurcharge;
 import org.fuchsialever.decisions.fleet.Fleet;
 import org.fuchsialever.decisions.fleet.UpstreamState;
 import org.fuchsialever.decisions.manifest.ServiceShare;
@@ -46,7 +47,7 @@
     public ForwardDuty(RandomGenerator random, long leavingNanos) {
         mRandom = random;
         mFleet = new Fleet(random);
-        mChoice = new UpstreamChoice(mFleet, leavingNanos);
+        mChoice = new UpstreamChoice(mFleet, leavingNanos, ChoiceSurcharge.NONE);
     }
 
     @Override
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/UpstreamChoice.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/UpstreamChoice.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import org.fuchsialever.decisions.fleet.ChoiceSurcharge;
 import org.fuchsialever.decisions.fleet.Fleet;
 import org.fuchsialever.decisions.fleet.UpstreamState;
 
@@ -20,6 +21,7 @@
 
     private final Fleet mFleet;
     private final long mLeavingNanos;
+    private final ChoiceSurcharge mSurcharge;
     private final Map<String, String> mAffinities =
             new LinkedHashMap<>() {
                 private static final long serialVersionUID = 1L;
@@ -35,10 +37,12 @@
      *
      * @param leavingNanos how long after it has announced that it is leaving an upstream may get
      *     calls that no other upstream can run
+     * @param surcharge added to the expected time of completion at an upstream
      */
-    UpstreamChoice(Fleet fleet, long leavingNanos) {
+    UpstreamChoice(Fleet fleet, long leavingNanos, ChoiceSurcharge surcharge) {
         mFleet = fleet;
         mLeavingNanos = leavingNanos;
+        mSurcharge = surcharge;
     }
 
     /** Notes that a call was sent, so that calls with the same prompt follow it. */
