Choose upstreams by the expected time of completion

Fleet.choose went by load per slot alone: ties went to the most recently used upstream, the load of a stream was learned at its end, and neither the speed of an engine nor the slowdown that it reports counted for short calls.

Where upstreams report their slowdown, a call now goes to one of the upstreams where it probably ends first: wait for a slot, work at the upstream's measured speed, slowdown weighed by its age, prompt to read. Among near-equal ones two random candidates are compared, so that many instances with lagging reports do not agree on one. Loads arrive with the head of a response (LoadReported) and the pace of short streams at their end (PaceMeasured). [forward] balancing = auto|completion|load selects; auto leaves services with three-figure reports to the load policy. Attempts log basis and expected time.

--- a/decisions/src/main/java/org/fuchsialever/decisions/fleet/Fleet.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/fleet/Fleet.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 import java.util.random.RandomGenerator;
 
 /** The upstreams known to this instance and load balancing among them. Single writer. */
@@ -22,12 +23,15 @@
 
     private final Map<String, UpstreamState> mStates = new HashMap<>();
     private final Map<String, List<UpstreamState>> mByService = new HashMap<>();
+    private final Map<String, ServiceProfile> mProfiles = new HashMap<>();
     private final LeavingUpstreams mLeaving = new LeavingUpstreams();
     private final RandomGenerator mRandom;
+    private final EarliestCompletion mEarliest;
 
     /** Creates an empty fleet. */
     public Fleet(RandomGenerator random) {
         mRandom = random;
+        mEarliest = new EarliestCompletion(random);
     }
 
     /** Replaces the list of upstreams; the state of those that remain is kept. */
@@ -47,6 +51,7 @@
                 .forEach(UpstreamState::markUnlisted);
         mStates.values().removeIf(UpstreamState::isRemovable);
         mByService.clear();
+        mProfiles.keySet().retainAll(services());
         for (UpstreamState state : mStates.values()) {
             state.setLeaving(mLeaving.sinceNanos(state.spec()));
             mByService
@@ -126,6 +131,53 @@
         return Option.of(best);
     }
 
+    /** Returns what is known of the calls of a service. */
+    public ServiceProfile profile(String service) {
+        return mProfiles.computeIfAbsent(service, added -> new ServiceProfile());
+    }
+
+    /**
+     * Returns the upstream at which a call probably ends first, or one of those that are nearly as
+     * good.
+     *
+     * @param service name of the service
+     * @param allowed further conditions on the upstream
+     * @param maxUtilization estimated load per slot from which on an upstream gets no call
+     * @param estimate expected time until the call ends, in nanoseconds
+     * @param preferred name of an upstream that has the prompt cached, empty if there is none
+     * @param now monotonic time in nanoseconds
+     */
+    public Option<ChosenUpstream> chooseEarliest(
+            String service,
+            Predicate<UpstreamState> allowed,
+            double maxUtilization,
+            ToLongFunction<UpstreamState> estimate,
+            String preferred,
+            long now) {
+        CompletionTime completion = completionTime(service, now);
+        List<UpstreamState> candidates = new ArrayList<>();
+        for (UpstreamState state : ofService(service)) {
+            double limit = maxUtilization * Math.max(1, state.spec().slots());
+            if (state.isAvailable(now) && completion.load(state) < limit && allowed.test(state)) {
+                candidates.add(state);
+            }
+        }
+        return mEarliest.choose(candidates, estimate, preferred);
+    }
+
+    /** Returns an estimator of times of completion at the upstreams of a service. */
+    public CompletionTime completionTime(String service, long now) {
+        ServiceProfile profile = profile(service);
+        profile.compare(ofService(service), now);
+        return new CompletionTime(profile, now);
+    }
+
+    private Set<String> services() {
+        Set<String> services = new HashSet<>();
+        mStates.values().forEach(state -> services.add(state.spec().service()));
+        return services;
+    }
+
     /**
      * Returns the shortest time for each event of a stream among the upstreams of a service.
      *
--- a/decisions/src/main/java/org/fuchsialever/decisions/fleet/UpstreamState.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/fleet/UpstreamState.java
@@ -30,6 +30,21 @@
     /** A measured pace is used this long, so that an upstream that was slow is tried again. */
     private static final long PACE_LIFETIME_NANOS = TimeUnit.SECONDS.toNanos(10);
 
+    /** The pace of a stream is the mean of many events. */
+    private static final int PACE_MEMORY = 4;
+
+    private static final double PACE_DOUBT = 0.25;
+
+    /** The time of a single call says more about the call than about the upstream. */
+    private static final int SERVICE_TIME_MEMORY = 12;
+
+    private static final double SERVICE_TIME_DOUBT = 4;
+
+    /** Bounds on the typical time of a call that a report of load is taken to last. */
+    private static final long MIN_REPORT_LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+    private static final long MAX_REPORT_LIFETIME_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     private FleetUpstream mSpec;
     private final Map<String, Long> mObservedVersions = new HashMap<>();
     private int mInFlight;
@@ -40,6 +55,9 @@
     private long mLastUsed = Long.MIN_VALUE;
     private long mPaceNanos;
     private long mPaceUntil = Long.MIN_VALUE;
+    private final LoadReport mReport = new LoadReport();
+    private final SpeedMeter mPace = new SpeedMeter(PACE_MEMORY, PACE_DOUBT);
+    private final SpeedMeter mServiceTime = new SpeedMeter(SERVICE_TIME_MEMORY, SERVICE_TIME_DOUBT);
     private int mFailures;
     private int mRefusals;
     private boolean mListed = true;
@@ -60,6 +78,8 @@
         if (newer.startedMillis() != mSpec.startedMillis()) {
             mObservedVersions.clear();
             mPaceUntil = Long.MIN_VALUE;
+            mPace.clear();
+            mServiceTime.clear();
             mFailures = 0;
             mSuspendedUntil = Long.MIN_VALUE;
         }
@@ -163,6 +183,43 @@
         return now < mPaceUntil ? mPaceNanos : 0;
     }
 
+    /** Records the load that the upstream reported in the response to a call that still runs. */
+    public void observeReport(LoadHint hint, long now) {
+        mReport.observe(hint, mInFlight, now);
+    }
+
+    /** Returns the last load that the upstream reported. */
+    LoadReport report() {
+        return mReport;
+    }
+
+    /** Returns the expected number of calls there of other instances. */
+    double otherCalls(long callNanos, long now) {
+        long lifetime =
+                Math.max(MIN_REPORT_LIFETIME_NANOS, Math.min(callNanos, MAX_REPORT_LIFETIME_NANOS));
+        return mReport.otherCalls(lifetime, now);
+    }
+
+    /** Records the mean time between the events of a stream, in nanoseconds. */
+    public void observeStreamPace(long nanosPerEvent, long now) {
+        mPace.observe(nanosPerEvent, now);
+    }
+
+    /** Records how long a call took, relative to the mean of its kind. */
+    void observeServiceTime(double relative, long now) {
+        mServiceTime.observe(relative, now);
+    }
+
+    /** Returns the measured time between the events of streams. */
+    SpeedMeter pace() {
+        return mPace;
+    }
+
+    /** Returns the measured time of calls, relative to the mean of their kind. */
+    SpeedMeter serviceTime() {
+        return mServiceTime;
+    }
+
     /** Records that a call has ended, with the reported load and the verdict on the upstream. */
     public void callEnded(Option<LoadHint> hint, boolean failed, boolean refused, long now) {
         mInFlight--;
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardAction.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardAction.java
@@ -1,5 +1,6 @@
 package org.fuchsialever.decisions.forward;
 
+import org.fuchsialever.decisions.fleet.ChoiceBasis;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 
 /** Action that the forward duty emits. */
@@ -25,9 +26,17 @@
      * @param upstream the receiver
      * @param reason why the attempt is started
      * @param load estimated number of calls at the upstream, for the log
+     * @param basis what decided for the upstream
+     * @param expectedNanos expected time until the attempt ends, 0 if it was not estimated
      */
     record Start(
-            ForwardCall call, int attempt, FleetUpstream upstream, StartReason reason, int load)
+            ForwardCall call,
+            int attempt,
+            FleetUpstream upstream,
+            StartReason reason,
+            int load,
+            ChoiceBasis basis,
+            long expectedNanos)
             implements ForwardAction {}
 
     /** Cancels a running attempt. */
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallState.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallState.java
@@ -19,6 +19,7 @@
     private final Set<Integer> mSuperseded = new HashSet<>();
     private int mMoves;
     private long mFirstStartNanos;
+    private long mWorkDoneNanos;
 
     ForwardCallState(ForwardCall call, String service) {
         mCall = call;
@@ -64,6 +65,16 @@
         return mFirstStartNanos;
     }
 
+    /** Adds what an attempt has done, as the time that a typical upstream takes for it. */
+    void addWorkDone(long nanos) {
+        mWorkDoneNanos += nanos;
+    }
+
+    /** Returns what earlier attempts have done of a call that goes on after its last event. */
+    long workDoneNanos() {
+        return mWorkDoneNanos;
+    }
+
     int attempts() {
         return mAttempts;
     }
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
@@ -9,7 +9,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.fuchsialever.decisions.fleet.ChoiceSurcharge;
+import org.fuchsialever.decisions.fleet.ChosenUpstream;
 import org.fuchsialever.decisions.fleet.Fleet;
+import org.fuchsialever.decisions.fleet.LoadHint;
+import org.fuchsialever.decisions.fleet.UpstreamBalancing;
 import org.fuchsialever.decisions.fleet.UpstreamState;
 import org.fuchsialever.decisions.manifest.ServiceShare;
 import org.fuchsialever.kernel.duty.ActionSink;
@@ -33,7 +36,7 @@
     private final RandomGenerator mRandom;
     private final UpstreamChoice mChoice;
     private final Map<Long, ForwardCallState> mCalls = new HashMap<>();
-    private final Map<AttemptKey, UpstreamState> mAttempts = new HashMap<>();
+    private final Map<AttemptKey, RunningAttempt> mAttempts = new HashMap<>();
     private final PriorityQueue<Timer> mTimers =
             new PriorityQueue<>(Comparator.comparingLong(Timer::at));
     private final CallQueue mQueue = new CallQueue();
@@ -41,13 +44,14 @@
     /**
      * Creates a duty without upstreams; they arrive with the first change of the fleet.
      *
+     * @param balancing what the calls of a service go by
      * @param leavingNanos how long after it has announced that it is leaving an upstream may get
      *     calls that no other upstream can run
      */
-    public ForwardDuty(RandomGenerator random, long leavingNanos) {
+    public ForwardDuty(RandomGenerator random, UpstreamBalancing balancing, long leavingNanos) {
         mRandom = random;
         mFleet = new Fleet(random);
-        mChoice = new UpstreamChoice(mFleet, leavingNanos, ChoiceSurcharge.NONE);
+        mChoice = new UpstreamChoice(mFleet, balancing, leavingNanos, ChoiceSurcharge.NONE);
     }
 
     @Override
@@ -63,6 +67,13 @@
             attemptEnded(ended, nowNanos, actions);
         } else if (event instanceof ForwardEvent.Progressed progressed) {
             progressed(progressed, nowNanos, actions);
+        } else if (event instanceof ForwardEvent.PaceMeasured measured) {
+            attempt(measured.number(), measured.attempt())
+                    .map(RunningAttempt::upstream)
+                    .forEach(up -> up.observeStreamPace(measured.nanosPerEvent(), nowNanos));
+        } else if (event instanceof ForwardEvent.LoadReported reported) {
+            attempt(reported.number(), reported.attempt())
+                    .forEach(attempt -> noteLoad(attempt, Option.some(reported.load()), nowNanos));
         } else if (event instanceof ForwardEvent.Cancelled cancelled) {
             // A slot is free only when the end of the attempt is reported.
             cancelled(cancelled.number(), actions);
@@ -121,9 +132,9 @@
             ForwardAction.StartReason reason,
             long now,
             ActionSink<ForwardAction> actions) {
-        Option<UpstreamState> upstream = mChoice.next(state, now);
-        if (upstream.isDefined()) {
-            start(state, upstream.get(), reason, now, actions);
+        Option<ChosenUpstream> chosen = mChoice.next(state, now);
+        if (chosen.isDefined()) {
+            start(state, chosen.get(), reason, now, actions);
         } else if (state.call().kind().waitsForSlot()) {
             enqueue(state, now);
         } else if (!state.isRunning() && reason != ForwardAction.StartReason.HEDGE) {
@@ -134,12 +145,14 @@
     /** Records the pace of the upstream and moves the call if another one is much faster. */
     private void progressed(
             ForwardEvent.Progressed event, long now, ActionSink<ForwardAction> actions) {
-        UpstreamState upstream = mAttempts.get(new AttemptKey(event.number(), event.attempt()));
+        RunningAttempt running = mAttempts.get(new AttemptKey(event.number(), event.attempt()));
         ForwardCallState state = mCalls.get(event.number());
-        if (upstream == null || state == null) {
+        if (running == null || state == null) {
             return;
         }
+        UpstreamState upstream = running.upstream();
         upstream.observePace(event.nanosPerEvent(), now);
+        upstream.observeStreamPace(event.nanosPerEvent(), now);
         ForwardCall call = state.call();
         boolean mayMove =
                 call.kind().movesWhileRunning()
@@ -148,9 +161,11 @@
         if (!mayMove) {
             return;
         }
-        mChoice.moveTarget(state, upstream, now)
+        long elapsed = running.elapsedNanos(now);
+        mChoice.moveTarget(state, upstream, elapsed, now)
                 .forEach(
                         chosen -> {
+                            mChoice.noteWorkDone(state, upstream, elapsed, now);
                             state.supersede(event.attempt());
                             actions.emit(new ForwardAction.Cancel(event.number(), event.attempt()));
                             // Started at once, because another call may take the free slot
@@ -161,32 +176,43 @@
 
     private void start(
             ForwardCallState state,
-            UpstreamState upstream,
+            ChosenUpstream chosen,
             ForwardAction.StartReason reason,
             long now,
             ActionSink<ForwardAction> actions) {
         ForwardCall call = state.call();
+        UpstreamState upstream = chosen.upstream();
         mQueue.remove(state);
         int load = upstream.load(now);
         int attempt = state.start(upstream, now);
         upstream.callStarted(now);
-        mAttempts.put(new AttemptKey(call.number(), attempt), upstream);
+        mAttempts.put(new AttemptKey(call.number(), attempt), new RunningAttempt(upstream, now));
         mChoice.noteStart(call, upstream);
         boolean maySendAgain = call.idempotent() && call.hedgeAfterNanos() != NO_TIMER;
         if (maySendAgain && state.mayBeSentAgain()) {
             mTimers.add(new Timer(now + call.hedgeAfterNanos(), call.number(), TimerKind.HEDGE));
         }
-        actions.emit(new ForwardAction.Start(call, attempt, upstream.spec(), reason, load));
+        actions.emit(
+                new ForwardAction.Start(
+                        call,
+                        attempt,
+                        upstream.spec(),
+                        reason,
+                        load,
+                        chosen.basis(),
+                        chosen.expectedNanos()));
     }
 
     private void attemptEnded(
             ForwardEvent.AttemptEnded event, long now, ActionSink<ForwardAction> actions) {
         AttemptReport report = event.report();
         AttemptOutcome outcome = report.outcome();
-        UpstreamState upstream = mAttempts.remove(new AttemptKey(event.number(), event.attempt()));
-        if (upstream == null) {
+        RunningAttempt ended = mAttempts.remove(new AttemptKey(event.number(), event.attempt()));
+        if (ended == null) {
             return;
         }
+        UpstreamState upstream = ended.upstream();
+        noteLoad(ended, report.load(), now);
         upstream.callEnded(report.load(), outcome.isUpstreamFault(), outcome.isRefusal(), now);
         ForwardCallState state = mCalls.get(event.number());
         if (state != null) {
@@ -195,12 +221,34 @@
             }
             boolean superseded = state.end(event.attempt(), outcome);
             if (!superseded) {
+                noteTime(state, ended, outcome, now);
                 afterAttempt(state, event.attempt(), outcome, now, actions);
             }
         }
         drainQueue(now, actions);
     }
 
+    private void noteLoad(RunningAttempt attempt, Option<LoadHint> load, long now) {
+        attempt.observeLoad(load, now);
+        if (load.exists(hint -> hint.slowdown().isDefined())) {
+            mFleet.profile(attempt.upstream().spec().service()).noteSlowdownReported();
+        }
+    }
+
+    private void noteTime(
+            ForwardCallState state, RunningAttempt ended, AttemptOutcome outcome, long now) {
+        long elapsed = ended.elapsedNanos(now);
+        if (outcome == AttemptOutcome.LOST) {
+            mChoice.noteWorkDone(state, ended.upstream(), elapsed, now);
+        } else if (outcome == AttemptOutcome.ANSWERED && state.attempts() == 1) {
+            mChoice.noteAnswered(state, ended.upstream(), elapsed, now);
+        }
+    }
+
+    private Option<RunningAttempt> attempt(long number, int attempt) {
+        return Option.of(mAttempts.get(new AttemptKey(number, attempt)));
+    }
+
     private void afterAttempt(
             ForwardCallState state,
             int attempt,
@@ -327,7 +375,7 @@
 
     private boolean startQueued(
             ForwardCallState state, long now, ActionSink<ForwardAction> actions) {
-        Option<UpstreamState> upstream = mChoice.next(state, now);
+        Option<ChosenUpstream> upstream = mChoice.next(state, now);
         upstream.forEach(
                 chosen -> {
                     ForwardAction.StartReason reason =
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardEvent.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardEvent.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
+import org.fuchsialever.decisions.fleet.LoadHint;
 
 /** Event that the forward duty handles. */
 public sealed interface ForwardEvent {
@@ -30,6 +31,18 @@
      */
     record Progressed(long number, int attempt, long nanosPerEvent) implements ForwardEvent {}
 
+    /**
+     * A stream has ended; the pace of one too short to progress is known only then.
+     *
+     * @param number number of the call
+     * @param attempt number of the attempt
+     * @param nanosPerEvent the time for each event of the stream
+     */
+    record PaceMeasured(long number, int attempt, long nanosPerEvent) implements ForwardEvent {}
+
+    /** An upstream has reported its load in the head of a response, which may go on for long. */
+    record LoadReported(long number, int attempt, LoadHint load) implements ForwardEvent {}
+
     /**
      * An upstream has announced in the head of a response that it is leaving.
      *
--- a/decisions/src/test/java/org/fuchsialever/decisions/forward/ForwardDutyFixture.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/forward/ForwardDutyFixture.java
@@ -6,6 +6,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
+import org.fuchsialever.decisions.fleet.UpstreamBalancing;
 import org.fuchsialever.decisions.manifest.ServiceShare;
 import org.fuchsialever.kernel.duty.Duty;
 
@@ -14,7 +15,8 @@
     static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
     static final long LEAVING_NANOS = 2_000 * MILLI;
 
-    final ForwardDuty mDuty = new ForwardDuty(new SplittableRandom(1), LEAVING_NANOS);
+    final ForwardDuty mDuty =
+            new ForwardDuty(new SplittableRandom(1), UpstreamBalancing.AUTO, LEAVING_NANOS);
     final List<ForwardAction> mActions = new ArrayList<>();
 
     void progress(long number, int attempt, long millisPerEvent, long nowMillis) {
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardComponent.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
+import org.fuchsialever.decisions.fleet.UpstreamBalancing;
 import org.fuchsialever.decisions.forward.ForwardDuty;
 import org.fuchsialever.decisions.forward.ForwardEvent;
 import org.fuchsialever.kernel.duty.Inbox;
@@ -31,10 +32,14 @@
 
     private long mMaxResponseBytes = defaultMaxResponseBytes();
     private Duration mLeavingPeriod = DEFAULT_LEAVING_PERIOD;
+    private UpstreamBalancing mBalancing = UpstreamBalancing.AUTO;
 
     @Override
     public void configure(SettingsReader settings) {
         mLeavingPeriod = settings.duration("forward", "leaving-period", DEFAULT_LEAVING_PERIOD);
+        mBalancing =
+                settings.choice(
+                        "forward", "balancing", UpstreamBalancing.class, UpstreamBalancing.AUTO);
         mMaxResponseBytes = settings.size("forward", "response-memory", defaultMaxResponseBytes());
     }
 
@@ -62,7 +67,8 @@
         ForwardRunner[] created = new ForwardRunner[1];
         Inbox<ForwardEvent> inbox =
                 context.startDutyWith(
-                        new ForwardDuty(context.random("forward"), mLeavingPeriod.toNanos()),
+                        new ForwardDuty(
+                                context.random("forward"), mBalancing, mLeavingPeriod.toNanos()),
                         RING_CAPACITY,
                         OverflowPolicy.REFUSE,
                         ring -> {
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
@@ -32,6 +32,7 @@
 import org.fuchsialever.services.exchange.ExchangeOutcome;
 import org.fuchsialever.services.exchange.ExchangeRequest;
 import org.fuchsialever.services.exchange.ResponseMatch;
+import org.fuchsialever.services.hosted.UpstreamResponseHead;
 import org.jspecify.annotations.Nullable;
 
 /** Executes the actions of the forward duty: sends attempts and reports outcomes. */
@@ -207,12 +208,15 @@
                         : TimeUnit.NANOSECONDS.toMillis(call.deadlineNanos() - now);
         mMeters.counter("fuchsialever.forward.attempts", "reason", start.reason().name())
                 .increment();
+        mMeters.counter("fuchsialever.forward.choices", "basis", start.basis().name()).increment();
         mTrace.sampled(PART, "attempt")
                 .with("id", handler.requestId())
                 .with("attempt", start.attempt())
                 .with("reason", start.reason().name())
                 .with("upstream", start.upstream().id())
                 .with("load", start.load())
+                .with("basis", start.basis().name())
+                .with("expectedMillis", TimeUnit.NANOSECONDS.toMillis(start.expectedNanos()))
                 .with("waitedMillis", TimeUnit.NANOSECONDS.toMillis(now - call.arrivedNanos()))
                 .write();
         Attempt attempt = new Attempt(key, handler, handler.reader(start.attempt()), start, now);
@@ -250,6 +254,7 @@
         private final ResponseMemory.Account mHeld = mMemory.open(this::giveUp);
         private long mPaceSinceNanos;
         private int mPaceSinceEvents;
+        private long mLastEventNanos;
         private ConnectionUse mUse = NO_CONNECTION;
         private volatile boolean mEnded;
 
@@ -288,7 +293,14 @@
         @Override
         public void onHead(int status, HttpHeaders headers) {
             // Learned here and not at the end, which a stream may reach much later.
-            if (mReader.onHead(status, headers).leaving()) {
+            UpstreamResponseHead head = mReader.onHead(status, headers);
+            head.load()
+                    .forEach(
+                            load ->
+                                    mInbox.offer(
+                                            new ForwardEvent.LoadReported(
+                                                    mKey.number, mKey.attempt, load)));
+            if (head.leaving()) {
                 mInbox.offer(
                         new ForwardEvent.LeavingAnnounced(mStart.upstream(), mTime.nanoTime()));
             }
@@ -323,6 +335,7 @@
                 return;
             }
             long now = mTime.nanoTime();
+            mLastEventNanos = now;
             if (mPaceSinceNanos == 0) {
                 mPaceSinceNanos = now;
                 mPaceSinceEvents = events;
@@ -338,8 +351,25 @@
             }
         }
 
+        private void recordEstimate(String kind, long lateNanos) {
+            String error = lateNanos > 0 ? "late" : "early";
+            mMeters.timer("fuchsialever.forward.estimate", "kind", kind, "error", error)
+                    .record(Math.abs(lateNanos), TimeUnit.NANOSECONDS);
+        }
+
+        /** Reports the pace since the last report, the only one of a short stream. */
+        private void reportFinalPace() {
+            int received = mReader.eventCount() - mPaceSinceEvents;
+            if (mPaceSinceNanos != 0 && received >= MIN_PACE_EVENTS) {
+                long nanosPerEvent = (mLastEventNanos - mPaceSinceNanos) / received;
+                mInbox.offer(
+                        new ForwardEvent.PaceMeasured(mKey.number, mKey.attempt, nanosPerEvent));
+            }
+        }
+
         @Override
         public void onEnd(ExchangeOutcome end) {
+            reportFinalPace();
             AttemptReport report = mReader.onEnd(end);
             mHeld.close();
             mEnded = true;
@@ -349,6 +379,9 @@
             String kind = mStart.call().kind().name();
             mMeters.timer("fuchsialever.forward.attempt", "kind", kind, "outcome", outcome)
                     .record(elapsedNanos, TimeUnit.NANOSECONDS);
+            if (report.outcome() == AttemptOutcome.ANSWERED && mStart.expectedNanos() > 0) {
+                recordEstimate(kind, elapsedNanos - mStart.expectedNanos());
+            }
             mTrace.sampled(PART, "attempt-ended")
                     .with("id", mHandler.requestId())
                     .with("attempt", mKey.attempt)
