Share out engines by demand and speed

Each model of a service had the same number of engines, whatever its demand and the speed of the engines. Where demand differs by 2.3 between models, one trainer waited while engines of others were idle.

The expected tokens of a submission are part of its state row, so that each instance can estimate the demand of each model. Members of the working set add the speeds of engines that they measure to some of their heartbeats. The holder of the role deals engines in proportion to demand and moves one of a model at a time, once shares have been off by two engines for 3 s. Orders, lease and fencing are unchanged. [versions] assignment = auto keeps equal shares while no upstream of a service has reported its slowdown.

--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchContent.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchContent.java
@@ -6,5 +6,12 @@
  * @param model the model that generates the texts, empty for a plain service
  * @param minVersion the oldest weight version allowed
  * @param copyNumber number of the stored object that holds the content, from 0
+ * @param expectedTokens the tokens that its items are expected to take, 0 if unknown
  */
-public record BatchContent(String model, long minVersion, int copyNumber) {}
+public record BatchContent(String model, long minVersion, int copyNumber, long expectedTokens) {
+
+    /** Returns the facts about a submission whose content is stored under a number. */
+    public static BatchContent of(BatchSpec spec, int copyNumber) {
+        return new BatchContent(spec.model(), spec.minVersion(), copyNumber, spec.expectedTokens());
+    }
+}
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchSpec.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchSpec.java
@@ -1,6 +1,7 @@
 package org.fuchsialever.decisions.batch;
 
 import java.util.List;
+import java.util.LongSummaryStatistics;
 
 /**
  * Content of a submission; immutable once accepted.
@@ -24,4 +25,19 @@
     public BatchSpec {
         items = List.copyOf(items);
     }
+
+    /**
+     * Returns the tokens that the items are expected to take: the trainer's estimates, where an
+     * item without one counts like the mean of the others; the maximums if no item has an estimate.
+     */
+    public long expectedTokens() {
+        LongSummaryStatistics estimates =
+                items.stream()
+                        .mapToLong(BatchItem::expectedTokens)
+                        .filter(tokens -> tokens > 0)
+                        .summaryStatistics();
+        return estimates.getCount() > 0
+                ? Math.round(estimates.getAverage() * items.size())
+                : items.stream().mapToLong(BatchItem::maxTokenCount).sum();
+    }
 }
--- /dev/null
+++ b/decisions/src/main/java/org/fuchsialever/decisions/version/ShareTally.java
@@ -0,0 +1,146 @@
+package org.fuchsialever.decisions.version;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.fuchsialever.decisions.fleet.FleetUpstream;
+
+/**
+ * The engines that each model has and those that it should have. Capacities are in engines of the
+ * mean speed.
+ */
+final class ShareTally {
+    /** One half of two engines keeps the previous version of a model. */
+    private static final int FULL_MINIMUM = 2;
+
+    private final ShareInputs mInputs;
+    private final double mMeanSpeed;
+    private final Map<String, Double> mTargets;
+    private final Map<String, Long> mNewest = new HashMap<>();
+    private final Map<String, List<FleetUpstream>> mEngines = new TreeMap<>();
+    private final Map<String, Double> mCapacities = new HashMap<>();
+
+    ShareTally(ShareInputs inputs) {
+        mInputs = inputs;
+        mMeanSpeed =
+                inputs.engines().stream()
+                        .mapToDouble(engine -> inputs.speeds().getOrDefault(engine.id(), 1.0))
+                        .average()
+                        .orElse(1);
+        mTargets = targets(inputs);
+        for (String model : inputs.models()) {
+            mEngines.put(model, new ArrayList<>());
+            mCapacities.put(model, 0.0);
+            long newest = inputs.announced().getOrDefault(model, 0L);
+            for (FleetUpstream engine : inputs.engines()) {
+                newest = Math.max(newest, engine.versionOf(model));
+            }
+            mNewest.put(model, newest);
+        }
+    }
+
+    /** Shares out the engines in proportion to demand, with a minimum for each model. */
+    private static Map<String, Double> targets(ShareInputs inputs) {
+        int engines = inputs.engines().size();
+        int models = inputs.models().size();
+        double minimum = engines >= FULL_MINIMUM * models ? FULL_MINIMUM : 1;
+        Map<String, Double> targets = new HashMap<>();
+        Set<String> open = new HashSet<>(inputs.models());
+        double remaining = engines;
+        boolean settled = false;
+        while (!settled) {
+            double demand = open.stream().mapToDouble(model -> demandOf(inputs, model)).sum();
+            settled = true;
+            double each = remaining;
+            for (String model : Set.copyOf(open)) {
+                double part = demand > 0 ? demandOf(inputs, model) / demand : 1.0 / open.size();
+                targets.put(model, each * part);
+            }
+            for (String model : Set.copyOf(open)) {
+                if (targets.getOrDefault(model, 0.0) < minimum && open.size() > 1) {
+                    targets.put(model, minimum);
+                    open.remove(model);
+                    remaining -= minimum;
+                    settled = false;
+                }
+            }
+        }
+        return targets;
+    }
+
+    private static double demandOf(ShareInputs inputs, String model) {
+        return inputs.demand().isEmpty() ? 1 : inputs.demand().getOrDefault(model, 0.0);
+    }
+
+    Map<String, List<FleetUpstream>> engines() {
+        return mEngines;
+    }
+
+    List<FleetUpstream> enginesOf(String model) {
+        return mEngines.getOrDefault(model, List.of());
+    }
+
+    boolean knows(String model) {
+        return mEngines.containsKey(model);
+    }
+
+    void place(FleetUpstream engine, String model) {
+        mEngines.computeIfAbsent(model, name -> new ArrayList<>()).add(engine);
+        mCapacities.merge(model, capacityOf(engine), Double::sum);
+    }
+
+    void remove(FleetUpstream engine, String model) {
+        if (mEngines.getOrDefault(model, List.of()).remove(engine)) {
+            mCapacities.merge(model, -capacityOf(engine), Double::sum);
+        }
+    }
+
+    double capacityOf(FleetUpstream engine) {
+        return mInputs.speeds().getOrDefault(engine.id(), 1.0) / mMeanSpeed;
+    }
+
+    double meanCapacityWith(String model, FleetUpstream engine) {
+        return (mCapacities.getOrDefault(model, 0.0) + capacityOf(engine))
+                / (enginesOf(model).size() + 1);
+    }
+
+    double meanCapacityWithout(String model, FleetUpstream engine) {
+        return (mCapacities.getOrDefault(model, 0.0) - capacityOf(engine))
+                / Math.max(1, enginesOf(model).size() - 1);
+    }
+
+    /** Returns how much more capacity a model has than it should, negative if it has less. */
+    double surplus(String model) {
+        return mCapacities.getOrDefault(model, 0.0) - mTargets.getOrDefault(model, 0.0);
+    }
+
+    /** Returns by how many versions an engine is behind for a model. */
+    long lag(FleetUpstream engine, String model) {
+        return mNewest.getOrDefault(model, 0L) - engine.versionOf(model);
+    }
+
+    /** Returns the model that has the smallest part of its share. */
+    String neediest(Collection<String> models) {
+        return models.stream()
+                .min(Comparator.comparingDouble(this::filled).thenComparing(name -> name))
+                .orElseThrow();
+    }
+
+    private double filled(String model) {
+        return mCapacities.getOrDefault(model, 0.0)
+                / Math.max(Double.MIN_NORMAL, mTargets.getOrDefault(model, 0.0));
+    }
+
+    /** Returns how many engines of a model are in the failure domain of an engine. */
+    long neighbours(FleetUpstream engine, String model) {
+        return enginesOf(model).stream()
+                .filter(other -> other.failureDomain().equals(engine.failureDomain()))
+                .count();
+    }
+}
--- a/decisions/src/main/java/org/fuchsialever/decisions/version/VersionAction.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/version/VersionAction.java
@@ -1,5 +1,6 @@
 package org.fuchsialever.decisions.version;
 
+import java.util.Map;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 
 /** Action that the version duty emits. */
@@ -17,4 +18,29 @@
      *     rejects this one
      */
     record SendOrder(VersionOrder order, long fencing, long sequence) implements VersionAction {}
+
+    /**
+     * Models of a service have another number of engines than before.
+     *
+     * @param service name of the service
+     * @param shares the share of each model
+     */
+    record NoteShares(String service, Map<String, EngineShare> shares) implements VersionAction {
+
+        /** Copies the map. */
+        public NoteShares {
+            shares = Map.copyOf(shares);
+        }
+    }
+
+    /** The role is lost, and with it what is known of the shares. */
+    record ForgetShares() implements VersionAction {}
+
+    /**
+     * The share of a model.
+     *
+     * @param engines number of engines
+     * @param tokensPerSecond its estimated demand, 0 if unknown
+     */
+    record EngineShare(int engines, double tokensPerSecond) {}
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/version/VersionDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/version/VersionDuty.java
@@ -2,8 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.kernel.duty.ActionSink;
@@ -31,12 +34,23 @@
     private final Map<String, Long> mMaxLags = new HashMap<>();
     private final Map<String, PendingLoad> mPending = new HashMap<>();
     private final Map<String, Long> mBackoffUntil = new HashMap<>();
+    private final EngineAssignment mAssignment;
+    private final Set<String> mReportingServices = new HashSet<>();
+    private final ModelDemand mDemand = new ModelDemand();
+    private final EngineSpeeds mSpeeds = new EngineSpeeds();
+    private final Map<String, EngineShares> mShares = new HashMap<>();
+    private final Map<String, Map<String, Integer>> mNotedShares = new HashMap<>();
     private Map<String, List<String>> mModelsByService = Map.of();
     private final Map<String, FleetUpstream> mUpstreams = new HashMap<>();
     private long mFencing;
     private boolean mHolding;
     private long mNextTimer = NO_TIMER;
 
+    /** Creates a duty that knows no upstreams and does not hold the role. */
+    public VersionDuty(EngineAssignment assignment) {
+        mAssignment = assignment;
+    }
+
     @Override
     public String dutyName() {
         return "version";
@@ -56,12 +70,19 @@
         } else if (event instanceof VersionEvent.RoleLost) {
             mHolding = false;
             mPending.clear();
+            forgetShares(actions);
+        } else if (event instanceof VersionEvent.SubmissionsChanged submissions) {
+            mDemand.update(submissions.changed(), submissions.removed(), nowNanos);
+        } else if (event instanceof VersionEvent.SlowdownReported slowdown) {
+            mReportingServices.add(slowdown.service());
+        } else if (event instanceof VersionEvent.SpeedsReported speeds) {
+            mSpeeds.report(speeds.instance(), speeds.speedPercents(), nowNanos);
         } else if (event instanceof VersionEvent.Reported report) {
             reported(report, nowNanos, actions);
         } else if (event instanceof VersionEvent.ReportFailed failed) {
             abandon(failed.upstream(), nowNanos);
         } else if (event instanceof VersionEvent.OrderEnded ended) {
-            orderEnded(ended, nowNanos);
+            orderEnded(ended, nowNanos, actions);
         }
         plan(nowNanos, actions);
     }
@@ -138,7 +159,8 @@
         }
     }
 
-    private void orderEnded(VersionEvent.OrderEnded ended, long now) {
+    private void orderEnded(
+            VersionEvent.OrderEnded ended, long now, ActionSink<VersionAction> actions) {
         PendingLoad load = mPending.get(ended.upstream());
         if (load == null) {
             return;
@@ -161,11 +183,21 @@
             case FENCED -> {
                 mHolding = false;
                 mPending.clear();
+                forgetShares(actions);
             }
             case REFUSED -> abandon(ended.upstream(), now);
         }
     }
 
+    /** The next holder decides on the shares; this one starts from the versions served then. */
+    private void forgetShares(ActionSink<VersionAction> actions) {
+        mShares.clear();
+        if (!mNotedShares.isEmpty()) {
+            mNotedShares.clear();
+            actions.emit(new VersionAction.ForgetShares());
+        }
+    }
+
     private void abandon(String upstream, long now) {
         if (mPending.remove(upstream) != null) {
             mBackoffUntil.put(upstream, now + REFUSAL_DELAY_NANOS);
@@ -185,32 +217,95 @@
         for (long until : mBackoffUntil.values()) {
             next = Math.min(next, until);
         }
+        if (mHolding) {
+            for (EngineShares shares : mShares.values()) {
+                next = Math.min(next, shares.nextTimerNanos(now));
+            }
+        }
         mNextTimer = next;
     }
 
     private void planService(
             String service, List<String> models, long now, ActionSink<VersionAction> actions) {
-        List<FleetUpstream> serving = new ArrayList<>();
+        List<FleetUpstream> listed = new ArrayList<>();
         for (FleetUpstream upstream : mUpstreams.values()) {
-            boolean backingOff = mBackoffUntil.getOrDefault(upstream.id(), now) > now;
-            if (upstream.service().equals(service) && upstream.serving() && !backingOff) {
-                serving.add(upstream);
+            if (upstream.service().equals(service) && upstream.serving()) {
+                listed.add(upstream);
             }
         }
+        Set<String> backingOff = new HashSet<>();
+        mBackoffUntil.forEach(
+                (id, until) -> {
+                    if (until > now) {
+                        backingOff.add(id);
+                    }
+                });
+        List<FleetUpstream> ready =
+                listed.stream().filter(upstream -> !backingOff.contains(upstream.id())).toList();
+        Map<String, List<FleetUpstream>> assigned =
+                goesByNeed(service) && listed.size() >= models.size()
+                        ? assignByNeed(service, models, listed, backingOff, now, actions)
+                        : VersionPlanner.assign(models, ready);
         Map<String, String> loading = new HashMap<>();
         mPending.forEach((id, load) -> loading.put(id, load.mOrder.model()));
         for (VersionOrder order :
                 VersionPlanner.plan(
-                        VersionPlanner.assign(models, serving),
-                        mAnnouncedVersions,
-                        mMaxLags,
-                        loading,
-                        serving.size())) {
+                        assigned, mAnnouncedVersions, mMaxLags, loading, ready.size())) {
             mPending.put(order.upstream().id(), new PendingLoad(order, now));
             actions.emit(new VersionAction.ReadReport(order.upstream()));
         }
     }
 
+    private boolean goesByNeed(String service) {
+        return mAssignment.goesByNeed(mReportingServices.contains(service));
+    }
+
+    /** An upstream that backs off keeps its model, but is ordered nothing. */
+    private Map<String, List<FleetUpstream>> assignByNeed(
+            String service,
+            List<String> models,
+            List<FleetUpstream> listed,
+            Set<String> backingOff,
+            long now,
+            ActionSink<VersionAction> actions) {
+        Map<String, Double> demand = mDemand.of(models, now);
+        ShareInputs inputs =
+                new ShareInputs(
+                        models, demand, listed, mSpeeds.speeds(now), mAnnouncedVersions, mMaxLags);
+        Map<String, List<FleetUpstream>> assigned =
+                mShares.computeIfAbsent(service, name -> new EngineShares()).assign(inputs, now);
+        noteShares(service, assigned, demand, actions);
+        Map<String, List<FleetUpstream>> ready = new TreeMap<>();
+        assigned.forEach(
+                (model, engines) ->
+                        ready.put(
+                                model,
+                                engines.stream()
+                                        .filter(engine -> !backingOff.contains(engine.id()))
+                                        .toList()));
+        return ready;
+    }
+
+    private void noteShares(
+            String service,
+            Map<String, List<FleetUpstream>> assigned,
+            Map<String, Double> demand,
+            ActionSink<VersionAction> actions) {
+        Map<String, Integer> counts = new HashMap<>();
+        Map<String, VersionAction.EngineShare> shares = new HashMap<>();
+        assigned.forEach(
+                (model, engines) -> {
+                    counts.put(model, engines.size());
+                    shares.put(
+                            model,
+                            new VersionAction.EngineShare(
+                                    engines.size(), demand.getOrDefault(model, 0.0)));
+                });
+        if (!counts.equals(mNotedShares.put(service, counts))) {
+            actions.emit(new VersionAction.NoteShares(service, shares));
+        }
+    }
+
     private static FleetUpstream withVersions(FleetUpstream known, Map<String, Long> versions) {
         return new FleetUpstream(
                 known.id(),
--- a/decisions/src/main/java/org/fuchsialever/decisions/version/VersionEvent.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/version/VersionEvent.java
@@ -17,6 +17,38 @@
     /** A trainer has submitted items that require this weight version or a newer one. */
     record MinVersionRequested(String model, long minVersion) implements VersionEvent {}
 
+    /**
+     * Submissions are new or have made progress.
+     *
+     * @param removed IDs of submissions that no longer exist
+     */
+    record SubmissionsChanged(List<SubmissionLoad> changed, List<String> removed)
+            implements VersionEvent {
+
+        /** Copies the lists. */
+        public SubmissionsChanged {
+            changed = List.copyOf(changed);
+            removed = List.copyOf(removed);
+        }
+    }
+
+    /** An upstream of a service has reported its slowdown. */
+    record SlowdownReported(String service) implements VersionEvent {}
+
+    /**
+     * An instance has reported speeds of engines.
+     *
+     * @param speedPercents speeds that differ from the usual one, in percent of it
+     */
+    record SpeedsReported(String instance, Map<String, Integer> speedPercents)
+            implements VersionEvent {
+
+        /** Copies the map. */
+        public SpeedsReported {
+            speedPercents = Map.copyOf(speedPercents);
+        }
+    }
+
     /** This instance now holds the role and may order loads. */
     record RoleAcquired(long fencing) implements VersionEvent {}
 
--- a/decisions/src/test/java/org/fuchsialever/decisions/batch/BatchDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/batch/BatchDutyTest.java
@@ -19,7 +19,7 @@
 import org.junit.jupiter.api.Test;
 
 class BatchDutyTest {
-    private static final BatchContent CONTENT = new BatchContent("m", 1, 0);
+    private static final BatchContent CONTENT = new BatchContent("m", 1, 0, 0);
     private static final String ID = "b1";
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
--- a/decisions/src/test/java/org/fuchsialever/decisions/batch/ItemWindowTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/batch/ItemWindowTest.java
@@ -139,7 +139,7 @@
     }
 
     private static BatchState state(String id, int items) {
-        BatchContent content = new BatchContent("m", 1, 0);
+        BatchContent content = new BatchContent("m", 1, 0, 0);
         return new BatchState(id, "t", "h", "/p", items, 0, 0, "i1", "s1", 1, false, content);
     }
 
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchRows.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchRows.java
@@ -141,6 +141,9 @@
                         .put("model", state.content().model())
                         .put("minVersion", state.content().minVersion())
                         .put("copy", state.content().copyNumber());
+        if (state.content().expectedTokens() > 0) {
+            node.put("tokens", state.content().expectedTokens());
+        }
         return bytes(node);
     }
 
@@ -167,7 +170,8 @@
                             new BatchContent(
                                     node.path("model").asText(),
                                     node.path("minVersion").asLong(),
-                                    node.path("copy").asInt())));
+                                    node.path("copy").asInt(),
+                                    node.path("tokens").asLong())));
         } catch (IOException e) {
             return Either.left("not JSON: " + e.getMessage());
         }
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchService.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchService.java
@@ -110,8 +110,7 @@
                             if (copy.isEmpty()) {
                                 return Mono.<BatchReply>just(new BatchReply.IdentityTaken());
                             }
-                            BatchContent content =
-                                    new BatchContent(spec.model(), spec.minVersion(), copy.get());
+                            BatchContent content = BatchContent.of(spec, copy.get());
                             BatchState state =
                                     new BatchState(
                                             id,
--- a/node/src/main/java/org/fuchsialever/node/directory/Presence.java
+++ b/node/src/main/java/org/fuchsialever/node/directory/Presence.java
@@ -3,10 +3,17 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.io.IOException;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import org.fuchsialever.decisions.version.EngineReport;
 
 /**
  * A slot of the working set, which its member renews as a heartbeat.
@@ -16,8 +23,15 @@
  * @param start start ID of its process
  * @param storeMillis when it was written, by the clock of the store, in milliseconds
  * @param leaving whether the instance is shutting down
+ * @param engines what the instance tells about engines
  */
-public record Presence(int slot, String instance, String start, long storeMillis, boolean leaving) {
+public record Presence(
+        int slot,
+        String instance,
+        String start,
+        long storeMillis,
+        boolean leaving,
+        EngineReport engines) {
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     /** Returns the key of the row of a slot. */
@@ -33,12 +47,22 @@
     /** Encodes the value of the row. */
     public byte[] encode() {
         try {
-            return MAPPER.writeValueAsBytes(
+            ObjectNode node =
                     MAPPER.createObjectNode()
                             .put("instance", instance)
                             .put("start", start)
                             .put("at", storeMillis)
-                            .put("leaving", leaving));
+                            .put("leaving", leaving);
+            // Absent fields save bytes, because slots are written several times a second.
+            if (!engines.reportingServices().isEmpty()) {
+                ArrayNode services = node.putArray("reporting");
+                engines.reportingServices().forEach(services::add);
+            }
+            if (!engines.speedPercents().isEmpty()) {
+                ObjectNode speeds = node.putObject("speeds");
+                engines.speedPercents().forEach(speeds::put);
+            }
+            return MAPPER.writeValueAsBytes(node);
         } catch (JsonProcessingException e) {
             throw new IllegalStateException("cannot serialize a JSON tree", e);
         }
@@ -57,9 +81,28 @@
                             node.path("instance").asText(),
                             node.path("start").asText(),
                             node.path("at").asLong(),
-                            node.path("leaving").asBoolean()));
+                            node.path("leaving").asBoolean(),
+                            engines(node)));
         } catch (IOException e) {
             return Either.left("not JSON: " + e.getMessage());
         }
     }
+
+    private static EngineReport engines(JsonNode node) {
+        if (!node.has("reporting") && !node.has("speeds")) {
+            return EngineReport.NONE;
+        }
+        Set<String> services = new HashSet<>();
+        node.path("reporting").forEach(service -> services.add(service.asText()));
+        Map<String, Integer> speeds = new HashMap<>();
+        node.path("speeds")
+                .fields()
+                .forEachRemaining(
+                        field -> {
+                            if (field.getValue().asInt() > 0) {
+                                speeds.put(field.getKey(), field.getValue().asInt());
+                            }
+                        });
+        return new EngineReport(services, speeds);
+    }
 }
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardComponent.java
@@ -54,7 +54,7 @@
 
     @Override
     public Set<Class<?>> provides() {
-        return Set.of(ForwardPort.class, UsageListeners.class);
+        return Set.of(ForwardPort.class, UsageListeners.class, EngineReports.class);
     }
 
     @Override
@@ -82,6 +82,7 @@
                 .setIdleBytesListener(runner::noteIdleBytes);
         context.provide(ForwardPort.class, runner);
         context.provide(UsageListeners.class, runner::addUsageListener);
+        context.provide(EngineReports.class, runner.reports());
         context.require(Directory.class)
                 .addListener(
                         new DirectoryListener() {
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
@@ -53,6 +53,7 @@
     private final TraceLog mTrace;
     private final MeterRegistry mMeters;
     private final ResponseMemory mMemory;
+    private final EngineReports mReports;
     private final AtomicLong mLastNumber = new AtomicLong();
     private final Map<Long, AcceptedCall> mAccepted = new ConcurrentHashMap<>();
     private final Set<Long> mBeingSubmitted = ConcurrentHashMap.newKeySet();
@@ -75,6 +76,7 @@
         mTrace = trace;
         mMeters = meters;
         mMemory = memory;
+        mReports = new EngineReports(time);
         for (ForwardCallKind kind : ForwardCallKind.values()) {
             mInProgress.put(kind, new AtomicInteger());
         }
@@ -89,6 +91,10 @@
                 .write();
     }
 
+    EngineReports reports() {
+        return mReports;
+    }
+
     void addUsageListener(UsageListener listener) {
         mUsageListeners.add(listener);
     }
@@ -250,6 +256,8 @@
         private final ResponseMemory.Account mHeld = mMemory.open(this::giveUp);
         private long mPaceSinceNanos;
         private int mPaceSinceEvents;
+        private long mFirstEventNanos;
+        private int mFirstEvents;
         private ConnectionUse mUse = NO_CONNECTION;
         private volatile boolean mEnded;
 
@@ -326,6 +334,8 @@
             if (mPaceSinceNanos == 0) {
                 mPaceSinceNanos = now;
                 mPaceSinceEvents = events;
+                mFirstEventNanos = now;
+                mFirstEvents = events;
                 return;
             }
             long elapsed = now - mPaceSinceNanos;
@@ -341,6 +351,14 @@
         @Override
         public void onEnd(ExchangeOutcome end) {
             AttemptReport report = mReader.onEnd(end);
+            report.load().forEach(load -> mReports.noteLoad(mStart.upstream().service(), load));
+            int paced = mReader.eventCount() - mFirstEvents;
+            if (mFirstEventNanos != 0 && paced >= MIN_PACE_EVENTS) {
+                mReports.notePace(
+                        mStart.upstream(),
+                        mStart.call().model(),
+                        (mTime.nanoTime() - mFirstEventNanos) / paced);
+            }
             mHeld.close();
             mEnded = true;
             mExchanges.remove(mKey);
--- a/node/src/main/java/org/fuchsialever/node/version/VersionActions.java
+++ b/node/src/main/java/org/fuchsialever/node/version/VersionActions.java
@@ -1,6 +1,10 @@
 package org.fuchsialever.node.version;
 
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Tags;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.fuchsialever.decisions.version.VersionAction;
 import org.fuchsialever.decisions.version.VersionEvent;
 import org.fuchsialever.decisions.version.VersionEvent.OrderResult;
@@ -24,6 +28,7 @@
     private final Inbox<VersionEvent> mInbox;
     private final TraceLog mTrace;
     private final MeterRegistry mMeters;
+    private final Map<String, AtomicInteger> mEngineCounts = new HashMap<>();
 
     VersionActions(
             UpstreamOrders orders,
@@ -44,9 +49,31 @@
             report(read);
         } else if (action instanceof VersionAction.SendOrder send) {
             order(send);
+        } else if (action instanceof VersionAction.NoteShares note) {
+            note.shares().forEach((model, share) -> noteShare(note.service(), model, share));
+        } else if (action instanceof VersionAction.ForgetShares) {
+            mEngineCounts.values().forEach(count -> count.set(0));
         }
     }
 
+    private void noteShare(String service, String model, VersionAction.EngineShare share) {
+        mTrace.line(PART, "share")
+                .with("service", service)
+                .with("model", model)
+                .with("engines", share.engines())
+                .with("tokensPerSecond", Math.round(share.tokensPerSecond()))
+                .write();
+        mEngineCounts
+                .computeIfAbsent(
+                        model,
+                        name ->
+                                mMeters.gauge(
+                                        "fuchsialever.versions.engines",
+                                        Tags.of("service", service, "model", name),
+                                        new AtomicInteger()))
+                .set(share.engines());
+    }
+
     private void report(VersionAction.ReadReport read) {
         String id = read.upstream().id();
         mOrders.report(read.upstream())
--- a/node/src/main/java/org/fuchsialever/node/version/VersionComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/version/VersionComponent.java
@@ -10,14 +10,18 @@
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.manifest.Manifest;
 import org.fuchsialever.decisions.manifest.ServiceSpec;
+import org.fuchsialever.decisions.version.EngineAssignment;
 import org.fuchsialever.decisions.version.VersionDuty;
 import org.fuchsialever.decisions.version.VersionEvent;
 import org.fuchsialever.kernel.duty.Inbox;
 import org.fuchsialever.kernel.duty.OverflowPolicy;
 import org.fuchsialever.kernel.plugin.Component;
 import org.fuchsialever.kernel.plugin.ComponentContext;
+import org.fuchsialever.kernel.settings.SettingsReader;
 import org.fuchsialever.node.directory.Directory;
 import org.fuchsialever.node.directory.DirectoryListener;
+import org.fuchsialever.node.directory.StoreClock;
+import org.fuchsialever.node.forward.EngineReports;
 import org.fuchsialever.node.hosted.DrainSignal;
 import org.fuchsialever.node.lease.HeldLease;
 import org.fuchsialever.node.lease.Leases;
@@ -31,16 +35,26 @@
 
     private static final int RING_CAPACITY = 4_096;
 
+    private EngineAssignment mAssignment = EngineAssignment.AUTO;
+
     @Override
     public String pluginName() {
         return "versions";
     }
 
+    @Override
+    public void configure(SettingsReader settings) {
+        mAssignment =
+                settings.choice(ROLE, "assignment", EngineAssignment.class, EngineAssignment.AUTO);
+    }
+
     @Override
     public Set<Class<?>> requires() {
         return Set.of(
                 HostedServices.class,
                 Directory.class,
+                StoreClock.class,
+                EngineReports.class,
                 Leases.class,
                 DrainSignal.class,
                 TraceLog.class);
@@ -57,7 +71,7 @@
         TraceLog trace = context.require(TraceLog.class);
         Inbox<VersionEvent> inbox =
                 context.startDutyWith(
-                        new VersionDuty(),
+                        new VersionDuty(mAssignment),
                         RING_CAPACITY,
                         OverflowPolicy.REFUSE,
                         ring ->
@@ -67,7 +81,19 @@
                                         ring,
                                         trace,
                                         context.meters()));
-        context.require(Directory.class).addListener(listener(inbox));
+        Directory directory = context.require(Directory.class);
+        directory.addListener(listener(inbox));
+        if (mAssignment != EngineAssignment.EQUAL) {
+            directory.addListener(
+                    new SubmissionWatch(
+                            context.time(),
+                            context.require(StoreClock.class)::millis,
+                            inbox::offer));
+            EngineReports reports = context.require(EngineReports.class);
+            reports.addListener(service -> inbox.offer(new VersionEvent.SlowdownReported(service)));
+            directory.addListener(
+                    new EngineReportWatch(context.time(), reports::noteReporting, inbox::offer));
+        }
         leases.request(
                 ROLE,
                 new Leases.LeaseListener() {
--- a/node/src/main/java/org/fuchsialever/node/workingset/WorkingSetActions.java
+++ b/node/src/main/java/org/fuchsialever/node/workingset/WorkingSetActions.java
@@ -3,7 +3,9 @@
 import io.vavr.control.Option;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import org.fuchsialever.decisions.directory.DirectoryTable;
+import org.fuchsialever.decisions.version.EngineReport;
 import org.fuchsialever.decisions.workingset.MemberSlot;
 import org.fuchsialever.decisions.workingset.WorkingSetAction;
 import org.fuchsialever.decisions.workingset.WorkingSetEvent;
@@ -25,13 +27,21 @@
 final class WorkingSetActions implements ActionSink<WorkingSetAction> {
     private static final String PART = "working-set";
 
+    /** What is told about engines is in some heartbeats only, to save bytes of the store. */
+    private static final int REPORT_INTERVAL_HEARTBEATS = 12;
+
+    /** Members read slots about once per heartbeat and may miss one. */
+    private static final int REPORT_HEARTBEATS = 3;
+
     private final HostedServices mServices;
     private final NodeIdentity mIdentity;
     private final StoreClock mClock;
     private final ReadPace mPace;
     private final LeaseParticipation mLeases;
     private final TraceLog mTrace;
+    private final Supplier<EngineReport> mEngines;
     private final Inbox<WorkingSetEvent> mInbox;
+    private int mHeartbeats;
 
     WorkingSetActions(
             HostedServices services,
@@ -40,6 +50,7 @@
             ReadPace pace,
             LeaseParticipation leases,
             TraceLog trace,
+            Supplier<EngineReport> engines,
             Inbox<WorkingSetEvent> inbox) {
         mServices = services;
         mIdentity = identity;
@@ -47,6 +58,7 @@
         mPace = pace;
         mLeases = leases;
         mTrace = trace;
+        mEngines = engines;
         mInbox = inbox;
     }
 
@@ -74,7 +86,8 @@
                         mIdentity.instance().value(),
                         mIdentity.startId(),
                         mClock.millis().getOrElse(0L),
-                        write.leaving());
+                        write.leaving(),
+                        engineReport());
         mServices
                 .rows()
                 .change(
@@ -93,6 +106,13 @@
                         });
     }
 
+    private EngineReport engineReport() {
+        EngineReport report = mHeartbeats < REPORT_HEARTBEATS ? mEngines.get() : EngineReport.NONE;
+        boolean waits = mHeartbeats == 0 && report.equals(EngineReport.NONE);
+        mHeartbeats = waits ? 0 : (mHeartbeats + 1) % REPORT_INTERVAL_HEARTBEATS;
+        return report;
+    }
+
     private static WorkingSetEvent event(int slot, RowKey key, RowChangeResult result) {
         if (result instanceof RowChangeResult.Applied applied) {
             return new WorkingSetEvent.Written(slot, applied.version());
--- a/node/src/main/java/org/fuchsialever/node/workingset/WorkingSetComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/workingset/WorkingSetComponent.java
@@ -14,6 +14,7 @@
 import org.fuchsialever.node.directory.DirectoryListener;
 import org.fuchsialever.node.directory.ReadPace;
 import org.fuchsialever.node.directory.StoreClock;
+import org.fuchsialever.node.forward.EngineReports;
 import org.fuchsialever.node.hosted.DrainSignal;
 import org.fuchsialever.node.lease.LeaseParticipation;
 import org.fuchsialever.node.trace.TraceLog;
@@ -49,6 +50,7 @@
                 ReadPace.class,
                 StoreClock.class,
                 LeaseParticipation.class,
+                EngineReports.class,
                 NodeIdentity.class,
                 DrainSignal.class,
                 TraceLog.class);
@@ -81,6 +83,7 @@
                                         context.require(ReadPace.class),
                                         leases,
                                         context.require(TraceLog.class),
+                                        context.require(EngineReports.class)::report,
                                         ring));
         context.require(Directory.class).addListener(listener(inbox));
         context.require(DrainSignal.class)
--- a/node/src/test/java/org/fuchsialever/node/batch/BatchPurgeTest.java
+++ b/node/src/test/java/org/fuchsialever/node/batch/BatchPurgeTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.Test;
 
 class BatchPurgeTest {
-    private static final BatchContent CONTENT = new BatchContent("m", 1, 0);
+    private static final BatchContent CONTENT = new BatchContent("m", 1, 0, 0);
     private static final long RETENTION = 120_000;
 
     @Test
--- a/node/src/test/java/org/fuchsialever/node/batch/StoppedTextsTest.java
+++ b/node/src/test/java/org/fuchsialever/node/batch/StoppedTextsTest.java
@@ -33,7 +33,18 @@
             new BatchItem("x", "g", "/p", Map.of(), new byte[0], 30, 0, Option.none());
     private static final BatchState STATE =
             new BatchState(
-                    "b", "t", "h", "/p", 1, 0, 0, "i", "s", 1, false, new BatchContent("m", 1, 0));
+                    "b",
+                    "t",
+                    "h",
+                    "/p",
+                    1,
+                    0,
+                    0,
+                    "i",
+                    "s",
+                    1,
+                    false,
+                    new BatchContent("m", 1, 0, 0));
 
     private final ManualTimeSource mTime = new ManualTimeSource(0);
     private final BatchDuty mDuty = new BatchDuty("i", "s", new SplittableRandom(1));
