Order a step by what it still needs where its pool is short

A trainer waits for nine tenths of the groups of a step, but items start by length alone and are scored in that order, so that a short pool works on the groups beyond the target and completes all groups at the end.

Where an upstream of the generating or scoring service has reported its slowdown, and more than four open items wait for each slot, the groups beyond the target come last, and a step that cannot be whole in time completes one group after the other. Texts are scored in the order of the groups that are nearest to completion. [forward] queueing selects it; other services keep the order by due time. A team's priority goes before that of its route.

--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchAction.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchAction.java
@@ -32,8 +32,16 @@
             PartialText beginning)
             implements BatchAction {}
 
-    /** Scores the text of an item. */
-    record Score(BatchSpec spec, int item, ScoringCall call, long queueRank)
+    /**
+     * Scores the text of an item.
+     *
+     * @param spec the submission
+     * @param item index of the item
+     * @param call the call that scores it
+     * @param team the team that submitted it, empty if no key was needed
+     * @param queueRank smaller values run first
+     */
+    record Score(BatchSpec spec, int item, ScoringCall call, String team, long queueRank)
             implements BatchAction {}
 
     /**
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
@@ -7,6 +7,8 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.fuchsialever.decisions.queue.PoolProgress;
+import org.fuchsialever.decisions.queue.StepPressure;
 import org.fuchsialever.kernel.duty.ActionSink;
 import org.fuchsialever.kernel.duty.Duty;
 import org.jspecify.annotations.Nullable;
@@ -49,6 +51,7 @@
     private final Map<String, OwnedBatch> mOwned = new HashMap<>();
     private final Set<String> mClaiming = new HashSet<>();
     private final Set<String> mPlaced = new HashSet<>();
+    private final PoolProgress mProgress = new PoolProgress();
     private List<Peer> mPeers = List.of();
     private long mReachableSince = Long.MAX_VALUE;
     private int mOpenings;
@@ -153,6 +156,7 @@
                 continue;
             }
             mObserved.put(id, new ObservedState(row.state(), row.version(), now, previous == null));
+            observeProgress(row.state(), now);
             OwnedBatch batch = mOwned.get(id);
             if (batch != null && row.state().ended()) {
                 closeEnded(batch, row.state(), actions);
@@ -160,6 +164,7 @@
         }
         for (String id : changed.removed()) {
             mObserved.remove(id);
+            mProgress.remove(id);
             mPlaced.remove(id);
             OwnedBatch batch = mOwned.get(id);
             if (batch != null) {
@@ -233,10 +238,28 @@
             batch.release(actions);
             batch.commit(now, actions);
         } else {
-            batch.queueItems();
+            batch.queueItems(pressure(opened, now));
         }
     }
 
+    /** Without rows of the other instances, the own submissions are all that is known. */
+    private StepPressure pressure(BatchEvent.OpenedBatch opened, long now) {
+        if (opened.poolSlots() <= 0) {
+            return StepPressure.NONE;
+        }
+        observeProgress(opened.state(), now);
+        int own = mOwned.values().stream().mapToInt(OwnedBatch::openItems).sum();
+        int open = mStoreReachable ? Math.max(own, mProgress.openItems()) : own;
+        double secondsLeft = (double) (opened.dueAtNanos() - now) / TimeUnit.SECONDS.toNanos(1);
+        return new StepPressure(
+                (double) open / opened.poolSlots(), mProgress.secondsToFinish(now), secondsLeft);
+    }
+
+    private void observeProgress(BatchState state, long now) {
+        int open = state.isOpen() ? state.itemCount() - state.resultCount() : 0;
+        mProgress.observe(state.id(), state.resultCount(), open, now);
+    }
+
     private void ownedEvent(BatchEvent event, long now, ActionSink<BatchAction> actions) {
         if (event instanceof BatchEvent.Progressed part) {
             OwnedBatch batch = mOwned.get(part.id());
@@ -310,6 +333,7 @@
     private void afterCommit(OwnedBatch batch, long now, ActionSink<BatchAction> actions) {
         // Mirrored rows lag behind; an older state would look abandoned once this batch is closed.
         mObserved.put(batch.id(), new ObservedState(batch.state(), batch.version(), now, false));
+        observeProgress(batch.state(), now);
         if (batch.state().isComplete()) {
             close(batch, "complete", actions);
         } else if (batch.state().owner().isEmpty()) {
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/OwnedBatch.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/OwnedBatch.java
@@ -2,13 +2,17 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.fuchsialever.decisions.queue.RankedItem;
+import org.fuchsialever.decisions.queue.StepGroups;
+import org.fuchsialever.decisions.queue.StepItem;
+import org.fuchsialever.decisions.queue.StepOrder;
+import org.fuchsialever.decisions.queue.StepPressure;
 import org.fuchsialever.kernel.duty.ActionSink;
 import org.jspecify.annotations.Nullable;
 
@@ -31,6 +35,10 @@
     private final BatchSpec mSpec;
     private final long mMedianTokens;
     private final long mDueMicros;
+    private final long mSpareDelayMicros;
+    private final StepOrder mOrder;
+    private final List<StepItem> mStepItems;
+    private final StepGroups mGroups;
     private final long mGiveUpNanos;
     private final boolean mSingleVersion;
     private final Map<String, PartialText> mStoredTexts;
@@ -70,6 +78,26 @@
                 mUnfinished.add(item);
             }
         }
+        mOrder = opened.order();
+        // Spare items yield to the needed ones of steps that are submitted until this one is due.
+        mSpareDelayMicros = mDueMicros - mState.submittedMillis() * MICROS_PER_MILLI;
+        mStepItems = stepItems();
+        mGroups = new StepGroups(mStepItems, mSpec.targetGroupCount());
+    }
+
+    private List<StepItem> stepItems() {
+        List<StepItem> items = new ArrayList<>();
+        for (int index = 0; index < mSpec.items().size(); index++) {
+            BatchItem item = mSpec.items().get(index);
+            items.add(
+                    new StepItem(
+                            index,
+                            item.group(),
+                            item.expectedTokens(),
+                            hasStoredText(index),
+                            !mUnfinished.contains(index)));
+        }
+        return items;
     }
 
     String id() {
@@ -100,20 +128,18 @@
         return mReleasing;
     }
 
-    /** Orders the items without a result for their start, the longest expected ones first. */
-    void queueItems() {
-        List<Integer> order =
-                mUnfinished.stream()
-                        .sorted(
-                                Comparator.comparing((Integer item) -> !hasStoredText(item))
-                                        .thenComparing(
-                                                item -> -mSpec.items().get(item).expectedTokens())
-                                        .thenComparing(item -> item))
-                        .toList();
+    /**
+     * Orders the items without a result for their start.
+     *
+     * @param pressure how much work waits before the pool
+     */
+    void queueItems(StepPressure pressure) {
+        List<RankedItem> order = mOrder.order(mStepItems, mSpec.targetGroupCount(), pressure);
         for (int rank = 0; rank < order.size(); rank++) {
-            int item = order.get(rank);
-            mRanks.put(item, mDueMicros + rank);
-            mWaiting.add(item);
+            RankedItem ranked = order.get(rank);
+            long due = mDueMicros + (ranked.spare() ? mSpareDelayMicros : 0);
+            mRanks.put(ranked.index(), due + rank);
+            mWaiting.add(ranked.index());
         }
     }
 
@@ -121,6 +147,11 @@
         return !mWaiting.isEmpty();
     }
 
+    /** Returns the number of items without a result. */
+    int openItems() {
+        return mUnfinished.size();
+    }
+
     /** Returns the number of items that are being generated or scored. */
     int itemsInProgress() {
         return mInProgress.size();
@@ -200,6 +231,15 @@
         return mRanks.getOrDefault(item, mDueMicros + item);
     }
 
+    private long scoringRank(int item) {
+        return mOrder.scoringRank(
+                queueRank(item),
+                mDueMicros,
+                mSpareDelayMicros,
+                mGroups,
+                mSpec.items().get(item).group());
+    }
+
     /** Adds events of a text that is being generated; they are stored with the next commit. */
     void progressed(BatchEvent.Progressed part) {
         int item = part.item();
@@ -232,7 +272,11 @@
         if (subject.scoringCall().isDefined()) {
             actions.emit(
                     new BatchAction.Score(
-                            mSpec, item, subject.scoringCall().get(), queueRank(item)));
+                            mSpec,
+                            item,
+                            subject.scoringCall().get(),
+                            mState.team(),
+                            scoringRank(item)));
         } else {
             scored(item, "");
         }
@@ -242,6 +286,7 @@
         GeneratedText text = mTexts.remove(item);
         if (text != null && mUnfinished.remove(item)) {
             mInProgress.remove(item);
+            mGroups.finished(item);
             mOwnedTexts.drop(mSpec.items().get(item).id());
             mFinishedResults.add(
                     new ItemResult(
@@ -253,6 +298,7 @@
         mTexts.remove(item);
         if (mUnfinished.remove(item)) {
             mInProgress.remove(item);
+            mGroups.finished(item);
             mOwnedTexts.drop(mSpec.items().get(item).id());
             mFinishedResults.add(ItemResult.abandoned(mSpec.items().get(item).id()));
         }
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardAction.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardAction.java
@@ -39,6 +39,9 @@
     /** Notes that an upstream is leaving by its own responses and gets no new work. */
     record NoteLeaving(FleetUpstream upstream) implements ForwardAction {}
 
+    /** The calls of a service are queued fairly from now on. */
+    record QueueFairly(String service) implements ForwardAction {}
+
     /**
      * Ends a call without a response of an upstream.
      *
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
@@ -3,14 +3,17 @@
 import io.vavr.control.Option;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.fuchsialever.decisions.fleet.Fleet;
 import org.fuchsialever.decisions.fleet.UpstreamState;
 import org.fuchsialever.decisions.manifest.ServiceShare;
+import org.fuchsialever.decisions.queue.Queueing;
 import org.fuchsialever.kernel.duty.ActionSink;
 import org.fuchsialever.kernel.duty.Duty;
 
@@ -31,6 +34,8 @@
     private final Fleet mFleet;
     private final RandomGenerator mRandom;
     private final UpstreamChoice mChoice;
+    private final Queueing mQueueing;
+    private final Set<String> mSlowdownReported = new HashSet<>();
     private final Map<Long, ForwardCallState> mCalls = new HashMap<>();
     private final Map<AttemptKey, UpstreamState> mAttempts = new HashMap<>();
     private final PriorityQueue<Timer> mTimers =
@@ -42,9 +47,11 @@
      *
      * @param leavingNanos how long after it has announced that it is leaving an upstream may get
      *     calls that no other upstream can run
+     * @param queueing by which rules calls wait and are refused
      */
-    public ForwardDuty(RandomGenerator random, long leavingNanos) {
+    public ForwardDuty(RandomGenerator random, long leavingNanos, Queueing queueing) {
         mRandom = random;
+        mQueueing = queueing;
         mFleet = new Fleet(random);
         mChoice = new UpstreamChoice(mFleet, leavingNanos);
     }
@@ -186,6 +193,7 @@
         if (upstream == null) {
             return;
         }
+        noteSlowdown(upstream.spec().service(), report, actions);
         upstream.callEnded(report.load(), outcome.isUpstreamFault(), outcome.isRefusal(), now);
         ForwardCallState state = mCalls.get(event.number());
         if (state != null) {
@@ -200,6 +208,14 @@
         drainQueue(now, actions);
     }
 
+    private void noteSlowdown(
+            String service, AttemptReport report, ActionSink<ForwardAction> actions) {
+        boolean reported = report.load().exists(load -> load.slowdown().isDefined());
+        if (reported && mSlowdownReported.add(service) && mQueueing == Queueing.AUTO) {
+            actions.emit(new ForwardAction.QueueFairly(service));
+        }
+    }
+
     private void afterAttempt(
             ForwardCallState state,
             int attempt,
--- a/decisions/src/main/java/org/fuchsialever/decisions/manifest/Manifest.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/manifest/Manifest.java
@@ -13,6 +13,7 @@
     private final Map<String, List<ForwardRoute>> mRoutesByHost = new HashMap<>();
     private final Map<String, ServiceSpec> mServices = new HashMap<>();
     private final Map<String, String> mTeamsByKey = new HashMap<>();
+    private final Map<String, Integer> mTeamPriorities = new HashMap<>();
     private final RequestLimits mLimits;
     private final boolean mKeysRequired;
 
@@ -43,6 +44,9 @@
         mRoutesByHost.values().forEach(list -> list.sort(longestFirst));
         services.forEach(service -> mServices.put(service.name(), service));
         teams.forEach(team -> team.keys().forEach(key -> mTeamsByKey.put(key, team.team())));
+        teams.stream()
+                .filter(team -> team.priority() >= 0)
+                .forEach(team -> mTeamPriorities.put(team.team(), team.priority()));
     }
 
     /** Returns the version. */
@@ -75,6 +79,11 @@
         return Option.of(mTeamsByKey.get(key));
     }
 
+    /** Returns the rank of a team's calls on a route, 0 is the most urgent. */
+    public int rank(ForwardRoute route, String team) {
+        return mTeamPriorities.getOrDefault(team, route.priority());
+    }
+
     /** Returns a service by its name. */
     public Option<ServiceSpec> service(String name) {
         return Option.of(mServices.get(name));
--- a/decisions/src/test/java/org/fuchsialever/decisions/forward/ForwardDutyFixture.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/forward/ForwardDutyFixture.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.manifest.ServiceShare;
+import org.fuchsialever.decisions.queue.Queueing;
 import org.fuchsialever.kernel.duty.Duty;
 
 /** A forward duty with the calls and upstreams that its tests use, and the actions it emitted. */
@@ -14,9 +15,14 @@
     static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
     static final long LEAVING_NANOS = 2_000 * MILLI;
 
-    final ForwardDuty mDuty = new ForwardDuty(new SplittableRandom(1), LEAVING_NANOS);
+    final ForwardDuty mDuty = new ForwardDuty(new SplittableRandom(1), LEAVING_NANOS, queueing());
     final List<ForwardAction> mActions = new ArrayList<>();
 
+    /** The setting that the duty is created with. */
+    Queueing queueing() {
+        return Queueing.AUTO;
+    }
+
     void progress(long number, int attempt, long millisPerEvent, long nowMillis) {
         mDuty.onEvent(
                 new ForwardEvent.Progressed(number, attempt, millisPerEvent * MILLI),
--- a/decisions/src/test/java/org/fuchsialever/decisions/manifest/ManifestTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/manifest/ManifestTest.java
@@ -12,7 +12,9 @@
                     3,
                     List.of(route("short", "/a/"), route("long", "/a/b/")),
                     List.of(),
-                    List.of(new TeamKeys("team", List.of("k1", "k2"), 0)),
+                    List.of(
+                            new TeamKeys("team", List.of("k1", "k2"), 3),
+                            new TeamKeys("plain", List.of("k4"), -1)),
                     new RequestLimits(1, 1, 1, 1));
 
     @Test
@@ -33,6 +35,14 @@
         assertThat(mManifest.teamOf("k3").isEmpty(), is(true));
     }
 
+    @Test
+    void ranksCallsByThePriorityOfTheTeamBeforeThatOfTheRoute() {
+        ForwardRoute route = mManifest.route("h", "/a/b/c").get();
+        assertThat(mManifest.rank(route, "team"), is(3));
+        assertThat(mManifest.rank(route, "plain"), is(route.priority()));
+        assertThat(mManifest.rank(route, ""), is(route.priority()));
+    }
+
     private static ForwardRoute route(String name, String prefix) {
         return new ForwardRoute(
                 name,
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
@@ -212,6 +212,7 @@
                 giveUp <= 0
                         ? Duty.NO_TIMER
                         : mTime.nanoTime() + TimeUnit.MILLISECONDS.toNanos(giveUp - age);
+        StepPool pool = StepPool.of(mDirectory, mForward, route, spec);
         mTrace.line(PART, "opened")
                 .with("id", state.id())
                 .with("model", spec.model())
@@ -222,6 +223,7 @@
                 .with("texts", texts.size())
                 .with("ageMillis", age)
                 .with("epoch", state.epoch())
+                .with("order", pool.order().name())
                 .write();
         mInbox.offer(
                 new BatchEvent.Opened(
@@ -233,7 +235,10 @@
                                 state.submittedMillis() + due,
                                 giveUpNanos,
                                 route.exists(ForwardRoute::singleVersion),
-                                texts)));
+                                texts,
+                                pool.order(),
+                                pool.slots(),
+                                mTime.nanoTime() + TimeUnit.MILLISECONDS.toNanos(due - age))));
     }
 
     /** Has the duty watch whether the instance that a submission was assigned to starts it. */
@@ -324,7 +329,10 @@
                         spec.model(),
                         spec.minVersion(),
                         item.group(),
-                        new CallTraits(state.team(), route.get().priority(), item.expectedTokens()),
+                        new CallTraits(
+                                state.team(),
+                                mDirectory.rank(route.get(), state.team()),
+                                item.expectedTokens()),
                         generate.queueRank(),
                         generate.expectedLong(),
                         mTime.nanoTime(),
@@ -376,7 +384,7 @@
                         "",
                         0,
                         "",
-                        new CallTraits("", route.get().priority(), 0),
+                        new CallTraits(score.team(), mDirectory.rank(route.get(), score.team()), 0),
                         score.queueRank(),
                         false,
                         mTime.nanoTime(),
--- a/node/src/main/java/org/fuchsialever/node/directory/Directory.java
+++ b/node/src/main/java/org/fuchsialever/node/directory/Directory.java
@@ -13,6 +13,7 @@
 import org.fuchsialever.decisions.batch.Peer;
 import org.fuchsialever.decisions.directory.DirectoryTable;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
+import org.fuchsialever.decisions.manifest.ForwardRoute;
 import org.fuchsialever.decisions.manifest.Manifest;
 import org.fuchsialever.kernel.time.TimeSource;
 
@@ -53,6 +54,11 @@
         return mManifest;
     }
 
+    /** Returns the rank of a team's calls on a route, 0 is the most urgent. */
+    public int rank(ForwardRoute route, String team) {
+        return manifest().map(known -> known.rank(route, team)).getOrElse(route::priority);
+    }
+
     /** Returns the upstreams. */
     public List<FleetUpstream> upstreams() {
         return mUpstreamList;
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryHandler.java
@@ -33,6 +33,11 @@
     /** The store responds to the first read within this time unless it is unreachable. */
     private static final long NO_MANIFEST_RETRY_MILLIS = 300;
 
+    /**
+     * A call waits a quarter of its target latency for a slot; its caller can then go elsewhere.
+     */
+    private static final long MAX_WAIT_FRACTION = 4;
+
     private final Directory mDirectory;
     private final ForwardPort mForward;
     private final BatchService mBatches;
@@ -177,7 +182,7 @@
                                         return forwardCall(
                                                 assigned,
                                                 route,
-                                                accepted.team(),
+                                                liveTraits(accepted, route),
                                                 now,
                                                 timeoutMillis);
                                     },
@@ -186,8 +191,17 @@
                 });
     }
 
+    private static CallTraits liveTraits(AcceptedRequest accepted, ForwardRoute route) {
+        long maxWaitMillis = route.targetLatencyMillis() / MAX_WAIT_FRACTION;
+        return new CallTraits(
+                accepted.team(),
+                accepted.manifest().rank(route, accepted.team()),
+                0,
+                TimeUnit.MILLISECONDS.toNanos(maxWaitMillis));
+    }
+
     private static ForwardCall forwardCall(
-            long number, ForwardRoute route, String team, long now, long timeoutMillis) {
+            long number, ForwardRoute route, CallTraits traits, long now, long timeoutMillis) {
         long hedgeAfter =
                 route.kind().isStreamed()
                         ? Duty.NO_TIMER
@@ -202,7 +216,7 @@
                 "",
                 0,
                 "",
-                new CallTraits(team, route.priority(), 0),
+                traits,
                 route.priority(),
                 false,
                 now,
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardComponent.java
@@ -6,6 +6,7 @@
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.forward.ForwardDuty;
 import org.fuchsialever.decisions.forward.ForwardEvent;
+import org.fuchsialever.decisions.queue.Queueing;
 import org.fuchsialever.kernel.duty.Inbox;
 import org.fuchsialever.kernel.duty.OverflowPolicy;
 import org.fuchsialever.kernel.plugin.Component;
@@ -31,10 +32,12 @@
 
     private long mMaxResponseBytes = defaultMaxResponseBytes();
     private Duration mLeavingPeriod = DEFAULT_LEAVING_PERIOD;
+    private Queueing mQueueing = Queueing.AUTO;
 
     @Override
     public void configure(SettingsReader settings) {
         mLeavingPeriod = settings.duration("forward", "leaving-period", DEFAULT_LEAVING_PERIOD);
+        mQueueing = settings.choice("forward", "queueing", Queueing.class, Queueing.AUTO);
         mMaxResponseBytes = settings.size("forward", "response-memory", defaultMaxResponseBytes());
     }
 
@@ -62,7 +65,8 @@
         ForwardRunner[] created = new ForwardRunner[1];
         Inbox<ForwardEvent> inbox =
                 context.startDutyWith(
-                        new ForwardDuty(context.random("forward"), mLeavingPeriod.toNanos()),
+                        new ForwardDuty(
+                                context.random("forward"), mLeavingPeriod.toNanos(), mQueueing),
                         RING_CAPACITY,
                         OverflowPolicy.REFUSE,
                         ring -> {
@@ -73,7 +77,8 @@
                                             context.time(),
                                             context.require(TraceLog.class),
                                             context.meters(),
-                                            new ResponseMemory(mMaxResponseBytes));
+                                            new ResponseMemory(mMaxResponseBytes),
+                                            mQueueing);
                             return created[0];
                         });
         ForwardRunner runner = created[0];
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardPort.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardPort.java
@@ -22,6 +22,9 @@
      */
     boolean cancel(long number);
 
+    /** Returns whether the calls of a service are queued fairly, not by due time alone. */
+    boolean isQueuedFairly(String service);
+
     /** Returns the number of calls that are in progress. */
     int inProgress();
 }
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
@@ -19,6 +19,7 @@
 import org.fuchsialever.decisions.forward.ForwardCallKind;
 import org.fuchsialever.decisions.forward.ForwardEvent;
 import org.fuchsialever.decisions.forward.ForwardRefusal;
+import org.fuchsialever.decisions.queue.Queueing;
 import org.fuchsialever.kernel.duty.ActionSink;
 import org.fuchsialever.kernel.duty.Duty;
 import org.fuchsialever.kernel.duty.Inbox;
@@ -53,9 +54,11 @@
     private final TraceLog mTrace;
     private final MeterRegistry mMeters;
     private final ResponseMemory mMemory;
+    private final Queueing mQueueing;
     private final AtomicLong mLastNumber = new AtomicLong();
     private final Map<Long, AcceptedCall> mAccepted = new ConcurrentHashMap<>();
     private final Set<Long> mBeingSubmitted = ConcurrentHashMap.newKeySet();
+    private final Set<String> mFairServices = ConcurrentHashMap.newKeySet();
     private final Map<ForwardCallKind, AtomicInteger> mInProgress =
             new EnumMap<>(ForwardCallKind.class);
     private final Map<AttemptKey, Exchange> mExchanges = new ConcurrentHashMap<>();
@@ -68,8 +71,10 @@
             TimeSource time,
             TraceLog trace,
             MeterRegistry meters,
-            ResponseMemory memory) {
+            ResponseMemory memory,
+            Queueing queueing) {
         mClient = client;
+        mQueueing = queueing;
         mInbox = inbox;
         mTime = time;
         mTrace = trace;
@@ -143,6 +148,11 @@
         return true;
     }
 
+    @Override
+    public boolean isQueuedFairly(String service) {
+        return mQueueing.isFair(mFairServices.contains(service));
+    }
+
     @Override
     public int inProgress() {
         return mAccepted.size();
@@ -167,6 +177,9 @@
                     .with("upstream", leaving.upstream().id())
                     .with("service", leaving.upstream().service())
                     .write();
+        } else if (action instanceof ForwardAction.QueueFairly fair) {
+            mFairServices.add(fair.service());
+            mTrace.line(PART, "queueing-fairly").with("service", fair.service()).write();
         } else if (action instanceof ForwardAction.Refuse refuse) {
             ForwardCallHandler handler = remove(refuse.number());
             if (handler != null) {
--- a/node/src/test/java/org/fuchsialever/node/forward/ForwardRunnerTest.java
+++ b/node/src/test/java/org/fuchsialever/node/forward/ForwardRunnerTest.java
@@ -18,6 +18,7 @@
 import org.fuchsialever.decisions.forward.ForwardEvent;
 import org.fuchsialever.decisions.forward.ForwardRefusal;
 import org.fuchsialever.decisions.manifest.ServiceShare;
+import org.fuchsialever.decisions.queue.Queueing;
 import org.fuchsialever.kernel.duty.Duty;
 import org.fuchsialever.kernel.duty.Inbox;
 import org.fuchsialever.kernel.duty.OverflowPolicy;
@@ -78,7 +79,8 @@
                             new ManualTimeSource(0),
                             trace,
                             meters,
-                            new ResponseMemory(1)));
+                            new ResponseMemory(1),
+                            Queueing.AUTO));
         } finally {
             loops.dispose();
         }
