--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
@@ -12,9 +12,11 @@
 import org.fuchsialever.decisions.fleet.ChosenUpstream;
 import org.fuchsialever.decisions.fleet.Fleet;
 import org.fuchsialever.decisions.fleet.LoadHint;
+import org.fuchsialever.decisions.fleet.ServiceProfile;
 import org.fuchsialever.decisions.fleet.UpstreamBalancing;
 import org.fuchsialever.decisions.fleet.UpstreamState;
 import org.fuchsialever.decisions.manifest.ServiceShare;
+import org.fuchsialever.decisions.queue.Queueing;
 import org.fuchsialever.kernel.duty.ActionSink;
 import org.fuchsialever.kernel.duty.Duty;
 
@@ -35,6 +37,7 @@
     private final Fleet mFleet;
     private final RandomGenerator mRandom;
     private final UpstreamChoice mChoice;
+    private final Queueing mQueueing;
     private final Map<Long, ForwardCallState> mCalls = new HashMap<>();
     private final Map<AttemptKey, RunningAttempt> mAttempts = new HashMap<>();
     private final PriorityQueue<Timer> mTimers =
@@ -45,11 +48,17 @@
      * Creates a duty without upstreams; they arrive with the first change of the fleet.
      *
      * @param balancing what the calls of a service go by
+     * @param queueing by which rules calls wait and are refused
      * @param leavingNanos how long after it has announced that it is leaving an upstream may get
      *     calls that no other upstream can run
      */
-    public ForwardDuty(RandomGenerator random, UpstreamBalancing balancing, long leavingNanos) {
+    public ForwardDuty(
+            RandomGenerator random,
+            UpstreamBalancing balancing,
+            Queueing queueing,
+            long leavingNanos) {
         mRandom = random;
+        mQueueing = queueing;
         mFleet = new Fleet(random);
         mChoice = new UpstreamChoice(mFleet, balancing, leavingNanos, ChoiceSurcharge.NONE);
     }
@@ -212,7 +221,7 @@
             return;
         }
         UpstreamState upstream = ended.upstream();
-        noteLoad(ended, report.load(), now);
+        noteLoad(ended, report.load(), now, actions);
         upstream.callEnded(report.load(), outcome.isUpstreamFault(), outcome.isRefusal(), now);
         ForwardCallState state = mCalls.get(event.number());
         if (state != null) {
@@ -228,10 +237,20 @@
         drainQueue(now, actions);
     }
 
-    private void noteLoad(RunningAttempt attempt, Option<LoadHint> load, long now) {
+    private void noteLoad(
+            RunningAttempt attempt,
+            Option<LoadHint> load,
+            long now,
+            ActionSink<ForwardAction> actions) {
         attempt.observeLoad(load, now);
-        if (load.exists(hint -> hint.slowdown().isDefined())) {
-            mFleet.profile(attempt.upstream().spec().service()).noteSlowdownReported();
+        String service = attempt.upstream().spec().service();
+        ServiceProfile profile = mFleet.profile(service);
+        boolean reported = load.exists(hint -> hint.slowdown().isDefined());
+        if (reported && !profile.reportsSlowdown()) {
+            profile.noteSlowdownReported();
+            if (mQueueing == Queueing.AUTO) {
+                actions.emit(new ForwardAction.QueueFairly(service));
+            }
         }
     }
 
--- a/decisions/src/test/java/org/fuchsialever/decisions/forward/ForwardDutyFixture.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/forward/ForwardDutyFixture.java
@@ -8,6 +8,7 @@
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.fleet.UpstreamBalancing;
 import org.fuchsialever.decisions.manifest.ServiceShare;
+import org.fuchsialever.decisions.queue.Queueing;
 import org.fuchsialever.kernel.duty.Duty;
 
 /** A forward duty with the calls and upstreams that its tests use, and the actions it emitted. */
@@ -16,9 +17,15 @@
     static final long LEAVING_NANOS = 2_000 * MILLI;
 
     final ForwardDuty mDuty =
-            new ForwardDuty(new SplittableRandom(1), UpstreamBalancing.AUTO, LEAVING_NANOS);
+            new ForwardDuty(
+                    new SplittableRandom(1), UpstreamBalancing.AUTO, queueing(), LEAVING_NANOS);
     final List<ForwardAction> mActions = new ArrayList<>();
 
+    /** The setting that the duty is created with. */
+    Queueing queueing() {
+        return Queueing.AUTO;
+    }
+
     void progress(long number, int attempt, long millisPerEvent, long nowMillis) {
         mDuty.onEvent(
                 new ForwardEvent.Progressed(number, attempt, millisPerEvent * MILLI),
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardComponent.java
@@ -7,6 +7,7 @@
 import org.fuchsialever.decisions.fleet.UpstreamBalancing;
 import org.fuchsialever.decisions.forward.ForwardDuty;
 import org.fuchsialever.decisions.forward.ForwardEvent;
+import org.fuchsialever.decisions.queue.Queueing;
 import org.fuchsialever.kernel.duty.Inbox;
 import org.fuchsialever.kernel.duty.OverflowPolicy;
 import org.fuchsialever.kernel.plugin.Component;
@@ -33,6 +34,7 @@
     private long mMaxResponseBytes = defaultMaxResponseBytes();
     private Duration mLeavingPeriod = DEFAULT_LEAVING_PERIOD;
     private UpstreamBalancing mBalancing = UpstreamBalancing.AUTO;
+    private Queueing mQueueing = Queueing.AUTO;
 
     @Override
     public void configure(SettingsReader settings) {
@@ -40,6 +42,7 @@
         mBalancing =
                 settings.choice(
                         "forward", "balancing", UpstreamBalancing.class, UpstreamBalancing.AUTO);
+        mQueueing = settings.choice("forward", "queueing", Queueing.class, Queueing.AUTO);
         mMaxResponseBytes = settings.size("forward", "response-memory", defaultMaxResponseBytes());
     }
 
@@ -68,7 +71,10 @@
         Inbox<ForwardEvent> inbox =
                 context.startDutyWith(
                         new ForwardDuty(
-                                context.random("forward"), mBalancing, mLeavingPeriod.toNanos()),
+                                context.random("forward"),
+                                mBalancing,
+                                mQueueing,
+                                mLeavingPeriod.toNanos()),
                         RING_CAPACITY,
                         OverflowPolicy.REFUSE,
                         ring -> {
@@ -79,7 +85,8 @@
                                             context.time(),
                                             context.require(TraceLog.class),
                                             context.meters(),
-                                            new ResponseMemory(mMaxResponseBytes));
+                                            new ResponseMemory(mMaxResponseBytes),
+                                            mQueueing);
                             return created[0];
                         });
         ForwardRunner runner = created[0];
