Bound what clients outside the operator's control hold

Cause: the server parsed the fields of a head as they arrived and kept them without a common bound. A field of four bytes takes some 250 bytes of heap, so a few hundred legal heads ended the process. Connections had no bound either; without a descriptor left, a duty ended and the process with it.

Change: a codec of its own holds a head unparsed until it is whole, admits it with its cost in the heap, refuses it with 503 without room, and decodes the next request of a connection once the response before was taken. Trailers are dropped. Heads have a time limit, empty lines a number. Connections are bounded by the descriptors; the one that has held room longest goes first, and one whose request is in progress never goes.

--- a/decisions/src/main/java/org/fuchsialever/decisions/memory/MemoryBudget.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/memory/MemoryBudget.java
@@ -127,6 +127,11 @@
         return mUsed.getOrDefault(share, 0L);
     }
 
+    /** Returns whether more than half of a share is taken. */
+    public boolean isTight(MemoryShare share) {
+        return usedBytes(share) > share.limitBytes(mBudgetBytes) / 2;
+    }
+
     /** Returns the number of bodies that wait. */
     public int waitingCount() {
         return mWaiting.size();
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryComponent.java
@@ -48,6 +48,7 @@
     private int mReadinessPort;
     private int mMetricsPort;
     private long mMemoryPercent = DEFAULT_MEMORY_PERCENT;
+    private CallerSettings mCallers = CallerSettings.DEFAULTS;
     private StopTimes mStopTimes = new StopTimes(DEFAULT_LINGER, DEFAULT_GRACE);
 
     @Override
@@ -80,6 +81,7 @@
         mReadinessPort = port(settings, "readiness-listen");
         mMetricsPort = (int) settings.integer(SECTION, "metrics-port", 0, 0, MAX_PORT);
         mMemoryPercent = settings.integer(SECTION, "memory-percent", DEFAULT_MEMORY_PERCENT, 1, 80);
+        mCallers = CallerSettings.read(settings, SECTION);
         mStopTimes =
                 new StopTimes(
                         settings.duration(SECTION, "linger", DEFAULT_LINGER),
@@ -130,19 +132,27 @@
                         timers,
                         context.meters());
         BodyReader bodies = new BodyReader(timers);
+        CallerGuard guard =
+                mCallers.guard(
+                        directory::manifest,
+                        memory::responsesAreTight,
+                        context.time(),
+                        timers,
+                        trace,
+                        context.meters());
         EntryServer readiness =
                 open(
                         context,
-                        loops,
                         handler,
                         refusals,
                         drain,
                         directory,
                         memory,
                         bodies,
+                        guard,
                         mReadinessPort);
         EntryServer entry =
-                open(context, loops, handler, refusals, drain, directory, memory, bodies, mPort);
+                open(context, handler, refusals, drain, directory, memory, bodies, guard, mPort);
         trace.line("entry", "listening")
                 .with("address", mHost)
                 .with("port", entry.port())
@@ -162,19 +172,19 @@
 
     private EntryServer open(
             ComponentContext context,
-            LoopResources loops,
             EntryHandler handler,
             Refusals refusals,
             DrainSignal drain,
             Directory directory,
             InstanceMemory memory,
             BodyReader bodies,
+            CallerGuard guard,
             int openedPort) {
         EntryServer server =
                 new EntryServer(
                         mHost,
                         openedPort,
-                        loops,
+                        context.require(LoopResources.class),
                         handler,
                         context.require(HostedServices.class).entry(),
                         refusals,
@@ -184,7 +194,8 @@
                                         && context.longestSilenceNanos() < MAX_SILENCE_NANOS,
                         drain,
                         memory,
-                        bodies);
+                        bodies,
+                        guard);
         context.closer().register("entry on port " + server.port(), server);
         return server;
     }
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
@@ -24,9 +24,6 @@
 
 /** HTTP server on one port, for callers or for readiness checks. */
 final class EntryServer implements AutoCloseable {
-    /** Above any limit that a manifest sets; its limit for bodies is checked separately. */
-    private static final int MAX_HEADER_BYTES = 64 * 1_024;
-
     private static final int MIN_RECEIVE_BYTES = 2_048;
 
     /** A connection whose body waits for room holds one such part of it, outside the heap. */
@@ -46,6 +43,7 @@
     private final DrainSignal mDrain;
     private final InstanceMemory mMemory;
     private final BodyReader mBodies;
+    private final CallerGuard mGuard;
     private final DisposableServer mServer;
     private final Set<OpenRequest> mInProgress = ConcurrentHashMap.newKeySet();
     private final EntryConnections mConnections = new EntryConnections();
@@ -67,7 +65,8 @@
             BooleanSupplier ready,
             DrainSignal drain,
             InstanceMemory memory,
-            BodyReader bodies) {
+            BodyReader bodies,
+            CallerGuard guard) {
         mHandler = handler;
         mProtocol = protocol;
         mRefusals = refusals;
@@ -75,6 +74,7 @@
         mDrain = drain;
         mMemory = memory;
         mBodies = bodies;
+        mGuard = guard;
         mServer =
                 HttpServer.create()
                         .host(host)
@@ -85,8 +85,7 @@
                                 ChannelOption.RECVBUF_ALLOCATOR,
                                 new AdaptiveRecvByteBufAllocator(
                                         MIN_RECEIVE_BYTES, MIN_RECEIVE_BYTES, MAX_RECEIVE_BYTES))
-                        .httpRequestDecoder(spec -> spec.maxHeaderSize(MAX_HEADER_BYTES))
-                        .doOnChannelInit((observer, channel, address) -> mConnections.add(channel))
+                        .doOnChannelInit((observer, channel, address) -> opened(channel))
                         .handle(this::handle)
                         .bindNow();
     }
@@ -125,6 +124,11 @@
         mServer.disposeNow(CLOSE_TIMEOUT);
     }
 
+    private void opened(Channel channel) {
+        mConnections.add(channel);
+        EntryCodec.install(channel, mGuard.open(channel));
+    }
+
     private Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
         String method = request.method().name();
         EntryRequest head = mProtocol.readRequest(method, request.uri(), request.requestHeaders());
@@ -141,7 +145,11 @@
         mConnections.begin(channel);
         InstanceMemory.Lease lease = mMemory.open();
         AtomicBoolean unread = new AtomicBoolean();
-        return open.orEnd(respond(open, head, method, request, lease, unread))
+        Mono<EntryResponse> respond =
+                EntryCodec.isRefused(channel)
+                        ? refuse(head, unread)
+                        : respond(open, head, method, request, lease, unread);
+        return open.orEnd(respond)
                 .flatMap(entryResponse -> write(response, entryResponse, lease))
                 .doFinally(
                         signal -> {
@@ -158,6 +166,12 @@
         return found[0];
     }
 
+    /** Refuses a request whose head has no room. */
+    private Mono<EntryResponse> refuse(EntryRequest head, AtomicBoolean unread) {
+        unread.set(true);
+        return Mono.just(mRefusals.noMemory(head.requestId()));
+    }
+
     private Mono<EntryResponse> respond(
             OpenRequest open,
             EntryRequest head,
--- a/node/src/main/java/org/fuchsialever/node/entry/InstanceMemory.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/InstanceMemory.java
@@ -56,6 +56,11 @@
         return new Lease();
     }
 
+    /** Returns whether room for responses is short. */
+    synchronized boolean responsesAreTight() {
+        return mBudget.isTight(MemoryShare.RESPONSE);
+    }
+
     private synchronized double usedBytes(MemoryShare share) {
         return mBudget.usedBytes(share);
     }
--- a/node/src/main/java/org/fuchsialever/node/entry/Refusals.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/Refusals.java
@@ -10,6 +10,7 @@
 
 /** Creates refusals; each is counted and logged. */
 final class Refusals {
+    private static final String NO_MEMORY = "no-memory";
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
     /** Callers usually read a response within this time. */
@@ -64,6 +65,11 @@
         return refusal(requestId, EntryRefusal.ANSWER_LOST, "upstream-status", 0);
     }
 
+    /** Returns the refusal of a request that has no room and was not passed on. */
+    EntryResponse noMemory(String requestId) {
+        return refusal(requestId, EntryRefusal.NOT_RUN, NO_MEMORY, RESPONSE_RETRY_MILLIS);
+    }
+
     /** Returns the refusal of a request whose body was not accepted. */
     EntryResponse refusal(EntryRequest head, BodyReader.BodyRefusedException refused) {
         return refusal(
@@ -84,10 +90,7 @@
         }
         // The transport copies the body once more.
         long bytes = 2L * complete.body().length;
-        return memory.tryTake(MemoryShare.RESPONSE, bytes)
-                ? response
-                : refusal(
-                        head.requestId(), EntryRefusal.NOT_RUN, "no-memory", RESPONSE_RETRY_MILLIS);
+        return memory.tryTake(MemoryShare.RESPONSE, bytes) ? response : noMemory(head.requestId());
     }
 
     /** Logs that a response was given up because there was no room for the rest of it. */
--- a/node/src/test/java/org/fuchsialever/node/dispatch/ManualScheduler.java
+++ b/node/src/test/java/org/fuchsialever/node/dispatch/ManualScheduler.java
@@ -11,15 +11,17 @@
 import reactor.core.scheduler.Scheduler;
 
 /** Runs delayed tasks when a manual clock reaches their time. */
-final class ManualScheduler implements Scheduler {
+public final class ManualScheduler implements Scheduler {
     private final ManualTimeSource mTime;
     private final List<Task> mTasks = new ArrayList<>();
 
-    ManualScheduler(ManualTimeSource time) {
+    /** Creates a scheduler without tasks. */
+    public ManualScheduler(ManualTimeSource time) {
         mTime = time;
     }
 
-    void advance(Duration delta) {
+    /** Advances the clock; runs each task at its time. */
+    public void advance(Duration delta) {
         long end = mTime.nanoTime() + delta.toNanos();
         Task next = nextUntil(end);
         while (next != null) {
--- a/soak/src/test/java/org/fuchsialever/soak/DeployedInstance.java
+++ b/soak/src/test/java/org/fuchsialever/soak/DeployedInstance.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Stream;
 import org.fuchsialever.kernel.lifecycle.Closer;
 import org.fuchsialever.node.NodeMain;
 import org.fuchsialever.platform.FreePorts;
@@ -32,6 +33,9 @@
     /** Path of calls whose response is a stream of large events. */
     static final String LARGE_EVENTS = "/stream/large";
 
+    /** Path of calls whose response is a few segments long. */
+    static final String MEDIUM_RESPONSES = "/safe/medium";
+
     static final String KEY = "key-1";
 
     /** The limit of the users' manifests. */
@@ -42,6 +46,12 @@
 
     private static final Path DEPLOY_FILE = Path.of("..", "deploy", "system.toml");
     private static final int LARGE_RESPONSE_BYTES = 3 * 1_024 * 1_024;
+    private static final int MEDIUM_RESPONSE_BYTES = 20_000;
+    private static final int SMALL_RESPONSE_BYTES = 10;
+
+    /** Above the limit of the manifest, because proxies add fields. */
+    private static final int UPSTREAM_MAX_HEADER_BYTES = 64 * 1_024;
+
     private static final int LARGE_EVENT_BYTES = 100_000;
     private static final int LARGE_EVENTS_COUNT = 200;
     private static final String UPSTREAM_ROW =
@@ -55,6 +65,17 @@
     private final Process mProcess;
 
     DeployedInstance(Path directory) throws IOException {
+        this(directory, List.of(), List.of());
+    }
+
+    /**
+     * Starts an instance with less than the deploy file allows.
+     *
+     * @param launcher a command that gets the command of the instance as its arguments
+     * @param options options of the virtual machine, which replace those of the deploy file
+     */
+    DeployedInstance(Path directory, List<String> launcher, List<String> options)
+            throws IOException {
         mPort = FreePorts.next();
         mLog = directory.resolve("n1.log");
         StoreStandIn store = mCloser.register("store", new StoreStandIn());
@@ -65,15 +86,21 @@
                         .replace("\"maxBodyBytes\":100000", "\"maxBodyBytes\":" + MAX_BODY_BYTES)
                         .replace("\"timeoutMs\":3000", "\"timeoutMs\":" + TIMEOUT_MILLIS));
         DisposableServer upstream =
-                HttpServer.create().host("127.0.0.1").port(0).handle(this::respond).bindNow();
+                HttpServer.create()
+                        .host("127.0.0.1")
+                        .port(0)
+                        .httpRequestDecoder(spec -> spec.maxHeaderSize(UPSTREAM_MAX_HEADER_BYTES))
+                        .handle(this::respond)
+                        .bindNow();
         mCloser.register("upstream", () -> upstream.disposeNow(Duration.ofSeconds(1)));
         store.write("servers", "p1", String.format(UPSTREAM_ROW, "plain", upstream.port()));
         store.write("servers", "e1", String.format(UPSTREAM_ROW, "engines", upstream.port()));
         Path settings = directory.resolve("n1.ini");
         Files.writeString(settings, InstanceSettings.of("n1", store.address(), mPort));
-        List<String> command = new ArrayList<>();
+        List<String> command = new ArrayList<>(launcher);
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(memoryOptions());
+        command.addAll(options);
         command.addAll(
                 List.of(
                         "-cp",
@@ -90,7 +117,7 @@
     }
 
     /** Returns the options of the deploy file that bound memory. */
-    private static List<String> memoryOptions() throws IOException {
+    static List<String> memoryOptions() throws IOException {
         String run =
                 Files.readAllLines(DEPLOY_FILE).stream()
                         .filter(line -> line.startsWith("run = "))
@@ -110,6 +137,27 @@
         return mProcess.isAlive();
     }
 
+    /** Returns the largest resident memory that the process has had. */
+    long peakResidentBytes() throws IOException {
+        String line =
+                Files.readAllLines(processFile("status")).stream()
+                        .filter(one -> one.startsWith("VmHWM:"))
+                        .findFirst()
+                        .orElseThrow();
+        return Long.parseLong(line.replaceAll("[^0-9]", "")) * 1_024;
+    }
+
+    /** Returns the number of open descriptors of the process. */
+    long openDescriptors() throws IOException {
+        try (Stream<Path> files = Files.list(processFile("fd"))) {
+            return files.count();
+        }
+    }
+
+    private Path processFile(String name) {
+        return Path.of("/proc", Long.toString(mProcess.pid()), name);
+    }
+
     String log() throws IOException {
         return Files.readString(mLog);
     }
@@ -130,8 +178,7 @@
                     .sendByteArray(Flux.range(0, LARGE_EVENTS_COUNT).map(number -> event))
                     .then();
         }
-        byte[] body =
-                new byte[request.uri().startsWith(LARGE_RESPONSES) ? LARGE_RESPONSE_BYTES : 10];
+        byte[] body = new byte[responseBytes(request.uri())];
         return request.receive()
                 .reduce(0, (length, part) -> length + part.readableBytes())
                 .doOnNext(length -> mBodyBytes.put(id, length))
@@ -143,6 +190,13 @@
                                 .then());
     }
 
+    private static int responseBytes(String uri) {
+        if (uri.startsWith(LARGE_RESPONSES)) {
+            return LARGE_RESPONSE_BYTES;
+        }
+        return uri.startsWith(MEDIUM_RESPONSES) ? MEDIUM_RESPONSE_BYTES : SMALL_RESPONSE_BYTES;
+    }
+
     @Override
     public void close() {
         mProcess.destroyForcibly();
