--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
@@ -82,7 +82,13 @@
                     .forEach(up -> up.observeStreamPace(measured.nanosPerEvent(), nowNanos));
         } else if (event instanceof ForwardEvent.LoadReported reported) {
             attempt(reported.number(), reported.attempt())
-                    .forEach(attempt -> noteLoad(attempt, Option.some(reported.load()), nowNanos));
+                    .forEach(
+                            attempt ->
+                                    noteLoad(
+                                            attempt,
+                                            Option.some(reported.load()),
+                                            nowNanos,
+                                            actions));
         } else if (event instanceof ForwardEvent.Cancelled cancelled) {
             // A slot is free only when the end of the attempt is reported.
             cancelled(cancelled.number(), actions);
--- a/decisions/src/test/java/org/fuchsialever/decisions/batch/NeededItemsTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/batch/NeededItemsTest.java
@@ -134,7 +134,7 @@
     }
 
     private static BatchContent content() {
-        return new BatchContent("m", 1, 0);
+        return new BatchContent("m", 1, 0, 0);
     }
 
     private List<BatchAction.Generate> generations() {
