Check at an instance that reported slowdowns reach the choice

Four idle upstreams that report four figures all get live calls of one instance; the load policy keeps to the one that was used last. An upstream counts as measured only by the meter that its speed is taken from.

--- a/decisions/src/main/java/org/fuchsialever/decisions/fleet/ServiceProfile.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/fleet/ServiceProfile.java
@@ -89,8 +89,8 @@
 
     /** Returns whether the speed of an upstream was measured recently. */
     public boolean isMeasured(UpstreamState upstream, long now) {
-        return upstream.pace().confidence(now) > MIN_CONFIDENCE
-                || upstream.serviceTime().confidence(now) > MIN_CONFIDENCE;
+        SpeedMeter meter = mMedianPace > 0 ? upstream.pace() : upstream.serviceTime();
+        return meter.confidence(now) > MIN_CONFIDENCE;
     }
 
     private static double factor(SpeedMeter meter, double median, long now) {
--- a/node/src/test/java/org/fuchsialever/node/hosted/HostedCallsTest.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/HostedCallsTest.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 
+import java.util.stream.IntStream;
 import org.fuchsialever.platform.CallerStandIn.Response;
 import org.fuchsialever.platform.InstanceSettings;
 import org.fuchsialever.platform.ManifestText;
@@ -201,6 +202,29 @@
         }
     }
 
+    /** The load policy stays with the upstream that was used last while all are idle. */
+    @Test
+    void spreadsCallsOverIdleUpstreamsOnceTheyReportTheirSlowdown() {
+        try (HostedFixture fixture = HostedFixture.running()) {
+            for (int number = 2; number <= 4; number++) {
+                fixture.upstream("p" + number, "plain");
+            }
+            for (int number = 1; number <= 4; number++) {
+                fixture.upstream("p" + number).reportLoad("1,0,8,100");
+            }
+            fixture.eventually(
+                    () -> {
+                        fixture.call("n1", "GET", "/safe/x", "spread", KEY, "");
+                        return IntStream.rangeClosed(1, 4)
+                                .allMatch(
+                                        number ->
+                                                fixture.upstream("p" + number)
+                                                                .executionCount("spread")
+                                                        > 1);
+                    });
+        }
+    }
+
     /** Guards against refusals while the only upstream serves, and against calls after that. */
     @Test
     void refusesCallsOnlyOnceTheTimeOfTheLastLeavingUpstreamIsOver() {
