--- a/decisions/src/test/java/org/fuchsialever/decisions/forward/CompletionPlacementTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/forward/CompletionPlacementTest.java
@@ -8,8 +8,12 @@
 
 import io.vavr.control.Option;
 import java.util.List;
+import java.util.SplittableRandom;
 import org.fuchsialever.decisions.fleet.ChoiceBasis;
+import org.fuchsialever.decisions.fleet.ChoiceSurcharge;
+import org.fuchsialever.decisions.fleet.Fleet;
 import org.fuchsialever.decisions.fleet.LoadHint;
+import org.fuchsialever.decisions.fleet.UpstreamBalancing;
 import org.fuchsialever.decisions.manifest.ServiceShare;
 import org.fuchsialever.kernel.duty.Duty;
 import org.junit.jupiter.api.Test;
@@ -91,6 +95,29 @@
         assertThat(lastStart().upstream().id(), is(not(full)));
     }
 
+    @Test
+    void addsTheSurchargeOfAnUpstreamToItsExpectedTime() {
+        assertThat(chosenWithSurchargeOnA(UpstreamBalancing.COMPLETION), is("b"));
+    }
+
+    @Test
+    void leavesTheSurchargeOutWhileItGoesByLoad() {
+        assertThat(chosenWithSurchargeOnA(UpstreamBalancing.LOAD), is("a"));
+    }
+
+    /** Returns the choice between two upstreams of which the one used last has a surcharge. */
+    private static String chosenWithSurchargeOnA(UpstreamBalancing balancing) {
+        Fleet fleet = new Fleet(new SplittableRandom(1));
+        fleet.update(List.of(plain("a"), plain("b")));
+        fleet.byId("a").get().callStarted(0);
+        fleet.byId("a").get().callEnded(Option.none(), false, false, 0);
+        ChoiceSurcharge surcharge =
+                (upstream, now) -> upstream.spec().id().equals("a") ? 100 * MILLI : 0;
+        UpstreamChoice choice = new UpstreamChoice(fleet, balancing, LEAVING_NANOS, surcharge);
+        ForwardCallState state = new ForwardCallState(live(1, true, 1), "plain");
+        return choice.next(state, 0).get().upstream().spec().id();
+    }
+
     /** Starts three items, of which the last finds no free slot at the fast engine. */
     private void startOnSlowEngine(long tokens) {
         arrive(item(3, 10 * TOKENS));
