Compare speeds of engines across models, keep two engines for each

A model's engines may all be fast, and then its median made the others look slow. Engines that have served several models make the models comparable. A small model with one fast engine had no second one to keep the previous version. Failure domains are counted instead of searched for each comparison.

--- a/decisions/src/main/java/org/fuchsialever/decisions/version/EngineShares.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/version/EngineShares.java
@@ -139,7 +139,7 @@
                                                 -Math.round(
                                                         tally.capacityOf(engine) / CAPACITY_STEP))
                                 .thenComparingLong(engine -> tally.lag(engine, model))
-                                .thenComparingLong(engine -> tally.neighbours(engine, model))
+                                .thenComparingInt(engine -> tally.neighbours(engine, model))
                                 .thenComparing(FleetUpstream::id))
                 .orElseThrow();
     }
@@ -184,14 +184,15 @@
         String giver = "";
         String taker = "";
         for (String model : models) {
-            if (giver.isEmpty() || tally.surplus(model) > tally.surplus(giver)) {
+            boolean larger = giver.isEmpty() || tally.surplus(model) > tally.surplus(giver);
+            if (larger && tally.mayGive(model)) {
                 giver = model;
             }
             if (taker.isEmpty() || tally.surplus(model) < tally.surplus(taker)) {
                 taker = model;
             }
         }
-        if (giver.isEmpty() || tally.enginesOf(giver).size() < 2) {
+        if (giver.isEmpty()) {
             return Option.none();
         }
         double engines = tally.surplus(giver) - tally.surplus(taker);
@@ -210,7 +211,7 @@
                                 Comparator.<FleetUpstream>comparingLong(
                                                 engine -> unevenness(engine, giver, taker, tally))
                                         .thenComparingLong(engine -> tally.lag(engine, taker))
-                                        .thenComparingLong(
+                                        .thenComparingInt(
                                                 engine ->
                                                         tally.neighbours(engine, taker)
                                                                 - tally.neighbours(engine, giver))
--- a/decisions/src/main/java/org/fuchsialever/decisions/version/EngineSpeeds.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/version/EngineSpeeds.java
@@ -6,7 +6,7 @@
 
 /** Speeds of engines by the reports of all instances that use them. */
 final class EngineSpeeds {
-    /** Three times the interval of reports. */
+    /** Members that use engines report several times within this time. */
     private static final long LIFETIME_NANOS = TimeUnit.SECONDS.toNanos(25);
 
     private final Map<String, TimedReport> mReports = new HashMap<>();
--- a/decisions/src/main/java/org/fuchsialever/decisions/version/ShareTally.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/version/ShareTally.java
@@ -21,10 +21,12 @@
 
     private final ShareInputs mInputs;
     private final double mMeanSpeed;
+    private final int mMinimum;
     private final Map<String, Double> mTargets;
     private final Map<String, Long> mNewest = new HashMap<>();
     private final Map<String, List<FleetUpstream>> mEngines = new TreeMap<>();
     private final Map<String, Double> mCapacities = new HashMap<>();
+    private final Map<String, Map<String, Integer>> mDomainCounts = new HashMap<>();
 
     ShareTally(ShareInputs inputs) {
         mInputs = inputs;
@@ -33,10 +35,13 @@
                         .mapToDouble(engine -> inputs.speeds().getOrDefault(engine.id(), 1.0))
                         .average()
                         .orElse(1);
-        mTargets = targets(inputs);
+        mMinimum =
+                inputs.engines().size() >= FULL_MINIMUM * inputs.models().size() ? FULL_MINIMUM : 1;
+        mTargets = targets(inputs, mMinimum);
         for (String model : inputs.models()) {
             mEngines.put(model, new ArrayList<>());
             mCapacities.put(model, 0.0);
+            mDomainCounts.put(model, new HashMap<>());
             long newest = inputs.announced().getOrDefault(model, 0L);
             for (FleetUpstream engine : inputs.engines()) {
                 newest = Math.max(newest, engine.versionOf(model));
@@ -46,28 +51,24 @@
     }
 
     /** Shares out the engines in proportion to demand, with a minimum for each model. */
-    private static Map<String, Double> targets(ShareInputs inputs) {
-        int engines = inputs.engines().size();
-        int models = inputs.models().size();
-        double minimum = engines >= FULL_MINIMUM * models ? FULL_MINIMUM : 1;
+    private static Map<String, Double> targets(ShareInputs inputs, int minimum) {
         Map<String, Double> targets = new HashMap<>();
         Set<String> open = new HashSet<>(inputs.models());
-        double remaining = engines;
-        boolean settled = false;
-        while (!settled) {
+        double available = inputs.engines().size();
+        boolean changed = true;
+        while (changed) {
+            changed = false;
             double demand = open.stream().mapToDouble(model -> demandOf(inputs, model)).sum();
-            settled = true;
-            double each = remaining;
-            for (String model : Set.copyOf(open)) {
+            for (String model : open) {
                 double part = demand > 0 ? demandOf(inputs, model) / demand : 1.0 / open.size();
-                targets.put(model, each * part);
+                targets.put(model, available * part);
             }
-            for (String model : Set.copyOf(open)) {
-                if (targets.getOrDefault(model, 0.0) < minimum && open.size() > 1) {
-                    targets.put(model, minimum);
-                    open.remove(model);
-                    remaining -= minimum;
-                    settled = false;
+            for (String model : inputs.models()) {
+                boolean small = targets.getOrDefault(model, 0.0) < minimum;
+                if (small && open.size() > 1 && open.remove(model)) {
+                    targets.put(model, (double) minimum);
+                    available -= minimum;
+                    changed = true;
                 }
             }
         }
@@ -86,18 +87,20 @@
         return mEngines.getOrDefault(model, List.of());
     }
 
-    boolean knows(String model) {
-        return mEngines.containsKey(model);
-    }
-
     void place(FleetUpstream engine, String model) {
         mEngines.computeIfAbsent(model, name -> new ArrayList<>()).add(engine);
         mCapacities.merge(model, capacityOf(engine), Double::sum);
+        mDomainCounts
+                .computeIfAbsent(model, name -> new HashMap<>())
+                .merge(engine.failureDomain(), 1, Integer::sum);
     }
 
     void remove(FleetUpstream engine, String model) {
         if (mEngines.getOrDefault(model, List.of()).remove(engine)) {
             mCapacities.merge(model, -capacityOf(engine), Double::sum);
+            mDomainCounts
+                    .getOrDefault(model, new HashMap<>())
+                    .merge(engine.failureDomain(), -1, Integer::sum);
         }
     }
 
@@ -133,14 +136,18 @@
     }
 
     private double filled(String model) {
-        return mCapacities.getOrDefault(model, 0.0)
-                / Math.max(Double.MIN_NORMAL, mTargets.getOrDefault(model, 0.0));
+        double ofCapacity =
+                mCapacities.getOrDefault(model, 0.0) / mTargets.getOrDefault(model, 1.0);
+        return Math.min(ofCapacity, (double) enginesOf(model).size() / mMinimum);
+    }
+
+    /** Returns whether a model keeps its minimum if it gives an engine away. */
+    boolean mayGive(String model) {
+        return enginesOf(model).size() > mMinimum;
     }
 
     /** Returns how many engines of a model are in the failure domain of an engine. */
-    long neighbours(FleetUpstream engine, String model) {
-        return enginesOf(model).stream()
-                .filter(other -> other.failureDomain().equals(engine.failureDomain()))
-                .count();
+    int neighbours(FleetUpstream engine, String model) {
+        return mDomainCounts.getOrDefault(model, Map.of()).getOrDefault(engine.failureDomain(), 0);
     }
 }
--- a/decisions/src/test/java/org/fuchsialever/decisions/version/EnginePacesTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/version/EnginePacesTest.java
@@ -35,6 +35,23 @@
         assertThat(mPaces.speedPercents(SECOND), is(Map.of()));
     }
 
+    /** Guards against more engines for the model that already has the fast ones. */
+    @Test
+    void knowsThatAModelHasTheFastEnginesFromTheTimeWhenTheyServedBothModels() {
+        for (String engine : List.of("f1", "f2", "f3")) {
+            calls("m", engine, 500, 10, 0);
+            calls("n", engine, 1_500, 10, 0);
+        }
+        for (String engine : List.of("u1", "u2", "u3", "u4")) {
+            calls("m", engine, 1_000, 10, 0);
+            calls("n", engine, 3_000, 10, 60);
+        }
+        for (String engine : List.of("f1", "f2", "f3")) {
+            calls("m", engine, 500, 10, 60);
+        }
+        assertThat(mPaces.speedPercents(61 * SECOND), is(Map.of("f1", 200, "f2", 200, "f3", 200)));
+    }
+
     @Test
     void saysNothingOfAnEngineAfterFewCalls() {
         calls("m", "a", 1_000, 10, 0);
--- a/decisions/src/test/java/org/fuchsialever/decisions/version/EngineSharesTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/version/EngineSharesTest.java
@@ -193,6 +193,15 @@
         }
     }
 
+    @Test
+    void leavesTwoEnginesToASmallModelThatHasAFastOne() {
+        for (int i = 0; i < 31; i++) {
+            mSpeeds.put("e" + i, i < 4 ? 3.0 : 0.7);
+        }
+        step(Map.of("m1", 1.0, "m2", 1447.0, "m3", 1350.0, "m4", 812.0), 1);
+        assertThat(count("m1"), is(greaterThanOrEqualTo(2)));
+    }
+
     @Test
     void givesMoreEnginesToAModelWhoseEnginesHaveBecomeSlow() {
         announceSteps(5, DEMAND);
--- a/decisions/src/test/java/org/fuchsialever/decisions/version/VersionDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/version/VersionDutyTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
@@ -122,6 +123,21 @@
         assertThat(shares(), is(empty()));
     }
 
+    @Test
+    void keepsTheModelOfAnEngineThatBacksOffAmidALoad() {
+        event(new VersionEvent.SlowdownReported("s"));
+        unevenDemand();
+        int noted = shares().size();
+        event(new VersionEvent.VersionAnnounced("n", 3));
+        VersionAction.ReadReport read =
+                (VersionAction.ReadReport) mActions.get(mActions.size() - 1);
+        int before = mActions.size();
+        event(new VersionEvent.ReportFailed(read.upstream().id()));
+        advance(10 * SECOND);
+        assertThat(shares(), hasSize(noted));
+        assertThat(mActions.subList(before, mActions.size()), hasItem(read));
+    }
+
     @Test
     void forgetsTheSharesWithTheRole() {
         event(new VersionEvent.SlowdownReported("s"));
--- a/node/src/main/java/org/fuchsialever/node/version/EngineReportWatch.java
+++ b/node/src/main/java/org/fuchsialever/node/version/EngineReportWatch.java
@@ -15,7 +15,7 @@
 /** Passes on what members of the working set tell about engines with their heartbeats. */
 final class EngineReportWatch implements DirectoryListener {
     /** A report is in several heartbeats, so that readers do not miss it, and counts once. */
-    private static final long REPEAT_NANOS = TimeUnit.SECONDS.toNanos(5);
+    private static final long REPEAT_NANOS = TimeUnit.SECONDS.toNanos(3);
 
     private final TimeSource mTime;
     private final Consumer<String> mReportingServices;
--- a/node/src/main/java/org/fuchsialever/node/workingset/WorkingSetActions.java
+++ b/node/src/main/java/org/fuchsialever/node/workingset/WorkingSetActions.java
@@ -28,10 +28,10 @@
     private static final String PART = "working-set";
 
     /** What is told about engines is in some heartbeats only, to save bytes of the store. */
-    private static final int REPORT_INTERVAL_HEARTBEATS = 12;
+    private static final int REPORT_INTERVAL_HEARTBEATS = 6;
 
     /** Members read slots about once per heartbeat and may miss one. */
-    private static final int REPORT_HEARTBEATS = 3;
+    private static final int REPORT_HEARTBEATS = 2;
 
     private final HostedServices mServices;
     private final NodeIdentity mIdentity;
