Share a short pool between teams and ranks, and let live calls wait for a slot

Calls that wait for a slot went by due time alone, whoever asked for them; a live call was bound to a full upstream and shed by it; each refused caller was told to return after 100 ms.

In services that are queued fairly the rank decides, then the stage, then the due time, as long as the team is within its share of the pool; what is less urgent gets every eighth turn. A share is measured in steps, and a team whose open items are in part elsewhere, by the mirrored rows, counts in part. The groups of a step that would be late yield to later steps. A live call waits up to a quarter of its target latency if a slot is in sight by then. Retry-After gives each refused caller a place at the rate of the service, with jitter and within a third of the time that it has left.

FairQueueingTest: the same actions as by due time where upstreams report three figures.

--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchAction.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchAction.java
@@ -1,6 +1,7 @@
 package org.fuchsialever.decisions.batch;
 
 import java.util.List;
+import java.util.Map;
 
 /** Action that the batch duty emits. */
 public sealed interface BatchAction {
@@ -63,6 +64,19 @@
         }
     }
 
+    /**
+     * Sets the weights of teams whose open items are in part at other instances.
+     *
+     * @param weights weight by team; 1 for teams that are not in the map
+     */
+    record WeighTeams(Map<String, Double> weights) implements BatchAction {
+
+        /** Copies the map. */
+        public WeighTeams {
+            weights = Map.copyOf(weights);
+        }
+    }
+
     /** Cancels the generation or scoring of an item. */
     record Stop(String id, int item) implements BatchAction {}
 
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.fuchsialever.decisions.queue.OpenWork;
 import org.fuchsialever.decisions.queue.PoolProgress;
 import org.fuchsialever.decisions.queue.StepPressure;
 import org.fuchsialever.kernel.duty.ActionSink;
@@ -52,6 +53,7 @@
     private final Set<String> mClaiming = new HashSet<>();
     private final Set<String> mPlaced = new HashSet<>();
     private final PoolProgress mProgress = new PoolProgress();
+    private Map<String, Double> mTeamWeights = Map.of();
     private List<Peer> mPeers = List.of();
     private long mReachableSince = Long.MAX_VALUE;
     private int mOpenings;
@@ -124,6 +126,7 @@
             releaseAll(nowNanos, actions);
         }
         ItemWindow.startWaiting(mOwned.values(), actions);
+        reportTeamWeights(actions);
         mNextCheck = NO_TIMER;
         scheduleCheck(nowNanos);
     }
@@ -255,9 +258,20 @@
                 (double) open / opened.poolSlots(), mProgress.secondsToFinish(now), secondsLeft);
     }
 
+    private void reportTeamWeights(ActionSink<BatchAction> actions) {
+        boolean fair = mOwned.values().stream().anyMatch(OwnedBatch::isQueuedFairly);
+        Map<String, Double> weights = fair && mStoreReachable ? mProgress.teamWeights() : Map.of();
+        if (!weights.equals(mTeamWeights)) {
+            mTeamWeights = weights;
+            actions.emit(new BatchAction.WeighTeams(weights));
+        }
+    }
+
     private void observeProgress(BatchState state, long now) {
         int open = state.isOpen() ? state.itemCount() - state.resultCount() : 0;
-        mProgress.observe(state.id(), state.resultCount(), open, now);
+        boolean own = state.isOwnedBy(mInstance, mStartId);
+        mProgress.observe(
+                state.id(), new OpenWork(state.team(), own, state.resultCount(), open), now);
     }
 
     private void ownedEvent(BatchEvent event, long now, ActionSink<BatchAction> actions) {
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/OwnedBatch.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/OwnedBatch.java
@@ -147,6 +147,10 @@
         return !mWaiting.isEmpty();
     }
 
+    boolean isQueuedFairly() {
+        return mOrder == StepOrder.NEEDED_FIRST;
+    }
+
     /** Returns the number of items without a result. */
     int openItems() {
         return mUnfinished.size();
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/CallTraits.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/CallTraits.java
@@ -6,14 +6,16 @@
  * @param team the team that the call runs for, empty if it runs for none
  * @param rank rank of the call among the teams and routes of a service, 0 is the most urgent
  * @param expectedTokens estimate of the tokens that it generates, often far off; 0 if there is none
+ * @param cost what it takes of its team's share: its part of a step, 1 for a call on its own
  * @param maxWaitNanos how long a live call may wait here for a free slot, in nanoseconds
  */
-public record CallTraits(String team, int rank, long expectedTokens, long maxWaitNanos) {
+public record CallTraits(
+        String team, int rank, long expectedTokens, double cost, long maxWaitNanos) {
     /** Traits of a call of which nothing is known. */
     public static final CallTraits UNKNOWN = new CallTraits("", 0, 0);
 
-    /** Creates the traits of a call that does not wait for a slot unless its kind does. */
+    /** Creates the traits of a call on its own that waits for no slot unless its kind does. */
     public CallTraits(String team, int rank, long expectedTokens) {
-        this(team, rank, expectedTokens, 0);
+        this(team, rank, expectedTokens, 1, 0);
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardAction.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardAction.java
@@ -42,6 +42,9 @@
     /** The calls of a service are queued fairly from now on. */
     record QueueFairly(String service) implements ForwardAction {}
 
+    /** Reports how many calls wait for a slot of a service that is queued fairly. */
+    record QueueLength(String service, int waiting) implements ForwardAction {}
+
     /**
      * Ends a call without a response of an upstream.
      *
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallKind.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallKind.java
@@ -24,6 +24,11 @@
             return 3.0;
         }
 
+        @Override
+        int queueStage() {
+            return 0;
+        }
+
         @Override
         boolean waitsForSlot() {
             return false;
@@ -51,6 +56,11 @@
             return true;
         }
 
+        @Override
+        int queueStage() {
+            return 2;
+        }
+
         @Override
         boolean waitsForSlot() {
             return true;
@@ -63,6 +73,11 @@
             return 0.85;
         }
 
+        @Override
+        int queueStage() {
+            return 1;
+        }
+
         @Override
         boolean waitsForSlot() {
             return true;
@@ -116,4 +131,7 @@
 
     /** Returns whether a call is queued until an upstream has a free slot, not refused. */
     abstract boolean waitsForSlot();
+
+    /** Returns the place among waiting calls of equal rank; smaller values go first. */
+    abstract int queueStage();
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.fuchsialever.decisions.fleet.Fleet;
+import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.fleet.UpstreamState;
 import org.fuchsialever.decisions.manifest.ServiceShare;
 import org.fuchsialever.decisions.queue.Queueing;
@@ -28,6 +29,9 @@
     /** Delay before an item is retried after an upstream responded with a server error. */
     private static final long FAILURE_RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+    /** Interval at which the lengths of queues are reported. */
+    private static final long LENGTH_REPORT_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     /** Bounds how often a call moves, because each move reads the prompt again. */
     private static final int MAX_MOVES = 3;
 
@@ -41,6 +45,9 @@
     private final PriorityQueue<Timer> mTimers =
             new PriorityQueue<>(Comparator.comparingLong(Timer::at));
     private final CallQueue mQueue = new CallQueue();
+    private final LiveWait mLiveWait;
+    private final Map<String, Integer> mReportedLengths = new HashMap<>();
+    private long mNextLengthReport;
 
     /**
      * Creates a duty without upstreams; they arrive with the first change of the fleet.
@@ -54,6 +61,7 @@
         mQueueing = queueing;
         mFleet = new Fleet(random);
         mChoice = new UpstreamChoice(mFleet, leavingNanos);
+        mLiveWait = new LiveWait(mFleet, mQueue, random);
     }
 
     @Override
@@ -76,8 +84,11 @@
             if (mFleet.markLeaving(announced.upstream(), announced.sinceNanos())) {
                 actions.emit(new ForwardAction.NoteLeaving(announced.upstream()));
             }
+        } else if (event instanceof ForwardEvent.TeamsWeighed weighed) {
+            mQueue.setWeights(weighed.weights());
         } else if (event instanceof ForwardEvent.FleetChanged changed) {
             mFleet.update(changed.upstreams());
+            noteServices(changed.upstreams());
             drainQueue(nowNanos, actions);
         }
     }
@@ -110,6 +121,20 @@
         startOrQueue(state, ForwardAction.StartReason.FIRST, now, actions);
     }
 
+    private void noteServices(List<FleetUpstream> upstreams) {
+        Map<String, Integer> slots = new HashMap<>();
+        upstreams.stream()
+                .filter(FleetUpstream::serving)
+                .forEach(listed -> slots.merge(listed.service(), listed.slots(), Integer::sum));
+        slots.forEach(
+                (service, count) -> {
+                    if (mQueueing.isFair(mSlowdownReported.contains(service))) {
+                        mQueue.queueFairly(service);
+                    }
+                    mQueue.setSlots(service, count);
+                });
+    }
+
     private String pickService(List<ServiceShare> shares) {
         int total = shares.stream().mapToInt(ServiceShare::weight).sum();
         int point = total <= 1 ? 0 : mRandom.nextInt(total);
@@ -127,14 +152,43 @@
             ForwardAction.StartReason reason,
             long now,
             ActionSink<ForwardAction> actions) {
+        boolean mayQueue = !state.isRunning() && reason != ForwardAction.StartReason.HEDGE;
+        if (mayQueue && mQueue.isFair(state.service()) && joinsFairQueue(state, now)) {
+            mQueue.add(state, now);
+            mQueue.drainFair(state.service(), waiting -> startQueued(waiting, now, actions), now);
+        } else {
+            startNow(state, reason, now, actions);
+        }
+    }
+
+    private void startNow(
+            ForwardCallState state,
+            ForwardAction.StartReason reason,
+            long now,
+            ActionSink<ForwardAction> actions) {
         Option<UpstreamState> upstream = mChoice.next(state, now);
         if (upstream.isDefined()) {
             start(state, upstream.get(), reason, now, actions);
         } else if (state.call().kind().waitsForSlot()) {
             enqueue(state, now);
         } else if (!state.isRunning() && reason != ForwardAction.StartReason.HEDGE) {
-            refuseWithoutUpstream(state, actions);
+            refuseWithoutUpstream(state, now, actions);
+        }
+    }
+
+    /** Returns whether a call takes its turn among those that wait, instead of being sent. */
+    private boolean joinsFairQueue(ForwardCallState state, long now) {
+        ForwardCall call = state.call();
+        if (call.kind().waitsForSlot()) {
+            return true;
         }
+        boolean waits =
+                (mQueue.lengthAhead(state) > 0 || !mLiveWait.hasRoom(state, now))
+                        && mLiveWait.isWorthWaiting(state, now);
+        if (waits) {
+            mTimers.add(new Timer(mLiveWait.waitsUntil(call), call.number(), TimerKind.WAIT_OVER));
+        }
+        return waits;
     }
 
     /** Records the pace of the upstream and moves the call if another one is much faster. */
@@ -172,7 +226,9 @@
             long now,
             ActionSink<ForwardAction> actions) {
         ForwardCall call = state.call();
-        mQueue.remove(state);
+        if (!mQueue.remove(state)) {
+            mQueue.chargeDirectStart(state);
+        }
         int load = upstream.load(now);
         int attempt = state.start(upstream, now);
         upstream.callStarted(now);
@@ -194,6 +250,7 @@
             return;
         }
         noteSlowdown(upstream.spec().service(), report, actions);
+        mLiveWait.noteEnd(upstream.spec().service(), now);
         upstream.callEnded(report.load(), outcome.isUpstreamFault(), outcome.isRefusal(), now);
         ForwardCallState state = mCalls.get(event.number());
         if (state != null) {
@@ -212,6 +269,12 @@
             String service, AttemptReport report, ActionSink<ForwardAction> actions) {
         boolean reported = report.load().exists(load -> load.slowdown().isDefined());
         if (reported && mSlowdownReported.add(service) && mQueueing == Queueing.AUTO) {
+            mQueue.queueFairly(service);
+            mQueue.setSlots(
+                    service,
+                    mFleet.ofService(service).stream()
+                            .mapToInt(listed -> listed.spec().slots())
+                            .sum());
             actions.emit(new ForwardAction.QueueFairly(service));
         }
     }
@@ -233,7 +296,7 @@
         } else if (state.mayBeSentAgain()) {
             retry(state, outcome, now, actions);
         } else if (!state.isRunning()) {
-            giveUp(state, attempt, outcome, actions);
+            giveUp(state, attempt, outcome, now, actions);
         }
     }
 
@@ -258,6 +321,7 @@
             ForwardCallState state,
             int attempt,
             AttemptOutcome outcome,
+            long now,
             ActionSink<ForwardAction> actions) {
         long number = state.call().number();
         finish(state, actions);
@@ -270,11 +334,12 @@
         } else {
             actions.emit(
                     new ForwardAction.Refuse(
-                            number, ForwardRefusal.UPSTREAMS_FULL, RETRY_AFTER_MILLIS));
+                            number, ForwardRefusal.UPSTREAMS_FULL, retryAfterMillis(state, now)));
         }
     }
 
-    private void refuseWithoutUpstream(ForwardCallState state, ActionSink<ForwardAction> actions) {
+    private void refuseWithoutUpstream(
+            ForwardCallState state, long now, ActionSink<ForwardAction> actions) {
         finish(state, actions);
         ForwardRefusal reason =
                 state.mayHaveRun()
@@ -284,7 +349,15 @@
                                 : ForwardRefusal.NO_UPSTREAM;
         actions.emit(
                 new ForwardAction.Refuse(
-                        state.call().number(), reason, reason.isNotRun() ? RETRY_AFTER_MILLIS : 0));
+                        state.call().number(),
+                        reason,
+                        reason.isNotRun() ? retryAfterMillis(state, now) : 0));
+    }
+
+    private long retryAfterMillis(ForwardCallState state, long now) {
+        return mQueue.isFair(state.service())
+                ? mLiveWait.retryAfterMillis(state, now)
+                : RETRY_AFTER_MILLIS;
     }
 
     private void fire(Timer timer, long now, ActionSink<ForwardAction> actions) {
@@ -300,7 +373,7 @@
                         new ForwardAction.Refuse(
                                 timer.number,
                                 mayHaveRun ? ForwardRefusal.LATE : ForwardRefusal.LATE_NOT_RUN,
-                                mayHaveRun ? 0 : RETRY_AFTER_MILLIS));
+                                mayHaveRun ? 0 : retryAfterMillis(state, now)));
             }
             case HEDGE -> {
                 state.runningUpstreams().forEach(upstream -> upstream.markSlow(now));
@@ -308,6 +381,11 @@
                     startOrQueue(state, ForwardAction.StartReason.HEDGE, now, actions);
                 }
             }
+            case WAIT_OVER -> {
+                if (mQueue.remove(state)) {
+                    startNow(state, startReason(state), now, actions);
+                }
+            }
             case RETRY -> startOrQueue(state, ForwardAction.StartReason.RETRY, now, actions);
         }
     }
@@ -338,19 +416,32 @@
 
     private void drainQueue(long now, ActionSink<ForwardAction> actions) {
         mQueue.drain(state -> startQueued(state, now, actions), now);
+        if (now >= mNextLengthReport) {
+            mNextLengthReport = now + LENGTH_REPORT_INTERVAL_NANOS;
+            for (String service : mQueue.fairServices()) {
+                int length = mQueue.length(service);
+                Integer reported = mReportedLengths.put(service, length);
+                if (length != (reported == null ? 0 : reported)) {
+                    actions.emit(new ForwardAction.QueueLength(service, length));
+                }
+            }
+        }
+    }
+
+    private static ForwardAction.StartReason startReason(ForwardCallState state) {
+        return state.attempts() == 0
+                ? ForwardAction.StartReason.FIRST
+                : ForwardAction.StartReason.RETRY;
     }
 
     private boolean startQueued(
             ForwardCallState state, long now, ActionSink<ForwardAction> actions) {
+        boolean queuedLive = !state.call().kind().waitsForSlot();
+        if (queuedLive && !mLiveWait.hasRoom(state, now)) {
+            return false;
+        }
         Option<UpstreamState> upstream = mChoice.next(state, now);
-        upstream.forEach(
-                chosen -> {
-                    ForwardAction.StartReason reason =
-                            state.attempts() == 0
-                                    ? ForwardAction.StartReason.FIRST
-                                    : ForwardAction.StartReason.RETRY;
-                    start(state, chosen, reason, now, actions);
-                });
+        upstream.forEach(chosen -> start(state, chosen, startReason(state), now, actions));
         return upstream.isDefined();
     }
 
@@ -361,6 +452,7 @@
     private enum TimerKind {
         DEADLINE,
         HEDGE,
-        RETRY
+        RETRY,
+        WAIT_OVER
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardEvent.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardEvent.java
@@ -1,6 +1,7 @@
 package org.fuchsialever.decisions.forward;
 
 import java.util.List;
+import java.util.Map;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 
 /** Event that the forward duty handles. */
@@ -18,6 +19,15 @@
     /** A call has arrived. */
     record Arrived(ForwardCall call) implements ForwardEvent {}
 
+    /** The weights of teams have changed; 1 for teams that are not in the map. */
+    record TeamsWeighed(Map<String, Double> weights) implements ForwardEvent {
+
+        /** Copies the map. */
+        public TeamsWeighed {
+            weights = Map.copyOf(weights);
+        }
+    }
+
     /** The caller no longer waits for the call. */
     record Cancelled(long number) implements ForwardEvent {}
 
--- a/decisions/src/main/java/org/fuchsialever/decisions/queue/StepGroups.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/queue/StepGroups.java
@@ -11,6 +11,12 @@
 
 /** The groups of a step: what is left of each, and which of them the step needs. Single writer. */
 public final class StepGroups {
+    private static final Comparator<Group> LEAST_WORK =
+            Comparator.comparing((Group group) -> !group.mBegun)
+                    .thenComparing(group -> group.mTokens)
+                    .thenComparing(group -> group.mOpen)
+                    .thenComparing(group -> group.mPosition);
+
     private final Map<String, Group> mGroups = new LinkedHashMap<>();
     private final Map<Integer, Group> mOpenItems = new HashMap<>();
     private final int mTargetGroupCount;
@@ -83,14 +89,24 @@
         return new HashSet<>(candidates.subList(0, spare));
     }
 
+    /**
+     * Returns the needed groups with the most work, if only a part of the target can be complete in
+     * time.
+     *
+     * @param spare the groups beyond the target
+     * @param partInTime the part of the target that can be complete in time
+     */
+    Set<String> groupsTooLate(Set<String> spare, double partInTime) {
+        List<String> needed = new ArrayList<>(mGroups.keySet());
+        needed.removeIf(name -> spare.contains(name) || group(name).mOpen == 0);
+        needed.sort((name, other) -> LEAST_WORK.compare(group(name), group(other)));
+        int inTime = (int) Math.ceil(mTargetGroupCount * partInTime);
+        return new HashSet<>(needed.subList(Math.min(inTime, needed.size()), needed.size()));
+    }
+
     /** Orders items by the work that is left of their groups, those that have begun first. */
     Comparator<StepItem> leastWorkFirst() {
-        Comparator<Group> order =
-                Comparator.comparing((Group group) -> !group.mBegun)
-                        .thenComparing(group -> group.mTokens)
-                        .thenComparing(group -> group.mOpen)
-                        .thenComparing(group -> group.mPosition);
-        return (item, other) -> order.compare(group(item.group()), group(other.group()));
+        return (item, other) -> LEAST_WORK.compare(group(item.group()), group(other.group()));
     }
 
     private Group group(String name) {
--- a/decisions/src/main/java/org/fuchsialever/decisions/queue/StepOrder.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/queue/StepOrder.java
@@ -35,10 +35,12 @@
             }
             StepGroups groups = new StepGroups(items, targetGroupCount);
             Comparator<StepItem> order = BEGUN_FIRST.thenComparing(LONGEST);
+            Set<String> spare = groups.spareGroups();
             if (pressure.isLate()) {
                 order = groups.leastWorkFirst().thenComparing(order);
+                spare.addAll(groups.groupsTooLate(spare, pressure.partInTime()));
             }
-            return sorted(items, groups.spareGroups(), order);
+            return sorted(items, spare, order);
         }
 
         @Override
--- a/decisions/src/main/java/org/fuchsialever/decisions/queue/StepPressure.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/queue/StepPressure.java
@@ -26,4 +26,9 @@
     public boolean isLate() {
         return isShort() && secondsToFinish > secondsLeft;
     }
+
+    /** Returns the part of a late step that can be complete in time. */
+    double partInTime() {
+        return isLate() ? Math.max(0, secondsLeft / secondsToFinish) : 1;
+    }
 }
--- a/decisions/src/test/java/org/fuchsialever/decisions/batch/NeededItemsTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/batch/NeededItemsTest.java
@@ -100,6 +100,28 @@
                 is(true));
     }
 
+    /** The store tells of the team's submissions elsewhere; without it they are not known. */
+    @Test
+    void weighsATeamByThePartOfItsWorkThatIsHere() {
+        BatchState other =
+                new BatchState("o", "t", "h", "/p", 18, 0, 0, "i2", "s2", 1, false, content());
+        event(new BatchEvent.StoreReachability(true));
+        event(new BatchEvent.StatesChanged(List.of(new VersionedState(other, 3)), List.of()));
+        open(StepOrder.NEEDED_FIRST, 100, Set.of(), Map.of());
+        mDuty.onTimer(mDuty.nextTimerNanos(), mActions::add);
+        assertThat(mActions.contains(new BatchAction.WeighTeams(Map.of("t", 0.25))), is(true));
+        event(new BatchEvent.StoreReachability(false));
+        mDuty.onTimer(mDuty.nextTimerNanos(), mActions::add);
+        assertThat(mActions.contains(new BatchAction.WeighTeams(Map.of())), is(true));
+    }
+
+    @Test
+    void weighsNoTeamWhereTheServiceIsNotQueuedFairly() {
+        open(StepOrder.LONGEST_FIRST, 0, Set.of(), Map.of());
+        mDuty.onTimer(mDuty.nextTimerNanos(), mActions::add);
+        assertThat(mActions.stream().noneMatch(BatchAction.WeighTeams.class::isInstance), is(true));
+    }
+
     private void open(
             StepOrder order, int poolSlots, Set<String> finished, Map<String, PartialText> texts) {
         List<BatchItem> items = new ArrayList<>();
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
@@ -100,6 +100,8 @@
                     .with("id", closed.id())
                     .with("reason", closed.reason())
                     .write();
+        } else if (action instanceof BatchAction.WeighTeams weigh) {
+            mForward.weighTeams(weigh.weights());
         } else if (action instanceof BatchAction.Drained) {
             mOnDrained.run();
         }
@@ -329,10 +331,7 @@
                         spec.model(),
                         spec.minVersion(),
                         item.group(),
-                        new CallTraits(
-                                state.team(),
-                                mDirectory.rank(route.get(), state.team()),
-                                item.expectedTokens()),
+                        traits(spec, state.team(), route.get(), item.expectedTokens()),
                         generate.queueRank(),
                         generate.expectedLong(),
                         mTime.nanoTime(),
@@ -341,13 +340,15 @@
         submit(key, state.host(), item.path(), forwardCall, handler);
     }
 
+    private CallTraits traits(BatchSpec spec, String team, ForwardRoute route, long tokens) {
+        int rank = mDirectory.rank(route, team);
+        return new CallTraits(team, rank, tokens, 1.0 / spec.items().size(), 0);
+    }
+
     private Option<ForwardRoute> route(String host, String path, String otherPath) {
-        return mDirectory
-                .manifest()
-                .flatMap(
-                        manifest ->
-                                manifest.route(host, path)
-                                        .orElse(() -> manifest.route(host, otherPath)));
+        Option<Manifest> manifest = mDirectory.manifest();
+        return manifest.flatMap(known -> known.route(host, path))
+                .orElse(() -> manifest.flatMap(known -> known.route(host, otherPath)));
     }
 
     private void score(BatchAction.Score score) {
@@ -384,7 +385,7 @@
                         "",
                         0,
                         "",
-                        new CallTraits(score.team(), mDirectory.rank(route.get(), score.team()), 0),
+                        traits(score.spec(), score.team(), route.get(), 0),
                         score.queueRank(),
                         false,
                         mTime.nanoTime(),
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryHandler.java
@@ -197,6 +197,7 @@
                 accepted.team(),
                 accepted.manifest().rank(route, accepted.team()),
                 0,
+                1,
                 TimeUnit.MILLISECONDS.toNanos(maxWaitMillis));
     }
 
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardPort.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardPort.java
@@ -1,5 +1,6 @@
 package org.fuchsialever.node.forward;
 
+import java.util.Map;
 import java.util.function.LongFunction;
 import org.fuchsialever.decisions.forward.ForwardCall;
 
@@ -25,6 +26,13 @@
     /** Returns whether the calls of a service are queued fairly, not by due time alone. */
     boolean isQueuedFairly(String service);
 
+    /**
+     * Sets the weights of teams in the queues of this instance.
+     *
+     * @param weights weight by team; 1 for teams that are not in the map
+     */
+    void weighTeams(Map<String, Double> weights);
+
     /** Returns the number of calls that are in progress. */
     int inProgress();
 }
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
@@ -1,6 +1,7 @@
 package org.fuchsialever.node.forward;
 
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Tags;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.EnumMap;
 import java.util.Map;
@@ -58,6 +59,7 @@
     private final AtomicLong mLastNumber = new AtomicLong();
     private final Map<Long, AcceptedCall> mAccepted = new ConcurrentHashMap<>();
     private final Set<Long> mBeingSubmitted = ConcurrentHashMap.newKeySet();
+    private final Map<String, AtomicInteger> mQueueLengths = new ConcurrentHashMap<>();
     private final Set<String> mFairServices = ConcurrentHashMap.newKeySet();
     private final Map<ForwardCallKind, AtomicInteger> mInProgress =
             new EnumMap<>(ForwardCallKind.class);
@@ -153,6 +155,12 @@
         return mQueueing.isFair(mFairServices.contains(service));
     }
 
+    @Override
+    public void weighTeams(Map<String, Double> weights) {
+        mTrace.line(PART, "teams-weighed").with("weights", weights.toString()).write();
+        mInbox.offer(new ForwardEvent.TeamsWeighed(weights));
+    }
+
     @Override
     public int inProgress() {
         return mAccepted.size();
@@ -180,6 +188,8 @@
         } else if (action instanceof ForwardAction.QueueFairly fair) {
             mFairServices.add(fair.service());
             mTrace.line(PART, "queueing-fairly").with("service", fair.service()).write();
+        } else if (action instanceof ForwardAction.QueueLength length) {
+            noteQueueLength(length);
         } else if (action instanceof ForwardAction.Refuse refuse) {
             ForwardCallHandler handler = remove(refuse.number());
             if (handler != null) {
@@ -188,6 +198,23 @@
         }
     }
 
+    private void noteQueueLength(ForwardAction.QueueLength length) {
+        mQueueLengths
+                .computeIfAbsent(
+                        length.service(),
+                        service ->
+                                Objects.requireNonNull(
+                                        mMeters.gauge(
+                                                "fuchsialever.forward.queue",
+                                                Tags.of("service", service),
+                                                new AtomicInteger())))
+                .set(length.waiting());
+        mTrace.line(PART, "queue")
+                .with("service", length.service())
+                .with("waiting", length.waiting())
+                .write();
+    }
+
     private void refuse(ForwardCallHandler handler, ForwardRefusal reason, long retryAfterMillis) {
         mMeters.counter("fuchsialever.forward.refusals", "reason", reason.name()).increment();
         mTrace.line(PART, "refused")
@@ -220,6 +247,10 @@
                         : TimeUnit.NANOSECONDS.toMillis(call.deadlineNanos() - now);
         mMeters.counter("fuchsialever.forward.attempts", "reason", start.reason().name())
                 .increment();
+        if (start.attempt() == 1) {
+            mMeters.timer("fuchsialever.forward.wait", "service", start.upstream().service())
+                    .record(now - call.arrivedNanos(), TimeUnit.NANOSECONDS);
+        }
         mTrace.sampled(PART, "attempt")
                 .with("id", handler.requestId())
                 .with("attempt", start.attempt())
