--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallState.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallState.java
@@ -119,4 +119,9 @@
     boolean mayHaveRun() {
         return mMayHaveRun || isRunning();
     }
+
+    /** Returns why the call is started when it leaves the queue. */
+    ForwardAction.StartReason nextStartReason() {
+        return mAttempts == 0 ? ForwardAction.StartReason.FIRST : ForwardAction.StartReason.RETRY;
+    }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
@@ -11,6 +11,7 @@
 import org.fuchsialever.decisions.fleet.ChoiceSurcharge;
 import org.fuchsialever.decisions.fleet.ChosenUpstream;
 import org.fuchsialever.decisions.fleet.Fleet;
+import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.fleet.LoadHint;
 import org.fuchsialever.decisions.fleet.ServiceProfile;
 import org.fuchsialever.decisions.fleet.UpstreamBalancing;
@@ -43,6 +44,8 @@
     private final PriorityQueue<Timer> mTimers =
             new PriorityQueue<>(Comparator.comparingLong(Timer::at));
     private final CallQueue mQueue = new CallQueue();
+    private final LiveWait mLiveWait;
+    private final QueueLengths mLengths = new QueueLengths();
 
     /**
      * Creates a duty without upstreams; they arrive with the first change of the fleet.
@@ -61,6 +64,7 @@
         mQueueing = queueing;
         mFleet = new Fleet(random);
         mChoice = new UpstreamChoice(mFleet, balancing, leavingNanos, ChoiceSurcharge.NONE);
+        mLiveWait = new LiveWait(mFleet, mQueue, random);
     }
 
     @Override
@@ -96,8 +100,11 @@
             if (mFleet.markLeaving(announced.upstream(), announced.sinceNanos())) {
                 actions.emit(new ForwardAction.NoteLeaving(announced.upstream()));
             }
+        } else if (event instanceof ForwardEvent.TeamsWeighed weighed) {
+            mQueue.setWeights(weighed.weights());
         } else if (event instanceof ForwardEvent.FleetChanged changed) {
             mFleet.update(changed.upstreams());
+            noteServices(changed.upstreams());
             drainQueue(nowNanos, actions);
         }
     }
@@ -130,6 +137,20 @@
         startOrQueue(state, ForwardAction.StartReason.FIRST, now, actions);
     }
 
+    private void noteServices(List<FleetUpstream> upstreams) {
+        Map<String, Integer> slots = new HashMap<>();
+        upstreams.stream()
+                .filter(FleetUpstream::serving)
+                .forEach(listed -> slots.merge(listed.service(), listed.slots(), Integer::sum));
+        slots.forEach(
+                (service, count) -> {
+                    if (mQueueing.isFair(mFleet.profile(service).reportsSlowdown())) {
+                        mQueue.queueFairly(service);
+                    }
+                    mQueue.setSlots(service, count);
+                });
+    }
+
     private String pickService(List<ServiceShare> shares) {
         int total = shares.stream().mapToInt(ServiceShare::weight).sum();
         int point = total <= 1 ? 0 : mRandom.nextInt(total);
@@ -147,16 +168,45 @@
             ForwardAction.StartReason reason,
             long now,
             ActionSink<ForwardAction> actions) {
+        boolean mayQueue = !state.isRunning() && reason != ForwardAction.StartReason.HEDGE;
+        if (mayQueue && mQueue.isFair(state.service()) && joinsFairQueue(state, now)) {
+            mQueue.add(state, now);
+            mQueue.drainFair(state.service(), waiting -> startQueued(waiting, now, actions), now);
+        } else {
+            startNow(state, reason, now, actions);
+        }
+    }
+
+    private void startNow(
+            ForwardCallState state,
+            ForwardAction.StartReason reason,
+            long now,
+            ActionSink<ForwardAction> actions) {
         Option<ChosenUpstream> chosen = mChoice.next(state, now);
         if (chosen.isDefined()) {
             start(state, chosen.get(), reason, now, actions);
         } else if (state.call().kind().waitsForSlot()) {
             enqueue(state, now);
         } else if (!state.isRunning() && reason != ForwardAction.StartReason.HEDGE) {
-            refuseWithoutUpstream(state, actions);
+            refuseWithoutUpstream(state, now, actions);
         }
     }
 
+    /** Returns whether a call takes its turn among those that wait, instead of being sent. */
+    private boolean joinsFairQueue(ForwardCallState state, long now) {
+        ForwardCall call = state.call();
+        if (call.kind().waitsForSlot()) {
+            return true;
+        }
+        boolean waits =
+                (mQueue.lengthAhead(state) > 0 || !mLiveWait.hasRoom(state, now))
+                        && mLiveWait.isWorthWaiting(state, now);
+        if (waits) {
+            mTimers.add(new Timer(mLiveWait.waitsUntil(call), call.number(), TimerKind.WAIT_OVER));
+        }
+        return waits;
+    }
+
     /** Records the pace of the upstream and moves the call if another one is much faster. */
     private void progressed(
             ForwardEvent.Progressed event, long now, ActionSink<ForwardAction> actions) {
@@ -197,7 +247,9 @@
             ActionSink<ForwardAction> actions) {
         ForwardCall call = state.call();
         UpstreamState upstream = chosen.upstream();
-        mQueue.remove(state);
+        if (!mQueue.remove(state)) {
+            mQueue.chargeDirectStart(state);
+        }
         int load = upstream.load(now);
         int attempt = state.start(upstream, now);
         upstream.callStarted(now);
@@ -228,6 +280,7 @@
         }
         UpstreamState upstream = ended.upstream();
         noteLoad(ended, report.load(), now, actions);
+        mLiveWait.noteEnd(upstream.spec().service(), now);
         upstream.callEnded(report.load(), outcome.isUpstreamFault(), outcome.isRefusal(), now);
         ForwardCallState state = mCalls.get(event.number());
         if (state != null) {
@@ -255,6 +308,12 @@
         if (reported && !profile.reportsSlowdown()) {
             profile.noteSlowdownReported();
             if (mQueueing == Queueing.AUTO) {
+                mQueue.queueFairly(service);
+                mQueue.setSlots(
+                        service,
+                        mFleet.ofService(service).stream()
+                                .mapToInt(listed -> listed.spec().slots())
+                                .sum());
                 actions.emit(new ForwardAction.QueueFairly(service));
             }
         }
@@ -291,7 +350,7 @@
         } else if (state.mayBeSentAgain()) {
             retry(state, outcome, now, actions);
         } else if (!state.isRunning()) {
-            giveUp(state, attempt, outcome, actions);
+            giveUp(state, attempt, outcome, now, actions);
         }
     }
 
@@ -316,6 +375,7 @@
             ForwardCallState state,
             int attempt,
             AttemptOutcome outcome,
+            long now,
             ActionSink<ForwardAction> actions) {
         long number = state.call().number();
         finish(state, actions);
@@ -328,11 +388,12 @@
         } else {
             actions.emit(
                     new ForwardAction.Refuse(
-                            number, ForwardRefusal.UPSTREAMS_FULL, RETRY_AFTER_MILLIS));
+                            number, ForwardRefusal.UPSTREAMS_FULL, retryAfterMillis(state, now)));
         }
     }
 
-    private void refuseWithoutUpstream(ForwardCallState state, ActionSink<ForwardAction> actions) {
+    private void refuseWithoutUpstream(
+            ForwardCallState state, long now, ActionSink<ForwardAction> actions) {
         finish(state, actions);
         ForwardRefusal reason =
                 state.mayHaveRun()
@@ -342,7 +403,15 @@
                                 : ForwardRefusal.NO_UPSTREAM;
         actions.emit(
                 new ForwardAction.Refuse(
-                        state.call().number(), reason, reason.isNotRun() ? RETRY_AFTER_MILLIS : 0));
+                        state.call().number(),
+                        reason,
+                        reason.isNotRun() ? retryAfterMillis(state, now) : 0));
+    }
+
+    private long retryAfterMillis(ForwardCallState state, long now) {
+        return mQueue.isFair(state.service())
+                ? mLiveWait.retryAfterMillis(state, now)
+                : RETRY_AFTER_MILLIS;
     }
 
     private void fire(Timer timer, long now, ActionSink<ForwardAction> actions) {
@@ -358,7 +427,7 @@
                         new ForwardAction.Refuse(
                                 timer.number,
                                 mayHaveRun ? ForwardRefusal.LATE : ForwardRefusal.LATE_NOT_RUN,
-                                mayHaveRun ? 0 : RETRY_AFTER_MILLIS));
+                                mayHaveRun ? 0 : retryAfterMillis(state, now)));
             }
             case HEDGE -> {
                 state.runningUpstreams().forEach(upstream -> upstream.markSlow(now));
@@ -366,6 +435,11 @@
                     startOrQueue(state, ForwardAction.StartReason.HEDGE, now, actions);
                 }
             }
+            case WAIT_OVER -> {
+                if (mQueue.remove(state)) {
+                    startNow(state, state.nextStartReason(), now, actions);
+                }
+            }
             case RETRY -> startOrQueue(state, ForwardAction.StartReason.RETRY, now, actions);
         }
     }
@@ -396,19 +470,17 @@
 
     private void drainQueue(long now, ActionSink<ForwardAction> actions) {
         mQueue.drain(state -> startQueued(state, now, actions), now);
+        mLengths.report(mQueue, now, actions);
     }
 
     private boolean startQueued(
             ForwardCallState state, long now, ActionSink<ForwardAction> actions) {
+        boolean queuedLive = !state.call().kind().waitsForSlot();
+        if (queuedLive && !mLiveWait.hasRoom(state, now)) {
+            return false;
+        }
         Option<ChosenUpstream> upstream = mChoice.next(state, now);
-        upstream.forEach(
-                chosen -> {
-                    ForwardAction.StartReason reason =
-                            state.attempts() == 0
-                                    ? ForwardAction.StartReason.FIRST
-                                    : ForwardAction.StartReason.RETRY;
-                    start(state, chosen, reason, now, actions);
-                });
+        upstream.forEach(chosen -> start(state, chosen, state.nextStartReason(), now, actions));
         return upstream.isDefined();
     }
 
@@ -419,6 +491,7 @@
     private enum TimerKind {
         DEADLINE,
         HEDGE,
-        RETRY
+        RETRY,
+        WAIT_OVER
     }
 }
--- a/decisions/src/test/java/org/fuchsialever/decisions/forward/PoolModel.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/forward/PoolModel.java
@@ -13,6 +13,7 @@
 import org.fuchsialever.decisions.fleet.LoadHint;
 import org.fuchsialever.decisions.fleet.UpstreamBalancing;
 import org.fuchsialever.decisions.manifest.ServiceShare;
+import org.fuchsialever.decisions.queue.Queueing;
 import org.fuchsialever.kernel.duty.Duty;
 
 /** Several forward duties over one pool of upstreams whose runs advance in small steps of time. */
@@ -57,7 +58,8 @@
             mRuns.add(new ArrayList<>());
         }
         for (int i = 0; i < duties; i++) {
-            mDuties.add(new ForwardDuty(new SplittableRandom(seed + i), balancing, 0));
+            mDuties.add(
+                    new ForwardDuty(new SplittableRandom(seed + i), balancing, Queueing.AUTO, 0));
             send(i, new ForwardEvent.FleetChanged(upstreams(-1)));
         }
     }
