Take the rate of a pool from calls that were worked on

Attempts that an upstream refused or that failed with it counted as slots that became free, so a pool that sheds calls seemed fast, and a live call waited for a slot that was not in sight. They no longer count. The mean cost, which says how far a team may be ahead of its share, is kept for each rank and stage, because live calls and items count in different units. The lengths of queues are reported also while the monotonic clock is negative.

--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
@@ -47,7 +47,7 @@
     private final CallQueue mQueue = new CallQueue();
     private final LiveWait mLiveWait;
     private final Map<String, Integer> mReportedLengths = new HashMap<>();
-    private long mNextLengthReport;
+    private long mNextLengthReport = Long.MIN_VALUE;
 
     /**
      * Creates a duty without upstreams; they arrive with the first change of the fleet.
@@ -250,7 +250,9 @@
             return;
         }
         noteSlowdown(upstream.spec().service(), report, actions);
-        mLiveWait.noteEnd(upstream.spec().service(), now);
+        if (!outcome.isRefusal() && !outcome.isUpstreamFault()) {
+            mLiveWait.noteEnd(upstream.spec().service(), now);
+        }
         upstream.callEnded(report.load(), outcome.isUpstreamFault(), outcome.isRefusal(), now);
         ForwardCallState state = mCalls.get(event.number());
         if (state != null) {
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/LiveWait.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/LiveWait.java
@@ -33,7 +33,7 @@
         mRandom = random;
     }
 
-    /** Records that a call has ended at a service. */
+    /** Records that a call has ended at a service that worked on it. */
     void noteEnd(String service, long now) {
         rate(service).noteEnd(now);
     }
--- a/decisions/src/main/java/org/fuchsialever/decisions/queue/FairQueue.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/queue/FairQueue.java
@@ -20,14 +20,11 @@
     /** Less urgent calls are delayed at most eightfold, more urgent ones by an eighth. */
     static final int TURNS = 8;
 
-    private static final double COST_SMOOTHING = 0.05;
-
     private final TreeMap<UrgencyClass, TeamShares<T>> mShares = new TreeMap<>();
     private final Map<UrgencyClass, Integer> mTurns = new HashMap<>();
     private final Map<T, QueuePlace> mPlaces = new HashMap<>();
     private final TreeMap<UrgencyClass, Integer> mCounts = new TreeMap<>();
     private Map<String, Double> mWeights = Map.of();
-    private double mMeanCost;
     private int mSlots;
 
     /** Sets the number of calls that the pool runs at once. */
@@ -60,10 +57,6 @@
     public void add(T call, QueuePlace place) {
         mPlaces.put(call, place);
         mCounts.merge(UrgencyClass.of(place), 1, Integer::sum);
-        mMeanCost =
-                mMeanCost == 0
-                        ? place.cost()
-                        : mMeanCost + COST_SMOOTHING * (place.cost() - mMeanCost);
         mShares.computeIfAbsent(UrgencyClass.of(place), key -> new TeamShares<>()).add(call, place);
     }
 
@@ -96,10 +89,9 @@
     public void drain(Predicate<T> start) {
         // Whether there is room depends on few properties, so one call tells for many.
         Set<Object> withoutRoom = new HashSet<>();
-        double burst = Math.max(1, mSlots) * mMeanCost;
         UrgencyClass urgency = nextClass(withoutRoom);
         while (urgency != null) {
-            T call = next(urgency, withoutRoom, burst);
+            T call = next(urgency, withoutRoom);
             QueuePlace place = call == null ? null : mPlaces.get(call);
             if (call == null || place == null) {
                 return;
@@ -126,9 +118,9 @@
         }
     }
 
-    private @Nullable T next(UrgencyClass urgency, Set<Object> withoutRoom, double burst) {
+    private @Nullable T next(UrgencyClass urgency, Set<Object> withoutRoom) {
         TeamShares<T> shares = mShares.get(urgency);
-        return shares == null ? null : shares.next(withoutRoom, burst, mWeights);
+        return shares == null ? null : shares.next(withoutRoom, mSlots, mWeights);
     }
 
     /** Returns the class whose turn it is among those that may find room. */
--- a/decisions/src/main/java/org/fuchsialever/decisions/queue/PoolProgress.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/queue/PoolProgress.java
@@ -73,6 +73,9 @@
     }
 
     private double decayed(long now) {
+        if (mFinished == 0) {
+            return 0;
+        }
         double seconds = (double) (now - mUpdatedNanos) / TimeUnit.SECONDS.toNanos(1);
         return mFinished * Math.exp(-seconds / TIME_CONSTANT_SECONDS);
     }
--- a/decisions/src/main/java/org/fuchsialever/decisions/queue/PoolRate.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/queue/PoolRate.java
@@ -35,6 +35,9 @@
     }
 
     private double perSecondAt(long now) {
+        if (mEnded == 0) {
+            return 0;
+        }
         double seconds = (double) (now - mUpdatedNanos) / TimeUnit.SECONDS.toNanos(1);
         return mEnded * Math.exp(-seconds / TIME_CONSTANT_SECONDS);
     }
--- a/decisions/src/main/java/org/fuchsialever/decisions/queue/TeamShares.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/queue/TeamShares.java
@@ -18,16 +18,23 @@
     /** Keeps a team whose open work is almost all elsewhere from standing still here. */
     private static final double MIN_WEIGHT = 0.05;
 
+    private static final double COST_SMOOTHING = 0.05;
+
     private final Map<FlowKey, TreeMap<QueuePlace, T>> mFlows = new HashMap<>();
     private final Map<String, Double> mTags = new HashMap<>();
     private final Map<String, Integer> mWaiting = new HashMap<>();
     private double mVirtualTime;
+    private double mMeanCost;
 
     boolean isEmpty() {
         return mFlows.isEmpty();
     }
 
     void add(T call, QueuePlace place) {
+        mMeanCost =
+                mMeanCost == 0
+                        ? place.cost()
+                        : mMeanCost + COST_SMOOTHING * (place.cost() - mMeanCost);
         mFlows.computeIfAbsent(FlowKey.of(place), key -> new TreeMap<>(QueuePlace.BY_ORDER))
                 .put(place, call);
         if (mWaiting.merge(place.team(), 1, Integer::sum) == 1) {
@@ -60,10 +67,11 @@
      * Returns the call that gets the next slot.
      *
      * @param withoutRoom what calls require that find no room
-     * @param burst cost by which a team may be ahead of its share or behind it while due times
-     *     decide
+     * @param slots number of calls by which a team may be ahead of its share or behind it while due
+     *     times decide
      */
-    @Nullable T next(Set<Object> withoutRoom, double burst, Map<String, Double> weights) {
+    @Nullable T next(Set<Object> withoutRoom, int slots, Map<String, Double> weights) {
+        double burst = Math.max(1, slots) * mMeanCost;
         T best = null;
         Standing bestStanding = null;
         for (Map.Entry<FlowKey, TreeMap<QueuePlace, T>> flow : mFlows.entrySet()) {
