--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
@@ -280,7 +280,9 @@
         }
         UpstreamState upstream = ended.upstream();
         noteLoad(ended, report.load(), now, actions);
-        mLiveWait.noteEnd(upstream.spec().service(), now);
+        if (!outcome.isRefusal() && !outcome.isUpstreamFault()) {
+            mLiveWait.noteEnd(upstream.spec().service(), now);
+        }
         upstream.callEnded(report.load(), outcome.isUpstreamFault(), outcome.isRefusal(), now);
         ForwardCallState state = mCalls.get(event.number());
         if (state != null) {
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/QueueLengths.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/QueueLengths.java
@@ -10,7 +10,7 @@
     private static final long INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final Map<String, Integer> mReported = new HashMap<>();
-    private long mNext;
+    private long mNext = Long.MIN_VALUE;
 
     /** Emits the lengths that have changed since the last report if it is time for one. */
     void report(CallQueue queue, long now, ActionSink<ForwardAction> actions) {
