--- a/decisions/src/test/java/org/fuchsialever/decisions/memory/MemoryBudgetTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/memory/MemoryBudgetTest.java
@@ -32,6 +32,16 @@
         assertThat(request(1, LARGEST_BODY, 0), is(Outcome.ADMITTED));
     }
 
+    @Test
+    void isTightOnceMoreThanHalfOfAShareIsTaken() {
+        long half = BUDGET / 100 * 20 / 2;
+        assertThat(mBudget.tryTake(MemoryShare.RESPONSE, half), is(true));
+        assertThat(mBudget.isTight(MemoryShare.RESPONSE), is(false));
+        assertThat(mBudget.tryTake(MemoryShare.RESPONSE, 1), is(true));
+        assertThat(mBudget.isTight(MemoryShare.RESPONSE), is(true));
+        assertThat(mBudget.isTight(MemoryShare.LARGE_BODY), is(false));
+    }
+
     /** Guards against small calls that have no room beside large ones. */
     @Test
     void admitsSmallBodiesWhileALargeOneFillsItsShare() {
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryDecoder.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryDecoder.java
@@ -27,6 +27,8 @@
     /** Callers may end a body with an empty line that its length does not count. */
     private static final int STRAY_BYTES = 2;
 
+    private static final byte LINE_END = '\n';
+
     private final CallerGuard.Guarded mGuarded;
     private Phase mPhase = Phase.HEAD;
     private @Nullable ChannelHandlerContext mContext;
@@ -38,7 +40,7 @@
     private boolean mReadDeferred;
     private int mBlankBytes;
     private int mScannedBytes;
-    private int mLineBytes;
+    private int mLineBegin;
     private int mLines;
 
     EntryDecoder(CallerGuard.Guarded guarded, int maxHeadBytes) {
@@ -103,7 +105,7 @@
         mResponseWritten = false;
         mBlankBytes = 0;
         mScannedBytes = 0;
-        mLineBytes = 0;
+        mLineBegin = 0;
         mLines = 0;
         mGuarded.enter(ConnectionStage.CALL);
     }
@@ -111,21 +113,19 @@
     /** Returns whether a whole head has arrived; closes the connection if it exceeds a limit. */
     private boolean isWhole(ByteBuf in) {
         skipBlanks(in);
-        int end = in.readableBytes();
-        while (mScannedBytes < end) {
-            byte next = in.getByte(in.readerIndex() + mScannedBytes);
-            mScannedBytes++;
-            if (next != '\n') {
-                // A line with a carriage return only is empty.
-                mLineBytes += next == '\r' && mLineBytes == 0 ? 0 : 1;
-                continue;
-            }
-            if (mLineBytes == 0) {
+        int begin = in.readerIndex();
+        int next = in.indexOf(begin + mScannedBytes, in.writerIndex(), LINE_END);
+        while (next >= 0) {
+            int lineBytes = next - begin - mLineBegin;
+            mScannedBytes = next - begin + 1;
+            mLineBegin = mScannedBytes;
+            if (lineBytes == 0 || lineBytes == 1 && in.getByte(next - 1) == '\r') {
                 return !isTooLarge();
             }
             mLines++;
-            mLineBytes = 0;
+            next = in.indexOf(begin + mScannedBytes, in.writerIndex(), LINE_END);
         }
+        mScannedBytes = in.readableBytes();
         if (mScannedBytes > 0 && !isTooLarge()) {
             mGuarded.awaitHead();
         }
--- a/node/src/test/java/org/fuchsialever/node/entry/EntryCodecTest.java
+++ b/node/src/test/java/org/fuchsialever/node/entry/EntryCodecTest.java
@@ -9,6 +9,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -17,6 +20,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
@@ -44,6 +48,7 @@
     private final TraceLog mTrace =
             new TraceLog(new PrintStream(new ByteArrayOutputStream()), mMeters);
     private final List<EmbeddedChannel> mChannels = new ArrayList<>();
+    private boolean mResponsesTight;
 
     @AfterEach
     void close() throws InterruptedException {
@@ -182,6 +187,28 @@
         assertThat(busy.isOpen(), is(true));
     }
 
+    @Test
+    void closesAConnectionWhoseCallerTakesNothingOfAResponse() {
+        EmbeddedChannel channel = openStopped(guard(1_000_000));
+        send(channel, HEAD + "\r\n");
+        respond(channel);
+        mTimers.advance(Duration.ofNanos(LIMITS.unreadNanos() - SECOND));
+        assertThat(channel.isOpen(), is(true));
+        mTimers.advance(Duration.ofSeconds(2));
+        assertThat(channel.isOpen(), is(false));
+    }
+
+    /** Guards against callers who read nothing and leave no room for other responses. */
+    @Test
+    void closesItSoonerWhileResponsesHaveLittleRoom() {
+        mResponsesTight = true;
+        EmbeddedChannel channel = openStopped(guard(1_000_000));
+        send(channel, HEAD + "\r\n");
+        respond(channel);
+        mTimers.advance(Duration.ofNanos(LIMITS.unreadGraceNanos() + SECOND));
+        assertThat(channel.isOpen(), is(false));
+    }
+
     @Test
     void closesTheConnectionThatHasBeenIdleLongestForANewOne() {
         CallerGuard guard = guard(1_000_000);
@@ -221,7 +248,7 @@
                 headBudgetBytes,
                 MAX_HEAD_BYTES,
                 () -> EntryCodec.LEAST_HEAD_BYTES,
-                () -> false,
+                () -> mResponsesTight,
                 mTime,
                 mTimers,
                 new ClosingLog(mTime, mTrace, mMeters),
@@ -236,6 +263,23 @@
         return channel;
     }
 
+    /** Opens a connection that takes no byte. */
+    private EmbeddedChannel openStopped(CallerGuard guard) {
+        EmbeddedChannel channel = open(guard);
+        channel.pipeline()
+                .addFirst(
+                        new ChannelOutboundHandlerAdapter() {
+                            @Override
+                            public void write(
+                                    ChannelHandlerContext context,
+                                    Object message,
+                                    ChannelPromise promise) {
+                                ReferenceCountUtil.release(message);
+                            }
+                        });
+        return channel;
+    }
+
     private static void send(EmbeddedChannel channel, String text) {
         channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
     }
--- a/soak/src/test/java/org/fuchsialever/soak/DeployedInstance.java
+++ b/soak/src/test/java/org/fuchsialever/soak/DeployedInstance.java
@@ -36,6 +36,9 @@
     /** Path of calls whose response is a few segments long. */
     static final String MEDIUM_RESPONSES = "/safe/medium";
 
+    /** Path of calls that get no response. */
+    static final String HELD = "/safe/held";
+
     static final String KEY = "key-1";
 
     /** The limit of the users' manifests. */
@@ -178,6 +181,10 @@
                     .sendByteArray(Flux.range(0, LARGE_EVENTS_COUNT).map(number -> event))
                     .then();
         }
+        if (request.uri().startsWith(HELD)) {
+            mBodyBytes.put(id, 0);
+            return Mono.never();
+        }
         byte[] body = new byte[responseBytes(request.uri())];
         return request.receive()
                 .reduce(0, (length, part) -> length + part.readableBytes())
--- a/soak/src/test/java/org/fuchsialever/soak/UncontrolledClientsTest.java
+++ b/soak/src/test/java/org/fuchsialever/soak/UncontrolledClientsTest.java
@@ -3,6 +3,7 @@
 import static org.awaitility.Awaitility.await;
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.not;
@@ -116,6 +117,37 @@
         }
     }
 
+    /** Guards against a refusal of what has run, and against one of ordinary callers. */
+    @Test
+    void refusesAnExpensiveHeadWithoutRoomAndServesOrdinaryOnes() throws IOException {
+        try (DeployedInstance instance = serving();
+                RawCaller first = new RawCaller(instance);
+                RawCaller second = new RawCaller(instance);
+                RawCaller third = new RawCaller(instance)) {
+            first.text(headsOf(DeployedInstance.HELD, "first", SHORT_LINE));
+            second.text(headsOf(DeployedInstance.HELD, "second", SHORT_LINE));
+            awaitRun(instance, "first");
+            awaitRun(instance, "second");
+            third.text(headsOf("/safe/x", "third", SHORT_LINE));
+            String refusal = third.response();
+            assertThat(refusal, containsString(" 503 "));
+            assertThat(refusal, containsString("Retry-After: "));
+            assertThat(refusal, containsString("Request-Id: third"));
+            awaitCall(instance);
+            assertThat(instance.bodyBytes("third"), is(-1));
+        }
+    }
+
+    /** Guards against a process that lives on with an event loop that answers nobody. */
+    @Test
+    void endsAProcessWhoseHeapRunsOut() throws IOException {
+        assertThat(DeployedInstance.memoryOptions(), hasItem("-XX:+ExitOnOutOfMemoryError"));
+    }
+
+    private static void awaitRun(DeployedInstance instance, String id) {
+        await().atMost(PATIENCE).until(() -> instance.bodyBytes(id) >= 0);
+    }
+
     private void survives(int connections, String text) throws IOException {
         try (DeployedInstance instance = serving();
                 Crowd crowd = new Crowd()) {
@@ -149,7 +181,11 @@
     }
 
     private static String headsOf(String line) {
-        return lines(requestLine("/safe/x"), line, LEGAL_HEAD_BYTES - 2) + "\r\n";
+        return headsOf("/safe/x", "crowd", line);
+    }
+
+    private static String headsOf(String path, String id, String line) {
+        return lines(requestLine(path, id), line, LEGAL_HEAD_BYTES - 2) + "\r\n";
     }
 
     private static String lines(String begin, String line, int bytes) {
@@ -157,11 +193,17 @@
     }
 
     private static String requestLine(String path) {
+        return requestLine(path, "crowd");
+    }
+
+    private static String requestLine(String path, String id) {
         return "GET "
                 + path
                 + " HTTP/1.1\r\nHost: "
                 + ManifestText.HOST
-                + "\r\nRequest-Id: crowd\r\nAuthorization: Bearer "
+                + "\r\nRequest-Id: "
+                + id
+                + "\r\nAuthorization: Bearer "
                 + DeployedInstance.KEY
                 + "\r\nDeadline-Ms: "
                 + DeployedInstance.TIMEOUT_MILLIS
