Apply the share of leaving calls to the choice of upstreams

Cause: the choice of an upstream knew no failure domain. Change: live calls follow the share of their service; items and scoring calls pay the hop and their bytes only. Surcharges only order upstreams, so retries, leaving upstreams and versions go first. Settings [domains] leave, hop and megabyte; auto holds once an upstream reports its slowdown. Log lines domain-leaving and domain-returned, attempts by relation, share.

--- a/decisions/src/main/java/org/fuchsialever/decisions/domain/DomainLoad.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/domain/DomainLoad.java
@@ -1,6 +1,12 @@
 package org.fuchsialever.decisions.domain;
 
 import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.fuchsialever.decisions.fleet.UpstreamState;
 
 /**
  * Room for the calls of a service in one failure domain at one moment.
@@ -19,6 +25,40 @@
 
     private static final double UTILIZATION_PRECISION = 0.001;
 
+    /** Returns the load of each failure domain in which one of the upstreams runs. */
+    public static List<DomainLoad> of(Collection<UpstreamState> upstreams, long now) {
+        Map<String, List<UpstreamState>> byDomain = new TreeMap<>();
+        for (UpstreamState upstream : upstreams) {
+            byDomain.computeIfAbsent(upstream.spec().failureDomain(), domain -> new ArrayList<>())
+                    .add(upstream);
+        }
+        List<DomainLoad> loads = new ArrayList<>(byDomain.size());
+        byDomain.forEach((domain, members) -> loads.add(of(domain, members, now)));
+        return loads;
+    }
+
+    private static DomainLoad of(String domain, List<UpstreamState> upstreams, long now) {
+        int slots = 0;
+        double capacity = 0;
+        double known = 0;
+        double calls = 0;
+        for (UpstreamState upstream : upstreams) {
+            if (upstream.isAvailable(now)) {
+                double room = upstream.spec().slots() / upstream.slowdown(now);
+                slots += upstream.spec().slots();
+                capacity += room;
+                known += upstream.isLoadKnown(now) ? room : 0;
+                calls += upstream.isLoadKnown(now) ? upstream.load(now) : 0;
+            }
+        }
+        return new DomainLoad(
+                domain,
+                slots,
+                capacity,
+                capacity > 0 ? known / capacity : 0,
+                known > 0 ? Option.some(calls / known) : Option.none());
+    }
+
     /** Returns whether an upstream of the domain accepts calls. */
     public boolean isServing() {
         return capacity > 0;
--- a/decisions/src/main/java/org/fuchsialever/decisions/fleet/UpstreamState.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/fleet/UpstreamState.java
@@ -150,6 +150,16 @@
         return (double) load(now) / Math.max(1, mSpec.slots());
     }
 
+    /** Returns whether the load that other instances cause there was reported lately. */
+    public boolean isLoadKnown(long now) {
+        return now < mOtherCallsUntil;
+    }
+
+    /** Returns how many times as long work probably takes there now, 1 for as usual. */
+    public double slowdown(long now) {
+        return 1 + mReport.excess() * mReport.slowdownWeight(now);
+    }
+
     /** Records that a call was sent. */
     public void callStarted(long now) {
         mInFlight++;
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardAction.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardAction.java
@@ -1,5 +1,6 @@
 package org.fuchsialever.decisions.forward;
 
+import org.fuchsialever.decisions.domain.ShareChange;
 import org.fuchsialever.decisions.fleet.ChoiceBasis;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 
@@ -45,6 +46,9 @@
     /** Passes the response of an attempt to the caller. */
     record Deliver(long number, int attempt) implements ForwardAction {}
 
+    /** Notes that the share of calls that leave the failure domain has changed. */
+    record NoteDomainShare(ShareChange change) implements ForwardAction {}
+
     /** Notes that an upstream is leaving by its own responses and gets no new work. */
     record NoteLeaving(FleetUpstream upstream) implements ForwardAction {}
 
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallKind.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallKind.java
@@ -14,6 +14,11 @@
             return call.arrivedNanos();
         }
 
+        @Override
+        boolean followsDomainShare() {
+            return true;
+        }
+
         @Override
         boolean takesFailures() {
             return true;
@@ -96,6 +101,15 @@
         return 0;
     }
 
+    /**
+     * Returns whether a call runs in the failure domain that the share of leaving calls assigns to
+     * it. The owner of a submission runs the items of all callers, so these and their scoring are
+     * spread over all domains, and only the cost of the hop counts.
+     */
+    boolean followsDomainShare() {
+        return false;
+    }
+
     /** Returns whether a running call goes on elsewhere after the last event it has received. */
     boolean movesWhileRunning() {
         return false;
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
@@ -8,7 +8,7 @@
 import java.util.PriorityQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
-import org.fuchsialever.decisions.fleet.ChoiceSurcharge;
+import org.fuchsialever.decisions.domain.DomainSpill;
 import org.fuchsialever.decisions.fleet.ChosenUpstream;
 import org.fuchsialever.decisions.fleet.Fleet;
 import org.fuchsialever.decisions.fleet.LoadHint;
@@ -35,6 +35,8 @@
     private final Fleet mFleet;
     private final RandomGenerator mRandom;
     private final UpstreamChoice mChoice;
+    private final DomainSpill mDomains;
+    private final DomainSurcharge mSurcharge;
     private final Map<Long, ForwardCallState> mCalls = new HashMap<>();
     private final Map<AttemptKey, RunningAttempt> mAttempts = new HashMap<>();
     private final PriorityQueue<Timer> mTimers =
@@ -49,9 +51,27 @@
      *     calls that no other upstream can run
      */
     public ForwardDuty(RandomGenerator random, UpstreamBalancing balancing, long leavingNanos) {
+        this(random, balancing, leavingNanos, DomainSpill.disabled(random));
+    }
+
+    /**
+     * Creates a duty without upstreams; they arrive with the first change of the fleet.
+     *
+     * @param balancing what the calls of a service go by
+     * @param leavingNanos how long after it has announced that it is leaving an upstream may get
+     *     calls that no other upstream can run
+     * @param domains decides which calls leave the failure domain of the instance
+     */
+    public ForwardDuty(
+            RandomGenerator random,
+            UpstreamBalancing balancing,
+            long leavingNanos,
+            DomainSpill domains) {
         mRandom = random;
         mFleet = new Fleet(random);
-        mChoice = new UpstreamChoice(mFleet, balancing, leavingNanos, ChoiceSurcharge.NONE);
+        mDomains = domains;
+        mSurcharge = new DomainSurcharge(mFleet, domains);
+        mChoice = new UpstreamChoice(mFleet, balancing, leavingNanos, mSurcharge);
     }
 
     @Override
@@ -133,6 +153,7 @@
             long now,
             ActionSink<ForwardAction> actions) {
         Option<ChosenUpstream> chosen = mChoice.next(state, now);
+        mDomains.drainChanges(change -> actions.emit(new ForwardAction.NoteDomainShare(change)));
         if (chosen.isDefined()) {
             start(state, chosen.get(), reason, now, actions);
         } else if (state.call().kind().waitsForSlot()) {
@@ -242,6 +263,7 @@
             mChoice.noteWorkDone(state, ended.upstream(), elapsed, now);
         } else if (outcome == AttemptOutcome.ANSWERED && state.attempts() == 1) {
             mChoice.noteAnswered(state, ended.upstream(), elapsed, now);
+            mSurcharge.noteAnswered(state, elapsed);
         }
     }
 
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/UpstreamChoice.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/UpstreamChoice.java
@@ -30,7 +30,7 @@
     private final Fleet mFleet;
     private final UpstreamBalancing mBalancing;
     private final long mLeavingNanos;
-    private final ChoiceSurcharge mSurcharge;
+    private final CallSurcharge mSurcharge;
     private final Map<String, String> mAffinities =
             new LinkedHashMap<>() {
                 private static final long serialVersionUID = 1L;
@@ -47,19 +47,26 @@
      * @param balancing what the calls of a service go by
      * @param leavingNanos how long after it has announced that it is leaving an upstream may get
      *     calls that no other upstream can run
-     * @param surcharge added to the expected time of completion at an upstream
+     * @param surcharge added to the expected time of completion at an upstream, by its failure
+     *     domain
      */
     UpstreamChoice(
-            Fleet fleet,
-            UpstreamBalancing balancing,
-            long leavingNanos,
-            ChoiceSurcharge surcharge) {
+            Fleet fleet, UpstreamBalancing balancing, long leavingNanos, CallSurcharge surcharge) {
         mFleet = fleet;
         mBalancing = balancing;
         mLeavingNanos = leavingNanos;
         mSurcharge = surcharge;
     }
 
+    /** Creates a choice with surcharges that are the same for all calls. */
+    UpstreamChoice(
+            Fleet fleet,
+            UpstreamBalancing balancing,
+            long leavingNanos,
+            ChoiceSurcharge surcharge) {
+        this(fleet, balancing, leavingNanos, CallSurcharge.sameForAll(surcharge));
+    }
+
     /** Notes that a call was sent, so that calls with the same prompt follow it. */
     void noteStart(ForwardCall call, UpstreamState upstream) {
         if (!call.affinity().isEmpty()) {
@@ -142,6 +149,7 @@
             String preferred,
             long now) {
         CompletionTime completion = mFleet.completionTime(state.service(), now);
+        ChoiceSurcharge surcharge = mSurcharge.of(state, now);
         boolean hasPrompt = !state.call().affinity().isEmpty();
         return mFleet.chooseEarliest(
                 state.service(),
@@ -152,7 +160,7 @@
                                         upstream,
                                         workNanos,
                                         hasPrompt && !upstream.spec().id().equals(preferred))
-                                + mSurcharge.nanos(upstream, now),
+                                + surcharge.nanos(upstream, now),
                 preferred,
                 now);
     }
@@ -185,7 +193,7 @@
         ServiceProfile profile = mFleet.profile(state.service());
         long done = state.workDoneNanos() + completion.workDoneNanos(from, elapsedNanos);
         long work = remainingWorkNanos(state, done);
-        long stay = completion.remainingNanos(from, work) + mSurcharge.nanos(from, now);
+        long stay = completion.remainingNanos(from, work);
         return earliest(
                         state,
                         suitable(state.call())
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryHandler.java
@@ -178,6 +178,7 @@
                                                 assigned,
                                                 route,
                                                 accepted.team(),
+                                                body.length,
                                                 now,
                                                 timeoutMillis);
                                     },
@@ -187,7 +188,12 @@
     }
 
     private static ForwardCall forwardCall(
-            long number, ForwardRoute route, String team, long now, long timeoutMillis) {
+            long number,
+            ForwardRoute route,
+            String team,
+            long bodyBytes,
+            long now,
+            long timeoutMillis) {
         long hedgeAfter =
                 route.kind().isStreamed()
                         ? Duty.NO_TIMER
@@ -202,7 +208,7 @@
                 "",
                 0,
                 "",
-                new CallTraits(team, route.priority(), 0),
+                new CallTraits(team, route.priority(), 0, bodyBytes),
                 route.priority(),
                 false,
                 now,
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardComponent.java
@@ -3,6 +3,9 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Set;
+import org.fuchsialever.decisions.domain.DomainCost;
+import org.fuchsialever.decisions.domain.DomainPolicy;
+import org.fuchsialever.decisions.domain.DomainSpill;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.fleet.UpstreamBalancing;
 import org.fuchsialever.decisions.forward.ForwardDuty;
@@ -12,6 +15,7 @@
 import org.fuchsialever.kernel.plugin.Component;
 import org.fuchsialever.kernel.plugin.ComponentContext;
 import org.fuchsialever.kernel.settings.SettingsReader;
+import org.fuchsialever.node.NodeIdentity;
 import org.fuchsialever.node.directory.Directory;
 import org.fuchsialever.node.directory.DirectoryListener;
 import org.fuchsialever.node.trace.TraceLog;
@@ -30,9 +34,19 @@
      */
     private static final long HEAP_FRACTION = 8;
 
+    /** Two ways of about a millisecond each, as between buildings of one city. */
+    private static final Duration DEFAULT_HOP = Duration.ofMillis(2);
+
+    /** Waiting time that is worth as much as moving a megabyte to another failure domain. */
+    private static final Duration DEFAULT_MEGABYTE = Duration.ofMillis(100);
+
+    private static final double BYTES_PER_MEGABYTE = 1_000_000;
+
     private long mMaxResponseBytes = defaultMaxResponseBytes();
     private Duration mLeavingPeriod = DEFAULT_LEAVING_PERIOD;
     private UpstreamBalancing mBalancing = UpstreamBalancing.AUTO;
+    private DomainPolicy mDomainPolicy = DomainPolicy.AUTO;
+    private DomainCost mDomainCost = new DomainCost(DEFAULT_HOP.toNanos(), 0);
 
     @Override
     public void configure(SettingsReader settings) {
@@ -40,6 +54,12 @@
         mBalancing =
                 settings.choice(
                         "forward", "balancing", UpstreamBalancing.class, UpstreamBalancing.AUTO);
+        mDomainPolicy = settings.choice("domains", "leave", DomainPolicy.class, DomainPolicy.AUTO);
+        mDomainCost =
+                new DomainCost(
+                        settings.duration("domains", "hop", DEFAULT_HOP).toNanos(),
+                        settings.duration("domains", "megabyte", DEFAULT_MEGABYTE).toNanos()
+                                / BYTES_PER_MEGABYTE);
         mMaxResponseBytes = settings.size("forward", "response-memory", defaultMaxResponseBytes());
     }
 
@@ -54,7 +74,7 @@
 
     @Override
     public Set<Class<?>> requires() {
-        return Set.of(HostedServices.class, Directory.class, TraceLog.class);
+        return Set.of(NodeIdentity.class, HostedServices.class, Directory.class, TraceLog.class);
     }
 
     @Override
@@ -64,11 +84,17 @@
 
     @Override
     public void install(ComponentContext context) {
+        String home = context.require(NodeIdentity.class).failureDomain().value();
+        DomainSpill domains =
+                new DomainSpill(home, mDomainPolicy, mDomainCost, context.random("domains"));
         ForwardRunner[] created = new ForwardRunner[1];
         Inbox<ForwardEvent> inbox =
                 context.startDutyWith(
                         new ForwardDuty(
-                                context.random("forward"), mBalancing, mLeavingPeriod.toNanos()),
+                                context.random("forward"),
+                                mBalancing,
+                                mLeavingPeriod.toNanos(),
+                                domains),
                         RING_CAPACITY,
                         OverflowPolicy.REFUSE,
                         ring -> {
@@ -79,7 +105,11 @@
                                             context.time(),
                                             context.require(TraceLog.class),
                                             context.meters(),
-                                            new ResponseMemory(mMaxResponseBytes));
+                                            new ResponseMemory(mMaxResponseBytes),
+                                            new DomainTrace(
+                                                    home,
+                                                    context.require(TraceLog.class),
+                                                    context.meters()));
                             return created[0];
                         });
         ForwardRunner runner = created[0];
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
@@ -54,6 +54,7 @@
     private final TraceLog mTrace;
     private final MeterRegistry mMeters;
     private final ResponseMemory mMemory;
+    private final DomainTrace mDomains;
     private final AtomicLong mLastNumber = new AtomicLong();
     private final Map<Long, AcceptedCall> mAccepted = new ConcurrentHashMap<>();
     private final Set<Long> mBeingSubmitted = ConcurrentHashMap.newKeySet();
@@ -69,13 +70,15 @@
             TimeSource time,
             TraceLog trace,
             MeterRegistry meters,
-            ResponseMemory memory) {
+            ResponseMemory memory,
+            DomainTrace domains) {
         mClient = client;
         mInbox = inbox;
         mTime = time;
         mTrace = trace;
         mMeters = meters;
         mMemory = memory;
+        mDomains = domains;
         for (ForwardCallKind kind : ForwardCallKind.values()) {
             mInProgress.put(kind, new AtomicInteger());
         }
@@ -163,6 +166,8 @@
             if (handler != null) {
                 handler.deliver(deliver.attempt());
             }
+        } else if (action instanceof ForwardAction.NoteDomainShare note) {
+            mDomains.noteShare(note.change());
         } else if (action instanceof ForwardAction.NoteLeaving leaving) {
             mTrace.line(PART, "upstream-leaving")
                     .with("upstream", leaving.upstream().id())
@@ -209,6 +214,7 @@
         mMeters.counter("fuchsialever.forward.attempts", "reason", start.reason().name())
                 .increment();
         mMeters.counter("fuchsialever.forward.choices", "basis", start.basis().name()).increment();
+        mDomains.countAttempt(start.upstream());
         mTrace.sampled(PART, "attempt")
                 .with("id", handler.requestId())
                 .with("attempt", start.attempt())
--- a/node/src/test/java/org/fuchsialever/node/forward/ForwardRunnerTest.java
+++ b/node/src/test/java/org/fuchsialever/node/forward/ForwardRunnerTest.java
@@ -78,7 +78,8 @@
                             new ManualTimeSource(0),
                             trace,
                             meters,
-                            new ResponseMemory(1)));
+                            new ResponseMemory(1),
+                            new DomainTrace("z", trace, meters)));
         } finally {
             loops.dispose();
         }
