--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/CallTraits.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/CallTraits.java
@@ -8,14 +8,20 @@
  * @param expectedTokens estimate of the tokens that it generates, often far off; 0 if there is none
  * @param cost what it takes of its team's share: its part of a step, 1 for a call on its own
  * @param maxWaitNanos how long a live call may wait here for a free slot, in nanoseconds
+ * @param bodyBytes size of its body in bytes, 0 if that is unknown
  */
 public record CallTraits(
-        String team, int rank, long expectedTokens, double cost, long maxWaitNanos) {
+        String team,
+        int rank,
+        long expectedTokens,
+        double cost,
+        long maxWaitNanos,
+        long bodyBytes) {
     /** Traits of a call of which nothing is known. */
     public static final CallTraits UNKNOWN = new CallTraits("", 0, 0);
 
     /** Creates the traits of a call on its own that waits for no slot unless its kind does. */
     public CallTraits(String team, int rank, long expectedTokens) {
-        this(team, rank, expectedTokens, 1, 0);
+        this(team, rank, expectedTokens, 1, 0, 0);
     }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
@@ -8,7 +8,7 @@
 import java.util.PriorityQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
-import org.fuchsialever.decisions.fleet.ChoiceSurcharge;
+import org.fuchsialever.decisions.domain.DomainSpill;
 import org.fuchsialever.decisions.fleet.ChosenUpstream;
 import org.fuchsialever.decisions.fleet.Fleet;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
@@ -39,6 +39,8 @@
     private final RandomGenerator mRandom;
     private final UpstreamChoice mChoice;
     private final Queueing mQueueing;
+    private final DomainSpill mDomains;
+    private final DomainSurcharge mSurcharge;
     private final Map<Long, ForwardCallState> mCalls = new HashMap<>();
     private final Map<AttemptKey, RunningAttempt> mAttempts = new HashMap<>();
     private final PriorityQueue<Timer> mTimers =
@@ -54,16 +56,20 @@
      * @param queueing by which rules calls wait and are refused
      * @param leavingNanos how long after it has announced that it is leaving an upstream may get
      *     calls that no other upstream can run
+     * @param domains decides which calls leave the failure domain of the instance
      */
     public ForwardDuty(
             RandomGenerator random,
             UpstreamBalancing balancing,
             Queueing queueing,
-            long leavingNanos) {
+            long leavingNanos,
+            DomainSpill domains) {
         mRandom = random;
         mQueueing = queueing;
         mFleet = new Fleet(random);
-        mChoice = new UpstreamChoice(mFleet, balancing, leavingNanos, ChoiceSurcharge.NONE);
+        mDomains = domains;
+        mSurcharge = new DomainSurcharge(mFleet, domains);
+        mChoice = new UpstreamChoice(mFleet, balancing, leavingNanos, mSurcharge);
         mLiveWait = new LiveWait(mFleet, mQueue, random);
     }
 
@@ -129,7 +135,8 @@
     }
 
     private void arrived(ForwardCall call, long now, ActionSink<ForwardAction> actions) {
-        ForwardCallState state = new ForwardCallState(call, pickService(call.shares()));
+        ForwardCallState state =
+                new ForwardCallState(call, ServiceShare.pick(call.shares(), mRandom));
         mCalls.put(call.number(), state);
         if (call.deadlineNanos() != NO_TIMER) {
             mTimers.add(new Timer(call.deadlineNanos(), call.number(), TimerKind.DEADLINE));
@@ -151,18 +158,6 @@
                 });
     }
 
-    private String pickService(List<ServiceShare> shares) {
-        int total = shares.stream().mapToInt(ServiceShare::weight).sum();
-        int point = total <= 1 ? 0 : mRandom.nextInt(total);
-        for (ServiceShare share : shares) {
-            point -= share.weight();
-            if (point < 0) {
-                return share.service();
-            }
-        }
-        return shares.get(0).service();
-    }
-
     private void startOrQueue(
             ForwardCallState state,
             ForwardAction.StartReason reason,
@@ -182,7 +177,7 @@
             ForwardAction.StartReason reason,
             long now,
             ActionSink<ForwardAction> actions) {
-        Option<ChosenUpstream> chosen = mChoice.next(state, now);
+        Option<ChosenUpstream> chosen = choose(state, now, actions);
         if (chosen.isDefined()) {
             start(state, chosen.get(), reason, now, actions);
         } else if (state.call().kind().waitsForSlot()) {
@@ -328,6 +323,7 @@
             mChoice.noteWorkDone(state, ended.upstream(), elapsed, now);
         } else if (outcome == AttemptOutcome.ANSWERED && state.attempts() == 1) {
             mChoice.noteAnswered(state, ended.upstream(), elapsed, now);
+            mSurcharge.noteAnswered(state, elapsed);
         }
     }
 
@@ -462,6 +458,13 @@
         }
     }
 
+    private Option<ChosenUpstream> choose(
+            ForwardCallState state, long now, ActionSink<ForwardAction> actions) {
+        Option<ChosenUpstream> chosen = mChoice.next(state, now);
+        mDomains.drainChanges(change -> actions.emit(new ForwardAction.NoteDomainShare(change)));
+        return chosen;
+    }
+
     private void enqueue(ForwardCallState state, long now) {
         // A hedge of a call that is still running does not wait for a slot.
         if (state.isRunning()) {
@@ -481,7 +484,7 @@
         if (queuedLive && !mLiveWait.hasRoom(state, now)) {
             return false;
         }
-        Option<ChosenUpstream> upstream = mChoice.next(state, now);
+        Option<ChosenUpstream> upstream = choose(state, now, actions);
         upstream.forEach(chosen -> start(state, chosen, state.nextStartReason(), now, actions));
         return upstream.isDefined();
     }
--- a/decisions/src/test/java/org/fuchsialever/decisions/forward/FairQueueingTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/forward/FairQueueingTest.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
+import org.fuchsialever.decisions.domain.DomainSpill;
 import org.fuchsialever.decisions.fleet.LoadHint;
 import org.fuchsialever.decisions.fleet.UpstreamBalancing;
 import org.fuchsialever.decisions.manifest.ServiceShare;
@@ -154,7 +155,11 @@
     private static List<ForwardAction> play(Queueing queueing, LoadHint hint) {
         ForwardDuty duty =
                 new ForwardDuty(
-                        new SplittableRandom(3), UpstreamBalancing.AUTO, queueing, LEAVING_NANOS);
+                        new SplittableRandom(3),
+                        UpstreamBalancing.AUTO,
+                        queueing,
+                        LEAVING_NANOS,
+                        DomainSpill.disabled(new SplittableRandom(1)));
         SplittableRandom random = new SplittableRandom(5);
         List<ForwardAction> actions = new ArrayList<>();
         duty.onEvent(
@@ -220,7 +225,7 @@
                 "",
                 0,
                 "",
-                new CallTraits(team, rank, 0, 1, MAX_WAIT_MILLIS * MILLI),
+                new CallTraits(team, rank, 0, 1, MAX_WAIT_MILLIS * MILLI, 0),
                 0,
                 false,
                 arrivedMillis * MILLI,
--- a/decisions/src/test/java/org/fuchsialever/decisions/forward/ForwardDutyFixture.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/forward/ForwardDutyFixture.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import org.fuchsialever.decisions.domain.DomainSpill;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.fleet.UpstreamBalancing;
 import org.fuchsialever.decisions.manifest.ServiceShare;
@@ -18,7 +19,11 @@
 
     final ForwardDuty mDuty =
             new ForwardDuty(
-                    new SplittableRandom(1), UpstreamBalancing.AUTO, queueing(), LEAVING_NANOS);
+                    new SplittableRandom(1),
+                    UpstreamBalancing.AUTO,
+                    queueing(),
+                    LEAVING_NANOS,
+                    DomainSpill.disabled(new SplittableRandom(1)));
     final List<ForwardAction> mActions = new ArrayList<>();
 
     /** The setting that the duty is created with. */
--- a/decisions/src/test/java/org/fuchsialever/decisions/forward/PoolModel.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/forward/PoolModel.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.SplittableRandom;
+import org.fuchsialever.decisions.domain.DomainSpill;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.fleet.LoadHint;
 import org.fuchsialever.decisions.fleet.UpstreamBalancing;
@@ -59,7 +60,12 @@
         }
         for (int i = 0; i < duties; i++) {
             mDuties.add(
-                    new ForwardDuty(new SplittableRandom(seed + i), balancing, Queueing.AUTO, 0));
+                    new ForwardDuty(
+                            new SplittableRandom(seed + i),
+                            balancing,
+                            Queueing.AUTO,
+                            0,
+                            DomainSpill.disabled(new SplittableRandom(seed + i))));
             send(i, new ForwardEvent.FleetChanged(upstreams(-1)));
         }
     }
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
@@ -342,7 +342,7 @@
 
     private CallTraits traits(BatchSpec spec, String team, ForwardRoute route, long tokens) {
         int rank = mDirectory.rank(route, team);
-        return new CallTraits(team, rank, tokens, 1.0 / spec.items().size(), 0);
+        return new CallTraits(team, rank, tokens, 1.0 / spec.items().size(), 0, 0);
     }
 
     private Option<ForwardRoute> route(String host, String path, String otherPath) {
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryHandler.java
@@ -182,7 +182,7 @@
                                         return forwardCall(
                                                 assigned,
                                                 route,
-                                                liveTraits(accepted, route),
+                                                liveTraits(accepted, route, body.length),
                                                 now,
                                                 timeoutMillis);
                                     },
@@ -191,14 +191,16 @@
                 });
     }
 
-    private static CallTraits liveTraits(AcceptedRequest accepted, ForwardRoute route) {
+    private static CallTraits liveTraits(
+            AcceptedRequest accepted, ForwardRoute route, long bodyBytes) {
         long maxWaitMillis = route.targetLatencyMillis() / MAX_WAIT_FRACTION;
         return new CallTraits(
                 accepted.team(),
                 accepted.manifest().rank(route, accepted.team()),
                 0,
                 1,
-                TimeUnit.MILLISECONDS.toNanos(maxWaitMillis));
+                TimeUnit.MILLISECONDS.toNanos(maxWaitMillis),
+                bodyBytes);
     }
 
     private static ForwardCall forwardCall(
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
@@ -58,6 +58,7 @@
     private final ResponseMemory mMemory;
     private final EngineReports mReports;
     private final Queueing mQueueing;
+    private final DomainTrace mDomains;
     private final AtomicLong mLastNumber = new AtomicLong();
     private final Map<Long, AcceptedCall> mAccepted = new ConcurrentHashMap<>();
     private final Set<Long> mBeingSubmitted = ConcurrentHashMap.newKeySet();
@@ -76,7 +77,8 @@
             TraceLog trace,
             MeterRegistry meters,
             ResponseMemory memory,
-            Queueing queueing) {
+            Queueing queueing,
+            DomainTrace domains) {
         mClient = client;
         mQueueing = queueing;
         mInbox = inbox;
@@ -85,6 +87,7 @@
         mMeters = meters;
         mMemory = memory;
         mReports = new EngineReports(time);
+        mDomains = domains;
         for (ForwardCallKind kind : ForwardCallKind.values()) {
             mInProgress.put(kind, new AtomicInteger());
         }
@@ -187,6 +190,8 @@
             if (handler != null) {
                 handler.deliver(deliver.attempt());
             }
+        } else if (action instanceof ForwardAction.NoteDomainShare note) {
+            mDomains.noteShare(note.change());
         } else if (action instanceof ForwardAction.NoteLeaving leaving) {
             mTrace.line(PART, "upstream-leaving")
                     .with("upstream", leaving.upstream().id())
@@ -259,6 +264,7 @@
             mMeters.timer("fuchsialever.forward.wait", "service", start.upstream().service())
                     .record(now - call.arrivedNanos(), TimeUnit.NANOSECONDS);
         }
+        mDomains.countAttempt(start.upstream());
         mTrace.sampled(PART, "attempt")
                 .with("id", handler.requestId())
                 .with("attempt", start.attempt())
--- a/node/src/test/java/org/fuchsialever/node/forward/ForwardRunnerTest.java
+++ b/node/src/test/java/org/fuchsialever/node/forward/ForwardRunnerTest.java
@@ -80,7 +80,8 @@
                             trace,
                             meters,
                             new ResponseMemory(1),
-                            Queueing.AUTO));
+                            Queueing.AUTO,
+                            new DomainTrace("z", trace, meters)));
         } finally {
             loops.dispose();
         }
