--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
@@ -43,8 +43,8 @@
     private final DomainSurcharge mSurcharge;
     private final Map<Long, ForwardCallState> mCalls = new HashMap<>();
     private final Map<AttemptKey, RunningAttempt> mAttempts = new HashMap<>();
-    private final PriorityQueue<Timer> mTimers =
-            new PriorityQueue<>(Comparator.comparingLong(Timer::at));
+    private final PriorityQueue<CallTimer> mTimers =
+            new PriorityQueue<>(Comparator.comparingLong(CallTimer::at));
     private final CallQueue mQueue = new CallQueue();
     private final LiveWait mLiveWait;
     private final QueueLengths mLengths = new QueueLengths();
@@ -117,8 +117,8 @@
 
     @Override
     public void onTimer(long nowNanos, ActionSink<ForwardAction> actions) {
-        Timer timer = mTimers.peek();
-        while (timer != null && timer.at <= nowNanos) {
+        CallTimer timer = mTimers.peek();
+        while (timer != null && timer.at() <= nowNanos) {
             mTimers.poll();
             fire(timer, nowNanos, actions);
             timer = mTimers.peek();
@@ -130,8 +130,8 @@
 
     @Override
     public long nextTimerNanos() {
-        Timer timer = mTimers.peek();
-        return Math.min(mQueue.nextTimerNanos(), timer == null ? NO_TIMER : timer.at);
+        CallTimer timer = mTimers.peek();
+        return Math.min(mQueue.nextTimerNanos(), timer == null ? NO_TIMER : timer.at());
     }
 
     private void arrived(ForwardCall call, long now, ActionSink<ForwardAction> actions) {
@@ -139,7 +139,8 @@
                 new ForwardCallState(call, ServiceShare.pick(call.shares(), mRandom));
         mCalls.put(call.number(), state);
         if (call.deadlineNanos() != NO_TIMER) {
-            mTimers.add(new Timer(call.deadlineNanos(), call.number(), TimerKind.DEADLINE));
+            mTimers.add(
+                    new CallTimer(call.deadlineNanos(), call.number(), CallTimer.Kind.DEADLINE));
         }
         startOrQueue(state, ForwardAction.StartReason.FIRST, now, actions);
     }
@@ -197,7 +198,9 @@
                 (mQueue.lengthAhead(state) > 0 || !mLiveWait.hasRoom(state, now))
                         && mLiveWait.isWorthWaiting(state, now);
         if (waits) {
-            mTimers.add(new Timer(mLiveWait.waitsUntil(call), call.number(), TimerKind.WAIT_OVER));
+            mTimers.add(
+                    new CallTimer(
+                            mLiveWait.waitsUntil(call), call.number(), CallTimer.Kind.WAIT_OVER));
         }
         return waits;
     }
@@ -252,7 +255,9 @@
         mChoice.noteStart(call, upstream);
         boolean maySendAgain = call.idempotent() && call.hedgeAfterNanos() != NO_TIMER;
         if (maySendAgain && state.mayBeSentAgain()) {
-            mTimers.add(new Timer(now + call.hedgeAfterNanos(), call.number(), TimerKind.HEDGE));
+            mTimers.add(
+                    new CallTimer(
+                            now + call.hedgeAfterNanos(), call.number(), CallTimer.Kind.HEDGE));
         }
         actions.emit(
                 new ForwardAction.Start(
@@ -360,10 +365,10 @@
         if (state.call().kind().waitsForSlot() && outcome == AttemptOutcome.FAILED) {
             state.clearTried();
             mTimers.add(
-                    new Timer(
+                    new CallTimer(
                             now + FAILURE_RETRY_DELAY_NANOS,
                             state.call().number(),
-                            TimerKind.RETRY));
+                            CallTimer.Kind.RETRY));
             return;
         }
         startOrQueue(state, ForwardAction.StartReason.RETRY, now, actions);
@@ -412,18 +417,18 @@
                 : RETRY_AFTER_MILLIS;
     }
 
-    private void fire(Timer timer, long now, ActionSink<ForwardAction> actions) {
-        ForwardCallState state = mCalls.get(timer.number);
+    private void fire(CallTimer timer, long now, ActionSink<ForwardAction> actions) {
+        ForwardCallState state = mCalls.get(timer.number());
         if (state == null) {
             return;
         }
-        switch (timer.kind) {
+        switch (timer.kind()) {
             case DEADLINE -> {
                 boolean mayHaveRun = state.mayHaveRun();
                 finish(state, actions);
                 actions.emit(
                         new ForwardAction.Refuse(
-                                timer.number,
+                                timer.number(),
                                 mayHaveRun ? ForwardRefusal.LATE : ForwardRefusal.LATE_NOT_RUN,
                                 mayHaveRun ? 0 : retryAfterMillis(state, now)));
             }
@@ -490,13 +495,4 @@
     }
 
     private record AttemptKey(long number, int attempt) {}
-
-    private record Timer(long at, long number, TimerKind kind) {}
-
-    private enum TimerKind {
-        DEADLINE,
-        HEDGE,
-        RETRY,
-        WAIT_OVER
-    }
 }
