Let the hosted tests wait until an instance has read all tables

goesOnWithATextElsewhereWhenItsEngineSendsBytesButNoEvents failed once (load average 20): its submission came 35 ms after 'listening' and was refused as not run, because the table of submissions had never been read. The fixture now waits for readiness besides an answered call.

--- a/node/src/test/java/org/fuchsialever/node/hosted/HostedFixture.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/HostedFixture.java
@@ -52,6 +52,7 @@
         fixture.upstream("e1", "engines");
         fixture.start("n1");
         fixture.awaitServing("n1");
+        fixture.awaitReady("n1");
         return fixture;
     }
 
@@ -109,6 +110,11 @@
         eventually(() -> call(name, "GET", "/safe/probe", "probe", KEY, "").status() == 200);
     }
 
+    /** Waits until the instance has read all tables; it refuses submissions before. */
+    void awaitReady(String name) {
+        eventually(() -> call(name, "GET", "/api/readyz", "ready", "", "").status() == 200);
+    }
+
     void eventually(Callable<Boolean> condition) {
         await().atMost(TIMEOUT).pollInterval(Duration.ofMillis(20)).until(condition);
     }
