--- a/review/harness-2/Site.java
+++ b/review/harness-2/Site.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -25,6 +26,8 @@
     static final String SCORE = "/pufi791/";
     static final String LOOKUP = "/lohu930/";
 
+    private static final int MIN_PORT = 20_000;
+    private static final int MAX_PORT = 32_000;
     private static final Path DEPLOY = Path.of("deploy", "system.toml");
 
     final Record record;
@@ -148,7 +151,11 @@
         for (Instance instance : instances) {
             while (!instance.isReady()) {
                 if (System.nanoTime() > end) {
-                    throw new IllegalStateException(instance.name + " is not ready");
+                    throw new IllegalStateException(
+                            instance.name
+                                    + (instance.process.isAlive()
+                                            ? " is not ready"
+                                            : " has ended with " + instance.process.exitValue()));
                 }
                 Thread.sleep(100);
             }
@@ -325,12 +332,18 @@
                 found -> Matcher.quoteReplacement(fields.getOrDefault(found.group(1), "")));
     }
 
+    /** Returns a port below those that the system gives to outgoing connections. */
     private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
+        for (int attempt = 0; attempt < 100; attempt++) {
+            int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+            try (ServerSocket socket =
+                    new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                // In use.
+            }
         }
+        throw new IllegalStateException("no free port");
     }
 
     @Override
