--- a/review/harness-2/LostMachine.java
+++ b/review/harness-2/LostMachine.java
@@ -25,6 +25,7 @@
     private static final int MIN_ENDS = 3;
 
     private static final int MIN_MACHINES = 2;
+    private static final long LATEST_LOSS_MILLIS = 60_000;
     private static final long END_MILLIS = 108_000;
     private static final long RESTART_MILLIS = 500;
 
@@ -109,6 +110,10 @@
 
     private static int watch(Site site) throws Exception {
         Thread.sleep(6_000);
+        if (site.record.millis() > LATEST_LOSS_MILLIS) {
+            site.record.say("too little time is left, after %d ms", site.record.millis());
+            return 2;
+        }
         List<Site.Instance> left = new ArrayList<>(site.instances);
         if (site.trouble) {
             for (int i = 0; i < LOST; i++) {
--- a/review/harness-2/Site.java
+++ b/review/harness-2/Site.java
@@ -108,7 +108,8 @@
 
         void signal(String signal) throws IOException, InterruptedException {
             record.line("%s gets SIG%s", name, signal);
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+            String command = "kill -" + signal + " " + process.pid();
+            new ProcessBuilder("bash", "-c", command).start().waitFor();
         }
 
         boolean isReady() {
