--- a/review/harness-2/Site.java
+++ b/review/harness-2/Site.java
@@ -10,8 +10,10 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -30,6 +32,9 @@
     private static final int MAX_PORT = 32_000;
     private static final Path DEPLOY = Path.of("deploy", "system.toml");
 
+    /** Ports that were given to instances; a process binds its own only after it has started. */
+    private static final Set<Integer> GIVEN_PORTS = new HashSet<>();
+
     final Record record;
     final Store store;
     final List<Worker> workers = new ArrayList<>();
@@ -333,13 +338,15 @@
                 found -> Matcher.quoteReplacement(fields.getOrDefault(found.group(1), "")));
     }
 
-    /** Returns a port below those that the system gives to outgoing connections. */
-    private static int freePort() {
+    /** Returns a port below those that the system gives to outgoing connections, each one once. */
+    private static synchronized int freePort() {
         for (int attempt = 0; attempt < 100; attempt++) {
             int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
             try (ServerSocket socket =
                     new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
-                return socket.getLocalPort();
+                if (GIVEN_PORTS.add(port)) {
+                    return port;
+                }
             } catch (IOException e) {
                 // In use.
             }
