Read durations and numbers as fractions

Cause: durations had to be whole numbers. A duration without a number, of a deployment that has no such bound, is a warning and the default applies. Why this works: the reader takes every form in which the users' platform writes a number, at the one place through which all settings and variables are read.

--- a/kernel/src/main/java/org/fuchsialever/kernel/settings/SettingsReader.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/settings/SettingsReader.java
@@ -1,6 +1,7 @@
 package org.fuchsialever.kernel.settings;
 
 import io.vavr.control.Option;
+import java.math.BigDecimal;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.HashSet;
@@ -23,6 +24,7 @@
     private static final String MSG_BAD_NUMBER = "settings.bad-number";
     private static final String MSG_OUT_OF_RANGE = "settings.out-of-range";
     private static final String MSG_BAD_DURATION = "settings.bad-duration";
+    private static final String MSG_NO_FIGURE = "settings.no-figure";
     private static final String MSG_BAD_SIZE = "settings.bad-size";
     private static final String MSG_BAD_CHOICE = "settings.bad-choice";
     private static final String MSG_UNKNOWN_KEY = "settings.unknown-key";
@@ -117,13 +119,17 @@
         return number;
     }
 
-    /** Returns a decimal number within bounds (both inclusive). */
+    /**
+     * Returns a decimal number within bounds (both inclusive), such as {@code 2}, {@code 0.75} or
+     * {@code 1e-05}.
+     */
     public double decimal(String section, String key, double defaultValue, double min, double max) {
         Option<String> value = raw(section, key);
         if (value.isEmpty()) {
             return defaultValue;
         }
-        if (!value.get().matches("-?[0-9]{1,15}(\\.[0-9]{1,15})?")) {
+        Option<Double> number = Quantities.parseNumber(value.get()).map(BigDecimal::doubleValue);
+        if (number.isEmpty()) {
             mFindings.error(
                     mDocument.location(section, key),
                     MSG_BAD_NUMBER,
@@ -131,35 +137,60 @@
                     value.get());
             return defaultValue;
         }
-        double number = Double.parseDouble(value.get());
-        if (number < min || number > max) {
+        if (number.get() < min || number.get() > max) {
             mFindings.error(
                     mDocument.location(section, key),
                     MSG_OUT_OF_RANGE,
                     "%s is out of range; allowed are %s to %s",
-                    number,
+                    number.get(),
                     min,
                     max);
             return defaultValue;
         }
-        return number;
+        return number.get();
     }
 
-    /** Returns a duration such as {@code 250 ms}, {@code 5 s}, {@code 2 min} or {@code 1 h}. */
+    /** Returns a duration such as {@code 250 ms}, {@code 7.5 s}, {@code 2 min} or {@code 1 h}. */
     public Duration duration(String section, String key, Duration defaultValue) {
+        return duration(section, key, defaultValue, Duration.ZERO);
+    }
+
+    /**
+     * Returns a duration of at least the given length. If the number is missing, because the field
+     * of a template has no value, the default applies and a warning is added.
+     */
+    public Duration duration(String section, String key, Duration defaultValue, Duration min) {
         Option<String> value = raw(section, key);
         if (value.isEmpty()) {
             return defaultValue;
         }
+        if (Quantities.isDurationWithoutFigure(value.get())) {
+            mFindings.warning(
+                    mDocument.location(section, key),
+                    MSG_NO_FIGURE,
+                    "\"%s\" has no number; the default applies",
+                    value.get());
+            return defaultValue;
+        }
         Option<Duration> duration = Quantities.parseDuration(value.get());
         if (duration.isEmpty()) {
             mFindings.error(
                     mDocument.location(section, key),
                     MSG_BAD_DURATION,
-                    "\"%s\" is not a duration; write for example 250 ms, 5 s, 2 min or 1 h",
+                    "\"%s\" is not a duration; write for example 250 ms, 7.5 s, 2 min or 1 h",
                     value.get());
+            return defaultValue;
+        }
+        if (duration.get().compareTo(min) < 0) {
+            mFindings.error(
+                    mDocument.location(section, key),
+                    MSG_OUT_OF_RANGE,
+                    "\"%s\" is too short; at least %d ms are needed",
+                    value.get(),
+                    min.toMillis());
+            return defaultValue;
         }
-        return duration.getOrElse(defaultValue);
+        return duration.get();
     }
 
     /** Returns a size in bytes from a text such as {@code 64 KB} or {@code 1 MB}. */
--- a/services/src/main/java/org/fuchsialever/services/http/HttpPlatformAdapter.java
+++ b/services/src/main/java/org/fuchsialever/services/http/HttpPlatformAdapter.java
@@ -121,7 +121,7 @@
 
     private static Duration timeout(SettingsReader settings, String key, Duration defaultValue) {
         Duration value = settings.duration(SECTION, key, defaultValue);
-        if (value.isZero() || value.toMinutes() > 1) {
+        if (value.toMillis() < 1 || value.toMinutes() > 1) {
             settings.findings()
                     .error(
                             settings.location(SECTION, key),
