Number usage windows by their exact length

A window whose length is no whole number of milliseconds was cut to whole ones, and one below 1 ms ended the process with an error of its arithmetic. Cause: the length was turned into milliseconds before windows were numbered from 1970 on, so an error of a part in a thousand moves the number of today's window by far. Change: windows are counted in nanoseconds; a length below 1 ms is a finding of the settings.

--- a/node/src/main/java/org/fuchsialever/node/metering/MeteringComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/metering/MeteringComponent.java
@@ -17,6 +17,9 @@
     /** The window length that existing deployments use. */
     private static final Duration DEFAULT_WINDOW = Duration.ofSeconds(5);
 
+    /** Calls are counted by the millisecond in which they began. */
+    private static final Duration MIN_WINDOW = Duration.ofMillis(1);
+
     private static final String SECTION = "metering";
 
     private Duration mWindow = DEFAULT_WINDOW;
@@ -44,7 +47,7 @@
 
     @Override
     public void configure(SettingsReader settings) {
-        mWindow = settings.duration(SECTION, "window", DEFAULT_WINDOW);
+        mWindow = settings.duration(SECTION, "window", DEFAULT_WINDOW, MIN_WINDOW);
     }
 
     @Override
@@ -53,7 +56,7 @@
         NodeIdentity identity = context.require(NodeIdentity.class);
         Leases leases = context.require(Leases.class);
         TraceLog trace = context.require(TraceLog.class);
-        WindowCounts counts = new WindowCounts(mWindow.toMillis());
+        WindowCounts counts = new WindowCounts(mWindow);
         context.require(UsageListeners.class).add(counts::add);
         MeteringRows rows =
                 new MeteringRows(
@@ -65,7 +68,6 @@
                         services.fencedCalls(),
                         leases,
                         context.time(),
-                        mWindow.toMillis(),
                         trace,
                         context.meters());
         context.closer().register("metering", loop);
--- a/node/src/main/java/org/fuchsialever/node/metering/UsageReporter.java
+++ b/node/src/main/java/org/fuchsialever/node/metering/UsageReporter.java
@@ -39,7 +39,6 @@
     private final FencedCalls mDuties;
     private final Leases mLeases;
     private final TimeSource mTime;
-    private final long mWindowMillis;
     private final TraceLog mTrace;
     private final MeterRegistry mMeters;
     private final long mFirstWindow;
@@ -55,7 +54,6 @@
             FencedCalls duties,
             Leases leases,
             TimeSource time,
-            long windowMillis,
             TraceLog trace,
             MeterRegistry meters) {
         mCounts = counts;
@@ -63,7 +61,6 @@
         mDuties = duties;
         mLeases = leases;
         mTime = time;
-        mWindowMillis = windowMillis;
         mTrace = trace;
         mMeters = meters;
         mFirstWindow = counts.windowOf(time.wallMillis());
@@ -141,8 +138,7 @@
 
     private Mono<Void> reportEnded(long fencing) {
         long window = mNextWindow;
-        long endMillis = (window + 1) * mWindowMillis;
-        if (mTime.wallMillis() < endMillis + SETTLE_MILLIS) {
+        if (mTime.wallMillis() < mCounts.endMillis(window) + SETTLE_MILLIS) {
             return Mono.empty();
         }
         return mRows.sum(window)
--- a/node/src/test/java/org/fuchsialever/node/metering/UsageReporterTest.java
+++ b/node/src/test/java/org/fuchsialever/node/metering/UsageReporterTest.java
@@ -29,14 +29,14 @@
 import reactor.core.publisher.Sinks;
 
 class UsageReporterTest {
-    private static final long WINDOW_MILLIS = 5_000;
+    private static final Duration WINDOW = Duration.ofSeconds(5);
     private static final HeldLease LEASE = new HeldLease("usage", 7, "leases", "role/usage", 1);
 
     private final ManualTimeSource mClock = new ManualTimeSource(0);
     private final MemoryRows mRows = new MemoryRows();
     private final ExpiringLeases mLeases = new ExpiringLeases();
     private final List<Long> mReported = new ArrayList<>();
-    private final WindowCounts mCounts = new WindowCounts(WINDOW_MILLIS);
+    private final WindowCounts mCounts = new WindowCounts(WINDOW);
 
     @Test
     void reportsAWindowThatHasEnded() {
@@ -86,7 +86,6 @@
                         },
                         mLeases,
                         mClock,
-                        WINDOW_MILLIS,
                         new TraceLog(
                                 new PrintStream(OutputStream.nullOutputStream()),
                                 new SimpleMeterRegistry()),
