Log at a reload that no instance would start with the settings

Cause: a reload compared the texts of the settings and did not read their values. Change: a reload reads the settings as a start does, without starting anything, and logs the findings as `would-not-start`. The outcomes that were logged before stay as they were.

--- a/node/src/main/java/org/fuchsialever/node/NodeMain.java
+++ b/node/src/main/java/org/fuchsialever/node/NodeMain.java
@@ -71,7 +71,9 @@
             return EXIT_USAGE;
         }
         // The default action of this signal would end the process.
-        SettingsReload reload = new SettingsReload(mSettings, text);
+        SettingsReload reload =
+                new SettingsReload(
+                        mSettings, text, changed -> NodeProcess.check(mSettings, changed));
         Signal.handle(new Signal("HUP"), signal -> reload.reload());
         // Registered before the start, so that a signal during the start is not missed.
         Runtime.getRuntime().addShutdownHook(new Thread(this::stop, "shutdown"));
--- a/node/src/main/java/org/fuchsialever/node/NodeProcess.java
+++ b/node/src/main/java/org/fuchsialever/node/NodeProcess.java
@@ -67,15 +67,14 @@
      */
     public static Either<Findings, NodeProcess> start(String file, String text, StopRequest stop) {
         Findings findings = new Findings();
-        SettingsReader settings =
-                new SettingsReader(
-                        IniDocument.parse(file, text, findings), findings, System.getenv());
-        Assembly assembly = Assembly.of(selectComponents(settings, findings), findings);
-        assembly.configure(settings);
-        settings.reportUnknownKeys();
+        SettingsReader settings = reader(file, text, findings);
+        Assembly assembly = configure(settings, findings);
         if (findings.hasErrors()) {
             return Either.left(findings);
         }
+        if (!findings.isEmpty()) {
+            LOG.warning("Settings have findings: " + findings.report());
+        }
         Closer closer = new Closer();
         ComponentContext context =
                 new ComponentContext(
@@ -95,6 +94,30 @@
         return Either.right(new NodeProcess(context));
     }
 
+    /**
+     * Returns what is found in settings without starting an instance.
+     *
+     * @param file the name of the settings file, for findings
+     * @param text the settings
+     */
+    static Findings check(String file, String text) {
+        Findings findings = new Findings();
+        configure(reader(file, text, findings), findings);
+        return findings;
+    }
+
+    private static SettingsReader reader(String file, String text, Findings findings) {
+        return new SettingsReader(
+                IniDocument.parse(file, text, findings), findings, System.getenv());
+    }
+
+    private static Assembly configure(SettingsReader settings, Findings findings) {
+        Assembly assembly = Assembly.of(selectComponents(settings, findings), findings);
+        assembly.configure(settings);
+        settings.reportUnknownKeys();
+        return assembly;
+    }
+
     /** Returns a service of the instance. */
     public <T> T service(Class<T> type) {
         return mContext.require(type);
--- a/node/src/main/java/org/fuchsialever/node/SettingsReload.java
+++ b/node/src/main/java/org/fuchsialever/node/SettingsReload.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Function;
 import org.fuchsialever.kernel.findings.Findings;
 import org.fuchsialever.kernel.log.PartLogger;
 import org.fuchsialever.kernel.settings.IniDocument;
@@ -22,10 +23,18 @@
 
     private final String mFile;
     private final IniDocument mInForce;
+    private final Function<String, Findings> mCheck;
     private Option<TraceLog> mTrace = Option.none();
 
-    SettingsReload(String file, String text) {
+    /**
+     * Creates a reload.
+     *
+     * @param text the settings in force
+     * @param check returns what an instance would find in a text at its start
+     */
+    SettingsReload(String file, String text, Function<String, Findings> check) {
         mFile = file;
+        mCheck = check;
         mInForce = IniDocument.parse(file, text, new Findings());
     }
 
@@ -59,6 +68,11 @@
                         ? "Settings were read again; nothing has changed."
                         : "Settings take effect at the next start; changed: " + changed + ".");
         line(changed.isEmpty() ? "unchanged" : "changed", String.join(", ", changed));
+        Findings atStart = mCheck.apply(text);
+        if (atStart.hasErrors()) {
+            LOG.warning("No instance would start with these settings: " + atStart.report());
+            line("would-not-start", atStart.report());
+        }
         return changed;
     }
 
