Keep items running whose path has no route of its own

Cause: at each manifest the route of a running item was searched by the path of the item alone. Items whose path matches no route run on the route of their submission, and the missing route passed for one that had ended. Related: an item was started on any route for its path, also on one for calls of another kind, whose upstreams don't generate texts. Change: Manifest.itemRoute takes the rollout route of the item's path or else the route of its submission; a running call keeps this search for later manifests. Why this works: the start, the takeover and each change of the manifest ask one function.

--- a/decisions/src/main/java/org/fuchsialever/decisions/manifest/Manifest.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/manifest/Manifest.java
@@ -74,6 +74,20 @@
         return Option.none();
     }
 
+    /**
+     * Returns the route of an item: the rollout route of its own path or else the route of its
+     * submission. Routes for calls of other kinds do not run items.
+     *
+     * @param host the host of the submission
+     * @param itemPath the path of the item
+     * @param submissionPath the path of the request that submitted it
+     */
+    public Option<ForwardRoute> itemRoute(String host, String itemPath, String submissionPath) {
+        return route(host, itemPath)
+                .filter(route -> route.kind() == RequestKind.ROLLOUT)
+                .orElse(() -> route(host, submissionPath));
+    }
+
     /** Returns the team that a key belongs to. */
     public Option<String> teamOf(String key) {
         return Option.of(mTeamsByKey.get(key));
--- a/decisions/src/test/java/org/fuchsialever/decisions/manifest/ManifestTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/manifest/ManifestTest.java
@@ -10,7 +10,11 @@
     private final Manifest mManifest =
             new Manifest(
                     3,
-                    List.of(route("short", "/a/"), route("long", "/a/b/")),
+                    List.of(
+                            route("short", "/a/"),
+                            route("long", "/a/b/"),
+                            route("items", "/items/", RequestKind.ROLLOUT),
+                            route("other-items", "/other/", RequestKind.ROLLOUT)),
                     List.of(),
                     List.of(
                             new TeamKeys("team", List.of("k1", "k2"), 3),
@@ -29,6 +33,24 @@
         assertThat(mManifest.route("h", "/a").isEmpty(), is(true));
     }
 
+    /** Guards against items that are given up because their path has no route of its own. */
+    @Test
+    void routesAnItemByItsPathOrElseByThatOfItsSubmission() {
+        assertThat(itemRoute("/other/x"), is("other-items"));
+        assertThat(itemRoute("/v1/x"), is("items"));
+        assertThat(mManifest.itemRoute("h", "/v1/x", "/v1/b").isEmpty(), is(true));
+    }
+
+    /** Guards against items that are sent to upstreams of plain calls. */
+    @Test
+    void routesNoItemByARouteForCallsOfAnotherKind() {
+        assertThat(itemRoute("/a/x"), is("items"));
+    }
+
+    private String itemRoute(String path) {
+        return mManifest.itemRoute("h", path, "/items/b").map(ForwardRoute::name).get();
+    }
+
     @Test
     void findsTheTeamOfEachOfItsKeys() {
         assertThat(mManifest.teamOf("k2").get(), is("team"));
@@ -44,11 +66,15 @@
     }
 
     private static ForwardRoute route(String name, String prefix) {
+        return route(name, prefix, RequestKind.SAFE);
+    }
+
+    private static ForwardRoute route(String name, String prefix, RequestKind kind) {
         return new ForwardRoute(
                 name,
                 "h",
                 prefix,
-                RequestKind.SAFE,
+                kind,
                 List.of(new ServiceShare("s", 1)),
                 1,
                 1,
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
@@ -111,7 +111,7 @@
     void reroute(Manifest manifest) {
         mRunningCalls.forEach(
                 (key, call) -> {
-                    Option<ForwardRoute> route = manifest.route(call.host, call.path);
+                    Option<ForwardRoute> route = call.routing.routeIn(manifest);
                     boolean moved =
                             route.isEmpty()
                                     || !route.get().shares().equals(call.forwardCall.shares());
@@ -136,7 +136,7 @@
                 .with("call", call.number)
                 .write();
         ForwardCall moved = call.forwardCall.withShares(route.get().shares());
-        submit(key, call.host, call.path, moved, call.handler);
+        submit(key, call.routing, moved, call.handler);
     }
 
     private void keepTexts(BatchAction.KeepTexts keep) {
@@ -288,7 +288,9 @@
         int index = generate.item();
         BatchItem item = spec.items().get(index);
         ItemKey key = new ItemKey(spec.id(), index);
-        Option<ForwardRoute> route = route(state.host(), item.path(), state.path());
+        CallRouting routing =
+                manifest -> manifest.itemRoute(state.host(), item.path(), state.path());
+        Option<ForwardRoute> route = mDirectory.manifest().flatMap(routing::routeIn);
         if (route.isEmpty()) {
             mInbox.offer(new BatchEvent.GenerationFailed(spec.id(), index));
             return;
@@ -337,7 +339,7 @@
                         mTime.nanoTime(),
                         Duty.NO_TIMER,
                         Duty.NO_TIMER);
-        submit(key, state.host(), item.path(), forwardCall, handler);
+        submit(key, routing, forwardCall, handler);
     }
 
     private CallTraits traits(BatchSpec spec, String team, ForwardRoute route, long tokens) {
@@ -345,18 +347,13 @@
         return new CallTraits(team, rank, tokens, 1.0 / spec.items().size(), 0, 0);
     }
 
-    private Option<ForwardRoute> route(String host, String path, String otherPath) {
-        Option<Manifest> manifest = mDirectory.manifest();
-        return manifest.flatMap(known -> known.route(host, path))
-                .orElse(() -> manifest.flatMap(known -> known.route(host, otherPath)));
-    }
-
     private void score(BatchAction.Score score) {
         String id = score.spec().id();
         int index = score.item();
         String itemId = score.spec().items().get(index).id();
         ItemKey key = new ItemKey(id, index);
-        Option<ForwardRoute> route = route(score.call().host(), score.call().path(), "");
+        CallRouting routing = manifest -> manifest.route(score.call().host(), score.call().path());
+        Option<ForwardRoute> route = mDirectory.manifest().flatMap(routing::routeIn);
         if (route.isEmpty()) {
             itemFailed("scoring-failed", id, itemId, "NO_ROUTE");
             mInbox.offer(new BatchEvent.ScoringFailed(id, index));
@@ -391,20 +388,15 @@
                         mTime.nanoTime(),
                         Duty.NO_TIMER,
                         TimeUnit.MILLISECONDS.toNanos(route.get().targetLatencyMillis()));
-        submit(key, score.call().host(), score.call().path(), forwardCall, handler);
+        submit(key, routing, forwardCall, handler);
     }
 
     private void submit(
-            ItemKey key,
-            String host,
-            String path,
-            ForwardCall forwardCall,
-            ForwardCallHandler handler) {
+            ItemKey key, CallRouting routing, ForwardCall forwardCall, ForwardCallHandler handler) {
         mForward.submit(
                 assigned -> {
                     ForwardCall numbered = forwardCall.withNumber(assigned);
-                    mRunningCalls.put(
-                            key, new RunningCall(assigned, numbered, handler, host, path));
+                    mRunningCalls.put(key, new RunningCall(assigned, numbered, handler, routing));
                     return numbered;
                 },
                 handler);
@@ -489,10 +481,16 @@
 
     private record ItemKey(String batch, int item) {}
 
+    /** Finds the route of a call in a manifest, the same way at its start and at each change. */
+    @FunctionalInterface
+    private interface CallRouting {
+
+        Option<ForwardRoute> routeIn(Manifest manifest);
+    }
+
     private record RunningCall(
             long number,
             ForwardCall forwardCall,
             ForwardCallHandler handler,
-            String host,
-            String path) {}
+            CallRouting routing) {}
 }
--- a/node/src/test/java/org/fuchsialever/node/hosted/HostedFixture.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/HostedFixture.java
@@ -15,6 +15,7 @@
 import org.fuchsialever.kernel.lifecycle.Closer;
 import org.fuchsialever.kernel.lifecycle.StopRequest;
 import org.fuchsialever.node.NodeProcess;
+import org.fuchsialever.node.directory.Directory;
 import org.fuchsialever.platform.CallerStandIn;
 import org.fuchsialever.platform.FreePorts;
 import org.fuchsialever.platform.InstanceSettings;
@@ -57,7 +58,7 @@
     }
 
     UpstreamStandIn upstream(String id, String service) {
-        Map<String, Long> versions = service.equals("engines") ? Map.of("m", 1L) : Map.of();
+        Map<String, Long> versions = service.startsWith("engines") ? Map.of("m", 1L) : Map.of();
         UpstreamStandIn upstream = mCloser.register(id, new UpstreamStandIn(id, service, versions));
         upstream.register(mStore, "ready");
         mUpstreams.put(id, upstream);
@@ -110,6 +111,13 @@
         eventually(() -> call(name, "GET", "/safe/probe", "probe", KEY, "").status() == 200);
     }
 
+    /** Waits until an instance has a version of the manifest in force. */
+    void awaitManifest(String name, long version) {
+        NodeProcess node = Objects.requireNonNull(mNodes.get(name));
+        Directory directory = node.service(Directory.class);
+        eventually(() -> directory.manifest().exists(known -> known.version() >= version));
+    }
+
     /** Waits until the instance has read all tables; it refuses submissions before. */
     void awaitReady(String name) {
         eventually(() -> call(name, "GET", "/api/readyz", "ready", "", "").status() == 200);
