Use each of several equal upstreams again and again

Cause: of two upstreams that were drawn, the one used later always won, so the last in this order lost each draw. Change: among n equal upstreams the one used earlier of the two wins one time in n. Why this works: each upstream that is as good as the others has a positive chance at each choice.

--- a/decisions/src/main/java/org/fuchsialever/decisions/fleet/EarliestCompletion.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/fleet/EarliestCompletion.java
@@ -71,6 +71,9 @@
         if (Math.abs(difference) > equal) {
             return difference < 0 ? one : two;
         }
-        return two.upstream().lastUsed() > one.upstream().lastUsed() ? two : one;
+        boolean twoIsRecent = two.upstream().lastUsed() > one.upstream().lastUsed();
+        // Without exceptions, the upstream that was used least recently would never be used again.
+        boolean takeRecent = mRandom.nextInt(near.size()) > 0;
+        return twoIsRecent == takeRecent ? two : one;
     }
 }
