Give items up by the time limit of the manifest in force

Cause: the limit was taken from the manifest once, when the submission was opened. ItemTimeLimitTest needs an event that did not exist before. Change: the directory reports each read of the manifest with the time at which it was sent; the batch duty applies the limit of the newest one, also to submissions that are opened later, and gives items up only once the manifest was read after their time was over. Running calls of items moved to a class of their own (ItemCalls). Why this works: no limit is applied without a read that shows it to be the newest one at that time.

--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
@@ -1,5 +1,6 @@
 package org.fuchsialever.decisions.batch;
 
+import io.vavr.control.Option;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -7,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.fuchsialever.decisions.manifest.Manifest;
 import org.fuchsialever.decisions.queue.OpenWork;
 import org.fuchsialever.decisions.queue.PoolProgress;
 import org.fuchsialever.decisions.queue.StepPressure;
@@ -55,6 +57,11 @@
     private final PoolProgress mProgress = new PoolProgress();
     private Map<String, Double> mTeamWeights = Map.of();
     private List<Peer> mPeers = List.of();
+    private Option<Manifest> mManifest = Option.none();
+
+    /** Before the manifest is read, submissions have the limits with which they were opened. */
+    private long mManifestAsOf = Long.MAX_VALUE;
+
     private long mReachableSince = Long.MAX_VALUE;
     private int mOpenings;
     private boolean mStoreReachable;
@@ -89,6 +96,8 @@
             reachabilityChanged(state.reachable(), nowNanos);
         } else if (event instanceof BatchEvent.Opened opened) {
             opened(opened.batch(), nowNanos, actions);
+        } else if (event instanceof BatchEvent.ManifestRead read) {
+            manifestRead(read.manifest(), read.asOfNanos());
         } else if (event instanceof BatchEvent.PeersChanged changed) {
             mPeers = changed.peers();
         } else if (event instanceof BatchEvent.Placed submission) {
@@ -107,7 +116,8 @@
     @Override
     public void onTimer(long nowNanos, ActionSink<BatchAction> actions) {
         for (OwnedBatch batch : List.copyOf(mOwned.values())) {
-            if (nowNanos >= batch.giveUpNanos()) {
+            // A newer manifest may allow more time, so the limit is read again once it is over.
+            if (Math.min(nowNanos, mManifestAsOf) >= batch.giveUpNanos()) {
                 batch.abandonUnfinished(actions);
             }
             batch.repeatDeferred(actions);
@@ -143,6 +153,14 @@
         }
     }
 
+    private void manifestRead(Manifest manifest, long asOfNanos) {
+        mManifestAsOf = asOfNanos;
+        if (!mManifest.exists(known -> known.version() >= manifest.version())) {
+            mManifest = Option.some(manifest);
+            mOwned.values().forEach(batch -> batch.applyLimits(manifest));
+        }
+    }
+
     private void reachabilityChanged(boolean reachable, long now) {
         if (reachable && !mStoreReachable) {
             mReachableSince = now;
@@ -237,6 +255,7 @@
         }
         OwnedBatch batch = new OwnedBatch(opened, mOpenings++, now);
         mOwned.put(id, batch);
+        mManifest.forEach(batch::applyLimits);
         if (mDraining && mReleaseAt == NO_TIMER) {
             batch.release(actions);
             batch.commit(now, actions);
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchEvent.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchEvent.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.fuchsialever.decisions.manifest.Manifest;
 import org.fuchsialever.decisions.queue.StepOrder;
 
 /** Event that the batch duty handles. */
@@ -15,6 +16,13 @@
     /** The store has started or stopped answering reads of the submissions. */
     record StoreReachability(boolean reachable) implements BatchEvent {}
 
+    /**
+     * The manifest was read, whether it is a newer one or not.
+     *
+     * @param asOfNanos a time at which no newer manifest was in the store, in monotonic nanoseconds
+     */
+    record ManifestRead(Manifest manifest, long asOfNanos) implements BatchEvent {}
+
     /** The set of live instances has changed. */
     record PeersChanged(List<Peer> peers) implements BatchEvent {
 
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/OwnedBatch.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/OwnedBatch.java
@@ -8,12 +8,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.fuchsialever.decisions.manifest.ForwardRoute;
+import org.fuchsialever.decisions.manifest.Manifest;
 import org.fuchsialever.decisions.queue.RankedItem;
 import org.fuchsialever.decisions.queue.StepGroups;
 import org.fuchsialever.decisions.queue.StepItem;
 import org.fuchsialever.decisions.queue.StepOrder;
 import org.fuchsialever.decisions.queue.StepPressure;
 import org.fuchsialever.kernel.duty.ActionSink;
+import org.fuchsialever.kernel.duty.Duty;
 import org.jspecify.annotations.Nullable;
 
 /** State of a submission that this instance owns: open items, finished results and commits. */
@@ -39,7 +43,8 @@
     private final StepOrder mOrder;
     private final List<StepItem> mStepItems;
     private final StepGroups mGroups;
-    private final long mGiveUpNanos;
+    private final long mSubmittedNanos;
+    private long mGiveUpNanos;
     private final boolean mSingleVersion;
     private final Map<String, PartialText> mStoredTexts;
     private final OwnedTexts mOwnedTexts;
@@ -69,6 +74,10 @@
         mMedianTokens = medianTokens(mSpec.items());
         mDueMicros = opened.dueAtMillis() * MICROS_PER_MILLI;
         mGiveUpNanos = opened.abandonAtNanos();
+        mSubmittedNanos =
+                opened.dueAtNanos()
+                        - TimeUnit.MILLISECONDS.toNanos(
+                                opened.dueAtMillis() - mState.submittedMillis());
         mSingleVersion = opened.singleVersion();
         mLastCommitNanos = now;
         mStoredTexts = opened.storedTexts();
@@ -116,6 +125,19 @@
         return mGiveUpNanos;
     }
 
+    /** Applies the time limit of a manifest; the last one holds if its route has ended. */
+    void applyLimits(Manifest manifest) {
+        manifest.route(mState.host(), mState.path())
+                .map(ForwardRoute::abandonAfterMillis)
+                .forEach(
+                        limit ->
+                                mGiveUpNanos =
+                                        limit <= 0
+                                                ? Duty.NO_TIMER
+                                                : mSubmittedNanos
+                                                        + TimeUnit.MILLISECONDS.toNanos(limit));
+    }
+
     long retryAtNanos() {
         return mRetryAtNanos;
     }
--- a/decisions/src/main/java/org/fuchsialever/decisions/directory/DirectoryAction.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/directory/DirectoryAction.java
@@ -14,8 +14,13 @@
     /** Rows have changed; each is newer than the last one published under its key. */
     record Changed(DirectoryTable table, List<MirrorRow> rows) implements DirectoryAction {}
 
-    /** The mirror of the table is up to date as of now. */
-    record UpToDate(DirectoryTable table) implements DirectoryAction {}
+    /**
+     * The mirror of a table is up to date.
+     *
+     * @param asOfNanos when the read was sent, in monotonic nanoseconds; what was written before is
+     *     in the mirror
+     */
+    record UpToDate(DirectoryTable table, long asOfNanos) implements DirectoryAction {}
 
     /** The store has stopped answering reads of the table. */
     record StoreUnreachable(DirectoryTable table, String reason) implements DirectoryAction {}
--- a/decisions/src/main/java/org/fuchsialever/decisions/directory/DirectoryDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/directory/DirectoryDuty.java
@@ -131,7 +131,7 @@
             }
         }
         mirror.mFollowing = true;
-        readSucceeded(mirror, changes, read.version(), now, actions);
+        readSucceeded(mirror, mirror.mFullReadAt, changes, read.version(), now, actions);
     }
 
     private void feedRead(
@@ -148,11 +148,12 @@
             failed(mirror, reason, now, actions);
             return;
         }
-        readSucceeded(mirror, read.rows(), read.version(), now, actions);
+        readSucceeded(mirror, mirror.mFeedReadAt, read.rows(), read.version(), now, actions);
     }
 
     private void readSucceeded(
             Mirror mirror,
+            long sentAt,
             List<MirrorRow> rows,
             long version,
             long now,
@@ -168,7 +169,7 @@
             mirror.mUnreachable = false;
             actions.emit(new DirectoryAction.StoreReachable(mirror.mTable));
         }
-        actions.emit(new DirectoryAction.UpToDate(mirror.mTable));
+        actions.emit(new DirectoryAction.UpToDate(mirror.mTable, sentAt));
         scheduleRead(mirror, now, actions);
     }
 
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.fuchsialever.decisions.batch.BatchAction;
 import org.fuchsialever.decisions.batch.BatchEvent;
@@ -32,7 +31,6 @@
 import org.fuchsialever.kernel.time.TimeSource;
 import org.fuchsialever.node.directory.Directory;
 import org.fuchsialever.node.directory.StoreClock;
-import org.fuchsialever.node.forward.ForwardCallHandler;
 import org.fuchsialever.node.forward.ForwardPort;
 import org.fuchsialever.node.trace.TraceLog;
 import org.fuchsialever.services.PlatformException;
@@ -54,7 +52,7 @@
     private final StoreClock mClock;
     private final TraceLog mTrace;
     private final Runnable mOnDrained;
-    private final Map<ItemKey, RunningCall> mRunningCalls = new ConcurrentHashMap<>();
+    private final ItemCalls mCalls;
 
     BatchActions(
             BatchStore store,
@@ -76,6 +74,7 @@
         mClock = clock;
         mTrace = trace;
         mOnDrained = onDrained;
+        mCalls = new ItemCalls(directory, forward, trace);
     }
 
     @Override
@@ -87,10 +86,7 @@
         } else if (action instanceof BatchAction.Score score) {
             score(score);
         } else if (action instanceof BatchAction.Stop stop) {
-            RunningCall call = mRunningCalls.remove(new ItemKey(stop.id(), stop.item()));
-            if (call != null) {
-                mForward.cancel(call.number);
-            }
+            mCalls.stop(new ItemCalls.Key(stop.id(), stop.item()));
         } else if (action instanceof BatchAction.KeepTexts keep) {
             keepTexts(keep);
         } else if (action instanceof BatchAction.Commit commit) {
@@ -107,45 +103,17 @@
         }
     }
 
-    /** Resubmits the calls whose route has other traffic shares in a newer manifest. */
+    /** Applies a newer manifest to the running calls. */
     void reroute(Manifest manifest) {
-        mRunningCalls.forEach(
-                (key, call) -> {
-                    Option<ForwardRoute> route = call.routing.routeIn(manifest);
-                    boolean moved =
-                            route.isEmpty()
-                                    || !route.get().shares().equals(call.forwardCall.shares());
-                    boolean withdrawn =
-                            moved
-                                    && mRunningCalls.remove(key, call)
-                                    && mForward.cancel(call.number);
-                    if (withdrawn) {
-                        resubmit(key, call, route);
-                    }
-                });
-    }
-
-    private void resubmit(ItemKey key, RunningCall call, Option<ForwardRoute> route) {
-        if (route.isEmpty()) {
-            call.handler.refuse(ForwardRefusal.NO_UPSTREAM, 0);
-            return;
-        }
-        mTrace.line(PART, "rerouted")
-                .with("id", key.batch)
-                .with("item", call.handler.requestId())
-                .with("call", call.number)
-                .write();
-        ForwardCall moved = call.forwardCall.withShares(route.get().shares());
-        submit(key, call.routing, moved, call.handler);
+        mCalls.reroute(manifest);
     }
 
     private void keepTexts(BatchAction.KeepTexts keep) {
         List<TextSegment> segments = new ArrayList<>(keep.reported());
         for (OpenText open : keep.open()) {
-            RunningCall call = mRunningCalls.get(new ItemKey(keep.id(), open.item()));
-            if (call != null && call.handler instanceof ItemGenerationHandler handler) {
-                segments.addAll(segments(open, handler.eventsFrom(open.nextEvent())));
-            }
+            mCalls.withGeneration(
+                    new ItemCalls.Key(keep.id(), open.item()),
+                    run -> segments.addAll(segments(open, run.eventsFrom(open.nextEvent()))));
         }
         mTextKeeper.keep(keep.id(), keep.model(), segments);
     }
@@ -287,10 +255,10 @@
         BatchState state = generate.state();
         int index = generate.item();
         BatchItem item = spec.items().get(index);
-        ItemKey key = new ItemKey(spec.id(), index);
-        CallRouting routing =
+        ItemCalls.Key key = new ItemCalls.Key(spec.id(), index);
+        ItemCalls.Routing routing =
                 manifest -> manifest.itemRoute(state.host(), item.path(), state.path());
-        Option<ForwardRoute> route = mDirectory.manifest().flatMap(routing::routeIn);
+        Option<ForwardRoute> route = mCalls.route(routing);
         if (route.isEmpty()) {
             mInbox.offer(new BatchEvent.GenerationFailed(spec.id(), index));
             return;
@@ -300,7 +268,7 @@
                         item,
                         state.host(),
                         state.team(),
-                        Math.max(1_000, route.get().abandonAfterMillis()),
+                        ItemCalls.timeLimitMillis(route.get()),
                         mProtocol,
                         generate.beginning(),
                         mTime,
@@ -315,12 +283,12 @@
                                                 part.versions())),
                         reason -> itemFailed("text-dropped", spec.id(), item.id(), reason),
                         (text, versions) -> {
-                            mRunningCalls.remove(key);
+                            mCalls.ended(key);
                             mInbox.offer(
                                     new BatchEvent.Generated(spec.id(), index, text, versions));
                         },
                         reason -> {
-                            mRunningCalls.remove(key);
+                            mCalls.ended(key);
                             generationEnded(spec.id(), item.id(), index, reason);
                         });
         ForwardCall forwardCall =
@@ -339,7 +307,7 @@
                         mTime.nanoTime(),
                         Duty.NO_TIMER,
                         Duty.NO_TIMER);
-        submit(key, routing, forwardCall, handler);
+        mCalls.start(key, routing, forwardCall, handler);
     }
 
     private CallTraits traits(BatchSpec spec, String team, ForwardRoute route, long tokens) {
@@ -351,9 +319,10 @@
         String id = score.spec().id();
         int index = score.item();
         String itemId = score.spec().items().get(index).id();
-        ItemKey key = new ItemKey(id, index);
-        CallRouting routing = manifest -> manifest.route(score.call().host(), score.call().path());
-        Option<ForwardRoute> route = mDirectory.manifest().flatMap(routing::routeIn);
+        ItemCalls.Key key = new ItemCalls.Key(id, index);
+        ItemCalls.Routing routing =
+                manifest -> manifest.route(score.call().host(), score.call().path());
+        Option<ForwardRoute> route = mCalls.route(routing);
         if (route.isEmpty()) {
             itemFailed("scoring-failed", id, itemId, "NO_ROUTE");
             mInbox.offer(new BatchEvent.ScoringFailed(id, index));
@@ -365,11 +334,11 @@
                         route.get().timeoutMillis(),
                         mProtocol,
                         signature -> {
-                            mRunningCalls.remove(key);
+                            mCalls.ended(key);
                             mInbox.offer(new BatchEvent.Scored(id, index, signature));
                         },
                         reason -> {
-                            mRunningCalls.remove(key);
+                            mCalls.ended(key);
                             scoringEnded(id, itemId, index, reason);
                         });
         ForwardCall forwardCall =
@@ -388,18 +357,7 @@
                         mTime.nanoTime(),
                         Duty.NO_TIMER,
                         TimeUnit.MILLISECONDS.toNanos(route.get().targetLatencyMillis()));
-        submit(key, routing, forwardCall, handler);
-    }
-
-    private void submit(
-            ItemKey key, CallRouting routing, ForwardCall forwardCall, ForwardCallHandler handler) {
-        mForward.submit(
-                assigned -> {
-                    ForwardCall numbered = forwardCall.withNumber(assigned);
-                    mRunningCalls.put(key, new RunningCall(assigned, numbered, handler, routing));
-                    return numbered;
-                },
-                handler);
+        mCalls.start(key, routing, forwardCall, handler);
     }
 
     private void generationEnded(String id, String itemId, int index, ForwardRefusal reason) {
@@ -478,19 +436,4 @@
             mInbox.offer(new BatchEvent.Conflicted(state.id(), present));
         }
     }
-
-    private record ItemKey(String batch, int item) {}
-
-    /** Finds the route of a call in a manifest, the same way at its start and at each change. */
-    @FunctionalInterface
-    private interface CallRouting {
-
-        Option<ForwardRoute> routeIn(Manifest manifest);
-    }
-
-    private record RunningCall(
-            long number,
-            ForwardCall forwardCall,
-            ForwardCallHandler handler,
-            CallRouting routing) {}
 }
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchComponent.java
@@ -168,6 +168,11 @@
                 actions.reroute(manifest);
             }
 
+            @Override
+            public void onManifestCurrent(Manifest manifest, long asOfNanos) {
+                inbox.offer(new BatchEvent.ManifestRead(manifest, asOfNanos));
+            }
+
             @Override
             public void onBatchStatesChanged(List<VersionedState> states, List<String> removed) {
                 waiters.onStatesChanged(states);
--- a/node/src/main/java/org/fuchsialever/node/batch/ItemGenerationHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/ItemGenerationHandler.java
@@ -52,7 +52,7 @@
     private final BatchItem mItem;
     private final String mHost;
     private final String mTeam;
-    private final long mGiveUpMillis;
+    private long mGiveUpMillis;
     private final UpstreamProtocol mProtocol;
     private final TimeSource mTime;
     private final Consumer<TextProgress> mOnProgress;
@@ -100,6 +100,11 @@
         mOnFailure = onFailure;
     }
 
+    /** Sets the time that later attempts are given, in milliseconds. */
+    synchronized void setTimeLimit(long millis) {
+        mGiveUpMillis = millis;
+    }
+
     @Override
     public String requestId() {
         return mItem.id();
--- a/node/src/main/java/org/fuchsialever/node/directory/Directory.java
+++ b/node/src/main/java/org/fuchsialever/node/directory/Directory.java
@@ -128,6 +128,13 @@
         mListeners.forEach(listener -> listener.onPresencesChanged(changed, removed));
     }
 
+    synchronized void notifyManifestCurrent(long asOfNanos) {
+        mManifest.forEach(
+                manifest ->
+                        mListeners.forEach(
+                                listener -> listener.onManifestCurrent(manifest, asOfNanos)));
+    }
+
     synchronized void notifyPresencesCurrent() {
         mListeners.forEach(DirectoryListener::onPresencesCurrent);
     }
--- a/node/src/main/java/org/fuchsialever/node/directory/DirectoryActions.java
+++ b/node/src/main/java/org/fuchsialever/node/directory/DirectoryActions.java
@@ -63,7 +63,9 @@
             apply(changed.table(), changed.rows());
         } else if (action instanceof DirectoryAction.UpToDate current) {
             mDirectory.markCurrent(current.table());
-            if (current.table() == DirectoryTable.BATCHES) {
+            if (current.table() == DirectoryTable.DECLARATIONS) {
+                mDirectory.notifyManifestCurrent(current.asOfNanos());
+            } else if (current.table() == DirectoryTable.BATCHES) {
                 mDirectory.notifyBatchTableAvailability(true);
             } else if (current.table() == DirectoryTable.INSTANCES) {
                 mDirectory.notifyPresencesCurrent();
--- a/node/src/main/java/org/fuchsialever/node/directory/DirectoryListener.java
+++ b/node/src/main/java/org/fuchsialever/node/directory/DirectoryListener.java
@@ -11,6 +11,13 @@
     /** A newer manifest is in force. */
     default void onManifestChanged(Manifest manifest) {}
 
+    /**
+     * The manifest was read, whether it is a newer one or not.
+     *
+     * @param asOfNanos a time at which no newer manifest was in the store, in monotonic nanoseconds
+     */
+    default void onManifestCurrent(Manifest manifest, long asOfNanos) {}
+
     /** The list of upstreams has changed. */
     default void onUpstreamsChanged(List<FleetUpstream> upstreams) {}
 
