Prefer the open connection of two equal upstreams nearly always

CompletionTimeTest.prefersAnOpenConnectionOfTwoEquals failed on: of three equal upstreams the used one was to get 200 of 300 calls and got 135. Cause: of the n equal upstreams one in n choices ignored the open connection, a third of all at n = 3, and I had run only the tests of the new class and of package forward. Change: one choice in 16 ignores it, whatever the number of upstreams. The test stays as it is. Why this works: the used one of three gets 5/8 of the calls, and each one still has a positive chance. For the fourth of four idle upstreams it is 1 in 32 for each call. EarliestCompletionTest makes ten times as many choices in each round, because the chance is smaller.

--- a/decisions/src/main/java/org/fuchsialever/decisions/fleet/EarliestCompletion.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/fleet/EarliestCompletion.java
@@ -23,6 +23,12 @@
     /** Part of the tolerance below which an open connection decides between two upstreams. */
     private static final int EQUAL_FRACTION = 4;
 
+    /**
+     * One in so many choices between equals ignores the open connection. Otherwise the upstream
+     * that was used least recently would never be used again, and its estimate would stay as it is.
+     */
+    private static final int CHOICES_PER_EXCEPTION = 16;
+
     private final RandomGenerator mRandom;
 
     EarliestCompletion(RandomGenerator random) {
@@ -72,8 +78,7 @@
             return difference < 0 ? one : two;
         }
         boolean twoIsRecent = two.upstream().lastUsed() > one.upstream().lastUsed();
-        // Without exceptions, the upstream that was used least recently would never be used again.
-        boolean takeRecent = mRandom.nextInt(near.size()) > 0;
+        boolean takeRecent = mRandom.nextInt(CHOICES_PER_EXCEPTION) > 0;
         return twoIsRecent == takeRecent ? two : one;
     }
 }
--- a/decisions/src/test/java/org/fuchsialever/decisions/fleet/EarliestCompletionTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/fleet/EarliestCompletionTest.java
@@ -17,7 +17,7 @@
 
 class EarliestCompletionTest {
     private static final long ESTIMATE_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
-    private static final int CHOICES_PER_PAIR = 20;
+    private static final int CHOICES_PER_PAIR = 200;
 
     private final EarliestCompletion mChoice = new EarliestCompletion(new SplittableRandom(1));
 
