Wait for the route of a submission before its items end

Cause: declarations and submissions are read with separate calls. An owner whose read of the declarations hung had no route for a new submission and took it for one that had ended. Change: a loaded submission without a route waits until a manifest has the route, or until a manifest without it was read with a call that was sent after the submission had been loaded. An owner that was replaced meanwhile starts nothing of it. Why this works: the submission was accepted under its route before it was loaded, so a later read shows the route, or that it has ended since.

--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchAction.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchAction.java
@@ -12,6 +12,9 @@
      */
     record Claim(BatchState state, long version, String reason) implements BatchAction {}
 
+    /** Opens a submission that has waited for its route; without a route, its route has ended. */
+    record Open(LoadedBatch batch) implements BatchAction {}
+
     /**
      * Generates the text of an item.
      *
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
@@ -54,6 +54,7 @@
     private final Map<String, OwnedBatch> mOwned = new HashMap<>();
     private final Set<String> mClaiming = new HashSet<>();
     private final Set<String> mPlaced = new HashSet<>();
+    private final Map<String, AwaitedRoute> mAwaitedRoutes = new HashMap<>();
     private final PoolProgress mProgress = new PoolProgress();
     private Map<String, Double> mTeamWeights = Map.of();
     private List<Peer> mPeers = List.of();
@@ -97,7 +98,9 @@
         } else if (event instanceof BatchEvent.Opened opened) {
             opened(opened.batch(), nowNanos, actions);
         } else if (event instanceof BatchEvent.ManifestRead read) {
-            manifestRead(read.manifest(), read.asOfNanos());
+            manifestRead(read.manifest(), read.asOfNanos(), actions);
+        } else if (event instanceof BatchEvent.RouteMissing missing) {
+            routeMissing(new AwaitedRoute(missing.batch(), nowNanos), actions);
         } else if (event instanceof BatchEvent.PeersChanged changed) {
             mPeers = changed.peers();
         } else if (event instanceof BatchEvent.Placed submission) {
@@ -153,14 +156,29 @@
         }
     }
 
-    private void manifestRead(Manifest manifest, long asOfNanos) {
+    private void manifestRead(Manifest manifest, long asOfNanos, ActionSink<BatchAction> actions) {
         mManifestAsOf = asOfNanos;
+        for (AwaitedRoute awaited : List.copyOf(mAwaitedRoutes.values())) {
+            if (awaited.isDecidedBy(manifest, asOfNanos)) {
+                mAwaitedRoutes.remove(awaited.batch.state().id());
+                actions.emit(new BatchAction.Open(awaited.batch));
+            }
+        }
         if (!mManifest.exists(known -> known.version() >= manifest.version())) {
             mManifest = Option.some(manifest);
             mOwned.values().forEach(batch -> batch.applyLimits(manifest));
         }
     }
 
+    /** The manifest may have been read after the route was searched. */
+    private void routeMissing(AwaitedRoute awaited, ActionSink<BatchAction> actions) {
+        if (mManifest.exists(manifest -> awaited.isDecidedBy(manifest, mManifestAsOf))) {
+            actions.emit(new BatchAction.Open(awaited.batch));
+        } else {
+            mAwaitedRoutes.put(awaited.batch.state().id(), awaited);
+        }
+    }
+
     private void reachabilityChanged(boolean reachable, long now) {
         if (reachable && !mStoreReachable) {
             mReachableSince = now;
@@ -187,6 +205,7 @@
             mObserved.remove(id);
             mProgress.remove(id);
             mPlaced.remove(id);
+            mAwaitedRoutes.remove(id);
             OwnedBatch batch = mOwned.get(id);
             if (batch != null) {
                 close(batch, "removed", actions);
@@ -249,8 +268,9 @@
         String id = opened.spec().id();
         mClaiming.remove(id);
         ObservedState row = mObserved.get(id);
-        boolean endedMeanwhile = row != null && row.state.ended();
-        if (mOwned.containsKey(id) || endedMeanwhile) {
+        boolean outdated =
+                row != null && (row.state.ended() || row.state.epoch() > opened.state().epoch());
+        if (mOwned.containsKey(id) || outdated) {
             return;
         }
         OwnedBatch batch = new OwnedBatch(opened, mOpenings++, now);
@@ -437,6 +457,20 @@
     private record ObservedState(
             BatchState state, long version, long changedAtNanos, boolean neverUpdated) {}
 
+    /**
+     * A submission whose route is not in the manifest that was known when it was loaded. Another
+     * instance may have accepted it under a newer one.
+     */
+    private record AwaitedRoute(LoadedBatch batch, long sinceNanos) {
+
+        /** Returns whether the route is known now, or known to have ended. */
+        boolean isDecidedBy(Manifest manifest, long asOfNanos) {
+            BatchState state = batch.state();
+            return asOfNanos >= sinceNanos
+                    || manifest.route(state.host(), state.path()).isDefined();
+        }
+    }
+
     /** Why a submission is taken over, with the time without writes that this reason requires. */
     private enum TakeoverReason {
         OWNER_RESTARTED(0),
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchEvent.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchEvent.java
@@ -38,6 +38,11 @@
     /** This instance has accepted or taken over a submission and loaded its items. */
     record Opened(OpenedBatch batch) implements BatchEvent {}
 
+    /**
+     * A submission was loaded, and the manifest that this instance has read has no route for it.
+     */
+    record RouteMissing(LoadedBatch batch) implements BatchEvent {}
+
     /** A submission could not be taken over. */
     record ClaimFailed(String id, String reason) implements BatchEvent {}
 
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
@@ -16,6 +16,7 @@
 import org.fuchsialever.decisions.batch.BatchSpec;
 import org.fuchsialever.decisions.batch.BatchState;
 import org.fuchsialever.decisions.batch.ItemResult;
+import org.fuchsialever.decisions.batch.LoadedBatch;
 import org.fuchsialever.decisions.batch.OpenText;
 import org.fuchsialever.decisions.batch.PartialText;
 import org.fuchsialever.decisions.batch.TextSegment;
@@ -81,6 +82,8 @@
     public void emit(BatchAction action) {
         if (action instanceof BatchAction.Claim claim) {
             claim(claim);
+        } else if (action instanceof BatchAction.Open open) {
+            opened(open.batch(), route(open.batch().state()));
         } else if (action instanceof BatchAction.Generate generate) {
             generate(generate);
         } else if (action instanceof BatchAction.Score score) {
@@ -139,7 +142,7 @@
     /** Opens a submission that this instance owns, with the stored texts of its items. */
     void open(BatchState state, long version, BatchSpec spec, Set<String> listed) {
         if (spec.model().isEmpty()) {
-            opened(state, version, spec, listed, Map.of());
+            loaded(new LoadedBatch(state, version, spec, listed, Map.of()));
             return;
         }
         mStore.texts(spec.model())
@@ -162,18 +165,30 @@
                                     stored.put(item.id(), text);
                                 }
                             }
-                            opened(state, version, spec, listed, stored);
+                            loaded(new LoadedBatch(state, version, spec, listed, stored));
                         });
     }
 
-    private void opened(
-            BatchState state,
-            long version,
-            BatchSpec spec,
-            Set<String> listed,
-            Map<String, PartialText> texts) {
-        Option<ForwardRoute> route =
-                mDirectory.manifest().flatMap(m -> m.route(state.host(), state.path()));
+    private void loaded(LoadedBatch batch) {
+        Option<ForwardRoute> route = route(batch.state());
+        if (route.isDefined()) {
+            opened(batch, route);
+            return;
+        }
+        mTrace.line(PART, "route-missing")
+                .with("id", batch.state().id())
+                .with("manifest", mDirectory.manifest().map(Manifest::version).getOrElse(0L))
+                .write();
+        mInbox.offer(new BatchEvent.RouteMissing(batch));
+    }
+
+    private Option<ForwardRoute> route(BatchState state) {
+        return mDirectory.manifest().flatMap(m -> m.route(state.host(), state.path()));
+    }
+
+    private void opened(LoadedBatch batch, Option<ForwardRoute> route) {
+        BatchState state = batch.state();
+        BatchSpec spec = batch.spec();
         long due = route.map(ForwardRoute::dueAfterMillis).getOrElse(0L);
         long giveUp = route.map(ForwardRoute::abandonAfterMillis).getOrElse(0L);
         // The state was read from the store, so the store's time is normally known.
@@ -189,8 +204,8 @@
                 .with("step", spec.step())
                 .with("minVersion", spec.minVersion())
                 .with("items", spec.items().size())
-                .with("listed", listed.size())
-                .with("texts", texts.size())
+                .with("listed", batch.finishedItems().size())
+                .with("texts", batch.storedTexts().size())
                 .with("ageMillis", age)
                 .with("epoch", state.epoch())
                 .with("order", pool.order().name())
@@ -199,13 +214,13 @@
                 new BatchEvent.Opened(
                         new OpenedBatch(
                                 state,
-                                version,
+                                batch.version(),
                                 spec,
-                                listed,
+                                batch.finishedItems(),
                                 state.submittedMillis() + due,
                                 giveUpNanos,
                                 route.exists(ForwardRoute::singleVersion),
-                                texts,
+                                batch.storedTexts(),
                                 pool.order(),
                                 pool.slots(),
                                 mTime.nanoTime() + TimeUnit.MILLISECONDS.toNanos(due - age))));
