Repeat a scoring call until its route is in the manifest

Cause: the missing route counted as a failure of the item. The end of that route is no reason to give an item up; 422, the failures that the route allows, maxWaitS and the end of its submission or of its own route are. Evidence: the two new cases of ItemPathsTest failed before. Change: a scoring call that certainly has not run is repeated, at most until the time of the item is over. The log line of such items is sampled. Result: ItemPathsTest, AwaitedRouteTest and HostedBatchesTest pass.

--- a/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
@@ -339,8 +339,7 @@
                 manifest -> manifest.route(score.call().host(), score.call().path());
         Option<ForwardRoute> route = mCalls.route(routing);
         if (route.isEmpty()) {
-            itemFailed("scoring-failed", id, itemId, "NO_ROUTE");
-            mInbox.offer(new BatchEvent.ScoringFailed(id, index));
+            defer(id, itemId, index, "NO_ROUTE");
             return;
         }
         ItemScoringHandler handler =
@@ -377,7 +376,7 @@
 
     private void generationEnded(String id, String itemId, int index, ForwardRefusal reason) {
         if (reason == ForwardRefusal.OVERLOADED) {
-            defer(id, itemId, index);
+            defer(id, itemId, index, reason.name());
         } else {
             itemFailed("generation-failed", id, itemId, reason.name());
             mInbox.offer(new BatchEvent.GenerationFailed(id, index));
@@ -385,16 +384,21 @@
     }
 
     private void scoringEnded(String id, String itemId, int index, ForwardRefusal reason) {
-        if (reason == ForwardRefusal.OVERLOADED) {
-            defer(id, itemId, index);
+        // The end of the route of its scoring call does not end an item.
+        if (reason.isNotRun()) {
+            defer(id, itemId, index, reason.name());
         } else {
             itemFailed("scoring-failed", id, itemId, reason.name());
             mInbox.offer(new BatchEvent.ScoringFailed(id, index));
         }
     }
 
-    private void defer(String id, String itemId, int index) {
-        itemFailed("item-deferred", id, itemId, ForwardRefusal.OVERLOADED.name());
+    private void defer(String id, String itemId, int index, String reason) {
+        mTrace.sampled(PART, "item-deferred")
+                .with("batch", id)
+                .with("id", itemId)
+                .with("reason", reason)
+                .write();
         mInbox.offer(new BatchEvent.Deferred(id, index));
     }
 
--- a/node/src/test/java/org/fuchsialever/node/hosted/ItemPathsTest.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/ItemPathsTest.java
@@ -91,6 +91,28 @@
         assertCompleted("n1");
     }
 
+    /** Guards against items that are given up because a manifest has no route for their scorer. */
+    @Test
+    void waitForTheRouteOfTheirScoringCall() {
+        changeManifest("n1", 3, manifest -> manifest.replace("\"/score/\"", "\"/other/\""));
+        mFixture.upstream("e1").setBehaviour(Behaviour.HEALTHY);
+        submitAndAwaitRun();
+        changeManifest("n1", 4, manifest -> manifest);
+        assertCompleted("n1");
+    }
+
+    @Test
+    void goOnWhenTheRouteOfTheirScoringCallEndsAndReturns() {
+        mFixture.upstream("e1").setBehaviour(Behaviour.HEALTHY);
+        mFixture.upstream("p1").setBehaviour(Behaviour.UNRESPONSIVE);
+        submit();
+        mFixture.eventually(() -> mFixture.upstream("p1").executionCount("s-x1") == 1);
+        changeManifest("n1", 3, manifest -> manifest.replace("\"/score/\"", "\"/other/\""));
+        mFixture.upstream("p1").setBehaviour(Behaviour.HEALTHY);
+        changeManifest("n1", 4, manifest -> manifest);
+        assertCompleted("n1");
+    }
+
     @Test
     void areGivenUpWhenTheRouteOfTheirSubmissionEnds() {
         submitAndAwaitRun();
