Bound the memory for the contents of owned submissions

Cause: an instance claimed and loaded each abandoned submission at once, with the texts of all its results; the cache of contents was bounded by number. Change: the state row says how much memory a content takes; an owner takes contents up to a quarter of its heap, a third of that at once while they are read, and leaves the rest in the store, the oldest first. A takeover keeps the IDs of listed items only. The cache of contents is bounded by size. Submissions whose route is awaited moved to a class of their own (AwaitedRoutes). Why this works: what an instance keeps for submissions is bounded before it is read, whatever is lost.

--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
@@ -1,6 +1,7 @@
 package org.fuchsialever.decisions.batch;
 
 import io.vavr.control.Option;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -52,9 +53,9 @@
     private final RandomGenerator mRandom;
     private final Map<String, ObservedState> mObserved = new HashMap<>();
     private final Map<String, OwnedBatch> mOwned = new HashMap<>();
-    private final Set<String> mClaiming = new HashSet<>();
+    private final ContentBudget mBudget;
     private final Set<String> mPlaced = new HashSet<>();
-    private final Map<String, AwaitedRoute> mAwaitedRoutes = new HashMap<>();
+    private final AwaitedRoutes mAwaitedRoutes = new AwaitedRoutes();
     private final PoolProgress mProgress = new PoolProgress();
     private Map<String, Double> mTeamWeights = Map.of();
     private List<Peer> mPeers = List.of();
@@ -71,17 +72,25 @@
     private boolean mDrainedReported;
     private long mNextCheck = NO_TIMER;
 
+    /** Creates a duty that owns submissions of any size. */
+    public BatchDuty(String instance, String startId, RandomGenerator random) {
+        this(instance, startId, random, Long.MAX_VALUE);
+    }
+
     /**
      * Creates a duty.
      *
      * @param instance the name of this instance
      * @param startId ID of this process, which differs after a restart
      * @param random source of the jitter of retries
+     * @param maxContentBytes memory for the contents of submissions that it owns, in bytes
      */
-    public BatchDuty(String instance, String startId, RandomGenerator random) {
+    public BatchDuty(
+            String instance, String startId, RandomGenerator random, long maxContentBytes) {
         mInstance = instance;
         mStartId = startId;
         mRandom = random;
+        mBudget = new ContentBudget(maxContentBytes);
     }
 
     @Override
@@ -100,13 +109,13 @@
         } else if (event instanceof BatchEvent.ManifestRead read) {
             manifestRead(read.manifest(), read.asOfNanos(), actions);
         } else if (event instanceof BatchEvent.RouteMissing missing) {
-            routeMissing(new AwaitedRoute(missing.batch(), nowNanos), actions);
+            mAwaitedRoutes.missing(missing.batch(), nowNanos, actions);
         } else if (event instanceof BatchEvent.PeersChanged changed) {
             mPeers = changed.peers();
         } else if (event instanceof BatchEvent.Placed submission) {
             mPlaced.add(submission.id());
         } else if (event instanceof BatchEvent.ClaimFailed failed) {
-            mClaiming.remove(failed.id());
+            mBudget.endLoading(failed.id());
         } else if (event instanceof BatchEvent.Draining) {
             drain(nowNanos, actions);
         } else {
@@ -131,9 +140,7 @@
                 batch.commit(nowNanos, actions);
             }
         }
-        if (mStoreReachable && !mDraining) {
-            mObserved.values().forEach(row -> claimIfAbandoned(row, nowNanos, actions));
-        }
+        claimAbandoned(nowNanos, actions);
         if (mReleaseAt <= nowNanos) {
             mReleaseAt = NO_TIMER;
             releaseAll(nowNanos, actions);
@@ -158,27 +165,13 @@
 
     private void manifestRead(Manifest manifest, long asOfNanos, ActionSink<BatchAction> actions) {
         mManifestAsOf = asOfNanos;
-        for (AwaitedRoute awaited : List.copyOf(mAwaitedRoutes.values())) {
-            if (awaited.isDecidedBy(manifest, asOfNanos)) {
-                mAwaitedRoutes.remove(awaited.batch.state().id());
-                actions.emit(new BatchAction.Open(awaited.batch));
-            }
-        }
+        mAwaitedRoutes.manifestRead(manifest, asOfNanos, actions);
         if (!mManifest.exists(known -> known.version() >= manifest.version())) {
             mManifest = Option.some(manifest);
             mOwned.values().forEach(batch -> batch.applyLimits(manifest));
         }
     }
 
-    /** The manifest may have been read after the route was searched. */
-    private void routeMissing(AwaitedRoute awaited, ActionSink<BatchAction> actions) {
-        if (mManifest.exists(manifest -> awaited.isDecidedBy(manifest, mManifestAsOf))) {
-            actions.emit(new BatchAction.Open(awaited.batch));
-        } else {
-            mAwaitedRoutes.put(awaited.batch.state().id(), awaited);
-        }
-    }
-
     private void reachabilityChanged(boolean reachable, long now) {
         if (reachable && !mStoreReachable) {
             mReachableSince = now;
@@ -211,26 +204,36 @@
                 close(batch, "removed", actions);
             }
         }
-        if (mStoreReachable && !mDraining) {
-            mObserved.values().forEach(row -> claimIfAbandoned(row, now, actions));
+        claimAbandoned(now, actions);
+    }
+
+    /** The oldest submissions come first, because the room for their contents may be short. */
+    private void claimAbandoned(long now, ActionSink<BatchAction> actions) {
+        if (!mStoreReachable || mDraining) {
+            return;
         }
+        mObserved.values().stream()
+                .filter(row -> row.state.isOpen() && !mOwned.containsKey(row.state.id()))
+                .filter(row -> !mBudget.isLoading(row.state.id()))
+                .sorted(Comparator.comparingLong(row -> row.state.submittedMillis()))
+                .forEach(row -> claimIfAbandoned(row, now, actions));
     }
 
     private void claimIfAbandoned(ObservedState row, long now, ActionSink<BatchAction> actions) {
         BatchState state = row.state;
         String id = state.id();
-        if (!state.isOpen() || mOwned.containsKey(id) || mClaiming.contains(id)) {
+        if (!mBudget.admitsLoading(state)) {
             return;
         }
         if (state.isOwnedBy(mInstance, mStartId)) {
-            mClaiming.add(id);
+            mBudget.startLoading(state);
             actions.emit(new BatchAction.Claim(state, row.version, "PLACED_HERE"));
             return;
         }
         long silentFor = now - Math.max(row.changedAtNanos, mReachableSince);
         TakeoverReason reason = takeoverReason(row);
         if (silentFor >= reason.mTimeoutNanos + claimDelay(id)) {
-            mClaiming.add(id);
+            mBudget.startLoading(state);
             actions.emit(
                     new BatchAction.Claim(
                             state.withOwner(mInstance, mStartId), row.version, reason.name()));
@@ -266,15 +269,17 @@
 
     private void opened(BatchEvent.OpenedBatch opened, long now, ActionSink<BatchAction> actions) {
         String id = opened.spec().id();
-        mClaiming.remove(id);
+        boolean fits = mBudget.admits(opened.state());
+        mBudget.endLoading(id);
         ObservedState row = mObserved.get(id);
         boolean outdated =
                 row != null && (row.state.ended() || row.state.epoch() > opened.state().epoch());
-        if (mOwned.containsKey(id) || outdated) {
+        if (mOwned.containsKey(id) || outdated || !fits) {
             return;
         }
         OwnedBatch batch = new OwnedBatch(opened, mOpenings++, now);
         mOwned.put(id, batch);
+        mBudget.open(opened.state());
         mManifest.forEach(batch::applyLimits);
         if (mDraining && mReleaseAt == NO_TIMER) {
             batch.release(actions);
@@ -429,6 +434,7 @@
     private void close(OwnedBatch batch, String reason, ActionSink<BatchAction> actions) {
         batch.stopAll(actions);
         mOwned.remove(batch.id());
+        mBudget.close(batch.id());
         actions.emit(new BatchAction.Closed(batch.id(), reason));
         reportDrained(actions);
     }
@@ -457,20 +463,6 @@
     private record ObservedState(
             BatchState state, long version, long changedAtNanos, boolean neverUpdated) {}
 
-    /**
-     * A submission whose route is not in the manifest that was known when it was loaded. Another
-     * instance may have accepted it under a newer one.
-     */
-    private record AwaitedRoute(LoadedBatch batch, long sinceNanos) {
-
-        /** Returns whether the route is known now, or known to have ended. */
-        boolean isDecidedBy(Manifest manifest, long asOfNanos) {
-            BatchState state = batch.state();
-            return asOfNanos >= sinceNanos
-                    || manifest.route(state.host(), state.path()).isDefined();
-        }
-    }
-
     /** Why a submission is taken over, with the time without writes that this reason requires. */
     private enum TakeoverReason {
         OWNER_RESTARTED(0),
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchItem.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchItem.java
@@ -26,8 +26,17 @@
         long expectedTokens,
         Option<ScoringCall> scoringCall) {
 
+    /** Names, header fields and what the owner keeps about an item. */
+    private static final int OVERHEAD_BYTES = 2_048;
+
     /** Copies the map. */
     public BatchItem {
         headers = Map.copyOf(headers);
     }
+
+    /** Returns the memory that the item takes at the owner of its submission, in bytes. */
+    long memoryBytes() {
+        long scoring = scoringCall.map(call -> call.body().length).getOrElse(0);
+        return body.length + scoring + OVERHEAD_BYTES;
+    }
 }
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchSpec.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchSpec.java
@@ -40,4 +40,9 @@
                 ? Math.round(estimates.getAverage() * items.size())
                 : items.stream().mapToLong(BatchItem::maxTokenCount).sum();
     }
+
+    /** Returns the memory that the content takes at the owner, in bytes. */
+    public long memoryBytes() {
+        return items.stream().mapToLong(BatchItem::memoryBytes).sum();
+    }
 }
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
@@ -3,7 +3,6 @@
 import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -15,7 +14,6 @@
 import org.fuchsialever.decisions.batch.BatchItem;
 import org.fuchsialever.decisions.batch.BatchSpec;
 import org.fuchsialever.decisions.batch.BatchState;
-import org.fuchsialever.decisions.batch.ItemResult;
 import org.fuchsialever.decisions.batch.LoadedBatch;
 import org.fuchsialever.decisions.batch.OpenText;
 import org.fuchsialever.decisions.batch.PartialText;
@@ -253,14 +251,10 @@
             mInbox.offer(new BatchEvent.ClaimFailed(state.id(), "claimed by another instance"));
             return Mono.just(false);
         }
-        return Mono.zip(mStore.spec(state), mStore.allResults(state.id()))
+        return Mono.zip(mStore.spec(state), mStore.listedItems(state.id()))
                 .map(
                         loaded -> {
-                            Set<String> listed = new HashSet<>();
-                            for (ItemResult listedResult : loaded.getT2()) {
-                                listed.add(listedResult.itemId());
-                            }
-                            open(state, applied.version(), loaded.getT1(), listed);
+                            open(state, applied.version(), loaded.getT1(), loaded.getT2());
                             return true;
                         });
     }
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchComponent.java
@@ -37,7 +37,14 @@
 
     private static final long PURGE_INTERVAL_MILLIS = 2_000;
 
+    /** Beside the half for requests and responses, this leaves a quarter to everything else. */
+    private static final long DEFAULT_MEMORY_PERCENT = 25;
+
+    private static final long MAX_MEMORY_PERCENT = 80;
+    private static final int PERCENT = 100;
+
     private Duration mRetention = DEFAULT_RETENTION;
+    private long mMemoryPercent = DEFAULT_MEMORY_PERCENT;
 
     @Override
     public String pluginName() {
@@ -47,6 +54,9 @@
     @Override
     public void configure(SettingsReader settings) {
         mRetention = settings.duration("batch", "retention", DEFAULT_RETENTION);
+        mMemoryPercent =
+                settings.integer(
+                        "batch", "memory-percent", DEFAULT_MEMORY_PERCENT, 1, MAX_MEMORY_PERCENT);
     }
 
     @Override
@@ -118,7 +128,8 @@
                         new BatchDuty(
                                 identity.instance().value(),
                                 identity.startId(),
-                                context.random("batch")),
+                                context.random("batch"),
+                                Runtime.getRuntime().maxMemory() / PERCENT * mMemoryPercent),
                         RING_CAPACITY,
                         OverflowPolicy.REFUSE,
                         ring -> {
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchRows.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchRows.java
@@ -144,6 +144,9 @@
         if (state.content().expectedTokens() > 0) {
             node.put("tokens", state.content().expectedTokens());
         }
+        if (state.content().memoryBytes() > 0) {
+            node.put("bytes", state.content().memoryBytes());
+        }
         return bytes(node);
     }
 
@@ -171,7 +174,8 @@
                                     node.path("model").asText(),
                                     node.path("minVersion").asLong(),
                                     node.path("copy").asInt(),
-                                    node.path("tokens").asLong())));
+                                    node.path("tokens").asLong(),
+                                    node.path("bytes").asLong())));
         } catch (IOException e) {
             return Either.left("not JSON: " + e.getMessage());
         }
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchStore.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchStore.java
@@ -7,8 +7,10 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.fuchsialever.decisions.batch.BatchEvent.VersionedState;
 import org.fuchsialever.decisions.batch.BatchSpec;
 import org.fuchsialever.decisions.batch.BatchState;
@@ -34,19 +36,29 @@
     /** Stores 97 % of submissions while 30 % of the object store's parts are unreachable. */
     private static final int MAX_COPIES = 3;
 
-    /** Bounds the cache of submission contents; each takes about 100 KB. */
-    private static final int MAX_CACHED_SPECS = 32;
+    /**
+     * Part of the heap for the cache of submission contents, which any instance may be asked for.
+     */
+    private static final long CACHE_HEAP_FRACTION = 12;
 
     private final HostedServices mServices;
     private final StoreClock mClock;
     private final Cache<String, BatchSpec> mSpecs =
-            Caffeine.newBuilder().maximumSize(MAX_CACHED_SPECS).executor(Runnable::run).build();
+            Caffeine.newBuilder()
+                    .maximumWeight(Runtime.getRuntime().maxMemory() / CACHE_HEAP_FRACTION)
+                    .weigher((String id, BatchSpec spec) -> weight(spec))
+                    .executor(Runnable::run)
+                    .build();
 
     BatchStore(HostedServices services, StoreClock clock) {
         mServices = services;
         mClock = clock;
     }
 
+    private static int weight(BatchSpec spec) {
+        return (int) Math.min(Integer.MAX_VALUE, spec.memoryBytes());
+    }
+
     /** Returns the name of the object that holds a copy of a submission's content. */
     static String objectName(String id, int copy) {
         return OBJECT_PREFIX + id + (copy == 0 ? "" : "-" + copy);
@@ -253,6 +265,22 @@
                                                                 "results: " + problem)));
     }
 
+    /** Reads the IDs of the items that have a result; their texts are not kept. */
+    Mono<Set<String>> listedItems(String id) {
+        return listedItems(id, 0, new HashSet<>());
+    }
+
+    private Mono<Set<String>> listedItems(String id, int position, Set<String> found) {
+        return results(id, position)
+                .flatMap(
+                        page -> {
+                            page.forEach(result -> found.add(result.itemId()));
+                            return page.isEmpty()
+                                    ? Mono.just(found)
+                                    : listedItems(id, position + page.size(), found);
+                        });
+    }
+
     /** Reads all results. */
     Mono<List<ItemResult>> allResults(String id) {
         return allResults(id, new ArrayList<>());
--- a/soak/src/test/java/org/fuchsialever/soak/DeployedInstance.java
+++ b/soak/src/test/java/org/fuchsialever/soak/DeployedInstance.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.fuchsialever.kernel.lifecycle.Closer;
 import org.fuchsialever.node.NodeMain;
@@ -71,6 +72,15 @@
         this(directory, List.of(), List.of());
     }
 
+    /**
+     * Starts an instance that finds more in the store than its manifest and its upstreams.
+     *
+     * @param contents writes what the store holds besides
+     */
+    DeployedInstance(Path directory, Consumer<StoreStandIn> contents) throws IOException {
+        this(directory, List.of(), List.of(), contents);
+    }
+
     /**
      * Starts an instance with less than the deploy file allows.
      *
@@ -79,6 +89,15 @@
      */
     DeployedInstance(Path directory, List<String> launcher, List<String> options)
             throws IOException {
+        this(directory, launcher, options, store -> {});
+    }
+
+    private DeployedInstance(
+            Path directory,
+            List<String> launcher,
+            List<String> options,
+            Consumer<StoreStandIn> contents)
+            throws IOException {
         mPort = FreePorts.next();
         mLog = directory.resolve("n1.log");
         StoreStandIn store = mCloser.register("store", new StoreStandIn());
@@ -88,6 +107,7 @@
                 ManifestText.of(2, KEY)
                         .replace("\"maxBodyBytes\":100000", "\"maxBodyBytes\":" + MAX_BODY_BYTES)
                         .replace("\"timeoutMs\":3000", "\"timeoutMs\":" + TIMEOUT_MILLIS));
+        contents.accept(store);
         DisposableServer upstream =
                 HttpServer.create()
                         .host("127.0.0.1")
