--- a/kernel/src/main/java/org/fuchsialever/kernel/settings/SettingsReader.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/settings/SettingsReader.java
@@ -89,12 +89,19 @@
         return raw(section, key).map(SettingsReader::split).getOrElse(defaultValue);
     }
 
-    /** Returns an integer within bounds (both inclusive). */
+    /**
+     * Returns an integer within bounds (both inclusive). If the value is empty, because the field
+     * of a template has no value, the default applies and a warning is added.
+     */
     public long integer(String section, String key, long defaultValue, long min, long max) {
         Option<String> value = raw(section, key);
         if (value.isEmpty()) {
             return defaultValue;
         }
+        if (value.get().isEmpty()) {
+            warnOfMissingNumber(section, key, value.get());
+            return defaultValue;
+        }
         long number;
         try {
             number = Long.parseLong(value.get());
@@ -165,11 +172,7 @@
             return defaultValue;
         }
         if (Quantities.isDurationWithoutFigure(value.get())) {
-            mFindings.warning(
-                    mDocument.location(section, key),
-                    MSG_NO_FIGURE,
-                    "\"%s\" has no number; the default applies",
-                    value.get());
+            warnOfMissingNumber(section, key, value.get());
             return defaultValue;
         }
         Option<Duration> duration = Quantities.parseDuration(value.get());
@@ -268,6 +271,14 @@
         return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 
+    private void warnOfMissingNumber(String section, String key, String value) {
+        mFindings.warning(
+                mDocument.location(section, key),
+                MSG_NO_FIGURE,
+                "\"%s\" has no number; the default applies",
+                value);
+    }
+
     private Option<String> raw(String section, String key) {
         mKnownSections.add(section);
         mKnownKeys.add(section + "/" + key);
