Move an item that starts while a manifest comes into force

An item whose route was searched in the manifest before and that began to run just after the running calls had followed a newer one stayed with its former service, as no later manifest came. Cause: the search of the route and the entry among the running calls were not checked against each other. Change: a call is checked against the manifest in force once it is among the running calls. Why this works: either the change of the manifest finds the call, or the call finds the newer manifest.

--- a/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchActions.java
@@ -73,7 +73,7 @@
         mClock = clock;
         mTrace = trace;
         mOnDrained = onDrained;
-        mCalls = new ItemCalls(directory, forward, trace);
+        mCalls = new ItemCalls(directory::manifest, forward, trace);
     }
 
     @Override
--- a/node/src/main/java/org/fuchsialever/node/batch/ItemCalls.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/ItemCalls.java
@@ -4,11 +4,11 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.fuchsialever.decisions.forward.ForwardCall;
 import org.fuchsialever.decisions.forward.ForwardRefusal;
 import org.fuchsialever.decisions.manifest.ForwardRoute;
 import org.fuchsialever.decisions.manifest.Manifest;
-import org.fuchsialever.node.directory.Directory;
 import org.fuchsialever.node.forward.ForwardCallHandler;
 import org.fuchsialever.node.forward.ForwardPort;
 import org.fuchsialever.node.trace.TraceLog;
@@ -18,20 +18,25 @@
     /** Least time that an upstream is given for an item, also on a route without a limit. */
     private static final long MIN_TIME_LIMIT_MILLIS = 1_000;
 
-    private final Directory mDirectory;
+    private final Supplier<Option<Manifest>> mManifest;
     private final ForwardPort mForward;
     private final TraceLog mTrace;
     private final Map<Key, RunningCall> mRunning = new ConcurrentHashMap<>();
 
-    ItemCalls(Directory directory, ForwardPort forward, TraceLog trace) {
-        mDirectory = directory;
+    /**
+     * Creates an empty set.
+     *
+     * @param manifest returns the manifest in force
+     */
+    ItemCalls(Supplier<Option<Manifest>> manifest, ForwardPort forward, TraceLog trace) {
+        mManifest = manifest;
         mForward = forward;
         mTrace = trace;
     }
 
     /** Returns the route of a call in the manifest in force. */
     Option<ForwardRoute> route(Routing routing) {
-        return mDirectory.manifest().flatMap(routing::routeIn);
+        return mManifest.get().flatMap(routing::routeIn);
     }
 
     /** Returns the time that upstreams are given for an item of a route, in milliseconds. */
@@ -48,6 +53,11 @@
                     return numbered;
                 },
                 handler);
+        // A manifest that came into force after the route was searched has not met the call.
+        RunningCall started = mRunning.get(key);
+        if (started != null) {
+            mManifest.get().forEach(manifest -> reroute(manifest, key, started));
+        }
     }
 
     /** Stops a call if it runs. */
@@ -76,21 +86,18 @@
      * resubmitted, and later attempts of the others get the time that it allows.
      */
     void reroute(Manifest manifest) {
-        mRunning.forEach(
-                (key, call) -> {
-                    Option<ForwardRoute> route = call.routing.routeIn(manifest);
-                    if (call.handler instanceof ItemGenerationHandler handler) {
-                        route.map(ItemCalls::timeLimitMillis).forEach(handler::setTimeLimit);
-                    }
-                    boolean moved =
-                            route.isEmpty()
-                                    || !route.get().shares().equals(call.forwardCall.shares());
-                    boolean withdrawn =
-                            moved && mRunning.remove(key, call) && mForward.cancel(call.number);
-                    if (withdrawn) {
-                        resubmit(key, call, route);
-                    }
-                });
+        mRunning.forEach((key, call) -> reroute(manifest, key, call));
+    }
+
+    private void reroute(Manifest manifest, Key key, RunningCall call) {
+        Option<ForwardRoute> route = call.routing.routeIn(manifest);
+        if (call.handler instanceof ItemGenerationHandler handler) {
+            route.map(ItemCalls::timeLimitMillis).forEach(handler::setTimeLimit);
+        }
+        boolean moved = route.isEmpty() || !route.get().shares().equals(call.forwardCall.shares());
+        if (moved && mRunning.remove(key, call) && mForward.cancel(call.number)) {
+            resubmit(key, call, route);
+        }
     }
 
     private void resubmit(Key key, RunningCall call, Option<ForwardRoute> route) {
