Free the room of a submission that is removed while it is loaded

The room that a submission had while it waited for its route stayed reserved if the submission was removed, so that its instance would have taken over less from then on. Change: the removal frees the room. An accepted submission without room is logged as `closed` with `no-room`.

--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/BatchDuty.java
@@ -199,6 +199,7 @@
             mProgress.remove(id);
             mPlaced.remove(id);
             mAwaitedRoutes.remove(id);
+            mBudget.endLoading(id);
             OwnedBatch batch = mOwned.get(id);
             if (batch != null) {
                 close(batch, "removed", actions);
@@ -269,12 +270,16 @@
 
     private void opened(BatchEvent.OpenedBatch opened, long now, ActionSink<BatchAction> actions) {
         String id = opened.spec().id();
-        boolean fits = mBudget.admits(opened.state());
+        boolean fits = mBudget.admitsOpening(opened.state());
         mBudget.endLoading(id);
         ObservedState row = mObserved.get(id);
         boolean outdated =
                 row != null && (row.state.ended() || row.state.epoch() > opened.state().epoch());
-        if (mOwned.containsKey(id) || outdated || !fits) {
+        if (mOwned.containsKey(id) || outdated) {
+            return;
+        }
+        if (!fits) {
+            actions.emit(new BatchAction.Closed(id, "no-room"));
             return;
         }
         OwnedBatch batch = new OwnedBatch(opened, mOpenings++, now);
--- a/decisions/src/main/java/org/fuchsialever/decisions/batch/ContentBudget.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/batch/ContentBudget.java
@@ -28,15 +28,15 @@
     boolean admitsLoading(BatchState state) {
         long bytes = state.content().memoryBytes();
         long loading = sum(mLoading);
-        return admits(bytes) && (loading == 0 || loading + bytes <= mMaxBytes / LOADING_DIVISOR);
+        return hasRoom(bytes) && (loading == 0 || loading + bytes <= mMaxBytes / LOADING_DIVISOR);
     }
 
     /** Returns whether there is room for a submission whose content is in memory already. */
-    boolean admits(BatchState state) {
-        return mLoading.containsKey(state.id()) || admits(state.content().memoryBytes());
+    boolean admitsOpening(BatchState state) {
+        return isLoading(state.id()) || hasRoom(state.content().memoryBytes());
     }
 
-    private boolean admits(long bytes) {
+    private boolean hasRoom(long bytes) {
         long used = sum(mLoading) + sum(mOwned);
         return used == 0 || used + bytes <= mMaxBytes;
     }
--- a/decisions/src/test/java/org/fuchsialever/decisions/batch/TakeoverRoomTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/batch/TakeoverRoomTest.java
@@ -75,6 +75,15 @@
         assertThat(claims(), is(List.of("b0", "b1")));
     }
 
+    /** Guards against room that stays reserved for a submission that no longer exists. */
+    @Test
+    void goesOnAfterASubmissionWasRemovedWhileItWaited() {
+        loseOwnersOf(2, 300);
+        event(new BatchEvent.StatesChanged(List.of(), List.of("b0")));
+        advance(SECOND);
+        assertThat(claims(), is(List.of("b0", "b1")));
+    }
+
     @Test
     void includesOneSubmissionThatIsLargerThanTheRoom() {
         loseOwnersOf(1, 5_000);
--- a/node/src/main/java/org/fuchsialever/node/batch/BatchComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/batch/BatchComponent.java
@@ -37,7 +37,7 @@
 
     private static final long PURGE_INTERVAL_MILLIS = 2_000;
 
-    /** Beside the half for requests and responses, this leaves a quarter to everything else. */
+    /** Requests and responses have half of the heap and heads 15%; the rest is for all else. */
     private static final long DEFAULT_MEMORY_PERCENT = 25;
 
     private static final long MAX_MEMORY_PERCENT = 80;
