Report usage again after the length of windows has grown

Cause: the last closed window was searched without an upper end. Change: windows after the present one don't count. Result: the new case of UsageReporterTest failed before and passes.

--- a/node/src/main/java/org/fuchsialever/node/metering/MeteringRows.java
+++ b/node/src/main/java/org/fuchsialever/node/metering/MeteringRows.java
@@ -94,13 +94,17 @@
                         });
     }
 
-    /** Returns the last closed window from the given one on, or -1. */
-    Mono<Long> lastClosed(long fromWindow) {
+    /**
+     * Returns the last closed window of a range (both inclusive), or -1. Larger numbers come from a
+     * time when windows were shorter.
+     */
+    Mono<Long> lastClosed(long fromWindow, long toWindow) {
         return mRows.range(REPORTS, Long.toString(fromWindow), "", MAX_ROWS)
                 .map(
                         page ->
                                 page.rows().stream()
                                         .mapToLong(row -> Long.parseLong(row.key().key()))
+                                        .filter(window -> window <= toWindow)
                                         .max()
                                         .orElse(-1));
     }
--- a/node/src/main/java/org/fuchsialever/node/metering/UsageReporter.java
+++ b/node/src/main/java/org/fuchsialever/node/metering/UsageReporter.java
@@ -123,8 +123,9 @@
 
     private Mono<Void> report(long fencing) {
         if (mActingFencing != fencing) {
-            long from = mCounts.windowOf(mTime.wallMillis()) - MAX_BACKLOG_WINDOWS;
-            return mRows.lastClosed(from)
+            long current = mCounts.windowOf(mTime.wallMillis());
+            long from = current - MAX_BACKLOG_WINDOWS;
+            return mRows.lastClosed(from, current)
                     .flatMap(
                             last -> {
                                 // The last closed window may not have been reported.
--- a/node/src/test/java/org/fuchsialever/node/metering/UsageReporterTest.java
+++ b/node/src/test/java/org/fuchsialever/node/metering/UsageReporterTest.java
@@ -45,6 +45,15 @@
         assertThat(mReported, is(List.of(0L)));
     }
 
+    /** Guards against usage that is never reported again after the length of windows has grown. */
+    @Test
+    void reportsWindowsThoughLaterNumbersWereClosedWithShorterOnes() {
+        new MeteringRows(mRows, "former").close(400, Map.of("alba", 7L)).block();
+        UsageReporter reporter = reporterAfterAWindow();
+        reporter.tick();
+        assertThat(mReported, is(List.of(0L)));
+    }
+
     /** A store that responds late must not make a former holder act beside the next one. */
     @Test
     void reportsNothingWhenTheLeaseRanOutWhileTheStoreWasSlow() {
