Take the default for an empty decimal number, too

What callers saw: nothing. Result: SettingsReaderTest passes, with a new case that covers both kinds of numbers.

--- a/kernel/src/main/java/org/fuchsialever/kernel/settings/SettingsReader.java
+++ b/kernel/src/main/java/org/fuchsialever/kernel/settings/SettingsReader.java
@@ -128,13 +128,17 @@
 
     /**
      * Returns a decimal number within bounds (both inclusive), such as {@code 2}, {@code 0.75} or
-     * {@code 1e-05}.
+     * {@code 1e-05}. An empty value is treated as that of an integer.
      */
     public double decimal(String section, String key, double defaultValue, double min, double max) {
         Option<String> value = raw(section, key);
         if (value.isEmpty()) {
             return defaultValue;
         }
+        if (value.get().isEmpty()) {
+            warnOfMissingNumber(section, key, value.get());
+            return defaultValue;
+        }
         Option<Double> number = Quantities.parseNumber(value.get()).map(BigDecimal::doubleValue);
         if (number.isEmpty()) {
             mFindings.error(
--- a/kernel/src/test/java/org/fuchsialever/kernel/settings/SettingsReaderTest.java
+++ b/kernel/src/test/java/org/fuchsialever/kernel/settings/SettingsReaderTest.java
@@ -75,6 +75,15 @@
         assertThat(mFindings.isEmpty(), is(true));
     }
 
+    @Test
+    void warnsOfAnEmptyNumberAndTakesTheDefault() {
+        SettingsReader reader = reader("[working-set]\ncore-share =\nslots =\n");
+        assertThat(reader.decimal("working-set", "core-share", 9, 0, 10), is(9.0));
+        assertThat(reader.integer("working-set", "slots", 8, 0, 10), is(8L));
+        assertThat(mFindings.hasErrors(), is(false));
+        assertThat(mFindings.list().size(), is(2));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"half", "0,5", "NaN", "1e999"})
     void reportsATextThatIsNoDecimalNumberInRange(String text) {
