Pass the head of a stream on with its first event

Cause: the head was passed on at once. Its upstream then sent no event for 1.2 s, and as there was no event to go on after, the next upstream was asked for a run of its own. Evidence: the log of the instance (attempt 1 SILENT after its head, attempt 2 ANSWERED); the new case of HostedStreamsTest failed before. Change: the head is passed on with the first event, so a run without an event leaves no trace in the response. Why this works: the signature that callers get is always that of the run that sent the first event. Result: HostedStreamsTest, HostedCallsTest, StoppingInstanceTest and RepeatedResponsesTest pass.

--- a/node/src/main/java/org/fuchsialever/node/entry/LiveCallHandler.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/LiveCallHandler.java
@@ -147,26 +147,35 @@
         mSink.success(mRefusals.refusal(mCall.requestId(), reason, retryAfterMillis));
     }
 
-    private synchronized void startStream(Reader reader) {
+    private synchronized void follow(Reader reader) {
         mStreamedAttempt = reader.mAttempt;
-        if (mStream == null) {
-            Sinks.Many<byte[]> opened =
-                    Sinks.many().unicast().onBackpressureBuffer(mUnread, () -> {});
-            mStream = opened;
-            UpstreamResponseHead head = reader.head();
-            mSink.success(
-                    new EntryResponse.Streamed(
-                            head == null ? 0 : head.status(),
-                            reader.responseHeaders(),
-                            opened.asFlux()
-                                    .doOnNext(event -> mUnreadBytes.addAndGet(-event.length))
-                                    .doOnCancel(() -> mOnAbandoned.accept(mNumber))));
-        }
     }
 
-    private synchronized void emit(int attempt, ServerSentEvent event) {
+    /**
+     * Passes the head on with the first event. A head that is followed by none bears the signature
+     * of a run that has no part in the stream.
+     */
+    private Sinks.Many<byte[]> openStream(Reader reader) {
         Sinks.Many<byte[]> open = mStream;
-        if (attempt == mStreamedAttempt && open != null) {
+        if (open != null) {
+            return open;
+        }
+        Sinks.Many<byte[]> opened = Sinks.many().unicast().onBackpressureBuffer(mUnread, () -> {});
+        mStream = opened;
+        UpstreamResponseHead head = reader.head();
+        mSink.success(
+                new EntryResponse.Streamed(
+                        head == null ? 0 : head.status(),
+                        reader.responseHeaders(),
+                        opened.asFlux()
+                                .doOnNext(event -> mUnreadBytes.addAndGet(-event.length))
+                                .doOnCancel(() -> mOnAbandoned.accept(mNumber))));
+        return opened;
+    }
+
+    private synchronized void emit(Reader reader, ServerSentEvent event) {
+        if (reader.mAttempt == mStreamedAttempt) {
+            Sinks.Many<byte[]> open = openStream(reader);
             mLastEventId = event.id().isEmpty() ? mLastEventId : event.id();
             long unread = mUnreadBytes.addAndGet(event.raw().length);
             if (!mCall.memory().tryTake(MemoryShare.RESPONSE, event.raw().length)) {
@@ -219,7 +228,7 @@
         protected void handleHead(UpstreamResponseHead head, HttpHeaders received) {
             mHeaders = received;
             if (mCall.route().kind().isStreamed() && isSuccess()) {
-                startStream(this);
+                follow(this);
             }
         }
 
@@ -235,7 +244,7 @@
                 return ContentVerdict.PROGRESS;
             }
             List<ServerSentEvent> events = mAssembler.feed(bytes);
-            events.forEach(event -> emit(mAttempt, event));
+            events.forEach(event -> emit(this, event));
             if (mAssembler.isOverlong()) {
                 return ContentVerdict.INVALID;
             }
--- a/node/src/test/java/org/fuchsialever/node/hosted/HostedStreamsTest.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/HostedStreamsTest.java
@@ -59,6 +59,30 @@
         }
     }
 
+    /** Guards against the events of one upstream under the signature of another. */
+    @Test
+    void signsAStreamAsTheUpstreamThatSentItsFirstEvent() {
+        try (HostedFixture fixture = HostedFixture.running()) {
+            UpstreamStandIn silent = fixture.upstream("e2", "engines");
+            fixture.upstream("e1").setBehaviour(Behaviour.REFUSES_CALLS);
+            fixture.upstream("e1").numberRuns();
+            fixture.eventually(() -> fixture.stream("n1", "/resumable/x", "r1").isWhole());
+            // The upstream that was used last is chosen again among equals.
+            silent.setBehaviour(Behaviour.STALLS_BEFORE_EVENTS);
+            fixture.upstream("e1").setBehaviour(Behaviour.HEALTHY);
+            AtomicInteger calls = new AtomicInteger();
+            fixture.eventually(
+                    () -> {
+                        String id = "later-" + calls.incrementAndGet();
+                        RawCall response = fixture.stream("n1", "/resumable/x", id);
+                        assertThat(response.isWhole(), is(true));
+                        assertThat(response.eventCount(), is(UpstreamStandIn.EVENT_COUNT));
+                        assertThat(response.text(), containsString("stamp-" + id + "-e1-"));
+                        return silent.executionCount(id) == 1;
+                    });
+        }
+    }
+
     /** Guards against streams that end as complete, or with the text of a failure in them. */
     @Test
     void breaksAStreamOffWhenTheNextUpstreamAnswersWithAFailure() {
