Count a restart after a planned stop as an interruption in the soak

Cause: the check. n1 got SIGTERM at 442262 ms (of the log's time), answered a call with the notice of p1 at 444776 while it stopped, ended at 444870 and started again at 445265. The call that counted as late was sent by the new process, at 445774. A restart since the notice excuses it (the users' passage on Server-Leaving), but only the signal counted as an interruption, and that came before the notice. Change: the end of the process counts, too. A call that is sent while the instance still stops is noticed as before; a test says so. Result: PromiseTest passes; of its two new cases the excuse failed before.

--- a/soak/src/test/java/org/fuchsialever/soak/PromiseTest.java
+++ b/soak/src/test/java/org/fuchsialever/soak/PromiseTest.java
@@ -290,6 +290,27 @@
         assertThat(leavingFindings("safe-3"), is(empty()));
     }
 
+    /** The process that got the notice is not the one that sent the call. */
+    @Test
+    void excusesALateCallOfAnInstanceThatRestartedAfterANoticeWhileItStopped() {
+        mRecord.interrupted("n1");
+        long now = System.nanoTime();
+        answer("safe-1", now, "p1/1");
+        mRecord.ended("n1", SECOND, true);
+        answer("safe-3", now + 3 * SECOND, "");
+        assertThat(leavingFindings("safe-3"), is(empty()));
+    }
+
+    @Test
+    void noticesALateCallOfAnInstanceThatIsStillStopping() {
+        mRecord.interrupted("n1");
+        long now = System.nanoTime();
+        answer("safe-1", now, "p1/1");
+        answer("safe-3", now + 3 * SECOND, "");
+        String promise = Promise.LEAVING_UPSTREAMS_GET_NO_LATE_CALLS.name();
+        assertThat(leavingFindings("safe-3"), contains(startsWith(promise)));
+    }
+
     private List<String> leavingFindings(String received) {
         Map<String, Set<String>> receivers = Map.of(received, Set.of("p1/1"));
         return Promise.checkAll(evidence(Map.of(), receivers, List.of(), List.of(), List.of()));
--- a/soak/src/test/java/org/fuchsialever/soak/SoakRecord.java
+++ b/soak/src/test/java/org/fuchsialever/soak/SoakRecord.java
@@ -182,7 +182,10 @@
         mInterruptions.add(new Interruption(instance, System.nanoTime()));
     }
 
-    /** Returns whether an instance ran without a kill, stop or pause in a span of time. */
+    /**
+     * Returns whether an instance ran without a kill, stop or pause in a span of time. A stop lasts
+     * until its process has ended.
+     */
     synchronized boolean ranThrough(String instance, long fromNanos, long toNanos) {
         return mInterruptions.stream()
                 .noneMatch(
@@ -194,6 +197,7 @@
 
     synchronized void ended(String instance, long tookNanos, boolean calm) {
         mExits.add(new Exit(instance, tookNanos, calm));
+        interrupted(instance);
     }
 
     synchronized List<Exit> exits() {
