--- a/decisions/src/test/java/org/fuchsialever/decisions/batch/BatchDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/batch/BatchDutyTest.java
@@ -8,11 +8,9 @@
 import static org.hamcrest.Matchers.is;
 
 import io.vavr.control.Option;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.fuchsialever.decisions.batch.BatchEvent.OpenedBatch;
 import org.fuchsialever.decisions.batch.BatchEvent.VersionedState;
@@ -23,9 +21,7 @@
     private static final String ID = "b1";
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
-    private final BatchDuty mDuty = new BatchDuty("i1", "s1", new SplittableRandom(1));
-    private final List<BatchAction> mActions = new ArrayList<>();
-    private long mNow;
+    private final BatchDutyRun mRun = new BatchDutyRun();
 
     @Test
     void generatesScoresAndListsEachItem() {
@@ -372,7 +368,7 @@
                                 spec(),
                                 listed,
                                 7_500,
-                                mNow + 40 * SECOND,
+                                mRun.now() + 40 * SECOND,
                                 false,
                                 stored)));
     }
@@ -407,25 +403,19 @@
     }
 
     private void event(BatchEvent event) {
-        mDuty.onEvent(event, mNow, mActions::add);
+        mRun.event(event);
     }
 
     private void advance(long nanos) {
-        long end = mNow + nanos;
-        while (mDuty.nextTimerNanos() <= end) {
-            mNow = Math.max(mNow, mDuty.nextTimerNanos());
-            mDuty.onTimer(mNow, mActions::add);
-        }
-        mNow = end;
+        mRun.advance(nanos);
     }
 
     private <T extends BatchAction> List<T> all(Class<T> type) {
-        return mActions.stream().filter(type::isInstance).map(type::cast).toList();
+        return mRun.all(type);
     }
 
     private <T extends BatchAction> T last(Class<T> type) {
-        List<T> found = all(type);
-        return found.get(found.size() - 1);
+        return mRun.last(type);
     }
 
     private static BatchState state(String owner, String start) {
--- a/decisions/src/test/java/org/fuchsialever/decisions/batch/ItemWindowTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/batch/ItemWindowTest.java
@@ -12,7 +12,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.fuchsialever.decisions.batch.BatchEvent.OpenedBatch;
 import org.junit.jupiter.api.Test;
@@ -21,9 +20,7 @@
 class ItemWindowTest {
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
-    private final BatchDuty mDuty = new BatchDuty("i1", "s1", new SplittableRandom(1));
-    private final List<BatchAction> mActions = new ArrayList<>();
-    private long mNow;
+    private final BatchDutyRun mRun = new BatchDutyRun();
 
     /** Guards against accepted items that are given up without a run. */
     @Test
@@ -82,8 +79,7 @@
         event(new BatchEvent.Deferred("b", 0));
         advance(SECOND);
         assertThat(starts("b"), hasSize(2));
-        assertThat(
-                mActions.stream().filter(BatchAction.Score.class::isInstance).toList(), hasSize(2));
+        assertThat(mRun.all(BatchAction.Score.class), hasSize(2));
     }
 
     /** Guards against items of a step that was ended which start when room frees. */
@@ -133,7 +129,7 @@
                                 new BatchSpec(id, "m", 1, 5, 1, all),
                                 Set.of(),
                                 7_500,
-                                mNow + 40 * SECOND,
+                                mRun.now() + 40 * SECOND,
                                 false,
                                 Map.of())));
     }
@@ -149,32 +145,24 @@
     }
 
     private List<BatchAction.Generate> starts(String id) {
-        return mActions.stream()
-                .filter(BatchAction.Generate.class::isInstance)
-                .map(BatchAction.Generate.class::cast)
+        return mRun.all(BatchAction.Generate.class).stream()
                 .filter(start -> start.spec().id().equals(id))
                 .toList();
     }
 
     private List<ItemResult> abandoned() {
-        return mActions.stream()
-                .filter(BatchAction.Commit.class::isInstance)
-                .flatMap(action -> ((BatchAction.Commit) action).results().stream())
+        return mRun.all(BatchAction.Commit.class).stream()
+                .flatMap(commit -> commit.results().stream())
                 .filter(result -> !result.completed())
                 .distinct()
                 .toList();
     }
 
     private void event(BatchEvent event) {
-        mDuty.onEvent(event, mNow, mActions::add);
+        mRun.event(event);
     }
 
     private void advance(long nanos) {
-        long end = mNow + nanos;
-        while (mDuty.nextTimerNanos() <= end) {
-            mNow = Math.max(mNow, mDuty.nextTimerNanos());
-            mDuty.onTimer(mNow, mActions::add);
-        }
-        mNow = end;
+        mRun.advance(nanos);
     }
 }
--- a/decisions/src/test/java/org/fuchsialever/decisions/batch/NeededItemsTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/batch/NeededItemsTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 
@@ -10,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.fuchsialever.decisions.batch.BatchEvent.OpenedBatch;
 import org.fuchsialever.decisions.batch.BatchEvent.VersionedState;
@@ -23,9 +23,7 @@
     private static final long[] TOKENS = {10, 20, 90, 10, 30, 40};
     private static final long DUE_MILLIS = 7_500;
 
-    private final BatchDuty mDuty = new BatchDuty("i1", "s1", new SplittableRandom(1));
-    private final List<BatchAction> mActions = new ArrayList<>();
-    private long mNow;
+    private final BatchDutyRun mRun = new BatchDutyRun();
 
     @Test
     void startsTheItemsBeyondTheTargetLast() {
@@ -86,11 +84,7 @@
         event(new BatchEvent.Generated("b", 0, "text", List.of(5L)));
         event(new BatchEvent.Generated("b", 2, "text", List.of(5L)));
         event(new BatchEvent.Generated("b", 5, "text", List.of(5L)));
-        List<BatchAction.Score> scores =
-                mActions.stream()
-                        .filter(BatchAction.Score.class::isInstance)
-                        .map(BatchAction.Score.class::cast)
-                        .toList();
+        List<BatchAction.Score> scores = mRun.all(BatchAction.Score.class);
         assertThat(scores.get(3).item(), is(5));
         assertThat(scores.get(3).queueRank(), lessThan(scores.get(1).queueRank()));
         assertThat(scores.get(1).queueRank(), lessThan(scores.get(2).queueRank()));
@@ -108,18 +102,19 @@
         event(new BatchEvent.StoreReachability(true));
         event(new BatchEvent.StatesChanged(List.of(new VersionedState(other, 3)), List.of()));
         open(StepOrder.NEEDED_FIRST, 100, Set.of(), Map.of());
-        mDuty.onTimer(mDuty.nextTimerNanos(), mActions::add);
-        assertThat(mActions.contains(new BatchAction.WeighTeams(Map.of("t", 0.25))), is(true));
+        mRun.advance(SECOND / 5);
+        assertThat(
+                mRun.actions().contains(new BatchAction.WeighTeams(Map.of("t", 0.25))), is(true));
         event(new BatchEvent.StoreReachability(false));
-        mDuty.onTimer(mDuty.nextTimerNanos(), mActions::add);
-        assertThat(mActions.contains(new BatchAction.WeighTeams(Map.of())), is(true));
+        mRun.advance(SECOND / 5);
+        assertThat(mRun.actions().contains(new BatchAction.WeighTeams(Map.of())), is(true));
     }
 
     @Test
     void weighsNoTeamWhereTheServiceIsNotQueuedFairly() {
         open(StepOrder.LONGEST_FIRST, 0, Set.of(), Map.of());
-        mDuty.onTimer(mDuty.nextTimerNanos(), mActions::add);
-        assertThat(mActions.stream().noneMatch(BatchAction.WeighTeams.class::isInstance), is(true));
+        mRun.advance(SECOND / 5);
+        assertThat(mRun.all(BatchAction.WeighTeams.class), is(empty()));
     }
 
     private void open(
@@ -147,12 +142,12 @@
                                 new BatchSpec("b", "m", 1, 5, 2, items),
                                 finished,
                                 DUE_MILLIS,
-                                mNow + 40 * SECOND,
+                                mRun.now() + 40 * SECOND,
                                 false,
                                 texts,
                                 order,
                                 poolSlots,
-                                mNow + 7 * SECOND)));
+                                mRun.now() + 7 * SECOND)));
     }
 
     private static BatchContent content() {
@@ -160,10 +155,7 @@
     }
 
     private List<BatchAction.Generate> generations() {
-        return mActions.stream()
-                .filter(BatchAction.Generate.class::isInstance)
-                .map(BatchAction.Generate.class::cast)
-                .toList();
+        return mRun.all(BatchAction.Generate.class);
     }
 
     private List<Integer> starts() {
@@ -171,6 +163,6 @@
     }
 
     private void event(BatchEvent event) {
-        mDuty.onEvent(event, mNow, mActions::add);
+        mRun.event(event);
     }
 }
--- a/decisions/src/test/java/org/fuchsialever/decisions/batch/TakeoverRoomTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/batch/TakeoverRoomTest.java
@@ -1,29 +1,20 @@
 package org.fuchsialever.decisions.batch;
 
+import static org.fuchsialever.decisions.batch.BatchDutyRun.SECOND;
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 
-import io.vavr.control.Option;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.SplittableRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
-import org.fuchsialever.decisions.batch.BatchEvent.OpenedBatch;
 import org.fuchsialever.decisions.batch.BatchEvent.VersionedState;
 import org.junit.jupiter.api.Test;
 
 /** How much an instance takes over when others are lost. */
 class TakeoverRoomTest {
     private static final long MAX_BYTES = 900;
-    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
-    private final BatchDuty mDuty = new BatchDuty("i1", "s1", new SplittableRandom(1), MAX_BYTES);
-    private final List<BatchAction> mActions = new ArrayList<>();
-    private long mNow;
+    private final BatchDutyRun mRun = new BatchDutyRun(MAX_BYTES);
 
     /** Guards against a process that runs out of memory after the loss of other instances. */
     @Test
@@ -96,9 +87,8 @@
         open(state(1, 800).withOwner("i1", "s1"));
         open(state(2, 300).withOwner("i1", "s1"));
         assertThat(
-                mActions.stream()
-                        .filter(BatchAction.Generate.class::isInstance)
-                        .map(action -> ((BatchAction.Generate) action).state().id())
+                mRun.all(BatchAction.Generate.class).stream()
+                        .map(start -> start.state().id())
                         .toList(),
                 is(List.of("b1")));
         assertThat(claims(), is(empty()));
@@ -122,19 +112,7 @@
     }
 
     private void open(BatchState state) {
-        BatchItem item =
-                new BatchItem("x", "g", "/p/x", Map.of(), new byte[0], 10, 5, Option.none());
-        event(
-                new BatchEvent.Opened(
-                        new OpenedBatch(
-                                state,
-                                30,
-                                new BatchSpec(state.id(), "m", 1, 5, 1, List.of(item)),
-                                Set.of(),
-                                0,
-                                Long.MAX_VALUE,
-                                false,
-                                Map.of())));
+        mRun.open(state, 40 * SECOND);
     }
 
     private List<String> claims() {
@@ -142,39 +120,19 @@
     }
 
     private List<BatchAction.Claim> allClaims() {
-        return mActions.stream()
-                .filter(BatchAction.Claim.class::isInstance)
-                .map(BatchAction.Claim.class::cast)
-                .toList();
+        return mRun.all(BatchAction.Claim.class);
     }
 
     private void event(BatchEvent event) {
-        mDuty.onEvent(event, mNow, mActions::add);
+        mRun.event(event);
     }
 
     private void advance(long nanos) {
-        long end = mNow + nanos;
-        while (mDuty.nextTimerNanos() <= end) {
-            mNow = Math.max(mNow, mDuty.nextTimerNanos());
-            mDuty.onTimer(mNow, mActions::add);
-        }
-        mNow = end;
+        mRun.advance(nanos);
     }
 
     /** Returns the state of a submission of another instance; older ones have smaller numbers. */
     private static BatchState state(int number, long bytes) {
-        return new BatchState(
-                "b" + number,
-                "team",
-                "h",
-                "/p/b",
-                1,
-                0,
-                number,
-                "i2",
-                "s2",
-                1,
-                false,
-                new BatchContent("m", 1, 0, 0, bytes));
+        return BatchDutyRun.state("b" + number, "i2", number, bytes);
     }
 }
--- a/decisions/src/test/java/org/fuchsialever/decisions/manifest/ManifestTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/manifest/ManifestTest.java
@@ -66,24 +66,10 @@
     }
 
     private static ForwardRoute route(String name, String prefix) {
-        return route(name, prefix, RequestKind.SAFE);
+        return SampleManifests.route(name, prefix, RequestKind.SAFE, 0);
     }
 
     private static ForwardRoute route(String name, String prefix, RequestKind kind) {
-        return new ForwardRoute(
-                name,
-                "h",
-                prefix,
-                kind,
-                List.of(new ServiceShare("s", 1)),
-                1,
-                1,
-                0,
-                1,
-                true,
-                false,
-                false,
-                0,
-                0);
+        return SampleManifests.route(name, prefix, kind, 0);
     }
 }
