--- a/soak/src/test/java/org/fuchsialever/soak/DeployedSettingsTest.java
+++ b/soak/src/test/java/org/fuchsialever/soak/DeployedSettingsTest.java
@@ -10,7 +10,6 @@
 import org.fuchsialever.node.NodeMain;
 import org.fuchsialever.platform.DeployTemplate;
 import org.fuchsialever.platform.StoreStandIn;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -28,12 +27,7 @@
                     "bounds.leaseMs");
 
     @TempDir Path mDirectory;
-    private DeployTemplate mTemplate;
-
-    @BeforeEach
-    void fillTemplate() {
-        mTemplate = new DeployTemplate("n1", "", 0);
-    }
+    private final DeployTemplate mTemplate = new DeployTemplate("n1", "", 0);
 
     /** Guards against a bound that becomes a fraction, after which no process starts again. */
     @Test
--- a/soak/src/test/java/org/fuchsialever/soak/TakeoverMemoryTest.java
+++ b/soak/src/test/java/org/fuchsialever/soak/TakeoverMemoryTest.java
@@ -9,7 +9,6 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.fuchsialever.platform.ManifestText;
@@ -58,7 +57,7 @@
         Map<String, String> bodies =
                 IntStream.range(0, ITEMS)
                         .mapToObj(item -> "ID-" + item)
-                        .collect(Collectors.toMap(Function.identity(), item -> body));
+                        .collect(Collectors.toMap(item -> item, item -> body));
         String content =
                 SubmissionText.of(bodies, 1)
                         .replace("\"path\":\"/rollout/", "\"path\":\"" + DeployedInstance.HELD);
