Log the age of the list at each choice and when a request is sent

`attempt` has listAgeMillis, `attempt-ended` has sentAfterMillis (-1 if nothing was sent), and the lines on the store name the age of the table. A line on an upstream that is leaving is no longer dropped at high rates. No decision changes.

--- a/node/src/main/java/org/fuchsialever/node/directory/DirectoryActions.java
+++ b/node/src/main/java/org/fuchsialever/node/directory/DirectoryActions.java
@@ -80,7 +80,10 @@
                 mDirectory.notifyBatchTableAvailability(false);
             }
         } else if (action instanceof DirectoryAction.StoreReachable regained) {
-            mTrace.line(PART, "store-regained").with("table", regained.table().name()).write();
+            mTrace.line(PART, "store-regained")
+                    .with("table", regained.table().name())
+                    .with("ageMillis", mDirectory.stalenessMillis(regained.table()))
+                    .write();
         }
     }
 
@@ -198,17 +201,26 @@
                 reportUnreadable(DirectoryTable.UPSTREAMS, row, read.getLeft());
             } else {
                 listed.add(read.get());
-                mTrace.sampled(PART, "upstream")
-                        .with("upstream", row.key())
-                        .with("service", read.get().service())
-                        .with("serving", String.valueOf(read.get().serving()))
-                        .with("versions", read.get().versions().toString())
-                        .write();
+                traceUpstream(read.get());
             }
         }
         mDirectory.changeUpstreams(listed, removed);
     }
 
+    /** Upstreams write their rows all the time, but few of them are leaving. */
+    private void traceUpstream(FleetUpstream upstream) {
+        TraceLog.Line line =
+                upstream.serving()
+                        ? mTrace.sampled(PART, "upstream")
+                        : mTrace.line(PART, "upstream");
+        line.with("upstream", upstream.id())
+                .with("service", upstream.service())
+                .with("serving", String.valueOf(upstream.serving()))
+                .with("versions", upstream.versions().toString())
+                .with("ageMillis", mDirectory.stalenessMillis(DirectoryTable.UPSTREAMS))
+                .write();
+    }
+
     private void applyBatchStates(List<MirrorRow> rows) {
         List<VersionedState> changed = new ArrayList<>();
         List<String> removed = new ArrayList<>();
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardComponent.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Set;
+import org.fuchsialever.decisions.directory.DirectoryTable;
 import org.fuchsialever.decisions.domain.DomainCost;
 import org.fuchsialever.decisions.domain.DomainPolicy;
 import org.fuchsialever.decisions.domain.DomainSpill;
@@ -87,6 +88,7 @@
 
     @Override
     public void install(ComponentContext context) {
+        Directory directory = context.require(Directory.class);
         String home = context.require(NodeIdentity.class).failureDomain().value();
         DomainSpill domains =
                 new DomainSpill(home, mDomainPolicy, mDomainCost, context.random("domains"));
@@ -114,7 +116,10 @@
                                             new DomainTrace(
                                                     home,
                                                     context.require(TraceLog.class),
-                                                    context.meters()));
+                                                    context.meters()),
+                                            () ->
+                                                    directory.stalenessMillis(
+                                                            DirectoryTable.UPSTREAMS));
                             return created[0];
                         });
         ForwardRunner runner = created[0];
@@ -124,13 +129,12 @@
         context.provide(ForwardPort.class, runner);
         context.provide(UsageListeners.class, runner::addUsageListener);
         context.provide(EngineReports.class, runner.reports());
-        context.require(Directory.class)
-                .addListener(
-                        new DirectoryListener() {
-                            @Override
-                            public void onUpstreamsChanged(List<FleetUpstream> upstreams) {
-                                inbox.offer(new ForwardEvent.FleetChanged(upstreams));
-                            }
-                        });
+        directory.addListener(
+                new DirectoryListener() {
+                    @Override
+                    public void onUpstreamsChanged(List<FleetUpstream> upstreams) {
+                        inbox.offer(new ForwardEvent.FleetChanged(upstreams));
+                    }
+                });
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongFunction;
+import java.util.function.LongSupplier;
 import org.fuchsialever.decisions.forward.AttemptOutcome;
 import org.fuchsialever.decisions.forward.AttemptReport;
 import org.fuchsialever.decisions.forward.ForwardAction;
@@ -47,6 +48,9 @@
     /** Fewer events would make the pace depend on single pauses. */
     private static final int MIN_PACE_EVENTS = 3;
 
+    /** The time to the connection of an attempt that got none. */
+    private static final long NOT_SENT = -1;
+
     /** The connection of an attempt that got none. */
     private static final ConnectionUse NO_CONNECTION = new ConnectionUse(0, 0);
 
@@ -59,6 +63,7 @@
     private final EngineReports mReports;
     private final Queueing mQueueing;
     private final DomainTrace mDomains;
+    private final LongSupplier mListAgeMillis;
     private final AtomicLong mLastNumber = new AtomicLong();
     private final Map<Long, AcceptedCall> mAccepted = new ConcurrentHashMap<>();
     private final Set<Long> mBeingSubmitted = ConcurrentHashMap.newKeySet();
@@ -78,7 +83,8 @@
             MeterRegistry meters,
             ResponseMemory memory,
             Queueing queueing,
-            DomainTrace domains) {
+            DomainTrace domains,
+            LongSupplier listAgeMillis) {
         mClient = client;
         mQueueing = queueing;
         mInbox = inbox;
@@ -88,6 +94,7 @@
         mMemory = memory;
         mReports = new EngineReports(time);
         mDomains = domains;
+        mListAgeMillis = listAgeMillis;
         for (ForwardCallKind kind : ForwardCallKind.values()) {
             mInProgress.put(kind, new AtomicInteger());
         }
@@ -274,6 +281,7 @@
                 .with("basis", start.basis().name())
                 .with("expectedMillis", TimeUnit.NANOSECONDS.toMillis(start.expectedNanos()))
                 .with("waitedMillis", TimeUnit.NANOSECONDS.toMillis(now - call.arrivedNanos()))
+                .with("listAgeMillis", mListAgeMillis.getAsLong())
                 .write();
         Attempt attempt = new Attempt(key, handler, handler.reader(start.attempt()), start, now);
         ExchangeRequest request;
@@ -314,6 +322,7 @@
         private long mFirstEventNanos;
         private int mFirstEvents;
         private ConnectionUse mUse = NO_CONNECTION;
+        private long mSentAfterNanos = NOT_SENT;
         private volatile boolean mEnded;
 
         Attempt(
@@ -332,6 +341,7 @@
         @Override
         public void onConnection(ConnectionUse use) {
             mUse = use;
+            mSentAfterNanos = mTime.nanoTime() - mStartNanos;
         }
 
         @Override
@@ -411,6 +421,12 @@
             }
         }
 
+        private long sentAfterMillis() {
+            return mSentAfterNanos == NOT_SENT
+                    ? NOT_SENT
+                    : TimeUnit.NANOSECONDS.toMillis(mSentAfterNanos);
+        }
+
         private void recordEstimate(String kind, long lateNanos) {
             String error = lateNanos > 0 ? "late" : "early";
             mMeters.timer("fuchsialever.forward.estimate", "kind", kind, "error", error)
@@ -458,6 +474,7 @@
                     .with("millis", TimeUnit.NANOSECONDS.toMillis(elapsedNanos))
                     .with("connection", mUse.connection())
                     .with("earlier", mUse.earlierExchanges())
+                    .with("sentAfterMillis", sentAfterMillis())
                     .write();
             if (report.outcome().mayHaveRun() && !mHandler.meteredTeam().isEmpty()) {
                 mUsageListeners.forEach(
--- a/node/src/test/java/org/fuchsialever/node/forward/ForwardRunnerTest.java
+++ b/node/src/test/java/org/fuchsialever/node/forward/ForwardRunnerTest.java
@@ -81,7 +81,8 @@
                             meters,
                             new ResponseMemory(1),
                             Queueing.AUTO,
-                            new DomainTrace("z", trace, meters)));
+                            new DomainTrace("z", trace, meters),
+                            () -> 0));
         } finally {
             loops.dispose();
         }
