Keep the order of changes of a row that come with one read

Callers saw: requests reached an upstream 3 s and more after it had left the list (DRAIN), from instances that had read that it was gone.

Cause: the store returns each change of a row, in order. The readers of a table took the changes of one read apart into removals and written rows and applied the removals first. An upstream that wrote its row and was removed between two reads stayed in the list, for good. An instance outside the working set reads the list once a second and upstreams write about as often, so this shows in fleets with many such instances. The same order was lost for submissions (removals last) and slots.

Both tests failed before: DirectoryDutyTest.reportsOnlyTheLastOfSeveralChangesOfARow got "u1 written" after "u1 removed", HostedCallsTest.sendsNothingToAnUpstreamThatWritesItsRowAndIsRemovedBetweenTwoReads found p1 in the list.

Change: the duty that mirrors the tables reports the last change of each row of a read, for all tables.

--- a/decisions/src/main/java/org/fuchsialever/decisions/directory/DirectoryAction.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/directory/DirectoryAction.java
@@ -11,7 +11,10 @@
     /** Reads the changes after a version from the change feed. */
     record ReadFeed(DirectoryTable table, long afterVersion) implements DirectoryAction {}
 
-    /** Rows have changed; each is newer than the last one published under its key. */
+    /**
+     * Rows have changed; each is newer than the last one published under its key, and no two of
+     * them have the same key.
+     */
     record Changed(DirectoryTable table, List<MirrorRow> rows) implements DirectoryAction {}
 
     /**
--- a/decisions/src/main/java/org/fuchsialever/decisions/directory/DirectoryDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/directory/DirectoryDuty.java
@@ -4,6 +4,7 @@
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -161,7 +162,7 @@
         mNewestVersion = Math.max(mNewestVersion, version);
         mirror.mVersion = version;
         mirror.mFailures = 0;
-        List<MirrorRow> newer = rows.stream().filter(mirror::accept).toList();
+        List<MirrorRow> newer = mirror.acceptAll(rows);
         if (!newer.isEmpty()) {
             actions.emit(new DirectoryAction.Changed(mirror.mTable, newer));
         }
@@ -211,7 +212,18 @@
             mTable = table;
         }
 
-        boolean accept(MirrorRow row) {
+        /** Returns the last newer change of each row, so that their order does not matter. */
+        List<MirrorRow> acceptAll(List<MirrorRow> rows) {
+            Map<String, MirrorRow> last = new LinkedHashMap<>();
+            for (MirrorRow row : rows) {
+                if (accept(row)) {
+                    last.put(row.key(), row);
+                }
+            }
+            return List.copyOf(last.values());
+        }
+
+        private boolean accept(MirrorRow row) {
             if (row.version() <= mVersions.getOrDefault(row.key(), 0L)) {
                 return false;
             }
--- a/decisions/src/test/java/org/fuchsialever/decisions/directory/DirectoryDutyTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/directory/DirectoryDutyTest.java
@@ -5,6 +5,7 @@
 import static org.fuchsialever.decisions.directory.DirectoryTable.INSTANCES;
 import static org.fuchsialever.decisions.directory.DirectoryTable.UPSTREAMS;
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
@@ -61,6 +62,19 @@
         assertThat(changes().get(0).removed(), is(true));
     }
 
+    /** Guards against readers who take the changes of a read apart and lose their order. */
+    @Test
+    void reportsOnlyTheLastOfSeveralChangesOfARow() {
+        range(UPSTREAMS, 10, row("u1", 5), row("u2", 6));
+        mActions.clear();
+        feed(UPSTREAMS, 14, row("u1", 11), removed("u2", 12), removed("u1", 13), row("u2", 14));
+        List<String> reported =
+                changes().stream()
+                        .map(row -> row.key() + (row.removed() ? " removed" : " written"))
+                        .toList();
+        assertThat(reported, containsInAnyOrder("u1 removed", "u2 written"));
+    }
+
     @Test
     void reportsTheLossAndRecoveryOfTheStoreOnce() {
         range(BATCHES, 10);
@@ -157,6 +171,10 @@
                 .toList();
     }
 
+    private static MirrorRow removed(String key, long version) {
+        return new MirrorRow(key, new byte[0], version, true);
+    }
+
     private static MirrorRow row(String key, long version) {
         return new MirrorRow(key, new byte[] {1}, version, false);
     }
--- a/node/src/test/java/org/fuchsialever/node/hosted/HostedCallsTest.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/HostedCallsTest.java
@@ -2,6 +2,7 @@
 
 import static org.fuchsialever.node.hosted.HostedFixture.KEY;
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.hasKey;
 import static org.hamcrest.Matchers.is;
@@ -264,6 +265,24 @@
         }
     }
 
+    /** Guards against an upstream that stays in the list because it wrote its row just before. */
+    @Test
+    void sendsNothingToAnUpstreamThatWritesItsRowAndIsRemovedBetweenTwoReads() {
+        try (HostedFixture fixture = HostedFixture.running()) {
+            fixture.mStore.silenceReads("servers");
+            fixture.upstream("p1").register(fixture.mStore, "ready");
+            fixture.mStore.remove("servers", "p1");
+            fixture.upstream("p2", "plain");
+            fixture.mStore.respondToReads("servers");
+            fixture.eventually(() -> fixture.upstreams("n1").contains("p2"));
+            assertThat(fixture.upstreams("n1"), containsInAnyOrder("p2", "e1"));
+            for (int call = 0; call < 5; call++) {
+                fixture.call("n1", "GET", "/safe/x", "later", KEY, "");
+            }
+            assertThat(fixture.upstream("p1").executionCount("later"), is(0));
+        }
+    }
+
     private static ReceivedCall last(UpstreamStandIn upstream) {
         return upstream.calls().get(upstream.calls().size() - 1);
     }
--- a/node/src/test/java/org/fuchsialever/node/hosted/HostedFixture.java
+++ b/node/src/test/java/org/fuchsialever/node/hosted/HostedFixture.java
@@ -12,6 +12,7 @@
 import java.util.Objects;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
+import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.kernel.lifecycle.Closer;
 import org.fuchsialever.kernel.lifecycle.StopRequest;
 import org.fuchsialever.node.NodeProcess;
@@ -123,6 +124,12 @@
         eventually(() -> call(name, "GET", "/api/readyz", "ready", "", "").status() == 200);
     }
 
+    /** Returns the IDs of the upstreams that an instance has in its list. */
+    List<String> upstreams(String name) {
+        Directory directory = Objects.requireNonNull(mNodes.get(name)).service(Directory.class);
+        return directory.upstreams().stream().map(FleetUpstream::id).toList();
+    }
+
     void eventually(Callable<Boolean> condition) {
         await().atMost(TIMEOUT).pollInterval(Duration.ofMillis(20)).until(condition);
     }
