Ask again whether an upstream serves when a request is sent

What callers could see: a request that waited for its connection, for up to a second, or for a busy event loop, reached an upstream that had left the list or announced its leaving meanwhile (DRAIN).

Cause: the upstream was checked once, when it was chosen.

Change: the forward duty publishes which upstreams may get calls whenever that changes (ServingUpstreams). The client asks before it opens a connection and again once it is open; a withdrawn request ends as WITHDRAWN, counts as not sent and goes elsewhere, or is refused as not run. Decisions stay in the duty; the event loop only looks them up.

--- a/decisions/src/main/java/org/fuchsialever/decisions/fleet/Fleet.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/fleet/Fleet.java
@@ -76,6 +76,21 @@
         return added;
     }
 
+    /**
+     * Returns the upstreams that may get calls, for other threads.
+     *
+     * @param leavingNanos how long after its announcement an upstream may get calls
+     */
+    public ServingUpstreams serving(long leavingNanos) {
+        Map<String, Option<Long>> serving = new HashMap<>();
+        for (UpstreamState state : mStates.values()) {
+            if (state.isListedAsServing()) {
+                serving.put(state.spec().id(), state.leavingSince());
+            }
+        }
+        return new ServingUpstreams(serving, leavingNanos);
+    }
+
     /** Returns the upstreams of a service; empty for an unknown one. */
     public List<UpstreamState> ofService(String service) {
         return mByService.getOrDefault(service, List.of());
--- a/decisions/src/main/java/org/fuchsialever/decisions/fleet/UpstreamState.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/fleet/UpstreamState.java
@@ -97,15 +97,24 @@
         mLeavingSince = sinceNanos;
     }
 
+    /** Returns since when the upstream is leaving by its own responses, none if it is not. */
+    Option<Long> leavingSince() {
+        return mLeavingSince;
+    }
+
+    /** Returns whether the upstream is listed and accepts new calls by its description. */
+    boolean isListedAsServing() {
+        return mListed && mSpec.serving();
+    }
+
     /** Returns whether the upstream is listed, accepts new calls and has not said it is leaving. */
     public boolean isServing() {
-        return mListed && mSpec.serving() && mLeavingSince.isEmpty();
+        return isListedAsServing() && mLeavingSince.isEmpty();
     }
 
     /** Returns whether a call may go to the upstream although it has said that it is leaving. */
     boolean servesWhileLeaving(long sentNanos, long leavingNanos, long now) {
-        return mListed
-                && mSpec.serving()
+        return isListedAsServing()
                 && now >= mSuspendedUntil
                 && mLeavingSince.exists(since -> sentNanos - since <= leavingNanos);
     }
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/AttemptOutcome.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/AttemptOutcome.java
@@ -16,6 +16,8 @@
     WRONG_VERSION(false, false, true),
     /** The connection could not be opened; nothing was sent. */
     NOT_CONNECTED(false, true, false),
+    /** The upstream had begun to leave before the call was sent; nothing was sent. */
+    WITHDRAWN(false, false, false),
     /** The connection broke after the call was sent. */
     LOST(true, true, false),
     /** The upstream sent nothing within the timeout. */
@@ -40,6 +42,11 @@
         return mMayHaveRun;
     }
 
+    /** Returns whether the upstream may have received the call. */
+    public boolean wasSent() {
+        return this != NOT_CONNECTED && this != WITHDRAWN;
+    }
+
     /** Returns whether the upstream is at fault and gets no calls for some time. */
     public boolean isUpstreamFault() {
         return mUpstreamFault;
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/CallQueue.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/CallQueue.java
@@ -9,6 +9,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.queue.FairQueue;
 import org.fuchsialever.decisions.queue.QueuePlace;
 import org.fuchsialever.kernel.duty.Duty;
@@ -45,6 +46,25 @@
         }
     }
 
+    /**
+     * Takes the slots of services from the list of upstreams.
+     *
+     * @param isFair whether a service is queued fairly from now on
+     */
+    void noteUpstreams(List<FleetUpstream> listed, Predicate<String> isFair) {
+        Map<String, Integer> slots = new HashMap<>();
+        listed.stream()
+                .filter(FleetUpstream::serving)
+                .forEach(one -> slots.merge(one.service(), one.slots(), Integer::sum));
+        slots.forEach(
+                (service, count) -> {
+                    if (isFair.test(service)) {
+                        queueFairly(service);
+                    }
+                    setSlots(service, count);
+                });
+    }
+
     /** Returns the names of the services that are queued fairly. */
     Set<String> fairServices() {
         return mFair.keySet();
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardAction.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardAction.java
@@ -3,6 +3,7 @@
 import org.fuchsialever.decisions.domain.ShareChange;
 import org.fuchsialever.decisions.fleet.ChoiceBasis;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
+import org.fuchsialever.decisions.fleet.ServingUpstreams;
 
 /** Action that the forward duty emits. */
 public sealed interface ForwardAction {
@@ -52,6 +53,9 @@
     /** Notes that an upstream is leaving by its own responses and gets no new work. */
     record NoteLeaving(FleetUpstream upstream) implements ForwardAction {}
 
+    /** Tells which upstreams may get calls that were chosen for them and are not sent yet. */
+    record PublishServing(ServingUpstreams serving) implements ForwardAction {}
+
     /** The calls of a service are queued fairly from now on. */
     record QueueFairly(String service) implements ForwardAction {}
 
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCall.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCall.java
@@ -46,6 +46,15 @@
         shares = List.copyOf(shares);
     }
 
+    /**
+     * Returns when the caller sent the call at the latest, in monotonic nanoseconds.
+     *
+     * @param now when an upstream is chosen or gets the call, in monotonic nanoseconds
+     */
+    public long latestSentNanos(long now) {
+        return kind.latestSentNanos(this, now);
+    }
+
     /** Returns the same call under another number. */
     public ForwardCall withNumber(long newNumber) {
         return new ForwardCall(
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallState.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardCallState.java
@@ -83,7 +83,7 @@
     boolean end(int attempt, AttemptOutcome outcome) {
         mRunning.remove(attempt);
         mMayHaveRun |= outcome.mayHaveRun();
-        if (outcome == AttemptOutcome.NOT_CONNECTED) {
+        if (!outcome.wasSent()) {
             mSent--;
         }
         if (outcome == AttemptOutcome.FAILED) {
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
@@ -3,7 +3,6 @@
 import io.vavr.control.Option;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.concurrent.TimeUnit;
@@ -11,7 +10,6 @@
 import org.fuchsialever.decisions.domain.DomainSpill;
 import org.fuchsialever.decisions.fleet.ChosenUpstream;
 import org.fuchsialever.decisions.fleet.Fleet;
-import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.fleet.LoadHint;
 import org.fuchsialever.decisions.fleet.ServiceProfile;
 import org.fuchsialever.decisions.fleet.UpstreamBalancing;
@@ -48,6 +46,7 @@
     private final CallQueue mQueue = new CallQueue();
     private final LiveWait mLiveWait;
     private final QueueLengths mLengths = new QueueLengths();
+    private final ServingReport mServing;
 
     /**
      * Creates a duty without upstreams; they arrive with the first change of the fleet.
@@ -67,6 +66,7 @@
         mRandom = random;
         mQueueing = queueing;
         mFleet = new Fleet(random);
+        mServing = new ServingReport(mFleet, leavingNanos);
         mDomains = domains;
         mSurcharge = new DomainSurcharge(mFleet, domains);
         mChoice = new UpstreamChoice(mFleet, balancing, leavingNanos, mSurcharge);
@@ -105,12 +105,14 @@
         } else if (event instanceof ForwardEvent.LeavingAnnounced announced) {
             if (mFleet.markLeaving(announced.upstream(), announced.sinceNanos())) {
                 actions.emit(new ForwardAction.NoteLeaving(announced.upstream()));
+                mServing.update(actions);
             }
         } else if (event instanceof ForwardEvent.TeamsWeighed weighed) {
             mQueue.setWeights(weighed.weights());
         } else if (event instanceof ForwardEvent.FleetChanged changed) {
             mFleet.update(changed.upstreams());
-            noteServices(changed.upstreams());
+            mServing.update(actions);
+            mQueue.noteUpstreams(changed.upstreams(), this::queuesFairly);
             drainQueue(nowNanos, actions);
         }
     }
@@ -145,18 +147,8 @@
         startOrQueue(state, ForwardAction.StartReason.FIRST, now, actions);
     }
 
-    private void noteServices(List<FleetUpstream> upstreams) {
-        Map<String, Integer> slots = new HashMap<>();
-        upstreams.stream()
-                .filter(FleetUpstream::serving)
-                .forEach(listed -> slots.merge(listed.service(), listed.slots(), Integer::sum));
-        slots.forEach(
-                (service, count) -> {
-                    if (mQueueing.isFair(mFleet.profile(service).reportsSlowdown())) {
-                        mQueue.queueFairly(service);
-                    }
-                    mQueue.setSlots(service, count);
-                });
+    private boolean queuesFairly(String service) {
+        return mQueueing.isFair(mFleet.profile(service).reportsSlowdown());
     }
 
     private void startOrQueue(
@@ -280,7 +272,7 @@
         }
         UpstreamState upstream = ended.upstream();
         noteLoad(ended, report.load(), now, actions);
-        if (!outcome.isRefusal() && !outcome.isUpstreamFault()) {
+        if (outcome.wasSent() && !outcome.isRefusal() && !outcome.isUpstreamFault()) {
             mLiveWait.noteEnd(upstream.spec().service(), now);
         }
         upstream.callEnded(report.load(), outcome.isUpstreamFault(), outcome.isRefusal(), now);
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/UpstreamChoice.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/UpstreamChoice.java
@@ -106,7 +106,7 @@
             return best(state, suitable, now).orElse(() -> leavingForQueued(call, service, now));
         }
         // A live call is sent to a leaving or an ejected upstream rather than refused.
-        long sent = call.kind().latestSentNanos(call, now);
+        long sent = call.latestSentNanos(now);
         return choice.orElse(
                         () ->
                                 mFleet.chooseLeaving(service, untried, sent, mLeavingNanos, now)
@@ -221,7 +221,7 @@
                 return Option.none();
             }
         }
-        long sent = call.kind().latestSentNanos(call, now);
+        long sent = call.latestSentNanos(now);
         return mFleet.chooseLeaving(
                         service,
                         suitable.and(
--- a/decisions/src/test/java/org/fuchsialever/decisions/forward/LeavingUpstreamsTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/forward/LeavingUpstreamsTest.java
@@ -6,7 +6,9 @@
 import static org.hamcrest.Matchers.is;
 
 import java.util.List;
+import java.util.Map;
 import org.fuchsialever.decisions.fleet.FleetUpstream;
+import org.fuchsialever.decisions.fleet.ServingUpstreams;
 import org.fuchsialever.kernel.duty.Duty;
 import org.junit.jupiter.api.Test;
 
@@ -119,6 +121,56 @@
                 hasSize(1));
     }
 
+    /** Guards against calls that waited for their connection while the upstream began to leave. */
+    @Test
+    void withdrawsAnUpstreamThatLeavesTheListFromCallsThatAreNotSentYet() {
+        fleet(plain("a"), plain("b"));
+        assertThat(serving().mayGet("a", 0), is(true));
+        fleet(upstream("a", "plain", false, Map.of()), plain("b"));
+        assertThat(serving().mayGet("a", 0), is(false));
+        fleet(plain("b"));
+        assertThat(serving().mayGet("a", 0), is(false));
+        assertThat(serving().mayGet("b", 0), is(true));
+    }
+
+    @Test
+    void withdrawsAnUpstreamThatAnnouncesItsLeavingFromCallsThatWereSentLater() {
+        fleet(plain("a"));
+        announceLeaving(plain("a"), MILLI);
+        assertThat(serving().mayGet("a", MILLI + LEAVING_NANOS), is(true));
+        assertThat(serving().mayGet("a", MILLI + LEAVING_NANOS + 1), is(false));
+    }
+
+    /** Guards against an attempt that counts although no upstream has seen the call. */
+    @Test
+    void runsAWithdrawnCallElsewhereWhateverItsRouteAllows() {
+        fleet(plain("a"));
+        arrive(live(1, false, 1));
+        fleet(plain("b"));
+        end(1, 1, AttemptOutcome.WITHDRAWN);
+        assertThat(lastStart().upstream().id(), is("b"));
+        assertThat(refusals(), is(empty()));
+    }
+
+    @Test
+    void saysNotRunOfAWithdrawnCallThatNoOtherUpstreamCanRun() {
+        fleet(plain("a"));
+        arrive(live(1, false, 1));
+        fleet();
+        end(1, 1, AttemptOutcome.WITHDRAWN);
+        assertThat(lastRefusal().isNotRun(), is(true));
+    }
+
+    private ServingUpstreams serving() {
+        ServingUpstreams last = ServingUpstreams.none();
+        for (ForwardAction action : mActions) {
+            if (action instanceof ForwardAction.PublishServing published) {
+                last = published.serving();
+            }
+        }
+        return last;
+    }
+
     private void announceLeaving(FleetUpstream upstream, long sinceNanos) {
         event(new ForwardEvent.LeavingAnnounced(upstream, sinceNanos));
     }
--- a/node/src/main/java/org/fuchsialever/node/forward/AttemptReader.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/AttemptReader.java
@@ -124,6 +124,7 @@
         return switch (end) {
             case COMPLETE -> complete();
             case NOT_CONNECTED -> AttemptOutcome.NOT_CONNECTED;
+            case WITHDRAWN -> AttemptOutcome.WITHDRAWN;
             case LOST -> AttemptOutcome.LOST;
             case SILENT -> AttemptOutcome.SILENT;
             case MALFORMED -> AttemptOutcome.MALFORMED;
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
+import org.fuchsialever.decisions.fleet.ServingUpstreams;
 import org.fuchsialever.decisions.forward.AttemptOutcome;
 import org.fuchsialever.decisions.forward.AttemptReport;
 import org.fuchsialever.decisions.forward.ForwardAction;
@@ -64,6 +65,7 @@
     private final Queueing mQueueing;
     private final DomainTrace mDomains;
     private final LongSupplier mListAgeMillis;
+    private volatile ServingUpstreams mServing = ServingUpstreams.none();
     private final AtomicLong mLastNumber = new AtomicLong();
     private final Map<Long, AcceptedCall> mAccepted = new ConcurrentHashMap<>();
     private final Set<Long> mBeingSubmitted = ConcurrentHashMap.newKeySet();
@@ -199,6 +201,8 @@
             }
         } else if (action instanceof ForwardAction.NoteDomainShare note) {
             mDomains.noteShare(note.change());
+        } else if (action instanceof ForwardAction.PublishServing published) {
+            mServing = published.serving();
         } else if (action instanceof ForwardAction.NoteLeaving leaving) {
             mTrace.line(PART, "upstream-leaving")
                     .with("upstream", leaving.upstream().id())
@@ -338,6 +342,12 @@
             mStartNanos = startNanos;
         }
 
+        @Override
+        public boolean maySend() {
+            long sentNanos = mStart.call().latestSentNanos(mTime.nanoTime());
+            return mServing.mayGet(mStart.upstream().id(), sentNanos);
+        }
+
         @Override
         public void onConnection(ConnectionUse use) {
             mUse = use;
--- a/node/src/test/java/org/fuchsialever/node/batch/UpstreamProtocolStub.java
+++ b/node/src/test/java/org/fuchsialever/node/batch/UpstreamProtocolStub.java
@@ -13,7 +13,7 @@
 import org.fuchsialever.services.hosted.UpstreamResponseHead;
 
 /** A protocol whose responses are all signed and name no weight version. */
-final class UpstreamProtocolStub implements UpstreamProtocol {
+public final class UpstreamProtocolStub implements UpstreamProtocol {
     private static final HttpHeaders NONE = new DefaultHttpHeaders();
 
     @Override
--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeClient.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeClient.java
@@ -107,7 +107,7 @@
     }
 
     private void begin(RunningExchange exchange) {
-        if (exchange.isEnded()) {
+        if (exchange.isEnded() || exchange.isWithdrawn()) {
             return;
         }
         ExchangeRequest request = exchange.request();
@@ -139,7 +139,7 @@
                         this::removeIdle,
                         this::countIdleBytes);
         channel.pipeline().addLast(opened);
-        if (exchange.isEnded()) {
+        if (exchange.isEnded() || exchange.isWithdrawn()) {
             opened.close();
         } else {
             opened.start(exchange);
@@ -224,6 +224,15 @@
             return mEnded;
         }
 
+        /** Ends the exchange if its request may not be sent any more; returns whether it did. */
+        private boolean isWithdrawn() {
+            if (mListener.maySend()) {
+                return false;
+            }
+            end(ExchangeOutcome.WITHDRAWN);
+            return true;
+        }
+
         String address() {
             return ExchangeClient.address(mRequest.host(), mRequest.port());
         }
--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeListener.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeListener.java
@@ -5,6 +5,14 @@
 /** Receives a response. Called in the event loop; must not block. */
 public interface ExchangeListener {
 
+    /**
+     * Returns whether the request may still be sent. Asked before a connection is opened, and again
+     * once it is open.
+     */
+    default boolean maySend() {
+        return true;
+    }
+
     /** Handles the choice of the connection; called once, before the request is sent. */
     default void onConnection(ConnectionUse use) {}
 
--- a/services/src/main/java/org/fuchsialever/services/exchange/ExchangeOutcome.java
+++ b/services/src/main/java/org/fuchsialever/services/exchange/ExchangeOutcome.java
@@ -6,6 +6,8 @@
     COMPLETE,
     /** No connection was opened; nothing was sent. */
     NOT_CONNECTED,
+    /** The listener did not let the request be sent any more; nothing was sent. */
+    WITHDRAWN,
     /** The connection broke after the request was sent. */
     LOST,
     /** Nothing was received within the timeout. */
