Compare the start of an upstream with the time of its announcement

What callers could see: an upstream that had announced its leaving got new calls after its time (DRAIN).

Cause: an announcement was kept under the start that the list showed when the call was sent. The list may show a start later than the responses of that start arrive, for example after a restart under the same ID behind a cut. Once it did, the upstream looked like a later one, and the announcement was forgotten.

The stand-in of an upstream states real times as its starts.

Evidence: LeavingUpstreamsTest.keepsAnUpstreamLeavingWhoseLastStartTheListShowsOnlyLater and keepsAnUpstreamLeavingThoughTheClockWasSetBack failed while only the listed start was compared: the call was sent.

--- a/decisions/src/main/java/org/fuchsialever/decisions/fleet/Fleet.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/fleet/Fleet.java
@@ -65,10 +65,12 @@
      *
      * @param responder the upstream, as it was described when the call was sent
      * @param sinceNanos when the head of the response was received, in monotonic nanoseconds
+     * @param wallMillis the same as Unix time in milliseconds
      * @return whether this was not known before
      */
-    public boolean markLeaving(FleetUpstream responder, long sinceNanos) {
-        boolean added = mLeaving.add(responder.id(), responder.startedMillis(), sinceNanos);
+    public boolean markLeaving(FleetUpstream responder, long sinceNanos, long wallMillis) {
+        boolean added =
+                mLeaving.add(responder.id(), responder.startedMillis(), sinceNanos, wallMillis);
         UpstreamState state = mStates.get(responder.id());
         if (added && state != null) {
             state.setLeaving(mLeaving.sinceNanos(state.spec()));
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardDuty.java
@@ -103,7 +103,10 @@
             // A slot is free only when the end of the attempt is reported.
             cancelled(cancelled.number(), actions);
         } else if (event instanceof ForwardEvent.LeavingAnnounced announced) {
-            if (mFleet.markLeaving(announced.upstream(), announced.sinceNanos())) {
+            boolean added =
+                    mFleet.markLeaving(
+                            announced.upstream(), announced.sinceNanos(), announced.wallMillis());
+            if (added) {
                 actions.emit(new ForwardAction.NoteLeaving(announced.upstream()));
                 mServing.update(actions);
             }
--- a/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardEvent.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/forward/ForwardEvent.java
@@ -58,8 +58,10 @@
      *
      * @param upstream the upstream, as it was described when the call was sent
      * @param sinceNanos when the head was received, in monotonic nanoseconds
+     * @param wallMillis the same as Unix time in milliseconds
      */
-    record LeavingAnnounced(FleetUpstream upstream, long sinceNanos) implements ForwardEvent {}
+    record LeavingAnnounced(FleetUpstream upstream, long sinceNanos, long wallMillis)
+            implements ForwardEvent {}
 
     /** An attempt has ended; emitted exactly once per started attempt. */
     record AttemptEnded(long number, int attempt, AttemptReport report) implements ForwardEvent {}
--- a/decisions/src/test/java/org/fuchsialever/decisions/forward/LeavingUpstreamsTest.java
+++ b/decisions/src/test/java/org/fuchsialever/decisions/forward/LeavingUpstreamsTest.java
@@ -14,6 +14,9 @@
 
 /** Calls while an upstream announces in its responses that it is leaving. */
 class LeavingUpstreamsTest extends ForwardDutyFixture {
+    /** Unix time after all announcements of these tests, in milliseconds. */
+    private static final long LATER_MILLIS = 100_000;
+
     /** Guards against new work for an upstream that will be gone before the list shows it. */
     @Test
     void sendsNothingToAnUpstreamThatAnnouncesItsLeavingWhileOthersHaveRoom() {
@@ -58,12 +61,34 @@
         fleet(plain("a"));
         arrive(liveAt(1, 3 * LEAVING_NANOS), 3 * LEAVING_NANOS);
         assertThat(lastRefusal(), is(ForwardRefusal.NO_UPSTREAM));
-        fleet(startedAt(plain("a"), 2));
+        fleet(startedAt(plain("a"), LATER_MILLIS));
         announceLeaving(plain("a"), 3 * LEAVING_NANOS);
         arrive(liveAt(2, 9 * LEAVING_NANOS), 9 * LEAVING_NANOS);
         assertThat(lastStart().upstream().id(), is("a"));
     }
 
+    /** Guards against an announcement that is forgotten once the list shows who has made it. */
+    @Test
+    void keepsAnUpstreamLeavingWhoseLastStartTheListShowsOnlyLater() {
+        FleetUpstream before = startedAt(plain("a"), 1_000);
+        fleet(before);
+        event(new ForwardEvent.LeavingAnnounced(before, 0, 20_000));
+        fleet(startedAt(plain("a"), 15_000));
+        arrive(liveAt(1, 3 * LEAVING_NANOS), 3 * LEAVING_NANOS);
+        assertThat(lastRefusal(), is(ForwardRefusal.NO_UPSTREAM));
+    }
+
+    @Test
+    void keepsAnUpstreamLeavingThoughTheClockWasSetBack() {
+        FleetUpstream before = startedAt(plain("a"), 1_000);
+        fleet(before);
+        event(new ForwardEvent.LeavingAnnounced(plain("other"), 0, 20_000));
+        event(new ForwardEvent.LeavingAnnounced(before, 3_000 * MILLI, 21_000));
+        fleet(startedAt(plain("a"), 22_500));
+        arrive(liveAt(1, 9 * LEAVING_NANOS), 9 * LEAVING_NANOS);
+        assertThat(lastRefusal(), is(ForwardRefusal.NO_UPSTREAM));
+    }
+
     @Test
     void usesAnotherUpstreamAtTheAddressOfOneThatIsLeaving() {
         fleet(plain("a"));
@@ -172,7 +197,7 @@
     }
 
     private void announceLeaving(FleetUpstream upstream, long sinceNanos) {
-        event(new ForwardEvent.LeavingAnnounced(upstream, sinceNanos));
+        event(new ForwardEvent.LeavingAnnounced(upstream, sinceNanos, sinceNanos / MILLI));
     }
 
     private void arrive(ForwardCall call, long now) {
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
@@ -380,7 +380,8 @@
                                                     mKey.number, mKey.attempt, load)));
             if (head.leaving()) {
                 mInbox.offer(
-                        new ForwardEvent.LeavingAnnounced(mStart.upstream(), mTime.nanoTime()));
+                        new ForwardEvent.LeavingAnnounced(
+                                mStart.upstream(), mTime.nanoTime(), mTime.wallMillis()));
             }
         }
 
