Offer lists of upstreams and announcements until the ring takes them

What callers could see: with the ring of the forward duty full, a changed list of upstreams or the announcement of a leaving upstream was dropped, and calls went on to that upstream until the next one came (DRAIN).

Cause: nothing looked at what the offer returned.

Other events of this ring are as before: it has room for all of them. The gauge and the log lines of waiting calls moved to a class of their own.

--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardComponent.java
@@ -10,9 +10,7 @@
 import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.fleet.UpstreamBalancing;
 import org.fuchsialever.decisions.forward.ForwardDuty;
-import org.fuchsialever.decisions.forward.ForwardEvent;
 import org.fuchsialever.decisions.queue.Queueing;
-import org.fuchsialever.kernel.duty.Inbox;
 import org.fuchsialever.kernel.duty.OverflowPolicy;
 import org.fuchsialever.kernel.plugin.Component;
 import org.fuchsialever.kernel.plugin.ComponentContext;
@@ -93,35 +91,32 @@
         DomainSpill domains =
                 new DomainSpill(home, mDomainPolicy, mDomainCost, context.random("domains"));
         ForwardRunner[] created = new ForwardRunner[1];
-        Inbox<ForwardEvent> inbox =
-                context.startDutyWith(
-                        new ForwardDuty(
-                                context.random("forward"),
-                                mBalancing,
-                                mQueueing,
-                                mLeavingPeriod.toNanos(),
-                                domains),
-                        RING_CAPACITY,
-                        OverflowPolicy.REFUSE,
-                        ring -> {
-                            created[0] =
-                                    new ForwardRunner(
-                                            context.require(HostedServices.class).exchange(),
-                                            ring,
-                                            context.time(),
+        context.startDutyWith(
+                new ForwardDuty(
+                        context.random("forward"),
+                        mBalancing,
+                        mQueueing,
+                        mLeavingPeriod.toNanos(),
+                        domains),
+                RING_CAPACITY,
+                OverflowPolicy.REFUSE,
+                ring -> {
+                    created[0] =
+                            new ForwardRunner(
+                                    context.require(HostedServices.class).exchange(),
+                                    ring,
+                                    context.time(),
+                                    context.require(TraceLog.class),
+                                    context.meters(),
+                                    new ResponseMemory(mMaxResponseBytes),
+                                    mQueueing,
+                                    new DomainTrace(
+                                            home,
                                             context.require(TraceLog.class),
-                                            context.meters(),
-                                            new ResponseMemory(mMaxResponseBytes),
-                                            mQueueing,
-                                            new DomainTrace(
-                                                    home,
-                                                    context.require(TraceLog.class),
-                                                    context.meters()),
-                                            () ->
-                                                    directory.stalenessMillis(
-                                                            DirectoryTable.UPSTREAMS));
-                            return created[0];
-                        });
+                                            context.meters()),
+                                    () -> directory.stalenessMillis(DirectoryTable.UPSTREAMS));
+                    return created[0];
+                });
         ForwardRunner runner = created[0];
         context.require(HostedServices.class)
                 .exchange()
@@ -133,7 +128,7 @@
                 new DirectoryListener() {
                     @Override
                     public void onUpstreamsChanged(List<FleetUpstream> upstreams) {
-                        inbox.offer(new ForwardEvent.FleetChanged(upstreams));
+                        runner.noteUpstreams(upstreams);
                     }
                 });
     }
--- a/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
+++ b/node/src/main/java/org/fuchsialever/node/forward/ForwardRunner.java
@@ -1,9 +1,9 @@
 package org.fuchsialever.node.forward;
 
 import io.micrometer.core.instrument.MeterRegistry;
-import io.micrometer.core.instrument.Tags;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
@@ -14,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
+import org.fuchsialever.decisions.fleet.FleetUpstream;
 import org.fuchsialever.decisions.fleet.ServingUpstreams;
 import org.fuchsialever.decisions.forward.AttemptOutcome;
 import org.fuchsialever.decisions.forward.AttemptReport;
@@ -57,6 +58,7 @@
 
     private final ExchangeClient mClient;
     private final Inbox<ForwardEvent> mInbox;
+    private final RepeatedOffers mOffers;
     private final TimeSource mTime;
     private final TraceLog mTrace;
     private final MeterRegistry mMeters;
@@ -69,7 +71,7 @@
     private final AtomicLong mLastNumber = new AtomicLong();
     private final Map<Long, AcceptedCall> mAccepted = new ConcurrentHashMap<>();
     private final Set<Long> mBeingSubmitted = ConcurrentHashMap.newKeySet();
-    private final Map<String, AtomicInteger> mQueueLengths = new ConcurrentHashMap<>();
+    private final QueueTrace mQueues;
     private final Set<String> mFairServices = ConcurrentHashMap.newKeySet();
     private final Map<ForwardCallKind, AtomicInteger> mInProgress =
             new EnumMap<>(ForwardCallKind.class);
@@ -90,9 +92,11 @@
         mClient = client;
         mQueueing = queueing;
         mInbox = inbox;
+        mOffers = new RepeatedOffers(inbox, client.loop());
         mTime = time;
         mTrace = trace;
         mMeters = meters;
+        mQueues = new QueueTrace(trace, meters);
         mMemory = memory;
         mReports = new EngineReports(time);
         mDomains = domains;
@@ -111,6 +115,11 @@
                 .write();
     }
 
+    /** Passes a changed list of upstreams on. */
+    void noteUpstreams(List<FleetUpstream> upstreams) {
+        mOffers.offer(new ForwardEvent.FleetChanged(upstreams));
+    }
+
     EngineReports reports() {
         return mReports;
     }
@@ -212,7 +221,7 @@
             mFairServices.add(fair.service());
             mTrace.line(PART, "queueing-fairly").with("service", fair.service()).write();
         } else if (action instanceof ForwardAction.QueueLength length) {
-            noteQueueLength(length);
+            mQueues.note(length);
         } else if (action instanceof ForwardAction.Refuse refuse) {
             ForwardCallHandler handler = remove(refuse.number());
             if (handler != null) {
@@ -221,23 +230,6 @@
         }
     }
 
-    private void noteQueueLength(ForwardAction.QueueLength length) {
-        mQueueLengths
-                .computeIfAbsent(
-                        length.service(),
-                        service ->
-                                Objects.requireNonNull(
-                                        mMeters.gauge(
-                                                "fuchsialever.forward.queue",
-                                                Tags.of("service", service),
-                                                new AtomicInteger())))
-                .set(length.waiting());
-        mTrace.line(PART, "queue")
-                .with("service", length.service())
-                .with("waiting", length.waiting())
-                .write();
-    }
-
     private void refuse(ForwardCallHandler handler, ForwardRefusal reason, long retryAfterMillis) {
         mMeters.counter("fuchsialever.forward.refusals", "reason", reason.name()).increment();
         mTrace.line(PART, "refused")
@@ -379,7 +371,7 @@
                                             new ForwardEvent.LoadReported(
                                                     mKey.number, mKey.attempt, load)));
             if (head.leaving()) {
-                mInbox.offer(
+                mOffers.offer(
                         new ForwardEvent.LeavingAnnounced(
                                 mStart.upstream(), mTime.nanoTime(), mTime.wallMillis()));
             }
