Bound the clients of the metrics port like those of callers

What was seen: crowds of clients at the port of metrics ended a process or made it answer nobody.

Cause: callers and readiness checks had the guard of connections and heads; the port of metrics was a plain server beside it, without a bound on connections, heads, requests sent ahead or responses, and made a new text for each request.

Change: all ports of an instance are set up in one place, with the same guard, so the sum over all connections is bounded. Texts of metrics count as responses in the memory budget, are refused with 503 and Retry-After without room, and are made at most once a second.

Evidence: UncontrolledClientsTest sends each crowd to each of the three ports, and a third of every crowd to all ports at once. The sizes of the crowds and the bounds are those it had.

--- a/node/src/main/java/org/fuchsialever/node/entry/EntryComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryComponent.java
@@ -15,10 +15,8 @@
 import org.fuchsialever.node.hosted.DrainSignal;
 import org.fuchsialever.node.trace.TraceLog;
 import org.fuchsialever.services.hosted.HostedServices;
-import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
-import reactor.netty.http.server.HttpServer;
 import reactor.netty.resources.LoopResources;
 
 /** Opens the ports for callers, readiness checks and metrics. */
@@ -123,7 +121,6 @@
                         drain,
                         mStopTimes,
                         context.time());
-        openMetrics(context, loops);
         Scheduler timers = Schedulers.fromExecutorService(loops.onServer(true));
         InstanceMemory memory =
                 new InstanceMemory(
@@ -140,6 +137,7 @@
                         timers,
                         trace,
                         context.meters());
+        openMetrics(context, memory, bodies, guard);
         EntryServer readiness =
                 open(
                         context,
@@ -207,22 +205,21 @@
                 && directory.stalenessMillis(DirectoryTable.BATCHES) < MAX_STALENESS_MILLIS;
     }
 
-    private void openMetrics(ComponentContext context, LoopResources loops) {
+    private void openMetrics(
+            ComponentContext context, InstanceMemory memory, BodyReader bodies, CallerGuard guard) {
         if (mMetricsPort > 0 && context.meters() instanceof PrometheusMeterRegistry prometheus) {
             context.closer()
                     .register(
                             "metrics",
-                            HttpServer.create()
-                                            .host(mHost)
-                                            .port(mMetricsPort)
-                                            .runOn(loops)
-                                            .handle(
-                                                    (request, response) ->
-                                                            response.sendString(
-                                                                    Mono.fromSupplier(
-                                                                            prometheus::scrape)))
-                                            .bindNow()
-                                    ::disposeNow);
+                            new MetricsServer(
+                                    mHost,
+                                    mMetricsPort,
+                                    context.require(LoopResources.class),
+                                    prometheus::scrape,
+                                    memory,
+                                    bodies,
+                                    guard,
+                                    context.time()));
         }
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
@@ -1,8 +1,6 @@
 package org.fuchsialever.node.entry;
 
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.vavr.control.Either;
 import java.time.Duration;
@@ -17,21 +15,12 @@
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
-import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 import reactor.netty.resources.LoopResources;
 
 /** HTTP server on one port, for callers or for readiness checks. */
 final class EntryServer implements AutoCloseable {
-    private static final int MIN_RECEIVE_BYTES = 2_048;
-
-    /** A connection whose body waits for room holds one such part of it, outside the heap. */
-    private static final int MAX_RECEIVE_BYTES = 16 * 1_024;
-
-    /** Longer than the time for which callers reuse an idle connection. */
-    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
-
     private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(1);
     private static final int OK_STATUS = 200;
     private static final int UNAVAILABLE_STATUS = 503;
@@ -43,7 +32,6 @@
     private final DrainSignal mDrain;
     private final InstanceMemory mMemory;
     private final BodyReader mBodies;
-    private final CallerGuard mGuard;
     private final DisposableServer mServer;
     private final Set<OpenRequest> mInProgress = ConcurrentHashMap.newKeySet();
     private final EntryConnections mConnections = new EntryConnections();
@@ -74,18 +62,8 @@
         mDrain = drain;
         mMemory = memory;
         mBodies = bodies;
-        mGuard = guard;
         mServer =
-                HttpServer.create()
-                        .host(host)
-                        .port(port)
-                        .runOn(loops)
-                        .idleTimeout(IDLE_TIMEOUT)
-                        .childOption(
-                                ChannelOption.RECVBUF_ALLOCATOR,
-                                new AdaptiveRecvByteBufAllocator(
-                                        MIN_RECEIVE_BYTES, MIN_RECEIVE_BYTES, MAX_RECEIVE_BYTES))
-                        .doOnChannelInit((observer, channel, address) -> opened(channel))
+                GuardedPort.server(host, port, loops, guard, mConnections::add)
                         .handle(this::handle)
                         .bindNow();
     }
@@ -124,11 +102,6 @@
         mServer.disposeNow(CLOSE_TIMEOUT);
     }
 
-    private void opened(Channel channel) {
-        mConnections.add(channel);
-        EntryCodec.install(channel, mGuard.open(channel));
-    }
-
     private Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
         String method = request.method().name();
         EntryRequest head = mProtocol.readRequest(method, request.uri(), request.requestHeaders());
--- a/soak/src/test/java/org/fuchsialever/soak/Crowd.java
+++ b/soak/src/test/java/org/fuchsialever/soak/Crowd.java
@@ -24,14 +24,15 @@
 
     Crowd() throws IOException {}
 
-    /** Opens connections and sends a text on each, as far as the instance takes it. */
-    void send(DeployedInstance instance, int connections, byte[] text) throws IOException {
+    /** Opens connections to a port and sends a text on each, as far as the instance takes it. */
+    void send(DeployedInstance instance, int port, int connections, byte[] text)
+            throws IOException {
         for (int n = 0; n < connections; n++) {
             SocketChannel channel = SocketChannel.open();
             mChannels.add(channel);
             channel.setOption(StandardSocketOptions.SO_RCVBUF, RECEIVE_BUFFER_BYTES);
             channel.configureBlocking(false);
-            if (channel.connect(new InetSocketAddress("127.0.0.1", instance.port()))) {
+            if (channel.connect(new InetSocketAddress("127.0.0.1", port))) {
                 channel.register(mSelector, SelectionKey.OP_WRITE, ByteBuffer.wrap(text));
             } else {
                 channel.register(mSelector, SelectionKey.OP_CONNECT, ByteBuffer.wrap(text));
--- a/soak/src/test/java/org/fuchsialever/soak/DeployedInstance.java
+++ b/soak/src/test/java/org/fuchsialever/soak/DeployedInstance.java
@@ -65,6 +65,8 @@
     private final Closer mCloser = new Closer();
     private final Map<String, Integer> mBodyBytes = new ConcurrentHashMap<>();
     private final int mPort;
+    private final int mReadinessPort;
+    private final int mMetricsPort;
     private final Path mLog;
     private final Process mProcess;
 
@@ -99,6 +101,8 @@
             Consumer<StoreStandIn> contents)
             throws IOException {
         mPort = FreePorts.next();
+        mReadinessPort = FreePorts.next();
+        mMetricsPort = FreePorts.next();
         mLog = directory.resolve("n1.log");
         StoreStandIn store = mCloser.register("store", new StoreStandIn());
         store.write(
@@ -119,7 +123,15 @@
         store.write("servers", "p1", String.format(UPSTREAM_ROW, "plain", upstream.port()));
         store.write("servers", "e1", String.format(UPSTREAM_ROW, "engines", upstream.port()));
         Path settings = directory.resolve("n1.ini");
-        Files.writeString(settings, InstanceSettings.of("n1", store.address(), mPort));
+        Files.writeString(
+                settings,
+                InstanceSettings.of("n1", store.address(), mPort)
+                        .replace(
+                                "readiness-listen = 127.0.0.1:0",
+                                "readiness-listen = 127.0.0.1:"
+                                        + mReadinessPort
+                                        + "\nmetrics-port = "
+                                        + mMetricsPort));
         List<String> command = new ArrayList<>(launcher);
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(memoryOptions());
@@ -156,6 +168,14 @@
         return mPort;
     }
 
+    int readinessPort() {
+        return mReadinessPort;
+    }
+
+    int metricsPort() {
+        return mMetricsPort;
+    }
+
     boolean isAlive() {
         return mProcess.isAlive();
     }
--- a/soak/src/test/java/org/fuchsialever/soak/RawCaller.java
+++ b/soak/src/test/java/org/fuchsialever/soak/RawCaller.java
@@ -16,8 +16,12 @@
     private final Socket mSocket = new Socket();
 
     RawCaller(DeployedInstance instance) throws IOException {
+        this(instance.port());
+    }
+
+    RawCaller(int port) throws IOException {
         mSocket.setReceiveBufferSize(SMALL_BUFFER_BYTES);
-        mSocket.connect(new InetSocketAddress("127.0.0.1", instance.port()));
+        mSocket.connect(new InetSocketAddress("127.0.0.1", port));
         mSocket.setSoTimeout(MAX_WAIT_MILLIS);
     }
 
--- a/soak/src/test/java/org/fuchsialever/soak/UncontrolledClientsTest.java
+++ b/soak/src/test/java/org/fuchsialever/soak/UncontrolledClientsTest.java
@@ -9,13 +9,13 @@
 import static org.hamcrest.Matchers.not;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
-import org.fuchsialever.platform.ManifestText;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /**
  * Clients outside the operator's control send to an instance with less memory and fewer descriptors
@@ -34,77 +34,53 @@
     private static final long MACHINE_BYTES =
             (HEAP_MIB + DIRECT_MIB + METASPACE_MIB + CODE_MIB) * 1_048_576L;
 
-    private static final int MAX_DESCRIPTORS = 600;
-
     /** Files of the class path are descriptors of the process, too. */
     private static final List<String> LAUNCHER =
-            List.of("/bin/sh", "-c", "ulimit -n " + MAX_DESCRIPTORS + "; exec \"$0\" \"$@\"");
+            List.of(
+                    "/bin/sh",
+                    "-c",
+                    "ulimit -n " + CrowdKind.MAX_DESCRIPTORS + "; exec \"$0\" \"$@\"");
 
     private static final List<String> OPTIONS = List.of("-Xmx" + HEAP_MIB + "m");
 
-    private static final int LEGAL_HEAD_BYTES = 16_000;
-    private static final String SHORT_LINE = "a:\r\n";
-    private static final String ODD_LINE = "!~:\t\u00ff;=\"\r\n";
-    private static final int UNFINISHED_HEADS = 200;
-    private static final int FINISHED_HEADS = 150;
-    private static final int HEADS_PER_CONNECTION = 8;
-    private static final int ENDLESS_CLIENTS = 150;
-    private static final int ENDLESS_BYTES = 200_000;
-    private static final int READERS_OF_NOTHING = 700;
-    private static final int REQUESTS_AHEAD = 200;
+    /** The part of each crowd that comes to an address when all of them come to all addresses. */
+    private static final int CROWDS_AT_ONCE = 3;
 
     @TempDir Path mDirectory;
 
-    /** Guards against parsed header fields of requests that nobody counts. */
-    @Test
-    void survivesManyUnfinishedHeadsOfShortLines() throws IOException {
-        survives(UNFINISHED_HEADS, lines(requestLine("/safe/x"), SHORT_LINE, LEGAL_HEAD_BYTES));
-    }
-
-    /** Guards against fields that are kept, and copied, until the response is written. */
-    @Test
-    void survivesManyFinishedHeadsOfShortLines() throws IOException {
-        survives(FINISHED_HEADS, headsOf(SHORT_LINE).repeat(HEADS_PER_CONNECTION));
-    }
-
-    @Test
-    void survivesManyFinishedHeadsOfOddLines() throws IOException {
-        survives(FINISHED_HEADS, headsOf(ODD_LINE).repeat(HEADS_PER_CONNECTION));
+    /** Guards against memory and descriptors that nobody counts at the port of callers. */
+    @ParameterizedTest
+    @EnumSource(CrowdKind.class)
+    void survivesACrowdAtThePortOfCallers(CrowdKind kind) throws IOException {
+        survives(kind, ServedAddress.ENTRY);
     }
 
-    @Test
-    void survivesHeadsWithoutEnd() throws IOException {
-        survives(ENDLESS_CLIENTS, lines(requestLine("/safe/x"), SHORT_LINE, ENDLESS_BYTES));
+    /** Guards against a port for the platform that is open to anybody. */
+    @ParameterizedTest
+    @EnumSource(CrowdKind.class)
+    void survivesACrowdAtThePortOfReadinessChecks(CrowdKind kind) throws IOException {
+        survives(kind, ServedAddress.READINESS);
     }
 
-    @Test
-    void survivesALineWithoutEnd() throws IOException {
-        survives(ENDLESS_CLIENTS, lines(requestLine("/safe/x") + "a:", "b", ENDLESS_BYTES));
-    }
-
-    @Test
-    void survivesEmptyLinesWithoutEnd() throws IOException {
-        survives(ENDLESS_CLIENTS, lines("", "\r\n", ENDLESS_BYTES));
-    }
-
-    /** Guards against trailer fields, which are parsed like those of a head. */
-    @Test
-    void survivesTrailersWithoutEnd() throws IOException {
-        String head = requestLine("/safe/x") + "Transfer-Encoding: chunked\r\n\r\n0\r\n";
-        survives(ENDLESS_CLIENTS, lines(head, SHORT_LINE, ENDLESS_BYTES));
-    }
-
-    /** Guards against requests and responses that wait for clients who read nothing. */
-    @Test
-    void survivesRequestsSentAheadWhoseResponsesNobodyReads() throws IOException {
-        String request = requestLine(DeployedInstance.MEDIUM_RESPONSES) + "\r\n";
-        survives(READERS_OF_NOTHING, request.repeat(REQUESTS_AHEAD));
+    /** Guards against a port for operators that is open to anybody. */
+    @ParameterizedTest
+    @EnumSource(CrowdKind.class)
+    void survivesACrowdAtThePortOfMetrics(CrowdKind kind) throws IOException {
+        survives(kind, ServedAddress.METRICS);
     }
 
-    /** Guards against connections that leave no descriptor for other callers and upstreams. */
+    /** Guards against bounds that hold for each kind or each port by itself only. */
     @Test
-    void survivesMoreSilentConnectionsThanItHasDescriptors() throws IOException {
-        survives(2 * MAX_DESCRIPTORS, "");
+    void survivesAllCrowdsAtAllPortsAtOnce() throws IOException {
+        try (DeployedInstance instance = serving();
+                Crowd crowd = new Crowd()) {
+            for (CrowdKind kind : CrowdKind.values()) {
+                for (ServedAddress address : ServedAddress.values()) {
+                    kind.send(crowd, instance, address, CROWDS_AT_ONCE);
+                }
+            }
+            assertSound(instance);
+        }
     }
 
     /** Guards against a bound that a request inside the limits of the manifest meets. */
@@ -112,7 +88,7 @@
     void servesALegalHeadOfManyShortLines() throws IOException {
         try (DeployedInstance instance = serving();
                 RawCaller caller = new RawCaller(instance)) {
-            caller.text(headsOf(SHORT_LINE));
+            caller.text(CrowdKind.head("/safe/x", "crowd", CrowdKind.SHORT_LINE));
             assertThat(caller.status(), is(200));
         }
     }
@@ -124,16 +100,16 @@
                 RawCaller first = new RawCaller(instance);
                 RawCaller second = new RawCaller(instance);
                 RawCaller third = new RawCaller(instance)) {
-            first.text(headsOf(DeployedInstance.HELD, "first", SHORT_LINE));
-            second.text(headsOf(DeployedInstance.HELD, "second", SHORT_LINE));
+            first.text(CrowdKind.head(DeployedInstance.HELD, "first", CrowdKind.SHORT_LINE));
+            second.text(CrowdKind.head(DeployedInstance.HELD, "second", CrowdKind.SHORT_LINE));
             awaitRun(instance, "first");
             awaitRun(instance, "second");
-            third.text(headsOf("/safe/x", "third", SHORT_LINE));
+            third.text(CrowdKind.head("/safe/x", "third", CrowdKind.SHORT_LINE));
             String refusal = third.response();
             assertThat(refusal, containsString(" 503 "));
             assertThat(refusal, containsString("Retry-After: "));
             assertThat(refusal, containsString("Request-Id: third"));
-            awaitCall(instance);
+            awaitAnswer(instance, ServedAddress.ENTRY);
             assertThat(instance.bodyBytes("third"), is(-1));
         }
     }
@@ -148,65 +124,36 @@
         await().atMost(PATIENCE).until(() -> instance.bodyBytes(id) >= 0);
     }
 
-    private void survives(int connections, String text) throws IOException {
+    private void survives(CrowdKind kind, ServedAddress address) throws IOException {
         try (DeployedInstance instance = serving();
                 Crowd crowd = new Crowd()) {
-            crowd.send(instance, connections, text.getBytes(StandardCharsets.ISO_8859_1));
-            awaitCall(instance);
-            assertThat(instance.isAlive(), is(true));
-            assertThat(instance.peakResidentBytes(), is(lessThan(MACHINE_BYTES)));
-            assertThat(instance.openDescriptors(), is(lessThan((long) MAX_DESCRIPTORS)));
-            assertThat(instance.log(), not(containsString("OutOfMemory")));
+            kind.send(crowd, instance, address, 1);
+            assertSound(instance);
+        }
+    }
+
+    private static void assertSound(DeployedInstance instance) throws IOException {
+        for (ServedAddress address : ServedAddress.values()) {
+            awaitAnswer(instance, address);
         }
+        assertThat(instance.isAlive(), is(true));
+        assertThat(instance.peakResidentBytes(), is(lessThan(MACHINE_BYTES)));
+        long descriptors = instance.openDescriptors();
+        assertThat(descriptors, is(lessThan((long) CrowdKind.MAX_DESCRIPTORS)));
+        assertThat(instance.log(), not(containsString("OutOfMemory")));
     }
 
     private DeployedInstance serving() throws IOException {
         DeployedInstance instance = new DeployedInstance(mDirectory, LAUNCHER, OPTIONS);
-        awaitCall(instance);
+        awaitAnswer(instance, ServedAddress.ENTRY);
         return instance;
     }
 
-    private static void awaitCall(DeployedInstance instance) {
+    private static void awaitAnswer(DeployedInstance instance, ServedAddress address) {
         await().atMost(PATIENCE)
                 .pollInterval(Duration.ofMillis(50))
                 .ignoreExceptions()
-                .until(() -> !instance.isAlive() || isServed(instance));
+                .until(() -> !instance.isAlive() || address.serves(instance));
         assertThat("the process lives", instance.isAlive(), is(true));
     }
-
-    private static boolean isServed(DeployedInstance instance) throws IOException {
-        try (RawCaller caller = new RawCaller(instance)) {
-            return caller.head("GET", "/safe/x", "probe", 0).status() == 200;
-        }
-    }
-
-    private static String headsOf(String line) {
-        return headsOf("/safe/x", "crowd", line);
-    }
-
-    private static String headsOf(String path, String id, String line) {
-        return lines(requestLine(path, id), line, LEGAL_HEAD_BYTES - 2) + "\r\n";
-    }
-
-    private static String lines(String begin, String line, int bytes) {
-        return begin + line.repeat((bytes - begin.length()) / line.length());
-    }
-
-    private static String requestLine(String path) {
-        return requestLine(path, "crowd");
-    }
-
-    private static String requestLine(String path, String id) {
-        return "GET "
-                + path
-                + " HTTP/1.1\r\nHost: "
-                + ManifestText.HOST
-                + "\r\nRequest-Id: "
-                + id
-                + "\r\nAuthorization: Bearer "
-                + DeployedInstance.KEY
-                + "\r\nDeadline-Ms: "
-                + DeployedInstance.TIMEOUT_MILLIS
-                + "\r\n";
-    }
 }
