Move the guard of clients out of the hosted entry

Our own interface needs the bounds that the ports of the hosted entry have. The guard, its codec and its settings get a package of their own, node.callers, and write their lines through a function. The text of metrics is a class that both interfaces can use. No behaviour changes.

--- a/node/src/main/java/org/fuchsialever/node/entry/CallerGuard.java
+++ b/node/src/main/java/org/fuchsialever/node/callers/CallerGuard.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.node.entry;
+package org.fuchsialever.node.callers;
 
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Tags;
@@ -30,7 +30,7 @@
 import reactor.core.scheduler.Scheduler;
 
 /** Closes connections of callers that hold more than the limits of the instance allow. */
-final class CallerGuard {
+public final class CallerGuard {
     private static final long CHECK_INTERVAL_MILLIS = 250;
 
     private final int mMaxHeadBytes;
--- a/node/src/main/java/org/fuchsialever/node/entry/CallerSettings.java
+++ b/node/src/main/java/org/fuchsialever/node/callers/CallerSettings.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.node.entry;
+package org.fuchsialever.node.callers;
 
 import io.micrometer.core.instrument.MeterRegistry;
 import io.vavr.control.Option;
@@ -13,7 +13,6 @@
 import org.fuchsialever.decisions.manifest.Manifest;
 import org.fuchsialever.kernel.settings.SettingsReader;
 import org.fuchsialever.kernel.time.TimeSource;
-import org.fuchsialever.node.trace.TraceLog;
 import reactor.core.scheduler.Scheduler;
 
 /**
@@ -26,7 +25,7 @@
  * @param headTimeout time for a head, at least
  * @param unreadTimeout time for which a caller may take nothing of a response
  */
-record CallerSettings(
+public record CallerSettings(
         int maxConnections,
         int descriptors,
         int headMemoryPercent,
@@ -34,7 +33,7 @@
         Duration headTimeout,
         Duration unreadTimeout) {
     /** Holds unless the settings say otherwise. */
-    static final CallerSettings DEFAULTS =
+    public static final CallerSettings DEFAULTS =
             new CallerSettings(0, 0, 15, 64 * 1_024, Duration.ofSeconds(6), Duration.ofSeconds(15));
 
     private static final Path PROCESS_LIMITS = Path.of("/proc/self/limits");
@@ -62,7 +61,8 @@
     /** A caller that takes nothing for so long has stopped reading. */
     private static final long UNREAD_GRACE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-    static CallerSettings read(SettingsReader settings, String section) {
+    /** Reads the bounds from a section of the settings. */
+    public static CallerSettings read(SettingsReader settings, String section) {
         return new CallerSettings(
                 (int) settings.integer(section, "max-connections", 0, 0, MAX_COUNT),
                 (int) settings.integer(section, "descriptors", 0, 0, MAX_COUNT),
@@ -84,12 +84,12 @@
      * @param manifest the manifest in force
      * @param responsesTight whether room for responses is short
      */
-    CallerGuard guard(
+    public CallerGuard guard(
             Supplier<Option<Manifest>> manifest,
             BooleanSupplier responsesTight,
             TimeSource time,
             Scheduler timers,
-            TraceLog trace,
+            ClosingLog log,
             MeterRegistry meters) {
         int connections = connections();
         return new CallerGuard(
@@ -100,7 +100,7 @@
                 responsesTight,
                 time,
                 timers,
-                new ClosingLog(time, trace, meters),
+                log,
                 meters);
     }
 
--- a/node/src/main/java/org/fuchsialever/node/entry/ClosingLog.java
+++ b/node/src/main/java/org/fuchsialever/node/callers/ClosingLog.java
@@ -1,27 +1,32 @@
-package org.fuchsialever.node.entry;
+package org.fuchsialever.node.callers;
 
 import io.micrometer.core.instrument.MeterRegistry;
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ObjLongConsumer;
 import org.fuchsialever.decisions.callers.ClosingReason;
 import org.fuchsialever.kernel.time.TimeSource;
-import org.fuchsialever.node.trace.TraceLog;
 
 /** Counts connections that the instance closes; logs one line per reason and second at most. */
-final class ClosingLog {
+public final class ClosingLog {
     private static final long INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final TimeSource mTime;
-    private final TraceLog mTrace;
     private final MeterRegistry mMeters;
+    private final ObjLongConsumer<ClosingReason> mLines;
     private final Map<ClosingReason, Long> mCounts = new EnumMap<>(ClosingReason.class);
     private final Map<ClosingReason, Long> mLogged = new EnumMap<>(ClosingReason.class);
 
-    ClosingLog(TimeSource time, TraceLog trace, MeterRegistry meters) {
+    /**
+     * Creates a log.
+     *
+     * @param lines writes a line with a reason and the number of connections since the last one
+     */
+    public ClosingLog(TimeSource time, MeterRegistry meters, ObjLongConsumer<ClosingReason> lines) {
         mTime = time;
-        mTrace = trace;
         mMeters = meters;
+        mLines = lines;
     }
 
     /** Notes a connection that is closed. */
@@ -35,9 +40,6 @@
         }
         mLogged.put(reason, now);
         mCounts.put(reason, 0L);
-        mTrace.line("entry", "connections-closed")
-                .with("reason", reason.name())
-                .with("count", count)
-                .write();
+        mLines.accept(reason, count);
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryCodec.java
+++ b/node/src/main/java/org/fuchsialever/node/callers/EntryCodec.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.node.entry;
+package org.fuchsialever.node.callers;
 
 import io.netty.channel.Channel;
 import io.netty.channel.CombinedChannelDuplexHandler;
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryDecoder.java
+++ b/node/src/main/java/org/fuchsialever/node/callers/EntryDecoder.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.node.entry;
+package org.fuchsialever.node.callers;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryEncoder.java
+++ b/node/src/main/java/org/fuchsialever/node/callers/EntryEncoder.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.node.entry;
+package org.fuchsialever.node.callers;
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
--- a/node/src/main/java/org/fuchsialever/node/entry/GuardedPort.java
+++ b/node/src/main/java/org/fuchsialever/node/callers/GuardedPort.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.node.entry;
+package org.fuchsialever.node.callers;
 
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
@@ -6,10 +6,10 @@
 import java.time.Duration;
 import java.util.function.Consumer;
 import reactor.netty.http.server.HttpServer;
-import reactor.netty.resources.LoopResources;
+import reactor.netty.http.server.HttpServerRequest;
 
 /** HTTP servers whose connections are bounded by the guard of the instance. */
-final class GuardedPort {
+public final class GuardedPort {
     private static final int MIN_RECEIVE_BYTES = 2_048;
 
     /** A connection whose body waits for room holds one such part of it, outside the heap. */
@@ -21,23 +21,13 @@
     private GuardedPort() {}
 
     /**
-     * Returns a server that is not bound yet.
+     * Bounds the connections of a server that is not bound to its port yet.
      *
-     * @param host IP address
-     * @param port TCP port, 0 for any free one
      * @param onOpen handles a new connection, in its event loop
      */
-    static HttpServer server(
-            String host,
-            int port,
-            LoopResources loops,
-            CallerGuard guard,
-            Consumer<Channel> onOpen) {
-        return HttpServer.create()
-                .host(host)
-                .port(port)
-                .runOn(loops)
-                .idleTimeout(IDLE_TIMEOUT)
+    public static HttpServer guarded(
+            HttpServer server, CallerGuard guard, Consumer<Channel> onOpen) {
+        return server.idleTimeout(IDLE_TIMEOUT)
                 .childOption(
                         ChannelOption.RECVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator(
@@ -48,4 +38,16 @@
                             EntryCodec.install(channel, guard.open(channel));
                         });
     }
+
+    /** Returns the connection of a request, which the request forgets when its response ends. */
+    public static Channel connection(HttpServerRequest request) {
+        Channel[] found = new Channel[1];
+        request.withConnection(connection -> found[0] = connection.channel());
+        return found[0];
+    }
+
+    /** Returns whether the head of the request has no room, so that it must be refused. */
+    public static boolean isRefused(HttpServerRequest request) {
+        return EntryCodec.isRefused(connection(request));
+    }
 }
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryComponent.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryComponent.java
@@ -10,9 +10,13 @@
 import org.fuchsialever.kernel.settings.SettingsReader;
 import org.fuchsialever.node.batch.BatchDrain;
 import org.fuchsialever.node.batch.BatchService;
+import org.fuchsialever.node.callers.CallerGuard;
+import org.fuchsialever.node.callers.CallerSettings;
+import org.fuchsialever.node.callers.ClosingLog;
 import org.fuchsialever.node.directory.Directory;
 import org.fuchsialever.node.forward.ForwardPort;
 import org.fuchsialever.node.hosted.DrainSignal;
+import org.fuchsialever.node.http.MetricsText;
 import org.fuchsialever.node.trace.TraceLog;
 import org.fuchsialever.services.hosted.HostedServices;
 import reactor.core.scheduler.Scheduler;
@@ -129,14 +133,7 @@
                         timers,
                         context.meters());
         BodyReader bodies = new BodyReader(timers);
-        CallerGuard guard =
-                mCallers.guard(
-                        directory::manifest,
-                        memory::responsesAreTight,
-                        context.time(),
-                        timers,
-                        trace,
-                        context.meters());
+        CallerGuard guard = guard(context, memory, timers);
         openMetrics(context, memory, bodies, guard);
         EntryServer readiness =
                 open(
@@ -205,6 +202,24 @@
                 && directory.stalenessMillis(DirectoryTable.BATCHES) < MAX_STALENESS_MILLIS;
     }
 
+    private CallerGuard guard(ComponentContext context, InstanceMemory memory, Scheduler timers) {
+        TraceLog trace = context.require(TraceLog.class);
+        return mCallers.guard(
+                context.require(Directory.class)::manifest,
+                memory::responsesAreTight,
+                context.time(),
+                timers,
+                new ClosingLog(
+                        context.time(),
+                        context.meters(),
+                        (reason, count) ->
+                                trace.line(SECTION, "connections-closed")
+                                        .with("reason", reason.name())
+                                        .with("count", count)
+                                        .write()),
+                context.meters());
+    }
+
     private void openMetrics(
             ComponentContext context, InstanceMemory memory, BodyReader bodies, CallerGuard guard) {
         if (mMetricsPort > 0 && context.meters() instanceof PrometheusMeterRegistry prometheus) {
@@ -215,11 +230,10 @@
                                     mHost,
                                     mMetricsPort,
                                     context.require(LoopResources.class),
-                                    prometheus::scrape,
+                                    new MetricsText(prometheus, context.time()),
                                     memory,
                                     bodies,
-                                    guard,
-                                    context.time()));
+                                    guard));
         }
     }
 }
--- a/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/EntryServer.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
+import org.fuchsialever.node.callers.CallerGuard;
+import org.fuchsialever.node.callers.GuardedPort;
 import org.fuchsialever.node.entry.BodyReader.BodyRefusedException;
 import org.fuchsialever.node.hosted.DrainSignal;
 import org.fuchsialever.services.hosted.EntryProtocol;
@@ -15,6 +17,7 @@
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 import reactor.netty.resources.LoopResources;
@@ -63,7 +66,10 @@
         mMemory = memory;
         mBodies = bodies;
         mServer =
-                GuardedPort.server(host, port, loops, guard, mConnections::add)
+                GuardedPort.guarded(
+                                HttpServer.create().host(host).port(port).runOn(loops),
+                                guard,
+                                mConnections::add)
                         .handle(this::handle)
                         .bindNow();
     }
@@ -113,13 +119,12 @@
         }
         OpenRequest open = new OpenRequest(head, mRefusals);
         mInProgress.add(open);
-        // Asked for now, because the request forgets its connection when its response ends.
-        Channel channel = channel(request);
+        Channel channel = GuardedPort.connection(request);
         mConnections.begin(channel);
         InstanceMemory.Lease lease = mMemory.open();
         AtomicBoolean unread = new AtomicBoolean();
         Mono<EntryResponse> respond =
-                EntryCodec.isRefused(channel)
+                GuardedPort.isRefused(request)
                         ? refuse(head, unread)
                         : respond(open, head, method, request, lease, unread);
         return open.orEnd(respond)
@@ -133,12 +138,6 @@
                 .then(Mono.defer(() -> unread.get() ? mBodies.discard(request) : Mono.empty()));
     }
 
-    private static Channel channel(HttpServerRequest request) {
-        Channel[] found = new Channel[1];
-        request.withConnection(connection -> found[0] = connection.channel());
-        return found[0];
-    }
-
     /** Refuses a request whose head has no room. */
     private Mono<EntryResponse> refuse(EntryRequest head, AtomicBoolean unread) {
         unread.set(true);
--- a/node/src/test/java/org/fuchsialever/node/entry/EntryCodecTest.java
+++ b/node/src/test/java/org/fuchsialever/node/callers/EntryCodecTest.java
@@ -1,4 +1,4 @@
-package org.fuchsialever.node.entry;
+package org.fuchsialever.node.callers;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
@@ -21,8 +21,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.io.ByteArrayOutputStream;
-import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -31,7 +29,6 @@
 import org.fuchsialever.decisions.callers.CallerLimits;
 import org.fuchsialever.kernel.time.ManualTimeSource;
 import org.fuchsialever.node.dispatch.ManualScheduler;
-import org.fuchsialever.node.trace.TraceLog;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import reactor.netty.NettyPipeline;
@@ -45,15 +42,12 @@
     private final ManualTimeSource mTime = new ManualTimeSource(0);
     private final ManualScheduler mTimers = new ManualScheduler(mTime);
     private final SimpleMeterRegistry mMeters = new SimpleMeterRegistry();
-    private final TraceLog mTrace =
-            new TraceLog(new PrintStream(new ByteArrayOutputStream()), mMeters);
     private final List<EmbeddedChannel> mChannels = new ArrayList<>();
     private boolean mResponsesTight;
 
     @AfterEach
-    void close() throws InterruptedException {
+    void close() {
         mChannels.forEach(EmbeddedChannel::finishAndReleaseAll);
-        mTrace.close();
     }
 
     @Test
@@ -251,7 +245,7 @@
                 () -> mResponsesTight,
                 mTime,
                 mTimers,
-                new ClosingLog(mTime, mTrace, mMeters),
+                new ClosingLog(mTime, mMeters, (reason, count) -> {}),
                 mMeters);
     }
 
