Bound the clients of our own interface like those of the hosted one

What was seen: crowds of clients ended the process of an instance that serves our own interface, or made it answer nobody.

Cause: the server of our own interface had no bound on connections, heads, requests sent ahead or unread texts of metrics.

Change: the front end takes a guard; the node gives it the one of the hosted entry, with the same settings in the section [limits]. A request without room is refused with 503, `no-memory`, as not run and with Retry-After.

What both tests share moved to CrowdKind, CrowdBounds and InstanceUnderTest; the figures are the same.

--- a/decisions/src/main/java/org/fuchsialever/decisions/dispatch/RefusalReason.java
+++ b/decisions/src/main/java/org/fuchsialever/decisions/dispatch/RefusalReason.java
@@ -18,6 +18,7 @@
     METHOD_NOT_ALLOWED(Kind.INVALID, Outcome.NOT_RUN, Duration.ZERO),
     NOT_READY(Kind.UNAVAILABLE, Outcome.NOT_RUN, Duration.ofSeconds(1)),
     DRAINING(Kind.UNAVAILABLE, Outcome.NOT_RUN, Duration.ofSeconds(1)),
+    NO_MEMORY(Kind.UNAVAILABLE, Outcome.NOT_RUN, Duration.ofSeconds(1)),
     QUEUE_FULL(Kind.OVERLOADED, Outcome.NOT_RUN, Duration.ofSeconds(1)),
     WOULD_MISS_DEADLINE(Kind.OVERLOADED, Outcome.NOT_RUN, Duration.ofSeconds(2)),
     DEADLINE_IN_QUEUE(Kind.OVERLOADED, Outcome.NOT_RUN, Duration.ofSeconds(2)),
--- a/frontend/src/main/java/org/fuchsialever/frontend/HttpFrontEnd.java
+++ b/frontend/src/main/java/org/fuchsialever/frontend/HttpFrontEnd.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.fuchsialever.decisions.dispatch.RefusalReason;
 import org.fuchsialever.kernel.log.PartLogger;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
@@ -19,6 +20,8 @@
     private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(5);
 
     private final List<Endpoint> mEndpoints;
+    private final ConnectionGuard mGuard;
+    private final ResponseWriter mRefusals;
     private final DisposableServer mServer;
     private final AtomicInteger mInProgress = new AtomicInteger();
     private final Sinks.One<Boolean> mIdle = Sinks.one();
@@ -30,11 +33,23 @@
      * @param address the IP address to listen on
      * @param port the TCP port, or 0 for any free port
      * @param endpoints the endpoints in order of precedence
+     * @param guard bounds what clients hold
+     * @param refusals writes the refusals of requests without room
      * @throws RuntimeException if the port cannot be opened
      */
-    public HttpFrontEnd(String address, int port, List<Endpoint> endpoints) {
+    public HttpFrontEnd(
+            String address,
+            int port,
+            List<Endpoint> endpoints,
+            ConnectionGuard guard,
+            ResponseWriter refusals) {
         mEndpoints = List.copyOf(endpoints);
-        mServer = HttpServer.create().host(address).port(port).handle(this::dispatch).bindNow();
+        mGuard = guard;
+        mRefusals = refusals;
+        mServer =
+                guard.guarded(HttpServer.create().host(address).port(port))
+                        .handle(this::dispatch)
+                        .bindNow();
         LOG.info("Listening on " + address + ":" + mServer.port() + ".");
     }
 
@@ -81,6 +96,9 @@
     }
 
     private Publisher<Void> route(HttpServerRequest request, HttpServerResponse response) {
+        if (mGuard.isRefused(request)) {
+            return mRefusals.refuse(response, Refusal.of(RefusalReason.NO_MEMORY), "");
+        }
         String method = request.method().name();
         String path = "/" + request.path();
         for (Endpoint endpoint : mEndpoints) {
--- a/node/src/test/java/org/fuchsialever/node/http/DrainDeadlineTest.java
+++ b/node/src/test/java/org/fuchsialever/node/http/DrainDeadlineTest.java
@@ -4,10 +4,13 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.is;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import org.fuchsialever.frontend.ConnectionGuard;
 import org.fuchsialever.frontend.HttpFrontEnd;
+import org.fuchsialever.frontend.ResponseWriter;
 import org.fuchsialever.kernel.invariant.Invariant;
 import org.junit.jupiter.api.Test;
 import reactor.core.publisher.Mono;
@@ -18,7 +21,13 @@
     @Test
     void reportsCallsThatAreStillInProgressAtTheDeadline() {
         List<Invariant> violated = new ArrayList<>();
-        try (HttpFrontEnd frontEnd = new HttpFrontEnd("127.0.0.1", 0, List.of())) {
+        try (HttpFrontEnd frontEnd =
+                new HttpFrontEnd(
+                        "127.0.0.1",
+                        0,
+                        List.of(),
+                        ConnectionGuard.none(),
+                        new ResponseWriter(new SimpleMeterRegistry()))) {
             Drain drain =
                     new Drain(
                             frontEnd,
--- a/soak/src/test/java/org/fuchsialever/soak/Crowd.java
+++ b/soak/src/test/java/org/fuchsialever/soak/Crowd.java
@@ -25,7 +25,7 @@
     Crowd() throws IOException {}
 
     /** Opens connections to a port and sends a text on each, as far as the instance takes it. */
-    void send(DeployedInstance instance, int port, int connections, byte[] text)
+    void send(InstanceUnderTest instance, int port, int connections, byte[] text)
             throws IOException {
         for (int n = 0; n < connections; n++) {
             SocketChannel channel = SocketChannel.open();
--- a/soak/src/test/java/org/fuchsialever/soak/CrowdKind.java
+++ b/soak/src/test/java/org/fuchsialever/soak/CrowdKind.java
@@ -92,14 +92,19 @@
     /** Returns what each client sends. */
     abstract String text(String path);
 
-    /** Lets a part of the crowd send to an address. */
-    void send(Crowd crowd, DeployedInstance instance, ServedAddress address, int divisor)
+    /**
+     * Lets a part of the crowd send to a port.
+     *
+     * @param path what its requests ask for
+     * @param divisor the crowd has this many parts
+     */
+    void send(Crowd crowd, InstanceUnderTest instance, int port, String path, int divisor)
             throws IOException {
         crowd.send(
                 instance,
-                address.port(instance),
+                port,
                 mConnections / divisor,
-                text(address.path(this)).getBytes(StandardCharsets.ISO_8859_1));
+                text(path).getBytes(StandardCharsets.ISO_8859_1));
     }
 
     /** Returns a whole head of the longest legal length. */
--- a/soak/src/test/java/org/fuchsialever/soak/DeployedInstance.java
+++ b/soak/src/test/java/org/fuchsialever/soak/DeployedInstance.java
@@ -12,9 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
-import java.util.stream.Stream;
 import org.fuchsialever.kernel.lifecycle.Closer;
-import org.fuchsialever.node.NodeMain;
 import org.fuchsialever.platform.FreePorts;
 import org.fuchsialever.platform.InstanceSettings;
 import org.fuchsialever.platform.ManifestText;
@@ -67,8 +65,7 @@
     private final int mPort;
     private final int mReadinessPort;
     private final int mMetricsPort;
-    private final Path mLog;
-    private final Process mProcess;
+    private final InstanceUnderTest mInstance;
 
     DeployedInstance(Path directory) throws IOException {
         this(directory, List.of(), List.of());
@@ -103,7 +100,6 @@
         mPort = FreePorts.next();
         mReadinessPort = FreePorts.next();
         mMetricsPort = FreePorts.next();
-        mLog = directory.resolve("n1.log");
         StoreStandIn store = mCloser.register("store", new StoreStandIn());
         store.write(
                 "op",
@@ -132,23 +128,13 @@
                                         + mReadinessPort
                                         + "\nmetrics-port = "
                                         + mMetricsPort));
-        List<String> command = new ArrayList<>(launcher);
-        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-        command.addAll(memoryOptions());
-        command.addAll(options);
-        command.addAll(
-                List.of(
-                        "-cp",
-                        System.getProperty("java.class.path"),
-                        NodeMain.class.getName(),
-                        "--settings",
-                        settings.toString()));
-        mProcess =
-                new ProcessBuilder(command)
-                        .redirectErrorStream(true)
-                        .redirectOutput(mLog.toFile())
-                        .start();
-        Runtime.getRuntime().addShutdownHook(new Thread(mProcess::destroyForcibly, "end-n1"));
+        List<String> allOptions = new ArrayList<>(memoryOptions());
+        allOptions.addAll(options);
+        mInstance =
+                mCloser.register(
+                        "n1",
+                        new InstanceUnderTest(
+                                directory.resolve("n1.log"), settings, launcher, allOptions));
     }
 
     /** Returns the options of the deploy file that bound memory. */
@@ -176,33 +162,12 @@
         return mMetricsPort;
     }
 
-    boolean isAlive() {
-        return mProcess.isAlive();
-    }
-
-    /** Returns the largest resident memory that the process has had. */
-    long peakResidentBytes() throws IOException {
-        String line =
-                Files.readAllLines(processFile("status")).stream()
-                        .filter(one -> one.startsWith("VmHWM:"))
-                        .findFirst()
-                        .orElseThrow();
-        return Long.parseLong(line.replaceAll("[^0-9]", "")) * 1_024;
-    }
-
-    /** Returns the number of open descriptors of the process. */
-    long openDescriptors() throws IOException {
-        try (Stream<Path> files = Files.list(processFile("fd"))) {
-            return files.count();
-        }
-    }
-
-    private Path processFile(String name) {
-        return Path.of("/proc", Long.toString(mProcess.pid()), name);
+    InstanceUnderTest instance() {
+        return mInstance;
     }
 
     String log() throws IOException {
-        return Files.readString(mLog);
+        return mInstance.log();
     }
 
     /** Returns the length of the body with which a request ran, or -1 if it has not run. */
@@ -246,8 +211,6 @@
 
     @Override
     public void close() {
-        mProcess.destroyForcibly();
-        mProcess.onExit().join();
         mCloser.close();
     }
 }
--- a/soak/src/test/java/org/fuchsialever/soak/InstanceMemoryTest.java
+++ b/soak/src/test/java/org/fuchsialever/soak/InstanceMemoryTest.java
@@ -130,7 +130,7 @@
             assertThat(calls, is(greaterThan(10)));
             assertThat(statuses.getOrDefault(200, new AtomicInteger()).get(), is(greaterThan(0)));
             assertThat(statuses.getOrDefault(0, new AtomicInteger()).get(), is(0));
-            assertThat(instance.isAlive(), is(true));
+            assertThat(instance.instance().isAlive(), is(true));
             assertThat(instance.log(), not(containsString("OutOfMemory")));
         }
     }
--- a/soak/src/test/java/org/fuchsialever/soak/TakeoverMemoryTest.java
+++ b/soak/src/test/java/org/fuchsialever/soak/TakeoverMemoryTest.java
@@ -40,7 +40,7 @@
                     .pollInterval(Duration.ofMillis(100))
                     .until(() -> instance.log().contains("\"event\":\"opened\""));
             await().atMost(PATIENCE).pollDelay(LOADING_TIME).until(() -> true);
-            assertThat(instance.isAlive(), is(true));
+            assertThat(instance.instance().isAlive(), is(true));
             assertThat(call(instance), is(200));
         }
     }
--- a/soak/src/test/java/org/fuchsialever/soak/UncontrolledClientsTest.java
+++ b/soak/src/test/java/org/fuchsialever/soak/UncontrolledClientsTest.java
@@ -5,13 +5,10 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
-import static org.hamcrest.Matchers.lessThan;
-import static org.hamcrest.Matchers.not;
 
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -25,24 +22,6 @@
     /** Bounds a wait that does not end because of a fault; no test depends on its length. */
     private static final Duration PATIENCE = Duration.ofSeconds(60);
 
-    private static final int HEAP_MIB = 48;
-    private static final int DIRECT_MIB = 48;
-    private static final int METASPACE_MIB = 80;
-    private static final int CODE_MIB = 24;
-
-    /** Memory of the machine: all that the options of the process allow it. */
-    private static final long MACHINE_BYTES =
-            (HEAP_MIB + DIRECT_MIB + METASPACE_MIB + CODE_MIB) * 1_048_576L;
-
-    /** Files of the class path are descriptors of the process, too. */
-    private static final List<String> LAUNCHER =
-            List.of(
-                    "/bin/sh",
-                    "-c",
-                    "ulimit -n " + CrowdKind.MAX_DESCRIPTORS + "; exec \"$0\" \"$@\"");
-
-    private static final List<String> OPTIONS = List.of("-Xmx" + HEAP_MIB + "m");
-
     /** The part of each crowd that comes to an address when all of them come to all addresses. */
     private static final int CROWDS_AT_ONCE = 3;
 
@@ -76,7 +55,7 @@
                 Crowd crowd = new Crowd()) {
             for (CrowdKind kind : CrowdKind.values()) {
                 for (ServedAddress address : ServedAddress.values()) {
-                    kind.send(crowd, instance, address, CROWDS_AT_ONCE);
+                    send(kind, crowd, instance, address, CROWDS_AT_ONCE);
                 }
             }
             assertSound(instance);
@@ -127,24 +106,31 @@
     private void survives(CrowdKind kind, ServedAddress address) throws IOException {
         try (DeployedInstance instance = serving();
                 Crowd crowd = new Crowd()) {
-            kind.send(crowd, instance, address, 1);
+            send(kind, crowd, instance, address, 1);
             assertSound(instance);
         }
     }
 
+    private static void send(
+            CrowdKind kind,
+            Crowd crowd,
+            DeployedInstance instance,
+            ServedAddress address,
+            int divisor)
+            throws IOException {
+        kind.send(crowd, instance.instance(), address.port(instance), address.path(kind), divisor);
+    }
+
     private static void assertSound(DeployedInstance instance) throws IOException {
         for (ServedAddress address : ServedAddress.values()) {
             awaitAnswer(instance, address);
         }
-        assertThat(instance.isAlive(), is(true));
-        assertThat(instance.peakResidentBytes(), is(lessThan(MACHINE_BYTES)));
-        long descriptors = instance.openDescriptors();
-        assertThat(descriptors, is(lessThan((long) CrowdKind.MAX_DESCRIPTORS)));
-        assertThat(instance.log(), not(containsString("OutOfMemory")));
+        CrowdBounds.assertKept(instance.instance());
     }
 
     private DeployedInstance serving() throws IOException {
-        DeployedInstance instance = new DeployedInstance(mDirectory, LAUNCHER, OPTIONS);
+        DeployedInstance instance =
+                new DeployedInstance(mDirectory, CrowdBounds.launcher(), CrowdBounds.options());
         awaitAnswer(instance, ServedAddress.ENTRY);
         return instance;
     }
@@ -153,7 +139,7 @@
         await().atMost(PATIENCE)
                 .pollInterval(Duration.ofMillis(50))
                 .ignoreExceptions()
-                .until(() -> !instance.isAlive() || address.serves(instance));
-        assertThat("the process lives", instance.isAlive(), is(true));
+                .until(() -> !instance.instance().isAlive() || address.serves(instance));
+        assertThat("the process lives", instance.instance().isAlive(), is(true));
     }
 }
