Add very many requests ahead on a few connections to the crowds

Eight clients now send 20,000 each. This kind fails nowhere, on either: the servers read no further while a response waits.

--- a/soak/src/test/java/org/fuchsialever/soak/CrowdKind.java
+++ b/soak/src/test/java/org/fuchsialever/soak/CrowdKind.java
@@ -63,6 +63,15 @@
             return (requestLine(path, CROWD) + "\r\n").repeat(REQUESTS_AHEAD);
         }
     },
+    /**
+     * Very many requests that are sent ahead on a few connections, whose responses nobody reads.
+     */
+    SENT_AHEAD_ON_FEW_CONNECTIONS(8) {
+        @Override
+        String text(String path) {
+            return (requestLine(path, CROWD) + "\r\n").repeat(REQUESTS_AHEAD_ON_EACH);
+        }
+    },
     /** Connections on which nothing is sent, more than the process has descriptors. */
     SILENT(2 * CrowdKind.MAX_DESCRIPTORS) {
         @Override
@@ -82,6 +91,7 @@
     private static final int HEADS_PER_CONNECTION = 8;
     private static final int ENDLESS_BYTES = 200_000;
     private static final int REQUESTS_AHEAD = 200;
+    private static final int REQUESTS_AHEAD_ON_EACH = 20_000;
 
     private final int mConnections;
 
--- a/soak/src/test/java/org/fuchsialever/soak/ServedAddress.java
+++ b/soak/src/test/java/org/fuchsialever/soak/ServedAddress.java
@@ -13,9 +13,10 @@
 
         @Override
         String path(CrowdKind kind) {
-            return kind == CrowdKind.SENT_AHEAD
-                    ? DeployedInstance.MEDIUM_RESPONSES
-                    : super.path(kind);
+            return switch (kind) {
+                case SENT_AHEAD, SENT_AHEAD_ON_FEW_CONNECTIONS -> DeployedInstance.MEDIUM_RESPONSES;
+                default -> super.path(kind);
+            };
         }
     },
     /** The port of readiness checks. */
