--- a/node/src/main/java/org/fuchsialever/node/entry/MetricsServer.java
+++ b/node/src/main/java/org/fuchsialever/node/entry/MetricsServer.java
@@ -1,6 +1,5 @@
 package org.fuchsialever.node.entry;
 
-import io.netty.handler.codec.http.HttpHeaderNames;
 import java.time.Duration;
 import org.fuchsialever.decisions.memory.MemoryShare;
 import org.fuchsialever.node.callers.CallerGuard;
@@ -20,9 +19,6 @@
     /** The transport copies a text once more. */
     private static final long COPIES = 2;
 
-    private static final int UNAVAILABLE_STATUS = 503;
-    private static final String RETRY_AFTER_SECONDS = "1";
-
     private final MetricsText mMetrics;
     private final InstanceMemory mMemory;
     private final BodyReader mBodies;
@@ -61,26 +57,11 @@
 
     private Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
         InstanceMemory.Lease lease = mMemory.open();
-        byte[] text = mMetrics.bytes();
         boolean hasRoom =
                 !GuardedPort.isRefused(request)
-                        && lease.tryTake(MemoryShare.RESPONSE, COPIES * text.length);
-        Mono<Void> sent = hasRoom ? send(response, text) : refuse(response);
+                        && lease.tryTake(MemoryShare.RESPONSE, COPIES * mMetrics.length());
+        Mono<Void> sent = hasRoom ? mMetrics.send(response) : MetricsText.refuse(response);
         return sent.doFinally(signal -> lease.close())
                 .then(Mono.defer(() -> mBodies.discard(request)));
     }
-
-    private static Mono<Void> send(HttpServerResponse response, byte[] text) {
-        return response.header(HttpHeaderNames.CONTENT_TYPE, MetricsText.CONTENT_TYPE)
-                .header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(text.length))
-                .sendByteArray(Mono.just(text))
-                .then();
-    }
-
-    private static Mono<Void> refuse(HttpServerResponse response) {
-        return response.status(UNAVAILABLE_STATUS)
-                .header(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS)
-                .header(HttpHeaderNames.CONTENT_LENGTH, "0")
-                .send();
-    }
 }
