--- a/soak/src/test/java/org/fuchsialever/soak/SoakFault.java
+++ b/soak/src/test/java/org/fuchsialever/soak/SoakFault.java
@@ -135,12 +135,17 @@
             return stutter(List.copyOf(world.upstreams().values()), random);
         }
     },
-    /** An upstream leaves and comes back. */
+    /** An upstream says that it is leaving, or its row is written and removed, and comes back. */
     UPSTREAM_LEAVES(true) {
         @Override
         Healing begin(SoakWorld world, RandomGenerator random) {
             String id = any(List.copyOf(world.upstreams().keySet()), random);
-            world.register(id, "draining");
+            if (random.nextBoolean()) {
+                world.register(id, "draining");
+            } else {
+                world.register(id, "ready");
+                world.store().remove("servers", id);
+            }
             return () -> world.register(id, "ready");
         }
     },
